--- /dev/null
+++ b/io/wp_ask.c
@@ -0,0 +1,207 @@
+/* Reads callers' requests. */
+#include "wp_ask.h"
+
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+#define SERVICE_PREFIX "/v1/services/"
+#define DEFAULT_KIND "default"
+#define DEFAULT_ANSWER_TOKENS 256
+#define PREFIX_BYTES 512 /* of the prompt, that decide where it is cached */
+#define BYTES_PER_TOKEN 4
+#define LABELS_MOST 16
+#define KEY_MOST 200
+
+const WPWorkspace *wp_ask_workspace(const WPPolicy *p, struct evhttp_request *r)
+{
+    const char *auth = wp_http_header(r, "Authorization");
+    if (!auth || g_ascii_strncasecmp(auth, "Bearer ", 7))
+        return NULL;
+    g_autofree char *digest =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, auth + 7, -1);
+    return wp_policy_by_key(p, digest);
+}
+
+/* key=value,key=value; false when it is malformed. */
+static bool read_labels(const char *text, WPLabels *out)
+{
+    WPStr rest = wp_str(text);
+    while (rest.n) {
+        WPStr pair = wp_str_trim(wp_str_cut(&rest, ','));
+        WPStr value = pair;
+        WPStr key = wp_str_trim(wp_str_cut(&value, '='));
+        value = wp_str_trim(value);
+        if (!key.n || !value.n || wp_labels_count(out) >= LABELS_MOST)
+            return false;
+        wp_labels_set(out, key, value);
+    }
+    return true;
+}
+
+static char *read_cookie(struct evhttp_request *r)
+{
+    const char *cookies = wp_http_header(r, "Cookie");
+    WPStr rest = wp_str(cookies);
+    while (rest.n) {
+        WPStr value = wp_str_trim(wp_str_cut(&rest, ';'));
+        WPStr name = wp_str_cut(&value, '=');
+        if (wp_str_eq(name, wp_str(WP_COOKIE)))
+            return g_strndup(value.p, value.n);
+    }
+    return NULL;
+}
+
+static WPCode read_headers(const WPPolicy *p, struct evhttp_request *r,
+                           WPAskText *out, const char **detail)
+{
+    const char *labels = wp_http_header(r, WP_H_LABELS);
+    const char *deadline = wp_http_header(r, WP_H_DEADLINE);
+    const char *once = wp_http_header(r, WP_H_ONCE);
+    const char *token = wp_http_header(r, WP_H_TOKEN);
+    WPAsk *a = &out->ask;
+    a->workspace = wp_ask_workspace(p, r);
+    if (!a->workspace)
+        return WP_NO_KEY;
+    if (labels) {
+        a->labels = wp_labels_new();
+        if (!read_labels(labels, a->labels)) {
+            *detail = WP_H_LABELS ": expected key=value,key=value";
+            return WP_BAD_REQUEST;
+        }
+    }
+    if (deadline) {
+        char *end;
+        unsigned long ms = strtoul(deadline, &end, 10);
+        if (*end || !ms || ms > 24UL * 3600 * WP_MS_PER_S) {
+            *detail = WP_H_DEADLINE ": expected milliseconds above 0";
+            return WP_BAD_REQUEST;
+        }
+        a->deadline_ms = (uint32_t)ms;
+    }
+    if (once && strlen(once) > KEY_MOST) {
+        *detail = WP_H_ONCE ": too long";
+        return WP_BAD_REQUEST;
+    }
+    a->once_key = wp_str(once);
+    a->session_id = wp_str(wp_http_header(r, WP_H_SESSION));
+    if (!token)
+        token = out->token = read_cookie(r);
+    a->session_token = wp_str(token);
+    return WP_OK;
+}
+
+static bool find_kind(const WPPolicy *p, const char *header, const char *model,
+                      WPAsk *a)
+{
+    if (header)
+        a->kind = wp_policy_kind(p, header);
+    else if (model && wp_policy_kind(p, model))
+        a->kind = wp_policy_kind(p, model);
+    else
+        a->kind = wp_policy_kind(p, DEFAULT_KIND);
+    return a->kind != NULL;
+}
+
+/* Bytes of all messages, and a hash of the first of them. */
+static void read_messages(const json_t *messages, WPAsk *a)
+{
+    size_t i, bytes = 0;
+    json_t *m;
+    json_array_foreach (messages, i, m) {
+        const json_t *content = json_object_get(m, "content");
+        size_t n = json_string_length(content);
+        if (n && bytes < PREFIX_BYTES)
+            a->prefix = wp_hash(
+                wp_strn(json_string_value(content), MIN(n, PREFIX_BYTES)),
+                a->prefix + 1);
+        bytes += n;
+    }
+    a->prompt_tokens = (uint32_t)(bytes / BYTES_PER_TOKEN + 1);
+}
+
+static uint32_t answer_tokens(const json_t *body)
+{
+    json_t *most = json_object_get(body, "max_completion_tokens");
+    if (!most)
+        most = json_object_get(body, "max_tokens");
+    json_int_t n = json_integer_value(most);
+    return n > 0 && n < UINT32_MAX ? (uint32_t)n : DEFAULT_ANSWER_TOKENS;
+}
+
+WPCode wp_ask_chat(const WPPolicy *p, struct evhttp_request *r, WPAskText *out,
+                   const char **detail)
+{
+    WPAsk *a = &out->ask;
+    WPCode code = read_headers(p, r, out, detail);
+    if (code != WP_OK)
+        return code;
+    out->body = wp_http_body_json(r);
+    if (!json_is_object(out->body))
+        return WP_BAD_JSON;
+    const json_t *messages = json_object_get(out->body, "messages");
+    if (!json_is_array(messages) || !json_array_size(messages)) {
+        *detail = "messages: expected a list";
+        return WP_BAD_REQUEST;
+    }
+    a->model = json_string_value(json_object_get(out->body, "model"));
+    if (!find_kind(p, wp_http_header(r, WP_H_KIND), a->model, a)) {
+        *detail = "no such kind of request";
+        return WP_UNKNOWN_MODEL;
+    }
+    read_messages(messages, a);
+    a->answer_tokens = answer_tokens(out->body);
+    out->stream = json_is_true(json_object_get(out->body, "stream"));
+    out->want_usage = json_is_true(json_object_get(
+        json_object_get(out->body, "stream_options"), "include_usage"));
+    out->path = g_strdup("/v1/chat/completions");
+    return WP_OK;
+}
+
+WPCode wp_ask_service(const WPPolicy *p, struct evhttp_request *r,
+                      WPAskText *out, const char **detail)
+{
+    WPAsk *a = &out->ask;
+    const char *uri = evhttp_request_get_uri(r);
+    const char *name = uri + strlen(SERVICE_PREFIX);
+    const char *rest = strpbrk(name, "/?");
+    WPCode code = read_headers(p, r, out, detail);
+    if (code != WP_OK)
+        return code;
+    out->service =
+        rest ? g_strndup(name, (gsize)(rest - name)) : g_strdup(name);
+    out->path =
+        rest && *rest == '/' ? g_strdup(rest) : g_strconcat("/", rest, NULL);
+    a->service = out->service;
+    if (!find_kind(p, wp_http_header(r, WP_H_KIND), out->service, a)) {
+        *detail = "no such kind of request";
+        return WP_UNKNOWN_MODEL;
+    }
+    return WP_OK;
+}
+
+WPCode wp_ask_query(const WPPolicy *p, struct evhttp_request *r, WPAskText *out)
+{
+    g_autofree char *ws = wp_http_query(r, "workspace");
+    g_autofree char *kind = wp_http_query(r, "kind");
+    g_autofree char *labels = wp_http_query(r, "labels");
+    out->ask.workspace = ws ? wp_policy_workspace(p, ws) : NULL;
+    out->ask.kind = kind ? wp_policy_kind(p, kind) : NULL;
+    out->ask.answer_tokens = DEFAULT_ANSWER_TOKENS;
+    if (!out->ask.workspace || !out->ask.kind)
+        return WP_UNKNOWN_MODEL;
+    if (labels) {
+        out->ask.labels = wp_labels_new();
+        if (!read_labels(labels, out->ask.labels))
+            return WP_BAD_REQUEST;
+    }
+    return WP_OK;
+}
+
+void wp_ask_end(WPAskText *a)
+{
+    wp_labels_free(a->ask.labels);
+    json_decref(a->body);
+    g_free(a->token);
+    g_free(a->service);
+    g_free(a->path);
+}
--- /dev/null
+++ b/io/wp_http.c
@@ -0,0 +1,169 @@
+/* HTTP calls and answers. */
+#include "wp_http.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+
+struct WPHttp {
+    struct event_base *base;
+    struct evhttp_connection *con;
+    char *host;
+    uint16_t port;
+    int timeout_ms;
+    WPList calls;
+};
+
+typedef struct Call {
+    WPList link;
+    WPHttp *owner;
+    WPHttpDone done;
+    void *arg;
+} Call;
+
+bool wp_http_target(const char *target, char **host, uint16_t *port)
+{
+    const char *colon = strrchr(target, ':');
+    char *end;
+    if (!colon || colon == target)
+        return false;
+    unsigned long p = strtoul(colon + 1, &end, 10);
+    if (*end || !p || p > UINT16_MAX)
+        return false;
+    *host = g_strndup(target, (gsize)(colon - target));
+    *port = (uint16_t)p;
+    return true;
+}
+
+WPHttp *wp_http_new(struct event_base *base, const char *target, int timeout_ms)
+{
+    WPHttp *h = g_new0(WPHttp, 1);
+    h->base = base;
+    h->timeout_ms = timeout_ms;
+    wp_list_init(&h->calls);
+    if (!wp_http_target(target, &h->host, &h->port)) {
+        g_free(h);
+        return NULL;
+    }
+    return h;
+}
+
+void wp_http_free(WPHttp *h)
+{
+    if (!h)
+        return;
+    /* evhttp reports the end of each call: they must find no owner. */
+    wp_list_each (it, &h->calls)
+        wp_list_item(it, Call, link)->owner = NULL;
+    wp_list_each_safe (it, tmp, &h->calls)
+        wp_list_remove(it);
+    if (h->con)
+        evhttp_connection_free(h->con);
+    g_free(h->host);
+    g_free(h);
+}
+
+static void on_done(struct evhttp_request *r, void *arg)
+{
+    Call *c = arg;
+    int status = r ? evhttp_request_get_response_code(r) : 0;
+    WPStr body = wp_str("");
+    if (r) {
+        struct evbuffer *in = evhttp_request_get_input_buffer(r);
+        size_t n = evbuffer_get_length(in);
+        body = wp_strn((const char *)evbuffer_pullup(in, -1), n);
+    }
+    wp_list_remove(&c->link);
+    if (c->owner)
+        c->done(c->arg, status, body);
+    g_free(c);
+}
+
+static struct evhttp_connection *connection(WPHttp *h)
+{
+    struct timeval limit = { h->timeout_ms / WP_MS_PER_S,
+                             h->timeout_ms % WP_MS_PER_S * WP_US_PER_MS };
+    if (!h->con) {
+        h->con = evhttp_connection_base_new(h->base, NULL, h->host, h->port);
+        evhttp_connection_set_timeout_tv(h->con, &limit);
+    }
+    return h->con;
+}
+
+void wp_http_call(WPHttp *h, const char *path, const char *body,
+                  WPHttpDone done, void *arg)
+{
+    Call *c = g_new0(Call, 1);
+    struct evhttp_request *r = evhttp_request_new(on_done, c);
+    struct evkeyvalq *head = evhttp_request_get_output_headers(r);
+    c->owner = h;
+    c->done = done;
+    c->arg = arg;
+    wp_list_append(&h->calls, &c->link);
+    evhttp_add_header(head, "Host", h->host);
+    if (body) {
+        evhttp_add_header(head, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(r), body, strlen(body));
+    }
+    evhttp_make_request(connection(h), r,
+                        body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, path);
+}
+
+/* Accepted connections inherit the listener's option. */
+bool wp_http_listen(struct evhttp *http, const char *addr, uint16_t port)
+{
+    int one = 1;
+    struct evhttp_bound_socket *s =
+        evhttp_bind_socket_with_handle(http, addr, port);
+    if (!s)
+        return false;
+    setsockopt(evhttp_bound_socket_get_fd(s), IPPROTO_TCP, TCP_NODELAY, &one,
+               sizeof(one));
+    return true;
+}
+
+void wp_http_text(struct evhttp_request *r, int status, const char *type,
+                  WPStr body)
+{
+    struct evbuffer *b = evbuffer_new();
+    evbuffer_add(b, body.p, body.n);
+    evhttp_add_header(evhttp_request_get_output_headers(r), "Content-Type",
+                      type);
+    evhttp_send_reply(r, status, NULL, b);
+    evbuffer_free(b);
+}
+
+void wp_http_json(struct evhttp_request *r, int status, json_t *o)
+{
+    char *text = json_dumps(o, JSON_COMPACT);
+    wp_http_text(r, status, "application/json", wp_str(text));
+    free(text);
+    json_decref(o);
+}
+
+char *wp_http_query(struct evhttp_request *r, const char *name)
+{
+    struct evkeyvalq q;
+    const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(r);
+    const char *text = evhttp_uri_get_query(uri);
+    if (!text || evhttp_parse_query_str(text, &q))
+        return NULL;
+    char *value = g_strdup(evhttp_find_header(&q, name));
+    evhttp_clear_headers(&q);
+    return value;
+}
+
+json_t *wp_http_body_json(struct evhttp_request *r)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(r);
+    size_t n = evbuffer_get_length(in);
+    const char *p = (const char *)evbuffer_pullup(in, -1);
+    return n ? json_loadb(p, n, 0, NULL) : NULL;
+}
+
+const char *wp_http_header(struct evhttp_request *r, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(r), name);
+}
--- /dev/null
+++ b/io/wp_kv.h
@@ -0,0 +1,69 @@
+/* The platform's key-value service, behind a small table of functions so that
+ * another client can take its place. */
+#ifndef WP_KV_H
+#define WP_KV_H
+
+#include "wp_base.h"
+
+#include <event2/event.h>
+
+#define WP_KV_HEAD "/wp/config/head"
+#define WP_KV_OBJECTS "/wp/config/o/"
+#define WP_KV_CONFIG "/wp/config/"
+#define WP_KV_CONFIG_END "/wp/config0"
+
+typedef struct WPKvItem {
+    WPStr key, value;
+    uint64_t mod_revision;
+} WPKvItem;
+
+/* One condition of a transaction: the key's revision; 0 means absent. */
+typedef struct WPKvCompare {
+    const char *key;
+    uint64_t mod_revision;
+} WPKvCompare;
+
+typedef struct WPKvOp {
+    const char *key;
+    WPStr value;
+    bool remove;
+} WPKvOp;
+
+typedef struct WPKvResult {
+    bool ok;        /* the service answered */
+    bool succeeded; /* of a transaction */
+    uint64_t revision;
+    const WPKvItem *items;
+    size_t n_items;
+} WPKvResult;
+
+typedef void (*WPKvDone)(void *arg, const WPKvResult *r);
+
+/* An event of a watch; NULL when the watch has ended. */
+typedef void (*WPKvEvent)(void *arg, const WPKvItem *item);
+
+typedef struct WPKv WPKv;
+
+typedef struct WPKvOps {
+    /* Keys from `key` up to, without, `end`; the one key when it is NULL. */
+    void (*range)(WPKv *kv, const char *key, const char *end, WPKvDone done,
+                  void *arg);
+    /* When a condition fails, the items are the present ones of the keys
+       compared. */
+    void (*txn)(WPKv *kv, const WPKvCompare *compares, size_t n_compares,
+                const WPKvOp *ops, size_t n_ops, WPKvDone done, void *arg);
+    void (*watch)(WPKv *kv, const char *key, uint64_t from, WPKvEvent event,
+                  void *arg);
+    void (*unwatch)(WPKv *kv);
+    void (*free)(WPKv *kv);
+} WPKvOps;
+
+struct WPKv {
+    const WPKvOps *ops;
+};
+
+/* A client of etcd's v3 JSON gateway at one of `targets` (host:port), tried
+   in turn. NULL when a target is malformed. */
+WPKv *wp_kv_etcd(struct event_base *base, char **targets, size_t n);
+
+#endif
--- /dev/null
+++ b/io/wp_kv_etcd.c
@@ -0,0 +1,288 @@
+/* The key-value service by etcd's published v3 gateway: POST with JSON, keys
+ * and values in base64, numbers as strings. */
+#include "wp_http.h"
+#include "wp_kv.h"
+
+#include <event2/buffer.h>
+#include <event2/http_struct.h>
+#include <stdlib.h>
+
+enum { KV_TIMEOUT_MS = 2000 };
+
+typedef struct Etcd {
+    WPKv kv; /* first */
+    struct event_base *base;
+    char **targets;
+    size_t n_targets, at;
+    WPHttp **clients;
+    /* The one watch. */
+    struct evhttp_connection *watch_con;
+    WPKvEvent event;
+    void *event_arg;
+    GString *partial; /* a line that has not wholly come */
+} Etcd;
+
+typedef struct Call {
+    Etcd *e;
+    WPKvDone done;
+    void *arg;
+} Call;
+
+static json_t *b64(const char *p, size_t n)
+{
+    g_autofree char *text = g_base64_encode((const guchar *)p, n);
+    return json_string(text);
+}
+
+static json_t *b64z(const char *s)
+{
+    return b64(s, strlen(s));
+}
+
+/* Numbers come as strings; some servers give plain ones. */
+static uint64_t number(const json_t *j)
+{
+    if (json_is_string(j))
+        return g_ascii_strtoull(json_string_value(j), NULL, 10);
+    return (uint64_t)json_integer_value(j);
+}
+
+static WPStr unb64(const json_t *j)
+{
+    gsize n = 0;
+    const char *s = json_string_value(j);
+    guchar *p = g_base64_decode(s ? s : "", &n);
+    return wp_strn((const char *)p, n);
+}
+
+static void add_items(GArray *out, const json_t *kvs)
+{
+    size_t i;
+    json_t *kv;
+    json_array_foreach (kvs, i, kv) {
+        WPKvItem item = {
+            .key = unb64(json_object_get(kv, "key")),
+            .value = unb64(json_object_get(kv, "value")),
+            .mod_revision = number(json_object_get(kv, "mod_revision")),
+        };
+        g_array_append_val(out, item);
+    }
+}
+
+static void clear_item(gpointer p)
+{
+    WPKvItem *item = p;
+    g_free((gpointer)item->key.p);
+    g_free((gpointer)item->value.p);
+}
+
+static GArray *new_items(void)
+{
+    GArray *a = g_array_new(FALSE, FALSE, sizeof(WPKvItem));
+    g_array_set_clear_func(a, clear_item);
+    return a;
+}
+
+static void on_answer(void *arg, int status, WPStr body)
+{
+    Call *c = arg;
+    g_autoptr(GArray) items = new_items();
+    json_t *j = status == 200 ? json_loadb(body.p, body.n, 0, NULL) : NULL;
+    WPKvResult r = { .ok = j != NULL };
+    if (j) {
+        size_t i;
+        json_t *part;
+        r.revision =
+            number(json_object_get(json_object_get(j, "header"), "revision"));
+        r.succeeded = json_is_true(json_object_get(j, "succeeded"));
+        add_items(items, json_object_get(j, "kvs"));
+        json_array_foreach (json_object_get(j, "responses"), i, part)
+            add_items(items,
+                      json_object_get(json_object_get(part, "response_range"),
+                                      "kvs"));
+    } else {
+        c->e->at = (c->e->at + 1) % c->e->n_targets;
+    }
+    r.items = (const WPKvItem *)(void *)items->data;
+    r.n_items = items->len;
+    c->done(c->arg, &r);
+    json_decref(j);
+    g_free(c);
+}
+
+static void post(Etcd *e, const char *path, json_t *body, WPKvDone done,
+                 void *arg)
+{
+    Call *c = g_new0(Call, 1);
+    char *text = json_dumps(body, JSON_COMPACT);
+    c->e = e;
+    c->done = done;
+    c->arg = arg;
+    if (!e->clients[e->at])
+        e->clients[e->at] =
+            wp_http_new(e->base, e->targets[e->at], KV_TIMEOUT_MS);
+    wp_http_call(e->clients[e->at], path, text, on_answer, c);
+    free(text);
+    json_decref(body);
+}
+
+static void etcd_range(WPKv *kv, const char *key, const char *end,
+                       WPKvDone done, void *arg)
+{
+    json_t *body = json_pack("{s:o}", "key", b64z(key));
+    if (end)
+        json_object_set_new(body, "range_end", b64z(end));
+    post((Etcd *)kv, "/v3/kv/range", body, done, arg);
+}
+
+static json_t *compare_json(const WPKvCompare *c)
+{
+    g_autofree char *rev =
+        g_strdup_printf("%lu", (unsigned long)c->mod_revision);
+    return json_pack("{s:o,s:s,s:s,s:s}", "key", b64z(c->key), "target", "MOD",
+                     "result", "EQUAL", "mod_revision", rev);
+}
+
+static json_t *op_json(const WPKvOp *op)
+{
+    if (op->remove)
+        return json_pack("{s:{s:o}}", "request_delete_range", "key",
+                         b64z(op->key));
+    return json_pack("{s:{s:o,s:o}}", "request_put", "key", b64z(op->key),
+                     "value", b64(op->value.p, op->value.n));
+}
+
+static void etcd_txn(WPKv *kv, const WPKvCompare *compares, size_t n_compares,
+                     const WPKvOp *ops, size_t n_ops, WPKvDone done, void *arg)
+{
+    json_t *compare = json_array(), *success = json_array();
+    json_t *failure = json_array();
+    for (size_t i = 0; i < n_compares; i++) {
+        json_array_append_new(compare, compare_json(&compares[i]));
+        json_array_append_new(failure, json_pack("{s:{s:o}}", "request_range",
+                                                 "key", b64z(compares[i].key)));
+    }
+    for (size_t i = 0; i < n_ops; i++)
+        json_array_append_new(success, op_json(&ops[i]));
+    post((Etcd *)kv, "/v3/kv/txn",
+         json_pack("{s:o,s:o,s:o}", "compare", compare, "success", success,
+                   "failure", failure),
+         done, arg);
+}
+
+static void end_watch(Etcd *e)
+{
+    WPKvEvent event = e->event;
+    e->event = NULL;
+    if (event)
+        event(e->event_arg, NULL);
+}
+
+static void on_watch_line(Etcd *e, WPStr line)
+{
+    g_autoptr(GArray) items = new_items();
+    json_t *j = json_loadb(line.p, line.n, 0, NULL);
+    json_t *events = json_object_get(json_object_get(j, "result"), "events");
+    json_t *one;
+    size_t i;
+    json_array_foreach (events, i, one) {
+        json_t *kvs = json_pack("[O]", json_object_get(one, "kv"));
+        add_items(items, kvs);
+        json_decref(kvs);
+    }
+    json_decref(j);
+    for (guint k = 0; k < items->len && e->event; k++)
+        e->event(e->event_arg, &g_array_index(items, WPKvItem, k));
+}
+
+static void on_watch_chunk(struct evhttp_request *r, void *arg)
+{
+    Etcd *e = arg;
+    struct evbuffer *in = evhttp_request_get_input_buffer(r);
+    size_t n = evbuffer_get_length(in);
+    g_string_append_len(e->partial, (const char *)evbuffer_pullup(in, -1),
+                        (gssize)n);
+    evbuffer_drain(in, n);
+    char *end;
+    while ((end = memchr(e->partial->str, '\n', e->partial->len))) {
+        size_t len = (size_t)(end - e->partial->str);
+        on_watch_line(e, wp_strn(e->partial->str, len));
+        g_string_erase(e->partial, 0, (gssize)len + 1);
+    }
+}
+
+static void on_watch_end(struct evhttp_request *r, void *arg)
+{
+    (void)r;
+    end_watch(arg);
+}
+
+static void etcd_unwatch(WPKv *kv)
+{
+    Etcd *e = (Etcd *)kv;
+    e->event = NULL;
+    if (e->watch_con)
+        evhttp_connection_free(e->watch_con);
+    e->watch_con = NULL;
+}
+
+static void etcd_watch(WPKv *kv, const char *key, uint64_t from,
+                       WPKvEvent event, void *arg)
+{
+    Etcd *e = (Etcd *)kv;
+    g_autofree char *host = NULL;
+    g_autofree char *rev = g_strdup_printf("%lu", (unsigned long)from);
+    uint16_t port;
+    etcd_unwatch(kv);
+    wp_http_target(e->targets[e->at], &host, &port);
+    e->event = event;
+    e->event_arg = arg;
+    g_string_truncate(e->partial, 0);
+    e->watch_con = evhttp_connection_base_new(e->base, NULL, host, port);
+    struct evhttp_request *r = evhttp_request_new(on_watch_end, e);
+    evhttp_request_set_chunked_cb(r, on_watch_chunk);
+    evhttp_add_header(evhttp_request_get_output_headers(r), "Host", host);
+    json_t *body = json_pack("{s:{s:o,s:s}}", "create_request", "key",
+                             b64z(key), "start_revision", rev);
+    char *text = json_dumps(body, JSON_COMPACT);
+    evbuffer_add(evhttp_request_get_output_buffer(r), text, strlen(text));
+    free(text);
+    json_decref(body);
+    evhttp_make_request(e->watch_con, r, EVHTTP_REQ_POST, "/v3/watch");
+}
+
+static void etcd_free(WPKv *kv)
+{
+    Etcd *e = (Etcd *)kv;
+    etcd_unwatch(kv);
+    for (size_t i = 0; i < e->n_targets; i++)
+        wp_http_free(e->clients[i]);
+    g_free(e->clients);
+    g_strfreev(e->targets);
+    g_string_free(e->partial, TRUE);
+    g_free(e);
+}
+
+static const WPKvOps etcd_ops = { etcd_range, etcd_txn, etcd_watch,
+                                  etcd_unwatch, etcd_free };
+
+WPKv *wp_kv_etcd(struct event_base *base, char **targets, size_t n)
+{
+    Etcd *e = g_new0(Etcd, 1);
+    e->kv.ops = &etcd_ops;
+    e->base = base;
+    e->partial = g_string_new(NULL);
+    e->targets = g_new0(char *, n + 1);
+    e->clients = g_new0(WPHttp *, n + 1);
+    for (size_t i = 0; i < n; i++) {
+        g_autofree char *host = NULL;
+        uint16_t port;
+        e->targets[i] = g_strdup(targets[i]);
+        e->n_targets++;
+        if (!wp_http_target(targets[i], &host, &port)) {
+            etcd_free(&e->kv);
+            return NULL;
+        }
+    }
+    return &e->kv;
+}
--- /dev/null
+++ b/io/wp_legs.c
@@ -0,0 +1,364 @@
+/* The legs of an exchange: a Start to an agent, and what comes back. */
+#include "wp_server_int.h"
+
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+/* An answer that is not streamed is held back up to this size, so that a leg
+   which breaks can be replaced without the caller seeing any of it. */
+#define HOLD_MOST (256 << 10)
+/* Of the window, what must be free before the agent is told. */
+#define GRANT_PART 4
+#define PROBES 2
+
+static WPTime now_of(const WPExchange *x)
+{
+    return wp_host_now(x->server->host);
+}
+
+static void detach(WPExchange *x)
+{
+    if (!x->link)
+        return;
+    x->link->streams--;
+    x->link = NULL;
+    g_hash_table_remove(x->server->streams, &x->stream_id);
+}
+
+void wp_exchange_free(WPExchange *x)
+{
+    detach(x);
+    wp_list_remove(&x->node);
+    wp_request_free(x->request);
+    json_decref(x->body);
+    if (x->raw)
+        g_byte_array_unref(x->raw);
+    if (x->held)
+        evbuffer_free(x->held);
+    g_free(x->path);
+    g_free(x->method);
+    g_free(x->content_type);
+    g_free(x->answer_type);
+    g_free(x);
+}
+
+static void send_simple(WPExchange *x, Wp__Frame *f)
+{
+    f->has_stream = 1;
+    f->stream = x->stream_id;
+    wp_link_send(x->link, f);
+}
+
+void wp_exchange_cancel(WPExchange *x)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Cancel c = WP__CANCEL__INIT;
+    if (!x->link)
+        return;
+    f.body_case = WP__FRAME__BODY_CANCEL;
+    f.cancel = &c;
+    send_simple(x, &f);
+    detach(x);
+}
+
+void wp_exchange_grant(WPExchange *x, size_t bytes)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Window w = WP__WINDOW__INIT;
+    size_t window = (size_t)x->server->settings->window_kb << 10;
+    x->credit += bytes;
+    if (!x->link || x->credit < window / GRANT_PART)
+        return;
+    w.bytes = (uint32_t)x->credit;
+    x->credit = 0;
+    f.body_case = WP__FRAME__BODY_WINDOW;
+    f.window = &w;
+    send_simple(x, &f);
+}
+
+/* The body for the endpoint: the chosen version in place of what the caller
+   named, and the count of tokens asked for. */
+static char *chat_body(WPExchange *x, size_t *size)
+{
+    json_object_set_new(x->body, "model", json_string(x->request->version));
+    if (x->stream) {
+        json_t *o = json_object_get(x->body, "stream_options");
+        if (!json_is_object(o)) {
+            o = json_object();
+            json_object_set_new(x->body, "stream_options", o);
+        }
+        json_object_set_new(o, "include_usage", json_true());
+    }
+    char *text = json_dumps(x->body, JSON_COMPACT);
+    *size = strlen(text);
+    return text;
+}
+
+static Wp__Label **copy_labels(const WPLabels *l, size_t *n)
+{
+    size_t count = l ? wp_labels_count(l) : 0;
+    Wp__Label **out = g_new0(Wp__Label *, count + 1);
+    for (size_t i = 0; i < count; i++) {
+        const char *key, *value;
+        wp_labels_at(l, i, &key, &value);
+        out[i] = g_new0(Wp__Label, 1);
+        wp__label__init(out[i]);
+        out[i]->key = (char *)key;
+        out[i]->value = (char *)value;
+    }
+    *n = count;
+    return out;
+}
+
+static void free_labels(Wp__Label **l, size_t n)
+{
+    for (size_t i = 0; i < n; i++)
+        g_free(l[i]);
+    g_free(l);
+}
+
+static void fill_start(WPExchange *x, Wp__Start *s)
+{
+    const WPRequest *q = x->request;
+    int64_t left_us = q->deadline_us - now_of(x).mono_us;
+    s->request_id = (char *)q->id;
+    s->workspace = q->workspace;
+    s->kind = q->kind;
+    s->version = q->version;
+    s->path = x->path;
+    s->method = x->method;
+    s->has_budget_ms = 1;
+    s->budget_ms = (uint32_t)(MAX(left_us, 0) / WP_US_PER_MS);
+    s->has_leg = 1;
+    s->leg = q->leg;
+    s->has_step = 1;
+    s->step = q->step;
+    s->once_key = q->once_key;
+    s->has_once_ms = 1;
+    s->once_ms = q->once_ms;
+    s->has_window = 1;
+    s->window = x->server->settings->window_kb << 10;
+    s->has_stream = 1;
+    s->stream = x->stream;
+    s->has_want_usage = 1;
+    s->want_usage = x->want_usage;
+    s->has_answer_tokens = 1;
+    s->answer_tokens = q->answer_tokens;
+    s->entry = (char *)wp_node_self(wp_host_node(x->server->host))->id;
+}
+
+static void send_probe(WPServer *s, const WPEndpoint *p)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Ping ping = WP__PING__INIT;
+    WPLink *l = wp_hub_link(wp_host_hub(s->host), p->addr);
+    if (!l)
+        return;
+    ping.sent_us = (uint64_t)wp_host_now(s->host).mono_us;
+    f.body_case = WP__FRAME__BODY_PING;
+    f.ping = &ping;
+    wp_link_send(l, &f);
+}
+
+/* Asks a few endpoints for their load, for the decisions to come. */
+static void probe(WPExchange *x)
+{
+    WPEndpoint *list[PROBES];
+    unsigned n =
+        wp_entry_probes(x->server->entry, now_of(x), x->request, list, PROBES);
+    for (unsigned i = 0; i < n; i++)
+        send_probe(x->server, list[i]);
+}
+
+static void send_start(WPExchange *x, const WPEndpoint *p)
+{
+    WPServer *s = x->server;
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Start start = WP__START__INIT;
+    size_t size;
+    evbuffer_drain(x->held, evbuffer_get_length(x->held));
+    x->credit = 0;
+    x->link = wp_hub_link(wp_host_hub(s->host), p->addr);
+    if (!x->link) {
+        wp_exchange_do(x,
+                       wp_entry_lost(s->entry, now_of(x), x->request, false));
+        return;
+    }
+    x->link->streams++;
+    x->stream_id = ++s->next_stream;
+    x->start_at = x->link->queued;
+    g_hash_table_insert(s->streams, &x->stream_id, x);
+    fill_start(x, &start);
+    char *text = x->body ? chat_body(x, &size) : NULL;
+    start.has_body = 1;
+    start.body.data = text ? (uint8_t *)text : x->raw->data;
+    start.body.len = text ? size : x->raw->len;
+    start.labels = copy_labels(x->request->labels, &start.n_labels);
+    f.body_case = WP__FRAME__BODY_START;
+    f.start = &start;
+    send_simple(x, &f);
+    free_labels(start.labels, start.n_labels);
+    free(text);
+    probe(x);
+}
+
+static void on_checked(void *arg, int status, WPStr body);
+
+typedef struct Check {
+    WPServer *server;
+    char id[40]; /* the exchange may end while the check is under way */
+} Check;
+
+static void ask_check(WPExchange *x)
+{
+    WPHttp *ratings = wp_host_ratings(x->server->host);
+    size_t n = evbuffer_get_length(x->held);
+    if (!ratings) {
+        wp_exchange_do(
+            x, wp_entry_checked(x->server->entry, now_of(x), x->request, true));
+        return;
+    }
+    Check *c = g_new0(Check, 1);
+    c->server = x->server;
+    g_strlcpy(c->id, x->request->id, sizeof(c->id));
+    json_t *o = json_pack("{s:s,s:s,s:s}", "request_id", x->request->id, "kind",
+                          x->request->kind, "version", x->request->version);
+    json_t *answer =
+        json_stringn_nocheck((const char *)evbuffer_pullup(x->held, -1), n);
+    json_object_set_new(o, "answer", answer ? answer : json_null());
+    char *text = json_dumps(o, JSON_COMPACT);
+    wp_http_call(ratings, "/v1/check", text, on_checked, c);
+    free(text);
+    json_decref(o);
+}
+
+static WPExchange *find_exchange(WPServer *s, const char *id)
+{
+    wp_list_each (it, &s->exchanges) {
+        WPExchange *x = wp_list_item(it, WPExchange, node);
+        if (!strcmp(x->request->id, id))
+            return x;
+    }
+    return NULL;
+}
+
+static void on_checked(void *arg, int status, WPStr body)
+{
+    Check *c = arg;
+    WPExchange *x = find_exchange(c->server, c->id);
+    json_t *j = status == 200 ? json_loadb(body.p, body.n, 0, NULL) : NULL;
+    /* Without a verdict the answer stands: the check only saves cost. */
+    bool good = !json_is_false(json_object_get(j, "good"));
+    if (x)
+        wp_exchange_do(
+            x, wp_entry_checked(c->server->entry, now_of(x), x->request, good));
+    json_decref(j);
+    g_free(c);
+}
+
+void wp_exchange_do(WPExchange *x, WPStep step)
+{
+    switch (step.kind) {
+    case WP_STEP_SEND:
+        send_start(x, step.endpoint);
+        return;
+    case WP_STEP_CHECK:
+        ask_check(x);
+        return;
+    case WP_STEP_DONE:
+        wp_reply_end(x);
+        break;
+    case WP_STEP_FINAL:
+        if (x->replying) {
+            wp_reply_broken(x, step.code);
+        } else if (x->http) {
+            struct evhttp_request *r = x->http;
+            x->http = NULL;
+            evhttp_connection_set_closecb(evhttp_request_get_connection(r),
+                                          NULL, NULL);
+            wp_reply_error(r, x->request, step.code, step.retry_after_ms, NULL);
+        }
+        break;
+    }
+    wp_exchange_free(x);
+}
+
+static bool must_hold(const WPExchange *x)
+{
+    if (x->request->escalate)
+        return true;
+    return !x->stream && evbuffer_get_length(x->held) <= HOLD_MOST;
+}
+
+static void on_chunk(WPExchange *x, const Wp__Chunk *c)
+{
+    wp_entry_first_bytes(x->server->entry, now_of(x), x->request);
+    evbuffer_add(x->held, c->data.data, c->data.len);
+    if (x->replying || !must_hold(x))
+        wp_reply_pass_on(x);
+    else
+        wp_exchange_grant(x, c->data.len);
+}
+
+static void on_head(WPExchange *x, const Wp__Head *h)
+{
+    x->status = (int)h->status;
+    g_free(x->answer_type);
+    x->answer_type = g_strdup(h->content_type);
+}
+
+void wp_legs_frame(WPServer *s, WPLink *l, Wp__Frame *f)
+{
+    WPTime now = wp_host_now(s->host);
+    if (f->load && l->peer) {
+        WPEndpoint *p = wp_entry_endpoint(s->entry, l->peer);
+        if (p)
+            wp_endpoint_load(p, f->load, now.mono_us);
+    }
+    if (f->body_case == WP__FRAME__BODY_SETTLED && l->peer)
+        wp_entry_settled(s->entry, l->peer, l->peer_incarnation,
+                         f->settled->upto);
+    WPExchange *x =
+        f->has_stream ? g_hash_table_lookup(s->streams, &f->stream) : NULL;
+    /* Late words of a leg that was given up, or of another link, are void. */
+    if (!x || x->link != l)
+        return;
+    switch (f->body_case) {
+    case WP__FRAME__BODY_ACCEPT:
+        wp_entry_accepted(s->entry, now, x->request);
+        break;
+    case WP__FRAME__BODY_HEAD:
+        on_head(x, f->head);
+        break;
+    case WP__FRAME__BODY_CHUNK:
+        on_chunk(x, f->chunk);
+        break;
+    case WP__FRAME__BODY_END:
+        detach(x);
+        wp_exchange_do(x, wp_entry_ended(s->entry, now, x->request, f->end));
+        break;
+    case WP__FRAME__BODY_REFUSE:
+        detach(x);
+        wp_exchange_do(x, wp_entry_refused(s->entry, now, x->request,
+                                           (WPCode)f->refuse->code,
+                                           (WPRan)f->refuse->ran,
+                                           f->refuse->retry_after_ms));
+        break;
+    default:
+        break;
+    }
+}
+
+void wp_legs_down(WPServer *s, WPLink *l)
+{
+    WPTime now = wp_host_now(s->host);
+    uint64_t written = wp_link_written(l);
+    wp_list_each_safe (it, tmp, &s->exchanges) {
+        WPExchange *x = wp_list_item(it, WPExchange, node);
+        if (x->link != l)
+            continue;
+        bool sent = l->connected && x->start_at < written;
+        detach(x);
+        wp_exchange_do(x, wp_entry_lost(s->entry, now, x->request, sent));
+    }
+}
--- /dev/null
+++ b/io/wp_link.c
@@ -0,0 +1,316 @@
+/* Links between processes, on libevent's bufferevents. */
+#include "wp_link.h"
+#include "wp_clock.h"
+#include "wp_code.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <protobuf-c/protobuf-c.h>
+
+enum { LENGTH_BYTES = 4 };
+
+struct WPHub {
+    struct event_base *base;
+    struct evconnlistener *listener;
+    const Wp__Member *self;
+    const WPHubOps *ops;
+    void *arg;
+    WPList links;
+    GHashTable *by_addr; /* address -> WPLink */
+    uint64_t next_id;
+    WPLink *reading; /* whose frames are being taken, while it lives */
+};
+
+static void on_read(struct bufferevent *bev, void *arg);
+static void on_event(struct bufferevent *bev, short what, void *arg);
+
+static void say_hello(WPLink *l)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Hello hello = WP__HELLO__INIT;
+    hello.self = (Wp__Member *)l->hub->self;
+    f.body_case = WP__FRAME__BODY_HELLO;
+    f.hello = &hello;
+    wp_link_send(l, &f);
+}
+
+static WPLink *new_link(WPHub *h, struct bufferevent *bev, bool outgoing)
+{
+    WPLink *l = g_new0(WPLink, 1);
+    int one = 1;
+    l->hub = h;
+    l->id = ++h->next_id;
+    l->bev = bev;
+    l->outgoing = outgoing;
+    l->connected = !outgoing;
+    l->heard_us = wp_clock_now(0).mono_us;
+    l->used_us = l->heard_us;
+    wp_list_append(&h->links, &l->node);
+    bufferevent_setcb(bev, on_read, NULL, on_event, l);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    if (!outgoing)
+        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &one,
+                   sizeof(one));
+    return l;
+}
+
+void wp_link_close(WPLink *l)
+{
+    WPHub *h = l->hub;
+    if (l->closing)
+        return;
+    l->closing = true;
+    if (h->reading == l)
+        h->reading = NULL;
+    /* Whoever tries again from within `down` must get a new link. */
+    if (l->addr && g_hash_table_lookup(h->by_addr, l->addr) == l)
+        g_hash_table_remove(h->by_addr, l->addr);
+    h->ops->down(h->arg, l);
+    wp_list_remove(&l->node);
+    bufferevent_free(l->bev);
+    g_free(l->addr);
+    g_free(l->peer);
+    g_free(l);
+}
+
+static void bad_frame(WPLink *l)
+{
+    l->hub->ops->bad(l->hub->arg, l);
+    wp_link_close(l);
+}
+
+/* Learns who is at the other end. A link that is already known for that
+   address stays the one that is used; this one still carries answers. */
+static void take_hello(WPLink *l, const Wp__Member *m)
+{
+    WPHub *h = l->hub;
+    g_free(l->peer);
+    l->peer = g_strdup(m->id);
+    l->peer_incarnation = m->incarnation;
+    if (!l->addr) {
+        l->addr = g_strdup_printf("%s:%u", m->addr, m->port);
+        if (!g_hash_table_contains(h->by_addr, l->addr))
+            g_hash_table_insert(h->by_addr, l->addr, l);
+    }
+}
+
+static void dispatch(WPLink *l, Wp__Frame *f)
+{
+    WPHub *h = l->hub;
+    if (f->body_case == WP__FRAME__BODY_HELLO) {
+        take_hello(l, f->hello->self);
+        h->ops->up(h->arg, l);
+    }
+    h->ops->frame(h->arg, l, f);
+}
+
+/* Takes one frame off the input; returns false when there is none (or the
+   link is gone). */
+static bool read_frame(WPLink *l)
+{
+    struct evbuffer *in = bufferevent_get_input(l->bev);
+    uint32_t size;
+    if (evbuffer_copyout(in, &size, LENGTH_BYTES) < LENGTH_BYTES)
+        return false;
+    size = ntohl(size);
+    if (size > WP_FRAME_MOST) {
+        bad_frame(l);
+        return false;
+    }
+    if (evbuffer_get_length(in) < LENGTH_BYTES + size)
+        return false;
+    evbuffer_drain(in, LENGTH_BYTES);
+    Wp__Frame *f =
+        wp__frame__unpack(NULL, size, evbuffer_pullup(in, (ev_ssize_t)size));
+    /* Nothing but Hello is taken from a peer that has not named itself. */
+    if (!f || (!l->peer && f->body_case != WP__FRAME__BODY_HELLO)) {
+        if (f)
+            wp__frame__free_unpacked(f, NULL);
+        bad_frame(l);
+        return false;
+    }
+    evbuffer_drain(in, size);
+    dispatch(l, f);
+    wp__frame__free_unpacked(f, NULL);
+    return true;
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+    WPLink *l = arg;
+    WPHub *h = l->hub;
+    (void)bev;
+    l->heard_us = wp_clock_now(0).mono_us;
+    l->used_us = l->heard_us;
+    /* What a frame brings about may close the link: the hub then forgets. */
+    h->reading = l;
+    while (read_frame(l) && h->reading == l)
+        ;
+    h->reading = NULL;
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+    WPLink *l = arg;
+    int one = 1;
+    if (what & BEV_EVENT_CONNECTED) {
+        l->connected = true;
+        l->heard_us = wp_clock_now(0).mono_us;
+        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &one,
+                   sizeof(one));
+        bufferevent_set_timeouts(bev, NULL, NULL);
+        return;
+    }
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+        wp_link_close(l);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                      struct sockaddr *sa, int len, void *arg)
+{
+    WPHub *h = arg;
+    (void)listener;
+    (void)sa;
+    (void)len;
+    struct bufferevent *bev =
+        bufferevent_socket_new(h->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    say_hello(new_link(h, bev, false));
+}
+
+static bool parse_addr(const char *addr, struct sockaddr_in *out)
+{
+    int len = sizeof(*out);
+    memset(out, 0, sizeof(*out));
+    return evutil_parse_sockaddr_port(addr, (struct sockaddr *)out, &len) ==
+               0 &&
+           out->sin_family == AF_INET;
+}
+
+WPHub *wp_hub_new(struct event_base *base, const char *addr, uint16_t port,
+                  const Wp__Member *self, const WPHubOps *ops, void *arg,
+                  GError **error)
+{
+    WPHub *h = g_new0(WPHub, 1);
+    struct sockaddr_in sa;
+    g_autofree char *full = g_strdup_printf("%s:%u", addr, port);
+    h->base = base;
+    h->self = self;
+    h->ops = ops;
+    h->arg = arg;
+    h->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
+    wp_list_init(&h->links);
+    if (parse_addr(full, &sa))
+        h->listener = evconnlistener_new_bind(
+            base, on_accept, h, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+            (struct sockaddr *)&sa, sizeof(sa));
+    if (!h->listener) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT, "cannot listen on %s",
+                    full);
+        wp_hub_free(h);
+        return NULL;
+    }
+    return h;
+}
+
+void wp_hub_free(WPHub *h)
+{
+    if (!h)
+        return;
+    while (!wp_list_empty(&h->links))
+        wp_link_close(wp_list_item(h->links.next, WPLink, node));
+    if (h->listener)
+        evconnlistener_free(h->listener);
+    g_hash_table_unref(h->by_addr);
+    g_free(h);
+}
+
+WPLink *wp_hub_link(WPHub *h, const char *addr)
+{
+    WPLink *l = g_hash_table_lookup(h->by_addr, addr);
+    struct sockaddr_in sa;
+    struct timeval limit = { WP_LINK_CONNECT_S, 0 };
+    if (l)
+        return l;
+    if (!parse_addr(addr, &sa))
+        return NULL;
+    struct bufferevent *bev = bufferevent_socket_new(
+        h->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    l = new_link(h, bev, true);
+    l->addr = g_strdup(addr);
+    g_hash_table_insert(h->by_addr, l->addr, l);
+    say_hello(l);
+    bufferevent_set_timeouts(bev, NULL, &limit);
+    bufferevent_socket_connect(bev, (struct sockaddr *)&sa, sizeof(sa));
+    return l;
+}
+
+uint64_t wp_link_written(const WPLink *l)
+{
+    if (!l->connected)
+        return 0;
+    return l->queued - evbuffer_get_length(bufferevent_get_output(l->bev));
+}
+
+/* Packs straight into the output buffer. */
+void wp_link_send(WPLink *l, Wp__Frame *f)
+{
+    struct evbuffer *out = bufferevent_get_output(l->bev);
+    struct evbuffer_iovec v;
+    l->hub->ops->stamp(l->hub->arg, f);
+    size_t size = wp__frame__get_packed_size(f);
+    uint32_t length = htonl((uint32_t)size);
+    if (evbuffer_reserve_space(out, (ev_ssize_t)(size + LENGTH_BYTES), &v, 1) !=
+        1)
+        g_error("out of memory for a frame of %zu bytes", size);
+    memcpy(v.iov_base, &length, LENGTH_BYTES);
+    wp__frame__pack(f, (uint8_t *)v.iov_base + LENGTH_BYTES);
+    v.iov_len = size + LENGTH_BYTES;
+    evbuffer_commit_space(out, &v, 1);
+    l->queued += v.iov_len;
+}
+
+void wp_link_send_packed(WPLink *l, const uint8_t *data, size_t size)
+{
+    uint32_t length = htonl((uint32_t)size);
+    bufferevent_write(l->bev, &length, LENGTH_BYTES);
+    bufferevent_write(l->bev, data, size);
+    l->queued += size + LENGTH_BYTES;
+    l->used_us = l->heard_us > l->used_us ? l->heard_us : l->used_us;
+}
+
+static void ping(WPLink *l, int64_t now_us)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Ping p = WP__PING__INIT;
+    p.sent_us = (uint64_t)now_us;
+    f.body_case = WP__FRAME__BODY_PING;
+    f.ping = &p;
+    l->pinged_us = now_us;
+    wp_link_send(l, &f);
+}
+
+void wp_hub_tick(WPHub *h, int64_t now_us, int64_t heartbeat_us,
+                 int64_t dead_us)
+{
+    wp_list_each_safe (it, tmp, &h->links) {
+        WPLink *l = wp_list_item(it, WPLink, node);
+        int64_t idle_us = (int64_t)WP_LINK_IDLE_S * WP_US_PER_S;
+        if (l->streams && now_us - l->heard_us > dead_us)
+            wp_link_close(l);
+        else if (l->streams && now_us - l->pinged_us >= heartbeat_us)
+            ping(l, now_us);
+        else if (!l->streams && now_us - l->used_us > idle_us)
+            wp_link_close(l);
+    }
+}
+
+void wp_hub_each(WPHub *h, void (*fn)(void *, WPLink *), void *arg)
+{
+    wp_list_each_safe (it, tmp, &h->links)
+        fn(arg, wp_list_item(it, WPLink, node));
+}
--- /dev/null
+++ b/io/wp_reply.c
@@ -0,0 +1,139 @@
+/* Answers and refusals towards callers. */
+#include "wp_server_int.h"
+
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+#define MS_PER_S 1000
+
+static void add(struct evhttp_request *r, const char *name, const char *value)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(r), name, value);
+}
+
+static json_t *error_json(WPCode code, uint32_t retry_ms, const char *detail,
+                          const WPRequest *q)
+{
+    const WPCodeInfo *info = wp_code_info(code);
+    json_t *e = json_pack(
+        "{s:s,s:s,s:n,s:s,s:s}", "message", detail ? detail : info->text,
+        "type", info->status < 500 ? "invalid_request_error" : "server_error",
+        "param", "code", info->code, "ran", wp_ran_name(info->ran));
+    if (retry_ms)
+        json_object_set_new(e, "retry_after_ms", json_integer(retry_ms));
+    if (q)
+        json_object_set_new(e, "request_id", json_string(q->id));
+    return json_pack("{s:o}", "error", e);
+}
+
+void wp_reply_error(struct evhttp_request *r, const WPRequest *q, WPCode code,
+                    uint32_t retry_ms, const char *detail)
+{
+    const WPCodeInfo *info = wp_code_info(code);
+    add(r, WP_H_RAN, wp_ran_name(info->ran));
+    if (q)
+        add(r, WP_H_REQUEST, q->id);
+    if (retry_ms) {
+        g_autofree char *s =
+            g_strdup_printf("%u", (retry_ms + MS_PER_S - 1) / MS_PER_S);
+        g_autofree char *ms = g_strdup_printf("%u", retry_ms);
+        add(r, "Retry-After", s);
+        add(r, "retry-after-ms", ms);
+    }
+    /* Client libraries try again by themselves; not what may have run, and
+       not what no time will mend. */
+    if (info->ran != WP_RAN_NOT_RUN || !retry_ms)
+        add(r, "x-should-retry", "false");
+    wp_http_json(r, info->status, error_json(code, retry_ms, detail, q));
+}
+
+static void add_answer_headers(WPExchange *x)
+{
+    const WPRequest *q = x->request;
+    add(x->http, "Content-Type",
+        x->answer_type ? x->answer_type : "application/json");
+    add(x->http, WP_H_REQUEST, q->id);
+    add(x->http, WP_H_VERSION, q->version);
+    add(x->http, WP_H_RAN, "ran");
+    if (q->moved)
+        add(x->http, WP_H_MOVED, "true");
+    if (!q->token)
+        return;
+    g_autofree char *cookie = g_strdup_printf(
+        WP_COOKIE "=%s; Path=/; HttpOnly; SameSite=Lax", q->token);
+    add(x->http, WP_H_TOKEN, q->token);
+    add(x->http, "Set-Cookie", cookie);
+}
+
+/* The caller has taken all that was passed on: the agent may send as much
+   again. */
+static void on_written(struct evhttp_connection *con, void *arg)
+{
+    WPExchange *x = arg;
+    size_t n = x->unwritten;
+    (void)con;
+    x->unwritten = 0;
+    wp_exchange_grant(x, n);
+}
+
+void wp_reply_pass_on(WPExchange *x)
+{
+    size_t n = evbuffer_get_length(x->held);
+    if (!x->http || !n)
+        return;
+    if (!x->replying) {
+        x->replying = true;
+        x->request->passed_on = true;
+        add_answer_headers(x);
+        evhttp_send_reply_start(x->http, x->status, NULL);
+    }
+    x->unwritten += n;
+    evhttp_send_reply_chunk_with_cb(x->http, x->held, on_written, x);
+}
+
+static void let_go(WPExchange *x)
+{
+    struct evhttp_connection *con = evhttp_request_get_connection(x->http);
+    evhttp_connection_set_closecb(con, NULL, NULL);
+    x->http = NULL;
+}
+
+void wp_reply_end(WPExchange *x)
+{
+    struct evhttp_request *r = x->http;
+    if (!r)
+        return;
+    if (!x->replying) {
+        add_answer_headers(x);
+        let_go(x);
+        evhttp_send_reply(r, x->status, NULL, x->held);
+        return;
+    }
+    wp_reply_pass_on(x);
+    let_go(x);
+    evhttp_send_reply_end(r);
+}
+
+/* Part of the answer is out and the rest will not come. A stream ends with
+   an error event; anything else is cut, so that nobody takes it for whole. */
+void wp_reply_broken(WPExchange *x, WPCode code)
+{
+    struct evhttp_request *r = x->http;
+    struct evhttp_connection *con;
+    if (!r)
+        return;
+    con = evhttp_request_get_connection(r);
+    if (!x->stream) {
+        let_go(x);
+        evhttp_connection_free(con);
+        return;
+    }
+    json_t *o = error_json(code, 0, NULL, x->request);
+    char *text = json_dumps(o, JSON_COMPACT);
+    evbuffer_add_printf(x->held, "data: %s\n\n", text);
+    wp_reply_pass_on(x);
+    let_go(x);
+    evhttp_send_reply_end(r);
+    free(text);
+    json_decref(o);
+}
--- /dev/null
+++ b/io/wp_runner.c
@@ -0,0 +1,357 @@
+/* Jobs from entries, and the agent's place in the host. */
+#include "wp_runner_int.h"
+#include "wp_pb.h"
+
+#include <event2/buffer.h>
+
+static WPTime now_of(const WPRunner *r)
+{
+    return wp_host_now(r->host);
+}
+
+static WPRun *new_run(WPRunner *owner, WPLink *l, WPJob *j)
+{
+    WPRun *r = g_new0(WPRun, 1);
+    r->runner = owner;
+    r->job = j;
+    r->link = l;
+    r->window = j->start->window;
+    j->io = r;
+    l->streams++;
+    wp_list_append(&owner->jobs, &r->node);
+    return r;
+}
+
+static void free_run(WPRun *r)
+{
+    wp_list_remove(&r->node);
+    if (r->link)
+        r->link->streams--;
+    wp_engine_abort(r);
+    if (r->pause)
+        event_free(r->pause);
+    wp_sse_end(&r->sse);
+    if (r->copy)
+        g_byte_array_unref(r->copy);
+    wp_job_free(r->job);
+    g_free(r);
+}
+
+void wp_run_send(WPRun *r, Wp__Frame *f)
+{
+    if (!r->link)
+        return;
+    f->has_stream = 1;
+    f->stream = r->job->stream;
+    wp_link_send(r->link, f);
+}
+
+void wp_run_refuse(WPRun *r, WPCode code, WPRan ran, uint32_t retry_ms)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Refuse m = WP__REFUSE__INIT;
+    m.code = code;
+    m.ran = (Wp__Ran)ran;
+    m.has_retry_after_ms = 1;
+    m.retry_after_ms = retry_ms;
+    f.body_case = WP__FRAME__BODY_REFUSE;
+    f.refuse = &m;
+    wp_run_send(r, &f);
+}
+
+static void begin(WPRun *r)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Accept a = WP__ACCEPT__INIT;
+    f.body_case = WP__FRAME__BODY_ACCEPT;
+    f.accept = &a;
+    wp_run_send(r, &f);
+    wp_engine_begin(r);
+}
+
+static void follow(WPRun *r, const WPVerdict *v)
+{
+    switch (v->kind) {
+    case WP_VERDICT_RUN:
+        begin(r);
+        break;
+    case WP_VERDICT_REFUSE:
+        wp_run_refuse(r, v->code, wp_code_info(v->code)->ran, v->retry_ms);
+        free_run(r);
+        break;
+    case WP_VERDICT_WAIT:
+    case WP_VERDICT_HOLD:
+        break;
+    }
+}
+
+/* Starts what a free place or a new configuration lets start. */
+static void drain(WPRunner *owner)
+{
+    WPVerdict v;
+    WPJob *j;
+    if (owner->draining)
+        return;
+    owner->draining = true;
+    while ((j = wp_agent_next(owner->agent, now_of(owner), &v)))
+        follow(j->io, &v);
+    owner->draining = false;
+}
+
+static void usage_of(const WPRun *r, uint32_t *prompt, uint32_t *answer)
+{
+    const Wp__Start *s = r->job->start;
+    *prompt = 0;
+    *answer = 0;
+    if (r->sse.has_usage) {
+        *prompt = r->sse.prompt_tokens;
+        *answer = r->sse.answer_tokens;
+    } else if (s->stream) {
+        *answer = r->sse.events;
+    } else if (r->copy && !wp_usage_read(wp_strn((const char *)r->copy->data,
+                                                 r->copy->len),
+                                         prompt, answer)) {
+        *answer = 1; /* a plain service: one call */
+    }
+}
+
+void wp_run_finished(WPRun *r, bool whole)
+{
+    WPRunner *owner = r->runner;
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__End end = WP__END__INIT;
+    Wp__Usage usage = WP__USAGE__INIT;
+    usage_of(r, &usage.prompt_tokens, &usage.answer_tokens);
+    usage.has_prompt_tokens = 1;
+    usage.has_answer_tokens = 1;
+    end.usage = &usage;
+    end.has_whole = 1;
+    end.whole = whole;
+    end.bill_seq =
+        wp_agent_ended(owner->agent, now_of(owner), r->job, true, whole,
+                       usage.prompt_tokens, usage.answer_tokens);
+    f.body_case = WP__FRAME__BODY_END;
+    f.end = &end;
+    wp_run_send(r, &f);
+    free_run(r);
+    drain(owner);
+}
+
+void wp_run_not_begun(WPRun *r, WPCode code, uint32_t retry_ms)
+{
+    WPRunner *owner = r->runner;
+    wp_agent_ended(owner->agent, now_of(owner), r->job, false, false, 0, 0);
+    wp_run_refuse(r, code, WP_RAN_NOT_RUN, retry_ms);
+    free_run(r);
+    drain(owner);
+}
+
+static WPRun *find_run(WPRunner *owner, const WPLink *l, uint64_t stream)
+{
+    wp_list_each (it, &owner->jobs) {
+        WPRun *r = wp_list_item(it, WPRun, node);
+        if (r->link == l && r->job->stream == stream)
+            return r;
+    }
+    return NULL;
+}
+
+/* Nobody waits for the answer any more. */
+static void give_up(WPRun *r)
+{
+    WPRunner *owner = r->runner;
+    if (!r->begun) {
+        wp_agent_dropped(owner->agent, now_of(owner), r->job);
+        free_run(r);
+        return;
+    }
+    uint32_t prompt, answer;
+    bool written = r->con && r->con->written;
+    usage_of(r, &prompt, &answer);
+    wp_engine_abort(r);
+    wp_agent_ended(owner->agent, now_of(owner), r->job, written, false, prompt,
+                   answer);
+    free_run(r);
+}
+
+static void on_start(WPRunner *owner, WPLink *l, Wp__Frame *f)
+{
+    WPVerdict v;
+    Wp__Start *start = f->start;
+    f->start = NULL; /* taken over */
+    f->body_case = WP__FRAME__BODY__NOT_SET;
+    WPJob *j = wp_agent_start(owner->agent, now_of(owner), start, l->id,
+                              f->stream, f->revision, &v);
+    follow(new_run(owner, l, j), &v);
+    drain(owner);
+}
+
+static void role_frame(void *role, WPLink *l, Wp__Frame *f)
+{
+    WPRunner *owner = role;
+    WPRun *r;
+    switch (f->body_case) {
+    case WP__FRAME__BODY_START:
+        on_start(owner, l, f);
+        break;
+    case WP__FRAME__BODY_CANCEL:
+        r = find_run(owner, l, f->stream);
+        if (r)
+            give_up(r);
+        drain(owner);
+        break;
+    case WP__FRAME__BODY_WINDOW:
+        r = find_run(owner, l, f->stream);
+        if (r) {
+            r->window += f->window->bytes;
+            wp_engine_resume(r);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+/* What may not be repeated is finished, though nobody will read it; a cut in
+   its middle would help no one. */
+static void role_link_down(void *role, WPLink *l)
+{
+    WPRunner *owner = role;
+    wp_list_each_safe (it, tmp, &owner->jobs) {
+        WPRun *r = wp_list_item(it, WPRun, node);
+        if (r->link != l)
+            continue;
+        if (r->begun && r->job->holds_key) {
+            l->streams--;
+            r->link = NULL;
+            r->window = INT64_MAX / 2;
+            wp_engine_resume(r);
+        } else {
+            give_up(r);
+        }
+    }
+    drain(owner);
+}
+
+static void role_refresh(void *role, WPTime now)
+{
+    WPRunner *r = role;
+    wp_agent_refresh(r->agent, now);
+    drain(r);
+}
+
+static void role_load(void *role, Wp__Load *out)
+{
+    wp_agent_load(((WPRunner *)role)->agent, out);
+}
+
+static void role_tick(void *role, WPTime now)
+{
+    (void)now;
+    wp_engine_trim(role);
+    drain(role);
+}
+
+static void tell_load(void *arg, WPLink *l)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Pong p = WP__PONG__INIT;
+    (void)arg;
+    f.body_case = WP__FRAME__BODY_PONG;
+    f.pong = &p;
+    wp_link_send(l, &f);
+}
+
+/* Entries are told directly; the platform's list lags. */
+static void role_leave(void *role, WPTime now)
+{
+    WPRunner *r = role;
+    wp_agent_leave(r->agent, now);
+    wp_hub_each(wp_host_hub(r->host), tell_load, NULL);
+}
+
+static bool role_idle(void *role)
+{
+    return wp_list_empty(&((WPRunner *)role)->jobs);
+}
+
+static WPBills *role_bills(void *role)
+{
+    return wp_agent_bills(((WPRunner *)role)->agent);
+}
+
+static void tell_settled(void *arg, WPLink *l)
+{
+    WPRunner *r = arg;
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__Settled s = WP__SETTLED__INIT;
+    s.upto = wp_bills_settled(wp_agent_bills(r->agent));
+    f.body_case = WP__FRAME__BODY_SETTLED;
+    f.settled = &s;
+    wp_link_send(l, &f);
+}
+
+static void role_bills_settled(void *role)
+{
+    WPRunner *r = role;
+    wp_hub_each(wp_host_hub(r->host), tell_settled, r);
+}
+
+static void role_status(void *role, json_t *into)
+{
+    WPRunner *r = role;
+    Wp__Load l;
+    wp_agent_load(r->agent, &l);
+    json_object_set_new(into, "running", json_integer(l.running));
+    json_object_set_new(into, "queued", json_integer(l.queued));
+    json_object_set_new(into, "slots", json_integer(l.slots));
+    json_object_set_new(into, "requests", json_integer(l.running + l.queued));
+}
+
+static const WPRoleOps role_ops = {
+    .refresh = role_refresh,
+    .frame = role_frame,
+    .link_down = role_link_down,
+    .load = role_load,
+    .tick = role_tick,
+    .leave = role_leave,
+    .idle = role_idle,
+    .bills = role_bills,
+    .bills_settled = role_bills_settled,
+    .status = role_status,
+};
+
+WPRunner *wp_runner_new(WPHost *h, const Wp__AgentSettings *s, GError **error)
+{
+    WPRunner *r = g_new0(WPRunner, 1);
+    r->host = h;
+    r->settings = s;
+    wp_list_init(&r->jobs);
+    g_queue_init(&r->idle);
+    g_queue_init(&r->dead);
+    if (!wp_http_target(s->endpoint, &r->endpoint_host, &r->endpoint_port)) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                    "endpoint: expected HOST:PORT");
+        g_free(r);
+        return NULL;
+    }
+    r->agent = wp_agent_new(wp_host_node(h), s);
+    wp_host_set_role(h, &role_ops, r);
+    return r;
+}
+
+void wp_runner_free(WPRunner *r)
+{
+    if (!r)
+        return;
+    wp_host_set_role(r->host, NULL, NULL);
+    wp_list_each_safe (it, tmp, &r->jobs) {
+        WPRun *run = wp_list_item(it, WPRun, node);
+        run->link = NULL;
+        free_run(run);
+    }
+    wp_engine_close_idle(r);
+    wp_agent_free(r->agent);
+    g_free(r->endpoint_host);
+    g_free(r);
+}
--- /dev/null
+++ b/io/wp_server.c
@@ -0,0 +1,339 @@
+/* The entry's HTTP server and its place in the host. */
+#include "wp_pb.h"
+#include "wp_server_int.h"
+
+#include <event2/buffer.h>
+#include <stdlib.h>
+
+#define SERVICES "/v1/services/"
+
+static WPTime now_of(const WPServer *s)
+{
+    return wp_host_now(s->host);
+}
+
+static void on_caller_gone(struct evhttp_connection *con, void *arg)
+{
+    WPExchange *x = arg;
+    (void)con;
+    x->http = NULL;
+    wp_entry_caller_gone(x->server->entry, now_of(x->server), x->request);
+    wp_exchange_cancel(x);
+    wp_exchange_free(x);
+}
+
+static const char *method_name(struct evhttp_request *r)
+{
+    switch (evhttp_request_get_command(r)) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    default:
+        return "POST";
+    }
+}
+
+static WPExchange *new_exchange(WPServer *s, struct evhttp_request *r,
+                                WPAskText *text)
+{
+    WPExchange *x = g_new0(WPExchange, 1);
+    x->server = s;
+    x->http = r;
+    x->held = evbuffer_new();
+    x->status = 200;
+    x->body = json_incref(text->body);
+    x->path = g_strdup(text->path);
+    x->method = g_strdup(method_name(r));
+    x->stream = text->stream;
+    x->want_usage = text->want_usage;
+    if (!x->body) {
+        struct evbuffer *in = evhttp_request_get_input_buffer(r);
+        x->raw = g_byte_array_new();
+        g_byte_array_append(x->raw, evbuffer_pullup(in, -1),
+                            (guint)evbuffer_get_length(in));
+    }
+    wp_list_append(&s->exchanges, &x->node);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(r),
+                                  on_caller_gone, x);
+    return x;
+}
+
+/* Requests that cannot be turned into a question are answered here. */
+static bool refuse_early(WPServer *s, struct evhttp_request *r, WPCode code,
+                         const char *detail)
+{
+    WPCounters *c = wp_node_counters(wp_host_node(s->host));
+    if (code == WP_OK)
+        return false;
+    c->codes[code]++;
+    wp_count(c, WP_C_BAD_INPUT);
+    wp_reply_error(r, NULL, code,
+                   code == WP_NOT_READY || code == WP_LEAVING ? WP_MS_PER_S : 0,
+                   detail);
+    return true;
+}
+
+static WPCode can_serve(const WPServer *s)
+{
+    if (wp_host_leaving(s->host))
+        return WP_LEAVING;
+    if (!wp_node_ready(wp_host_node(s->host)) || !wp_entry_policy(s->entry))
+        return WP_NOT_READY;
+    return WP_OK;
+}
+
+typedef WPCode (*ReadFn)(const WPPolicy *p, struct evhttp_request *r,
+                         WPAskText *out, const char **detail);
+
+static void serve(WPServer *s, struct evhttp_request *r, ReadFn read)
+{
+    WPAskText text = { 0 };
+    const char *detail = NULL;
+    WPStep step;
+    WPCode code = can_serve(s);
+    if (code == WP_OK)
+        code = read(wp_entry_policy(s->entry), r, &text, &detail);
+    if (refuse_early(s, r, code, detail)) {
+        wp_ask_end(&text);
+        return;
+    }
+    WPTime now = now_of(s);
+    WPExchange *x = new_exchange(s, r, &text);
+    x->request = wp_entry_begin(s->entry, now, &text.ask, &step);
+    text.ask.labels = NULL; /* the request has taken them over */
+    wp_histogram_add(&wp_node_counters(wp_host_node(s->host))->decision,
+                     now_of(s).mono_us - now.mono_us);
+    wp_ask_end(&text);
+    wp_exchange_do(x, step);
+    wp_host_pump(s->host);
+}
+
+static void add_model(json_t *list, const char *id, const char *owner)
+{
+    json_array_append_new(list,
+                          json_pack("{s:s,s:s,s:i,s:s}", "id", id, "object",
+                                    "model", "created", 0, "owned_by", owner));
+}
+
+/* What this workspace may name: kinds, and the versions of any kind. */
+static void list_models(WPServer *s, struct evhttp_request *r)
+{
+    WPPolicy *p = wp_entry_policy(s->entry);
+    const WPWorkspace *ws = p ? wp_ask_workspace(p, r) : NULL;
+    WPSet any = { 0 };
+    if (refuse_early(s, r, p ? ws ? WP_OK : WP_NO_KEY : WP_NOT_READY, NULL))
+        return;
+    json_t *list = json_array();
+    for (unsigned k = 0; k < wp_policy_kinds(p); k++) {
+        const WPKind *kind = wp_policy_kind_at(p, k);
+        WPSet set;
+        wp_policy_allowed(p, ws, kind, NULL, &set);
+        wp_policy_narrow(p, "auto", &set);
+        if (!wp_set_empty(&set))
+            add_model(list, kind->spec->name, "kind");
+        for (unsigned w = 0; w < WP_SET_WORDS; w++)
+            any.w[w] |= set.w[w];
+    }
+    for (unsigned i = 0; i < wp_policy_versions(p); i++) {
+        const Wp__Version *v = wp_policy_version_at(p, i)->spec;
+        if (wp_set_has(&any, i))
+            add_model(list, v->name, v->model ? v->model : "");
+    }
+    wp_http_json(r, 200,
+                 json_pack("{s:s,s:o}", "object", "list", "data", list));
+}
+
+static void on_request(struct evhttp_request *r, void *arg)
+{
+    WPServer *s = arg;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
+    if (!path)
+        path = "/";
+    if (wp_host_health(s->host, r, path))
+        return;
+    if (!strcmp(path, "/v1/models"))
+        list_models(s, r);
+    else if (!strcmp(path, "/v1/chat/completions"))
+        serve(s, r, wp_ask_chat);
+    else if (g_str_has_prefix(path, SERVICES) && path[strlen(SERVICES)])
+        serve(s, r, wp_ask_service);
+    else
+        wp_http_json(r, 404,
+                     json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "message",
+                               "no such path", "type", "invalid_request_error",
+                               "code", "not_found", "ran", "not_run"));
+}
+
+static void role_refresh(void *role, WPTime now)
+{
+    wp_entry_refresh(((WPServer *)role)->entry, now);
+}
+
+static void role_frame(void *role, WPLink *l, Wp__Frame *f)
+{
+    wp_legs_frame(role, l, f);
+}
+
+static void role_link_down(void *role, WPLink *l)
+{
+    wp_legs_down(role, l);
+}
+
+static void role_tick(void *role, WPTime now)
+{
+    WPServer *s = role;
+    wp_list_each_safe (it, tmp, &s->exchanges) {
+        WPExchange *x = wp_list_item(it, WPExchange, node);
+        if (now.mono_us < x->request->deadline_us)
+            continue;
+        WPStep step = wp_entry_expired(s->entry, now, x->request);
+        wp_exchange_cancel(x);
+        wp_exchange_do(x, step);
+    }
+    wp_steer_tick(s, now);
+}
+
+static void role_leave(void *role, WPTime now)
+{
+    WPServer *s = role;
+    wp_node_leave(wp_host_node(s->host), now);
+}
+
+static bool role_idle(void *role)
+{
+    return wp_list_empty(&((WPServer *)role)->exchanges);
+}
+
+static WPBills *role_bills(void *role)
+{
+    return wp_entry_bills(((WPServer *)role)->entry);
+}
+
+static void add_endpoint(void *arg, WPEndpoint *p)
+{
+    json_array_append_new(
+        arg,
+        json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:f}", "id", p->id, "zone",
+                  p->zone, "inflight", (int)p->inflight, "running",
+                  (int)p->reported_running, "queued", (int)p->reported_queued,
+                  "slots", (int)p->slots, "leaving", p->leaving,
+                  "first_token_us", p->first_token_us));
+}
+
+static void role_status(void *role, json_t *into)
+{
+    WPServer *s = role;
+    json_t *list = json_array();
+    size_t open = 0;
+    wp_list_each (it, &s->exchanges)
+        open++;
+    wp_entry_each_endpoint(s->entry, add_endpoint, list);
+    json_object_set_new(into, "endpoints", list);
+    json_object_set_new(into, "requests", json_integer((json_int_t)open));
+}
+
+static bool role_admin(void *role, struct evhttp_request *r, const char *path)
+{
+    WPServer *s = role;
+    WPAskText text = { 0 };
+    if (strcmp(path, "/v1/why"))
+        return false;
+    WPCode code = can_serve(s);
+    if (code == WP_OK)
+        code = wp_ask_query(wp_entry_policy(s->entry), r, &text);
+    if (code != WP_OK) {
+        wp_reply_error(r, NULL, code, 0, NULL);
+    } else {
+        GPtrArray *lines = wp_entry_why(s->entry, now_of(s), &text.ask);
+        json_t *list = json_array();
+        for (guint i = 0; i < lines->len; i++)
+            json_array_append_new(list, json_string(lines->pdata[i]));
+        g_ptr_array_unref(lines);
+        wp_http_json(r, 200, list);
+    }
+    wp_ask_end(&text);
+    return true;
+}
+
+static const WPRoleOps role_ops = {
+    .refresh = role_refresh,
+    .frame = role_frame,
+    .link_down = role_link_down,
+    .tick = role_tick,
+    .leave = role_leave,
+    .idle = role_idle,
+    .bills = role_bills,
+    .status = role_status,
+    .admin = role_admin,
+};
+
+static Wp__Chart *load_chart(const Wp__EntrySettings *s, GError **error)
+{
+    g_autofree char *file =
+        g_build_filename(s->node->charts, "rollout.yaml", NULL);
+    g_autofree char *text = NULL;
+    gsize n;
+    if (!g_file_get_contents(file, &text, &n, error))
+        return NULL;
+    return wp_chart_read(wp_strn(text, n), file, error);
+}
+
+WPServer *wp_server_new(WPHost *h, const Wp__EntrySettings *settings,
+                        GError **error)
+{
+    WPServer *s = g_new0(WPServer, 1);
+    s->host = h;
+    s->settings = settings;
+    s->streams = g_hash_table_new(g_int64_hash, g_int64_equal);
+    wp_list_init(&s->exchanges);
+    s->chart = load_chart(settings, error);
+    if (s->chart)
+        s->entry =
+            wp_entry_new(wp_host_node(h), settings, wp_host_seed(h), error);
+    if (!s->entry)
+        goto fail;
+    s->http = evhttp_new(wp_host_base(h));
+    evhttp_set_max_body_size(s->http, (ev_ssize_t)settings->max_body_kb << 10);
+    evhttp_set_max_headers_size(s->http,
+                                (ev_ssize_t)settings->max_head_kb << 10);
+    evhttp_set_timeout(s->http, (int)settings->caller_timeout_s);
+    evhttp_set_allowed_methods(s->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                            EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(s->http, on_request, s);
+    if (!wp_http_listen(s->http, settings->node->listen,
+                        (uint16_t)settings->http_port)) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                    "http_port: cannot listen on %s:%u", settings->node->listen,
+                    settings->http_port);
+        goto fail;
+    }
+    wp_host_set_role(h, &role_ops, s);
+    return s;
+fail:
+    wp_server_free(s);
+    return NULL;
+}
+
+void wp_server_free(WPServer *s)
+{
+    if (!s)
+        return;
+    wp_host_set_role(s->host, NULL, NULL);
+    wp_list_each_safe (it, tmp, &s->exchanges) {
+        WPExchange *x = wp_list_item(it, WPExchange, node);
+        if (x->http)
+            evhttp_connection_set_closecb(
+                evhttp_request_get_connection(x->http), NULL, NULL);
+        x->http = NULL;
+        wp_exchange_free(x);
+    }
+    if (s->http)
+        evhttp_free(s->http);
+    wp_entry_free(s->entry);
+    wp_pb_free(s->chart);
+    g_hash_table_unref(s->streams);
+    g_free(s);
+}
--- /dev/null
+++ b/io/wp_steer.c
@@ -0,0 +1,59 @@
+/* Carries roll-outs on and stops bad versions, on the few entries whose turn
+ * it is. Each step is a change that holds only at the revision it was decided
+ * on: whoever comes late, or back from a pause, loses. */
+#include "wp_change.h"
+#include "wp_server_int.h"
+
+#define STEER_US (500 * WP_US_PER_MS)
+#define STEERERS 1 /* per zone */
+
+static void on_written(void *arg, WPChangeResult result, uint64_t revision,
+                       const char *author)
+{
+    WPServer *s = arg;
+    (void)revision;
+    (void)author;
+    s->rollout_writing = false;
+    if (result == WP_CHANGE_ACCEPTED)
+        wp_count(wp_node_counters(wp_host_node(s->host)), WP_C_ROLLOUT_STEPS);
+}
+
+static GPtrArray *next_step(WPServer *s, WPTime now, char **why, bool *stop)
+{
+    WPPolicy *p = wp_entry_policy(s->entry);
+    const WPQuality *q = wp_node_quality(wp_host_node(s->host));
+    GPtrArray *ops = wp_rollout_step(s->chart, p, q, now, why);
+    if (!ops) {
+        ops = wp_stop_bad(p, q, now, why);
+        *stop = ops != NULL;
+    }
+    return ops;
+}
+
+void wp_steer_tick(WPServer *s, WPTime now)
+{
+    WPNode *n = wp_host_node(s->host);
+    WPKv *kv = wp_host_kv(s->host);
+    g_autofree char *why = NULL;
+    bool stop = false;
+    if (now.mono_us < s->rollout_due_us || s->rollout_writing || !kv ||
+        !wp_node_ready(n) || !wp_entry_policy(s->entry))
+        return;
+    s->rollout_due_us = now.mono_us + STEER_US;
+    if (!wp_node_entry_on_duty(n, STEERERS))
+        return;
+    GPtrArray *ops = next_step(s, now, &why, &stop);
+    if (!ops)
+        return;
+    if (stop)
+        wp_count(wp_node_counters(n), WP_C_STOPS);
+    wp_events_add(wp_node_events(n), now, WP_EVENT_ROLLOUT, NULL, "%s", why);
+    wp_log(wp_host_log(s->host), WP_INFO, "rollout", "step", why, NULL);
+    g_autofree char *id =
+        g_strdup_printf("%s-%ld", wp_node_self(n)->id, (long)now.mono_us);
+    s->rollout_writing = true;
+    wp_count(wp_node_counters(n), WP_C_STORE_WRITES);
+    wp_change_write(kv, wp_policy_revision(wp_entry_policy(s->entry)), id,
+                    "workspoint", ops, on_written, s);
+    wp_ops_free(ops);
+}
--- /dev/null
+++ b/src/wp_agent.c
@@ -0,0 +1,398 @@
+/* The gate, the queue and the bills of one agent. */
+#include "wp_agent.h"
+#include "wp_pb.h"
+
+#define STALE_RETRY_MS 1000
+#define SETTLING_RETRY_MS 500
+
+/* Guards that a scenario may switch off to see that they are needed. */
+typedef enum Guard {
+    GUARD_ALLOWED, /* the version may serve this traffic */
+    GUARD_ONCE,    /* keys that may not be repeated */
+    GUARD_STALE,   /* the age of the configuration */
+    GUARD_HOLD,    /* the entry's newer revision */
+    GUARD_LEAVING,
+    GUARD_COUNT
+} Guard;
+
+static const char *const guard_names[GUARD_COUNT] = { "allowed", "once",
+                                                      "stale", "hold",
+                                                      "leaving" };
+
+struct WPAgent {
+    WPNode *node;
+    WPPolicy *policy;
+    WPQueue *queue;
+    WPOnce *once;
+    WPBills *bills;
+    char **versions;
+    bool leaving;
+    bool off[GUARD_COUNT];
+    WPList held;    /* of WPJob */
+    WPList refused; /* of WPJob by `hold`: evicted, to be answered */
+};
+
+WPAgent *wp_agent_new(WPNode *n, const Wp__AgentSettings *s)
+{
+    const Wp__Member *self = wp_node_self(n);
+    WPOnceRules rules = { s->once_window_s, s->node->once_settle_ms,
+                          s->node->once_skew_ms };
+    WPAgent *a = g_new0(WPAgent, 1);
+    a->node = n;
+    a->queue = wp_queue_new(s->slots, s->queue);
+    a->once = wp_once_new(&rules);
+    a->bills = wp_bills_new(self->id, self->incarnation, s->node->bill_batch_ms,
+                            s->node->bill_limit);
+    a->versions = g_new0(char *, s->n_versions + 1);
+    for (size_t i = 0; i < s->n_versions; i++)
+        a->versions[i] = g_strdup(s->versions[i]);
+    for (size_t i = 0; i < s->node->n_test_off; i++)
+        for (int g = 0; g < GUARD_COUNT; g++)
+            a->off[g] |= !strcmp(s->node->test_off[i], guard_names[g]);
+    wp_list_init(&a->held);
+    wp_list_init(&a->refused);
+    return a;
+}
+
+void wp_agent_free(WPAgent *a)
+{
+    if (!a)
+        return;
+    wp_policy_unref(a->policy);
+    wp_queue_free(a->queue);
+    wp_once_free(a->once);
+    wp_bills_free(a->bills);
+    g_strfreev(a->versions);
+    g_free(a);
+}
+
+typedef struct Noting {
+    WPAgent *agent;
+    WPTime now;
+} Noting;
+
+static void note_left(void *arg, const WPMemberRow *r)
+{
+    Noting *n = arg;
+    bool left = r->m->leaving || r->m->gone;
+    if (left && r->m->role == WP__ROLE__ROLE_AGENT &&
+        strcmp(r->m->id, wp_node_self(n->agent->node)->id))
+        wp_once_left(n->agent->once, n->now, r->m);
+}
+
+void wp_agent_refresh(WPAgent *a, WPTime now)
+{
+    const WPConfig *c = wp_node_config(a->node);
+    const WPMembers *t = wp_node_members(a->node);
+    Noting noting = { a, now };
+    if (!a->policy || wp_policy_revision(a->policy) != wp_config_revision(c)) {
+        wp_policy_unref(a->policy);
+        a->policy = wp_policy_new(c);
+        wp_node_set_policy(a->node, a->policy);
+    }
+    wp_members_each(t, note_left, &noting);
+    wp_bills_set_writers(a->bills, wp_members_live(t));
+}
+
+static WPVerdict refuse(WPCode code, uint32_t retry_ms)
+{
+    return (WPVerdict){ WP_VERDICT_REFUSE, code, retry_ms };
+}
+
+static bool served_here(const WPAgent *a, const char *version)
+{
+    return g_strv_contains((const char *const *)a->versions, version);
+}
+
+static bool version_allowed(const WPAgent *a, const Wp__Start *s,
+                            const WPWorkspace *ws, const WPKind *kind)
+{
+    const WPVersion *v = wp_policy_version(a->policy, s->version);
+    WPLabels *labels = wp_labels_new();
+    WPSet set;
+    for (size_t i = 0; i < s->n_labels; i++)
+        wp_labels_set(labels, wp_str(s->labels[i]->key),
+                      wp_str(s->labels[i]->value));
+    wp_policy_allowed(a->policy, ws, kind, labels, &set);
+    wp_labels_free(labels);
+    return v && wp_set_has(&set, v->index);
+}
+
+/* Checked when a request comes and again when its turn comes, because the
+   configuration may have changed while it waited. */
+static WPVerdict check_rules(const WPAgent *a, WPTime now, const Wp__Start *s)
+{
+    WPVerdict ok = { WP_VERDICT_RUN, WP_OK, 0 };
+    const WPWorkspace *ws = wp_policy_workspace(a->policy, s->workspace);
+    const WPKind *kind = wp_policy_kind(a->policy, s->kind);
+    if (a->off[GUARD_ALLOWED])
+        return ok;
+    if (!ws || !kind || !served_here(a, s->version) ||
+        !version_allowed(a, s, ws, kind))
+        return refuse(WP_VERSION_REFUSED, 0);
+    int64_t bound_ms = (int64_t)kind->spec->stale_bound_s * WP_MS_PER_S;
+    if (bound_ms && !a->off[GUARD_STALE] &&
+        wp_node_age_ms(a->node, now) > bound_ms)
+        return refuse(WP_STALE, STALE_RETRY_MS);
+    return ok;
+}
+
+static bool needs_key(const WPAgent *a, const Wp__Start *s)
+{
+    const WPKind *kind = wp_policy_kind(a->policy, s->kind);
+    return s->once_key && kind && !kind->spec->repeatable &&
+           !a->off[GUARD_ONCE];
+}
+
+static WPVerdict check_key(WPAgent *a, WPTime now, WPJob *j)
+{
+    const Wp__Start *s = j->start;
+    const Wp__Member *self = wp_node_self(a->node);
+    WPVerdict ok = { WP_VERDICT_RUN, WP_OK, 0 };
+    if (!needs_key(a, s))
+        return ok;
+    if (!wp_once_is_keeper(a->once, wp_node_members(a->node), self, s->version,
+                           s->once_key, (uint64_t)now.wall_ms))
+        return refuse(WP_NOT_KEEPER, SETTLING_RETRY_MS);
+    uint64_t since = wp_once_since(a->once, self, s->version, s->once_key);
+    WPCode code = wp_once_begin(a->once, now, s->once_key, s->once_ms, since);
+    j->holds_key = code == WP_OK;
+    return code == WP_OK ? ok : refuse(code, 0);
+}
+
+static void release_key(WPAgent *a, WPTime now, WPJob *j, bool ran)
+{
+    if (!j->holds_key)
+        return;
+    j->holds_key = false;
+    if (ran)
+        wp_once_done(a->once, now, j->start->once_key);
+    else
+        wp_once_forget(a->once, j->start->once_key);
+}
+
+static void fill_ticket(const WPAgent *a, WPTime now, WPJob *j)
+{
+    const Wp__Start *s = j->start;
+    const WPKind *kind = wp_policy_kind(a->policy, s->kind);
+    const WPWorkspace *ws = wp_policy_workspace(a->policy, s->workspace);
+    WPTicket *t = &j->ticket;
+    g_strlcpy(t->workspace, s->workspace, sizeof(t->workspace));
+    t->weight = ws && ws->spec->weight > 0 ? ws->spec->weight : 1;
+    t->rank = kind ? kind->spec->class_rank : 1;
+    t->size = 1;
+    t->deadline_us = s->has_budget_ms
+                         ? now.mono_us + (int64_t)s->budget_ms * WP_US_PER_MS
+                         : INT64_MAX;
+}
+
+static WPVerdict offer(WPAgent *a, WPTime now, WPJob *j)
+{
+    WPTicket *evicted;
+    WPCode code;
+    fill_ticket(a, now, j);
+    WPAdmit admit =
+        wp_queue_offer(a->queue, now.mono_us, &j->ticket, &code, &evicted);
+    if (evicted) {
+        WPJob *old = wp_list_item(evicted, WPJob, ticket);
+        release_key(a, now, old, false);
+        wp_list_append(&a->refused, &old->hold);
+    }
+    if (admit == WP_ADMIT_REFUSE) {
+        release_key(a, now, j, false);
+        return refuse(code, wp_queue_retry_ms(a->queue, j->ticket.rank));
+    }
+    j->begun = admit == WP_ADMIT_RUN;
+    return (WPVerdict){ j->begun ? WP_VERDICT_RUN : WP_VERDICT_WAIT, WP_OK, 0 };
+}
+
+static WPVerdict admit(WPAgent *a, WPTime now, WPJob *j)
+{
+    if (a->leaving && !a->off[GUARD_LEAVING])
+        return refuse(WP_LEAVING, 0);
+    if (!wp_node_ready(a->node) || !a->policy)
+        return refuse(WP_NOT_READY, SETTLING_RETRY_MS);
+    if (j->revision > wp_policy_revision(a->policy) && !a->off[GUARD_HOLD])
+        return (WPVerdict){ WP_VERDICT_HOLD, WP_OK, 0 };
+    if (wp_bills_full(a->bills))
+        return refuse(WP_BILLS_FULL, STALE_RETRY_MS);
+    WPVerdict v = check_rules(a, now, j->start);
+    if (v.kind == WP_VERDICT_RUN)
+        v = check_key(a, now, j);
+    return v.kind == WP_VERDICT_RUN ? offer(a, now, j) : v;
+}
+
+static void note(WPAgent *a, WPTime now, const WPJob *j, const WPVerdict *v)
+{
+    WPCounters *c = wp_node_counters(a->node);
+    WPEvents *ev = wp_node_events(a->node);
+    if (v->kind == WP_VERDICT_RUN) {
+        wp_count(c, WP_C_STARTS);
+        wp_events_add(ev, now, WP_EVENT_RUN, j->start->request_id, "%s",
+                      j->start->version);
+    } else if (v->kind == WP_VERDICT_REFUSE) {
+        wp_count(c, WP_C_REFUSED);
+        c->codes[v->code]++;
+        wp_events_add(ev, now, WP_EVENT_REFUSED, j->start->request_id, "%s",
+                      wp_code_info(v->code)->code);
+    }
+}
+
+WPJob *wp_agent_start(WPAgent *a, WPTime now, Wp__Start *start, uint64_t link,
+                      uint64_t stream, uint64_t revision, WPVerdict *v)
+{
+    WPJob *j = g_new0(WPJob, 1);
+    j->start = start;
+    j->link = link;
+    j->stream = stream;
+    j->revision = revision;
+    j->arrived_us = now.mono_us;
+    wp_list_init(&j->hold);
+    wp_list_init(&j->ticket.link);
+    wp_count(wp_node_counters(a->node), WP_C_REQUESTS);
+    *v = admit(a, now, j);
+    if (v->kind == WP_VERDICT_HOLD)
+        wp_list_append(&a->held, &j->hold);
+    note(a, now, j, v);
+    return j;
+}
+
+void wp_job_free(WPJob *j)
+{
+    if (!j)
+        return;
+    wp_list_remove(&j->hold);
+    wp_pb_free(j->start);
+    g_free(j);
+}
+
+static WPJob *next_held(WPAgent *a, WPTime now, WPVerdict *v)
+{
+    wp_list_each (it, &a->held) {
+        WPJob *j = wp_list_item(it, WPJob, hold);
+        bool late = now.mono_us - j->arrived_us > WP_HOLD_MS * WP_US_PER_MS;
+        bool known = j->revision <= wp_policy_revision(a->policy);
+        if (!late && !known)
+            continue;
+        wp_list_remove(&j->hold);
+        *v = known ? admit(a, now, j) : refuse(WP_STALE, STALE_RETRY_MS);
+        return j;
+    }
+    return NULL;
+}
+
+static WPJob *next_queued(WPAgent *a, WPTime now, WPVerdict *v)
+{
+    WPTicket *t = wp_queue_next(a->queue, now.mono_us);
+    if (!t)
+        return NULL;
+    WPJob *j = wp_list_item(t, WPJob, ticket);
+    *v = check_rules(a, now, j->start);
+    if (v->kind == WP_VERDICT_RUN) {
+        j->begun = true;
+        return j;
+    }
+    wp_queue_leave(a->queue, now.mono_us, t, false);
+    release_key(a, now, j, false);
+    return j;
+}
+
+WPJob *wp_agent_next(WPAgent *a, WPTime now, WPVerdict *v)
+{
+    WPJob *j = NULL;
+    if (!wp_list_empty(&a->refused)) {
+        j = wp_list_item(a->refused.next, WPJob, hold);
+        wp_list_remove(&j->hold);
+        *v = refuse(WP_OVERLOADED, wp_queue_retry_ms(a->queue, j->ticket.rank));
+    }
+    if (!j) {
+        WPTicket *t = wp_queue_hopeless(a->queue, now.mono_us);
+        if (t) {
+            j = wp_list_item(t, WPJob, ticket);
+            release_key(a, now, j, false);
+            *v = refuse(WP_LATE, wp_queue_retry_ms(a->queue, t->rank));
+        }
+    }
+    if (!j)
+        j = next_held(a, now, v);
+    if (!j)
+        j = next_queued(a, now, v);
+    if (j)
+        note(a, now, j, v);
+    return j;
+}
+
+uint64_t wp_agent_ended(WPAgent *a, WPTime now, WPJob *j, bool begun,
+                        bool whole, uint32_t prompt_tokens,
+                        uint32_t answer_tokens)
+{
+    const Wp__Start *s = j->start;
+    Wp__Bill b = WP__BILL__INIT;
+    wp_queue_leave(a->queue, now.mono_us, &j->ticket, whole);
+    release_key(a, now, j, begun);
+    if (!begun)
+        return 0;
+    b.request_id = s->request_id;
+    b.workspace = s->workspace;
+    b.kind = s->kind;
+    b.version = s->version;
+    b.leg = s->leg;
+    b.has_step = s->has_step;
+    b.step = s->step;
+    b.prompt_tokens = prompt_tokens;
+    b.answer_tokens = answer_tokens;
+    b.has_whole = 1;
+    b.whole = whole;
+    b.entry = s->entry;
+    wp_count(wp_node_counters(a->node), WP_C_BILLS);
+    wp_events_add(wp_node_events(a->node), now, WP_EVENT_ENDED, s->request_id,
+                  "%s %u tokens", whole ? "whole" : "cut", answer_tokens);
+    return wp_bills_add(a->bills, now, &b);
+}
+
+void wp_agent_dropped(WPAgent *a, WPTime now, WPJob *j)
+{
+    bool held = !wp_list_empty(&j->hold);
+    if (!held && !wp_list_empty(&j->ticket.link))
+        wp_queue_leave(a->queue, now.mono_us, &j->ticket, false);
+    release_key(a, now, j, false);
+}
+
+void wp_agent_leave(WPAgent *a, WPTime now)
+{
+    a->leaving = true;
+    wp_node_leave(a->node, now);
+}
+
+void wp_agent_load(const WPAgent *a, Wp__Load *out)
+{
+    wp__load__init(out);
+    out->running = wp_queue_running(a->queue);
+    out->queued = wp_queue_waiting(a->queue);
+    out->slots = wp_queue_slots(a->queue);
+    out->has_service_us = 1;
+    out->service_us = (uint32_t)wp_queue_service_us(a->queue);
+    out->has_leaving = a->leaving;
+    out->leaving = a->leaving;
+}
+
+bool wp_agent_idle(const WPAgent *a)
+{
+    return !wp_queue_running(a->queue) && !wp_queue_waiting(a->queue) &&
+           wp_list_empty(&a->held);
+}
+
+WPBills *wp_agent_bills(WPAgent *a)
+{
+    return a->bills;
+}
+
+WPQueue *wp_agent_queue(WPAgent *a)
+{
+    return a->queue;
+}
+
+WPPolicy *wp_agent_policy(WPAgent *a)
+{
+    return a->policy;
+}
--- /dev/null
+++ b/src/wp_allow.c
@@ -0,0 +1,109 @@
+/* Which versions may serve which traffic, and why. */
+#include "wp_policy_int.h"
+
+WPLabels *wp_traffic_labels(const WPWorkspace *ws, const WPKind *kind)
+{
+    WPLabels *l = wp_labels_copy(ws->labels);
+    wp_labels_set(l, wp_str("workspace"), wp_str(ws->spec->name));
+    if (kind)
+        wp_labels_set(l, wp_str("kind"), wp_str(kind->spec->name));
+    return l;
+}
+
+/* The request's labels with what rules on requests add to them. */
+static WPLabels *request_labels(const WPPolicy *p, const WPLabels *request,
+                                const WPLabels *own)
+{
+    WPLabels *l = wp_labels_copy(request);
+    wp_rules_run(p, "request", own, l);
+    return l;
+}
+
+void wp_allowed_slow(const WPPolicy *p, const WPWorkspace *ws,
+                     const WPKind *kind, const WPLabels *request, WPSet *out)
+{
+    WPLabels *own = wp_traffic_labels(ws, kind);
+    WPLabels *req = request_labels(p, request, own);
+    WPSet deny = { 0 };
+    memset(out, 0, sizeof(*out));
+    for (guint i = 0; i < p->selectors->len; i++) {
+        const WPSelectorRule *s =
+            &g_array_index(p->selectors, WPSelectorRule, i);
+        if (!s->traffic || !wp_selector_match(s->traffic, own, req))
+            continue;
+        WPSet *into = s->deny ? &deny : out;
+        for (unsigned w = 0; w < WP_SET_WORDS; w++)
+            into->w[w] |= s->versions.w[w];
+    }
+    for (unsigned w = 0; w < WP_SET_WORDS; w++)
+        out->w[w] &= ~deny.w[w];
+    for (guint i = 0; i < p->versions->len; i++)
+        if (wp_policy_version_at(p, i)->spec->withdrawn)
+            wp_set_remove(out, i);
+    wp_labels_free(req);
+    wp_labels_free(own);
+}
+
+void wp_policy_allowed(const WPPolicy *p, const WPWorkspace *ws,
+                       const WPKind *kind, const WPLabels *request, WPSet *out)
+{
+    if (kind && (!request || !wp_labels_count(request)))
+        *out = p->plain[ws->index * p->kinds->len + kind->index];
+    else
+        wp_allowed_slow(p, ws, kind, request, out);
+}
+
+/* Plain services are reached by their own path, never as a model. */
+bool wp_policy_narrow(const WPPolicy *p, const char *model, WPSet *set)
+{
+    bool any = !strcmp(model, "auto") || wp_policy_kind(p, model);
+    bool known = any;
+    for (guint i = 0; i < p->versions->len; i++) {
+        const Wp__Version *v = wp_policy_version_at(p, i)->spec;
+        bool hit =
+            !strcmp(v->name, model) || (v->model && !strcmp(v->model, model));
+        known |= hit && !v->service;
+        if (v->service || !(hit || any))
+            wp_set_remove(set, i);
+    }
+    return known;
+}
+
+static char *explain_version(const WPPolicy *p, const WPVersion *v,
+                             const WPLabels *own, const WPLabels *req)
+{
+    g_autoptr(GString) why = g_string_new(NULL);
+    bool allowed = false;
+    bool denied = v->spec->withdrawn;
+    if (v->spec->withdrawn)
+        g_string_append(why, " withdrawn;");
+    for (guint i = 0; i < p->selectors->len; i++) {
+        const WPSelectorRule *s =
+            &g_array_index(p->selectors, WPSelectorRule, i);
+        if (!wp_set_has(&s->versions, v->index) || !s->traffic ||
+            !wp_selector_match(s->traffic, own, req))
+            continue;
+        g_string_append_printf(why, " %s by selector %s;",
+                               s->deny ? "denied" : "allowed", s->spec->name);
+        denied |= s->deny;
+        allowed |= !s->deny;
+    }
+    if (!allowed && !denied)
+        g_string_append(why, " no selector allows it;");
+    return g_strdup_printf("%s %s:%s", allowed && !denied ? "yes" : "no ",
+                           v->spec->name, why->str);
+}
+
+GPtrArray *wp_policy_explain(const WPPolicy *p, const WPWorkspace *ws,
+                             const WPKind *kind, const WPLabels *request)
+{
+    GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+    WPLabels *own = wp_traffic_labels(ws, kind);
+    WPLabels *req = request_labels(p, request, own);
+    for (guint i = 0; i < p->versions->len; i++)
+        g_ptr_array_add(
+            out, explain_version(p, wp_policy_version_at(p, i), own, req));
+    wp_labels_free(req);
+    wp_labels_free(own);
+    return out;
+}
--- /dev/null
+++ b/src/wp_base.c
@@ -0,0 +1,74 @@
+/* Strings, hashes and request numbers shared by every module. */
+#include "wp_base.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <xxhash.h>
+
+WPStr wp_str_cut(WPStr *s, char sep)
+{
+    const char *e = memchr(s->p, sep, s->n);
+    WPStr head = *s;
+    if (!e) {
+        s->p += s->n;
+        s->n = 0;
+        return head;
+    }
+    head.n = (size_t)(e - s->p);
+    s->n -= head.n + 1;
+    s->p = e + 1;
+    return head;
+}
+
+WPStr wp_str_trim(WPStr s)
+{
+    while (s.n && g_ascii_isspace(s.p[0])) {
+        s.p++;
+        s.n--;
+    }
+    while (s.n && g_ascii_isspace(s.p[s.n - 1]))
+        s.n--;
+    return s;
+}
+
+uint64_t wp_hash(WPStr s, uint64_t seed)
+{
+    return XXH64(s.p, s.n, seed);
+}
+
+double wp_hash_unit(WPStr s, uint64_t seed)
+{
+    /* 53 bits, shifted off zero by half a step so that log() is finite. */
+    return ((double)(wp_hash(s, seed) >> 11) + 0.5) / 9007199254740992.0;
+}
+
+double wp_rendezvous(WPStr candidate, uint64_t key, double weight)
+{
+    return -weight / log(wp_hash_unit(candidate, key));
+}
+
+uint64_t wp_uuid7_ms(WPStr s)
+{
+    uint64_t ms = 0;
+    if (s.n != 36 || s.p[14] != '7' || s.p[8] != '-' || s.p[13] != '-')
+        return 0;
+    for (int i = 0; i < 13; i++) {
+        if (i == 8)
+            continue;
+        int d = g_ascii_xdigit_value(s.p[i]);
+        if (d < 0)
+            return 0;
+        ms = ms << 4 | (uint64_t)d;
+    }
+    return ms;
+}
+
+void wp_uuid7(char *out, uint64_t wall_ms, GRand *rand)
+{
+    uint32_t a = g_rand_int(rand);
+    uint32_t b = g_rand_int(rand);
+    uint32_t c = g_rand_int(rand);
+    snprintf(out, 37, "%08x-%04x-7%03x-%04x-%04x%08x",
+             (unsigned)(wall_ms >> 16), (unsigned)(wall_ms & 0xffff), a & 0xfff,
+             0x8000 | (a >> 12 & 0x3fff), b & 0xffff, c);
+}
--- /dev/null
+++ b/src/wp_copies.c
@@ -0,0 +1,85 @@
+/* The entry's copies of bills that agents made and have not settled, and the
+ * bills that an entry makes itself when an agent was lost. */
+#include "wp_entry_int.h"
+
+static Wp__Bill fill(const WPRequest *r, const WPEntry *e)
+{
+    Wp__Bill b = WP__BILL__INIT;
+    b.request_id = (char *)r->id;
+    b.workspace = r->workspace;
+    b.kind = r->kind;
+    b.version = r->version;
+    b.leg = r->leg;
+    b.has_step = 1;
+    b.step = r->step;
+    b.prompt_tokens = r->prompt_tokens;
+    b.has_whole = 1;
+    b.entry = wp_node_self(e->node)->id;
+    return b;
+}
+
+static uint64_t incarnation_of(WPEntry *e, const char *agent)
+{
+    const WPMemberRow *row = wp_members_get(wp_node_members(e->node), agent);
+    return row ? row->m->incarnation : 0;
+}
+
+void wp_copy_add(WPEntry *e, const WPRequest *r, const Wp__End *end)
+{
+    Wp__Bill b = fill(r, e);
+    WPBillCopy *c = g_new0(WPBillCopy, 1);
+    b.prompt_tokens = end->usage->prompt_tokens;
+    b.answer_tokens = end->usage->answer_tokens;
+    b.whole = end->whole;
+    b.has_seq = 1;
+    b.seq = end->bill_seq;
+    g_autoptr(GByteArray) p = wp_pb_pack(&b.base);
+    c->agent = g_strdup(r->endpoint->id);
+    c->incarnation = incarnation_of(e, r->endpoint->id);
+    c->bill = wp__bill__unpack(NULL, p->len, p->data);
+    wp_list_append(&e->copies, &c->link);
+}
+
+void wp_bill_own(WPEntry *e, WPTime now, const WPRequest *r)
+{
+    Wp__Bill b = fill(r, e);
+    wp_bills_add(e->bills, now, &b);
+    wp_count(wp_node_counters(e->node), WP_C_BILLS);
+}
+
+static void drop(WPBillCopy *c)
+{
+    wp_list_remove(&c->link);
+    wp_pb_free(c->bill);
+    g_free(c->agent);
+    g_free(c);
+}
+
+void wp_entry_settled(WPEntry *e, const char *agent, uint64_t incarnation,
+                      uint64_t upto)
+{
+    wp_list_each_safe (it, tmp, &e->copies) {
+        WPBillCopy *c = wp_list_item(it, WPBillCopy, link);
+        if (c->bill->seq <= upto && c->incarnation == incarnation &&
+            !strcmp(c->agent, agent))
+            drop(c);
+    }
+}
+
+/* Bills of agents that are gone or were replaced will not be written by them
+   any more; a paused one that does so all the same is folded with ours. */
+void wp_entry_take_over(WPEntry *e, WPTime now)
+{
+    wp_list_each_safe (it, tmp, &e->copies) {
+        WPBillCopy *c = wp_list_item(it, WPBillCopy, link);
+        const WPMemberRow *row =
+            wp_members_get(wp_node_members(e->node), c->agent);
+        if (row && !row->m->gone && row->m->incarnation == c->incarnation)
+            continue;
+        wp_bills_add(e->bills, now, c->bill);
+        wp_count(wp_node_counters(e->node), WP_C_BILLS_TAKEN);
+        wp_events_add(wp_node_events(e->node), now, WP_EVENT_BILLED,
+                      c->bill->request_id, "taken over from %s", c->agent);
+        drop(c);
+    }
+}
--- /dev/null
+++ b/src/wp_counters.h
@@ -0,0 +1,72 @@
+/* Counters and log-spaced histograms of one process, in Prometheus text. */
+#ifndef WP_COUNTERS_H
+#define WP_COUNTERS_H
+
+#include "wp_base.h"
+
+/* X(name, metric name, help) */
+#define WP_COUNTER_LIST(X)                                                     \
+    X(REQUESTS, "requests_total", "requests received")                         \
+    X(ANSWERED, "answered_total", "requests answered whole")                   \
+    X(REFUSED, "refused_total", "requests refused")                            \
+    X(FAILED, "failed_total", "requests that failed after a start")            \
+    X(RETRIES, "retries_total", "second and later attempts")                   \
+    X(ESCALATIONS, "escalations_total", "cascade steps to a stronger version") \
+    X(HEDGES, "hedges_total", "second legs raced against a slow first")        \
+    X(CALLERS_GONE, "callers_gone_total", "callers that left early")           \
+    X(BAD_INPUT, "bad_input_total", "malformed requests")                      \
+    X(BAD_FRAMES, "bad_frames_total", "malformed frames, links closed")        \
+    X(STARTS, "starts_total", "requests started at the endpoint")              \
+    X(BILLS, "bills_total", "bills made")                                      \
+    X(BILLS_SETTLED, "bills_settled_total", "bills in the store")              \
+    X(BILLS_TAKEN, "bills_taken_over_total", "bills of dead agents written")   \
+    X(STORE_READS, "store_reads_total", "reads asked of the store")            \
+    X(STORE_WRITES, "store_writes_total", "writes asked of the store")         \
+    X(STORE_ERRORS, "store_errors_total", "store calls that failed")           \
+    X(CONFIG_CHANGES, "config_changes_total", "changes taken")                 \
+    X(GOSSIP_SENT, "gossip_sent_total", "messages to other boxes")             \
+    X(GOSSIP_BYTES, "gossip_bytes_total", "bytes to other boxes")              \
+    X(EJECTIONS, "ejections_total", "endpoints set aside")                     \
+    X(EXPLORED, "explored_total", "requests sent to learn quality")            \
+    X(SESSIONS_MOVED, "sessions_moved_total",                                  \
+      "turns of sessions whose version may not serve them any more")           \
+    X(ROLLOUT_STEPS, "rollout_steps_total", "roll-out changes written")        \
+    X(STOPS, "automatic_stops_total", "versions withdrawn automatically")
+
+typedef enum WPCounter {
+#define X(name, metric, help) WP_C_##name,
+    WP_COUNTER_LIST(X)
+#undef X
+        WP_COUNTER_COUNT
+} WPCounter;
+
+/* Log-spaced: four buckets an octave from 1 us, so within 19 in 100. */
+enum { WP_HISTOGRAM_BUCKETS = 128 };
+
+typedef struct WPHistogram {
+    uint64_t bucket[WP_HISTOGRAM_BUCKETS];
+    uint64_t count;
+    double sum; /* microseconds */
+} WPHistogram;
+
+void wp_histogram_add(WPHistogram *h, int64_t us);
+
+/* Upper edge in microseconds of the bucket that holds quantile `q`; 0 when
+   the histogram is empty. */
+double wp_histogram_quantile(const WPHistogram *h, double q);
+
+typedef struct WPCounters {
+    uint64_t value[WP_COUNTER_COUNT];
+    uint64_t codes[64]; /* final outcomes by WPCode */
+    WPHistogram first_token, whole, decision;
+} WPCounters;
+
+static inline void wp_count(WPCounters *c, WPCounter which)
+{
+    c->value[which]++;
+}
+
+/* Appends Prometheus text; `labels` like `box="e1"`. */
+void wp_counters_text(const WPCounters *c, const char *labels, GString *out);
+
+#endif
--- /dev/null
+++ b/src/wp_entry.c
@@ -0,0 +1,407 @@
+/* The course of a request through the entry. */
+#include "wp_entry_int.h"
+
+WPEntry *wp_entry_new(WPNode *n, const Wp__EntrySettings *s, uint32_t seed,
+                      GError **error)
+{
+    const WPChooser *chooser = wp_chooser(s->choose);
+    WPBalancer *balancer = wp_balancer_new(s->balance, seed);
+    if (!chooser || !balancer) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT, "%s: unknown policy '%s'",
+                    chooser ? "balance" : "choose",
+                    chooser ? s->balance : s->choose);
+        wp_balancer_free(balancer);
+        return NULL;
+    }
+    const Wp__Member *self = wp_node_self(n);
+    WPEntry *e = g_new0(WPEntry, 1);
+    e->node = n;
+    e->chooser = chooser;
+    e->balancer = balancer;
+    e->rand = g_rand_new_with_seed(seed + 1);
+    e->retry_share = s->retry_share;
+    e->retry_tokens = WP_RETRY_BURST;
+    e->once_settle_ms = s->node->once_settle_ms;
+    e->zone = g_strdup(s->node->zone);
+    e->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
+    e->all = g_ptr_array_new();
+    e->explored =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    e->withdrawn = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    e->bills = wp_bills_new(self->id, self->incarnation, s->node->bill_batch_ms,
+                            s->node->bill_limit);
+    wp_list_init(&e->copies);
+    for (size_t i = 0; i < s->node->n_test_off; i++)
+        e->skip_session |= !strcmp(s->node->test_off[i], "session");
+    return e;
+}
+
+static void free_copy(WPBillCopy *c)
+{
+    wp_list_remove(&c->link);
+    wp_pb_free(c->bill);
+    g_free(c->agent);
+    g_free(c);
+}
+
+void wp_entry_free(WPEntry *e)
+{
+    if (!e)
+        return;
+    wp_list_each_safe (it, tmp, &e->copies)
+        free_copy(wp_list_item(it, WPBillCopy, link));
+    for (guint i = 0; i < e->all->len; i++) {
+        WPEndpoint *p = e->all->pdata[i];
+        g_free((gpointer)p->id);
+        g_free((gpointer)p->addr);
+        g_free((gpointer)p->zone);
+        g_free(p);
+    }
+    wp_pools_free(e);
+    wp_bills_free(e->bills);
+    g_hash_table_unref(e->withdrawn);
+    g_hash_table_unref(e->explored);
+    g_hash_table_unref(e->endpoints);
+    g_ptr_array_unref(e->all);
+    g_free(e->bounds);
+    g_free(e->zone);
+    wp_policy_unref(e->policy);
+    g_rand_free(e->rand);
+    wp_balancer_free(e->balancer);
+    g_free(e);
+}
+
+/* Evidence against a version is forgotten when an operator lets it serve
+   again, so that the old evidence cannot overrule the later word. */
+static void note_withdrawals(WPEntry *e)
+{
+    for (unsigned i = 0; i < wp_policy_versions(e->policy); i++) {
+        const Wp__Version *v = wp_policy_version_at(e->policy, i)->spec;
+        bool was = g_hash_table_contains(e->withdrawn, v->name);
+        if (v->withdrawn && !was)
+            g_hash_table_add(e->withdrawn, g_strdup(v->name));
+        if (v->withdrawn || !was)
+            continue;
+        g_hash_table_remove(e->withdrawn, v->name);
+        wp_quality_forget(wp_node_quality(e->node), v->name);
+    }
+}
+
+void wp_entry_refresh(WPEntry *e, WPTime now)
+{
+    const WPConfig *c = wp_node_config(e->node);
+    if (!e->policy || wp_policy_revision(e->policy) != wp_config_revision(c)) {
+        wp_policy_unref(e->policy);
+        e->policy = wp_policy_new(c);
+        wp_node_set_policy(e->node, e->policy);
+        note_withdrawals(e);
+    }
+    g_free(e->bounds);
+    e->bounds = wp_quality_table(wp_node_quality(e->node), e->policy);
+    wp_pools_rebuild(e, now);
+    wp_bills_set_writers(e->bills, wp_members_live(wp_node_members(e->node)));
+    wp_entry_take_over(e, now);
+}
+
+WPPolicy *wp_entry_policy(WPEntry *e)
+{
+    return e->policy;
+}
+
+WPBills *wp_entry_bills(WPEntry *e)
+{
+    return e->bills;
+}
+
+const WPBound *wp_entry_bounds(const WPEntry *e)
+{
+    return e->bounds;
+}
+
+static WPRequest *new_request(WPEntry *e, WPTime now, const WPAsk *ask)
+{
+    const Wp__Kind *k = ask->kind->spec;
+    uint32_t deadline = ask->deadline_ms ? ask->deadline_ms : k->deadline_ms;
+    WPRequest *r = g_new0(WPRequest, 1);
+    wp_uuid7(r->id, (uint64_t)now.wall_ms, e->rand);
+    r->workspace = g_strdup(ask->workspace->spec->name);
+    r->kind = g_strdup(k->name);
+    r->labels = ask->labels;
+    r->repeatable = k->repeatable;
+    r->strict = k->strict;
+    r->begun_us = now.mono_us;
+    r->deadline_us = now.mono_us + (int64_t)deadline * WP_US_PER_MS;
+    r->prompt_tokens = ask->prompt_tokens;
+    r->answer_tokens = ask->answer_tokens;
+    r->affinity = ask->session_id.n ? wp_hash(ask->session_id, 5) : ask->prefix;
+    r->model = g_strdup(ask->model);
+    r->service = g_strdup(ask->service);
+    if (ask->session_token.n)
+        r->session_token =
+            g_strndup(ask->session_token.p, ask->session_token.n);
+    if (ask->session_id.n)
+        r->session_id = g_strndup(ask->session_id.p, ask->session_id.n);
+    if (ask->once_key.n) {
+        /* Two workspaces may use the same key. */
+        r->once_key = g_strdup_printf("%s/%.*s", r->workspace,
+                                      (int)ask->once_key.n, ask->once_key.p);
+        r->once_ms = wp_uuid7_ms(ask->once_key);
+    } else if (!k->repeatable) {
+        r->once_key = g_strdup_printf("%s/%s", r->workspace, r->id);
+        r->once_ms = wp_uuid7_ms(wp_str(r->id));
+    }
+    return r;
+}
+
+void wp_request_free(WPRequest *r)
+{
+    if (!r)
+        return;
+    wp_labels_free(r->labels);
+    g_free(r->workspace);
+    g_free(r->kind);
+    g_free(r->once_key);
+    g_free(r->model);
+    g_free(r->service);
+    g_free(r->session_token);
+    g_free(r->session_id);
+    g_free(r->version);
+    g_free(r->escalate);
+    g_free(r->token);
+    g_free(r);
+}
+
+static void count_final(WPEntry *e, WPTime now, const WPRequest *r, WPCode code)
+{
+    WPCounters *c = wp_node_counters(e->node);
+    c->codes[code]++;
+    if (code == WP_OK) {
+        wp_count(c, WP_C_ANSWERED);
+        wp_histogram_add(&c->whole, now.mono_us - r->begun_us);
+        wp_events_add(wp_node_events(e->node), now, WP_EVENT_ENDED, r->id, "%s",
+                      r->version);
+        return;
+    }
+    bool refused = wp_code_info(code)->ran == WP_RAN_NOT_RUN;
+    wp_count(c, refused ? WP_C_REFUSED : WP_C_FAILED);
+    wp_events_add(wp_node_events(e->node), now,
+                  refused ? WP_EVENT_REFUSED : WP_EVENT_FAILED, r->id, "%s",
+                  wp_code_info(code)->code);
+}
+
+static WPStep finish(WPEntry *e, WPTime now, WPRequest *r, WPStep step)
+{
+    if (step.kind == WP_STEP_FINAL)
+        count_final(e, now, r, step.code);
+    return step;
+}
+
+WPRequest *wp_entry_begin(WPEntry *e, WPTime now, const WPAsk *ask,
+                          WPStep *step)
+{
+    WPRequest *r = new_request(e, now, ask);
+    wp_count(wp_node_counters(e->node), WP_C_REQUESTS);
+    wp_events_add(wp_node_events(e->node), now, WP_EVENT_RECEIVED, r->id,
+                  "%s %s", r->workspace, r->kind);
+    e->retry_tokens = MIN(e->retry_tokens + e->retry_share, WP_RETRY_BURST);
+    WPCode code =
+        wp_bills_full(e->bills) ? WP_BILLS_FULL : wp_plan_version(e, now, r);
+    *step = code == WP_OK ? wp_plan(e, now, r) : wp_final(code, 0);
+    if (code == WP_BILLS_FULL)
+        step->retry_after_ms = WP_NO_ENDPOINT_RETRY_MS;
+    finish(e, now, r, *step);
+    return r;
+}
+
+/* Retries are a share of traffic, so that they cannot multiply a burst. */
+static bool may_retry(WPEntry *e, const WPRequest *r, WPTime now)
+{
+    if (r->n_tried >= WP_REQUEST_TRIES || now.mono_us >= r->deadline_us)
+        return false;
+    if (e->retry_tokens < 1)
+        return false;
+    e->retry_tokens -= 1;
+    return true;
+}
+
+/* Chooses again under the newest configuration and table of boxes. */
+static WPStep retry(WPEntry *e, WPTime now, WPRequest *r)
+{
+    const WPVersion *v = wp_policy_version(e->policy, r->version);
+    if (!v || v->spec->withdrawn)
+        return wp_final(WP_VERSION_REFUSED, WP_NO_ENDPOINT_RETRY_MS);
+    wp_count(wp_node_counters(e->node), WP_C_RETRIES);
+    wp_events_add(wp_node_events(e->node), now, WP_EVENT_RETRIED, r->id, "%s",
+                  wp_code_info(r->last_refusal)->code);
+    return wp_plan(e, now, r);
+}
+
+static void note_failure(WPEntry *e, WPTime now, WPEndpoint *p)
+{
+    if (!wp_endpoint_ended(p, false, 0, now.mono_us))
+        return;
+    wp_count(wp_node_counters(e->node), WP_C_EJECTIONS);
+    wp_events_add(wp_node_events(e->node), now, WP_EVENT_EJECTED, NULL, "%s",
+                  p->id);
+}
+
+/* Codes that answer for the key itself: no other agent would know better. */
+static bool final_for_key(WPCode code)
+{
+    return code == WP_ONCE_RUNNING || code == WP_ONCE_DONE ||
+           code == WP_ONCE_UNKNOWN;
+}
+
+/* The leg did not give a whole answer: another one, or the final outcome.
+   `billed` tells whether the agent has made a bill for it. */
+static WPStep leg_failed(WPEntry *e, WPTime now, WPRequest *r, WPCode code,
+                         WPRan ran, uint32_t retry_ms, bool billed)
+{
+    bool again = ran == WP_RAN_NOT_RUN ||
+                 (ran == WP_RAN_UNKNOWN && r->repeatable && !r->passed_on);
+    WPStep step = wp_final(code, retry_ms);
+    r->sent = false;
+    r->last_refusal = code;
+    r->last_retry_ms = retry_ms;
+    if (again && !final_for_key(code) && may_retry(e, r, now))
+        step = retry(e, now, r);
+    if (step.kind == WP_STEP_FINAL && ran != WP_RAN_NOT_RUN && !billed &&
+        !final_for_key(code))
+        wp_bill_own(e, now, r);
+    return finish(e, now, r, step);
+}
+
+WPStep wp_entry_refused(WPEntry *e, WPTime now, WPRequest *r, WPCode code,
+                        WPRan ran, uint32_t retry_ms)
+{
+    bool full = code == WP_OVERLOADED || code == WP_LATE;
+    if (code == WP_ENDPOINT_DOWN || ran == WP_RAN_UNKNOWN)
+        note_failure(e, now, r->endpoint);
+    else
+        wp_endpoint_refused(r->endpoint, full ? retry_ms : 0, now.mono_us);
+    if (code == WP_LEAVING)
+        r->endpoint->leaving = true;
+    /* The agent knew a newer configuration: choose again under it. */
+    if (code == WP_VERSION_REFUSED && wp_plan_version(e, now, r) != WP_OK) {
+        r->sent = false;
+        return finish(e, now, r, wp_final(WP_NO_VERSION, 0));
+    }
+    return leg_failed(e, now, r, code, ran, retry_ms, false);
+}
+
+void wp_entry_accepted(WPEntry *e, WPTime now, WPRequest *r)
+{
+    (void)e;
+    (void)now;
+    r->accepted = true;
+}
+
+void wp_entry_first_bytes(WPEntry *e, WPTime now, WPRequest *r)
+{
+    if (r->answered)
+        return;
+    r->answered = true;
+    wp_endpoint_first(r->endpoint, now.mono_us - r->sent_us);
+    wp_histogram_add(&wp_node_counters(e->node)->first_token,
+                     now.mono_us - r->begun_us);
+}
+
+WPStep wp_entry_ended(WPEntry *e, WPTime now, WPRequest *r, const Wp__End *end)
+{
+    wp_copy_add(e, r, end);
+    if (!end->whole) {
+        note_failure(e, now, r->endpoint);
+        return leg_failed(e, now, r, WP_ENDPOINT_FAILED, WP_RAN_UNKNOWN, 0,
+                          true);
+    }
+    wp_endpoint_ended(r->endpoint, true, now.mono_us - r->sent_us, now.mono_us);
+    r->sent = false;
+    if (r->escalate && now.mono_us < r->deadline_us)
+        return (WPStep){ WP_STEP_CHECK, WP_OK, 0, NULL };
+    count_final(e, now, r, WP_OK);
+    return (WPStep){ WP_STEP_DONE, WP_OK, 0, NULL };
+}
+
+WPStep wp_entry_checked(WPEntry *e, WPTime now, WPRequest *r, bool good)
+{
+    if (good || !r->escalate) {
+        count_final(e, now, r, WP_OK);
+        return (WPStep){ WP_STEP_DONE, WP_OK, 0, NULL };
+    }
+    g_free(r->version);
+    r->version = g_steal_pointer(&r->escalate);
+    r->step++;
+    r->n_tried = 0;
+    wp_count(wp_node_counters(e->node), WP_C_ESCALATIONS);
+    wp_events_add(wp_node_events(e->node), now, WP_EVENT_ESCALATED, r->id, "%s",
+                  r->version);
+    WPStep step = wp_plan(e, now, r);
+    /* No place for the stronger one: the checked answer is still an answer. */
+    if (step.kind == WP_STEP_FINAL) {
+        count_final(e, now, r, WP_OK);
+        return (WPStep){ WP_STEP_DONE, WP_OK, 0, NULL };
+    }
+    return step;
+}
+
+WPStep wp_entry_lost(WPEntry *e, WPTime now, WPRequest *r, bool sent)
+{
+    note_failure(e, now, r->endpoint);
+    if (sent)
+        return leg_failed(e, now, r, WP_LINK_LOST, WP_RAN_UNKNOWN, 0, false);
+    return leg_failed(e, now, r, WP_ENDPOINT_DOWN, WP_RAN_NOT_RUN,
+                      WP_NO_ENDPOINT_RETRY_MS, false);
+}
+
+WPStep wp_entry_expired(WPEntry *e, WPTime now, WPRequest *r)
+{
+    if (r->sent) {
+        wp_endpoint_ended(r->endpoint, false, 0, now.mono_us);
+        wp_bill_own(e, now, r);
+    }
+    r->sent = false;
+    return finish(e, now, r, wp_final(WP_TIMED_OUT, 0));
+}
+
+void wp_entry_caller_gone(WPEntry *e, WPTime now, WPRequest *r)
+{
+    wp_count(wp_node_counters(e->node), WP_C_CALLERS_GONE);
+    if (r->sent) {
+        wp_endpoint_refused(r->endpoint, 0, now.mono_us);
+        wp_bill_own(e, now, r);
+    }
+    r->sent = false;
+    count_final(e, now, r, WP_CANCELLED);
+}
+
+GPtrArray *wp_entry_why(WPEntry *e, WPTime now, const WPAsk *ask)
+{
+    GPtrArray *out =
+        wp_policy_explain(e->policy, ask->workspace, ask->kind, ask->labels);
+    WPRequest *r = new_request(e, now, ask);
+    WPCode code = wp_plan_version(e, now, r);
+    unsigned n = wp_policy_versions(e->policy);
+    for (unsigned i = 0; i < n; i++) {
+        const WPVersion *v = wp_policy_version_at(e->policy, i);
+        const WPBound *b = &e->bounds[ask->kind->index * n + i];
+        const WPPool *pool = &e->pools[i];
+        g_ptr_array_add(
+            out,
+            g_strdup_printf(
+                "%s: quality %.2f to %.2f (target %.2f), cost "
+                "%.4f, endpoints near %u far %u",
+                v->spec->name, b->low, b->high, ask->kind->spec->quality_target,
+                wp_version_cost(v, r->prompt_tokens, r->answer_tokens),
+                pool->near->len, pool->far->len));
+    }
+    g_ptr_array_add(
+        out, code == WP_OK
+                 ? g_strdup_printf("chosen: %s%s%s%s", r->version,
+                                   r->sticky ? ", by its session" : "",
+                                   r->explored ? ", to learn its quality" : "",
+                                   r->escalate ? ", then escalates" : "")
+                 : g_strdup_printf("refused: %s", wp_code_info(code)->code));
+    r->labels = NULL;
+    wp_request_free(r);
+    return out;
+}
--- /dev/null
+++ b/src/wp_entry_int.h
@@ -0,0 +1,65 @@
+/* The insides of WPEntry, for its parts: table of endpoints, plan of a
+ * request, course of a request, copies of bills. */
+#ifndef WP_ENTRY_INT_H
+#define WP_ENTRY_INT_H
+
+#include "wp_entry.h"
+#include "wp_once.h"
+#include "wp_pb.h"
+
+#define WP_RETRY_BURST 10.0
+#define WP_NO_ENDPOINT_RETRY_MS 1000
+#define WP_PROBE_FRESH_US (100 * WP_US_PER_MS)
+/* Of a workspace's requests, the most that may go to learning. */
+#define WP_EXPLORE_CAP 0.05
+
+/* Endpoints of one version: `near` in the own zone, `far` in others. */
+typedef struct WPPool {
+    GPtrArray *near, *far;
+} WPPool;
+
+typedef struct WPExplored {
+    uint64_t requests, explored;
+} WPExplored;
+
+/* A copy of a bill that an agent has not yet settled. */
+typedef struct WPBillCopy {
+    WPList link;
+    char *agent;
+    uint64_t incarnation;
+    Wp__Bill *bill;
+} WPBillCopy;
+
+struct WPEntry {
+    WPNode *node;
+    WPPolicy *policy;
+    WPBound *bounds;
+    const WPChooser *chooser;
+    WPBalancer *balancer;
+    GRand *rand;
+    double retry_share, retry_tokens;
+    char *zone;
+    GHashTable *endpoints; /* id -> WPEndpoint */
+    GPtrArray *all;        /* every WPEndpoint ever made and still in use */
+    WPPool *pools;         /* by version index */
+    unsigned n_pools;
+    GHashTable *explored; /* workspace -> WPExplored */
+    WPBills *bills;
+    WPList copies;
+    GHashTable *withdrawn; /* names withdrawn at the last refresh */
+    uint32_t once_settle_ms;
+    bool skip_session; /* guard switched off by a scenario */
+};
+
+void wp_pools_rebuild(WPEntry *e, WPTime now);
+void wp_pools_free(WPEntry *e);
+
+/* Chooses version and endpoint for the present leg. */
+WPStep wp_plan(WPEntry *e, WPTime now, WPRequest *r);
+WPCode wp_plan_version(WPEntry *e, WPTime now, WPRequest *r);
+WPStep wp_final(WPCode code, uint32_t retry_ms);
+
+void wp_copy_add(WPEntry *e, const WPRequest *r, const Wp__End *end);
+void wp_bill_own(WPEntry *e, WPTime now, const WPRequest *r);
+
+#endif
--- /dev/null
+++ b/src/wp_events.c
@@ -0,0 +1,81 @@
+/* The ring of events and its hybrid logical clock. */
+#include "wp_events.h"
+
+#include <stdio.h>
+
+typedef struct Event {
+    uint64_t clock;
+    WPEventKind kind;
+    char request[40];
+    char text[WP_EVENT_TEXT];
+} Event;
+
+struct WPEvents {
+    char *box;
+    uint64_t clock;
+    uint64_t count; /* ever added */
+    Event ring[WP_EVENTS_KEPT];
+};
+
+static const char *const kind_names[] = {
+#define X(name, text) text,
+    WP_EVENT_KINDS(X)
+#undef X
+};
+
+WPEvents *wp_events_new(const char *box)
+{
+    WPEvents *e = g_new0(WPEvents, 1);
+    e->box = g_strdup(box);
+    return e;
+}
+
+void wp_events_free(WPEvents *e)
+{
+    if (!e)
+        return;
+    g_free(e->box);
+    g_free(e);
+}
+
+uint64_t wp_events_clock(WPEvents *e, WPTime now)
+{
+    uint64_t wall = (uint64_t)now.wall_ms << 16;
+    e->clock = MAX(e->clock + 1, wall);
+    return e->clock;
+}
+
+void wp_events_seen(WPEvents *e, uint64_t clock)
+{
+    e->clock = MAX(e->clock, clock);
+}
+
+void wp_events_add(WPEvents *e, WPTime now, WPEventKind kind,
+                   const char *request, const char *format, ...)
+{
+    Event *v = &e->ring[e->count++ % WP_EVENTS_KEPT];
+    va_list ap;
+    v->clock = wp_events_clock(e, now);
+    v->kind = kind;
+    g_strlcpy(v->request, request ? request : "", sizeof(v->request));
+    va_start(ap, format);
+    vsnprintf(v->text, sizeof(v->text), format, ap);
+    va_end(ap);
+}
+
+json_t *wp_events_json(const WPEvents *e, const char *request, unsigned most)
+{
+    json_t *out = json_array();
+    uint64_t kept = MIN(e->count, WP_EVENTS_KEPT);
+    for (uint64_t i = e->count - MIN(kept, most); i < e->count; i++) {
+        const Event *v = &e->ring[i % WP_EVENTS_KEPT];
+        if (request && strcmp(request, v->request))
+            continue;
+        json_array_append_new(out,
+                              json_pack("{s:I,s:s,s:s,s:s,s:s}", "clock",
+                                        (json_int_t)v->clock, "box", e->box,
+                                        "event", kind_names[v->kind], "request",
+                                        v->request, "text", v->text));
+    }
+    return out;
+}
--- /dev/null
+++ b/src/wp_node_store.c
@@ -0,0 +1,209 @@
+/* The half of a node that speaks with the platform: the store by a few boxes
+ * of each zone, and by any box that has heard nothing for long. */
+#include "wp_node_int.h"
+
+static bool on_watch_duty(WPNode *n)
+{
+    return wp_node_on_duty(n, n->settings->watchers_per_zone);
+}
+
+void wp_node_check_ready(WPNode *n, WPTime now)
+{
+    uint64_t own = wp_config_revision(n->config);
+    if (n->ready || !own || own < n->head_seen)
+        return;
+    /* With the store answering, its head decides; without it, the peers. */
+    bool by_store = n->store_up && n->head_seen;
+    bool by_peers = n->store_asked_once && !n->store_up && n->peers_heard > 0;
+    if (!by_store && !by_peers)
+        return;
+    n->ready = true;
+    wp_events_add(n->events, now, WP_EVENT_READY, NULL,
+                  "revision %lu from the %s", (unsigned long)own,
+                  by_store ? "store" : "peers, the store is down");
+    wp_node_act(n, WP_ACT_READY);
+}
+
+static void set_store_up(WPNode *n, WPTime now, bool up)
+{
+    if (n->store_up != up || !n->store_asked_once)
+        wp_events_add(n->events, now, WP_EVENT_STORE, NULL, "%s",
+                      up ? "answers" : "does not answer");
+    n->store_up = up;
+    n->store_asked_once = true;
+    if (up) {
+        n->head_pause_us = WP_STORE_RETRY_US;
+        return;
+    }
+    wp_count(&n->counters, WP_C_STORE_ERRORS);
+    n->head_due_us = now.mono_us + n->head_pause_us / 2 +
+                     wp_node_jitter(n, n->head_pause_us);
+    n->head_pause_us = MIN(2 * n->head_pause_us, WP_STORE_RETRY_MOST_US);
+}
+
+static void read_all(WPNode *n)
+{
+    if (n->reading_all)
+        return;
+    n->reading_all = true;
+    wp_count(&n->counters, WP_C_STORE_READS);
+    wp_node_act(n, WP_ACT_READ_ALL);
+}
+
+/* Takes the newest change as the store holds it. */
+static void take_head(WPNode *n, WPTime now, uint64_t revision,
+                      const uint8_t *value, size_t size)
+{
+    n->head_seen = MAX(n->head_seen, revision);
+    if (revision <= wp_config_revision(n->config))
+        return;
+    Wp__Delta *d = wp__delta__unpack(NULL, size, value);
+    if (d) {
+        d->revision = revision;
+        if (wp_config_apply(n->config, d) == WP_APPLY_DONE)
+            wp_node_changed(n, now, d, 0);
+    }
+    wp_pb_free(d);
+    if (wp_config_revision(n->config) < revision)
+        read_all(n);
+}
+
+void wp_node_head(WPNode *n, WPTime now, int64_t asked_us, bool ok,
+                  uint64_t revision, const uint8_t *value, size_t size)
+{
+    set_store_up(n, now, ok);
+    if (ok && revision)
+        take_head(n, now, revision, value, size);
+    if (ok && revision && wp_config_revision(n->config) >= revision)
+        wp_node_confirm(n, asked_us);
+    wp_node_check_ready(n, now);
+}
+
+void wp_node_all(WPNode *n, WPTime now, int64_t asked_us, bool ok,
+                 const Wp__Snapshot *s)
+{
+    n->reading_all = false;
+    set_store_up(n, now, ok);
+    if (ok && wp_config_replace(n->config, s) == WP_APPLY_DONE)
+        wp_node_changed(n, now, NULL, 0);
+    if (ok && s->revision && wp_config_revision(n->config) >= s->revision) {
+        n->head_seen = MAX(n->head_seen, s->revision);
+        wp_node_confirm(n, asked_us);
+    }
+    wp_node_check_ready(n, now);
+}
+
+void wp_node_watched(WPNode *n, WPTime now, uint64_t revision,
+                     const uint8_t *value, size_t size)
+{
+    take_head(n, now, revision, value, size);
+    wp_node_check_ready(n, now);
+}
+
+void wp_node_watch_ended(WPNode *n, WPTime now)
+{
+    n->watching = false;
+    n->head_due_us =
+        MIN(n->head_due_us, now.mono_us + wp_node_jitter(n, WP_STORE_RETRY_US));
+}
+
+static void head_tick(WPNode *n, WPTime now, bool duty)
+{
+    bool late =
+        !n->confirmed || now.mono_us - n->confirmed_us > WP_CONFIRM_LATE_US;
+    if (now.mono_us < n->head_due_us || !(duty || late || !n->ready))
+        return;
+    n->head_due_us =
+        now.mono_us + WP_CONFIRM_US / 2 + wp_node_jitter(n, WP_CONFIRM_US);
+    wp_count(&n->counters, WP_C_STORE_READS);
+    wp_node_act(n, WP_ACT_READ_HEAD);
+}
+
+static void watch_tick(WPNode *n, bool duty)
+{
+    if (duty && !n->watching && n->store_up && n->ready) {
+        n->watching = true;
+        wp_count(&n->counters, WP_C_STORE_READS);
+        wp_node_act(n, WP_ACT_WATCH);
+    } else if (!duty && n->watching) {
+        n->watching = false;
+        wp_node_act(n, WP_ACT_UNWATCH);
+    }
+}
+
+void wp_node_store_tick(WPNode *n, WPTime now)
+{
+    bool duty = on_watch_duty(n);
+    bool start = !n->ready || wp_members_live(n->members) < 2;
+    int64_t boxes_us = (int64_t)n->settings->boxes_poll_ms * WP_US_PER_MS;
+    if (n->settings->n_store) {
+        head_tick(n, now, duty);
+        watch_tick(n, duty);
+    }
+    if (n->settings->boxes && now.mono_us >= n->boxes_due_us &&
+        (duty || start)) {
+        n->boxes_due_us =
+            now.mono_us + boxes_us / 2 + wp_node_jitter(n, boxes_us);
+        wp_node_act(n, WP_ACT_READ_BOXES);
+    }
+    if (n->settings->ratings && now.mono_us >= n->ratings_due_us && duty) {
+        n->ratings_due_us = now.mono_us + WP_RATINGS_US;
+        wp_node_act(n, WP_ACT_READ_RATINGS);
+    }
+}
+
+/* A box that the list marks as leaving is believed; one the list lacks is
+   gone only when it has been known for longer than the list lags. */
+static void mark(WPNode *n, WPTime now, const WPMemberRow *r, bool gone)
+{
+    Wp__Member *m = wp_member_copy(r->m);
+    Wp__Members one = WP__MEMBERS__INIT;
+    Wp__Frame f = WP__FRAME__INIT;
+    m->has_gone |= gone;
+    m->gone |= gone;
+    m->has_leaving = 1;
+    m->leaving = 1;
+    one.n_members = 1;
+    one.members = &m;
+    f.body_case = WP__FRAME__BODY_MEMBERS;
+    f.members = &one;
+    wp_node_frame(n, now, n->addr, &f);
+    wp_pb_free(m);
+}
+
+static void ask_boxes(WPNode *n, const WPBox *boxes, size_t count)
+{
+    unsigned asked = 0;
+    size_t start = count ? g_rand_int(n->rand) % count : 0;
+    for (size_t i = 0; i < count && asked < WP_START_PEERS; i++) {
+        const WPBox *b = &boxes[(start + i) % count];
+        if (!strcmp(b->id, n->self->id) || b->leaving)
+            continue;
+        g_autofree char *addr = g_strdup_printf("%s:%u", b->addr, b->port);
+        wp_node_pull(n, addr, true);
+        asked++;
+    }
+}
+
+void wp_node_boxes(WPNode *n, WPTime now, const WPBox *boxes, size_t count)
+{
+    g_autoptr(GHashTable) ids = g_hash_table_new(g_str_hash, g_str_equal);
+    g_autoptr(GPtrArray) rows = g_ptr_array_new();
+    for (size_t i = 0; i < count; i++)
+        g_hash_table_insert(ids, (gpointer)boxes[i].id, (gpointer)&boxes[i]);
+    for (unsigned i = 0; i < wp_members_live(n->members); i++)
+        g_ptr_array_add(rows, (gpointer)wp_members_live_at(n->members, i));
+    for (guint i = 0; i < rows->len; i++) {
+        const WPMemberRow *r = rows->pdata[i];
+        const WPBox *b = g_hash_table_lookup(ids, r->m->id);
+        bool known_long = now.mono_us - r->first_us > WP_LIST_GRACE_US;
+        if (!strcmp(r->m->id, n->self->id))
+            continue;
+        if (b && b->leaving && !r->m->leaving)
+            mark(n, now, r, false);
+        else if (!b && known_long)
+            mark(n, now, r, true);
+    }
+    if (!n->ready || wp_members_live(n->members) < 2)
+        ask_boxes(n, boxes, count);
+}
--- /dev/null
+++ b/src/wp_plan.c
@@ -0,0 +1,206 @@
+/* The plan of one request: its session, its version, its endpoint. */
+#include "wp_entry_int.h"
+
+WPStep wp_final(WPCode code, uint32_t retry_ms)
+{
+    return (WPStep){ WP_STEP_FINAL, code, retry_ms, NULL };
+}
+
+static bool has_free_place(const WPPool *pool, int64_t now_us)
+{
+    GPtrArray *const sides[] = { pool->near, pool->far };
+    for (int s = 0; s < 2; s++) {
+        for (guint i = 0; i < MIN(sides[s]->len, WP_PICK_MAX); i++) {
+            const WPEndpoint *p = sides[s]->pdata[i];
+            if (wp_endpoint_usable(p, now_us) && p->inflight < p->slots &&
+                now_us >= p->busy_until_us)
+                return true;
+        }
+    }
+    return false;
+}
+
+/* Versions of `set` without a free place; those without any endpoint leave
+   the set as long as another is left. */
+static WPSet busy_versions(WPEntry *e, WPTime now, WPSet *set)
+{
+    WPSet busy = { 0 }, served = { 0 };
+    for (unsigned i = 0; i < e->n_pools; i++) {
+        const WPPool *pool = &e->pools[i];
+        if (!wp_set_has(set, i) || !(pool->near->len + pool->far->len))
+            continue;
+        wp_set_add(&served, i);
+        if (!has_free_place(pool, now.mono_us))
+            wp_set_add(&busy, i);
+    }
+    if (!wp_set_empty(&served))
+        *set = served;
+    return busy;
+}
+
+static bool may_explore(WPEntry *e, const WPRequest *r)
+{
+    WPExplored *x = g_hash_table_lookup(e->explored, r->workspace);
+    if (!x) {
+        x = g_new0(WPExplored, 1);
+        g_hash_table_insert(e->explored, g_strdup(r->workspace), x);
+    }
+    x->requests++;
+    return (double)x->explored < WP_EXPLORE_CAP * (double)x->requests;
+}
+
+static void choose_free(WPEntry *e, WPTime now, WPRequest *r,
+                        const WPKind *kind)
+{
+    WPChoice c = {
+        .policy = e->policy,
+        .kind = kind,
+        .table = e->bounds,
+        .allowed = r->allowed,
+        .prompt_tokens = r->prompt_tokens,
+        .answer_tokens = r->answer_tokens,
+        .u = g_rand_double(e->rand),
+        .may_explore = may_explore(e, r),
+    };
+    wp_rollout_narrow(e->policy, wp_str(r->id), (uint64_t)now.wall_ms,
+                      &c.allowed);
+    c.busy = busy_versions(e, now, &c.allowed);
+    WPChosen got = e->chooser->ops->choose(e->chooser, &c);
+    if (got.version < 0)
+        return;
+    r->version = g_strdup(
+        wp_policy_version_at(e->policy, (unsigned)got.version)->spec->name);
+    r->explored = got.explored;
+    if (got.explored) {
+        WPExplored *x = g_hash_table_lookup(e->explored, r->workspace);
+        x->explored++;
+        wp_count(wp_node_counters(e->node), WP_C_EXPLORED);
+    }
+    if (got.escalate >= 0)
+        r->escalate =
+            g_strdup(wp_policy_version_at(e->policy, (unsigned)got.escalate)
+                         ->spec->name);
+}
+
+static void keep_service(const WPPolicy *p, const char *service, WPSet *set)
+{
+    for (unsigned i = 0; i < wp_policy_versions(p); i++) {
+        const char *s = wp_policy_version_at(p, i)->spec->service;
+        if (!s || strcmp(s, service))
+            wp_set_remove(set, i);
+    }
+}
+
+static void sign_token(WPEntry *e, WPTime now, WPRequest *r,
+                       const Wp__SessionClaim *old, uint64_t start_ms)
+{
+    Wp__SessionClaim c = WP__SESSION_CLAIM__INIT;
+    c.workspace = r->workspace;
+    c.version = r->version;
+    c.start_ms = start_ms ? start_ms : (uint64_t)now.wall_ms;
+    c.nonce.data = old ? old->nonce.data : (uint8_t *)r->id;
+    c.nonce.len = old ? old->nonce.len : strlen(r->id);
+    r->token = wp_token_sign(e->policy, &c);
+}
+
+static void place_session(WPEntry *e, WPTime now, WPRequest *r,
+                          const WPKind *kind, const Wp__SessionClaim *claim)
+{
+    WPSessionAsk s = { claim, wp_str(r->session_id), (uint64_t)now.wall_ms };
+    if (e->skip_session)
+        return;
+    WPSessionPlace at = wp_session_place(e->policy, kind, &r->allowed, &s);
+    if (at.version < 0)
+        return;
+    r->version = g_strdup(
+        wp_policy_version_at(e->policy, (unsigned)at.version)->spec->name);
+    r->sticky = true;
+    r->moved = at.moved;
+    r->start_ms = at.start_ms;
+    if (at.moved)
+        wp_count(wp_node_counters(e->node), WP_C_SESSIONS_MOVED);
+}
+
+static WPCode find_allowed(WPEntry *e, WPRequest *r, const WPWorkspace *ws,
+                           const WPKind *kind)
+{
+    wp_policy_allowed(e->policy, ws, kind, r->labels, &r->allowed);
+    if (r->service)
+        keep_service(e->policy, r->service, &r->allowed);
+    else if (!wp_policy_narrow(e->policy, r->model ? r->model : "auto",
+                               &r->allowed))
+        return WP_UNKNOWN_MODEL;
+    return wp_set_empty(&r->allowed) ? WP_NO_VERSION : WP_OK;
+}
+
+WPCode wp_plan_version(WPEntry *e, WPTime now, WPRequest *r)
+{
+    const WPWorkspace *ws = wp_policy_workspace(e->policy, r->workspace);
+    const WPKind *kind = wp_policy_kind(e->policy, r->kind);
+    Wp__SessionClaim *claim = NULL;
+    g_clear_pointer(&r->version, g_free);
+    g_clear_pointer(&r->escalate, g_free);
+    g_clear_pointer(&r->token, g_free);
+    if (!ws || !kind)
+        return WP_NO_VERSION;
+    WPCode code = find_allowed(e, r, ws, kind);
+    if (code == WP_OK && r->session_token)
+        code = wp_token_check(e->policy, ws, wp_str(r->session_token), &claim);
+    if (code != WP_OK)
+        return code;
+    if (claim || r->session_id)
+        place_session(e, now, r, kind, claim);
+    if (!r->version)
+        choose_free(e, now, r, kind);
+    if (r->version && !r->service)
+        sign_token(e, now, r, claim, r->start_ms);
+    wp_pb_free(claim);
+    return r->version ? WP_OK : WP_NO_VERSION;
+}
+
+/* A key that may not be repeated has one keeper; everything else goes by the
+   balancer. */
+static WPEndpoint *pick_endpoint(WPEntry *e, WPTime now, WPRequest *r,
+                                 const WPPool *pool, uint32_t settle_ms)
+{
+    if (r->once_key && !r->repeatable) {
+        const WPMemberRow *row =
+            wp_once_keeper(wp_node_members(e->node), r->version, r->once_key,
+                           (uint64_t)now.wall_ms, settle_ms);
+        WPEndpoint *p = row ? wp_entry_endpoint(e, row->m->id) : NULL;
+        return p && !p->leaving ? p : NULL;
+    }
+    WPPick pick = {
+        .near = (WPEndpoint *const *)pool->near->pdata,
+        .n_near = pool->near->len,
+        .far = (WPEndpoint *const *)pool->far->pdata,
+        .n_far = pool->far->len,
+        .affinity = r->affinity,
+        .now_us = now.mono_us,
+    };
+    for (unsigned i = 0; i < r->n_tried; i++)
+        pick.avoid[pick.n_avoid++] = r->tried[i];
+    return e->balancer->ops->pick(e->balancer, &pick);
+}
+
+WPStep wp_plan(WPEntry *e, WPTime now, WPRequest *r)
+{
+    const WPVersion *v = wp_policy_version(e->policy, r->version);
+    WPEndpoint *p = NULL;
+    if (v && v->index < e->n_pools)
+        p = pick_endpoint(e, now, r, &e->pools[v->index], e->once_settle_ms);
+    if (!p)
+        return r->n_tried ? wp_final(r->last_refusal, r->last_retry_ms)
+                          : wp_final(WP_NO_ENDPOINT, WP_NO_ENDPOINT_RETRY_MS);
+    r->endpoint = p;
+    r->tried[r->n_tried++] = p;
+    r->leg++;
+    r->sent = true;
+    r->accepted = false;
+    r->answered = false;
+    r->sent_us = now.mono_us;
+    wp_endpoint_sent(p);
+    wp_events_add(wp_node_events(e->node), now, WP_EVENT_CHOSEN, r->id,
+                  "%s at %s leg %u", r->version, p->id, r->leg);
+    return (WPStep){ WP_STEP_SEND, WP_OK, 0, p };
+}
--- /dev/null
+++ b/src/wp_pools.c
@@ -0,0 +1,133 @@
+/* The entry's table of endpoints, brought up to date from the table of boxes
+ * and split by version and nearness. */
+#include "wp_entry_int.h"
+
+static WPEndpoint *need_endpoint(WPEntry *e, const WPMemberRow *r)
+{
+    WPEndpoint *p = g_hash_table_lookup(e->endpoints, r->m->id);
+    /* A replaced box starts with a clean sheet, also at the same address. */
+    if (p && strcmp(p->addr, r->addr) == 0)
+        return p;
+    p = g_new0(WPEndpoint, 1);
+    p->id = g_strdup(r->m->id);
+    p->addr = g_strdup(r->addr);
+    p->zone = g_strdup(r->m->zone ? r->m->zone : "");
+    p->slots = r->m->slots ? r->m->slots : 1;
+    g_hash_table_replace(e->endpoints, (gpointer)p->id, p);
+    g_ptr_array_add(e->all, p);
+    return p;
+}
+
+static void free_endpoint(WPEndpoint *p)
+{
+    g_free((gpointer)p->id);
+    g_free((gpointer)p->addr);
+    g_free((gpointer)p->zone);
+    g_free(p);
+}
+
+void wp_pools_free(WPEntry *e)
+{
+    for (unsigned i = 0; i < e->n_pools; i++) {
+        g_ptr_array_unref(e->pools[i].near);
+        g_ptr_array_unref(e->pools[i].far);
+    }
+    g_free(e->pools);
+    e->pools = NULL;
+    e->n_pools = 0;
+}
+
+static void make_pools(WPEntry *e)
+{
+    wp_pools_free(e);
+    e->n_pools = wp_policy_versions(e->policy);
+    e->pools = g_new0(WPPool, e->n_pools + 1);
+    for (unsigned i = 0; i < e->n_pools; i++) {
+        e->pools[i].near = g_ptr_array_new();
+        e->pools[i].far = g_ptr_array_new();
+    }
+}
+
+static void add_to_pools(WPEntry *e, WPEndpoint *p, const Wp__Member *m)
+{
+    for (size_t i = 0; i < m->n_versions; i++) {
+        const WPVersion *v = wp_policy_version(e->policy, m->versions[i]);
+        if (!v)
+            continue;
+        WPPool *pool = &e->pools[v->index];
+        bool near = !strcmp(p->zone, e->zone);
+        g_ptr_array_add(near ? pool->near : pool->far, p);
+    }
+}
+
+/* Drops endpoints that are no longer listed and have nothing under way. */
+static void sweep(WPEntry *e)
+{
+    for (guint i = e->all->len; i-- > 0;) {
+        WPEndpoint *p = e->all->pdata[i];
+        if (p->listed || p->inflight)
+            continue;
+        if (g_hash_table_lookup(e->endpoints, p->id) == p)
+            g_hash_table_remove(e->endpoints, p->id);
+        g_ptr_array_remove_index_fast(e->all, i);
+        free_endpoint(p);
+    }
+}
+
+void wp_pools_rebuild(WPEntry *e, WPTime now)
+{
+    const WPMembers *t = wp_node_members(e->node);
+    (void)now;
+    make_pools(e);
+    for (guint i = 0; i < e->all->len; i++)
+        ((WPEndpoint *)e->all->pdata[i])->listed = false;
+    for (unsigned i = 0; i < wp_members_live(t); i++) {
+        const WPMemberRow *r = wp_members_live_at(t, i);
+        if (r->m->role != WP__ROLE__ROLE_AGENT)
+            continue;
+        WPEndpoint *p = need_endpoint(e, r);
+        p->listed = true;
+        p->leaving = r->m->leaving;
+        if (!p->leaving)
+            add_to_pools(e, p, r->m);
+    }
+    sweep(e);
+}
+
+WPEndpoint *wp_entry_endpoint(WPEntry *e, const char *id)
+{
+    return g_hash_table_lookup(e->endpoints, id);
+}
+
+unsigned wp_entry_endpoints(const WPEntry *e)
+{
+    return e->all->len;
+}
+
+void wp_entry_each_endpoint(WPEntry *e, void (*fn)(void *, WPEndpoint *),
+                            void *arg)
+{
+    for (guint i = 0; i < e->all->len; i++)
+        fn(arg, e->all->pdata[i]);
+}
+
+unsigned wp_entry_probes(WPEntry *e, WPTime now, const WPRequest *r,
+                         WPEndpoint **out, unsigned most)
+{
+    const WPVersion *v = wp_policy_version(e->policy, r->version);
+    unsigned n = 0;
+    if (!v || v->index >= e->n_pools)
+        return 0;
+    GPtrArray *near = e->pools[v->index].near;
+    GPtrArray *from = near->len ? near : e->pools[v->index].far;
+    for (unsigned i = 0; i < most && from->len; i++) {
+        gint k = g_rand_int_range(e->rand, 0, (gint)from->len);
+        WPEndpoint *p = from->pdata[k];
+        if (now.mono_us - p->probe_us < WP_PROBE_FRESH_US ||
+            now.mono_us - p->report_us < WP_PROBE_FRESH_US)
+            continue;
+        p->probe_us = now.mono_us;
+        out[n++] = p;
+    }
+    return n;
+}
--- /dev/null
+++ b/src/wp_session.c
@@ -0,0 +1,244 @@
+/* Session tokens and the placing of sessions. */
+#include "wp_session.h"
+#include "wp_pb.h"
+
+#define MAC_BYTES 32
+
+/* Base64 with the URL alphabet and no padding, over GLib's. */
+static char *encode(const guint8 *data, size_t n)
+{
+    char *s = g_base64_encode(data, n);
+    g_strdelimit(s, "+", '-');
+    g_strdelimit(s, "/", '_');
+    char *pad = strchr(s, '=');
+    if (pad)
+        *pad = 0;
+    return s;
+}
+
+static guint8 *decode(WPStr s, gsize *n)
+{
+    GString *t = g_string_new_len(s.p, (gssize)s.n);
+    g_strdelimit(t->str, "-", '+');
+    g_strdelimit(t->str, "_", '/');
+    while (t->len % 4)
+        g_string_append_c(t, '=');
+    guint8 *data = g_base64_decode(t->str, n);
+    g_string_free(t, TRUE);
+    return data;
+}
+
+static void make_mac(const char *secret, WPStr body, guint8 *out)
+{
+    gsize n = MAC_BYTES;
+    GHmac *h =
+        g_hmac_new(G_CHECKSUM_SHA256, (const guchar *)secret, strlen(secret));
+    g_hmac_update(h, (const guchar *)body.p, (gssize)body.n);
+    g_hmac_get_digest(h, out, &n);
+    g_hmac_unref(h);
+}
+
+/* Takes the same time wherever the first difference lies. */
+static bool same_mac(const guint8 *a, const guint8 *b)
+{
+    guint8 diff = 0;
+    for (int i = 0; i < MAC_BYTES; i++)
+        diff |= a[i] ^ b[i];
+    return diff == 0;
+}
+
+static const Wp__SessionKey *signing_key(const WPPolicy *p)
+{
+    const Wp__SessionKey *best = NULL;
+    for (unsigned i = 0; i < wp_policy_session_keys(p); i++) {
+        const Wp__SessionKey *k = wp_policy_session_key_at(p, i);
+        if (k->active && !k->revoked)
+            best = k;
+    }
+    return best;
+}
+
+static const Wp__SessionKey *named_key(const WPPolicy *p, const char *name)
+{
+    for (unsigned i = 0; i < wp_policy_session_keys(p); i++) {
+        const Wp__SessionKey *k = wp_policy_session_key_at(p, i);
+        if (!k->revoked && !strcmp(k->name, name))
+            return k;
+    }
+    return NULL;
+}
+
+char *wp_token_sign(const WPPolicy *p, const Wp__SessionClaim *claim)
+{
+    const Wp__SessionKey *key = signing_key(p);
+    Wp__SessionClaim c = *claim;
+    guint8 mac[MAC_BYTES];
+    if (!key)
+        return NULL;
+    c.key = key->name;
+    g_autoptr(GByteArray) packed = wp_pb_pack(&c.base);
+    g_autofree char *body = encode(packed->data, packed->len);
+    make_mac(key->secret, wp_str(body), mac);
+    g_autofree char *sign = encode(mac, MAC_BYTES);
+    return g_strconcat(body, ".", sign, NULL);
+}
+
+WPCode wp_token_check(const WPPolicy *p, const WPWorkspace *ws, WPStr token,
+                      Wp__SessionClaim **out)
+{
+    WPStr rest = token;
+    WPStr body = wp_str_cut(&rest, '.');
+    guint8 mac[MAC_BYTES];
+    gsize n, sign_n;
+    g_autofree guint8 *data = decode(body, &n);
+    g_autofree guint8 *sign = decode(rest, &sign_n);
+    Wp__SessionClaim *c = wp__session_claim__unpack(NULL, n, data);
+    const Wp__SessionKey *key = c ? named_key(p, c->key) : NULL;
+    if (!key || sign_n != MAC_BYTES)
+        goto fail;
+    make_mac(key->secret, body, mac);
+    if (!same_mac(mac, sign) || strcmp(c->workspace, ws->spec->name))
+        goto fail;
+    *out = c;
+    return WP_OK;
+fail:
+    wp_pb_free(c);
+    return WP_BAD_TOKEN;
+}
+
+/* The share in force at `at_ms`. */
+static double share_at(const Wp__Rollout *r, uint64_t at_ms)
+{
+    double share = 0;
+    for (size_t i = 0; i < r->n_history; i++)
+        if (r->history[i]->at_ms <= at_ms)
+            share = r->history[i]->share;
+    return share;
+}
+
+void wp_rollout_narrow(const WPPolicy *p, WPStr key, uint64_t start_ms,
+                       WPSet *set)
+{
+    for (unsigned i = 0; i < wp_policy_rollouts(p); i++) {
+        const WPRollout *r = wp_policy_rollout_at(p, i);
+        if (!wp_set_has(set, r->from) || !wp_set_has(set, r->to))
+            continue;
+        uint64_t seed = wp_hash(wp_str(r->spec->name), 0);
+        bool to = wp_hash_unit(key, seed) < share_at(r->spec, start_ms);
+        wp_set_remove(set, to ? r->from : r->to);
+    }
+}
+
+/* Same successor on every box: the highest rendezvous score of what is left
+   among versions that meet the kind's target by the operators' word. */
+static int hash_pick(const WPPolicy *p, const WPKind *kind, const WPSet *set,
+                     uint64_t key)
+{
+    int best = -1;
+    double best_score = -1;
+    for (unsigned i = 0; i < wp_policy_versions(p); i++) {
+        const Wp__Version *v = wp_policy_version_at(p, i)->spec;
+        if (!wp_set_has(set, i))
+            continue;
+        double score = wp_rendezvous(wp_str(v->name), key, 1);
+        if (kind && v->quality_prior < kind->spec->quality_target)
+            score *= 1e-6;
+        if (score > best_score) {
+            best_score = score;
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+/* Leaves out what was added after the session began; without a known start,
+   all but the oldest, so that nothing added later can move the session. */
+static WPSet known_at(const WPPolicy *p, const WPSet *set, uint64_t start_ms)
+{
+    WPSet out = { 0 };
+    uint64_t bound = start_ms;
+    for (int pass = 0; pass < 2; pass++) {
+        uint64_t oldest = UINT64_MAX;
+        for (unsigned i = 0; i < wp_policy_versions(p); i++) {
+            uint64_t added = wp_policy_version_at(p, i)->spec->added_ms;
+            if (!wp_set_has(set, i))
+                continue;
+            oldest = MIN(oldest, added);
+            if (added <= bound)
+                wp_set_add(&out, i);
+        }
+        if (!wp_set_empty(&out))
+            break;
+        bound = oldest;
+    }
+    return out;
+}
+
+/* The cheapest that meets the target by the operators' word; ties and a set
+   with none that meets it go by hash. */
+static int place_by_id(const WPPolicy *p, const WPKind *kind,
+                       const WPSet *allowed, WPStr id, uint64_t start_ms)
+{
+    WPSet set = known_at(p, allowed, start_ms);
+    WPSet cheap = { 0 };
+    double best = G_MAXDOUBLE;
+    wp_rollout_narrow(p, id, start_ms, &set);
+    for (unsigned i = 0; i < wp_policy_versions(p); i++) {
+        const Wp__Version *v = wp_policy_version_at(p, i)->spec;
+        if (!wp_set_has(&set, i) ||
+            (kind && v->quality_prior < kind->spec->quality_target))
+            continue;
+        if (v->cost_out < best)
+            memset(&cheap, 0, sizeof(cheap));
+        if (v->cost_out <= best) {
+            best = v->cost_out;
+            wp_set_add(&cheap, i);
+        }
+    }
+    return hash_pick(p, kind, wp_set_empty(&cheap) ? &set : &cheap,
+                     wp_hash(id, 0));
+}
+
+static WPSessionPlace place_by_claim(const WPPolicy *p, const WPKind *kind,
+                                     const WPSet *allowed,
+                                     const Wp__SessionClaim *c)
+{
+    WPSessionPlace out = { -1, false, c->start_ms };
+    WPStr nonce = wp_strn((const char *)c->nonce.data, c->nonce.len);
+    const WPVersion *v = wp_policy_version(p, c->version);
+    /* A version that was withdrawn since the session began is not returned
+       to when it comes back. */
+    if (v && wp_set_has(allowed, v->index) &&
+        v->spec->withdrawn_ms <= c->start_ms) {
+        out.version = (int)v->index;
+        return out;
+    }
+    WPSet rest = *allowed;
+    if (v)
+        wp_set_remove(&rest, v->index);
+    wp_rollout_narrow(p, nonce, c->start_ms, &rest);
+    out.moved = true;
+    out.version = hash_pick(p, kind, &rest, wp_hash(nonce, 0));
+    return out;
+}
+
+WPSessionPlace wp_session_place(const WPPolicy *p, const WPKind *kind,
+                                const WPSet *allowed, const WPSessionAsk *ask)
+{
+    WPSessionPlace out = { -1, false, ask->now_ms };
+    if (ask->claim) {
+        out = place_by_claim(p, kind, allowed, ask->claim);
+        /* Its next token begins now, after the withdrawal that moved it. */
+        if (out.moved)
+            out.start_ms = ask->now_ms;
+        return out;
+    }
+    if (!ask->id.n)
+        return out;
+    uint64_t start = wp_uuid7_ms(ask->id);
+    if (start > ask->now_ms + WP_SESSION_SKEW_MS)
+        start = 0;
+    out.version = place_by_id(p, kind, allowed, ask->id, start);
+    out.start_ms = start ? start : ask->now_ms;
+    return out;
+}
--- /dev/null
+++ b/src/wp_settings.c
@@ -0,0 +1,163 @@
+/* Ranges of settings. Units stand in the fields' names. */
+#include "wp_settings.h"
+#include "wp_code.h"
+
+typedef struct Range {
+    const char *field;
+    double least, most;
+    const char *words; /* allowed words, separated by spaces; or NULL */
+} Range;
+
+static const Range ranges[] = {
+    { "port", 1, 65535, NULL },
+    { "peer_port", 1, 65535, NULL },
+    { "admin_port", 1, 65535, NULL },
+    { "http_port", 1, 65535, NULL },
+    { "gossip_ms", 20, 60000, NULL },
+    { "heartbeat_ms", 20, 60000, NULL },
+    { "dead_ms", 100, 120000, NULL },
+    { "fanout", 1, 16, NULL },
+    { "watchers_per_zone", 1, 16, NULL },
+    { "drain_s", 1, 86400, NULL },
+    { "boxes_poll_ms", 50, 600000, NULL },
+    { "bill_batch_ms", 10, 600000, NULL },
+    { "bill_limit", 1, 10000000, NULL },
+    { "once_settle_ms", 0, 600000, NULL },
+    { "once_skew_ms", 0, 60000, NULL },
+    { "once_window_s", 1, 86400, NULL },
+    { "clock_skew_ms", -600000, 600000, NULL },
+    { "log_format", 0, 0, "kv json" },
+    { "log_level", 0, 0, "debug info warn error" },
+    { "max_body_kb", 1, 4096, NULL },
+    { "max_head_kb", 1, 1024, NULL },
+    { "caller_timeout_s", 1, 86400, NULL },
+    { "balance", 0, 0, "probe random round_robin least_reported two_choices" },
+    { "choose", 0, 0, "cost strongest cheapest static" },
+    { "retry_share", 0, 1, NULL },
+    { "window_kb", 4, 65536, NULL },
+    { "hedge_ms", 0, 60000, NULL },
+    { "slots", 1, 10000, NULL },
+    { "queue", 0, 100000, NULL },
+    { "silent_timeout_ms", 100, 3600000, NULL },
+    { "step_us", 1, 10000000, NULL },
+    { "writes_per_s", 1, 1000000, NULL },
+    { "reads_per_s", 1, 1000000, NULL },
+    { "lag_ms", 0, 600000, NULL },
+};
+
+static const Range *range_of(const char *field)
+{
+    for (size_t i = 0; i < WP_COUNT(ranges); i++)
+        if (!strcmp(ranges[i].field, field))
+            return &ranges[i];
+    return NULL;
+}
+
+static bool is_number(const ProtobufCFieldDescriptor *f, const void *at,
+                      double *out)
+{
+    switch (f->type) {
+    case PROTOBUF_C_TYPE_UINT32:
+        *out = *(const uint32_t *)at;
+        return true;
+    case PROTOBUF_C_TYPE_INT32:
+        *out = *(const int32_t *)at;
+        return true;
+    case PROTOBUF_C_TYPE_UINT64:
+        *out = (double)*(const uint64_t *)at;
+        return true;
+    case PROTOBUF_C_TYPE_DOUBLE:
+        *out = *(const double *)at;
+        return true;
+    default:
+        return false;
+    }
+}
+
+static bool is_word(const char *words, const char *word)
+{
+    g_auto(GStrv) list = g_strsplit(words, " ", -1);
+    return g_strv_contains((const char *const *)list, word);
+}
+
+static bool check_field(const ProtobufCFieldDescriptor *f, const void *at,
+                        const char *file, GError **error)
+{
+    const Range *r = range_of(f->name);
+    double v;
+    if (!r)
+        return true;
+    if (r->words && f->type == PROTOBUF_C_TYPE_STRING &&
+        !is_word(r->words, *(char *const *)at)) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                    "%s: %s: expected one of: %s", file, f->name, r->words);
+        return false;
+    }
+    if (!r->words && is_number(f, at, &v) && (v < r->least || v > r->most)) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                    "%s: %s: expected %g to %g, not %g", file, f->name,
+                    r->least, r->most, v);
+        return false;
+    }
+    return true;
+}
+
+static bool check(const ProtobufCMessage *m, const char *file, GError **error)
+{
+    for (unsigned i = 0; i < m->descriptor->n_fields; i++) {
+        const ProtobufCFieldDescriptor *f = &m->descriptor->fields[i];
+        const void *at = WP_FIELD(m, f);
+        if (f->label == PROTOBUF_C_LABEL_REPEATED)
+            continue;
+        if (f->type == PROTOBUF_C_TYPE_MESSAGE) {
+            const ProtobufCMessage *sub = *(ProtobufCMessage *const *)at;
+            if (sub && !check(sub, file, error))
+                return false;
+        } else if (!check_field(f, at, file, error)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void *wp_settings_read(const ProtobufCMessageDescriptor *shape, WPStr text,
+                       const char *file, GError **error)
+{
+    ProtobufCMessage *m = wp_yaml_read(shape, text, file, error);
+    if (m && !check(m, file, error)) {
+        wp_pb_free(m);
+        return NULL;
+    }
+    return m;
+}
+
+static void help_into(const ProtobufCMessageDescriptor *shape, GString *out)
+{
+    for (unsigned i = 0; i < shape->n_fields; i++) {
+        const ProtobufCFieldDescriptor *f = &shape->fields[i];
+        const Range *r = range_of(f->name);
+        if (f->type == PROTOBUF_C_TYPE_MESSAGE &&
+            f->label != PROTOBUF_C_LABEL_REPEATED) {
+            g_string_append_printf(out, "%s:\n", f->name);
+            help_into(f->descriptor, out);
+            continue;
+        }
+        g_string_append_printf(
+            out, "  %-20s %s", f->name,
+            f->label == PROTOBUF_C_LABEL_REQUIRED   ? "required"
+            : f->label == PROTOBUF_C_LABEL_REPEATED ? "list"
+                                                    : "optional");
+        if (r && r->words)
+            g_string_append_printf(out, ", one of: %s", r->words);
+        else if (r)
+            g_string_append_printf(out, ", %g to %g", r->least, r->most);
+        g_string_append_c(out, '\n');
+    }
+}
+
+char *wp_settings_help(const ProtobufCMessageDescriptor *shape)
+{
+    GString *out = g_string_new(NULL);
+    help_into(shape, out);
+    return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/standins/stand.c
@@ -0,0 +1,86 @@
+/* wpstand: runs one stand-in. */
+#include "stand.h"
+#include "daemon.h"
+
+#include <signal.h>
+
+void stand_set_number(const json_t *j, const char *name, double *out)
+{
+    const json_t *v = json_object_get(j, name);
+    if (json_is_number(v))
+        *out = json_number_value(v);
+}
+
+void stand_set_bool(const json_t *j, const char *name, bool *out)
+{
+    const json_t *v = json_object_get(j, name);
+    if (json_is_boolean(v))
+        *out = json_is_true(v);
+}
+
+void stand_cut(struct evhttp_request *r)
+{
+    evhttp_connection_free(evhttp_request_get_connection(r));
+}
+
+const char *stand_path(struct evhttp_request *r)
+{
+    const char *p = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
+    return p ? p : "/";
+}
+
+static void on_term(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    event_base_loopbreak(arg);
+}
+
+typedef void (*OpenFn)(struct event_base *, struct evhttp *,
+                       const Wp__StandSettings *);
+
+static OpenFn kind_of(const char *name)
+{
+    static const struct {
+        const char *name;
+        OpenFn open;
+    } rows[] = { { "kv", stand_kv },
+                 { "engine", stand_engine },
+                 { "service", stand_service },
+                 { "boxes", stand_boxes },
+                 { "ratings", stand_ratings } };
+    for (size_t i = 0; i < WP_COUNT(rows); i++)
+        if (!strcmp(rows[i].name, name))
+            return rows[i].open;
+    return NULL;
+}
+
+int main(int argc, char **argv)
+{
+    int code;
+    Wp__StandSettings *s = daemon_settings(
+        argc, argv, "Stands in for one of the platform's services.",
+        &wp__stand_settings__descriptor, &code);
+    if (!s)
+        return code;
+    signal(SIGPIPE, SIG_IGN);
+    struct event_base *base = event_base_new();
+    struct evhttp *http = evhttp_new(base);
+    struct event *term = evsignal_new(base, SIGTERM, on_term, base);
+    OpenFn open = kind_of(s->kind);
+    event_add(term, NULL);
+    if (open && wp_http_listen(http, s->listen, (uint16_t)s->port)) {
+        open(base, http, s);
+        event_base_dispatch(base);
+        code = EXIT_OK;
+    } else {
+        fprintf(stderr, "wpstand: kind %s, port %u: cannot start\n", s->kind,
+                s->port);
+        code = EXIT_BAD_INPUT;
+    }
+    evhttp_free(http);
+    event_free(term);
+    event_base_free(base);
+    wp_pb_free(s);
+    return code;
+}
