--- a/Makefile
+++ b/Makefile
@@ -21,14 +21,14 @@
 CC := gcc
 CFLAGS = -std=gnu11 -g $(OPT) -Wall -Wextra -Wstrict-prototypes -Werror \
          -DWP_VERSION='"$(VERSION)"' -Isrc -Iio -Igen -Icmd -Istandins \
-         -Itests $(shell pkg-config --cflags $(PACKAGES))
+         -Itests -Itools $(shell pkg-config --cflags $(PACKAGES))
 LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lm
 
 CORE := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/*.c gen/*.c))
 IO := $(patsubst %.c,$(BUILD)/%.o,$(wildcard io/*.c))
 LIB := $(BUILD)/libworkspoint.a
 COMMON := $(BUILD)/cmd/daemon.o
-BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand)
+BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload)
 
 all: $(BIN)
 
@@ -46,6 +46,8 @@
 $(BUILD)/wpctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cmd/wpctl.c cmd/ctl_*.c)) $(COMMON) $(LIB)
 $(BUILD)/wpstand: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/*.c)) $(COMMON) $(LIB)
 
+$(BUILD)/wpload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/wpload.c tools/load.c)) $(COMMON) $(LIB)
+
 $(BIN):
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) $(filter %.o,$^) $(LIB) $(LDLIBS) -o $@
--- a/gen/tools.pb-c.c
+++ b/gen/tools.pb-c.c
@@ -240,7 +240,8 @@
 static const protobuf_c_boolean wp__mix_item__once__default_value = 0;
 static const uint32_t wp__mix_item__deadline_ms__default_value = 20000u;
 static const protobuf_c_boolean wp__mix_item__heavy_tail__default_value = 0;
-static const ProtobufCFieldDescriptor wp__mix_item__field_descriptors[12] =
+static const uint32_t wp__mix_item__repeats__default_value = 0u;
+static const ProtobufCFieldDescriptor wp__mix_item__field_descriptors[13] =
 {
   {
     "workspace",
@@ -386,6 +387,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "repeats",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MixItem, has_repeats),
+    offsetof(Wp__MixItem, repeats),
+    NULL,
+    &wp__mix_item__repeats__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mix_item__field_indices_by_name[] = {
   5,   /* field[5] = answer_tokens */
@@ -395,6 +408,7 @@
   2,   /* field[2] = kind */
   8,   /* field[8] = once */
   4,   /* field[4] = prompt_words */
+  12,   /* field[12] = repeats */
   9,   /* field[9] = service */
   7,   /* field[7] = sessions */
   6,   /* field[6] = stream */
@@ -404,7 +418,7 @@
 static const ProtobufCIntRange wp__mix_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wp__mix_item__descriptor =
 {
@@ -414,7 +428,7 @@
   "Wp__MixItem",
   "wp",
   sizeof(Wp__MixItem),
-  12,
+  13,
   wp__mix_item__field_descriptors,
   wp__mix_item__field_indices_by_name,
   1,  wp__mix_item__number_ranges,
@@ -488,7 +502,9 @@
 static const double wp__mix__rate__default_value = 50;
 static const double wp__mix__seconds__default_value = 5;
 static const uint64_t wp__mix__seed__default_value = 1ull;
-static const ProtobufCFieldDescriptor wp__mix__field_descriptors[5] =
+static const double wp__mix__rated_share__default_value = 0.3;
+static const uint32_t wp__mix__prefixes__default_value = 8u;
+static const ProtobufCFieldDescriptor wp__mix__field_descriptors[7] =
 {
   {
     "rate",
@@ -550,18 +566,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rated_share",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__Mix, has_rated_share),
+    offsetof(Wp__Mix, rated_share),
+    NULL,
+    &wp__mix__rated_share__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefixes",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__Mix, has_prefixes),
+    offsetof(Wp__Mix, prefixes),
+    NULL,
+    &wp__mix__prefixes__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mix__field_indices_by_name[] = {
   4,   /* field[4] = bursts */
   3,   /* field[3] = items */
+  6,   /* field[6] = prefixes */
   0,   /* field[0] = rate */
+  5,   /* field[5] = rated_share */
   1,   /* field[1] = seconds */
   2,   /* field[2] = seed */
 };
 static const ProtobufCIntRange wp__mix__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wp__mix__descriptor =
 {
@@ -571,7 +613,7 @@
   "Wp__Mix",
   "wp",
   sizeof(Wp__Mix),
-  5,
+  7,
   wp__mix__field_descriptors,
   wp__mix__field_indices_by_name,
   1,  wp__mix__number_ranges,
--- a/gen/tools.pb-c.h
+++ b/gen/tools.pb-c.h
@@ -28,6 +28,9 @@
 
 /* --- messages --- */
 
+/*
+ * One part of the traffic.
+ */
 struct  Wp__MixItem
 {
   ProtobufCMessage base;
@@ -43,10 +46,13 @@
   protobuf_c_boolean has_stream;
   protobuf_c_boolean stream;
   /*
-   * 0: no sessions
+   * living at once; 0: none
    */
   protobuf_c_boolean has_sessions;
   uint32_t sessions;
+  /*
+   * with an idempotency key
+   */
   protobuf_c_boolean has_once;
   protobuf_c_boolean once;
   char *service;
@@ -54,10 +60,15 @@
   uint32_t deadline_ms;
   protobuf_c_boolean has_heavy_tail;
   protobuf_c_boolean heavy_tail;
+  /*
+   * same key again, elsewhere
+   */
+  protobuf_c_boolean has_repeats;
+  uint32_t repeats;
 };
 #define WP__MIX_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mix_item__descriptor) \
-    , NULL, NULL, NULL, 0, 1, 0, 50u, 0, 20u, 0, 1, 0, 0u, 0, 0, NULL, 0, 20000u, 0, 0 }
+    , NULL, NULL, NULL, 0, 1, 0, 50u, 0, 20u, 0, 1, 0, 0u, 0, 0, NULL, 0, 20000u, 0, 0, 0, 0u }
 
 
 struct  Wp__Burst
@@ -88,10 +99,17 @@
   Wp__MixItem **items;
   size_t n_bursts;
   Wp__Burst **bursts;
+  protobuf_c_boolean has_rated_share;
+  double rated_share;
+  /*
+   * different prompt beginnings
+   */
+  protobuf_c_boolean has_prefixes;
+  uint32_t prefixes;
 };
 #define WP__MIX__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mix__descriptor) \
-    , 0, 50, 0, 5, 0, 1ull, 0,NULL, 0,NULL }
+    , 0, 50, 0, 5, 0, 1ull, 0,NULL, 0,NULL, 0, 0.3, 0, 8u }
 
 
 struct  Wp__Step
--- /dev/null
+++ b/tools/load.c
@@ -0,0 +1,745 @@
+/* The load generator. */
+#include "load.h"
+#include "wp_ask.h"
+#include "wp_pb.h"
+
+#include <event2/buffer.h>
+#include <event2/http_struct.h>
+#include <math.h>
+#include <stdlib.h>
+
+#define TAIL_SHAPE 1.5 /* of heavy-tailed answers (Pareto) */
+#define TAIL_MOST 20.0
+#define SESSION_TURNS 8
+#define CALL_TIMEOUT_S 60
+#define REPEAT_PAUSE_US (20 * WP_US_PER_MS)
+
+typedef struct Session {
+    char id[40];
+    char *token, *version;
+    unsigned turns;
+    bool by_token, busy;
+} Session;
+
+typedef struct Target {
+    char *host;
+    uint16_t port;
+    GQueue idle; /* of evhttp_connection */
+} Target;
+
+struct Load {
+    struct event_base *base;
+    const Wp__Mix *mix;
+    Target *targets;
+    size_t n_targets;
+    WPHttp *ratings;
+    GHashTable *costs, *offered;
+    GRand *rand;
+    struct event *timer;
+    int64_t start_us, next_us;
+    uint64_t serial, open;
+    bool stopped;
+    Session **sessions; /* by item */
+    GPtrArray *prefixes;
+    LoadResult r;
+};
+
+typedef struct Call {
+    Load *load;
+    const Wp__MixItem *item;
+    Target *target;
+    struct evhttp_connection *con;
+    Session *session;
+    int64_t start_us, first_us, last_us;
+    unsigned tokens, repeats;
+    GString *text, *raw;
+    char *prompt, *once;
+    LoadFate fate;
+    bool done_seen, counted_first;
+} Call;
+
+static int64_t now_us(void)
+{
+    return g_get_monotonic_time();
+}
+
+static double *need_count(GHashTable *t, const char *name)
+{
+    double *n = g_hash_table_lookup(t, name);
+    if (!n) {
+        n = g_new0(double, 1);
+        g_hash_table_insert(t, g_strdup(name), n);
+    }
+    return n;
+}
+
+uint64_t load_count(GHashTable *counts, const char *name)
+{
+    const double *n = g_hash_table_lookup(counts, name);
+    return n ? (uint64_t)*n : 0;
+}
+
+static GHashTable *new_table(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void new_session(Load *l, Session *s)
+{
+    g_free(s->token);
+    g_free(s->version);
+    memset(s, 0, sizeof(*s));
+    wp_uuid7(s->id, (uint64_t)(g_get_real_time() / WP_US_PER_MS), l->rand);
+    s->by_token = g_rand_boolean(l->rand);
+}
+
+static void make_prefixes(Load *l)
+{
+    l->prefixes = g_ptr_array_new_with_free_func(g_free);
+    for (uint32_t i = 0; i < MAX(l->mix->prefixes, 1); i++)
+        g_ptr_array_add(l->prefixes,
+                        g_strdup_printf("You answer for depot %u.", i));
+}
+
+static bool make_targets(Load *l, char **entries, size_t n)
+{
+    l->targets = g_new0(Target, n);
+    l->n_targets = n;
+    for (size_t i = 0; i < n; i++) {
+        g_queue_init(&l->targets[i].idle);
+        if (!wp_http_target(entries[i], &l->targets[i].host,
+                            &l->targets[i].port))
+            return false;
+    }
+    return n > 0;
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg);
+
+Load *load_new(struct event_base *base, const Wp__Mix *mix, char **entries,
+               size_t n_entries, const char *ratings, GHashTable *costs)
+{
+    Load *l = g_new0(Load, 1);
+    l->base = base;
+    l->mix = mix;
+    l->costs = costs;
+    l->rand = g_rand_new_with_seed((guint32)mix->seed);
+    l->ratings = ratings ? wp_http_new(base, ratings, 2000) : NULL;
+    l->offered = new_table();
+    l->r.codes = new_table();
+    l->r.versions = new_table();
+    l->r.quality = new_table();
+    l->r.served = new_table();
+    l->r.first_ms = g_array_new(FALSE, FALSE, sizeof(double));
+    l->r.whole_ms = g_array_new(FALSE, FALSE, sizeof(double));
+    l->r.between_ms = g_array_new(FALSE, FALSE, sizeof(double));
+    l->r.fates = g_array_new(FALSE, FALSE, sizeof(LoadFate));
+    l->timer = evtimer_new(base, on_timer, l);
+    l->sessions = g_new0(Session *, mix->n_items + 1);
+    make_prefixes(l);
+    for (size_t i = 0; i < mix->n_items; i++) {
+        l->sessions[i] = g_new0(Session, mix->items[i]->sessions + 1);
+        for (uint32_t k = 0; k < mix->items[i]->sessions; k++)
+            new_session(l, &l->sessions[i][k]);
+    }
+    if (make_targets(l, entries, n_entries))
+        return l;
+    load_free(l);
+    return NULL;
+}
+
+void load_free(Load *l)
+{
+    if (!l)
+        return;
+    event_free(l->timer);
+    for (size_t i = 0; i < l->n_targets; i++) {
+        struct evhttp_connection *c;
+        while ((c = g_queue_pop_head(&l->targets[i].idle)))
+            evhttp_connection_free(c);
+        g_free(l->targets[i].host);
+    }
+    for (size_t i = 0; i < l->mix->n_items; i++) {
+        for (uint32_t k = 0; k < l->mix->items[i]->sessions; k++) {
+            g_free(l->sessions[i][k].token);
+            g_free(l->sessions[i][k].version);
+        }
+        g_free(l->sessions[i]);
+    }
+    g_free(l->sessions);
+    g_free(l->targets);
+    wp_http_free(l->ratings);
+    g_hash_table_unref(l->offered);
+    g_hash_table_unref(l->r.codes);
+    g_hash_table_unref(l->r.versions);
+    g_hash_table_unref(l->r.quality);
+    g_hash_table_unref(l->r.served);
+    g_array_unref(l->r.first_ms);
+    g_array_unref(l->r.whole_ms);
+    g_array_unref(l->r.between_ms);
+    g_array_unref(l->r.fates);
+    g_ptr_array_unref(l->prefixes);
+    g_rand_free(l->rand);
+    g_free(l);
+}
+
+/* --- one call --- */
+
+static void free_call(Call *c)
+{
+    g_string_free(c->text, TRUE);
+    g_string_free(c->raw, TRUE);
+    g_free(c->prompt);
+    g_free(c->once);
+    g_free(c);
+}
+
+static void note_token(Call *c, const char *text)
+{
+    int64_t now = now_us();
+    double gap = (double)(now - c->last_us) / WP_US_PER_MS;
+    if (!c->first_us)
+        c->first_us = now;
+    else
+        g_array_append_val(c->load->r.between_ms, gap);
+    c->last_us = now;
+    c->tokens++;
+    g_string_append(c->text, text);
+}
+
+static void take_event(Call *c, const char *data)
+{
+    if (!strcmp(data, "[DONE]")) {
+        c->done_seen = true;
+        return;
+    }
+    json_t *j = json_loads(data, 0, NULL);
+    const json_t *delta = json_object_get(
+        json_array_get(json_object_get(j, "choices"), 0), "delta");
+    const char *text = json_string_value(json_object_get(delta, "content"));
+    if (text)
+        note_token(c, text);
+    json_decref(j);
+}
+
+static void on_chunk(struct evhttp_request *r, void *arg)
+{
+    Call *c = arg;
+    struct evbuffer *in = evhttp_request_get_input_buffer(r);
+    size_t n = evbuffer_get_length(in);
+    char *end;
+    g_string_append_len(c->raw, (const char *)evbuffer_pullup(in, -1),
+                        (gssize)n);
+    evbuffer_drain(in, n);
+    if (!c->item->stream || c->item->service)
+        return;
+    while ((end = strstr(c->raw->str, "\n\n"))) {
+        *end = 0;
+        if (g_str_has_prefix(c->raw->str, "data: "))
+            take_event(c, c->raw->str + 6);
+        g_string_erase(c->raw, 0, end + 2 - c->raw->str);
+    }
+}
+
+static void read_plain(Call *c)
+{
+    json_t *j = json_loadb(c->raw->str, c->raw->len, 0, NULL);
+    const json_t *message = json_object_get(
+        json_array_get(json_object_get(j, "choices"), 0), "message");
+    const char *text = json_string_value(json_object_get(message, "content"));
+    const char *echo = json_string_value(json_object_get(j, "echo"));
+    c->tokens = (unsigned)json_integer_value(
+        json_object_get(json_object_get(j, "usage"), "completion_tokens"));
+    if (text)
+        g_string_append(c->text, text);
+    if (echo)
+        g_string_append(c->text, echo);
+    c->done_seen = text || echo;
+    c->first_us = c->last_us = now_us();
+    json_decref(j);
+}
+
+static void ignore(void *arg, int status, WPStr body)
+{
+    (void)arg;
+    (void)status;
+    (void)body;
+}
+
+static void rate(Load *l, const char *kind, const char *version, bool good)
+{
+    if (!l->ratings || g_rand_double(l->rand) >= l->mix->rated_share)
+        return;
+    json_t *j = json_pack("{s:s,s:s,s:i}", "kind", kind, "version", version,
+                          "score", good ? 1 : 0);
+    char *text = json_dumps(j, JSON_COMPACT);
+    wp_http_call(l->ratings, "/v1/rate", text, ignore, NULL);
+    free(text);
+    json_decref(j);
+}
+
+static void judge_session(Call *c, struct evhttp_request *r,
+                          const char *version)
+{
+    Session *s = c->session;
+    const char *token = wp_http_header(r, WP_H_TOKEN);
+    if (!s)
+        return;
+    s->busy = false;
+    if (s->version && strcmp(s->version, version)) {
+        if (wp_http_header(r, WP_H_MOVED))
+            c->load->r.session_moves++;
+        else
+            c->load->r.session_breaks++;
+    }
+    g_free(s->version);
+    s->version = g_strdup(version);
+    if (token) {
+        g_free(s->token);
+        s->token = g_strdup(token);
+    }
+    if (++s->turns >= SESSION_TURNS)
+        new_session(c->load, s);
+}
+
+static void judge_quality(Call *c, const char *version)
+{
+    Load *l = c->load;
+    bool good = strstr(c->text->str, " good ") != NULL;
+    LoadQuality *q = g_hash_table_lookup(l->r.quality, c->item->kind);
+    if (!q) {
+        q = g_new0(LoadQuality, 1);
+        g_hash_table_insert(l->r.quality, g_strdup(c->item->kind), q);
+    }
+    q->total++;
+    q->good += good;
+    if (good)
+        l->r.good++;
+    else
+        l->r.bad++;
+    rate(l, c->item->kind, version, good);
+}
+
+static void judge_ok(Call *c, struct evhttp_request *r)
+{
+    Load *l = c->load;
+    const char *version = wp_http_header(r, WP_H_VERSION);
+    if (!c->item->stream || c->item->service)
+        read_plain(c);
+    if (!c->done_seen) {
+        l->r.cut++;
+        return;
+    }
+    if (!strstr(c->text->str, c->item->service ? c->prompt : c->fate.digest)) {
+        l->r.wrong++;
+        return;
+    }
+    double first = (double)(c->first_us - c->start_us) / WP_US_PER_MS;
+    double whole = (double)(c->last_us - c->start_us) / WP_US_PER_MS;
+    l->r.ok++;
+    c->fate.ok = true;
+    c->fate.first_ms = first;
+    g_array_append_val(l->r.first_ms, first);
+    g_array_append_val(l->r.whole_ms, whole);
+    ++*need_count(l->r.versions, version ? version : "?");
+    ++*need_count(l->r.served, c->item->workspace);
+    const double *cost =
+        l->costs && version ? g_hash_table_lookup(l->costs, version) : NULL;
+    if (cost)
+        l->r.cost += *cost * c->tokens / 1000;
+    if (version && !c->item->service) {
+        judge_quality(c, version);
+        judge_session(c, r, version);
+    }
+}
+
+static void judge_refusal(Call *c, struct evhttp_request *r)
+{
+    Load *l = c->load;
+    json_t *j = json_loadb(c->raw->str, c->raw->len, 0, NULL);
+    const char *code =
+        json_string_value(json_object_get(json_object_get(j, "error"), "code"));
+    double took = (double)(now_us() - c->start_us) / WP_US_PER_MS;
+    (void)r;
+    ++*need_count(l->r.codes, code ? code : "?");
+    if (!strcmp(c->fate.ran, "not_run")) {
+        l->r.not_run++;
+        l->r.late_finals += took > 0.9 * c->item->deadline_ms;
+    } else {
+        l->r.unknown++;
+    }
+    json_decref(j);
+    if (c->session)
+        c->session->busy = false;
+}
+
+static void send_call(Call *c);
+
+/* The caller's own retry, with the same key, through another entry. */
+static bool repeat(Call *c)
+{
+    if (c->repeats >= c->item->repeats)
+        return false;
+    c->repeats++;
+    c->target = &c->load->targets[(size_t)(c->target - c->load->targets + 1) %
+                                  c->load->n_targets];
+    g_string_truncate(c->raw, 0);
+    g_string_truncate(c->text, 0);
+    c->done_seen = false;
+    c->first_us = 0;
+    send_call(c);
+    return true;
+}
+
+static void end_call(Call *c)
+{
+    Load *l = c->load;
+    c->fate.at_s = (double)(now_us() - l->start_us) / WP_US_PER_S;
+    g_array_append_val(l->r.fates, c->fate);
+    l->r.ended++;
+    l->open--;
+    free_call(c);
+}
+
+static void on_done(struct evhttp_request *r, void *arg)
+{
+    Call *c = arg;
+    int status = r ? evhttp_request_get_response_code(r) : 0;
+    struct evhttp_connection *con = c->con;
+    c->con = NULL;
+    if (!status) {
+        c->load->r.no_answer++;
+        if (c->session)
+            c->session->busy = false;
+        /* The connection is reset by evhttp; it is not used again. */
+    } else {
+        const char *id = wp_http_header(r, WP_H_REQUEST);
+        const char *ran = wp_http_header(r, WP_H_RAN);
+        g_strlcpy(c->fate.request_id, id ? id : "", sizeof(c->fate.request_id));
+        g_strlcpy(c->fate.ran, ran ? ran : "", sizeof(c->fate.ran));
+        on_chunk(r, c);
+        if (status == 200)
+            judge_ok(c, r);
+        else
+            judge_refusal(c, r);
+        g_queue_push_head(&c->target->idle, con);
+    }
+    if (!repeat(c))
+        end_call(c);
+}
+
+static struct evhttp_connection *take_con(Load *l, Target *t)
+{
+    struct evhttp_connection *con = g_queue_pop_head(&t->idle);
+    if (con)
+        return con;
+    con = evhttp_connection_base_new(l->base, NULL, t->host, t->port);
+    evhttp_connection_set_timeout(con, CALL_TIMEOUT_S);
+    return con;
+}
+
+static void add_headers(const Call *c, struct evhttp_request *r)
+{
+    struct evkeyvalq *h = evhttp_request_get_output_headers(r);
+    g_autofree char *auth = g_strconcat("Bearer ", c->item->key, NULL);
+    g_autofree char *deadline = g_strdup_printf("%u", c->item->deadline_ms);
+    evhttp_add_header(h, "Host", c->target->host);
+    evhttp_add_header(h, "Authorization", auth);
+    evhttp_add_header(h, WP_H_KIND, c->item->kind);
+    evhttp_add_header(h, WP_H_DEADLINE, deadline);
+    evhttp_add_header(h, "Content-Type", "application/json");
+    if (c->once)
+        evhttp_add_header(h, WP_H_ONCE, c->once);
+    if (c->session && c->session->by_token && c->session->token)
+        evhttp_add_header(h, WP_H_TOKEN, c->session->token);
+    else if (c->session && !c->session->by_token)
+        evhttp_add_header(h, WP_H_SESSION, c->session->id);
+}
+
+static unsigned answer_tokens(const Call *c)
+{
+    const Wp__MixItem *i = c->item;
+    if (!i->heavy_tail)
+        return i->answer_tokens;
+    double u = g_rand_double(c->load->rand);
+    double x = pow(1 - u, -1 / TAIL_SHAPE) / 3;
+    return (unsigned)MAX(2, i->answer_tokens * MIN(x, TAIL_MOST));
+}
+
+static void add_body(const Call *c, struct evhttp_request *r)
+{
+    struct evbuffer *out = evhttp_request_get_output_buffer(r);
+    const Load *l = c->load;
+    if (c->item->service) {
+        evbuffer_add(out, c->prompt, strlen(c->prompt));
+        return;
+    }
+    const char *prefix =
+        l->prefixes->pdata[wp_hash(wp_str(c->prompt), 9) % l->prefixes->len];
+    json_t *j = json_pack(
+        "{s:s,s:i,s:b,s:[{s:s,s:s},{s:s,s:s}]}", "model", "auto", "max_tokens",
+        (int)answer_tokens(c), "stream", c->item->stream, "messages", "role",
+        "system", "content", prefix, "role", "user", "content", c->prompt);
+    char *text = json_dumps(j, JSON_COMPACT);
+    evbuffer_add(out, text, strlen(text));
+    free(text);
+    json_decref(j);
+}
+
+static void send_call(Call *c)
+{
+    struct evhttp_request *r = evhttp_request_new(on_done, c);
+    g_autofree char *path =
+        c->item->service
+            ? g_strdup_printf("/v1/services/%s/call", c->item->service)
+            : g_strdup("/v1/chat/completions");
+    evhttp_request_set_chunked_cb(r, on_chunk);
+    add_headers(c, r);
+    add_body(c, r);
+    c->start_us = now_us();
+    c->con = take_con(c->load, c->target);
+    evhttp_make_request(c->con, r, EVHTTP_REQ_POST, path);
+}
+
+static size_t pick_item(Load *l)
+{
+    double total = 0;
+    for (size_t i = 0; i < l->mix->n_items; i++)
+        total += l->mix->items[i]->weight;
+    double x = g_rand_double(l->rand) * total;
+    for (size_t i = 0; i < l->mix->n_items; i++) {
+        x -= l->mix->items[i]->weight;
+        if (x < 0)
+            return i;
+    }
+    return l->mix->n_items - 1;
+}
+
+/* A session takes its turns one after another. */
+static Session *pick_session(Load *l, size_t item)
+{
+    uint32_t n = l->mix->items[item]->sessions;
+    for (uint32_t i = 0; i < n; i++) {
+        Session *s = &l->sessions[item][g_rand_int_range(l->rand, 0, (gint)n)];
+        if (s->busy)
+            continue;
+        s->busy = true;
+        return s;
+    }
+    return NULL;
+}
+
+static void make_prompt(Call *c)
+{
+    GString *s = g_string_new(NULL);
+    g_string_append_printf(s, "question %lu-%lu",
+                           (unsigned long)c->load->mix->seed,
+                           (unsigned long)c->load->serial++);
+    for (uint32_t i = 0; i < c->item->prompt_words; i++)
+        g_string_append(s, " word");
+    c->prompt = g_string_free(s, FALSE);
+    g_autofree char *sum =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, c->prompt, -1);
+    g_strlcpy(c->fate.digest, sum, 17);
+}
+
+static void new_call(Load *l)
+{
+    size_t i = pick_item(l);
+    Call *c = g_new0(Call, 1);
+    c->load = l;
+    c->item = l->mix->items[i];
+    c->target = &l->targets[g_rand_int_range(l->rand, 0, (gint)l->n_targets)];
+    c->session = pick_session(l, i);
+    c->text = g_string_new(NULL);
+    c->raw = g_string_new(NULL);
+    make_prompt(c);
+    if (c->item->once) {
+        c->once = g_malloc(37);
+        wp_uuid7(c->once, (uint64_t)(g_get_real_time() / WP_US_PER_MS),
+                 l->rand);
+        c->fate.once = true;
+    }
+    l->r.sent++;
+    l->open++;
+    ++*need_count(l->offered, c->item->workspace);
+    send_call(c);
+}
+
+/* --- arrivals --- */
+
+static double rate_at(const Load *l, double s)
+{
+    double rate = l->mix->rate;
+    for (size_t i = 0; i < l->mix->n_bursts; i++) {
+        const Wp__Burst *b = l->mix->bursts[i];
+        if (s >= b->from_s && s < b->to_s)
+            rate *= b->factor;
+    }
+    return rate;
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+    Load *l = arg;
+    int64_t now = now_us();
+    (void)fd;
+    (void)what;
+    while (l->next_us <= now && !l->stopped) {
+        double s = (double)(l->next_us - l->start_us) / WP_US_PER_S;
+        if (s >= l->mix->seconds) {
+            l->stopped = true;
+            return;
+        }
+        new_call(l);
+        double gap = -log(1 - g_rand_double(l->rand)) / rate_at(l, s);
+        l->next_us += (int64_t)(gap * WP_US_PER_S);
+    }
+    if (l->stopped)
+        return;
+    int64_t wait = MAX(l->next_us - now_us(), 0);
+    struct timeval after = { wait / WP_US_PER_S, wait % WP_US_PER_S };
+    event_add(l->timer, &after);
+}
+
+void load_start(Load *l)
+{
+    l->start_us = now_us();
+    l->next_us = l->start_us;
+    event_active(l->timer, EV_TIMEOUT, 0);
+}
+
+void load_stop(Load *l)
+{
+    l->stopped = true;
+}
+
+bool load_done(const Load *l)
+{
+    return l->stopped && !l->open;
+}
+
+const LoadResult *load_result(const Load *l)
+{
+    return &l->r;
+}
+
+/* --- sums --- */
+
+static gint by_value(gconstpointer a, gconstpointer b)
+{
+    double x = *(const double *)a, y = *(const double *)b;
+    return x < y ? -1 : x > y;
+}
+
+double load_quantile(GArray *sample, double q)
+{
+    if (!sample->len)
+        return 0;
+    g_array_sort(sample, by_value);
+    guint i = (guint)(q * sample->len);
+    return g_array_index(sample, double, MIN(i, sample->len - 1));
+}
+
+double load_fairness(const Load *l)
+{
+    GHashTableIter it;
+    gpointer name, offered;
+    double sum = 0, squares = 0, n = 0;
+    g_hash_table_iter_init(&it, l->offered);
+    while (g_hash_table_iter_next(&it, &name, &offered)) {
+        double x = (double)load_count(l->r.served, name) / *(double *)offered;
+        sum += x;
+        squares += x * x;
+        n++;
+    }
+    return squares > 0 ? sum * sum / (n * squares) : 0;
+}
+
+static json_t *counts_json(GHashTable *t)
+{
+    json_t *o = json_object();
+    GHashTableIter it;
+    gpointer name, n;
+    g_hash_table_iter_init(&it, t);
+    while (g_hash_table_iter_next(&it, &name, &n))
+        json_object_set_new(o, name, json_integer((json_int_t) * (double *)n));
+    return o;
+}
+
+static json_t *quality_json(const Load *l)
+{
+    json_t *o = json_object();
+    GHashTableIter it;
+    gpointer kind, value;
+    g_hash_table_iter_init(&it, l->r.quality);
+    while (g_hash_table_iter_next(&it, &kind, &value)) {
+        const LoadQuality *q = value;
+        json_object_set_new(
+            o, kind,
+            json_real(q->total ? (double)q->good / (double)q->total : 0));
+    }
+    return o;
+}
+
+static json_t *latency_json(GArray *sample)
+{
+    return json_pack("{s:f,s:f,s:f}", "p50", load_quantile(sample, 0.5), "p95",
+                     load_quantile(sample, 0.95), "p99",
+                     load_quantile(sample, 0.99));
+}
+
+json_t *load_json(const Load *l)
+{
+    const LoadResult *r = &l->r;
+    json_t *o = json_pack(
+        "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:f}", "sent",
+        (json_int_t)r->sent, "ok", (json_int_t)r->ok, "not_run",
+        (json_int_t)r->not_run, "unknown", (json_int_t)r->unknown, "no_answer",
+        (json_int_t)r->no_answer, "cut", (json_int_t)r->cut, "wrong",
+        (json_int_t)r->wrong, "session_breaks", (json_int_t)r->session_breaks,
+        "session_moves", (json_int_t)r->session_moves, "cost", r->cost,
+        "fairness", load_fairness(l));
+    json_object_set_new(o, "first_ms", latency_json(r->first_ms));
+    json_object_set_new(o, "between_ms", latency_json(r->between_ms));
+    json_object_set_new(o, "whole_ms", latency_json(r->whole_ms));
+    json_object_set_new(o, "codes", counts_json(r->codes));
+    json_object_set_new(o, "versions", counts_json(r->versions));
+    json_object_set_new(o, "quality", quality_json(l));
+    return o;
+}
+
+static void print_counts(const char *title, json_t *o)
+{
+    const char *name;
+    json_t *n;
+    printf("%s", title);
+    json_object_foreach (o, name, n) {
+        if (json_is_real(n))
+            printf("  %s %.3f", name, json_real_value(n));
+        else
+            printf("  %s %lld", name, (long long)json_integer_value(n));
+    }
+    printf("\n");
+    json_decref(o);
+}
+
+void load_print(const Load *l)
+{
+    const LoadResult *r = &l->r;
+    printf("sent %lu, answered whole %lu, not run %lu, unknown %lu, no answer "
+           "%lu, cut %lu, wrong %lu\n",
+           (unsigned long)r->sent, (unsigned long)r->ok,
+           (unsigned long)r->not_run, (unsigned long)r->unknown,
+           (unsigned long)r->no_answer, (unsigned long)r->cut,
+           (unsigned long)r->wrong);
+    print_counts("first token (ms)   ", latency_json(r->first_ms));
+    print_counts("between tokens (ms)", latency_json(r->between_ms));
+    print_counts("whole answer (ms)  ", latency_json(r->whole_ms));
+    print_counts("refusals by code   ", counts_json(r->codes));
+    print_counts("answers by version ", counts_json(r->versions));
+    print_counts("quality by kind    ", quality_json(l));
+    printf("cost                 %.4f\n", r->cost);
+    printf("sessions             %lu breaks, %lu moves that were said\n",
+           (unsigned long)r->session_breaks, (unsigned long)r->session_moves);
+}
