Scenario runner over real processes

Cause: promises must be proved by scripted scenarios. Change: YAML scenarios read by the same reader as settings; start, kill, freeze, cut, race, load, wait, expect; verdicts from callers' answers, the endpoints' ledgers and the store.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -340,7 +340,8 @@
 static const int32_t wp__node_settings__clock_skew_ms__default_value = 0;
 static const uint32_t wp__node_settings__once_settle_ms__default_value = 10000u;
 static const uint32_t wp__node_settings__once_skew_ms__default_value = 3000u;
-static const ProtobufCFieldDescriptor wp__node_settings__field_descriptors[26] =
+static const protobuf_c_boolean wp__node_settings__test_hooks__default_value = 0;
+static const ProtobufCFieldDescriptor wp__node_settings__field_descriptors[27] =
 {
   {
     "id",
@@ -654,6 +655,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "test_hooks",
+    27,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__NodeSettings, has_test_hooks),
+    offsetof(Wp__NodeSettings, test_hooks),
+    NULL,
+    &wp__node_settings__test_hooks__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__node_settings__field_indices_by_name[] = {
   4,   /* field[4] = admin_port */
@@ -679,6 +692,7 @@
   14,   /* field[14] = seed */
   6,   /* field[6] = seeds */
   5,   /* field[5] = store */
+  26,   /* field[26] = test_hooks */
   21,   /* field[21] = test_off */
   13,   /* field[13] = watchers_per_zone */
   1,   /* field[1] = zone */
@@ -686,7 +700,7 @@
 static const ProtobufCIntRange wp__node_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor wp__node_settings__descriptor =
 {
@@ -696,7 +710,7 @@
   "Wp__NodeSettings",
   "wp",
   sizeof(Wp__NodeSettings),
-  26,
+  27,
   wp__node_settings__field_descriptors,
   wp__node_settings__field_indices_by_name,
   1,  wp__node_settings__number_ranges,
--- a/gen/tools.pb-c.c
+++ b/gen/tools.pb-c.c
@@ -752,11 +752,11 @@
 };
 char wp__scenario__rules__default_value[] = "tests/scenarios/rules.yaml";
 static const uint32_t wp__scenario__entries__default_value = 3u;
-static const uint32_t wp__scenario__agents__default_value = 6u;
+static const uint32_t wp__scenario__agents__default_value = 5u;
 static const uint64_t wp__scenario__seed__default_value = 1ull;
 static const uint32_t wp__scenario__boxes_lag_ms__default_value = 0u;
 static const uint32_t wp__scenario__step_us__default_value = 2000u;
-static const uint32_t wp__scenario__zones__default_value = 3u;
+static const uint32_t wp__scenario__slots__default_value = 8u;
 static const ProtobufCFieldDescriptor wp__scenario__field_descriptors[12] =
 {
   {
@@ -820,12 +820,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "off",
+    "fails_without",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_STRING,
-    offsetof(Wp__Scenario, n_off),
-    offsetof(Wp__Scenario, off),
+    0,   /* quantifier_offset */
+    offsetof(Wp__Scenario, fails_without),
     NULL,
     NULL,
     0,             /* flags */
@@ -844,79 +844,79 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fails_without",
+    "boxes_lag_ms",
     8,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wp__Scenario, fails_without),
-    NULL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__Scenario, has_boxes_lag_ms),
+    offsetof(Wp__Scenario, boxes_lag_ms),
     NULL,
+    &wp__scenario__boxes_lag_ms__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "steps",
+    "step_us",
     9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wp__Scenario, n_steps),
-    offsetof(Wp__Scenario, steps),
-    &wp__step__descriptor,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__Scenario, has_step_us),
+    offsetof(Wp__Scenario, step_us),
     NULL,
+    &wp__scenario__step_us__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "boxes_lag_ms",
+    "slots",
     10,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__Scenario, has_boxes_lag_ms),
-    offsetof(Wp__Scenario, boxes_lag_ms),
+    offsetof(Wp__Scenario, has_slots),
+    offsetof(Wp__Scenario, slots),
     NULL,
-    &wp__scenario__boxes_lag_ms__default_value,
+    &wp__scenario__slots__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "step_us",
+    "steps",
     11,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__Scenario, has_step_us),
-    offsetof(Wp__Scenario, step_us),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Scenario, n_steps),
+    offsetof(Wp__Scenario, steps),
+    &wp__step__descriptor,
     NULL,
-    &wp__scenario__step_us__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "zones",
+    "node",
     12,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__Scenario, has_zones),
-    offsetof(Wp__Scenario, zones),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__Scenario, n_node),
+    offsetof(Wp__Scenario, node),
+    NULL,
     NULL,
-    &wp__scenario__zones__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned wp__scenario__field_indices_by_name[] = {
   3,   /* field[3] = agents */
-  9,   /* field[9] = boxes_lag_ms */
+  7,   /* field[7] = boxes_lag_ms */
   2,   /* field[2] = entries */
-  7,   /* field[7] = fails_without */
+  5,   /* field[5] = fails_without */
   0,   /* field[0] = name */
-  5,   /* field[5] = off */
+  11,   /* field[11] = node */
   1,   /* field[1] = promise */
   4,   /* field[4] = rules */
   6,   /* field[6] = seed */
-  10,   /* field[10] = step_us */
-  8,   /* field[8] = steps */
-  11,   /* field[11] = zones */
+  9,   /* field[9] = slots */
+  8,   /* field[8] = step_us */
+  10,   /* field[10] = steps */
 };
 static const ProtobufCIntRange wp__scenario__number_ranges[1 + 1] =
 {
--- a/gen/tools.pb-c.h
+++ b/gen/tools.pb-c.h
@@ -112,13 +112,28 @@
     , 0, 50, 0, 5, 0, 1ull, 0,NULL, 0,NULL, 0, 0.3, 0, 8u }
 
 
+/*
+ * One step of a scenario; docs/SCENARIOS.md lists the words.
+ */
 struct  Wp__Step
 {
   ProtobufCMessage base;
   char *do_;
+  /*
+   * a process, a mark or a measure
+   */
   char *name;
+  /*
+   * a file or a command
+   */
   char *arg;
+  /*
+   * JSON for a fault, or a state
+   */
   char *value;
+  /*
+   * longest wait
+   */
   protobuf_c_boolean has_seconds;
   double seconds;
   protobuf_c_boolean has_at_most;
@@ -137,36 +152,42 @@
 {
   ProtobufCMessage base;
   char *name;
+  /*
+   * the line of the brief it proves
+   */
   char *promise;
   protobuf_c_boolean has_entries;
   uint32_t entries;
+  /*
+   * the last is a plain service's
+   */
   protobuf_c_boolean has_agents;
   uint32_t agents;
   char *rules;
-  /*
-   * guards switched off
-   */
-  size_t n_off;
-  char **off;
-  protobuf_c_boolean has_seed;
-  uint64_t seed;
   /*
    * guard whose absence must fail it
    */
   char *fails_without;
-  size_t n_steps;
-  Wp__Step **steps;
+  protobuf_c_boolean has_seed;
+  uint64_t seed;
   protobuf_c_boolean has_boxes_lag_ms;
   uint32_t boxes_lag_ms;
   protobuf_c_boolean has_step_us;
   uint32_t step_us;
-  protobuf_c_boolean has_zones;
-  uint32_t zones;
+  protobuf_c_boolean has_slots;
+  uint32_t slots;
+  size_t n_steps;
+  Wp__Step **steps;
+  /*
+   * further lines for each node's settings
+   */
+  size_t n_node;
+  char **node;
 };
 extern char wp__scenario__rules__default_value[];
 #define WP__SCENARIO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__scenario__descriptor) \
-    , NULL, NULL, 0, 3u, 0, 6u, wp__scenario__rules__default_value, 0,NULL, 0, 1ull, NULL, 0,NULL, 0, 0u, 0, 2000u, 0, 3u }
+    , NULL, NULL, 0, 3u, 0, 5u, wp__scenario__rules__default_value, NULL, 0, 1ull, 0, 0u, 0, 2000u, 0, 8u, 0,NULL, 0,NULL }
 
 
 /* Wp__MixItem methods */
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -1,6 +1,7 @@
 /* The frame that all daemons share. */
 #include "wp_host.h"
 #include "wp_code.h"
+#include "wp_fault.h"
 #include "wp_pb.h"
 
 #include <event2/buffer.h>
@@ -23,6 +24,7 @@
     void *role;
     uint32_t seed;
     Wp__Load load; /* what rides on frames */
+    WPFault fault;
     bool leaving, pumping, boxes_asked, ratings_asked;
     int64_t leave_us;
 };
@@ -294,8 +296,20 @@
            NULL);
 }
 
-static const WPHubOps hub_ops = { on_frame, on_link_up, on_link_down, on_stamp,
-                                  on_bad };
+static bool on_blocked(void *arg, const WPLink *l, bool outwards)
+{
+    const WPHost *h = arg;
+    return wp_fault_blocks(&h->fault, l, outwards);
+}
+
+static const WPHubOps hub_ops = {
+    .frame = on_frame,
+    .up = on_link_up,
+    .down = on_link_down,
+    .stamp = on_stamp,
+    .bad = on_bad,
+    .blocked = on_blocked,
+};
 
 static void on_bills(void *arg, const WPKvResult *r)
 {
@@ -417,6 +431,29 @@
     return o;
 }
 
+static void close_link(void *arg, WPLink *l)
+{
+    (void)arg;
+    wp_link_close(l);
+}
+
+/* A connection that lost bytes cannot go on: with each change of the faults
+   those that are not cut start anew. */
+static void set_fault(WPHost *h, struct evhttp_request *r)
+{
+    json_t *j = wp_http_body_json(r);
+    bool was = h->fault.in || h->fault.out;
+    wp_fault_set(&h->fault, j);
+    json_decref(j);
+    if (was && !h->fault.in && !h->fault.out)
+        wp_hub_each(h->hub, close_link, NULL);
+    if (h->fault.store && h->kv)
+        h->kv->ops->unwatch(h->kv);
+    if (h->fault.store)
+        wp_node_watch_ended(h->node, wp_host_now(h));
+    wp_http_json(r, 200, json_object());
+}
+
 static void add_member(void *arg, const WPMemberRow *r)
 {
     json_array_append_new(arg, wp_pb_json(&r->m->base));
@@ -430,7 +467,9 @@
         path = "/";
     if (wp_host_health(h, r, path))
         return;
-    if (!strcmp(path, "/v1/status")) {
+    if (!strcmp(path, "/v1/test") && h->settings->test_hooks) {
+        set_fault(h, r);
+    } else if (!strcmp(path, "/v1/status")) {
         wp_http_json(r, 200, status_json(h));
     } else if (!strcmp(path, "/v1/timeline")) {
         g_autofree char *request = wp_http_query(r, "request");
@@ -457,6 +496,8 @@
     Wp__NodeSettings *s = h->settings;
     if (s->n_store)
         h->kv = wp_kv_etcd(h->base, s->store, s->n_store);
+    if (h->kv && s->test_hooks)
+        h->kv = wp_kv_faulty(h->kv, &h->fault);
     if (s->boxes)
         h->boxes = wp_http_new(h->base, s->boxes, HTTP_TIMEOUT_MS);
     if (s->ratings)
@@ -544,6 +585,7 @@
     wp_http_free(h->ratings);
     wp_node_free(h->node);
     event_base_free(h->base);
+    wp_fault_end(&h->fault);
     wp_pb_free(h->settings);
     g_free(h);
 }
--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -99,9 +99,19 @@
     }
 }
 
+static bool blocked(const WPLink *l, bool outwards)
+{
+    const WPHub *h = l->hub;
+    return h->ops->blocked && h->ops->blocked(h->arg, l, outwards);
+}
+
 static void dispatch(WPLink *l, Wp__Frame *f)
 {
     WPHub *h = l->hub;
+    if (blocked(l, false))
+        return;
+    l->heard_us = wp_clock_now(0).mono_us;
+    l->used_us = l->heard_us;
     if (f->body_case == WP__FRAME__BODY_HELLO) {
         take_hello(l, f->hello->self);
         h->ops->up(h->arg, l);
@@ -145,8 +155,6 @@
     WPLink *l = arg;
     WPHub *h = l->hub;
     (void)bev;
-    l->heard_us = wp_clock_now(0).mono_us;
-    l->used_us = l->heard_us;
     /* What a frame brings about may close the link: the hub then forgets. */
     h->reading = l;
     while (read_frame(l) && h->reading == l)
@@ -261,6 +269,8 @@
 {
     struct evbuffer *out = bufferevent_get_output(l->bev);
     struct evbuffer_iovec v;
+    if (blocked(l, true))
+        return;
     l->hub->ops->stamp(l->hub->arg, f);
     size_t size = wp__frame__get_packed_size(f);
     uint32_t length = htonl((uint32_t)size);
@@ -277,6 +287,8 @@
 void wp_link_send_packed(WPLink *l, const uint8_t *data, size_t size)
 {
     uint32_t length = htonl((uint32_t)size);
+    if (blocked(l, true))
+        return;
     bufferevent_write(l->bev, &length, LENGTH_BYTES);
     bufferevent_write(l->bev, data, size);
     l->queued += size + LENGTH_BYTES;
--- a/io/wp_link.h
+++ b/io/wp_link.h
@@ -39,6 +39,8 @@
     /* Called for each frame that goes out, to add what rides along. */
     void (*stamp)(void *arg, Wp__Frame *f);
     void (*bad)(void *arg, WPLink *l);
+    /* Whether a scenario has cut this direction; NULL outside of tests. */
+    bool (*blocked)(void *arg, const WPLink *l, bool outwards);
 } WPHubOps;
 
 /* Listens on addr:port. NULL and an error if that fails. `self` is sent in
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -299,7 +299,7 @@
     read_prompt(r, body);
     json_decref(body);
     r->row = json_pack(
-        "{s:s,s:s,s:s,s:s,s:I,s:b}", "request_id", r->id, "workspace",
+        "{s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "digest", r->digest, "request_id", r->id, "workspace",
         r->workspace, "kind", r->kind, "version", r->version, "at_ms",
         (json_int_t)(g_get_real_time() / WP_US_PER_MS), "good", r->good);
     json_array_append_new(e->ledger, r->row);
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -197,6 +197,12 @@
     bool silent, refuse, cut;
 } Service;
 
+static const char *header_of(struct evhttp_request *r, const char *name)
+{
+    const char *v = wp_http_header(r, name);
+    return v ? v : "";
+}
+
 static void on_call(struct evhttp_request *r, void *arg)
 {
     Service *s = arg;
@@ -221,10 +227,18 @@
     struct evbuffer *in = evhttp_request_get_input_buffer(r);
     size_t n = evbuffer_get_length(in);
     const char *body = (const char *)evbuffer_pullup(in, -1);
-    json_array_append_new(s->ledger,
-                          json_pack("{s:s,s:o,s:b}", "request_id", id ? id : "",
-                                    "body", json_stringn(body ? body : "", n),
-                                    "whole", true));
+    g_autofree char *text = g_strndup(body ? body : "", n);
+    g_autofree char *sum =
+        g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
+    sum[16] = 0;
+    json_array_append_new(
+        s->ledger,
+        json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "digest", sum,
+                  "request_id", id ? id : "", "version", "service",
+                  "workspace", header_of(r, "X-Workspace"), "kind",
+                  header_of(r, "X-Kind"), "at_ms",
+                  (json_int_t)(g_get_real_time() / WP_US_PER_MS), "whole",
+                  true));
     if (s->cut)
         stand_cut(r);
     else if (!s->silent)
