--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -340,8 +340,9 @@
 static const int32_t wp__node_settings__clock_skew_ms__default_value = 0;
 static const uint32_t wp__node_settings__once_settle_ms__default_value = 10000u;
 static const uint32_t wp__node_settings__once_skew_ms__default_value = 3000u;
+static const uint32_t wp__node_settings__lame_duck_ms__default_value = 2000u;
 static const protobuf_c_boolean wp__node_settings__test_hooks__default_value = 0;
-static const ProtobufCFieldDescriptor wp__node_settings__field_descriptors[27] =
+static const ProtobufCFieldDescriptor wp__node_settings__field_descriptors[28] =
 {
   {
     "id",
@@ -667,6 +668,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lame_duck_ms",
+    28,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__NodeSettings, has_lame_duck_ms),
+    offsetof(Wp__NodeSettings, lame_duck_ms),
+    NULL,
+    &wp__node_settings__lame_duck_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__node_settings__field_indices_by_name[] = {
   4,   /* field[4] = admin_port */
@@ -682,6 +695,7 @@
   9,   /* field[9] = gossip_ms */
   10,   /* field[10] = heartbeat_ms */
   0,   /* field[0] = id */
+  27,   /* field[27] = lame_duck_ms */
   2,   /* field[2] = listen */
   15,   /* field[15] = log_format */
   16,   /* field[16] = log_level */
@@ -700,7 +714,7 @@
 static const ProtobufCIntRange wp__node_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor wp__node_settings__descriptor =
 {
@@ -710,7 +724,7 @@
   "Wp__NodeSettings",
   "wp",
   sizeof(Wp__NodeSettings),
-  27,
+  28,
   wp__node_settings__field_descriptors,
   wp__node_settings__field_indices_by_name,
   1,  wp__node_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -96,6 +96,8 @@
   protobuf_c_boolean has_once_skew_ms;
   uint32_t once_skew_ms;
   char *charts;
+  protobuf_c_boolean has_lame_duck_ms;
+  uint32_t lame_duck_ms;
   /*
    * for scenarios only
    */
@@ -109,7 +111,7 @@
 extern char wp__node_settings__charts__default_value[];
 #define WP__NODE_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__node_settings__descriptor) \
-    , NULL, wp__node_settings__zone__default_value, wp__node_settings__listen__default_value, 0, 0, 0,NULL, 0,NULL, NULL, NULL, 0, 500u, 0, 500u, 0, 2500u, 0, 3u, 0, 2u, 0, 0ull, wp__node_settings__log_format__default_value, wp__node_settings__log_level__default_value, 0, 60u, 0, 1000u, 0, 500u, 0, 200000u, 0,NULL, 0, 0, 0, 10000u, 0, 3000u, wp__node_settings__charts__default_value, 0, 0 }
+    , NULL, wp__node_settings__zone__default_value, wp__node_settings__listen__default_value, 0, 0, 0,NULL, 0,NULL, NULL, NULL, 0, 500u, 0, 500u, 0, 2500u, 0, 3u, 0, 2u, 0, 0ull, wp__node_settings__log_format__default_value, wp__node_settings__log_level__default_value, 0, 60u, 0, 1000u, 0, 500u, 0, 200000u, 0,NULL, 0, 0, 0, 10000u, 0, 3000u, wp__node_settings__charts__default_value, 0, 2000u, 0, 0 }
 
 
 struct  Wp__EntrySettings
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -997,6 +997,96 @@
   assert(message->base.descriptor == &wp__settled__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__once_key__init
+                     (Wp__OnceKey         *message)
+{
+  static const Wp__OnceKey init_value = WP__ONCE_KEY__INIT;
+  *message = init_value;
+}
+size_t wp__once_key__get_packed_size
+                     (const Wp__OnceKey *message)
+{
+  assert(message->base.descriptor == &wp__once_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__once_key__pack
+                     (const Wp__OnceKey *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__once_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__once_key__pack_to_buffer
+                     (const Wp__OnceKey *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__once_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__OnceKey *
+       wp__once_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__OnceKey *)
+     protobuf_c_message_unpack (&wp__once_key__descriptor,
+                                allocator, len, data);
+}
+void   wp__once_key__free_unpacked
+                     (Wp__OnceKey *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__once_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__handover__init
+                     (Wp__Handover         *message)
+{
+  static const Wp__Handover init_value = WP__HANDOVER__INIT;
+  *message = init_value;
+}
+size_t wp__handover__get_packed_size
+                     (const Wp__Handover *message)
+{
+  assert(message->base.descriptor == &wp__handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__handover__pack
+                     (const Wp__Handover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__handover__pack_to_buffer
+                     (const Wp__Handover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__Handover *
+       wp__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__Handover *)
+     protobuf_c_message_unpack (&wp__handover__descriptor,
+                                allocator, len, data);
+}
+void   wp__handover__free_unpacked
+                     (Wp__Handover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__bill__init
                      (Wp__Bill         *message)
 {
@@ -2676,6 +2766,121 @@
   (ProtobufCMessageInit) wp__settled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wp__once_key__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__OnceKey, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wp__OnceKey, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__once_key__field_indices_by_name[] = {
+  1,   /* field[1] = done */
+  0,   /* field[0] = key */
+};
+static const ProtobufCIntRange wp__once_key__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wp__once_key__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.OnceKey",
+  "OnceKey",
+  "Wp__OnceKey",
+  "wp",
+  sizeof(Wp__OnceKey),
+  2,
+  wp__once_key__field_descriptors,
+  wp__once_key__field_indices_by_name,
+  1,  wp__once_key__number_ranges,
+  (ProtobufCMessageInit) wp__once_key__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__handover__field_descriptors[3] =
+{
+  {
+    "agent",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__Handover, agent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__Handover, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Handover, n_keys),
+    offsetof(Wp__Handover, keys),
+    &wp__once_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__handover__field_indices_by_name[] = {
+  0,   /* field[0] = agent */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = keys */
+};
+static const ProtobufCIntRange wp__handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wp__handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.Handover",
+  "Handover",
+  "Wp__Handover",
+  "wp",
+  sizeof(Wp__Handover),
+  3,
+  wp__handover__field_descriptors,
+  wp__handover__field_indices_by_name,
+  1,  wp__handover__number_ranges,
+  (ProtobufCMessageInit) wp__handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wp__bill__field_descriptors[11] =
 {
   {
@@ -2921,7 +3126,7 @@
   (ProtobufCMessageInit) wp__bill_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__frame__field_descriptors[22] =
+static const ProtobufCFieldDescriptor wp__frame__field_descriptors[23] =
 {
   {
     "stream",
@@ -3187,6 +3392,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    28,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Frame, body_case),
+    offsetof(Wp__Frame, handover),
+    &wp__handover__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__frame__field_indices_by_name[] = {
   6,   /* field[6] = accept */
@@ -3196,6 +3413,7 @@
   17,   /* field[17] = deltas */
   15,   /* field[15] = digest */
   10,   /* field[10] = end */
+  22,   /* field[22] = handover */
   8,   /* field[8] = head */
   4,   /* field[4] = hello */
   3,   /* field[3] = hlc */
@@ -3216,7 +3434,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor wp__frame__descriptor =
 {
@@ -3226,7 +3444,7 @@
   "Wp__Frame",
   "wp",
   sizeof(Wp__Frame),
-  22,
+  23,
   wp__frame__field_descriptors,
   wp__frame__field_indices_by_name,
   2,  wp__frame__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Wp__Members Wp__Members;
 typedef struct Wp__Buckets Wp__Buckets;
 typedef struct Wp__Settled Wp__Settled;
+typedef struct Wp__OnceKey Wp__OnceKey;
+typedef struct Wp__Handover Wp__Handover;
 typedef struct Wp__Bill Wp__Bill;
 typedef struct Wp__BillBatch Wp__BillBatch;
 typedef struct Wp__Frame Wp__Frame;
@@ -409,6 +411,37 @@
     , 0 }
 
 
+/*
+ * A key that may not be repeated, passed on by an agent that leaves.
+ */
+struct  Wp__OnceKey
+{
+  ProtobufCMessage base;
+  char *key;
+  protobuf_c_boolean done;
+};
+#define WP__ONCE_KEY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__once_key__descriptor) \
+    , NULL, 0 }
+
+
+/*
+ * The keys that fall to the receiver; without any, only the word that
+ * nothing of the sender's is missing.
+ */
+struct  Wp__Handover
+{
+  ProtobufCMessage base;
+  char *agent;
+  uint64_t incarnation;
+  size_t n_keys;
+  Wp__OnceKey **keys;
+};
+#define WP__HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__handover__descriptor) \
+    , NULL, 0, 0,NULL }
+
+
 /*
  * One use of an endpoint, to be charged once for its request id.
  */
@@ -471,7 +504,8 @@
   WP__FRAME__BODY_MEMBERS = 24,
   WP__FRAME__BODY_SETTLED = 25,
   WP__FRAME__BODY_RATINGS = 26,
-  WP__FRAME__BODY_BUCKETS = 27
+  WP__FRAME__BODY_BUCKETS = 27,
+  WP__FRAME__BODY_HANDOVER = 28
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WP__FRAME__BODY__CASE)
 } Wp__Frame__BodyCase;
 
@@ -508,6 +542,7 @@
     Wp__Settled *settled;
     Wp__Ratings *ratings;
     Wp__Buckets *buckets;
+    Wp__Handover *handover;
   };
 };
 #define WP__FRAME__INIT \
@@ -951,6 +986,44 @@
 void   wp__settled__free_unpacked
                      (Wp__Settled *message,
                       ProtobufCAllocator *allocator);
+/* Wp__OnceKey methods */
+void   wp__once_key__init
+                     (Wp__OnceKey         *message);
+size_t wp__once_key__get_packed_size
+                     (const Wp__OnceKey   *message);
+size_t wp__once_key__pack
+                     (const Wp__OnceKey   *message,
+                      uint8_t             *out);
+size_t wp__once_key__pack_to_buffer
+                     (const Wp__OnceKey   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__OnceKey *
+       wp__once_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__once_key__free_unpacked
+                     (Wp__OnceKey *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__Handover methods */
+void   wp__handover__init
+                     (Wp__Handover         *message);
+size_t wp__handover__get_packed_size
+                     (const Wp__Handover   *message);
+size_t wp__handover__pack
+                     (const Wp__Handover   *message,
+                      uint8_t             *out);
+size_t wp__handover__pack_to_buffer
+                     (const Wp__Handover   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__Handover *
+       wp__handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__handover__free_unpacked
+                     (Wp__Handover *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__Bill methods */
 void   wp__bill__init
                      (Wp__Bill         *message);
@@ -1095,6 +1168,12 @@
 typedef void (*Wp__Settled_Closure)
                  (const Wp__Settled *message,
                   void *closure_data);
+typedef void (*Wp__OnceKey_Closure)
+                 (const Wp__OnceKey *message,
+                  void *closure_data);
+typedef void (*Wp__Handover_Closure)
+                 (const Wp__Handover *message,
+                  void *closure_data);
 typedef void (*Wp__Bill_Closure)
                  (const Wp__Bill *message,
                   void *closure_data);
@@ -1137,6 +1216,8 @@
 extern const ProtobufCMessageDescriptor wp__members__descriptor;
 extern const ProtobufCMessageDescriptor wp__buckets__descriptor;
 extern const ProtobufCMessageDescriptor wp__settled__descriptor;
+extern const ProtobufCMessageDescriptor wp__once_key__descriptor;
+extern const ProtobufCMessageDescriptor wp__handover__descriptor;
 extern const ProtobufCMessageDescriptor wp__bill__descriptor;
 extern const ProtobufCMessageDescriptor wp__bill_batch__descriptor;
 extern const ProtobufCMessageDescriptor wp__frame__descriptor;
--- a/io/wp_fault.c
+++ b/io/wp_fault.c
@@ -20,8 +20,7 @@
     wp_fault_end(f);
     f->peers = g_new0(char *, n + 1);
     for (size_t i = 0; i < n; i++)
-        f->peers[i] =
-            g_strdup(json_string_value(json_array_get(peers, i)));
+        f->peers[i] = g_strdup(json_string_value(json_array_get(peers, i)));
     f->in = json_is_true(json_object_get(j, "in"));
     f->out = json_is_true(json_object_get(j, "out"));
     f->store = json_is_true(json_object_get(j, "store"));
@@ -52,16 +51,15 @@
         f->real->ops->range(f->real, key, end, done, arg);
 }
 
-static void faulty_txn(WPKv *kv, const WPKvCompare *compares,
-                       size_t n_compares, const WPKvOp *ops, size_t n_ops,
-                       WPKvDone done, void *arg)
+static void faulty_txn(WPKv *kv, const WPKvCompare *compares, size_t n_compares,
+                       const WPKvOp *ops, size_t n_ops, WPKvDone done,
+                       void *arg)
 {
     Faulty *f = (Faulty *)kv;
     if (f->fault->store)
         fail(done, arg);
     else
-        f->real->ops->txn(f->real, compares, n_compares, ops, n_ops, done,
-                          arg);
+        f->real->ops->txn(f->real, compares, n_compares, ops, n_ops, done, arg);
 }
 
 static void faulty_watch(WPKv *kv, const char *key, uint64_t from,
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -2,6 +2,7 @@
 #include "wp_host.h"
 #include "wp_code.h"
 #include "wp_fault.h"
+#include "wp_guard.h"
 #include "wp_pb.h"
 
 #include <event2/buffer.h>
@@ -344,9 +345,19 @@
     h->kv->ops->txn(h->kv, &absent, 1, &put, 1, on_bills, h);
 }
 
+/* The first part of a planned stop: the health answer has turned, but the
+   balancer may not have seen it yet, so new requests are still served. */
+bool wp_host_lame_duck(const WPHost *h)
+{
+    int64_t span_us = (int64_t)h->settings->lame_duck_ms * WP_US_PER_MS;
+    return h->leaving && wp_host_now(h).mono_us - h->leave_us < span_us;
+}
+
 static void check_stop(WPHost *h, WPTime now)
 {
     int64_t limit_us = (int64_t)h->settings->drain_s * WP_US_PER_S;
+    if (wp_host_lame_duck(h))
+        return;
     bool late = now.mono_us - h->leave_us > limit_us;
     bool done = h->ops->idle(h->role) &&
                 (!h->kv || !wp_bills_pending(h->ops->bills(h->role)));
@@ -370,6 +381,8 @@
                 (int64_t)h->settings->dead_ms * WP_US_PER_MS);
     h->ops->tick(h->role, now);
     write_bills(h, now);
+    if (h->leaving && wp_guard_off(h->settings, WP_GUARD_DRAIN))
+        event_base_loopbreak(h->base);
     if (h->leaving)
         check_stop(h, now);
 }
--- a/io/wp_host.h
+++ b/io/wp_host.h
@@ -47,6 +47,7 @@
 const WPLog *wp_host_log(const WPHost *h);
 uint32_t wp_host_seed(const WPHost *h);
 bool wp_host_leaving(const WPHost *h);
+bool wp_host_lame_duck(const WPHost *h);
 
 /* Does what the node's actions say; to be called after each input. */
 void wp_host_pump(WPHost *h);
--- a/io/wp_legs.c
+++ b/io/wp_legs.c
@@ -265,6 +265,10 @@
     case WP_STEP_CHECK:
         ask_check(x);
         return;
+    case WP_STEP_LATER:
+        x->again_us =
+            now_of(x).mono_us + (int64_t)step.retry_after_ms * WP_US_PER_MS;
+        return;
     case WP_STEP_DONE:
         wp_reply_end(x);
         break;
--- a/io/wp_runner.c
+++ b/io/wp_runner.c
@@ -200,6 +200,9 @@
             give_up(r);
         drain(owner);
         break;
+    case WP__FRAME__BODY_HANDOVER:
+        wp_agent_handed(owner->agent, now_of(owner), f->handover);
+        break;
     case WP__FRAME__BODY_WINDOW:
         r = find_run(owner, l, f->stream);
         if (r) {
@@ -262,11 +265,23 @@
     wp_link_send(l, &f);
 }
 
+static void send_handover(void *arg, const char *addr, const Wp__Handover *h)
+{
+    WPRunner *r = arg;
+    WPLink *l = wp_hub_link(wp_host_hub(r->host), addr);
+    Wp__Frame f = WP__FRAME__INIT;
+    f.body_case = WP__FRAME__BODY_HANDOVER;
+    f.handover = (Wp__Handover *)h;
+    if (l)
+        wp_link_send(l, &f);
+}
+
 /* Entries are told directly; the platform's list lags. */
 static void role_leave(void *role, WPTime now)
 {
     WPRunner *r = role;
     wp_agent_leave(r->agent, now);
+    wp_agent_hand_over(r->agent, now, send_handover, r);
     wp_hub_each(wp_host_hub(r->host), tell_load, NULL);
 }
 
--- a/io/wp_server.c
+++ b/io/wp_server.c
@@ -78,7 +78,7 @@
 
 static WPCode can_serve(const WPServer *s)
 {
-    if (wp_host_leaving(s->host))
+    if (wp_host_leaving(s->host) && !wp_host_lame_duck(s->host))
         return WP_LEAVING;
     if (!wp_node_ready(wp_host_node(s->host)) || !wp_entry_policy(s->entry))
         return WP_NOT_READY;
@@ -182,17 +182,24 @@
     wp_legs_down(role, l);
 }
 
-static void role_tick(void *role, WPTime now)
+static void tick_exchange(WPExchange *x, WPTime now)
 {
-    WPServer *s = role;
-    wp_list_each_safe (it, tmp, &s->exchanges) {
-        WPExchange *x = wp_list_item(it, WPExchange, node);
-        if (now.mono_us < x->request->deadline_us)
-            continue;
-        WPStep step = wp_entry_expired(s->entry, now, x->request);
+    WPEntry *e = x->server->entry;
+    if (now.mono_us >= x->request->deadline_us) {
+        WPStep step = wp_entry_expired(e, now, x->request);
         wp_exchange_cancel(x);
         wp_exchange_do(x, step);
+    } else if (x->again_us && now.mono_us >= x->again_us) {
+        x->again_us = 0;
+        wp_exchange_do(x, wp_entry_again(e, now, x->request));
     }
+}
+
+static void role_tick(void *role, WPTime now)
+{
+    WPServer *s = role;
+    wp_list_each_safe (it, tmp, &s->exchanges)
+        tick_exchange(wp_list_item(it, WPExchange, node), now);
     wp_steer_tick(s, now);
 }
 
--- a/io/wp_server_int.h
+++ b/io/wp_server_int.h
@@ -31,6 +31,7 @@
     char *path, *method;
     char *content_type;
     bool stream, want_usage;
+    int64_t again_us; /* when to choose again; 0: not waiting */
     /* The present leg. */
     WPLink *link;
     uint64_t stream_id;
--- a/src/wp_agent.c
+++ b/src/wp_agent.c
@@ -1,24 +1,11 @@
 /* The gate, the queue and the bills of one agent. */
 #include "wp_agent.h"
+#include "wp_guard.h"
 #include "wp_pb.h"
 
 #define STALE_RETRY_MS 1000
 #define SETTLING_RETRY_MS 500
 
-/* Guards that a scenario may switch off to see that they are needed. */
-typedef enum Guard {
-    GUARD_ALLOWED, /* the version may serve this traffic */
-    GUARD_ONCE,    /* keys that may not be repeated */
-    GUARD_STALE,   /* the age of the configuration */
-    GUARD_HOLD,    /* the entry's newer revision */
-    GUARD_LEAVING,
-    GUARD_COUNT
-} Guard;
-
-static const char *const guard_names[GUARD_COUNT] = { "allowed", "once",
-                                                      "stale", "hold",
-                                                      "leaving" };
-
 struct WPAgent {
     WPNode *node;
     WPPolicy *policy;
@@ -26,8 +13,9 @@
     WPOnce *once;
     WPBills *bills;
     char **versions;
+    uint32_t once_settle_ms;
     bool leaving;
-    bool off[GUARD_COUNT];
+    bool off[WP_GUARD_COUNT];
     WPList held;    /* of WPJob */
     WPList refused; /* of WPJob by `hold`: evicted, to be answered */
 };
@@ -41,14 +29,16 @@
     a->node = n;
     a->queue = wp_queue_new(s->slots, s->queue);
     a->once = wp_once_new(&rules);
+    a->once_settle_ms = rules.settle_ms;
     a->bills = wp_bills_new(self->id, self->incarnation, s->node->bill_batch_ms,
                             s->node->bill_limit);
+    if (wp_guard_off(s->node, WP_GUARD_BILL_RETRY))
+        wp_bills_set_careless(a->bills);
     a->versions = g_new0(char *, s->n_versions + 1);
     for (size_t i = 0; i < s->n_versions; i++)
         a->versions[i] = g_strdup(s->versions[i]);
-    for (size_t i = 0; i < s->node->n_test_off; i++)
-        for (int g = 0; g < GUARD_COUNT; g++)
-            a->off[g] |= !strcmp(s->node->test_off[i], guard_names[g]);
+    for (int g = 0; g < WP_GUARD_COUNT; g++)
+        a->off[g] = wp_guard_off(s->node, (WPGuard)g);
     wp_list_init(&a->held);
     wp_list_init(&a->refused);
     return a;
@@ -125,13 +115,13 @@
     WPVerdict ok = { WP_VERDICT_RUN, WP_OK, 0 };
     const WPWorkspace *ws = wp_policy_workspace(a->policy, s->workspace);
     const WPKind *kind = wp_policy_kind(a->policy, s->kind);
-    if (a->off[GUARD_ALLOWED])
+    if (a->off[WP_GUARD_ALLOWED])
         return ok;
     if (!ws || !kind || !served_here(a, s->version) ||
         !version_allowed(a, s, ws, kind))
         return refuse(WP_VERSION_REFUSED, 0);
     int64_t bound_ms = (int64_t)kind->spec->stale_bound_s * WP_MS_PER_S;
-    if (bound_ms && !a->off[GUARD_STALE] &&
+    if (bound_ms && !a->off[WP_GUARD_STALE] &&
         wp_node_age_ms(a->node, now) > bound_ms)
         return refuse(WP_STALE, STALE_RETRY_MS);
     return ok;
@@ -141,7 +131,7 @@
 {
     const WPKind *kind = wp_policy_kind(a->policy, s->kind);
     return s->once_key && kind && !kind->spec->repeatable &&
-           !a->off[GUARD_ONCE];
+           !a->off[WP_GUARD_ONCE];
 }
 
 static WPVerdict check_key(WPAgent *a, WPTime now, WPJob *j)
@@ -154,8 +144,11 @@
     if (!wp_once_is_keeper(a->once, wp_node_members(a->node), self, s->version,
                            s->once_key, (uint64_t)now.wall_ms))
         return refuse(WP_NOT_KEEPER, SETTLING_RETRY_MS);
+    if (wp_once_pending(a->once, now, self, s->version, s->once_key))
+        return refuse(WP_NOT_KEEPER, SETTLING_RETRY_MS);
     uint64_t since = wp_once_since(a->once, self, s->version, s->once_key);
-    WPCode code = wp_once_begin(a->once, now, s->once_key, s->once_ms, since);
+    WPCode code =
+        wp_once_begin(a->once, now, s->version, s->once_key, s->once_ms, since);
     j->holds_key = code == WP_OK;
     return code == WP_OK ? ok : refuse(code, 0);
 }
@@ -208,11 +201,11 @@
 
 static WPVerdict admit(WPAgent *a, WPTime now, WPJob *j)
 {
-    if (a->leaving && !a->off[GUARD_LEAVING])
+    if (a->leaving && !a->off[WP_GUARD_LEAVING])
         return refuse(WP_LEAVING, 0);
     if (!wp_node_ready(a->node) || !a->policy)
         return refuse(WP_NOT_READY, SETTLING_RETRY_MS);
-    if (j->revision > wp_policy_revision(a->policy) && !a->off[GUARD_HOLD])
+    if (j->revision > wp_policy_revision(a->policy) && !a->off[WP_GUARD_HOLD])
         return (WPVerdict){ WP_VERDICT_HOLD, WP_OK, 0 };
     if (wp_bills_full(a->bills))
         return refuse(WP_BILLS_FULL, STALE_RETRY_MS);
@@ -358,6 +351,65 @@
     release_key(a, now, j, false);
 }
 
+typedef struct Passing {
+    const WPAgent *agent;
+    const char *successor;
+    uint64_t now_ms;
+    uint32_t settle_ms;
+    GPtrArray *keys; /* of Wp__OnceKey */
+} Passing;
+
+static void pass_key(void *arg, const char *version, const char *key, bool done)
+{
+    Passing *p = arg;
+    const WPMemberRow *r = wp_once_keeper(
+        wp_node_members(p->agent->node), version, key, p->now_ms, p->settle_ms);
+    if (!r || strcmp(r->m->id, p->successor))
+        return;
+    Wp__OnceKey *k = g_new0(Wp__OnceKey, 1);
+    wp__once_key__init(k);
+    k->key = (char *)key;
+    k->done = done;
+    g_ptr_array_add(p->keys, k);
+}
+
+static bool shares_version(const WPAgent *a, const Wp__Member *m)
+{
+    for (size_t i = 0; i < m->n_versions; i++)
+        if (served_here(a, m->versions[i]))
+            return true;
+    return false;
+}
+
+void wp_agent_hand_over(WPAgent *a, WPTime now, WPHandOver fn, void *arg)
+{
+    const WPMembers *t = wp_node_members(a->node);
+    const Wp__Member *self = wp_node_self(a->node);
+    for (unsigned i = 0; i < wp_members_live(t); i++) {
+        const WPMemberRow *r = wp_members_live_at(t, i);
+        Wp__Handover h = WP__HANDOVER__INIT;
+        if (r->m->role != WP__ROLE__ROLE_AGENT || r->m->leaving ||
+            a->off[WP_GUARD_HANDOVER] || !shares_version(a, r->m))
+            continue;
+        Passing p = { a, r->m->id, (uint64_t)now.wall_ms, a->once_settle_ms,
+                      g_ptr_array_new_with_free_func(g_free) };
+        wp_once_each(a->once, pass_key, &p);
+        h.agent = self->id;
+        h.incarnation = self->incarnation;
+        h.keys = (Wp__OnceKey **)p.keys->pdata;
+        h.n_keys = p.keys->len;
+        fn(arg, r->addr, &h);
+        g_ptr_array_unref(p.keys);
+    }
+}
+
+void wp_agent_handed(WPAgent *a, WPTime now, const Wp__Handover *h)
+{
+    for (size_t i = 0; i < h->n_keys; i++)
+        wp_once_take(a->once, now, h->keys[i]->key, h->keys[i]->done);
+    wp_once_handed(a->once, h->agent, h->incarnation);
+}
+
 void wp_agent_leave(WPAgent *a, WPTime now)
 {
     a->leaving = true;
--- a/src/wp_agent.h
+++ b/src/wp_agent.h
@@ -63,6 +63,13 @@
 void wp_agent_dropped(WPAgent *a, WPTime now, WPJob *j);
 
 void wp_agent_leave(WPAgent *a, WPTime now);
+
+/* After wp_agent_leave(): for each agent that may get keys of this one, what
+   to send it. `h` lives during the call. */
+typedef void (*WPHandOver)(void *arg, const char *addr, const Wp__Handover *h);
+void wp_agent_hand_over(WPAgent *a, WPTime now, WPHandOver fn, void *arg);
+void wp_agent_handed(WPAgent *a, WPTime now, const Wp__Handover *h);
+
 void wp_agent_load(const WPAgent *a, Wp__Load *out);
 bool wp_agent_idle(const WPAgent *a);
 WPBills *wp_agent_bills(WPAgent *a);
--- a/src/wp_bill.c
+++ b/src/wp_bill.c
@@ -18,7 +18,7 @@
     GQueue pending; /* of Wp__Bill */
     WPBillBatch batch;
     unsigned batch_count;
-    bool in_flight;
+    bool in_flight, careless;
 };
 
 WPBills *wp_bills_new(const char *owner, uint64_t incarnation,
@@ -83,6 +83,11 @@
     return b->settled;
 }
 
+void wp_bills_set_careless(WPBills *b)
+{
+    b->careless = true;
+}
+
 void wp_bills_set_writers(WPBills *b, unsigned writers)
 {
     int64_t share = (int64_t)writers * WP_US_PER_S / FLEET_WRITES_PER_S;
@@ -130,7 +135,7 @@
     b->in_flight = false;
     bool same = result == WP_BILL_EXISTS && size == b->batch.value->len &&
                 !memcmp(found, b->batch.value->data, size);
-    if (result == WP_BILL_CREATED || same) {
+    if (result == WP_BILL_CREATED || same || b->careless) {
         b->settled = b->batch_last;
         b->batch_count = 0;
         b->retry_us = RETRY_US;
--- a/src/wp_bill.h
+++ b/src/wp_bill.h
@@ -32,6 +32,9 @@
 unsigned wp_bills_pending(const WPBills *b);
 uint64_t wp_bills_settled(const WPBills *b); /* all up to this number */
 
+/* For scenarios: gives a batch up when its answer is lost. */
+void wp_bills_set_careless(WPBills *b);
+
 /* How many boxes write: the pause between batches grows with them, so that
    all together stay within the store's rate. */
 void wp_bills_set_writers(WPBills *b, unsigned writers);
--- a/src/wp_copies.c
+++ b/src/wp_copies.c
@@ -70,6 +70,8 @@
    any more; a paused one that does so all the same is folded with ours. */
 void wp_entry_take_over(WPEntry *e, WPTime now)
 {
+    if (e->off[WP_GUARD_TAKEOVER])
+        return;
     wp_list_each_safe (it, tmp, &e->copies) {
         WPBillCopy *c = wp_list_item(it, WPBillCopy, link);
         const WPMemberRow *row =
--- a/src/wp_entry.c
+++ b/src/wp_entry.c
@@ -1,6 +1,9 @@
 /* The course of a request through the entry. */
 #include "wp_entry_int.h"
 
+#define KEEPER_PAUSE_MS 50
+#define KEEPER_WAIT_US (3 * WP_US_PER_S)
+
 WPEntry *wp_entry_new(WPNode *n, const Wp__EntrySettings *s, uint32_t seed,
                       GError **error)
 {
@@ -31,8 +34,10 @@
     e->bills = wp_bills_new(self->id, self->incarnation, s->node->bill_batch_ms,
                             s->node->bill_limit);
     wp_list_init(&e->copies);
-    for (size_t i = 0; i < s->node->n_test_off; i++)
-        e->skip_session |= !strcmp(s->node->test_off[i], "session");
+    if (wp_guard_off(s->node, WP_GUARD_BILL_RETRY))
+        wp_bills_set_careless(e->bills);
+    for (int g = 0; g < WP_GUARD_COUNT; g++)
+        e->off[g] = wp_guard_off(s->node, (WPGuard)g);
     return e;
 }
 
@@ -189,10 +194,17 @@
                   wp_code_info(code)->code);
 }
 
+/* Whatever the last leg's refusal says: once some leg may have run, the
+   request as a whole may have, and it has a bill. */
 static WPStep finish(WPEntry *e, WPTime now, WPRequest *r, WPStep step)
 {
-    if (step.kind == WP_STEP_FINAL)
-        count_final(e, now, r, step.code);
+    if (step.kind != WP_STEP_FINAL)
+        return step;
+    if (r->maybe_ran && wp_code_info(step.code)->ran == WP_RAN_NOT_RUN)
+        step = wp_final(WP_ENDPOINT_FAILED, 0);
+    if (r->maybe_ran && !r->agent_bills)
+        wp_bill_own(e, now, r);
+    count_final(e, now, r, step.code);
     return step;
 }
 
@@ -214,16 +226,34 @@
 }
 
 /* Retries are a share of traffic, so that they cannot multiply a burst. */
-static bool may_retry(WPEntry *e, const WPRequest *r, WPTime now)
+static bool may_retry(WPEntry *e, const WPRequest *r, WPTime now, bool free)
 {
     if (r->n_tried >= WP_REQUEST_TRIES || now.mono_us >= r->deadline_us)
         return false;
+    if (free)
+        return true;
     if (e->retry_tokens < 1)
         return false;
     e->retry_tokens -= 1;
     return true;
 }
 
+/* Refusals that say where the caller should have gone, not that there is no
+   room: they cannot multiply, so they cost nothing of the budget. */
+static bool is_redirect(WPCode code)
+{
+    return code == WP_LEAVING || code == WP_NOT_KEEPER ||
+           code == WP_VERSION_REFUSED;
+}
+
+/* A key's keeper is changing: the next one is asked again shortly. */
+static bool keeper_changing(const WPRequest *r, WPCode code, WPTime now)
+{
+    return (code == WP_LEAVING || code == WP_NOT_KEEPER) && !r->repeatable &&
+           now.mono_us + KEEPER_PAUSE_MS * WP_US_PER_MS < r->deadline_us &&
+           now.mono_us - r->begun_us < KEEPER_WAIT_US;
+}
+
 /* Chooses again under the newest configuration and table of boxes. */
 static WPStep retry(WPEntry *e, WPTime now, WPRequest *r)
 {
@@ -261,13 +291,15 @@
                  (ran == WP_RAN_UNKNOWN && r->repeatable && !r->passed_on);
     WPStep step = wp_final(code, retry_ms);
     r->sent = false;
+    r->maybe_ran |= ran != WP_RAN_NOT_RUN && !final_for_key(code);
+    r->agent_bills = billed;
     r->last_refusal = code;
     r->last_retry_ms = retry_ms;
-    if (again && !final_for_key(code) && may_retry(e, r, now))
+    if (ran == WP_RAN_NOT_RUN && keeper_changing(r, code, now))
+        return (WPStep){ WP_STEP_LATER, code, KEEPER_PAUSE_MS, NULL };
+    if (again && !final_for_key(code) && !e->off[WP_GUARD_REDIRECT] &&
+        may_retry(e, r, now, is_redirect(code)))
         step = retry(e, now, r);
-    if (step.kind == WP_STEP_FINAL && ran != WP_RAN_NOT_RUN && !billed &&
-        !final_for_key(code))
-        wp_bill_own(e, now, r);
     return finish(e, now, r, step);
 }
 
@@ -289,6 +321,12 @@
     return leg_failed(e, now, r, code, ran, retry_ms, false);
 }
 
+WPStep wp_entry_again(WPEntry *e, WPTime now, WPRequest *r)
+{
+    r->n_tried = 0;
+    return finish(e, now, r, retry(e, now, r));
+}
+
 void wp_entry_accepted(WPEntry *e, WPTime now, WPRequest *r)
 {
     (void)e;
@@ -309,7 +347,9 @@
 WPStep wp_entry_ended(WPEntry *e, WPTime now, WPRequest *r, const Wp__End *end)
 {
     wp_copy_add(e, r, end);
-    if (!end->whole) {
+    r->maybe_ran = true;
+    r->agent_bills = true;
+    if (!end->whole && !e->off[WP_GUARD_WHOLE]) {
         note_failure(e, now, r->endpoint);
         return leg_failed(e, now, r, WP_ENDPOINT_FAILED, WP_RAN_UNKNOWN, 0,
                           true);
@@ -347,7 +387,7 @@
 WPStep wp_entry_lost(WPEntry *e, WPTime now, WPRequest *r, bool sent)
 {
     note_failure(e, now, r->endpoint);
-    if (sent)
+    if (sent && !e->off[WP_GUARD_UNKNOWN])
         return leg_failed(e, now, r, WP_LINK_LOST, WP_RAN_UNKNOWN, 0, false);
     return leg_failed(e, now, r, WP_ENDPOINT_DOWN, WP_RAN_NOT_RUN,
                       WP_NO_ENDPOINT_RETRY_MS, false);
@@ -355,12 +395,14 @@
 
 WPStep wp_entry_expired(WPEntry *e, WPTime now, WPRequest *r)
 {
-    if (r->sent) {
-        wp_endpoint_ended(r->endpoint, false, 0, now.mono_us);
-        wp_bill_own(e, now, r);
-    }
+    if (r->sent)
+        note_failure(e, now, r->endpoint);
+    r->maybe_ran |= r->sent;
+    r->agent_bills &= !r->sent;
     r->sent = false;
-    return finish(e, now, r, wp_final(WP_TIMED_OUT, 0));
+    return finish(e, now, r,
+                  r->maybe_ran ? wp_final(WP_TIMED_OUT, 0)
+                               : wp_final(WP_LATE, r->last_retry_ms));
 }
 
 void wp_entry_caller_gone(WPEntry *e, WPTime now, WPRequest *r)
--- a/src/wp_entry.h
+++ b/src/wp_entry.h
@@ -46,7 +46,9 @@
     unsigned n_tried;
     bool sent, accepted, answered; /* of the present leg */
     bool passed_on;                /* the caller has got part of the answer */
-    WPSet allowed; /* versions, at the revision the plan was made */
+    bool maybe_ran;                /* some leg ran, or may have */
+    bool agent_bills; /* an agent has made the bill of the last leg */
+    WPSet allowed;    /* versions, at the revision the plan was made */
     WPCode last_refusal;
     uint32_t last_retry_ms;
 } WPRequest;
@@ -55,7 +57,8 @@
     WP_STEP_SEND,  /* send a Start to `endpoint` */
     WP_STEP_FINAL, /* tell the caller `code` */
     WP_STEP_CHECK, /* have the answer checked, then wp_entry_checked() */
-    WP_STEP_DONE   /* the answer is whole */
+    WP_STEP_DONE,  /* the answer is whole */
+    WP_STEP_LATER  /* wp_entry_again() after `retry_after_ms` */
 } WPStepKind;
 
 typedef struct WPStep {
@@ -91,6 +94,9 @@
 WPStep wp_entry_ended(WPEntry *e, WPTime now, WPRequest *r, const Wp__End *end);
 WPStep wp_entry_checked(WPEntry *e, WPTime now, WPRequest *r, bool good);
 
+/* The time of a WP_STEP_LATER has come. */
+WPStep wp_entry_again(WPEntry *e, WPTime now, WPRequest *r);
+
 /* Contact with the agent was lost; `sent` tells whether any byte of the
    Start had been handed to the network. */
 WPStep wp_entry_lost(WPEntry *e, WPTime now, WPRequest *r, bool sent);
--- a/src/wp_entry_int.h
+++ b/src/wp_entry_int.h
@@ -4,6 +4,7 @@
 #define WP_ENTRY_INT_H
 
 #include "wp_entry.h"
+#include "wp_guard.h"
 #include "wp_once.h"
 #include "wp_pb.h"
 
@@ -48,7 +49,7 @@
     WPList copies;
     GHashTable *withdrawn; /* names withdrawn at the last refresh */
     uint32_t once_settle_ms;
-    bool skip_session; /* guard switched off by a scenario */
+    bool off[WP_GUARD_COUNT]; /* guards that a scenario switched off */
 };
 
 void wp_pools_rebuild(WPEntry *e, WPTime now);
--- /dev/null
+++ b/src/wp_guard.c
@@ -0,0 +1,16 @@
+/* Guards by name. */
+#include "wp_guard.h"
+
+static const char *const names[] = {
+#define X(name, text) text,
+    WP_GUARD_LIST(X)
+#undef X
+};
+
+bool wp_guard_off(const Wp__NodeSettings *s, WPGuard g)
+{
+    for (size_t i = 0; s->test_hooks && i < s->n_test_off; i++)
+        if (!strcmp(s->test_off[i], names[g]))
+            return true;
+    return false;
+}
--- a/src/wp_node_int.h
+++ b/src/wp_node_int.h
@@ -2,6 +2,7 @@
 #ifndef WP_NODE_INT_H
 #define WP_NODE_INT_H
 
+#include "wp_guard.h"
 #include "wp_node.h"
 #include "wp_pb.h"
 
--- a/src/wp_node_store.c
+++ b/src/wp_node_store.c
@@ -14,7 +14,8 @@
         return;
     /* With the store answering, its head decides; without it, the peers. */
     bool by_store = n->store_up && n->head_seen;
-    bool by_peers = n->store_asked_once && !n->store_up && n->peers_heard > 0;
+    bool by_peers = n->store_asked_once && !n->store_up && n->peers_heard > 0 &&
+                    !wp_guard_off(n->settings, WP_GUARD_PEERS);
     if (!by_store && !by_peers)
         return;
     n->ready = true;
@@ -199,6 +200,8 @@
         bool known_long = now.mono_us - r->first_us > WP_LIST_GRACE_US;
         if (!strcmp(r->m->id, n->self->id))
             continue;
+        if (wp_guard_off(n->settings, WP_GUARD_BOXES))
+            continue;
         if (b && b->leaving && !r->m->leaving)
             mark(n, now, r, false);
         else if (!b && known_long)
--- a/src/wp_once.c
+++ b/src/wp_once.c
@@ -3,23 +3,28 @@
 
 typedef struct Entry {
     WPList link; /* in order of beginning */
-    char *key;
+    char *key, *version;
     bool done;
     int64_t begun_us;
 } Entry;
 
 typedef struct Left {
     char *id;
+    uint64_t incarnation;
     char **versions;
     uint64_t left_ms;
 } Left;
 
+/* How long keys of an agent that leaves may be under way. */
+#define HANDOVER_MS 1000
+
 struct WPOnce {
     WPOnceRules rules;
     int64_t window_us;
     GHashTable *keys; /* key -> Entry */
     WPList order;
-    GArray *left; /* of Left */
+    GArray *left;       /* of Left */
+    GHashTable *handed; /* agent id -> incarnation (as uint64_t *) */
 };
 
 static void clear_left(gpointer p)
@@ -34,6 +39,7 @@
     Entry *e = p;
     wp_list_remove(&e->link);
     g_free(e->key);
+    g_free(e->version);
     g_free(e);
 }
 
@@ -45,6 +51,7 @@
     o->keys = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     o->left = g_array_new(FALSE, FALSE, sizeof(Left));
     g_array_set_clear_func(o->left, clear_left);
+    o->handed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     wp_list_init(&o->order);
     return o;
 }
@@ -55,6 +62,7 @@
         return;
     g_hash_table_unref(o->keys);
     g_array_unref(o->left);
+    g_hash_table_unref(o->handed);
     g_free(o);
 }
 
@@ -68,8 +76,20 @@
     }
 }
 
-WPCode wp_once_begin(WPOnce *o, WPTime now, const char *key, uint64_t issued_ms,
-                     uint64_t since_ms)
+static void hold(WPOnce *o, WPTime now, const char *version, const char *key,
+                 bool done)
+{
+    Entry *e = g_new0(Entry, 1);
+    e->key = g_strdup(key);
+    e->version = g_strdup(version);
+    e->begun_us = now.mono_us;
+    e->done = done;
+    wp_list_append(&o->order, &e->link);
+    g_hash_table_insert(o->keys, e->key, e);
+}
+
+WPCode wp_once_begin(WPOnce *o, WPTime now, const char *version,
+                     const char *key, uint64_t issued_ms, uint64_t since_ms)
 {
     expire(o, now);
     Entry *e = g_hash_table_lookup(o->keys, key);
@@ -83,11 +103,7 @@
     bool forgotten = dated && issued_ms + window_ms < now_ms;
     if (forgotten || (!ours_all_along && !issued_since))
         return WP_ONCE_UNKNOWN;
-    e = g_new0(Entry, 1);
-    e->key = g_strdup(key);
-    e->begun_us = now.mono_us;
-    wp_list_append(&o->order, &e->link);
-    g_hash_table_insert(o->keys, e->key, e);
+    hold(o, now, version, key, false);
     return WP_OK;
 }
 
@@ -163,32 +179,93 @@
     return true;
 }
 
-void wp_once_left(WPOnce *o, WPTime now, const Wp__Member *m)
+void wp_once_each(const WPOnce *o,
+                  void (*fn)(void *, const char *, const char *, bool),
+                  void *arg)
+{
+    wp_list_each (it, &o->order) {
+        const Entry *e = wp_list_item(it, Entry, link);
+        fn(arg, e->version, e->key, e->done);
+    }
+}
+
+void wp_once_take(WPOnce *o, WPTime now, const char *key, bool done)
+{
+    if (!g_hash_table_contains(o->keys, key))
+        hold(o, now, "", key, done);
+}
+
+void wp_once_handed(WPOnce *o, const char *id, uint64_t incarnation)
+{
+    uint64_t *n = g_new(uint64_t, 1);
+    *n = incarnation;
+    g_hash_table_replace(o->handed, g_strdup(id), n);
+}
+
+static bool was_handed(const WPOnce *o, const Left *l)
+{
+    const uint64_t *n = g_hash_table_lookup(o->handed, l->id);
+    return n && *n == l->incarnation;
+}
+
+static Left *find_left(const WPOnce *o, const char *id)
+{
+    for (guint i = 0; i < o->left->len; i++) {
+        Left *l = &g_array_index(o->left, Left, i);
+        if (!strcmp(l->id, id))
+            return l;
+    }
+    return NULL;
+}
+
+static void forget_old(WPOnce *o, uint64_t now_ms)
 {
     uint64_t window_ms = (uint64_t)(o->window_us / WP_US_PER_MS);
-    for (guint i = o->left->len; i-- > 0;) {
-        const Left *l = &g_array_index(o->left, Left, i);
-        if (!strcmp(l->id, m->id))
-            return;
-        if (l->left_ms + window_ms < (uint64_t)now.wall_ms)
+    for (guint i = o->left->len; i-- > 0;)
+        if (g_array_index(o->left, Left, i).left_ms + window_ms < now_ms)
             g_array_remove_index_fast(o->left, i);
-    }
-    Left l = { g_strdup(m->id), g_new0(char *, m->n_versions + 1),
-               (uint64_t)now.wall_ms };
+}
+
+void wp_once_left(WPOnce *o, WPTime now, const Wp__Member *m)
+{
+    Left *old = find_left(o, m->id);
+    if (old && old->incarnation >= m->incarnation)
+        return;
+    forget_old(o, (uint64_t)now.wall_ms);
+    Left l = { g_strdup(m->id), m->incarnation,
+               g_new0(char *, m->n_versions + 1), (uint64_t)now.wall_ms };
     for (size_t i = 0; i < m->n_versions; i++)
         l.versions[i] = g_strdup(m->versions[i]);
     g_array_append_val(o->left, l);
 }
 
+/* Whether the box that left came before `self` for this key. */
+static bool came_before(const Left *l, const Wp__Member *self,
+                        const char *version, const char *key)
+{
+    return serves(l->versions, g_strv_length(l->versions), version) &&
+           score(l->id, key) > score(self->id, key);
+}
+
+bool wp_once_pending(const WPOnce *o, WPTime now, const Wp__Member *self,
+                     const char *version, const char *key)
+{
+    for (guint i = 0; i < o->left->len; i++) {
+        const Left *l = &g_array_index(o->left, Left, i);
+        bool young = (uint64_t)now.wall_ms < l->left_ms + HANDOVER_MS;
+        if (young && !was_handed(o, l) && came_before(l, self, version, key))
+            return true;
+    }
+    return false;
+}
+
 uint64_t wp_once_since(const WPOnce *o, const Wp__Member *self,
                        const char *version, const char *key)
 {
     uint64_t since = self->incarnation + o->rules.settle_ms;
-    double own = score(self->id, key);
     for (guint i = 0; i < o->left->len; i++) {
         const Left *l = &g_array_index(o->left, Left, i);
-        if (serves(l->versions, g_strv_length(l->versions), version) &&
-            score(l->id, key) > own)
+        if (!was_handed(o, l) && came_before(l, self, version, key))
             since = MAX(since, l->left_ms);
     }
     return since;
--- a/src/wp_once.h
+++ b/src/wp_once.h
@@ -23,8 +23,8 @@
 /* WP_OK: run it, the key is now held as running. Else WP_ONCE_RUNNING,
    WP_ONCE_DONE or WP_ONCE_UNKNOWN. `issued_ms` is the key's time of issue, 0
    when it has none; `since_ms` is from wp_once_since(). */
-WPCode wp_once_begin(WPOnce *o, WPTime now, const char *key, uint64_t issued_ms,
-                     uint64_t since_ms);
+WPCode wp_once_begin(WPOnce *o, WPTime now, const char *version,
+                     const char *key, uint64_t issued_ms, uint64_t since_ms);
 void wp_once_done(WPOnce *o, WPTime now, const char *key);
 
 /* The request was surely not run: its key may be used again. */
@@ -45,6 +45,21 @@
 /* Notes when boxes left, for wp_once_since(). */
 void wp_once_left(WPOnce *o, WPTime now, const Wp__Member *m);
 
+/* An agent that leaves passes its keys on: `each` gives those that are held;
+   `take` holds one passed on; `handed` notes that nothing of that agent's is
+   missing here, so that its leaving makes no key's fate unknown. */
+void wp_once_each(const WPOnce *o,
+                  void (*fn)(void *arg, const char *version, const char *key,
+                             bool done),
+                  void *arg);
+void wp_once_take(WPOnce *o, WPTime now, const char *key, bool done);
+void wp_once_handed(WPOnce *o, const char *id, uint64_t incarnation);
+
+/* Whether keys may still be on their way from an agent that has just begun
+   to leave and came before `self` for this key. */
+bool wp_once_pending(const WPOnce *o, WPTime now, const Wp__Member *self,
+                     const char *version, const char *key);
+
 /* Since when this agent surely is the keeper of `key`, in Unix ms. */
 uint64_t wp_once_since(const WPOnce *o, const Wp__Member *self,
                        const char *version, const char *key);
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -107,7 +107,7 @@
                           const WPKind *kind, const Wp__SessionClaim *claim)
 {
     WPSessionAsk s = { claim, wp_str(r->session_id), (uint64_t)now.wall_ms };
-    if (e->skip_session)
+    if (e->off[WP_GUARD_SESSION])
         return;
     WPSessionPlace at = wp_session_place(e->policy, kind, &r->allowed, &s);
     if (at.version < 0)
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -298,10 +298,11 @@
     r->text = g_string_new(NULL);
     read_prompt(r, body);
     json_decref(body);
-    r->row = json_pack(
-        "{s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "digest", r->digest, "request_id", r->id, "workspace",
-        r->workspace, "kind", r->kind, "version", r->version, "at_ms",
-        (json_int_t)(g_get_real_time() / WP_US_PER_MS), "good", r->good);
+    r->row = json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "digest", r->digest,
+                       "request_id", r->id, "workspace", r->workspace, "kind",
+                       r->kind, "version", r->version, "at_ms",
+                       (json_int_t)(g_get_real_time() / WP_US_PER_MS), "good",
+                       r->good);
     json_array_append_new(e->ledger, r->row);
     wp_list_append(&e->waiting, &r->link);
     e->n_waiting++;
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -233,12 +233,11 @@
     sum[16] = 0;
     json_array_append_new(
         s->ledger,
-        json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "digest", sum,
-                  "request_id", id ? id : "", "version", "service",
-                  "workspace", header_of(r, "X-Workspace"), "kind",
-                  header_of(r, "X-Kind"), "at_ms",
-                  (json_int_t)(g_get_real_time() / WP_US_PER_MS), "whole",
-                  true));
+        json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "digest", sum, "request_id",
+                  id ? id : "", "version", "service", "workspace",
+                  header_of(r, "X-Workspace"), "kind", header_of(r, "X-Kind"),
+                  "at_ms", (json_int_t)(g_get_real_time() / WP_US_PER_MS),
+                  "whole", true));
     if (s->cut)
         stand_cut(r);
     else if (!s->silent)
--- a/tests/judge.c
+++ b/tests/judge.c
@@ -117,8 +117,7 @@
             g_auto(GStrv) pair = g_strsplit(*t, "=", 2);
             size_t len = strlen(pair[0]);
             bool no = len && pair[0][len - 1] == '!';
-            if (!strcmp(pair[0], "after") || !strcmp(pair[0], "at") ||
-                !pair[1])
+            if (!strcmp(pair[0], "after") || !strcmp(pair[0], "at") || !pair[1])
                 continue;
             if (no)
                 pair[0][len - 1] = 0;
--- a/tests/site.c
+++ b/tests/site.c
@@ -110,9 +110,8 @@
     bool service = i + 1 == s->plan->agents;
     g_autofree char *name = g_strdup_printf("a%u", i + 1);
     g_autofree char *stand = g_strdup_printf("x%u", i + 1);
-    g_autofree char *more =
-        g_strdup_printf("slots: %u\nstep_us: %u\n", s->plan->slots,
-                        s->plan->step_us);
+    g_autofree char *more = g_strdup_printf("slots: %u\nstep_us: %u\n",
+                                            s->plan->slots, s->plan->step_us);
     g_autofree char *versions = list_versions(s->plan, service);
     add_stand(s, stand, service ? "service" : "engine", more);
     Proc *p = add_proc(s, name, "wpagent");
@@ -121,16 +120,14 @@
     g_string_append_printf(t,
                            "endpoint: 127.0.0.1:%u\nversions: [%s]\n"
                            "slots: %u\nsilent_timeout_ms: 2000\n",
-                           site_proc(s, stand)->port, versions,
-                           s->plan->slots);
+                           site_proc(s, stand)->port, versions, s->plan->slots);
     write_config(p, t);
 }
 
 Site *site_new(const Wp__Scenario *plan, const char *bin, const char *off)
 {
     Site *s = g_new0(Site, 1);
-    g_autofree char *lag =
-        g_strdup_printf("lag_ms: %u\n", plan->boxes_lag_ms);
+    g_autofree char *lag = g_strdup_printf("lag_ms: %u\n", plan->boxes_lag_ms);
     s->base = event_base_new();
     s->plan = plan;
     s->off = off;
@@ -261,8 +258,7 @@
     g_autofree char *body = g_strdup_printf(
         "{\"id\":\"%s\",\"addr\":\"127.0.0.1\",\"port\":%u,\"state\":\"%s\"}",
         p->name, p->peer_port, state);
-    json_decref(
-        site_fetch(s, site_proc(s, "boxes")->port, "/v1/boxes", body));
+    json_decref(site_fetch(s, site_proc(s, "boxes")->port, "/v1/boxes", body));
 }
 
 static char **ctl_argv(Site *s, const char *words)
@@ -327,8 +323,7 @@
 
 static bool wait_for(Site *s, bool (*test)(Site *), double seconds)
 {
-    int64_t until =
-        g_get_monotonic_time() + (int64_t)(seconds * WP_US_PER_S);
+    int64_t until = g_get_monotonic_time() + (int64_t)(seconds * WP_US_PER_S);
     while (!test(s)) {
         if (g_get_monotonic_time() > until)
             return false;
@@ -381,8 +376,8 @@
     gsize n;
     GError *error = NULL;
     if (g_file_get_contents(file, &text, &n, &error))
-        s->mix = (Wp__Mix *)wp_yaml_read(&wp__mix__descriptor,
-                                         wp_strn(text, n), file, &error);
+        s->mix = (Wp__Mix *)wp_yaml_read(&wp__mix__descriptor, wp_strn(text, n),
+                                         file, &error);
     if (!s->mix) {
         g_string_append_printf(s->why, "%s; ", error->message);
         g_clear_error(&error);
@@ -395,11 +390,10 @@
     g_auto(GStrv) entries = g_new0(char *, s->plan->entries + 1);
     for (unsigned i = 0; i < s->plan->entries; i++) {
         g_autofree char *name = g_strdup_printf("e%u", i + 1);
-        entries[i] =
-            g_strdup_printf("127.0.0.1:%u", site_proc(s, name)->port);
+        entries[i] = g_strdup_printf("127.0.0.1:%u", site_proc(s, name)->port);
     }
-    s->load = load_new(s->base, s->mix, entries, s->plan->entries, ratings,
-                       NULL);
+    s->load =
+        load_new(s->base, s->mix, entries, s->plan->entries, ratings, NULL);
     load_start(s->load);
     return true;
 }
--- a/tests/site.h
+++ b/tests/site.h
@@ -48,8 +48,7 @@
 void site_pump(Site *s, int ms);
 
 /* JSON of a page, or NULL; POST when `body` is given. */
-json_t *site_fetch(Site *s, uint16_t port, const char *path,
-                   const char *body);
+json_t *site_fetch(Site *s, uint16_t port, const char *path, const char *body);
 char *site_text(Site *s, uint16_t port, const char *path);
 
 /* Runs wpctl with these words; gives its exit code. */
--- a/tests/steps.c
+++ b/tests/steps.c
@@ -140,8 +140,8 @@
     s->ctl_exit = site_ctl(s, t->arg, NULL);
     return !t->has_equals || s->ctl_exit == t->equals
                ? true
-               : (g_string_append_printf(s->why, "wpctl %s: exit %d; ",
-                                         t->arg, s->ctl_exit),
+               : (g_string_append_printf(s->why, "wpctl %s: exit %d; ", t->arg,
+                                         s->ctl_exit),
                   false);
 }
 
@@ -209,15 +209,15 @@
         const char *word;
         StepFn run;
     } words[] = {
-        { "start", do_start },   { "kill", do_kill },
-        { "freeze", do_freeze }, { "thaw", do_thaw },
-        { "term", do_term },     { "stop", do_stop },
-        { "box", do_box },       { "fault", do_fault },
-        { "cut", do_cut },       { "load", do_load },
+        { "start", do_start },       { "kill", do_kill },
+        { "freeze", do_freeze },     { "thaw", do_thaw },
+        { "term", do_term },         { "stop", do_stop },
+        { "box", do_box },           { "fault", do_fault },
+        { "cut", do_cut },           { "load", do_load },
         { "end_load", do_end_load }, { "ctl", do_ctl },
-        { "race", do_race },     { "mark", do_mark },
-        { "run", do_run },       { "wait", do_wait },
-        { "expect", do_expect }, { "note", do_note },
+        { "race", do_race },         { "mark", do_mark },
+        { "run", do_run },           { "wait", do_wait },
+        { "expect", do_expect },     { "note", do_note },
     };
     for (size_t i = 0; i < WP_COUNT(words); i++)
         if (!strcmp(words[i].word, t->do_))
