25 scenarios, the demo, keys that move to a joining agent

Cause: each promise needs a scenario seen to fail without its mechanism. The time rule alone cannot know better; now every fellow passes on the keys that fall to the newcomer before it settles, and stops running them itself.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 VERSION := $(shell cat VERSION)
 PACKAGES := libevent glib-2.0 jansson yaml-0.1 libprotobuf-c libxxhash
-APT := gcc make pkg-config libevent-dev libglib2.0-dev libjansson-dev \
+APT := gcc make pkg-config git libevent-dev libglib2.0-dev libjansson-dev \
        libyaml-dev libprotobuf-c-dev libxxhash-dev libcmocka-dev curl
 
 BUILD := build
@@ -29,7 +29,7 @@
 LIB := $(BUILD)/libworkspoint.a
 COMMON := $(BUILD)/cmd/daemon.o
 BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload)
-TESTS := $(addprefix $(BUILD)/,wpscenario)
+TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo)
 
 all: $(BIN)
 
@@ -51,17 +51,71 @@
 
 $(BUILD)/wpload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/wpload.c tools/load.c)) $(COMMON) $(LIB)
 
-SITE := $(patsubst %.c,$(BUILD)/%.o,tests/site.c tests/judge.c tests/steps.c tools/load.c)
-$(BUILD)/wpscenario: $(BUILD)/tests/wpscenario.o $(SITE) $(LIB)
+SITE := $(patsubst %.c,$(BUILD)/%.o,tools/site.c tools/load.c)
+$(BUILD)/wpscenario: $(patsubst %.c,$(BUILD)/%.o,tests/wpscenario.c tests/judge.c tests/steps.c) $(SITE) $(LIB)
+$(BUILD)/wpdemo: $(BUILD)/tools/wpdemo.o $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
 $(BIN) $(TESTS):
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) $(filter %.o,$^) $(LIB) $(LDLIBS) -o $@
 
+# Installs what is missing; only there does it need to be root.
+deps:
+	@missing=""; for p in $(APT); do \
+	    dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then \
+	    apt-get update -qq && apt-get install -y -qq $$missing; fi
+
+demo: deps
+	@$(MAKE) -s -j4 tests
+	@$(BUILD)/wpdemo
+
+# All tests; the last line is "N passed, N failed".
+check: deps
+	@$(MAKE) -s -j4 tests
+	@BUILD=$(BUILD) tests/run-all.sh
+
+unit: tests
+	@BUILD=$(BUILD) tests/run-all.sh unit
+
+scenarios: tests
+	@WP_BIN=$(BUILD) tests/run-scenarios.sh $(PARALLEL)
+
+asan:
+	@$(MAKE) -s -j4 CONFIG_ASAN=y tests
+	@BUILD=build-asan tests/run-all.sh unit
+
+OWN := $(wildcard src/*.[ch] io/*.[ch] cmd/*.[ch] standins/*.[ch] tools/*.[ch] tests/*.[ch] bench/*.[ch])
+
+format:
+	clang-format -i $(OWN)
+
+# The formatter, the linter, and the rule that src/ does no I/O.
+lint:
+	@clang-format --dry-run -Werror $(OWN)
+	@cppcheck --quiet --std=c11 --enable=warning,portability \
+	    --error-exitcode=1 --inline-suppr -Isrc -Iio -Igen \
+	    --suppress=missingInclude --suppress=unknownMacro \
+	    src io cmd standins tools
+	@! grep -nE 'event2/|sys/socket|\b(clock_gettime|gettimeofday|g_get_(monotonic|real)_time|fopen|g_file_get_contents|socket)\(' src/*.[ch]
+	@echo "lint: clean"
+
+proto:
+	cd proto && protoc-c --c_out=../gen *.proto
+
+install: all
+	install -D -t $(DESTDIR)/usr/bin $(BIN)
+	install -D -m 644 -t $(DESTDIR)/usr/share/workspoint/charts charts/*.yaml
+
+help:
+	@echo "all demo check unit scenarios asan bench capacity lint format" \
+	      "proto install clean"
+
 clean:
 	rm -rf build build-asan
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all tests clean
+.PHONY: all tests deps demo check unit scenarios asan format lint proto \
+        install help clean
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1260,7 +1260,8 @@
 static const double wp__chart_state__share__default_value = -1;
 static const uint32_t wp__chart_state__dwell_s__default_value = 0u;
 static const protobuf_c_boolean wp__chart_state__final__default_value = 0;
-static const ProtobufCFieldDescriptor wp__chart_state__field_descriptors[6] =
+static const uint32_t wp__chart_state__ratings__default_value = 20u;
+static const ProtobufCFieldDescriptor wp__chart_state__field_descriptors[7] =
 {
   {
     "name",
@@ -1334,6 +1335,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ratings",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__ChartState, has_ratings),
+    offsetof(Wp__ChartState, ratings),
+    NULL,
+    &wp__chart_state__ratings__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__chart_state__field_indices_by_name[] = {
   2,   /* field[2] = dwell_s */
@@ -1341,12 +1354,13 @@
   3,   /* field[3] = gate */
   0,   /* field[0] = name */
   5,   /* field[5] = on */
+  6,   /* field[6] = ratings */
   1,   /* field[1] = share */
 };
 static const ProtobufCIntRange wp__chart_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wp__chart_state__descriptor =
 {
@@ -1356,7 +1370,7 @@
   "Wp__ChartState",
   "wp",
   sizeof(Wp__ChartState),
-  6,
+  7,
   wp__chart_state__field_descriptors,
   wp__chart_state__field_indices_by_name,
   1,  wp__chart_state__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -234,11 +234,16 @@
   protobuf_c_boolean final;
   size_t n_on;
   Wp__ChartTransition **on;
+  /*
+   * that the gate wants
+   */
+  protobuf_c_boolean has_ratings;
+  uint32_t ratings;
 };
 extern char wp__chart_state__gate__default_value[];
 #define WP__CHART_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__chart_state__descriptor) \
-    , NULL, 0, -1, 0, 0u, wp__chart_state__gate__default_value, 0, 0, 0,NULL }
+    , NULL, 0, -1, 0, 0u, wp__chart_state__gate__default_value, 0, 0, 0,NULL, 0, 20u }
 
 
 struct  Wp__Chart
--- a/io/wp_runner.c
+++ b/io/wp_runner.c
@@ -248,9 +248,21 @@
     wp_agent_load(((WPRunner *)role)->agent, out);
 }
 
+static void send_handover(void *arg, const char *addr, const Wp__Handover *h)
+{
+    WPRunner *r = arg;
+    WPLink *l = wp_hub_link(wp_host_hub(r->host), addr);
+    Wp__Frame f = WP__FRAME__INIT;
+    f.body_case = WP__FRAME__BODY_HANDOVER;
+    f.handover = (Wp__Handover *)h;
+    if (l)
+        wp_link_send(l, &f);
+}
+
 static void role_tick(void *role, WPTime now)
 {
-    (void)now;
+    WPRunner *r = role;
+    wp_agent_offer(r->agent, now, send_handover, r);
     wp_engine_trim(role);
     drain(role);
 }
@@ -265,17 +277,6 @@
     wp_link_send(l, &f);
 }
 
-static void send_handover(void *arg, const char *addr, const Wp__Handover *h)
-{
-    WPRunner *r = arg;
-    WPLink *l = wp_hub_link(wp_host_hub(r->host), addr);
-    Wp__Frame f = WP__FRAME__INIT;
-    f.body_case = WP__FRAME__BODY_HANDOVER;
-    f.handover = (Wp__Handover *)h;
-    if (l)
-        wp_link_send(l, &f);
-}
-
 /* Entries are told directly; the platform's list lags. */
 static void role_leave(void *role, WPTime now)
 {
--- a/io/wp_steer.c
+++ b/io/wp_steer.c
@@ -2,6 +2,7 @@
  * it is. Each step is a change that holds only at the revision it was decided
  * on: whoever comes late, or back from a pause, loses. */
 #include "wp_change.h"
+#include "wp_guard.h"
 #include "wp_server_int.h"
 
 #define STEER_US (500 * WP_US_PER_MS)
@@ -23,7 +24,7 @@
     WPPolicy *p = wp_entry_policy(s->entry);
     const WPQuality *q = wp_node_quality(wp_host_node(s->host));
     GPtrArray *ops = wp_rollout_step(s->chart, p, q, now, why);
-    if (!ops) {
+    if (!ops && !wp_guard_off(s->settings->node, WP_GUARD_STOP_BAD)) {
         ops = wp_stop_bad(p, q, now, why);
         *stop = ops != NULL;
     }
--- a/src/wp_agent.c
+++ b/src/wp_agent.c
@@ -13,7 +13,8 @@
     WPOnce *once;
     WPBills *bills;
     char **versions;
-    uint32_t once_settle_ms;
+    uint32_t once_settle_ms, once_skew_ms;
+    GHashTable *offered; /* fellow's id -> incarnation that has our keys */
     bool leaving;
     bool off[WP_GUARD_COUNT];
     WPList held;    /* of WPJob */
@@ -30,6 +31,8 @@
     a->queue = wp_queue_new(s->slots, s->queue);
     a->once = wp_once_new(&rules);
     a->once_settle_ms = rules.settle_ms;
+    a->once_skew_ms = rules.skew_ms;
+    a->offered = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     a->bills = wp_bills_new(self->id, self->incarnation, s->node->bill_batch_ms,
                             s->node->bill_limit);
     if (wp_guard_off(s->node, WP_GUARD_BILL_RETRY))
@@ -51,6 +54,7 @@
     wp_policy_unref(a->policy);
     wp_queue_free(a->queue);
     wp_once_free(a->once);
+    g_hash_table_unref(a->offered);
     wp_bills_free(a->bills);
     g_strfreev(a->versions);
     g_free(a);
@@ -138,15 +142,16 @@
 {
     const Wp__Start *s = j->start;
     const Wp__Member *self = wp_node_self(a->node);
+    const WPMembers *t = wp_node_members(a->node);
     WPVerdict ok = { WP_VERDICT_RUN, WP_OK, 0 };
     if (!needs_key(a, s))
         return ok;
-    if (!wp_once_is_keeper(a->once, wp_node_members(a->node), self, s->version,
-                           s->once_key, (uint64_t)now.wall_ms))
+    if (!wp_once_is_keeper(a->once, t, self, s->version, s->once_key,
+                           (uint64_t)now.wall_ms))
         return refuse(WP_NOT_KEEPER, SETTLING_RETRY_MS);
-    if (wp_once_pending(a->once, now, self, s->version, s->once_key))
+    if (wp_once_pending(a->once, t, now, self, s->version, s->once_key))
         return refuse(WP_NOT_KEEPER, SETTLING_RETRY_MS);
-    uint64_t since = wp_once_since(a->once, self, s->version, s->once_key);
+    uint64_t since = wp_once_since(a->once, t, self, s->version, s->once_key);
     WPCode code =
         wp_once_begin(a->once, now, s->version, s->once_key, s->once_ms, since);
     j->holds_key = code == WP_OK;
@@ -381,25 +386,64 @@
     return false;
 }
 
+/* The keys that fall to `r` at the time given, in a message. */
+static void pass_to(WPAgent *a, const WPMemberRow *r, uint64_t at_ms,
+                    WPHandOver fn, void *arg)
+{
+    const Wp__Member *self = wp_node_self(a->node);
+    Wp__Handover h = WP__HANDOVER__INIT;
+    Passing p = { a, r->m->id, at_ms, a->once_settle_ms,
+                  g_ptr_array_new_with_free_func(g_free) };
+    wp_once_each(a->once, pass_key, &p);
+    h.agent = self->id;
+    h.incarnation = self->incarnation;
+    h.keys = (Wp__OnceKey **)p.keys->pdata;
+    h.n_keys = p.keys->len;
+    fn(arg, r->addr, &h);
+    g_ptr_array_unref(p.keys);
+}
+
+static bool is_fellow(const WPAgent *a, const Wp__Member *m)
+{
+    return m->role == WP__ROLE__ROLE_AGENT && !m->leaving &&
+           strcmp(m->id, wp_node_self(a->node)->id) && shares_version(a, m);
+}
+
 void wp_agent_hand_over(WPAgent *a, WPTime now, WPHandOver fn, void *arg)
 {
     const WPMembers *t = wp_node_members(a->node);
-    const Wp__Member *self = wp_node_self(a->node);
     for (unsigned i = 0; i < wp_members_live(t); i++) {
         const WPMemberRow *r = wp_members_live_at(t, i);
-        Wp__Handover h = WP__HANDOVER__INIT;
-        if (r->m->role != WP__ROLE__ROLE_AGENT || r->m->leaving ||
-            a->off[WP_GUARD_HANDOVER] || !shares_version(a, r->m))
-            continue;
-        Passing p = { a, r->m->id, (uint64_t)now.wall_ms, a->once_settle_ms,
-                      g_ptr_array_new_with_free_func(g_free) };
-        wp_once_each(a->once, pass_key, &p);
-        h.agent = self->id;
-        h.incarnation = self->incarnation;
-        h.keys = (Wp__OnceKey **)p.keys->pdata;
-        h.n_keys = p.keys->len;
-        fn(arg, r->addr, &h);
-        g_ptr_array_unref(p.keys);
+        if (is_fellow(a, r->m) && !a->off[WP_GUARD_HANDOVER])
+            pass_to(a, r, (uint64_t)now.wall_ms, fn, arg);
+    }
+}
+
+/* Notes that `m` is served; false when it was before. */
+static bool first_offer(WPAgent *a, const Wp__Member *m)
+{
+    uint64_t *n = g_hash_table_lookup(a->offered, m->id);
+    if (n && *n == m->incarnation)
+        return false;
+    n = g_new(uint64_t, 1);
+    *n = m->incarnation;
+    g_hash_table_replace(a->offered, g_strdup(m->id), n);
+    return true;
+}
+
+/* From `skew` before a fellow settles this agent does not run its keys any
+   more; from then on the fellow may have them. */
+void wp_agent_offer(WPAgent *a, WPTime now, WPHandOver fn, void *arg)
+{
+    const WPMembers *t = wp_node_members(a->node);
+    uint64_t at_ms = (uint64_t)now.wall_ms + a->once_skew_ms;
+    if (a->leaving || a->off[WP_GUARD_HANDOVER])
+        return;
+    for (unsigned i = 0; i < wp_members_live(t); i++) {
+        const WPMemberRow *r = wp_members_live_at(t, i);
+        if (r->m->incarnation + a->once_settle_ms <= at_ms &&
+            is_fellow(a, r->m) && first_offer(a, r->m))
+            pass_to(a, r, at_ms, fn, arg);
     }
 }
 
--- a/src/wp_agent.h
+++ b/src/wp_agent.h
@@ -68,6 +68,8 @@
    to send it. `h` lives during the call. */
 typedef void (*WPHandOver)(void *arg, const char *addr, const Wp__Handover *h);
 void wp_agent_hand_over(WPAgent *a, WPTime now, WPHandOver fn, void *arg);
+/* To be called now and then: keys for agents that are about to settle. */
+void wp_agent_offer(WPAgent *a, WPTime now, WPHandOver fn, void *arg);
 void wp_agent_handed(WPAgent *a, WPTime now, const Wp__Handover *h);
 
 void wp_agent_load(const WPAgent *a, Wp__Load *out);
--- a/src/wp_once.c
+++ b/src/wp_once.c
@@ -247,9 +247,30 @@
            score(l->id, key) > score(self->id, key);
 }
 
-bool wp_once_pending(const WPOnce *o, WPTime now, const Wp__Member *self,
-                     const char *version, const char *key)
+bool wp_once_all_handed(const WPOnce *o, const WPMembers *t,
+                        const Wp__Member *self, const char *version)
 {
+    for (unsigned i = 0; i < wp_members_live(t); i++) {
+        const Wp__Member *m = wp_members_live_at(t, i)->m;
+        if (m->role != WP__ROLE__ROLE_AGENT || m->leaving ||
+            !strcmp(m->id, self->id) ||
+            !serves(m->versions, m->n_versions, version))
+            continue;
+        const uint64_t *n = g_hash_table_lookup(o->handed, m->id);
+        if (!n || *n != m->incarnation)
+            return false;
+    }
+    return true;
+}
+
+bool wp_once_pending(const WPOnce *o, const WPMembers *t, WPTime now,
+                     const Wp__Member *self, const char *version,
+                     const char *key)
+{
+    uint64_t settles_ms = self->incarnation + o->rules.settle_ms;
+    if ((uint64_t)now.wall_ms < settles_ms + HANDOVER_MS &&
+        !wp_once_all_handed(o, t, self, version))
+        return true;
     for (guint i = 0; i < o->left->len; i++) {
         const Left *l = &g_array_index(o->left, Left, i);
         bool young = (uint64_t)now.wall_ms < l->left_ms + HANDOVER_MS;
@@ -259,10 +280,13 @@
     return false;
 }
 
-uint64_t wp_once_since(const WPOnce *o, const Wp__Member *self,
-                       const char *version, const char *key)
+uint64_t wp_once_since(const WPOnce *o, const WPMembers *t,
+                       const Wp__Member *self, const char *version,
+                       const char *key)
 {
-    uint64_t since = self->incarnation + o->rules.settle_ms;
+    uint64_t since = wp_once_all_handed(o, t, self, version)
+                         ? 0
+                         : self->incarnation + o->rules.settle_ms;
     for (guint i = 0; i < o->left->len; i++) {
         const Left *l = &g_array_index(o->left, Left, i);
         if (!was_handed(o, l) && came_before(l, self, version, key))
--- a/src/wp_once.h
+++ b/src/wp_once.h
@@ -55,13 +55,20 @@
 void wp_once_take(WPOnce *o, WPTime now, const char *key, bool done);
 void wp_once_handed(WPOnce *o, const char *id, uint64_t incarnation);
 
-/* Whether keys may still be on their way from an agent that has just begun
-   to leave and came before `self` for this key. */
-bool wp_once_pending(const WPOnce *o, WPTime now, const Wp__Member *self,
-                     const char *version, const char *key);
+/* Whether every other agent of the version has passed its keys on to `self`,
+   so that its time of joining makes no key's fate unknown. */
+bool wp_once_all_handed(const WPOnce *o, const WPMembers *t,
+                        const Wp__Member *self, const char *version);
+
+/* Whether keys may still be on their way: `self` has just settled, or an
+   agent that came before it for this key has just begun to leave. */
+bool wp_once_pending(const WPOnce *o, const WPMembers *t, WPTime now,
+                     const Wp__Member *self, const char *version,
+                     const char *key);
 
 /* Since when this agent surely is the keeper of `key`, in Unix ms. */
-uint64_t wp_once_since(const WPOnce *o, const Wp__Member *self,
-                       const char *version, const char *key);
+uint64_t wp_once_since(const WPOnce *o, const WPMembers *t,
+                       const Wp__Member *self, const char *version,
+                       const char *key);
 
 #endif
--- a/src/wp_rollout.c
+++ b/src/wp_rollout.c
@@ -127,7 +127,7 @@
     if (!dwelt || held)
         return NULL;
     if (!strcmp(s->gate, "quality") &&
-        wp_quality_count(q, r->spec->to) < WP_GATE_RATINGS)
+        wp_quality_count(q, r->spec->to) < s->ratings)
         return NULL;
     *why = "dwell and gate passed";
     return "next";
--- a/src/wp_rollout.h
+++ b/src/wp_rollout.h
@@ -7,9 +7,6 @@
 #include "settings.pb-c.h"
 #include "wp_quality.h"
 
-/* Ratings of the new version that the quality gate wants before `next`. */
-#define WP_GATE_RATINGS 20
-
 /* How far ahead a new share takes effect, so that every box knows it when it
    does: the time to be in force everywhere, and clocks that differ. */
 #define WP_SHARE_LEAD_MS 3000
--- a/tests/judge.c
+++ b/tests/judge.c
@@ -1,7 +1,7 @@
 /* Measures of a scenario, from what callers saw, what the engines' ledgers
  * hold and what the store keeps; never from the system's own word, but for
  * those that begin with box. or metric. */
-#include "site.h"
+#include "scenario.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -276,8 +276,32 @@
     return n;
 }
 
+/* rollout.NAME.FIELD; `state` gives 1 when it is the word after '='. */
+static double rollout_measure(Site *s, const char *name)
+{
+    g_auto(GStrv) parts = g_strsplit(name, ".", 2);
+    g_autofree char *text = NULL;
+    double n = NAN;
+    site_ctl(s, "-o json rollout status", &text);
+    g_auto(GStrv) lines = g_strsplit(text ? text : "", "\n", -1);
+    for (char **l = lines; *l; l++) {
+        json_t *j = json_loads(*l, 0, NULL);
+        const char *id = json_string_value(json_object_get(j, "name"));
+        if (id && !strcmp(id, parts[0])) {
+            g_auto(GStrv) want = g_strsplit(parts[1], "=", 2);
+            const json_t *v = json_object_get(j, want[0]);
+            n = want[1] ? !strcmp(json_string_value(v), want[1])
+                        : json_number_value(v);
+        }
+        json_decref(j);
+    }
+    return n;
+}
+
 double site_measure(Site *s, const char *name)
 {
+    if (g_str_has_prefix(name, "rollout."))
+        return rollout_measure(s, name + 8);
     if (g_str_has_prefix(name, "load."))
         return load_measure(s, name + 5);
     if (!strcmp(name, "runs.twice"))
--- /dev/null
+++ b/tests/run-scenarios.sh
@@ -0,0 +1,27 @@
+#!/bin/sh
+# Runs every scenario, some at a time, and sums up. Usage: run-scenarios.sh
+# [PARALLEL] [FILE...]
+cd "$(dirname "$0")/.." || exit 2
+jobs=${1:-4}
+[ $# -gt 0 ] && shift
+[ $# -gt 0 ] || set -- tests/scenarios/[0-9]*.yaml
+out=$(mktemp -d)
+for f in "$@"; do echo "$f"; done | xargs -P "$jobs" -I{} sh -c \
+    'n=$(basename {} .yaml); "${WP_BIN:-build}/wpscenario" {} >"'"$out"'/$n" 2>&1; echo $? >"'"$out"'/$n.code"'
+passed=0
+failed=0
+for f in "$@"; do
+    n=$(basename "$f" .yaml)
+    grep '^    ' "$out/$n"
+    if [ "$(cat "$out/$n.code")" = 0 ]; then
+        passed=$((passed + 1))
+        echo "ok   $n"
+    else
+        failed=$((failed + 1))
+        echo "FAIL $n"
+        grep -v '^    ' "$out/$n" | grep -E 'error|ERROR' | head -5
+    fi
+done
+rm -rf "$out"
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
--- a/tests/steps.c
+++ b/tests/steps.c
@@ -1,5 +1,5 @@
 /* The words of the scenario language. */
-#include "site.h"
+#include "scenario.h"
 
 #include <math.h>
 #include <signal.h>
--- a/tests/wpscenario.c
+++ b/tests/wpscenario.c
@@ -1,7 +1,7 @@
 /* wpscenario: runs scenario files over real processes. A scenario that names
  * a guard is run twice: without the guard it must fail, with it it must
  * pass. */
-#include "site.h"
+#include "scenario.h"
 #include "wp_pb.h"
 
 #include <setjmp.h>
@@ -15,24 +15,39 @@
     const char *file, *bin;
 } Job;
 
-/* NULL when it passed, else why it failed; free with g_free(). */
-static char *run_once(const Wp__Scenario *plan, const char *bin,
-                      const char *off)
+static char *run_steps(Site *s, const Wp__Scenario *plan)
 {
-    Site *s = site_new(plan, bin, off);
-    bool ok = site_up(s);
+    bool ok = true;
     for (size_t i = 0; ok && i < plan->n_steps; i++) {
         ok = site_step(s, plan->steps[i]);
         if (!ok)
             g_string_append_printf(s->why, "at step %zu", i + 1);
     }
-    if (!ok && s->load) {
-        json_t *codes = json_object_get(load_json(s->load), "codes");
-        g_autofree char *text = json_dumps(codes, JSON_COMPACT);
+    if (ok)
+        return NULL;
+    if (s->load) {
+        json_t *o = load_json(s->load);
+        g_autofree char *text =
+            json_dumps(json_object_get(o, "codes"), JSON_COMPACT);
         g_string_append_printf(s->why, "; refusals %s", text);
+        json_decref(o);
+    }
+    return g_strdup(s->why->str);
+}
+
+/* NULL when it passed, else why it failed; free with g_free(). A site that
+   does not come up proves nothing and fails the test either way. */
+static char *run_once(const Wp__Scenario *plan, const char *bin,
+                      const char *off)
+{
+    Site *s = site_new(plan, bin, off);
+    if (!site_up(s)) {
+        print_error("    %s: %s\n", plan->name, s->why->str);
+        site_free(s);
+        fail();
     }
-    char *why = ok ? NULL : g_strdup(s->why->str);
-    if (!ok && g_getenv("WP_KEEP"))
+    char *why = run_steps(s, plan);
+    if (why && g_getenv("WP_KEEP"))
         printf("    kept: %s\n", s->folder);
     site_free(s);
     return why;
--- a/tools/load.c
+++ b/tools/load.c
@@ -12,7 +12,8 @@
 #define TAIL_MOST 20.0
 #define SESSION_TURNS 8
 #define CALL_TIMEOUT_S 60
-#define REPEAT_PAUSE_US (20 * WP_US_PER_MS)
+#define HEALTH_MS 100
+#define HEALTH_TIMEOUT_MS 500
 
 typedef struct Session {
     char id[40];
@@ -24,7 +25,9 @@
 typedef struct Target {
     char *host;
     uint16_t port;
-    GQueue idle; /* of evhttp_connection */
+    GQueue idle;    /* of evhttp_connection */
+    WPHttp *health; /* as the platform's balancer asks */
+    bool well, asking;
 } Target;
 
 struct Load {
@@ -35,7 +38,7 @@
     WPHttp *ratings;
     GHashTable *costs, *offered;
     GRand *rand;
-    struct event *timer;
+    struct event *timer, *health;
     int64_t start_us, next_us;
     uint64_t serial, open;
     bool stopped;
@@ -52,6 +55,7 @@
     Session *session;
     int64_t start_us, first_us, last_us;
     unsigned tokens, repeats;
+    bool told; /* an error event said that the rest will not come */
     GString *text, *raw;
     char *prompt, *once;
     LoadFate fate;
@@ -101,12 +105,36 @@
                         g_strdup_printf("You answer for depot %u.", i));
 }
 
+static void on_health(void *arg, int status, WPStr body)
+{
+    Target *t = arg;
+    (void)body;
+    t->asking = false;
+    t->well = status == 200;
+}
+
+static void on_health_timer(evutil_socket_t fd, short what, void *arg)
+{
+    Load *l = arg;
+    (void)fd;
+    (void)what;
+    for (size_t i = 0; i < l->n_targets; i++) {
+        Target *t = &l->targets[i];
+        if (!t->asking)
+            wp_http_call(t->health, "/healthz", NULL, on_health, t);
+        t->asking = true;
+    }
+}
+
 static bool make_targets(Load *l, char **entries, size_t n)
 {
     l->targets = g_new0(Target, n);
     l->n_targets = n;
     for (size_t i = 0; i < n; i++) {
         g_queue_init(&l->targets[i].idle);
+        l->targets[i].well = true;
+        l->targets[i].health =
+            wp_http_new(l->base, entries[i], HEALTH_TIMEOUT_MS);
         if (!wp_http_target(entries[i], &l->targets[i].host,
                             &l->targets[i].port))
             return false;
@@ -135,6 +163,9 @@
     l->r.between_ms = g_array_new(FALSE, FALSE, sizeof(double));
     l->r.fates = g_array_new(FALSE, FALSE, sizeof(LoadFate));
     l->timer = evtimer_new(base, on_timer, l);
+    l->health = event_new(base, -1, EV_PERSIST, on_health_timer, l);
+    struct timeval every = { 0, HEALTH_MS * WP_US_PER_MS };
+    event_add(l->health, &every);
     l->sessions = g_new0(Session *, mix->n_items + 1);
     make_prefixes(l);
     for (size_t i = 0; i < mix->n_items; i++) {
@@ -153,10 +184,12 @@
     if (!l)
         return;
     event_free(l->timer);
+    event_free(l->health);
     for (size_t i = 0; i < l->n_targets; i++) {
         struct evhttp_connection *c;
         while ((c = g_queue_pop_head(&l->targets[i].idle)))
             evhttp_connection_free(c);
+        wp_http_free(l->targets[i].health);
         g_free(l->targets[i].host);
     }
     for (size_t i = 0; i < l->mix->n_items; i++) {
@@ -219,6 +252,7 @@
     const char *text = json_string_value(json_object_get(delta, "content"));
     if (text)
         note_token(c, text);
+    c->told |= json_object_get(j, "error") != NULL;
     json_decref(j);
 }
 
@@ -327,7 +361,10 @@
     if (!c->item->stream || c->item->service)
         read_plain(c);
     if (!c->done_seen) {
-        l->r.cut++;
+        l->r.cut += !c->told;
+        l->r.unknown += c->told;
+        if (c->session)
+            c->session->busy = false;
         return;
     }
     if (!strstr(c->text->str, c->item->service ? c->prompt : c->fate.digest)) {
@@ -386,6 +423,7 @@
     g_string_truncate(c->raw, 0);
     g_string_truncate(c->text, 0);
     c->done_seen = false;
+    c->told = false;
     c->first_us = 0;
     send_call(c);
     return true;
@@ -543,13 +581,26 @@
     g_strlcpy(c->fate.digest, sum, 17);
 }
 
+/* Like the platform's balancer: any entry that says it is well. */
+static Target *pick_target(Load *l)
+{
+    gint n = (gint)l->n_targets;
+    gint start = g_rand_int_range(l->rand, 0, n);
+    for (gint i = 0; i < n; i++) {
+        Target *t = &l->targets[(start + i) % n];
+        if (t->well)
+            return t;
+    }
+    return &l->targets[start];
+}
+
 static void new_call(Load *l)
 {
     size_t i = pick_item(l);
     Call *c = g_new0(Call, 1);
     c->load = l;
     c->item = l->mix->items[i];
-    c->target = &l->targets[g_rand_int_range(l->rand, 0, (gint)l->n_targets)];
+    c->target = pick_target(l);
     c->session = pick_session(l, i);
     c->text = g_string_new(NULL);
     c->raw = g_string_new(NULL);
--- a/tests/site.c
+++ b/tools/site.c
@@ -15,18 +15,44 @@
 
 #define ALL_VERSIONS_KEY "versions"
 
-static uint16_t free_port(void)
+/* Ports lie below those that the system gives to outgoing connections. A site
+   holds the first port of its block for as long as it lives, so that sites
+   running side by side keep apart. */
+#define FIRST_PORT 10000
+#define LAST_PORT 32000
+#define BLOCK_PORTS 160
+
+static int bind_port(uint16_t port)
 {
     struct sockaddr_in sa = { .sin_family = AF_INET };
-    socklen_t len = sizeof(sa);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    uint16_t port = 0;
-    if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 &&
-        getsockname(fd, (struct sockaddr *)&sa, &len) == 0)
-        port = ntohs(sa.sin_port);
+    sa.sin_port = htons(port);
+    if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+        return fd;
     close(fd);
-    return port;
+    return -1;
+}
+
+static void take_block(Site *s)
+{
+    gint blocks = (LAST_PORT - FIRST_PORT) / BLOCK_PORTS;
+    s->lock = -1;
+    while (s->lock < 0) {
+        gint k = g_random_int_range(0, blocks);
+        s->next_port = (uint16_t)(FIRST_PORT + k * BLOCK_PORTS);
+        s->lock = bind_port(s->next_port);
+    }
+}
+
+/* The next port of the block that nobody else is listening on. */
+static uint16_t free_port(Site *s)
+{
+    int fd = -1;
+    while (fd < 0)
+        fd = bind_port(++s->next_port);
+    close(fd);
+    return s->next_port;
 }
 
 static Proc *add_proc(Site *s, const char *name, const char *program)
@@ -35,9 +61,9 @@
     p->name = g_strdup(name);
     p->program = program;
     p->config = g_strdup_printf("%s/%s.yaml", s->folder, name);
-    p->port = free_port();
-    p->peer_port = free_port();
-    p->admin_port = free_port();
+    p->port = free_port(s);
+    p->peer_port = free_port(s);
+    p->admin_port = free_port(s);
     g_ptr_array_add(s->procs, p);
     return p;
 }
@@ -58,21 +84,51 @@
     write_config(p, t);
 }
 
+/* The part of a plan's node line that is for this process, or NULL; "NAME|"
+   before a line makes it for one process only. */
+static const char *line_for(const Proc *p, const char *line)
+{
+    const char *bar = strchr(line, '|');
+    size_t n = bar ? (size_t)(bar - line) : 0;
+    if (!bar)
+        return line;
+    return strlen(p->name) == n && !strncmp(p->name, line, n) ? bar + 1 : NULL;
+}
+
+/* Adds "key: value" unless the plan says it otherwise. */
+static void add_line(Site *s, const Proc *p, GString *t, const char *line)
+{
+    size_t key = strcspn(line, ":");
+    for (size_t i = 0; i < s->plan->n_node; i++) {
+        const char *own = line_for(p, s->plan->node[i]);
+        if (own && !strncmp(own, line, key + 1))
+            return;
+    }
+    g_string_append_printf(t, "  %s\n", line);
+}
+
 static void add_node_lines(Site *s, const Proc *p, unsigned zone, GString *t)
 {
+    static const char *const quick[] = {
+        "gossip_ms: 100",     "heartbeat_ms: 100",  "dead_ms: 1000",
+        "boxes_poll_ms: 200", "bill_batch_ms: 200", "once_settle_ms: 500",
+        "once_skew_ms: 100",  "test_hooks: true",
+    };
     g_string_append_printf(
         t,
         "node:\n  id: %s\n  zone: z%u\n  peer_port: %u\n  admin_port: %u\n"
         "  store: [127.0.0.1:%u]\n  boxes: 127.0.0.1:%u\n"
-        "  ratings: 127.0.0.1:%u\n  seed: %lu\n  test_hooks: true\n"
-        "  gossip_ms: 100\n  heartbeat_ms: 100\n  dead_ms: 1000\n"
-        "  boxes_poll_ms: 200\n  bill_batch_ms: 200\n  once_settle_ms: 500\n"
-        "  once_skew_ms: 100\n",
+        "  ratings: 127.0.0.1:%u\n  seed: %lu\n",
         p->name, zone, p->peer_port, p->admin_port, site_proc(s, "kv")->port,
         site_proc(s, "boxes")->port, site_proc(s, "ratings")->port,
         (unsigned long)s->plan->seed * 100 + s->procs->len);
-    for (size_t i = 0; i < s->plan->n_node; i++)
-        g_string_append_printf(t, "  %s\n", s->plan->node[i]);
+    for (size_t i = 0; i < WP_COUNT(quick); i++)
+        add_line(s, p, t, quick[i]);
+    for (size_t i = 0; i < s->plan->n_node; i++) {
+        const char *own = line_for(p, s->plan->node[i]);
+        if (own)
+            g_string_append_printf(t, "  %s\n", own);
+    }
     if (s->off)
         g_string_append_printf(t, "  test_off: [%s]\n", s->off);
 }
@@ -134,6 +190,7 @@
     s->bin = g_strdup(bin);
     s->folder = g_dir_make_tmp("wpsite-XXXXXX", NULL);
     s->procs = g_ptr_array_new();
+    take_block(s);
     s->marks = g_array_new(FALSE, TRUE, sizeof(Mark));
     s->why = g_string_new(NULL);
     add_stand(s, "kv", "kv", "");
@@ -432,5 +489,6 @@
     g_free(s->bin);
     g_string_free(s->why, TRUE);
     event_base_free(s->base);
+    close(s->lock);
     g_free(s);
 }
--- a/tests/site.h
+++ b/tools/site.h
@@ -28,6 +28,8 @@
     GArray *marks;    /* of Mark */
     Wp__Mix *mix;
     Load *load;
+    int lock;           /* socket that holds the block of ports */
+    uint16_t next_port; /* of the block */
     int ctl_exit;
     GString *why; /* what failed, for the report */
 } Site;
@@ -59,10 +61,4 @@
 void site_box(Site *s, const Proc *p, const char *state);
 bool site_load(Site *s, const char *file, double seconds, double rate);
 
-/* judge.c: the value of a measure by name; NAN when there is no such. */
-double site_measure(Site *s, const char *name);
-
-/* steps.c */
-bool site_step(Site *s, const Wp__Step *step);
-
 #endif
