--- a/src/wp_node_int.h
+++ b/src/wp_node_int.h
@@ -10,6 +10,8 @@
 #define WP_CONFIRM_US (2 * WP_US_PER_S)
 /* After this long without any confirmation every box asks for itself. */
 #define WP_CONFIRM_LATE_US (15 * WP_US_PER_S)
+/* Reads a second that boxes without a turn may ask for, all together. */
+#define WP_FLEET_READS_PER_S 400
 #define WP_STORE_RETRY_US (250 * WP_US_PER_MS)
 #define WP_STORE_RETRY_MOST_US (20 * WP_US_PER_S)
 #define WP_RATINGS_US (1 * WP_US_PER_S)
@@ -34,6 +36,7 @@
     bool ready;
     /* Store. */
     bool store_up, store_asked_once, watching, reading_all;
+    bool late; /* no confirmation for long; its asking is planned */
     int64_t head_due_us, head_pause_us;
     uint64_t head_seen; /* highest revision the store has shown */
     int64_t confirmed_us;
--- a/src/wp_node_store.c
+++ b/src/wp_node_store.c
@@ -25,6 +25,15 @@
     wp_node_act(n, WP_ACT_READY);
 }
 
+/* The pause between askings of a box without a turn: the more boxes, the
+   longer, so that an outage does not end in a storm. */
+static int64_t lone_pause_us(const WPNode *n)
+{
+    int64_t share = (int64_t)wp_members_live(n->members) * WP_US_PER_S /
+                    WP_FLEET_READS_PER_S;
+    return MAX(share, WP_CONFIRM_US);
+}
+
 static void set_store_up(WPNode *n, WPTime now, bool up)
 {
     if (n->store_up != up || !n->store_asked_once)
@@ -37,8 +46,10 @@
         return;
     }
     wp_count(&n->counters, WP_C_STORE_ERRORS);
-    n->head_due_us = now.mono_us + n->head_pause_us / 2 +
-                     wp_node_jitter(n, n->head_pause_us);
+    int64_t pause = n->head_pause_us;
+    if (n->ready && !on_watch_duty(n))
+        pause = MAX(pause, lone_pause_us(n));
+    n->head_due_us = now.mono_us + pause / 2 + wp_node_jitter(n, pause);
     n->head_pause_us = MIN(2 * n->head_pause_us, WP_STORE_RETRY_MOST_US);
 }
 
@@ -108,14 +119,24 @@
         MIN(n->head_due_us, now.mono_us + wp_node_jitter(n, WP_STORE_RETRY_US));
 }
 
-static void head_tick(WPNode *n, WPTime now, bool duty)
+/* Whether a box that is ready and has no turn should ask for itself. */
+static bool wonders(WPNode *n, WPTime now)
 {
     bool late =
         !n->confirmed || now.mono_us - n->confirmed_us > WP_CONFIRM_LATE_US;
-    if (now.mono_us < n->head_due_us || !(duty || late || !n->ready))
+    if (late && !n->late)
+        n->head_due_us = now.mono_us + wp_node_jitter(n, lone_pause_us(n));
+    n->late = late;
+    return late;
+}
+
+static void head_tick(WPNode *n, WPTime now, bool duty)
+{
+    bool asks = duty || !n->ready || wonders(n, now);
+    int64_t pause = duty || !n->ready ? WP_CONFIRM_US : lone_pause_us(n);
+    if (!asks || now.mono_us < n->head_due_us)
         return;
-    n->head_due_us =
-        now.mono_us + WP_CONFIRM_US / 2 + wp_node_jitter(n, WP_CONFIRM_US);
+    n->head_due_us = now.mono_us + pause / 2 + wp_node_jitter(n, pause);
     wp_count(&n->counters, WP_C_STORE_READS);
     wp_node_act(n, WP_ACT_READ_HEAD);
 }
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,255 @@
+/* The course of a request through the entry, with every answer an agent can
+ * give, on a table of boxes made by hand. */
+#include "entry_fake.h"
+
+#define RULES                                                                  \
+    "versions:\n"                                                              \
+    "  - {name: cheap, cost_out: 1, quality_prior: 0.9, prior_weight: 100}\n"  \
+    "  - {name: strong, cost_out: 10, quality_prior: 0.97, prior_weight: "     \
+    "100}\n"                                                                   \
+    "kinds:\n"                                                                 \
+    "  - {name: tag, quality_target: 0.8}\n"                                   \
+    "  - {name: plan, strict: true, quality_target: 0.9}\n"                    \
+    "  - {name: ping, repeatable: false, quality_target: 0.8}\n"               \
+    "  - {name: digest, cascade: true, quality_target: 0.93}\n"                \
+    "workspaces: [{name: w}]\n"                                                \
+    "selectors: [{name: s}]\n"
+
+static char cheap[] = "cheap", strong[] = "strong";
+static char *both[] = { cheap, strong };
+
+static Fake *with_agents(unsigned n)
+{
+    Fake *f = fake_new(RULES, NULL);
+    for (unsigned i = 0; i < n; i++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "a%u", i + 1);
+        Wp__Member m = fake_agent(id, i + 1, both, 2);
+        fake_member(f, &m);
+    }
+    return f;
+}
+
+static Wp__End end_of(bool whole)
+{
+    static Wp__Usage usage;
+    Wp__End e = WP__END__INIT;
+    wp__usage__init(&usage);
+    usage.answer_tokens = 5;
+    e.usage = &usage;
+    e.bill_seq = 7;
+    e.has_whole = 1;
+    e.whole = whole;
+    return e;
+}
+
+static void the_cheapest_that_meets_the_target_answers(void **state)
+{
+    Fake *f = with_agents(2);
+    WPStep step;
+    (void)state;
+    WPRequest *r = fake_ask(f, "tag", &step);
+    assert_int_equal(step.kind, WP_STEP_SEND);
+    assert_string_equal(r->version, "cheap");
+    wp_request_free(r);
+    r = fake_ask(f, "plan", &step);
+    assert_string_equal(r->version, "strong");
+    wp_request_free(r);
+    fake_free(f);
+}
+
+/* The first leg's fate is unknown, the second is refused: the whole request
+   must not be called not run, and has one bill. */
+static void unknown_then_refused_is_unknown(void **state)
+{
+    Fake *f = with_agents(2);
+    WPStep step;
+    (void)state;
+    WPRequest *r = fake_ask(f, "tag", &step);
+    step = wp_entry_lost(f->entry, f->now, r, true);
+    assert_int_equal(step.kind, WP_STEP_SEND);
+    step = wp_entry_refused(f->entry, f->now, r, WP_OVERLOADED, WP_RAN_NOT_RUN,
+                            100);
+    assert_int_equal(step.kind, WP_STEP_FINAL);
+    assert_int_equal(wp_code_info(step.code)->ran, WP_RAN_UNKNOWN);
+    assert_int_equal(wp_bills_pending(wp_entry_bills(f->entry)), 1);
+    wp_request_free(r);
+    fake_free(f);
+}
+
+static void what_may_not_be_repeated_is_sent_once(void **state)
+{
+    Fake *f = with_agents(3);
+    WPStep step;
+    (void)state;
+    WPRequest *r = fake_ask(f, "ping", &step);
+    assert_int_equal(step.kind, WP_STEP_SEND);
+    step = wp_entry_lost(f->entry, f->now, r, true);
+    assert_int_equal(step.kind, WP_STEP_FINAL);
+    assert_int_equal(step.code, WP_LINK_LOST);
+    wp_request_free(r);
+    /* Before anything left this box, it was surely not run. */
+    r = fake_ask(f, "ping", &step);
+    while (step.kind == WP_STEP_SEND)
+        step = wp_entry_lost(f->entry, f->now, r, false);
+    assert_int_equal(step.code, WP_ENDPOINT_DOWN);
+    assert_int_equal(wp_code_info(step.code)->ran, WP_RAN_NOT_RUN);
+    wp_request_free(r);
+    fake_free(f);
+}
+
+static void a_passed_on_answer_is_not_begun_again(void **state)
+{
+    Fake *f = with_agents(3);
+    WPStep step;
+    (void)state;
+    WPRequest *r = fake_ask(f, "tag", &step);
+    r->passed_on = true;
+    step = wp_entry_lost(f->entry, f->now, r, true);
+    assert_int_equal(step.kind, WP_STEP_FINAL);
+    assert_int_equal(step.code, WP_LINK_LOST);
+    wp_request_free(r);
+    fake_free(f);
+}
+
+/* All agents refuse everything: attempts stay within the share. */
+static void retries_are_a_share_of_traffic(void **state)
+{
+    Fake *f = with_agents(4);
+    unsigned attempts = 0, requests = 2000;
+    (void)state;
+    for (unsigned i = 0; i < requests; i++) {
+        WPStep step;
+        f->now.mono_us += 1000;
+        WPRequest *r = fake_ask(f, "tag", &step);
+        while (step.kind == WP_STEP_SEND) {
+            attempts++;
+            step = wp_entry_refused(f->entry, f->now, r, WP_OVERLOADED,
+                                    WP_RAN_NOT_RUN, 1);
+        }
+        assert_int_equal(step.kind, WP_STEP_FINAL);
+        assert_true(step.retry_after_ms > 0);
+        wp_request_free(r);
+    }
+    assert_true(attempts <= requests * 1.1 + 10);
+    fake_free(f);
+}
+
+/* The agent knew of the withdrawal first; the entry learns and goes on. */
+static void a_refused_version_is_chosen_anew(void **state)
+{
+    Fake *f = with_agents(2);
+    WPStep step;
+    (void)state;
+    WPRequest *r = fake_ask(f, "tag", &step);
+    assert_string_equal(r->version, "cheap");
+    fake_config(f,
+                "versions:\n"
+                "  - {name: cheap, cost_out: 1, withdrawn: true}\n"
+                "  - {name: strong, cost_out: 10, quality_prior: 0.97}\n"
+                "kinds: [{name: tag, quality_target: 0.8}]\n"
+                "workspaces: [{name: w}]\nselectors: [{name: s}]\n",
+                2);
+    step = wp_entry_refused(f->entry, f->now, r, WP_VERSION_REFUSED,
+                            WP_RAN_NOT_RUN, 0);
+    assert_int_equal(step.kind, WP_STEP_SEND);
+    assert_string_equal(r->version, "strong");
+    wp_request_free(r);
+    fake_free(f);
+}
+
+static void a_cascade_escalates_only_after_a_failed_check(void **state)
+{
+    Fake *f = with_agents(2);
+    WPStep step;
+    Wp__End end = end_of(true);
+    (void)state;
+    WPRequest *r = fake_ask(f, "digest", &step);
+    assert_string_equal(r->version, "cheap");
+    assert_string_equal(r->escalate, "strong");
+    step = wp_entry_ended(f->entry, f->now, r, &end);
+    assert_int_equal(step.kind, WP_STEP_CHECK);
+    step = wp_entry_checked(f->entry, f->now, r, false);
+    assert_int_equal(step.kind, WP_STEP_SEND);
+    assert_string_equal(r->version, "strong");
+    assert_int_equal(r->step, 1);
+    step = wp_entry_ended(f->entry, f->now, r, &end);
+    assert_int_equal(step.kind, WP_STEP_DONE);
+    wp_request_free(r);
+    r = fake_ask(f, "digest", &step);
+    step = wp_entry_ended(f->entry, f->now, r, &end);
+    step = wp_entry_checked(f->entry, f->now, r, true);
+    assert_int_equal(step.kind, WP_STEP_DONE);
+    wp_request_free(r);
+    fake_free(f);
+}
+
+static void a_cut_answer_is_not_whole(void **state)
+{
+    Fake *f = with_agents(1);
+    WPStep step;
+    Wp__End end = end_of(false);
+    (void)state;
+    WPRequest *r = fake_ask(f, "plan", &step);
+    step = wp_entry_ended(f->entry, f->now, r, &end);
+    assert_int_equal(step.kind, WP_STEP_FINAL);
+    assert_int_equal(wp_code_info(step.code)->ran, WP_RAN_UNKNOWN);
+    /* The agent has made the bill: none of our own beside it. */
+    assert_int_equal(wp_bills_pending(wp_entry_bills(f->entry)), 0);
+    wp_request_free(r);
+    fake_free(f);
+}
+
+static void failing_endpoints_are_set_aside_and_tried_again(void **state)
+{
+    Fake *f = with_agents(2);
+    WPEndpoint *a1 = wp_entry_endpoint(f->entry, "a1");
+    (void)state;
+    for (int i = 0; i < 3; i++) {
+        wp_endpoint_sent(a1);
+        wp_endpoint_ended(a1, false, 0, f->now.mono_us);
+    }
+    assert_false(wp_endpoint_usable(a1, f->now.mono_us));
+    int64_t later = a1->ejected_until_us;
+    assert_true(wp_endpoint_usable(a1, later));
+    /* One request tries it; no second beside it. */
+    wp_endpoint_sent(a1);
+    assert_false(wp_endpoint_usable(a1, later));
+    wp_endpoint_ended(a1, true, 1000, later);
+    assert_true(wp_endpoint_usable(a1, later));
+    fake_free(f);
+}
+
+/* Bills of an agent that is gone, or was replaced, are written by the entry;
+   those it has settled are not. */
+static void bills_of_the_dead_are_taken_over(void **state)
+{
+    Fake *f = with_agents(1);
+    WPStep step;
+    Wp__End end = end_of(true);
+    (void)state;
+    for (uint64_t seq = 1; seq <= 3; seq++) {
+        WPRequest *r = fake_ask(f, "tag", &step);
+        end.bill_seq = seq;
+        wp_entry_ended(f->entry, f->now, r, &end);
+        wp_request_free(r);
+    }
+    wp_entry_settled(f->entry, "a1", 1, 1);
+    assert_int_equal(wp_bills_pending(wp_entry_bills(f->entry)), 0);
+    Wp__Member m = fake_agent("a1", 1, both, 2);
+    m.incarnation = 2;
+    fake_member(f, &m);
+    assert_int_equal(wp_bills_pending(wp_entry_bills(f->entry)), 2);
+    fake_free(f);
+}
+
+TESTS_MAIN(T(the_cheapest_that_meets_the_target_answers),
+           T(unknown_then_refused_is_unknown),
+           T(what_may_not_be_repeated_is_sent_once),
+           T(a_passed_on_answer_is_not_begun_again),
+           T(retries_are_a_share_of_traffic),
+           T(a_refused_version_is_chosen_anew),
+           T(a_cascade_escalates_only_after_a_failed_check),
+           T(a_cut_answer_is_not_whole),
+           T(failing_endpoints_are_set_aside_and_tried_again),
+           T(bills_of_the_dead_are_taken_over))
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -9,11 +9,11 @@
 
 #define TWO(more1, more2)                                                      \
     KINDS                                                                      \
-        "versions:\n"                                                          \
-        "  - {name: v1, added_ms: 1000, quality_prior: 0.9, cost_out: 2" more1 \
-        "}\n"                                                                  \
-        "  - {name: v2, added_ms: 5000, quality_prior: 0.9, cost_out: 1" more2 \
-        "}\n"
+    "versions:\n"                                                              \
+    "  - {name: v1, added_ms: 1000, quality_prior: 0.9, cost_out: 2" more1     \
+    "}\n"                                                                      \
+    "  - {name: v2, added_ms: 5000, quality_prior: 0.9, cost_out: 1" more2     \
+    "}\n"
 
 static char *sign(const WPPolicy *p, const char *version, uint64_t start_ms)
 {
