make bench: policies against baselines in virtual time

Cause: the users' measures had no tables. Change: bench/lab.c passes requests between the product's entries and agents and small fakes of engines and raters; every policy of the same table of functions is run over the same seeds.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 COMMON := $(BUILD)/cmd/daemon.o
 BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload)
 UNIT := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo) $(UNIT)
+TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench) $(UNIT)
 
 all: $(BIN)
 
@@ -56,6 +56,8 @@
 $(BUILD)/wpscenario: $(patsubst %.c,$(BUILD)/%.o,tests/wpscenario.c tests/judge.c tests/steps.c) $(SITE) $(LIB)
 $(BUILD)/wpdemo: $(BUILD)/tools/wpdemo.o $(SITE) $(LIB)
 
+$(BUILD)/wpbench: $(patsubst %.c,$(BUILD)/%.o,bench/wpbench.c bench/lab.c) $(LIB)
+
 $(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/bench/fleet.o $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
@@ -85,6 +87,9 @@
 scenarios: tests
 	@WP_BIN=$(BUILD) tests/run-scenarios.sh $(PARALLEL)
 
+bench: tests
+	@$(BUILD)/wpbench $(TABLES)
+
 asan:
 	@$(MAKE) -s -j4 CONFIG_ASAN=y tests
 	@ASAN_OPTIONS=quarantine_size_mb=1 BUILD=build-asan tests/run-all.sh unit
@@ -120,5 +125,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all tests deps demo check unit scenarios asan format lint proto \
+.PHONY: all tests deps demo check unit scenarios asan bench format lint proto \
         install help clean
