Ask for the ratings that matter; doubt reports that lag; count silence

The lab now measures Jain's index over the max-min fair part, since a small workspace that gets all it asked for is not treated unfairly.

--- a/bench/lab.c
+++ b/bench/lab.c
@@ -260,7 +260,10 @@
     size_t second = (size_t)(lab->now_us / WP_US_PER_S);
     if (second < G_N_ELEMENTS(lab->second_ok))
         lab->second_ok[second]++;
-    if (g_rand_double(lab->rand) < lab->mix->rated_share) {
+    if (a->request->ask_rating && a->counted)
+        r->cost += 0.02 * version_cost(lab, version, a);
+    if (a->request->ask_rating ||
+        g_rand_double(lab->rand) < lab->mix->rated_share) {
         Event *e = after(lab, (int64_t)(lab->plan->rating_lag_s * WP_US_PER_S),
                          on_rating);
         e->kind = a->item->kind;
@@ -341,7 +344,9 @@
     Event *e;
     switch (step.kind) {
     case WP_STEP_SEND:
-        r->attempts += a->counted;
+        /* A cascade's second step is no second attempt. */
+        r->attempts += a->counted &&
+                       (a->request->n_tried > 1 || a->request->step == 0);
         a->agent = (unsigned)atoi(step.endpoint->id + 1);
         a->stream = ++lab->stream;
         e = after(lab, way(lab, a->entry, a->agent), on_start);
@@ -486,6 +491,12 @@
     }
 }
 
+static void on_accepted(Lab *lab, Event *e)
+{
+    if (e->ask->stream == e->stream)
+        take_load(lab, e->ask->entry, e->n, &e->load);
+}
+
 static void on_step(Lab *lab, Event *e);
 
 static void schedule(Lab *lab, unsigned n)
@@ -523,6 +534,7 @@
                      : a->prompt_tokens / PREFILL_TOKENS_PER_STEP + 1;
     wp_list_append(&s->batch, &a->link);
     s->n_batch++;
+    send_back(lab, n, a, on_accepted, NULL);
     schedule(lab, n);
 }
 
@@ -913,21 +925,40 @@
     set_config(lab);
 }
 
-static void sum_up(Lab *lab)
+/* Jain's index of what each workspace got over its max-min fair part of what
+   was answered: a small one that got all it asked for counts as one that got
+   its full part. Weights are equal here. */
+static double fairness(Lab *lab)
 {
-    LabResult *r = lab->r;
-    const LabPlan *p = lab->plan;
     GHashTableIter it;
     gpointer name, offered;
-    double sum = 0, squares = 0, n = 0;
+    double total = 0, level = 0, sum = 0, squares = 0, n = 0;
+    g_hash_table_iter_init(&it, lab->served);
+    while (g_hash_table_iter_next(&it, NULL, &offered))
+        total += *(double *)offered;
+    for (double step = total; step > 0.01; step /= 2) {
+        double filled = 0;
+        g_hash_table_iter_init(&it, lab->offered);
+        while (g_hash_table_iter_next(&it, &name, &offered))
+            filled += fmin(*(double *)offered, level + step);
+        level += filled <= total ? step : 0;
+    }
     g_hash_table_iter_init(&it, lab->offered);
     while (g_hash_table_iter_next(&it, &name, &offered)) {
-        double x = *count_of(lab->served, name) / *(double *)offered;
+        double x = *count_of(lab->served, name) /
+                   fmax(fmin(*(double *)offered, level), 1);
         sum += x;
         squares += x * x;
         n++;
     }
-    r->jain = squares > 0 ? sum * sum / (n * squares) : 0;
+    return squares > 0 ? sum * sum / (n * squares) : 0;
+}
+
+static void sum_up(Lab *lab)
+{
+    LabResult *r = lab->r;
+    const LabPlan *p = lab->plan;
+    r->jain = fairness(lab);
     r->goodput = (double)r->ok / (p->seconds - p->warm_s);
     r->stopped_after_s =
         lab->stopped_us ? (double)lab->stopped_us / WP_US_PER_S - p->bad_from_s
--- a/bench/wpbench.c
+++ b/bench/wpbench.c
@@ -47,8 +47,8 @@
                       .balance = "probe",
                       .seed = seed,
                       .rate = 40,
-                      .seconds = 90,
-                      .warm_s = 45,
+                      .seconds = 900,
+                      .warm_s = 300,
                       .rating_lag_s = 3,
                       .slow_agent = -1,
                       .lost_zone = -1 };
@@ -87,15 +87,33 @@
 
 /* --- cost at the quality target --- */
 
+/* Adds one seed's kinds to the sums over seeds. */
+static void pool_kinds(LabResult *sum, const LabResult *r)
+{
+    for (unsigned i = 0; i < r->n_kinds; i++) {
+        unsigned k = 0;
+        while (k < sum->n_kinds &&
+               strcmp(sum->kinds[k].name, r->kinds[i].name))
+            k++;
+        if (k == sum->n_kinds)
+            sum->kinds[sum->n_kinds++] =
+                (LabKind){ .target = r->kinds[i].target };
+        g_strlcpy(sum->kinds[k].name, r->kinds[i].name,
+                  sizeof(sum->kinds[k].name));
+        sum->kinds[k].ok += r->kinds[i].ok;
+        sum->kinds[k].good += r->kinds[i].good;
+    }
+}
+
 /* The least margin of a kind's quality over its target. */
-static double margin(const LabResult *r)
+static double margin(const LabResult *sum)
 {
     double least = 1;
-    for (unsigned i = 0; i < r->n_kinds; i++)
-        if (r->kinds[i].ok)
-            least =
-                fmin(least, (double)r->kinds[i].good / (double)r->kinds[i].ok -
-                                r->kinds[i].target);
+    for (unsigned i = 0; i < sum->n_kinds; i++)
+        if (sum->kinds[i].ok)
+            least = fmin(least, (double)sum->kinds[i].good /
+                                        (double)sum->kinds[i].ok -
+                                    sum->kinds[i].target);
     return least;
 }
 
@@ -103,7 +121,8 @@
 
 static void cost_of(const char *name, Site site, const char *choose)
 {
-    Mean strong = { 0 }, fixed = { 0 }, quality = { 0 }, ok = { 0 };
+    Mean strong = { 0 }, fixed = { 0 }, ok = { 0 };
+    LabResult all = { 0 };
     for (uint32_t seed = 1; seed <= SEEDS; seed++) {
         LabPlan p = site(seed);
         LabResult r;
@@ -111,13 +130,12 @@
         lab_run(&p, &r);
         add(&strong, r.cost / r.strong_cost);
         add(&fixed, r.cost / r.fixed_cost);
-        add(&quality, margin(&r));
+        pool_kinds(&all, &r);
         add(&ok, (double)r.ok / (double)r.offered);
         lab_end(&r);
     }
     printf("%-11s %-10s %8.3f (%.3f-%.3f) %8.3f (%.3f-%.3f) %+10.3f %9.4f\n",
-           name, choose, mean(&strong), strong.least, strong.most, mean(&fixed),
-           fixed.least, fixed.most, quality.least, mean(&ok));
+           name, choose, mean(&strong), strong.least, strong.most, mean(&fixed), fixed.least, fixed.most, margin(&all), mean(&ok));
 }
 
 static void table_cost(void)
@@ -278,6 +296,12 @@
         add(&jain, r.jain);
         add(&attempts, (double)r.attempts / (double)r.offered);
         inversions += inverted(&r);
+        if (g_getenv("WP_KINDS"))
+            for (unsigned i = 0; i < r.n_kinds; i++)
+                printf("  %s rank %u: %.3f of %lu\n", r.kinds[i].name,
+                       r.kinds[i].rank,
+                       (double)r.kinds[i].ok / (double)r.kinds[i].offered,
+                       (unsigned long)r.kinds[i].offered);
         lab_end(&r);
         p.rate = 0.6 * capacity;
         p.burst_from_s = 25;
--- a/gen/config.pb-c.c
+++ b/gen/config.pb-c.c
@@ -965,7 +965,7 @@
 static const double wp__kind__quality_target__default_value = 0;
 static const uint32_t wp__kind__stale_bound_s__default_value = 0u;
 static const protobuf_c_boolean wp__kind__cascade__default_value = 0;
-static const double wp__kind__explore_share__default_value = 0.02;
+static const double wp__kind__explore_share__default_value = 0.05;
 static const uint32_t wp__kind__deadline_ms__default_value = 60000u;
 static const ProtobufCFieldDescriptor wp__kind__field_descriptors[9] =
 {
--- a/gen/config.pb-c.h
+++ b/gen/config.pb-c.h
@@ -144,7 +144,7 @@
 };
 #define WP__KIND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__kind__descriptor) \
-    , NULL, 0, 1u, 0, 1, 0, 0, 0, 0, 0, 0u, 0, 0, 0, 0.02, 0, 60000u }
+    , NULL, 0, 1u, 0, 1, 0, 0, 0, 0, 0, 0u, 0, 0, 0, 0.05, 0, 60000u }
 
 
 struct  Wp__Workspace
--- a/io/wp_legs.c
+++ b/io/wp_legs.c
@@ -10,6 +10,8 @@
 /* Of the window, what must be free before the agent is told. */
 #define GRANT_PART 4
 #define PROBES 2
+/* Of an answer that is to be rated, what is kept for that. */
+#define RATED_MOST (64 << 10)
 
 static WPTime now_of(const WPExchange *x)
 {
@@ -35,6 +37,8 @@
         g_byte_array_unref(x->raw);
     if (x->held)
         evbuffer_free(x->held);
+    if (x->copy)
+        g_string_free(x->copy, TRUE);
     g_free(x->path);
     g_free(x->method);
     g_free(x->content_type);
@@ -178,6 +182,9 @@
     size_t size;
     evbuffer_drain(x->held, evbuffer_get_length(x->held));
     x->credit = 0;
+    if (x->copy)
+        g_string_free(x->copy, TRUE);
+    x->copy = x->request->ask_rating ? g_string_new(NULL) : NULL;
     x->link = wp_hub_link(wp_host_hub(s->host), p->addr);
     if (!x->link) {
         wp_exchange_do(x,
@@ -256,6 +263,30 @@
     g_free(c);
 }
 
+static void ignore(void *arg, int status, WPStr body)
+{
+    (void)arg;
+    (void)status;
+    (void)body;
+}
+
+/* Hands an answer to the rating service; nobody waits for it. */
+static void submit(WPExchange *x)
+{
+    WPHttp *ratings = wp_host_ratings(x->server->host);
+    if (!ratings || !x->copy)
+        return;
+    json_t *o = json_pack("{s:s,s:s,s:s}", "request_id", x->request->id,
+                          "kind", x->request->kind, "version",
+                          x->request->version);
+    json_t *answer = json_stringn_nocheck(x->copy->str, x->copy->len);
+    json_object_set_new(o, "answer", answer ? answer : json_null());
+    char *text = json_dumps(o, JSON_COMPACT);
+    wp_http_call(ratings, "/v1/submit", text, ignore, NULL);
+    free(text);
+    json_decref(o);
+}
+
 void wp_exchange_do(WPExchange *x, WPStep step)
 {
     switch (step.kind) {
@@ -270,6 +301,7 @@
             now_of(x).mono_us + (int64_t)step.retry_after_ms * WP_US_PER_MS;
         return;
     case WP_STEP_DONE:
+        submit(x);
         wp_reply_end(x);
         break;
     case WP_STEP_FINAL:
@@ -298,6 +330,9 @@
 {
     wp_entry_first_bytes(x->server->entry, now_of(x), x->request);
     evbuffer_add(x->held, c->data.data, c->data.len);
+    if (x->copy && x->copy->len + c->data.len <= RATED_MOST)
+        g_string_append_len(x->copy, (const char *)c->data.data,
+                            (gssize)c->data.len);
     if (x->replying || !must_hold(x))
         wp_reply_pass_on(x);
     else
--- a/io/wp_server_int.h
+++ b/io/wp_server_int.h
@@ -39,6 +39,7 @@
     int status;
     char *answer_type;
     struct evbuffer *held; /* not yet passed on */
+    GString *copy;         /* of an answer that is to be rated, or NULL */
     bool replying;
     size_t unwritten; /* passed on, not yet taken by the caller */
     size_t credit;    /* to be granted to the agent */
--- a/src/wp_balance.c
+++ b/src/wp_balance.c
@@ -4,6 +4,9 @@
 #include <math.h>
 
 #define SMOOTH 0.2    /* weight of the newest observation */
+#define QUIET_US (50 * WP_US_PER_MS)
+#define LEARN 0.02 /* of the foretelling's errors */
+#define DOUBT 0.97 /* reports are left for own counts below this ratio */
 #define EJECT_AFTER 3 /* failures in a row */
 #define EJECT_FIRST_US (1 * WP_US_PER_S)
 #define EJECT_MOST_US (30 * WP_US_PER_S)
@@ -31,28 +34,80 @@
     return rest > 0 ? rest * exp(-age / (4 * service)) : 0;
 }
 
-double wp_endpoint_wait(const WPEndpoint *e, int64_t now_us)
+static double wait_for(const WPEndpoint *e, double held, int64_t now_us)
 {
     double service = e->service_us > 0 ? e->service_us : DEFAULT_SERVICE_US;
     double first = e->first_token_us > 0 ? e->first_token_us : service / 10;
     double slots = e->slots ? e->slots : 1;
-    double held = e->inflight + others(e, now_us);
     double queue = held >= slots ? (held - slots + 1) / slots * service : 0;
     if (now_us < e->busy_until_us)
         queue += (double)(e->busy_until_us - now_us);
+    /* One that was sent something and has not been heard since may be gone:
+       the silence counts, long before it is found out. */
+    if (e->quiet_us && now_us - e->quiet_us > QUIET_US)
+        queue += (double)(now_us - e->quiet_us);
     /* A fuller batch steps more slowly, also before it is full. */
     return first * (1 + held / slots) + queue;
 }
 
-static bool has_room(const WPEndpoint *e, int64_t now_us)
+double wp_endpoint_wait(const WPEndpoint *e, int64_t now_us)
+{
+    return wait_for(e, e->inflight + others(e, now_us), now_us);
+}
+
+double wp_endpoint_own_wait(const WPEndpoint *e, int64_t now_us)
+{
+    return wait_for(e, e->inflight, now_us);
+}
+
+WPForetold wp_balancer_foretell(const WPEndpoint *e, int64_t now_us)
+{
+    return (WPForetold){ wp_endpoint_wait(e, now_us),
+                         wp_endpoint_own_wait(e, now_us) };
+}
+
+static double error_of(double old, double foretold, double took)
+{
+    double miss = fabs(log(fmax(foretold, 1) / fmax(took, 1)));
+    return old + LEARN * (miss - old);
+}
+
+void wp_balancer_learn(WPBalancer *b, const WPForetold *f, int64_t took_us)
+{
+    b->error_reported =
+        error_of(b->error_reported, f->reported, (double)took_us);
+    b->error_own = error_of(b->error_own, f->own, (double)took_us);
+}
+
+/* Reports that lag foretell worse than the entry's own count: whichever has
+   been nearer of late is believed. */
+static bool believes_reports(const WPBalancer *b)
+{
+    return b->error_own >= DOUBT * b->error_reported;
+}
+
+static double believed_wait(const WPBalancer *b, const WPEndpoint *e,
+                            int64_t now_us)
+{
+    return believes_reports(b)
+               ? wp_endpoint_wait(e, now_us)
+               : wp_endpoint_own_wait(e, now_us);
+}
+
+static bool has_room(const WPBalancer *b, const WPEndpoint *e,
+                     int64_t now_us)
 {
-    return e->inflight + others(e, now_us) < e->slots &&
-           now_us >= e->busy_until_us;
+    double held = e->inflight;
+    if (believes_reports(b))
+        held += others(e, now_us);
+    return held < e->slots && now_us >= e->busy_until_us;
 }
 
-void wp_endpoint_sent(WPEndpoint *e)
+void wp_endpoint_sent(WPEndpoint *e, int64_t now_us)
 {
     e->inflight++;
+    if (!e->quiet_us)
+        e->quiet_us = now_us;
 }
 
 void wp_endpoint_load(WPEndpoint *e, const Wp__Load *l, int64_t now_us)
@@ -61,6 +116,7 @@
     e->reported_queued = l->queued;
     e->inflight_at_report = e->inflight;
     e->report_us = now_us;
+    e->quiet_us = 0;
     if (l->slots)
         e->slots = l->slots;
     if (l->has_service_us && l->service_us)
@@ -195,7 +251,7 @@
         WPEndpoint *e = c[k];
         c[k] = c[i];
         c[i] = e;
-        double wait = wp_endpoint_wait(e, p->now_us);
+        double wait = believed_wait(b, e, p->now_us);
         if (best && wait >= best_wait)
             continue;
         best = e;
@@ -225,16 +281,16 @@
     unsigned n = gather(b, p, p->near, p->n_near, c);
     WPEndpoint *home = home_of(p, c, n);
     WPEndpoint *best = least_wait(b, p, c, n);
-    if (!best || !has_room(best, p->now_us)) {
+    if (!best || !has_room(b, best, p->now_us)) {
         unsigned m = gather(b, p, p->far, p->n_far, c + n);
         WPEndpoint *far = least_wait(b, p, c + n, m);
-        if (far && (!best || wp_endpoint_wait(far, p->now_us) <
-                                 wp_endpoint_wait(best, p->now_us)))
+        if (far && (!best || believed_wait(b, far, p->now_us) <
+                                 believed_wait(b, best, p->now_us)))
             best = far;
     }
-    if (home && best && has_room(home, p->now_us) &&
-        wp_endpoint_wait(home, p->now_us) <=
-            AFFINITY_BOUND * wp_endpoint_wait(best, p->now_us))
+    if (home && best && has_room(b, home, p->now_us) &&
+        believed_wait(b, home, p->now_us) <=
+            AFFINITY_BOUND * believed_wait(b, best, p->now_us))
         return home;
     return best;
 }
--- a/src/wp_balance.h
+++ b/src/wp_balance.h
@@ -28,6 +28,7 @@
     int64_t busy_until_us; /* it refused and named a time */
     bool trial;            /* one request tests it after an ejection */
     int64_t probe_us;      /* last time its load was asked for */
+    int64_t quiet_us;      /* first request since its last word; 0: none */
 } WPEndpoint;
 
 enum { WP_PICK_MAX = 16 }; /* candidates looked at in one decision */
@@ -54,8 +55,16 @@
     const WPBalancerOps *ops;
     GRand *rand;
     unsigned next; /* round robin */
+    /* How far off each way of foretelling the wait has been of late, as the
+       smoothed size of the logarithm of foretold over seen. */
+    double error_reported, error_own;
 };
 
+/* Both foretold waits of one request, kept until its first token. */
+typedef struct WPForetold {
+    double reported, own;
+} WPForetold;
+
 /* "probe" (the product's), "random", "round_robin", "least_reported" or
    "two_choices"; NULL for another name. Same seed, same picks. */
 WPBalancer *wp_balancer_new(const char *name, uint32_t seed);
@@ -64,10 +73,16 @@
 /* Whether it may be sent a request now. */
 bool wp_endpoint_usable(const WPEndpoint *e, int64_t now_us);
 
-/* Expected microseconds until a request sent now would begin to answer. */
+/* Expected microseconds until a request sent now would begin to answer: from
+   the endpoint's reports, or from this entry's own requests alone. */
 double wp_endpoint_wait(const WPEndpoint *e, int64_t now_us);
+double wp_endpoint_own_wait(const WPEndpoint *e, int64_t now_us);
+
+/* To be called when a request is sent, and when its first token comes. */
+WPForetold wp_balancer_foretell(const WPEndpoint *e, int64_t now_us);
+void wp_balancer_learn(WPBalancer *b, const WPForetold *f, int64_t took_us);
 
-void wp_endpoint_sent(WPEndpoint *e);
+void wp_endpoint_sent(WPEndpoint *e, int64_t now_us);
 void wp_endpoint_load(WPEndpoint *e, const Wp__Load *l, int64_t now_us);
 void wp_endpoint_first(WPEndpoint *e, int64_t took_us);
 
--- a/src/wp_entry.c
+++ b/src/wp_entry.c
@@ -340,6 +340,7 @@
         return;
     r->answered = true;
     wp_endpoint_first(r->endpoint, now.mono_us - r->sent_us);
+    wp_balancer_learn(e->balancer, &r->foretold, now.mono_us - r->sent_us);
     wp_histogram_add(&wp_node_counters(e->node)->first_token,
                      now.mono_us - r->begun_us);
 }
--- a/src/wp_entry.h
+++ b/src/wp_entry.h
@@ -40,8 +40,10 @@
     char *escalate; /* stronger one to try when the check fails, or NULL */
     char *token;    /* for the answer, or NULL */
     bool moved, explored;
+    bool ask_rating; /* its rating is worth asking for */
     unsigned leg, step;
     WPEndpoint *endpoint;
+    WPForetold foretold; /* the present leg's wait */
     WPEndpoint *tried[WP_REQUEST_TRIES];
     unsigned n_tried;
     bool sent, accepted, answered; /* of the present leg */
--- a/src/wp_entry_int.h
+++ b/src/wp_entry_int.h
@@ -12,7 +12,7 @@
 #define WP_NO_ENDPOINT_RETRY_MS 1000
 #define WP_PROBE_FRESH_US (100 * WP_US_PER_MS)
 /* Of a workspace's requests, the most that may go to learning. */
-#define WP_EXPLORE_CAP 0.05
+#define WP_EXPLORE_CAP 0.06
 
 /* Endpoints of one version: `near` in the own zone, `far` in others. */
 typedef struct WPPool {
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -133,6 +133,18 @@
     return wp_set_empty(&r->allowed) ? WP_NO_VERSION : WP_OK;
 }
 
+/* Whether the version is being rolled out: the sooner it is known, the fewer
+   are exposed to it. */
+static bool on_trial(const WPPolicy *p, const char *version)
+{
+    for (unsigned i = 0; i < wp_policy_rollouts(p); i++) {
+        const Wp__Rollout *r = wp_policy_rollout_at(p, i)->spec;
+        if (!strcmp(r->to, version) && strcmp(r->state, "done"))
+            return true;
+    }
+    return false;
+}
+
 WPCode wp_plan_version(WPEntry *e, WPTime now, WPRequest *r)
 {
     const WPWorkspace *ws = wp_policy_workspace(e->policy, r->workspace);
@@ -154,6 +166,8 @@
         choose_free(e, now, r, kind);
     if (r->version && !r->service)
         sign_token(e, now, r, claim, r->start_ms);
+    r->ask_rating = r->version && !r->service &&
+                    (r->explored || on_trial(e->policy, r->version));
     wp_pb_free(claim);
     return r->version ? WP_OK : WP_NO_VERSION;
 }
@@ -199,7 +213,8 @@
     r->accepted = false;
     r->answered = false;
     r->sent_us = now.mono_us;
-    wp_endpoint_sent(p);
+    r->foretold = wp_balancer_foretell(p, now.mono_us);
+    wp_endpoint_sent(p, now.mono_us);
     wp_events_add(wp_node_events(e->node), now, WP_EVENT_CHOSEN, r->id,
                   "%s at %s leg %u", r->version, p->id, r->leg);
     return (WPStep){ WP_STEP_SEND, WP_OK, 0, p };
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -121,20 +121,38 @@
     }
 }
 
+static void add_rating(Ratings *s, const char *kind, const char *version,
+                       double score)
+{
+    if (!kind || !version)
+        return;
+    Rating *one = g_new0(Rating, 1);
+    one->at_us = g_get_monotonic_time();
+    one->kind = g_strdup(kind);
+    one->version = g_strdup(version);
+    one->score = score;
+    g_queue_push_tail(&s->waiting, one);
+}
+
 static void on_rate(struct evhttp_request *r, void *arg)
+{
+    json_t *j = wp_http_body_json(r);
+    add_rating(arg, json_string_value(json_object_get(j, "kind")),
+               json_string_value(json_object_get(j, "version")),
+               json_number_value(json_object_get(j, "score")));
+    json_decref(j);
+    wp_http_json(r, 200, json_object());
+}
+
+/* An answer handed in to be rated: judged by its own words. */
+static void on_submit(struct evhttp_request *r, void *arg)
 {
     Ratings *s = arg;
     json_t *j = wp_http_body_json(r);
-    const char *kind = json_string_value(json_object_get(j, "kind"));
-    const char *version = json_string_value(json_object_get(j, "version"));
-    if (kind && version) {
-        Rating *one = g_new0(Rating, 1);
-        one->at_us = g_get_monotonic_time();
-        one->kind = g_strdup(kind);
-        one->version = g_strdup(version);
-        one->score = json_number_value(json_object_get(j, "score"));
-        g_queue_push_tail(&s->waiting, one);
-    }
+    const char *answer = json_string_value(json_object_get(j, "answer"));
+    add_rating(s, json_string_value(json_object_get(j, "kind")),
+               json_string_value(json_object_get(j, "version")),
+               answer && strstr(answer, "good ") ? 1 : 0);
     json_decref(j);
     wp_http_json(r, 200, json_object());
 }
@@ -185,6 +203,7 @@
     s->lag_ms = settings->lag_ms;
     s->rand = g_rand_new_with_seed((guint32)settings->seed);
     evhttp_set_cb(http, "/v1/rate", on_rate, s);
+    evhttp_set_cb(http, "/v1/submit", on_submit, s);
     evhttp_set_cb(http, "/v1/sums", on_sums, s);
     evhttp_set_cb(http, "/v1/check", on_check, s);
     evhttp_set_cb(http, "/control", on_ratings_control, s);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -206,14 +206,14 @@
     WPEndpoint *a1 = wp_entry_endpoint(f->entry, "a1");
     (void)state;
     for (int i = 0; i < 3; i++) {
-        wp_endpoint_sent(a1);
+        wp_endpoint_sent(a1, f->now.mono_us);
         wp_endpoint_ended(a1, false, 0, f->now.mono_us);
     }
     assert_false(wp_endpoint_usable(a1, f->now.mono_us));
     int64_t later = a1->ejected_until_us;
     assert_true(wp_endpoint_usable(a1, later));
     /* One request tries it; no second beside it. */
-    wp_endpoint_sent(a1);
+    wp_endpoint_sent(a1, f->now.mono_us);
     assert_false(wp_endpoint_usable(a1, later));
     wp_endpoint_ended(a1, true, 1000, later);
     assert_true(wp_endpoint_usable(a1, later));
