Learn what saves most; fairness with memory; retries kept for the modest

Now what is tried has the largest saving times its chance (at least 0.05), and the window is 1,000 ratings.

--- a/bench/lab.c
+++ b/bench/lab.c
@@ -196,6 +196,14 @@
     return n;
 }
 
+/* Counted by class and workspace. */
+static double *class_count(GHashTable *t, Lab *lab, const Ask *a)
+{
+    g_autofree char *key = g_strdup_printf(
+        "%u/%s", kind_of(lab, a->item->kind)->rank, a->item->workspace);
+    return count_of(t, key);
+}
+
 static double version_cost(Lab *lab, const char *version, const Ask *a)
 {
     WPPolicy *p = wp_entry_policy(lab->doors[a->entry].entry);
@@ -276,7 +284,7 @@
     k->ok++;
     k->good += good;
     note_fixed(lab, a, k->target);
-    ++*count_of(lab->served, a->item->workspace);
+    ++*class_count(lab->served, lab, a);
     double first = (double)(a->first_us - a->start_us) / WP_US_PER_MS;
     g_array_append_val(r->first_ms, first);
     const LabPlan *p = lab->plan;
@@ -345,8 +353,8 @@
     switch (step.kind) {
     case WP_STEP_SEND:
         /* A cascade's second step is no second attempt. */
-        r->attempts += a->counted &&
-                       (a->request->n_tried > 1 || a->request->step == 0);
+        r->attempts +=
+            a->counted && (a->request->n_tried > 1 || a->request->step == 0);
         a->agent = (unsigned)atoi(step.endpoint->id + 1);
         a->stream = ++lab->stream;
         e = after(lab, way(lab, a->entry, a->agent), on_start);
@@ -672,7 +680,7 @@
     if (a->counted) {
         lab->r->offered++;
         kind_of(lab, a->item->kind)->offered++;
-        ++*count_of(lab->offered, a->item->workspace);
+        ++*class_count(lab->offered, lab, a);
     }
     a->request = wp_entry_begin(d->entry, now_of(lab), &ask, &step);
     do_step(lab, a, step);
@@ -925,40 +933,54 @@
     set_config(lab);
 }
 
-/* Jain's index of what each workspace got over its max-min fair part of what
-   was answered: a small one that got all it asked for counts as one that got
-   its full part. Weights are equal here. */
-static double fairness(Lab *lab)
+typedef struct Part {
+    double offered, served;
+} Part;
+
+/* The level up to which each is served when `total` is shared max-min. */
+static double fair_level(const Part *parts, unsigned n, double total)
 {
-    GHashTableIter it;
-    gpointer name, offered;
-    double total = 0, level = 0, sum = 0, squares = 0, n = 0;
-    g_hash_table_iter_init(&it, lab->served);
-    while (g_hash_table_iter_next(&it, NULL, &offered))
-        total += *(double *)offered;
+    double level = 0;
     for (double step = total; step > 0.01; step /= 2) {
         double filled = 0;
-        g_hash_table_iter_init(&it, lab->offered);
-        while (g_hash_table_iter_next(&it, &name, &offered))
-            filled += fmin(*(double *)offered, level + step);
+        for (unsigned i = 0; i < n; i++)
+            filled += fmin(parts[i].offered, level + step);
         level += filled <= total ? step : 0;
     }
-    g_hash_table_iter_init(&it, lab->offered);
-    while (g_hash_table_iter_next(&it, &name, &offered)) {
-        double x = *count_of(lab->served, name) /
-                   fmax(fmin(*(double *)offered, level), 1);
+    return level;
+}
+
+/* Jain's index of what each workspace got of a class over its max-min fair
+   part: a small one that got all it asked for counts as one that got its full
+   part. Weights are equal here. */
+static double fairness_of(Lab *lab, unsigned rank)
+{
+    Part parts[32];
+    unsigned n = 0;
+    double total = 0, sum = 0, squares = 0;
+    WPPolicy *p = wp_entry_policy(lab->doors[0].entry);
+    for (unsigned w = 0; w < wp_policy_workspaces(p) && n < 32; w++) {
+        g_autofree char *key = g_strdup_printf(
+            "%u/%s", rank, wp_policy_workspace_at(p, w)->spec->name);
+        parts[n].offered = *count_of(lab->offered, key);
+        parts[n].served = *count_of(lab->served, key);
+        total += parts[n].served;
+        n += parts[n].offered > 0;
+    }
+    double level = fair_level(parts, n, total);
+    for (unsigned i = 0; i < n; i++) {
+        double x = parts[i].served / fmax(fmin(parts[i].offered, level), 1);
         sum += x;
         squares += x * x;
-        n++;
     }
-    return squares > 0 ? sum * sum / (n * squares) : 0;
+    return squares > 0 ? sum * sum / (n * squares) : 1;
 }
 
 static void sum_up(Lab *lab)
 {
     LabResult *r = lab->r;
     const LabPlan *p = lab->plan;
-    r->jain = fairness(lab);
+    r->jain = fairness_of(lab, 0);
     r->goodput = (double)r->ok / (p->seconds - p->warm_s);
     r->stopped_after_s =
         lab->stopped_us ? (double)lab->stopped_us / WP_US_PER_S - p->bad_from_s
--- a/bench/lab.h
+++ b/bench/lab.h
@@ -58,7 +58,8 @@
     GArray *first_ms;   /* of double */
     LabKind kinds[8];
     unsigned n_kinds;
-    double jain;         /* over workspaces, of answered over fair part */
+    double jain;    /* over workspaces, of the best class's answers over their
+                       fair part */
     double goodput; /* answered in time a second */
     uint64_t bad_served, window_served; /* since it turned bad, of its kinds */
     double stopped_after_s;             /* -1: never */
--- a/bench/wpbench.c
+++ b/bench/wpbench.c
@@ -92,8 +92,7 @@
 {
     for (unsigned i = 0; i < r->n_kinds; i++) {
         unsigned k = 0;
-        while (k < sum->n_kinds &&
-               strcmp(sum->kinds[k].name, r->kinds[i].name))
+        while (k < sum->n_kinds && strcmp(sum->kinds[k].name, r->kinds[i].name))
             k++;
         if (k == sum->n_kinds)
             sum->kinds[sum->n_kinds++] =
@@ -111,9 +110,9 @@
     double least = 1;
     for (unsigned i = 0; i < sum->n_kinds; i++)
         if (sum->kinds[i].ok)
-            least = fmin(least, (double)sum->kinds[i].good /
-                                        (double)sum->kinds[i].ok -
-                                    sum->kinds[i].target);
+            least = fmin(least,
+                         (double)sum->kinds[i].good / (double)sum->kinds[i].ok -
+                             sum->kinds[i].target);
     return least;
 }
 
@@ -135,7 +134,8 @@
         lab_end(&r);
     }
     printf("%-11s %-10s %8.3f (%.3f-%.3f) %8.3f (%.3f-%.3f) %+10.3f %9.4f\n",
-           name, choose, mean(&strong), strong.least, strong.most, mean(&fixed), fixed.least, fixed.most, margin(&all), mean(&ok));
+           name, choose, mean(&strong), strong.least, strong.most, mean(&fixed),
+           fixed.least, fixed.most, margin(&all), mean(&ok));
 }
 
 static void table_cost(void)
@@ -317,6 +317,17 @@
            jain.least, attempts.most, inversions, SEEDS, back.most);
 }
 
+/* Three classes that share one pool of twenty. */
+static LabPlan classes(uint32_t seed)
+{
+    static const LabPool pool[] = { { "planner-1", 20 } };
+    LabPlan p = lakeshore(seed);
+    p.rules = "bench/classes.yaml";
+    p.pools = pool;
+    p.n_pools = 1;
+    return p;
+}
+
 static void table_burst(void)
 {
     printf("\nBursts, %d seeds: goodput over capacity, Jain's index over ten "
@@ -328,6 +339,7 @@
            "load", "goodput", "", "Jain", "attempts", "inversions", "back");
     burst_of("lakeshore", lakeshore, 3);
     burst_of("laurentide", laurentide, 3);
+    burst_of("one pool", classes, 3);
 }
 
 /* --- versions that turn bad --- */
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -138,7 +138,7 @@
 extern char wp__entry_settings__choose__default_value[];
 #define WP__ENTRY_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__entry_settings__descriptor) \
-    , NULL, 0, 0, 1024u, 0, 16u, 0, 30u, wp__entry_settings__balance__default_value, wp__entry_settings__choose__default_value, 0, 0.1, 0, 64u, 0, 0u }
+    , NULL, 0, 0, 1024u, 0, 16u, 0, 30u, wp__entry_settings__balance__default_value, wp__entry_settings__choose__default_value, 0, 0.08, 0, 64u, 0, 0u }
 
 
 struct  Wp__AgentSettings
--- a/io/wp_legs.c
+++ b/io/wp_legs.c
@@ -276,9 +276,8 @@
     WPHttp *ratings = wp_host_ratings(x->server->host);
     if (!ratings || !x->copy)
         return;
-    json_t *o = json_pack("{s:s,s:s,s:s}", "request_id", x->request->id,
-                          "kind", x->request->kind, "version",
-                          x->request->version);
+    json_t *o = json_pack("{s:s,s:s,s:s}", "request_id", x->request->id, "kind",
+                          x->request->kind, "version", x->request->version);
     json_t *answer = json_stringn_nocheck(x->copy->str, x->copy->len);
     json_object_set_new(o, "answer", answer ? answer : json_null());
     char *text = json_dumps(o, JSON_COMPACT);
--- a/src/wp_balance.c
+++ b/src/wp_balance.c
@@ -3,10 +3,10 @@
 
 #include <math.h>
 
-#define SMOOTH 0.2    /* weight of the newest observation */
+#define SMOOTH 0.2 /* weight of the newest observation */
 #define QUIET_US (50 * WP_US_PER_MS)
-#define LEARN 0.02 /* of the foretelling's errors */
-#define DOUBT 0.97 /* reports are left for own counts below this ratio */
+#define LEARN 0.02    /* of the foretelling's errors */
+#define DOUBT 0.97    /* reports are left for own counts below this ratio */
 #define EJECT_AFTER 3 /* failures in a row */
 #define EJECT_FIRST_US (1 * WP_US_PER_S)
 #define EJECT_MOST_US (30 * WP_US_PER_S)
@@ -89,13 +89,11 @@
 static double believed_wait(const WPBalancer *b, const WPEndpoint *e,
                             int64_t now_us)
 {
-    return believes_reports(b)
-               ? wp_endpoint_wait(e, now_us)
-               : wp_endpoint_own_wait(e, now_us);
+    return believes_reports(b) ? wp_endpoint_wait(e, now_us)
+                               : wp_endpoint_own_wait(e, now_us);
 }
 
-static bool has_room(const WPBalancer *b, const WPEndpoint *e,
-                     int64_t now_us)
+static bool has_room(const WPBalancer *b, const WPEndpoint *e, int64_t now_us)
 {
     double held = e->inflight;
     if (believes_reports(b))
--- a/src/wp_choose.c
+++ b/src/wp_choose.c
@@ -1,9 +1,13 @@
 /* Policies that choose a version. */
 #include "wp_choose.h"
 
+#include <math.h>
+
 /* What asking for a check of one answer costs, as a share of a typical cheap
    answer; it keeps a cascade from being chosen for next to no gain. */
 #define CHECK_COST_SHARE 0.02
+/* A version less likely than this to be good enough is not tried. */
+#define EXPLORE_CHANCE 0.05
 
 double wp_version_cost(const WPVersion *v, uint32_t prompt_tokens,
                        uint32_t answer_tokens)
@@ -70,13 +74,6 @@
     return sure(c, i) && !wp_set_has(&c->busy, i);
 }
 
-/* A cheaper version that may yet prove good enough. */
-static bool worth_learning(const WPChoice *c, unsigned i)
-{
-    return !sure(c, i) && bound(c, i)->high >= target(c) &&
-           !wp_set_has(&c->busy, i);
-}
-
 /* Cheapest that surely meets the target and has room; else that surely meets
    it; else the one with the best lower bound. */
 static int best_version(const WPChoice *c)
@@ -89,14 +86,36 @@
     return best;
 }
 
+/* How likely the version is to meet the target, by a normal law over its
+   bounds. */
+static double chance(const WPChoice *c, unsigned i)
+{
+    const WPBound *b = bound(c, i);
+    double spread = (b->high - b->low) / (2 * WP_QUALITY_Z);
+    if (spread <= 0)
+        return b->mean >= target(c);
+    return 0.5 * erfc((target(c) - b->mean) / spread / M_SQRT2);
+}
+
+/* What is learned best: the version with the largest saving times its chance
+   to be good enough; -1 when none is worth it. */
 static int explore(const WPChoice *c, int best)
 {
+    int other = -1;
+    double most = 0;
     if (c->kind->spec->strict || !c->may_explore ||
         c->u >= c->kind->spec->explore_share)
         return -1;
-    int other = least(c, cost, worth_learning);
-    if (other < 0 || cost(c, (unsigned)other) >= cost(c, (unsigned)best))
-        return -1;
+    for (unsigned i = 0; i < wp_policy_versions(c->policy); i++) {
+        double saving = cost(c, (unsigned)best) - cost(c, i);
+        if (!wp_set_has(&c->allowed, i) || wp_set_has(&c->busy, i) ||
+            sure(c, i) || chance(c, i) < EXPLORE_CHANCE)
+            continue;
+        if (saving * chance(c, i) <= most)
+            continue;
+        most = saving * chance(c, i);
+        other = (int)i;
+    }
     return other;
 }
 
--- a/src/wp_entry.c
+++ b/src/wp_entry.c
@@ -28,8 +28,7 @@
     e->zone = g_strdup(s->node->zone);
     e->endpoints = g_hash_table_new(g_str_hash, g_str_equal);
     e->all = g_ptr_array_new();
-    e->explored =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    e->uses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     e->withdrawn = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     e->bills = wp_bills_new(self->id, self->incarnation, s->node->bill_batch_ms,
                             s->node->bill_limit);
@@ -65,7 +64,7 @@
     wp_pools_free(e);
     wp_bills_free(e->bills);
     g_hash_table_unref(e->withdrawn);
-    g_hash_table_unref(e->explored);
+    g_hash_table_unref(e->uses);
     g_hash_table_unref(e->endpoints);
     g_ptr_array_unref(e->all);
     g_free(e->bounds);
@@ -215,6 +214,7 @@
     wp_count(wp_node_counters(e->node), WP_C_REQUESTS);
     wp_events_add(wp_node_events(e->node), now, WP_EVENT_RECEIVED, r->id,
                   "%s %s", r->workspace, r->kind);
+    wp_use_note(e, r->workspace);
     e->retry_tokens = MIN(e->retry_tokens + e->retry_share, WP_RETRY_BURST);
     WPCode code =
         wp_bills_full(e->bills) ? WP_BILLS_FULL : wp_plan_version(e, now, r);
@@ -234,6 +234,8 @@
         return true;
     if (e->retry_tokens < 1)
         return false;
+    if (e->retry_tokens < WP_RETRY_KEPT && wp_use_is_much(e, r->workspace))
+        return false;
     e->retry_tokens -= 1;
     return true;
 }
@@ -260,6 +262,8 @@
     const WPVersion *v = wp_policy_version(e->policy, r->version);
     if (!v || v->spec->withdrawn)
         return wp_final(WP_VERSION_REFUSED, WP_NO_ENDPOINT_RETRY_MS);
+    if (r->last_refusal == WP_OVERLOADED || r->last_refusal == WP_LATE)
+        wp_plan_spill(e, now, r);
     wp_count(wp_node_counters(e->node), WP_C_RETRIES);
     wp_events_add(wp_node_events(e->node), now, WP_EVENT_RETRIED, r->id, "%s",
                   wp_code_info(r->last_refusal)->code);
@@ -422,6 +426,7 @@
     GPtrArray *out =
         wp_policy_explain(e->policy, ask->workspace, ask->kind, ask->labels);
     WPRequest *r = new_request(e, now, ask);
+    wp_use_of(e, r->workspace);
     WPCode code = wp_plan_version(e, now, r);
     unsigned n = wp_policy_versions(e->policy);
     for (unsigned i = 0; i < n; i++) {
--- a/src/wp_entry.h
+++ b/src/wp_entry.h
@@ -51,6 +51,7 @@
     bool maybe_ran;                /* some leg ran, or may have */
     bool agent_bills; /* an agent has made the bill of the last leg */
     WPSet allowed;    /* versions, at the revision the plan was made */
+    WPSet full;       /* versions that had no room for it */
     WPCode last_refusal;
     uint32_t last_retry_ms;
 } WPRequest;
--- a/src/wp_entry_int.h
+++ b/src/wp_entry_int.h
@@ -9,6 +9,10 @@
 #include "wp_pb.h"
 
 #define WP_RETRY_BURST 10.0
+/* Of those, what is kept for workspaces that ask for little. */
+#define WP_RETRY_KEPT 5.0
+/* How many requests back a workspace's use is remembered. */
+#define WP_USE_MEMORY 2000.0
 #define WP_NO_ENDPOINT_RETRY_MS 1000
 #define WP_PROBE_FRESH_US (100 * WP_US_PER_MS)
 /* Of a workspace's requests, the most that may go to learning. */
@@ -19,9 +23,10 @@
     GPtrArray *near, *far;
 } WPPool;
 
-typedef struct WPExplored {
+typedef struct WPUse {
     uint64_t requests, explored;
-} WPExplored;
+    double recent; /* requests, fading with all others' */
+} WPUse;
 
 /* A copy of a bill that an agent has not yet settled. */
 typedef struct WPBillCopy {
@@ -39,12 +44,13 @@
     WPBalancer *balancer;
     GRand *rand;
     double retry_share, retry_tokens;
+    double recent; /* of all workspaces */
     char *zone;
     GHashTable *endpoints; /* id -> WPEndpoint */
     GPtrArray *all;        /* every WPEndpoint ever made and still in use */
     WPPool *pools;         /* by version index */
     unsigned n_pools;
-    GHashTable *explored; /* workspace -> WPExplored */
+    GHashTable *uses; /* workspace -> WPUse */
     WPBills *bills;
     WPList copies;
     GHashTable *withdrawn; /* names withdrawn at the last refresh */
@@ -58,8 +64,16 @@
 /* Chooses version and endpoint for the present leg. */
 WPStep wp_plan(WPEntry *e, WPTime now, WPRequest *r);
 WPCode wp_plan_version(WPEntry *e, WPTime now, WPRequest *r);
+
+/* Its version has no room: takes another that surely meets the target, if
+   there is one and no session binds the request. */
+void wp_plan_spill(WPEntry *e, WPTime now, WPRequest *r);
 WPStep wp_final(WPCode code, uint32_t retry_ms);
 
+WPUse *wp_use_of(WPEntry *e, const char *workspace);
+void wp_use_note(WPEntry *e, const char *workspace);
+bool wp_use_is_much(WPEntry *e, const char *workspace);
+
 void wp_copy_add(WPEntry *e, const WPRequest *r, const Wp__End *end);
 void wp_bill_own(WPEntry *e, WPTime now, const WPRequest *r);
 
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -40,46 +40,76 @@
 
 static bool may_explore(WPEntry *e, const WPRequest *r)
 {
-    WPExplored *x = g_hash_table_lookup(e->explored, r->workspace);
-    if (!x) {
-        x = g_new0(WPExplored, 1);
-        g_hash_table_insert(e->explored, g_strdup(r->workspace), x);
-    }
-    x->requests++;
-    return (double)x->explored < WP_EXPLORE_CAP * (double)x->requests;
+    const WPUse *u = g_hash_table_lookup(e->uses, r->workspace);
+    return (double)u->explored < WP_EXPLORE_CAP * (double)u->requests;
 }
 
-static void choose_free(WPEntry *e, WPTime now, WPRequest *r,
-                        const WPKind *kind)
+/* The chooser's word on these versions. */
+static WPChosen choose_among(WPEntry *e, WPTime now, const WPRequest *r,
+                             const WPKind *kind, WPSet allowed,
+                             bool may_explore)
 {
     WPChoice c = {
         .policy = e->policy,
         .kind = kind,
         .table = e->bounds,
-        .allowed = r->allowed,
+        .allowed = allowed,
         .prompt_tokens = r->prompt_tokens,
         .answer_tokens = r->answer_tokens,
         .u = g_rand_double(e->rand),
-        .may_explore = may_explore(e, r),
+        .may_explore = may_explore,
     };
     wp_rollout_narrow(e->policy, wp_str(r->id), (uint64_t)now.wall_ms,
                       &c.allowed);
     c.busy = busy_versions(e, now, &c.allowed);
-    WPChosen got = e->chooser->ops->choose(e->chooser, &c);
+    return e->chooser->ops->choose(e->chooser, &c);
+}
+
+static const char *version_name(const WPEntry *e, int index)
+{
+    return wp_policy_version_at(e->policy, (unsigned)index)->spec->name;
+}
+
+static void choose_free(WPEntry *e, WPTime now, WPRequest *r,
+                        const WPKind *kind)
+{
+    bool may = may_explore(e, r);
+    WPChosen got = choose_among(e, now, r, kind, r->allowed, may);
     if (got.version < 0)
         return;
-    r->version = g_strdup(
-        wp_policy_version_at(e->policy, (unsigned)got.version)->spec->name);
+    r->version = g_strdup(version_name(e, got.version));
     r->explored = got.explored;
     if (got.explored) {
-        WPExplored *x = g_hash_table_lookup(e->explored, r->workspace);
+        WPUse *x = g_hash_table_lookup(e->uses, r->workspace);
         x->explored++;
         wp_count(wp_node_counters(e->node), WP_C_EXPLORED);
     }
     if (got.escalate >= 0)
-        r->escalate =
-            g_strdup(wp_policy_version_at(e->policy, (unsigned)got.escalate)
-                         ->spec->name);
+        r->escalate = g_strdup(version_name(e, got.escalate));
+}
+
+void wp_plan_spill(WPEntry *e, WPTime now, WPRequest *r)
+{
+    const WPVersion *v = wp_policy_version(e->policy, r->version);
+    const WPKind *kind = wp_policy_kind(e->policy, r->kind);
+    WPSet rest = r->allowed;
+    if (!v || !kind || r->sticky || r->step)
+        return;
+    wp_set_add(&r->full, v->index);
+    for (unsigned w = 0; w < WP_SET_WORDS; w++)
+        rest.w[w] &= ~r->full.w[w];
+    if (wp_set_empty(&rest))
+        return;
+    WPChosen got = choose_among(e, now, r, kind, rest, false);
+    unsigned n = wp_policy_versions(e->policy);
+    if (got.version < 0 || !wp_set_has(&rest, (unsigned)got.version) ||
+        e->bounds[kind->index * n + (unsigned)got.version].low <
+            kind->spec->quality_target)
+        return;
+    g_free(r->version);
+    r->version = g_strdup(version_name(e, got.version));
+    g_clear_pointer(&r->escalate, g_free);
+    r->explored = false;
 }
 
 static void keep_service(const WPPolicy *p, const char *service, WPSet *set)
--- a/src/wp_quality.h
+++ b/src/wp_quality.h
@@ -7,7 +7,7 @@
 #include "wp_policy.h"
 
 /* Ratings older than about this many newer ones have lost their weight. */
-#define WP_QUALITY_WINDOW 300.0
+#define WP_QUALITY_WINDOW 1000.0
 /* Standard deviations from the mean to each bound: one-sided 90 in 100. */
 #define WP_QUALITY_Z 1.28
 /* The test ignores a loss of quality this small. */
--- a/src/wp_queue.c
+++ b/src/wp_queue.c
@@ -1,23 +1,29 @@
-/* Classes, weighted fair queueing and early refusal at one endpoint. */
+/* Classes, weighted fairness and early refusal at one endpoint. */
 #include "wp_queue.h"
 
+#include <math.h>
+
 #define SMOOTH 0.1
 #define FIRST_SERVICE_US 100000.0
 #define RETRY_LEAST_MS 50
 #define RETRY_MOST_MS 30000
 
+/* How long use of the endpoint is held against a workspace: long enough that
+   a small one's chance clusters are not taken for greed. */
+#define MEMORY_US (10.0 * WP_US_PER_S)
+
 typedef struct Share {
     char workspace[64];
-    double finish; /* virtual finish time of its newest ticket */
-    unsigned waiting, running;
+    double used; /* work begun of late, fading */
+    int64_t faded_us;
+    unsigned waiting;
     double weight;
 } Share;
 
 struct WPQueue {
     unsigned slots, limit, running, waiting;
-    WPList queue;       /* of WPTicket, in order of arrival */
-    GArray *shares;     /* of Share; workspaces seen */
-    double virtual_now; /* tag of the newest started ticket */
+    WPList queue;   /* of WPTicket, in order of arrival */
+    GArray *shares; /* of Share; workspaces seen */
     double service_us;
 };
 
@@ -58,21 +64,43 @@
     return &g_array_index(q->shares, Share, q->shares->len - 1);
 }
 
-/* Served earlier: a better class, then the lower tag, then arrival. */
-static bool before(const WPTicket *a, const WPTicket *b)
+static void fade(Share *s, int64_t now_us)
+{
+    s->used *= exp(-(double)(now_us - s->faded_us) / MEMORY_US);
+    s->faded_us = now_us;
+}
+
+static void fade_all(WPQueue *q, int64_t now_us)
+{
+    for (guint i = 0; i < q->shares->len; i++)
+        fade(&g_array_index(q->shares, Share, i), now_us);
+}
+
+/* What the workspace has had of late, by its weight. */
+static double had(const Share *s)
+{
+    return s->used / s->weight;
+}
+
+/* The same with what it waits for. */
+static double claimed(const Share *s, unsigned more)
 {
-    return a->rank != b->rank ? a->rank < b->rank : a->tag < b->tag;
+    return (s->used + s->waiting + more) / s->weight;
 }
 
-static double expected_wait(const WPQueue *q, const WPTicket *t)
+/* Places taken before `t`: by better classes, by its own workspace, and by
+   those that have had less. */
+static double expected_wait(WPQueue *q, const WPTicket *t)
 {
+    const double own = had(share_of(q, t));
     unsigned ahead = 0;
+    if (q->running < q->slots && !q->waiting)
+        return 0;
     wp_list_each (it, &q->queue) {
         const WPTicket *o = wp_list_item(it, WPTicket, link);
-        ahead += before(o, t);
+        ahead += o->rank < t->rank ||
+                 (o->rank == t->rank && had(share_of(q, o)) <= own);
     }
-    if (q->running < q->slots && !ahead)
-        return 0;
     return (ahead + 1) * q->service_us / MAX(q->slots, 1);
 }
 
@@ -83,14 +111,6 @@
     return (double)now_us + wait_us + work <= (double)t->deadline_us;
 }
 
-static void set_tag(WPQueue *q, WPTicket *t)
-{
-    Share *s = share_of(q, t);
-    s->weight = t->weight;
-    s->finish = MAX(s->finish, q->virtual_now) + t->size / t->weight;
-    t->tag = s->finish;
-}
-
 static void enqueue(WPQueue *q, WPTicket *t)
 {
     wp_list_append(&q->queue, &t->link);
@@ -110,42 +130,33 @@
     t->running = true;
     t->started_us = now_us;
     q->running++;
-    share_of(q, t)->running++;
-    q->virtual_now = MAX(q->virtual_now, t->tag - t->size / t->weight);
+    share_of(q, t)->used += t->size;
 }
 
 /* The ticket that gives way when the queue is full: of the worst class, of
-   the workspace that holds most for its weight, the newest. */
+   the workspace that claims most for its weight, the newest. */
 static WPTicket *worst(WPQueue *q)
 {
     WPTicket *worst = NULL;
-    double worst_hold = 0;
+    double most = 0;
     wp_list_each (it, &q->queue) {
         WPTicket *t = wp_list_item(it, WPTicket, link);
-        const Share *s = share_of(q, t);
-        double hold = (s->waiting + s->running) / s->weight;
-        if (worst && (t->rank < worst->rank ||
-                      (t->rank == worst->rank && hold < worst_hold)))
+        double claim = claimed(share_of(q, t), 0);
+        if (worst &&
+            (t->rank < worst->rank || (t->rank == worst->rank && claim < most)))
             continue;
         worst = t;
-        worst_hold = hold;
+        most = claim;
     }
     return worst;
 }
 
 static bool gives_way(WPQueue *q, const WPTicket *old, const WPTicket *t)
 {
-    const Share *a = share_of(q, old);
-    double old_hold = (a->waiting + a->running) / a->weight;
-    const Share *b = share_of(q, t);
-    double new_hold = (b->waiting + b->running + 1) / t->weight;
-    return old->rank != t->rank ? old->rank > t->rank : old_hold > new_hold;
-}
-
-/* Puts a refused ticket's claim on virtual time back. */
-static void give_back(WPQueue *q, const WPTicket *t)
-{
-    share_of(q, t)->finish -= t->size / t->weight;
+    if (old->rank != t->rank)
+        return old->rank > t->rank;
+    double old_claim = claimed(share_of(q, old), 0);
+    return old_claim > claimed(share_of(q, t), 1);
 }
 
 WPAdmit wp_queue_offer(WPQueue *q, int64_t now_us, WPTicket *t, WPCode *code,
@@ -157,9 +168,9 @@
     t->running = false;
     if (t->size <= 0)
         t->size = 1;
-    set_tag(q, t);
+    share_of(q, t)->weight = t->weight;
+    fade_all(q, now_us);
     if (!can_finish(q, t, now_us, expected_wait(q, t))) {
-        give_back(q, t);
         *code = WP_LATE;
         return WP_ADMIT_REFUSE;
     }
@@ -170,12 +181,10 @@
     if (q->waiting >= q->limit) {
         WPTicket *old = worst(q);
         if (!old || !gives_way(q, old, t)) {
-            give_back(q, t);
             *code = WP_OVERLOADED;
             return WP_ADMIT_REFUSE;
         }
         dequeue(q, old);
-        give_back(q, old);
         *evicted = old;
     }
     enqueue(q, t);
@@ -186,30 +195,34 @@
 {
     if (!t->running) {
         dequeue(q, t);
-        give_back(q, t);
         return;
     }
     t->running = false;
     q->running--;
-    share_of(q, t)->running--;
     if (completed) {
         double took = (double)(now_us - t->started_us) / t->size;
         q->service_us += SMOOTH * (took - q->service_us);
     }
 }
 
+/* The best class first; in it the workspace that has had least; of one
+   workspace the oldest. */
 WPTicket *wp_queue_next(WPQueue *q, int64_t now_us)
 {
     WPTicket *best = NULL;
-    if (q->running >= q->slots)
+    double least = 0;
+    if (q->running >= q->slots || !q->waiting)
         return NULL;
+    fade_all(q, now_us);
     wp_list_each (it, &q->queue) {
         WPTicket *t = wp_list_item(it, WPTicket, link);
-        if (!best || before(t, best))
-            best = t;
+        double level = had(share_of(q, t));
+        if (best &&
+            (t->rank > best->rank || (t->rank == best->rank && level >= least)))
+            continue;
+        best = t;
+        least = level;
     }
-    if (!best)
-        return NULL;
     dequeue(q, best);
     start(q, now_us, best);
     return best;
@@ -222,7 +235,6 @@
         if (can_finish(q, t, now_us, 0))
             continue;
         dequeue(q, t);
-        give_back(q, t);
         return t;
     }
     return NULL;
--- a/src/wp_queue.h
+++ b/src/wp_queue.h
@@ -16,7 +16,6 @@
     int64_t deadline_us;
     int64_t offered_us, started_us;
     bool running;
-    double tag; /* virtual finish time */
 } WPTicket;
 
 typedef struct WPQueue WPQueue;
