make capacity and the speed table: measured slopes

Found: the whole fleet of 1,000 restarting at once asks the store 4,192 times in a second; it takes 2,000.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 COMMON := $(BUILD)/cmd/daemon.o
 BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload)
 UNIT := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench) $(UNIT)
+TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed) $(UNIT)
 
 all: $(BIN)
 
@@ -58,6 +58,9 @@
 
 $(BUILD)/wpbench: $(patsubst %.c,$(BUILD)/%.o,bench/wpbench.c bench/lab.c) $(LIB)
 
+$(BUILD)/wpcapacity: $(patsubst %.c,$(BUILD)/%.o,bench/wpcapacity.c bench/fleet.c) $(LIB)
+$(BUILD)/wpspeed: $(BUILD)/bench/wpspeed.o $(SITE) $(LIB)
+
 $(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/bench/fleet.o $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
@@ -89,6 +92,10 @@
 
 bench: tests
 	@$(BUILD)/wpbench $(TABLES)
+	@$(BUILD)/wpspeed
+
+capacity: tests
+	@$(BUILD)/wpcapacity
 
 asan:
 	@$(MAKE) -s -j4 CONFIG_ASAN=y tests
@@ -125,5 +132,5 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all tests deps demo check unit scenarios asan bench format lint proto \
+.PHONY: all tests deps demo check unit scenarios asan bench capacity format lint proto \
         install help clean
