A start asks its peers first, and the fleet's start spares the store

Cause: 1,000 boxes starting at once asked the store 4,192 times in a second. Change: a box asks five peers picked by chance and serves when several agree and one knew the store's newest within 5 s; its own asking of the store is spread over the fleet's size. What somebody waits for (a Start, an End) leaves the link at once and not in the loop's next round.

--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -264,6 +264,24 @@
     return l->queued - evbuffer_get_length(bufferevent_get_output(l->bev));
 }
 
+/* What somebody waits for leaves now and not in the loop's next round. What
+   the socket does not take stays for that round. */
+static void leave_now(WPLink *l)
+{
+    struct evbuffer *out = bufferevent_get_output(l->bev);
+    evbuffer_unfreeze(out, 1);
+    evbuffer_write(out, bufferevent_getfd(l->bev));
+    evbuffer_freeze(out, 1);
+}
+
+static bool is_awaited(const Wp__Frame *f)
+{
+    return f->body_case == WP__FRAME__BODY_START ||
+           f->body_case == WP__FRAME__BODY_END ||
+           f->body_case == WP__FRAME__BODY_REFUSE ||
+           f->body_case == WP__FRAME__BODY_PONG;
+}
+
 /* Packs straight into the output buffer. */
 void wp_link_send(WPLink *l, Wp__Frame *f)
 {
@@ -282,6 +300,8 @@
     v.iov_len = size + LENGTH_BYTES;
     evbuffer_commit_space(out, &v, 1);
     l->queued += v.iov_len;
+    if (l->connected && is_awaited(f))
+        leave_now(l);
 }
 
 void wp_link_send_packed(WPLink *l, const uint8_t *data, size_t size)
--- a/src/wp_node.c
+++ b/src/wp_node.c
@@ -34,7 +34,8 @@
     wp_list_init(&n->actions);
     wp_members_take(n->members, n->self, now.mono_us);
     n->gossip_due_us = now.mono_us;
-    n->head_due_us = now.mono_us;
+    n->started_us = now.mono_us;
+    n->head_due_us = now.mono_us + (s->boxes ? WP_START_PATIENCE_US : 0);
     n->boxes_due_us = now.mono_us;
     n->ratings_due_us = now.mono_us;
     wp_events_add(n->events, now, WP_EVENT_STARTED, NULL, "incarnation %lu",
@@ -244,6 +245,17 @@
     wp_node_pull(n, from, false);
 }
 
+/* Counts different peers, up to as many as a start asks. */
+void wp_node_heard(WPNode *n, const char *from)
+{
+    uint64_t h = wp_hash(wp_str(from), 4);
+    for (unsigned i = 0; i < n->peers_heard; i++)
+        if (n->heard[i] == h)
+            return;
+    if (n->peers_heard < WP_START_PEERS)
+        n->heard[n->peers_heard++] = h;
+}
+
 static void on_deltas(WPNode *n, WPTime now, const char *from,
                       const Wp__Deltas *m)
 {
@@ -264,7 +276,7 @@
     if (shown)
         confirm_from(n, now, shown, m->has_confirmed_age_ms,
                      m->confirmed_age_ms);
-    n->peers_heard++;
+    wp_node_heard(n, from);
     wp_node_check_ready(n, now);
 }
 
@@ -412,7 +424,7 @@
         f.pull = &p;
         wp_node_send(n, from, &f);
     }
-    n->peers_heard++;
+    wp_node_heard(n, from);
     wp_node_check_ready(n, now);
 }
 
--- a/src/wp_node_int.h
+++ b/src/wp_node_int.h
@@ -17,7 +17,12 @@
 #define WP_RATINGS_US (1 * WP_US_PER_S)
 #define WP_PULL_GAP_US (50 * WP_US_PER_MS)
 /* Peers asked for the configuration at a start. */
-#define WP_START_PEERS 3
+#define WP_START_PEERS 5
+/* At a start the peers are asked first; the store after this long. */
+#define WP_START_PATIENCE_US (200 * WP_US_PER_MS)
+/* A peer's word of the newest revision is as good as the store's own when it
+   is this young. */
+#define WP_START_FRESH_US (5 * WP_US_PER_S)
 /* A box known for this long that the platform's list lacks is gone. */
 #define WP_LIST_GRACE_US (10 * WP_US_PER_S)
 
@@ -33,7 +38,7 @@
     WPEvents *events;
     WPCounters counters;
     WPList actions;
-    bool ready;
+    bool ready, listed; /* listed: the list of boxes has been seen */
     /* Store. */
     bool store_up, store_asked_once, watching, reading_all;
     bool late; /* no confirmation for long; its asking is planned */
@@ -45,7 +50,9 @@
     /* Peers. */
     int64_t gossip_due_us;
     int64_t pulled_us;
-    unsigned peers_heard;
+    uint64_t heard[WP_START_PEERS]; /* hashes of peers heard at the start */
+    unsigned peers_heard, peers_asked;
+    int64_t started_us;
     /* Ranks in the zone, good while the table of boxes has this hash. */
     uint64_t rank_hash;
     unsigned rank_any, rank_entry;
@@ -58,6 +65,7 @@
 void wp_node_store_tick(WPNode *n, WPTime now);
 void wp_node_check_ready(WPNode *n, WPTime now);
 const char *wp_node_random_peer(WPNode *n);
+void wp_node_heard(WPNode *n, const char *from);
 void wp_node_pull(WPNode *n, const char *from, bool members);
 
 /* Up to `most` of the span, at random, so that boxes do not act as one. */
--- a/src/wp_node_store.c
+++ b/src/wp_node_store.c
@@ -7,21 +7,37 @@
     return wp_node_on_duty(n, n->settings->watchers_per_zone);
 }
 
+/* Whether several peers have been heard, so that a single stale one cannot
+   decide, or as many as there are within the patience of a start. */
+static bool heard_enough(const WPNode *n, WPTime now)
+{
+    bool waited = now.mono_us - n->started_us > 2 * WP_START_PATIENCE_US;
+    return n->peers_heard >= WP_START_PEERS ||
+           (n->peers_heard > 0 &&
+            (waited || (n->peers_asked && n->peers_heard >= n->peers_asked)));
+}
+
 void wp_node_check_ready(WPNode *n, WPTime now)
 {
     uint64_t own = wp_config_revision(n->config);
     if (n->ready || !own || own < n->head_seen)
         return;
-    /* With the store answering, its head decides; without it, the peers. */
+    /* With the store answering, its head decides. A peer's word that it knew
+       the newest a moment ago is as good; with the store down, peers alone. */
     bool by_store = n->store_up && n->head_seen;
-    bool by_peers = n->store_asked_once && !n->store_up && n->peers_heard > 0 &&
-                    !wp_guard_off(n->settings, WP_GUARD_PEERS);
-    if (!by_store && !by_peers)
+    bool heard = heard_enough(n, now) &&
+                 !wp_guard_off(n->settings, WP_GUARD_PEERS);
+    bool by_fresh = heard && n->confirmed &&
+                    now.mono_us - n->confirmed_us < WP_START_FRESH_US;
+    bool by_peers = heard && n->store_asked_once && !n->store_up;
+    if (!by_store && !by_peers && !by_fresh)
         return;
     n->ready = true;
     wp_events_add(n->events, now, WP_EVENT_READY, NULL,
                   "revision %lu from the %s", (unsigned long)own,
-                  by_store ? "store" : "peers, the store is down");
+                  by_store   ? "store"
+                  : by_fresh ? "peers, as the store's newest"
+                             : "peers, the store is down");
     wp_node_act(n, WP_ACT_READY);
 }
 
@@ -156,6 +172,7 @@
 void wp_node_store_tick(WPNode *n, WPTime now)
 {
     bool duty = on_watch_duty(n);
+    wp_node_check_ready(n, now);
     bool start = !n->ready || wp_members_live(n->members) < 2;
     int64_t boxes_us = (int64_t)n->settings->boxes_poll_ms * WP_US_PER_MS;
     if (n->settings->n_store) {
@@ -193,18 +210,24 @@
     wp_pb_free(m);
 }
 
+/* Asks some boxes, each picked by chance: neighbours in the list may share
+   what cut them off. */
 static void ask_boxes(WPNode *n, const WPBox *boxes, size_t count)
 {
-    unsigned asked = 0;
-    size_t start = count ? g_rand_int(n->rand) % count : 0;
-    for (size_t i = 0; i < count && asked < WP_START_PEERS; i++) {
-        const WPBox *b = &boxes[(start + i) % count];
-        if (!strcmp(b->id, n->self->id) || b->leaving)
+    const WPBox *asked[WP_START_PEERS];
+    unsigned k = 0;
+    for (size_t tries = 0; tries < 4 * WP_START_PEERS && count; tries++) {
+        const WPBox *b = &boxes[g_rand_int(n->rand) % count];
+        bool again = !strcmp(b->id, n->self->id) || b->leaving;
+        for (unsigned i = 0; i < k; i++)
+            again |= asked[i] == b;
+        if (again || k == WP_START_PEERS)
             continue;
         g_autofree char *addr = g_strdup_printf("%s:%u", b->addr, b->port);
         wp_node_pull(n, addr, true);
-        asked++;
+        asked[k++] = b;
     }
+    n->peers_asked = MAX(n->peers_asked, k);
 }
 
 void wp_node_boxes(WPNode *n, WPTime now, const WPBox *boxes, size_t count)
@@ -228,6 +251,13 @@
         else if (!b && known_long)
             mark(n, now, r, true);
     }
-    if (!n->ready || wp_members_live(n->members) < 2)
-        ask_boxes(n, boxes, count);
+    if (n->ready && wp_members_live(n->members) >= 2)
+        return;
+    ask_boxes(n, boxes, count);
+    /* Many may be starting at once: their asking of the store is spread. */
+    if (!n->listed)
+        n->head_due_us = now.mono_us + WP_START_PATIENCE_US +
+                         wp_node_jitter(n, (int64_t)count * WP_US_PER_S /
+                                               WP_FLEET_READS_PER_S);
+    n->listed = true;
 }
