A quiet link is not taken for dead by its first request

The silence of a link was counted from its last frame, also while it carried no request; the first request over a link that had been quiet for longer than dead_ms was given up at the next tick unless its Accept came within 20 ms, as it does not when the request queues or the machine is busy. Change: on a link without requests the silence does not run.

--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -332,6 +332,10 @@
     wp_list_each_safe (it, tmp, &h->links) {
         WPLink *l = wp_list_item(it, WPLink, node);
         int64_t idle_us = (int64_t)WP_LINK_IDLE_S * WP_US_PER_S;
+        /* Nobody owes a word on a link without requests: its silence begins
+           with the first one. */
+        if (!l->streams)
+            l->heard_us = now_us;
         if (l->streams && now_us - l->heard_us > dead_us)
             wp_link_close(l);
         else if (l->streams && now_us - l->pinged_us >= heartbeat_us)
