--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 UNIT := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed) $(UNIT)
 
+LOAD := tools/load.c tools/load_sums.c tools/sample.c
+LAB := bench/lab.c bench/lab_setup.c bench/lab_sums.c tools/sample.c
+
 all: $(BIN)
 
 tests: $(BIN) $(TESTS)
@@ -50,23 +53,23 @@
 $(BUILD)/wpctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cmd/wpctl.c cmd/ctl_*.c)) $(COMMON) $(LIB)
 $(BUILD)/wpstand: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/*.c)) $(COMMON) $(LIB)
 
-$(BUILD)/wpload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/wpload.c tools/load.c)) $(COMMON) $(LIB)
+$(BUILD)/wpload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/wpload.c $(LOAD))) $(COMMON) $(LIB)
 
-SITE := $(patsubst %.c,$(BUILD)/%.o,tools/site.c tools/load.c)
+SITE := $(patsubst %.c,$(BUILD)/%.o,tools/site.c $(LOAD))
 $(BUILD)/wpscenario: $(patsubst %.c,$(BUILD)/%.o,tests/wpscenario.c tests/judge.c tests/steps.c) $(SITE) $(LIB)
 $(BUILD)/wpdemo: $(BUILD)/tools/wpdemo.o $(SITE) $(LIB)
 
-$(BUILD)/wpbench: $(patsubst %.c,$(BUILD)/%.o,bench/wpbench.c bench/lab.c) $(LIB)
+$(BUILD)/wpbench: $(patsubst %.c,$(BUILD)/%.o,bench/wpbench.c $(LAB)) $(LIB)
 
 $(BUILD)/wpcapacity: $(patsubst %.c,$(BUILD)/%.o,bench/wpcapacity.c bench/fleet.c) $(LIB)
 $(BUILD)/wpspeed: $(BUILD)/bench/wpspeed.o $(SITE) $(LIB)
 
-$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/bench/fleet.o $(SITE) $(LIB)
+$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/bench/fleet.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
 $(BIN) $(TESTS):
 	@echo "  LD $@"
-	@$(CC) $(CFLAGS) $(filter %.o,$^) $(LIB) $(LDLIBS) -o $@
+	@$(CC) $(CFLAGS) $(sort $(filter %.o,$^)) $(LIB) $(LDLIBS) -o $@
 
 # Installs what is missing; only there does it need to be root.
 deps:
--- a/bench/lab.c
+++ b/bench/lab.c
@@ -1,98 +1,12 @@
-/* Runs entries and agents against fake engines in virtual time. */
-#include "lab.h"
+/* Requests from their arrival to their answer, in virtual time. */
+#include "lab_int.h"
+#include "wp_code.h"
 #include "wp_pb.h"
 
 #include <math.h>
-#include <stdio.h>
 #include <stdlib.h>
 
-#define WALL_START_MS 1800000000000LL
-#define NEAR_US 250
-#define FAR_US 1000
-#define TICK_US (20 * WP_US_PER_MS)
-#define RATINGS_US WP_US_PER_S
-#define STEER_US (500 * WP_US_PER_MS)
-#define BATCH_SLOWDOWN 0.5
-#define PREFILL_TOKENS_PER_STEP 200
-#define PREFIX_CACHE 8
-#define TAIL_SHAPE 1.5
-#define TAIL_MOST 20.0
-#define PROBES 2
-
-typedef struct Lab Lab;
-typedef struct Ask Ask;
-
-/* One request of a caller, and its present leg. */
-struct Ask {
-    Lab *lab;
-    const Wp__MixItem *item;
-    unsigned entry;
-    WPRequest *request;
-    WPJob *job;
-    uint64_t stream;
-    unsigned agent;
-    unsigned tokens, answer_tokens, prompt_tokens, prefill, prefix;
-    int64_t start_us, first_us;
-    bool counted, running, checked_good;
-    WPList link; /* in the engine's batch */
-};
-
-typedef struct Server {
-    WPNode *node;
-    WPAgent *agent;
-    char id[16], zone[8], version[64];
-    char *versions[2];
-    WPList batch; /* of Ask */
-    unsigned n_batch;
-    bool stepping, lost;
-    double slow;
-    unsigned cache[PREFIX_CACHE];
-    Wp__Load old_load; /* as reported when reports lag */
-    int64_t old_load_us;
-} Server;
-
-typedef struct Door {
-    WPNode *node;
-    WPEntry *entry;
-    char id[16], zone[8];
-} Door;
-
-typedef struct Event {
-    int64_t at_us;
-    uint64_t order;
-    void (*fn)(Lab *lab, struct Event *e);
-    Ask *ask;
-    unsigned n, m;
-    uint64_t stream;
-    Wp__Load load;
-    WPVerdict verdict;
-    Wp__End end;
-    Wp__Usage usage;
-    double score;
-    const char *kind;
-    char version[64];
-} Event;
-
-struct Lab {
-    const LabPlan *plan;
-    LabResult *r;
-    Wp__Mix *mix;
-    WPConfig *config;
-    uint64_t revision;
-    Door *doors;
-    Server *servers;
-    unsigned n_servers;
-    GPtrArray *heap; /* of Event */
-    GRand *rand;
-    int64_t now_us;
-    uint64_t order, stream;
-    Wp__Ratings *sums;
-    GHashTable *offered, *served; /* workspace -> double */
-    int64_t stopped_us;
-    uint64_t ok_in_second, second_ok[600];
-};
-
-static WPTime now_of(const Lab *lab)
+WPTime lab_now(const Lab *lab)
 {
     return (WPTime){ lab->now_us, WALL_START_MS + lab->now_us / WP_US_PER_MS };
 }
@@ -104,7 +18,7 @@
     return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
 }
 
-static Event *after(Lab *lab, int64_t us, void (*fn)(Lab *, Event *))
+Event *lab_after(Lab *lab, int64_t us, void (*fn)(Lab *, Event *))
 {
     Event *e = g_new0(Event, 1);
     GPtrArray *h = lab->heap;
@@ -149,7 +63,7 @@
                                                                      : NEAR_US;
 }
 
-static void drain(WPNode *n)
+void lab_drain(WPNode *n)
 {
     WPAction *a;
     while ((a = wp_node_next(n)))
@@ -186,7 +100,7 @@
     return fresh;
 }
 
-static double *count_of(GHashTable *t, const char *name)
+double *lab_count(GHashTable *t, const char *name)
 {
     double *n = g_hash_table_lookup(t, name);
     if (!n) {
@@ -201,7 +115,7 @@
 {
     g_autofree char *key = g_strdup_printf(
         "%u/%s", kind_of(lab, a->item->kind)->rank, a->item->workspace);
-    return count_of(t, key);
+    return lab_count(t, key);
 }
 
 static double version_cost(Lab *lab, const char *version, const Ask *a)
@@ -272,8 +186,8 @@
         r->cost += 0.02 * version_cost(lab, version, a);
     if (a->request->ask_rating ||
         g_rand_double(lab->rand) < lab->mix->rated_share) {
-        Event *e = after(lab, (int64_t)(lab->plan->rating_lag_s * WP_US_PER_S),
-                         on_rating);
+        Event *e = lab_after(
+            lab, (int64_t)(lab->plan->rating_lag_s * WP_US_PER_S), on_rating);
         e->kind = a->item->kind;
         g_strlcpy(e->version, version, sizeof(e->version));
         e->score = good;
@@ -318,8 +232,7 @@
         (uint32_t)(MAX(q->deadline_us - lab->now_us, 0) / WP_US_PER_MS);
     s.has_leg = 1;
     s.leg = q->leg;
-    g_autoptr(GByteArray) b = wp_pb_pack(&s.base);
-    return wp__start__unpack(NULL, b->len, b->data);
+    return wp_pb_copy(&s.base);
 }
 
 static void on_start(Lab *lab, Event *e);
@@ -328,11 +241,11 @@
 static void probe(Lab *lab, Ask *a)
 {
     WPEndpoint *list[PROBES];
-    unsigned n = wp_entry_probes(lab->doors[a->entry].entry, now_of(lab),
+    unsigned n = wp_entry_probes(lab->doors[a->entry].entry, lab_now(lab),
                                  a->request, list, PROBES);
     for (unsigned i = 0; i < n; i++) {
         unsigned k = (unsigned)atoi(list[i]->id + 1);
-        Event *e = after(lab, 2 * way(lab, a->entry, k), on_pong);
+        Event *e = lab_after(lab, 2 * way(lab, a->entry, k), on_pong);
         e->n = a->entry;
         e->m = k;
     }
@@ -343,7 +256,7 @@
     Ask *a = e->ask;
     do_step(
         lab, a,
-        wp_entry_again(lab->doors[a->entry].entry, now_of(lab), a->request));
+        wp_entry_again(lab->doors[a->entry].entry, lab_now(lab), a->request));
 }
 
 static void do_step(Lab *lab, Ask *a, WPStep step)
@@ -357,13 +270,14 @@
             a->counted && (a->request->n_tried > 1 || a->request->step == 0);
         a->agent = (unsigned)atoi(step.endpoint->id + 1);
         a->stream = ++lab->stream;
-        e = after(lab, way(lab, a->entry, a->agent), on_start);
+        e = lab_after(lab, way(lab, a->entry, a->agent), on_start);
         e->ask = a;
         e->stream = a->stream;
         probe(lab, a);
         return;
     case WP_STEP_LATER:
-        e = after(lab, (int64_t)step.retry_after_ms * WP_US_PER_MS, on_again);
+        e = lab_after(lab, (int64_t)step.retry_after_ms * WP_US_PER_MS,
+                      on_again);
         e->ask = a;
         return;
     case WP_STEP_CHECK: {
@@ -373,7 +287,7 @@
         if (a->counted)
             r->cost += 0.02 * version_cost(lab, a->request->version, a);
         do_step(lab, a,
-                wp_entry_checked(lab->doors[a->entry].entry, now_of(lab),
+                wp_entry_checked(lab->doors[a->entry].entry, lab_now(lab),
                                  a->request, good));
         return;
     }
@@ -440,7 +354,7 @@
         return;
     take_load(lab, a->entry, e->n, &e->load);
     do_step(lab, a,
-            wp_entry_refused(lab->doors[a->entry].entry, now_of(lab),
+            wp_entry_refused(lab->doors[a->entry].entry, lab_now(lab),
                              a->request, e->verdict.code, WP_RAN_NOT_RUN,
                              e->verdict.retry_ms));
 }
@@ -451,7 +365,7 @@
     if (a->stream != e->stream)
         return;
     do_step(lab, a,
-            wp_entry_lost(lab->doors[a->entry].entry, now_of(lab), a->request,
+            wp_entry_lost(lab->doors[a->entry].entry, lab_now(lab), a->request,
                           true));
 }
 
@@ -463,7 +377,7 @@
     if (!a->first_us)
         a->first_us = lab->now_us;
     take_load(lab, a->entry, e->n, &e->load);
-    wp_entry_first_bytes(lab->doors[a->entry].entry, now_of(lab), a->request);
+    wp_entry_first_bytes(lab->doors[a->entry].entry, lab_now(lab), a->request);
 }
 
 static void on_end(Lab *lab, Event *e)
@@ -476,14 +390,14 @@
     if (a->counted)
         lab->r->cost += version_cost(lab, a->request->version, a);
     do_step(lab, a,
-            wp_entry_ended(lab->doors[a->entry].entry, now_of(lab), a->request,
+            wp_entry_ended(lab->doors[a->entry].entry, lab_now(lab), a->request,
                            &e->end));
 }
 
 static void send_back(Lab *lab, unsigned server, Ask *a,
                       void (*fn)(Lab *, Event *), const WPVerdict *v)
 {
-    Event *e = after(lab, way(lab, a->entry, server), fn);
+    Event *e = lab_after(lab, way(lab, a->entry, server), fn);
     e->ask = a;
     e->n = server;
     e->stream = a->stream;
@@ -515,7 +429,7 @@
     s->stepping = true;
     double fill = (double)s->n_batch / lab->plan->slots;
     double us = lab->plan->step_us * (1 + BATCH_SLOWDOWN * fill) * s->slow;
-    after(lab, (int64_t)us, on_step)->n = n;
+    lab_after(lab, (int64_t)us, on_step)->n = n;
 }
 
 static bool cached(Server *s, unsigned prefix)
@@ -562,7 +476,7 @@
 {
     WPVerdict v;
     WPJob *j;
-    while ((j = wp_agent_next(lab->servers[n].agent, now_of(lab), &v)))
+    while ((j = wp_agent_next(lab->servers[n].agent, lab_now(lab), &v)))
         follow(lab, n, j, &v);
 }
 
@@ -574,12 +488,12 @@
     WPVerdict v;
     if (s->lost) {
         /* The link is found dead after the heartbeat's bound. */
-        Event *lost = after(lab, WP_US_PER_S, on_lost);
+        Event *lost = lab_after(lab, WP_US_PER_S, on_lost);
         lost->ask = a;
         lost->stream = a->stream;
         return;
     }
-    a->job = wp_agent_start(s->agent, now_of(lab), make_start(lab, a), 1,
+    a->job = wp_agent_start(s->agent, lab_now(lab), make_start(lab, a), 1,
                             a->stream, 0, &v);
     a->job->io = a;
     follow(lab, n, a->job, &v);
@@ -592,7 +506,7 @@
     wp_list_remove(&a->link);
     s->n_batch--;
     a->running = false;
-    wp_agent_ended(s->agent, now_of(lab), a->job, true, true, a->prompt_tokens,
+    wp_agent_ended(s->agent, lab_now(lab), a->job, true, true, a->prompt_tokens,
                    a->answer_tokens);
     wp_job_free(a->job);
     a->job = NULL;
@@ -682,19 +596,17 @@
         kind_of(lab, a->item->kind)->offered++;
         ++*class_count(lab->offered, lab, a);
     }
-    a->request = wp_entry_begin(d->entry, now_of(lab), &ask, &step);
+    a->request = wp_entry_begin(d->entry, lab_now(lab), &ask, &step);
     do_step(lab, a, step);
     if (lab->now_us < lab->plan->seconds * WP_US_PER_S)
-        after(lab,
-              (int64_t)(-log(1 - g_rand_double(lab->rand)) / rate_at(lab) *
-                        WP_US_PER_S),
-              on_arrival);
+        lab_after(lab,
+                  (int64_t)(-log(1 - g_rand_double(lab->rand)) / rate_at(lab) *
+                            WP_US_PER_S),
+                  on_arrival);
 }
 
 /* --- what happens by the clock --- */
 
-static void set_config(Lab *lab);
-
 static void on_steer(Lab *lab, Event *e)
 {
     WPEntry *entry = lab->doors[0].entry;
@@ -704,9 +616,9 @@
     (void)e;
     if (lab->plan->chart)
         ops = wp_rollout_step(lab->plan->chart, wp_entry_policy(entry), q,
-                              now_of(lab), &why);
+                              lab_now(lab), &why);
     if (!ops && lab->plan->stop_bad)
-        ops = wp_stop_bad(wp_entry_policy(entry), q, now_of(lab), &why);
+        ops = wp_stop_bad(wp_entry_policy(entry), q, lab_now(lab), &why);
     if (ops) {
         Wp__Delta d = WP__DELTA__INIT;
         d.prev = lab->revision;
@@ -715,12 +627,12 @@
         d.n_ops = ops->len;
         d.ops = (Wp__Op **)ops->pdata;
         wp_config_apply(lab->config, &d);
-        set_config(lab);
+        lab_set_config(lab);
         wp_ops_free(ops);
         lab->r->steps++;
     }
     if (lab->now_us < lab->plan->seconds * WP_US_PER_S)
-        after(lab, STEER_US, on_steer);
+        lab_after(lab, STEER_US, on_steer);
 }
 
 static void on_ratings(Lab *lab, Event *e)
@@ -728,12 +640,12 @@
     (void)e;
     for (unsigned i = 0; i < lab->plan->entries; i++) {
         Door *d = &lab->doors[i];
-        wp_node_ratings(d->node, now_of(lab), lab->sums);
-        drain(d->node);
-        wp_entry_refresh(d->entry, now_of(lab));
+        wp_node_ratings(d->node, lab_now(lab), lab->sums);
+        lab_drain(d->node);
+        wp_entry_refresh(d->entry, lab_now(lab));
     }
     if (lab->now_us < lab->plan->seconds * WP_US_PER_S)
-        after(lab, RATINGS_US, on_ratings);
+        lab_after(lab, RATINGS_US, on_ratings);
 }
 
 /* A lost zone: its running requests are found lost by their entries. */
@@ -744,7 +656,7 @@
     wp_list_each_safe (it, tmp, &s->batch) {
         Ask *a = wp_list_item(it, Ask, link);
         wp_list_remove(&a->link);
-        Event *e = after(lab, WP_US_PER_S, on_lost);
+        Event *e = lab_after(lab, WP_US_PER_S, on_lost);
         e->ask = a;
         e->stream = a->stream;
     }
@@ -766,260 +678,7 @@
             drain_agent(lab, i);
     }
     if (lab->now_us < (p->seconds + 30) * WP_US_PER_S)
-        after(lab, TICK_US, on_tick);
-}
-
-/* --- set up and sum up --- */
-
-static void *load_yaml(const ProtobufCMessageDescriptor *shape,
-                       const char *file)
-{
-    g_autofree char *text = NULL;
-    gsize n;
-    GError *error = NULL;
-    void *m = NULL;
-    if (g_file_get_contents(file, &text, &n, &error))
-        m = wp_yaml_read(shape, wp_strn(text, n), file, &error);
-    if (!m)
-        g_error("%s", error->message);
-    return m;
-}
-
-static void set_node(Lab *lab, WPNode *n)
-{
-    Wp__Snapshot *s = wp_config_snapshot(lab->config);
-    wp_node_all(n, now_of(lab), lab->now_us, true, s);
-    wp_pb_free(s);
-    drain(n);
-}
-
-static void set_config(Lab *lab)
-{
-    for (unsigned i = 0; i < lab->plan->entries; i++) {
-        set_node(lab, lab->doors[i].node);
-        wp_entry_refresh(lab->doors[i].entry, now_of(lab));
-    }
-    for (unsigned i = 0; i < lab->n_servers; i++) {
-        set_node(lab, lab->servers[i].node);
-        wp_agent_refresh(lab->servers[i].agent, now_of(lab));
-    }
-    const char *bad = lab->plan->bad_version;
-    const WPVersion *v =
-        bad ? wp_policy_version(wp_entry_policy(lab->doors[0].entry), bad)
-            : NULL;
-    if (v && v->spec->withdrawn && !lab->stopped_us)
-        lab->stopped_us = lab->now_us;
-}
-
-static void make_server(Lab *lab, unsigned n, const char *version)
-{
-    static char any[] = "x:1", *stores[] = { any };
-    Server *s = &lab->servers[n];
-    Wp__NodeSettings node = WP__NODE_SETTINGS__INIT;
-    Wp__AgentSettings a = WP__AGENT_SETTINGS__INIT;
-    Wp__Member self = WP__MEMBER__INIT;
-    g_snprintf(s->id, sizeof(s->id), "a%u", n);
-    g_snprintf(s->zone, sizeof(s->zone), "z%u", n % lab->plan->zones);
-    g_strlcpy(s->version, version, sizeof(s->version));
-    s->versions[0] = s->version;
-    s->slow = 1;
-    wp_list_init(&s->batch);
-    node.id = s->id;
-    node.zone = s->zone;
-    node.store = stores;
-    node.n_store = 1;
-    node.bill_limit = UINT32_MAX;
-    a.node = &node;
-    a.endpoint = any;
-    a.versions = s->versions;
-    a.n_versions = 1;
-    a.slots = lab->plan->slots;
-    a.queue = lab->plan->queue;
-    self.id = s->id;
-    self.incarnation = 1;
-    self.role = WP__ROLE__ROLE_AGENT;
-    self.addr = (char *)"127.0.0.1";
-    self.port = n + 1;
-    self.zone = s->zone;
-    self.versions = s->versions;
-    self.n_versions = 1;
-    self.has_slots = 1;
-    self.slots = lab->plan->slots;
-    s->node = wp_node_new(&node, &self, lab->plan->seed + n, now_of(lab));
-    s->agent = wp_agent_new(s->node, &a);
-}
-
-static void make_door(Lab *lab, unsigned n)
-{
-    static char any[] = "x:1", *stores[] = { any };
-    Door *d = &lab->doors[n];
-    Wp__NodeSettings node = WP__NODE_SETTINGS__INIT;
-    Wp__EntrySettings s = WP__ENTRY_SETTINGS__INIT;
-    Wp__Member self = WP__MEMBER__INIT;
-    GError *error = NULL;
-    g_snprintf(d->id, sizeof(d->id), "e%u", n);
-    g_snprintf(d->zone, sizeof(d->zone), "z%u", n % lab->plan->zones);
-    node.id = d->id;
-    node.zone = d->zone;
-    node.store = stores;
-    node.n_store = 1;
-    node.bill_limit = UINT32_MAX;
-    s.node = &node;
-    s.choose = (char *)lab->plan->choose;
-    s.balance = (char *)lab->plan->balance;
-    self.id = d->id;
-    self.incarnation = 1;
-    self.role = WP__ROLE__ROLE_ENTRY;
-    self.addr = (char *)"127.0.0.2";
-    self.zone = d->zone;
-    d->node =
-        wp_node_new(&node, &self, lab->plan->seed + 1000 + n, now_of(lab));
-    d->entry = wp_entry_new(d->node, &s, lab->plan->seed * 31 + n, &error);
-    if (!d->entry)
-        g_error("%s", error->message);
-}
-
-static void introduce(Lab *lab)
-{
-    Wp__Members all = WP__MEMBERS__INIT;
-    Wp__Frame f = WP__FRAME__INIT;
-    g_autofree Wp__Member **rows = g_new0(Wp__Member *, lab->n_servers);
-    for (unsigned i = 0; i < lab->n_servers; i++)
-        rows[i] = (Wp__Member *)wp_node_self(lab->servers[i].node);
-    all.n_members = lab->n_servers;
-    all.members = rows;
-    f.body_case = WP__FRAME__BODY_MEMBERS;
-    f.members = &all;
-    for (unsigned i = 0; i < lab->plan->entries; i++) {
-        wp_node_frame(lab->doors[i].node, now_of(lab), "x:1", &f);
-        drain(lab->doors[i].node);
-    }
-}
-
-static void open_lab(Lab *lab)
-{
-    const LabPlan *p = lab->plan;
-    Wp__Rules *rules = load_yaml(&wp__rules__descriptor, p->rules);
-    GPtrArray *ops = wp_rules_ops(rules);
-    Wp__Snapshot s = WP__SNAPSHOT__INIT;
-    lab->mix = load_yaml(&wp__mix__descriptor, p->mix);
-    lab->config = wp_config_new();
-    lab->revision = s.revision = 1;
-    s.n_ops = ops->len;
-    s.ops = (Wp__Op **)ops->pdata;
-    wp_config_replace(lab->config, &s);
-    wp_ops_free(ops);
-    wp_pb_free(rules);
-    lab->rand = g_rand_new_with_seed(p->seed);
-    lab->heap = g_ptr_array_new();
-    lab->now_us = 1;
-    lab->sums = calloc(1, sizeof(*lab->sums));
-    wp__ratings__init(lab->sums);
-    lab->offered =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    lab->served =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    for (size_t i = 0; i < p->n_pools; i++)
-        lab->n_servers += p->pools[i].agents;
-    lab->servers = g_new0(Server, lab->n_servers);
-    lab->doors = g_new0(Door, p->entries);
-    unsigned n = 0;
-    for (size_t i = 0; i < p->n_pools; i++)
-        for (unsigned k = 0; k < p->pools[i].agents; k++)
-            make_server(lab, n++, p->pools[i].version);
-    for (unsigned i = 0; i < p->entries; i++)
-        make_door(lab, i);
-    introduce(lab);
-    set_config(lab);
-}
-
-typedef struct Part {
-    double offered, served;
-} Part;
-
-/* The level up to which each is served when `total` is shared max-min. */
-static double fair_level(const Part *parts, unsigned n, double total)
-{
-    double level = 0;
-    for (double step = total; step > 0.01; step /= 2) {
-        double filled = 0;
-        for (unsigned i = 0; i < n; i++)
-            filled += fmin(parts[i].offered, level + step);
-        level += filled <= total ? step : 0;
-    }
-    return level;
-}
-
-/* Jain's index of what each workspace got of a class over its max-min fair
-   part: a small one that got all it asked for counts as one that got its full
-   part. Weights are equal here. */
-static double fairness_of(Lab *lab, unsigned rank)
-{
-    Part parts[32];
-    unsigned n = 0;
-    double total = 0, sum = 0, squares = 0;
-    WPPolicy *p = wp_entry_policy(lab->doors[0].entry);
-    for (unsigned w = 0; w < wp_policy_workspaces(p) && n < 32; w++) {
-        g_autofree char *key = g_strdup_printf(
-            "%u/%s", rank, wp_policy_workspace_at(p, w)->spec->name);
-        parts[n].offered = *count_of(lab->offered, key);
-        parts[n].served = *count_of(lab->served, key);
-        total += parts[n].served;
-        n += parts[n].offered > 0;
-    }
-    double level = fair_level(parts, n, total);
-    for (unsigned i = 0; i < n; i++) {
-        double x = parts[i].served / fmax(fmin(parts[i].offered, level), 1);
-        sum += x;
-        squares += x * x;
-    }
-    return squares > 0 ? sum * sum / (n * squares) : 1;
-}
-
-static void sum_up(Lab *lab)
-{
-    LabResult *r = lab->r;
-    const LabPlan *p = lab->plan;
-    r->jain = fairness_of(lab, 0);
-    r->goodput = (double)r->ok / (p->seconds - p->warm_s);
-    r->stopped_after_s =
-        lab->stopped_us ? (double)lab->stopped_us / WP_US_PER_S - p->bad_from_s
-                        : -1;
-    r->recovered_after_s = -1;
-    for (int s = (int)p->burst_to_s; p->burst_factor > 1 && s < p->seconds;
-         s++) {
-        if ((double)lab->second_ok[s] < 0.9 * p->rate)
-            continue;
-        r->recovered_after_s = s - p->burst_to_s;
-        break;
-    }
-    WPPolicy *policy = wp_entry_policy(lab->doors[0].entry);
-    if (wp_policy_rollouts(policy))
-        g_strlcpy(r->state, wp_policy_rollout_at(policy, 0)->spec->state,
-                  sizeof(r->state));
-}
-
-static void close_lab(Lab *lab)
-{
-    for (guint i = 0; i < lab->heap->len; i++)
-        g_free(lab->heap->pdata[i]);
-    for (unsigned i = 0; i < lab->n_servers; i++) {
-        wp_agent_free(lab->servers[i].agent);
-        wp_node_free(lab->servers[i].node);
-    }
-    for (unsigned i = 0; i < lab->plan->entries; i++) {
-        wp_entry_free(lab->doors[i].entry);
-        wp_node_free(lab->doors[i].node);
-    }
-    g_hash_table_unref(lab->offered);
-    g_hash_table_unref(lab->served);
-    wp_pb_free(lab->sums);
-    wp_pb_free(lab->mix);
-    wp_config_free(lab->config);
-    g_ptr_array_unref(lab->heap);
-    g_rand_free(lab->rand);
-    g_free(lab->doors);
-    g_free(lab->servers);
+        lab_after(lab, TICK_US, on_tick);
 }
 
 void lab_run(const LabPlan *p, LabResult *r)
@@ -1027,56 +686,17 @@
     Lab lab = { .plan = p, .r = r };
     memset(r, 0, sizeof(*r));
     r->first_ms = g_array_new(FALSE, FALSE, sizeof(double));
-    open_lab(&lab);
-    after(&lab, 0, on_arrival);
-    after(&lab, TICK_US, on_tick);
-    after(&lab, RATINGS_US, on_ratings);
-    after(&lab, STEER_US, on_steer);
+    lab_open(&lab);
+    lab_after(&lab, 0, on_arrival);
+    lab_after(&lab, TICK_US, on_tick);
+    lab_after(&lab, RATINGS_US, on_ratings);
+    lab_after(&lab, STEER_US, on_steer);
     while (lab.heap->len) {
         Event *e = pop(&lab);
         lab.now_us = e->at_us;
         e->fn(&lab, e);
         g_free(e);
     }
-    sum_up(&lab);
-    close_lab(&lab);
-}
-
-void lab_end(LabResult *r)
-{
-    g_array_unref(r->first_ms);
-}
-
-static gint by_value(gconstpointer a, gconstpointer b)
-{
-    double x = *(const double *)a, y = *(const double *)b;
-    return x < y ? -1 : x > y;
-}
-
-double lab_quantile(GArray *sample, double q)
-{
-    if (!sample->len)
-        return 0;
-    g_array_sort(sample, by_value);
-    guint i = (guint)(q * sample->len);
-    return g_array_index(sample, double, MIN(i, sample->len - 1));
-}
-
-double lab_capacity(const LabPlan *p)
-{
-    Wp__Mix *mix = load_yaml(&wp__mix__descriptor, p->mix);
-    double tokens = 0, weight = 0;
-    unsigned servers = 0;
-    for (size_t i = 0; i < mix->n_items; i++) {
-        const Wp__MixItem *m = mix->items[i];
-        /* The mean of the heavy tail, cut at its bound, is about 0.9. */
-        double t = m->answer_tokens * (m->heavy_tail ? 0.9 : 1);
-        tokens += m->weight * (t + m->prompt_words / 160.0);
-        weight += m->weight;
-    }
-    for (size_t i = 0; i < p->n_pools; i++)
-        servers += p->pools[i].agents;
-    wp_pb_free(mix);
-    double step_s = p->step_us * (1 + BATCH_SLOWDOWN) / WP_US_PER_S;
-    return servers * p->slots / step_s / (tokens / weight);
+    lab_sum_up(&lab);
+    lab_close(&lab);
 }
--- a/bench/lab.h
+++ b/bench/lab.h
@@ -3,6 +3,7 @@
 #ifndef LAB_H
 #define LAB_H
 
+#include "sample.h"
 #include "tools.pb-c.h"
 #include "wp_agent.h"
 #include "wp_entry.h"
@@ -73,6 +74,5 @@
 
 /* Requests a second that the pools can answer of this mix. */
 double lab_capacity(const LabPlan *p);
-double lab_quantile(GArray *sample, double q);
 
 #endif
--- a/bench/wpbench.c
+++ b/bench/wpbench.c
@@ -207,8 +207,8 @@
         p.balance = balance;
         change(&p);
         lab_run(&p, &r);
-        add(&p50, lab_quantile(r.first_ms, 0.5));
-        add(&p99, lab_quantile(r.first_ms, 0.99));
+        add(&p50, sample_quantile(r.first_ms, 0.5));
+        add(&p99, sample_quantile(r.first_ms, 0.99));
         add(&ok, (double)r.ok / (double)r.offered);
         add(&attempts, (double)r.attempts / (double)r.offered);
         lab_end(&r);
--- a/bench/wpcapacity.c
+++ b/bench/wpcapacity.c
@@ -114,9 +114,9 @@
            "bytes a second a node, processor time a\ntick, store reads a "
            "second of all; memory a node\n",
            CHANGE_BYTES, GOSSIP_MS);
-    printf("%6s %5s %5s %8s %8s %8s %8s %8s %8s %8s %10s\n", "nodes", "loss",
-           "down", "mean s", "worst s", "bytes", "worst B", "idle B/s",
-           "tick us", "reads/s", "memory B");
+    printf("%6s %5s %5s %8s %8s %8s %8s %8s %8s %8s %8s %10s\n", "nodes",
+           "loss", "down", "mean s", "worst s", "bytes", "worst B", "idle B/s",
+           "tick us", "delta us", "reads/s", "memory B");
     int n = 0;
     for (size_t i = 0; i < WP_COUNT(sizes); i++) {
         for (size_t k = 0; k < WP_COUNT(cases); k++) {
@@ -124,10 +124,10 @@
                 continue; /* one case is enough to check the prediction */
             Spread s = spread(sizes[i], cases[k].loss, cases[k].down);
             printf("%6u %5.2f %5.2f %8.2f %8.2f %8.0f %8.0f %8.0f %8.2f %8.1f "
-                   "%10.0f\n",
+                   "%8.1f %10.0f\n",
                    sizes[i], cases[k].loss, cases[k].down, s.seconds,
                    s.worst_seconds, s.bytes, s.worst_bytes, s.idle_bytes_s,
-                   s.tick_us, s.reads_s, s.memory);
+                   s.tick_us, s.delta_us, s.reads_s, s.memory);
             if (k)
                 continue;
             x[n] = log2(sizes[i]);
@@ -144,8 +144,8 @@
     Fit fm = fit(nodes, memory, n - 1);
     printf("predicted at 3000 from the smaller: %.2f s, %.0f bytes, %.0f B "
            "memory; measured %.2f s, %.0f bytes, %.0f B\n",
-           fs.a + fs.b * x[n - 1], fb.a + fb.b * x[n - 1],
-           fm.a + fm.b * 3000, seconds[n - 1], bytes[n - 1], memory[n - 1]);
+           fs.a + fs.b * x[n - 1], fb.a + fb.b * x[n - 1], fm.a + fm.b * 3000,
+           seconds[n - 1], bytes[n - 1], memory[n - 1]);
     fs = fit(x, seconds, n);
     fb = fit(x, bytes, n);
     fm = fit(nodes, memory, n);
@@ -278,8 +278,8 @@
     for (int i = 0; i < 10000; i++) {
         char key[64];
         WPTime now = { 1, 1800000000000 };
-        g_snprintf(key, sizeof(key),
-                   "hall-mont/01a236ad-ef4b-78dd-9e21-%012d", i);
+        g_snprintf(key, sizeof(key), "hall-mont/01a236ad-ef4b-78dd-9e21-%012d",
+                   i);
         wp_once_begin(o, now, "pings-1", key, 1800000000000, 0);
     }
     printf("%-34s %8.0f B\n", "an idempotency key",
--- a/bench/wpspeed.c
+++ b/bench/wpspeed.c
@@ -22,8 +22,8 @@
     if (!g_file_get_contents(file, &text, NULL, NULL))
         return 0;
     const char *at = strrchr(text, ')');
-    sscanf(at + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
-           &user, &system);
+    sscanf(at + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+           &system);
     return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
 }
 
@@ -98,8 +98,8 @@
         Load *l = run(s, &item, LATENCY_RATE, LATENCY_S,
                       site_proc(s, through ? "e1" : "x2")->port);
         const LoadResult *r = load_result(l);
-        p50[through] = load_quantile(r->whole_ms, 0.5);
-        p99[through] = load_quantile(r->whole_ms, 0.99);
+        p50[through] = sample_quantile(r->whole_ms, 0.5);
+        p99[through] = sample_quantile(r->whole_ms, 0.99);
         printf("%-9s %lu of %lu answered, p50 %.3f ms, p99 %.3f ms\n",
                through ? "through:" : "direct:", (unsigned long)r->ok,
                (unsigned long)r->sent, p50[through], p99[through]);
@@ -133,8 +133,7 @@
     double entry = cpu_s(e), agent = cpu_s(a);
     int64_t begin = g_get_monotonic_time();
     Load *l = run(s, &item, STREAMS * 4, 0.25, e->port);
-    double seconds =
-        (double)(g_get_monotonic_time() - begin) / WP_US_PER_S;
+    double seconds = (double)(g_get_monotonic_time() - begin) / WP_US_PER_S;
     entry = cpu_s(e) - entry;
     agent = cpu_s(a) - agent;
     double n = (double)load_result(l)->ok * STREAM_TOKENS;
--- a/cmd/ctl_change.c
+++ b/cmd/ctl_change.c
@@ -291,12 +291,6 @@
     return true;
 }
 
-static Wp__Object *copy_object(const Wp__Object *o)
-{
-    g_autoptr(GByteArray) b = wp_pb_pack(&o->base);
-    return wp__object__unpack(NULL, b->len, b->data);
-}
-
 int ctl_label(Ctl *c)
 {
     Wp__Label ***items;
@@ -308,7 +302,7 @@
     if (!config)
         return code;
     const Wp__Object *old = wp_config_get(config, c->words[1]);
-    Wp__Object *o = old ? copy_object(old) : NULL;
+    Wp__Object *o = old ? wp_pb_copy(&old->base) : NULL;
     code = EXIT_BAD_INPUT;
     if (!o || !labels_of(o, &items, &n)) {
         fprintf(stderr, "%s: no such model, version or workspace\n",
--- a/cmd/ctl_view.c
+++ b/cmd/ctl_view.c
@@ -65,29 +65,9 @@
 
 static void take_config(void *arg, const WPKvResult *r)
 {
-    WPConfig *config = arg;
-    Wp__Snapshot s = WP__SNAPSHOT__INIT;
-    size_t prefix = strlen(WP_KV_OBJECTS);
-    g_autoptr(GPtrArray) ops = g_ptr_array_new();
-    for (size_t i = 0; i < r->n_items; i++) {
-        const WPKvItem *item = &r->items[i];
-        if (wp_str_eq(item->key, wp_str(WP_KV_HEAD)))
-            s.revision = item->mod_revision;
-        if (item->key.n <= prefix || memcmp(item->key.p, WP_KV_OBJECTS, prefix))
-            continue;
-        Wp__Op *op = wp_op_delete("");
-        g_free(op->key);
-        op->key = g_strndup(item->key.p + prefix, item->key.n - prefix);
-        op->has_value = 1;
-        op->value.len = item->value.n;
-        op->value.data = g_memdup2(item->value.p, item->value.n);
-        g_ptr_array_add(ops, op);
-    }
-    s.n_ops = ops->len;
-    s.ops = (Wp__Op **)ops->pdata;
-    wp_config_replace(config, &s);
-    for (guint i = 0; i < ops->len; i++)
-        wp_pb_free(ops->pdata[i]);
+    Wp__Snapshot *s = wp_kv_snapshot(r);
+    wp_config_replace(arg, s);
+    wp_pb_free(s);
 }
 
 WPConfig *ctl_config(Ctl *c, int *code)
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -738,8 +738,7 @@
 static const uint32_t wp__entry_settings__caller_timeout_s__default_value = 30u;
 static const double wp__entry_settings__retry_share__default_value = 0.08;
 static const uint32_t wp__entry_settings__window_kb__default_value = 64u;
-static const uint32_t wp__entry_settings__hedge_ms__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__entry_settings__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wp__entry_settings__field_descriptors[9] =
 {
   {
     "node",
@@ -849,24 +848,11 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "hedge_ms",
-    11,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__EntrySettings, has_hedge_ms),
-    offsetof(Wp__EntrySettings, hedge_ms),
-    NULL,
-    &wp__entry_settings__hedge_ms__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wp__entry_settings__field_indices_by_name[] = {
   5,   /* field[5] = balance */
   4,   /* field[4] = caller_timeout_s */
   6,   /* field[6] = choose */
-  9,   /* field[9] = hedge_ms */
   1,   /* field[1] = http_port */
   2,   /* field[2] = max_body_kb */
   3,   /* field[3] = max_head_kb */
@@ -874,11 +860,10 @@
   7,   /* field[7] = retry_share */
   8,   /* field[8] = window_kb */
 };
-static const ProtobufCIntRange wp__entry_settings__number_ranges[2 + 1] =
+static const ProtobufCIntRange wp__entry_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 11, 9 },
-  { 0, 10 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wp__entry_settings__descriptor =
 {
@@ -888,10 +873,10 @@
   "Wp__EntrySettings",
   "wp",
   sizeof(Wp__EntrySettings),
-  10,
+  9,
   wp__entry_settings__field_descriptors,
   wp__entry_settings__field_indices_by_name,
-  2,  wp__entry_settings__number_ranges,
+  1,  wp__entry_settings__number_ranges,
   (ProtobufCMessageInit) wp__entry_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -131,14 +131,12 @@
   double retry_share;
   protobuf_c_boolean has_window_kb;
   uint32_t window_kb;
-  protobuf_c_boolean has_hedge_ms;
-  uint32_t hedge_ms;
 };
 extern char wp__entry_settings__balance__default_value[];
 extern char wp__entry_settings__choose__default_value[];
 #define WP__ENTRY_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__entry_settings__descriptor) \
-    , NULL, 0, 0, 1024u, 0, 16u, 0, 30u, wp__entry_settings__balance__default_value, wp__entry_settings__choose__default_value, 0, 0.08, 0, 64u, 0, 0u }
+    , NULL, 0, 0, 1024u, 0, 16u, 0, 30u, wp__entry_settings__balance__default_value, wp__entry_settings__choose__default_value, 0, 0.08, 0, 64u }
 
 
 struct  Wp__AgentSettings
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -9,6 +9,10 @@
 #include <signal.h>
 #include <stdlib.h>
 
+/* An agent hears little of an entry while it streams to it, and has less to
+   lose by a dead one: it pings and waits this many times longer. */
+#define AGENT_PATIENCE 10
+
 enum { TICK_MS = 20, HTTP_TIMEOUT_MS = 2000, TIMELINE_MOST = 4096 };
 
 struct WPHost {
@@ -60,33 +64,13 @@
     wp_host_pump(h);
 }
 
-/* The head gives the revision; every object under it becomes an operation. */
 static void on_all(void *arg, const WPKvResult *r)
 {
     Ask *a = arg;
     WPHost *h = a->h;
-    Wp__Snapshot s = WP__SNAPSHOT__INIT;
-    g_autofree Wp__Op **ops = g_new0(Wp__Op *, r->n_items + 1);
-    g_autofree Wp__Op *room = g_new0(Wp__Op, r->n_items + 1);
-    size_t prefix = strlen(WP_KV_OBJECTS);
-    s.ops = ops;
-    for (size_t i = 0; i < r->n_items; i++) {
-        const WPKvItem *item = &r->items[i];
-        if (wp_str_eq(item->key, wp_str(WP_KV_HEAD)))
-            s.revision = item->mod_revision;
-        if (item->key.n <= prefix || memcmp(item->key.p, WP_KV_OBJECTS, prefix))
-            continue;
-        Wp__Op *op = &room[s.n_ops];
-        wp__op__init(op);
-        op->key = g_strndup(item->key.p + prefix, item->key.n - prefix);
-        op->has_value = 1;
-        op->value.data = (uint8_t *)item->value.p;
-        op->value.len = item->value.n;
-        ops[s.n_ops++] = op;
-    }
-    wp_node_all(h->node, wp_host_now(h), a->asked_us, r->ok, &s);
-    for (size_t i = 0; i < s.n_ops; i++)
-        g_free(ops[i]->key);
+    Wp__Snapshot *s = wp_kv_snapshot(r);
+    wp_node_all(h->node, wp_host_now(h), a->asked_us, r->ok, s);
+    wp_pb_free(s);
     g_free(a);
     wp_host_pump(h);
 }
@@ -368,6 +352,11 @@
     event_base_loopbreak(h->base);
 }
 
+static bool is_agent(const WPHost *h)
+{
+    return wp_node_self(h->node)->role == WP__ROLE__ROLE_AGENT;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
     WPHost *h = arg;
@@ -376,9 +365,10 @@
     (void)what;
     wp_node_tick(h->node, now);
     wp_host_pump(h);
+    int64_t patience = is_agent(h) ? AGENT_PATIENCE : 1;
     wp_hub_tick(h->hub, now.mono_us,
-                (int64_t)h->settings->heartbeat_ms * WP_US_PER_MS,
-                (int64_t)h->settings->dead_ms * WP_US_PER_MS);
+                patience * h->settings->heartbeat_ms * WP_US_PER_MS,
+                patience * h->settings->dead_ms * WP_US_PER_MS);
     h->ops->tick(h->role, now);
     write_bills(h, now);
     if (h->leaving && wp_guard_off(h->settings, WP_GUARD_DRAIN))
@@ -498,12 +488,6 @@
     }
 }
 
-static Wp__NodeSettings *copy_settings(const Wp__NodeSettings *s)
-{
-    g_autoptr(GByteArray) b = wp_pb_pack(&s->base);
-    return wp__node_settings__unpack(NULL, b->len, b->data);
-}
-
 static bool open_platform(WPHost *h, GError **error)
 {
     Wp__NodeSettings *s = h->settings;
@@ -544,7 +528,7 @@
     Wp__Member self = WP__MEMBER__INIT;
     struct timeval tick = { 0, TICK_MS * WP_US_PER_MS };
     signal(SIGPIPE, SIG_IGN);
-    h->settings = copy_settings(s);
+    h->settings = wp_pb_copy(&s->base);
     h->base = event_base_new();
     h->seed = s->seed ? (uint32_t)s->seed : wp_clock_seed();
     wp_log_init(&h->log, h->settings->id, s->log_level, s->log_format);
--- /dev/null
+++ b/io/wp_kv.c
@@ -0,0 +1,35 @@
+/* The configuration as the key-value service holds it. */
+#include "wp_kv.h"
+#include "wp_pb.h"
+
+#include <stdlib.h>
+
+static Wp__Op *new_op(WPStr key, WPStr value)
+{
+    Wp__Op *op = g_new0(Wp__Op, 1);
+    wp__op__init(op);
+    op->key = g_strndup(key.p, key.n);
+    op->has_value = 1;
+    op->value.len = value.n;
+    op->value.data = g_memdup2(value.p, value.n);
+    return op;
+}
+
+Wp__Snapshot *wp_kv_snapshot(const WPKvResult *r)
+{
+    Wp__Snapshot *s = g_new0(Wp__Snapshot, 1);
+    const size_t prefix = strlen(WP_KV_OBJECTS);
+    wp__snapshot__init(s);
+    s->ops = g_new0(Wp__Op *, r->n_items + 1);
+    for (size_t i = 0; i < r->n_items; i++) {
+        const WPKvItem *item = &r->items[i];
+        WPStr rest = item->key;
+        if (wp_str_eq(item->key, wp_str(WP_KV_HEAD)))
+            s->revision = item->mod_revision;
+        if (rest.n <= prefix || memcmp(rest.p, WP_KV_OBJECTS, prefix))
+            continue;
+        rest = wp_strn(rest.p + prefix, rest.n - prefix);
+        s->ops[s->n_ops++] = new_op(rest, item->value);
+    }
+    return s;
+}
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -3,6 +3,7 @@
 #ifndef WP_KV_H
 #define WP_KV_H
 
+#include "config.pb-c.h"
 #include "wp_base.h"
 
 #include <event2/event.h>
@@ -62,6 +63,10 @@
     const WPKvOps *ops;
 };
 
+/* The objects and the head's revision out of a range over WP_KV_CONFIG; free
+   with wp_pb_free(). */
+Wp__Snapshot *wp_kv_snapshot(const WPKvResult *r);
+
 /* A client of etcd's v3 JSON gateway at one of `targets` (host:port), tried
    in turn. NULL when a target is malformed. */
 WPKv *wp_kv_etcd(struct event_base *base, char **targets, size_t n);
--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -338,7 +338,8 @@
             l->heard_us = now_us;
         if (l->streams && now_us - l->heard_us > dead_us)
             wp_link_close(l);
-        else if (l->streams && now_us - l->pinged_us >= heartbeat_us)
+        else if (l->streams && now_us - l->heard_us >= heartbeat_us &&
+                 now_us - l->pinged_us >= heartbeat_us)
             ping(l, now_us);
         else if (!l->streams && now_us - l->used_us > idle_us)
             wp_link_close(l);
--- a/io/wp_link.h
+++ b/io/wp_link.h
@@ -64,7 +64,8 @@
    wait. */
 uint64_t wp_link_written(const WPLink *l);
 
-/* Pings links in use, closes idle and silent ones. */
+/* Pings links in use that have been silent for a heartbeat, closes those that
+   stay silent, and idle ones. */
 void wp_hub_tick(WPHub *h, int64_t now_us, int64_t heartbeat_us,
                  int64_t dead_us);
 void wp_hub_each(WPHub *h, void (*fn)(void *arg, WPLink *l), void *arg);
--- a/src/wp_bill.c
+++ b/src/wp_bill.c
@@ -51,15 +51,9 @@
     g_free(b);
 }
 
-static Wp__Bill *copy_bill(const Wp__Bill *bill)
-{
-    g_autoptr(GByteArray) p = wp_pb_pack(&bill->base);
-    return wp__bill__unpack(NULL, p->len, p->data);
-}
-
 uint64_t wp_bills_add(WPBills *b, WPTime now, const Wp__Bill *bill)
 {
-    Wp__Bill *copy = copy_bill(bill);
+    Wp__Bill *copy = wp_pb_copy(&bill->base);
     copy->has_seq = 1;
     copy->seq = ++b->next_seq;
     if (g_queue_is_empty(&b->pending) && !b->batch.key)
@@ -209,7 +203,7 @@
         if (charge->bill && !counts_more(bill, charge->bill))
             continue;
         wp_pb_free(charge->bill);
-        charge->bill = copy_bill(bill);
+        charge->bill = wp_pb_copy(&bill->base);
     }
 }
 
--- a/src/wp_copies.c
+++ b/src/wp_copies.c
@@ -33,10 +33,9 @@
     b.whole = end->whole;
     b.has_seq = 1;
     b.seq = end->bill_seq;
-    g_autoptr(GByteArray) p = wp_pb_pack(&b.base);
     c->agent = g_strdup(r->endpoint->id);
     c->incarnation = incarnation_of(e, r->endpoint->id);
-    c->bill = wp__bill__unpack(NULL, p->len, p->data);
+    c->bill = wp_pb_copy(&b.base);
     wp_list_append(&e->copies, &c->link);
 }
 
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -12,7 +12,6 @@
     X(FAILED, "failed_total", "requests that failed after a start")            \
     X(RETRIES, "retries_total", "second and later attempts")                   \
     X(ESCALATIONS, "escalations_total", "cascade steps to a stronger version") \
-    X(HEDGES, "hedges_total", "second legs raced against a slow first")        \
     X(CALLERS_GONE, "callers_gone_total", "callers that left early")           \
     X(BAD_INPUT, "bad_input_total", "malformed requests")                      \
     X(BAD_FRAMES, "bad_frames_total", "malformed frames, links closed")        \
--- a/src/wp_members.c
+++ b/src/wp_members.c
@@ -36,8 +36,7 @@
 
 Wp__Member *wp_member_copy(const Wp__Member *m)
 {
-    g_autoptr(GByteArray) b = wp_pb_pack(&m->base);
-    return wp__member__unpack(NULL, b->len, b->data);
+    return wp_pb_copy(&m->base);
 }
 
 unsigned wp_member_bucket(const char *id)
--- a/src/wp_node.c
+++ b/src/wp_node.c
@@ -7,12 +7,6 @@
     return g_strdup_printf("%s:%u", m->addr, m->port);
 }
 
-static Wp__NodeSettings *copy_settings(const Wp__NodeSettings *s)
-{
-    g_autoptr(GByteArray) b = wp_pb_pack(&s->base);
-    return wp__node_settings__unpack(NULL, b->len, b->data);
-}
-
 int64_t wp_node_jitter(WPNode *n, int64_t span_us)
 {
     return (int64_t)(g_rand_double(n->rand) * (double)span_us);
@@ -22,7 +16,7 @@
                     uint32_t seed, WPTime now)
 {
     WPNode *n = g_new0(WPNode, 1);
-    n->settings = copy_settings(s);
+    n->settings = wp_pb_copy(&s->base);
     n->self = wp_member_copy(self);
     n->addr = join_addr(self);
     n->rand = g_rand_new_with_seed(seed);
--- a/src/wp_pb.c
+++ b/src/wp_pb.c
@@ -346,3 +346,9 @@
     protobuf_c_message_pack(m, b->data);
     return b;
 }
+
+void *wp_pb_copy(const ProtobufCMessage *m)
+{
+    g_autoptr(GByteArray) b = wp_pb_pack(m);
+    return protobuf_c_message_unpack(m->descriptor, NULL, b->len, b->data);
+}
--- a/src/wp_pb.h
+++ b/src/wp_pb.h
@@ -22,6 +22,9 @@
 /* A packed copy; free with g_byte_array_unref(). */
 GByteArray *wp_pb_pack(const ProtobufCMessage *m);
 
+/* A deep copy. */
+void *wp_pb_copy(const ProtobufCMessage *m);
+
 static inline void wp_pb_free(void *m)
 {
     if (m)
--- a/src/wp_rollout.c
+++ b/src/wp_rollout.c
@@ -58,8 +58,7 @@
     Wp__Object wrap = WP__OBJECT__INIT;
     wrap.spec_case = WP__OBJECT__SPEC_ROLLOUT;
     wrap.rollout = (Wp__Rollout *)old;
-    g_autoptr(GByteArray) b = wp_pb_pack(&wrap.base);
-    Wp__Object *o = wp__object__unpack(NULL, b->len, b->data);
+    Wp__Object *o = wp_pb_copy(&wrap.base);
     Wp__Rollout *r = o->rollout;
     uint64_t wall = (uint64_t)now.wall_ms;
     if (r->state != r->base.descriptor->fields[3].default_value)
@@ -85,8 +84,7 @@
     Wp__Object wrap = WP__OBJECT__INIT;
     wrap.spec_case = WP__OBJECT__SPEC_VERSION;
     wrap.version = (Wp__Version *)old;
-    g_autoptr(GByteArray) b = wp_pb_pack(&wrap.base);
-    Wp__Object *o = wp__object__unpack(NULL, b->len, b->data);
+    Wp__Object *o = wp_pb_copy(&wrap.base);
     o->version->has_withdrawn = 1;
     o->version->withdrawn = withdrawn;
     if (withdrawn) {
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -35,7 +35,6 @@
     { "choose", 0, 0, "cost strongest cheapest static" },
     { "retry_share", 0, 1, NULL },
     { "window_kb", 4, 65536, NULL },
-    { "hedge_ms", 0, 60000, NULL },
     { "slots", 1, 10000, NULL },
     { "queue", 0, 100000, NULL },
     { "silent_timeout_ms", 100, 3600000, NULL },
--- a/tests/judge.c
+++ b/tests/judge.c
@@ -195,8 +195,8 @@
         { "session_breaks", r ? (double)r->session_breaks : 0 },
         { "session_moves", r ? (double)r->session_moves : 0 },
         { "late_finals", r ? (double)r->late_finals : 0 },
-        { "first_p99_ms", r ? load_quantile(r->first_ms, 0.99) : 0 },
-        { "whole_max_ms", r ? load_quantile(r->whole_ms, 1) : 0 },
+        { "first_p99_ms", r ? sample_quantile(r->first_ms, 0.99) : 0 },
+        { "whole_max_ms", r ? sample_quantile(r->whole_ms, 1) : 0 },
     };
     if (!r)
         return NAN;
--- a/tools/load.h
+++ b/tools/load.h
@@ -3,6 +3,7 @@
 #ifndef LOAD_H
 #define LOAD_H
 
+#include "sample.h"
 #include "tools.pb-c.h"
 #include "wp_http.h"
 
@@ -56,8 +57,6 @@
 bool load_done(const Load *l); /* all sent and all ended */
 const LoadResult *load_result(const Load *l);
 
-/* Quantile of a sample, 0 when empty. Sorts it. */
-double load_quantile(GArray *sample, double q);
 uint64_t load_count(GHashTable *counts, const char *name);
 
 /* Jain's index of the answered shares, each over its offered share. */
