--- a/src/wp_quality.c
+++ b/src/wp_quality.c
@@ -79,7 +79,10 @@
     return v->spec->quality_prior;
 }
 
-static void take_sum(WPQuality *q, const Wp__RatingSum *s, const WPPolicy *p)
+/* `past`: the sums of before this box began. They tell how good a version is,
+   but not when it was bad: an operator may have let it serve again since. */
+static void take_sum(WPQuality *q, const Wp__RatingSum *s, const WPPolicy *p,
+                     bool past)
 {
     Cell *c = need_cell(q, s->kind, s->version);
     const WPVersion *v = p ? wp_policy_version(p, s->version) : NULL;
@@ -88,11 +91,13 @@
     double n = s->count - c->count_seen;
     double good = s->sum - c->sum_seen;
     double keep = exp(-n / WP_QUALITY_WINDOW);
-    c->count = c->count * keep + n;
-    c->sum = c->sum * keep + good;
+    /* A long past counts for no more than the window. */
+    double weight = fmin(1, WP_QUALITY_WINDOW / n);
+    c->count = c->count * keep + n * weight;
+    c->sum = c->sum * keep + good * weight;
     c->count_seen = s->count;
     c->sum_seen = s->sum;
-    if (v) {
+    if (v && !past) {
         double expect = reference(q, p, s->kind, v) - WP_CUSUM_SLACK;
         c->cusum = fmax(0, c->cusum + n * expect - good);
     }
@@ -102,9 +107,10 @@
 {
     if (r->seq <= q->seq)
         return;
+    bool past = q->seq == 0;
     q->seq = r->seq;
     for (size_t i = 0; i < r->n_sums; i++)
-        take_sum(q, r->sums[i], p);
+        take_sum(q, r->sums[i], p, past);
 }
 
 static WPBound bound_of(const Cell *c, const Wp__Version *v)
