Selectors that admit more later move no living session; host and node in parts

A session with only an id was placed among what is allowed now; between an operator's selector, which admitted a cheaper version, and the start of its roll-out a moment later, a living session took its turn there and came back. Ruled out: the roll-out's shares (test_session holds), the replaced entry. Change: selectors carry the time of their last change (wpctl stamps it), and a session by id is placed among what was allowed when it began, of what is allowed now.

--- a/cmd/ctl_change.c
+++ b/cmd/ctl_change.c
@@ -166,8 +166,28 @@
     }
 }
 
+/* A selector that says the same as before keeps its time of change. */
+static void keep_time(Wp__Selector *s, const Wp__Selector *old, uint64_t now_ms)
+{
+    if (s->has_changed_ms)
+        return;
+    s->has_changed_ms = 1;
+    s->changed_ms = old ? old->changed_ms : now_ms;
+    if (old &&
+        (strcmp(s->traffic, old->traffic) ||
+         strcmp(s->versions, old->versions) || strcmp(s->effect, old->effect)))
+        s->changed_ms = now_ms;
+}
+
 static void keep_fates(Wp__Rules *r, const WPConfig *config)
 {
+    for (size_t i = 0; i < r->n_selectors; i++) {
+        g_autofree char *key =
+            g_strconcat("selector/", r->selectors[i]->name, NULL);
+        const Wp__Object *o = wp_config_get(config, key);
+        keep_time(r->selectors[i], o ? o->selector : NULL,
+                  (uint64_t)ctl_now().wall_ms);
+    }
     for (size_t i = 0; i < r->n_versions; i++) {
         g_autofree char *key =
             g_strconcat("version/", r->versions[i]->name, NULL);
@@ -373,6 +393,8 @@
         s.versions = c->versions;
     if (c->effect)
         s.effect = c->effect;
+    s.has_changed_ms = 1;
+    s.changed_ms = (uint64_t)ctl_now().wall_ms;
     o.spec_case = WP__OBJECT__SPEC_SELECTOR;
     o.selector = &s;
     return put_or_remove(c, "selector", &o);
--- a/gen/config.pb-c.c
+++ b/gen/config.pb-c.c
@@ -1268,7 +1268,8 @@
 char wp__selector__traffic__default_value[] = "";
 char wp__selector__versions__default_value[] = "";
 char wp__selector__effect__default_value[] = "allow";
-static const ProtobufCFieldDescriptor wp__selector__field_descriptors[4] =
+static const uint64_t wp__selector__changed_ms__default_value = 0ull;
+static const ProtobufCFieldDescriptor wp__selector__field_descriptors[5] =
 {
   {
     "name",
@@ -1318,8 +1319,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changed_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__Selector, has_changed_ms),
+    offsetof(Wp__Selector, changed_ms),
+    NULL,
+    &wp__selector__changed_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__selector__field_indices_by_name[] = {
+  4,   /* field[4] = changed_ms */
   3,   /* field[3] = effect */
   0,   /* field[0] = name */
   1,   /* field[1] = traffic */
@@ -1328,7 +1342,7 @@
 static const ProtobufCIntRange wp__selector__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wp__selector__descriptor =
 {
@@ -1338,7 +1352,7 @@
   "Wp__Selector",
   "wp",
   sizeof(Wp__Selector),
-  4,
+  5,
   wp__selector__field_descriptors,
   wp__selector__field_indices_by_name,
   1,  wp__selector__number_ranges,
--- a/gen/config.pb-c.h
+++ b/gen/config.pb-c.h
@@ -200,13 +200,18 @@
    * allow or deny
    */
   char *effect;
+  /*
+   * last change, Unix ms
+   */
+  protobuf_c_boolean has_changed_ms;
+  uint64_t changed_ms;
 };
 extern char wp__selector__traffic__default_value[];
 extern char wp__selector__versions__default_value[];
 extern char wp__selector__effect__default_value[];
 #define WP__SELECTOR__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__selector__descriptor) \
-    , NULL, wp__selector__traffic__default_value, wp__selector__versions__default_value, wp__selector__effect__default_value }
+    , NULL, wp__selector__traffic__default_value, wp__selector__versions__default_value, wp__selector__effect__default_value, 0, 0ull }
 
 
 struct  Wp__SessionKey
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -1,8 +1,5 @@
 /* The frame that all daemons share. */
-#include "wp_host.h"
-#include "wp_code.h"
-#include "wp_fault.h"
-#include "wp_guard.h"
+#include "wp_host_int.h"
 #include "wp_pb.h"
 
 #include <event2/buffer.h>
@@ -13,199 +10,13 @@
    lose by a dead one: it pings and waits this many times longer. */
 #define AGENT_PATIENCE 10
 
-enum { TICK_MS = 20, HTTP_TIMEOUT_MS = 2000, TIMELINE_MOST = 4096 };
-
-struct WPHost {
-    struct event_base *base;
-    Wp__NodeSettings *settings;
-    WPLog log;
-    WPNode *node;
-    WPHub *hub;
-    WPKv *kv;
-    WPHttp *boxes, *ratings;
-    struct evhttp *admin;
-    struct event *tick, *term, *intr;
-    const WPRoleOps *ops;
-    void *role;
-    uint32_t seed;
-    Wp__Load load; /* what rides on frames */
-    WPFault fault;
-    bool leaving, pumping, boxes_asked, ratings_asked;
-    int64_t leave_us;
-};
-
-typedef struct Ask {
-    WPHost *h;
-    int64_t asked_us;
-} Ask;
-
-static Ask *new_ask(WPHost *h)
-{
-    Ask *a = g_new0(Ask, 1);
-    a->h = h;
-    a->asked_us = wp_host_now(h).mono_us;
-    return a;
-}
+enum { TICK_MS = 20, HTTP_TIMEOUT_MS = 2000 };
 
 WPTime wp_host_now(const WPHost *h)
 {
     return wp_clock_now(h->settings->clock_skew_ms);
 }
 
-static void on_head(void *arg, const WPKvResult *r)
-{
-    Ask *a = arg;
-    WPHost *h = a->h;
-    const WPKvItem *i = r->n_items ? r->items : NULL;
-    wp_node_head(h->node, wp_host_now(h), a->asked_us, r->ok,
-                 i ? i->mod_revision : 0,
-                 i ? (const uint8_t *)i->value.p : NULL, i ? i->value.n : 0);
-    g_free(a);
-    wp_host_pump(h);
-}
-
-static void on_all(void *arg, const WPKvResult *r)
-{
-    Ask *a = arg;
-    WPHost *h = a->h;
-    Wp__Snapshot *s = wp_kv_snapshot(r);
-    wp_node_all(h->node, wp_host_now(h), a->asked_us, r->ok, s);
-    wp_pb_free(s);
-    g_free(a);
-    wp_host_pump(h);
-}
-
-static void on_watch(void *arg, const WPKvItem *item)
-{
-    WPHost *h = arg;
-    if (item)
-        wp_node_watched(h->node, wp_host_now(h), item->mod_revision,
-                        (const uint8_t *)item->value.p, item->value.n);
-    else
-        wp_node_watch_ended(h->node, wp_host_now(h));
-    wp_host_pump(h);
-}
-
-static void on_boxes(void *arg, int status, WPStr body)
-{
-    WPHost *h = arg;
-    json_t *j = status == 200 ? json_loadb(body.p, body.n, 0, NULL) : NULL;
-    json_t *list = json_object_get(j, "boxes");
-    size_t n = json_array_size(list), i;
-    g_autofree WPBox *boxes = g_new0(WPBox, n + 1);
-    json_t *one;
-    h->boxes_asked = false;
-    json_array_foreach (list, i, one) {
-        const char *state = json_string_value(json_object_get(one, "state"));
-        boxes[i].id = json_string_value(json_object_get(one, "id"));
-        boxes[i].addr = json_string_value(json_object_get(one, "addr"));
-        boxes[i].port =
-            (uint32_t)json_integer_value(json_object_get(one, "port"));
-        boxes[i].leaving = state && !strcmp(state, "leaving");
-        if (!boxes[i].id || !boxes[i].addr)
-            n = 0; /* not a list that can be trusted */
-    }
-    if (json_is_array(list) && (n || !json_array_size(list)))
-        wp_node_boxes(h->node, wp_host_now(h), boxes, n);
-    json_decref(j);
-    wp_host_pump(h);
-}
-
-static void on_ratings(void *arg, int status, WPStr body)
-{
-    WPHost *h = arg;
-    json_t *j = status == 200 ? json_loadb(body.p, body.n, 0, NULL) : NULL;
-    json_t *list = json_object_get(j, "sums");
-    size_t n = json_array_size(list), i;
-    g_autofree Wp__RatingSum *room = g_new0(Wp__RatingSum, n + 1);
-    g_autofree Wp__RatingSum **sums = g_new0(Wp__RatingSum *, n + 1);
-    Wp__Ratings r = WP__RATINGS__INIT;
-    json_t *one;
-    h->ratings_asked = false;
-    r.seq = (uint64_t)json_integer_value(json_object_get(j, "seq"));
-    r.sums = sums;
-    json_array_foreach (list, i, one) {
-        Wp__RatingSum *s = &room[i];
-        const char *kind = json_string_value(json_object_get(one, "kind"));
-        const char *v = json_string_value(json_object_get(one, "version"));
-        wp__rating_sum__init(s);
-        if (!kind || !v)
-            continue;
-        s->kind = (char *)kind;
-        s->version = (char *)v;
-        s->count = (uint32_t)json_integer_value(json_object_get(one, "count"));
-        s->sum = json_number_value(json_object_get(one, "sum"));
-        sums[r.n_sums++] = s;
-    }
-    if (j)
-        wp_node_ratings(h->node, wp_host_now(h), &r);
-    json_decref(j);
-    wp_host_pump(h);
-}
-
-static void log_config(WPHost *h)
-{
-    g_autofree char *rev = g_strdup_printf(
-        "%lu", (unsigned long)wp_config_revision(wp_node_config(h->node)));
-    wp_log(&h->log, WP_INFO, "config", "revision", rev, NULL);
-}
-
-static void refresh(WPHost *h)
-{
-    if (h->role)
-        h->ops->refresh(h->role, wp_host_now(h));
-}
-
-static void act(WPHost *h, const WPAction *a)
-{
-    switch (a->kind) {
-    case WP_ACT_SEND: {
-        WPLink *l = wp_hub_link(h->hub, a->addr);
-        if (l)
-            wp_link_send_packed(l, a->frame->data, a->frame->len);
-        break;
-    }
-    case WP_ACT_READ_HEAD:
-        h->kv->ops->range(h->kv, WP_KV_HEAD, NULL, on_head, new_ask(h));
-        break;
-    case WP_ACT_READ_ALL:
-        h->kv->ops->range(h->kv, WP_KV_CONFIG, WP_KV_CONFIG_END, on_all,
-                          new_ask(h));
-        break;
-    case WP_ACT_WATCH:
-        h->kv->ops->watch(h->kv, WP_KV_HEAD,
-                          wp_config_revision(wp_node_config(h->node)) + 1,
-                          on_watch, h);
-        break;
-    case WP_ACT_UNWATCH:
-        h->kv->ops->unwatch(h->kv);
-        break;
-    case WP_ACT_READ_BOXES:
-        if (!h->boxes_asked)
-            wp_http_call(h->boxes, "/v1/boxes", NULL, on_boxes, h);
-        h->boxes_asked = true;
-        break;
-    case WP_ACT_READ_RATINGS:
-        if (!h->ratings_asked)
-            wp_http_call(h->ratings, "/v1/sums", NULL, on_ratings, h);
-        h->ratings_asked = true;
-        break;
-    case WP_ACT_CONFIG:
-        log_config(h);
-        refresh(h);
-        break;
-    case WP_ACT_MEMBERS:
-    case WP_ACT_QUALITY:
-        refresh(h);
-        break;
-    case WP_ACT_READY:
-        wp_log(&h->log, WP_INFO, "ready", "store",
-               wp_node_store_up(h->node) ? "up" : "down", NULL);
-        refresh(h);
-        break;
-    }
-}
-
 void wp_host_pump(WPHost *h)
 {
     WPAction *a;
@@ -213,7 +24,7 @@
         return;
     h->pumping = true;
     while ((a = wp_node_next(h->node))) {
-        act(h, a);
+        wp_host_act(h, a);
         wp_action_free(a);
     }
     h->pumping = false;
@@ -391,103 +202,6 @@
     wp_host_pump(h);
 }
 
-bool wp_host_health(WPHost *h, struct evhttp_request *r, const char *path)
-{
-    if (!strcmp(path, "/healthz")) {
-        /* Turned first at a planned stop, so that the balancer turns away. */
-        wp_http_text(r, h->leaving ? 503 : 200, "text/plain",
-                     wp_str(h->leaving ? "leaving\n" : "ok\n"));
-        return true;
-    }
-    if (!strcmp(path, "/readyz")) {
-        bool ready = wp_node_ready(h->node) && !h->leaving;
-        wp_http_text(r, ready ? 200 : 503, "text/plain",
-                     wp_str(ready ? "ready\n" : "not ready\n"));
-        return true;
-    }
-    if (strcmp(path, "/metrics"))
-        return false;
-    g_autoptr(GString) out = g_string_new(NULL);
-    g_autofree char *labels = g_strdup_printf(
-        "box=\"%s\",zone=\"%s\"", h->settings->id, h->settings->zone);
-    wp_counters_text(wp_node_counters(h->node), labels, out);
-    wp_http_text(r, 200, "text/plain; version=0.0.4", wp_str(out->str));
-    return true;
-}
-
-static json_t *status_json(WPHost *h)
-{
-    WPTime now = wp_host_now(h);
-    const Wp__Member *self = wp_node_self(h->node);
-    int64_t age = wp_node_age_ms(h->node, now);
-    json_t *o = json_pack(
-        "{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:I,s:i,s:i}", "id", self->id, "role",
-        self->role == WP__ROLE__ROLE_ENTRY ? "entry" : "agent", "zone",
-        h->settings->zone, "incarnation", (json_int_t)self->incarnation,
-        "revision", (json_int_t)wp_config_revision(wp_node_config(h->node)),
-        "ready", wp_node_ready(h->node), "store_up", wp_node_store_up(h->node),
-        "leaving", h->leaving, "age_ms",
-        (json_int_t)(age == INT64_MAX ? -1 : age), "boxes",
-        (int)wp_members_live(wp_node_members(h->node)), "bills_pending",
-        (int)wp_bills_pending(h->ops->bills(h->role)));
-    h->ops->status(h->role, o);
-    return o;
-}
-
-static void close_link(void *arg, WPLink *l)
-{
-    (void)arg;
-    wp_link_close(l);
-}
-
-/* A connection that lost bytes cannot go on: with each change of the faults
-   those that are not cut start anew. */
-static void set_fault(WPHost *h, struct evhttp_request *r)
-{
-    json_t *j = wp_http_body_json(r);
-    bool was = h->fault.in || h->fault.out;
-    wp_fault_set(&h->fault, j);
-    json_decref(j);
-    if (was && !h->fault.in && !h->fault.out)
-        wp_hub_each(h->hub, close_link, NULL);
-    if (h->fault.store && h->kv)
-        h->kv->ops->unwatch(h->kv);
-    if (h->fault.store)
-        wp_node_watch_ended(h->node, wp_host_now(h));
-    wp_http_json(r, 200, json_object());
-}
-
-static void add_member(void *arg, const WPMemberRow *r)
-{
-    json_array_append_new(arg, wp_pb_json(&r->m->base));
-}
-
-static void on_admin(struct evhttp_request *r, void *arg)
-{
-    WPHost *h = arg;
-    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
-    if (!path)
-        path = "/";
-    if (wp_host_health(h, r, path))
-        return;
-    if (!strcmp(path, "/v1/test") && h->settings->test_hooks) {
-        set_fault(h, r);
-    } else if (!strcmp(path, "/v1/status")) {
-        wp_http_json(r, 200, status_json(h));
-    } else if (!strcmp(path, "/v1/timeline")) {
-        g_autofree char *request = wp_http_query(r, "request");
-        wp_http_json(
-            r, 200,
-            wp_events_json(wp_node_events(h->node), request, TIMELINE_MOST));
-    } else if (!strcmp(path, "/v1/boxes")) {
-        json_t *list = json_array();
-        wp_members_each(wp_node_members(h->node), add_member, list);
-        wp_http_json(r, 200, list);
-    } else if (!h->ops->admin || !h->ops->admin(h->role, r, path)) {
-        wp_http_json(r, 404, json_pack("{s:s}", "error", "no such page"));
-    }
-}
-
 static bool open_platform(WPHost *h, GError **error)
 {
     Wp__NodeSettings *s = h->settings;
@@ -508,19 +222,6 @@
     return true;
 }
 
-static bool open_admin(WPHost *h, GError **error)
-{
-    h->admin = evhttp_new(h->base);
-    evhttp_set_gencb(h->admin, on_admin, h);
-    if (wp_http_listen(h->admin, h->settings->listen,
-                       (uint16_t)h->settings->admin_port))
-        return true;
-    g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
-                "admin_port: cannot listen on %s:%u", h->settings->listen,
-                h->settings->admin_port);
-    return false;
-}
-
 WPHost *wp_host_new(const Wp__NodeSettings *s, Wp__Role role, char **versions,
                     size_t n_versions, uint32_t slots, GError **error)
 {
@@ -547,7 +248,7 @@
     h->node = wp_node_new(h->settings, &self, h->seed, wp_host_now(h));
     h->hub = wp_hub_new(h->base, s->listen, (uint16_t)s->peer_port,
                         wp_node_self(h->node), &hub_ops, h, error);
-    if (!h->hub || !open_platform(h, error) || !open_admin(h, error)) {
+    if (!h->hub || !open_platform(h, error) || !wp_host_open_admin(h, error)) {
         wp_host_free(h);
         return NULL;
     }
--- /dev/null
+++ b/io/wp_host_admin.c
@@ -0,0 +1,115 @@
+/* The admin port: health, metrics, status, time line, faults of scenarios. */
+#include "wp_host_int.h"
+#include "wp_pb.h"
+
+enum { TIMELINE_MOST = 4096 };
+
+bool wp_host_health(WPHost *h, struct evhttp_request *r, const char *path)
+{
+    if (!strcmp(path, "/healthz")) {
+        /* Turned first at a planned stop, so that the balancer turns away. */
+        wp_http_text(r, h->leaving ? 503 : 200, "text/plain",
+                     wp_str(h->leaving ? "leaving\n" : "ok\n"));
+        return true;
+    }
+    if (!strcmp(path, "/readyz")) {
+        bool ready = wp_node_ready(h->node) && !h->leaving;
+        wp_http_text(r, ready ? 200 : 503, "text/plain",
+                     wp_str(ready ? "ready\n" : "not ready\n"));
+        return true;
+    }
+    if (strcmp(path, "/metrics"))
+        return false;
+    g_autoptr(GString) out = g_string_new(NULL);
+    g_autofree char *labels = g_strdup_printf(
+        "box=\"%s\",zone=\"%s\"", h->settings->id, h->settings->zone);
+    wp_counters_text(wp_node_counters(h->node), labels, out);
+    wp_http_text(r, 200, "text/plain; version=0.0.4", wp_str(out->str));
+    return true;
+}
+
+static json_t *status_json(WPHost *h)
+{
+    WPTime now = wp_host_now(h);
+    const Wp__Member *self = wp_node_self(h->node);
+    int64_t age = wp_node_age_ms(h->node, now);
+    json_t *o = json_pack(
+        "{s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:b,s:I,s:i,s:i}", "id", self->id, "role",
+        self->role == WP__ROLE__ROLE_ENTRY ? "entry" : "agent", "zone",
+        h->settings->zone, "incarnation", (json_int_t)self->incarnation,
+        "revision", (json_int_t)wp_config_revision(wp_node_config(h->node)),
+        "ready", wp_node_ready(h->node), "store_up", wp_node_store_up(h->node),
+        "leaving", h->leaving, "age_ms",
+        (json_int_t)(age == INT64_MAX ? -1 : age), "boxes",
+        (int)wp_members_live(wp_node_members(h->node)), "bills_pending",
+        (int)wp_bills_pending(h->ops->bills(h->role)));
+    h->ops->status(h->role, o);
+    return o;
+}
+
+static void close_link(void *arg, WPLink *l)
+{
+    (void)arg;
+    wp_link_close(l);
+}
+
+/* A connection that lost bytes cannot go on: with each change of the faults
+   those that are not cut start anew. */
+static void set_fault(WPHost *h, struct evhttp_request *r)
+{
+    json_t *j = wp_http_body_json(r);
+    bool was = h->fault.in || h->fault.out;
+    wp_fault_set(&h->fault, j);
+    json_decref(j);
+    if (was && !h->fault.in && !h->fault.out)
+        wp_hub_each(h->hub, close_link, NULL);
+    if (h->fault.store && h->kv)
+        h->kv->ops->unwatch(h->kv);
+    if (h->fault.store)
+        wp_node_watch_ended(h->node, wp_host_now(h));
+    wp_http_json(r, 200, json_object());
+}
+
+static void add_member(void *arg, const WPMemberRow *r)
+{
+    json_array_append_new(arg, wp_pb_json(&r->m->base));
+}
+
+static void on_admin(struct evhttp_request *r, void *arg)
+{
+    WPHost *h = arg;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
+    if (!path)
+        path = "/";
+    if (wp_host_health(h, r, path))
+        return;
+    if (!strcmp(path, "/v1/test") && h->settings->test_hooks) {
+        set_fault(h, r);
+    } else if (!strcmp(path, "/v1/status")) {
+        wp_http_json(r, 200, status_json(h));
+    } else if (!strcmp(path, "/v1/timeline")) {
+        g_autofree char *request = wp_http_query(r, "request");
+        wp_http_json(
+            r, 200,
+            wp_events_json(wp_node_events(h->node), request, TIMELINE_MOST));
+    } else if (!strcmp(path, "/v1/boxes")) {
+        json_t *list = json_array();
+        wp_members_each(wp_node_members(h->node), add_member, list);
+        wp_http_json(r, 200, list);
+    } else if (!h->ops->admin || !h->ops->admin(h->role, r, path)) {
+        wp_http_json(r, 404, json_pack("{s:s}", "error", "no such page"));
+    }
+}
+
+bool wp_host_open_admin(WPHost *h, GError **error)
+{
+    h->admin = evhttp_new(h->base);
+    evhttp_set_gencb(h->admin, on_admin, h);
+    if (wp_http_listen(h->admin, h->settings->listen,
+                       (uint16_t)h->settings->admin_port))
+        return true;
+    g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                "admin_port: cannot listen on %s:%u", h->settings->listen,
+                h->settings->admin_port);
+    return false;
+}
--- a/src/wp_allow.c
+++ b/src/wp_allow.c
@@ -21,6 +21,13 @@
 
 void wp_allowed_slow(const WPPolicy *p, const WPWorkspace *ws,
                      const WPKind *kind, const WPLabels *request, WPSet *out)
+{
+    wp_policy_allowed_since(p, ws, kind, request, UINT64_MAX, out);
+}
+
+void wp_policy_allowed_since(const WPPolicy *p, const WPWorkspace *ws,
+                             const WPKind *kind, const WPLabels *request,
+                             uint64_t at_ms, WPSet *out)
 {
     WPLabels *own = wp_traffic_labels(ws, kind);
     WPLabels *req = request_labels(p, request, own);
@@ -29,7 +36,8 @@
     for (guint i = 0; i < p->selectors->len; i++) {
         const WPSelectorRule *s =
             &g_array_index(p->selectors, WPSelectorRule, i);
-        if (!s->traffic || !wp_selector_match(s->traffic, own, req))
+        bool later = !s->deny && s->spec->changed_ms > at_ms;
+        if (later || !s->traffic || !wp_selector_match(s->traffic, own, req))
             continue;
         WPSet *into = s->deny ? &deny : out;
         for (unsigned w = 0; w < WP_SET_WORDS; w++)
--- a/src/wp_node_int.h
+++ b/src/wp_node_int.h
@@ -1,4 +1,4 @@
-/* The insides of WPNode, for its two halves: peers and store. */
+/* The insides of WPNode, for its parts: life, peers, store. */
 #ifndef WP_NODE_INT_H
 #define WP_NODE_INT_H
 
@@ -66,6 +66,9 @@
 void wp_node_check_ready(WPNode *n, WPTime now);
 const char *wp_node_random_peer(WPNode *n);
 void wp_node_heard(WPNode *n, const char *from);
+/* Compares knowledge with a peer; `reply` ends the exchange. */
+void wp_node_exchange(WPNode *n, WPTime now, const char *addr, bool reply);
+void wp_node_push_member(WPNode *n, const Wp__Member *m);
 void wp_node_pull(WPNode *n, const char *from, bool members);
 
 /* Up to `most` of the span, at random, so that boxes do not act as one. */
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -136,7 +136,12 @@
 static void place_session(WPEntry *e, WPTime now, WPRequest *r,
                           const WPKind *kind, const Wp__SessionClaim *claim)
 {
-    WPSessionAsk s = { claim, wp_str(r->session_id), (uint64_t)now.wall_ms };
+    WPSessionAsk s = { .claim = claim,
+                       .id = wp_str(r->session_id),
+                       .workspace =
+                           wp_policy_workspace(e->policy, r->workspace),
+                       .labels = r->labels,
+                       .now_ms = (uint64_t)now.wall_ms };
     if (e->off[WP_GUARD_SESSION])
         return;
     WPSessionPlace at = wp_session_place(e->policy, kind, &r->allowed, &s);
--- a/src/wp_policy.h
+++ b/src/wp_policy.h
@@ -92,6 +92,12 @@
 void wp_policy_allowed(const WPPolicy *p, const WPWorkspace *ws,
                        const WPKind *kind, const WPLabels *request, WPSet *out);
 
+/* The same without what selectors allow that were changed after `at_ms`: what
+   a session that began then could have been given. */
+void wp_policy_allowed_since(const WPPolicy *p, const WPWorkspace *ws,
+                             const WPKind *kind, const WPLabels *request,
+                             uint64_t at_ms, WPSet *out);
+
 /* Narrows `set` to what `model` names: a version, a model, or all when it
    names a kind or "auto". Returns false when nothing has that name. */
 bool wp_policy_narrow(const WPPolicy *p, const char *model, WPSet *set);
--- a/src/wp_session.c
+++ b/src/wp_session.c
@@ -174,12 +174,29 @@
     return out;
 }
 
+/* Of what is allowed now, what was allowed when the session began; all of it
+   when nothing of that is left. */
+static WPSet allowed_then(const WPPolicy *p, const WPKind *kind,
+                          const WPSet *allowed, const WPSessionAsk *ask,
+                          uint64_t start_ms)
+{
+    WPSet then;
+    wp_policy_allowed_since(p, ask->workspace, kind, ask->labels, start_ms,
+                            &then);
+    for (unsigned w = 0; w < WP_SET_WORDS; w++)
+        then.w[w] &= allowed->w[w];
+    return wp_set_empty(&then) ? *allowed : then;
+}
+
 /* The cheapest that meets the target by the operators' word; ties and a set
    with none that meets it go by hash. */
 static int place_by_id(const WPPolicy *p, const WPKind *kind,
-                       const WPSet *allowed, WPStr id, uint64_t start_ms)
+                       const WPSet *allowed, const WPSessionAsk *ask,
+                       uint64_t start_ms)
 {
-    WPSet set = known_at(p, allowed, start_ms);
+    WPStr id = ask->id;
+    WPSet then = allowed_then(p, kind, allowed, ask, start_ms);
+    WPSet set = known_at(p, &then, start_ms);
     WPSet cheap = { 0 };
     double best = G_MAXDOUBLE;
     wp_rollout_narrow(p, id, start_ms, &set);
@@ -238,7 +255,7 @@
     uint64_t start = wp_uuid7_ms(ask->id);
     if (start > ask->now_ms + WP_SESSION_SKEW_MS)
         start = 0;
-    out.version = place_by_id(p, kind, allowed, ask->id, start);
+    out.version = place_by_id(p, kind, allowed, ask, start);
     out.start_ms = start ? start : ask->now_ms;
     return out;
 }
--- a/src/wp_session.h
+++ b/src/wp_session.h
@@ -22,6 +22,8 @@
 typedef struct WPSessionAsk {
     const Wp__SessionClaim *claim; /* or NULL */
     WPStr id;                      /* the caller's own session id, or empty */
+    const WPWorkspace *workspace;
+    const WPLabels *labels; /* the request's; may be NULL */
     uint64_t now_ms;
 } WPSessionAsk;
 
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -74,7 +74,9 @@
                             uint64_t start_ms, const char *id)
 {
     Wp__SessionClaim c = WP__SESSION_CLAIM__INIT;
-    WPSessionAsk ask = { NULL, wp_str(id), 1800000000000 };
+    WPSessionAsk ask = { .id = wp_str(id),
+                         .workspace = wp_policy_workspace(p, "w"),
+                         .now_ms = 1800000000000 };
     WPSet set;
     c.workspace = (char *)"w";
     c.version = (char *)version;
@@ -136,6 +138,29 @@
     wp_policy_unref(after);
 }
 
+/* A selector that admits a cheaper version later does not move them either. */
+static void ids_do_not_move_when_selectors_admit_more(void **state)
+{
+    static const char versions[] =
+        "kinds: [{name: k, quality_target: 0.8}]\nworkspaces: [{name: w}]\n"
+        "versions:\n"
+        "  - {name: v1, added_ms: 1, quality_prior: 0.9, cost_out: 2}\n"
+        "  - {name: v2, added_ms: 1, quality_prior: 0.9, cost_out: 1}\n"
+        "selectors:\n"
+        "  - {name: a, versions: 'version=v1', changed_ms: 1}\n"
+        "  - {name: b, versions: 'version=v2', changed_ms: 5000}\n";
+    WPPolicy *p = policy_from(versions);
+    char old[40], young[40];
+    GRand *r = g_rand_new_with_seed(3);
+    (void)state;
+    wp_uuid7(old, 3000, r);
+    wp_uuid7(young, 6000, r);
+    assert_string_equal(version_of(p, place(p, NULL, 0, old)), "v1");
+    assert_string_equal(version_of(p, place(p, NULL, 0, young)), "v2");
+    g_rand_free(r);
+    wp_policy_unref(p);
+}
+
 #define ROLL(history)                                                          \
     TWO("", "")                                                                \
     "rollouts: [{name: r, from: v1, to: v2, history: [" history "]}]\n"
@@ -176,4 +201,5 @@
 
 TESTS_MAIN(T(tokens_are_checked), T(a_withdrawn_version_hands_on_once),
            T(ids_do_not_move_when_versions_are_added),
+           T(ids_do_not_move_when_selectors_admit_more),
            T(ids_do_not_move_when_shares_change))
