A request whose keeper is leaving waits for the next keeper

Ruled out: the guard's run, the agents' hand-over (no key_unknown). Change: with a keeper known but leaving the request is planned again after 50 ms, for 3 s at most; with none it is refused at once. One function frees a bill's copy, one an endpoint's view.

--- a/src/wp_copies.c
+++ b/src/wp_copies.c
@@ -46,7 +46,7 @@
     wp_count(wp_node_counters(e->node), WP_C_BILLS);
 }
 
-static void drop(WPBillCopy *c)
+void wp_copy_drop(WPBillCopy *c)
 {
     wp_list_remove(&c->link);
     wp_pb_free(c->bill);
@@ -61,7 +61,7 @@
         WPBillCopy *c = wp_list_item(it, WPBillCopy, link);
         if (c->bill->seq <= upto && c->incarnation == incarnation &&
             !strcmp(c->agent, agent))
-            drop(c);
+            wp_copy_drop(c);
     }
 }
 
@@ -81,6 +81,6 @@
         wp_count(wp_node_counters(e->node), WP_C_BILLS_TAKEN);
         wp_events_add(wp_node_events(e->node), now, WP_EVENT_BILLED,
                       c->bill->request_id, "taken over from %s", c->agent);
-        drop(c);
+        wp_copy_drop(c);
     }
 }
--- a/src/wp_entry.c
+++ b/src/wp_entry.c
@@ -1,9 +1,6 @@
 /* The course of a request through the entry. */
 #include "wp_entry_int.h"
 
-#define KEEPER_PAUSE_MS 50
-#define KEEPER_WAIT_US (3 * WP_US_PER_S)
-
 WPEntry *wp_entry_new(WPNode *n, const Wp__EntrySettings *s, uint32_t seed,
                       GError **error)
 {
@@ -40,27 +37,14 @@
     return e;
 }
 
-static void free_copy(WPBillCopy *c)
-{
-    wp_list_remove(&c->link);
-    wp_pb_free(c->bill);
-    g_free(c->agent);
-    g_free(c);
-}
-
 void wp_entry_free(WPEntry *e)
 {
     if (!e)
         return;
     wp_list_each_safe (it, tmp, &e->copies)
-        free_copy(wp_list_item(it, WPBillCopy, link));
-    for (guint i = 0; i < e->all->len; i++) {
-        WPEndpoint *p = e->all->pdata[i];
-        g_free((gpointer)p->id);
-        g_free((gpointer)p->addr);
-        g_free((gpointer)p->zone);
-        g_free(p);
-    }
+        wp_copy_drop(wp_list_item(it, WPBillCopy, link));
+    for (guint i = 0; i < e->all->len; i++)
+        wp_pools_drop(e->all->pdata[i]);
     wp_pools_free(e);
     wp_bills_free(e->bills);
     g_hash_table_unref(e->withdrawn);
@@ -248,14 +232,6 @@
            code == WP_VERSION_REFUSED;
 }
 
-/* A key's keeper is changing: the next one is asked again shortly. */
-static bool keeper_changing(const WPRequest *r, WPCode code, WPTime now)
-{
-    return (code == WP_LEAVING || code == WP_NOT_KEEPER) && !r->repeatable &&
-           now.mono_us + KEEPER_PAUSE_MS * WP_US_PER_MS < r->deadline_us &&
-           now.mono_us - r->begun_us < KEEPER_WAIT_US;
-}
-
 /* Chooses again under the newest configuration and table of boxes. */
 static WPStep retry(WPEntry *e, WPTime now, WPRequest *r)
 {
@@ -299,8 +275,9 @@
     r->agent_bills = billed;
     r->last_refusal = code;
     r->last_retry_ms = retry_ms;
-    if (ran == WP_RAN_NOT_RUN && keeper_changing(r, code, now))
-        return (WPStep){ WP_STEP_LATER, code, KEEPER_PAUSE_MS, NULL };
+    bool moving = code == WP_LEAVING || code == WP_NOT_KEEPER;
+    if (moving && wp_may_wait_for_keeper(r, now))
+        return wp_later();
     if (again && !final_for_key(code) && !e->off[WP_GUARD_REDIRECT] &&
         may_retry(e, r, now, is_redirect(code)))
         step = retry(e, now, r);
--- a/src/wp_entry_int.h
+++ b/src/wp_entry_int.h
@@ -60,6 +60,7 @@
 
 void wp_pools_rebuild(WPEntry *e, WPTime now);
 void wp_pools_free(WPEntry *e);
+void wp_pools_drop(WPEndpoint *p); /* frees one endpoint's view */
 
 /* Chooses version and endpoint for the present leg. */
 WPStep wp_plan(WPEntry *e, WPTime now, WPRequest *r);
@@ -70,11 +71,16 @@
 void wp_plan_spill(WPEntry *e, WPTime now, WPRequest *r);
 WPStep wp_final(WPCode code, uint32_t retry_ms);
 
+/* A key's keeper is changing: the next one is asked again shortly. */
+WPStep wp_later(void);
+bool wp_may_wait_for_keeper(const WPRequest *r, WPTime now);
+
 WPUse *wp_use_of(WPEntry *e, const char *workspace);
 void wp_use_note(WPEntry *e, const char *workspace);
 bool wp_use_is_much(WPEntry *e, const char *workspace);
 
 void wp_copy_add(WPEntry *e, const WPRequest *r, const Wp__End *end);
+void wp_copy_drop(WPBillCopy *c);
 void wp_bill_own(WPEntry *e, WPTime now, const WPRequest *r);
 
 #endif
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -1,11 +1,25 @@
 /* The plan of one request: its session, its version, its endpoint. */
 #include "wp_entry_int.h"
 
+#define KEEPER_PAUSE_MS 50
+#define KEEPER_WAIT_US (3 * WP_US_PER_S)
+
 WPStep wp_final(WPCode code, uint32_t retry_ms)
 {
     return (WPStep){ WP_STEP_FINAL, code, retry_ms, NULL };
 }
 
+WPStep wp_later(void)
+{
+    return (WPStep){ WP_STEP_LATER, WP_NOT_KEEPER, KEEPER_PAUSE_MS, NULL };
+}
+
+bool wp_may_wait_for_keeper(const WPRequest *r, WPTime now)
+{
+    return !r->repeatable && now.mono_us - r->begun_us < KEEPER_WAIT_US &&
+           now.mono_us + KEEPER_PAUSE_MS * WP_US_PER_MS < r->deadline_us;
+}
+
 static bool has_free_place(const WPPool *pool, int64_t now_us)
 {
     GPtrArray *const sides[] = { pool->near, pool->far };
@@ -207,18 +221,22 @@
     return r->version ? WP_OK : WP_NO_VERSION;
 }
 
-/* A key that may not be repeated has one keeper; everything else goes by the
-   balancer. */
-static WPEndpoint *pick_endpoint(WPEntry *e, WPTime now, WPRequest *r,
-                                 const WPPool *pool, uint32_t settle_ms)
+/* The agent that keeps the request's key; `known` tells whether there is one,
+   even if it may not be asked now because it is leaving. */
+static WPEndpoint *pick_keeper(WPEntry *e, WPTime now, const WPRequest *r,
+                               bool *known)
+{
+    const WPMemberRow *row =
+        wp_once_keeper(wp_node_members(e->node), r->version, r->once_key,
+                       (uint64_t)now.wall_ms, e->once_settle_ms);
+    WPEndpoint *p = row ? wp_entry_endpoint(e, row->m->id) : NULL;
+    *known = row != NULL;
+    return p && !p->leaving ? p : NULL;
+}
+
+static WPEndpoint *pick_balanced(WPEntry *e, WPTime now, const WPRequest *r,
+                                 const WPPool *pool)
 {
-    if (r->once_key && !r->repeatable) {
-        const WPMemberRow *row =
-            wp_once_keeper(wp_node_members(e->node), r->version, r->once_key,
-                           (uint64_t)now.wall_ms, settle_ms);
-        WPEndpoint *p = row ? wp_entry_endpoint(e, row->m->id) : NULL;
-        return p && !p->leaving ? p : NULL;
-    }
     WPPick pick = {
         .near = (WPEndpoint *const *)pool->near->pdata,
         .n_near = pool->near->len,
@@ -236,8 +254,13 @@
 {
     const WPVersion *v = wp_policy_version(e->policy, r->version);
     WPEndpoint *p = NULL;
-    if (v && v->index < e->n_pools)
-        p = pick_endpoint(e, now, r, &e->pools[v->index], e->once_settle_ms);
+    bool keeper = false;
+    if (v && r->once_key && !r->repeatable)
+        p = pick_keeper(e, now, r, &keeper);
+    else if (v && v->index < e->n_pools)
+        p = pick_balanced(e, now, r, &e->pools[v->index]);
+    if (!p && keeper && wp_may_wait_for_keeper(r, now))
+        return wp_later();
     if (!p)
         return r->n_tried ? wp_final(r->last_refusal, r->last_retry_ms)
                           : wp_final(WP_NO_ENDPOINT, WP_NO_ENDPOINT_RETRY_MS);
--- a/src/wp_pools.c
+++ b/src/wp_pools.c
@@ -18,7 +18,7 @@
     return p;
 }
 
-static void free_endpoint(WPEndpoint *p)
+void wp_pools_drop(WPEndpoint *p)
 {
     g_free((gpointer)p->id);
     g_free((gpointer)p->addr);
@@ -70,7 +70,7 @@
         if (g_hash_table_lookup(e->endpoints, p->id) == p)
             g_hash_table_remove(e->endpoints, p->id);
         g_ptr_array_remove_index_fast(e->all, i);
-        free_endpoint(p);
+        wp_pools_drop(p);
     }
 }
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -98,6 +98,29 @@
     fake_free(f);
 }
 
+/* The keeper has said that it leaves before its record has: the request waits
+   for the next one, and is refused at once when there is none at all. */
+static void a_leaving_keeper_is_waited_for(void **state)
+{
+    Fake *f = with_agents(1);
+    WPStep step;
+    (void)state;
+    wp_entry_endpoint(f->entry, "a1")->leaving = true;
+    WPRequest *r = fake_ask(f, "ping", &step);
+    assert_int_equal(step.kind, WP_STEP_LATER);
+    f->now.mono_us += 4 * WP_US_PER_S;
+    step = wp_entry_again(f->entry, f->now, r);
+    assert_int_equal(step.kind, WP_STEP_FINAL);
+    assert_int_equal(step.code, WP_NO_ENDPOINT);
+    wp_request_free(r);
+    fake_free(f);
+    f = with_agents(0);
+    r = fake_ask(f, "ping", &step);
+    assert_int_equal(step.kind, WP_STEP_FINAL);
+    wp_request_free(r);
+    fake_free(f);
+}
+
 static void a_passed_on_answer_is_not_begun_again(void **state)
 {
     Fake *f = with_agents(3);
@@ -246,6 +269,7 @@
 TESTS_MAIN(T(the_cheapest_that_meets_the_target_answers),
            T(unknown_then_refused_is_unknown),
            T(what_may_not_be_repeated_is_sent_once),
+           T(a_leaving_keeper_is_waited_for),
            T(a_passed_on_answer_is_not_begun_again),
            T(retries_are_a_share_of_traffic),
            T(a_refused_version_is_chosen_anew),
