--- a/bench/wpcapacity.c
+++ b/bench/wpcapacity.c
@@ -156,9 +156,6 @@
            fs.a, fs.b, 100 * fs.error, fb.a, fb.b, 100 * fb.error, fm.a, fm.b,
            100 * fm.error);
     printf("at 13,600 nodes: worst %.2f s, %.0f bytes a node a change; memory "
-           "%.0f B a record of another box, %.1f MB a node\n",
-           fs.a + fs.b * big, fb.a + fb.b * big, fm.b,
-           (fm.a + fm.b * 13600) / 1e6); memory "
            "%.0f B a record of another box, %.1f MB a node\n",
            fs.a + fs.b * big, fb.a + fb.b * big, fm.b,
            (fm.a + fm.b * 13600) / 1e6);
