A box that starts is not healthy until it can serve

The balancer asks /healthz, and /healthz answered 200 as soon as the port was open; a restarted entry was given requests before it had a configuration and could only refuse them. Ruled out: the drain itself (the refusals come from the entry that has just started, not from the one that leaves) and agents (their refusals are retried elsewhere; this one is made by the entry before any leg). Change: /healthz is 503 `starting` until the node is ready, as /readyz is.

--- a/io/wp_host_admin.c
+++ b/io/wp_host_admin.c
@@ -7,9 +7,13 @@
 bool wp_host_health(WPHost *h, struct evhttp_request *r, const char *path)
 {
     if (!strcmp(path, "/healthz")) {
-        /* Turned first at a planned stop, so that the balancer turns away. */
-        wp_http_text(r, h->leaving ? 503 : 200, "text/plain",
-                     wp_str(h->leaving ? "leaving\n" : "ok\n"));
+        /* What the balancer asks: turned first at a planned stop, and not yet
+           good while a box that has just started could only refuse. */
+        bool starting = !wp_node_ready(h->node);
+        wp_http_text(r, h->leaving || starting ? 503 : 200, "text/plain",
+                     wp_str(h->leaving ? "leaving\n"
+                            : starting ? "starting\n"
+                                       : "ok\n"));
         return true;
     }
     if (!strcmp(path, "/readyz")) {
--- /dev/null
+++ b/tests/test_health.c
@@ -0,0 +1,120 @@
+/* What a box tells the balancer: only a box that can serve is in. */
+#include "wp_host.h"
+#include "wp_pb.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+enum { HEALTH_TIMEOUT_MS = 2000, GUARD_S = 5 };
+
+typedef struct Seen {
+    struct event_base *base;
+    int status;
+} Seen;
+
+static void on_page(struct evhttp_request *r, void *arg)
+{
+    if (!wp_host_health(arg, r, evhttp_request_get_uri(r)))
+        evhttp_send_error(r, 404, NULL);
+}
+
+static void on_answer(void *arg, int status, WPStr body)
+{
+    Seen *seen = arg;
+    (void)body;
+    seen->status = status;
+    event_base_loopbreak(seen->base);
+}
+
+/* A role that has nothing to do. */
+static void no_tick(void *role, WPTime now)
+{
+    (void)role;
+    (void)now;
+}
+
+static WPBills *no_bills(void *role)
+{
+    (void)role;
+    return NULL;
+}
+
+static const WPRoleOps idle_role = { .refresh = no_tick,
+                                     .tick = no_tick,
+                                     .bills = no_bills };
+
+/* The port that the kernel gave to a listening evhttp. */
+static uint16_t port_of(struct evhttp_bound_socket *b)
+{
+    struct sockaddr_in sa;
+    socklen_t n = sizeof(sa);
+    assert_int_equal(getsockname(evhttp_bound_socket_get_fd(b), (void *)&sa, &n),
+                     0);
+    return ntohs(sa.sin_port);
+}
+
+/* A port that nobody listens on. */
+static uint32_t free_port(struct event_base *base)
+{
+    struct evhttp *http = evhttp_new(base);
+    uint32_t port =
+        port_of(evhttp_bind_socket_with_handle(http, "127.0.0.1", 0));
+    evhttp_free(http);
+    return port;
+}
+
+static int ask(WPHost *h, struct event_base *base, const char *path)
+{
+    struct evhttp *http = evhttp_new(base);
+    struct evhttp_bound_socket *b =
+        evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+    assert_non_null(b);
+    evhttp_set_gencb(http, on_page, h);
+    g_autofree char *target = g_strdup_printf("127.0.0.1:%u", port_of(b));
+    WPHttp *client = wp_http_new(base, target, HEALTH_TIMEOUT_MS);
+    Seen seen = { base, 0 };
+    struct timeval guard = { GUARD_S, 0 };
+    event_base_loopexit(base, &guard);
+    wp_http_call(client, path, NULL, on_answer, &seen);
+    event_base_dispatch(base);
+    wp_http_free(client);
+    evhttp_free(http);
+    return seen.status;
+}
+
+/* A scenario of planned stops lost requests now and then: the balancer asked
+   a restarted entry before it had a configuration and was told that all is
+   well, so that its next requests were refused. */
+static void test_starting_box_is_out(void **state)
+{
+    (void)state;
+    Wp__NodeSettings s = WP__NODE_SETTINGS__INIT;
+    char *store[] = { "127.0.0.1:1" }; /* nobody listens there */
+    GError *error = NULL;
+    struct event_base *ports = event_base_new();
+    s.id = "e1";
+    s.peer_port = free_port(ports);
+    s.admin_port = free_port(ports);
+    event_base_free(ports);
+    s.store = store;
+    s.n_store = 1;
+    WPHost *h = wp_host_new(&s, WP__ROLE__ROLE_ENTRY, NULL, 0, 0, &error);
+    if (!h)
+        print_error("%s\n", error->message);
+    assert_non_null(h);
+    wp_host_set_role(h, &idle_role, NULL);
+    assert_int_equal(ask(h, wp_host_base(h), "/healthz"), 503);
+    assert_int_equal(ask(h, wp_host_base(h), "/readyz"), 503);
+    wp_host_free(h);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_starting_box_is_out),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
