--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 VERSION := $(shell cat VERSION)
 PACKAGES := libevent glib-2.0 jansson yaml-0.1 libprotobuf-c libxxhash
 APT := gcc make pkg-config git libevent-dev libglib2.0-dev libjansson-dev \
-       libyaml-dev libprotobuf-c-dev libxxhash-dev libcmocka-dev curl
+       libyaml-dev libprotobuf-c-dev libxxhash-dev libhttp-parser-dev \
+       libcmocka-dev curl
 
 BUILD := build
 OPT := -O2
@@ -21,14 +22,14 @@
 CC := gcc
 CFLAGS = -std=gnu11 -g $(OPT) -Wall -Wextra -Wstrict-prototypes -Werror \
          -DWP_VERSION='"$(VERSION)"' -Isrc -Iio -Igen -Icmd -Istandins \
-         -Itests -Itools -Ibench $(shell pkg-config --cflags $(PACKAGES))
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lm
+         -Itests -Itools -Ibench -Iplatform $(shell pkg-config --cflags $(PACKAGES))
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lhttp_parser -lm
 
 CORE := $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/*.c gen/*.c))
 IO := $(patsubst %.c,$(BUILD)/%.o,$(wildcard io/*.c))
 LIB := $(BUILD)/libworkspoint.a
 COMMON := $(BUILD)/cmd/daemon.o
-BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload)
+BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload wpdirect)
 UNIT := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed) $(UNIT)
 
@@ -53,6 +54,9 @@
 $(BUILD)/wpctl: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cmd/wpctl.c cmd/ctl_*.c)) $(COMMON) $(LIB)
 $(BUILD)/wpstand: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/*.c)) $(COMMON) $(LIB)
 
+PLATFORM := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/pf_*.c))
+$(BUILD)/wpdirect: $(BUILD)/platform/wpdirect.o $(PLATFORM) $(COMMON) $(LIB)
+
 $(BUILD)/wpload: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/wpload.c $(LOAD))) $(COMMON) $(LIB)
 
 SITE := $(patsubst %.c,$(BUILD)/%.o,tools/site.c $(LOAD))
--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -11,6 +11,10 @@
     return EXIT_BAD_INPUT;
 }
 
+/* What daemon_reload() reads again. */
+static char *settings_file;
+static const ProtobufCMessageDescriptor *settings_shape;
+
 static void *load(const char *file, const ProtobufCMessageDescriptor *shape,
                   GError **error)
 {
@@ -52,8 +56,11 @@
         *code = EXIT_OK;
         return NULL;
     }
+    if (!file)
+        file = g_strdup(g_getenv("WORKSPOINT_SETTINGS"));
     if (!file) {
-        fprintf(stderr, "--config is required; see --help\n");
+        fprintf(stderr, "--config or WORKSPOINT_SETTINGS is required; "
+                        "see --help\n");
         return NULL;
     }
     void *settings = load(file, shape, &error);
@@ -67,5 +74,16 @@
         *code = EXIT_OK;
         return NULL;
     }
+    settings_file = g_steal_pointer(&file);
+    settings_shape = shape;
+    return settings;
+}
+
+void *daemon_reload(void)
+{
+    GError *error = NULL;
+    void *settings = load(settings_file, settings_shape, &error);
+    if (!settings)
+        daemon_fail(error);
     return settings;
 }
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -4,11 +4,16 @@
 
 #include "wp_settings.h"
 
-/* Reads --config, --check and --version. Returns the settings, or NULL with
+/* Reads --config (or the variable WORKSPOINT_SETTINGS), --check and
+   --version. Returns the settings, or NULL with
    the exit code in `code`. */
 void *daemon_settings(int argc, char **argv, const char *summary,
                       const ProtobufCMessageDescriptor *shape, int *code);
 
+/* The same file read and checked again, for SIGHUP; NULL, with the error
+   printed, when it is bad. */
+void *daemon_reload(void);
+
 /* Prints the error, if there is one, and frees it; returns the exit code. */
 int daemon_fail(GError *error);
 
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &wp__chart__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__direct_settings__init
+                     (Wp__DirectSettings         *message)
+{
+  static const Wp__DirectSettings init_value = WP__DIRECT_SETTINGS__INIT;
+  *message = init_value;
+}
+size_t wp__direct_settings__get_packed_size
+                     (const Wp__DirectSettings *message)
+{
+  assert(message->base.descriptor == &wp__direct_settings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__direct_settings__pack
+                     (const Wp__DirectSettings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__direct_settings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__direct_settings__pack_to_buffer
+                     (const Wp__DirectSettings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__direct_settings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__DirectSettings *
+       wp__direct_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__DirectSettings *)
+     protobuf_c_message_unpack (&wp__direct_settings__descriptor,
+                                allocator, len, data);
+}
+void   wp__direct_settings__free_unpacked
+                     (Wp__DirectSettings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__direct_settings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 char wp__node_settings__zone__default_value[] = "z1";
 char wp__node_settings__listen__default_value[] = "127.0.0.1";
 char wp__node_settings__log_format__default_value[] = "kv";
@@ -1246,7 +1291,8 @@
 static const uint32_t wp__chart_state__dwell_s__default_value = 0u;
 static const protobuf_c_boolean wp__chart_state__final__default_value = 0;
 static const uint32_t wp__chart_state__ratings__default_value = 20u;
-static const ProtobufCFieldDescriptor wp__chart_state__field_descriptors[7] =
+static const double wp__chart_state__dwell_part__default_value = 0;
+static const ProtobufCFieldDescriptor wp__chart_state__field_descriptors[8] =
 {
   {
     "name",
@@ -1332,8 +1378,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "dwell_part",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__ChartState, has_dwell_part),
+    offsetof(Wp__ChartState, dwell_part),
+    NULL,
+    &wp__chart_state__dwell_part__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__chart_state__field_indices_by_name[] = {
+  7,   /* field[7] = dwell_part */
   2,   /* field[2] = dwell_s */
   4,   /* field[4] = final */
   3,   /* field[3] = gate */
@@ -1345,7 +1404,7 @@
 static const ProtobufCIntRange wp__chart_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wp__chart_state__descriptor =
 {
@@ -1355,7 +1414,7 @@
   "Wp__ChartState",
   "wp",
   sizeof(Wp__ChartState),
-  7,
+  8,
   wp__chart_state__field_descriptors,
   wp__chart_state__field_indices_by_name,
   1,  wp__chart_state__number_ranges,
@@ -1426,3 +1485,301 @@
   (ProtobufCMessageInit) wp__chart__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+char wp__direct_settings__charts__default_value[] = "charts";
+char wp__direct_settings__log_level__default_value[] = "info";
+char wp__direct_settings__log_format__default_value[] = "kv";
+static const uint32_t wp__direct_settings__metrics_port__default_value = 9464u;
+static const uint64_t wp__direct_settings__seed__default_value = 0ull;
+static const uint32_t wp__direct_settings__drain_s__default_value = 8u;
+static const double wp__direct_settings__retry_ratio__default_value = 0.1;
+static const double wp__direct_settings__retry_slack__default_value = 50;
+static const uint32_t wp__direct_settings__retry_window_ms__default_value = 10000u;
+static const uint32_t wp__direct_settings__session_ms__default_value = 5000u;
+static const uint32_t wp__direct_settings__log_kb_per_s__default_value = 256u;
+static const uint32_t wp__direct_settings__confidence__default_value = 50u;
+static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[20] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listen",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, listen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "http",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, http),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_port",
+    6,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, peer_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "metrics_port",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_metrics_port),
+    offsetof(Wp__DirectSettings, metrics_port),
+    NULL,
+    &wp__direct_settings__metrics_port__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store",
+    8,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "charts",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, charts),
+    NULL,
+    &wp__direct_settings__charts__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seed",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__DirectSettings, has_seed),
+    offsetof(Wp__DirectSettings, seed),
+    NULL,
+    &wp__direct_settings__seed__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_level",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, log_level),
+    NULL,
+    &wp__direct_settings__log_level__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_format",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, log_format),
+    NULL,
+    &wp__direct_settings__log_format__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_s",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_drain_s),
+    offsetof(Wp__DirectSettings, drain_s),
+    NULL,
+    &wp__direct_settings__drain_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ratio",
+    14,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_retry_ratio),
+    offsetof(Wp__DirectSettings, retry_ratio),
+    NULL,
+    &wp__direct_settings__retry_ratio__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_slack",
+    15,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_retry_slack),
+    offsetof(Wp__DirectSettings, retry_slack),
+    NULL,
+    &wp__direct_settings__retry_slack__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_window_ms",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_retry_window_ms),
+    offsetof(Wp__DirectSettings, retry_window_ms),
+    NULL,
+    &wp__direct_settings__retry_window_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session_ms",
+    17,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_session_ms),
+    offsetof(Wp__DirectSettings, session_ms),
+    NULL,
+    &wp__direct_settings__session_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_kb_per_s",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_log_kb_per_s),
+    offsetof(Wp__DirectSettings, log_kb_per_s),
+    NULL,
+    &wp__direct_settings__log_kb_per_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confidence",
+    19,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_confidence),
+    offsetof(Wp__DirectSettings, confidence),
+    NULL,
+    &wp__direct_settings__confidence__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_memory_mb),
+    offsetof(Wp__DirectSettings, memory_mb),
+    NULL,
+    &wp__direct_settings__memory_mb__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__direct_settings__field_indices_by_name[] = {
+  8,   /* field[8] = charts */
+  18,   /* field[18] = confidence */
+  12,   /* field[12] = drain_s */
+  3,   /* field[3] = http */
+  0,   /* field[0] = id */
+  2,   /* field[2] = listen */
+  11,   /* field[11] = log_format */
+  17,   /* field[17] = log_kb_per_s */
+  10,   /* field[10] = log_level */
+  19,   /* field[19] = memory_mb */
+  6,   /* field[6] = metrics_port */
+  5,   /* field[5] = peer_port */
+  4,   /* field[4] = ready */
+  13,   /* field[13] = retry_ratio */
+  14,   /* field[14] = retry_slack */
+  15,   /* field[15] = retry_window_ms */
+  9,   /* field[9] = seed */
+  16,   /* field[16] = session_ms */
+  7,   /* field[7] = store */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 20 }
+};
+const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.DirectSettings",
+  "DirectSettings",
+  "Wp__DirectSettings",
+  "wp",
+  sizeof(Wp__DirectSettings),
+  20,
+  wp__direct_settings__field_descriptors,
+  wp__direct_settings__field_indices_by_name,
+  1,  wp__direct_settings__number_ranges,
+  (ProtobufCMessageInit) wp__direct_settings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Wp__ChartTransition Wp__ChartTransition;
 typedef struct Wp__ChartState Wp__ChartState;
 typedef struct Wp__Chart Wp__Chart;
+typedef struct Wp__DirectSettings Wp__DirectSettings;
 
 
 /* --- enums --- */
@@ -237,11 +238,16 @@
    */
   protobuf_c_boolean has_ratings;
   uint32_t ratings;
+  /*
+   * of the order's duration
+   */
+  protobuf_c_boolean has_dwell_part;
+  double dwell_part;
 };
 extern char wp__chart_state__gate__default_value[];
 #define WP__CHART_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__chart_state__descriptor) \
-    , NULL, 0, -1, 0, 0u, wp__chart_state__gate__default_value, 0, 0, 0,NULL, 0, 20u }
+    , NULL, 0, -1, 0, 0u, wp__chart_state__gate__default_value, 0, 0, 0,NULL, 0, 20u, 0, 0 }
 
 
 struct  Wp__Chart
@@ -257,6 +263,66 @@
     , NULL, NULL, 0,NULL }
 
 
+/*
+ * An entry that calls endpoints itself, without agents beside them.
+ */
+struct  Wp__DirectSettings
+{
+  ProtobufCMessage base;
+  char *id;
+  char *zone;
+  /*
+   * the box's address, for its peers
+   */
+  char *listen;
+  /*
+   * host:port, for callers
+   */
+  char *http;
+  /*
+   * host:port, for the balancer
+   */
+  char *ready;
+  uint32_t peer_port;
+  /*
+   * at `listen`
+   */
+  protobuf_c_boolean has_metrics_port;
+  uint32_t metrics_port;
+  /*
+   * host:port
+   */
+  char *store;
+  char *charts;
+  protobuf_c_boolean has_seed;
+  uint64_t seed;
+  char *log_level;
+  char *log_format;
+  protobuf_c_boolean has_drain_s;
+  uint32_t drain_s;
+  protobuf_c_boolean has_retry_ratio;
+  double retry_ratio;
+  protobuf_c_boolean has_retry_slack;
+  double retry_slack;
+  protobuf_c_boolean has_retry_window_ms;
+  uint32_t retry_window_ms;
+  protobuf_c_boolean has_session_ms;
+  uint32_t session_ms;
+  protobuf_c_boolean has_log_kb_per_s;
+  uint32_t log_kb_per_s;
+  protobuf_c_boolean has_confidence;
+  uint32_t confidence;
+  protobuf_c_boolean has_memory_mb;
+  uint32_t memory_mb;
+};
+extern char wp__direct_settings__charts__default_value[];
+extern char wp__direct_settings__log_level__default_value[];
+extern char wp__direct_settings__log_format__default_value[];
+#define WP__DIRECT_SETTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
+    , NULL, NULL, NULL, NULL, NULL, 0, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50u, 0, 0u }
+
+
 /* Wp__NodeSettings methods */
 void   wp__node_settings__init
                      (Wp__NodeSettings         *message);
@@ -390,6 +456,25 @@
 void   wp__chart__free_unpacked
                      (Wp__Chart *message,
                       ProtobufCAllocator *allocator);
+/* Wp__DirectSettings methods */
+void   wp__direct_settings__init
+                     (Wp__DirectSettings         *message);
+size_t wp__direct_settings__get_packed_size
+                     (const Wp__DirectSettings   *message);
+size_t wp__direct_settings__pack
+                     (const Wp__DirectSettings   *message,
+                      uint8_t             *out);
+size_t wp__direct_settings__pack_to_buffer
+                     (const Wp__DirectSettings   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__DirectSettings *
+       wp__direct_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__direct_settings__free_unpacked
+                     (Wp__DirectSettings *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wp__NodeSettings_Closure)
@@ -413,6 +498,9 @@
 typedef void (*Wp__Chart_Closure)
                  (const Wp__Chart *message,
                   void *closure_data);
+typedef void (*Wp__DirectSettings_Closure)
+                 (const Wp__DirectSettings *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -426,6 +514,7 @@
 extern const ProtobufCMessageDescriptor wp__chart_transition__descriptor;
 extern const ProtobufCMessageDescriptor wp__chart_state__descriptor;
 extern const ProtobufCMessageDescriptor wp__chart__descriptor;
+extern const ProtobufCMessageDescriptor wp__direct_settings__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/io/wp_direct_admin.c
@@ -0,0 +1,69 @@
+/* Whether the box takes requests, for the balancer, and its metrics. */
+#include "wp_direct_int.h"
+#include "wp_code.h"
+#include "wp_http.h"
+
+static void on_ready(struct evhttp_request *r, void *arg)
+{
+    WPDirectHost *h = arg;
+    bool ready = !h->leaving && wp_sync_ready(h->sync);
+    wp_http_text(r, ready ? 200 : 503, "text/plain",
+                 wp_str(ready        ? "ready\n"
+                        : h->leaving ? "leaving\n"
+                                     : "starting\n"));
+}
+
+static void on_metrics(struct evhttp_request *r, void *arg)
+{
+    WPDirectHost *h = arg;
+    const Wp__DirectSettings *s = h->settings;
+    g_autoptr(GString) out = g_string_new(NULL);
+    g_autofree char *labels =
+        g_strdup_printf("box=\"%s\",zone=\"%s\"", s->id, s->zone);
+    wp_counters_text(&h->direct.counters, labels, out);
+    g_string_append_printf(
+        out,
+        "wp_requests_open{%s} %u\nwp_callers_open{%s} %u\n"
+        "wp_endpoint_connections_total{%s} %lu\nwp_store_up{%s} %d\n"
+        "wp_log_lines_dropped_total{%s} %lu\n",
+        labels, h->n_relays, labels, wp_front_connections(h->front), labels,
+        (unsigned long)wp_back_opened(h->back), labels,
+        wp_sync_store_up(h->sync), labels, (unsigned long)h->log.dropped);
+    wp_http_text(r, 200, "text/plain; version=0.0.4",
+                 wp_strn(out->str, out->len));
+}
+
+static struct evhttp *serve(WPDirectHost *h, const char *addr,
+                            void (*page)(struct evhttp_request *, void *),
+                            GError **error)
+{
+    struct evhttp *http = evhttp_new(h->base);
+    g_autofree char *host = NULL;
+    uint16_t port;
+    evhttp_set_gencb(http, page, h);
+    if (wp_http_target(addr, &host, &port) && wp_http_listen(http, host, port))
+        return http;
+    g_set_error(error, WP_ERROR, WP_ERROR_CONTACT, "cannot listen on %s",
+                addr);
+    evhttp_free(http);
+    return NULL;
+}
+
+bool wp_direct_open_admin(WPDirectHost *h, GError **error)
+{
+    const Wp__DirectSettings *s = h->settings;
+    g_autofree char *metrics =
+        g_strdup_printf("%s:%u", s->listen, s->metrics_port);
+    h->ready = serve(h, s->ready, on_ready, error);
+    if (h->ready)
+        h->metrics = serve(h, metrics, on_metrics, error);
+    return h->ready && h->metrics;
+}
+
+void wp_direct_close_admin(WPDirectHost *h)
+{
+    if (h->ready)
+        evhttp_free(h->ready);
+    if (h->metrics)
+        evhttp_free(h->metrics);
+}
--- /dev/null
+++ b/io/wp_direct_host.c
@@ -0,0 +1,184 @@
+/* The direct entry's process. */
+#include "wp_direct_int.h"
+#include "wp_pb.h"
+#include "wp_rollout.h"
+
+#include <signal.h>
+
+enum {
+    TICK_MS = 50,
+    CONNECT_MS = 400, /* a lost opening packet is sent again after a second:
+                         another endpoint is asked before that */
+    IDLE_MS = 4000,   /* of connections whose endpoint told no time */
+    IDLE_ONCE_MS = 800,
+    LEAVE_LEAST_MS = 2500, /* the balancer asks once a second and turns away
+                              after two misses */
+    LEAVE_IDLE_MS = 700,   /* a connection that rests so long is closed */
+    LEAVE_SPARE_MS = 1000  /* before the platform's kill */
+};
+
+static void free_event(struct event *e)
+{
+    if (e)
+        event_free(e);
+}
+
+/* Ends when no request is left, at the latest before the kill. */
+static void carry_on_leaving(WPDirectHost *h, WPTime now)
+{
+    int64_t ms = (now.mono_us - h->leave_us) / WP_US_PER_MS;
+    int64_t most = (int64_t)h->settings->drain_s * WP_MS_PER_S;
+    unsigned open;
+    if (ms < LEAVE_LEAST_MS)
+        return;
+    open = wp_front_close_idle(h->front, now, LEAVE_IDLE_MS);
+    if ((!open && !h->n_relays) || ms >= most - LEAVE_SPARE_MS)
+        event_base_loopbreak(h->base);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    WPDirectHost *h = arg;
+    WPTime now = wp_clock_now(0);
+    (void)fd;
+    (void)what;
+    wp_direct_tick(&h->direct, now);
+    wp_back_tick(h->back, now);
+    wp_sync_tick(h->sync, now);
+    wp_log_flush(&h->log);
+    if (h->leaving)
+        carry_on_leaving(h, now);
+}
+
+static void on_term(evutil_socket_t fd, short what, void *arg)
+{
+    WPDirectHost *h = arg;
+    (void)fd;
+    (void)what;
+    if (h->leaving)
+        return;
+    h->leaving = true;
+    h->leave_us = wp_clock_now(0).mono_us;
+    wp_log(&h->log, WP_INFO, "leaving", NULL);
+    wp_front_leave(h->front);
+}
+
+static WPDirectRules rules_of(const Wp__DirectSettings *s)
+{
+    return (WPDirectRules){ .zone = s->zone,
+                            .retries = { s->retry_ratio, s->retry_slack,
+                                         s->retry_window_ms },
+                            .session_ms = s->session_ms,
+                            .confidence = s->confidence };
+}
+
+/* Takes the rules that may change while running; addresses stay. */
+static void on_hup(evutil_socket_t fd, short what, void *arg)
+{
+    WPDirectHost *h = arg;
+    Wp__DirectSettings *s = h->reload ? h->reload() : NULL;
+    (void)fd;
+    (void)what;
+    if (!s) {
+        wp_log(&h->log, WP_ERROR_LEVEL, "reload_failed", NULL);
+        return;
+    }
+    wp_pb_free(h->settings);
+    h->settings = s;
+    h->log.box = s->id;
+    h->direct.rules = rules_of(s);
+    wp_log(&h->log, WP_INFO, "reloaded", NULL);
+}
+
+static bool read_chart(WPDirectHost *h, GError **error)
+{
+    g_autofree char *file =
+        g_build_filename(h->settings->charts, "shift.yaml", NULL);
+    g_autofree char *text = NULL;
+    gsize n;
+    if (!g_file_get_contents(file, &text, &n, error))
+        return false;
+    h->chart = wp_chart_read(wp_strn(text, n), file, error);
+    return h->chart != NULL;
+}
+
+static bool open_sides(WPDirectHost *h, GError **error)
+{
+    static const WPBackRules back_rules = { CONNECT_MS, IDLE_MS,
+                                            IDLE_ONCE_MS };
+    const Wp__DirectSettings *s = h->settings;
+    const WPRouteLimits limits = { 16 << 10, 4 << 20, 5000, 30000 };
+    h->back =
+        wp_back_new(h->base, s->listen, &back_rules, &wp_relay_back_ops);
+    h->front = wp_front_new(h->base, s->http, &wp_relay_front_ops, h, error);
+    if (!h->front || !wp_direct_open_admin(h, error))
+        return false;
+    wp_front_limits(h->front, &limits);
+    h->sync = wp_sync_new(h);
+    if (!h->sync)
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                    "store: expected HOST:PORT");
+    return h->sync != NULL;
+}
+
+static void open_signals(WPDirectHost *h)
+{
+    struct timeval tick = { 0, TICK_MS * WP_US_PER_MS };
+    signal(SIGPIPE, SIG_IGN);
+    h->tick = event_new(h->base, -1, EV_PERSIST, on_tick, h);
+    h->term = evsignal_new(h->base, SIGTERM, on_term, h);
+    h->hup = evsignal_new(h->base, SIGHUP, on_hup, h);
+    event_add(h->tick, &tick);
+    event_add(h->term, NULL);
+    event_add(h->hup, NULL);
+}
+
+WPDirectHost *wp_direct_host_new(const Wp__DirectSettings *s,
+                                 const WPPlatformOps *platform,
+                                 void *(*reload)(void), GError **error)
+{
+    WPDirectHost *h = g_new0(WPDirectHost, 1);
+    uint32_t seed = s->seed ? (uint32_t)s->seed : wp_clock_seed();
+    h->settings = wp_pb_copy(&s->base);
+    h->platform = platform;
+    h->reload = reload;
+    h->base = event_base_new();
+    wp_list_init(&h->relays);
+    wp_log_init(&h->log, h->settings->id, s->log_level, s->log_format);
+    wp_log_gather(&h->log, s->log_kb_per_s << 10);
+    WPDirectRules rules = rules_of(h->settings);
+    bool ok = read_chart(h, error);
+    wp_direct_init(&h->direct, &rules, h->chart, seed);
+    if (ok && open_sides(h, error)) {
+        open_signals(h);
+        return h;
+    }
+    wp_direct_host_free(h);
+    return NULL;
+}
+
+void wp_direct_host_run(WPDirectHost *h)
+{
+    wp_log(&h->log, WP_INFO, "started", "version", WP_VERSION, NULL);
+    event_base_dispatch(h->base);
+    wp_log(&h->log, WP_INFO, "stopped", NULL);
+}
+
+void wp_direct_host_free(WPDirectHost *h)
+{
+    if (!h)
+        return;
+    free_event(h->tick);
+    free_event(h->term);
+    free_event(h->hup);
+    wp_front_free(h->front);
+    wp_back_free(h->back);
+    wp_sync_free(h->sync);
+    wp_direct_close_admin(h);
+    wp_direct_end(&h->direct);
+    event_base_free(h->base);
+    wp_pb_free(h->chart);
+    wp_log_end(&h->log);
+    wp_pb_free(h->settings);
+    g_free(h);
+}
--- /dev/null
+++ b/io/wp_direct_int.h
@@ -0,0 +1,51 @@
+/* What the parts of the direct entry share. */
+#ifndef WP_IO_DIRECT_INT_H
+#define WP_IO_DIRECT_INT_H
+
+#include "wp_back.h"
+#include "wp_clock.h"
+#include "wp_direct_host.h"
+#include "wp_front.h"
+#include "wp_log.h"
+
+#include <event2/http.h>
+
+typedef struct WPSync WPSync;
+
+struct WPDirectHost {
+    struct event_base *base;
+    Wp__DirectSettings *settings;
+    const WPPlatformOps *platform;
+    void *(*reload)(void);
+    Wp__Chart *chart;
+    WPLog log;
+    WPDirect direct;
+    WPFront *front;
+    WPBack *back;
+    WPSync *sync;
+    struct evhttp *ready, *metrics;
+    struct event *tick, *term, *hup;
+    WPList relays;
+    unsigned n_relays;
+    bool leaving;
+    int64_t leave_us;
+};
+
+/* wp_relay.c: one request between caller and endpoints. */
+extern const WPFrontOps wp_relay_front_ops;
+extern const WPBackOps wp_relay_back_ops;
+
+/* wp_sync.c: what the store tells, and what is written to it. */
+WPSync *wp_sync_new(WPDirectHost *h);
+void wp_sync_free(WPSync *s);
+void wp_sync_tick(WPSync *s, WPTime now);
+
+/* Whether enough is known to serve. */
+bool wp_sync_ready(const WPSync *s);
+bool wp_sync_store_up(const WPSync *s);
+
+/* wp_direct_admin.c: whether the box is ready, and its metrics. */
+bool wp_direct_open_admin(WPDirectHost *h, GError **error);
+void wp_direct_close_admin(WPDirectHost *h);
+
+#endif
--- /dev/null
+++ b/io/wp_h1.c
@@ -0,0 +1,245 @@
+/* HTTP/1.1 messages. */
+#include "wp_h1.h"
+
+/* Where one field lies in the text. */
+typedef struct Span {
+    size_t name, name_n, value, value_n;
+} Span;
+
+static int on_begin(http_parser *p)
+{
+    (void)p;
+    return 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t n)
+{
+    WPH1 *h = p->data;
+    g_byte_array_append(h->text, (const guint8 *)at, (guint)n);
+    h->target_n += n;
+    return 0;
+}
+
+static int on_name(http_parser *p, const char *at, size_t n)
+{
+    WPH1 *h = p->data;
+    if (h->has_head) /* a trailer; they are not passed on */
+        return 0;
+    if (h->in_value || !h->spans->len) {
+        Span s = { h->text->len, 0, 0, 0 };
+        g_array_append_val(h->spans, s);
+        h->in_value = false;
+    }
+    g_byte_array_append(h->text, (const guint8 *)at, (guint)n);
+    g_array_index(h->spans, Span, h->spans->len - 1).name_n += n;
+    return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t n)
+{
+    WPH1 *h = p->data;
+    if (h->has_head || !h->spans->len)
+        return 0;
+    Span *s = &g_array_index(h->spans, Span, h->spans->len - 1);
+    if (!h->in_value) {
+        s->value = h->text->len;
+        h->in_value = true;
+    }
+    g_byte_array_append(h->text, (const guint8 *)at, (guint)n);
+    s->value_n += n;
+    return 0;
+}
+
+static WPStr text_at(const WPH1 *h, size_t at, size_t n)
+{
+    return wp_strn((const char *)h->text->data + at, n);
+}
+
+/* Whether an answer tells no length, so that its connection ends it. */
+static bool needs_close(const http_parser *p)
+{
+    bool bodiless = p->status_code / 100 == 1 || p->status_code == 204 ||
+                    p->status_code == 304;
+    return p->type == HTTP_RESPONSE && !bodiless && !(p->flags & F_CHUNKED) &&
+           p->content_length == UINT64_MAX;
+}
+
+static int on_head(http_parser *p)
+{
+    WPH1 *h = p->data;
+    h->has_head = true;
+    for (guint i = 0; i < h->spans->len; i++) {
+        const Span *s = &g_array_index(h->spans, Span, i);
+        WPField f = { text_at(h, s->name, s->name_n),
+                      wp_str_trim(text_at(h, s->value, s->value_n)) };
+        g_array_append_val(h->fields, f);
+    }
+    bool request = p->type == HTTP_REQUEST;
+    WPHead head = {
+        .method = wp_str(request ? http_method_str(p->method) : ""),
+        .target = text_at(h, 0, h->target_n),
+        .status = request ? 0 : p->status_code,
+        .fields = (const WPField *)h->fields->data,
+        .n_fields = h->fields->len,
+        .keep_alive = http_should_keep_alive(p),
+        .until_close = needs_close(p)
+    };
+    return h->ops->head(h->arg, &head) ? 0 : 1;
+}
+
+static int on_body(http_parser *p, const char *at, size_t n)
+{
+    WPH1 *h = p->data;
+    h->ops->body(h->arg, at, n);
+    return 0;
+}
+
+static int on_whole(http_parser *p)
+{
+    WPH1 *h = p->data;
+    h->whole = true;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_whole
+};
+
+void wp_h1_init(WPH1 *h, bool requests, const WPH1Ops *ops, void *arg)
+{
+    memset(h, 0, sizeof(*h));
+    http_parser_init(&h->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    h->parser.data = h;
+    h->ops = ops;
+    h->arg = arg;
+    h->text = g_byte_array_new();
+    h->spans = g_array_new(FALSE, FALSE, sizeof(Span));
+    h->fields = g_array_new(FALSE, FALSE, sizeof(WPField));
+}
+
+void wp_h1_end(WPH1 *h)
+{
+    g_byte_array_unref(h->text);
+    g_array_unref(h->spans);
+    g_array_unref(h->fields);
+}
+
+void wp_h1_reset(WPH1 *h)
+{
+    enum http_parser_type type = h->parser.type;
+    http_parser_init(&h->parser, type);
+    g_byte_array_set_size(h->text, 0);
+    g_array_set_size(h->spans, 0);
+    g_array_set_size(h->fields, 0);
+    h->target_n = 0;
+    h->in_value = false;
+    h->has_head = false;
+    h->whole = false;
+}
+
+WPH1State wp_h1_feed(WPH1 *h, struct evbuffer *in)
+{
+    while (!h->whole) {
+        size_t n = evbuffer_get_contiguous_space(in);
+        if (!n)
+            return WP_H1_MORE;
+        const char *p = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
+        size_t took = http_parser_execute(&h->parser, &settings, p, n);
+        enum http_errno e = HTTP_PARSER_ERRNO(&h->parser);
+        evbuffer_drain(in, took);
+        if (e != HPE_OK && e != HPE_PAUSED)
+            return WP_H1_BAD;
+        if (h->parser.upgrade) /* nobody was asked to switch protocols */
+            return WP_H1_BAD;
+    }
+    return WP_H1_WHOLE;
+}
+
+WPH1State wp_h1_eof(WPH1 *h)
+{
+    if (h->whole)
+        return WP_H1_WHOLE;
+    http_parser_execute(&h->parser, &settings, NULL, 0);
+    return h->whole ? WP_H1_WHOLE : WP_H1_BAD;
+}
+
+bool wp_field_is(const WPField *f, const char *name)
+{
+    size_t n = strlen(name);
+    return f->name.n == n && !g_ascii_strncasecmp(f->name.p, name, n);
+}
+
+WPStr wp_head_get(const WPHead *h, const char *name, unsigned *n)
+{
+    WPStr found = wp_str("");
+    unsigned count = 0;
+    for (size_t i = 0; i < h->n_fields; i++) {
+        if (!wp_field_is(&h->fields[i], name))
+            continue;
+        if (!count++)
+            found = h->fields[i].value;
+    }
+    if (n)
+        *n = count;
+    return found;
+}
+
+/* Whether Connection names the field. */
+static bool is_named(const WPHead *h, const WPField *f)
+{
+    for (size_t i = 0; i < h->n_fields; i++) {
+        if (!wp_field_is(&h->fields[i], "Connection"))
+            continue;
+        WPStr rest = h->fields[i].value;
+        while (rest.n) {
+            WPStr word = wp_str_trim(wp_str_cut(&rest, ','));
+            if (word.n == f->name.n &&
+                !g_ascii_strncasecmp(word.p, f->name.p, word.n))
+                return true;
+        }
+    }
+    return false;
+}
+
+bool wp_field_is_hop(const WPHead *h, const WPField *f)
+{
+    static const char *const names[] = {
+        "Connection", "Keep-Alive",        "Transfer-Encoding",
+        "Upgrade",    "Proxy-Connection",  "Proxy-Authorization",
+        "TE",         "Proxy-Authenticate", "Trailer",
+        "Expect",     "Content-Length"
+    };
+    for (size_t i = 0; i < WP_COUNT(names); i++)
+        if (wp_field_is(f, names[i]))
+            return true;
+    return is_named(h, f);
+}
+
+size_t wp_h1_head_length(struct evbuffer *in)
+{
+    struct evbuffer_ptr at = evbuffer_search(in, "\n\r\n", 3, NULL);
+    return at.pos < 0 ? 0 : (size_t)at.pos + 3;
+}
+
+bool wp_h1_head_is_strict(const char *p, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (p[i] == '\0')
+            return false;
+        if (p[i] == '\n' && (i == 0 || p[i - 1] != '\r'))
+            return false;
+        if (p[i] == '\r' && (i + 1 == n || p[i + 1] != '\n'))
+            return false;
+        bool begins = i > 0 && p[i - 1] == '\n';
+        if (begins && (p[i] == ' ' || p[i] == '\t'))
+            return false;
+    }
+    return n > 0 && p[0] != '\r' && p[0] != '\n';
+}
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -325,7 +325,7 @@
     return h->base;
 }
 
-const WPLog *wp_host_log(const WPHost *h)
+WPLog *wp_host_log(WPHost *h)
 {
     return &h->log;
 }
--- a/io/wp_host.h
+++ b/io/wp_host.h
@@ -44,7 +44,7 @@
 WPKv *wp_host_kv(WPHost *h);        /* or NULL */
 WPHttp *wp_host_ratings(WPHost *h); /* or NULL */
 struct event_base *wp_host_base(WPHost *h);
-const WPLog *wp_host_log(const WPHost *h);
+WPLog *wp_host_log(WPHost *h);
 uint32_t wp_host_seed(const WPHost *h);
 bool wp_host_leaving(const WPHost *h);
 bool wp_host_lame_duck(const WPHost *h);
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -16,6 +16,7 @@
 typedef struct WPKvItem {
     WPStr key, value;
     uint64_t mod_revision;
+    bool removed; /* of a watch's event: the key is gone; no value */
 } WPKvItem;
 
 /* One condition of a transaction: the key's revision; 0 means absent. */
--- a/io/wp_log.c
+++ b/io/wp_log.c
@@ -1,21 +1,78 @@
 /* The logger. */
 #include "wp_log.h"
+#include "wp_clock.h"
 
+#include <fcntl.h>
 #include <jansson.h>
 #include <unistd.h>
 
+enum {
+    PENDING_MOST = 256 << 10, /* bytes that wait for the reader */
+    BURST_S = 2               /* of the rate may be written at once */
+};
+
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
 
 void wp_log_init(WPLog *l, const char *box, const char *level,
                  const char *format)
 {
+    memset(l, 0, sizeof(*l));
     l->box = box;
     l->least = WP_INFO;
     for (size_t i = 0; i < WP_COUNT(level_names); i++)
         if (!strcmp(level_names[i], level))
             l->least = (WPLevel)i;
     l->json = !strcmp(format, "json");
-    l->fd = STDERR_FILENO;
+    l->fd = STDOUT_FILENO;
+}
+
+void wp_log_gather(WPLog *l, uint32_t bytes_per_s)
+{
+    int flags = fcntl(l->fd, F_GETFL);
+    if (flags >= 0)
+        fcntl(l->fd, F_SETFL, flags | O_NONBLOCK);
+    l->pending = g_string_new(NULL);
+    l->bytes_per_s = bytes_per_s;
+    l->allowance = (double)bytes_per_s * BURST_S;
+    l->refilled_us = wp_clock_now(0).mono_us;
+}
+
+static void write_pending(WPLog *l)
+{
+    while (l->pending->len) {
+        ssize_t n = write(l->fd, l->pending->str, l->pending->len);
+        if (n <= 0)
+            return; /* the reader is behind; nobody is left to tell */
+        g_string_erase(l->pending, 0, n);
+    }
+}
+
+void wp_log_flush(WPLog *l)
+{
+    if (!l->pending)
+        return;
+    int64_t now_us = wp_clock_now(0).mono_us;
+    double most = (double)l->bytes_per_s * BURST_S;
+    l->allowance += (double)l->bytes_per_s *
+                    (double)(now_us - l->refilled_us) / WP_US_PER_S;
+    l->allowance = MIN(l->allowance, most);
+    l->refilled_us = now_us;
+    if (l->dropped > l->dropped_told && l->pending->len < PENDING_MOST / 2) {
+        g_autofree char *n = g_strdup_printf(
+            "%lu", (unsigned long)(l->dropped - l->dropped_told));
+        l->dropped_told = l->dropped;
+        wp_log(l, WP_WARN, "log_dropped", "lines", n, NULL);
+    }
+    write_pending(l);
+}
+
+void wp_log_end(WPLog *l)
+{
+    if (!l->pending)
+        return;
+    wp_log_flush(l);
+    g_string_free(l->pending, TRUE);
+    l->pending = NULL;
 }
 
 static void add_pair(GString *out, const char *key, const char *value)
@@ -29,38 +86,78 @@
     g_string_append_printf(out, "\"%s\"", quoted);
 }
 
-static char *stamp(void)
+static void add_stamp(GString *out)
 {
-    g_autoptr(GDateTime) t = g_date_time_new_now_utc();
-    return g_date_time_format(t, "%Y-%m-%dT%H:%M:%S.%fZ");
+    int64_t ms = wp_clock_now(0).wall_ms;
+    g_autoptr(GDateTime) t = g_date_time_new_from_unix_utc(ms / WP_MS_PER_S);
+    g_autofree char *text = g_date_time_format(t, "%Y-%m-%dT%H:%M:%S");
+    g_string_append_printf(out, "%s.%03dZ", text, (int)(ms % WP_MS_PER_S));
 }
 
-void wp_log(const WPLog *l, WPLevel level, const char *event, ...)
+static void add_kv(GString *out, const WPLog *l, WPLevel level,
+                   const char *event, va_list ap)
 {
-    va_list ap;
     const char *key;
+    g_string_append(out, "time=");
+    add_stamp(out);
+    g_string_append_printf(out, " level=%s box=%s event=%s",
+                           level_names[level], l->box, event);
+    while ((key = va_arg(ap, const char *)))
+        add_pair(out, key, va_arg(ap, const char *));
+}
+
+static void add_json(GString *out, const WPLog *l, WPLevel level,
+                     const char *event, va_list ap)
+{
+    const char *key;
+    g_autoptr(GString) at = g_string_new(NULL);
+    add_stamp(at);
+    json_t *o = json_pack("{s:s,s:s,s:s,s:s}", "time", at->str, "level",
+                          level_names[level], "box", l->box, "event", event);
+    while ((key = va_arg(ap, const char *)))
+        json_object_set_new(o, key, json_string(va_arg(ap, const char *)));
+    char *text = json_dumps(o, JSON_COMPACT);
+    g_string_append(out, text);
+    free(text);
+    json_decref(o);
+}
+
+/* Whether the line may still be written within the rate. Warnings may. */
+static bool allow(WPLog *l, WPLevel level, size_t n)
+{
+    if (!l->pending)
+        return true;
+    if (l->pending->len + n > PENDING_MOST)
+        return false;
+    if (!l->bytes_per_s || level > WP_INFO)
+        return true;
+    if (l->allowance < (double)n)
+        return false;
+    l->allowance -= (double)n;
+    return true;
+}
+
+void wp_log(WPLog *l, WPLevel level, const char *event, ...)
+{
+    va_list ap;
     if (level < l->least)
         return;
-    g_autofree char *at = stamp();
     g_autoptr(GString) out = g_string_new(NULL);
-    json_t *o = json_pack("{s:s,s:s,s:s,s:s}", "time", at, "level",
-                          level_names[level], "box", l->box, "event", event);
-    g_string_printf(out, "time=%s level=%s box=%s event=%s", at,
-                    level_names[level], l->box, event);
     va_start(ap, event);
-    while ((key = va_arg(ap, const char *))) {
-        const char *value = va_arg(ap, const char *);
-        add_pair(out, key, value);
-        json_object_set_new(o, key, json_string(value));
-    }
+    if (l->json)
+        add_json(out, l, level, event, ap);
+    else
+        add_kv(out, l, level, event, ap);
     va_end(ap);
-    if (l->json) {
-        char *text = json_dumps(o, JSON_COMPACT);
-        g_string_assign(out, text);
-        free(text);
-    }
-    json_decref(o);
     g_string_append_c(out, '\n');
+    if (!allow(l, level, out->len)) {
+        l->dropped++;
+        return;
+    }
+    if (l->pending) {
+        g_string_append_len(l->pending, out->str, (gssize)out->len);
+        return;
+    }
     ssize_t wrote = write(l->fd, out->str, out->len);
     (void)wrote; /* nobody is left to tell */
 }
--- /dev/null
+++ b/src/wp_direct.c
@@ -0,0 +1,117 @@
+/* What an entry knows that calls endpoints directly. */
+#include "wp_direct_int.h"
+
+/* How often what is over is swept out. */
+#define SWEEP_US (1000 * WP_US_PER_MS)
+
+/* Sessions are kept this many times as long as they bind. */
+#define SESSION_KEPT 2
+
+void wp_direct_init(WPDirect *d, const WPDirectRules *rules,
+                    const Wp__Chart *chart, uint32_t seed)
+{
+    memset(d, 0, sizeof(*d));
+    d->rules = *rules;
+    d->boxes = 1;
+    d->fleet = wp_fleet_new(seed);
+    d->shifts = wp_shifts_new(chart);
+    d->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->sessions =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    d->speeds =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->rand = g_rand_new_with_seed(seed);
+}
+
+void wp_direct_end(WPDirect *d)
+{
+    wp_routes_unref(d->routes);
+    wp_fleet_free(d->fleet);
+    wp_shifts_free(d->shifts);
+    g_hash_table_unref(d->budgets);
+    g_hash_table_unref(d->sessions);
+    g_hash_table_unref(d->speeds);
+    g_rand_free(d->rand);
+}
+
+bool wp_direct_routes(WPDirect *d, WPRoutes *t)
+{
+    if (d->routes && d->routes->version >= t->version) {
+        wp_routes_unref(t);
+        return false;
+    }
+    wp_routes_unref(d->routes);
+    d->routes = t;
+    wp_count(&d->counters, WP_C_CONFIG_CHANGES);
+    return true;
+}
+
+typedef struct Sweep {
+    WPTime now;
+    int64_t oldest_us;
+} Sweep;
+
+static gboolean is_over(gpointer key, gpointer value, gpointer arg)
+{
+    const WPSessionSeen *seen = value;
+    const Sweep *sweep = arg;
+    (void)key;
+    return seen->used_us < sweep->oldest_us;
+}
+
+void wp_direct_tick(WPDirect *d, WPTime now)
+{
+    int64_t kept_us =
+        (int64_t)d->rules.session_ms * WP_US_PER_MS * SESSION_KEPT;
+    Sweep sweep = { now, now.mono_us - kept_us };
+    wp_fleet_tick(d->fleet, now);
+    if (now.mono_us - d->swept_us < SWEEP_US)
+        return;
+    d->swept_us = now.mono_us;
+    g_hash_table_foreach_remove(d->sessions, is_over, &sweep);
+}
+
+WPBudget *wp_direct_budget(WPDirect *d, const char *service)
+{
+    WPBudget *b = g_hash_table_lookup(d->budgets, service);
+    if (!b) {
+        b = g_new0(WPBudget, 1);
+        g_hash_table_insert(d->budgets, g_strdup(service), b);
+    }
+    return b;
+}
+
+WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model)
+{
+    g_autofree char *key =
+        g_strdup_printf("%s %.*s", route, (int)model.n, model.p);
+    WPSpeed *v = g_hash_table_lookup(d->speeds, key);
+    if (!v) {
+        v = g_new0(WPSpeed, 1);
+        g_hash_table_insert(d->speeds, g_steal_pointer(&key), v);
+    }
+    return v;
+}
+
+const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session)
+{
+    const WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
+    int64_t bound_us = (int64_t)d->rules.session_ms * WP_US_PER_MS;
+    if (!seen || now.mono_us - seen->used_us > bound_us)
+        return NULL;
+    return seen->version;
+}
+
+void wp_direct_session_on(WPDirect *d, WPTime now, uint64_t session,
+                          const char *version)
+{
+    WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
+    if (!seen) {
+        seen = g_new0(WPSessionSeen, 1);
+        seen->session = session;
+        g_hash_table_insert(d->sessions, &seen->session, seen);
+    }
+    seen->version = g_intern_string(version);
+    seen->used_us = now.mono_us;
+}
--- /dev/null
+++ b/src/wp_direct.h
@@ -0,0 +1,164 @@
+/* What an entry knows that calls endpoints directly, and how it decides on
+ * one request: which endpoint and model it goes to, and what follows from each
+ * answer, failure and time limit. No sockets and no clocks: the caller moves
+ * the bytes and hands in the time. */
+#ifndef WP_DIRECT_H
+#define WP_DIRECT_H
+
+#include "wp_budget.h"
+#include "wp_code.h"
+#include "wp_counters.h"
+#include "wp_fleet.h"
+#include "wp_route.h"
+#include "wp_shift.h"
+
+typedef struct WPDirectRules {
+    const char *zone;
+    WPBudgetRules retries;
+    uint32_t session_ms; /* requests of a session follow within this */
+    uint32_t confidence; /* below it, 0 to 100, a larger model is asked */
+} WPDirectRules;
+
+typedef struct WPDirect {
+    WPDirectRules rules;
+    WPRoutes *routes; /* NULL: none known yet */
+    WPFleet *fleet;
+    WPShifts *shifts;
+    WPCounters counters;
+    unsigned boxes;       /* entries that share the retry budget */
+    GHashTable *budgets;  /* service -> WPBudget */
+    GHashTable *sessions; /* hash -> which version served it, and when */
+    GHashTable *speeds;   /* route and model -> how long answers take */
+    int64_t swept_us;
+    GRand *rand;
+} WPDirect;
+
+void wp_direct_init(WPDirect *d, const WPDirectRules *rules,
+                    const Wp__Chart *chart, uint32_t seed);
+void wp_direct_end(WPDirect *d);
+
+/* Takes a table of routes, and the caller's reference, unless a newer one is
+   known: what was once in force never comes back. */
+bool wp_direct_routes(WPDirect *d, WPRoutes *t);
+
+/* Forgets sessions and endpoints whose time is over. */
+void wp_direct_tick(WPDirect *d, WPTime now);
+
+/* A caller's request, decoded. The strings live during wp_flow_begin(). */
+typedef struct WPDirectAsk {
+    WPStr id;
+    WPStr host, path;
+    WPStr key;     /* empty: none was sent */
+    WPStr session; /* empty: on its own */
+    WPStr model;   /* empty: none was named */
+    uint64_t prompt; /* hash of the parts that other requests share; 0: none */
+    uint32_t prompt_tokens, answer_tokens;
+    uint32_t deadline_ms; /* how long the caller waits; 0: not told */
+    bool resumes;         /* goes on after `after_event` */
+    uint64_t after_event;
+} WPDirectAsk;
+
+typedef enum WPMoveKind {
+    WP_MOVE_SEND, /* to `replica`, which is held until the flow says how it
+                     ended there */
+    WP_MOVE_PASS, /* give the caller the answer that is in hand */
+    WP_MOVE_FAIL, /* give the caller an answer of the box's own */
+    WP_MOVE_CUT   /* the caller has part of an answer: break it off */
+} WPMoveKind;
+
+typedef enum WPWhy {
+    WP_WHY_FIRST,
+    WP_WHY_RETRY,  /* the one before failed or refused */
+    WP_WHY_BETTER, /* its answer was not good enough */
+    WP_WHY_RESUME  /* its stream broke off */
+} WPWhy;
+
+typedef struct WPMove {
+    WPMoveKind kind;
+    WPReplica *replica;
+    WPStr model;         /* to name to the endpoint; empty: as it came */
+    WPWhy why;
+    uint32_t budget_ms;  /* what is left of the caller's time */
+    uint32_t patience_ms; /* to the first byte, then go elsewhere; 0: none */
+    WPCode code;
+    uint32_t retry_ms;   /* when to come back; 0: not told */
+} WPMove;
+
+/* The head of an endpoint's answer, decoded. */
+typedef struct WPDirectAnswer {
+    int status;
+    bool not_run;     /* the endpoint says that it did not run the request */
+    bool wrong;       /* another endpoint has this address */
+    bool genuine;     /* carries the endpoint's mark */
+    int confidence;   /* the model's own opinion, 0 to 100; -1: none */
+    bool has_load;
+    uint32_t running, waiting, slots;
+} WPDirectAnswer;
+
+/* How a leg ended without an answer. */
+typedef enum WPLoss {
+    WP_LOSS_UNSENT, /* nothing of the request has left */
+    WP_LOSS_SILENT, /* it may have run; no answer began */
+    WP_LOSS_BROKEN  /* the answer broke off or was none */
+} WPLoss;
+
+enum { WP_FLOW_TRIED_MOST = 8 };
+
+/* One attempt at an endpoint. */
+typedef struct WPAttempt {
+    WPReplica *replica; /* NULL: none is under way */
+    int64_t sent_us;
+    bool heard;       /* its first byte has come */
+    bool old_version; /* counts among those of a move's old version */
+} WPAttempt;
+
+typedef struct WPFlow {
+    WPDirect *d;
+    WPRoutes *routes; /* the table by which it was admitted */
+    const WPRoute *route;
+    const WPService *service;
+    char *id, *model;
+    const char *workspace; /* NULL: anonymous */
+    int priority;
+    uint64_t session, prompt;
+    uint32_t prompt_tokens, answer_tokens;
+    double unit; /* place of the session (or request) in [0, 1) */
+    int64_t start_us, deadline_us;
+    unsigned step;         /* index of the model in the route's list */
+    unsigned ran, refused; /* legs that may have run; that did not */
+    WPAttempt leg;         /* the one under way */
+    WPReplica *tried[WP_FLOW_TRIED_MOST]; /* each held */
+    size_t n_tried;
+    bool passing; /* the caller has part of an answer */
+    bool hurried; /* went elsewhere once for want of patience */
+} WPFlow;
+
+/* Decides on a new request. The flow is freed with wp_flow_free() after its
+   last move. */
+WPFlow *wp_flow_begin(WPDirect *d, WPTime now, const WPDirectAsk *ask,
+                      WPMove *out);
+
+/* The head of an answer (of a stream that succeeds), or a whole answer. */
+void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
+                    WPMove *out);
+
+/* The leg ended without a whole answer. */
+void wp_flow_lost(WPFlow *f, WPTime now, WPLoss how, WPMove *out);
+
+/* The leg's first byte is overdue: returns false to go on waiting. */
+bool wp_flow_impatient(WPFlow *f, WPTime now, WPMove *out);
+
+/* The caller's time or the route's is over. */
+void wp_flow_expired(WPFlow *f, WPTime now, WPMove *out);
+
+/* The caller has the whole answer. */
+void wp_flow_done(WPFlow *f, WPTime now);
+
+/* The caller has gone. */
+void wp_flow_left(WPFlow *f, WPTime now);
+
+void wp_flow_free(WPFlow *f);
+
+const char *wp_why_name(WPWhy why);
+
+#endif
--- /dev/null
+++ b/src/wp_direct_int.h
@@ -0,0 +1,28 @@
+/* What wp_direct.c and wp_flow.c share. */
+#ifndef WP_DIRECT_INT_H
+#define WP_DIRECT_INT_H
+
+#include "wp_direct.h"
+
+/* Which version served a session last. */
+typedef struct WPSessionSeen {
+    uint64_t session;
+    const char *version; /* interned */
+    int64_t used_us;
+} WPSessionSeen;
+
+/* How long first bytes take, for one route and model. */
+typedef struct WPSpeed {
+    double mean_us; /* moving average */
+    uint32_t seen;
+} WPSpeed;
+
+WPBudget *wp_direct_budget(WPDirect *d, const char *service);
+WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model);
+
+/* The version that served the session within the time it binds, or NULL. */
+const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session);
+void wp_direct_session_on(WPDirect *d, WPTime now, uint64_t session,
+                          const char *version);
+
+#endif
--- /dev/null
+++ b/src/wp_fleet.c
@@ -0,0 +1,369 @@
+/* The fleet of endpoints that are called directly. */
+#include "wp_fleet.h"
+
+#include <math.h>
+
+/* Weights of a replica's score, in places: 1 is a replica whose every place
+   is taken. The lowest score wins. Measured on both example sites; see
+   docs/PLATFORM.md. */
+#define OTHER_ZONE 0.35     /* bytes between zones are paid for */
+#define AFFINITY 0.15       /* it likely keeps the shared part of the prompt */
+#define FAILING 2.0         /* times its rate of failures */
+#define FAILING_ONCE 6.0    /* the same, for what may not be repeated */
+#define SLOW 0.25           /* times its slowness beyond its peers' */
+#define AVOIDED 20.0        /* chosen only when nothing else is left */
+#define COLD 0.3            /* has just started */
+#define JITTER 0.02         /* so that boxes with one view do not herd */
+#define PROMPT_SCALE 60000  /* tokens to be read that weigh as one full replica */
+
+enum {
+    LIST_GRACE_US = 2500 * WP_US_PER_MS, /* for entries that lapsed while the
+                                            list was away */
+    LOAD_FRESH_US = 1500 * WP_US_PER_MS,
+    AVOID_FIRST_US = 500 * WP_US_PER_MS,
+    AVOID_MOST_US = 4000 * WP_US_PER_MS,
+    AVOID_FAILURES = 3 /* in a row until it is avoided */
+};
+
+#define FAIL_WEIGHT 0.12         /* of the newest outcome */
+#define FAIL_HALF_LIFE_US 3.0e6  /* old failures are forgotten */
+#define SLOW_WEIGHT 0.15
+#define SLOWNESS_MOST 20.0
+
+struct WPFleet {
+    GHashTable *by_id;
+    GHashTable *by_service; /* name -> GPtrArray of WPReplica */
+    GRand *rand;
+};
+
+void wp_fleet_release(WPReplica *s)
+{
+    if (--s->refs > 0)
+        return;
+    g_free(s->id);
+    g_free(s->service);
+    g_free(s->addr);
+    g_free(s->zone);
+    g_free(s->version);
+    g_free(s);
+}
+
+WPReplica *wp_fleet_hold(WPReplica *s)
+{
+    s->refs++;
+    return s;
+}
+
+WPFleet *wp_fleet_new(uint32_t seed)
+{
+    WPFleet *f = g_new0(WPFleet, 1);
+    f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    f->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
+    f->rand = g_rand_new_with_seed(seed);
+    return f;
+}
+
+void wp_fleet_free(WPFleet *f)
+{
+    GHashTableIter it;
+    gpointer s;
+    if (!f)
+        return;
+    g_hash_table_iter_init(&it, f->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &s))
+        wp_fleet_release(s);
+    g_hash_table_unref(f->by_id);
+    g_hash_table_unref(f->by_service);
+    g_rand_free(f->rand);
+    g_free(f);
+}
+
+static GPtrArray *of_service(WPFleet *f, const char *service)
+{
+    GPtrArray *list = g_hash_table_lookup(f->by_service, service);
+    if (!list) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(f->by_service, g_strdup(service), list);
+    }
+    return list;
+}
+
+static WPReplica *add(WPFleet *f, const WPListing *l)
+{
+    WPReplica *s = g_new0(WPReplica, 1);
+    s->refs = 1;
+    s->id = g_strdup(l->id);
+    s->service = g_strdup(l->service);
+    s->addr = g_strdup(l->addr);
+    s->zone = g_strdup(l->zone);
+    s->version = g_strdup(l->version);
+    s->slowness = 1;
+    g_hash_table_insert(f->by_id, s->id, s);
+    g_ptr_array_add(of_service(f, s->service), s);
+    return s;
+}
+
+bool wp_fleet_put(WPFleet *f, WPTime now, const WPListing *l)
+{
+    WPReplica *s = wp_fleet_find(f, l->id);
+    bool fresh = !s;
+    if (!s)
+        s = add(f, l);
+    bool changed = fresh || s->draining != l->draining ||
+                   strcmp(s->version, l->version) != 0 || s->missing_us;
+    if (strcmp(s->version, l->version)) {
+        g_free(s->version);
+        s->version = g_strdup(l->version);
+    }
+    s->slots = l->slots;
+    /* What is leaving does not come back under the same id. */
+    s->draining = s->draining || l->draining;
+    s->missing_us = 0;
+    s->cold_until_us =
+        now.mono_us + (int64_t)l->cold_left_ms * WP_US_PER_MS;
+    return changed;
+}
+
+static void forget(WPFleet *f, WPReplica *s)
+{
+    s->gone = true;
+    g_hash_table_remove(f->by_id, s->id);
+    g_ptr_array_remove_fast(of_service(f, s->service), s);
+    wp_fleet_release(s);
+}
+
+void wp_fleet_remove(WPFleet *f, WPTime now, const char *id, bool doubt)
+{
+    WPReplica *s = wp_fleet_find(f, id);
+    if (!s)
+        return;
+    if (!doubt)
+        forget(f, s);
+    else if (!s->missing_us)
+        s->missing_us = now.mono_us;
+}
+
+void wp_fleet_tick(WPFleet *f, WPTime now)
+{
+    g_autoptr(GPtrArray) lapsed = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, f->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPReplica *s = p;
+        if (s->missing_us && now.mono_us - s->missing_us > LIST_GRACE_US)
+            g_ptr_array_add(lapsed, p);
+    }
+    for (guint i = 0; i < lapsed->len; i++)
+        forget(f, g_ptr_array_index(lapsed, i));
+}
+
+WPReplica *wp_fleet_find(WPFleet *f, const char *id)
+{
+    return g_hash_table_lookup(f->by_id, id);
+}
+
+void wp_fleet_each(WPFleet *f, void (*fn)(void *, WPReplica *), void *arg)
+{
+    GHashTableIter it;
+    gpointer s;
+    g_hash_table_iter_init(&it, f->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &s))
+        fn(arg, s);
+}
+
+static bool was_tried(const WPWant *w, const WPReplica *s)
+{
+    for (size_t i = 0; i < w->n_tried; i++)
+        if (w->tried[i] == s)
+            return true;
+    return false;
+}
+
+static bool may_take(const WPWant *w, const WPReplica *s)
+{
+    if (s->draining || s->gone || s->unreachable || was_tried(w, s))
+        return false;
+    if (w->version)
+        return !strcmp(s->version, w->version);
+    return !w->allowed || w->allowed(w->allowed_arg, s->version);
+}
+
+static double fail_rate(const WPReplica *s, WPTime now)
+{
+    double age = (double)(now.mono_us - s->fail_us);
+    return s->fail_rate * exp2(-age / FAIL_HALF_LIFE_US);
+}
+
+/* Requests believed to be at the replica, from all boxes. */
+static double load_of(const WPReplica *s, WPTime now)
+{
+    bool fresh = s->load_us && now.mono_us - s->load_us < LOAD_FRESH_US;
+    double told = fresh ? s->running + s->waiting + s->since_load : 0;
+    return MAX(told, (double)s->in_flight);
+}
+
+static double places_taken(const WPReplica *s, WPTime now)
+{
+    double slots = s->slots ? s->slots : 1;
+    return load_of(s, now) / slots + s->prompt_ahead / PROMPT_SCALE;
+}
+
+static double score(WPFleet *f, WPTime now, const WPWant *w,
+                    const WPReplica *s)
+{
+    double v = places_taken(s, now);
+    v += (w->once ? FAILING_ONCE : FAILING) * fail_rate(s, now);
+    v += SLOW * (s->slowness - 1);
+    v += JITTER * g_rand_double(f->rand);
+    if (strcmp(s->zone, w->zone))
+        v += OTHER_ZONE;
+    if (s->avoid_until_us > now.mono_us)
+        v += AVOIDED;
+    if (s->cold_until_us > now.mono_us)
+        v += COLD;
+    return v;
+}
+
+unsigned wp_fleet_count(WPFleet *f, const WPWant *w)
+{
+    GPtrArray *list = of_service(f, w->service);
+    unsigned n = 0;
+    for (guint i = 0; i < list->len; i++)
+        n += may_take(w, g_ptr_array_index(list, i));
+    return n;
+}
+
+double wp_fleet_pressure(WPFleet *f, WPTime now, const WPWant *w)
+{
+    GPtrArray *list = of_service(f, w->service);
+    double taken = 0, slots = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s) || s->avoid_until_us > now.mono_us)
+            continue;
+        taken += load_of(s, now);
+        slots += s->slots;
+    }
+    return slots > 0 ? taken / slots : 1;
+}
+
+/* The replica of this zone that requests with the same shared prompt go to,
+   so that it reads the shared part once. */
+static const WPReplica *home_of(const WPWant *w, GPtrArray *list)
+{
+    const WPReplica *best = NULL;
+    double best_score = 0;
+    if (!w->affinity)
+        return NULL;
+    for (guint i = 0; i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s) || strcmp(s->zone, w->zone))
+            continue;
+        double v = wp_rendezvous(wp_str(s->id), w->affinity, 1);
+        if (!best || v > best_score) {
+            best = s;
+            best_score = v;
+        }
+    }
+    return best;
+}
+
+WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
+{
+    GPtrArray *list = of_service(f, w->service);
+    const WPReplica *home = home_of(w, list);
+    WPReplica *best = NULL;
+    double best_score = 0;
+    for (guint i = 0; i < list->len; i++) {
+        WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s))
+            continue;
+        double v = score(f, now, w, s) - (s == home ? AFFINITY : 0);
+        if (!best || v < best_score) {
+            best = s;
+            best_score = v;
+        }
+    }
+    return best ? wp_fleet_hold(best) : NULL;
+}
+
+void wp_fleet_sent(WPReplica *s, WPTime now, uint32_t prompt_tokens)
+{
+    (void)now;
+    s->in_flight++;
+    s->since_load++;
+    s->prompt_ahead += prompt_tokens;
+}
+
+void wp_fleet_began(WPReplica *s, uint32_t prompt_tokens, int64_t took_us,
+                    int64_t expected_us)
+{
+    s->prompt_ahead = MAX(0, s->prompt_ahead - prompt_tokens);
+    if (expected_us <= 0)
+        return;
+    double ratio = (double)took_us / (double)expected_us;
+    ratio = CLAMP(ratio, 0.1, SLOWNESS_MOST);
+    s->slowness += SLOW_WEIGHT * (ratio - s->slowness);
+}
+
+static void note_outcome(WPReplica *s, WPTime now, bool failed)
+{
+    s->fail_rate = fail_rate(s, now);
+    s->fail_us = now.mono_us;
+    s->fail_rate += FAIL_WEIGHT * ((failed ? 1 : 0) - s->fail_rate);
+}
+
+static void avoid(WPReplica *s, WPTime now, unsigned doublings)
+{
+    int64_t us = (int64_t)AVOID_FIRST_US << MIN(doublings, 6);
+    s->avoid_until_us = now.mono_us + MIN(us, (int64_t)AVOID_MOST_US);
+}
+
+void wp_fleet_ended(WPReplica *s, WPTime now, WPServed how)
+{
+    if (s->in_flight)
+        s->in_flight--;
+    if (!s->in_flight)
+        s->prompt_ahead = 0;
+    switch (how) {
+    case WP_SERVED_OK:
+        s->failures = 0;
+        s->avoid_until_us = 0;
+        note_outcome(s, now, false);
+        break;
+    case WP_SERVED_FAILED:
+        s->failures++;
+        note_outcome(s, now, true);
+        if (s->failures >= AVOID_FAILURES)
+            avoid(s, now, s->failures - AVOID_FAILURES);
+        break;
+    case WP_SERVED_SILENT:
+        s->failures++;
+        note_outcome(s, now, true);
+        avoid(s, now, s->failures);
+        break;
+    case WP_SERVED_REFUSED:
+        /* Full: its load says so, and it is left alone for a moment. */
+        s->since_load += 1;
+        note_outcome(s, now, true);
+        break;
+    case WP_SERVED_WRONG:
+        s->unreachable = true;
+        break;
+    case WP_SERVED_LEFT:
+        break;
+    }
+}
+
+void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running,
+                   uint32_t waiting, uint32_t slots)
+{
+    s->running = running;
+    s->waiting = waiting;
+    s->since_load = 0;
+    s->load_us = now.mono_us;
+    if (slots)
+        s->slots = slots;
+}
--- /dev/null
+++ b/src/wp_fleet.h
@@ -0,0 +1,116 @@
+/* Endpoints that are called without an agent beside them: which are there,
+ * what is believed of each, and which one takes a request. Beliefs come from
+ * the list of endpoints, from the load that answers carry, and from how this
+ * box's own requests ended. */
+#ifndef WP_FLEET_H
+#define WP_FLEET_H
+
+#include "wp_base.h"
+
+/* One endpoint as the list tells of it. */
+typedef struct WPListing {
+    const char *id; /* of this start of the endpoint; never used again */
+    const char *service, *addr, *zone, *version;
+    uint32_t slots;
+    bool draining;
+    uint32_t cold_left_ms; /* how much longer it is slow from its start */
+} WPListing;
+
+typedef struct WPReplica {
+    char *id, *service, *addr, *zone, *version;
+    uint32_t slots;
+    bool draining;
+    bool gone;         /* out of the list; kept while requests run on it */
+    bool unreachable;  /* another endpoint answers at its address */
+    int64_t missing_us; /* since when the list lacks it; 0: it does not */
+    int64_t cold_until_us;
+    int refs; /* requests that hold it, and the fleet itself */
+
+    /* What the endpoint told, and when. */
+    uint32_t running, waiting;
+    int64_t load_us; /* 0: never */
+
+    /* This box's own requests. */
+    uint32_t in_flight;
+    uint32_t since_load; /* sent since the last report of its load */
+    double prompt_ahead; /* prompt tokens sent whose first event is awaited */
+    double fail_rate;    /* moving average over ended requests, 0 to 1 */
+    int64_t fail_us;     /* when `fail_rate` was last brought up to date */
+    double slowness;     /* moving ratio of its time to the expected, 1: alike */
+    uint32_t failures;   /* in a row */
+    int64_t avoid_until_us;
+} WPReplica;
+
+/* How one request ended at one endpoint. */
+typedef enum WPServed {
+    WP_SERVED_OK,
+    WP_SERVED_REFUSED, /* it said that it did not run the request */
+    WP_SERVED_FAILED,  /* an error of its own, or no whole answer */
+    WP_SERVED_SILENT,  /* could not be reached, or said nothing in time */
+    WP_SERVED_LEFT,    /* given up by the caller or by this box: no verdict */
+    WP_SERVED_WRONG    /* another endpoint has the address */
+} WPServed;
+
+/* Whether requests may go to a version now, and at what preference. */
+typedef bool (*WPVersionFn)(void *arg, const char *version);
+
+typedef struct WPWant {
+    const char *service;
+    const char *version;  /* only this one; NULL: as `allowed` says */
+    WPVersionFn allowed;  /* NULL: all */
+    void *allowed_arg;
+    const char *zone;     /* of this box */
+    uint64_t affinity;    /* hash of the shared prompt parts; 0: none */
+    uint32_t prompt_tokens;
+    WPReplica *const *tried; /* not these again */
+    size_t n_tried;
+    bool once; /* may not be repeated: doubtful endpoints cost more */
+} WPWant;
+
+typedef struct WPFleet WPFleet;
+
+WPFleet *wp_fleet_new(uint32_t seed);
+void wp_fleet_free(WPFleet *f);
+
+/* Takes one listing; returns true when it changes what is known. */
+bool wp_fleet_put(WPFleet *f, WPTime now, const WPListing *l);
+
+/* The list lacks it. With `doubt` the list itself may have lost entries: the
+   endpoint then stays in use until wp_fleet_tick() has waited. */
+void wp_fleet_remove(WPFleet *f, WPTime now, const char *id, bool doubt);
+
+/* Lets go of the endpoints that the list has lacked for long enough. */
+void wp_fleet_tick(WPFleet *f, WPTime now);
+
+WPReplica *wp_fleet_find(WPFleet *f, const char *id);
+void wp_fleet_each(WPFleet *f, void (*fn)(void *arg, WPReplica *s), void *arg);
+
+/* How many endpoints of the service could take a request. */
+unsigned wp_fleet_count(WPFleet *f, const WPWant *w);
+
+/* The share of places taken at those, 0 to 1 and above with a queue. */
+double wp_fleet_pressure(WPFleet *f, WPTime now, const WPWant *w);
+
+/* The endpoint for a request, held for the caller; NULL if there is none. */
+WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w);
+
+/* Holds a replica, and lets go of it again. */
+WPReplica *wp_fleet_hold(WPReplica *s);
+void wp_fleet_release(WPReplica *s);
+
+/* A request that was chosen for `s` has been handed to it. */
+void wp_fleet_sent(WPReplica *s, WPTime now, uint32_t prompt_tokens);
+
+/* The first byte of its answer came after `took_us`, where an endpoint of its
+   kind is expected to take `expected_us`; 0: not to be compared. */
+void wp_fleet_began(WPReplica *s, uint32_t prompt_tokens, int64_t took_us,
+                    int64_t expected_us);
+
+/* The request has ended there. */
+void wp_fleet_ended(WPReplica *s, WPTime now, WPServed how);
+
+/* The endpoint's own word on its load. */
+void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
+                   uint32_t slots);
+
+#endif
--- /dev/null
+++ b/src/wp_flow.c
@@ -0,0 +1,473 @@
+/* The course of one request to endpoints that are called directly. */
+#include "wp_direct_int.h"
+
+enum {
+    REFUSALS_MOST = 4,     /* legs that did not run, before giving up */
+    NO_ENDPOINT_MS = 300,  /* when to come back; endpoints start in seconds */
+    STARTING_MS = 500,     /* the same, while no routes are known */
+    SPEED_SEEN = 20,       /* answers before a mean is relied on */
+    PATIENCE_LEAST_MS = 150,
+    PATIENCE_STREAM_LEAST_MS = 600
+};
+
+/* An answer is slow beyond this many times the mean, plus the slack. */
+#define SLOW_TIMES 3.5
+#define SLOW_SLACK_US (150 * WP_US_PER_MS)
+
+/* A leg that may be repeated is waited for this many times the mean. */
+#define PATIENCE_TIMES 5.0
+
+/* Part of the newest in the moving mean. */
+#define SPEED_WEIGHT 0.05
+
+/* A better answer is asked for only if this many times the mean is left. */
+#define BETTER_TIMES 3.0
+
+static WPMove move_fail(WPCode code, uint32_t retry_ms)
+{
+    return (WPMove){ .kind = WP_MOVE_FAIL, .code = code,
+                     .retry_ms = retry_ms };
+}
+
+static bool may_repeat(const WPFlow *f)
+{
+    const WPRoute *r = f->route;
+    return r->repeat == WP_REPEAT_SAFE ||
+           (r->repeat == WP_REPEAT_STREAM && r->resumable);
+}
+
+static WPStr model_of(const WPFlow *f)
+{
+    if (f->route->models->len)
+        return wp_str(g_ptr_array_index(f->route->models, f->step));
+    return wp_str(f->model);
+}
+
+static WPShift *shift_of(const WPFlow *f)
+{
+    return wp_shifts_find(f->d->shifts, f->service->name);
+}
+
+static bool version_allowed(void *arg, const char *version)
+{
+    return wp_shift_allows(arg, version);
+}
+
+static bool other_allowed(void *arg, const char *version)
+{
+    const WPShift *sh = arg;
+    return wp_shift_allows(sh, version) && strcmp(version, sh->version);
+}
+
+static uint64_t affinity_of(const WPFlow *f)
+{
+    return f->prompt ? wp_hash(model_of(f), f->prompt) : 0;
+}
+
+static WPWant want_of(const WPFlow *f)
+{
+    return (WPWant){ .service = f->service->name,
+                     .allowed = version_allowed,
+                     .allowed_arg = shift_of(f),
+                     .zone = f->d->rules.zone,
+                     .affinity = affinity_of(f),
+                     .prompt_tokens = f->prompt_tokens,
+                     .tried = f->tried,
+                     .n_tried = f->n_tried,
+                     .once = !may_repeat(f) };
+}
+
+/* While a service moves between versions, the side for this request comes
+   first; the other is taken rather than none. */
+static WPReplica *choose(WPFlow *f, WPTime now)
+{
+    WPDirect *d = f->d;
+    WPShift *sh = shift_of(f);
+    WPWant w = want_of(f);
+    WPReplica *s = NULL;
+    if (sh && sh->state == WP_SHIFT_RUNNING) {
+        const char *last =
+            f->session ? wp_direct_session(d, now, f->session) : NULL;
+        if (wp_shift_takes(d->shifts, sh, now, f->unit, last))
+            w.version = sh->version;
+        else
+            w.allowed = other_allowed;
+        s = wp_fleet_choose(d->fleet, now, &w);
+        w.version = NULL;
+        w.allowed = version_allowed;
+    }
+    if (!s)
+        s = wp_fleet_choose(d->fleet, now, &w);
+    if (!s && f->n_tried && may_repeat(f)) {
+        /* All have been tried: better one of them again than none. */
+        w.n_tried = 0;
+        s = wp_fleet_choose(d->fleet, now, &w);
+    }
+    return s;
+}
+
+static int64_t left_ms(const WPFlow *f, WPTime now)
+{
+    return (f->deadline_us - now.mono_us) / WP_US_PER_MS;
+}
+
+static double mean_us(WPFlow *f)
+{
+    const WPSpeed *v = wp_direct_speed(f->d, f->route->name, model_of(f));
+    return v->seen >= SPEED_SEEN ? v->mean_us : 0;
+}
+
+/* How long the first byte is waited for before another endpoint is asked. */
+static uint32_t patience_of(WPFlow *f)
+{
+    double mean = mean_us(f);
+    uint32_t least = f->route->repeat == WP_REPEAT_STREAM
+                         ? PATIENCE_STREAM_LEAST_MS
+                         : PATIENCE_LEAST_MS;
+    if (!may_repeat(f) || f->hurried || f->ran + 1 >= f->route->max_attempts)
+        return 0;
+    if (mean <= 0)
+        return MAX(f->route->aim_ms, least);
+    return MAX((uint32_t)(PATIENCE_TIMES * mean / WP_US_PER_MS), least);
+}
+
+static void begin_leg(WPFlow *f, WPTime now, WPReplica *s, WPWhy why,
+                      WPMove *out)
+{
+    WPShift *sh = shift_of(f);
+    bool old = sh && strcmp(s->version, sh->version);
+    f->leg = (WPAttempt){ s, now.mono_us, false, old };
+    if (old)
+        sh->old_running++;
+    wp_fleet_sent(s, now, f->prompt_tokens);
+    *out = (WPMove){ .kind = WP_MOVE_SEND,
+                     .replica = s,
+                     .model = model_of(f),
+                     .why = why,
+                     .budget_ms = (uint32_t)MAX(left_ms(f, now), 1),
+                     .patience_ms = patience_of(f) };
+}
+
+static void end_leg(WPFlow *f, WPTime now, const WPAttempt *leg, WPServed how)
+{
+    WPShift *sh = shift_of(f);
+    if (leg->old_version && sh && sh->old_running)
+        sh->old_running--;
+    wp_fleet_ended(leg->replica, now, how);
+    wp_fleet_release(leg->replica);
+}
+
+/* Ends the leg under way; its endpoint is not asked again for this request
+   while there are others. */
+static void end_this(WPFlow *f, WPTime now, WPServed how)
+{
+    WPAttempt leg = f->leg;
+    if (!leg.replica)
+        return;
+    if (f->n_tried < WP_FLOW_TRIED_MOST)
+        f->tried[f->n_tried++] = wp_fleet_hold(leg.replica);
+    f->leg = (WPAttempt){ 0 };
+    end_leg(f, now, &leg, how);
+}
+
+/* Another leg if the request, the route and the budget allow it. */
+static bool again(WPFlow *f, WPTime now, WPWhy why, WPMove *out)
+{
+    WPDirect *d = f->d;
+    bool exhausted =
+        f->ran >= f->route->max_attempts || f->refused >= REFUSALS_MOST;
+    if (exhausted || left_ms(f, now) <= 0)
+        return false;
+    WPReplica *s = choose(f, now);
+    if (!s)
+        return false;
+    WPRepeatFor needed =
+        why == WP_WHY_BETTER ? WP_REPEAT_BETTER : WP_REPEAT_FAILURE;
+    if (!wp_budget_take(wp_direct_budget(d, f->service->name),
+                        &d->rules.retries, now, d->boxes, needed)) {
+        wp_fleet_release(s);
+        return false;
+    }
+    wp_count(&d->counters,
+             why == WP_WHY_BETTER ? WP_C_ESCALATIONS : WP_C_RETRIES);
+    begin_leg(f, now, s, why, out);
+    return true;
+}
+
+static WPCode check_caller(const WPDirect *d, WPFlow *f,
+                           const WPDirectAsk *ask)
+{
+    const WPCaller *c;
+    f->priority = f->route->priority;
+    if (!d->routes->keyed || f->route->anonymous)
+        return WP_OK;
+    c = ask->key.n ? wp_routes_caller(d->routes, ask->key) : NULL;
+    if (!c)
+        return WP_NO_KEY;
+    f->workspace = c->workspace;
+    if (c->priority >= 0)
+        f->priority = c->priority;
+    return WP_OK;
+}
+
+static WPCode admit(WPFlow *f, const WPDirectAsk *ask)
+{
+    WPDirect *d = f->d;
+    if (!d->routes)
+        return WP_NOT_READY;
+    f->routes = wp_routes_ref(d->routes);
+    f->route = wp_routes_find(d->routes, ask->host, ask->path);
+    if (!f->route)
+        return WP_NO_ROUTE;
+    WPCode code = check_caller(d, f, ask);
+    if (code != WP_OK)
+        return code;
+    f->service = wp_route_pick(d->routes, f->route, g_rand_double(d->rand));
+    return f->service ? WP_OK : WP_NO_ENDPOINT;
+}
+
+static void set_times(WPFlow *f, WPTime now, const WPDirectAsk *ask)
+{
+    uint32_t route_ms = f->route->timeout_ms;
+    uint32_t ms = ask->deadline_ms;
+    if (route_ms && (!ms || route_ms < ms))
+        ms = route_ms;
+    f->deadline_us =
+        ms ? now.mono_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
+}
+
+WPFlow *wp_flow_begin(WPDirect *d, WPTime now, const WPDirectAsk *ask,
+                      WPMove *out)
+{
+    WPFlow *f = g_new0(WPFlow, 1);
+    f->d = d;
+    f->id = g_strndup(ask->id.p, ask->id.n);
+    f->model = g_strndup(ask->model.p, ask->model.n);
+    f->start_us = now.mono_us;
+    f->deadline_us = INT64_MAX / 2;
+    f->prompt = ask->prompt;
+    f->prompt_tokens = ask->prompt_tokens;
+    f->answer_tokens = ask->answer_tokens;
+    f->session = ask->session.n ? wp_hash(ask->session, 0) : 0;
+    f->unit = wp_hash_unit(ask->session.n ? ask->session : ask->id, 1);
+    wp_count(&d->counters, WP_C_REQUESTS);
+    WPCode code = admit(f, ask);
+    if (code != WP_OK) {
+        uint32_t retry_ms = code == WP_NOT_READY     ? STARTING_MS
+                            : code == WP_NO_ENDPOINT ? NO_ENDPOINT_MS
+                                                     : 0;
+        *out = move_fail(code, retry_ms);
+        return f;
+    }
+    set_times(f, now, ask);
+    wp_budget_request(wp_direct_budget(d, f->service->name),
+                      &d->rules.retries, now);
+    WPReplica *s = choose(f, now);
+    if (s)
+        begin_leg(f, now, s, WP_WHY_FIRST, out);
+    else
+        *out = move_fail(WP_NO_ENDPOINT, NO_ENDPOINT_MS);
+    return f;
+}
+
+/* The first byte of the leg has come: what it tells of the endpoint. */
+static bool note_first(WPFlow *f, WPTime now)
+{
+    WPSpeed *v = wp_direct_speed(f->d, f->route->name, model_of(f));
+    int64_t took = now.mono_us - f->leg.sent_us;
+    double mean = v->seen >= SPEED_SEEN ? v->mean_us : 0;
+    bool slow =
+        mean > 0 && (double)took > SLOW_TIMES * mean + SLOW_SLACK_US;
+    WPShift *sh = shift_of(f);
+    bool is_new = sh && sh->state == WP_SHIFT_RUNNING && !f->leg.old_version;
+    if (f->leg.heard)
+        return false;
+    f->leg.heard = true;
+    wp_fleet_began(f->leg.replica, f->prompt_tokens, took, (int64_t)mean);
+    /* A new version is measured against the old one, not against itself. */
+    if (!is_new || !mean) {
+        double weight = v->seen < SPEED_SEEN ? 1.0 / (v->seen + 1)
+                                             : SPEED_WEIGHT;
+        v->mean_us += weight * ((double)took - v->mean_us);
+        v->seen++;
+    }
+    return slow;
+}
+
+/* What an answer tells of the version that gave it. */
+static void note_version(WPFlow *f, bool failed, bool slow)
+{
+    WPShift *sh = shift_of(f);
+    if (sh && sh->state == WP_SHIFT_RUNNING)
+        wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
+                          f->route->name, failed, slow);
+}
+
+static void give_up(WPFlow *f, WPCode code, uint32_t retry_ms, WPMove *out)
+{
+    if (f->passing)
+        *out = (WPMove){ .kind = WP_MOVE_CUT, .code = code };
+    else
+        *out = move_fail(code, retry_ms);
+}
+
+/* The endpoint did not run it. The request has not run at all only if no
+   earlier leg may have. */
+static void after_refusal(WPFlow *f, WPTime now, WPServed how, WPMove *out)
+{
+    f->refused++;
+    end_this(f, now, how);
+    if (again(f, now, WP_WHY_RETRY, out))
+        return;
+    if (f->ran)
+        give_up(f, WP_ENDPOINT_FAILED, 0, out);
+    else
+        give_up(f, WP_NO_ENDPOINT, NO_ENDPOINT_MS, out);
+}
+
+static bool wants_better(const WPFlow *f, WPTime now, const WPDirectAnswer *a)
+{
+    const GPtrArray *models = f->route->models;
+    if (a->confidence < 0 || f->step + 1 >= models->len || f->passing)
+        return false;
+    if ((uint32_t)a->confidence >= f->d->rules.confidence)
+        return false;
+    double took = (double)(now.mono_us - f->leg.sent_us);
+    return left_ms(f, now) * WP_US_PER_MS > BETTER_TIMES * took;
+}
+
+static void pass(WPFlow *f, WPTime now, WPMove *out)
+{
+    if (f->session)
+        wp_direct_session_on(f->d, now, f->session, f->leg.replica->version);
+    f->passing = true;
+    *out = (WPMove){ .kind = WP_MOVE_PASS };
+}
+
+static void try_better(WPFlow *f, WPTime now, WPMove *out)
+{
+    WPAttempt had = f->leg;
+    unsigned step = f->step;
+    f->step = f->route->models->len - 1;
+    f->ran++;
+    if (again(f, now, WP_WHY_BETTER, out)) {
+        end_leg(f, now, &had, WP_SERVED_OK);
+        return;
+    }
+    f->ran--;
+    f->step = step;
+    pass(f, now, out);
+}
+
+void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
+                    WPMove *out)
+{
+    if (a->has_load)
+        wp_fleet_load(f->leg.replica, now, a->running, a->waiting, a->slots);
+    if (a->wrong || a->not_run) {
+        after_refusal(f, now, a->wrong ? WP_SERVED_WRONG : WP_SERVED_REFUSED,
+                      out);
+        return;
+    }
+    bool failed = a->status >= 500;
+    if (!a->genuine && a->status < 300) {
+        wp_flow_lost(f, now, WP_LOSS_BROKEN, out);
+        return;
+    }
+    note_version(f, failed, note_first(f, now));
+    if (failed) {
+        f->ran++;
+        end_this(f, now, WP_SERVED_FAILED);
+        if (may_repeat(f) && again(f, now, WP_WHY_RETRY, out))
+            return;
+        /* A 503 without the mark of a refusal would promise too much. */
+        if (f->passing || !a->genuine || a->status == 503)
+            give_up(f, WP_ENDPOINT_FAILED, 0, out);
+        else
+            *out = (WPMove){ .kind = WP_MOVE_PASS };
+        return;
+    }
+    if (f->passing) /* a stream that goes on elsewhere */
+        *out = (WPMove){ .kind = WP_MOVE_PASS };
+    else if (wants_better(f, now, a))
+        try_better(f, now, out);
+    else
+        pass(f, now, out);
+}
+
+void wp_flow_lost(WPFlow *f, WPTime now, WPLoss how, WPMove *out)
+{
+    if (how == WP_LOSS_UNSENT) {
+        after_refusal(f, now, WP_SERVED_SILENT, out);
+        return;
+    }
+    f->ran++;
+    end_this(f, now,
+            how == WP_LOSS_SILENT ? WP_SERVED_SILENT : WP_SERVED_FAILED);
+    WPWhy why = f->passing ? WP_WHY_RESUME : WP_WHY_RETRY;
+    if (may_repeat(f) && again(f, now, why, out))
+        return;
+    give_up(f, how == WP_LOSS_SILENT ? WP_LINK_LOST : WP_ENDPOINT_FAILED, 0,
+            out);
+}
+
+bool wp_flow_impatient(WPFlow *f, WPTime now, WPMove *out)
+{
+    WPAttempt had = f->leg;
+    if (had.heard || f->passing || f->hurried || !had.replica)
+        return false;
+    if (f->n_tried == WP_FLOW_TRIED_MOST)
+        return false;
+    f->hurried = true;
+    f->tried[f->n_tried++] = wp_fleet_hold(had.replica);
+    f->ran++;
+    if (again(f, now, WP_WHY_RETRY, out)) {
+        end_leg(f, now, &had, WP_SERVED_SILENT);
+        return true;
+    }
+    f->ran--;
+    wp_fleet_release(f->tried[--f->n_tried]);
+    return false;
+}
+
+void wp_flow_expired(WPFlow *f, WPTime now, WPMove *out)
+{
+    bool sent = f->leg.replica || f->ran;
+    end_this(f, now, f->leg.heard ? WP_SERVED_LEFT : WP_SERVED_SILENT);
+    if (sent)
+        give_up(f, WP_TIMED_OUT, 0, out);
+    else
+        give_up(f, WP_NO_ENDPOINT, NO_ENDPOINT_MS, out);
+}
+
+void wp_flow_done(WPFlow *f, WPTime now)
+{
+    end_this(f, now, WP_SERVED_OK);
+    wp_count(&f->d->counters, WP_C_ANSWERED);
+    wp_histogram_add(&f->d->counters.whole, now.mono_us - f->start_us);
+}
+
+void wp_flow_left(WPFlow *f, WPTime now)
+{
+    end_this(f, now, WP_SERVED_LEFT);
+    wp_count(&f->d->counters, WP_C_CALLERS_GONE);
+}
+
+void wp_flow_free(WPFlow *f)
+{
+    if (!f)
+        return;
+    for (size_t i = 0; i < f->n_tried; i++)
+        wp_fleet_release(f->tried[i]);
+    wp_routes_unref(f->routes);
+    g_free(f->id);
+    g_free(f->model);
+    g_free(f);
+}
+
+const char *wp_why_name(WPWhy why)
+{
+    static const char *const names[] = { "first", "retry", "better",
+                                         "resume" };
+    return names[why];
+}
--- /dev/null
+++ b/src/wp_shift.c
@@ -0,0 +1,297 @@
+/* Moves of services between versions. */
+#include "wp_shift.h"
+#include "wp_rollout.h"
+
+#include <math.h>
+
+/* The verdict: this many bad answers at least, and this many standard
+   deviations more than the old version's rate would give. With three entries
+   it is found well before the platform's fifty bad answers. */
+#define LEAST_BAD 5
+#define DEVIATIONS 4.0
+
+/* A version is bad on all its endpoints; an endpoint that fails alone is the
+   business of the choice of endpoints. */
+#define LEAST_REPLICAS 2
+#define REPLICA_SHARE 0.3
+#define REPLICA_ANSWERS 3
+
+/* Failures that are expected of any version. */
+#define BASE_RATE 0.01
+
+struct WPShifts {
+    const Wp__Chart *chart;
+    GHashTable *by_service;
+};
+
+static void shift_free(void *p)
+{
+    WPShift *sh = p;
+    g_hash_table_unref(sh->fresh);
+    g_hash_table_unref(sh->old);
+    g_hash_table_unref(sh->replicas);
+    g_hash_table_unref(sh->heard);
+    g_free(sh->service);
+    g_free(sh->version);
+    g_free(sh);
+}
+
+static GHashTable *sums_table(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+WPShifts *wp_shifts_new(const Wp__Chart *chart)
+{
+    WPShifts *s = g_new0(WPShifts, 1);
+    s->chart = chart;
+    s->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                          shift_free);
+    return s;
+}
+
+void wp_shifts_free(WPShifts *s)
+{
+    if (!s)
+        return;
+    g_hash_table_unref(s->by_service);
+    g_free(s);
+}
+
+WPShift *wp_shifts_order(WPShifts *s, const WPShiftOrder *o)
+{
+    WPShift *sh = wp_shifts_find(s, o->service);
+    if (sh && sh->revision >= o->revision)
+        return NULL;
+    sh = g_new0(WPShift, 1);
+    sh->service = g_strdup(o->service);
+    sh->version = g_strdup(o->version);
+    sh->revision = o->revision;
+    sh->duration_ms = o->duration_ms;
+    sh->fresh = sums_table();
+    sh->old = sums_table();
+    sh->replicas = sums_table();
+    sh->heard = sums_table();
+    g_hash_table_replace(s->by_service, sh->service, sh);
+    return sh;
+}
+
+void wp_shifts_outcome(WPShifts *s, const char *service, const char *version,
+                       WPShiftState state)
+{
+    WPShift *sh = wp_shifts_find(s, service);
+    /* A record may still tell of the order before. */
+    if (sh && !strcmp(sh->version, version) && state != WP_SHIFT_RUNNING)
+        sh->state = state;
+}
+
+WPShift *wp_shifts_find(WPShifts *s, const char *service)
+{
+    return g_hash_table_lookup(s->by_service, service);
+}
+
+void wp_shifts_each(WPShifts *s, void (*fn)(void *, WPShift *), void *arg)
+{
+    GHashTableIter it;
+    gpointer sh;
+    g_hash_table_iter_init(&it, s->by_service);
+    while (g_hash_table_iter_next(&it, NULL, &sh))
+        fn(arg, sh);
+}
+
+bool wp_shift_allows(const WPShift *sh, const char *version)
+{
+    if (!sh)
+        return true;
+    bool is_new = !strcmp(version, sh->version);
+    if (sh->state == WP_SHIFT_UNDONE)
+        return !is_new;
+    return sh->state == WP_SHIFT_RUNNING || is_new;
+}
+
+const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
+                                     WPTime now)
+{
+    const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
+    double part = 0;
+    if (sh->began_ms && sh->duration_ms > 0)
+        part = (double)(now.wall_ms - sh->began_ms) / (double)sh->duration_ms;
+    while (!at->final && part >= at->dwell_part) {
+        const Wp__ChartState *next = wp_chart_next(s->chart, at->name, "next");
+        if (!next || next->final)
+            break;
+        part -= at->dwell_part;
+        at = next;
+    }
+    return at;
+}
+
+bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
+                    double unit, const char *last)
+{
+    if (sh->state != WP_SHIFT_RUNNING)
+        return sh->state == WP_SHIFT_DONE;
+    if (!sh->began_ms)
+        return false;
+    if (last && !strcmp(last, sh->version))
+        return true;
+    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
+    bool first = !strcmp(at->name, s->chart->initial);
+    if (first && last)
+        return false;
+    return unit < at->share;
+}
+
+static WPShiftSums *need_sums(GHashTable *t, const char *name)
+{
+    WPShiftSums *v = g_hash_table_lookup(t, name);
+    if (!v) {
+        v = g_new0(WPShiftSums, 1);
+        g_hash_table_insert(t, g_strdup(name), v);
+    }
+    return v;
+}
+
+static void add_answer(WPShiftSums *v, bool failed, bool slow)
+{
+    v->answered++;
+    v->failed += failed;
+    v->slow += slow;
+}
+
+void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
+                       const char *route, bool failed, bool slow)
+{
+    if (strcmp(version, sh->version)) {
+        add_answer(need_sums(sh->old, route), failed, slow);
+        return;
+    }
+    add_answer(need_sums(sh->fresh, route), failed, slow);
+    add_answer(need_sums(sh->replicas, replica), failed, slow);
+}
+
+static void add_sums(WPShiftSums *to, const WPShiftSums *v)
+{
+    to->answered += v->answered;
+    to->failed += v->failed;
+    to->slow += v->slow;
+}
+
+static WPShiftSums total(GHashTable *t)
+{
+    WPShiftSums sum = { 0 };
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, t);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        add_sums(&sum, v);
+    return sum;
+}
+
+WPShiftSums wp_shift_own(const WPShift *sh)
+{
+    return total(sh->fresh);
+}
+
+void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums)
+{
+    *need_sums(sh->heard, box) = sums;
+}
+
+/* Whether `bad` of `n` is more than a rate of `base` explains. */
+static bool too_many(uint32_t bad, uint32_t n, double base)
+{
+    double expected = n * MAX(base, BASE_RATE);
+    return bad >= LEAST_BAD &&
+           bad > expected + DEVIATIONS * sqrt(expected);
+}
+
+static double rate(uint32_t part, uint32_t n)
+{
+    return n ? (double)part / n : 0;
+}
+
+static bool sums_bad(const WPShiftSums *v, const WPShiftSums *old)
+{
+    return too_many(v->failed, v->answered, rate(old->failed, old->answered)) ||
+           too_many(v->slow, v->answered, rate(old->slow, old->answered));
+}
+
+/* Whether the bad answers come from enough of the endpoints. */
+static bool is_spread(const WPShift *sh)
+{
+    unsigned heard = 0, bad = 0;
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, sh->replicas);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPShiftSums *v = p;
+        bad += v->failed + v->slow > 0;
+        heard += v->answered >= REPLICA_ANSWERS || v->failed + v->slow > 0;
+    }
+    return bad >= MIN(heard, LEAST_REPLICAS) &&
+           bad >= REPLICA_SHARE * heard;
+}
+
+/* A version may be bad on a single route only. */
+static bool route_bad(const WPShift *sh, const char **route, WPShiftSums *out)
+{
+    GHashTableIter it;
+    gpointer name, p;
+    g_hash_table_iter_init(&it, sh->fresh);
+    while (g_hash_table_iter_next(&it, &name, &p)) {
+        const WPShiftSums *old = g_hash_table_lookup(sh->old, name);
+        WPShiftSums none = { 0 };
+        if (!sums_bad(p, old ? old : &none))
+            continue;
+        *route = name;
+        *out = *(WPShiftSums *)p;
+        return true;
+    }
+    return false;
+}
+
+bool wp_shift_is_bad(const WPShift *sh, char **why)
+{
+    WPShiftSums fresh = wp_shift_own(sh), old = total(sh->old);
+    WPShiftSums heard = total(sh->heard);
+    const char *route = "all";
+    add_sums(&fresh, &heard);
+    if (!sums_bad(&fresh, &old) && !route_bad(sh, &route, &fresh))
+        return false;
+    if (!is_spread(sh))
+        return false;
+    if (why)
+        *why = g_strdup_printf(
+            "route=%s new=%u/%u failed, %u slow; old=%u/%u failed, %u slow",
+            route, fresh.failed, fresh.answered, fresh.slow, old.failed,
+            old.answered, old.slow);
+    return true;
+}
+
+WPShiftState wp_shift_due(const WPShifts *s, const WPShift *sh, WPTime now,
+                          char **why)
+{
+    if (sh->state != WP_SHIFT_RUNNING || !sh->began_ms)
+        return WP_SHIFT_RUNNING;
+    if (wp_shift_is_bad(sh, why))
+        return WP_SHIFT_UNDONE;
+    double part =
+        (double)(now.wall_ms - sh->began_ms) / (double)sh->duration_ms;
+    double end = 0;
+    const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
+    for (; at && !at->final;
+         at = wp_chart_next(s->chart, at->name, "next"))
+        end += at->dwell_part;
+    if (part < end)
+        return WP_SHIFT_RUNNING;
+    if (why)
+        *why = g_strdup_printf("old_running=%u", sh->old_running);
+    return WP_SHIFT_DONE;
+}
+
+const char *wp_shift_state_name(WPShiftState s)
+{
+    static const char *const names[] = { "running", "done", "undone" };
+    return names[s];
+}
--- /dev/null
+++ b/src/wp_shift.h
@@ -0,0 +1,94 @@
+/* Moving a service's requests to another version of its endpoints: which
+ * version each request may go to while the move runs, whether the new version
+ * is bad, and when the move may be called done.
+ *
+ * The stages follow from the order and the time when it was first seen, which
+ * the store keeps; so every box computes the same share, also after a
+ * restart. What ends a move is written to the store by compare-and-swap, and
+ * one outcome holds. */
+#ifndef WP_SHIFT_H
+#define WP_SHIFT_H
+
+#include "settings.pb-c.h"
+#include "wp_base.h"
+
+typedef enum WPShiftState {
+    WP_SHIFT_RUNNING,
+    WP_SHIFT_DONE,  /* the old endpoints stop at once */
+    WP_SHIFT_UNDONE /* the new version takes nothing any more */
+} WPShiftState;
+
+/* An operator's order. */
+typedef struct WPShiftOrder {
+    const char *service, *version;
+    uint32_t duration_ms;
+    uint64_t revision; /* in the store; a later order replaces an earlier */
+} WPShiftOrder;
+
+/* What the answers of a group were; sums of boxes can be added. */
+typedef struct WPShiftSums {
+    uint32_t answered, failed, slow;
+} WPShiftSums;
+
+typedef struct WPShift {
+    char *service, *version;
+    uint64_t revision;
+    WPShiftState state;
+    int64_t began_ms;    /* wall time; 0: not yet known */
+    int64_t duration_ms;
+    GHashTable *fresh, *old; /* route -> WPShiftSums, of this box */
+    GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
+    GHashTable *heard;       /* box -> WPShiftSums, of the new version */
+    uint32_t old_running;    /* requests of this box on other versions */
+} WPShift;
+
+typedef struct WPShifts WPShifts;
+
+/* The chart gives the stages and must live as long. */
+WPShifts *wp_shifts_new(const Wp__Chart *chart);
+void wp_shifts_free(WPShifts *s);
+
+/* Takes an order; NULL when it is known already. */
+WPShift *wp_shifts_order(WPShifts *s, const WPShiftOrder *o);
+
+/* Takes the store's word on how a move ended. */
+void wp_shifts_outcome(WPShifts *s, const char *service, const char *version,
+                       WPShiftState state);
+
+WPShift *wp_shifts_find(WPShifts *s, const char *service);
+void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh),
+                    void *arg);
+
+/* Whether a version may take requests at all. NULL allows every version. */
+bool wp_shift_allows(const WPShift *sh, const char *version);
+
+/* Whether a request is to go to the new version. `unit` in [0, 1) is the same
+   for all requests of a session; `last` is the version that served the
+   session before, NULL when this box knows of none. */
+bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
+                    double unit, const char *last);
+
+/* How one request ended at an endpoint: the endpoint failed it, took several
+   times as long as usual, or neither. */
+void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
+                       const char *route, bool failed, bool slow);
+
+/* The new version's sums at this box, and those of another box. */
+WPShiftSums wp_shift_own(const WPShift *sh);
+void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums);
+
+/* Whether the answers so far show that the new version is bad; `why`, when it
+   is, gives the figures and is freed with g_free(). */
+bool wp_shift_is_bad(const WPShift *sh, char **why);
+
+/* The stage at this time. */
+const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
+                                     WPTime now);
+
+/* The state that the move is to be given now; RUNNING: none. */
+WPShiftState wp_shift_due(const WPShifts *s, const WPShift *sh, WPTime now,
+                          char **why);
+
+const char *wp_shift_state_name(WPShiftState s);
+
+#endif
--- /dev/null
+++ b/src/wp_stream.c
@@ -0,0 +1,95 @@
+/* Events of a stream. */
+#include "wp_stream.h"
+
+void wp_stream_init(WPStream *s)
+{
+    memset(s, 0, sizeof(*s));
+    s->partial = g_byte_array_new();
+}
+
+void wp_stream_end(WPStream *s)
+{
+    g_byte_array_unref(s->partial);
+}
+
+void wp_stream_after(WPStream *s, uint64_t id)
+{
+    s->has_last = true;
+    s->last = id;
+}
+
+void wp_stream_restart(WPStream *s)
+{
+    g_byte_array_set_size(s->partial, 0);
+}
+
+/* The length of the first whole event with its empty line; 0: none. */
+static size_t event_length(const char *p, size_t n)
+{
+    for (size_t i = 0; i + 1 < n; i++) {
+        const char *e = memchr(p + i, '\n', n - 1 - i);
+        if (!e)
+            return 0;
+        i = (size_t)(e - p);
+        if (p[i + 1] == '\n')
+            return i + 2;
+        if (p[i + 1] == '\r' && i + 2 < n && p[i + 2] == '\n')
+            return i + 3;
+    }
+    return 0;
+}
+
+/* The event's id; false when it has none. */
+static bool event_id(WPStr event, uint64_t *id)
+{
+    while (event.n) {
+        WPStr line = wp_str_trim(wp_str_cut(&event, '\n'));
+        WPStr name = wp_str_cut(&line, ':');
+        if (!wp_str_eq(name, wp_str("id")))
+            continue;
+        g_autofree char *text = g_strndup(line.p, line.n);
+        char *end;
+        *id = g_ascii_strtoull(g_strstrip(text), &end, 10);
+        return *text && !*end;
+    }
+    return false;
+}
+
+/* Passes one event on unless the caller has it; false when one before it is
+   missing. */
+static bool take_event(WPStream *s, const char *p, size_t n, GByteArray *out)
+{
+    uint64_t id;
+    if (event_id(wp_strn(p, n), &id)) {
+        if (s->has_last && id <= s->last)
+            return true;
+        if (s->has_last && id != s->last + 1)
+            return false;
+        s->has_last = true;
+        s->last = id;
+    }
+    s->events++;
+    g_byte_array_append(out, (const guint8 *)p, (guint)n);
+    return true;
+}
+
+bool wp_stream_feed(WPStream *s, const char *data, size_t n, GByteArray *out)
+{
+    size_t at = 0, length;
+    bool in_order = true;
+    g_byte_array_append(s->partial, (const guint8 *)data, (guint)n);
+    const char *p = (const char *)s->partial->data;
+    size_t size = s->partial->len;
+    while (in_order && (length = event_length(p + at, size - at))) {
+        in_order = take_event(s, p + at, length, out);
+        at += length;
+    }
+    if (at)
+        g_byte_array_remove_range(s->partial, 0, (guint)at);
+    return in_order;
+}
+
+bool wp_stream_is_even(const WPStream *s)
+{
+    return s->partial->len == 0;
+}
