A leaving box takes no request it could not finish

Change: requests are taken for 2.8 s after SIGTERM (the balancer turns away after two misses, a second apart), then refused `leaving`, with a short time to come back; resting connections are closed; what runs has until half a second before the kill.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -11,10 +11,11 @@
                          another endpoint is asked before that */
     IDLE_MS = 4000,   /* of connections whose endpoint told no time */
     IDLE_ONCE_MS = 800,
-    LEAVE_LEAST_MS = 2500, /* the balancer asks once a second and turns away
-                              after two misses */
-    LEAVE_IDLE_MS = 700,   /* a connection that rests so long is closed */
-    LEAVE_SPARE_MS = 1000  /* before the platform's kill */
+    LEAVE_TAKE_MS = 2800, /* how long a leaving box takes requests: the
+                             balancer asks once a second and turns away after
+                             two misses */
+    LEAVE_IDLE_MS = 300,  /* a connection that rests so long is closed */
+    LEAVE_SPARE_MS = 500  /* before the platform's kill */
 };
 
 static void free_event(struct event *e)
@@ -29,8 +30,9 @@
     int64_t ms = (now.mono_us - h->leave_us) / WP_US_PER_MS;
     int64_t most = (int64_t)h->settings->drain_s * WP_MS_PER_S;
     unsigned open;
-    if (ms < LEAVE_LEAST_MS)
+    if (ms < LEAVE_TAKE_MS)
         return;
+    h->refusing = true;
     open = wp_front_close_idle(h->front, now, LEAVE_IDLE_MS);
     if ((!open && !h->n_relays) || ms >= most - LEAVE_SPARE_MS)
         event_base_loopbreak(h->base);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -27,7 +27,8 @@
     struct event *tick, *term, *hup;
     WPList relays;
     unsigned n_relays;
-    bool leaving;
+    bool leaving;  /* a planned stop has begun */
+    bool refusing; /* and no request is taken any more */
     int64_t leave_us;
 };
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -7,7 +7,8 @@
 
 enum {
     BUFFER_MOST = 16 << 20, /* bytes of an answer that is gathered whole */
-    LOG_NUMBER = 24
+    LOG_NUMBER = 24,
+    LEAVING_RETRY_MS = 100 /* other boxes serve meanwhile */
 };
 
 typedef struct Relay {
@@ -389,17 +390,22 @@
     return r;
 }
 
-/* A request that cannot be decoded. */
-static void refuse_ask(WPDirectHost *h, WPPeer *p)
+/* A request that is not even looked at. */
+static void refuse_ask(WPDirectHost *h, WPPeer *p, const WPDirectAsk *ask,
+                       WPCode code, uint32_t retry_ms, const char *why)
 {
-    const WPCodeInfo *i = wp_code_info(WP_BAD_REQUEST);
+    const WPCodeInfo *i = wp_code_info(code);
+    g_autofree char *id = g_strndup(ask->id.p, ask->id.n);
     g_autofree char *body =
         g_strdup_printf("{\"error\":{\"code\":\"%s\"}}\n", i->code);
-    h->direct.counters.codes[WP_BAD_REQUEST]++;
-    wp_count(&h->direct.counters, WP_C_BAD_INPUT);
-    wp_log(&h->log, WP_INFO, "refused", "code", i->code, "why",
-           "no usable request id", NULL);
-    wp_front_answer(p, i->status, wp_str("Content-Type: application/json\r\n"),
+    g_autoptr(GString) fields = g_string_new(NULL);
+    h->direct.counters.codes[code]++;
+    wp_count(&h->direct.counters, WP_C_REFUSED);
+    wp_log(&h->log, WP_INFO, "refused", "id", id, "code", i->code, "why", why,
+           NULL);
+    h->platform->write_own(id, retry_ms, fields);
+    g_string_append(fields, "Content-Type: application/json\r\n");
+    wp_front_answer(p, i->status, wp_strn(fields->str, fields->len),
                     wp_str(body));
 }
 
@@ -409,8 +415,13 @@
     WPTime now = wp_clock_now(0);
     WPDirectAsk ask;
     WPMove m;
-    if (h->platform->read_ask(head, &ask)) {
-        refuse_ask(h, p);
+    const char *bad = h->platform->read_ask(head, &ask);
+    if (bad) {
+        refuse_ask(h, p, &ask, WP_BAD_REQUEST, 0, bad);
+        return;
+    }
+    if (h->refusing) {
+        refuse_ask(h, p, &ask, WP_LEAVING, LEAVING_RETRY_MS, "leaving");
         return;
     }
     Relay *r = new_relay(h, p);
