--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1498,7 +1498,7 @@
 static const uint32_t wp__direct_settings__log_kb_per_s__default_value = 256u;
 static const uint32_t wp__direct_settings__confidence__default_value = 50u;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[20] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[21] =
 {
   {
     "id",
@@ -1561,12 +1561,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "peer_port",
+    "peers",
     6,
     PROTOBUF_C_LABEL_REQUIRED,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wp__DirectSettings, peer_port),
+    offsetof(Wp__DirectSettings, peers),
     NULL,
     NULL,
     0,             /* flags */
@@ -1740,6 +1740,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seeds",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__DirectSettings, n_seeds),
+    offsetof(Wp__DirectSettings, seeds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   8,   /* field[8] = charts */
@@ -1753,12 +1765,13 @@
   10,   /* field[10] = log_level */
   19,   /* field[19] = memory_mb */
   6,   /* field[6] = metrics_port */
-  5,   /* field[5] = peer_port */
+  5,   /* field[5] = peers */
   4,   /* field[4] = ready */
   13,   /* field[13] = retry_ratio */
   14,   /* field[14] = retry_slack */
   15,   /* field[15] = retry_window_ms */
   9,   /* field[9] = seed */
+  20,   /* field[20] = seeds */
   16,   /* field[16] = session_ms */
   7,   /* field[7] = store */
   1,   /* field[1] = zone */
@@ -1766,7 +1779,7 @@
 static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -1776,7 +1789,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  20,
+  21,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   1,  wp__direct_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -272,7 +272,7 @@
   char *id;
   char *zone;
   /*
-   * the box's address, for its peers
+   * the box's address
    */
   char *listen;
   /*
@@ -283,7 +283,10 @@
    * host:port, for the balancer
    */
   char *ready;
-  uint32_t peer_port;
+  /*
+   * host:port, for the other boxes
+   */
+  char *peers;
   /*
    * at `listen`
    */
@@ -314,13 +317,18 @@
   uint32_t confidence;
   protobuf_c_boolean has_memory_mb;
   uint32_t memory_mb;
+  /*
+   * host:port of some boxes, perhaps stale
+   */
+  size_t n_seeds;
+  char **seeds;
 };
 extern char wp__direct_settings__charts__default_value[];
 extern char wp__direct_settings__log_level__default_value[];
 extern char wp__direct_settings__log_format__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, 0, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50u, 0, 0u }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50u, 0, 0u, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -1177,6 +1177,231 @@
   assert(message->base.descriptor == &wp__bill_batch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__mirror_item__init
+                     (Wp__MirrorItem         *message)
+{
+  static const Wp__MirrorItem init_value = WP__MIRROR_ITEM__INIT;
+  *message = init_value;
+}
+size_t wp__mirror_item__get_packed_size
+                     (const Wp__MirrorItem *message)
+{
+  assert(message->base.descriptor == &wp__mirror_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__mirror_item__pack
+                     (const Wp__MirrorItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__mirror_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__mirror_item__pack_to_buffer
+                     (const Wp__MirrorItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__mirror_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__MirrorItem *
+       wp__mirror_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__MirrorItem *)
+     protobuf_c_message_unpack (&wp__mirror_item__descriptor,
+                                allocator, len, data);
+}
+void   wp__mirror_item__free_unpacked
+                     (Wp__MirrorItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__mirror_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__move_sums__init
+                     (Wp__MoveSums         *message)
+{
+  static const Wp__MoveSums init_value = WP__MOVE_SUMS__INIT;
+  *message = init_value;
+}
+size_t wp__move_sums__get_packed_size
+                     (const Wp__MoveSums *message)
+{
+  assert(message->base.descriptor == &wp__move_sums__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__move_sums__pack
+                     (const Wp__MoveSums *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__move_sums__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__move_sums__pack_to_buffer
+                     (const Wp__MoveSums *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__move_sums__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__MoveSums *
+       wp__move_sums__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__MoveSums *)
+     protobuf_c_message_unpack (&wp__move_sums__descriptor,
+                                allocator, len, data);
+}
+void   wp__move_sums__free_unpacked
+                     (Wp__MoveSums *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__move_sums__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__mirror_digest__init
+                     (Wp__MirrorDigest         *message)
+{
+  static const Wp__MirrorDigest init_value = WP__MIRROR_DIGEST__INIT;
+  *message = init_value;
+}
+size_t wp__mirror_digest__get_packed_size
+                     (const Wp__MirrorDigest *message)
+{
+  assert(message->base.descriptor == &wp__mirror_digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__mirror_digest__pack
+                     (const Wp__MirrorDigest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__mirror_digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__mirror_digest__pack_to_buffer
+                     (const Wp__MirrorDigest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__mirror_digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__MirrorDigest *
+       wp__mirror_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__MirrorDigest *)
+     protobuf_c_message_unpack (&wp__mirror_digest__descriptor,
+                                allocator, len, data);
+}
+void   wp__mirror_digest__free_unpacked
+                     (Wp__MirrorDigest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__mirror_digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__mirror_pull__init
+                     (Wp__MirrorPull         *message)
+{
+  static const Wp__MirrorPull init_value = WP__MIRROR_PULL__INIT;
+  *message = init_value;
+}
+size_t wp__mirror_pull__get_packed_size
+                     (const Wp__MirrorPull *message)
+{
+  assert(message->base.descriptor == &wp__mirror_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__mirror_pull__pack
+                     (const Wp__MirrorPull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__mirror_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__mirror_pull__pack_to_buffer
+                     (const Wp__MirrorPull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__mirror_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__MirrorPull *
+       wp__mirror_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__MirrorPull *)
+     protobuf_c_message_unpack (&wp__mirror_pull__descriptor,
+                                allocator, len, data);
+}
+void   wp__mirror_pull__free_unpacked
+                     (Wp__MirrorPull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__mirror_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__mirror_delta__init
+                     (Wp__MirrorDelta         *message)
+{
+  static const Wp__MirrorDelta init_value = WP__MIRROR_DELTA__INIT;
+  *message = init_value;
+}
+size_t wp__mirror_delta__get_packed_size
+                     (const Wp__MirrorDelta *message)
+{
+  assert(message->base.descriptor == &wp__mirror_delta__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__mirror_delta__pack
+                     (const Wp__MirrorDelta *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__mirror_delta__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__mirror_delta__pack_to_buffer
+                     (const Wp__MirrorDelta *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__mirror_delta__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__MirrorDelta *
+       wp__mirror_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__MirrorDelta *)
+     protobuf_c_message_unpack (&wp__mirror_delta__descriptor,
+                                allocator, len, data);
+}
+void   wp__mirror_delta__free_unpacked
+                     (Wp__MirrorDelta *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__mirror_delta__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__frame__init
                      (Wp__Frame         *message)
 {
@@ -3126,7 +3351,353 @@
   (ProtobufCMessageInit) wp__bill_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__frame__field_descriptors[23] =
+static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[4] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MirrorItem, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Wp__MirrorItem, has_value),
+    offsetof(Wp__MirrorItem, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MirrorItem, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MirrorItem, has_removed),
+    offsetof(Wp__MirrorItem, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__mirror_item__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  3,   /* field[3] = removed */
+  2,   /* field[2] = revision */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange wp__mirror_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wp__mirror_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.MirrorItem",
+  "MirrorItem",
+  "Wp__MirrorItem",
+  "wp",
+  sizeof(Wp__MirrorItem),
+  4,
+  wp__mirror_item__field_descriptors,
+  wp__mirror_item__field_indices_by_name,
+  1,  wp__mirror_item__number_ranges,
+  (ProtobufCMessageInit) wp__mirror_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MoveSums, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MoveSums, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_answered),
+    offsetof(Wp__MoveSums, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_failed),
+    offsetof(Wp__MoveSums, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_slow),
+    offsetof(Wp__MoveSums, slow),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_running",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_old_running),
+    offsetof(Wp__MoveSums, old_running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__move_sums__field_indices_by_name[] = {
+  2,   /* field[2] = answered */
+  3,   /* field[3] = failed */
+  5,   /* field[5] = old_running */
+  1,   /* field[1] = order */
+  0,   /* field[0] = service */
+  4,   /* field[4] = slow */
+};
+static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wp__move_sums__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.MoveSums",
+  "MoveSums",
+  "Wp__MoveSums",
+  "wp",
+  sizeof(Wp__MoveSums),
+  6,
+  wp__move_sums__field_descriptors,
+  wp__move_sums__field_indices_by_name,
+  1,  wp__move_sums__number_ranges,
+  (ProtobufCMessageInit) wp__move_sums__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[3] =
+{
+  {
+    "complete",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MirrorDigest, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "moves",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__MirrorDigest, n_moves),
+    offsetof(Wp__MirrorDigest, moves),
+    &wp__move_sums__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MirrorDigest, has_age_ms),
+    offsetof(Wp__MirrorDigest, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__mirror_digest__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = complete */
+  1,   /* field[1] = moves */
+};
+static const ProtobufCIntRange wp__mirror_digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.MirrorDigest",
+  "MirrorDigest",
+  "Wp__MirrorDigest",
+  "wp",
+  sizeof(Wp__MirrorDigest),
+  3,
+  wp__mirror_digest__field_descriptors,
+  wp__mirror_digest__field_indices_by_name,
+  1,  wp__mirror_digest__number_ranges,
+  (ProtobufCMessageInit) wp__mirror_digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__mirror_pull__field_descriptors[1] =
+{
+  {
+    "since",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MirrorPull, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__mirror_pull__field_indices_by_name[] = {
+  0,   /* field[0] = since */
+};
+static const ProtobufCIntRange wp__mirror_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wp__mirror_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.MirrorPull",
+  "MirrorPull",
+  "Wp__MirrorPull",
+  "wp",
+  sizeof(Wp__MirrorPull),
+  1,
+  wp__mirror_pull__field_descriptors,
+  wp__mirror_pull__field_indices_by_name,
+  1,  wp__mirror_pull__number_ranges,
+  (ProtobufCMessageInit) wp__mirror_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__mirror_delta__field_descriptors[3] =
+{
+  {
+    "since",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MirrorDelta, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MirrorDelta, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__MirrorDelta, n_items),
+    offsetof(Wp__MirrorDelta, items),
+    &wp__mirror_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__mirror_delta__field_indices_by_name[] = {
+  1,   /* field[1] = complete */
+  2,   /* field[2] = items */
+  0,   /* field[0] = since */
+};
+static const ProtobufCIntRange wp__mirror_delta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wp__mirror_delta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.MirrorDelta",
+  "MirrorDelta",
+  "Wp__MirrorDelta",
+  "wp",
+  sizeof(Wp__MirrorDelta),
+  3,
+  wp__mirror_delta__field_descriptors,
+  wp__mirror_delta__field_indices_by_name,
+  1,  wp__mirror_delta__number_ranges,
+  (ProtobufCMessageInit) wp__mirror_delta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__frame__field_descriptors[26] =
 {
   {
     "stream",
@@ -3404,6 +3975,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mirror_digest",
+    29,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Frame, body_case),
+    offsetof(Wp__Frame, mirror_digest),
+    &wp__mirror_digest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mirror_pull",
+    30,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Frame, body_case),
+    offsetof(Wp__Frame, mirror_pull),
+    &wp__mirror_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mirror_delta",
+    31,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Frame, body_case),
+    offsetof(Wp__Frame, mirror_delta),
+    &wp__mirror_delta__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__frame__field_indices_by_name[] = {
   6,   /* field[6] = accept */
@@ -3419,6 +4026,9 @@
   3,   /* field[3] = hlc */
   2,   /* field[2] = load */
   18,   /* field[18] = members */
+  25,   /* field[25] = mirror_delta */
+  23,   /* field[23] = mirror_digest */
+  24,   /* field[24] = mirror_pull */
   13,   /* field[13] = ping */
   14,   /* field[14] = pong */
   16,   /* field[16] = pull */
@@ -3434,7 +4044,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 23 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor wp__frame__descriptor =
 {
@@ -3444,7 +4054,7 @@
   "Wp__Frame",
   "wp",
   sizeof(Wp__Frame),
-  23,
+  26,
   wp__frame__field_descriptors,
   wp__frame__field_indices_by_name,
   2,  wp__frame__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -42,6 +42,11 @@
 typedef struct Wp__Handover Wp__Handover;
 typedef struct Wp__Bill Wp__Bill;
 typedef struct Wp__BillBatch Wp__BillBatch;
+typedef struct Wp__MirrorItem Wp__MirrorItem;
+typedef struct Wp__MoveSums Wp__MoveSums;
+typedef struct Wp__MirrorDigest Wp__MirrorDigest;
+typedef struct Wp__MirrorPull Wp__MirrorPull;
+typedef struct Wp__MirrorDelta Wp__MirrorDelta;
 typedef struct Wp__Frame Wp__Frame;
 typedef struct Wp__SessionClaim Wp__SessionClaim;
 
@@ -485,6 +490,98 @@
     , NULL, 0, 0, 0,NULL }
 
 
+/*
+ * One entry of the store as some box has read it.
+ */
+struct  Wp__MirrorItem
+{
+  ProtobufCMessage base;
+  char *key;
+  protobuf_c_boolean has_value;
+  ProtobufCBinaryData value;
+  uint64_t revision;
+  protobuf_c_boolean has_removed;
+  protobuf_c_boolean removed;
+};
+#define WP__MIRROR_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_item__descriptor) \
+    , NULL, 0, {0,NULL}, 0, 0, 0 }
+
+
+/*
+ * What a box's answers said of a version that a service is moving to.
+ */
+struct  Wp__MoveSums
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * revision of the operator's order
+   */
+  uint64_t order;
+  protobuf_c_boolean has_answered;
+  uint32_t answered;
+  protobuf_c_boolean has_failed;
+  uint32_t failed;
+  protobuf_c_boolean has_slow;
+  uint32_t slow;
+  /*
+   * requests still on other versions
+   */
+  protobuf_c_boolean has_old_running;
+  uint32_t old_running;
+};
+#define WP__MOVE_SUMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * All entries up to this revision of the store are known to the sender.
+ */
+struct  Wp__MirrorDigest
+{
+  ProtobufCMessage base;
+  uint64_t complete;
+  size_t n_moves;
+  Wp__MoveSums **moves;
+  /*
+   * since a box had an answer of the store
+   */
+  protobuf_c_boolean has_age_ms;
+  uint32_t age_ms;
+};
+#define WP__MIRROR_DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
+    , 0, 0,NULL, 0, 0 }
+
+
+struct  Wp__MirrorPull
+{
+  ProtobufCMessage base;
+  uint64_t since;
+};
+#define WP__MIRROR_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_pull__descriptor) \
+    , 0 }
+
+
+/*
+ * With all that has changed after `since`, up to `complete`.
+ */
+struct  Wp__MirrorDelta
+{
+  ProtobufCMessage base;
+  uint64_t since;
+  uint64_t complete;
+  size_t n_items;
+  Wp__MirrorItem **items;
+};
+#define WP__MIRROR_DELTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_delta__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 typedef enum {
   WP__FRAME__BODY__NOT_SET = 0,
   WP__FRAME__BODY_HELLO = 10,
@@ -505,7 +602,10 @@
   WP__FRAME__BODY_SETTLED = 25,
   WP__FRAME__BODY_RATINGS = 26,
   WP__FRAME__BODY_BUCKETS = 27,
-  WP__FRAME__BODY_HANDOVER = 28
+  WP__FRAME__BODY_HANDOVER = 28,
+  WP__FRAME__BODY_MIRROR_DIGEST = 29,
+  WP__FRAME__BODY_MIRROR_PULL = 30,
+  WP__FRAME__BODY_MIRROR_DELTA = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WP__FRAME__BODY__CASE)
 } Wp__Frame__BodyCase;
 
@@ -543,6 +643,9 @@
     Wp__Ratings *ratings;
     Wp__Buckets *buckets;
     Wp__Handover *handover;
+    Wp__MirrorDigest *mirror_digest;
+    Wp__MirrorPull *mirror_pull;
+    Wp__MirrorDelta *mirror_delta;
   };
 };
 #define WP__FRAME__INIT \
@@ -1062,6 +1165,101 @@
 void   wp__bill_batch__free_unpacked
                      (Wp__BillBatch *message,
                       ProtobufCAllocator *allocator);
+/* Wp__MirrorItem methods */
+void   wp__mirror_item__init
+                     (Wp__MirrorItem         *message);
+size_t wp__mirror_item__get_packed_size
+                     (const Wp__MirrorItem   *message);
+size_t wp__mirror_item__pack
+                     (const Wp__MirrorItem   *message,
+                      uint8_t             *out);
+size_t wp__mirror_item__pack_to_buffer
+                     (const Wp__MirrorItem   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__MirrorItem *
+       wp__mirror_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__mirror_item__free_unpacked
+                     (Wp__MirrorItem *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__MoveSums methods */
+void   wp__move_sums__init
+                     (Wp__MoveSums         *message);
+size_t wp__move_sums__get_packed_size
+                     (const Wp__MoveSums   *message);
+size_t wp__move_sums__pack
+                     (const Wp__MoveSums   *message,
+                      uint8_t             *out);
+size_t wp__move_sums__pack_to_buffer
+                     (const Wp__MoveSums   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__MoveSums *
+       wp__move_sums__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__move_sums__free_unpacked
+                     (Wp__MoveSums *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__MirrorDigest methods */
+void   wp__mirror_digest__init
+                     (Wp__MirrorDigest         *message);
+size_t wp__mirror_digest__get_packed_size
+                     (const Wp__MirrorDigest   *message);
+size_t wp__mirror_digest__pack
+                     (const Wp__MirrorDigest   *message,
+                      uint8_t             *out);
+size_t wp__mirror_digest__pack_to_buffer
+                     (const Wp__MirrorDigest   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__MirrorDigest *
+       wp__mirror_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__mirror_digest__free_unpacked
+                     (Wp__MirrorDigest *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__MirrorPull methods */
+void   wp__mirror_pull__init
+                     (Wp__MirrorPull         *message);
+size_t wp__mirror_pull__get_packed_size
+                     (const Wp__MirrorPull   *message);
+size_t wp__mirror_pull__pack
+                     (const Wp__MirrorPull   *message,
+                      uint8_t             *out);
+size_t wp__mirror_pull__pack_to_buffer
+                     (const Wp__MirrorPull   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__MirrorPull *
+       wp__mirror_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__mirror_pull__free_unpacked
+                     (Wp__MirrorPull *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__MirrorDelta methods */
+void   wp__mirror_delta__init
+                     (Wp__MirrorDelta         *message);
+size_t wp__mirror_delta__get_packed_size
+                     (const Wp__MirrorDelta   *message);
+size_t wp__mirror_delta__pack
+                     (const Wp__MirrorDelta   *message,
+                      uint8_t             *out);
+size_t wp__mirror_delta__pack_to_buffer
+                     (const Wp__MirrorDelta   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__MirrorDelta *
+       wp__mirror_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__mirror_delta__free_unpacked
+                     (Wp__MirrorDelta *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__Frame methods */
 void   wp__frame__init
                      (Wp__Frame         *message);
@@ -1180,6 +1378,21 @@
 typedef void (*Wp__BillBatch_Closure)
                  (const Wp__BillBatch *message,
                   void *closure_data);
+typedef void (*Wp__MirrorItem_Closure)
+                 (const Wp__MirrorItem *message,
+                  void *closure_data);
+typedef void (*Wp__MoveSums_Closure)
+                 (const Wp__MoveSums *message,
+                  void *closure_data);
+typedef void (*Wp__MirrorDigest_Closure)
+                 (const Wp__MirrorDigest *message,
+                  void *closure_data);
+typedef void (*Wp__MirrorPull_Closure)
+                 (const Wp__MirrorPull *message,
+                  void *closure_data);
+typedef void (*Wp__MirrorDelta_Closure)
+                 (const Wp__MirrorDelta *message,
+                  void *closure_data);
 typedef void (*Wp__Frame_Closure)
                  (const Wp__Frame *message,
                   void *closure_data);
@@ -1220,6 +1433,11 @@
 extern const ProtobufCMessageDescriptor wp__handover__descriptor;
 extern const ProtobufCMessageDescriptor wp__bill__descriptor;
 extern const ProtobufCMessageDescriptor wp__bill_batch__descriptor;
+extern const ProtobufCMessageDescriptor wp__mirror_item__descriptor;
+extern const ProtobufCMessageDescriptor wp__move_sums__descriptor;
+extern const ProtobufCMessageDescriptor wp__mirror_digest__descriptor;
+extern const ProtobufCMessageDescriptor wp__mirror_pull__descriptor;
+extern const ProtobufCMessageDescriptor wp__mirror_delta__descriptor;
 extern const ProtobufCMessageDescriptor wp__frame__descriptor;
 extern const ProtobufCMessageDescriptor wp__session_claim__descriptor;
 
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -116,10 +116,7 @@
     if (!h->front || !wp_direct_open_admin(h, error))
         return false;
     wp_front_limits(h->front, &limits);
-    h->sync = wp_sync_new(h);
-    if (!h->sync)
-        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
-                    "store: expected HOST:PORT");
+    h->sync = wp_sync_new(h, error);
     return h->sync != NULL;
 }
 
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -37,7 +37,7 @@
 extern const WPBackOps wp_relay_back_ops;
 
 /* wp_sync.c: what the store tells, and what is written to it. */
-WPSync *wp_sync_new(WPDirectHost *h);
+WPSync *wp_sync_new(WPDirectHost *h, GError **error);
 void wp_sync_free(WPSync *s);
 void wp_sync_tick(WPSync *s, WPTime now);
 
--- /dev/null
+++ b/io/wp_news.c
@@ -0,0 +1,139 @@
+/* What the entries of the store mean for the router, wherever they were
+ * learned. */
+#include "wp_sync_int.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum {
+    DOUBT_MS = 6000 /* after the store was away, entries that it lost
+                       meanwhile may still come back */
+};
+
+static bool in_doubt(const WPSync *s, WPTime now)
+{
+    return s->away_us && now.mono_us - s->away_us <
+                             (int64_t)DOUBT_MS * WP_US_PER_MS;
+}
+
+static void take_routes(WPSync *s, WPRoutes *t)
+{
+    WPDirectHost *h = s->host;
+    char version[24];
+    snprintf(version, sizeof(version), "%lu", (unsigned long)t->version);
+    if (!wp_direct_routes(&h->direct, t))
+        return;
+    wp_front_limits(h->front, &h->direct.routes->limits);
+    wp_log(&h->log, WP_INFO, "routes", "version", version, NULL);
+}
+
+static void take_endpoint(WPSync *s, const WPListing *l)
+{
+    if (!wp_fleet_put(s->host->direct.fleet, wp_clock_now(0), l))
+        return;
+    wp_log(&s->host->log, WP_INFO, "endpoint", "id", l->id, "service",
+           l->service, "addr", l->addr, "zone", l->zone, "version", l->version,
+           "state", l->draining ? "draining" : "ready", NULL);
+}
+
+static void lose_endpoint(WPSync *s, const char *id)
+{
+    WPTime now = wp_clock_now(0);
+    bool doubt = in_doubt(s, now);
+    if (!wp_fleet_find(s->host->direct.fleet, id))
+        return;
+    wp_log(&s->host->log, WP_INFO, "endpoint_missing", "id", id, "kept",
+           doubt ? "for a while: the store was away" : "no", NULL);
+    wp_fleet_remove(s->host->direct.fleet, now, id, doubt);
+}
+
+static void take_order(WPSync *s, const WPShiftOrder *o)
+{
+    if (wp_shifts_order(s->host->direct.shifts, o))
+        wp_log(&s->host->log, WP_INFO, "move_ordered", "service", o->service,
+               "version", o->version, NULL);
+}
+
+static void take_outcome(WPSync *s, const WPNews *n)
+{
+    WPShifts *shifts = s->host->direct.shifts;
+    WPShift *sh = wp_shifts_find(shifts, n->order.service);
+    WPShiftState had = sh ? sh->state : WP_SHIFT_RUNNING;
+    wp_shifts_outcome(shifts, n->order.service, n->order.version, n->state);
+    if (sh && sh->state != had)
+        wp_log(&s->host->log, WP_INFO, "move_ended", "service", sh->service,
+               "version", sh->version, "state",
+               wp_shift_state_name(sh->state), NULL);
+}
+
+/* This system's own record of when a move began. */
+static void take_began(WPSync *s, const char *service, WPStr value)
+{
+    WPShift *sh = wp_shifts_find(s->host->direct.shifts, service);
+    g_autofree char *text = g_strndup(value.p, value.n);
+    char *end;
+    uint64_t revision = g_ascii_strtoull(text, &end, 10);
+    int64_t began = g_ascii_strtoll(end, NULL, 10);
+    if (sh && sh->revision == revision && began > 0)
+        sh->began_ms = began;
+}
+
+static const char *after(const char *key, const char *prefix)
+{
+    return g_str_has_prefix(key, prefix) ? key + strlen(prefix) : NULL;
+}
+
+/* Returns whether the key is one of the system's own. */
+static bool take_own(WPSync *s, const char *key, const WPStr *value)
+{
+    const char *box = after(key, WP_KEY_BOX);
+    const char *service = after(key, WP_KEY_MOVE);
+    if (box && value) {
+        g_autofree char *addr = g_strndup(value->p, value->n);
+        wp_peers_member(s->peers, box, addr);
+    }
+    if (service && value)
+        take_began(s, service, *value);
+    return box || service;
+}
+
+static void take_platform(WPSync *s, const WPKvItem *i)
+{
+    WPNews n;
+    s->host->platform->news(i, &n);
+    switch (n.kind) {
+    case WP_NEWS_NONE:
+        break;
+    case WP_NEWS_BAD:
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", i->key.p,
+               "why", n.problem, NULL);
+        break;
+    case WP_NEWS_ROUTES:
+        take_routes(s, n.routes);
+        break;
+    case WP_NEWS_ENDPOINT:
+        take_endpoint(s, &n.listing);
+        break;
+    case WP_NEWS_GONE:
+        lose_endpoint(s, n.listing.id);
+        break;
+    case WP_NEWS_ORDER:
+        take_order(s, &n.order);
+        break;
+    case WP_NEWS_OUTCOME:
+        take_outcome(s, &n);
+        break;
+    }
+    s->host->platform->news_end(&n);
+}
+
+void wp_news_take(WPSync *s, const char *key, const WPStr *value,
+                  uint64_t revision)
+{
+    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision,
+                   !value };
+    if (!wp_mirror_put(s->mirror, key, value, revision))
+        return;
+    if (!take_own(s, key, value))
+        take_platform(s, &i);
+}
--- /dev/null
+++ b/io/wp_peers.c
@@ -0,0 +1,332 @@
+/* Links between direct entries. */
+#include "wp_peers.h"
+#include "wp_clock.h"
+#include "wp_code.h"
+#include "wp_http.h"
+#include "wp_link.h"
+
+enum {
+    DIGEST_MS = 1000,    /* between digests that tell nothing new */
+    PULL_WAIT_MS = 120,  /* the own watch of the store mostly comes first */
+    PULL_AGAIN_MS = 600, /* a pull without an answer */
+    SILENT_MS = 3000,    /* a link that is silent so long is closed */
+    CONNECT_MS = 1000,   /* between attempts to reach the same box */
+    MOVES_MOST = 8
+};
+
+/* Boxes are linked to all others up to this many; beyond, each reaches this
+   many others, spread over the order of ids, and news takes some hops. */
+enum { LINKS_MOST = 6 };
+
+typedef struct Member {
+    char *id, *addr;
+    int64_t tried_us;
+} Member;
+
+struct WPPeers {
+    WPHub *hub;
+    Wp__Member self;
+    char *host;
+    WPMirror *mirror;
+    const WPPeersOps *ops;
+    void *arg;
+    GHashTable *members; /* id -> Member */
+    GPtrArray *seeds;    /* addresses */
+    unsigned n_seeds;
+    int64_t digest_us;
+    uint64_t told;       /* revision of the last digest */
+    bool dirty;          /* a digest is due now */
+    uint64_t behind;     /* the highest revision heard of */
+    int64_t behind_us;   /* since when it is not known here */
+    int64_t pulled_us;
+    uint64_t behind_link;
+    unsigned linked;
+    int64_t seeds_us;
+};
+
+static void member_free(void *p)
+{
+    Member *m = p;
+    g_free(m->id);
+    g_free(m->addr);
+    g_free(m);
+}
+
+static void send_digest(WPPeers *p, WPLink *l)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__MirrorDigest d = WP__MIRROR_DIGEST__INIT;
+    Wp__MoveSums sums[MOVES_MOST], *list[MOVES_MOST];
+    for (size_t i = 0; i < MOVES_MOST; i++) {
+        wp__move_sums__init(&sums[i]);
+        list[i] = &sums[i];
+    }
+    d.complete = wp_mirror_complete(p->mirror);
+    d.n_moves = p->ops->own_sums(p->arg, sums, MOVES_MOST);
+    d.moves = list;
+    f.body_case = WP__FRAME__BODY_MIRROR_DIGEST;
+    f.mirror_digest = &d;
+    wp_link_send(l, &f);
+}
+
+static void send_to_each(void *arg, WPLink *l)
+{
+    if (l->peer)
+        send_digest(arg, l);
+}
+
+static void take_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
+{
+    for (size_t i = 0; i < d->n_moves; i++)
+        p->ops->sums(p->arg, l->peer, d->moves[i]);
+    if (d->complete <= wp_mirror_complete(p->mirror) ||
+        d->complete <= p->behind)
+        return;
+    if (p->behind <= wp_mirror_complete(p->mirror))
+        p->behind_us = wp_clock_now(0).mono_us;
+    p->behind = d->complete;
+    p->behind_link = l->id;
+}
+
+static void answer_pull(WPPeers *p, WPLink *l, uint64_t since)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__MirrorDelta *d = wp_mirror_delta(p->mirror, since);
+    f.body_case = WP__FRAME__BODY_MIRROR_DELTA;
+    f.mirror_delta = d;
+    wp_link_send(l, &f);
+    wp_mirror_delta_free(d);
+}
+
+static void on_frame(void *arg, WPLink *l, Wp__Frame *f)
+{
+    WPPeers *p = arg;
+    switch (f->body_case) {
+    case WP__FRAME__BODY_MIRROR_DIGEST:
+        take_digest(p, l, f->mirror_digest);
+        break;
+    case WP__FRAME__BODY_MIRROR_PULL:
+        answer_pull(p, l, f->mirror_pull->since);
+        break;
+    case WP__FRAME__BODY_MIRROR_DELTA:
+        /* A delta that begins after what is known would leave a gap. */
+        if (f->mirror_delta->since <= wp_mirror_complete(p->mirror))
+            p->ops->delta(p->arg, l->peer, f->mirror_delta);
+        break;
+    default:
+        break;
+    }
+}
+
+static void on_up(void *arg, WPLink *l)
+{
+    WPPeers *p = arg;
+    p->linked++;
+    p->ops->changed(p->arg, l->peer, true);
+    send_digest(p, l);
+}
+
+static void on_down(void *arg, WPLink *l)
+{
+    WPPeers *p = arg;
+    if (!l->peer)
+        return;
+    p->linked--;
+    p->ops->changed(p->arg, l->peer, false);
+}
+
+static void on_stamp(void *arg, Wp__Frame *f)
+{
+    (void)arg;
+    (void)f;
+}
+
+static void on_bad(void *arg, WPLink *l)
+{
+    (void)arg;
+    (void)l;
+}
+
+static const WPHubOps hub_ops = { .frame = on_frame,
+                                  .up = on_up,
+                                  .down = on_down,
+                                  .stamp = on_stamp,
+                                  .bad = on_bad };
+
+WPPeers *wp_peers_new(struct event_base *base, const Wp__DirectSettings *s,
+                      WPMirror *mirror, const WPPeersOps *ops, void *arg,
+                      GError **error)
+{
+    WPPeers *p = g_new0(WPPeers, 1);
+    uint16_t port;
+    p->mirror = mirror;
+    p->ops = ops;
+    p->arg = arg;
+    p->members =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
+    p->seeds = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < s->n_seeds; i++)
+        if (strcmp(s->seeds[i], s->peers))
+            g_ptr_array_add(p->seeds, g_strdup(s->seeds[i]));
+    p->n_seeds = p->seeds->len;
+    wp__member__init(&p->self);
+    if (!wp_http_target(s->peers, &p->host, &port)) {
+        g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
+                    "peers: expected HOST:PORT");
+        wp_peers_free(p);
+        return NULL;
+    }
+    p->self.id = s->id;
+    p->self.incarnation = (uint64_t)wp_clock_now(0).wall_ms;
+    p->self.addr = p->host;
+    p->self.port = port;
+    p->self.zone = s->zone;
+    p->hub = wp_hub_new(base, p->host, port, &p->self, &hub_ops, p, error);
+    if (p->hub)
+        return p;
+    wp_peers_free(p);
+    return NULL;
+}
+
+void wp_peers_free(WPPeers *p)
+{
+    if (!p)
+        return;
+    wp_hub_free(p->hub);
+    g_hash_table_unref(p->members);
+    g_ptr_array_unref(p->seeds);
+    g_free(p->host);
+    g_free(p);
+}
+
+void wp_peers_member(WPPeers *p, const char *id, const char *addr)
+{
+    Member *m = g_hash_table_lookup(p->members, id);
+    if (!strcmp(id, p->self.id) || (m && !strcmp(m->addr, addr)))
+        return;
+    m = g_new0(Member, 1);
+    m->id = g_strdup(id);
+    m->addr = g_strdup(addr);
+    g_hash_table_replace(p->members, m->id, m);
+}
+
+void wp_peers_announce(WPPeers *p)
+{
+    p->dirty = true;
+}
+
+static bool is_due(int64_t *at_us, WPTime now, int64_t every_ms)
+{
+    if (*at_us && now.mono_us - *at_us < every_ms * WP_US_PER_MS)
+        return false;
+    *at_us = now.mono_us;
+    return true;
+}
+
+static gint by_id(gconstpointer a, gconstpointer b)
+{
+    return strcmp((*(Member *const *)a)->id, (*(Member *const *)b)->id);
+}
+
+static void reach(WPPeers *p, Member *m, WPTime now)
+{
+    if (is_due(&m->tried_us, now, CONNECT_MS))
+        wp_hub_link(p->hub, m->addr);
+}
+
+/* All others while they are few, else some at growing distances in the order
+   of ids, so that news reaches all in a few hops. */
+static void reach_members(WPPeers *p, WPTime now)
+{
+    g_autoptr(GPtrArray) list = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer m;
+    guint self = 0;
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &m))
+        g_ptr_array_add(list, m);
+    g_ptr_array_sort(list, by_id);
+    if (list->len <= LINKS_MOST) {
+        for (guint i = 0; i < list->len; i++)
+            reach(p, g_ptr_array_index(list, i), now);
+        return;
+    }
+    while (self < list->len &&
+           strcmp(((Member *)g_ptr_array_index(list, self))->id, p->self.id) < 0)
+        self++;
+    for (guint step = 1, i = 0; i < LINKS_MOST && step <= list->len;
+         i++, step *= 2)
+        reach(p, g_ptr_array_index(list, (self + step - 1) % list->len), now);
+}
+
+static void reach_seeds(WPPeers *p, WPTime now)
+{
+    if (!is_due(&p->seeds_us, now, CONNECT_MS) || p->linked)
+        return;
+    for (guint i = 0; i < p->seeds->len; i++)
+        wp_hub_link(p->hub, g_ptr_array_index(p->seeds, i));
+}
+
+typedef struct Find {
+    uint64_t id;
+    WPLink *link;
+} Find;
+
+static void find_link(void *arg, WPLink *l)
+{
+    Find *f = arg;
+    if (l->peer && (l->id == f->id || !f->link))
+        f->link = l;
+}
+
+static void pull(WPPeers *p, WPTime now)
+{
+    Find find = { p->behind_link, NULL };
+    uint64_t complete = wp_mirror_complete(p->mirror);
+    bool waited =
+        now.mono_us - p->behind_us >= (int64_t)PULL_WAIT_MS * WP_US_PER_MS;
+    if (p->behind <= complete || !waited ||
+        !is_due(&p->pulled_us, now, PULL_AGAIN_MS))
+        return;
+    wp_hub_each(p->hub, find_link, &find);
+    if (!find.link)
+        return;
+    Wp__Frame f = WP__FRAME__INIT;
+    Wp__MirrorPull ask = WP__MIRROR_PULL__INIT;
+    ask.since = complete;
+    f.body_case = WP__FRAME__BODY_MIRROR_PULL;
+    f.mirror_pull = &ask;
+    wp_link_send(find.link, &f);
+}
+
+static void close_silent(void *arg, WPLink *l)
+{
+    const WPTime *now = arg;
+    if (l->peer &&
+        now->mono_us - l->heard_us > (int64_t)SILENT_MS * WP_US_PER_MS)
+        wp_link_close(l);
+}
+
+void wp_peers_tick(WPPeers *p, WPTime now)
+{
+    wp_hub_each(p->hub, close_silent, &now);
+    reach_members(p, now);
+    reach_seeds(p, now);
+    pull(p, now);
+    bool due = is_due(&p->digest_us, now, DIGEST_MS);
+    if (!due && !p->dirty)
+        return;
+    p->dirty = false;
+    p->digest_us = now.mono_us;
+    wp_hub_each(p->hub, send_to_each, p);
+}
+
+unsigned wp_peers_known(const WPPeers *p)
+{
+    return 1 + MAX(g_hash_table_size(p->members), p->n_seeds);
+}
+
+unsigned wp_peers_linked(const WPPeers *p)
+{
+    return p->linked;
+}
--- /dev/null
+++ b/io/wp_peers.h
@@ -0,0 +1,45 @@
+/* The direct entry's links to the other boxes: each tells the others how far
+ * it knows the store, and brings those up to date that are behind. */
+#ifndef WP_PEERS_H
+#define WP_PEERS_H
+
+#include "settings.pb-c.h"
+#include "wp_mirror.h"
+#include "wp_shift.h"
+
+#include <event2/event.h>
+
+typedef struct WPPeers WPPeers;
+
+typedef struct WPPeersOps {
+    /* Entries that a box behind the store's answers lacked. */
+    void (*delta)(void *arg, const char *from, const Wp__MirrorDelta *d);
+    /* Another box's sums of a move. */
+    void (*sums)(void *arg, const char *from, const Wp__MoveSums *m);
+    /* Fills this box's own; the service's name must outlive the call. */
+    size_t (*own_sums)(void *arg, Wp__MoveSums *out, size_t most);
+    /* A peer was reached or lost. */
+    void (*changed)(void *arg, const char *peer, bool up);
+} WPPeersOps;
+
+/* Listens on the settings' `peers`. NULL and an error if that fails. */
+WPPeers *wp_peers_new(struct event_base *base, const Wp__DirectSettings *s,
+                      WPMirror *mirror, const WPPeersOps *ops, void *arg,
+                      GError **error);
+void wp_peers_free(WPPeers *p);
+
+/* A box is to be reached at `addr` (IP:PORT). */
+void wp_peers_member(WPPeers *p, const char *id, const char *addr);
+
+/* This box has learned something: tells the others at once. */
+void wp_peers_announce(WPPeers *p);
+
+void wp_peers_tick(WPPeers *p, WPTime now);
+
+/* Boxes known, this one included. */
+unsigned wp_peers_known(const WPPeers *p);
+
+/* Links that work at present. */
+unsigned wp_peers_linked(const WPPeers *p);
+
+#endif
--- /dev/null
+++ b/io/wp_sync_int.h
@@ -0,0 +1,36 @@
+/* What the parts that keep in step with the store share. */
+#ifndef WP_SYNC_INT_H
+#define WP_SYNC_INT_H
+
+#include "wp_direct_int.h"
+#include "wp_mirror.h"
+#include "wp_peers.h"
+
+/* Entries of the system itself. */
+#define WP_KEY_BOX "wp/box/"   /* where a box is reached: "IP:PORT" */
+#define WP_KEY_MOVE "wp/move/" /* when a move began: "REVISION WALL_MS" */
+
+struct WPSync {
+    WPDirectHost *host;
+    WPKv *kv;
+    WPMirror *mirror;
+    WPPeers *peers;
+    bool reading;     /* a range is under way */
+    bool up, tried;   /* the store's last answer; whether it was ever asked */
+    bool complete;    /* the store or a peer has told everything once */
+    int64_t retry_us; /* when to read again; 0: not waiting */
+    int64_t away_us;  /* when the store was last without an answer */
+    bool writing;     /* a transaction is under way */
+    int64_t write_after_us;
+    GHashTable *turns; /* what to write -> int64_t, when this box does */
+};
+
+/* wp_news.c: takes one entry of the store (value NULL: removed), from
+   wherever it was learned; older ones than known change nothing. */
+void wp_news_take(WPSync *s, const char *key, const WPStr *value,
+                  uint64_t revision);
+
+/* wp_record.c: writes what this box has to tell. */
+void wp_record_tick(WPSync *s, WPTime now);
+
+#endif
--- /dev/null
+++ b/src/wp_mirror.h
@@ -0,0 +1,50 @@
+/* A copy of the store's entries, as far as the router reads them, by the
+ * store's own revisions. Boxes bring each other up to date from it, so that
+ * one that the store does not answer still learns what changes. */
+#ifndef WP_MIRROR_H
+#define WP_MIRROR_H
+
+#include "wire.pb-c.h"
+#include "wp_base.h"
+
+typedef struct WPMirrorItem {
+    char *key;
+    GBytes *value; /* NULL: removed */
+    uint64_t revision;
+} WPMirrorItem;
+
+typedef struct WPMirror WPMirror;
+
+WPMirror *wp_mirror_new(void);
+void wp_mirror_free(WPMirror *m);
+
+/* Everything up to this revision is known. */
+uint64_t wp_mirror_complete(const WPMirror *m);
+void wp_mirror_advance(WPMirror *m, uint64_t revision);
+
+/* Takes an entry (value NULL: removed); false when it is not newer than what
+   is known of the key. */
+bool wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
+                   uint64_t revision);
+
+/* The revision of the key as it is; 0 when it is not there. */
+uint64_t wp_mirror_revision(const WPMirror *m, const char *key);
+
+/* The value, or NULL. */
+const WPMirrorItem *wp_mirror_get(const WPMirror *m, const char *key);
+
+/* The entries changed after a revision, in the order of their changes; free
+   with g_ptr_array_unref(). They stay the mirror's. */
+GPtrArray *wp_mirror_since(const WPMirror *m, uint64_t revision);
+
+/* Items that a whole reading at `revision` lacks: known from before it, and
+   not in `keys` (a set). Free with g_ptr_array_unref(). */
+GPtrArray *wp_mirror_lacking(const WPMirror *m, GHashTable *keys,
+                             uint64_t revision);
+
+/* Messages between boxes. The delta's items point into the mirror; free it
+   with wp_mirror_delta_free(). */
+Wp__MirrorDelta *wp_mirror_delta(const WPMirror *m, uint64_t since);
+void wp_mirror_delta_free(Wp__MirrorDelta *d);
+
+#endif
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -31,6 +31,7 @@
     g_hash_table_unref(sh->old);
     g_hash_table_unref(sh->replicas);
     g_hash_table_unref(sh->heard);
+    g_hash_table_unref(sh->heard_old);
     g_free(sh->service);
     g_free(sh->version);
     g_free(sh);
@@ -72,6 +73,8 @@
     sh->old = sums_table();
     sh->replicas = sums_table();
     sh->heard = sums_table();
+    sh->heard_old =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_replace(s->by_service, sh->service, sh);
     return sh;
 }
@@ -104,7 +107,7 @@
     if (!sh)
         return true;
     bool is_new = !strcmp(version, sh->version);
-    if (sh->state == WP_SHIFT_UNDONE)
+    if (sh->state == WP_SHIFT_UNDONE || sh->suspect)
         return !is_new;
     return sh->state == WP_SHIFT_RUNNING || is_new;
 }
@@ -131,7 +134,7 @@
 {
     if (sh->state != WP_SHIFT_RUNNING)
         return sh->state == WP_SHIFT_DONE;
-    if (!sh->began_ms)
+    if (!sh->began_ms || sh->suspect)
         return false;
     if (last && !strcmp(last, sh->version))
         return true;
@@ -193,9 +196,12 @@
     return total(sh->fresh);
 }
 
-void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums)
+void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
+                   uint32_t old_running)
 {
     *need_sums(sh->heard, box) = sums;
+    g_hash_table_replace(sh->heard_old, g_strdup(box),
+                         GUINT_TO_POINTER(old_running));
 }
 
 /* Whether `bad` of `n` is more than a rate of `base` explains. */
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -39,6 +39,8 @@
     GHashTable *fresh, *old; /* route -> WPShiftSums, of this box */
     GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
     GHashTable *heard;       /* box -> WPShiftSums, of the new version */
+    GHashTable *heard_old;   /* box -> its requests on other versions */
+    bool suspect;            /* found bad here: takes nothing any more */
     uint32_t old_running;    /* requests of this box on other versions */
 } WPShift;
 
@@ -75,7 +77,8 @@
 
 /* The new version's sums at this box, and those of another box. */
 WPShiftSums wp_shift_own(const WPShift *sh);
-void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums);
+void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
+                   uint32_t old_running);
 
 /* Whether the answers so far show that the new version is bad; `why`, when it
    is, gives the figures and is freed with g_free(). */
