--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -6,14 +6,17 @@
 #include <stdlib.h>
 
 enum {
-    DOUBT_MS = 6000 /* after the store was away, entries that it lost
-                       meanwhile may still come back */
+    DOUBT_MS = 3000 /* after the store was away, entries that lapsed meanwhile
+                       may still come back: the platform says two seconds */
 };
 
-static bool in_doubt(const WPSync *s, WPTime now)
+/* Whether an entry that is missing may only have lapsed while the store was
+   away. A removal that the store tells as it happens is meant. */
+static bool in_doubt(const WPSync *s, WPNewsFrom from, WPTime now)
 {
-    return s->away_us && now.mono_us - s->away_us <
-                             (int64_t)DOUBT_MS * WP_US_PER_MS;
+    int64_t since_us = now.mono_us - s->away_us;
+    return from != WP_FROM_WATCH && s->away_us &&
+           since_us < (int64_t)DOUBT_MS * WP_US_PER_MS;
 }
 
 static void take_routes(WPSync *s, WPRoutes *t)
@@ -36,10 +39,10 @@
            "state", l->draining ? "draining" : "ready", NULL);
 }
 
-static void lose_endpoint(WPSync *s, const char *id)
+static void lose_endpoint(WPSync *s, WPNewsFrom from, const char *id)
 {
     WPTime now = wp_clock_now(0);
-    bool doubt = in_doubt(s, now);
+    bool doubt = in_doubt(s, from, now);
     if (!wp_fleet_find(s->host->direct.fleet, id))
         return;
     wp_log(&s->host->log, WP_INFO, "endpoint_missing", "id", id, "kept",
@@ -97,7 +100,7 @@
     return box || service;
 }
 
-static void take_platform(WPSync *s, const WPKvItem *i)
+static void take_platform(WPSync *s, WPNewsFrom from, const WPKvItem *i)
 {
     WPNews n;
     s->host->platform->news(i, &n);
@@ -115,7 +118,7 @@
         take_endpoint(s, &n.listing);
         break;
     case WP_NEWS_GONE:
-        lose_endpoint(s, n.listing.id);
+        lose_endpoint(s, from, n.listing.id);
         break;
     case WP_NEWS_ORDER:
         take_order(s, &n.order);
@@ -127,13 +130,13 @@
     s->host->platform->news_end(&n);
 }
 
-void wp_news_take(WPSync *s, const char *key, const WPStr *value,
-                  uint64_t revision)
+void wp_news_take(WPSync *s, WPNewsFrom from, const char *key,
+                  const WPStr *value, uint64_t revision)
 {
     WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision,
                    !value };
     if (!wp_mirror_put(s->mirror, key, value, revision))
         return;
     if (!take_own(s, key, value))
-        take_platform(s, &i);
+        take_platform(s, from, &i);
 }
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -4,7 +4,9 @@
 #include "wp_sync_int.h"
 
 enum {
-    RETRY_MS = 400 /* after a call without an answer */
+    RETRY_MS = 400,  /* after a call without an answer */
+    AGAIN_MS = 1300  /* after a watch broke: the store's watches may stay deaf
+                        for a second around a break */
 };
 
 static void read_all(WPSync *s);
@@ -25,11 +27,13 @@
 {
     WPSync *s = arg;
     if (!item) {
+        s->again_us =
+            wp_clock_now(0).mono_us + (int64_t)AGAIN_MS * WP_US_PER_MS;
         read_all(s);
         return;
     }
     set_up(s, true);
-    wp_news_take(s, item->key.p, item->removed ? NULL : &item->value,
+    wp_news_take(s, WP_FROM_WATCH, item->key.p, item->removed ? NULL : &item->value,
                  item->mod_revision);
     wp_mirror_advance(s->mirror, item->mod_revision);
     wp_peers_announce(s->peers);
@@ -46,7 +50,8 @@
     for (guint i = 0; i < lacking->len; i++) {
         const WPMirrorItem *item = g_ptr_array_index(lacking, i);
         g_autofree char *key = g_strdup(item->key);
-        wp_news_take(s, key, NULL, MAX(r->revision, item->revision + 1));
+        wp_news_take(s, WP_FROM_READ, key, NULL,
+                     MAX(r->revision, item->revision + 1));
     }
 }
 
@@ -64,7 +69,7 @@
     }
     set_up(s, true);
     for (size_t i = 0; i < r->n_items; i++)
-        wp_news_take(s, r->items[i].key.p, &r->items[i].value,
+        wp_news_take(s, WP_FROM_READ, r->items[i].key.p, &r->items[i].value,
                      r->items[i].mod_revision);
     lose_missing(s, r);
     wp_mirror_advance(s->mirror, r->revision);
@@ -89,7 +94,8 @@
         const Wp__MirrorItem *item = d->items[i];
         WPStr value =
             wp_strn((const char *)item->value.data, item->value.len);
-        wp_news_take(s, item->key, item->removed ? NULL : &value,
+        wp_news_take(s, WP_FROM_PEER, item->key,
+                     item->removed ? NULL : &value,
                      item->revision);
     }
     wp_mirror_advance(s->mirror, d->complete);
@@ -149,6 +155,10 @@
 {
     if (s->retry_us && now.mono_us >= s->retry_us)
         read_all(s);
+    if (s->again_us && now.mono_us >= s->again_us) {
+        s->again_us = 0;
+        read_all(s);
+    }
     wp_record_tick(s, now);
     wp_peers_tick(s->peers, now);
     s->host->direct.boxes = wp_peers_known(s->peers);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -20,15 +20,23 @@
     bool complete;    /* the store or a peer has told everything once */
     int64_t retry_us; /* when to read again; 0: not waiting */
     int64_t away_us;  /* when the store was last without an answer */
+    int64_t again_us; /* when to read once more after a break; 0: not */
     bool writing;     /* a transaction is under way */
     int64_t write_after_us;
     GHashTable *turns; /* what to write -> int64_t, when this box does */
 };
 
-/* wp_news.c: takes one entry of the store (value NULL: removed), from
-   wherever it was learned; older ones than known change nothing. */
-void wp_news_take(WPSync *s, const char *key, const WPStr *value,
-                  uint64_t revision);
+/* How an entry was learned. */
+typedef enum WPNewsFrom {
+    WP_FROM_WATCH, /* the store told of the change as it happened */
+    WP_FROM_READ,  /* it stood so when everything was read */
+    WP_FROM_PEER
+} WPNewsFrom;
+
+/* wp_news.c: takes one entry of the store (value NULL: removed); older ones
+   than known change nothing. */
+void wp_news_take(WPSync *s, WPNewsFrom from, const char *key,
+                  const WPStr *value, uint64_t revision);
 
 /* wp_record.c: writes what this box has to tell. */
 void wp_record_tick(WPSync *s, WPTime now);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -440,8 +440,16 @@
         give_up(f, WP_NO_ENDPOINT, NO_ENDPOINT_MS, out);
 }
 
+/* A session binds from the end of its last request. */
+static void note_session(WPFlow *f, WPTime now)
+{
+    if (f->session && f->leg.replica && f->passing)
+        wp_direct_session_on(f->d, now, f->session, f->leg.replica->version);
+}
+
 void wp_flow_done(WPFlow *f, WPTime now)
 {
+    note_session(f, now);
     end_this(f, now, WP_SERVED_OK);
     wp_count(&f->d->counters, WP_C_ANSWERED);
     wp_histogram_add(&f->d->counters.whole, now.mono_us - f->start_us);
@@ -449,6 +457,7 @@
 
 void wp_flow_left(WPFlow *f, WPTime now)
 {
+    note_session(f, now);
     end_this(f, now, WP_SERVED_LEFT);
     wp_count(&f->d->counters, WP_C_CALLERS_GONE);
 }
