--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1496,9 +1496,16 @@
 static const uint32_t wp__direct_settings__retry_window_ms__default_value = 10000u;
 static const uint32_t wp__direct_settings__session_ms__default_value = 5000u;
 static const uint32_t wp__direct_settings__log_kb_per_s__default_value = 256u;
-static const uint32_t wp__direct_settings__confidence__default_value = 50u;
+static const double wp__direct_settings__confidence_even__default_value = 50;
+static const double wp__direct_settings__confidence_spread__default_value = 10;
+static const double wp__direct_settings__answer_value__default_value = 9;
+static const double wp__direct_settings__strain_from__default_value = 0.35;
+static const double wp__direct_settings__strain_weight__default_value = 15;
+static const double wp__direct_settings__weigh_zone__default_value = 0.35;
+static const double wp__direct_settings__weigh_prompt__default_value = 0.15;
+static const double wp__direct_settings__weigh_work__default_value = 1;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[21] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[28] =
 {
   {
     "id",
@@ -1717,14 +1724,14 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "confidence",
+    "confidence_even",
     19,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__DirectSettings, has_confidence),
-    offsetof(Wp__DirectSettings, confidence),
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_confidence_even),
+    offsetof(Wp__DirectSettings, confidence_even),
     NULL,
-    &wp__direct_settings__confidence__default_value,
+    &wp__direct_settings__confidence_even__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1752,10 +1759,96 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confidence_spread",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_confidence_spread),
+    offsetof(Wp__DirectSettings, confidence_spread),
+    NULL,
+    &wp__direct_settings__confidence_spread__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_value",
+    23,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_answer_value),
+    offsetof(Wp__DirectSettings, answer_value),
+    NULL,
+    &wp__direct_settings__answer_value__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strain_from",
+    24,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_strain_from),
+    offsetof(Wp__DirectSettings, strain_from),
+    NULL,
+    &wp__direct_settings__strain_from__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strain_weight",
+    25,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_strain_weight),
+    offsetof(Wp__DirectSettings, strain_weight),
+    NULL,
+    &wp__direct_settings__strain_weight__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_zone",
+    26,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_zone),
+    offsetof(Wp__DirectSettings, weigh_zone),
+    NULL,
+    &wp__direct_settings__weigh_zone__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_prompt",
+    27,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_prompt),
+    offsetof(Wp__DirectSettings, weigh_prompt),
+    NULL,
+    &wp__direct_settings__weigh_prompt__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_work",
+    28,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_work),
+    offsetof(Wp__DirectSettings, weigh_work),
+    NULL,
+    &wp__direct_settings__weigh_work__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
+  22,   /* field[22] = answer_value */
   8,   /* field[8] = charts */
-  18,   /* field[18] = confidence */
+  18,   /* field[18] = confidence_even */
+  21,   /* field[21] = confidence_spread */
   12,   /* field[12] = drain_s */
   3,   /* field[3] = http */
   0,   /* field[0] = id */
@@ -1774,12 +1867,17 @@
   20,   /* field[20] = seeds */
   16,   /* field[16] = session_ms */
   7,   /* field[7] = store */
+  23,   /* field[23] = strain_from */
+  24,   /* field[24] = strain_weight */
+  26,   /* field[26] = weigh_prompt */
+  27,   /* field[27] = weigh_work */
+  25,   /* field[25] = weigh_zone */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -1789,7 +1887,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  21,
+  28,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   1,  wp__direct_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -313,8 +313,34 @@
   uint32_t session_ms;
   protobuf_c_boolean has_log_kb_per_s;
   uint32_t log_kb_per_s;
-  protobuf_c_boolean has_confidence;
-  uint32_t confidence;
+  /*
+   * good half the time
+   */
+  protobuf_c_boolean has_confidence_even;
+  double confidence_even;
+  /*
+   * its deviation
+   */
+  protobuf_c_boolean has_confidence_spread;
+  double confidence_spread;
+  /*
+   * of 1,000 tokens
+   */
+  protobuf_c_boolean has_answer_value;
+  double answer_value;
+  /*
+   * share of places taken
+   */
+  protobuf_c_boolean has_strain_from;
+  double strain_from;
+  protobuf_c_boolean has_strain_weight;
+  double strain_weight;
+  protobuf_c_boolean has_weigh_zone;
+  double weigh_zone;
+  protobuf_c_boolean has_weigh_prompt;
+  double weigh_prompt;
+  protobuf_c_boolean has_weigh_work;
+  double weigh_work;
   protobuf_c_boolean has_memory_mb;
   uint32_t memory_mb;
   /*
@@ -328,7 +354,7 @@
 extern char wp__direct_settings__log_format__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50u, 0, 0u, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50, 0, 10, 0, 9, 0, 0.35, 0, 15, 0, 0.35, 0, 0.15, 0, 1, 0, 0u, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -71,7 +71,11 @@
                             .retries = { s->retry_ratio, s->retry_slack,
                                          s->retry_window_ms },
                             .session_ms = s->session_ms,
-                            .confidence = s->confidence };
+                            .cascade = { s->confidence_even,
+                                         s->confidence_spread, s->answer_value,
+                                         s->strain_from, s->strain_weight },
+                            .fleet = { s->weigh_zone, s->weigh_prompt,
+                                       s->weigh_work } };
 }
 
 /* Takes the rules that may change while running; addresses stay. */
@@ -89,6 +93,7 @@
     h->settings = s;
     h->log.box = s->id;
     h->direct.rules = rules_of(s);
+    wp_fleet_rules(h->direct.fleet, &h->direct.rules.fleet);
     wp_log(&h->log, WP_INFO, "reloaded", NULL);
 }
 
--- /dev/null
+++ b/src/wp_cascade.h
@@ -0,0 +1,32 @@
+/* Whether a better answer is worth its price: a request goes to the smallest
+ * model first, and to the largest when what that gains is more than what it
+ * costs. Nothing here depends on a kind of request by name. */
+#ifndef WP_CASCADE_H
+#define WP_CASCADE_H
+
+#include "wp_base.h"
+
+typedef struct WPCascadeRules {
+    double even;   /* the confidence, 0 to 100, at which an answer is good half
+                      the time */
+    double spread; /* standard deviation of the confidence about that */
+    double value;  /* of a good answer of 1,000 tokens, in the unit of the
+                      models' costs */
+    double strain_from;   /* share of places taken above which work is dear */
+    double strain_weight; /* how much dearer for each whole share beyond */
+} WPCascadeRules;
+
+typedef struct WPCascadeCase {
+    int confidence; /* of the answer in hand, 0 to 100 */
+    uint32_t prompt_tokens, answer_tokens;
+    double cost;     /* of 1,000 tokens of the larger model */
+    double pressure; /* share of the endpoints' places taken */
+} WPCascadeCase;
+
+/* The chance that an answer of this confidence is good. */
+double wp_cascade_good(const WPCascadeRules *r, int confidence);
+
+/* What asking the larger model gains, less its price; above 0: ask it. */
+double wp_cascade_gain(const WPCascadeRules *r, const WPCascadeCase *c);
+
+#endif
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -14,6 +14,7 @@
     d->rules = *rules;
     d->boxes = 1;
     d->fleet = wp_fleet_new(seed);
+    wp_fleet_rules(d->fleet, &rules->fleet);
     d->shifts = wp_shifts_new(chart);
     d->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -6,6 +6,7 @@
 #define WP_DIRECT_H
 
 #include "wp_budget.h"
+#include "wp_cascade.h"
 #include "wp_code.h"
 #include "wp_counters.h"
 #include "wp_fleet.h"
@@ -16,7 +17,8 @@
     const char *zone;
     WPBudgetRules retries;
     uint32_t session_ms; /* requests of a session follow within this */
-    uint32_t confidence; /* below it, 0 to 100, a larger model is asked */
+    WPCascadeRules cascade;
+    WPFleetRules fleet;
 } WPDirectRules;
 
 typedef struct WPDirect {
@@ -52,7 +54,8 @@
     WPStr session; /* empty: on its own */
     WPStr model;   /* empty: none was named */
     uint64_t prompt; /* hash of the parts that other requests share; 0: none */
-    uint32_t prompt_tokens, answer_tokens;
+    uint32_t prompt_tokens;
+    uint32_t answer_tokens; /* as the caller guesses, or the most */
     uint32_t deadline_ms; /* how long the caller waits; 0: not told */
     bool resumes;         /* goes on after `after_event` */
     uint64_t after_event;
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -6,8 +6,6 @@
 /* Weights of a replica's score, in places: 1 is a replica whose every place
    is taken. The lowest score wins. Measured on both example sites; see
    docs/PLATFORM.md. */
-#define OTHER_ZONE 0.35     /* bytes between zones are paid for */
-#define AFFINITY 0.15       /* it likely keeps the shared part of the prompt */
 #define FAILING 2.0         /* times its rate of failures */
 #define FAILING_ONCE 6.0    /* the same, for what may not be repeated */
 #define SLOW 0.25           /* times its slowness beyond its peers' */
@@ -34,6 +32,7 @@
     GHashTable *by_id;
     GHashTable *by_service; /* name -> GPtrArray of WPReplica */
     GRand *rand;
+    WPFleetRules rules;
 };
 
 void wp_fleet_release(WPReplica *s)
@@ -54,6 +53,11 @@
     return s;
 }
 
+void wp_fleet_rules(WPFleet *f, const WPFleetRules *rules)
+{
+    f->rules = *rules;
+}
+
 WPFleet *wp_fleet_new(uint32_t seed)
 {
     WPFleet *f = g_new0(WPFleet, 1);
@@ -204,21 +208,22 @@
     return MAX(told, (double)s->in_flight);
 }
 
-static double places_taken(const WPReplica *s, WPTime now)
+static double places_taken(const WPFleet *f, const WPReplica *s, WPTime now)
 {
     double slots = s->slots ? s->slots : 1;
-    return load_of(s, now) / slots + s->prompt_ahead / PROMPT_SCALE;
+    return load_of(s, now) / slots +
+           f->rules.work * s->prompt_ahead / PROMPT_SCALE;
 }
 
 static double score(WPFleet *f, WPTime now, const WPWant *w,
                     const WPReplica *s)
 {
-    double v = places_taken(s, now);
+    double v = places_taken(f, s, now);
     v += (w->once ? FAILING_ONCE : FAILING) * fail_rate(s, now);
     v += SLOW * (s->slowness - 1);
     v += JITTER * g_rand_double(f->rand);
     if (strcmp(s->zone, w->zone))
-        v += OTHER_ZONE;
+        v += f->rules.zone;
     if (s->avoid_until_us > now.mono_us)
         v += AVOIDED;
     if (s->cold_until_us > now.mono_us)
@@ -280,7 +285,7 @@
         WPReplica *s = g_ptr_array_index(list, i);
         if (!may_take(w, s))
             continue;
-        double v = score(f, now, w, s) - (s == home ? AFFINITY : 0);
+        double v = score(f, now, w, s) - (s == home ? f->rules.prompt : 0);
         if (!best || v < best_score) {
             best = s;
             best_score = v;
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -67,10 +67,19 @@
     bool once; /* may not be repeated: doubtful endpoints cost more */
 } WPWant;
 
+/* Weights of a choice, in places: 1 is a replica whose every place is
+   taken. */
+typedef struct WPFleetRules {
+    double zone;   /* against another zone: bytes between zones are paid for */
+    double prompt; /* for the replica that likely keeps the shared prompt */
+    double work;   /* of prompts that wait to be read */
+} WPFleetRules;
+
 typedef struct WPFleet WPFleet;
 
 WPFleet *wp_fleet_new(uint32_t seed);
 void wp_fleet_free(WPFleet *f);
+void wp_fleet_rules(WPFleet *f, const WPFleetRules *rules);
 
 /* Takes one listing; returns true when it changes what is known. */
 bool wp_fleet_put(WPFleet *f, WPTime now, const WPListing *l);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -330,7 +330,16 @@
     const GPtrArray *models = f->route->models;
     if (a->confidence < 0 || f->step + 1 >= models->len || f->passing)
         return false;
-    if ((uint32_t)a->confidence >= f->d->rules.confidence)
+    WPWant w = want_of(f);
+    const char *largest = g_ptr_array_index(models, models->len - 1);
+    const WPCascadeCase c = {
+        .confidence = a->confidence,
+        .prompt_tokens = f->prompt_tokens,
+        .answer_tokens = f->answer_tokens,
+        .cost = wp_service_cost(f->service, largest),
+        .pressure = wp_fleet_pressure(f->d->fleet, now, &w)
+    };
+    if (wp_cascade_gain(&f->d->rules.cascade, &c) <= 0)
         return false;
     double took = (double)(now.mono_us - f->leg.sent_us);
     return left_ms(f, now) * WP_US_PER_MS > BETTER_TIMES * took;
