--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1499,13 +1499,14 @@
 static const double wp__direct_settings__confidence_even__default_value = 50;
 static const double wp__direct_settings__confidence_spread__default_value = 10;
 static const double wp__direct_settings__answer_value__default_value = 9;
+static const double wp__direct_settings__request_value__default_value = 0.6;
 static const double wp__direct_settings__strain_from__default_value = 0.35;
 static const double wp__direct_settings__strain_weight__default_value = 15;
 static const double wp__direct_settings__weigh_zone__default_value = 0.35;
 static const double wp__direct_settings__weigh_prompt__default_value = 0.15;
 static const double wp__direct_settings__weigh_work__default_value = 1;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[28] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[29] =
 {
   {
     "id",
@@ -1843,6 +1844,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request_value",
+    29,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_request_value),
+    offsetof(Wp__DirectSettings, request_value),
+    NULL,
+    &wp__direct_settings__request_value__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
@@ -1860,6 +1873,7 @@
   6,   /* field[6] = metrics_port */
   5,   /* field[5] = peers */
   4,   /* field[4] = ready */
+  28,   /* field[28] = request_value */
   13,   /* field[13] = retry_ratio */
   14,   /* field[14] = retry_slack */
   15,   /* field[15] = retry_window_ms */
@@ -1877,7 +1891,7 @@
 static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -1887,7 +1901,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  28,
+  29,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   1,  wp__direct_settings__number_ranges,
--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -20,7 +20,7 @@
 
 double wp_cascade_gain(const WPCascadeRules *r, const WPCascadeCase *c)
 {
-    double worth = r->value * c->answer_tokens / PRICED_TOKENS;
+    double worth = r->base + r->value * c->answer_tokens / PRICED_TOKENS;
     double gain = (1 - wp_cascade_good(r, c->confidence)) * (1 - POOR) * worth;
     double tokens = c->answer_tokens + PROMPT_PRICE * c->prompt_tokens;
     double strain = MAX(0, c->pressure - r->strain_from) * r->strain_weight;
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -12,6 +12,7 @@
     double spread; /* standard deviation of the confidence about that */
     double value;  /* of a good answer of 1,000 tokens, in the unit of the
                       models' costs */
+    double base;   /* of a good answer of any length, besides */
     double strain_from;   /* share of places taken above which work is dear */
     double strain_weight; /* how much dearer for each whole share beyond */
 } WPCascadeRules;
