--- a/io/wp_back.c
+++ b/io/wp_back.c
@@ -19,8 +19,8 @@
     char *from;
     WPBackRules rules;
     const WPBackOps *ops;
-    WPList channels;   /* all */
-    GHashTable *idle;  /* replica -> GQueue of WPChannel, newest first */
+    WPList channels;  /* all */
+    GHashTable *idle; /* replica -> GQueue of WPChannel, newest first */
     uint64_t opened;
 };
 
@@ -31,8 +31,8 @@
     struct bufferevent *bev;
     WPH1 h1;
     struct event *connect_timer;
-    void *arg; /* of the request under way; NULL: idle */
-    size_t queued;        /* bytes of the request */
+    void *arg;     /* of the request under way; NULL: idle */
+    size_t queued; /* bytes of the request */
     int64_t idle_since_us;
     int64_t idle_us; /* how long it may rest */
     bool connected, no_body;
@@ -239,8 +239,7 @@
     struct bufferevent *bev =
         wp_net_connect(b->base, b->from, to->addr, SILENT_MS);
     struct timeval limit = { b->rules.connect_ms / WP_MS_PER_S,
-                             b->rules.connect_ms % WP_MS_PER_S *
-                                 WP_US_PER_MS };
+                             b->rules.connect_ms % WP_MS_PER_S * WP_US_PER_MS };
     if (!bev)
         return NULL;
     WPChannel *c = g_new0(WPChannel, 1);
@@ -262,8 +261,8 @@
     int64_t idle_us = now.mono_us - c->idle_since_us;
     int64_t most_us = c->idle_us;
     if (once)
-        most_us = MIN(most_us,
-                      (int64_t)c->back->rules.idle_once_ms * WP_US_PER_MS);
+        most_us =
+            MIN(most_us, (int64_t)c->back->rules.idle_once_ms * WP_US_PER_MS);
     return idle_us >= most_us;
 }
 
@@ -339,8 +338,8 @@
     b->from = g_strdup(from);
     b->rules = *rules;
     b->ops = ops;
-    b->idle = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
-                                    free_queue);
+    b->idle =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_queue);
     wp_list_init(&b->channels);
     return b;
 }
--- a/io/wp_back.h
+++ b/io/wp_back.h
@@ -25,9 +25,9 @@
 } WPBackOps;
 
 typedef struct WPBackRules {
-    uint32_t connect_ms;    /* then the endpoint counts as silent */
-    uint32_t idle_ms;       /* kept at most so long, if it told no other */
-    uint32_t idle_once_ms;  /* the same, for what may not be repeated */
+    uint32_t connect_ms;   /* then the endpoint counts as silent */
+    uint32_t idle_ms;      /* kept at most so long, if it told no other */
+    uint32_t idle_once_ms; /* the same, for what may not be repeated */
 } WPBackRules;
 
 WPBack *wp_back_new(struct event_base *base, const char *from,
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -43,8 +43,7 @@
     evhttp_set_gencb(http, page, h);
     if (wp_http_target(addr, &host, &port) && wp_http_listen(http, host, port))
         return http;
-    g_set_error(error, WP_ERROR, WP_ERROR_CONTACT, "cannot listen on %s",
-                addr);
+    g_set_error(error, WP_ERROR, WP_ERROR_CONTACT, "cannot listen on %s", addr);
     evhttp_free(http);
     return NULL;
 }
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -67,16 +67,14 @@
 
 static WPDirectRules rules_of(const Wp__DirectSettings *s)
 {
-    return (WPDirectRules){ .zone = s->zone,
-                            .retries = { s->retry_ratio, s->retry_slack,
-                                         s->retry_window_ms },
-                            .session_ms = s->session_ms,
-                            .cascade = { s->confidence_even,
-                                         s->confidence_spread, s->answer_value,
-                                         s->request_value, s->strain_from,
-                                         s->strain_weight },
-                            .fleet = { s->weigh_zone, s->weigh_prompt,
-                                       s->weigh_work } };
+    return (WPDirectRules){
+        .zone = s->zone,
+        .retries = { s->retry_ratio, s->retry_slack, s->retry_window_ms },
+        .session_ms = s->session_ms,
+        .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
+                     s->request_value, s->strain_from, s->strain_weight },
+        .fleet = { s->weigh_zone, s->weigh_prompt, s->weigh_work }
+    };
 }
 
 /* Takes the rules that may change while running; addresses stay. */
@@ -112,12 +110,10 @@
 
 static bool open_sides(WPDirectHost *h, GError **error)
 {
-    static const WPBackRules back_rules = { CONNECT_MS, IDLE_MS,
-                                            IDLE_ONCE_MS };
+    static const WPBackRules back_rules = { CONNECT_MS, IDLE_MS, IDLE_ONCE_MS };
     const Wp__DirectSettings *s = h->settings;
     const WPRouteLimits limits = { 16 << 10, 4 << 20, 5000, 30000 };
-    h->back =
-        wp_back_new(h->base, s->listen, &back_rules, &wp_relay_back_ops);
+    h->back = wp_back_new(h->base, s->listen, &back_rules, &wp_relay_back_ops);
     h->front = wp_front_new(h->base, s->http, &wp_relay_front_ops, h, error);
     if (!h->front || !wp_direct_open_admin(h, error))
         return false;
--- a/io/wp_front.c
+++ b/io/wp_front.c
@@ -265,9 +265,9 @@
     wp_list_append(&f->peers, &p->node);
     f->n_peers++;
     bufferevent_setcb(p->bev, on_read, on_write, on_event, p);
-    bufferevent_setwatermark(p->bev, EV_READ, 0,
-                             MAX((size_t)READ_MOST,
-                                 (size_t)f->limits.head_bytes * 2));
+    bufferevent_setwatermark(
+        p->bev, EV_READ, 0,
+        MAX((size_t)READ_MOST, (size_t)f->limits.head_bytes * 2));
     bufferevent_enable(p->bev, EV_READ | EV_WRITE);
     set_timer(p, f->limits.idle_ms);
 }
--- a/io/wp_h1.c
+++ b/io/wp_h1.c
@@ -75,15 +75,13 @@
         g_array_append_val(h->fields, f);
     }
     bool request = p->type == HTTP_REQUEST;
-    WPHead head = {
-        .method = wp_str(request ? http_method_str(p->method) : ""),
-        .target = text_at(h, 0, h->target_n),
-        .status = request ? 0 : p->status_code,
-        .fields = (const WPField *)h->fields->data,
-        .n_fields = h->fields->len,
-        .keep_alive = http_should_keep_alive(p),
-        .until_close = needs_close(p)
-    };
+    WPHead head = { .method = wp_str(request ? http_method_str(p->method) : ""),
+                    .target = text_at(h, 0, h->target_n),
+                    .status = request ? 0 : p->status_code,
+                    .fields = (const WPField *)h->fields->data,
+                    .n_fields = h->fields->len,
+                    .keep_alive = http_should_keep_alive(p),
+                    .until_close = needs_close(p) };
     return h->ops->head(h->arg, &head) ? 0 : 1;
 }
 
@@ -102,15 +100,14 @@
     return 0;
 }
 
-static const http_parser_settings settings = {
-    .on_message_begin = on_begin,
-    .on_url = on_url,
-    .on_header_field = on_name,
-    .on_header_value = on_value,
-    .on_headers_complete = on_head,
-    .on_body = on_body,
-    .on_message_complete = on_whole
-};
+static const http_parser_settings settings = { .on_message_begin = on_begin,
+                                               .on_url = on_url,
+                                               .on_header_field = on_name,
+                                               .on_header_value = on_value,
+                                               .on_headers_complete = on_head,
+                                               .on_body = on_body,
+                                               .on_message_complete =
+                                                   on_whole };
 
 void wp_h1_init(WPH1 *h, bool requests, const WPH1Ops *ops, void *arg)
 {
@@ -211,8 +208,8 @@
 bool wp_field_is_hop(const WPHead *h, const WPField *f)
 {
     static const char *const names[] = {
-        "Connection", "Keep-Alive",        "Transfer-Encoding",
-        "Upgrade",    "Proxy-Connection",  "Proxy-Authorization",
+        "Connection", "Keep-Alive",         "Transfer-Encoding",
+        "Upgrade",    "Proxy-Connection",   "Proxy-Authorization",
         "TE",         "Proxy-Authenticate", "Trailer",
         "Expect",     "Content-Length"
     };
--- a/io/wp_log.c
+++ b/io/wp_log.c
@@ -53,8 +53,8 @@
         return;
     int64_t now_us = wp_clock_now(0).mono_us;
     double most = (double)l->bytes_per_s * BURST_S;
-    l->allowance += (double)l->bytes_per_s *
-                    (double)(now_us - l->refilled_us) / WP_US_PER_S;
+    l->allowance += (double)l->bytes_per_s * (double)(now_us - l->refilled_us) /
+                    WP_US_PER_S;
     l->allowance = MIN(l->allowance, most);
     l->refilled_us = now_us;
     if (l->dropped > l->dropped_told && l->pending->len < PENDING_MOST / 2) {
@@ -100,8 +100,8 @@
     const char *key;
     g_string_append(out, "time=");
     add_stamp(out);
-    g_string_append_printf(out, " level=%s box=%s event=%s",
-                           level_names[level], l->box, event);
+    g_string_append_printf(out, " level=%s box=%s event=%s", level_names[level],
+                           l->box, event);
     while ((key = va_arg(ap, const char *)))
         add_pair(out, key, va_arg(ap, const char *));
 }
--- a/io/wp_log.h
+++ b/io/wp_log.h
@@ -13,7 +13,7 @@
     WPLevel least;
     bool json;
     int fd;
-    GString *pending; /* NULL: each line is written at once */
+    GString *pending;     /* NULL: each line is written at once */
     uint32_t bytes_per_s; /* of lines about requests; 0: no bound */
     double allowance;     /* bytes that may still be written */
     int64_t refilled_us;
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -65,8 +65,8 @@
     wp_shifts_outcome(shifts, n->order.service, n->order.version, n->state);
     if (sh && sh->state != had)
         wp_log(&s->host->log, WP_INFO, "move_ended", "service", sh->service,
-               "version", sh->version, "state",
-               wp_shift_state_name(sh->state), NULL);
+               "version", sh->version, "state", wp_shift_state_name(sh->state),
+               NULL);
 }
 
 /* This system's own record of when a move began. */
@@ -133,8 +133,7 @@
 void wp_news_take(WPSync *s, WPNewsFrom from, const char *key,
                   const WPStr *value, uint64_t revision)
 {
-    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision,
-                   !value };
+    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision, !value };
     if (!wp_mirror_put(s->mirror, key, value, revision))
         return;
     if (!take_own(s, key, value))
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -34,10 +34,10 @@
     GPtrArray *seeds;    /* addresses */
     unsigned n_seeds;
     int64_t digest_us;
-    uint64_t told;       /* revision of the last digest */
-    bool dirty;          /* a digest is due now */
-    uint64_t behind;     /* the highest revision heard of */
-    int64_t behind_us;   /* since when it is not known here */
+    uint64_t told;     /* revision of the last digest */
+    bool dirty;        /* a digest is due now */
+    uint64_t behind;   /* the highest revision heard of */
+    int64_t behind_us; /* since when it is not known here */
     int64_t pulled_us;
     uint64_t behind_link;
     unsigned linked;
@@ -252,7 +252,8 @@
         return;
     }
     while (self < list->len &&
-           strcmp(((Member *)g_ptr_array_index(list, self))->id, p->self.id) < 0)
+           strcmp(((Member *)g_ptr_array_index(list, self))->id, p->self.id) <
+               0)
         self++;
     for (guint step = 1, i = 0; i < LINKS_MOST && step <= list->len;
          i++, step *= 2)
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -45,9 +45,9 @@
     g_autofree char *key = s->host->platform->outcome_key(sh->service);
     g_autofree char *own = g_strconcat(WP_KEY_MOVE, sh->service, NULL);
     g_autofree char *text = s->host->platform->outcome_text(sh, state);
-    g_autofree char *began = g_strdup_printf(
-        "%lu %ld", (unsigned long)sh->revision,
-        (long)(sh->began_ms ? sh->began_ms : now.wall_ms));
+    g_autofree char *began =
+        g_strdup_printf("%lu %ld", (unsigned long)sh->revision,
+                        (long)(sh->began_ms ? sh->began_ms : now.wall_ms));
     const WPKvOp ops[] = { { key, wp_str(text), false },
                            { own, wp_str(began), false } };
     wp_count(&s->host->direct.counters, WP_C_ROLLOUT_STEPS);
@@ -62,9 +62,8 @@
 static bool is_turn(WPSync *s, const WPShift *sh, WPShiftState state,
                     WPTime now)
 {
-    g_autofree char *what =
-        g_strdup_printf("%s %lu %d", sh->service,
-                        (unsigned long)sh->revision, (int)state);
+    g_autofree char *what = g_strdup_printf(
+        "%s %lu %d", sh->service, (unsigned long)sh->revision, (int)state);
     int64_t *due = g_hash_table_lookup(s->turns, what);
     if (!due) {
         double wait_ms = SPREAD_MS * g_rand_double(s->host->direct.rand);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -19,10 +19,10 @@
     WPChannel *channel; /* of the leg under way */
     struct event *expire, *patience;
     WPStream stream;
-    GByteArray *piece;    /* of events, on their way */
-    bool begun;           /* the caller has the head of a stream */
-    bool answer_streams;  /* the leg's answer is a stream */
-    bool streaming;       /* and is passed on as it comes */
+    GByteArray *piece;     /* of events, on their way */
+    bool begun;            /* the caller has the head of a stream */
+    bool answer_streams;   /* the leg's answer is a stream */
+    bool streaming;        /* and is passed on as it comes */
     WPDirectAnswer answer; /* the leg's, decoded */
     GString *fields;       /* that reach the caller */
     GByteArray *body;
@@ -75,8 +75,8 @@
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
            "status", code, "ms", ms, "route", f->route ? f->route->name : "-",
            "service", f->service ? f->service->name : "-", "workspace",
-           f->workspace ? f->workspace : "-", "routes_version", version,
-           "legs", r->legs->str, NULL);
+           f->workspace ? f->workspace : "-", "routes_version", version, "legs",
+           r->legs->str, NULL);
 }
 
 /* One line's part for each leg: why, where, how loaded that was believed to
@@ -159,15 +159,15 @@
 {
     const WPHead *h = &r->peer->head;
     const GByteArray *body = r->peer->body;
-    WPLegText leg = {
-        .replica = m->replica->id,
-        .workspace = r->flow->workspace,
-        .model = m->model,
-        .budget_ms = r->flow->deadline_us < INT64_MAX / 2 ? m->budget_ms : 0,
-        .priority = r->flow->priority,
-        .resumes = r->stream.has_last,
-        .after_event = r->stream.last
-    };
+    WPLegText leg = { .replica = m->replica->id,
+                      .workspace = r->flow->workspace,
+                      .model = m->model,
+                      .budget_ms = r->flow->deadline_us < INT64_MAX / 2
+                                       ? m->budget_ms
+                                       : 0,
+                      .priority = r->flow->priority,
+                      .resumes = r->stream.has_last,
+                      .after_event = r->stream.last };
     evbuffer_add(out, h->method.p, h->method.n);
     evbuffer_add(out, " ", 1);
     evbuffer_add(out, h->target.p, h->target.n);
@@ -337,8 +337,9 @@
 {
     Relay *r = arg;
     WPMove m;
-    WPLoss how = !sent ? WP_LOSS_UNSENT : began ? WP_LOSS_BROKEN
-                                                : WP_LOSS_SILENT;
+    WPLoss how = !sent   ? WP_LOSS_UNSENT
+                 : began ? WP_LOSS_BROKEN
+                         : WP_LOSS_SILENT;
     r->channel = NULL;
     note_result(r, !sent ? "unreachable" : began ? "broken" : "lost");
     wp_flow_lost(r->flow, wp_clock_now(0), how, &m);
@@ -462,8 +463,8 @@
     WPCounters *c = &h->direct.counters;
     c->codes[code]++;
     wp_count(c, WP_C_BAD_INPUT);
-    wp_log(&h->log, WP_INFO, "refused", "code", wp_code_info(code)->code,
-           "why", detail, NULL);
+    wp_log(&h->log, WP_INFO, "refused", "code", wp_code_info(code)->code, "why",
+           detail, NULL);
 }
 
 const WPFrontOps wp_relay_front_ops = { on_request, on_left, on_drained,
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -4,9 +4,9 @@
 #include "wp_sync_int.h"
 
 enum {
-    RETRY_MS = 400,  /* after a call without an answer */
-    AGAIN_MS = 1300  /* after a watch broke: the store's watches may stay deaf
-                        for a second around a break */
+    RETRY_MS = 400, /* after a call without an answer */
+    AGAIN_MS = 1300 /* after a watch broke: the store's watches may stay deaf
+                       for a second around a break */
 };
 
 static void read_all(WPSync *s);
@@ -33,8 +33,8 @@
         return;
     }
     set_up(s, true);
-    wp_news_take(s, WP_FROM_WATCH, item->key.p, item->removed ? NULL : &item->value,
-                 item->mod_revision);
+    wp_news_take(s, WP_FROM_WATCH, item->key.p,
+                 item->removed ? NULL : &item->value, item->mod_revision);
     wp_mirror_advance(s->mirror, item->mod_revision);
     wp_peers_announce(s->peers);
 }
@@ -92,10 +92,8 @@
     WPSync *s = arg;
     for (size_t i = 0; i < d->n_items; i++) {
         const Wp__MirrorItem *item = d->items[i];
-        WPStr value =
-            wp_strn((const char *)item->value.data, item->value.len);
-        wp_news_take(s, WP_FROM_PEER, item->key,
-                     item->removed ? NULL : &value,
+        WPStr value = wp_strn((const char *)item->value.data, item->value.len);
+        wp_news_take(s, WP_FROM_PEER, item->key, item->removed ? NULL : &value,
                      item->revision);
     }
     wp_mirror_advance(s->mirror, d->complete);
@@ -180,8 +178,8 @@
     s->host = h;
     s->mirror = wp_mirror_new();
     s->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    s->peers = wp_peers_new(h->base, h->settings, s->mirror, &peers_ops, s,
-                            error);
+    s->peers =
+        wp_peers_new(h->base, h->settings, s->mirror, &peers_ops, s, error);
     s->kv = s->peers ? h->platform->store(h->base, h->settings->store) : NULL;
     if (s->kv) {
         read_all(s);
--- a/src/wp_budget.h
+++ b/src/wp_budget.h
@@ -9,8 +9,8 @@
 enum { WP_BUDGET_SLICES = 20 }; /* a window is this many slices */
 
 typedef struct WPBudgetRules {
-    double ratio;    /* repeats for each request of a window */
-    double slack;    /* repeats a window on top, for all boxes together */
+    double ratio; /* repeats for each request of a window */
+    double slack; /* repeats a window on top, for all boxes together */
     uint32_t window_ms;
 } WPBudgetRules;
 
--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -10,7 +10,28 @@
 /* What an answer that is not good is still worth, as a part. */
 #define POOR 0.05
 
+/* The same of an answer that comes late. */
+#define LATE 0.3
+
 #define PRICED_TOKENS 1000.0
+#define QUALITY_WEIGHT 0.02 /* of the newest answer */
+
+static double worth_of(const WPCascadeRules *r, uint32_t answer_tokens)
+{
+    return r->base + r->value * answer_tokens / PRICED_TOKENS;
+}
+
+static double price_of(double cost, uint32_t prompt, uint32_t answer)
+{
+    return cost * (answer + PROMPT_PRICE * prompt) / PRICED_TOKENS;
+}
+
+void wp_quality_note(WPQualitySeen *q, double good)
+{
+    double weight = MAX(QUALITY_WEIGHT, 1.0 / (q->seen + 1));
+    q->good += weight * (good - q->good);
+    q->seen++;
+}
 
 double wp_cascade_good(const WPCascadeRules *r, int confidence)
 {
@@ -20,9 +41,22 @@
 
 double wp_cascade_gain(const WPCascadeRules *r, const WPCascadeCase *c)
 {
-    double worth = r->base + r->value * c->answer_tokens / PRICED_TOKENS;
-    double gain = (1 - wp_cascade_good(r, c->confidence)) * (1 - POOR) * worth;
-    double tokens = c->answer_tokens + PROMPT_PRICE * c->prompt_tokens;
+    double worth = worth_of(r, c->answer_tokens);
+    double good = wp_cascade_good(r, c->confidence);
+    double keep = (good + (1 - good) * POOR) * worth;
+    double ask = (c->late ? LATE : 1) * worth;
     double strain = MAX(0, c->pressure - r->strain_from) * r->strain_weight;
-    return gain - c->cost * tokens / PRICED_TOKENS * (1 + strain);
+    double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens);
+    return ask - keep - price * (1 + strain);
+}
+
+bool wp_cascade_skips(const WPCascadeRules *r, const WPCascadeAhead *c)
+{
+    double worth = worth_of(r, c->answer_tokens);
+    double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens);
+    if (!c->late_both || c->late_one)
+        return false;
+    double by_steps =
+        (c->good + (1 - c->good) * LATE) * worth - (1 - c->good) * price;
+    return worth - price > by_steps;
 }
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -22,12 +22,33 @@
     uint32_t prompt_tokens, answer_tokens;
     double cost;     /* of 1,000 tokens of the larger model */
     double pressure; /* share of the endpoints' places taken */
+    bool late;       /* the larger model's answer would miss the aim */
 } WPCascadeCase;
 
+typedef struct WPCascadeAhead {
+    uint32_t prompt_tokens, answer_tokens;
+    double cost;    /* of 1,000 tokens of the largest model */
+    double good;    /* share of the smallest's answers that are good */
+    bool late_both; /* one after the other they would miss the aim */
+    bool late_one;  /* the largest alone would */
+} WPCascadeAhead;
+
+/* How often the smallest model's answers were good, as far as their
+   confidence tells. */
+typedef struct WPQualitySeen {
+    double good; /* moving average */
+    uint32_t seen;
+} WPQualitySeen;
+
+void wp_quality_note(WPQualitySeen *q, double good);
+
 /* The chance that an answer of this confidence is good. */
 double wp_cascade_good(const WPCascadeRules *r, int confidence);
 
 /* What asking the larger model gains, less its price; above 0: ask it. */
 double wp_cascade_gain(const WPCascadeRules *r, const WPCascadeCase *c);
 
+/* Whether to ask the largest model at once. */
+bool wp_cascade_skips(const WPCascadeRules *r, const WPCascadeAhead *c);
+
 #endif
--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -45,7 +45,7 @@
     X(LINK_LOST, "outcome_unknown", 502, UNKNOWN,                              \
       "contact was lost after the request was handed over")                    \
     X(TIMED_OUT, "deadline_exceeded", 504, UNKNOWN, "the deadline has passed") \
-    X(CANCELLED, "cancelled", 499, UNKNOWN, "the caller has gone")                \
+    X(CANCELLED, "cancelled", 499, UNKNOWN, "the caller has gone")             \
     X(HEAD_TOO_LARGE, "head_too_large", 431, NOT_RUN,                          \
       "the head of the request is too large")                                  \
     X(HEAD_SLOW, "head_too_slow", 408, NOT_RUN,                                \
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -4,7 +4,11 @@
 /* How often what is over is swept out. */
 #define SWEEP_US (1000 * WP_US_PER_MS)
 
-/* Sessions are kept this many times as long as they bind. */
+/* A session binds this much longer than it must, as the platform's clock of
+   it is not this box's. */
+#define SESSION_MARGIN 1.3
+
+/* Sessions are kept this many times as long. */
 #define SESSION_KEPT 2
 
 void wp_direct_init(WPDirect *d, const WPDirectRules *rules,
@@ -16,12 +20,11 @@
     d->fleet = wp_fleet_new(seed);
     wp_fleet_rules(d->fleet, &rules->fleet);
     d->shifts = wp_shifts_new(chart);
-    d->budgets =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->sessions =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    d->speeds =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->quality = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->rand = g_rand_new_with_seed(seed);
 }
 
@@ -33,6 +36,7 @@
     g_hash_table_unref(d->budgets);
     g_hash_table_unref(d->sessions);
     g_hash_table_unref(d->speeds);
+    g_hash_table_unref(d->quality);
     g_rand_free(d->rand);
 }
 
@@ -95,10 +99,21 @@
     return v;
 }
 
+WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route)
+{
+    WPQualitySeen *q = g_hash_table_lookup(d->quality, route);
+    if (!q) {
+        q = g_new0(WPQualitySeen, 1);
+        g_hash_table_insert(d->quality, g_strdup(route), q);
+    }
+    return q;
+}
+
 const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session)
 {
     const WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
-    int64_t bound_us = (int64_t)d->rules.session_ms * WP_US_PER_MS;
+    int64_t bound_us =
+        (int64_t)(d->rules.session_ms * SESSION_MARGIN) * WP_US_PER_MS;
     if (!seen || now.mono_us - seen->used_us > bound_us)
         return NULL;
     return seen->version;
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -31,6 +31,7 @@
     GHashTable *budgets;  /* service -> WPBudget */
     GHashTable *sessions; /* hash -> which version served it, and when */
     GHashTable *speeds;   /* route and model -> how long answers take */
+    GHashTable *quality;  /* route -> how good the smallest model's are */
     int64_t swept_us;
     GRand *rand;
 } WPDirect;
@@ -50,14 +51,14 @@
 typedef struct WPDirectAsk {
     WPStr id;
     WPStr host, path;
-    WPStr key;     /* empty: none was sent */
-    WPStr session; /* empty: on its own */
-    WPStr model;   /* empty: none was named */
+    WPStr key;       /* empty: none was sent */
+    WPStr session;   /* empty: on its own */
+    WPStr model;     /* empty: none was named */
     uint64_t prompt; /* hash of the parts that other requests share; 0: none */
     uint32_t prompt_tokens;
     uint32_t answer_tokens; /* as the caller guesses, or the most */
-    uint32_t deadline_ms; /* how long the caller waits; 0: not told */
-    bool resumes;         /* goes on after `after_event` */
+    uint32_t deadline_ms;   /* how long the caller waits; 0: not told */
+    bool resumes;           /* goes on after `after_event` */
     uint64_t after_event;
 } WPDirectAsk;
 
@@ -79,21 +80,21 @@
 typedef struct WPMove {
     WPMoveKind kind;
     WPReplica *replica;
-    WPStr model;         /* to name to the endpoint; empty: as it came */
+    WPStr model; /* to name to the endpoint; empty: as it came */
     WPWhy why;
-    uint32_t budget_ms;  /* what is left of the caller's time */
+    uint32_t budget_ms;   /* what is left of the caller's time */
     uint32_t patience_ms; /* to the first byte, then go elsewhere; 0: none */
     WPCode code;
-    uint32_t retry_ms;   /* when to come back; 0: not told */
+    uint32_t retry_ms; /* when to come back; 0: not told */
 } WPMove;
 
 /* The head of an endpoint's answer, decoded. */
 typedef struct WPDirectAnswer {
     int status;
-    bool not_run;     /* the endpoint says that it did not run the request */
-    bool wrong;       /* another endpoint has this address */
-    bool genuine;     /* carries the endpoint's mark */
-    int confidence;   /* the model's own opinion, 0 to 100; -1: none */
+    bool not_run;   /* the endpoint says that it did not run the request */
+    bool wrong;     /* another endpoint has this address */
+    bool genuine;   /* carries the endpoint's mark */
+    int confidence; /* the model's own opinion, 0 to 100; -1: none */
     bool has_load;
     uint32_t running, waiting, slots;
 } WPDirectAnswer;
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -3,6 +3,7 @@
 #define WP_DIRECT_INT_H
 
 #include "wp_direct.h"
+#include "wp_speed.h"
 
 /* Which version served a session last. */
 typedef struct WPSessionSeen {
@@ -11,14 +12,9 @@
     int64_t used_us;
 } WPSessionSeen;
 
-/* How long first bytes take, for one route and model. */
-typedef struct WPSpeed {
-    double mean_us; /* moving average */
-    uint32_t seen;
-} WPSpeed;
-
 WPBudget *wp_direct_budget(WPDirect *d, const char *service);
 WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model);
+WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route);
 
 /* The version that served the session within the time it binds, or NULL. */
 const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session);
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -6,13 +6,14 @@
 /* Weights of a replica's score, in places: 1 is a replica whose every place
    is taken. The lowest score wins. Measured on both example sites; see
    docs/PLATFORM.md. */
-#define FAILING 2.0         /* times its rate of failures */
-#define FAILING_ONCE 6.0    /* the same, for what may not be repeated */
-#define SLOW 0.25           /* times its slowness beyond its peers' */
-#define AVOIDED 20.0        /* chosen only when nothing else is left */
-#define COLD 0.3            /* has just started */
-#define JITTER 0.02         /* so that boxes with one view do not herd */
-#define PROMPT_SCALE 60000  /* tokens to be read that weigh as one full replica */
+#define FAILING 2.0      /* times its rate of failures */
+#define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
+#define SLOW 0.25        /* times its slowness beyond its peers' */
+#define AVOIDED 20.0     /* chosen only when nothing else is left */
+#define COLD 0.3         /* has just started */
+#define JITTER 0.02      /* so that boxes with one view do not herd */
+#define PROMPT_SCALE                                                           \
+    60000 /* tokens to be read that weigh as one full replica */
 
 enum {
     LIST_GRACE_US = 2500 * WP_US_PER_MS, /* for entries that lapsed while the
@@ -23,8 +24,8 @@
     AVOID_FAILURES = 3 /* in a row until it is avoided */
 };
 
-#define FAIL_WEIGHT 0.12         /* of the newest outcome */
-#define FAIL_HALF_LIFE_US 3.0e6  /* old failures are forgotten */
+#define FAIL_WEIGHT 0.12        /* of the newest outcome */
+#define FAIL_HALF_LIFE_US 3.0e6 /* old failures are forgotten */
 #define SLOW_WEIGHT 0.15
 #define SLOWNESS_MOST 20.0
 
@@ -124,8 +125,7 @@
     /* What is leaving does not come back under the same id. */
     s->draining = s->draining || l->draining;
     s->missing_us = 0;
-    s->cold_until_us =
-        now.mono_us + (int64_t)l->cold_left_ms * WP_US_PER_MS;
+    s->cold_until_us = now.mono_us + (int64_t)l->cold_left_ms * WP_US_PER_MS;
     return changed;
 }
 
@@ -215,8 +215,7 @@
            f->rules.work * s->prompt_ahead / PROMPT_SCALE;
 }
 
-static double score(WPFleet *f, WPTime now, const WPWant *w,
-                    const WPReplica *s)
+static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s)
 {
     double v = places_taken(f, s, now);
     v += (w->once ? FAILING_ONCE : FAILING) * fail_rate(s, now);
@@ -362,8 +361,8 @@
     }
 }
 
-void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running,
-                   uint32_t waiting, uint32_t slots)
+void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
+                   uint32_t slots)
 {
     s->running = running;
     s->waiting = waiting;
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -20,8 +20,8 @@
     char *id, *service, *addr, *zone, *version;
     uint32_t slots;
     bool draining;
-    bool gone;         /* out of the list; kept while requests run on it */
-    bool unreachable;  /* another endpoint answers at its address */
+    bool gone;          /* out of the list; kept while requests run on it */
+    bool unreachable;   /* another endpoint answers at its address */
     int64_t missing_us; /* since when the list lacks it; 0: it does not */
     int64_t cold_until_us;
     int refs; /* requests that hold it, and the fleet itself */
@@ -36,8 +36,8 @@
     double prompt_ahead; /* prompt tokens sent whose first event is awaited */
     double fail_rate;    /* moving average over ended requests, 0 to 1 */
     int64_t fail_us;     /* when `fail_rate` was last brought up to date */
-    double slowness;     /* moving ratio of its time to the expected, 1: alike */
-    uint32_t failures;   /* in a row */
+    double slowness;   /* moving ratio of its time to the expected, 1: alike */
+    uint32_t failures; /* in a row */
     int64_t avoid_until_us;
 } WPReplica;
 
@@ -56,11 +56,11 @@
 
 typedef struct WPWant {
     const char *service;
-    const char *version;  /* only this one; NULL: as `allowed` says */
-    WPVersionFn allowed;  /* NULL: all */
+    const char *version; /* only this one; NULL: as `allowed` says */
+    WPVersionFn allowed; /* NULL: all */
     void *allowed_arg;
-    const char *zone;     /* of this box */
-    uint64_t affinity;    /* hash of the shared prompt parts; 0: none */
+    const char *zone;  /* of this box */
+    uint64_t affinity; /* hash of the shared prompt parts; 0: none */
     uint32_t prompt_tokens;
     WPReplica *const *tried; /* not these again */
     size_t n_tried;
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -1,156 +1,45 @@
 /* The course of one request to endpoints that are called directly. */
-#include "wp_direct_int.h"
+#include "wp_flow_int.h"
 
 enum {
-    REFUSALS_MOST = 4,     /* legs that did not run, before giving up */
-    NO_ENDPOINT_MS = 300,  /* when to come back; endpoints start in seconds */
-    STARTING_MS = 500,     /* the same, while no routes are known */
-    SPEED_SEEN = 20,       /* answers before a mean is relied on */
-    PATIENCE_LEAST_MS = 150,
-    PATIENCE_STREAM_LEAST_MS = 600
+    REFUSALS_MOST = 4,    /* legs that did not run, before giving up */
+    NO_ENDPOINT_MS = 300, /* when to come back; endpoints start in seconds */
+    STARTING_MS = 500     /* the same, while no routes are known */
 };
 
 /* An answer is slow beyond this many times the mean, plus the slack. */
 #define SLOW_TIMES 3.5
 #define SLOW_SLACK_US (150 * WP_US_PER_MS)
 
-/* A leg that may be repeated is waited for this many times the mean. */
-#define PATIENCE_TIMES 5.0
-
-/* Part of the newest in the moving mean. */
-#define SPEED_WEIGHT 0.05
-
-/* A better answer is asked for only if this many times the mean is left. */
-#define BETTER_TIMES 3.0
-
 static WPMove move_fail(WPCode code, uint32_t retry_ms)
 {
-    return (WPMove){ .kind = WP_MOVE_FAIL, .code = code,
-                     .retry_ms = retry_ms };
-}
-
-static bool may_repeat(const WPFlow *f)
-{
-    const WPRoute *r = f->route;
-    return r->repeat == WP_REPEAT_SAFE ||
-           (r->repeat == WP_REPEAT_STREAM && r->resumable);
-}
-
-static WPStr model_of(const WPFlow *f)
-{
-    if (f->route->models->len)
-        return wp_str(g_ptr_array_index(f->route->models, f->step));
-    return wp_str(f->model);
-}
-
-static WPShift *shift_of(const WPFlow *f)
-{
-    return wp_shifts_find(f->d->shifts, f->service->name);
-}
-
-static bool version_allowed(void *arg, const char *version)
-{
-    return wp_shift_allows(arg, version);
-}
-
-static bool other_allowed(void *arg, const char *version)
-{
-    const WPShift *sh = arg;
-    return wp_shift_allows(sh, version) && strcmp(version, sh->version);
-}
-
-static uint64_t affinity_of(const WPFlow *f)
-{
-    return f->prompt ? wp_hash(model_of(f), f->prompt) : 0;
-}
-
-static WPWant want_of(const WPFlow *f)
-{
-    return (WPWant){ .service = f->service->name,
-                     .allowed = version_allowed,
-                     .allowed_arg = shift_of(f),
-                     .zone = f->d->rules.zone,
-                     .affinity = affinity_of(f),
-                     .prompt_tokens = f->prompt_tokens,
-                     .tried = f->tried,
-                     .n_tried = f->n_tried,
-                     .once = !may_repeat(f) };
-}
-
-/* While a service moves between versions, the side for this request comes
-   first; the other is taken rather than none. */
-static WPReplica *choose(WPFlow *f, WPTime now)
-{
-    WPDirect *d = f->d;
-    WPShift *sh = shift_of(f);
-    WPWant w = want_of(f);
-    WPReplica *s = NULL;
-    if (sh && sh->state == WP_SHIFT_RUNNING) {
-        const char *last =
-            f->session ? wp_direct_session(d, now, f->session) : NULL;
-        if (wp_shift_takes(d->shifts, sh, now, f->unit, last))
-            w.version = sh->version;
-        else
-            w.allowed = other_allowed;
-        s = wp_fleet_choose(d->fleet, now, &w);
-        w.version = NULL;
-        w.allowed = version_allowed;
-    }
-    if (!s)
-        s = wp_fleet_choose(d->fleet, now, &w);
-    if (!s && f->n_tried && may_repeat(f)) {
-        /* All have been tried: better one of them again than none. */
-        w.n_tried = 0;
-        s = wp_fleet_choose(d->fleet, now, &w);
-    }
-    return s;
-}
-
-static int64_t left_ms(const WPFlow *f, WPTime now)
-{
-    return (f->deadline_us - now.mono_us) / WP_US_PER_MS;
-}
-
-static double mean_us(WPFlow *f)
-{
-    const WPSpeed *v = wp_direct_speed(f->d, f->route->name, model_of(f));
-    return v->seen >= SPEED_SEEN ? v->mean_us : 0;
-}
-
-/* How long the first byte is waited for before another endpoint is asked. */
-static uint32_t patience_of(WPFlow *f)
-{
-    double mean = mean_us(f);
-    uint32_t least = f->route->repeat == WP_REPEAT_STREAM
-                         ? PATIENCE_STREAM_LEAST_MS
-                         : PATIENCE_LEAST_MS;
-    if (!may_repeat(f) || f->hurried || f->ran + 1 >= f->route->max_attempts)
-        return 0;
-    if (mean <= 0)
-        return MAX(f->route->aim_ms, least);
-    return MAX((uint32_t)(PATIENCE_TIMES * mean / WP_US_PER_MS), least);
+    return (WPMove){ .kind = WP_MOVE_FAIL, .code = code, .retry_ms = retry_ms };
 }
 
 static void begin_leg(WPFlow *f, WPTime now, WPReplica *s, WPWhy why,
                       WPMove *out)
 {
-    WPShift *sh = shift_of(f);
+    WPShift *sh = wp_flow_shift(f);
     bool old = sh && strcmp(s->version, sh->version);
     f->leg = (WPAttempt){ s, now.mono_us, false, old };
     if (old)
         sh->old_running++;
+    /* From now on the session is on this version, also for requests that come
+       before this one is answered. */
+    if (f->session)
+        wp_direct_session_on(f->d, now, f->session, s->version);
     wp_fleet_sent(s, now, f->prompt_tokens);
     *out = (WPMove){ .kind = WP_MOVE_SEND,
                      .replica = s,
-                     .model = model_of(f),
+                     .model = wp_flow_model(f),
                      .why = why,
-                     .budget_ms = (uint32_t)MAX(left_ms(f, now), 1),
-                     .patience_ms = patience_of(f) };
+                     .budget_ms = (uint32_t)MAX(wp_flow_left_ms(f, now), 1),
+                     .patience_ms = wp_flow_patience(f) };
 }
 
 static void end_leg(WPFlow *f, WPTime now, const WPAttempt *leg, WPServed how)
 {
-    WPShift *sh = shift_of(f);
+    WPShift *sh = wp_flow_shift(f);
     if (leg->old_version && sh && sh->old_running)
         sh->old_running--;
     wp_fleet_ended(leg->replica, now, how);
@@ -176,9 +65,9 @@
     WPDirect *d = f->d;
     bool exhausted =
         f->ran >= f->route->max_attempts || f->refused >= REFUSALS_MOST;
-    if (exhausted || left_ms(f, now) <= 0)
+    if (exhausted || wp_flow_left_ms(f, now) <= 0)
         return false;
-    WPReplica *s = choose(f, now);
+    WPReplica *s = wp_flow_choose(f, now);
     if (!s)
         return false;
     WPRepeatFor needed =
@@ -194,8 +83,7 @@
     return true;
 }
 
-static WPCode check_caller(const WPDirect *d, WPFlow *f,
-                           const WPDirectAsk *ask)
+static WPCode check_caller(const WPDirect *d, WPFlow *f, const WPDirectAsk *ask)
 {
     const WPCaller *c;
     f->priority = f->route->priority;
@@ -260,9 +148,11 @@
         return f;
     }
     set_times(f, now, ask);
-    wp_budget_request(wp_direct_budget(d, f->service->name),
-                      &d->rules.retries, now);
-    WPReplica *s = choose(f, now);
+    wp_budget_request(wp_direct_budget(d, f->service->name), &d->rules.retries,
+                      now);
+    if (wp_flow_skips_ahead(f))
+        f->step = f->route->models->len - 1;
+    WPReplica *s = wp_flow_choose(f, now);
     if (s)
         begin_leg(f, now, s, WP_WHY_FIRST, out);
     else
@@ -273,31 +163,26 @@
 /* The first byte of the leg has come: what it tells of the endpoint. */
 static bool note_first(WPFlow *f, WPTime now)
 {
-    WPSpeed *v = wp_direct_speed(f->d, f->route->name, model_of(f));
+    WPSpeed *v = wp_direct_speed(f->d, f->route->name, wp_flow_model(f));
     int64_t took = now.mono_us - f->leg.sent_us;
-    double mean = v->seen >= SPEED_SEEN ? v->mean_us : 0;
-    bool slow =
-        mean > 0 && (double)took > SLOW_TIMES * mean + SLOW_SLACK_US;
-    WPShift *sh = shift_of(f);
+    double mean = wp_speed_expect(v, f->prompt_tokens);
+    bool slow = mean > 0 && (double)took > SLOW_TIMES * mean + SLOW_SLACK_US;
+    WPShift *sh = wp_flow_shift(f);
     bool is_new = sh && sh->state == WP_SHIFT_RUNNING && !f->leg.old_version;
     if (f->leg.heard)
         return false;
     f->leg.heard = true;
     wp_fleet_began(f->leg.replica, f->prompt_tokens, took, (int64_t)mean);
     /* A new version is measured against the old one, not against itself. */
-    if (!is_new || !mean) {
-        double weight = v->seen < SPEED_SEEN ? 1.0 / (v->seen + 1)
-                                             : SPEED_WEIGHT;
-        v->mean_us += weight * ((double)took - v->mean_us);
-        v->seen++;
-    }
+    if (!is_new || !mean)
+        wp_speed_add(v, f->prompt_tokens, took);
     return slow;
 }
 
 /* What an answer tells of the version that gave it. */
 static void note_version(WPFlow *f, bool failed, bool slow)
 {
-    WPShift *sh = shift_of(f);
+    WPShift *sh = wp_flow_shift(f);
     if (sh && sh->state == WP_SHIFT_RUNNING)
         wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
                           f->route->name, failed, slow);
@@ -325,30 +210,8 @@
         give_up(f, WP_NO_ENDPOINT, NO_ENDPOINT_MS, out);
 }
 
-static bool wants_better(const WPFlow *f, WPTime now, const WPDirectAnswer *a)
-{
-    const GPtrArray *models = f->route->models;
-    if (a->confidence < 0 || f->step + 1 >= models->len || f->passing)
-        return false;
-    WPWant w = want_of(f);
-    const char *largest = g_ptr_array_index(models, models->len - 1);
-    const WPCascadeCase c = {
-        .confidence = a->confidence,
-        .prompt_tokens = f->prompt_tokens,
-        .answer_tokens = f->answer_tokens,
-        .cost = wp_service_cost(f->service, largest),
-        .pressure = wp_fleet_pressure(f->d->fleet, now, &w)
-    };
-    if (wp_cascade_gain(&f->d->rules.cascade, &c) <= 0)
-        return false;
-    double took = (double)(now.mono_us - f->leg.sent_us);
-    return left_ms(f, now) * WP_US_PER_MS > BETTER_TIMES * took;
-}
-
-static void pass(WPFlow *f, WPTime now, WPMove *out)
+static void pass(WPFlow *f, WPMove *out)
 {
-    if (f->session)
-        wp_direct_session_on(f->d, now, f->session, f->leg.replica->version);
     f->passing = true;
     *out = (WPMove){ .kind = WP_MOVE_PASS };
 }
@@ -365,11 +228,10 @@
     }
     f->ran--;
     f->step = step;
-    pass(f, now, out);
+    pass(f, out);
 }
 
-void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
-                    WPMove *out)
+void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a, WPMove *out)
 {
     if (a->has_load)
         wp_fleet_load(f->leg.replica, now, a->running, a->waiting, a->slots);
@@ -387,7 +249,7 @@
     if (failed) {
         f->ran++;
         end_this(f, now, WP_SERVED_FAILED);
-        if (may_repeat(f) && again(f, now, WP_WHY_RETRY, out))
+        if (wp_flow_may_repeat(f) && again(f, now, WP_WHY_RETRY, out))
             return;
         /* A 503 without the mark of a refusal would promise too much. */
         if (f->passing || !a->genuine || a->status == 503)
@@ -398,10 +260,10 @@
     }
     if (f->passing) /* a stream that goes on elsewhere */
         *out = (WPMove){ .kind = WP_MOVE_PASS };
-    else if (wants_better(f, now, a))
+    else if (wp_flow_wants_better(f, now, a))
         try_better(f, now, out);
     else
-        pass(f, now, out);
+        pass(f, out);
 }
 
 void wp_flow_lost(WPFlow *f, WPTime now, WPLoss how, WPMove *out)
@@ -412,9 +274,9 @@
     }
     f->ran++;
     end_this(f, now,
-            how == WP_LOSS_SILENT ? WP_SERVED_SILENT : WP_SERVED_FAILED);
+             how == WP_LOSS_SILENT ? WP_SERVED_SILENT : WP_SERVED_FAILED);
     WPWhy why = f->passing ? WP_WHY_RESUME : WP_WHY_RETRY;
-    if (may_repeat(f) && again(f, now, why, out))
+    if (wp_flow_may_repeat(f) && again(f, now, why, out))
         return;
     give_up(f, how == WP_LOSS_SILENT ? WP_LINK_LOST : WP_ENDPOINT_FAILED, 0,
             out);
@@ -485,7 +347,6 @@
 
 const char *wp_why_name(WPWhy why)
 {
-    static const char *const names[] = { "first", "retry", "better",
-                                         "resume" };
+    static const char *const names[] = { "first", "retry", "better", "resume" };
     return names[why];
 }
--- /dev/null
+++ b/src/wp_flow_int.h
@@ -0,0 +1,35 @@
+/* What wp_flow.c and wp_flow_pick.c share. */
+#ifndef WP_FLOW_INT_H
+#define WP_FLOW_INT_H
+
+#include "wp_direct_int.h"
+
+/* Whether the request may be sent again after it may have run. */
+bool wp_flow_may_repeat(const WPFlow *f);
+
+/* The model to name to the endpoint. */
+WPStr wp_flow_model(const WPFlow *f);
+
+/* The move of the request's service between versions, or NULL. */
+WPShift *wp_flow_shift(const WPFlow *f);
+
+int64_t wp_flow_left_ms(const WPFlow *f, WPTime now);
+
+/* How long the first byte takes with a model; 0: not known. */
+double wp_flow_expect_us(WPFlow *f, WPStr model);
+
+/* How long the first byte is waited for before another endpoint is asked; 0:
+   no other is. */
+uint32_t wp_flow_patience(WPFlow *f);
+
+/* The endpoint for the next leg, held; NULL when there is none. */
+WPReplica *wp_flow_choose(WPFlow *f, WPTime now);
+
+/* Whether the answer in hand is to be dropped for the largest model's. */
+bool wp_flow_wants_better(WPFlow *f, WPTime now, const WPDirectAnswer *a);
+
+/* Whether to begin with the largest model: asking the smallest first would
+   make most answers that need the largest late. */
+bool wp_flow_skips_ahead(WPFlow *f);
+
+#endif
--- /dev/null
+++ b/src/wp_flow_pick.c
@@ -0,0 +1,166 @@
+/* Which endpoint and which model a request goes to. */
+#include "wp_flow_int.h"
+
+enum { PATIENCE_LEAST_MS = 150, PATIENCE_STREAM_LEAST_MS = 600 };
+
+/* A leg that may be repeated is waited for this many times the mean. */
+#define PATIENCE_TIMES 5.0
+
+/* A better answer is asked for only if this many times the mean is left. */
+#define BETTER_TIMES 3.0
+
+bool wp_flow_may_repeat(const WPFlow *f)
+{
+    const WPRoute *r = f->route;
+    return r->repeat == WP_REPEAT_SAFE ||
+           (r->repeat == WP_REPEAT_STREAM && r->resumable);
+}
+
+WPStr wp_flow_model(const WPFlow *f)
+{
+    if (f->route->models->len)
+        return wp_str(g_ptr_array_index(f->route->models, f->step));
+    return wp_str(f->model);
+}
+
+WPShift *wp_flow_shift(const WPFlow *f)
+{
+    return wp_shifts_find(f->d->shifts, f->service->name);
+}
+
+static bool version_allowed(void *arg, const char *version)
+{
+    return wp_shift_allows(arg, version);
+}
+
+static bool other_allowed(void *arg, const char *version)
+{
+    const WPShift *sh = arg;
+    return wp_shift_allows(sh, version) && strcmp(version, sh->version);
+}
+
+static uint64_t affinity_of(const WPFlow *f)
+{
+    return f->prompt ? wp_hash(wp_flow_model(f), f->prompt) : 0;
+}
+
+static WPWant want_of(const WPFlow *f)
+{
+    return (WPWant){ .service = f->service->name,
+                     .allowed = version_allowed,
+                     .allowed_arg = wp_flow_shift(f),
+                     .zone = f->d->rules.zone,
+                     .affinity = affinity_of(f),
+                     .prompt_tokens = f->prompt_tokens,
+                     .tried = f->tried,
+                     .n_tried = f->n_tried,
+                     .once = !wp_flow_may_repeat(f) };
+}
+
+/* While a service moves between versions, the side for this request comes
+   first; the other is taken rather than none. */
+WPReplica *wp_flow_choose(WPFlow *f, WPTime now)
+{
+    WPDirect *d = f->d;
+    WPShift *sh = wp_flow_shift(f);
+    WPWant w = want_of(f);
+    WPReplica *s = NULL;
+    if (sh && sh->state == WP_SHIFT_RUNNING) {
+        const char *last =
+            f->session ? wp_direct_session(d, now, f->session) : NULL;
+        if (wp_shift_takes(d->shifts, sh, now, f->unit, last))
+            w.version = sh->version;
+        else
+            w.allowed = other_allowed;
+        s = wp_fleet_choose(d->fleet, now, &w);
+        w.version = NULL;
+        w.allowed = version_allowed;
+    }
+    if (!s)
+        s = wp_fleet_choose(d->fleet, now, &w);
+    if (!s && f->n_tried && wp_flow_may_repeat(f)) {
+        /* All have been tried: better one of them again than none. */
+        w.n_tried = 0;
+        s = wp_fleet_choose(d->fleet, now, &w);
+    }
+    return s;
+}
+
+int64_t wp_flow_left_ms(const WPFlow *f, WPTime now)
+{
+    return (f->deadline_us - now.mono_us) / WP_US_PER_MS;
+}
+
+static WPStr model_at(const WPFlow *f, unsigned step)
+{
+    return wp_str(g_ptr_array_index(f->route->models, step));
+}
+
+double wp_flow_expect_us(WPFlow *f, WPStr model)
+{
+    return wp_speed_expect(wp_direct_speed(f->d, f->route->name, model),
+                           f->prompt_tokens);
+}
+
+uint32_t wp_flow_patience(WPFlow *f)
+{
+    double mean = wp_flow_expect_us(f, wp_flow_model(f));
+    uint32_t least = f->route->repeat == WP_REPEAT_STREAM
+                         ? PATIENCE_STREAM_LEAST_MS
+                         : PATIENCE_LEAST_MS;
+    if (!wp_flow_may_repeat(f) || f->hurried ||
+        f->ran + 1 >= f->route->max_attempts)
+        return 0;
+    if (mean <= 0)
+        return MAX(f->route->aim_ms, least);
+    return MAX((uint32_t)(PATIENCE_TIMES * mean / WP_US_PER_MS), least);
+}
+
+/* Whether a leg with this model would come after the aim. */
+static bool is_late(WPFlow *f, WPTime now, WPStr model)
+{
+    double aim_us = (double)f->route->aim_ms * WP_US_PER_MS;
+    double gone = (double)(now.mono_us - f->start_us);
+    return aim_us > 0 && gone + wp_flow_expect_us(f, model) > aim_us;
+}
+
+bool wp_flow_wants_better(WPFlow *f, WPTime now, const WPDirectAnswer *a)
+{
+    const GPtrArray *models = f->route->models;
+    if (a->confidence < 0 || f->step + 1 >= models->len || f->passing)
+        return false;
+    wp_quality_note(wp_direct_quality(f->d, f->route->name),
+                    wp_cascade_good(&f->d->rules.cascade, a->confidence));
+    WPWant w = want_of(f);
+    const char *largest = g_ptr_array_index(models, models->len - 1);
+    const WPCascadeCase c = { .confidence = a->confidence,
+                              .prompt_tokens = f->prompt_tokens,
+                              .answer_tokens = f->answer_tokens,
+                              .cost = wp_service_cost(f->service, largest),
+                              .pressure =
+                                  wp_fleet_pressure(f->d->fleet, now, &w),
+                              .late = is_late(f, now, wp_str(largest)) };
+    if (wp_cascade_gain(&f->d->rules.cascade, &c) <= 0)
+        return false;
+    double took = (double)(now.mono_us - f->leg.sent_us);
+    return wp_flow_left_ms(f, now) * WP_US_PER_MS > BETTER_TIMES * took;
+}
+
+bool wp_flow_skips_ahead(WPFlow *f)
+{
+    const GPtrArray *models = f->route->models;
+    double aim_us = (double)f->route->aim_ms * WP_US_PER_MS;
+    if (models->len < 2 || aim_us <= 0)
+        return false;
+    double small = wp_flow_expect_us(f, model_at(f, 0));
+    double large = wp_flow_expect_us(f, model_at(f, models->len - 1));
+    const WPCascadeAhead c = {
+        .prompt_tokens = f->prompt_tokens,
+        .answer_tokens = f->answer_tokens,
+        .cost = wp_service_cost(f->service, model_at(f, models->len - 1).p),
+        .good = wp_direct_quality(f->d, f->route->name)->good,
+        .late_both = small > 0 && large > 0 && small + large > aim_us,
+        .late_one = large > aim_us
+    };
+    return wp_cascade_skips(&f->d->rules.cascade, &c);
+}
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -18,8 +18,7 @@
 WPMirror *wp_mirror_new(void)
 {
     WPMirror *m = g_new0(WPMirror, 1);
-    m->items =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
+    m->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
     return m;
 }
 
--- a/src/wp_route.c
+++ b/src/wp_route.c
@@ -128,8 +128,7 @@
     return true;
 }
 
-WPCaller *wp_routes_add_caller(WPRoutes *t, const char *workspace,
-                               int priority)
+WPCaller *wp_routes_add_caller(WPRoutes *t, const char *workspace, int priority)
 {
     WPCaller *c = g_new0(WPCaller, 1);
     c->workspace = g_strdup(workspace);
@@ -176,8 +175,7 @@
                                     : NULL;
 }
 
-const WPService *wp_route_pick(const WPRoutes *t, const WPRoute *r,
-                               double unit)
+const WPService *wp_route_pick(const WPRoutes *t, const WPRoute *r, double unit)
 {
     double sum = 0;
     for (guint i = 0; i < r->targets->len; i++)
--- a/src/wp_route.h
+++ b/src/wp_route.h
@@ -20,7 +20,7 @@
 
 typedef struct WPService {
     char *name;
-    uint32_t index; /* its place in the table */
+    uint32_t index;           /* its place in the table */
     uint32_t max_connections; /* an endpoint's, from all boxes together */
     uint32_t slots; /* requests an engine runs at once; 0: not an engine */
     uint64_t memory_tokens; /* an engine's; 0: not an engine */
@@ -40,8 +40,8 @@
     uint32_t gap_ms;     /* the longest pause between events that is in time */
     int priority;        /* 0 is the most urgent */
     uint32_t max_attempts;
-    bool anonymous; /* no key is asked for */
-    bool resumable; /* a stream may go on at another endpoint */
+    bool anonymous;    /* no key is asked for */
+    bool resumable;    /* a stream may go on at another endpoint */
     GPtrArray *models; /* char *, the smallest first; empty: as asked */
     GArray *targets;   /* WPTarget */
 } WPRoute;
@@ -62,10 +62,10 @@
     uint64_t version;
     bool keyed; /* callers need keys */
     WPRouteLimits limits;
-    GPtrArray *routes;   /* WPRoute */
-    GPtrArray *services; /* WPService */
-    GPtrArray *callers;  /* WPCaller */
-    GHashTable *by_path; /* host and prefix -> WPRoute */
+    GPtrArray *routes;      /* WPRoute */
+    GPtrArray *services;    /* WPService */
+    GPtrArray *callers;     /* WPCaller */
+    GHashTable *by_path;    /* host and prefix -> WPRoute */
     GHashTable *by_service; /* name -> WPService */
     GHashTable *by_key;     /* key -> WPCaller */
     size_t longest_prefix;
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -46,8 +46,8 @@
 {
     WPShifts *s = g_new0(WPShifts, 1);
     s->chart = chart;
-    s->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                          shift_free);
+    s->by_service =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shift_free);
     return s;
 }
 
@@ -208,8 +208,7 @@
 static bool too_many(uint32_t bad, uint32_t n, double base)
 {
     double expected = n * MAX(base, BASE_RATE);
-    return bad >= LEAST_BAD &&
-           bad > expected + DEVIATIONS * sqrt(expected);
+    return bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
 }
 
 static double rate(uint32_t part, uint32_t n)
@@ -235,8 +234,7 @@
         bad += v->failed + v->slow > 0;
         heard += v->answered >= REPLICA_ANSWERS || v->failed + v->slow > 0;
     }
-    return bad >= MIN(heard, LEAST_REPLICAS) &&
-           bad >= REPLICA_SHARE * heard;
+    return bad >= MIN(heard, LEAST_REPLICAS) && bad >= REPLICA_SHARE * heard;
 }
 
 /* A version may be bad on a single route only. */
@@ -286,8 +284,7 @@
         (double)(now.wall_ms - sh->began_ms) / (double)sh->duration_ms;
     double end = 0;
     const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
-    for (; at && !at->final;
-         at = wp_chart_next(s->chart, at->name, "next"))
+    for (; at && !at->final; at = wp_chart_next(s->chart, at->name, "next"))
         end += at->dwell_part;
     if (part < end)
         return WP_SHIFT_RUNNING;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -34,7 +34,7 @@
     char *service, *version;
     uint64_t revision;
     WPShiftState state;
-    int64_t began_ms;    /* wall time; 0: not yet known */
+    int64_t began_ms; /* wall time; 0: not yet known */
     int64_t duration_ms;
     GHashTable *fresh, *old; /* route -> WPShiftSums, of this box */
     GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
@@ -58,8 +58,7 @@
                        WPShiftState state);
 
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
-void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh),
-                    void *arg);
+void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
 
 /* Whether a version may take requests at all. NULL allows every version. */
 bool wp_shift_allows(const WPShift *sh, const char *version);
--- /dev/null
+++ b/src/wp_speed.c
@@ -0,0 +1,32 @@
+/* The line of times over prompt lengths. */
+#include "wp_speed.h"
+
+enum { SEEN_LEAST = 20 /* answers before the line is relied on */ };
+
+/* What remains of an older answer's weight with each new one: some two hundred
+   count. */
+#define KEEP 0.995
+
+void wp_speed_add(WPSpeed *s, uint32_t prompt_tokens, int64_t took_us)
+{
+    double x = prompt_tokens, y = (double)took_us;
+    s->n = s->n * KEEP + 1;
+    s->x = s->x * KEEP + x;
+    s->y = s->y * KEEP + y;
+    s->xx = s->xx * KEEP + x * x;
+    s->xy = s->xy * KEEP + x * y;
+    s->seen++;
+}
+
+double wp_speed_expect(const WPSpeed *s, uint32_t prompt_tokens)
+{
+    if (s->seen < SEEN_LEAST)
+        return 0;
+    double mean_x = s->x / s->n, mean_y = s->y / s->n;
+    double var = s->xx / s->n - mean_x * mean_x;
+    double cov = s->xy / s->n - mean_x * mean_y;
+    /* Prompts of one length give no slope. */
+    double slope = var > 1 ? MAX(0, cov / var) : 0;
+    double v = mean_y + slope * (prompt_tokens - mean_x);
+    return MAX(v, mean_y / 10);
+}
--- /dev/null
+++ b/src/wp_speed.h
@@ -0,0 +1,18 @@
+/* How long the first byte of an answer takes, as a line over the prompt's
+ * length, learned from this box's own requests and forgotten slowly. */
+#ifndef WP_SPEED_H
+#define WP_SPEED_H
+
+#include "wp_base.h"
+
+typedef struct WPSpeed {
+    double n, x, y, xx, xy; /* weighted sums; x tokens, y microseconds */
+    uint32_t seen;
+} WPSpeed;
+
+void wp_speed_add(WPSpeed *s, uint32_t prompt_tokens, int64_t took_us);
+
+/* The expected time in microseconds; 0 while too few are known. */
+double wp_speed_expect(const WPSpeed *s, uint32_t prompt_tokens);
+
+#endif
