--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3531,7 +3531,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[4] =
 {
   {
     "complete",
@@ -3569,16 +3569,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bound",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MirrorDigest, n_bound),
+    offsetof(Wp__MirrorDigest, bound),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  3,   /* field[3] = bound */
   0,   /* field[0] = complete */
   1,   /* field[1] = moves */
 };
 static const ProtobufCIntRange wp__mirror_digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -3588,7 +3601,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  3,
+  4,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   1,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -550,10 +550,15 @@
    */
   protobuf_c_boolean has_age_ms;
   uint32_t age_ms;
+  /*
+   * Sessions that a move's first stage must leave on the old version.
+   */
+  size_t n_bound;
+  uint64_t *bound;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -10,8 +10,7 @@
     PULL_WAIT_MS = 120,  /* the own watch of the store mostly comes first */
     PULL_AGAIN_MS = 600, /* a pull without an answer */
     SILENT_MS = 3000,    /* a link that is silent so long is closed */
-    CONNECT_MS = 1000,   /* between attempts to reach the same box */
-    MOVES_MOST = 8
+    CONNECT_MS = 1000    /* between attempts to reach the same box */
 };
 
 /* Boxes are linked to all others up to this many; beyond, each reaches this
@@ -56,14 +55,8 @@
 {
     Wp__Frame f = WP__FRAME__INIT;
     Wp__MirrorDigest d = WP__MIRROR_DIGEST__INIT;
-    Wp__MoveSums sums[MOVES_MOST], *list[MOVES_MOST];
-    for (size_t i = 0; i < MOVES_MOST; i++) {
-        wp__move_sums__init(&sums[i]);
-        list[i] = &sums[i];
-    }
     d.complete = wp_mirror_complete(p->mirror);
-    d.n_moves = p->ops->own_sums(p->arg, sums, MOVES_MOST);
-    d.moves = list;
+    p->ops->fill(p->arg, &d);
     f.body_case = WP__FRAME__BODY_MIRROR_DIGEST;
     f.mirror_digest = &d;
     wp_link_send(l, &f);
@@ -77,8 +70,7 @@
 
 static void take_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
 {
-    for (size_t i = 0; i < d->n_moves; i++)
-        p->ops->sums(p->arg, l->peer, d->moves[i]);
+    p->ops->heard(p->arg, l->peer, d);
     if (d->complete <= wp_mirror_complete(p->mirror) ||
         d->complete <= p->behind)
         return;
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -14,10 +14,10 @@
 typedef struct WPPeersOps {
     /* Entries that a box behind the store's answers lacked. */
     void (*delta)(void *arg, const char *from, const Wp__MirrorDelta *d);
-    /* Another box's sums of a move. */
-    void (*sums)(void *arg, const char *from, const Wp__MoveSums *m);
-    /* Fills this box's own; the service's name must outlive the call. */
-    size_t (*own_sums)(void *arg, Wp__MoveSums *out, size_t most);
+    /* What else another box tells with each digest, and what this one does;
+       what `fill` points the digest to must outlive the call. */
+    void (*heard)(void *arg, const char *from, const Wp__MirrorDigest *d);
+    void (*fill)(void *arg, Wp__MirrorDigest *d);
     /* A peer was reached or lost. */
     void (*changed)(void *arg, const char *peer, bool up);
 } WPPeersOps;
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -67,16 +67,18 @@
 {
     const WPFlow *f = r->flow;
     char ms[LOG_NUMBER], code[LOG_NUMBER], version[LOG_NUMBER];
+    char session[LOG_NUMBER];
     int64_t us = wp_clock_now(0).mono_us - f->start_us;
     uint64_t table = f->routes ? f->routes->version : 0;
     snprintf(ms, sizeof(ms), "%.1f", (double)us / WP_US_PER_MS);
     snprintf(code, sizeof(code), "%d", status);
+    snprintf(session, sizeof(session), "%016lx", (unsigned long)f->session);
     snprintf(version, sizeof(version), "%lu", (unsigned long)table);
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
            "status", code, "ms", ms, "route", f->route ? f->route->name : "-",
            "service", f->service ? f->service->name : "-", "workspace",
-           f->workspace ? f->workspace : "-", "routes_version", version, "legs",
-           r->legs->str, NULL);
+           f->workspace ? f->workspace : "-", "routes_version", version,
+           "session", f->session ? session : "-", "legs", r->legs->str, NULL);
 }
 
 /* One line's part for each leg: why, where, how loaded that was believed to
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -102,27 +102,39 @@
     wp_log(&s->host->log, WP_INFO, "caught_up", "from", from, NULL);
 }
 
-static void on_sums(void *arg, const char *from, const Wp__MoveSums *m)
+static void hear_sums(WPSync *s, const char *from, const Wp__MoveSums *m)
 {
-    WPSync *s = arg;
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
     WPShiftSums sums = { m->answered, m->failed, m->slow };
     if (sh && sh->revision == m->order)
         wp_shift_hear(sh, from, sums, m->old_running);
 }
 
+static void on_heard(void *arg, const char *from, const Wp__MirrorDigest *d)
+{
+    WPSync *s = arg;
+    WPTime now = wp_clock_now(0);
+    for (size_t i = 0; i < d->n_moves; i++)
+        hear_sums(s, from, d->moves[i]);
+    for (size_t i = 0; i < d->n_bound; i++)
+        wp_direct_hear_bound(&s->host->direct, now, d->bound[i]);
+}
+
 typedef struct Fill {
-    Wp__MoveSums *out;
-    size_t n, most;
+    WPSync *sync;
+    Wp__MirrorDigest *digest;
 } Fill;
 
 static void fill_sums(void *arg, WPShift *sh)
 {
     Fill *f = arg;
-    if (sh->state != WP_SHIFT_RUNNING || f->n == f->most)
+    Wp__MirrorDigest *d = f->digest;
+    if (sh->state != WP_SHIFT_RUNNING || d->n_moves == WP_MOVES_TOLD)
         return;
     WPShiftSums own = wp_shift_own(sh);
-    Wp__MoveSums *m = &f->out[f->n++];
+    Wp__MoveSums *m = &f->sync->sums[d->n_moves];
+    f->sync->sums_list[d->n_moves++] = m;
+    wp__move_sums__init(m);
     m->service = sh->service;
     m->order = sh->revision;
     m->has_answered = m->has_failed = m->has_slow = m->has_old_running = 1;
@@ -132,12 +144,15 @@
     m->old_running = sh->old_running;
 }
 
-static size_t own_sums(void *arg, Wp__MoveSums *out, size_t most)
+static void on_fill(void *arg, Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
-    Fill f = { out, 0, most };
+    Fill f = { s, d };
+    d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
-    return f.n;
+    d->bound = s->bound;
+    d->n_bound = wp_direct_bound(&s->host->direct, wp_clock_now(0), s->bound,
+                                 WP_BOUND_TOLD);
 }
 
 static void on_peer(void *arg, const char *peer, bool up)
@@ -147,7 +162,7 @@
            peer, NULL);
 }
 
-static const WPPeersOps peers_ops = { on_delta, on_sums, own_sums, on_peer };
+static const WPPeersOps peers_ops = { on_delta, on_heard, on_fill, on_peer };
 
 void wp_sync_tick(WPSync *s, WPTime now)
 {
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -10,7 +10,13 @@
 #define WP_KEY_BOX "wp/box/"   /* where a box is reached: "IP:PORT" */
 #define WP_KEY_MOVE "wp/move/" /* when a move began: "REVISION WALL_MS" */
 
+enum { WP_MOVES_TOLD = 8, WP_BOUND_TOLD = 512 /* in one digest */ };
+
 struct WPSync {
+    /* What the next digest points to. */
+    Wp__MoveSums sums[WP_MOVES_TOLD], *sums_list[WP_MOVES_TOLD];
+    uint64_t bound[WP_BOUND_TOLD];
+
     WPDirectHost *host;
     WPKv *kv;
     WPMirror *mirror;
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -109,12 +109,15 @@
     return q;
 }
 
+static int64_t session_bound_us(const WPDirect *d)
+{
+    return (int64_t)(d->rules.session_ms * SESSION_MARGIN) * WP_US_PER_MS;
+}
+
 const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session)
 {
     const WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
-    int64_t bound_us =
-        (int64_t)(d->rules.session_ms * SESSION_MARGIN) * WP_US_PER_MS;
-    if (!seen || now.mono_us - seen->used_us > bound_us)
+    if (!seen || now.mono_us - seen->used_us > session_bound_us(d))
         return NULL;
     return seen->version;
 }
@@ -130,4 +133,58 @@
     }
     seen->version = g_intern_string(version);
     seen->used_us = now.mono_us;
+    seen->own = true;
+}
+
+double wp_direct_unit(uint64_t session)
+{
+    return wp_hash_unit(wp_strn((const char *)&session, sizeof(session)), 1);
+}
+
+typedef struct Widest {
+    const WPShifts *shifts;
+    double share;
+} Widest;
+
+static void widen(void *arg, WPShift *sh)
+{
+    Widest *w = arg;
+    if (sh->state == WP_SHIFT_RUNNING)
+        w->share = MAX(w->share, wp_shifts_first_share(w->shifts));
+}
+
+static bool is_new_version(const WPDirect *d, const char *version)
+{
+    return wp_shifts_is_target(d->shifts, version);
+}
+
+size_t wp_direct_bound(const WPDirect *d, WPTime now, uint64_t *out,
+                       size_t most)
+{
+    Widest w = { d->shifts, 0 };
+    GHashTableIter it;
+    gpointer p;
+    size_t n = 0;
+    int64_t oldest = now.mono_us - session_bound_us(d);
+    wp_shifts_each(d->shifts, widen, &w);
+    if (w.share <= 0)
+        return 0;
+    g_hash_table_iter_init(&it, d->sessions);
+    while (n < most && g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPSessionSeen *seen = p;
+        if (seen->own && seen->used_us > oldest &&
+            wp_direct_unit(seen->session) < w.share &&
+            !is_new_version(d, seen->version))
+            out[n++] = seen->session;
+    }
+    return n;
+}
+
+void wp_direct_hear_bound(WPDirect *d, WPTime now, uint64_t session)
+{
+    const WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
+    if (seen && seen->own && now.mono_us - seen->used_us < session_bound_us(d))
+        return;
+    wp_direct_session_on(d, now, session, WP_VERSION_OLD);
+    ((WPSessionSeen *)g_hash_table_lookup(d->sessions, &session))->own = false;
 }
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -8,14 +8,21 @@
 /* Which version served a session last. */
 typedef struct WPSessionSeen {
     uint64_t session;
-    const char *version; /* interned */
+    const char *version; /* interned; WP_VERSION_OLD when only told of */
     int64_t used_us;
+    bool own; /* this box served it */
 } WPSessionSeen;
 
+/* Stands for whichever version was in use before a move. */
+#define WP_VERSION_OLD "-"
+
 WPBudget *wp_direct_budget(WPDirect *d, const char *service);
 WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model);
 WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route);
 
+/* A session's place in [0, 1), the same at every box. */
+double wp_direct_unit(uint64_t session);
+
 /* The version that served the session within the time it binds, or NULL. */
 const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session);
 void wp_direct_session_on(WPDirect *d, WPTime now, uint64_t session,
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -137,7 +137,7 @@
     f->prompt_tokens = ask->prompt_tokens;
     f->answer_tokens = ask->answer_tokens;
     f->session = ask->session.n ? wp_hash(ask->session, 0) : 0;
-    f->unit = wp_hash_unit(ask->session.n ? ask->session : ask->id, 1);
+    f->unit = wp_direct_unit(f->session ? f->session : wp_hash(ask->id, 0));
     wp_count(&d->counters, WP_C_REQUESTS);
     WPCode code = admit(f, ask);
     if (code != WP_OK) {
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -16,6 +16,10 @@
 #define REPLICA_SHARE 0.3
 #define REPLICA_ANSWERS 3
 
+/* How long a move waits until boxes have told each other which sessions are
+   under way. */
+#define LEAD_MS 1500
+
 /* Failures that are expected of any version. */
 #define BASE_RATE 0.01
 
@@ -102,6 +106,24 @@
         fn(arg, sh);
 }
 
+double wp_shifts_first_share(const WPShifts *s)
+{
+    return wp_chart_state(s->chart, s->chart->initial)->share;
+}
+
+bool wp_shifts_is_target(const WPShifts *s, const char *version)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, s->by_service);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPShift *sh = p;
+        if (sh->state == WP_SHIFT_RUNNING && !strcmp(sh->version, version))
+            return true;
+    }
+    return false;
+}
+
 bool wp_shift_allows(const WPShift *sh, const char *version)
 {
     if (!sh)
@@ -134,7 +156,7 @@
 {
     if (sh->state != WP_SHIFT_RUNNING)
         return sh->state == WP_SHIFT_DONE;
-    if (!sh->began_ms || sh->suspect)
+    if (!sh->began_ms || sh->suspect || now.wall_ms - sh->began_ms < LEAD_MS)
         return false;
     if (last && !strcmp(last, sh->version))
         return true;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -60,6 +60,12 @@
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
 
+/* The share of the first stage. */
+double wp_shifts_first_share(const WPShifts *s);
+
+/* Whether some running move leads to this version. */
+bool wp_shifts_is_target(const WPShifts *s, const char *version);
+
 /* Whether a version may take requests at all. NULL allows every version. */
 bool wp_shift_allows(const WPShift *sh, const char *version);
 
