--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 $(BUILD)/wpcapacity: $(patsubst %.c,$(BUILD)/%.o,bench/wpcapacity.c bench/fleet.c) $(LIB)
 $(BUILD)/wpspeed: $(BUILD)/bench/wpspeed.o $(SITE) $(LIB)
 
-$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/bench/fleet.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
+$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(PLATFORM) $(BUILD)/bench/fleet.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
 $(BIN) $(TESTS):
--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1047,6 +1047,8 @@
   NULL,NULL,NULL    /* reserved[123] */
 };
 char wp__stand_settings__listen__default_value[] = "127.0.0.1";
+char wp__stand_settings__version__default_value[] = "v1";
+char wp__stand_settings__zone__default_value[] = "z1";
 static const uint32_t wp__stand_settings__slots__default_value = 8u;
 static const uint32_t wp__stand_settings__step_us__default_value = 2000u;
 static const uint32_t wp__stand_settings__writes_per_s__default_value = 100u;
@@ -1054,7 +1056,7 @@
 static const uint32_t wp__stand_settings__lag_ms__default_value = 0u;
 static const uint64_t wp__stand_settings__seed__default_value = 1ull;
 static const uint32_t wp__stand_settings__prefix_cache__default_value = 64u;
-static const ProtobufCFieldDescriptor wp__stand_settings__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wp__stand_settings__field_descriptors[15] =
 {
   {
     "kind",
@@ -1200,6 +1202,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__StandSettings, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    14,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__StandSettings, version),
+    NULL,
+    &wp__stand_settings__version__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    15,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__StandSettings, zone),
+    NULL,
+    &wp__stand_settings__zone__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__stand_settings__field_indices_by_name[] = {
   0,   /* field[0] = kind */
@@ -1210,15 +1248,18 @@
   8,   /* field[8] = quality */
   6,   /* field[6] = reads_per_s */
   9,   /* field[9] = seed */
+  12,   /* field[12] = service */
   3,   /* field[3] = slots */
   4,   /* field[4] = step_us */
   10,   /* field[10] = store */
+  13,   /* field[13] = version */
   5,   /* field[5] = writes_per_s */
+  14,   /* field[14] = zone */
 };
 static const ProtobufCIntRange wp__stand_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wp__stand_settings__descriptor =
 {
@@ -1228,7 +1269,7 @@
   "Wp__StandSettings",
   "wp",
   sizeof(Wp__StandSettings),
-  12,
+  15,
   wp__stand_settings__field_descriptors,
   wp__stand_settings__field_indices_by_name,
   1,  wp__stand_settings__number_ranges,
@@ -1498,7 +1539,7 @@
 static const uint32_t wp__direct_settings__log_kb_per_s__default_value = 256u;
 static const double wp__direct_settings__confidence_even__default_value = 50;
 static const double wp__direct_settings__confidence_spread__default_value = 10;
-static const double wp__direct_settings__answer_value__default_value = 6;
+static const double wp__direct_settings__answer_value__default_value = 0.35;
 static const double wp__direct_settings__request_value__default_value = 0.6;
 static const double wp__direct_settings__strain_from__default_value = 0.35;
 static const double wp__direct_settings__strain_weight__default_value = 5;
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -171,7 +171,7 @@
 {
   ProtobufCMessage base;
   /*
-   * kv, engine, service, boxes or ratings
+   * kv, engine, service, boxes, ratings, pstore, replica
    */
   char *kind;
   char *listen;
@@ -196,11 +196,19 @@
   char *store;
   protobuf_c_boolean has_prefix_cache;
   uint32_t prefix_cache;
+  /*
+   * of a replica: what it is listed with
+   */
+  char *service;
+  char *version;
+  char *zone;
 };
 extern char wp__stand_settings__listen__default_value[];
+extern char wp__stand_settings__version__default_value[];
+extern char wp__stand_settings__zone__default_value[];
 #define WP__STAND_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__stand_settings__descriptor) \
-    , NULL, wp__stand_settings__listen__default_value, 0, 0, 8u, 0, 2000u, 0, 100u, 0, 2000u, 0, 0u, 0,NULL, 0, 1ull, NULL, 0, 64u }
+    , NULL, wp__stand_settings__listen__default_value, 0, 0, 8u, 0, 2000u, 0, 100u, 0, 2000u, 0, 0u, 0,NULL, 0, 1ull, NULL, 0, 64u, NULL, wp__stand_settings__version__default_value, wp__stand_settings__zone__default_value }
 
 
 /*
@@ -324,7 +332,7 @@
   protobuf_c_boolean has_confidence_spread;
   double confidence_spread;
   /*
-   * of 1,000 tokens
+   * by size
    */
   protobuf_c_boolean has_answer_value;
   double answer_value;
@@ -359,7 +367,7 @@
 extern char wp__direct_settings__log_format__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50, 0, 10, 0, 6, 0, 0.6, 0, 0.35, 0, 5, 0, 0.35, 0, 0.15, 0, 1, 0, 0u, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 50, 0, 10, 0, 0.35, 0, 0.6, 0, 0.35, 0, 5, 0, 0.35, 0, 0.15, 0, 1, 0, 0u, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -16,9 +16,15 @@
 #define PRICED_TOKENS 1000.0
 #define QUALITY_WEIGHT 0.02 /* of the newest answer */
 
-static double worth_of(const WPCascadeRules *r, uint32_t answer_tokens)
+/* By the size of the request, as the users count it: a token that is made
+   weighs as much as ten that are read. */
+#define MADE_WEIGHT 10.0
+
+static double worth_of(const WPCascadeRules *r, uint32_t prompt,
+                       uint32_t answer)
 {
-    return r->base + r->value * answer_tokens / PRICED_TOKENS;
+    return r->base +
+           r->value * (prompt + MADE_WEIGHT * answer) / PRICED_TOKENS;
 }
 
 static double price_of(double cost, uint32_t prompt, uint32_t answer)
@@ -41,7 +47,7 @@
 
 double wp_cascade_gain(const WPCascadeRules *r, const WPCascadeCase *c)
 {
-    double worth = worth_of(r, c->answer_tokens);
+    double worth = worth_of(r, c->prompt_tokens, c->answer_tokens);
     double good = wp_cascade_good(r, c->confidence);
     double keep = (good + (1 - good) * POOR) * worth;
     double ask = (c->late ? LATE : 1) * worth;
@@ -52,7 +58,7 @@
 
 bool wp_cascade_skips(const WPCascadeRules *r, const WPCascadeAhead *c)
 {
-    double worth = worth_of(r, c->answer_tokens);
+    double worth = worth_of(r, c->prompt_tokens, c->answer_tokens);
     double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens);
     if (!c->late_both || c->late_one)
         return false;
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -10,8 +10,9 @@
     double even;   /* the confidence, 0 to 100, at which an answer is good half
                       the time */
     double spread; /* standard deviation of the confidence about that */
-    double value;  /* of a good answer of 1,000 tokens, in the unit of the
-                      models' costs */
+    double value;  /* of a good answer to a request of size 1,000 (tokens read
+                      and ten times those made), in the unit of the models'
+                      costs */
     double base;   /* of a good answer of any length, besides */
     double strain_from;   /* share of places taken above which work is dear */
     double strain_weight; /* how much dearer for each whole share beyond */
--- /dev/null
+++ b/standins/pstore.c
@@ -0,0 +1,372 @@
+/* Stands in for the users' platform's store: items with revisions, ranges,
+ * watches that wait, transactions. Faults are set on /control:
+ *   down: "" (none), "silent", "busy", "reset"; lose_answers: share of
+ *   transactions done and not answered; deaf: watches hear nothing; compact:
+ *   the history is dropped and watches are cut.
+ * The operator's and the endpoints' writes come there too, as put and remove.
+ */
+#include "pf_names.h"
+#include "stand.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum { HISTORY = 2000, PAGE = 500, WAIT_MOST_MS = 30000 };
+
+typedef struct Item {
+    char *key, *value; /* base64; NULL: removed */
+    uint64_t revision, created;
+} Item;
+
+typedef struct Waiting {
+    WPList node;
+    struct Store *store;
+    struct evhttp_request *request;
+    struct event *timer;
+    char *prefix;
+    uint64_t after;
+} Waiting;
+
+typedef struct Store {
+    struct event_base *base;
+    GTree *items;       /* key -> Item */
+    GPtrArray *history; /* Item, as written */
+    uint64_t revision, oldest;
+    WPList waiting;
+    GRand *rand;
+    char down[16];
+    bool deaf;
+    double lose_answers;
+    double calls;
+} Store;
+
+static void item_free(void *p)
+{
+    Item *i = p;
+    g_free(i->key);
+    g_free(i->value);
+    g_free(i);
+}
+
+static json_t *item_json(const Item *i)
+{
+    if (!i->value)
+        return json_pack("{s:s,s:I,s:b}", "privateKey", i->key, "revision",
+                         (json_int_t)i->revision, "deleted", 1);
+    return json_pack("{s:s,s:s,s:I,s:I,s:i}", "privateKey", i->key, "value",
+                     i->value, "revision", (json_int_t)i->revision,
+                     "createRev", (json_int_t)i->created, "lease", 0);
+}
+
+static Item *copy_of(const Item *i)
+{
+    Item *c = g_new0(Item, 1);
+    *c = *i;
+    c->key = g_strdup(i->key);
+    c->value = g_strdup(i->value);
+    return c;
+}
+
+/* Applies one write under the store's present revision. */
+static void apply(Store *s, const char *key, const char *value)
+{
+    const Item *had = g_tree_lookup(s->items, key);
+    Item *i = g_new0(Item, 1);
+    i->key = g_strdup(key);
+    i->value = g_strdup(value);
+    i->revision = s->revision;
+    i->created = had && had->value ? had->created : s->revision;
+    g_ptr_array_add(s->history, copy_of(i));
+    if (s->history->len > HISTORY) {
+        s->oldest = ((Item *)s->history->pdata[0])->revision;
+        g_ptr_array_remove_index(s->history, 0);
+    }
+    if (value) {
+        g_tree_replace(s->items, i->key, i);
+        return;
+    }
+    g_tree_remove(s->items, key);
+    item_free(i);
+}
+
+static void free_waiting(Waiting *w)
+{
+    struct evhttp_connection *con = evhttp_request_get_connection(w->request);
+    if (con)
+        evhttp_connection_set_closecb(con, NULL, NULL);
+    wp_list_remove(&w->node);
+    event_free(w->timer);
+    g_free(w->prefix);
+    g_free(w);
+}
+
+static json_t *events_after(const Store *s, const char *prefix, uint64_t after)
+{
+    json_t *list = json_array();
+    for (guint k = 0; k < s->history->len; k++) {
+        const Item *i = s->history->pdata[k];
+        if (i->revision > after && g_str_has_prefix(i->key, prefix))
+            json_array_append_new(list, item_json(i));
+    }
+    return list;
+}
+
+static void answer_watch(Waiting *w, json_t *events)
+{
+    struct evhttp_request *r = w->request;
+    uint64_t revision = w->store->revision;
+    free_waiting(w);
+    wp_http_json(r, 200,
+                 json_pack("{s:o,s:I}", "events", events, "storeRevision",
+                           (json_int_t)revision));
+}
+
+static void wake(Store *s)
+{
+    if (s->deaf)
+        return;
+    wp_list_each_safe (it, tmp, &s->waiting) {
+        Waiting *w = wp_list_item(it, Waiting, node);
+        json_t *events = events_after(s, w->prefix, w->after);
+        if (json_array_size(events))
+            answer_watch(w, events);
+        else
+            json_decref(events);
+    }
+}
+
+static void on_watch_timer(evutil_socket_t fd, short what, void *arg)
+{
+    Waiting *w = arg;
+    (void)fd;
+    (void)what;
+    answer_watch(w, events_after(w->store, w->prefix, w->after));
+}
+
+static void on_watcher_gone(struct evhttp_connection *con, void *arg)
+{
+    (void)con;
+    free_waiting(arg);
+}
+
+static uint64_t number(struct evhttp_request *r, const char *name)
+{
+    g_autofree char *v = wp_http_query(r, name);
+    return v ? g_ascii_strtoull(v, NULL, 10) : 0;
+}
+
+static void watch(Store *s, struct evhttp_request *r)
+{
+    uint64_t after = number(r, "afterRev");
+    uint64_t ms = MIN(number(r, "waitMs"), WAIT_MOST_MS);
+    struct timeval limit = { (time_t)(ms / WP_MS_PER_S),
+                             (suseconds_t)(ms % WP_MS_PER_S * WP_US_PER_MS) };
+    if (after < s->oldest) {
+        wp_http_json(r, 410, json_object());
+        return;
+    }
+    Waiting *w = g_new0(Waiting, 1);
+    w->store = s;
+    w->request = r;
+    w->prefix = wp_http_query(r, "prefix");
+    w->prefix = w->prefix ? w->prefix : g_strdup("");
+    w->after = after;
+    w->timer = evtimer_new(s->base, on_watch_timer, w);
+    event_add(w->timer, &limit);
+    wp_list_append(&s->waiting, &w->node);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(r),
+                                  on_watcher_gone, w);
+    wake(s);
+}
+
+typedef struct Pick {
+    const char *prefix, *after;
+    json_t *items;
+    bool truncated;
+} Pick;
+
+static gboolean pick(gpointer key, gpointer value, gpointer arg)
+{
+    Pick *p = arg;
+    if (!g_str_has_prefix(key, p->prefix) ||
+        (p->after && strcmp(key, p->after) <= 0))
+        return FALSE;
+    if (json_array_size(p->items) == PAGE) {
+        p->truncated = true;
+        return TRUE;
+    }
+    json_array_append_new(p->items, item_json(value));
+    return FALSE;
+}
+
+static void range(Store *s, struct evhttp_request *r)
+{
+    g_autofree char *prefix = wp_http_query(r, "prefix");
+    g_autofree char *after = wp_http_query(r, "afterRev");
+    Pick p = { prefix ? prefix : "", after, json_array(), false };
+    g_tree_foreach(s->items, pick, &p);
+    wp_http_json(r, 200,
+                 json_pack("{s:o,s:b,s:I}", "items", p.items, "truncated",
+                           p.truncated, "storeRevision",
+                           (json_int_t)s->revision));
+}
+
+static const char *text_of(const json_t *j, const char *name)
+{
+    const char *t = json_string_value(json_object_get(j, name));
+    return t ? t : "";
+}
+
+static bool is_foreign(const char *key)
+{
+    return g_str_has_prefix(key, "op/") || g_str_has_prefix(key, "servers/");
+}
+
+/* The compared keys as they are, when one is not as expected; else NULL. */
+static json_t *conflicts(const Store *s, const json_t *expected)
+{
+    json_t *one, *present = json_array();
+    size_t k;
+    bool differs = false;
+    json_array_foreach (expected, k, one) {
+        const Item *i = g_tree_lookup(s->items, text_of(one, "privateKey"));
+        json_int_t want =
+            json_integer_value(json_object_get(one, "revision"));
+        differs = differs || want != (json_int_t)(i ? i->revision : 0);
+        if (i)
+            json_array_append_new(present, item_json(i));
+    }
+    if (differs)
+        return present;
+    json_decref(present);
+    return NULL;
+}
+
+static void txn(Store *s, struct evhttp_request *r)
+{
+    json_t *j = wp_http_body_json(r), *one;
+    json_t *conflict = conflicts(s, json_object_get(j, "expectedRev"));
+    const json_t *puts = json_object_get(j, "puts");
+    size_t k;
+    if (conflict) {
+        wp_http_json(r, 412, json_pack("{s:o}", "items", conflict));
+        json_decref(j);
+        return;
+    }
+    json_array_foreach (puts, k, one) {
+        if (!is_foreign(text_of(one, "privateKey")))
+            continue;
+        wp_http_json(r, 403, json_object());
+        json_decref(j);
+        return;
+    }
+    s->revision++;
+    json_array_foreach (puts, k, one)
+        apply(s, text_of(one, "privateKey"), text_of(one, "value"));
+    json_array_foreach (json_object_get(j, "remove"), k, one)
+        apply(s, json_string_value(one), NULL);
+    json_decref(j);
+    if (g_rand_double(s->rand) < s->lose_answers)
+        stand_cut(r);
+    else
+        wp_http_json(r, 200, json_pack("{s:I}", "revision",
+                                       (json_int_t)s->revision));
+    wake(s);
+}
+
+static void compact(Store *s)
+{
+    s->oldest = s->revision;
+    g_ptr_array_set_size(s->history, 0);
+    wp_list_each_safe (it, tmp, &s->waiting) {
+        Waiting *w = wp_list_item(it, Waiting, node);
+        struct evhttp_request *r = w->request;
+        free_waiting(w);
+        stand_cut(r);
+    }
+}
+
+static void put_json(Store *s, const json_t *put)
+{
+    char *text = json_dumps(json_object_get(put, "value"), JSON_COMPACT);
+    g_autofree char *value =
+        g_base64_encode((const guchar *)text, strlen(text));
+    s->revision++;
+    apply(s, text_of(put, "key"), value);
+    free(text);
+}
+
+static void control(Store *s, struct evhttp_request *r)
+{
+    json_t *j = wp_http_body_json(r);
+    const json_t *down = json_object_get(j, "down");
+    const char *remove = json_string_value(json_object_get(j, "remove"));
+    if (json_is_string(down))
+        g_strlcpy(s->down, json_string_value(down), sizeof(s->down));
+    stand_set_bool(j, "deaf", &s->deaf);
+    stand_set_number(j, "lose_answers", &s->lose_answers);
+    if (json_object_get(j, "put"))
+        put_json(s, json_object_get(j, "put"));
+    if (remove && g_tree_lookup(s->items, remove)) {
+        s->revision++;
+        apply(s, remove, NULL);
+    }
+    if (json_is_true(json_object_get(j, "compact")))
+        compact(s);
+    json_decref(j);
+    wake(s);
+    wp_http_json(r, 200,
+                 json_pack("{s:I,s:f}", "revision", (json_int_t)s->revision,
+                           "calls", s->calls));
+}
+
+static void item(Store *s, struct evhttp_request *r)
+{
+    g_autofree char *key = wp_http_query(r, "privateKey");
+    const Item *i = key ? g_tree_lookup(s->items, key) : NULL;
+    wp_http_json(r, i ? 200 : 404, i ? item_json(i) : json_object());
+}
+
+/* Whether the store is down for this call; answers it then, or never does. */
+static bool is_down(Store *s, struct evhttp_request *r)
+{
+    if (!strcmp(s->down, "busy"))
+        wp_http_json(r, 503, json_object());
+    else if (!strcmp(s->down, "reset"))
+        stand_cut(r);
+    return *s->down != '\0'; /* silent: the caller waits in vain */
+}
+
+static void on_request(struct evhttp_request *r, void *arg)
+{
+    Store *s = arg;
+    const char *path = stand_path(r);
+    s->calls++;
+    if (!strcmp(path, "/control"))
+        control(s, r);
+    else if (is_down(s, r))
+        return;
+    else if (!strcmp(path, PF_C_RANGE))
+        range(s, r);
+    else if (!strcmp(path, PF_C_WATCH))
+        watch(s, r);
+    else if (!strcmp(path, PF_C_TXN))
+        txn(s, r);
+    else if (!strcmp(path, "/v1/kv-key"))
+        item(s, r);
+    else
+        wp_http_json(r, 404, json_object());
+}
+
+void stand_pstore(struct event_base *base, struct evhttp *http,
+                  const Wp__StandSettings *set)
+{
+    Store *s = g_new0(Store, 1);
+    s->base = base;
+    s->items = g_tree_new_full((GCompareDataFunc)(void (*)(void))strcmp, NULL,
+                               NULL, item_free);
+    s->history = g_ptr_array_new_with_free_func(item_free);
+    s->rand = g_rand_new_with_seed((guint32)set->seed);
+    wp_list_init(&s->waiting);
+    evhttp_set_gencb(http, on_request, s);
+}
--- /dev/null
+++ b/standins/replica.c
@@ -0,0 +1,253 @@
+/* Stands in for one endpoint of the users' platform: answers with its mark,
+ * streams events, tells its load. It lists itself in the store's stand-in.
+ * Faults are set on /control:
+ *   fail, refuse, cut, mute: shares of requests; delay_ms; confidence; events;
+ *   draining: says that it leaves.
+ * /control also tells what ran: ids with how often, and what broke a promise.
+ */
+#include "pf_names.h"
+#include "stand.h"
+
+#include <event2/buffer.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum { EVENT_MS = 10 };
+
+typedef struct Replica {
+    struct event_base *base;
+    const Wp__StandSettings *set;
+    GRand *rand;
+    char *id;
+    WPHttp *store;
+    bool draining;
+    double fail, refuse, cut, mute, delay_ms, confidence, events;
+    unsigned running;
+    double ran, wrong, keyless;
+    GHashTable *ids; /* request id -> how often it ran */
+} Replica;
+
+typedef struct Run {
+    Replica *to;
+    struct evhttp_request *request;
+    struct event *timer;
+    char *id;
+    bool stream, begun, cut;
+    unsigned next, last;
+} Run;
+
+static void ignore(void *arg, int status, WPStr body)
+{
+    (void)arg;
+    (void)status;
+    (void)body;
+}
+
+/* Writes this replica's entry into the store. */
+static void list_self(Replica *p)
+{
+    g_autofree char *addr =
+        g_strdup_printf("%s:%u", p->set->listen, p->set->port);
+    g_autofree char *key = g_strconcat(PF_K_ENDPOINT, p->id, NULL);
+    json_t *j = json_pack(
+        "{s:{s:s,s:{s:s,s:s,s:s,s:s,s:i,s:s,s:i}}}", "put", "key", key,
+        "value", "service", p->set->service, "address", addr, "zone",
+        p->set->zone, "version", p->set->version, "slots", (int)p->set->slots,
+        "state", p->draining ? "draining" : "ready", "coldLeftMs", 0);
+    char *text = json_dumps(j, JSON_COMPACT);
+    wp_http_call(p->store, "/control", text, ignore, NULL);
+    free(text);
+    json_decref(j);
+}
+
+static void add_head(struct evhttp_request *r, const Replica *p,
+                     const char *id, bool ran)
+{
+    struct evkeyvalq *h = evhttp_request_get_output_headers(r);
+    char load[64], confidence[16];
+    snprintf(load, sizeof(load), "%u,0,%u", p->running, p->set->slots);
+    snprintf(confidence, sizeof(confidence), "%.0f", p->confidence);
+    if (id)
+        evhttp_add_header(h, PF_H_REQUEST_ID, id);
+    evhttp_add_header(h, PF_H_LOAD, load);
+    if (!ran) {
+        evhttp_add_header(h, PF_H_NOT_RUN, "1");
+        return;
+    }
+    evhttp_add_header(h, PF_H_MARK, p->id);
+    evhttp_add_header(h, PF_H_CONFIDENCE, confidence);
+}
+
+static void end_run(Run *n)
+{
+    struct evhttp_connection *con = evhttp_request_get_connection(n->request);
+    if (con)
+        evhttp_connection_set_closecb(con, NULL, NULL);
+    n->to->running--;
+    event_free(n->timer);
+    g_free(n->id);
+    g_free(n);
+}
+
+static void on_gone(struct evhttp_connection *con, void *arg)
+{
+    (void)con;
+    end_run(arg);
+}
+
+static void answer_text(Run *n, int status)
+{
+    struct evhttp_request *r = n->request;
+    g_autofree char *body = g_strdup_printf("ran %s\n", n->id);
+    add_head(r, n->to, n->id, true);
+    end_run(n);
+    wp_http_text(r, status, "text/plain", wp_str(body));
+}
+
+static void send_event(Run *n)
+{
+    struct evbuffer *b = evbuffer_new();
+    evbuffer_add_printf(b, "id: %u\ndata: %s-%u\n\n", n->next, n->id, n->next);
+    if (n->cut && n->next * 2 > n->last) {
+        struct evhttp_request *r = n->request;
+        evbuffer_free(b);
+        end_run(n);
+        stand_cut(r);
+        return;
+    }
+    evhttp_send_reply_chunk(n->request, b);
+    evbuffer_free(b);
+    struct timeval at = { 0, EVENT_MS * WP_US_PER_MS };
+    if (n->next++ < n->last) {
+        event_add(n->timer, &at);
+        return;
+    }
+    struct evhttp_request *r = n->request;
+    end_run(n);
+    evhttp_send_reply_end(r);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+    Run *n = arg;
+    Replica *p = n->to;
+    (void)fd;
+    (void)what;
+    if (!n->begun && g_rand_double(p->rand) < p->fail) {
+        answer_text(n, 500);
+        return;
+    }
+    if (!n->stream) {
+        answer_text(n, 200);
+        return;
+    }
+    if (!n->begun) {
+        n->begun = true;
+        add_head(n->request, p, n->id, true);
+        evhttp_add_header(evhttp_request_get_output_headers(n->request),
+                          "Content-Type", "text/event-stream");
+        evhttp_send_reply_start(n->request, 200, NULL);
+    }
+    send_event(n);
+}
+
+static bool refuses(Replica *p, struct evhttp_request *r, const char *id)
+{
+    const char *expected = wp_http_header(r, PF_H_EXPECT_REPLICA);
+    bool other = expected && strcmp(expected, p->id) != 0;
+    bool full = p->running >= p->set->slots ||
+                g_rand_double(p->rand) < p->refuse;
+    if (!other && !full && id)
+        return false;
+    add_head(r, p, id, false);
+    wp_http_text(r, other ? 421 : id ? 503 : 400, "text/plain", wp_str("no"));
+    return true;
+}
+
+static void run(Replica *p, struct evhttp_request *r)
+{
+    const char *id = wp_http_header(r, PF_H_REQUEST_ID);
+    const char *after = wp_http_header(r, PF_H_AFTER_EVENT);
+    if (refuses(p, r, id))
+        return;
+    int times = GPOINTER_TO_INT(g_hash_table_lookup(p->ids, id));
+    g_hash_table_replace(p->ids, g_strdup(id), GINT_TO_POINTER(times + 1));
+    p->ran++;
+    p->wrong += wp_http_header(r, PF_H_KEY) != NULL ||
+                wp_http_header(r, PF_H_HOLD) != NULL;
+    p->keyless += wp_http_header(r, PF_H_WORKSPACE) == NULL;
+    p->running++;
+    Run *n = g_new0(Run, 1);
+    n->to = p;
+    n->request = r;
+    n->id = g_strdup(id);
+    n->stream = strstr(stand_path(r), "stream") != NULL;
+    n->next = after ? (unsigned)atoi(after) + 1 : 1;
+    n->last = (unsigned)p->events;
+    n->cut = g_rand_double(p->rand) < p->cut;
+    n->timer = evtimer_new(p->base, on_timer, n);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(r), on_gone,
+                                  n);
+    if (n->cut && !n->stream) {
+        end_run(n);
+        stand_cut(r);
+        return;
+    }
+    struct timeval at = { (time_t)(p->delay_ms / WP_MS_PER_S),
+                          (suseconds_t)((int64_t)(p->delay_ms * WP_US_PER_MS) %
+                                        WP_US_PER_S) };
+    if (g_rand_double(p->rand) >= p->mute)
+        event_add(n->timer, &at);
+}
+
+static void control(Replica *p, struct evhttp_request *r)
+{
+    json_t *j = wp_http_body_json(r), *ids = json_object();
+    GHashTableIter it;
+    gpointer id, times;
+    bool was = p->draining;
+    stand_set_number(j, "fail", &p->fail);
+    stand_set_number(j, "refuse", &p->refuse);
+    stand_set_number(j, "cut", &p->cut);
+    stand_set_number(j, "mute", &p->mute);
+    stand_set_number(j, "delay_ms", &p->delay_ms);
+    stand_set_number(j, "confidence", &p->confidence);
+    stand_set_number(j, "events", &p->events);
+    stand_set_bool(j, "draining", &p->draining);
+    if (was != p->draining)
+        list_self(p);
+    json_decref(j);
+    g_hash_table_iter_init(&it, p->ids);
+    while (g_hash_table_iter_next(&it, &id, &times))
+        json_object_set_new(ids, id, json_integer(GPOINTER_TO_INT(times)));
+    wp_http_json(r, 200,
+                 json_pack("{s:o,s:f,s:f,s:f,s:i}", "ids", ids, "ran", p->ran,
+                           "wrong", p->wrong, "keyless", p->keyless, "running",
+                           (int)p->running));
+}
+
+static void on_request(struct evhttp_request *r, void *arg)
+{
+    if (!strcmp(stand_path(r), "/control"))
+        control(arg, r);
+    else
+        run(arg, r);
+}
+
+void stand_replica(struct event_base *base, struct evhttp *http,
+                   const Wp__StandSettings *set)
+{
+    Replica *p = g_new0(Replica, 1);
+    p->base = base;
+    p->set = set;
+    p->rand = g_rand_new_with_seed((guint32)set->seed);
+    p->id = g_strdup_printf("i-%u-%lu", set->port, (unsigned long)set->seed);
+    p->store = wp_http_new(base, set->store, 2000);
+    p->delay_ms = 5;
+    p->confidence = 90;
+    p->events = 5;
+    p->ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    evhttp_set_gencb(http, on_request, p);
+    list_self(p);
+}
--- a/standins/stand.c
+++ b/standins/stand.c
@@ -58,7 +58,9 @@
                  { "engine", stand_engine },
                  { "service", stand_service },
                  { "boxes", stand_boxes },
-                 { "ratings", stand_ratings } };
+                 { "ratings", stand_ratings },
+                 { "pstore", stand_pstore },
+                 { "replica", stand_replica } };
     for (size_t i = 0; i < WP_COUNT(rows); i++)
         if (!strcmp(rows[i].name, name))
             return rows[i].open;
--- a/standins/stand.h
+++ b/standins/stand.h
@@ -18,6 +18,12 @@
 void stand_ratings(struct event_base *base, struct evhttp *http,
                    const Wp__StandSettings *s);
 
+/* The users' platform: its store, and one endpoint that it lists. */
+void stand_pstore(struct event_base *base, struct evhttp *http,
+                  const Wp__StandSettings *s);
+void stand_replica(struct event_base *base, struct evhttp *http,
+                   const Wp__StandSettings *s);
+
 /* Fault fields present in `j` replace those in place. */
 void stand_set_number(const json_t *j, const char *name, double *out);
 void stand_set_bool(const json_t *j, const char *name, bool *out);
--- /dev/null
+++ b/tests/test_flow.c
@@ -0,0 +1,320 @@
+/* The course of a request that is sent to endpoints directly. */
+#include "direct_fake.h"
+
+static void what_may_have_run_once_is_never_sent_again(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_lost(f, k.now, WP_LOSS_SILENT, &m);
+    assert_int_equal(m.kind, WP_MOVE_FAIL);
+    /* 502 promises nothing; 429 and 503 would say that it has not run. */
+    assert_int_equal(wp_code_info(m.code)->status, 502);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void what_never_left_goes_elsewhere(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    const WPReplica *first = m.replica;
+    wp_flow_lost(f, k.now, WP_LOSS_UNSENT, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    assert_ptr_not_equal(m.replica, first);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void a_refusal_goes_elsewhere_and_is_told_only_if_nothing_ran(
+    void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer no = fake_answer(503, -1);
+    (void)state;
+    no.not_run = true;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    wp_flow_answer(f, k.now, &no, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_answer(f, k.now, &no, &m);
+    assert_int_equal(m.kind, WP_MOVE_FAIL);
+    assert_int_equal(wp_code_info(m.code)->status, 503);
+    assert_true(m.retry_ms > 0);
+    wp_flow_free(f);
+
+    /* The first leg of this one failed after it had run. */
+    f = fake_ask(&k, "/safe/x", NULL, &m);
+    WPDirectAnswer bad = fake_answer(500, -1);
+    wp_flow_answer(f, k.now, &bad, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_answer(f, k.now, &no, &m);
+    while (m.kind == WP_MOVE_SEND)
+        wp_flow_answer(f, k.now, &no, &m);
+    assert_int_equal(m.kind, WP_MOVE_FAIL);
+    assert_int_equal(wp_code_info(m.code)->status, 502);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void an_endpoints_503_without_its_mark_is_no_promise(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(503, -1);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_FAIL);
+    assert_int_equal(wp_code_info(m.code)->status, 502);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void an_endpoints_own_failure_is_passed_on_at_the_end(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(500, -1);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void an_answer_without_the_endpoints_mark_is_none(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, -1);
+    (void)state;
+    a.genuine = false;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_FAIL);
+    assert_int_equal(wp_code_info(m.code)->status, 502);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void a_leaving_endpoint_gets_nothing_more(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    fake_put(&k, "a1", "app", "v1", true);
+    for (int i = 0; i < 50; i++) {
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        assert_string_equal(m.replica->id, "a2");
+        /* Nor for a retry, though the other has failed. */
+        wp_flow_lost(f, k.now, WP_LOSS_SILENT, &m);
+        if (m.kind == WP_MOVE_SEND) {
+            assert_string_equal(m.replica->id, "a2");
+            wp_flow_left(f, k.now);
+        }
+        wp_flow_free(f);
+    }
+    /* A stale listing does not bring it back. */
+    fake_put(&k, "a1", "app", "v1", false);
+    assert_true(wp_fleet_find(k.d.fleet, "a1")->draining);
+    fake_end(&k);
+}
+
+static void another_endpoint_at_the_address_is_left_alone(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(421, -1);
+    (void)state;
+    a.not_run = a.wrong = true;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    WPReplica *first = m.replica;
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    assert_true(first->unreachable);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void a_poor_answer_is_asked_again_of_the_largest(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer poor = fake_answer(200, 20), good = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    assert_true(wp_str_eq(m.model, wp_str("small")));
+    wp_flow_answer(f, k.now, &poor, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    assert_int_equal(m.why, WP_WHY_BETTER);
+    assert_true(wp_str_eq(m.model, wp_str("large")));
+    /* The largest model's answer is passed on whatever it thinks of it. */
+    wp_flow_answer(f, k.now, &poor, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+
+    f = fake_ask(&k, "/chat/x", NULL, &m);
+    wp_flow_answer(f, k.now, &good, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void a_broken_stream_goes_on_elsewhere(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    const WPReplica *first = m.replica;
+    wp_flow_answer(f, k.now, &a, &m);
+    wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    assert_int_equal(m.why, WP_WHY_RESUME);
+    assert_ptr_not_equal(m.replica, first);
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+    if (m.kind == WP_MOVE_SEND)
+        wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+    /* Three attempts are over: the caller's answer must not look whole. */
+    assert_int_equal(m.kind, WP_MOVE_CUT);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void time_over_is_told_for_what_it_is(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    /* The route holds it for two seconds, the caller for ten. */
+    assert_int_equal(m.budget_ms, 2000);
+    fake_pass(&k, 2000);
+    wp_flow_expired(f, k.now, &m);
+    assert_int_equal(m.kind, WP_MOVE_FAIL);
+    assert_int_equal(wp_code_info(m.code)->status, 504);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void keys_and_routes_are_checked(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAsk ask = { .id = wp_str("x"),
+                        .host = wp_str("H.Example"),
+                        .path = wp_str("/chat/deep/er"),
+                        .key = wp_str("key-2") };
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = wp_flow_begin(&k.d, k.now, &ask, &m);
+    assert_int_equal(wp_code_info(m.code)->status, 401);
+    wp_flow_free(f);
+    ask.path = wp_str("/chatty");
+    f = wp_flow_begin(&k.d, k.now, &ask, &m);
+    assert_int_equal(wp_code_info(m.code)->status, 404);
+    wp_flow_free(f);
+    wp_routes_unref(k.d.routes);
+    k.d.routes = NULL;
+    f = wp_flow_begin(&k.d, k.now, &ask, &m);
+    assert_int_equal(wp_code_info(m.code)->status, 503);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void routes_never_go_back(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    assert_true(wp_direct_routes(&k.d, fake_routes(5)));
+    assert_false(wp_direct_routes(&k.d, fake_routes(4)));
+    assert_false(wp_direct_routes(&k.d, fake_routes(5)));
+    assert_int_equal(k.d.routes->version, 5);
+    fake_end(&k);
+}
+
+/* Whatever fails, the legs beyond the first of each request stay a share of
+   the requests and a fixed number. */
+static void retries_stay_within_the_budget(void **state)
+{
+    Fake k;
+    WPMove m;
+    unsigned legs = 0, requests = 400;
+    (void)state;
+    fake_init(&k);
+    k.d.boxes = 2;
+    for (unsigned i = 0; i < requests; i++) {
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        for (; m.kind == WP_MOVE_SEND; legs++)
+            wp_flow_lost(f, k.now, WP_LOSS_SILENT, &m);
+        wp_flow_free(f);
+        fake_pass(&k, 10);
+    }
+    assert_true(legs > requests);
+    assert_true(legs - requests <= 0.5 * requests + 20 / 2);
+    fake_end(&k);
+}
+
+/* A mute endpoint does not keep what may be repeated: once it is overdue, it
+   goes elsewhere; what may not be repeated waits. */
+static void a_mute_endpoint_is_left_for_another(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    assert_true(m.patience_ms > 0);
+    fake_pass(&k, m.patience_ms);
+    assert_true(wp_flow_impatient(f, k.now, &m));
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_left(f, k.now);
+    wp_flow_free(f);
+    f = fake_ask(&k, "/once/x", NULL, &m);
+    assert_int_equal(m.patience_ms, 0);
+    wp_flow_left(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(what_may_have_run_once_is_never_sent_again),
+           T(what_never_left_goes_elsewhere),
+           T(a_refusal_goes_elsewhere_and_is_told_only_if_nothing_ran),
+           T(an_endpoints_503_without_its_mark_is_no_promise),
+           T(an_endpoints_own_failure_is_passed_on_at_the_end),
+           T(an_answer_without_the_endpoints_mark_is_none),
+           T(a_leaving_endpoint_gets_nothing_more),
+           T(another_endpoint_at_the_address_is_left_alone),
+           T(a_poor_answer_is_asked_again_of_the_largest),
+           T(a_broken_stream_goes_on_elsewhere),
+           T(time_over_is_told_for_what_it_is), T(keys_and_routes_are_checked),
+           T(routes_never_go_back), T(retries_stay_within_the_budget),
+           T(a_mute_endpoint_is_left_for_another))
--- /dev/null
+++ b/tests/test_mirror.c
@@ -0,0 +1,155 @@
+/* The copy of the store's entries, and what is made of entries that lapse. */
+#include "direct_fake.h"
+#include "wp_mirror.h"
+
+static bool put(WPMirror *m, const char *key, const char *value, uint64_t rev)
+{
+    WPStr v = wp_str(value);
+    return wp_mirror_put(m, key, value ? &v : NULL, rev);
+}
+
+static void only_newer_entries_change_anything(void **state)
+{
+    WPMirror *m = wp_mirror_new();
+    (void)state;
+    assert_true(put(m, "a", "1", 5));
+    assert_false(put(m, "a", "0", 4));
+    assert_false(put(m, "a", "1", 5));
+    assert_int_equal(wp_mirror_revision(m, "a"), 5);
+    assert_true(put(m, "a", NULL, 6));
+    assert_int_equal(wp_mirror_revision(m, "a"), 0);
+    /* What was removed does not come back by an old copy. */
+    assert_false(put(m, "a", "1", 5));
+    assert_true(put(m, "a", "2", 9));
+    wp_mirror_free(m);
+}
+
+/* A box that a store turns away learns all from another, removals too. */
+static void a_delta_brings_another_box_up_to_date(void **state)
+{
+    WPMirror *a = wp_mirror_new(), *b = wp_mirror_new();
+    (void)state;
+    put(a, "x", "1", 3);
+    put(b, "x", "1", 3);
+    put(b, "gone", "1", 4);
+    wp_mirror_advance(b, 4);
+    put(a, "gone", "1", 4);
+    put(a, "gone", NULL, 7);
+    put(a, "y", "2", 6);
+    wp_mirror_advance(a, 8);
+    Wp__MirrorDelta *d = wp_mirror_delta(a, wp_mirror_complete(b));
+    assert_int_equal(d->n_items, 2);
+    for (size_t i = 0; i < d->n_items; i++) {
+        const Wp__MirrorItem *item = d->items[i];
+        WPStr v = wp_strn((char *)item->value.data, item->value.len);
+        wp_mirror_put(b, item->key, item->removed ? NULL : &v,
+                      item->revision);
+    }
+    wp_mirror_advance(b, d->complete);
+    assert_int_equal(wp_mirror_complete(b), 8);
+    assert_null(wp_mirror_get(b, "gone"));
+    assert_int_equal(wp_mirror_revision(b, "y"), 6);
+    wp_mirror_delta_free(d);
+    wp_mirror_free(a);
+    wp_mirror_free(b);
+}
+
+/* Entries that are newer than the reading are not missing from it. */
+static void a_reading_lacks_only_what_it_could_have_seen(void **state)
+{
+    WPMirror *m = wp_mirror_new();
+    g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+    (void)state;
+    put(m, "kept", "1", 3);
+    put(m, "lost", "1", 4);
+    put(m, "newer", "1", 12);
+    g_hash_table_add(keys, (gpointer) "kept");
+    g_autoptr(GPtrArray) lacking = wp_mirror_lacking(m, keys, 10);
+    assert_int_equal(lacking->len, 1);
+    assert_string_equal(((WPMirrorItem *)lacking->pdata[0])->key, "lost");
+    wp_mirror_free(m);
+}
+
+static unsigned app_endpoints(Fake *k)
+{
+    WPWant w = { .service = "app", .zone = "z1" };
+    return wp_fleet_count(k->d.fleet, &w);
+}
+
+/* While the store was away its list may lose entries of endpoints that live:
+   they are back within two seconds, or gone. */
+static void a_doubtful_removal_waits_and_an_explicit_one_does_not(
+    void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    wp_fleet_remove(k.d.fleet, k.now, "a1", true);
+    assert_int_equal(app_endpoints(&k), 2);
+    fake_pass(&k, 1500);
+    fake_put(&k, "a1", "app", "v1", false);
+    fake_pass(&k, 3000);
+    assert_int_equal(app_endpoints(&k), 2);
+    wp_fleet_remove(k.d.fleet, k.now, "a1", true);
+    fake_pass(&k, 3000);
+    assert_int_equal(app_endpoints(&k), 1);
+    wp_fleet_remove(k.d.fleet, k.now, "a2", false);
+    assert_int_equal(app_endpoints(&k), 0);
+    fake_end(&k);
+}
+
+static void a_failing_endpoint_is_avoided_and_tried_again(void **state)
+{
+    Fake k;
+    WPWant w = { .service = "app", .zone = "z1" };
+    unsigned bad = 0;
+    (void)state;
+    fake_init(&k);
+    WPReplica *a1 = wp_fleet_find(k.d.fleet, "a1");
+    for (int i = 0; i < 4; i++) {
+        wp_fleet_sent(a1, k.now, 0);
+        wp_fleet_ended(a1, k.now, WP_SERVED_SILENT);
+    }
+    for (int i = 0; i < 100; i++) {
+        WPReplica *s = wp_fleet_choose(k.d.fleet, k.now, &w);
+        bad += s == a1;
+        wp_fleet_release(s);
+    }
+    assert_int_equal(bad, 0);
+    fake_pass(&k, 20000);
+    for (int i = 0; i < 100; i++) {
+        WPReplica *s = wp_fleet_choose(k.d.fleet, k.now, &w);
+        bad += s == a1;
+        wp_fleet_release(s);
+    }
+    assert_true(bad > 10);
+    fake_end(&k);
+}
+
+static void the_own_zone_comes_first_until_it_is_loaded(void **state)
+{
+    Fake k;
+    WPListing far = { "a9", "app", "127.0.0.1:9", "z2", "v1", 8, false, 0 };
+    WPWant w = { .service = "app", .zone = "z1" };
+    (void)state;
+    fake_init(&k);
+    wp_fleet_put(k.d.fleet, k.now, &far);
+    for (int i = 0; i < 100; i++) {
+        WPReplica *s = wp_fleet_choose(k.d.fleet, k.now, &w);
+        assert_string_equal(s->zone, "z1");
+        wp_fleet_release(s);
+    }
+    wp_fleet_load(wp_fleet_find(k.d.fleet, "a1"), k.now, 8, 4, 8);
+    wp_fleet_load(wp_fleet_find(k.d.fleet, "a2"), k.now, 8, 4, 8);
+    WPReplica *s = wp_fleet_choose(k.d.fleet, k.now, &w);
+    assert_string_equal(s->id, "a9");
+    wp_fleet_release(s);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(only_newer_entries_change_anything),
+           T(a_delta_brings_another_box_up_to_date),
+           T(a_reading_lacks_only_what_it_could_have_seen),
+           T(a_doubtful_removal_waits_and_an_explicit_one_does_not),
+           T(a_failing_endpoint_is_avoided_and_tried_again),
+           T(the_own_zone_comes_first_until_it_is_loaded))
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,211 @@
+/* The adapter: the platform's entries, requests and answers, decoded and
+ * written. The examples are of the platform's own pages. */
+#include "pf.h"
+#include "pf_names.h"
+#include "test.h"
+
+static WPNews news(const char *key, const char *value, uint64_t revision)
+{
+    WPKvItem i = { wp_str(key), wp_str(value), revision, !value };
+    WPNews n;
+    pf_news(&i, &n);
+    return n;
+}
+
+static const char config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\","
+    "\"prefix\":\"/x/\",\"kind\":\"streaming\",\"timeoutMs\":20000,"
+    "\"targetLatencyMs\":2000,\"priority\":1,\"sizes\":[\"m0\",\"m1\"],"
+    "\"trafficSplit\":[{\"service\":\"llm\",\"weight\":90},"
+    "{\"service\":\"app\",\"weight\":0}],\"maxAttempts\":3,"
+    "\"anonymous\":false,\"sticky\":true,\"resumable\":true,"
+    "\"gapAimMs\":1200},{\"name\":\"r2\",\"host\":\"a.example\","
+    "\"prefix\":\"/x/y/\",\"kind\":\"unsafe\",\"service\":\"app\"}],"
+    "\"services\":[{\"name\":\"llm\",\"maxConnections\":230,\"engine\":"
+    "{\"slots\":32,\"kvTokens\":761808,\"models\":[{\"name\":\"m0\","
+    "\"cost\":0.013}]}},{\"name\":\"app\",\"maxConnections\":96}],"
+    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+    "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{"
+    "\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+
+static void a_configuration_is_read_whole(void **state)
+{
+    WPNews n = news(PF_K_CONFIG, config, 4);
+    (void)state;
+    assert_int_equal(n.kind, WP_NEWS_ROUTES);
+    const WPRoutes *t = n.routes;
+    assert_int_equal(t->version, 7);
+    assert_true(t->keyed);
+    assert_int_equal(t->limits.idle_ms, 15000);
+    const WPRoute *r =
+        wp_routes_find(t, wp_str("A.example"), wp_str("/x/z?q"));
+    assert_string_equal(r->name, "r1");
+    assert_int_equal(r->repeat, WP_REPEAT_STREAM);
+    assert_true(r->resumable);
+    assert_int_equal(r->models->len, 2);
+    assert_string_equal(wp_route_pick(t, r, 0.999)->name, "llm");
+    r = wp_routes_find(t, wp_str("a.example"), wp_str("/x/y/z"));
+    assert_string_equal(r->name, "r2");
+    assert_int_equal(r->repeat, WP_REPEAT_NEVER);
+    assert_int_equal(r->max_attempts, 1);
+    assert_string_equal(wp_routes_caller(t, wp_str("k2"))->workspace, "t1");
+    assert_null(wp_routes_caller(t, wp_str("k3")));
+    assert_float_equal(
+        wp_service_cost(wp_routes_service(t, "llm"), "m0"), 0.013, 1e-9);
+    wp_routes_unref(n.routes);
+    pf_news_end(&n);
+}
+
+static void endpoints_orders_and_outcomes_are_read(void **state)
+{
+    (void)state;
+    WPNews n = news(PF_K_ENDPOINT "i-7",
+                    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+                    "\"z\",\"version\":\"v1\",\"slots\":32,\"state\":"
+                    "\"draining\",\"coldLeftMs\":5}",
+                    9);
+    assert_int_equal(n.kind, WP_NEWS_ENDPOINT);
+    assert_string_equal(n.listing.id, "i-7");
+    assert_true(n.listing.draining);
+    assert_int_equal(n.listing.cold_left_ms, 5);
+    pf_news_end(&n);
+    n = news(PF_K_ENDPOINT "i-7", NULL, 10);
+    assert_int_equal(n.kind, WP_NEWS_GONE);
+    assert_string_equal(n.listing.id, "i-7");
+    n = news(PF_K_ORDER "s",
+             "{\"service\":\"s\",\"targetVersion\":\"v2\",\"durationS\":12}",
+             11);
+    assert_int_equal(n.kind, WP_NEWS_ORDER);
+    assert_int_equal(n.order.duration_ms, 12000);
+    assert_int_equal(n.order.revision, 11);
+    pf_news_end(&n);
+    n = news(PF_K_OUTCOME "s",
+             "{\"state\":\"rolled_back\",\"targetVersion\":\"v2\"}", 12);
+    assert_int_equal(n.kind, WP_NEWS_OUTCOME);
+    assert_int_equal(n.state, WP_SHIFT_UNDONE);
+    pf_news_end(&n);
+    n = news(PF_K_CONFIG, "[]", 13);
+    assert_int_equal(n.kind, WP_NEWS_BAD);
+    pf_news_end(&n);
+    n = news("something/else", "{}", 14);
+    assert_int_equal(n.kind, WP_NEWS_NONE);
+}
+
+static void an_outcome_that_is_written_reads_the_same(void **state)
+{
+    WPShift sh = { .service = (char *)"s", .version = (char *)"v2" };
+    (void)state;
+    for (int st = WP_SHIFT_RUNNING; st <= WP_SHIFT_UNDONE; st++) {
+        g_autofree char *key = pf_outcome_key("s");
+        g_autofree char *text = pf_outcome_text(&sh, (WPShiftState)st);
+        WPNews n = news(key, text, 3);
+        assert_int_equal(n.state, st);
+        assert_string_equal(n.order.version, "v2");
+        pf_news_end(&n);
+    }
+}
+
+static WPField field(const char *name, const char *value)
+{
+    return (WPField){ wp_str(name), wp_str(value) };
+}
+
+static char *leg_text(const WPHead *h, const WPLegText *leg)
+{
+    struct evbuffer *out = evbuffer_new();
+    pf_write_leg(h, leg, out);
+    evbuffer_add(out, "", 1);
+    char *text = g_strdup((char *)evbuffer_pullup(out, -1));
+    evbuffer_free(out);
+    return text;
+}
+
+/* What only the system may set does not come from a caller, and the key goes
+   no further; the rest goes on as it came. */
+static void a_request_goes_on_with_what_is_the_callers(void **state)
+{
+    const WPField fields[] = {
+        field("Host", "a.example"),      field("x-attempt-id", "id1"),
+        field("Authorization", "Token k1"), field("X-Tenant", "forged"),
+        field("X-Hold", "h"),            field("X-Pin-Ms", "9"),
+        field("X-Kv-Backup", "1.2.3.4:5"), field("Kv-From", "1.2.3.4:5/6"),
+        field("X-Expect-Replica", "i-0"), field("X-Request-Priority", "0"),
+        field("Connection", "X-Drop"),   field("X-Drop", "1"),
+        field("Transfer-Encoding", "chunked"), field("X-Model", "*"),
+        field("X-Token-Count", "1460,80"), field("X-Custom", " as it came"),
+        field("X-Deadline-Ms", "25000")
+    };
+    WPHead h = { .fields = fields, .n_fields = WP_COUNT(fields) };
+    WPLegText leg = { .replica = "i-7",
+                      .workspace = "t1",
+                      .model = wp_str("m0"),
+                      .budget_ms = 1234,
+                      .priority = 2 };
+    WPDirectAsk ask;
+    (void)state;
+    h.target = wp_str("/x/y?z=1");
+    assert_null(pf_read_ask(&h, &ask));
+    assert_true(wp_str_eq(ask.key, wp_str("k1")));
+    assert_true(wp_str_eq(ask.path, wp_str("/x/y")));
+    assert_int_equal(ask.prompt_tokens, 1460);
+    assert_int_equal(ask.answer_tokens, 80);
+    assert_int_equal(ask.deadline_ms, 25000);
+    g_autofree char *text = leg_text(&h, &leg);
+    assert_string_equal(text, "Host: a.example\r\nx-attempt-id: id1\r\n"
+                              "X-Token-Count: 1460,80\r\n"
+                              "X-Custom:  as it came\r\n"
+                              "X-Expect-Replica: i-7\r\nX-Tenant: t1\r\n"
+                              "X-Model: m0\r\nX-Deadline-Ms: 1234\r\n"
+                              "X-Request-Priority: 2\r\n");
+}
+
+static void shared_prompts_are_known_by_all_parts_but_the_last(void **state)
+{
+    WPField a[] = { field(PF_H_REQUEST_ID, "1"),
+                    field(PF_H_PROMPT, "aa:5,bb:6,cc:7") };
+    WPField b[] = { field(PF_H_REQUEST_ID, "2"),
+                    field(PF_H_PROMPT, "aa:5,bb:6,dd:9") };
+    WPHead ha = { .fields = a, .n_fields = 2, .target = wp_str("/") };
+    WPHead hb = { .fields = b, .n_fields = 2, .target = wp_str("/") };
+    WPDirectAsk x, y;
+    (void)state;
+    pf_read_ask(&ha, &x);
+    pf_read_ask(&hb, &y);
+    assert_true(x.prompt && x.prompt == y.prompt);
+    ha.n_fields = 1;
+    assert_null(pf_read_ask(&ha, &x));
+    assert_int_equal(x.prompt, 0);
+    ha.n_fields = 0;
+    assert_non_null(pf_read_ask(&ha, &x));
+}
+
+static void answers_are_told_apart(void **state)
+{
+    WPField f[] = { field("X-Attempt-Id", "id1"),
+                    field("X-Replica-Seal", "s"),
+                    field("X-Confidence", "61"),
+                    field("X-Replica-Load", "3,1,8") };
+    WPHead h = { .status = 200, .fields = f, .n_fields = WP_COUNT(f) };
+    WPDirectAnswer a;
+    (void)state;
+    assert_true(pf_is_answer_to(&h, "id1"));
+    assert_false(pf_is_answer_to(&h, "id2"));
+    pf_read_answer(&h, &a);
+    assert_true(a.genuine && a.has_load && !a.not_run);
+    assert_int_equal(a.confidence, 61);
+    assert_int_equal(a.running * 100 + a.waiting * 10 + a.slots, 318);
+    f[3] = field("Content-Encoding", "gzip");
+    pf_read_answer(&h, &a);
+    assert_false(a.genuine);
+    f[3] = field("X-Not-Executed", "1");
+    h.status = 503;
+    pf_read_answer(&h, &a);
+    assert_true(a.not_run);
+}
+
+TESTS_MAIN(T(a_configuration_is_read_whole),
+           T(endpoints_orders_and_outcomes_are_read),
+           T(an_outcome_that_is_written_reads_the_same),
+           T(a_request_goes_on_with_what_is_the_callers),
+           T(shared_prompts_are_known_by_all_parts_but_the_last),
+           T(answers_are_told_apart))
--- /dev/null
+++ b/tests/test_shift.c
@@ -0,0 +1,308 @@
+/* Moves of a service between versions of its endpoints. */
+#include "direct_fake.h"
+
+enum { DURATION_MS = 20000, LEAD_MS = 2000 };
+
+static WPShift *order(Fake *k)
+{
+    WPShiftOrder o = { "llm", "v2", DURATION_MS, 10 };
+    WPShift *sh = wp_shifts_order(k->d.shifts, &o);
+    sh->began_ms = k->now.wall_ms;
+    fake_put(k, "n1", "llm", "v2", false);
+    fake_put(k, "n2", "llm", "v2", false);
+    return sh;
+}
+
+/* The version that serves one request of a session. */
+static const char *serve(Fake *k, const char *session)
+{
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, "/chat/x", session, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    const char *version = g_intern_string(m.replica->version);
+    wp_flow_answer(f, k->now, &a, &m);
+    wp_flow_done(f, k->now);
+    wp_flow_free(f);
+    return version;
+}
+
+static void nothing_goes_to_a_version_before_its_order_is_recorded(
+    void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    sh->began_ms = 0;
+    for (int i = 0; i < 100; i++)
+        assert_string_equal(serve(&k, NULL), "v1");
+    fake_end(&k);
+}
+
+static void a_first_share_goes_to_the_new_version(void **state)
+{
+    Fake k;
+    unsigned fresh = 0;
+    (void)state;
+    fake_init(&k);
+    order(&k);
+    fake_pass(&k, LEAD_MS);
+    for (int i = 0; i < 1000; i++)
+        fresh += !strcmp(serve(&k, NULL), "v2");
+    assert_in_range(fresh, 70, 130);
+    fake_end(&k);
+}
+
+/* In the first half, a session that is on the old version stays there, though
+   its place would be taken; also when only another box has served it. */
+static void sessions_on_the_old_version_stay_in_the_first_half(void **state)
+{
+    Fake k;
+    unsigned moved = 0;
+    (void)state;
+    fake_init(&k);
+    for (int i = 0; i < 300; i++) {
+        g_autofree char *s = g_strdup_printf("s%d", i);
+        serve(&k, s);
+    }
+    order(&k);
+    fake_pass(&k, LEAD_MS);
+    for (int i = 0; i < 300; i++) {
+        g_autofree char *s = g_strdup_printf("s%d", i);
+        moved += strcmp(serve(&k, s), "v1") != 0;
+    }
+    assert_int_equal(moved, 0);
+    fake_end(&k);
+}
+
+static void other_boxes_learn_which_sessions_are_bound(void **state)
+{
+    Fake here, there;
+    uint64_t bound[128];
+    unsigned moved = 0, unseen = 0;
+    (void)state;
+    fake_init(&here);
+    fake_init(&there);
+    for (int i = 0; i < 300; i++) {
+        g_autofree char *s = g_strdup_printf("s%d", i);
+        serve(&here, s);
+    }
+    assert_int_equal(wp_direct_bound(&here.d, here.now, bound, 128), 0);
+    order(&here);
+    order(&there);
+    size_t n = wp_direct_bound(&here.d, here.now, bound, 128);
+    assert_in_range(n, 10, 60); /* a tenth of them */
+    for (size_t i = 0; i < n; i++)
+        wp_direct_hear_bound(&there.d, there.now, bound[i]);
+    fake_pass(&there, LEAD_MS);
+    for (int i = 0; i < 300; i++) {
+        g_autofree char *s = g_strdup_printf("s%d", i);
+        g_autofree char *t = g_strdup_printf("t%d", i);
+        moved += strcmp(serve(&there, s), "v1") != 0;
+        unseen += strcmp(serve(&there, t), "v1") != 0;
+    }
+    assert_int_equal(moved, 0);
+    assert_true(unseen > 0); /* new sessions still go to the new version */
+    /* What was only heard of is not told on. */
+    assert_int_equal(wp_direct_bound(&there.d, there.now, bound, 128) <=
+                         300,
+                     1);
+    fake_end(&here);
+    fake_end(&there);
+}
+
+/* A session's second request may come before its first is answered. */
+static void a_session_is_bound_from_its_first_sending(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", "s", &m);
+    assert_string_equal(wp_fleet_find(k.d.fleet, m.replica->id)->version,
+                        "v1");
+    order(&k);
+    fake_pass(&k, LEAD_MS);
+    for (int i = 0; i < 50; i++)
+        assert_string_equal(serve(&k, "s"), "v1");
+    wp_flow_left(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+/* An answer may take longer than sessions bind: they bind from its end. */
+static void a_session_binds_from_the_end_of_a_request(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", "s", &m);
+    wp_flow_answer(f, k.now, &a, &m);
+    order(&k);
+    fake_pass(&k, 8000);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+    fake_pass(&k, 1000);
+    assert_string_equal(serve(&k, "s"), "v1");
+    fake_end(&k);
+}
+
+static void once_moved_a_session_does_not_go_back(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    order(&k);
+    fake_pass(&k, DURATION_MS * 6 / 10);
+    assert_string_equal(serve(&k, "s"), "v2");
+    /* Another box's clock may still be in the first stage. */
+    k.now.wall_ms -= DURATION_MS * 2 / 10;
+    assert_string_equal(serve(&k, "s"), "v2");
+    fake_end(&k);
+}
+
+static void a_move_ends_in_time_when_nothing_is_wrong(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    fake_pass(&k, DURATION_MS * 8 / 10);
+    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL),
+                     WP_SHIFT_RUNNING);
+    fake_pass(&k, DURATION_MS * 11 / 100);
+    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL),
+                     WP_SHIFT_DONE);
+    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_DONE);
+    for (int i = 0; i < 50; i++)
+        assert_string_equal(serve(&k, NULL), "v2");
+    fake_end(&k);
+}
+
+static void feed(WPShift *sh, const char *version, const char *replica,
+                 const char *route, unsigned n, unsigned failed, unsigned slow)
+{
+    for (unsigned i = 0; i < n; i++)
+        wp_shift_answered(sh, version, replica, route, i < failed,
+                          i >= failed && i < failed + slow);
+}
+
+static void a_bad_version_is_found_and_left(void **state)
+{
+    Fake k;
+    g_autofree char *why = NULL;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    fake_pass(&k, LEAD_MS);
+    feed(sh, "v1", "l1", "chat", 200, 1, 0);
+    feed(sh, "v2", "n1", "chat", 8, 3, 0);
+    feed(sh, "v2", "n2", "chat", 8, 3, 0);
+    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, &why),
+                     WP_SHIFT_UNDONE);
+    assert_non_null(strstr(why, "new=6/16"));
+    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_UNDONE);
+    for (int i = 0; i < 50; i++)
+        assert_string_equal(serve(&k, NULL), "v1");
+    fake_end(&k);
+}
+
+static void a_version_is_bad_when_it_is_slow_or_on_one_route(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 200, 0, 0);
+    feed(sh, "v2", "n1", "chat", 10, 0, 4);
+    feed(sh, "v2", "n2", "chat", 10, 0, 4);
+    assert_true(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+
+    fake_init(&k);
+    sh = order(&k);
+    feed(sh, "v1", "l1", "other", 100, 0, 0);
+    feed(sh, "v1", "l1", "chat", 100, 0, 0);
+    feed(sh, "v2", "n1", "other", 300, 0, 0);
+    feed(sh, "v2", "n1", "chat", 6, 4, 0);
+    feed(sh, "v2", "n2", "chat", 6, 4, 0);
+    assert_true(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+}
+
+/* Neither failures that the old version has too, nor one failing endpoint
+   among many, make a version bad. */
+static void a_good_version_is_not_blamed(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 200, 30, 0);
+    feed(sh, "v2", "n1", "chat", 30, 5, 0);
+    feed(sh, "v2", "n2", "chat", 30, 5, 0);
+    assert_false(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+
+    fake_init(&k);
+    sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 200, 0, 0);
+    feed(sh, "v2", "n1", "chat", 20, 9, 0);
+    for (int i = 2; i < 8; i++) {
+        g_autofree char *id = g_strdup_printf("n%d", i);
+        feed(sh, "v2", id, "chat", 20, 0, 0);
+    }
+    assert_false(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+}
+
+/* No box has seen enough by itself; their sums show it. */
+static void boxes_find_a_bad_version_together(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 100, 0, 0);
+    feed(sh, "v2", "n1", "chat", 4, 1, 0);
+    feed(sh, "v2", "n2", "chat", 4, 1, 0);
+    assert_false(wp_shift_is_bad(sh, NULL));
+    wp_shift_hear(sh, "e2", (WPShiftSums){ 8, 3, 0 }, 0);
+    wp_shift_hear(sh, "e3", (WPShiftSums){ 8, 2, 0 }, 0);
+    assert_true(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+}
+
+static void an_old_order_changes_nothing(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    order(&k);
+    WPShiftOrder old = { "llm", "v0", DURATION_MS, 9 };
+    assert_null(wp_shifts_order(k.d.shifts, &old));
+    WPShiftOrder next = { "llm", "v3", DURATION_MS, 11 };
+    assert_non_null(wp_shifts_order(k.d.shifts, &next));
+    /* A record of the order before does not end this one. */
+    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_DONE);
+    assert_int_equal(wp_shifts_find(k.d.shifts, "llm")->state,
+                     WP_SHIFT_RUNNING);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(nothing_goes_to_a_version_before_its_order_is_recorded),
+           T(a_first_share_goes_to_the_new_version),
+           T(sessions_on_the_old_version_stay_in_the_first_half),
+           T(other_boxes_learn_which_sessions_are_bound),
+           T(a_session_is_bound_from_its_first_sending),
+           T(a_session_binds_from_the_end_of_a_request),
+           T(once_moved_a_session_does_not_go_back),
+           T(a_move_ends_in_time_when_nothing_is_wrong),
+           T(a_bad_version_is_found_and_left),
+           T(a_version_is_bad_when_it_is_slow_or_on_one_route),
+           T(a_good_version_is_not_blamed),
+           T(boxes_find_a_bad_version_together),
+           T(an_old_order_changes_nothing))
--- /dev/null
+++ b/tests/test_stream.c
@@ -0,0 +1,160 @@
+/* Streams event by event, and HTTP/1.1 heads as they may be sent. */
+#include "test.h"
+#include "wp_h1.h"
+#include "wp_stream.h"
+
+static char *feed(WPStream *s, const char *text, bool *in_order)
+{
+    g_autoptr(GByteArray) out = g_byte_array_new();
+    bool ok = wp_stream_feed(s, text, strlen(text), out);
+    if (in_order)
+        *in_order = ok;
+    return g_strndup(out->len ? (char *)out->data : "", out->len);
+}
+
+static void only_whole_events_are_passed_on(void **state)
+{
+    WPStream s;
+    (void)state;
+    wp_stream_init(&s);
+    g_autofree char *a = feed(&s, "id: 1\ndata: x\n\nid: 2\nda", NULL);
+    assert_string_equal(a, "id: 1\ndata: x\n\n");
+    assert_false(wp_stream_is_even(&s));
+    g_autofree char *b = feed(&s, "ta: y\n\n", NULL);
+    assert_string_equal(b, "id: 2\ndata: y\n\n");
+    assert_true(wp_stream_is_even(&s));
+    assert_int_equal(s.last, 2);
+    wp_stream_end(&s);
+}
+
+/* At every byte where a stream may break, what follows elsewhere gives the
+   caller each event once and in order. */
+static void a_stream_that_goes_on_elsewhere_has_each_event_once(void **state)
+{
+    const char *all = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                      "id: 3\ndata: c\n\n";
+    const char *rest[] = { all, strstr(all, "id: 2"), strstr(all, "id: 3"),
+                           "" };
+    (void)state;
+    for (size_t cut = 0; cut <= strlen(all); cut++) {
+        WPStream s;
+        wp_stream_init(&s);
+        g_autofree char *head = g_strndup(all, cut);
+        g_autofree char *a = feed(&s, head, NULL);
+        wp_stream_restart(&s);
+        g_autofree char *b = feed(&s, rest[s.has_last ? s.last : 0], NULL);
+        g_autofree char *both = g_strconcat(a, b, NULL);
+        assert_string_equal(both, all);
+        wp_stream_end(&s);
+    }
+}
+
+static void repeated_events_are_dropped_and_gaps_found(void **state)
+{
+    WPStream s;
+    bool ok;
+    (void)state;
+    wp_stream_init(&s);
+    wp_stream_after(&s, 4);
+    g_autofree char *a = feed(&s, "id: 4\ndata: a\n\nid: 5\ndata: b\n\n", &ok);
+    assert_true(ok);
+    assert_string_equal(a, "id: 5\ndata: b\n\n");
+    g_autofree char *b = feed(&s, "id: 7\ndata: d\n\n", &ok);
+    assert_false(ok);
+    assert_string_equal(b, "");
+    wp_stream_end(&s);
+}
+
+static bool strict(const char *head)
+{
+    return wp_h1_head_is_strict(head, strlen(head));
+}
+
+static void heads_that_two_readers_could_take_apart_differently(void **state)
+{
+    (void)state;
+    assert_true(strict("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+    assert_false(strict("GET / HTTP/1.1\nHost: a\r\n\r\n"));
+    assert_false(strict("GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n"));
+    assert_false(strict("GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n"));
+    assert_false(strict("\r\nGET / HTTP/1.1\r\n\r\n"));
+    assert_false(wp_h1_head_is_strict("GET /\0 HTTP/1.1\r\n\r\n", 19));
+}
+
+/* What one parsing of an answer gave. */
+typedef struct Got {
+    int status;
+    bool until_close;
+    GString *body;
+} Got;
+
+static bool on_head(void *arg, const WPHead *h)
+{
+    Got *g = arg;
+    g->status = h->status;
+    g->until_close = h->until_close;
+    return true;
+}
+
+static void on_body(void *arg, const char *p, size_t n)
+{
+    g_string_append_len(((Got *)arg)->body, p, (gssize)n);
+}
+
+static const WPH1Ops h1_ops = { on_head, on_body };
+
+static WPH1State parse(Got *g, const char *text, bool eof, size_t *left)
+{
+    WPH1 h;
+    struct evbuffer *in = evbuffer_new();
+    g->body = g_string_new(NULL);
+    evbuffer_add(in, text, strlen(text));
+    wp_h1_init(&h, false, &h1_ops, g);
+    WPH1State st = wp_h1_feed(&h, in);
+    if (st == WP_H1_MORE && eof)
+        st = wp_h1_eof(&h);
+    *left = evbuffer_get_length(in);
+    wp_h1_end(&h);
+    evbuffer_free(in);
+    return st;
+}
+
+static void answers_end_where_their_length_says(void **state)
+{
+    Got g;
+    size_t left;
+    (void)state;
+    assert_int_equal(parse(&g,
+                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                           "HTTP/1.1 200 OK\r\n",
+                           false, &left),
+                     WP_H1_WHOLE);
+    assert_string_equal(g.body->str, "ok");
+    assert_int_equal(left, strlen("HTTP/1.1 200 OK\r\n"));
+    g_string_free(g.body, TRUE);
+    /* Broken off: not whole, also when the connection ends well. */
+    assert_int_equal(parse(&g, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+                           true, &left),
+                     WP_H1_BAD);
+    g_string_free(g.body, TRUE);
+    assert_int_equal(parse(&g,
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                           "\r\n\r\n2\r\nok\r\n",
+                           true, &left),
+                     WP_H1_BAD);
+    g_string_free(g.body, TRUE);
+    /* Without a length it ends with the connection. */
+    assert_int_equal(parse(&g, "HTTP/1.1 200 OK\r\n\r\nok", true, &left),
+                     WP_H1_WHOLE);
+    assert_true(g.until_close);
+    g_string_free(g.body, TRUE);
+    assert_int_equal(parse(&g, "\001\002 no answer\r\n\r\n", false, &left),
+                     WP_H1_BAD);
+    g_string_free(g.body, TRUE);
+}
+
+TESTS_MAIN(T(only_whole_events_are_passed_on),
+           T(a_stream_that_goes_on_elsewhere_has_each_event_once),
+           T(repeated_events_are_dropped_and_gaps_found),
+           T(heads_that_two_readers_could_take_apart_differently),
+           T(answers_end_where_their_length_says))
