--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -32,6 +32,12 @@
     return cost * (answer + PROMPT_PRICE * prompt) / PRICED_TOKENS;
 }
 
+/* How much dearer work is than its price list says. */
+static double strain_of(const WPCascadeRules *r, double lag)
+{
+    return 1 + MAX(0, lag - r->strain_from) * r->strain_weight;
+}
+
 void wp_quality_note(WPQualitySeen *q, double good)
 {
     double weight = MAX(QUALITY_WEIGHT, 1.0 / (q->seen + 1));
@@ -51,15 +57,15 @@
     double good = wp_cascade_good(r, c->confidence);
     double keep = (good + (1 - good) * POOR) * worth;
     double ask = (c->late ? LATE : 1) * worth;
-    double strain = MAX(0, c->pressure - r->strain_from) * r->strain_weight;
     double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens);
-    return ask - keep - price * (1 + strain);
+    return ask - keep - price * strain_of(r, c->lag);
 }
 
 bool wp_cascade_skips(const WPCascadeRules *r, const WPCascadeAhead *c)
 {
     double worth = worth_of(r, c->prompt_tokens, c->answer_tokens);
-    double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens);
+    double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens) *
+                   strain_of(r, c->lag);
     if (!c->late_both || c->late_one)
         return false;
     double by_steps =
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -14,15 +14,16 @@
                       and ten times those made), in the unit of the models'
                       costs */
     double base;   /* of a good answer of any length, besides */
-    double strain_from;   /* share of places taken above which work is dear */
-    double strain_weight; /* how much dearer for each whole share beyond */
+    double strain_from;   /* first bytes later than this part of their aim
+                             show that the endpoints are strained */
+    double strain_weight; /* how much dearer work is for each whole part */
 } WPCascadeRules;
 
 typedef struct WPCascadeCase {
     int confidence; /* of the answer in hand, 0 to 100 */
     uint32_t prompt_tokens, answer_tokens;
     double cost;     /* of 1,000 tokens of the larger model */
-    double pressure; /* share of the endpoints' places taken */
+    double lag;      /* recent first bytes, as a part of their aim */
     bool late;       /* the larger model's answer would miss the aim */
 } WPCascadeCase;
 
@@ -32,6 +33,7 @@
     double good;    /* share of the smallest's answers that are good */
     bool late_both; /* one after the other they would miss the aim */
     bool late_one;  /* the largest alone would */
+    double lag;     /* recent first bytes, as a part of their aim */
 } WPCascadeAhead;
 
 /* How often the smallest model's answers were good, as far as their
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -7,6 +7,9 @@
     STARTING_MS = 500     /* the same, while no routes are known */
 };
 
+/* Part of the newest in the moving mean of lags. */
+#define LAG_WEIGHT 0.03
+
 /* An answer is slow beyond this many times the mean, plus the slack. */
 #define SLOW_TIMES 3.5
 #define SLOW_SLACK_US (150 * WP_US_PER_MS)
@@ -160,6 +163,14 @@
     return f;
 }
 
+/* How late first bytes come shows the strain on the endpoints, whatever their
+   number of places is. */
+static void note_lag(WPFlow *f, int64_t took_us)
+{
+    double aim_us = (double)f->route->aim_ms * WP_US_PER_MS;
+    f->d->lag += LAG_WEIGHT * ((double)took_us / aim_us - f->d->lag);
+}
+
 /* The first byte of the leg has come: what it tells of the endpoint. */
 static bool note_first(WPFlow *f, WPTime now)
 {
@@ -172,6 +183,8 @@
     if (f->leg.heard)
         return false;
     f->leg.heard = true;
+    if (f->route->aim_ms)
+        note_lag(f, took);
     wp_fleet_began(f->leg.replica, f->prompt_tokens, took, (int64_t)mean);
     /* A new version is measured against the old one, not against itself. */
     if (!is_new || !mean)
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -131,14 +131,12 @@
         return false;
     wp_quality_note(wp_direct_quality(f->d, f->route->name),
                     wp_cascade_good(&f->d->rules.cascade, a->confidence));
-    WPWant w = want_of(f);
     const char *largest = g_ptr_array_index(models, models->len - 1);
     const WPCascadeCase c = { .confidence = a->confidence,
                               .prompt_tokens = f->prompt_tokens,
                               .answer_tokens = f->answer_tokens,
                               .cost = wp_service_cost(f->service, largest),
-                              .pressure =
-                                  wp_fleet_pressure(f->d->fleet, now, &w),
+                              .lag = f->d->lag,
                               .late = is_late(f, now, wp_str(largest)) };
     if (wp_cascade_gain(&f->d->rules.cascade, &c) <= 0)
         return false;
@@ -160,7 +158,8 @@
         .cost = wp_service_cost(f->service, model_at(f, models->len - 1).p),
         .good = wp_direct_quality(f->d, f->route->name)->good,
         .late_both = small > 0 && large > 0 && small + large > aim_us,
-        .late_one = large > aim_us
+        .late_one = large > aim_us,
+        .lag = f->d->lag
     };
     return wp_cascade_skips(&f->d->rules.cascade, &c);
 }
