--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -23,8 +23,7 @@
 static double worth_of(const WPCascadeRules *r, uint32_t prompt,
                        uint32_t answer)
 {
-    return r->base +
-           r->value * (prompt + MADE_WEIGHT * answer) / PRICED_TOKENS;
+    return r->base + r->value * (prompt + MADE_WEIGHT * answer) / PRICED_TOKENS;
 }
 
 static double price_of(double cost, uint32_t prompt, uint32_t answer)
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -22,9 +22,9 @@
 typedef struct WPCascadeCase {
     int confidence; /* of the answer in hand, 0 to 100 */
     uint32_t prompt_tokens, answer_tokens;
-    double cost;     /* of 1,000 tokens of the larger model */
-    double lag;      /* recent first bytes, as a part of their aim */
-    bool late;       /* the larger model's answer would miss the aim */
+    double cost; /* of 1,000 tokens of the larger model */
+    double lag;  /* recent first bytes, as a part of their aim */
+    bool late;   /* the larger model's answer would miss the aim */
 } WPCascadeCase;
 
 typedef struct WPCascadeAhead {
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -32,7 +32,7 @@
     GHashTable *sessions; /* hash -> which version served it, and when */
     GHashTable *speeds;   /* route and model -> how long answers take */
     GHashTable *quality;  /* route -> how good the smallest model's are */
-    double lag; /* recent first bytes, as a part of their aim */
+    double lag;           /* recent first bytes, as a part of their aim */
     int64_t swept_us;
     GRand *rand;
 } WPDirect;
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -16,6 +16,10 @@
 #define REPLICA_SHARE 0.3
 #define REPLICA_ANSWERS 3
 
+/* A bad version is several times slower for a good part of its requests; on
+   quiet days good ones had up to 0.08 of them slow while they filled. */
+#define LEAST_SLOW_SHARE 0.2
+
 /* How long a move waits until boxes have told each other which sessions are
    under way. */
 #define LEAD_MS 1500
@@ -241,7 +245,8 @@
 static bool sums_bad(const WPShiftSums *v, const WPShiftSums *old)
 {
     return too_many(v->failed, v->answered, rate(old->failed, old->answered)) ||
-           too_many(v->slow, v->answered, rate(old->slow, old->answered));
+           (rate(v->slow, v->answered) >= LEAST_SLOW_SHARE &&
+            too_many(v->slow, v->answered, rate(old->slow, old->answered)));
 }
 
 /* Whether the bad answers come from enough of the endpoints. */
