--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3531,7 +3531,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[5] =
 {
   {
     "complete",
@@ -3581,9 +3581,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "away",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MirrorDigest, has_away),
+    offsetof(Wp__MirrorDigest, away),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  4,   /* field[4] = away */
   3,   /* field[3] = bound */
   0,   /* field[0] = complete */
   1,   /* field[1] = moves */
@@ -3591,7 +3604,7 @@
 static const ProtobufCIntRange wp__mirror_digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -3601,7 +3614,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  4,
+  5,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   1,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -555,10 +555,15 @@
    */
   size_t n_bound;
   uint64_t *bound;
+  /*
+   * the store was lately without an answer
+   */
+  protobuf_c_boolean has_away;
+  protobuf_c_boolean away;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -41,7 +41,8 @@
 
 typedef void (*WPKvDone)(void *arg, const WPKvResult *r);
 
-/* An event of a watch; NULL when the watch has ended. */
+/* An event of a watch; NULL when the watch has ended. An item without a key:
+   the service has answered, and nothing has changed. */
 typedef void (*WPKvEvent)(void *arg, const WPKvItem *item);
 
 typedef struct WPKv WPKv;
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -92,8 +92,10 @@
     const char *box = after(key, WP_KEY_BOX);
     const char *service = after(key, WP_KEY_MOVE);
     if (box && value) {
-        g_autofree char *addr = g_strndup(value->p, value->n);
-        wp_peers_member(s->peers, box, addr);
+        WPStr zone = *value, addr = wp_str_cut(&zone, ' ');
+        g_autofree char *a = g_strndup(addr.p, addr.n);
+        g_autofree char *z = g_strndup(zone.p, zone.n);
+        wp_peers_member(s->peers, box, a, z);
     }
     if (service && value)
         take_began(s, service, *value);
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -13,13 +13,20 @@
     CONNECT_MS = 1000    /* between attempts to reach the same box */
 };
 
-/* Boxes are linked to all others up to this many; beyond, each reaches this
-   many others, spread over the order of ids, and news takes some hops. */
-enum { LINKS_MOST = 6 };
+enum {
+    ZONE_LINKS_MOST = 10, /* a zone's boxes are all linked up to this many;
+                             beyond, each reaches some at growing distances in
+                             the order of ids, and news takes some hops */
+    FAR_LINKS = 2,        /* to each other zone */
+    DIAL_LATER_MS = 2000  /* the box with the lower id dials; the other one
+                             only if that does not come about */
+};
 
 typedef struct Member {
-    char *id, *addr;
+    char *id, *addr, *zone;
     int64_t tried_us;
+    int64_t unlinked_us; /* since when there is no link; 0: there is one */
+    bool linked;
 } Member;
 
 struct WPPeers {
@@ -48,6 +55,7 @@
     Member *m = p;
     g_free(m->id);
     g_free(m->addr);
+    g_free(m->zone);
     g_free(m);
 }
 
@@ -191,14 +199,17 @@
     g_free(p);
 }
 
-void wp_peers_member(WPPeers *p, const char *id, const char *addr)
+void wp_peers_member(WPPeers *p, const char *id, const char *addr,
+                     const char *zone)
 {
     Member *m = g_hash_table_lookup(p->members, id);
-    if (!strcmp(id, p->self.id) || (m && !strcmp(m->addr, addr)))
+    bool same = m && !strcmp(m->addr, addr) && !strcmp(m->zone, zone);
+    if (same || !strcmp(id, p->self.id))
         return;
     m = g_new0(Member, 1);
     m->id = g_strdup(id);
     m->addr = g_strdup(addr);
+    m->zone = g_strdup(zone);
     g_hash_table_replace(p->members, m->id, m);
 }
 
@@ -220,38 +231,123 @@
     return strcmp((*(Member *const *)a)->id, (*(Member *const *)b)->id);
 }
 
+static void mark_linked(void *arg, WPLink *l)
+{
+    WPPeers *p = arg;
+    Member *m = l->peer ? g_hash_table_lookup(p->members, l->peer) : NULL;
+    if (m)
+        m->linked = true;
+}
+
+/* Which members are linked now. */
+static void mark_members(WPPeers *p, WPTime now)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        ((Member *)v)->linked = false;
+    wp_hub_each(p->hub, mark_linked, p);
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        Member *m = v;
+        if (m->linked)
+            m->unlinked_us = 0;
+        else if (!m->unlinked_us)
+            m->unlinked_us = now.mono_us;
+    }
+}
+
 static void reach(WPPeers *p, Member *m, WPTime now)
 {
-    if (is_due(&m->tried_us, now, CONNECT_MS))
+    int64_t since_us = now.mono_us - m->unlinked_us;
+    bool mine = strcmp(p->self.id, m->id) < 0 ||
+                since_us > (int64_t)DIAL_LATER_MS * WP_US_PER_MS;
+    if (!m->linked && mine && is_due(&m->tried_us, now, CONNECT_MS))
         wp_hub_link(p->hub, m->addr);
 }
 
-/* All others while they are few, else some at growing distances in the order
-   of ids, so that news reaches all in a few hops. */
-static void reach_members(WPPeers *p, WPTime now)
+static GPtrArray *of_zone(WPPeers *p, const char *zone)
 {
-    g_autoptr(GPtrArray) list = g_ptr_array_new();
+    GPtrArray *list = g_ptr_array_new();
     GHashTableIter it;
     gpointer m;
-    guint self = 0;
     g_hash_table_iter_init(&it, p->members);
     while (g_hash_table_iter_next(&it, NULL, &m))
-        g_ptr_array_add(list, m);
+        if (!strcmp(((Member *)m)->zone, zone))
+            g_ptr_array_add(list, m);
     g_ptr_array_sort(list, by_id);
-    if (list->len <= LINKS_MOST) {
+    return list;
+}
+
+static void reach_own_zone(WPPeers *p, WPTime now)
+{
+    g_autoptr(GPtrArray) list = of_zone(p, p->self.zone);
+    guint self = 0;
+    if (list->len <= ZONE_LINKS_MOST) {
         for (guint i = 0; i < list->len; i++)
             reach(p, g_ptr_array_index(list, i), now);
         return;
     }
     while (self < list->len &&
-           strcmp(((Member *)g_ptr_array_index(list, self))->id, p->self.id) <
-               0)
+           strcmp(((Member *)list->pdata[self])->id, p->self.id) < 0)
         self++;
-    for (guint step = 1, i = 0; i < LINKS_MOST && step <= list->len;
-         i++, step *= 2)
+    for (guint step = 1; step <= list->len; step *= 2)
         reach(p, g_ptr_array_index(list, (self + step - 1) % list->len), now);
 }
 
+/* Some of another zone, different ones for each box. */
+static void reach_zone(WPPeers *p, const char *zone, WPTime now)
+{
+    g_autoptr(GPtrArray) list = of_zone(p, zone);
+    uint64_t key = wp_hash(wp_str(p->self.id), 0);
+    for (guint n = 0; n < FAR_LINKS && list->len; n++) {
+        guint best = 0;
+        double best_score = -1;
+        for (guint i = 0; i < list->len; i++) {
+            const Member *m = g_ptr_array_index(list, i);
+            double v = wp_rendezvous(wp_str(m->id), key, 1);
+            if (v > best_score) {
+                best = i;
+                best_score = v;
+            }
+        }
+        reach(p, g_ptr_array_index(list, best), now);
+        g_ptr_array_remove_index(list, best);
+    }
+}
+
+static void reach_members(WPPeers *p, WPTime now)
+{
+    g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter it;
+    gpointer v;
+    mark_members(p, now);
+    reach_own_zone(p, now);
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        g_hash_table_add(zones, ((Member *)v)->zone);
+    g_hash_table_iter_init(&it, zones);
+    while (g_hash_table_iter_next(&it, &v, NULL))
+        if (strcmp(v, p->self.zone))
+            reach_zone(p, v, now);
+}
+
+unsigned wp_peers_rank(const WPPeers *p)
+{
+    uint64_t own = wp_hash(wp_str(p->self.id), 0);
+    unsigned n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Member *m = v;
+        n += m->linked && !strcmp(m->zone, p->self.zone) &&
+             wp_hash(wp_str(m->id), 0) < own;
+    }
+    return n;
+}
+
 static void reach_seeds(WPPeers *p, WPTime now)
 {
     if (!is_due(&p->seeds_us, now, CONNECT_MS) || p->linked)
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -28,8 +28,14 @@
                       GError **error);
 void wp_peers_free(WPPeers *p);
 
-/* A box is to be reached at `addr` (IP:PORT). */
-void wp_peers_member(WPPeers *p, const char *id, const char *addr);
+/* A box of `zone` is to be reached at `addr` (IP:PORT). */
+void wp_peers_member(WPPeers *p, const char *id, const char *addr,
+                     const char *zone);
+
+/* How many boxes of this zone that are linked come before this one, in an
+   order that all boxes share: the first ones do what one box of a zone must
+   do for the others. */
+unsigned wp_peers_rank(const WPPeers *p);
 
 /* This box has learned something: tells the others at once. */
 void wp_peers_announce(WPPeers *p);
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -5,8 +5,10 @@
 
 enum {
     RETRY_MS = 600, /* after a write without an answer */
-    SPREAD_MS = 120 /* boxes write the same record at different times, so that
-                       most find it written */
+    SPREAD_MS = 40, /* boxes write the same record at different times,
+                       this far apart for each of them, so that most
+                       find it written */
+    SPREAD_MOST_MS = 1000
 };
 
 static void on_written(void *arg, const WPKvResult *r)
@@ -66,7 +68,9 @@
         "%s %lu %d", sh->service, (unsigned long)sh->revision, (int)state);
     int64_t *due = g_hash_table_lookup(s->turns, what);
     if (!due) {
-        double wait_ms = SPREAD_MS * g_rand_double(s->host->direct.rand);
+        double spread =
+            MIN(SPREAD_MS * wp_peers_known(s->peers), SPREAD_MOST_MS);
+        double wait_ms = spread * g_rand_double(s->host->direct.rand);
         due = g_new(int64_t, 1);
         *due = now.mono_us + (int64_t)(wait_ms * WP_US_PER_MS);
         g_hash_table_insert(s->turns, g_steal_pointer(&what), due);
@@ -106,12 +110,13 @@
     const Wp__DirectSettings *set = s->host->settings;
     g_autofree char *key = g_strconcat(WP_KEY_BOX, set->id, NULL);
     const WPMirrorItem *had = wp_mirror_get(s->mirror, key);
-    const WPKvOp op = { key, wp_str(set->peers), false };
+    g_autofree char *text = g_strdup_printf("%s %s", set->peers, set->zone);
+    const WPKvOp op = { key, wp_str(text), false };
     if (!may_write(s, now) || !s->complete || s->host->leaving)
         return;
     gsize n = 0;
     const char *value = had ? g_bytes_get_data(had->value, &n) : "";
-    if (had && wp_str_eq(wp_strn(value, n), wp_str(set->peers)))
+    if (had && wp_str_eq(wp_strn(value, n), wp_str(text)))
         return;
     write_all(s, &op, 1);
 }
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -4,17 +4,31 @@
 #include "wp_sync_int.h"
 
 enum {
-    RETRY_MS = 400, /* after a call without an answer */
+    WATCHERS = 1,        /* boxes of a zone that watch the store for all */
+    STALE_MS = 4500,     /* a box that has heard nothing fresh for so long asks
+                            the store itself; watches last 2.5 s */
+    ASK_AGAIN_MS = 2500, /* between such questions, and up to twice as long */
+    RETRY_MS = 400,      /* after a call without an answer */
+    AWAY_TOLD_MS = 1500, /* how long boxes are told that the store was away */
     AGAIN_MS = 1300 /* after a watch broke: the store's watches may stay deaf
                        for a second around a break */
 };
 
 static void read_all(WPSync *s);
 
+/* Whether this box watches the store, for itself and others of its zone. */
+static bool on_duty(const WPSync *s)
+{
+    return wp_peers_rank(s->peers) < WATCHERS;
+}
+
 static void set_up(WPSync *s, bool up)
 {
-    if (!up)
-        s->away_us = wp_clock_now(0).mono_us;
+    int64_t now_us = wp_clock_now(0).mono_us;
+    if (up)
+        s->fresh_us = now_us;
+    else
+        s->away_us = now_us;
     if (s->up == up && s->tried)
         return;
     s->up = up;
@@ -27,12 +41,15 @@
 {
     WPSync *s = arg;
     if (!item) {
+        s->watching = false;
         s->again_us =
             wp_clock_now(0).mono_us + (int64_t)AGAIN_MS * WP_US_PER_MS;
         read_all(s);
         return;
     }
     set_up(s, true);
+    if (!item->key.n)
+        return;
     wp_news_take(s, WP_FROM_WATCH, item->key.p,
                  item->removed ? NULL : &item->value, item->mod_revision);
     wp_mirror_advance(s->mirror, item->mod_revision);
@@ -63,8 +80,9 @@
     if (!r->ok) {
         wp_count(&s->host->direct.counters, WP_C_STORE_ERRORS);
         set_up(s, false);
-        s->retry_us =
-            wp_clock_now(0).mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
+        if (on_duty(s) || !s->complete)
+            s->retry_us =
+                wp_clock_now(0).mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
         return;
     }
     set_up(s, true);
@@ -75,6 +93,9 @@
     wp_mirror_advance(s->mirror, r->revision);
     s->complete = true;
     wp_peers_announce(s->peers);
+    if (!on_duty(s))
+        return;
+    s->watching = true;
     s->kv->ops->watch(s->kv, "", r->revision + 1, on_event, s);
 }
 
@@ -84,6 +105,7 @@
         return;
     s->reading = true;
     s->retry_us = 0;
+    s->asked_us = wp_clock_now(0).mono_us;
     s->kv->ops->range(s->kv, "", NULL, on_range, s);
 }
 
@@ -116,6 +138,11 @@
     WPTime now = wp_clock_now(0);
     for (size_t i = 0; i < d->n_moves; i++)
         hear_sums(s, from, d->moves[i]);
+    if (d->has_age_ms)
+        s->fresh_us =
+            MAX(s->fresh_us, now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
+    if (d->away)
+        s->away_us = now.mono_us;
     for (size_t i = 0; i < d->n_bound; i++)
         wp_direct_hear_bound(&s->host->direct, now, d->bound[i]);
 }
@@ -147,6 +174,12 @@
 static void on_fill(void *arg, Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
+    int64_t now_us = wp_clock_now(0).mono_us;
+    int64_t away_ms = (now_us - s->away_us) / WP_US_PER_MS;
+    d->has_age_ms = s->fresh_us > 0;
+    d->age_ms = (uint32_t)((now_us - s->fresh_us) / WP_US_PER_MS);
+    d->has_away = 1;
+    d->away = s->watching && s->away_us && away_ms < AWAY_TOLD_MS;
     Fill f = { s, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
@@ -164,8 +197,29 @@
 
 static const WPPeersOps peers_ops = { on_delta, on_heard, on_fill, on_peer };
 
+/* A box on duty watches; one that is not asks the store only when nobody has
+   had its word for long. */
+static void keep_fresh(WPSync *s, WPTime now)
+{
+    int64_t age_ms = (now.mono_us - s->fresh_us) / WP_US_PER_MS;
+    int64_t pause_ms = (int64_t)(ASK_AGAIN_MS * (1 + s->haste));
+    bool duty = on_duty(s);
+    if (s->watching && !duty) {
+        s->kv->ops->unwatch(s->kv);
+        s->watching = false;
+    }
+    if (s->reading || s->retry_us || s->watching)
+        return;
+    if (duty)
+        read_all(s);
+    else if (age_ms > STALE_MS &&
+             now.mono_us - s->asked_us > pause_ms * WP_US_PER_MS)
+        read_all(s);
+}
+
 void wp_sync_tick(WPSync *s, WPTime now)
 {
+    keep_fresh(s, now);
     if (s->retry_us && now.mono_us >= s->retry_us)
         read_all(s);
     if (s->again_us && now.mono_us >= s->again_us) {
@@ -191,6 +245,7 @@
 {
     WPSync *s = g_new0(WPSync, 1);
     s->host = h;
+    s->haste = g_rand_double(h->direct.rand);
     s->mirror = wp_mirror_new();
     s->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->peers =
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -7,7 +7,7 @@
 #include "wp_peers.h"
 
 /* Entries of the system itself. */
-#define WP_KEY_BOX "wp/box/"   /* where a box is reached: "IP:PORT" */
+#define WP_KEY_BOX "wp/box/"   /* where a box is reached: "IP:PORT ZONE" */
 #define WP_KEY_MOVE "wp/move/" /* when a move began: "REVISION WALL_MS" */
 
 enum { WP_MOVES_TOLD = 8, WP_BOUND_TOLD = 512 /* in one digest */ };
@@ -22,6 +22,10 @@
     WPMirror *mirror;
     WPPeers *peers;
     bool reading;     /* a range is under way */
+    bool watching;    /* a watch is under way */
+    int64_t fresh_us; /* when the store's word was last known to be fresh */
+    int64_t asked_us; /* when everything was last read */
+    double haste;     /* in [0, 1), so that boxes do not ask all at once */
     bool up, tried;   /* the store's last answer; whether it was ever asked */
     bool complete;    /* the store or a peer has told everything once */
     int64_t retry_us; /* when to read again; 0: not waiting */
