A doubt goes with its removal, from box to box

Change: each removal carries whether it is doubtful; digests do not. tests/test_mirror.c: a_doubt_goes_with_its_removal; it cannot be written for the code before, which had nowhere to keep it.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1056,7 +1056,8 @@
 static const uint32_t wp__stand_settings__lag_ms__default_value = 0u;
 static const uint64_t wp__stand_settings__seed__default_value = 1ull;
 static const uint32_t wp__stand_settings__prefix_cache__default_value = 64u;
-static const ProtobufCFieldDescriptor wp__stand_settings__field_descriptors[15] =
+static const uint32_t wp__stand_settings__listed_port__default_value = 0u;
+static const ProtobufCFieldDescriptor wp__stand_settings__field_descriptors[17] =
 {
   {
     "kind",
@@ -1238,15 +1239,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "listed_port",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__StandSettings, has_listed_port),
+    offsetof(Wp__StandSettings, listed_port),
+    NULL,
+    &wp__stand_settings__listed_port__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_log",
+    17,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__StandSettings, run_log),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__stand_settings__field_indices_by_name[] = {
   0,   /* field[0] = kind */
   7,   /* field[7] = lag_ms */
+  15,   /* field[15] = listed_port */
   1,   /* field[1] = listen */
   2,   /* field[2] = port */
   11,   /* field[11] = prefix_cache */
   8,   /* field[8] = quality */
   6,   /* field[6] = reads_per_s */
+  16,   /* field[16] = run_log */
   9,   /* field[9] = seed */
   12,   /* field[12] = service */
   3,   /* field[3] = slots */
@@ -1259,7 +1286,7 @@
 static const ProtobufCIntRange wp__stand_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wp__stand_settings__descriptor =
 {
@@ -1269,7 +1296,7 @@
   "Wp__StandSettings",
   "wp",
   sizeof(Wp__StandSettings),
-  15,
+  17,
   wp__stand_settings__field_descriptors,
   wp__stand_settings__field_indices_by_name,
   1,  wp__stand_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -202,13 +202,22 @@
   char *service;
   char *version;
   char *zone;
+  /*
+   * 0: the port itself
+   */
+  protobuf_c_boolean has_listed_port;
+  uint32_t listed_port;
+  /*
+   * a replica appends the id of each run
+   */
+  char *run_log;
 };
 extern char wp__stand_settings__listen__default_value[];
 extern char wp__stand_settings__version__default_value[];
 extern char wp__stand_settings__zone__default_value[];
 #define WP__STAND_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__stand_settings__descriptor) \
-    , NULL, wp__stand_settings__listen__default_value, 0, 0, 8u, 0, 2000u, 0, 100u, 0, 2000u, 0, 0u, 0,NULL, 0, 1ull, NULL, 0, 64u, NULL, wp__stand_settings__version__default_value, wp__stand_settings__zone__default_value }
+    , NULL, wp__stand_settings__listen__default_value, 0, 0, 8u, 0, 2000u, 0, 100u, 0, 2000u, 0, 0u, 0,NULL, 0, 1ull, NULL, 0, 64u, NULL, wp__stand_settings__version__default_value, wp__stand_settings__zone__default_value, 0, 0u, NULL }
 
 
 /*
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3351,7 +3351,7 @@
   (ProtobufCMessageInit) wp__bill_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[5] =
 {
   {
     "key",
@@ -3401,9 +3401,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lapsed",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MirrorItem, has_lapsed),
+    offsetof(Wp__MirrorItem, lapsed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_item__field_indices_by_name[] = {
   0,   /* field[0] = key */
+  4,   /* field[4] = lapsed */
   3,   /* field[3] = removed */
   2,   /* field[2] = revision */
   1,   /* field[1] = value */
@@ -3411,7 +3424,7 @@
 static const ProtobufCIntRange wp__mirror_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wp__mirror_item__descriptor =
 {
@@ -3421,7 +3434,7 @@
   "Wp__MirrorItem",
   "wp",
   sizeof(Wp__MirrorItem),
-  4,
+  5,
   wp__mirror_item__field_descriptors,
   wp__mirror_item__field_indices_by_name,
   1,  wp__mirror_item__number_ranges,
@@ -3531,7 +3544,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[4] =
 {
   {
     "complete",
@@ -3581,22 +3594,9 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "away",
-    5,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_BOOL,
-    offsetof(Wp__MirrorDigest, has_away),
-    offsetof(Wp__MirrorDigest, away),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
-  4,   /* field[4] = away */
   3,   /* field[3] = bound */
   0,   /* field[0] = complete */
   1,   /* field[1] = moves */
@@ -3604,7 +3604,7 @@
 static const ProtobufCIntRange wp__mirror_digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -3614,7 +3614,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  5,
+  4,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   1,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -502,10 +502,15 @@
   uint64_t revision;
   protobuf_c_boolean has_removed;
   protobuf_c_boolean removed;
+  /*
+   * removed, but perhaps only while the store was away
+   */
+  protobuf_c_boolean has_lapsed;
+  protobuf_c_boolean lapsed;
 };
 #define WP__MIRROR_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_item__descriptor) \
-    , NULL, 0, {0,NULL}, 0, 0, 0 }
+    , NULL, 0, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -555,15 +560,10 @@
    */
   size_t n_bound;
   uint64_t *bound;
-  /*
-   * the store was lately without an answer
-   */
-  protobuf_c_boolean has_away;
-  protobuf_c_boolean away;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -5,20 +5,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-enum {
-    DOUBT_MS = 3000 /* after the store was away, entries that lapsed meanwhile
-                       may still come back: the platform says two seconds */
-};
-
-/* Whether an entry that is missing may only have lapsed while the store was
-   away. A removal that the store tells as it happens is meant. */
-static bool in_doubt(const WPSync *s, WPNewsFrom from, WPTime now)
-{
-    int64_t since_us = now.mono_us - s->away_us;
-    return from != WP_FROM_WATCH && s->away_us &&
-           since_us < (int64_t)DOUBT_MS * WP_US_PER_MS;
-}
-
 static void take_routes(WPSync *s, WPRoutes *t)
 {
     WPDirectHost *h = s->host;
@@ -39,15 +25,14 @@
            "state", l->draining ? "draining" : "ready", NULL);
 }
 
-static void lose_endpoint(WPSync *s, WPNewsFrom from, const char *id)
+static void lose_endpoint(WPSync *s, const char *id, bool lapsed)
 {
     WPTime now = wp_clock_now(0);
-    bool doubt = in_doubt(s, from, now);
     if (!wp_fleet_find(s->host->direct.fleet, id))
         return;
     wp_log(&s->host->log, WP_INFO, "endpoint_missing", "id", id, "kept",
-           doubt ? "for a while: the store was away" : "no", NULL);
-    wp_fleet_remove(s->host->direct.fleet, now, id, doubt);
+           lapsed ? "for a while: the store was away" : "no", NULL);
+    wp_fleet_remove(s->host->direct.fleet, now, id, lapsed);
 }
 
 static void take_order(WPSync *s, const WPShiftOrder *o)
@@ -102,7 +87,7 @@
     return box || service;
 }
 
-static void take_platform(WPSync *s, WPNewsFrom from, const WPKvItem *i)
+static void take_platform(WPSync *s, const WPKvItem *i, bool lapsed)
 {
     WPNews n;
     s->host->platform->news(i, &n);
@@ -120,7 +105,7 @@
         take_endpoint(s, &n.listing);
         break;
     case WP_NEWS_GONE:
-        lose_endpoint(s, from, n.listing.id);
+        lose_endpoint(s, n.listing.id, lapsed);
         break;
     case WP_NEWS_ORDER:
         take_order(s, &n.order);
@@ -132,12 +117,13 @@
     s->host->platform->news_end(&n);
 }
 
-void wp_news_take(WPSync *s, WPNewsFrom from, const char *key,
-                  const WPStr *value, uint64_t revision)
+void wp_news_take(WPSync *s, const char *key, const WPStr *value,
+                  uint64_t revision, bool lapsed)
 {
-    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision, !value };
-    if (!wp_mirror_put(s->mirror, key, value, revision))
+    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision,
+                   !value };
+    if (!wp_mirror_put(s->mirror, key, value, revision, lapsed))
         return;
     if (!take_own(s, key, value))
-        take_platform(s, from, &i);
+        take_platform(s, &i, lapsed);
 }
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -23,8 +23,8 @@
     }
     /* What holds now is learned the same way as what others write. */
     for (size_t i = 0; i < r->n_items; i++)
-        wp_news_take(s, WP_FROM_READ, r->items[i].key.p, &r->items[i].value,
-                     r->items[i].mod_revision);
+        wp_news_take(s, r->items[i].key.p, &r->items[i].value,
+                     r->items[i].mod_revision, false);
     /* The watch tells of what was written; until then it is not repeated. */
     s->write_after_us = now.mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
 }
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -8,8 +8,10 @@
     STALE_MS = 4500,     /* a box that has heard nothing fresh for so long asks
                             the store itself; watches last 2.5 s */
     ASK_AGAIN_MS = 2500, /* between such questions, and up to twice as long */
+    DOUBT_MS = 3000,     /* after the store was away, entries that lapsed
+                            meanwhile may still come back: the platform says
+                            two seconds */
     RETRY_MS = 400,      /* after a call without an answer */
-    AWAY_TOLD_MS = 1500, /* how long boxes are told that the store was away */
     AGAIN_MS = 1300 /* after a watch broke: the store's watches may stay deaf
                        for a second around a break */
 };
@@ -50,15 +52,19 @@
     set_up(s, true);
     if (!item->key.n)
         return;
-    wp_news_take(s, WP_FROM_WATCH, item->key.p,
-                 item->removed ? NULL : &item->value, item->mod_revision);
+    wp_news_take(s, item->key.p, item->removed ? NULL : &item->value,
+                 item->mod_revision, false);
     wp_mirror_advance(s->mirror, item->mod_revision);
     wp_peers_announce(s->peers);
 }
 
-/* What the reading lacks is gone. */
+/* What the reading lacks is gone; right after the store was away it may only
+   have lapsed. */
 static void lose_missing(WPSync *s, const WPKvResult *r)
 {
+    int64_t since_us = wp_clock_now(0).mono_us - s->away_us;
+    bool lapsed =
+        s->away_us && since_us < (int64_t)DOUBT_MS * WP_US_PER_MS;
     g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < r->n_items; i++)
         g_hash_table_add(keys, (gpointer)r->items[i].key.p);
@@ -67,8 +73,8 @@
     for (guint i = 0; i < lacking->len; i++) {
         const WPMirrorItem *item = g_ptr_array_index(lacking, i);
         g_autofree char *key = g_strdup(item->key);
-        wp_news_take(s, WP_FROM_READ, key, NULL,
-                     MAX(r->revision, item->revision + 1));
+        wp_news_take(s, key, NULL, MAX(r->revision, item->revision + 1),
+                     lapsed);
     }
 }
 
@@ -87,8 +93,8 @@
     }
     set_up(s, true);
     for (size_t i = 0; i < r->n_items; i++)
-        wp_news_take(s, WP_FROM_READ, r->items[i].key.p, &r->items[i].value,
-                     r->items[i].mod_revision);
+        wp_news_take(s, r->items[i].key.p, &r->items[i].value,
+                     r->items[i].mod_revision, false);
     lose_missing(s, r);
     wp_mirror_advance(s->mirror, r->revision);
     s->complete = true;
@@ -115,8 +121,8 @@
     for (size_t i = 0; i < d->n_items; i++) {
         const Wp__MirrorItem *item = d->items[i];
         WPStr value = wp_strn((const char *)item->value.data, item->value.len);
-        wp_news_take(s, WP_FROM_PEER, item->key, item->removed ? NULL : &value,
-                     item->revision);
+        wp_news_take(s, item->key, item->removed ? NULL : &value,
+                     item->revision, item->lapsed);
     }
     wp_mirror_advance(s->mirror, d->complete);
     s->complete = true;
@@ -141,8 +147,6 @@
     if (d->has_age_ms)
         s->fresh_us =
             MAX(s->fresh_us, now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
-    if (d->away)
-        s->away_us = now.mono_us;
     for (size_t i = 0; i < d->n_bound; i++)
         wp_direct_hear_bound(&s->host->direct, now, d->bound[i]);
 }
@@ -175,11 +179,8 @@
 {
     WPSync *s = arg;
     int64_t now_us = wp_clock_now(0).mono_us;
-    int64_t away_ms = (now_us - s->away_us) / WP_US_PER_MS;
     d->has_age_ms = s->fresh_us > 0;
     d->age_ms = (uint32_t)((now_us - s->fresh_us) / WP_US_PER_MS);
-    d->has_away = 1;
-    d->away = s->watching && s->away_us && away_ms < AWAY_TOLD_MS;
     Fill f = { s, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -36,17 +36,11 @@
     GHashTable *turns; /* what to write -> int64_t, when this box does */
 };
 
-/* How an entry was learned. */
-typedef enum WPNewsFrom {
-    WP_FROM_WATCH, /* the store told of the change as it happened */
-    WP_FROM_READ,  /* it stood so when everything was read */
-    WP_FROM_PEER
-} WPNewsFrom;
-
 /* wp_news.c: takes one entry of the store (value NULL: removed); older ones
-   than known change nothing. */
-void wp_news_take(WPSync *s, WPNewsFrom from, const char *key,
-                  const WPStr *value, uint64_t revision);
+   than known change nothing. `lapsed`: it may have been removed only because
+   the store was away. */
+void wp_news_take(WPSync *s, const char *key, const WPStr *value,
+                  uint64_t revision, bool lapsed);
 
 /* wp_record.c: writes what this box has to tell. */
 void wp_record_tick(WPSync *s, WPTime now);
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -41,7 +41,7 @@
 }
 
 bool wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
-                   uint64_t revision)
+                   uint64_t revision, bool lapsed)
 {
     const WPMirrorItem *had = g_hash_table_lookup(m->items, key);
     if (had && had->revision >= revision)
@@ -50,6 +50,7 @@
     i->key = g_strdup(key);
     i->value = value ? g_bytes_new(value->p, value->n) : NULL;
     i->revision = revision;
+    i->lapsed = lapsed;
     g_hash_table_replace(m->items, i->key, i);
     return true;
 }
@@ -113,6 +114,8 @@
     w->revision = i->revision;
     w->has_removed = !i->value;
     w->removed = !i->value;
+    w->has_lapsed = i->lapsed;
+    w->lapsed = i->lapsed;
     w->has_value = i->value != NULL;
     if (i->value) {
         w->value.data = (uint8_t *)g_bytes_get_data(i->value, &n);
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -11,6 +11,7 @@
     char *key;
     GBytes *value; /* NULL: removed */
     uint64_t revision;
+    bool lapsed; /* removed, but perhaps only while the store was away */
 } WPMirrorItem;
 
 typedef struct WPMirror WPMirror;
@@ -25,7 +26,7 @@
 /* Takes an entry (value NULL: removed); false when it is not newer than what
    is known of the key. */
 bool wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
-                   uint64_t revision);
+                   uint64_t revision, bool lapsed);
 
 /* The revision of the key as it is; 0 when it is not there. */
 uint64_t wp_mirror_revision(const WPMirror *m, const char *key);
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -7,13 +7,16 @@
  */
 #include "pf_names.h"
 #include "stand.h"
+#include "wp_clock.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
 
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 enum { EVENT_MS = 10, LOOK_MS = 20 };
 
@@ -27,6 +30,7 @@
     double fail, refuse, cut, mute, delay_ms, confidence, events;
     unsigned running;
     double ran, wrong, keyless;
+    int run_log;     /* -1: none */
     GHashTable *ids; /* request id -> how often it ran */
 } Replica;
 
@@ -50,7 +54,9 @@
 static void list_self(Replica *p)
 {
     g_autofree char *addr =
-        g_strdup_printf("%s:%u", p->set->listen, p->set->port);
+        g_strdup_printf("%s:%u", p->set->listen,
+                        p->set->listed_port ? p->set->listed_port
+                                            : p->set->port);
     g_autofree char *key = g_strconcat(PF_K_ENDPOINT, p->id, NULL);
     json_t *j = json_pack("{s:{s:s,s:{s:s,s:s,s:s,s:s,s:i,s:s,s:i}}}", "put",
                           "key", key, "value", "service", p->set->service,
@@ -193,6 +199,19 @@
     return true;
 }
 
+/* What outlasts this process: the id and whether it may run more than once. */
+static void note_run(const Replica *p, struct evhttp_request *r,
+                     const char *id)
+{
+    if (p->run_log < 0)
+        return;
+    g_autofree char *line =
+        g_strdup_printf("%s %s\n", id, stand_path(r));
+    ssize_t n = write(p->run_log, line, strlen(line));
+    if (n < 0)
+        fprintf(stderr, "run_log: cannot write\n");
+}
+
 static void run(Replica *p, struct evhttp_request *r)
 {
     const char *id = wp_http_header(r, PF_H_REQUEST_ID);
@@ -202,6 +221,7 @@
     int times = GPOINTER_TO_INT(g_hash_table_lookup(p->ids, id));
     g_hash_table_replace(p->ids, g_strdup(id), GINT_TO_POINTER(times + 1));
     p->ran++;
+    note_run(p, r, id);
     p->wrong += wp_http_header(r, PF_H_KEY) != NULL ||
                 wp_http_header(r, PF_H_HOLD) != NULL;
     p->keyless += wp_http_header(r, PF_H_WORKSPACE) == NULL;
@@ -269,8 +289,11 @@
     p->base = base;
     p->set = set;
     p->rand = g_rand_new_with_seed((guint32)set->seed);
-    p->id = g_strdup_printf("i-%u-%lu", set->port, (unsigned long)set->seed);
+    p->id = g_strdup_printf("i-%u-%x", set->port, wp_clock_seed());
     p->store = wp_http_new(base, set->store, 2000);
+    p->run_log = set->run_log ? open(set->run_log,
+                                     O_WRONLY | O_APPEND | O_CREAT, 0600)
+                              : -1;
     p->delay_ms = 5;
     p->confidence = 90;
     p->events = 5;
--- a/tests/path.c
+++ b/tests/path.c
@@ -21,6 +21,7 @@
 
 typedef struct Child {
     GPid pid;
+    char *program, *file; /* to start it again */
     uint16_t port, control;
     bool running;
 } Child;
@@ -31,6 +32,7 @@
     const char *bin;
     Child store;
     GArray *entries, *proxies, *replicas; /* of Child */
+    GArray *replica_ways;                 /* of Child: proxies */
     GArray *peers, *ready;                /* of uint16_t */
     unsigned asked, version;
 };
@@ -58,6 +60,8 @@
     g_autofree char *path = g_build_filename(p->bin, program, NULL);
     g_autofree char *file = g_strdup_printf("%s/%s.yaml", p->folder, name);
     char *argv[] = { path, (char *)"--config", file, NULL };
+    c->program = g_strdup(path);
+    c->file = g_strdup(file);
     if (!g_file_set_contents(file, settings, -1, NULL))
         fail_msg("cannot write %s", file);
     spawn(p, c, argv);
@@ -185,34 +189,36 @@
     wait_up(p->store.port);
 }
 
+static Child start_proxy(Path *p, uint16_t to)
+{
+    Child c = { .port = ports_next(&p->ports),
+                .control = ports_next(&p->ports) };
+    g_autofree char *path = g_build_filename(p->bin, "wpproxy", NULL);
+    g_autofree char *listen = g_strdup_printf("--listen=%u", c.port);
+    g_autofree char *far = g_strdup_printf("--to=%u", to);
+    g_autofree char *ctl = g_strdup_printf("--control=%u", c.control);
+    char *argv[] = { path, listen, far, ctl, NULL };
+    spawn(p, &c, argv);
+    wait_up(c.control);
+    return c;
+}
+
 static void start_replica(Path *p, unsigned i)
 {
     Child c = { 0 };
     c.port = c.control = ports_next(&p->ports);
+    Child way = start_proxy(p, c.port);
+    g_array_append_val(p->replica_ways, way);
     g_autofree char *name = g_strdup_printf("replica%u", i);
     g_autofree char *text = g_strdup_printf(
         "kind: replica\nport: %u\nstore: 127.0.0.1:%u\nservice: app\n"
-        "seed: %u\nslots: 64\n",
-        c.port, p->store.port, i + 1);
+        "seed: %u\nslots: 64\nlisted_port: %u\nrun_log: %s/runs\n",
+        c.port, p->store.port, i + 1, way.port, p->folder);
     start(p, &c, "wpstand", name, text);
     g_array_append_val(p->replicas, c);
     wait_up(c.port);
 }
 
-static void start_proxy(Path *p)
-{
-    Child c = { .port = ports_next(&p->ports),
-                .control = ports_next(&p->ports) };
-    g_autofree char *path = g_build_filename(p->bin, "wpproxy", NULL);
-    g_autofree char *listen = g_strdup_printf("--listen=%u", c.port);
-    g_autofree char *to = g_strdup_printf("--to=%u", p->store.port);
-    g_autofree char *ctl = g_strdup_printf("--control=%u", c.control);
-    char *argv[] = { path, listen, to, ctl, NULL };
-    spawn(p, &c, argv);
-    g_array_append_val(p->proxies, c);
-    wait_up(c.control);
-}
-
 static uint16_t port_at(GArray *ports, unsigned i)
 {
     return g_array_index(ports, uint16_t, i);
@@ -262,6 +268,7 @@
     p->entries = g_array_new(FALSE, TRUE, sizeof(Child));
     p->proxies = g_array_new(FALSE, TRUE, sizeof(Child));
     p->replicas = g_array_new(FALSE, TRUE, sizeof(Child));
+    p->replica_ways = g_array_new(FALSE, TRUE, sizeof(Child));
     p->peers = g_array_new(FALSE, TRUE, sizeof(uint16_t));
     p->ready = g_array_new(FALSE, TRUE, sizeof(uint16_t));
     start_store(p);
@@ -272,7 +279,8 @@
         uint16_t a = ports_next(&p->ports), b = ports_next(&p->ports);
         g_array_append_val(p->peers, a);
         g_array_append_val(p->ready, b);
-        start_proxy(p);
+        Child way = start_proxy(p, p->store.port);
+        g_array_append_val(p->proxies, way);
     }
     for (unsigned i = 0; i < entries; i++)
         start_entry(p, i);
@@ -281,7 +289,7 @@
     return p;
 }
 
-static void end_child(Child *c)
+static void end_process(Child *c)
 {
     if (!c->running)
         return;
@@ -290,6 +298,63 @@
     c->running = false;
 }
 
+static void end_child(Child *c)
+{
+    end_process(c);
+    g_free(c->program);
+    g_free(c->file);
+}
+
+uint16_t path_port(const Path *p, unsigned entry)
+{
+    return child(p->entries, entry)->port;
+}
+
+const char *path_folder(const Path *p)
+{
+    return p->folder;
+}
+
+/* Ends what is running and starts it with the same settings. */
+static void restart(Path *p, Child *c)
+{
+    char *argv[] = { c->program, (char *)"--config", c->file, NULL };
+    end_process(c);
+    spawn(p, c, argv);
+}
+
+void path_signal_entry(Path *p, unsigned entry, int signal)
+{
+    Child *c = child(p->entries, entry);
+    if (c->running)
+        kill(c->pid, signal);
+}
+
+void path_restart_entry(Path *p, unsigned entry)
+{
+    restart(p, child(p->entries, entry));
+}
+
+void path_restart_replica(Path *p, unsigned replica)
+{
+    restart(p, child(p->replicas, replica));
+}
+
+void path_way_to_store(Path *p, unsigned entry, const char *json)
+{
+    json_decref(control(child(p->proxies, entry)->control, json));
+}
+
+void path_way_to_replica(Path *p, unsigned replica, const char *json)
+{
+    json_decref(control(child(p->replica_ways, replica)->control, json));
+}
+
+void path_try_fault(Path *p, unsigned replica, const char *json)
+{
+    json_decref(control(child(p->replicas, replica)->control, json));
+}
+
 static void end_all(GArray *list)
 {
     for (guint i = 0; i < list->len; i++)
@@ -302,6 +367,7 @@
     end_all(p->entries);
     end_all(p->proxies);
     end_all(p->replicas);
+    end_all(p->replica_ways);
     end_child(&p->store);
     g_array_unref(p->peers);
     g_array_unref(p->ready);
--- a/tests/path.h
+++ b/tests/path.h
@@ -60,6 +60,17 @@
 void path_wait_leaving(Path *p, unsigned replica);
 void path_wait_running(Path *p, unsigned replica, unsigned n);
 
+/* For the soak: signals, restarts, and ways that misbehave (wpproxy's modes as
+   JSON). Nothing of these fails a test; what is not running is passed over. */
+uint16_t path_port(const Path *p, unsigned entry);
+const char *path_folder(const Path *p);
+void path_signal_entry(Path *p, unsigned entry, int signal);
+void path_restart_entry(Path *p, unsigned entry);
+void path_restart_replica(Path *p, unsigned replica);
+void path_way_to_store(Path *p, unsigned entry, const char *json);
+void path_way_to_replica(Path *p, unsigned replica, const char *json);
+void path_try_fault(Path *p, unsigned replica, const char *json);
+
 /* SIGTERM to an entry, and how it ended. */
 void path_stop(Path *p, unsigned entry);
 int path_exit_code(Path *p, unsigned entry);
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -5,7 +5,7 @@
 static bool put(WPMirror *m, const char *key, const char *value, uint64_t rev)
 {
     WPStr v = wp_str(value);
-    return wp_mirror_put(m, key, value ? &v : NULL, rev);
+    return wp_mirror_put(m, key, value ? &v : NULL, rev, false);
 }
 
 static void only_newer_entries_change_anything(void **state)
@@ -42,7 +42,8 @@
     for (size_t i = 0; i < d->n_items; i++) {
         const Wp__MirrorItem *item = d->items[i];
         WPStr v = wp_strn((char *)item->value.data, item->value.len);
-        wp_mirror_put(b, item->key, item->removed ? NULL : &v, item->revision);
+        wp_mirror_put(b, item->key, item->removed ? NULL : &v, item->revision,
+                      item->lapsed);
     }
     wp_mirror_advance(b, d->complete);
     assert_int_equal(wp_mirror_complete(b), 8);
@@ -53,6 +54,23 @@
     wp_mirror_free(b);
 }
 
+/* Whether a removal is doubted goes with it from box to box: it does not hang
+   on whether the box that hears of it, or the one that tells, has lately been
+   without the store. */
+static void a_doubt_goes_with_its_removal(void **state)
+{
+    WPMirror *a = wp_mirror_new();
+    (void)state;
+    wp_mirror_put(a, "lapsed", NULL, 3, true);
+    wp_mirror_put(a, "left", NULL, 4, false);
+    Wp__MirrorDelta *d = wp_mirror_delta(a, 0);
+    assert_int_equal(d->n_items, 2);
+    assert_true(d->items[0]->lapsed);
+    assert_false(d->items[1]->lapsed);
+    wp_mirror_delta_free(d);
+    wp_mirror_free(a);
+}
+
 /* Entries that are newer than the reading are not missing from it. */
 static void a_reading_lacks_only_what_it_could_have_seen(void **state)
 {
@@ -147,6 +165,7 @@
 
 TESTS_MAIN(T(only_newer_entries_change_anything),
            T(a_delta_brings_another_box_up_to_date),
+           T(a_doubt_goes_with_its_removal),
            T(a_reading_lacks_only_what_it_could_have_seen),
            T(a_doubtful_removal_waits_and_an_explicit_one_does_not),
            T(a_failing_endpoint_is_avoided_and_tried_again),
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -35,6 +35,11 @@
         "POST /call/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
         "Content-Length: 4\r\n\r\nabcd",
         "GET /call/x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET /call/x HTTP/1.1\r\nHost : h.example\r\n\r\n",
+        "POST /call/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: "
+        "+3\r\n\r\nabc",
+        "GET /call/x HTTP/1.1\r\nHost: h.example\r\n"
+        "Transfer-Encoding: identity, chunked\r\n\r\n",
         "GET http://x/call/x HTTP/1.1\r\nHost: a\r\n\r\n"
     };
     Path *p = path_new(1, 1);
