Large entries are packed between boxes; a long frame is a sign of life

Ruled out: the choice of watchers (several had version 9 at 14.4 s). Change: values over 1 KB go packed by zlib, packed once; any bytes show that a link lives. tests/test_mirror.c: large_values_are_packed_and_read_the_same.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 # optimisation. `make help` lists the targets.
 
 VERSION := $(shell cat VERSION)
-PACKAGES := libevent glib-2.0 jansson yaml-0.1 libprotobuf-c libxxhash
+PACKAGES := libevent glib-2.0 jansson yaml-0.1 libprotobuf-c libxxhash zlib
 APT := gcc make pkg-config git libevent-dev libglib2.0-dev libjansson-dev \
-       libyaml-dev libprotobuf-c-dev libxxhash-dev libhttp-parser-dev \
+       libyaml-dev libprotobuf-c-dev libxxhash-dev zlib1g-dev libhttp-parser-dev \
        libcmocka-dev clang-format cppcheck curl
 
 BUILD := build
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3351,7 +3351,7 @@
   (ProtobufCMessageInit) wp__bill_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[7] =
 {
   {
     "key",
@@ -3413,18 +3413,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Wp__MirrorItem, has_packed),
+    offsetof(Wp__MirrorItem, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MirrorItem, has_size),
+    offsetof(Wp__MirrorItem, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_item__field_indices_by_name[] = {
   0,   /* field[0] = key */
   4,   /* field[4] = lapsed */
+  5,   /* field[5] = packed */
   3,   /* field[3] = removed */
   2,   /* field[2] = revision */
+  6,   /* field[6] = size */
   1,   /* field[1] = value */
 };
 static const ProtobufCIntRange wp__mirror_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wp__mirror_item__descriptor =
 {
@@ -3434,7 +3460,7 @@
   "Wp__MirrorItem",
   "wp",
   sizeof(Wp__MirrorItem),
-  5,
+  7,
   wp__mirror_item__field_descriptors,
   wp__mirror_item__field_indices_by_name,
   1,  wp__mirror_item__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -502,6 +502,16 @@
   uint64_t revision;
   protobuf_c_boolean has_removed;
   protobuf_c_boolean removed;
+  /*
+   * the value by zlib, when that is shorter
+   */
+  protobuf_c_boolean has_packed;
+  ProtobufCBinaryData packed;
+  /*
+   * of the value before
+   */
+  protobuf_c_boolean has_size;
+  uint32_t size;
   /*
    * removed, but perhaps only while the store was away
    */
@@ -510,7 +520,7 @@
 };
 #define WP__MIRROR_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_item__descriptor) \
-    , NULL, 0, {0,NULL}, 0, 0, 0, 0, 0 }
+    , NULL, 0, {0,NULL}, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -155,6 +155,8 @@
     WPLink *l = arg;
     WPHub *h = l->hub;
     (void)bev;
+    /* A long frame on a slow link is a sign of life as well. */
+    l->heard_us = wp_clock_now(0).mono_us;
     /* What a frame brings about may close the link: the hub then forgets. */
     h->reading = l;
     while (read_frame(l) && h->reading == l)
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -120,8 +120,7 @@
 void wp_news_take(WPSync *s, const char *key, const WPStr *value,
                   uint64_t revision, bool lapsed)
 {
-    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision,
-                   !value };
+    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision, !value };
     if (!wp_mirror_put(s->mirror, key, value, revision, lapsed))
         return;
     if (!take_own(s, key, value))
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -63,8 +63,7 @@
 static void lose_missing(WPSync *s, const WPKvResult *r)
 {
     int64_t since_us = wp_clock_now(0).mono_us - s->away_us;
-    bool lapsed =
-        s->away_us && since_us < (int64_t)DOUBT_MS * WP_US_PER_MS;
+    bool lapsed = s->away_us && since_us < (int64_t)DOUBT_MS * WP_US_PER_MS;
     g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < r->n_items; i++)
         g_hash_table_add(keys, (gpointer)r->items[i].key.p);
@@ -115,15 +114,26 @@
     s->kv->ops->range(s->kv, "", NULL, on_range, s);
 }
 
+static void take_delta_item(WPSync *s, const Wp__MirrorItem *item)
+{
+    g_autoptr(GBytes) bytes = wp_mirror_item_value(item);
+    gsize n = 0;
+    if (!bytes && !item->removed) {
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", item->key,
+               "why", "a peer's copy cannot be unpacked", NULL);
+        return;
+    }
+    const char *data = bytes ? g_bytes_get_data(bytes, &n) : NULL;
+    WPStr value = wp_strn(data ? data : "", n);
+    wp_news_take(s, item->key, bytes ? &value : NULL, item->revision,
+                 item->lapsed);
+}
+
 static void on_delta(void *arg, const char *from, const Wp__MirrorDelta *d)
 {
     WPSync *s = arg;
-    for (size_t i = 0; i < d->n_items; i++) {
-        const Wp__MirrorItem *item = d->items[i];
-        WPStr value = wp_strn((const char *)item->value.data, item->value.len);
-        wp_news_take(s, item->key, item->removed ? NULL : &value,
-                     item->revision, item->lapsed);
-    }
+    for (size_t i = 0; i < d->n_items; i++)
+        take_delta_item(s, d->items[i]);
     wp_mirror_advance(s->mirror, d->complete);
     s->complete = true;
     wp_peers_announce(s->peers);
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -1,6 +1,13 @@
 /* The copy of the store's entries. */
 #include "wp_mirror.h"
 
+#include <zlib.h>
+
+enum {
+    PACK_LEAST = 1024,   /* bytes; shorter values are sent as they are */
+    VALUE_MOST = 8 << 20 /* bytes of a value that is taken */
+};
+
 struct WPMirror {
     GHashTable *items; /* key -> WPMirrorItem */
     uint64_t complete;
@@ -12,6 +19,8 @@
     g_free(i->key);
     if (i->value)
         g_bytes_unref(i->value);
+    if (i->packed)
+        g_bytes_unref(i->packed);
     g_free(i);
 }
 
@@ -105,10 +114,43 @@
     return list;
 }
 
-static Wp__MirrorItem *wire_item(const WPMirrorItem *i)
+/* The value by zlib; the value itself when that is not shorter. */
+static GBytes *packed_value(WPMirrorItem *i)
+{
+    gsize n;
+    const void *value = g_bytes_get_data(i->value, &n);
+    uLongf size = compressBound(n);
+    if (i->packed)
+        return i->packed;
+    g_autofree Bytef *out = g_malloc(size);
+    bool shorter = n >= PACK_LEAST &&
+                   compress2(out, &size, value, n, Z_BEST_SPEED) == Z_OK &&
+                   size < n;
+    i->packed = shorter ? g_bytes_new(out, size) : g_bytes_ref(i->value);
+    return i->packed;
+}
+
+static void fill_value(Wp__MirrorItem *w, WPMirrorItem *i)
+{
+    GBytes *sent = packed_value(i);
+    gsize n;
+    ProtobufCBinaryData data = { 0 };
+    data.data = (uint8_t *)g_bytes_get_data(sent, &n);
+    data.len = n;
+    if (sent == i->value) {
+        w->has_value = 1;
+        w->value = data;
+        return;
+    }
+    w->has_packed = 1;
+    w->packed = data;
+    w->has_size = 1;
+    w->size = (uint32_t)g_bytes_get_size(i->value);
+}
+
+static Wp__MirrorItem *wire_item(WPMirrorItem *i)
 {
     Wp__MirrorItem *w = g_new0(Wp__MirrorItem, 1);
-    gsize n = 0;
     wp__mirror_item__init(w);
     w->key = i->key;
     w->revision = i->revision;
@@ -116,14 +158,25 @@
     w->removed = !i->value;
     w->has_lapsed = i->lapsed;
     w->lapsed = i->lapsed;
-    w->has_value = i->value != NULL;
-    if (i->value) {
-        w->value.data = (uint8_t *)g_bytes_get_data(i->value, &n);
-        w->value.len = n;
-    }
+    if (i->value)
+        fill_value(w, i);
     return w;
 }
 
+GBytes *wp_mirror_item_value(const Wp__MirrorItem *item)
+{
+    uLongf size = item->size;
+    if (item->removed || size > VALUE_MOST)
+        return NULL;
+    if (!item->has_packed)
+        return g_bytes_new(item->value.data, item->value.len);
+    Bytef *out = g_malloc(MAX(size, 1));
+    if (uncompress(out, &size, item->packed.data, item->packed.len) == Z_OK)
+        return g_bytes_new_take(out, size);
+    g_free(out);
+    return NULL;
+}
+
 Wp__MirrorDelta *wp_mirror_delta(const WPMirror *m, uint64_t since)
 {
     Wp__MirrorDelta *d = g_new0(Wp__MirrorDelta, 1);
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -11,7 +11,9 @@
     char *key;
     GBytes *value; /* NULL: removed */
     uint64_t revision;
-    bool lapsed; /* removed, but perhaps only while the store was away */
+    GBytes *packed; /* the value as it is sent to other boxes; made when first
+                       needed */
+    bool lapsed;    /* removed, but perhaps only while the store was away */
 } WPMirrorItem;
 
 typedef struct WPMirror WPMirror;
@@ -48,4 +50,8 @@
 Wp__MirrorDelta *wp_mirror_delta(const WPMirror *m, uint64_t since);
 void wp_mirror_delta_free(Wp__MirrorDelta *d);
 
+/* The value of an item that was received; NULL when it was removed or cannot
+   be read. */
+GBytes *wp_mirror_item_value(const Wp__MirrorItem *item);
+
 #endif
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -53,10 +53,9 @@
 /* Writes this replica's entry into the store. */
 static void list_self(Replica *p)
 {
-    g_autofree char *addr =
-        g_strdup_printf("%s:%u", p->set->listen,
-                        p->set->listed_port ? p->set->listed_port
-                                            : p->set->port);
+    g_autofree char *addr = g_strdup_printf(
+        "%s:%u", p->set->listen,
+        p->set->listed_port ? p->set->listed_port : p->set->port);
     g_autofree char *key = g_strconcat(PF_K_ENDPOINT, p->id, NULL);
     json_t *j = json_pack("{s:{s:s,s:{s:s,s:s,s:s,s:s,s:i,s:s,s:i}}}", "put",
                           "key", key, "value", "service", p->set->service,
@@ -200,13 +199,11 @@
 }
 
 /* What outlasts this process: the id and whether it may run more than once. */
-static void note_run(const Replica *p, struct evhttp_request *r,
-                     const char *id)
+static void note_run(const Replica *p, struct evhttp_request *r, const char *id)
 {
     if (p->run_log < 0)
         return;
-    g_autofree char *line =
-        g_strdup_printf("%s %s\n", id, stand_path(r));
+    g_autofree char *line = g_strdup_printf("%s %s\n", id, stand_path(r));
     ssize_t n = write(p->run_log, line, strlen(line));
     if (n < 0)
         fprintf(stderr, "run_log: cannot write\n");
@@ -291,9 +288,9 @@
     p->rand = g_rand_new_with_seed((guint32)set->seed);
     p->id = g_strdup_printf("i-%u-%x", set->port, wp_clock_seed());
     p->store = wp_http_new(base, set->store, 2000);
-    p->run_log = set->run_log ? open(set->run_log,
-                                     O_WRONLY | O_APPEND | O_CREAT, 0600)
-                              : -1;
+    p->run_log = set->run_log
+                     ? open(set->run_log, O_WRONLY | O_APPEND | O_CREAT, 0600)
+                     : -1;
     p->delay_ms = 5;
     p->confidence = 90;
     p->events = 5;
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -41,8 +41,11 @@
     assert_int_equal(d->n_items, 2);
     for (size_t i = 0; i < d->n_items; i++) {
         const Wp__MirrorItem *item = d->items[i];
-        WPStr v = wp_strn((char *)item->value.data, item->value.len);
-        wp_mirror_put(b, item->key, item->removed ? NULL : &v, item->revision,
+        g_autoptr(GBytes) bytes = wp_mirror_item_value(item);
+        gsize n = 0;
+        const char *data = bytes ? g_bytes_get_data(bytes, &n) : NULL;
+        WPStr v = wp_strn(data, n);
+        wp_mirror_put(b, item->key, bytes ? &v : NULL, item->revision,
                       item->lapsed);
     }
     wp_mirror_advance(b, d->complete);
@@ -54,6 +57,32 @@
     wp_mirror_free(b);
 }
 
+/* A configuration of many routes is mostly the same words: boxes with slow
+   links have it in time only when it is packed. */
+static void large_values_are_packed_and_read_the_same(void **state)
+{
+    WPMirror *m = wp_mirror_new();
+    g_autoptr(GString) big = g_string_new(NULL);
+    (void)state;
+    for (int i = 0; i < 1000; i++)
+        g_string_append_printf(big, "{\"name\":\"route-%d\"},", i);
+    put(m, "big", big->str, 3);
+    Wp__MirrorDelta *d = wp_mirror_delta(m, 0);
+    assert_true(d->items[0]->has_packed);
+    assert_true(d->items[0]->packed.len * 4 < big->len);
+    g_autoptr(GBytes) bytes = wp_mirror_item_value(d->items[0]);
+    assert_int_equal(g_bytes_get_size(bytes), big->len);
+    assert_memory_equal(g_bytes_get_data(bytes, NULL), big->str, big->len);
+    /* Damaged, it is not taken. */
+    uint8_t half[64];
+    memcpy(half, d->items[0]->packed.data, sizeof(half));
+    d->items[0]->packed.data = half;
+    d->items[0]->packed.len = sizeof(half);
+    assert_null(wp_mirror_item_value(d->items[0]));
+    wp_mirror_delta_free(d);
+    wp_mirror_free(m);
+}
+
 /* Whether a removal is doubted goes with it from box to box: it does not hang
    on whether the box that hears of it, or the one that tells, has lately been
    without the store. */
@@ -165,6 +194,7 @@
 
 TESTS_MAIN(T(only_newer_entries_change_anything),
            T(a_delta_brings_another_box_up_to_date),
+           T(large_values_are_packed_and_read_the_same),
            T(a_doubt_goes_with_its_removal),
            T(a_reading_lacks_only_what_it_could_have_seen),
            T(a_doubtful_removal_waits_and_an_explicit_one_does_not),
