--- a/tests/path.c
+++ b/tests/path.c
@@ -383,22 +383,39 @@
     g_free(p);
 }
 
-static PathAnswer begin_with(Path *p, unsigned entry, const char *method,
-                             const char *target, const char *fields)
+static char *request_text(const char *id, const char *method,
+                          const char *target, const char *fields)
 {
-    PathAnswer a = begin_at(child(p->entries, entry)->port);
-    g_snprintf(a.id, sizeof(a.id), "r%u", ++p->asked);
-    g_autofree char *text = g_strdup_printf(
+    return g_strdup_printf(
         "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\n"
         "X-Deadline-Ms: 20000\r\nX-Hold: forged\r\n%s"
         "Content-Length: 0\r\n\r\n",
-        method, target, a.id,
+        method, target, id,
         fields ? fields : "Authorization: Token key-1\r\n");
+}
+
+static PathAnswer begin_with(Path *p, unsigned entry, const char *method,
+                             const char *target, const char *fields)
+{
+    PathAnswer a = begin_at(child(p->entries, entry)->port);
+    g_snprintf(a.id, sizeof(a.id), "r%u", ++p->asked);
+    g_autofree char *text = request_text(a.id, method, target, fields);
     if (a.fd >= 0)
         send_all(a.fd, text);
     return a;
 }
 
+void path_exchange(PathAnswer *a, uint16_t port, const char *method,
+                   const char *target)
+{
+    g_autofree char *text = request_text(a->id, method, target, NULL);
+    if (a->fd < 0)
+        a->fd = dial(port);
+    if (a->fd >= 0)
+        send_all(a->fd, text);
+    read_answer(a);
+}
+
 PathAnswer path_begin(Path *p, unsigned entry, const char *method,
                       const char *target)
 {
--- a/tests/path.h
+++ b/tests/path.h
@@ -13,7 +13,7 @@
 typedef struct PathAnswer {
     int fd;
     int status; /* 0: no answer */
-    char id[16];
+    char id[24];
     GString *body;
     bool whole;  /* ended as its framing says */
     bool closed; /* the connection ended */
@@ -34,6 +34,11 @@
 void path_finish(Path *p, PathAnswer *a);
 void path_answer_end(PathAnswer *a);
 
+/* One request with the id in `a` on its connection, made anew if need be; for
+   threads of the soak, which keep connections open. */
+void path_exchange(PathAnswer *a, uint16_t port, const char *method,
+                   const char *target);
+
 /* Bytes as they are; all that comes back until the connection ends. */
 PathAnswer path_raw(Path *p, unsigned entry, const char *bytes);
 
