--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -129,6 +129,9 @@
     const GPtrArray *models = f->route->models;
     if (a->confidence < 0 || f->step + 1 >= models->len || f->passing)
         return false;
+    /* With this leg and the larger model's, one attempt should be left. */
+    if (f->ran > 0 && f->ran + 3 > f->route->max_attempts)
+        return false;
     wp_quality_note(wp_direct_quality(f->d, f->route->name),
                     wp_cascade_good(&f->d->rules.cascade, a->confidence));
     const char *largest = g_ptr_array_index(models, models->len - 1);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -182,6 +182,25 @@
     fake_end(&k);
 }
 
+/* The larger model's leg may be lost as well: an answer in hand is not dropped
+   for it when no attempt would be left after that. */
+static void the_last_answer_in_hand_is_not_dropped(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer poor = fake_answer(200, 20);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    wp_flow_lost(f, k.now, WP_LOSS_SILENT, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_answer(f, k.now, &poor, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_done(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
 static void a_broken_stream_goes_on_elsewhere(void **state)
 {
     Fake k;
@@ -314,6 +333,7 @@
            T(a_leaving_endpoint_gets_nothing_more),
            T(another_endpoint_at_the_address_is_left_alone),
            T(a_poor_answer_is_asked_again_of_the_largest),
+           T(the_last_answer_in_hand_is_not_dropped),
            T(a_broken_stream_goes_on_elsewhere),
            T(time_over_is_told_for_what_it_is), T(keys_and_routes_are_checked),
            T(routes_never_go_back), T(retries_stay_within_the_budget),
