--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -7,8 +7,9 @@
 
 enum {
     DIGEST_MS = 1000,    /* between digests that tell nothing new */
-    PULL_WAIT_MS = 120,  /* the own watch of the store mostly comes first */
-    PULL_AGAIN_MS = 600, /* a pull without an answer */
+    PULL_WAIT_MS = 120,  /* a box that watches the store itself mostly hears of
+                            a change before it could be told */
+    PULL_AGAIN_MS = 200, /* a pull without an answer */
     SILENT_MS = 3000,    /* a link that is silent so long is closed */
     CONNECT_MS = 1000    /* between attempts to reach the same box */
 };
@@ -42,6 +43,7 @@
     int64_t digest_us;
     uint64_t told;     /* revision of the last digest */
     bool dirty;        /* a digest is due now */
+    bool watching;     /* this box has its own watch of the store */
     uint64_t behind;   /* the highest revision heard of */
     int64_t behind_us; /* since when it is not known here */
     int64_t pulled_us;
@@ -78,13 +80,14 @@
 
 static void take_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
 {
+    uint64_t complete = wp_mirror_complete(p->mirror);
     p->ops->heard(p->arg, l->peer, d);
-    if (d->complete <= wp_mirror_complete(p->mirror) ||
-        d->complete <= p->behind)
+    if (d->complete <= complete)
         return;
-    if (p->behind <= wp_mirror_complete(p->mirror))
+    if (p->behind <= complete)
         p->behind_us = wp_clock_now(0).mono_us;
-    p->behind = d->complete;
+    p->behind = MAX(p->behind, d->complete);
+    /* The newest that knows more is asked: an earlier one may have died. */
     p->behind_link = l->id;
 }
 
@@ -372,8 +375,8 @@
 {
     Find find = { p->behind_link, NULL };
     uint64_t complete = wp_mirror_complete(p->mirror);
-    bool waited =
-        now.mono_us - p->behind_us >= (int64_t)PULL_WAIT_MS * WP_US_PER_MS;
+    int64_t wait_us = p->watching ? (int64_t)PULL_WAIT_MS * WP_US_PER_MS : 0;
+    bool waited = now.mono_us - p->behind_us >= wait_us;
     if (p->behind <= complete || !waited ||
         !is_due(&p->pulled_us, now, PULL_AGAIN_MS))
         return;
@@ -410,6 +413,18 @@
     wp_hub_each(p->hub, send_to_each, p);
 }
 
+int64_t wp_peers_behind_ms(const WPPeers *p, WPTime now)
+{
+    if (p->behind <= wp_mirror_complete(p->mirror))
+        return 0;
+    return MAX((now.mono_us - p->behind_us) / WP_US_PER_MS, 1);
+}
+
+void wp_peers_watching(WPPeers *p, bool watching)
+{
+    p->watching = watching;
+}
+
 unsigned wp_peers_known(const WPPeers *p)
 {
     return 1 + MAX(g_hash_table_size(p->members), p->n_seeds);
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -42,6 +42,12 @@
 
 void wp_peers_tick(WPPeers *p, WPTime now);
 
+/* For how long others have known more than this box; 0: they do not. */
+int64_t wp_peers_behind_ms(const WPPeers *p, WPTime now);
+
+/* Whether this box watches the store itself. */
+void wp_peers_watching(WPPeers *p, bool watching);
+
 /* Boxes known, this one included. */
 unsigned wp_peers_known(const WPPeers *p);
 
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -8,6 +8,8 @@
     STALE_MS = 4500,     /* a box that has heard nothing fresh for so long asks
                             the store itself; watches last 2.5 s */
     ASK_AGAIN_MS = 2500, /* between such questions, and up to twice as long */
+    BEHIND_MS = 400,     /* a box that others do not bring up to date within
+                            this asks the store itself */
     DOUBT_MS = 3000,     /* after the store was away, entries that lapsed
                             meanwhile may still come back: the platform says
                             two seconds */
@@ -221,7 +223,9 @@
     }
     if (s->reading || s->retry_us || s->watching)
         return;
-    if (duty)
+    bool behind = wp_peers_behind_ms(s->peers, now) > BEHIND_MS &&
+                  now.mono_us - s->asked_us > BEHIND_MS * WP_US_PER_MS;
+    if (duty || behind)
         read_all(s);
     else if (age_ms > STALE_MS &&
              now.mono_us - s->asked_us > pause_ms * WP_US_PER_MS)
@@ -238,6 +242,7 @@
         read_all(s);
     }
     wp_record_tick(s, now);
+    wp_peers_watching(s->peers, s->watching);
     wp_peers_tick(s->peers, now);
     s->host->direct.boxes = wp_peers_known(s->peers);
 }
--- a/tests/path.c
+++ b/tests/path.c
@@ -390,8 +390,7 @@
         "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\n"
         "X-Deadline-Ms: 20000\r\nX-Hold: forged\r\n%s"
         "Content-Length: 0\r\n\r\n",
-        method, target, id,
-        fields ? fields : "Authorization: Token key-1\r\n");
+        method, target, id, fields ? fields : "Authorization: Token key-1\r\n");
 }
 
 static PathAnswer begin_with(Path *p, unsigned entry, const char *method,
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -42,8 +42,8 @@
 typedef struct Soak {
     Path *path;
     GMutex lock;
-    GArray *seen;       /* Seen */
-    GString *problems;  /* of the run */
+    GArray *seen;         /* Seen */
+    GString *problems;    /* of the run */
     gint stop, lives[64]; /* generation of each entry's process */
     gint shown[64];       /* generation that has shown the new route */
     uint32_t seed;
@@ -89,13 +89,10 @@
     Soak *s = c->soak;
     g_autofree char *plain = g_strdup_printf("ran %s\n", a->id);
     bool stream = g_str_has_prefix(target, "/stream/");
-    if (a->status == 200 && a->whole && !stream &&
-        strcmp(a->body->str, plain))
+    if (a->status == 200 && a->whole && !stream && strcmp(a->body->str, plain))
         complain(s, "%s: wrong body: %.40s", a->id, a->body->str);
-    if (a->status == 200 && a->whole && stream &&
-        !is_stream_of(a->id, a->body))
-        complain(s, "%s: events lost or doubled: %.200s", a->id,
-                 a->body->str);
+    if (a->status == 200 && a->whole && stream && !is_stream_of(a->id, a->body))
+        complain(s, "%s: events lost or doubled: %.200s", a->id, a->body->str);
     if (a->status == 401)
         complain(s, "%s: its key was not known", a->id);
 }
@@ -109,8 +106,7 @@
     if (status == 200 && same)
         g_atomic_int_set(shown, life);
     if (status == 404 && same && g_atomic_int_get(shown) == life)
-        complain(s, "entry %u: went back to an older configuration",
-                 c->entry);
+        complain(s, "entry %u: went back to an older configuration", c->entry);
 }
 
 static void note(Soak *s, const PathAnswer *a, bool once)
@@ -130,9 +126,8 @@
     gint life = g_atomic_int_get(&c->soak->lives[c->entry]);
     PathAnswer a = { .fd = c->fd, .body = g_string_new(NULL) };
     g_snprintf(a.id, sizeof(a.id), "s%u.%u", c->number, ++c->asked);
-    path_exchange(&a, path_port(c->soak->path, c->entry), k == 1 ? "POST"
-                                                                 : "GET",
-                  targets[k]);
+    path_exchange(&a, path_port(c->soak->path, c->entry),
+                  k == 1 ? "POST" : "GET", targets[k]);
     c->fd = a.fd;
     if (k == 3)
         check_route(c, a.status, life);
@@ -182,12 +177,12 @@
                                     "{\"mode\":\"reset\"}",
                                     "{\"delay_ms\":80}" };
 static const char *const replica_faults[] = {
-    "{\"cut\":0.3}",  "{\"refuse\":0.5}", "{\"fail\":0.4}",
-    "{\"mute\":0.2}", "{\"delay_ms\":200}"
+    "{\"cut\":0.3}", "{\"refuse\":0.5}", "{\"fail\":0.4}", "{\"mute\":0.2}",
+    "{\"delay_ms\":200}"
 };
 static const char *const store_faults[] = {
     "{\"down\":\"silent\"}", "{\"down\":\"busy\"}", "{\"down\":\"reset\"}",
-    "{\"deaf\":true}", "{\"compact\":true}", "{\"lose_answers\":0.5}"
+    "{\"deaf\":true}",       "{\"compact\":true}",  "{\"lose_answers\":0.5}"
 };
 
 static const char *one_of(GRand *r, const char *const *list, size_t n)
@@ -314,8 +309,8 @@
 {
     GHashTable *runs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_autofree char *file = g_build_filename(path_folder(s->path), "runs",
-                                             NULL);
+    g_autofree char *file =
+        g_build_filename(path_folder(s->path), "runs", NULL);
     g_autofree char *text = NULL;
     if (!g_file_get_contents(file, &text, NULL, NULL))
         return runs;
@@ -382,12 +377,12 @@
     for (int i = 0; i < entries; i++)
         s.lives[i] = 1;
     for (int i = 0; i < callers; i++) {
-        all[i] = (Caller){ .soak = &s,
-                           .number = (unsigned)i,
-                           .rand = g_rand_new_with_seed(seed * 1000 +
-                                                        (uint32_t)i),
-                           .fd = -1,
-                           .entry = (unsigned)(i % entries) };
+        all[i] =
+            (Caller){ .soak = &s,
+                      .number = (unsigned)i,
+                      .rand = g_rand_new_with_seed(seed * 1000 + (uint32_t)i),
+                      .fd = -1,
+                      .entry = (unsigned)(i % entries) };
         threads[i] = g_thread_new("caller", call_on, &all[i]);
     }
     play_faults(&s);
