--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1573,8 +1573,10 @@
 static const double wp__direct_settings__weigh_zone__default_value = 0.35;
 static const double wp__direct_settings__weigh_prompt__default_value = 0.4;
 static const double wp__direct_settings__weigh_work__default_value = 1;
+static const double wp__direct_settings__weigh_slow__default_value = 0.25;
+static const uint32_t wp__direct_settings__choices__default_value = 0u;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[29] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[31] =
 {
   {
     "id",
@@ -1924,10 +1926,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weigh_slow",
+    30,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_slow),
+    offsetof(Wp__DirectSettings, weigh_slow),
+    NULL,
+    &wp__direct_settings__weigh_slow__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "choices",
+    31,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_choices),
+    offsetof(Wp__DirectSettings, choices),
+    NULL,
+    &wp__direct_settings__choices__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
   8,   /* field[8] = charts */
+  30,   /* field[30] = choices */
   18,   /* field[18] = confidence_even */
   21,   /* field[21] = confidence_spread */
   12,   /* field[12] = drain_s */
@@ -1952,6 +1979,7 @@
   23,   /* field[23] = strain_from */
   24,   /* field[24] = strain_weight */
   26,   /* field[26] = weigh_prompt */
+  29,   /* field[29] = weigh_slow */
   27,   /* field[27] = weigh_work */
   25,   /* field[25] = weigh_zone */
   1,   /* field[1] = zone */
@@ -1959,7 +1987,7 @@
 static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 29 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -1969,7 +1997,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  29,
+  31,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   1,  wp__direct_settings__number_ranges,
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -73,7 +73,8 @@
         .session_ms = s->session_ms,
         .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
                      s->request_value, s->strain_from, s->strain_weight },
-        .fleet = { s->weigh_zone, s->weigh_prompt, s->weigh_work }
+        .fleet = { s->weigh_zone, s->weigh_prompt, s->weigh_work, s->weigh_slow,
+                   s->choices }
     };
 }
 
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -8,7 +8,6 @@
    docs/PLATFORM.md. */
 #define FAILING 2.0      /* times its rate of failures */
 #define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
-#define SLOW 0.25        /* times its slowness beyond its peers' */
 #define AVOIDED 20.0     /* chosen only when nothing else is left */
 #define COLD 0.3         /* has just started */
 #define JITTER 0.02      /* so that boxes with one view do not herd */
@@ -219,7 +218,7 @@
 {
     double v = places_taken(f, s, now);
     v += (w->once ? FAILING_ONCE : FAILING) * fail_rate(s, now);
-    v += SLOW * (s->slowness - 1);
+    v += f->rules.slow * (s->slowness - 1);
     v += JITTER * g_rand_double(f->rand);
     if (strcmp(s->zone, w->zone))
         v += f->rules.zone;
@@ -274,15 +273,22 @@
     return best;
 }
 
-WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
+/* Whether one of `n` is among the candidates of this choice. */
+static bool is_drawn(WPFleet *f, guint n)
+{
+    return !f->rules.choices || n <= f->rules.choices ||
+           g_rand_double(f->rand) * n < f->rules.choices;
+}
+
+static WPReplica *best_of(WPFleet *f, WPTime now, const WPWant *w,
+                          GPtrArray *list)
 {
-    GPtrArray *list = of_service(f, w->service);
     const WPReplica *home = home_of(w, list);
     WPReplica *best = NULL;
     double best_score = 0;
     for (guint i = 0; i < list->len; i++) {
         WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s))
+        if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)))
             continue;
         double v = score(f, now, w, s) - (s == home ? f->rules.prompt : 0);
         if (!best || v < best_score) {
@@ -290,6 +296,19 @@
             best_score = v;
         }
     }
+    return best;
+}
+
+WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
+{
+    GPtrArray *list = of_service(f, w->service);
+    WPReplica *best = best_of(f, now, w, list);
+    uint32_t choices = f->rules.choices;
+    if (!best && choices) { /* none was drawn that may take it */
+        f->rules.choices = 0;
+        best = best_of(f, now, w, list);
+        f->rules.choices = choices;
+    }
     return best ? wp_fleet_hold(best) : NULL;
 }
 
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -73,6 +73,8 @@
     double zone;   /* against another zone: bytes between zones are paid for */
     double prompt; /* for the replica that likely keeps the shared prompt */
     double work;   /* of prompts that wait to be read */
+    double slow;   /* of its slowness beyond its peers' */
+    uint32_t choices; /* candidates drawn at random, the home besides; 0: all */
 } WPFleetRules;
 
 typedef struct WPFleet WPFleet;
--- a/tests/direct_fake.h
+++ b/tests/direct_fake.h
@@ -77,7 +77,7 @@
                                          .base = 0.6,
                                          .strain_from = 0.35,
                                          .strain_weight = 5 },
-                            .fleet = { 0.35, 0.15, 1 } };
+                            .fleet = { 0.35, 0.15, 1, 0.25, 0 } };
     memset(k, 0, sizeof(*k));
     k->now = (WPTime){ 1000000000, 1700000000000 };
     k->chart = wp_chart_read(wp_str(FAKE_CHART), "chart", &error);
