Bad versions found by the pace of their events and by few failures

A slow version begins its answers in time (p50 of the first byte 77 ms against 61) and makes their events slowly (rest 353 ms against 1 to 111); the verdict looked at first bytes only. Of many answers few fail under load, below the one in a hundred that was taken for usual, though the old version had none. The first byte's time is in the log. tests/test_shift.c: ..._when_its_events_come_slowly, ..._when_few_fail_where_none_did fail without it.

--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -6,6 +6,7 @@
 #include "wp_link.h"
 
 enum {
+    DIGEST_HURRY_MS = 250, /* the same, while a move runs */
     DIGEST_MS = 1000,    /* between digests that tell nothing new */
     PULL_WAIT_MS = 120,  /* a box that watches the store itself mostly hears of
                             a change before it could be told */
@@ -43,6 +44,7 @@
     int64_t digest_us;
     uint64_t told;     /* revision of the last digest */
     bool dirty;        /* a digest is due now */
+    bool hurry;        /* digests more often */
     bool watching;     /* this box has its own watch of the store */
     uint64_t behind;   /* the highest revision heard of */
     int64_t behind_us; /* since when it is not known here */
@@ -405,7 +407,8 @@
     reach_members(p, now);
     reach_seeds(p, now);
     pull(p, now);
-    bool due = is_due(&p->digest_us, now, DIGEST_MS);
+    bool due = is_due(&p->digest_us, now,
+                      p->hurry ? DIGEST_HURRY_MS : DIGEST_MS);
     if (!due && !p->dirty)
         return;
     p->dirty = false;
@@ -420,6 +423,11 @@
     return MAX((now.mono_us - p->behind_us) / WP_US_PER_MS, 1);
 }
 
+void wp_peers_hurry(WPPeers *p, bool hurry)
+{
+    p->hurry = hurry;
+}
+
 void wp_peers_watching(WPPeers *p, bool watching)
 {
     p->watching = watching;
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -45,6 +45,9 @@
 /* For how long others have known more than this box; 0: they do not. */
 int64_t wp_peers_behind_ms(const WPPeers *p, WPTime now);
 
+/* Digests are due more often: what they carry besides is wanted soon. */
+void wp_peers_hurry(WPPeers *p, bool hurry);
+
 /* Whether this box watches the store itself. */
 void wp_peers_watching(WPPeers *p, bool watching);
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -19,6 +19,7 @@
     WPChannel *channel; /* of the leg under way */
     struct event *expire, *patience;
     WPStream stream;
+    uint64_t leg_from; /* events that had come before this leg */
     GByteArray *piece;     /* of events, on their way */
     bool begun;            /* the caller has the head of a stream */
     bool answer_streams;   /* the leg's answer is a stream */
@@ -137,7 +138,8 @@
     g_autoptr(GByteArray) body = g_steal_pointer(&r->body);
     r->fields = g_string_new(NULL);
     r->body = g_byte_array_new();
-    wp_flow_done(r->flow, wp_clock_now(0));
+    wp_flow_done(r->flow, wp_clock_now(0),
+                 r->stream.events - r->leg_from);
     log_end(r, status < 400 ? "ok" : "endpoint_status", status);
     free_relay(r);
     wp_front_answer(p, status, wp_strn(fields->str, fields->len),
@@ -192,6 +194,7 @@
     r->answer = (WPDirectAnswer){ 0 };
     g_byte_array_set_size(r->body, 0);
     wp_stream_restart(&r->stream);
+    r->leg_from = r->stream.events;
     r->channel = wp_back_send(r->host->back, now, m->replica, request,
                               r->peer->is_head, once, r);
     evbuffer_free(request);
@@ -253,16 +256,16 @@
     }
 }
 
+/* The status, how long its head took, and what the model thinks of it. */
 static void note_answer(Relay *r)
 {
-    char text[LOG_NUMBER];
+    int64_t us = wp_clock_now(0).mono_us - r->flow->leg.sent_us;
+    g_string_append_printf(r->legs, ":%d/%ldms", r->answer.status,
+                           (long)(us / WP_US_PER_MS));
     if (r->answer.confidence >= 0)
-        snprintf(text, sizeof(text), "%d/conf=%d", r->answer.status,
-                 r->answer.confidence);
-    else
-        snprintf(text, sizeof(text), "%d%s", r->answer.status,
-                 r->answer.not_run ? "/not_run" : "");
-    note_result(r, text);
+        g_string_append_printf(r->legs, "/conf=%d", r->answer.confidence);
+    if (r->answer.not_run)
+        g_string_append(r->legs, "/not_run");
 }
 
 static void on_head(void *arg, const WPHead *h)
@@ -295,6 +298,7 @@
     g_byte_array_set_size(r->piece, 0);
     bool in_order = wp_stream_feed(&r->stream, p, n, r->piece);
     wp_front_piece(r->peer, r->piece->data, r->piece->len);
+    wp_flow_progress(r->flow, wp_clock_now(0), r->stream.events - r->leg_from);
     if (!in_order)
         lose_answer(r, "event_missing");
     else if (wp_front_is_full(r->peer))
@@ -316,7 +320,8 @@
 {
     WPPeer *p = r->peer;
     wp_front_piece(p, r->stream.partial->data, r->stream.partial->len);
-    wp_flow_done(r->flow, wp_clock_now(0));
+    wp_flow_done(r->flow, wp_clock_now(0),
+                 r->stream.events - r->leg_from);
     log_end(r, "ok", r->answer.status);
     free_relay(r);
     wp_front_finish(p);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -232,6 +232,12 @@
         read_all(s);
 }
 
+static void note_running(void *arg, WPShift *sh)
+{
+    bool *moving = arg;
+    *moving = *moving || sh->state == WP_SHIFT_RUNNING;
+}
+
 void wp_sync_tick(WPSync *s, WPTime now)
 {
     keep_fresh(s, now);
@@ -242,6 +248,9 @@
         read_all(s);
     }
     wp_record_tick(s, now);
+    bool moving = false;
+    wp_shifts_each(s->host->direct.shifts, note_running, &moving);
+    wp_peers_hurry(s->peers, moving);
     wp_peers_watching(s->peers, s->watching);
     wp_peers_tick(s->peers, now);
     s->host->direct.boxes = wp_peers_known(s->peers);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -120,7 +120,10 @@
 typedef struct WPAttempt {
     WPReplica *replica; /* NULL: none is under way */
     int64_t sent_us;
+    int64_t first_us; /* when its first byte came */
     bool heard;       /* its first byte has come */
+    bool slow;        /* it came several times later than usual */
+    bool judged;      /* counted in the verdict on a move's new version */
     bool old_version; /* counts among those of a move's old version */
 } WPAttempt;
 
@@ -163,8 +166,11 @@
 /* The caller's time or the route's is over. */
 void wp_flow_expired(WPFlow *f, WPTime now, WPMove *out);
 
-/* The caller has the whole answer. */
-void wp_flow_done(WPFlow *f, WPTime now);
+/* So many events of this leg's stream have come. */
+void wp_flow_progress(WPFlow *f, WPTime now, uint64_t events);
+
+/* The caller has the whole answer; `events` of a stream came by this leg. */
+void wp_flow_done(WPFlow *f, WPTime now, uint64_t events);
 
 /* The caller has gone. */
 void wp_flow_left(WPFlow *f, WPTime now);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -7,6 +7,12 @@
     STARTING_MS = 500     /* the same, while no routes are known */
 };
 
+/* A stream is slow when its events come so many times as far apart as usual;
+   a long prompt beside it delays them too, so not from the first ones. */
+#define PACE_TIMES 2.5
+#define PACE_SLACK_US (20 * WP_US_PER_MS)
+#define PACE_EVENTS 6
+
 /* Part of the newest in the moving mean of lags. */
 #define LAG_WEIGHT 0.03
 
@@ -24,7 +30,9 @@
 {
     WPShift *sh = wp_flow_shift(f);
     bool old = sh && strcmp(s->version, sh->version);
-    f->leg = (WPAttempt){ s, now.mono_us, false, old };
+    f->leg = (WPAttempt){ .replica = s,
+                          .sent_us = now.mono_us,
+                          .old_version = old };
     if (old)
         sh->old_running++;
     /* From now on the session is on this version, also for requests that come
@@ -171,36 +179,71 @@
     f->d->lag += LAG_WEIGHT * ((double)took_us / aim_us - f->d->lag);
 }
 
+/* Whether the leg is on the version that a running move leads to: it is
+   measured against the others, not against itself. */
+static bool is_on_trial(const WPFlow *f)
+{
+    const WPShift *sh = wp_flow_shift(f);
+    return sh && sh->state == WP_SHIFT_RUNNING && !f->leg.old_version;
+}
+
 /* The first byte of the leg has come: what it tells of the endpoint. */
-static bool note_first(WPFlow *f, WPTime now)
+static void note_first(WPFlow *f, WPTime now)
 {
     WPSpeed *v = wp_direct_speed(f->d, f->route->name, wp_flow_model(f));
     int64_t took = now.mono_us - f->leg.sent_us;
     double mean = wp_speed_expect(v, f->prompt_tokens);
-    bool slow = mean > 0 && (double)took > SLOW_TIMES * mean + SLOW_SLACK_US;
-    WPShift *sh = wp_flow_shift(f);
-    bool is_new = sh && sh->state == WP_SHIFT_RUNNING && !f->leg.old_version;
     if (f->leg.heard)
-        return false;
+        return;
     f->leg.heard = true;
+    f->leg.first_us = now.mono_us;
+    f->leg.slow = mean > 0 && (double)took > SLOW_TIMES * mean + SLOW_SLACK_US;
     if (f->route->aim_ms)
         note_lag(f, took);
     wp_fleet_began(f->leg.replica, f->prompt_tokens, took, (int64_t)mean);
-    /* A new version is measured against the old one, not against itself. */
-    if (!is_new || !mean)
+    if (!is_on_trial(f) || !mean)
         wp_speed_add(v, f->prompt_tokens, took);
-    return slow;
 }
 
-/* What an answer tells of the version that gave it. */
-static void note_version(WPFlow *f, bool failed, bool slow)
+/* What the leg tells of the version that it was on; once a leg. */
+static void judge(WPFlow *f, bool failed, bool slow)
 {
     WPShift *sh = wp_flow_shift(f);
+    if (f->leg.judged || !f->leg.replica)
+        return;
+    f->leg.judged = true;
     if (sh && sh->state == WP_SHIFT_RUNNING)
         wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
                           f->route->name, failed, slow);
 }
 
+/* A slow version may begin its answers in time and then make their events
+   several times more slowly. */
+static void judge_pace(WPFlow *f, WPTime now, uint64_t events)
+{
+    g_autofree char *name = g_strconcat(f->route->name, " pace", NULL);
+    WPSpeed *v = wp_direct_speed(f->d, name, wp_flow_model(f));
+    double mean = wp_speed_expect(v, 0);
+    if (f->leg.judged || !f->leg.heard)
+        return;
+    if (events < 2) {
+        judge(f, false, f->leg.slow);
+        return;
+    }
+    int64_t rest_us = now.mono_us - f->leg.first_us;
+    double pace = (double)rest_us / (double)(events - 1);
+    bool slow = mean > 0 && pace > PACE_TIMES * mean + PACE_SLACK_US;
+    if (!is_on_trial(f) || !mean)
+        wp_speed_add(v, 0, (int64_t)pace);
+    judge(f, false, slow || f->leg.slow);
+}
+
+void wp_flow_progress(WPFlow *f, WPTime now, uint64_t events)
+{
+    if (events >= PACE_EVENTS && !f->leg.judged)
+        judge_pace(f, now, events);
+}
+
 static void give_up(WPFlow *f, WPCode code, uint32_t retry_ms, WPMove *out)
 {
     if (f->passing)
@@ -231,8 +274,10 @@
 
 static void try_better(WPFlow *f, WPTime now, WPMove *out)
 {
-    WPAttempt had = f->leg;
+    WPAttempt had;
     unsigned step = f->step;
+    judge(f, false, f->leg.slow);
+    had = f->leg;
     f->step = f->route->models->len - 1;
     f->ran++;
     if (again(f, now, WP_WHY_BETTER, out)) {
@@ -258,7 +303,9 @@
         wp_flow_lost(f, now, WP_LOSS_BROKEN, out);
         return;
     }
-    note_version(f, failed, note_first(f, now));
+    note_first(f, now);
+    if (failed || f->route->repeat != WP_REPEAT_STREAM)
+        judge(f, failed, f->leg.slow);
     if (failed) {
         f->ran++;
         end_this(f, now, WP_SERVED_FAILED);
@@ -331,8 +378,9 @@
         wp_direct_session_on(f->d, now, f->session, f->leg.replica->version);
 }
 
-void wp_flow_done(WPFlow *f, WPTime now)
+void wp_flow_done(WPFlow *f, WPTime now, uint64_t events)
 {
+    judge_pace(f, now, events);
     note_session(f, now);
     end_this(f, now, WP_SERVED_OK);
     wp_count(&f->d->counters, WP_C_ANSWERED);
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -13,7 +13,7 @@
 /* A version is bad on all its endpoints; an endpoint that fails alone is the
    business of the choice of endpoints. */
 #define LEAST_REPLICAS 2
-#define REPLICA_SHARE 0.3
+#define REPLICA_SHARE 0.25
 #define REPLICA_ANSWERS 3
 
 /* A bad version is several times slower for a good part of its requests; on
@@ -24,8 +24,9 @@
    under way. */
 #define LEAD_MS 1500
 
-/* Failures that are expected of any version. */
-#define BASE_RATE 0.01
+/* As many answers, one of them bad, are added to what is known of the old
+   version. */
+#define PRIOR_ANSWERS 100.0
 
 struct WPShifts {
     const Wp__Chart *chart;
@@ -230,23 +231,26 @@
                          GUINT_TO_POINTER(old_running));
 }
 
-/* Whether `bad` of `n` is more than a rate of `base` explains. */
-static bool too_many(uint32_t bad, uint32_t n, double base)
+static double rate(uint32_t part, uint32_t n)
 {
-    double expected = n * MAX(base, BASE_RATE);
-    return bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
+    return n ? (double)part / n : 0;
 }
 
-static double rate(uint32_t part, uint32_t n)
+/* Whether `bad` of `n` is more than the old version's `old_bad` of `old_n`
+   explains. Of an old version that is not known, one in a hundred is thought
+   to be bad. */
+static bool too_many(uint32_t bad, uint32_t n, uint32_t old_bad,
+                     uint32_t old_n)
 {
-    return n ? (double)part / n : 0;
+    double expected = n * (old_bad + 1.0) / (old_n + PRIOR_ANSWERS);
+    return bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
 }
 
 static bool sums_bad(const WPShiftSums *v, const WPShiftSums *old)
 {
-    return too_many(v->failed, v->answered, rate(old->failed, old->answered)) ||
-           (rate(v->slow, v->answered) >= LEAST_SLOW_SHARE &&
-            too_many(v->slow, v->answered, rate(old->slow, old->answered)));
+    bool slow = rate(v->slow, v->answered) >= LEAST_SLOW_SHARE;
+    return too_many(v->failed, v->answered, old->failed, old->answered) ||
+           (slow && too_many(v->slow, v->answered, old->slow, old->answered));
 }
 
 /* Whether the bad answers come from enough of the endpoints. */
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -28,7 +28,7 @@
     wp_flow_lost(f, k.now, WP_LOSS_UNSENT, &m);
     assert_int_equal(m.kind, WP_MOVE_SEND);
     assert_ptr_not_equal(m.replica, first);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
     fake_end(&k);
 }
@@ -92,7 +92,7 @@
     assert_int_equal(m.kind, WP_MOVE_SEND);
     wp_flow_answer(f, k.now, &a, &m);
     assert_int_equal(m.kind, WP_MOVE_PASS);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
     fake_end(&k);
 }
@@ -150,7 +150,7 @@
     wp_flow_answer(f, k.now, &a, &m);
     assert_int_equal(m.kind, WP_MOVE_SEND);
     assert_true(first->unreachable);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
     fake_end(&k);
 }
@@ -171,13 +171,13 @@
     /* The largest model's answer is passed on whatever it thinks of it. */
     wp_flow_answer(f, k.now, &poor, &m);
     assert_int_equal(m.kind, WP_MOVE_PASS);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
 
     f = fake_ask(&k, "/chat/x", NULL, &m);
     wp_flow_answer(f, k.now, &good, &m);
     assert_int_equal(m.kind, WP_MOVE_PASS);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
     fake_end(&k);
 }
@@ -196,7 +196,7 @@
     assert_int_equal(m.kind, WP_MOVE_SEND);
     wp_flow_answer(f, k.now, &poor, &m);
     assert_int_equal(m.kind, WP_MOVE_PASS);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
     fake_end(&k);
 }
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -22,7 +22,7 @@
     assert_int_equal(m.kind, WP_MOVE_SEND);
     const char *version = g_intern_string(m.replica->version);
     wp_flow_answer(f, k->now, &a, &m);
-    wp_flow_done(f, k->now);
+    wp_flow_done(f, k->now, 0);
     wp_flow_free(f);
     return version;
 }
@@ -140,7 +140,7 @@
     wp_flow_answer(f, k.now, &a, &m);
     order(&k);
     fake_pass(&k, 8000);
-    wp_flow_done(f, k.now);
+    wp_flow_done(f, k.now, 0);
     wp_flow_free(f);
     fake_pass(&k, 1000);
     assert_string_equal(serve(&k, "s"), "v1");
@@ -255,6 +255,59 @@
     fake_end(&k);
 }
 
+/* Serves one request whose events come `gap_ms` apart. */
+static void serve_paced(Fake *k, const char *want, int gap_ms)
+{
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, "/chat/x", NULL, &m);
+    while (strcmp(m.replica->version, want)) {
+        wp_flow_left(f, k->now);
+        wp_flow_free(f);
+        f = fake_ask(k, "/chat/x", NULL, &m);
+    }
+    wp_flow_answer(f, k->now, &a, &m);
+    for (uint64_t i = 2; i <= 10; i++) {
+        k->now.mono_us += gap_ms * WP_US_PER_MS;
+        wp_flow_progress(f, k->now, i);
+    }
+    wp_flow_done(f, k->now, 10);
+    wp_flow_free(f);
+}
+
+/* A slow version may begin each answer in time. */
+static void a_version_is_bad_when_its_events_come_slowly(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    fake_pass(&k, LEAD_MS);
+    for (int i = 0; i < 60; i++)
+        serve_paced(&k, "v1", 30);
+    for (int i = 0; i < 10; i++)
+        serve_paced(&k, "v2", 30);
+    assert_false(wp_shift_is_bad(sh, NULL));
+    for (int i = 0; i < 10; i++)
+        serve_paced(&k, "v2", i % 2 ? 240 : 30);
+    assert_true(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+}
+
+/* Bad only under load: few of many answers, where the old version had none. */
+static void a_version_is_bad_when_few_fail_where_none_did(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 700, 0, 0);
+    feed(sh, "v2", "n1", "chat", 130, 4, 0);
+    feed(sh, "v2", "n2", "chat", 130, 3, 0);
+    assert_true(wp_shift_is_bad(sh, NULL));
+    fake_end(&k);
+}
+
 /* As requests move over, the new version's endpoints fill and some answers
    come late; a bad version is slow for a good part of its requests. */
 static void a_version_is_not_slow_because_it_fills(void **state)
@@ -315,6 +368,8 @@
            T(a_bad_version_is_found_and_left),
            T(a_version_is_bad_when_it_is_slow_or_on_one_route),
            T(a_good_version_is_not_blamed),
+           T(a_version_is_bad_when_its_events_come_slowly),
+           T(a_version_is_bad_when_few_fail_where_none_did),
            T(a_version_is_not_slow_because_it_fills),
            T(boxes_find_a_bad_version_together),
            T(an_old_order_changes_nothing))
