--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -63,21 +63,26 @@
     g_free(m);
 }
 
-static void send_digest(WPPeers *p, WPLink *l)
+/* A digest with all that goes along; what it tells counts as told. */
+static void fill_digest(WPPeers *p, Wp__MirrorDigest *d)
+{
+    wp__mirror_digest__init(d);
+    d->complete = wp_mirror_complete(p->mirror);
+    p->ops->fill(p->arg, d);
+}
+
+static void send_digest(WPLink *l, Wp__MirrorDigest *d)
 {
     Wp__Frame f = WP__FRAME__INIT;
-    Wp__MirrorDigest d = WP__MIRROR_DIGEST__INIT;
-    d.complete = wp_mirror_complete(p->mirror);
-    p->ops->fill(p->arg, &d);
     f.body_case = WP__FRAME__BODY_MIRROR_DIGEST;
-    f.mirror_digest = &d;
+    f.mirror_digest = d;
     wp_link_send(l, &f);
 }
 
 static void send_to_each(void *arg, WPLink *l)
 {
     if (l->peer)
-        send_digest(arg, l);
+        send_digest(l, arg);
 }
 
 static void take_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
@@ -127,8 +132,10 @@
 {
     WPPeers *p = arg;
     p->linked++;
+    Wp__MirrorDigest d = WP__MIRROR_DIGEST__INIT;
+    d.complete = wp_mirror_complete(p->mirror);
     p->ops->changed(p->arg, l->peer, true);
-    send_digest(p, l);
+    send_digest(l, &d);
 }
 
 static void on_down(void *arg, WPLink *l)
@@ -413,7 +420,9 @@
         return;
     p->dirty = false;
     p->digest_us = now.mono_us;
-    wp_hub_each(p->hub, send_to_each, p);
+    Wp__MirrorDigest d;
+    fill_digest(p, &d);
+    wp_hub_each(p->hub, send_to_each, &d);
 }
 
 int64_t wp_peers_behind_ms(const WPPeers *p, WPTime now)
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -134,6 +134,7 @@
     seen->version = g_intern_string(version);
     seen->used_us = now.mono_us;
     seen->own = true;
+    seen->told = false;
 }
 
 double wp_direct_unit(uint64_t session)
@@ -141,41 +142,27 @@
     return wp_hash_unit(wp_strn((const char *)&session, sizeof(session)), 1);
 }
 
-typedef struct Widest {
-    const WPShifts *shifts;
-    double share;
-} Widest;
-
-static void widen(void *arg, WPShift *sh)
-{
-    Widest *w = arg;
-    if (sh->state == WP_SHIFT_RUNNING)
-        w->share = MAX(w->share, wp_shifts_first_share(w->shifts));
-}
-
 static bool is_new_version(const WPDirect *d, const char *version)
 {
     return wp_shifts_is_target(d->shifts, version);
 }
 
-size_t wp_direct_bound(const WPDirect *d, WPTime now, uint64_t *out,
-                       size_t most)
+size_t wp_direct_bound(WPDirect *d, WPTime now, uint64_t *out, size_t most)
 {
-    Widest w = { d->shifts, 0 };
     GHashTableIter it;
     gpointer p;
     size_t n = 0;
     int64_t oldest = now.mono_us - session_bound_us(d);
-    wp_shifts_each(d->shifts, widen, &w);
-    if (w.share <= 0)
+    if (!wp_shifts_first_half(d->shifts, now))
         return 0;
     g_hash_table_iter_init(&it, d->sessions);
     while (n < most && g_hash_table_iter_next(&it, NULL, &p)) {
-        const WPSessionSeen *seen = p;
-        if (seen->own && seen->used_us > oldest &&
-            wp_direct_unit(seen->session) < w.share &&
-            !is_new_version(d, seen->version))
-            out[n++] = seen->session;
+        WPSessionSeen *seen = p;
+        if (seen->told || !seen->own || seen->used_us <= oldest ||
+            is_new_version(d, seen->version))
+            continue;
+        seen->told = true;
+        out[n++] = seen->session;
     }
     return n;
 }
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -45,11 +45,10 @@
    known: what was once in force never comes back. */
 bool wp_direct_routes(WPDirect *d, WPRoutes *t);
 
-/* Sessions that this box has lately sent to an old version and that the first
-   stage of a running move would take: the other boxes must know of them.
-   Returns how many were written to `out`. */
-size_t wp_direct_bound(const WPDirect *d, WPTime now, uint64_t *out,
-                       size_t most);
+/* Sessions that this box has lately sent to an old version and has not told
+   of, while a move is in its first half: the other boxes must leave them
+   there. Returns how many were written to `out`; they count as told. */
+size_t wp_direct_bound(WPDirect *d, WPTime now, uint64_t *out, size_t most);
 void wp_direct_hear_bound(WPDirect *d, WPTime now, uint64_t session);
 
 /* Forgets sessions and endpoints whose time is over. */
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -10,7 +10,8 @@
     uint64_t session;
     const char *version; /* interned; WP_VERSION_OLD when only told of */
     int64_t used_us;
-    bool own; /* this box served it */
+    bool own;  /* this box served it */
+    bool told; /* and has told the others so since */
 } WPSessionSeen;
 
 /* Stands for whichever version was in use before a move. */
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -3,6 +3,10 @@
 
 enum { PATIENCE_LEAST_MS = 150, PATIENCE_STREAM_LEAST_MS = 600 };
 
+/* A replica on trial is loaded if that takes no more of the service's running
+   requests than this: elsewhere it costs the callers more than it shows. */
+#define PRESS_SHARE 0.35
+
 /* A leg that may be repeated is waited for this many times the mean. */
 #define PATIENCE_TIMES 5.0
 
@@ -68,12 +72,25 @@
     if (sh && sh->state == WP_SHIFT_RUNNING) {
         const char *last =
             f->session ? wp_direct_session(d, now, f->session) : NULL;
-        if (wp_shift_takes(d->shifts, sh, now, f->unit, last))
+        bool press = wp_shift_presses(d->shifts, sh, now) &&
+                     wp_fleet_can_fill(d->fleet, now, &w, PRESS_SHARE);
+        if (wp_shift_takes(d->shifts, sh, now, f->unit, last, press)) {
             w.version = sh->version;
-        else
+            w.fill = wp_shift_first_half(sh, now);
+            w.fill_only = !last && press;
+        } else {
             w.allowed = other_allowed;
+        }
         s = wp_fleet_choose(d->fleet, now, &w);
+        if (!s && w.fill_only) {
+            w.version = NULL;
+            w.fill = false;
+            w.allowed = other_allowed;
+            s = wp_fleet_choose(d->fleet, now, &w);
+        }
+        w.fill_only = false;
         w.version = NULL;
+        w.fill = false;
         w.allowed = version_allowed;
     }
     if (!s)
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -20,6 +20,10 @@
    quiet days good ones had up to 0.08 of them slow while they filled. */
 #define LEAST_SLOW_SHARE 0.2
 
+/* A little more than the half that the platform grants sessions, as clocks
+   differ. */
+#define FIRST_HALF 0.52
+
 /* How long a move waits until boxes have told each other which sessions are
    under way. */
 #define LEAD_MS 1500
@@ -111,9 +115,25 @@
         fn(arg, sh);
 }
 
-double wp_shifts_first_share(const WPShifts *s)
+/* The part of the order's duration that is over. */
+static double part_over(const WPShift *sh, WPTime now)
 {
-    return wp_chart_state(s->chart, s->chart->initial)->share;
+    if (!sh->began_ms || sh->duration_ms <= 0)
+        return 0;
+    return (double)(now.wall_ms - sh->began_ms) / (double)sh->duration_ms;
+}
+
+bool wp_shifts_first_half(const WPShifts *s, WPTime now)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, s->by_service);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPShift *sh = p;
+        if (sh->state == WP_SHIFT_RUNNING && wp_shift_first_half(sh, now))
+            return true;
+    }
+    return false;
 }
 
 bool wp_shifts_is_target(const WPShifts *s, const char *version)
@@ -143,9 +163,7 @@
                                      WPTime now)
 {
     const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
-    double part = 0;
-    if (sh->began_ms && sh->duration_ms > 0)
-        part = (double)(now.wall_ms - sh->began_ms) / (double)sh->duration_ms;
+    double part = part_over(sh, now);
     while (!at->final && part >= at->dwell_part) {
         const Wp__ChartState *next = wp_chart_next(s->chart, at->name, "next");
         if (!next || next->final)
@@ -156,8 +174,18 @@
     return at;
 }
 
+bool wp_shift_first_half(const WPShift *sh, WPTime now)
+{
+    return part_over(sh, now) < FIRST_HALF;
+}
+
+bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now)
+{
+    return !strcmp(wp_shift_stage(s, sh, now)->gate, "load");
+}
+
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
-                    double unit, const char *last)
+                    double unit, const char *last, bool press)
 {
     if (sh->state != WP_SHIFT_RUNNING)
         return sh->state == WP_SHIFT_DONE;
@@ -165,10 +193,11 @@
         return false;
     if (last && !strcmp(last, sh->version))
         return true;
-    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
-    bool first = !strcmp(at->name, s->chart->initial);
-    if (first && last)
+    if (last && wp_shift_first_half(sh, now))
         return false;
+    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
+    if (!press && wp_shift_presses(s, sh, now))
+        at = wp_chart_state(s->chart, s->chart->initial);
     return unit < at->share;
 }
 
@@ -265,7 +294,7 @@
         bad += v->failed + v->slow > 0;
         heard += v->answered >= REPLICA_ANSWERS || v->failed + v->slow > 0;
     }
-    return bad >= MIN(heard, LEAST_REPLICAS) && bad >= REPLICA_SHARE * heard;
+    return bad >= LEAST_REPLICAS && bad >= REPLICA_SHARE * heard;
 }
 
 /* A version may be bad on a single route only. */
@@ -311,8 +340,7 @@
         return WP_SHIFT_RUNNING;
     if (wp_shift_is_bad(sh, why))
         return WP_SHIFT_UNDONE;
-    double part =
-        (double)(now.wall_ms - sh->began_ms) / (double)sh->duration_ms;
+    double part = part_over(sh, now);
     double end = 0;
     const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
     for (; at && !at->final; at = wp_chart_next(s->chart, at->name, "next"))
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -60,8 +60,8 @@
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
 
-/* The share of the first stage. */
-double wp_shifts_first_share(const WPShifts *s);
+/* Whether some move is in its first half. */
+bool wp_shifts_first_half(const WPShifts *s, WPTime now);
 
 /* Whether some running move leads to this version. */
 bool wp_shifts_is_target(const WPShifts *s, const char *version);
@@ -71,9 +71,10 @@
 
 /* Whether a request is to go to the new version. `unit` in [0, 1) is the same
    for all requests of a session; `last` is the version that served the
-   session before, NULL when this box knows of none. */
+   session before, NULL when this box knows of none. `press`: the stage that
+   loads one replica may do so. */
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
-                    double unit, const char *last);
+                    double unit, const char *last, bool press);
 
 /* How one request ended at an endpoint: the endpoint failed it, took several
    times as long as usual, or neither. */
@@ -89,6 +90,11 @@
    is, gives the figures and is freed with g_free(). */
 bool wp_shift_is_bad(const WPShift *sh, char **why);
 
+/* Whether the move is in its first half, in which sessions stay on the old
+   version, and whether it loads one replica on trial. */
+bool wp_shift_first_half(const WPShift *sh, WPTime now);
+bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now);
+
 /* The stage at this time. */
 const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
                                      WPTime now);
