The load on a replica on trial ends after fourteen loaded answers

Change: boxes add up the answers of replicas that were half full; after 14 the load ends. It is tried where it takes up to 0.85 of what runs.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3467,7 +3467,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[7] =
 {
   {
     "service",
@@ -3541,10 +3541,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loaded",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_loaded),
+    offsetof(Wp__MoveSums, loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
   3,   /* field[3] = failed */
+  6,   /* field[6] = loaded */
   5,   /* field[5] = old_running */
   1,   /* field[1] = order */
   0,   /* field[0] = service */
@@ -3553,7 +3566,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -3563,7 +3576,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  6,
+  7,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -545,10 +545,15 @@
    */
   protobuf_c_boolean has_old_running;
   uint32_t old_running;
+  /*
+   * answers of replicas that were half full
+   */
+  protobuf_c_boolean has_loaded;
+  uint32_t loaded;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -7,7 +7,7 @@
 
 enum {
     DIGEST_HURRY_MS = 250, /* the same, while a move runs */
-    DIGEST_MS = 1000,    /* between digests that tell nothing new */
+    DIGEST_MS = 1000,      /* between digests that tell nothing new */
     PULL_WAIT_MS = 120,  /* a box that watches the store itself mostly hears of
                             a change before it could be told */
     PULL_AGAIN_MS = 200, /* a pull without an answer */
@@ -414,8 +414,8 @@
     reach_members(p, now);
     reach_seeds(p, now);
     pull(p, now);
-    bool due = is_due(&p->digest_us, now,
-                      p->hurry ? DIGEST_HURRY_MS : DIGEST_MS);
+    bool due =
+        is_due(&p->digest_us, now, p->hurry ? DIGEST_HURRY_MS : DIGEST_MS);
     if (!due && !p->dirty)
         return;
     p->dirty = false;
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -19,7 +19,7 @@
     WPChannel *channel; /* of the leg under way */
     struct event *expire, *patience;
     WPStream stream;
-    uint64_t leg_from; /* events that had come before this leg */
+    uint64_t leg_from;     /* events that had come before this leg */
     GByteArray *piece;     /* of events, on their way */
     bool begun;            /* the caller has the head of a stream */
     bool answer_streams;   /* the leg's answer is a stream */
@@ -138,8 +138,7 @@
     g_autoptr(GByteArray) body = g_steal_pointer(&r->body);
     r->fields = g_string_new(NULL);
     r->body = g_byte_array_new();
-    wp_flow_done(r->flow, wp_clock_now(0),
-                 r->stream.events - r->leg_from);
+    wp_flow_done(r->flow, wp_clock_now(0), r->stream.events - r->leg_from);
     log_end(r, status < 400 ? "ok" : "endpoint_status", status);
     free_relay(r);
     wp_front_answer(p, status, wp_strn(fields->str, fields->len),
@@ -320,8 +319,7 @@
 {
     WPPeer *p = r->peer;
     wp_front_piece(p, r->stream.partial->data, r->stream.partial->len);
-    wp_flow_done(r->flow, wp_clock_now(0),
-                 r->stream.events - r->leg_from);
+    wp_flow_done(r->flow, wp_clock_now(0), r->stream.events - r->leg_from);
     log_end(r, "ok", r->answer.status);
     free_relay(r);
     wp_front_finish(p);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -122,6 +122,7 @@
     int64_t first_us; /* when its first byte came */
     bool heard;       /* its first byte has come */
     bool slow;        /* it came several times later than usual */
+    bool loaded;      /* its endpoint was half full when it was sent */
     bool judged;      /* counted in the verdict on a move's new version */
     bool old_version; /* counts among those of a move's old version */
 } WPAttempt;
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -212,6 +212,11 @@
     return MAX(told, (double)s->in_flight);
 }
 
+double wp_fleet_taken(const WPReplica *s, WPTime now)
+{
+    return load_of(s, now) / (s->slots ? s->slots : 1);
+}
+
 static double places_taken(const WPFleet *f, const WPReplica *s, WPTime now)
 {
     double slots = s->slots ? s->slots : 1;
@@ -318,16 +323,15 @@
 
 /* The first replica, in an order that all boxes share, that has room and does
    not fail; NULL when there is none. */
-static WPReplica *first_with_room(WPTime now, const WPWant *w,
-                                  GPtrArray *list)
+static WPReplica *first_with_room(WPTime now, const WPWant *w, GPtrArray *list)
 {
     WPReplica *best = NULL;
     double best_score = 0;
     for (guint i = 0; i < list->len; i++) {
         WPReplica *s = g_ptr_array_index(list, i);
         double slots = s->slots ? s->slots : 1;
-        bool bad = s->avoid_until_us > now.mono_us ||
-                   fail_rate(s, now) > FILL_FAILING;
+        bool bad =
+            s->avoid_until_us > now.mono_us || fail_rate(s, now) > FILL_FAILING;
         if (!may_take(w, s) || bad || load_of(s, now) / slots >= FILL_MOST)
             continue;
         double v = wp_rendezvous(wp_str(s->id), 0, 1);
@@ -346,7 +350,8 @@
     if (!best && !w->fill_only)
         best = best_of(f, now, w, list);
     uint32_t choices = f->rules.choices;
-    if (!best && choices && !w->fill_only) { /* none was drawn that may take it */
+    if (!best && choices &&
+        !w->fill_only) { /* none was drawn that may take it */
         f->rules.choices = 0;
         best = best_of(f, now, w, list);
         f->rules.choices = choices;
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -64,9 +64,9 @@
     uint32_t prompt_tokens;
     WPReplica *const *tried; /* not these again */
     size_t n_tried;
-    bool once; /* may not be repeated: doubtful endpoints cost more */
-    bool fill; /* one replica after the other, so that the first are loaded
-                  although the requests are few */
+    bool once;      /* may not be repeated: doubtful endpoints cost more */
+    bool fill;      /* one replica after the other, so that the first are loaded
+                       although the requests are few */
     bool fill_only; /* and none when no replica has room */
 } WPWant;
 
@@ -112,6 +112,9 @@
 /* The endpoint for a request, held for the caller; NULL if there is none. */
 WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w);
 
+/* The share of its places that are taken, as far as is known. */
+double wp_fleet_taken(const WPReplica *s, WPTime now);
+
 /* Holds a replica, and lets go of it again. */
 WPReplica *wp_fleet_hold(WPReplica *s);
 void wp_fleet_release(WPReplica *s);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -7,6 +7,9 @@
     STARTING_MS = 500     /* the same, while no routes are known */
 };
 
+/* Share of places taken from which on a version may be bad under load. */
+#define HALF_FULL 0.5
+
 /* A stream is slow when its events come so many times as far apart as usual;
    a long prompt beside it delays them too, so not from the first ones. */
 #define PACE_TIMES 2.5
@@ -32,6 +35,7 @@
     bool old = sh && strcmp(s->version, sh->version);
     f->leg = (WPAttempt){ .replica = s,
                           .sent_us = now.mono_us,
+                          .loaded = wp_fleet_taken(s, now) >= HALF_FULL,
                           .old_version = old };
     if (old)
         sh->old_running++;
@@ -212,6 +216,8 @@
     if (f->leg.judged || !f->leg.replica)
         return;
     f->leg.judged = true;
+    if (is_on_trial(f) && f->leg.loaded)
+        wp_shift_loaded(sh);
     if (sh && sh->state == WP_SHIFT_RUNNING)
         wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
                           f->route->name, failed, slow);
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -5,7 +5,7 @@
 
 /* A replica on trial is loaded if that takes no more of the service's running
    requests than this: elsewhere it costs the callers more than it shows. */
-#define PRESS_SHARE 0.35
+#define PRESS_SHARE 0.85
 
 /* A leg that may be repeated is waited for this many times the mean. */
 #define PATIENCE_TIMES 5.0
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -20,6 +20,10 @@
    quiet days good ones had up to 0.08 of them slow while they filled. */
 #define LEAST_SLOW_SHARE 0.2
 
+/* So many answers under load show whether it is bad there: a bad one failed
+   half of them. */
+#define LOADED_ENOUGH 14
+
 /* A little more than the half that the platform grants sessions, as clocks
    differ. */
 #define FIRST_HALF 0.52
@@ -179,28 +183,6 @@
     return part_over(sh, now) < FIRST_HALF;
 }
 
-bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now)
-{
-    return !strcmp(wp_shift_stage(s, sh, now)->gate, "load");
-}
-
-bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
-                    double unit, const char *last, bool press)
-{
-    if (sh->state != WP_SHIFT_RUNNING)
-        return sh->state == WP_SHIFT_DONE;
-    if (!sh->began_ms || sh->suspect || now.wall_ms - sh->began_ms < LEAD_MS)
-        return false;
-    if (last && !strcmp(last, sh->version))
-        return true;
-    if (last && wp_shift_first_half(sh, now))
-        return false;
-    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
-    if (!press && wp_shift_presses(s, sh, now))
-        at = wp_chart_state(s->chart, s->chart->initial);
-    return unit < at->share;
-}
-
 static WPShiftSums *need_sums(GHashTable *t, const char *name)
 {
     WPShiftSums *v = g_hash_table_lookup(t, name);
@@ -231,6 +213,7 @@
 
 static void add_sums(WPShiftSums *to, const WPShiftSums *v)
 {
+    to->loaded += v->loaded;
     to->answered += v->answered;
     to->failed += v->failed;
     to->slow += v->slow;
@@ -247,9 +230,40 @@
     return sum;
 }
 
+bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now)
+{
+    WPShiftSums heard = total(sh->heard);
+    return !strcmp(wp_shift_stage(s, sh, now)->gate, "load") &&
+           sh->loaded + heard.loaded < LOADED_ENOUGH;
+}
+
+bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
+                    double unit, const char *last, bool press)
+{
+    if (sh->state != WP_SHIFT_RUNNING)
+        return sh->state == WP_SHIFT_DONE;
+    if (!sh->began_ms || sh->suspect || now.wall_ms - sh->began_ms < LEAD_MS)
+        return false;
+    if (last && !strcmp(last, sh->version))
+        return true;
+    if (last && wp_shift_first_half(sh, now))
+        return false;
+    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
+    if (!press && !strcmp(at->gate, "load"))
+        at = wp_chart_state(s->chart, s->chart->initial);
+    return unit < at->share;
+}
+
+void wp_shift_loaded(WPShift *sh)
+{
+    sh->loaded++;
+}
+
 WPShiftSums wp_shift_own(const WPShift *sh)
 {
-    return total(sh->fresh);
+    WPShiftSums sum = total(sh->fresh);
+    sum.loaded = sh->loaded;
+    return sum;
 }
 
 void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
@@ -268,8 +282,7 @@
 /* Whether `bad` of `n` is more than the old version's `old_bad` of `old_n`
    explains. Of an old version that is not known, one in a hundred is thought
    to be bad. */
-static bool too_many(uint32_t bad, uint32_t n, uint32_t old_bad,
-                     uint32_t old_n)
+static bool too_many(uint32_t bad, uint32_t n, uint32_t old_bad, uint32_t old_n)
 {
     double expected = n * (old_bad + 1.0) / (old_n + PRIOR_ANSWERS);
     return bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -28,6 +28,7 @@
 /* What the answers of a group were; sums of boxes can be added. */
 typedef struct WPShiftSums {
     uint32_t answered, failed, slow;
+    uint32_t loaded; /* answers of replicas that were half full or more */
 } WPShiftSums;
 
 typedef struct WPShift {
@@ -40,6 +41,7 @@
     GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
     GHashTable *heard;       /* box -> WPShiftSums, of the new version */
     GHashTable *heard_old;   /* box -> its requests on other versions */
+    uint32_t loaded;         /* see WPShiftSums; of this box */
     bool suspect;            /* found bad here: takes nothing any more */
     uint32_t old_running;    /* requests of this box on other versions */
 } WPShift;
@@ -81,6 +83,9 @@
 void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
                        const char *route, bool failed, bool slow);
 
+/* One more answer of the new version came from a replica that was half full. */
+void wp_shift_loaded(WPShift *sh);
+
 /* The new version's sums at this box, and those of another box. */
 WPShiftSums wp_shift_own(const WPShift *sh);
 void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -339,8 +339,8 @@
     feed(sh, "v2", "n1", "chat", 4, 1, 0);
     feed(sh, "v2", "n2", "chat", 4, 1, 0);
     assert_false(wp_shift_is_bad(sh, NULL));
-    wp_shift_hear(sh, "e2", (WPShiftSums){ 8, 3, 0 }, 0);
-    wp_shift_hear(sh, "e3", (WPShiftSums){ 8, 2, 0 }, 0);
+    wp_shift_hear(sh, "e2", (WPShiftSums){ 8, 3, 0, 0 }, 0);
+    wp_shift_hear(sh, "e3", (WPShiftSums){ 8, 2, 0, 0 }, 0);
     assert_true(wp_shift_is_bad(sh, NULL));
     fake_end(&k);
 }
