--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -20,6 +20,13 @@
     [ "$code" -eq 0 ] || echo "$out" | grep -vE '^\[ (RUN|      OK)' | head -40
 done
 if [ "$1" != unit ]; then
+    seeds=$(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak-cases.txt | paste -sd,)
+    out=$(WP_BIN=$BUILD "$BUILD/wpsoak" --seconds 4 --seeds "$seeds" 2>&1)
+    echo "$out" | sed 's/^/soak: /'
+    n=$(echo "$out" | sed -n 's/^\([0-9]*\) passed, [0-9]* failed$/\1/p')
+    bad=$(echo "$out" | sed -n 's/^[0-9]* passed, \([0-9]*\) failed$/\1/p')
+    passed=$((passed + ${n:-0}))
+    failed=$((failed + ${bad:-1}))
     out=$(mktemp)
     WP_BIN=$BUILD tests/run-scenarios.sh 4 | tee "$out"
     p=$(sed -n 's/^\([0-9]*\) passed, \([0-9]*\) failed$/\1/p' "$out")
