A version is slow when most of its answers are past what is usual

Ruled out: first bytes (p50 77 ms against 61). Crowded endpoints' times count neither way. The load on a replica takes requests of long answers only, and their callers are not impatient.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3467,7 +3467,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[8] =
 {
   {
     "service",
@@ -3553,6 +3553,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timed",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_timed),
+    offsetof(Wp__MoveSums, timed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -3562,11 +3574,12 @@
   1,   /* field[1] = order */
   0,   /* field[0] = service */
   4,   /* field[4] = slow */
+  7,   /* field[7] = timed */
 };
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -3576,7 +3589,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  7,
+  8,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -545,6 +545,11 @@
    */
   protobuf_c_boolean has_old_running;
   uint32_t old_running;
+  /*
+   * answers that could show slowness
+   */
+  protobuf_c_boolean has_timed;
+  uint32_t timed;
   /*
    * answers of replicas that were half full
    */
@@ -553,7 +558,7 @@
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -145,7 +145,7 @@
 static void hear_sums(WPSync *s, const char *from, const Wp__MoveSums *m)
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
-    WPShiftSums sums = { m->answered, m->failed, m->slow, m->loaded };
+    WPShiftSums sums = { m->answered, m->failed, m->timed, m->slow, m->loaded };
     if (sh && sh->revision == m->order)
         wp_shift_hear(sh, from, sums, m->old_running);
 }
@@ -185,6 +185,8 @@
     m->failed = own.failed;
     m->slow = own.slow;
     m->old_running = sh->old_running;
+    m->has_timed = 1;
+    m->timed = own.timed;
     m->has_loaded = 1;
     m->loaded = own.loaded;
 }
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -24,6 +24,7 @@
     d->sessions =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     d->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->usual = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->quality = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->rand = g_rand_new_with_seed(seed);
 }
@@ -37,6 +38,7 @@
     g_hash_table_unref(d->sessions);
     g_hash_table_unref(d->speeds);
     g_hash_table_unref(d->quality);
+    g_hash_table_unref(d->usual);
     g_rand_free(d->rand);
 }
 
@@ -87,18 +89,30 @@
     return b;
 }
 
-WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model)
+/* The value of a table by route and model, made when it is missing. */
+static void *need_value(GHashTable *t, const char *route, WPStr model,
+                        size_t size)
 {
     g_autofree char *key =
         g_strdup_printf("%s %.*s", route, (int)model.n, model.p);
-    WPSpeed *v = g_hash_table_lookup(d->speeds, key);
+    void *v = g_hash_table_lookup(t, key);
     if (!v) {
-        v = g_new0(WPSpeed, 1);
-        g_hash_table_insert(d->speeds, g_steal_pointer(&key), v);
+        v = g_malloc0(size);
+        g_hash_table_insert(t, g_steal_pointer(&key), v);
     }
     return v;
 }
 
+WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model)
+{
+    return need_value(d->speeds, route, model, sizeof(WPSpeed));
+}
+
+WPUsual *wp_direct_usual(WPDirect *d, const char *route, WPStr model)
+{
+    return need_value(d->usual, route, model, sizeof(WPUsual));
+}
+
 WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route)
 {
     WPQualitySeen *q = g_hash_table_lookup(d->quality, route);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -7,27 +7,32 @@
     STARTING_MS = 500     /* the same, while no routes are known */
 };
 
-/* Share of places taken from which on a version may be bad under load. */
+/* Share of places taken from which on a version may be bad under load, and
+   from which on any replica may be slow. */
 #define HALF_FULL 0.5
+#define CROWDED 0.25
 
-/* A stream is slow when its events come so many times as far apart as usual;
-   a long prompt beside it delays them too, so not from the first ones. */
-#define PACE_TIMES 2.5
-#define PACE_SLACK_US (20 * WP_US_PER_MS)
+/* Events of a stream from which on its pace is judged, and the fewest of a
+   whole one that tell anything. */
 #define PACE_EVENTS 6
+#define PACE_LEAST 4
 
 /* Part of the newest in the moving mean of lags. */
 #define LAG_WEIGHT 0.03
 
-/* An answer is slow beyond this many times the mean, plus the slack. */
-#define SLOW_TIMES 3.5
-#define SLOW_SLACK_US (150 * WP_US_PER_MS)
-
 static WPMove move_fail(WPCode code, uint32_t retry_ms)
 {
     return (WPMove){ .kind = WP_MOVE_FAIL, .code = code, .retry_ms = retry_ms };
 }
 
+/* Whether a replica on trial is being loaded at this time, and a while after:
+   what runs there is slow for that reason. */
+static bool is_pressed(const WPFlow *f, WPTime now)
+{
+    const WPShift *sh = wp_flow_shift(f);
+    return sh && wp_shift_press_seen(f->d->shifts, sh, now);
+}
+
 static void begin_leg(WPFlow *f, WPTime now, WPReplica *s, WPWhy why,
                       WPMove *out)
 {
@@ -35,6 +40,8 @@
     bool old = sh && strcmp(s->version, sh->version);
     f->leg = (WPAttempt){ .replica = s,
                           .sent_us = now.mono_us,
+                          .crowded = wp_fleet_taken(s, now) >= CROWDED ||
+                                     is_pressed(f, now),
                           .loaded = wp_fleet_taken(s, now) >= HALF_FULL,
                           .old_version = old };
     if (old)
@@ -201,7 +208,6 @@
         return;
     f->leg.heard = true;
     f->leg.first_us = now.mono_us;
-    f->leg.slow = mean > 0 && (double)took > SLOW_TIMES * mean + SLOW_SLACK_US;
     if (f->route->aim_ms)
         note_lag(f, took);
     wp_fleet_began(f->leg.replica, f->prompt_tokens, took, (int64_t)mean);
@@ -210,38 +216,47 @@
 }
 
 /* What the leg tells of the version that it was on; once a leg. */
-static void judge(WPFlow *f, bool failed, bool slow)
+static void judge(WPFlow *f, bool failed, WPShiftTime time)
 {
     WPShift *sh = wp_flow_shift(f);
     if (f->leg.judged || !f->leg.replica)
         return;
     f->leg.judged = true;
+    if (!sh || sh->state != WP_SHIFT_RUNNING)
+        return;
     if (is_on_trial(f) && f->leg.loaded)
         wp_shift_loaded(sh);
-    if (sh && sh->state == WP_SHIFT_RUNNING)
-        wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
-                          f->route->name, failed, slow);
+    wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
+                      f->route->name, failed, time);
+}
+
+/* Whether a time is usual: most of the old version's are shorter than a bound
+   that this box learns. A crowded endpoint's tell nothing. */
+static WPShiftTime judge_time(WPFlow *f, double us)
+{
+    WPUsual *u = wp_direct_usual(f->d, f->route->name, wp_flow_model(f));
+    double upper = wp_usual_upper(u);
+    if (f->leg.crowded)
+        return WP_TIME_UNKNOWN;
+    if (!is_on_trial(f))
+        wp_usual_add(u, us);
+    if (upper <= 0)
+        return WP_TIME_UNKNOWN;
+    return us > upper ? WP_TIME_SLOW : WP_TIME_USUAL;
 }
 
 /* A slow version may begin its answers in time and then make their events
-   several times more slowly. */
+   several times more slowly. Few events show nothing. */
 static void judge_pace(WPFlow *f, WPTime now, uint64_t events)
 {
-    g_autofree char *name = g_strconcat(f->route->name, " pace", NULL);
-    WPSpeed *v = wp_direct_speed(f->d, name, wp_flow_model(f));
-    double mean = wp_speed_expect(v, 0);
     if (f->leg.judged || !f->leg.heard)
         return;
-    if (events < 2) {
-        judge(f, false, f->leg.slow);
+    if (events < PACE_LEAST) {
+        judge(f, false, WP_TIME_UNKNOWN);
         return;
     }
     int64_t rest_us = now.mono_us - f->leg.first_us;
-    double pace = (double)rest_us / (double)(events - 1);
-    bool slow = mean > 0 && pace > PACE_TIMES * mean + PACE_SLACK_US;
-    if (!is_on_trial(f) || !mean)
-        wp_speed_add(v, 0, (int64_t)pace);
-    judge(f, false, slow || f->leg.slow);
+    judge(f, false, judge_time(f, (double)rest_us / (double)(events - 1)));
 }
 
 void wp_flow_progress(WPFlow *f, WPTime now, uint64_t events)
@@ -282,7 +297,7 @@
 {
     WPAttempt had;
     unsigned step = f->step;
-    judge(f, false, f->leg.slow);
+    judge(f, false, WP_TIME_UNKNOWN);
     had = f->leg;
     f->step = f->route->models->len - 1;
     f->ran++;
@@ -311,7 +326,9 @@
     }
     note_first(f, now);
     if (failed || f->route->repeat != WP_REPEAT_STREAM)
-        judge(f, failed, f->leg.slow);
+        judge(f, failed,
+              failed ? WP_TIME_UNKNOWN
+                     : judge_time(f, (double)(now.mono_us - f->leg.sent_us)));
     if (failed) {
         f->ran++;
         end_this(f, now, WP_SERVED_FAILED);
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -3,9 +3,12 @@
 
 enum { PATIENCE_LEAST_MS = 150, PATIENCE_STREAM_LEAST_MS = 600 };
 
+/* Answers of fewer tokens are over before they could fill its places. */
+#define PRESS_ANSWER_LEAST 100
+
 /* A replica on trial is loaded if that takes no more of the service's running
    requests than this: elsewhere it costs the callers more than it shows. */
-#define PRESS_SHARE 0.85
+#define PRESS_SHARE 0.35
 
 /* A leg that may be repeated is waited for this many times the mean. */
 #define PATIENCE_TIMES 5.0
@@ -72,12 +75,13 @@
     if (sh && sh->state == WP_SHIFT_RUNNING) {
         const char *last =
             f->session ? wp_direct_session(d, now, f->session) : NULL;
-        bool press = wp_shift_presses(d->shifts, sh, now) &&
+        bool press = wp_shift_presses(d->shifts, sh, now) && !last &&
+                     f->answer_tokens >= PRESS_ANSWER_LEAST &&
                      wp_fleet_can_fill(d->fleet, now, &w, PRESS_SHARE);
         if (wp_shift_takes(d->shifts, sh, now, f->unit, last, press)) {
             w.version = sh->version;
-            w.fill = wp_shift_first_half(sh, now);
-            w.fill_only = !last && press;
+            w.fill = press;
+            w.fill_only = press;
         } else {
             w.allowed = other_allowed;
         }
@@ -125,7 +129,7 @@
     uint32_t least = f->route->repeat == WP_REPEAT_STREAM
                          ? PATIENCE_STREAM_LEAST_MS
                          : PATIENCE_LEAST_MS;
-    if (!wp_flow_may_repeat(f) || f->hurried ||
+    if (!wp_flow_may_repeat(f) || f->hurried || f->leg.crowded ||
         f->ran + 1 >= f->route->max_attempts)
         return 0;
     if (mean <= 0)
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -16,9 +16,15 @@
 #define REPLICA_SHARE 0.25
 #define REPLICA_ANSWERS 3
 
-/* A bad version is several times slower for a good part of its requests; on
-   quiet days good ones had up to 0.08 of them slow while they filled. */
-#define LEAST_SLOW_SHARE 0.2
+/* A version is slow when most of its answers are past the bound that a quarter
+   of the old version's are past. Good ones had up to half of them there while
+   they filled, so that is only asked while the old version serves beside it. */
+#define USUAL_SLOW 0.25
+#define LEAST_SLOW_SHARE 0.6
+#define LEAST_TIMED 10
+
+/* How long a replica that was loaded stays slow. */
+#define PRESS_LASTS_MS 2000
 
 /* So many answers under load show whether it is bad there: a bad one failed
    half of them. */
@@ -193,22 +199,23 @@
     return v;
 }
 
-static void add_answer(WPShiftSums *v, bool failed, bool slow)
+static void add_answer(WPShiftSums *v, bool failed, WPShiftTime time)
 {
     v->answered++;
     v->failed += failed;
-    v->slow += slow;
+    v->timed += time != WP_TIME_UNKNOWN;
+    v->slow += time == WP_TIME_SLOW;
 }
 
 void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
-                       const char *route, bool failed, bool slow)
+                       const char *route, bool failed, WPShiftTime time)
 {
     if (strcmp(version, sh->version)) {
-        add_answer(need_sums(sh->old, route), failed, slow);
+        add_answer(need_sums(sh->old, route), failed, time);
         return;
     }
-    add_answer(need_sums(sh->fresh, route), failed, slow);
-    add_answer(need_sums(sh->replicas, replica), failed, slow);
+    add_answer(need_sums(sh->fresh, route), failed, time);
+    add_answer(need_sums(sh->replicas, replica), failed, time);
 }
 
 static void add_sums(WPShiftSums *to, const WPShiftSums *v)
@@ -216,6 +223,7 @@
     to->loaded += v->loaded;
     to->answered += v->answered;
     to->failed += v->failed;
+    to->timed += v->timed;
     to->slow += v->slow;
 }
 
@@ -230,6 +238,14 @@
     return sum;
 }
 
+bool wp_shift_press_seen(const WPShifts *s, const WPShift *sh, WPTime now)
+{
+    WPTime before = now;
+    before.wall_ms -= PRESS_LASTS_MS;
+    return !strcmp(wp_shift_stage(s, sh, now)->gate, "load") ||
+           !strcmp(wp_shift_stage(s, sh, before)->gate, "load");
+}
+
 bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now)
 {
     WPShiftSums heard = total(sh->heard);
@@ -288,15 +304,29 @@
     return bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
 }
 
-static bool sums_bad(const WPShiftSums *v, const WPShiftSums *old)
+static bool fails(const WPShiftSums *v, const WPShiftSums *old)
+{
+    return too_many(v->failed, v->answered, old->failed, old->answered);
+}
+
+/* A quarter of the usual answers are past the bound that makes them slow. */
+static bool is_slow(const WPShiftSums *v, const WPShiftSums *old)
+{
+    double base = MAX(USUAL_SLOW, rate(old->slow, old->timed));
+    double expected = v->timed * base;
+    double dev = sqrt(v->timed * base * (1 - base));
+    return v->timed >= LEAST_TIMED &&
+           rate(v->slow, v->timed) >= LEAST_SLOW_SHARE &&
+           v->slow > expected + DEVIATIONS * dev;
+}
+
+static bool sums_bad(const WPShiftSums *v, const WPShiftSums *old, bool beside)
 {
-    bool slow = rate(v->slow, v->answered) >= LEAST_SLOW_SHARE;
-    return too_many(v->failed, v->answered, old->failed, old->answered) ||
-           (slow && too_many(v->slow, v->answered, old->slow, old->answered));
+    return fails(v, old) || (beside && is_slow(v, old));
 }
 
 /* Whether the bad answers come from enough of the endpoints. */
-static bool is_spread(const WPShift *sh)
+static bool is_spread(const WPShift *sh, bool slow)
 {
     unsigned heard = 0, bad = 0;
     GHashTableIter it;
@@ -304,14 +334,17 @@
     g_hash_table_iter_init(&it, sh->replicas);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const WPShiftSums *v = p;
-        bad += v->failed + v->slow > 0;
-        heard += v->answered >= REPLICA_ANSWERS || v->failed + v->slow > 0;
+        bool is_bad =
+            slow ? v->slow > 0 && v->slow * 2 >= v->timed : v->failed > 0;
+        bad += is_bad;
+        heard += is_bad || (slow ? v->timed : v->answered) >= REPLICA_ANSWERS;
     }
     return bad >= LEAST_REPLICAS && bad >= REPLICA_SHARE * heard;
 }
 
 /* A version may be bad on a single route only. */
-static bool route_bad(const WPShift *sh, const char **route, WPShiftSums *out)
+static bool route_bad(const WPShift *sh, bool beside, const char **route,
+                      WPShiftSums *out)
 {
     GHashTableIter it;
     gpointer name, p;
@@ -319,7 +352,7 @@
     while (g_hash_table_iter_next(&it, &name, &p)) {
         const WPShiftSums *old = g_hash_table_lookup(sh->old, name);
         WPShiftSums none = { 0 };
-        if (!sums_bad(p, old ? old : &none))
+        if (!sums_bad(p, old ? old : &none, beside))
             continue;
         *route = name;
         *out = *(WPShiftSums *)p;
@@ -328,21 +361,24 @@
     return false;
 }
 
-bool wp_shift_is_bad(const WPShift *sh, char **why)
+bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why)
 {
     WPShiftSums fresh = wp_shift_own(sh), old = total(sh->old);
     WPShiftSums heard = total(sh->heard);
     const char *route = "all";
     add_sums(&fresh, &heard);
-    if (!sums_bad(&fresh, &old) && !route_bad(sh, &route, &fresh))
+    if (!sums_bad(&fresh, &old, beside) &&
+        !route_bad(sh, beside, &route, &fresh))
         return false;
-    if (!is_spread(sh))
+    const WPShiftSums *measure = g_hash_table_lookup(sh->old, route);
+    if (!is_spread(sh, !fails(&fresh, measure ? measure : &old)))
         return false;
     if (why)
         *why = g_strdup_printf(
-            "route=%s new=%u/%u failed, %u slow; old=%u/%u failed, %u slow",
-            route, fresh.failed, fresh.answered, fresh.slow, old.failed,
-            old.answered, old.slow);
+            "route=%s new=%u/%u failed, %u/%u slow; old=%u/%u failed, "
+            "%u/%u slow",
+            route, fresh.failed, fresh.answered, fresh.slow, fresh.timed,
+            old.failed, old.answered, old.slow, old.timed);
     return true;
 }
 
@@ -351,7 +387,9 @@
 {
     if (sh->state != WP_SHIFT_RUNNING || !sh->began_ms)
         return WP_SHIFT_RUNNING;
-    if (wp_shift_is_bad(sh, why))
+    const Wp__ChartState *stage = wp_shift_stage(s, sh, now);
+    bool beside = stage->share < 1 || !strcmp(stage->gate, "load");
+    if (wp_shift_is_bad(sh, beside, why))
         return WP_SHIFT_UNDONE;
     double part = part_over(sh, now);
     double end = 0;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -27,8 +27,9 @@
 
 /* What the answers of a group were; sums of boxes can be added. */
 typedef struct WPShiftSums {
-    uint32_t answered, failed, slow;
-    uint32_t loaded; /* answers of replicas that were half full or more */
+    uint32_t answered, failed;
+    uint32_t timed, slow; /* answers that could be slow, and that were */
+    uint32_t loaded;      /* answers of replicas that were half full or more */
 } WPShiftSums;
 
 typedef struct WPShift {
@@ -78,10 +79,16 @@
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
                     double unit, const char *last, bool press);
 
-/* How one request ended at an endpoint: the endpoint failed it, took several
-   times as long as usual, or neither. */
+/* How an answer came. */
+typedef enum WPShiftTime {
+    WP_TIME_UNKNOWN, /* the endpoint was so full that it says nothing */
+    WP_TIME_USUAL,
+    WP_TIME_SLOW /* several times later or more slowly than usual */
+} WPShiftTime;
+
+/* How one request ended at an endpoint. */
 void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
-                       const char *route, bool failed, bool slow);
+                       const char *route, bool failed, WPShiftTime time);
 
 /* One more answer of the new version came from a replica that was half full. */
 void wp_shift_loaded(WPShift *sh);
@@ -92,14 +99,18 @@
                    uint32_t old_running);
 
 /* Whether the answers so far show that the new version is bad; `why`, when it
-   is, gives the figures and is freed with g_free(). */
-bool wp_shift_is_bad(const WPShift *sh, char **why);
+   is, gives the figures and is freed with g_free(). `beside`: the old version
+   serves as well, so that times can be compared. */
+bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why);
 
 /* Whether the move is in its first half, in which sessions stay on the old
    version, and whether it loads one replica on trial. */
 bool wp_shift_first_half(const WPShift *sh, WPTime now);
 bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now);
 
+/* Whether the stage that loads a replica runs now or has just run. */
+bool wp_shift_press_seen(const WPShifts *s, const WPShift *sh, WPTime now);
+
 /* The stage at this time. */
 const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
                                      WPTime now);
--- a/src/wp_speed.c
+++ b/src/wp_speed.c
@@ -1,6 +1,9 @@
 /* The line of times over prompt lengths. */
 #include "wp_speed.h"
 
+#include <math.h>
+#include <stdlib.h>
+
 enum { SEEN_LEAST = 20 /* answers before the line is relied on */ };
 
 /* What remains of an older answer's weight with each new one: some two hundred
@@ -30,3 +33,33 @@
     double v = mean_y + slope * (prompt_tokens - mean_x);
     return MAX(v, mean_y / 10);
 }
+
+/* The share that stays below the bound, and the step as a part of it. */
+#define USUAL_SHARE 0.75
+#define USUAL_STEP 0.06
+
+static int by_value(const void *a, const void *b)
+{
+    double x = *(const double *)a, y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+void wp_usual_add(WPUsual *u, double us)
+{
+    if (u->seen < WP_USUAL_FIRST) {
+        u->first_us[u->seen++] = us;
+        if (u->seen < WP_USUAL_FIRST)
+            return;
+        qsort(u->first_us, WP_USUAL_FIRST, sizeof(double), by_value);
+        u->upper_us = u->first_us[(int)(WP_USUAL_FIRST * USUAL_SHARE)];
+        return;
+    }
+    u->seen++;
+    bool below = us <= u->upper_us;
+    u->upper_us *= exp(USUAL_STEP * (below ? USUAL_SHARE - 1 : USUAL_SHARE));
+}
+
+double wp_usual_upper(const WPUsual *u)
+{
+    return u->seen >= WP_USUAL_FIRST ? u->upper_us : 0;
+}
--- a/src/wp_speed.h
+++ b/src/wp_speed.h
@@ -15,4 +15,19 @@
 /* The expected time in microseconds; 0 while too few are known. */
 double wp_speed_expect(const WPSpeed *s, uint32_t prompt_tokens);
 
+/* A time that three quarters of what is seen stay below, found by small steps;
+   it follows slow changes. */
+enum { WP_USUAL_FIRST = 6 }; /* so many, sorted, give the first bound */
+
+typedef struct WPUsual {
+    double first_us[WP_USUAL_FIRST];
+    double upper_us;
+    uint32_t seen;
+} WPUsual;
+
+void wp_usual_add(WPUsual *u, double us);
+
+/* The bound in microseconds; 0 while too few are known. */
+double wp_usual_upper(const WPUsual *u);
+
 #endif
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -186,7 +186,8 @@
 {
     for (unsigned i = 0; i < n; i++)
         wp_shift_answered(sh, version, replica, route, i < failed,
-                          i >= failed && i < failed + slow);
+                          i >= failed && i < failed + slow ? WP_TIME_SLOW
+                                                           : WP_TIME_USUAL);
 }
 
 static void a_bad_version_is_found_and_left(void **state)
@@ -216,9 +217,11 @@
     fake_init(&k);
     WPShift *sh = order(&k);
     feed(sh, "v1", "l1", "chat", 200, 0, 0);
-    feed(sh, "v2", "n1", "chat", 10, 0, 4);
-    feed(sh, "v2", "n2", "chat", 10, 0, 4);
-    assert_true(wp_shift_is_bad(sh, NULL));
+    feed(sh, "v2", "n1", "chat", 10, 0, 8);
+    feed(sh, "v2", "n2", "chat", 10, 0, 8);
+    assert_true(wp_shift_is_bad(sh, true, NULL));
+    /* Once all is on the new version there is nothing to compare with. */
+    assert_false(wp_shift_is_bad(sh, false, NULL));
     fake_end(&k);
 
     fake_init(&k);
@@ -228,7 +231,7 @@
     feed(sh, "v2", "n1", "other", 300, 0, 0);
     feed(sh, "v2", "n1", "chat", 6, 4, 0);
     feed(sh, "v2", "n2", "chat", 6, 4, 0);
-    assert_true(wp_shift_is_bad(sh, NULL));
+    assert_true(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 }
 
@@ -243,7 +246,7 @@
     feed(sh, "v1", "l1", "chat", 200, 30, 0);
     feed(sh, "v2", "n1", "chat", 30, 5, 0);
     feed(sh, "v2", "n2", "chat", 30, 5, 0);
-    assert_false(wp_shift_is_bad(sh, NULL));
+    assert_false(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 
     fake_init(&k);
@@ -254,7 +257,7 @@
         g_autofree char *id = g_strdup_printf("n%d", i);
         feed(sh, "v2", id, "chat", 20, 0, 0);
     }
-    assert_false(wp_shift_is_bad(sh, NULL));
+    assert_false(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 }
 
@@ -290,12 +293,30 @@
         serve_paced(&k, "v1", 30);
     for (int i = 0; i < 10; i++)
         serve_paced(&k, "v2", 30);
-    assert_false(wp_shift_is_bad(sh, NULL));
-    for (int i = 0; i < 10; i++)
-        serve_paced(&k, "v2", i % 2 ? 240 : 30);
-    feed(sh, "v2", "n1", "chat", 4, 0, 2); /* the first one has no room */
-    feed(sh, "v2", "n2", "chat", 4, 0, 2);
-    assert_true(wp_shift_is_bad(sh, NULL));
+    assert_false(wp_shift_is_bad(sh, true, NULL));
+    for (int i = 0; i < 30; i++) /* as slow as one was seen to be */
+        serve_paced(&k, "v2", 105);
+    assert_true(wp_shift_is_bad(sh, true, NULL));
+    fake_end(&k);
+}
+
+/* The load that is put on a replica on trial makes its answers slow: that is
+   not the version's fault. */
+static void a_loaded_replica_may_be_slow(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    fake_pass(&k, LEAD_MS);
+    for (int i = 0; i < 60; i++)
+        serve_paced(&k, "v1", 30);
+    for (int i = 0; i < 30; i++) {
+        wp_fleet_load(wp_fleet_find(k.d.fleet, "n1"), k.now, 4, 0, 8);
+        wp_fleet_load(wp_fleet_find(k.d.fleet, "n2"), k.now, 4, 0, 8);
+        serve_paced(&k, "v2", 240);
+    }
+    assert_false(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 }
 
@@ -309,7 +330,7 @@
     feed(sh, "v1", "l1", "chat", 700, 0, 0);
     feed(sh, "v2", "n1", "chat", 130, 4, 0);
     feed(sh, "v2", "n2", "chat", 130, 3, 0);
-    assert_true(wp_shift_is_bad(sh, NULL));
+    assert_true(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 }
 
@@ -322,9 +343,9 @@
     fake_init(&k);
     WPShift *sh = order(&k);
     feed(sh, "v1", "l1", "chat", 655, 0, 0);
-    feed(sh, "v2", "n1", "chat", 52, 0, 4);
-    feed(sh, "v2", "n2", "chat", 51, 0, 4);
-    assert_false(wp_shift_is_bad(sh, NULL));
+    feed(sh, "v2", "n1", "chat", 52, 0, 26);
+    feed(sh, "v2", "n2", "chat", 51, 0, 26);
+    assert_false(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 }
 
@@ -338,10 +359,10 @@
     feed(sh, "v1", "l1", "chat", 100, 0, 0);
     feed(sh, "v2", "n1", "chat", 4, 1, 0);
     feed(sh, "v2", "n2", "chat", 4, 1, 0);
-    assert_false(wp_shift_is_bad(sh, NULL));
-    wp_shift_hear(sh, "e2", (WPShiftSums){ 8, 3, 0, 0 }, 0);
-    wp_shift_hear(sh, "e3", (WPShiftSums){ 8, 2, 0, 0 }, 0);
-    assert_true(wp_shift_is_bad(sh, NULL));
+    assert_false(wp_shift_is_bad(sh, true, NULL));
+    wp_shift_hear(sh, "e2", (WPShiftSums){ 8, 3, 8, 0, 0 }, 0);
+    wp_shift_hear(sh, "e3", (WPShiftSums){ 8, 2, 8, 0, 0 }, 0);
+    assert_true(wp_shift_is_bad(sh, true, NULL));
     fake_end(&k);
 }
 
@@ -374,6 +395,7 @@
            T(a_version_is_bad_when_it_is_slow_or_on_one_route),
            T(a_good_version_is_not_blamed),
            T(a_version_is_bad_when_its_events_come_slowly),
+           T(a_loaded_replica_may_be_slow),
            T(a_version_is_bad_when_few_fail_where_none_did),
            T(a_version_is_not_slow_because_it_fills),
            T(boxes_find_a_bad_version_together),
