Boxes tell which sessions have moved; loaded failures; smaller shares of many boxes

Change: digests carry sessions on the new version beside those on the old, and pass on once what they heard; beyond four boxes the first half takes a smaller share; failures under load have their own count (a quarter of at least eight, on two replicas).

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3467,7 +3467,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[10] =
 {
   {
     "service",
@@ -3565,11 +3565,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loaded_failed",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_loaded_failed),
+    offsetof(Wp__MoveSums, loaded_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded_bad",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_loaded_bad),
+    offsetof(Wp__MoveSums, loaded_bad),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
   3,   /* field[3] = failed */
   6,   /* field[6] = loaded */
+  9,   /* field[9] = loaded_bad */
+  8,   /* field[8] = loaded_failed */
   5,   /* field[5] = old_running */
   1,   /* field[1] = order */
   0,   /* field[0] = service */
@@ -3579,7 +3605,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -3589,14 +3615,14 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  8,
+  10,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[5] =
 {
   {
     "complete",
@@ -3646,17 +3672,31 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moved",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MirrorDigest, n_moved),
+    offsetof(Wp__MirrorDigest, moved),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = bound */
   0,   /* field[0] = complete */
+  4,   /* field[4] = moved */
   1,   /* field[1] = moves */
 };
-static const ProtobufCIntRange wp__mirror_digest__number_ranges[1 + 1] =
+static const ProtobufCIntRange wp__mirror_digest__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 6, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -3666,10 +3706,10 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  4,
+  5,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
-  1,  wp__mirror_digest__number_ranges,
+  2,  wp__mirror_digest__number_ranges,
   (ProtobufCMessageInit) wp__mirror_digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -555,10 +555,17 @@
    */
   protobuf_c_boolean has_loaded;
   uint32_t loaded;
+  protobuf_c_boolean has_loaded_failed;
+  uint32_t loaded_failed;
+  /*
+   * replicas that failed some of those
+   */
+  protobuf_c_boolean has_loaded_bad;
+  uint32_t loaded_bad;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -580,10 +587,15 @@
    */
   size_t n_bound;
   uint64_t *bound;
+  /*
+   * Sessions that are on the version that a move leads to.
+   */
+  size_t n_moved;
+  uint64_t *moved;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -145,7 +145,13 @@
 static void hear_sums(WPSync *s, const char *from, const Wp__MoveSums *m)
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
-    WPShiftSums sums = { m->answered, m->failed, m->timed, m->slow, m->loaded };
+    WPShiftSums sums = { .answered = m->answered,
+                         .failed = m->failed,
+                         .timed = m->timed,
+                         .slow = m->slow,
+                         .loaded = m->loaded,
+                         .loaded_failed = m->loaded_failed,
+                         .loaded_bad = m->loaded_bad };
     if (sh && sh->revision == m->order)
         wp_shift_hear(sh, from, sums, m->old_running);
 }
@@ -160,7 +166,9 @@
         s->fresh_us =
             MAX(s->fresh_us, now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
     for (size_t i = 0; i < d->n_bound; i++)
-        wp_direct_hear_bound(&s->host->direct, now, d->bound[i]);
+        wp_direct_hear(&s->host->direct, now, false, d->bound[i]);
+    for (size_t i = 0; i < d->n_moved; i++)
+        wp_direct_hear(&s->host->direct, now, true, d->moved[i]);
 }
 
 typedef struct Fill {
@@ -189,20 +197,27 @@
     m->timed = own.timed;
     m->has_loaded = 1;
     m->loaded = own.loaded;
+    m->has_loaded_failed = m->has_loaded_bad = 1;
+    m->loaded_failed = own.loaded_failed;
+    m->loaded_bad = own.loaded_bad;
 }
 
 static void on_fill(void *arg, Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
-    int64_t now_us = wp_clock_now(0).mono_us;
+    WPTime now = wp_clock_now(0);
+    int64_t now_us = now.mono_us;
     d->has_age_ms = s->fresh_us > 0;
     d->age_ms = (uint32_t)((now_us - s->fresh_us) / WP_US_PER_MS);
     Fill f = { s, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
     d->bound = s->bound;
-    d->n_bound = wp_direct_bound(&s->host->direct, wp_clock_now(0), s->bound,
-                                 WP_BOUND_TOLD);
+    d->n_bound =
+        wp_direct_tell(&s->host->direct, now, false, s->bound, WP_BOUND_TOLD);
+    d->moved = s->moved;
+    d->n_moved =
+        wp_direct_tell(&s->host->direct, now, true, s->moved, WP_BOUND_TOLD);
 }
 
 static void on_peer(void *arg, const char *peer, bool up)
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -15,7 +15,7 @@
 struct WPSync {
     /* What the next digest points to. */
     Wp__MoveSums sums[WP_MOVES_TOLD], *sums_list[WP_MOVES_TOLD];
-    uint64_t bound[WP_BOUND_TOLD];
+    uint64_t bound[WP_BOUND_TOLD], moved[WP_BOUND_TOLD];
 
     WPDirectHost *host;
     WPKv *kv;
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -8,6 +8,9 @@
    it is not this box's. */
 #define SESSION_MARGIN 1.3
 
+/* A session that is heard of again within this is not told on again. */
+#define HEARD_AGAIN_US (1500 * WP_US_PER_MS)
+
 /* Sessions are kept this many times as long. */
 #define SESSION_KEPT 2
 
@@ -161,7 +164,8 @@
     return wp_shifts_is_target(d->shifts, version);
 }
 
-size_t wp_direct_bound(WPDirect *d, WPTime now, uint64_t *out, size_t most)
+size_t wp_direct_tell(WPDirect *d, WPTime now, bool moved, uint64_t *out,
+                      size_t most)
 {
     GHashTableIter it;
     gpointer p;
@@ -172,8 +176,8 @@
     g_hash_table_iter_init(&it, d->sessions);
     while (n < most && g_hash_table_iter_next(&it, NULL, &p)) {
         WPSessionSeen *seen = p;
-        if (seen->told || !seen->own || seen->used_us <= oldest ||
-            is_new_version(d, seen->version))
+        if (seen->told || seen->used_us <= oldest ||
+            is_new_version(d, seen->version) != moved)
             continue;
         seen->told = true;
         out[n++] = seen->session;
@@ -181,11 +185,28 @@
     return n;
 }
 
-void wp_direct_hear_bound(WPDirect *d, WPTime now, uint64_t session)
+static void note_target(void *arg, WPShift *sh)
 {
-    const WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
-    if (seen && seen->own && now.mono_us - seen->used_us < session_bound_us(d))
+    const char **version = arg;
+    if (sh->state == WP_SHIFT_RUNNING)
+        *version = sh->version;
+}
+
+void wp_direct_hear(WPDirect *d, WPTime now, bool moved, uint64_t session)
+{
+    WPSessionSeen *seen = g_hash_table_lookup(d->sessions, &session);
+    int64_t age_us = seen ? now.mono_us - seen->used_us : INT64_MAX;
+    const char *version = WP_VERSION_OLD;
+    if (seen && seen->own && age_us < session_bound_us(d))
         return;
-    wp_direct_session_on(d, now, session, WP_VERSION_OLD);
-    ((WPSessionSeen *)g_hash_table_lookup(d->sessions, &session))->own = false;
+    /* XXX: with moves of two services at once, the last one's version. */
+    if (moved)
+        wp_shifts_each(d->shifts, note_target, &version);
+    bool known = seen && age_us < HEARD_AGAIN_US;
+    wp_direct_session_on(d, now, session, version);
+    seen = g_hash_table_lookup(d->sessions, &session);
+    seen->own = false;
+    /* Boxes that are linked to this one and not to the teller hear it too; what
+       comes back the other way is known by then. */
+    seen->told = known;
 }
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -46,11 +46,13 @@
    known: what was once in force never comes back. */
 bool wp_direct_routes(WPDirect *d, WPRoutes *t);
 
-/* Sessions that this box has lately sent to an old version and has not told
-   of, while a move is in its first half: the other boxes must leave them
-   there. Returns how many were written to `out`; they count as told. */
-size_t wp_direct_bound(WPDirect *d, WPTime now, uint64_t *out, size_t most);
-void wp_direct_hear_bound(WPDirect *d, WPTime now, uint64_t session);
+/* While a move is in its first half: sessions that were lately on an old
+   version (`moved` false) or on the new one, and that the other boxes have not
+   been told of. They are to stay where they are. Returns how many were written
+   to `out`; they count as told. */
+size_t wp_direct_tell(WPDirect *d, WPTime now, bool moved, uint64_t *out,
+                      size_t most);
+void wp_direct_hear(WPDirect *d, WPTime now, bool moved, uint64_t session);
 
 /* Forgets sessions and endpoints whose time is over. */
 void wp_direct_tick(WPDirect *d, WPTime now);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -225,7 +225,7 @@
     if (!sh || sh->state != WP_SHIFT_RUNNING)
         return;
     if (is_on_trial(f) && f->leg.loaded)
-        wp_shift_loaded(sh);
+        wp_shift_loaded(sh, f->leg.replica->id, failed);
     wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
                       f->route->name, failed, time);
 }
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -1,7 +1,11 @@
 /* Which endpoint and which model a request goes to. */
 #include "wp_flow_int.h"
 
-enum { PATIENCE_LEAST_MS = 150, PATIENCE_STREAM_LEAST_MS = 600 };
+enum {
+    FEW_BOXES = 4, /* up to this many take the whole share of a first half */
+    PATIENCE_LEAST_MS = 150,
+    PATIENCE_STREAM_LEAST_MS = 600
+};
 
 /* Answers of fewer tokens are over before they could fill its places. */
 #define PRESS_ANSWER_LEAST 100
@@ -66,6 +70,16 @@
 
 /* While a service moves between versions, the side for this request comes
    first; the other is taken rather than none. */
+/* The request's place. In the first half many boxes take a smaller share each:
+   the verdict wants a number of answers, not a part of all, and each session
+   that is moved may meet a box that has not heard of it. All boxes know the
+   same number of boxes. */
+static double unit_of(const WPFlow *f, const WPShift *sh, WPTime now)
+{
+    double few = (double)FEW_BOXES / MAX(f->d->boxes, FEW_BOXES);
+    return wp_shift_first_half(sh, now) ? f->unit / few : f->unit;
+}
+
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now)
 {
     WPDirect *d = f->d;
@@ -78,7 +92,8 @@
         bool press = wp_shift_presses(d->shifts, sh, now) && !last &&
                      f->answer_tokens >= PRESS_ANSWER_LEAST &&
                      wp_fleet_can_fill(d->fleet, now, &w, PRESS_SHARE);
-        if (wp_shift_takes(d->shifts, sh, now, f->unit, last, press)) {
+        if (wp_shift_takes(d->shifts, sh, now, unit_of(f, sh, now), last,
+                           press)) {
             w.version = sh->version;
             w.fill = press;
             w.fill_only = press;
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -28,7 +28,9 @@
 
 /* So many answers under load show whether it is bad there: a bad one failed
    half of them. */
-#define LOADED_ENOUGH 14
+#define LOADED_ENOUGH 20
+#define LOADED_LEAST 8
+#define LOADED_FAILED_SHARE 0.25
 
 /* A little more than the half that the platform grants sessions, as clocks
    differ. */
@@ -54,6 +56,7 @@
     g_hash_table_unref(sh->old);
     g_hash_table_unref(sh->replicas);
     g_hash_table_unref(sh->heard);
+    g_hash_table_unref(sh->loaded);
     g_hash_table_unref(sh->heard_old);
     g_free(sh->service);
     g_free(sh->version);
@@ -96,6 +99,7 @@
     sh->old = sums_table();
     sh->replicas = sums_table();
     sh->heard = sums_table();
+    sh->loaded = sums_table();
     sh->heard_old =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_hash_table_replace(s->by_service, sh->service, sh);
@@ -221,6 +225,8 @@
 static void add_sums(WPShiftSums *to, const WPShiftSums *v)
 {
     to->loaded += v->loaded;
+    to->loaded_failed += v->loaded_failed;
+    to->loaded_bad = MAX(to->loaded_bad, v->loaded_bad);
     to->answered += v->answered;
     to->failed += v->failed;
     to->timed += v->timed;
@@ -250,7 +256,7 @@
 {
     WPShiftSums heard = total(sh->heard);
     return !strcmp(wp_shift_stage(s, sh, now)->gate, "load") &&
-           sh->loaded + heard.loaded < LOADED_ENOUGH;
+           wp_shift_own(sh).loaded + heard.loaded < LOADED_ENOUGH;
 }
 
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
@@ -270,15 +276,21 @@
     return unit < at->share;
 }
 
-void wp_shift_loaded(WPShift *sh)
+void wp_shift_loaded(WPShift *sh, const char *replica, bool failed)
 {
-    sh->loaded++;
+    add_answer(need_sums(sh->loaded, replica), failed, WP_TIME_UNKNOWN);
 }
 
 WPShiftSums wp_shift_own(const WPShift *sh)
 {
-    WPShiftSums sum = total(sh->fresh);
-    sum.loaded = sh->loaded;
+    WPShiftSums sum = total(sh->fresh), loaded = total(sh->loaded);
+    GHashTableIter it;
+    gpointer v;
+    sum.loaded = loaded.answered;
+    sum.loaded_failed = loaded.failed;
+    g_hash_table_iter_init(&it, sh->loaded);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        sum.loaded_bad += ((WPShiftSums *)v)->failed > 0;
     return sum;
 }
 
@@ -361,12 +373,26 @@
     return false;
 }
 
+/* Few replicas are loaded, so a few bad ones show it. */
+static bool fails_under_load(const WPShiftSums *v)
+{
+    return v->loaded >= LOADED_LEAST && v->loaded_bad >= LEAST_REPLICAS &&
+           rate(v->loaded_failed, v->loaded) >= LOADED_FAILED_SHARE;
+}
+
 bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why)
 {
     WPShiftSums fresh = wp_shift_own(sh), old = total(sh->old);
     WPShiftSums heard = total(sh->heard);
     const char *route = "all";
     add_sums(&fresh, &heard);
+    if (fails_under_load(&fresh)) {
+        if (why)
+            *why = g_strdup_printf("loaded=%u/%u failed on %u replicas",
+                                   fresh.loaded_failed, fresh.loaded,
+                                   fresh.loaded_bad);
+        return true;
+    }
     if (!sums_bad(&fresh, &old, beside) &&
         !route_bad(sh, beside, &route, &fresh))
         return false;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -29,7 +29,9 @@
 typedef struct WPShiftSums {
     uint32_t answered, failed;
     uint32_t timed, slow; /* answers that could be slow, and that were */
-    uint32_t loaded;      /* answers of replicas that were half full or more */
+    /* Answers of replicas that were half full or more, those that failed, and
+       the replicas that failed some. */
+    uint32_t loaded, loaded_failed, loaded_bad;
 } WPShiftSums;
 
 typedef struct WPShift {
@@ -42,7 +44,7 @@
     GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
     GHashTable *heard;       /* box -> WPShiftSums, of the new version */
     GHashTable *heard_old;   /* box -> its requests on other versions */
-    uint32_t loaded;         /* see WPShiftSums; of this box */
+    GHashTable *loaded;      /* replica -> WPShiftSums under load */
     bool suspect;            /* found bad here: takes nothing any more */
     uint32_t old_running;    /* requests of this box on other versions */
 } WPShift;
@@ -90,8 +92,8 @@
 void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
                        const char *route, bool failed, WPShiftTime time);
 
-/* One more answer of the new version came from a replica that was half full. */
-void wp_shift_loaded(WPShift *sh);
+/* An answer of the new version came from a replica that was half full. */
+void wp_shift_loaded(WPShift *sh, const char *replica, bool failed);
 
 /* The new version's sums at this box, and those of another box. */
 WPShiftSums wp_shift_own(const WPShift *sh);
