--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -11,10 +11,6 @@
     return EXIT_BAD_INPUT;
 }
 
-/* What daemon_reload() reads again. */
-static char *settings_file;
-static const ProtobufCMessageDescriptor *settings_shape;
-
 static void *load(const char *file, const ProtobufCMessageDescriptor *shape,
                   GError **error)
 {
@@ -26,7 +22,8 @@
 }
 
 void *daemon_settings(int argc, char **argv, const char *summary,
-                      const ProtobufCMessageDescriptor *shape, int *code)
+                      const ProtobufCMessageDescriptor *shape, char **from,
+                      int *code)
 {
     g_autofree char *file = NULL;
     gboolean check = FALSE, version = FALSE;
@@ -74,16 +71,7 @@
         *code = EXIT_OK;
         return NULL;
     }
-    settings_file = g_steal_pointer(&file);
-    settings_shape = shape;
-    return settings;
-}
-
-void *daemon_reload(void)
-{
-    GError *error = NULL;
-    void *settings = load(settings_file, settings_shape, &error);
-    if (!settings)
-        daemon_fail(error);
+    if (from)
+        *from = g_steal_pointer(&file);
     return settings;
 }
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -6,13 +6,11 @@
 
 /* Reads --config (or the variable WORKSPOINT_SETTINGS), --check and
    --version. Returns the settings, or NULL with
-   the exit code in `code`. */
+   the exit code in `code`. `from`, unless NULL, is set to the file's name; free
+   it with g_free(). */
 void *daemon_settings(int argc, char **argv, const char *summary,
-                      const ProtobufCMessageDescriptor *shape, int *code);
-
-/* The same file read and checked again, for SIGHUP; NULL, with the error
-   printed, when it is bad. */
-void *daemon_reload(void);
+                      const ProtobufCMessageDescriptor *shape, char **from,
+                      int *code);
 
 /* Prints the error, if there is one, and frees it; returns the exit code. */
 int daemon_fail(GError *error);
--- a/cmd/wpagent.c
+++ b/cmd/wpagent.c
@@ -8,7 +8,7 @@
     int code;
     Wp__AgentSettings *s =
         daemon_settings(argc, argv, "Runs requests at the endpoint beside it.",
-                        &wp__agent_settings__descriptor, &code);
+                        &wp__agent_settings__descriptor, NULL, &code);
     if (!s)
         return code;
     WPRunner *runner = NULL;
--- a/cmd/wpentry.c
+++ b/cmd/wpentry.c
@@ -8,7 +8,7 @@
     int code;
     Wp__EntrySettings *s =
         daemon_settings(argc, argv, "Routes callers' requests to agents.",
-                        &wp__entry_settings__descriptor, &code);
+                        &wp__entry_settings__descriptor, NULL, &code);
     if (!s)
         return code;
     WPServer *server = NULL;
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -2,6 +2,7 @@
 #include "wp_direct_int.h"
 #include "wp_pb.h"
 #include "wp_rollout.h"
+#include "wp_settings.h"
 
 #include <signal.h>
 
@@ -78,17 +79,30 @@
     };
 }
 
+static Wp__DirectSettings *read_settings(WPDirectHost *h)
+{
+    g_autofree char *text = NULL;
+    g_autoptr(GError) error = NULL;
+    gsize n;
+    void *s = NULL;
+    if (h->file && g_file_get_contents(h->file, &text, &n, &error))
+        s = wp_settings_read(&wp__direct_settings__descriptor, wp_strn(text, n),
+                             h->file, &error);
+    if (!s)
+        wp_log(&h->log, WP_ERROR_LEVEL, "reload_failed", "why",
+               error ? error->message : "no file", NULL);
+    return s;
+}
+
 /* Takes the rules that may change while running; addresses stay. */
 static void on_hup(evutil_socket_t fd, short what, void *arg)
 {
     WPDirectHost *h = arg;
-    Wp__DirectSettings *s = h->reload ? h->reload() : NULL;
+    Wp__DirectSettings *s = read_settings(h);
     (void)fd;
     (void)what;
-    if (!s) {
-        wp_log(&h->log, WP_ERROR_LEVEL, "reload_failed", NULL);
+    if (!s)
         return;
-    }
     wp_pb_free(h->settings);
     h->settings = s;
     h->log.box = s->id;
@@ -137,13 +151,13 @@
 
 WPDirectHost *wp_direct_host_new(const Wp__DirectSettings *s,
                                  const WPPlatformOps *platform,
-                                 void *(*reload)(void), GError **error)
+                                 const char *file, GError **error)
 {
     WPDirectHost *h = g_new0(WPDirectHost, 1);
     uint32_t seed = s->seed ? (uint32_t)s->seed : wp_clock_seed();
     h->settings = wp_pb_copy(&s->base);
     h->platform = platform;
-    h->reload = reload;
+    h->file = g_strdup(file);
     h->base = event_base_new();
     wp_list_init(&h->relays);
     wp_log_init(&h->log, h->settings->id, s->log_level, s->log_format);
@@ -182,5 +196,6 @@
     wp_pb_free(h->chart);
     wp_log_end(&h->log);
     wp_pb_free(h->settings);
+    g_free(h->file);
     g_free(h);
 }
--- a/io/wp_direct_host.h
+++ b/io/wp_direct_host.h
@@ -9,10 +9,10 @@
 typedef struct WPDirectHost WPDirectHost;
 
 /* NULL and an error when an address cannot be used or the chart not read.
-   `reload` gives the settings anew after SIGHUP (NULL: they are bad). */
+   `file` is read anew at SIGHUP; NULL: nothing is. */
 WPDirectHost *wp_direct_host_new(const Wp__DirectSettings *s,
                                  const WPPlatformOps *platform,
-                                 void *(*reload)(void), GError **error);
+                                 const char *file, GError **error);
 void wp_direct_host_free(WPDirectHost *h);
 
 /* Runs until a planned stop has ended. */
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -16,7 +16,7 @@
     struct event_base *base;
     Wp__DirectSettings *settings;
     const WPPlatformOps *platform;
-    void *(*reload)(void);
+    char *file; /* of the settings, or NULL */
     Wp__Chart *chart;
     WPLog log;
     WPDirect direct;
--- a/standins/stand.c
+++ b/standins/stand.c
@@ -69,7 +69,7 @@
     int code;
     Wp__StandSettings *s = daemon_settings(
         argc, argv, "Stands in for one of the platform's services.",
-        &wp__stand_settings__descriptor, &code);
+        &wp__stand_settings__descriptor, NULL, &code);
     if (!s)
         return code;
     signal(SIGPIPE, SIG_IGN);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -3,6 +3,8 @@
  * needs; nothing depends on how fast the machine is. */
 #include "path.h"
 
+#include <signal.h>
+
 static void a_request_is_served_and_goes_on_clean(void **state)
 {
     Path *p = path_new(2, 2);
@@ -168,6 +170,23 @@
     path_free(p);
 }
 
+/* Settings are read again while requests run: nothing is cut. */
+static void a_reload_disturbs_nothing(void **state)
+{
+    Path *p = path_new(1, 1);
+    (void)state;
+    path_fault(p, 0, "{\"events\":40}");
+    PathAnswer a = path_begin(p, 0, "GET", "/stream/x");
+    path_signal_entry(p, 0, SIGHUP);
+    path_finish(p, &a);
+    assert_int_equal(path_events(&a), 40);
+    path_answer_end(&a);
+    a = path_ask(p, 0, "GET", "/call/x", NULL);
+    assert_int_equal(a.status, 200);
+    path_answer_end(&a);
+    path_free(p);
+}
+
 static void a_caller_that_leaves_frees_its_endpoint(void **state)
 {
     Path *p = path_new(1, 1);
@@ -186,5 +205,5 @@
            T(what_may_not_be_repeated_runs_once),
            T(a_box_without_the_store_learns_from_another),
            T(a_leaving_endpoint_is_left_by_all), T(the_store_may_be_away),
-           T(a_planned_stop_cuts_nothing),
+           T(a_planned_stop_cuts_nothing), T(a_reload_disturbs_nothing),
            T(a_caller_that_leaves_frees_its_endpoint))
