The choice while a service moves, in small functions; fill is strict

Read as a newcomer: wp_flow_choose did five things and put its wants back by hand. No change of behaviour but that a request that may load a replica and finds no room goes to the other side at once, as before by a second flag.

--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -346,12 +346,10 @@
 WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
 {
     GPtrArray *list = of_service(f, w->service);
-    WPReplica *best = w->fill ? first_with_room(now, w, list) : NULL;
-    if (!best && !w->fill_only)
-        best = best_of(f, now, w, list);
     uint32_t choices = f->rules.choices;
-    if (!best && choices &&
-        !w->fill_only) { /* none was drawn that may take it */
+    WPReplica *best = w->fill ? first_with_room(now, w, list)
+                              : best_of(f, now, w, list);
+    if (!best && choices && !w->fill) { /* none was drawn that may take it */
         f->rules.choices = 0;
         best = best_of(f, now, w, list);
         f->rules.choices = choices;
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -68,51 +68,57 @@
                      .once = !wp_flow_may_repeat(f) };
 }
 
-/* While a service moves between versions, the side for this request comes
-   first; the other is taken rather than none. */
 /* The request's place. In the first half many boxes take a smaller share each:
    the verdict wants a number of answers, not a part of all, and each session
    that is moved may meet a box that has not heard of it. All boxes know the
    same number of boxes. */
-static double unit_of(const WPFlow *f, const WPShift *sh, WPTime now)
+static double place_of(const WPFlow *f, const WPShift *sh, WPTime now)
 {
     double few = (double)FEW_BOXES / MAX(f->d->boxes, FEW_BOXES);
     return wp_shift_first_half(sh, now) ? f->unit / few : f->unit;
 }
 
+/* Whether the request may help to load a replica on trial: its session is on
+   neither version, its answer is long, and enough others run to fill one. */
+static bool may_press(WPFlow *f, WPTime now, const WPShift *sh,
+                      const char *last, const WPWant *w)
+{
+    return !last && f->answer_tokens >= PRESS_ANSWER_LEAST &&
+           wp_shift_presses(f->d->shifts, sh, now) &&
+           wp_fleet_can_fill(f->d->fleet, now, w, PRESS_SHARE);
+}
+
+/* While a service moves between versions: an endpoint of the side that this
+   request belongs to, or NULL when that side has none. */
+static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w)
+{
+    WPDirect *d = f->d;
+    const char *last =
+        f->session ? wp_direct_session(d, now, f->session) : NULL;
+    bool press = may_press(f, now, sh, last, &w);
+    if (wp_shift_takes(d->shifts, sh, now, place_of(f, sh, now), last,
+                       press)) {
+        w.version = sh->version;
+        w.fill = press;
+        WPReplica *s = wp_fleet_choose(d->fleet, now, &w);
+        if (s || !press)
+            return s;
+        w.version = NULL;
+        w.fill = false;
+    }
+    w.allowed = other_allowed;
+    return wp_fleet_choose(d->fleet, now, &w);
+}
+
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now)
 {
     WPDirect *d = f->d;
     WPShift *sh = wp_flow_shift(f);
     WPWant w = want_of(f);
     WPReplica *s = NULL;
-    if (sh && sh->state == WP_SHIFT_RUNNING) {
-        const char *last =
-            f->session ? wp_direct_session(d, now, f->session) : NULL;
-        bool press = wp_shift_presses(d->shifts, sh, now) && !last &&
-                     f->answer_tokens >= PRESS_ANSWER_LEAST &&
-                     wp_fleet_can_fill(d->fleet, now, &w, PRESS_SHARE);
-        if (wp_shift_takes(d->shifts, sh, now, unit_of(f, sh, now), last,
-                           press)) {
-            w.version = sh->version;
-            w.fill = press;
-            w.fill_only = press;
-        } else {
-            w.allowed = other_allowed;
-        }
-        s = wp_fleet_choose(d->fleet, now, &w);
-        if (!s && w.fill_only) {
-            w.version = NULL;
-            w.fill = false;
-            w.allowed = other_allowed;
-            s = wp_fleet_choose(d->fleet, now, &w);
-        }
-        w.fill_only = false;
-        w.version = NULL;
-        w.fill = false;
-        w.allowed = version_allowed;
-    }
-    if (!s)
+    if (sh && sh->state == WP_SHIFT_RUNNING)
+        s = choose_side(f, now, sh, w);
+    if (!s) /* the other side rather than none */
         s = wp_fleet_choose(d->fleet, now, &w);
     if (!s && f->n_tried && wp_flow_may_repeat(f)) {
         /* All have been tried: better one of them again than none. */
