Duty passes from a box that the store does not answer

They kept their duty, and the others asked only after 4.5 s and a pause of up to 5 s: nobody had version 25 between 2.9 and 8.3 s. Ruled out: the links (all boxes had version 21 within 0.3 s). Change: a digest says when the store does not answer its sender; such a box is passed over in the order of duty. A box that has heard nothing fresh for 3.2 s asks, every one to two seconds. tests/test_peers.c: a_box_that_the_store_does_not_answer_has_no_duty.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3622,7 +3622,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[6] =
 {
   {
     "complete",
@@ -3684,9 +3684,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blind",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MirrorDigest, has_blind),
+    offsetof(Wp__MirrorDigest, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  5,   /* field[5] = blind */
   3,   /* field[3] = bound */
   0,   /* field[0] = complete */
   4,   /* field[4] = moved */
@@ -3696,7 +3709,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -3706,7 +3719,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  5,
+  6,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -577,6 +577,11 @@
   uint64_t complete;
   size_t n_moves;
   Wp__MoveSums **moves;
+  /*
+   * the store does not answer the sender
+   */
+  protobuf_c_boolean has_blind;
+  protobuf_c_boolean blind;
   /*
    * since a box had an answer of the store
    */
@@ -595,7 +600,7 @@
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -29,6 +29,7 @@
     int64_t tried_us;
     int64_t unlinked_us; /* since when there is no link; 0: there is one */
     bool linked;
+    bool blind; /* the store does not answer it, by its last digest */
 } Member;
 
 struct WPPeers {
@@ -88,6 +89,9 @@
 static void take_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
 {
     uint64_t complete = wp_mirror_complete(p->mirror);
+    Member *m = g_hash_table_lookup(p->members, l->peer);
+    if (m)
+        m->blind = d->blind;
     p->ops->heard(p->arg, l->peer, d);
     if (d->complete <= complete)
         return;
@@ -354,7 +358,7 @@
     g_hash_table_iter_init(&it, p->members);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Member *m = v;
-        n += m->linked && !strcmp(m->zone, p->self.zone) &&
+        n += m->linked && !m->blind && !strcmp(m->zone, p->self.zone) &&
              wp_hash(wp_str(m->id), 0) < own;
     }
     return n;
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -32,9 +32,9 @@
 void wp_peers_member(WPPeers *p, const char *id, const char *addr,
                      const char *zone);
 
-/* How many boxes of this zone that are linked come before this one, in an
-   order that all boxes share: the first ones do what one box of a zone must
-   do for the others. */
+/* How many boxes of this zone come before this one, in an order that all boxes
+   share, of those that are linked and that the store answers: the first ones
+   do what one box of a zone must do for the others. */
 unsigned wp_peers_rank(const WPPeers *p);
 
 /* This box has learned something: tells the others at once. */
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -5,9 +5,9 @@
 
 enum {
     WATCHERS = 1,        /* boxes of a zone that watch the store for all */
-    STALE_MS = 4500,     /* a box that has heard nothing fresh for so long asks
+    STALE_MS = 3200,     /* a box that has heard nothing fresh for so long asks
                             the store itself; watches last 2.5 s */
-    ASK_AGAIN_MS = 2500, /* between such questions, and up to twice as long */
+    ASK_AGAIN_MS = 1000, /* between such questions, and up to twice as long */
     BEHIND_MS = 400,     /* a box that others do not bring up to date within
                             this asks the store itself */
     DOUBT_MS = 3000,     /* after the store was away, entries that lapsed
@@ -37,6 +37,7 @@
         return;
     s->up = up;
     s->tried = true;
+    wp_peers_announce(s->peers);
     wp_log(&s->host->log, up ? WP_INFO : WP_WARN,
            up ? "store_regained" : "store_lost", NULL);
 }
@@ -207,6 +208,8 @@
     WPSync *s = arg;
     WPTime now = wp_clock_now(0);
     int64_t now_us = now.mono_us;
+    d->has_blind = 1;
+    d->blind = s->tried && !s->up;
     d->has_age_ms = s->fresh_us > 0;
     d->age_ms = (uint32_t)((now_us - s->fresh_us) / WP_US_PER_MS);
     Fill f = { s, d };
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -347,8 +347,8 @@
 {
     GPtrArray *list = of_service(f, w->service);
     uint32_t choices = f->rules.choices;
-    WPReplica *best = w->fill ? first_with_room(now, w, list)
-                              : best_of(f, now, w, list);
+    WPReplica *best =
+        w->fill ? first_with_room(now, w, list) : best_of(f, now, w, list);
     if (!best && choices && !w->fill) { /* none was drawn that may take it */
         f->rules.choices = 0;
         best = best_of(f, now, w, list);
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -96,8 +96,7 @@
     const char *last =
         f->session ? wp_direct_session(d, now, f->session) : NULL;
     bool press = may_press(f, now, sh, last, &w);
-    if (wp_shift_takes(d->shifts, sh, now, place_of(f, sh, now), last,
-                       press)) {
+    if (wp_shift_takes(d->shifts, sh, now, place_of(f, sh, now), last, press)) {
         w.version = sh->version;
         w.fill = press;
         WPReplica *s = wp_fleet_choose(d->fleet, now, &w);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -14,7 +14,7 @@
     WPPeers *peers;
     Wp__DirectSettings set;
     char *addr;
-    bool got_delta;
+    bool got_delta, blind;
 } Box;
 
 typedef struct World {
@@ -41,8 +41,9 @@
 
 static void on_fill(void *arg, Wp__MirrorDigest *d)
 {
-    (void)arg;
-    (void)d;
+    const Box *b = arg;
+    d->has_blind = 1;
+    d->blind = b->blind;
 }
 
 static void on_changed(void *arg, const char *peer, bool up)
@@ -188,4 +189,52 @@
     event_base_free(w.base);
 }
 
-TESTS_MAIN(T(who_is_behind_asks_another_when_one_falls_silent))
+/* Whether this box is the first of its zone, looked at until it is. */
+typedef struct First {
+    World *world;
+    Box *box;
+    bool is_first;
+} First;
+
+static void look(evutil_socket_t fd, short what, void *arg)
+{
+    First *f = arg;
+    (void)fd;
+    (void)what;
+    f->is_first =
+        wp_peers_linked(f->box->peers) > 0 && wp_peers_rank(f->box->peers) == 0;
+}
+
+static bool becomes_first(World *w, Box *b)
+{
+    First f = { w, b, false };
+    struct timeval every = { 0, TICK_MS * WP_US_PER_MS };
+    struct event *e = event_new(w->base, -1, EV_PERSIST, look, &f);
+    event_add(e, &every);
+    bool ok = run_until(w, &f.is_first);
+    event_free(e);
+    return ok;
+}
+
+/* One box of a zone watches the store for all; when the store turns that one
+   away, the next takes over. */
+static void a_box_that_the_store_does_not_answer_has_no_duty(void **state)
+{
+    World w = { .base = event_base_new() };
+    Box *a = new_box(&w, "e1"), *b = new_box(&w, "e2");
+    (void)state;
+    wp_peers_member(a->peers, "e2", b->addr, "z1");
+    wp_peers_member(b->peers, "e1", a->addr, "z1");
+    bool a_first = wp_hash(wp_str("e1"), 0) < wp_hash(wp_str("e2"), 0);
+    Box *first = a_first ? a : b, *second = a_first ? b : a;
+    assert_true(becomes_first(&w, first));
+    first->blind = true;
+    wp_peers_announce(first->peers);
+    assert_true(becomes_first(&w, second));
+    free_box(a);
+    free_box(b);
+    event_base_free(w.base);
+}
+
+TESTS_MAIN(T(a_box_that_the_store_does_not_answer_has_no_duty),
+           T(who_is_behind_asks_another_when_one_falls_silent))
