--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed wpproxy wpsoak) $(UNIT)
 
 LOAD := tools/load.c tools/load_sums.c tools/sample.c
-LAB := bench/lab.c bench/lab_setup.c bench/lab_sums.c tools/sample.c
+LAB := bench/lab.c bench/lab_events.c bench/lab_setup.c bench/lab_sums.c tools/sample.c
 
 all: $(BIN)
 
--- a/bench/lab.c
+++ b/bench/lab.c
@@ -11,52 +11,6 @@
     return (WPTime){ lab->now_us, WALL_START_MS + lab->now_us / WP_US_PER_MS };
 }
 
-/* --- events --- */
-
-static bool earlier(const Event *a, const Event *b)
-{
-    return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
-}
-
-Event *lab_after(Lab *lab, int64_t us, void (*fn)(Lab *, Event *))
-{
-    Event *e = g_new0(Event, 1);
-    GPtrArray *h = lab->heap;
-    e->at_us = lab->now_us + us;
-    e->order = lab->order++;
-    e->fn = fn;
-    g_ptr_array_add(h, e);
-    for (guint i = h->len - 1; i;) {
-        guint up = (i - 1) / 2;
-        if (!earlier(h->pdata[i], h->pdata[up]))
-            break;
-        gpointer t = h->pdata[i];
-        h->pdata[i] = h->pdata[up];
-        h->pdata[up] = t;
-        i = up;
-    }
-    return e;
-}
-
-static Event *pop(Lab *lab)
-{
-    GPtrArray *h = lab->heap;
-    Event *first = h->pdata[0];
-    guint n = h->len - 1;
-    h->pdata[0] = h->pdata[n];
-    g_ptr_array_set_size(h, (gint)n);
-    for (guint i = 0, k; (k = 2 * i + 1) < n; i = k) {
-        if (k + 1 < n && earlier(h->pdata[k + 1], h->pdata[k]))
-            k++;
-        if (!earlier(h->pdata[k], h->pdata[i]))
-            break;
-        gpointer t = h->pdata[i];
-        h->pdata[i] = h->pdata[k];
-        h->pdata[k] = t;
-    }
-    return first;
-}
-
 static int64_t way(const Lab *lab, unsigned entry, unsigned server)
 {
     return strcmp(lab->doors[entry].zone, lab->servers[server].zone) ? FAR_US
@@ -692,7 +646,7 @@
     lab_after(&lab, RATINGS_US, on_ratings);
     lab_after(&lab, STEER_US, on_steer);
     while (lab.heap->len) {
-        Event *e = pop(&lab);
+        Event *e = lab_next(&lab);
         lab.now_us = e->at_us;
         e->fn(&lab, e);
         g_free(e);
--- a/bench/lab_int.h
+++ b/bench/lab_int.h
@@ -94,6 +94,8 @@
 
 /* An event `us` from now; fill in what `fn` needs. */
 Event *lab_after(Lab *lab, int64_t us, void (*fn)(Lab *lab, Event *e));
+/* Takes the earliest event; there must be one. */
+Event *lab_next(Lab *lab);
 void lab_drain(WPNode *n);
 double *lab_count(GHashTable *t, const char *name);
 
