Two more boxes watch the store for each that it has stopped answering

A third of the boxes was cut from the store from 1.0 s; a key was taken away at 2.0 s. The watching box of each zone noticed at 3.1 s (`store_lost`), duty passed to one more of each zone, and these three were cut off too and noticed at 5.7 s: 3.6 s for a change that may take 3 s. Change: wp_peers_on_duty: one box of a zone, and two more for each that says the store does not answer it. test_peers fails without it (the wait for three watchers ends without them).

--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -24,6 +24,13 @@
                              only if that does not come about */
 };
 
+enum {
+    WATCHERS = 1,      /* boxes of a zone that watch the store for all */
+    SPARE_WATCHERS = 2 /* and for each that the store has stopped answering: a
+                          cut takes a box 2.5 s to notice, so two in a row
+                          are longer than a change may take */
+};
+
 typedef struct Member {
     char *id, *addr, *zone;
     int64_t tried_us;
@@ -364,6 +371,25 @@
     return n;
 }
 
+/* Boxes of this zone that are linked and that the store does not answer. */
+static unsigned turned_away(const WPPeers *p)
+{
+    unsigned n = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Member *m = v;
+        n += m->linked && m->blind && !strcmp(m->zone, p->self.zone);
+    }
+    return n;
+}
+
+bool wp_peers_on_duty(const WPPeers *p)
+{
+    return wp_peers_rank(p) < WATCHERS + SPARE_WATCHERS * turned_away(p);
+}
+
 static void reach_seeds(WPPeers *p, WPTime now)
 {
     if (!is_due(&p->seeds_us, now, CONNECT_MS) || p->linked)
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -37,6 +37,11 @@
    do what one box of a zone must do for the others. */
 unsigned wp_peers_rank(const WPPeers *p);
 
+/* Whether this box watches the store for its zone. One does; for each that the
+   store has stopped answering two more, as the next one may be cut off too and
+   takes seconds to notice. */
+bool wp_peers_on_duty(const WPPeers *p);
+
 /* This box has learned something: tells the others at once. */
 void wp_peers_announce(WPPeers *p);
 
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -4,7 +4,6 @@
 #include "wp_sync_int.h"
 
 enum {
-    WATCHERS = 1,        /* boxes of a zone that watch the store for all */
     STALE_MS = 3200,     /* a box that has heard nothing fresh for so long asks
                             the store itself; watches last 2.5 s */
     ASK_AGAIN_MS = 1000, /* between such questions, and up to twice as long */
@@ -20,12 +19,6 @@
 
 static void read_all(WPSync *s);
 
-/* Whether this box watches the store, for itself and others of its zone. */
-static bool on_duty(const WPSync *s)
-{
-    return wp_peers_rank(s->peers) < WATCHERS;
-}
-
 static void set_up(WPSync *s, bool up)
 {
     int64_t now_us = wp_clock_now(0).mono_us;
@@ -88,7 +81,7 @@
     if (!r->ok) {
         wp_count(&s->host->direct.counters, WP_C_STORE_ERRORS);
         set_up(s, false);
-        if (on_duty(s) || !s->complete)
+        if (wp_peers_on_duty(s->peers) || !s->complete)
             s->retry_us =
                 wp_clock_now(0).mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
         return;
@@ -101,7 +94,7 @@
     wp_mirror_advance(s->mirror, r->revision);
     s->complete = true;
     wp_peers_announce(s->peers);
-    if (!on_duty(s))
+    if (!wp_peers_on_duty(s->peers))
         return;
     s->watching = true;
     s->kv->ops->watch(s->kv, "", r->revision + 1, on_event, s);
@@ -238,7 +231,7 @@
 {
     int64_t age_ms = (now.mono_us - s->fresh_us) / WP_US_PER_MS;
     int64_t pause_ms = (int64_t)(ASK_AGAIN_MS * (1 + s->haste));
-    bool duty = on_duty(s);
+    bool duty = wp_peers_on_duty(s->peers);
     if (s->watching && !duty) {
         s->kv->ops->unwatch(s->kv);
         s->watching = false;
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -19,7 +19,7 @@
 
 typedef struct World {
     struct event_base *base;
-    Box *boxes[4];
+    Box *boxes[5];
     size_t n;
     int64_t end_us;
 } World;
@@ -189,33 +189,61 @@
     event_base_free(w.base);
 }
 
-/* Whether this box is the first of its zone, looked at until it is. */
-typedef struct First {
+/* Whether a number of boxes has duty, looked at until it is so. */
+typedef struct Duty {
     World *world;
-    Box *box;
-    bool is_first;
-} First;
+    unsigned wanted;
+    size_t links; /* each box has at least so many */
+    bool reached;
+} Duty;
+
+static unsigned on_duty(const World *w)
+{
+    unsigned n = 0;
+    for (size_t i = 0; i < w->n; i++)
+        n += !w->boxes[i]->blind && wp_peers_on_duty(w->boxes[i]->peers);
+    return n;
+}
 
 static void look(evutil_socket_t fd, short what, void *arg)
 {
-    First *f = arg;
+    Duty *d = arg;
     (void)fd;
     (void)what;
-    f->is_first =
-        wp_peers_linked(f->box->peers) > 0 && wp_peers_rank(f->box->peers) == 0;
+    d->reached = on_duty(d->world) == d->wanted;
+    for (size_t i = 0; i < d->world->n; i++)
+        d->reached = d->reached &&
+                     wp_peers_linked(d->world->boxes[i]->peers) >= d->links;
 }
 
-static bool becomes_first(World *w, Box *b)
+static bool duty_comes_to(World *w, unsigned wanted)
 {
-    First f = { w, b, false };
+    Duty d = { w, wanted, w->n - 1, false };
     struct timeval every = { 0, TICK_MS * WP_US_PER_MS };
-    struct event *e = event_new(w->base, -1, EV_PERSIST, look, &f);
+    struct event *e = event_new(w->base, -1, EV_PERSIST, look, &d);
     event_add(e, &every);
-    bool ok = run_until(w, &f.is_first);
+    bool ok = run_until(w, &d.reached);
     event_free(e);
     return ok;
 }
 
+static void all_meet(World *w)
+{
+    for (size_t i = 0; i < w->n; i++)
+        for (size_t k = 0; k < w->n; k++)
+            if (i != k)
+                wp_peers_member(w->boxes[i]->peers, w->boxes[k]->set.id,
+                                w->boxes[k]->addr, "z1");
+}
+
+static Box *watcher(const World *w)
+{
+    for (size_t i = 0; i < w->n; i++)
+        if (wp_peers_on_duty(w->boxes[i]->peers))
+            return w->boxes[i];
+    return NULL;
+}
+
 /* One box of a zone watches the store for all; when the store turns that one
    away, the next takes over. */
 static void a_box_that_the_store_does_not_answer_has_no_duty(void **state)
@@ -223,18 +251,42 @@
     World w = { .base = event_base_new() };
     Box *a = new_box(&w, "e1"), *b = new_box(&w, "e2");
     (void)state;
-    wp_peers_member(a->peers, "e2", b->addr, "z1");
-    wp_peers_member(b->peers, "e1", a->addr, "z1");
-    bool a_first = wp_hash(wp_str("e1"), 0) < wp_hash(wp_str("e2"), 0);
-    Box *first = a_first ? a : b, *second = a_first ? b : a;
-    assert_true(becomes_first(&w, first));
+    all_meet(&w);
+    assert_true(duty_comes_to(&w, 1));
+    Box *first = watcher(&w), *second = first == a ? b : a;
     first->blind = true;
     wp_peers_announce(first->peers);
-    assert_true(becomes_first(&w, second));
+    assert_true(duty_comes_to(&w, 1));
+    assert_true(wp_peers_on_duty(second->peers));
+    assert_int_equal(wp_peers_rank(second->peers), 0);
     free_box(a);
     free_box(b);
     event_base_free(w.base);
 }
 
+/* The next box may be cut off as well and takes seconds to notice: three take
+   over, and one remains when the store answers the first again. */
+static void more_boxes_watch_when_one_is_turned_away(void **state)
+{
+    World w = { .base = event_base_new() };
+    const char *ids[] = { "e1", "e2", "e3", "e4", "e5" };
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+        new_box(&w, ids[i]);
+    all_meet(&w);
+    assert_true(duty_comes_to(&w, 1));
+    Box *first = watcher(&w);
+    first->blind = true;
+    wp_peers_announce(first->peers);
+    assert_true(duty_comes_to(&w, 3));
+    first->blind = false;
+    wp_peers_announce(first->peers);
+    assert_true(duty_comes_to(&w, 1));
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+        free_box(w.boxes[i]);
+    event_base_free(w.base);
+}
+
 TESTS_MAIN(T(a_box_that_the_store_does_not_answer_has_no_duty),
+           T(more_boxes_watch_when_one_is_turned_away),
            T(who_is_behind_asks_another_when_one_falls_silent))
