A slow version is found by answers that are never fast

Cause: the verdict asked that 0.6 of a version's answers lie past the bound that a quarter of the old version's are past; a slow version had 0.3 to 0.7 there, as the old version's endpoints are busier and a busy endpoint's events come as late as a slow version's.

Change: WPUsual follows a lower bound too, by service and model, as the pace of events does not hang on the route (three times the answers); a sequential test on fast, usual and slow answers, where the new version's endpoints are at most half as loaded; cold endpoints' times do not count; a request that ran before the order came no longer counts as one of the new version.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3467,7 +3467,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[10] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[12] =
 {
   {
     "service",
@@ -3589,10 +3589,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fast",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_fast),
+    offsetof(Wp__MoveSums, fast),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MoveSums, has_taken),
+    offsetof(Wp__MoveSums, taken),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
   3,   /* field[3] = failed */
+  10,   /* field[10] = fast */
   6,   /* field[6] = loaded */
   9,   /* field[9] = loaded_bad */
   8,   /* field[8] = loaded_failed */
@@ -3600,12 +3625,13 @@
   1,   /* field[1] = order */
   0,   /* field[0] = service */
   4,   /* field[4] = slow */
+  11,   /* field[11] = taken */
   7,   /* field[7] = timed */
 };
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -3615,7 +3641,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  10,
+  12,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -562,10 +562,20 @@
    */
   protobuf_c_boolean has_loaded_bad;
   uint32_t loaded_bad;
+  /*
+   * of `timed`, as fast as the old's first quarter
+   */
+  protobuf_c_boolean has_fast;
+  uint32_t fast;
+  /*
+   * of `timed`, thousandths of places taken, summed
+   */
+  protobuf_c_boolean has_taken;
+  uint64_t taken;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -143,6 +143,8 @@
                          .failed = m->failed,
                          .timed = m->timed,
                          .slow = m->slow,
+                         .fast = m->fast,
+                         .taken = m->taken,
                          .loaded = m->loaded,
                          .loaded_failed = m->loaded_failed,
                          .loaded_bad = m->loaded_bad };
@@ -189,6 +191,9 @@
     m->old_running = sh->old_running;
     m->has_timed = 1;
     m->timed = own.timed;
+    m->has_fast = m->has_taken = 1;
+    m->fast = own.fast;
+    m->taken = own.taken;
     m->has_loaded = 1;
     m->loaded = own.loaded;
     m->has_loaded_failed = m->has_loaded_bad = 1;
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -92,12 +92,12 @@
     return b;
 }
 
-/* The value of a table by route and model, made when it is missing. */
-static void *need_value(GHashTable *t, const char *route, WPStr model,
+/* The value of a table by name and model, made when it is missing. */
+static void *need_value(GHashTable *t, const char *name, WPStr model,
                         size_t size)
 {
     g_autofree char *key =
-        g_strdup_printf("%s %.*s", route, (int)model.n, model.p);
+        g_strdup_printf("%s %.*s", name, (int)model.n, model.p);
     void *v = g_hash_table_lookup(t, key);
     if (!v) {
         v = g_malloc0(size);
@@ -111,9 +111,9 @@
     return need_value(d->speeds, route, model, sizeof(WPSpeed));
 }
 
-WPUsual *wp_direct_usual(WPDirect *d, const char *route, WPStr model)
+WPUsual *wp_direct_usual(WPDirect *d, const char *what, WPStr model)
 {
-    return need_value(d->usual, route, model, sizeof(WPUsual));
+    return need_value(d->usual, what, model, sizeof(WPUsual));
 }
 
 WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route)
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -31,7 +31,7 @@
     GHashTable *budgets;  /* service -> WPBudget */
     GHashTable *sessions; /* hash -> which version served it, and when */
     GHashTable *speeds;   /* route and model -> how long answers take */
-    GHashTable *usual;    /* route and model -> the usual pace of answers */
+    GHashTable *usual;    /* service or route, and model -> usual times */
     GHashTable *quality;  /* route -> how good the smallest model's are */
     double lag;           /* recent first bytes, as a part of their aim */
     int64_t swept_us;
@@ -124,7 +124,9 @@
     int64_t sent_us;
     int64_t first_us; /* when its first byte came */
     bool heard;       /* its first byte has come */
-    bool crowded;     /* its endpoint was so full that it may be slow */
+    bool crowded;     /* its endpoint was so full, or so new, that it may be
+                         slow */
+    double taken;     /* share of its endpoint's places when it was sent */
     bool loaded;      /* its endpoint was half full */
     bool judged;      /* counted in the verdict on a move's new version */
     bool old_version; /* counts among those of a move's old version */
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -19,7 +19,9 @@
 
 WPBudget *wp_direct_budget(WPDirect *d, const char *service);
 WPSpeed *wp_direct_speed(WPDirect *d, const char *route, WPStr model);
-WPUsual *wp_direct_usual(WPDirect *d, const char *route, WPStr model);
+/* `what` is a service, for the pace of events, or a route, for whole answers.
+ */
+WPUsual *wp_direct_usual(WPDirect *d, const char *what, WPStr model);
 WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route);
 
 /* A session's place in [0, 1), the same at every box. */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -38,12 +38,15 @@
 {
     WPShift *sh = wp_flow_shift(f);
     bool old = sh && strcmp(s->version, sh->version);
-    f->leg = (WPAttempt){ .replica = s,
-                          .sent_us = now.mono_us,
-                          .crowded = wp_fleet_taken(s, now) >= CROWDED ||
-                                     is_pressed(f, now),
-                          .loaded = wp_fleet_taken(s, now) >= HALF_FULL,
-                          .old_version = old };
+    double taken = wp_fleet_taken(s, now);
+    bool cold = s->cold_until_us > now.mono_us;
+    f->leg =
+        (WPAttempt){ .replica = s,
+                     .sent_us = now.mono_us,
+                     .crowded = taken >= CROWDED || cold || is_pressed(f, now),
+                     .loaded = taken >= HALF_FULL,
+                     .taken = taken,
+                     .old_version = old };
     if (old)
         sh->old_running++;
     /* From now on the session is on this version, also for requests that come
@@ -195,7 +198,8 @@
 static bool is_on_trial(const WPFlow *f)
 {
     const WPShift *sh = wp_flow_shift(f);
-    return sh && sh->state == WP_SHIFT_RUNNING && !f->leg.old_version;
+    return sh && sh->state == WP_SHIFT_RUNNING &&
+           !strcmp(f->leg.replica->version, sh->version);
 }
 
 /* The first byte of the leg has come: what it tells of the endpoint. */
@@ -226,27 +230,35 @@
         return;
     if (is_on_trial(f) && f->leg.loaded)
         wp_shift_loaded(sh, f->leg.replica->id, failed);
-    wp_shift_answered(sh, f->leg.replica->version, f->leg.replica->id,
-                      f->route->name, failed, time);
+    const WPShiftAnswer a = { .version = f->leg.replica->version,
+                              .replica = f->leg.replica->id,
+                              .route = f->route->name,
+                              .failed = failed,
+                              .time = time,
+                              .taken = f->leg.taken };
+    wp_shift_answered(sh, &a);
 }
 
-/* Whether a time is usual: most of the old version's are shorter than a bound
-   that this box learns. A crowded endpoint's tell nothing. */
-static WPShiftTime judge_time(WPFlow *f, double us)
+/* How a time lies among the old version's, by bounds that this box learns. A
+   crowded endpoint's tell nothing. `what`: with whose times it is compared. */
+static WPShiftTime judge_time(WPFlow *f, const char *what, double us)
 {
-    WPUsual *u = wp_direct_usual(f->d, f->route->name, wp_flow_model(f));
-    double upper = wp_usual_upper(u);
+    WPUsual *u = wp_direct_usual(f->d, what, wp_flow_model(f));
+    double lower = wp_usual_lower(u), upper = wp_usual_upper(u);
     if (f->leg.crowded)
         return WP_TIME_UNKNOWN;
     if (!is_on_trial(f))
         wp_usual_add(u, us);
     if (upper <= 0)
         return WP_TIME_UNKNOWN;
-    return us > upper ? WP_TIME_SLOW : WP_TIME_USUAL;
+    if (us > upper)
+        return WP_TIME_SLOW;
+    return us < lower ? WP_TIME_FAST : WP_TIME_USUAL;
 }
 
 /* A slow version may begin its answers in time and then make their events
-   several times more slowly. Few events show nothing. */
+   several times more slowly. Few events show nothing. The pace hangs on the
+   model, not on the route. */
 static void judge_pace(WPFlow *f, WPTime now, uint64_t events)
 {
     if (f->leg.judged || !f->leg.heard)
@@ -256,7 +268,8 @@
         return;
     }
     int64_t rest_us = now.mono_us - f->leg.first_us;
-    judge(f, false, judge_time(f, (double)rest_us / (double)(events - 1)));
+    double pace_us = (double)rest_us / (double)(events - 1);
+    judge(f, false, judge_time(f, f->service->name, pace_us));
 }
 
 void wp_flow_progress(WPFlow *f, WPTime now, uint64_t events)
@@ -328,7 +341,8 @@
     if (failed || f->route->repeat != WP_REPEAT_STREAM)
         judge(f, failed,
               failed ? WP_TIME_UNKNOWN
-                     : judge_time(f, (double)(now.mono_us - f->leg.sent_us)));
+                     : judge_time(f, f->route->name,
+                                  (double)(now.mono_us - f->leg.sent_us)));
     if (failed) {
         f->ran++;
         end_this(f, now, WP_SERVED_FAILED);
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -19,10 +19,29 @@
 /* A version is slow when most of its answers are past the bound that a quarter
    of the old version's are past. Good ones had up to half of them there while
    they filled, so that is only asked while the old version serves beside it. */
+#define USUAL_FAST 0.25
 #define USUAL_SLOW 0.25
 #define LEAST_SLOW_SHARE 0.6
 #define LEAST_TIMED 10
 
+/* Where the times of answers lie among the old version's (below its first
+   quarter, between, above its third) when they come from endpoints that are
+   less loaded: of a good version, and of a slow one. Seen on 72 good and 60
+   slow plays of both example sites; docs/PLATFORM.md. */
+static const struct {
+    double fast, usual, slow;
+} good_times = { 0.6, 0.3, 0.1 }, slow_times = { 0.03, 0.57, 0.4 };
+
+/* The log of the odds for a slow version from which it is taken for one: the
+   highest of the good plays was 1. */
+#define LOG_ODDS_SLOW 6.0
+
+/* Endpoints are less loaded when no more than this part of the places are taken
+   that are at the old version's. */
+#define LESS_LOADED 0.5
+
+#define THOUSANDTHS 1000.0
+
 /* How long a replica that was loaded stays slow. */
 #define PRESS_LASTS_MS 2000
 
@@ -203,23 +222,26 @@
     return v;
 }
 
-static void add_answer(WPShiftSums *v, bool failed, WPShiftTime time)
+static void add_answer(WPShiftSums *v, const WPShiftAnswer *a)
 {
     v->answered++;
-    v->failed += failed;
-    v->timed += time != WP_TIME_UNKNOWN;
-    v->slow += time == WP_TIME_SLOW;
+    v->failed += a->failed;
+    if (a->time == WP_TIME_UNKNOWN)
+        return;
+    v->timed++;
+    v->fast += a->time == WP_TIME_FAST;
+    v->slow += a->time == WP_TIME_SLOW;
+    v->taken += (uint64_t)(a->taken * THOUSANDTHS);
 }
 
-void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
-                       const char *route, bool failed, WPShiftTime time)
+void wp_shift_answered(WPShift *sh, const WPShiftAnswer *a)
 {
-    if (strcmp(version, sh->version)) {
-        add_answer(need_sums(sh->old, route), failed, time);
+    if (strcmp(a->version, sh->version)) {
+        add_answer(need_sums(sh->old, a->route), a);
         return;
     }
-    add_answer(need_sums(sh->fresh, route), failed, time);
-    add_answer(need_sums(sh->replicas, replica), failed, time);
+    add_answer(need_sums(sh->fresh, a->route), a);
+    add_answer(need_sums(sh->replicas, a->replica), a);
 }
 
 static void add_sums(WPShiftSums *to, const WPShiftSums *v)
@@ -231,6 +253,8 @@
     to->failed += v->failed;
     to->timed += v->timed;
     to->slow += v->slow;
+    to->fast += v->fast;
+    to->taken += v->taken;
 }
 
 static WPShiftSums total(GHashTable *t)
@@ -278,7 +302,8 @@
 
 void wp_shift_loaded(WPShift *sh, const char *replica, bool failed)
 {
-    add_answer(need_sums(sh->loaded, replica), failed, WP_TIME_UNKNOWN);
+    add_answer(need_sums(sh->loaded, replica),
+               &(WPShiftAnswer){ .failed = failed });
 }
 
 WPShiftSums wp_shift_own(const WPShift *sh)
@@ -332,22 +357,57 @@
            v->slow > expected + DEVIATIONS * dev;
 }
 
-static bool sums_bad(const WPShiftSums *v, const WPShiftSums *old, bool beside)
+static double mean_taken(const WPShiftSums *v)
 {
-    return fails(v, old) || (beside && is_slow(v, old));
+    return v->timed ? (double)v->taken / v->timed : 0;
+}
+
+/* A good version's answers are fast where its endpoints have less to do; a
+   slow one's hardly ever. */
+static bool is_never_fast(const WPShiftSums *v, const WPShiftSums *old)
+{
+    uint32_t usual = v->timed - v->fast - v->slow;
+    double odds = v->fast * log(slow_times.fast / good_times.fast) +
+                  usual * log(slow_times.usual / good_times.usual) +
+                  v->slow * log(slow_times.slow / good_times.slow);
+    return odds >= LOG_ODDS_SLOW &&
+           mean_taken(v) < LESS_LOADED * mean_taken(old);
+}
+
+/* What makes a version bad. */
+typedef enum Fault { FAULT_NONE, FAULT_FAILS, FAULT_SLOW } Fault;
+
+static Fault fault_of(const WPShiftSums *v, const WPShiftSums *old, bool beside)
+{
+    if (fails(v, old))
+        return FAULT_FAILS;
+    if (beside && (is_slow(v, old) || is_never_fast(v, old)))
+        return FAULT_SLOW;
+    return FAULT_NONE;
+}
+
+static bool replica_fails(const WPShiftSums *v)
+{
+    return v->failed > 0;
+}
+
+static bool replica_is_slow(const WPShiftSums *v)
+{
+    bool mostly = v->slow > 0 && v->slow * 2 >= v->timed;
+    return mostly || v->fast < USUAL_FAST * v->timed;
 }
 
 /* Whether the bad answers come from enough of the endpoints. */
-static bool is_spread(const WPShift *sh, bool slow)
+static bool is_spread(const WPShift *sh, Fault fault)
 {
+    bool slow = fault == FAULT_SLOW;
     unsigned heard = 0, bad = 0;
     GHashTableIter it;
     gpointer p;
     g_hash_table_iter_init(&it, sh->replicas);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const WPShiftSums *v = p;
-        bool is_bad =
-            slow ? v->slow > 0 && v->slow * 2 >= v->timed : v->failed > 0;
+        bool is_bad = slow ? replica_is_slow(v) : replica_fails(v);
         bad += is_bad;
         heard += is_bad || (slow ? v->timed : v->answered) >= REPLICA_ANSWERS;
     }
@@ -355,8 +415,8 @@
 }
 
 /* A version may be bad on a single route only. */
-static bool route_bad(const WPShift *sh, bool beside, const char **route,
-                      WPShiftSums *out)
+static Fault route_fault(const WPShift *sh, bool beside, const char **route,
+                         WPShiftSums *out)
 {
     GHashTableIter it;
     gpointer name, p;
@@ -364,13 +424,14 @@
     while (g_hash_table_iter_next(&it, &name, &p)) {
         const WPShiftSums *old = g_hash_table_lookup(sh->old, name);
         WPShiftSums none = { 0 };
-        if (!sums_bad(p, old ? old : &none, beside))
+        Fault fault = fault_of(p, old ? old : &none, beside);
+        if (fault == FAULT_NONE)
             continue;
         *route = name;
         *out = *(WPShiftSums *)p;
-        return true;
+        return fault;
     }
-    return false;
+    return FAULT_NONE;
 }
 
 /* Few replicas are loaded, so a few bad ones show it. */
@@ -393,18 +454,18 @@
                                    fresh.loaded_bad);
         return true;
     }
-    if (!sums_bad(&fresh, &old, beside) &&
-        !route_bad(sh, beside, &route, &fresh))
-        return false;
-    const WPShiftSums *measure = g_hash_table_lookup(sh->old, route);
-    if (!is_spread(sh, !fails(&fresh, measure ? measure : &old)))
+    Fault fault = fault_of(&fresh, &old, beside);
+    if (fault == FAULT_NONE)
+        fault = route_fault(sh, beside, &route, &fresh);
+    if (fault == FAULT_NONE || !is_spread(sh, fault))
         return false;
     if (why)
         *why = g_strdup_printf(
-            "route=%s new=%u/%u failed, %u/%u slow; old=%u/%u failed, "
-            "%u/%u slow",
+            "route=%s new=%u/%u failed, %u/%u slow, %u fast; old=%u/%u failed, "
+            "%u/%u slow, %u fast",
             route, fresh.failed, fresh.answered, fresh.slow, fresh.timed,
-            old.failed, old.answered, old.slow, old.timed);
+            fresh.fast, old.failed, old.answered, old.slow, old.timed,
+            old.fast);
     return true;
 }
 
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -29,6 +29,9 @@
 typedef struct WPShiftSums {
     uint32_t answered, failed;
     uint32_t timed, slow; /* answers that could be slow, and that were */
+    uint32_t fast;        /* of those, the faster than a quarter of the old */
+    uint64_t taken;       /* of those, places taken where they ran, summed in
+                             thousandths of all places */
     /* Answers of replicas that were half full or more, those that failed, and
        the replicas that failed some. */
     uint32_t loaded, loaded_failed, loaded_bad;
@@ -84,13 +87,20 @@
 /* How an answer came. */
 typedef enum WPShiftTime {
     WP_TIME_UNKNOWN, /* the endpoint was so full that it says nothing */
-    WP_TIME_USUAL,
-    WP_TIME_SLOW /* several times later or more slowly than usual */
+    WP_TIME_FAST,    /* as the fastest quarter of the old version's */
+    WP_TIME_USUAL,   /* between */
+    WP_TIME_SLOW     /* as the slowest quarter of the old version's */
 } WPShiftTime;
 
 /* How one request ended at an endpoint. */
-void wp_shift_answered(WPShift *sh, const char *version, const char *replica,
-                       const char *route, bool failed, WPShiftTime time);
+typedef struct WPShiftAnswer {
+    const char *version, *replica, *route;
+    bool failed;
+    WPShiftTime time;
+    double taken; /* share of the endpoint's places when it was sent */
+} WPShiftAnswer;
+
+void wp_shift_answered(WPShift *sh, const WPShiftAnswer *a);
 
 /* An answer of the new version came from a replica that was half full. */
 void wp_shift_loaded(WPShift *sh, const char *replica, bool failed);
--- a/src/wp_speed.c
+++ b/src/wp_speed.c
@@ -34,8 +34,9 @@
     return MAX(v, mean_y / 10);
 }
 
-/* The share that stays below the bound, and the step as a part of it. */
-#define USUAL_SHARE 0.75
+/* The shares that stay below the bounds, and the step as a part of them. */
+#define LOWER_SHARE 0.25
+#define UPPER_SHARE 0.75
 #define USUAL_STEP 0.06
 
 static int by_value(const void *a, const void *b)
@@ -44,6 +45,12 @@
     return (x > y) - (x < y);
 }
 
+/* Moves a bound so that in the long run this share stays below it. */
+static void follow(double *bound_us, double share, double us)
+{
+    *bound_us *= exp(USUAL_STEP * (us <= *bound_us ? share - 1 : share));
+}
+
 void wp_usual_add(WPUsual *u, double us)
 {
     if (u->seen < WP_USUAL_FIRST) {
@@ -51,12 +58,18 @@
         if (u->seen < WP_USUAL_FIRST)
             return;
         qsort(u->first_us, WP_USUAL_FIRST, sizeof(double), by_value);
-        u->upper_us = u->first_us[(int)(WP_USUAL_FIRST * USUAL_SHARE)];
+        u->lower_us = u->first_us[(int)(WP_USUAL_FIRST * LOWER_SHARE)];
+        u->upper_us = u->first_us[(int)(WP_USUAL_FIRST * UPPER_SHARE)];
         return;
     }
     u->seen++;
-    bool below = us <= u->upper_us;
-    u->upper_us *= exp(USUAL_STEP * (below ? USUAL_SHARE - 1 : USUAL_SHARE));
+    follow(&u->lower_us, LOWER_SHARE, us);
+    follow(&u->upper_us, UPPER_SHARE, us);
+}
+
+double wp_usual_lower(const WPUsual *u)
+{
+    return u->seen >= WP_USUAL_FIRST ? u->lower_us : 0;
 }
 
 double wp_usual_upper(const WPUsual *u)
--- a/src/wp_speed.h
+++ b/src/wp_speed.h
@@ -15,19 +15,20 @@
 /* The expected time in microseconds; 0 while too few are known. */
 double wp_speed_expect(const WPSpeed *s, uint32_t prompt_tokens);
 
-/* A time that three quarters of what is seen stay below, found by small steps;
-   it follows slow changes. */
-enum { WP_USUAL_FIRST = 6 }; /* so many, sorted, give the first bound */
+/* The times that a quarter and three quarters of what is seen stay below, found
+   by small steps; they follow slow changes. */
+enum { WP_USUAL_FIRST = 6 }; /* so many, sorted, give the first bounds */
 
 typedef struct WPUsual {
     double first_us[WP_USUAL_FIRST];
-    double upper_us;
+    double lower_us, upper_us;
     uint32_t seen;
 } WPUsual;
 
 void wp_usual_add(WPUsual *u, double us);
 
-/* The bound in microseconds; 0 while too few are known. */
+/* The bounds in microseconds; 0 while too few are known. */
+double wp_usual_lower(const WPUsual *u);
 double wp_usual_upper(const WPUsual *u);
 
 #endif
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -224,10 +224,16 @@
 static void feed(WPShift *sh, const char *version, const char *replica,
                  const char *route, unsigned n, unsigned failed, unsigned slow)
 {
-    for (unsigned i = 0; i < n; i++)
-        wp_shift_answered(sh, version, replica, route, i < failed,
-                          i >= failed && i < failed + slow ? WP_TIME_SLOW
-                                                           : WP_TIME_USUAL);
+    for (unsigned i = 0; i < n; i++) {
+        bool is_slow = i >= failed && i < failed + slow;
+        const WPShiftAnswer a = { .version = version,
+                                  .replica = replica,
+                                  .route = route,
+                                  .failed = i < failed,
+                                  .time =
+                                      is_slow ? WP_TIME_SLOW : WP_TIME_USUAL };
+        wp_shift_answered(sh, &a);
+    }
 }
 
 static void a_bad_version_is_found_and_left(void **state)
@@ -395,6 +401,89 @@
     fake_end(&k);
 }
 
+/* Feeds answers whose times lie as told among the old version's, from
+   endpoints of which this share of the places is taken. */
+static void feed_times(WPShift *sh, const char *version, const char *replica,
+                       double taken, unsigned fast, unsigned usual,
+                       unsigned slow)
+{
+    WPShiftAnswer a = {
+        .version = version, .replica = replica, .route = "chat", .taken = taken
+    };
+    for (unsigned i = 0; i < fast + usual + slow; i++) {
+        a.time = i < fast           ? WP_TIME_FAST
+                 : i < fast + usual ? WP_TIME_USUAL
+                                    : WP_TIME_SLOW;
+        wp_shift_answered(sh, &a);
+    }
+}
+
+/* On endpoints that have little to do, a slow version's answers are as slow as
+   a good one's on busy endpoints, but hardly ever fast. */
+static void a_version_is_bad_when_it_is_never_fast(void **state)
+{
+    static const struct {
+        double taken;
+        unsigned fast, usual, slow;
+        bool bad;
+    } cases[] = {
+        { 0.02, 0, 4, 2, true },   /* few answers are enough */
+        { 0.02, 0, 2, 1, false },  /* but not so few */
+        { 0.02, 1, 8, 4, true },   /* one fast one does not save it */
+        { 0.02, 8, 3, 1, false },  /* a good one */
+        { 0.02, 8, 12, 8, false }, /* one that fills */
+        { 0.15, 0, 8, 3, false }   /* as busy as the old version: no wonder */
+    };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(cases); i++) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = order(&k);
+        feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
+        feed_times(sh, "v2", "n1", cases[i].taken, cases[i].fast,
+                   cases[i].usual, cases[i].slow);
+        feed_times(sh, "v2", "n2", cases[i].taken, cases[i].fast,
+                   cases[i].usual, cases[i].slow);
+        assert_int_equal(wp_shift_is_bad(sh, true, NULL), cases[i].bad);
+        fake_end(&k);
+    }
+}
+
+/* One endpoint alone is not the version's fault. */
+static void one_slow_replica_is_not_the_versions_fault(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
+    feed_times(sh, "v2", "n1", 0.02, 0, 10, 5);
+    assert_false(wp_shift_is_bad(sh, true, NULL));
+    feed_times(sh, "v2", "n2", 0.02, 0, 1, 0);
+    assert_true(wp_shift_is_bad(sh, true, NULL));
+    fake_end(&k);
+}
+
+/* Requests that were under way when the order came are the old version's. */
+static void what_ran_before_the_order_tells_of_the_old_version(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    wp_fleet_load(wp_fleet_find(k.d.fleet, "l1"), k.now, 4, 0, 8);
+    wp_fleet_load(wp_fleet_find(k.d.fleet, "l2"), k.now, 4, 0, 8);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    WPShift *sh = order(&k);
+    wp_flow_answer(f, k.now, &a, &m);
+    wp_flow_done(f, k.now, 10);
+    wp_flow_free(f);
+    assert_int_equal(wp_shift_own(sh).loaded, 0);
+    assert_int_equal(wp_shift_own(sh).answered, 0);
+    fake_end(&k);
+}
+
 /* As requests move over, the new version's endpoints fill and some answers
    come late; a bad version is slow for a good part of its requests. */
 static void a_version_is_not_slow_because_it_fills(void **state)
@@ -460,6 +549,9 @@
            T(a_version_is_bad_when_loaded_replicas_fail),
            T(a_loaded_replica_may_be_slow),
            T(a_version_is_bad_when_few_fail_where_none_did),
+           T(a_version_is_bad_when_it_is_never_fast),
+           T(one_slow_replica_is_not_the_versions_fault),
+           T(what_ran_before_the_order_tells_of_the_old_version),
            T(a_version_is_not_slow_because_it_fills),
            T(boxes_find_a_bad_version_together),
            T(an_old_order_changes_nothing))
