A new version gets nearly all its requests at the end of a move

The loading of replicas is removed (stage, choice, settings of it). The last stage has a gate: it waits while the answers speak rather for a slow version, or have no times although the old version's have; boxes pass it together. What a box told of its answers stays known when it starts again.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3467,7 +3467,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[13] =
 {
   {
     "service",
@@ -3613,6 +3613,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MoveSums, has_open),
+    offsetof(Wp__MoveSums, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -3622,6 +3634,7 @@
   9,   /* field[9] = loaded_bad */
   8,   /* field[8] = loaded_failed */
   5,   /* field[5] = old_running */
+  12,   /* field[12] = open */
   1,   /* field[1] = order */
   0,   /* field[0] = service */
   4,   /* field[4] = slow */
@@ -3631,7 +3644,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -3641,7 +3654,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  12,
+  13,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -572,10 +572,15 @@
    */
   protobuf_c_boolean has_taken;
   uint64_t taken;
+  /*
+   * the gate before the last stage has been passed
+   */
+  protobuf_c_boolean has_open;
+  protobuf_c_boolean open;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -90,6 +90,12 @@
     g_autofree char *why = NULL;
     if (sh->state != WP_SHIFT_RUNNING)
         return;
+    if (wp_shift_advance(s->host->direct.shifts, sh, now, &why)) {
+        wp_log(&s->host->log, WP_INFO, "move_stage", "service", sh->service,
+               "version", sh->version, "stage", sh->stage, "why", why, NULL);
+        wp_peers_announce(s->peers);
+        g_clear_pointer(&why, g_free);
+    }
     WPShiftState due = wp_shift_due(s->host->direct.shifts, sh, now, &why);
     /* A bad version is left at once, whether or not the store hears of it. */
     if (due == WP_SHIFT_UNDONE && !sh->suspect) {
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -148,8 +148,11 @@
                          .loaded = m->loaded,
                          .loaded_failed = m->loaded_failed,
                          .loaded_bad = m->loaded_bad };
-    if (sh && sh->revision == m->order)
-        wp_shift_hear(sh, from, sums, m->old_running);
+    if (!sh || sh->revision != m->order)
+        return;
+    wp_shift_hear(sh, from, sums, m->old_running);
+    if (m->open)
+        wp_shift_hear_open(sh);
 }
 
 static void on_heard(void *arg, const char *from, const Wp__MirrorDigest *d)
@@ -194,6 +197,8 @@
     m->has_fast = m->has_taken = 1;
     m->fast = own.fast;
     m->taken = own.taken;
+    m->has_open = 1;
+    m->open = sh->open;
     m->has_loaded = 1;
     m->loaded = own.loaded;
     m->has_loaded_failed = m->has_loaded_bad = 1;
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -171,7 +171,8 @@
     gpointer p;
     size_t n = 0;
     int64_t oldest = now.mono_us - session_bound_us(d);
-    if (!wp_shifts_first_half(d->shifts, now))
+    if (moved ? !wp_shifts_partial(d->shifts, now)
+              : !wp_shifts_first_half(d->shifts, now))
         return 0;
     g_hash_table_iter_init(&it, d->sessions);
     while (n < most && g_hash_table_iter_next(&it, NULL, &p)) {
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -46,10 +46,10 @@
    known: what was once in force never comes back. */
 bool wp_direct_routes(WPDirect *d, WPRoutes *t);
 
-/* While a move is in its first half: sessions that were lately on an old
-   version (`moved` false) or on the new one, and that the other boxes have not
-   been told of. They are to stay where they are. Returns how many were written
-   to `out`; they count as told. */
+/* Sessions that the other boxes have not been told of and that are to stay
+   where they are: those that were lately on an old version (`moved` false),
+   while a move is in its first half, or on the new one, until the move reaches
+   all. Returns how many were written to `out`; they count as told. */
 size_t wp_direct_tell(WPDirect *d, WPTime now, bool moved, uint64_t *out,
                       size_t most);
 void wp_direct_hear(WPDirect *d, WPTime now, bool moved, uint64_t session);
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -14,11 +14,6 @@
 #define PROMPT_SCALE                                                           \
     60000 /* tokens to be read that weigh as one full replica */
 
-/* Filling one replica after the other: a replica is full from this share of
-   its places on, and passed over while it fails more often than this. */
-#define FILL_MOST 0.58
-#define FILL_FAILING 0.25
-
 enum {
     LIST_GRACE_US = 2500 * WP_US_PER_MS, /* for entries that lapsed while the
                                             list was away */
@@ -309,47 +304,12 @@
     return best;
 }
 
-bool wp_fleet_can_fill(WPFleet *f, WPTime now, const WPWant *w, double share)
-{
-    GPtrArray *list = of_service(f, w->service);
-    double running = 0, slots = 0;
-    for (guint i = 0; i < list->len; i++) {
-        const WPReplica *s = g_ptr_array_index(list, i);
-        running += load_of(s, now);
-        slots = MAX(slots, s->slots);
-    }
-    return slots * FILL_MOST <= share * running;
-}
-
-/* The first replica, in an order that all boxes share, that has room and does
-   not fail; NULL when there is none. */
-static WPReplica *first_with_room(WPTime now, const WPWant *w, GPtrArray *list)
-{
-    WPReplica *best = NULL;
-    double best_score = 0;
-    for (guint i = 0; i < list->len; i++) {
-        WPReplica *s = g_ptr_array_index(list, i);
-        double slots = s->slots ? s->slots : 1;
-        bool bad =
-            s->avoid_until_us > now.mono_us || fail_rate(s, now) > FILL_FAILING;
-        if (!may_take(w, s) || bad || load_of(s, now) / slots >= FILL_MOST)
-            continue;
-        double v = wp_rendezvous(wp_str(s->id), 0, 1);
-        if (!best || v > best_score) {
-            best = s;
-            best_score = v;
-        }
-    }
-    return best;
-}
-
 WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
 {
     GPtrArray *list = of_service(f, w->service);
     uint32_t choices = f->rules.choices;
-    WPReplica *best =
-        w->fill ? first_with_room(now, w, list) : best_of(f, now, w, list);
-    if (!best && choices && !w->fill) { /* none was drawn that may take it */
+    WPReplica *best = best_of(f, now, w, list);
+    if (!best && choices) { /* none was drawn that may take it */
         f->rules.choices = 0;
         best = best_of(f, now, w, list);
         f->rules.choices = choices;
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -64,10 +64,7 @@
     uint32_t prompt_tokens;
     WPReplica *const *tried; /* not these again */
     size_t n_tried;
-    bool once;      /* may not be repeated: doubtful endpoints cost more */
-    bool fill;      /* one replica after the other, so that the first are loaded
-                       although the requests are few */
-    bool fill_only; /* and none when no replica has room */
+    bool once; /* may not be repeated: doubtful endpoints cost more */
 } WPWant;
 
 /* Weights of a choice, in places: 1 is a replica whose every place is
@@ -105,10 +102,6 @@
 /* The share of places taken at those, 0 to 1 and above with a queue. */
 double wp_fleet_pressure(WPFleet *f, WPTime now, const WPWant *w);
 
-/* Whether filling one replica would take no more than this share of what runs
-   on the service. */
-bool wp_fleet_can_fill(WPFleet *f, WPTime now, const WPWant *w, double share);
-
 /* The endpoint for a request, held for the caller; NULL if there is none. */
 WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w);
 
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -25,14 +25,6 @@
     return (WPMove){ .kind = WP_MOVE_FAIL, .code = code, .retry_ms = retry_ms };
 }
 
-/* Whether a replica on trial is being loaded at this time, and a while after:
-   what runs there is slow for that reason. */
-static bool is_pressed(const WPFlow *f, WPTime now)
-{
-    const WPShift *sh = wp_flow_shift(f);
-    return sh && wp_shift_press_seen(f->d->shifts, sh, now);
-}
-
 static void begin_leg(WPFlow *f, WPTime now, WPReplica *s, WPWhy why,
                       WPMove *out)
 {
@@ -40,13 +32,12 @@
     bool old = sh && strcmp(s->version, sh->version);
     double taken = wp_fleet_taken(s, now);
     bool cold = s->cold_until_us > now.mono_us;
-    f->leg =
-        (WPAttempt){ .replica = s,
-                     .sent_us = now.mono_us,
-                     .crowded = taken >= CROWDED || cold || is_pressed(f, now),
-                     .loaded = taken >= HALF_FULL,
-                     .taken = taken,
-                     .old_version = old };
+    f->leg = (WPAttempt){ .replica = s,
+                          .sent_us = now.mono_us,
+                          .crowded = taken >= CROWDED || cold,
+                          .loaded = taken >= HALF_FULL,
+                          .taken = taken,
+                          .old_version = old };
     if (old)
         sh->old_running++;
     /* From now on the session is on this version, also for requests that come
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -7,13 +7,6 @@
     PATIENCE_STREAM_LEAST_MS = 600
 };
 
-/* Answers of fewer tokens are over before they could fill its places. */
-#define PRESS_ANSWER_LEAST 100
-
-/* A replica on trial is loaded if that takes no more of the service's running
-   requests than this: elsewhere it costs the callers more than it shows. */
-#define PRESS_SHARE 0.35
-
 /* A leg that may be repeated is waited for this many times the mean. */
 #define PATIENCE_TIMES 5.0
 
@@ -78,16 +71,6 @@
     return wp_shift_first_half(sh, now) ? f->unit / few : f->unit;
 }
 
-/* Whether the request may help to load a replica on trial: its session is on
-   neither version, its answer is long, and enough others run to fill one. */
-static bool may_press(WPFlow *f, WPTime now, const WPShift *sh,
-                      const char *last, const WPWant *w)
-{
-    return !last && f->answer_tokens >= PRESS_ANSWER_LEAST &&
-           wp_shift_presses(f->d->shifts, sh, now) &&
-           wp_fleet_can_fill(f->d->fleet, now, w, PRESS_SHARE);
-}
-
 /* While a service moves between versions: an endpoint of the side that this
    request belongs to, or NULL when that side has none. */
 static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w)
@@ -95,17 +78,10 @@
     WPDirect *d = f->d;
     const char *last =
         f->session ? wp_direct_session(d, now, f->session) : NULL;
-    bool press = may_press(f, now, sh, last, &w);
-    if (wp_shift_takes(d->shifts, sh, now, place_of(f, sh, now), last, press)) {
+    if (wp_shift_takes(d->shifts, sh, now, place_of(f, sh, now), last))
         w.version = sh->version;
-        w.fill = press;
-        WPReplica *s = wp_fleet_choose(d->fleet, now, &w);
-        if (s || !press)
-            return s;
-        w.version = NULL;
-        w.fill = false;
-    }
-    w.allowed = other_allowed;
+    else
+        w.allowed = other_allowed;
     return wp_fleet_choose(d->fleet, now, &w);
 }
 
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -42,12 +42,12 @@
 
 #define THOUSANDTHS 1000.0
 
-/* How long a replica that was loaded stays slow. */
-#define PRESS_LASTS_MS 2000
+/* So many of the old version's answers allow a comparison; then so many of the
+   new one's without a time, and none with, are odd. */
+#define OLD_TIMED_LEAST 20
+#define UNTIMED_MOST 40
 
-/* So many answers under load show whether it is bad there: a bad one failed
-   half of them. */
-#define LOADED_ENOUGH 20
+/* A version that is bad under load failed half of its answers there. */
 #define LOADED_LEAST 8
 #define LOADED_FAILED_SHARE 0.25
 
@@ -169,6 +169,20 @@
     return false;
 }
 
+bool wp_shifts_partial(const WPShifts *s, WPTime now)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, s->by_service);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPShift *sh = p;
+        if (sh->state == WP_SHIFT_RUNNING &&
+            wp_shift_stage(s, sh, now)->share < 1)
+            return true;
+    }
+    return false;
+}
+
 bool wp_shifts_is_target(const WPShifts *s, const char *version)
 {
     GHashTableIter it;
@@ -192,6 +206,17 @@
     return sh->state == WP_SHIFT_RUNNING || is_new;
 }
 
+/* The part of the duration after which a stage may begin. */
+static double part_before(const WPShifts *s, const Wp__ChartState *stage)
+{
+    double part = 0;
+    const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
+    for (; at && at != stage && !at->final;
+         at = wp_chart_next(s->chart, at->name, "next"))
+        part += at->dwell_part;
+    return part;
+}
+
 const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
                                      WPTime now)
 {
@@ -201,6 +226,8 @@
         const Wp__ChartState *next = wp_chart_next(s->chart, at->name, "next");
         if (!next || next->final)
             break;
+        if (!strcmp(next->gate, "evidence") && !sh->open)
+            break;
         part -= at->dwell_part;
         at = next;
     }
@@ -268,23 +295,8 @@
     return sum;
 }
 
-bool wp_shift_press_seen(const WPShifts *s, const WPShift *sh, WPTime now)
-{
-    WPTime before = now;
-    before.wall_ms -= PRESS_LASTS_MS;
-    return !strcmp(wp_shift_stage(s, sh, now)->gate, "load") ||
-           !strcmp(wp_shift_stage(s, sh, before)->gate, "load");
-}
-
-bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now)
-{
-    WPShiftSums heard = total(sh->heard);
-    return !strcmp(wp_shift_stage(s, sh, now)->gate, "load") &&
-           wp_shift_own(sh).loaded + heard.loaded < LOADED_ENOUGH;
-}
-
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
-                    double unit, const char *last, bool press)
+                    double unit, const char *last)
 {
     if (sh->state != WP_SHIFT_RUNNING)
         return sh->state == WP_SHIFT_DONE;
@@ -294,10 +306,7 @@
         return true;
     if (last && wp_shift_first_half(sh, now))
         return false;
-    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
-    if (!press && !strcmp(at->gate, "load"))
-        at = wp_chart_state(s->chart, s->chart->initial);
-    return unit < at->share;
+    return unit < wp_shift_stage(s, sh, now)->share;
 }
 
 void wp_shift_loaded(WPShift *sh, const char *replica, bool failed)
@@ -322,11 +331,20 @@
 void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
                    uint32_t old_running)
 {
-    *need_sums(sh->heard, box) = sums;
+    WPShiftSums *had = need_sums(sh->heard, box);
+    /* A box that starts again begins anew; what it had told stays true. */
+    if (sums.answered < had->answered)
+        add_sums(&sh->lost, had);
+    *had = sums;
     g_hash_table_replace(sh->heard_old, g_strdup(box),
                          GUINT_TO_POINTER(old_running));
 }
 
+void wp_shift_hear_open(WPShift *sh)
+{
+    sh->open = true;
+}
+
 static double rate(uint32_t part, uint32_t n)
 {
     return n ? (double)part / n : 0;
@@ -362,16 +380,46 @@
     return v->timed ? (double)v->taken / v->timed : 0;
 }
 
-/* A good version's answers are fast where its endpoints have less to do; a
-   slow one's hardly ever. */
-static bool is_never_fast(const WPShiftSums *v, const WPShiftSums *old)
+static bool is_less_loaded(const WPShiftSums *v, const WPShiftSums *old)
+{
+    return mean_taken(v) < LESS_LOADED * mean_taken(old);
+}
+
+/* The log of the odds for a slow version against a good one, where its
+   endpoints have less to do: there a good one's answers are mostly fast, a slow
+   one's hardly ever. */
+static double log_odds(const WPShiftSums *v)
 {
     uint32_t usual = v->timed - v->fast - v->slow;
-    double odds = v->fast * log(slow_times.fast / good_times.fast) +
-                  usual * log(slow_times.usual / good_times.usual) +
-                  v->slow * log(slow_times.slow / good_times.slow);
-    return odds >= LOG_ODDS_SLOW &&
-           mean_taken(v) < LESS_LOADED * mean_taken(old);
+    return v->fast * log(slow_times.fast / good_times.fast) +
+           usual * log(slow_times.usual / good_times.usual) +
+           v->slow * log(slow_times.slow / good_times.slow);
+}
+
+static bool is_never_fast(const WPShiftSums *v, const WPShiftSums *old)
+{
+    return log_odds(v) >= LOG_ODDS_SLOW && is_less_loaded(v, old);
+}
+
+/* The new version's sums of all boxes. */
+static WPShiftSums pooled(const WPShift *sh)
+{
+    WPShiftSums sum = wp_shift_own(sh), heard = total(sh->heard);
+    add_sums(&sum, &heard);
+    add_sums(&sum, &sh->lost);
+    return sum;
+}
+
+bool wp_shift_is_doubtful(const WPShift *sh)
+{
+    WPShiftSums fresh = pooled(sh), old = total(sh->old);
+    if (old.timed < OLD_TIMED_LEAST)
+        return false;
+    if (!fresh.timed)
+        return fresh.answered >= UNTIMED_MOST;
+    if (is_less_loaded(&fresh, &old))
+        return log_odds(&fresh) > 0;
+    return rate(fresh.slow, fresh.timed) >= LEAST_SLOW_SHARE;
 }
 
 /* What makes a version bad. */
@@ -434,6 +482,37 @@
     return FAULT_NONE;
 }
 
+static char *describe(const char *route, const WPShiftSums *fresh,
+                      const WPShiftSums *old)
+{
+    return g_strdup_printf(
+        "route=%s new=%u/%u failed, %u/%u slow, %u fast; old=%u/%u failed, "
+        "%u/%u slow, %u fast",
+        route, fresh->failed, fresh->answered, fresh->slow, fresh->timed,
+        fresh->fast, old->failed, old->answered, old->slow, old->timed,
+        old->fast);
+}
+
+bool wp_shift_advance(const WPShifts *s, WPShift *sh, WPTime now, char **why)
+{
+    if (sh->state != WP_SHIFT_RUNNING || !sh->began_ms)
+        return false;
+    const Wp__ChartState *at = wp_shift_stage(s, sh, now);
+    const Wp__ChartState *next = wp_chart_next(s->chart, at->name, "next");
+    if (next && !strcmp(next->gate, "evidence") &&
+        part_over(sh, now) >= part_before(s, next) &&
+        !wp_shift_is_doubtful(sh)) {
+        sh->open = true;
+        at = wp_shift_stage(s, sh, now);
+    }
+    if (sh->stage && !strcmp(sh->stage, at->name))
+        return false;
+    sh->stage = at->name;
+    WPShiftSums fresh = pooled(sh), old = total(sh->old);
+    *why = describe("all", &fresh, &old);
+    return true;
+}
+
 /* Few replicas are loaded, so a few bad ones show it. */
 static bool fails_under_load(const WPShiftSums *v)
 {
@@ -443,10 +522,8 @@
 
 bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why)
 {
-    WPShiftSums fresh = wp_shift_own(sh), old = total(sh->old);
-    WPShiftSums heard = total(sh->heard);
+    WPShiftSums fresh = pooled(sh), old = total(sh->old);
     const char *route = "all";
-    add_sums(&fresh, &heard);
     if (fails_under_load(&fresh)) {
         if (why)
             *why = g_strdup_printf("loaded=%u/%u failed on %u replicas",
@@ -460,12 +537,7 @@
     if (fault == FAULT_NONE || !is_spread(sh, fault))
         return false;
     if (why)
-        *why = g_strdup_printf(
-            "route=%s new=%u/%u failed, %u/%u slow, %u fast; old=%u/%u failed, "
-            "%u/%u slow, %u fast",
-            route, fresh.failed, fresh.answered, fresh.slow, fresh.timed,
-            fresh.fast, old.failed, old.answered, old.slow, old.timed,
-            old.fast);
+        *why = describe(route, &fresh, &old);
     return true;
 }
 
@@ -475,15 +547,10 @@
     if (sh->state != WP_SHIFT_RUNNING || !sh->began_ms)
         return WP_SHIFT_RUNNING;
     const Wp__ChartState *stage = wp_shift_stage(s, sh, now);
-    bool beside = stage->share < 1 || !strcmp(stage->gate, "load");
-    if (wp_shift_is_bad(sh, beside, why))
+    if (wp_shift_is_bad(sh, stage->share < 1, why))
         return WP_SHIFT_UNDONE;
-    double part = part_over(sh, now);
-    double end = 0;
-    const Wp__ChartState *at = wp_chart_state(s->chart, s->chart->initial);
-    for (; at && !at->final; at = wp_chart_next(s->chart, at->name, "next"))
-        end += at->dwell_part;
-    if (part < end)
+    const Wp__ChartState *next = wp_chart_next(s->chart, stage->name, "next");
+    if (!next || !next->final || part_over(sh, now) < part_before(s, next))
         return WP_SHIFT_RUNNING;
     if (why)
         *why = g_strdup_printf("old_running=%u", sh->old_running);
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -46,9 +46,12 @@
     GHashTable *fresh, *old; /* route -> WPShiftSums, of this box */
     GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
     GHashTable *heard;       /* box -> WPShiftSums, of the new version */
+    WPShiftSums lost;        /* heard of boxes that have started again since */
     GHashTable *heard_old;   /* box -> its requests on other versions */
     GHashTable *loaded;      /* replica -> WPShiftSums under load */
     bool suspect;            /* found bad here: takes nothing any more */
+    bool open;               /* the gate of a stage has been passed */
+    const char *stage;       /* its name at the last look; the chart's */
     uint32_t old_running;    /* requests of this box on other versions */
 } WPShift;
 
@@ -71,6 +74,9 @@
 /* Whether some move is in its first half. */
 bool wp_shifts_first_half(const WPShifts *s, WPTime now);
 
+/* Whether some move runs that has not yet reached all sessions. */
+bool wp_shifts_partial(const WPShifts *s, WPTime now);
+
 /* Whether some running move leads to this version. */
 bool wp_shifts_is_target(const WPShifts *s, const char *version);
 
@@ -79,10 +85,9 @@
 
 /* Whether a request is to go to the new version. `unit` in [0, 1) is the same
    for all requests of a session; `last` is the version that served the
-   session before, NULL when this box knows of none. `press`: the stage that
-   loads one replica may do so. */
+   session before, NULL when this box knows of none. */
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
-                    double unit, const char *last, bool press);
+                    double unit, const char *last);
 
 /* How an answer came. */
 typedef enum WPShiftTime {
@@ -110,23 +115,31 @@
 void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
                    uint32_t old_running);
 
+/* Another box has passed the gate before the last stage. */
+void wp_shift_hear_open(WPShift *sh);
+
 /* Whether the answers so far show that the new version is bad; `why`, when it
    is, gives the figures and is freed with g_free(). `beside`: the old version
    serves as well, so that times can be compared. */
 bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why);
 
 /* Whether the move is in its first half, in which sessions stay on the old
-   version, and whether it loads one replica on trial. */
+   version. */
 bool wp_shift_first_half(const WPShift *sh, WPTime now);
-bool wp_shift_presses(const WPShifts *s, const WPShift *sh, WPTime now);
-
-/* Whether the stage that loads a replica runs now or has just run. */
-bool wp_shift_press_seen(const WPShifts *s, const WPShift *sh, WPTime now);
 
 /* The stage at this time. */
 const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
                                      WPTime now);
 
+/* Whether the answers so far speak rather for a slow version than for a good
+   one, or are too few to speak where there could be more. */
+bool wp_shift_is_doubtful(const WPShift *sh);
+
+/* Passes the gate of the next stage when its time has come and there is no
+   doubt. Returns true when the stage is another one than at the last call;
+   `why` then gives the figures and is freed with g_free(). */
+bool wp_shift_advance(const WPShifts *s, WPShift *sh, WPTime now, char **why);
+
 /* The state that the move is to be given now; RUNNING: none. */
 WPShiftState wp_shift_due(const WPShifts *s, const WPShift *sh, WPTime now,
                           char **why);
--- a/tests/direct_fake.h
+++ b/tests/direct_fake.h
@@ -65,7 +65,7 @@
     wp_fleet_put(k->d.fleet, k->now, &l);
 }
 
-static inline void fake_init(Fake *k)
+static inline void fake_init_chart(Fake *k, const char *chart)
 {
     GError *error = NULL;
     WPDirectRules rules = { .zone = "z1",
@@ -80,7 +80,7 @@
                             .fleet = { 0.35, 0.15, 1, 0.25, 0 } };
     memset(k, 0, sizeof(*k));
     k->now = (WPTime){ 1000000000, 1700000000000 };
-    k->chart = wp_chart_read(wp_str(FAKE_CHART), "chart", &error);
+    k->chart = wp_chart_read(wp_str(chart), "chart", &error);
     if (!k->chart)
         fail_msg("%s", error->message);
     wp_direct_init(&k->d, &rules, k->chart, 7);
@@ -91,6 +91,11 @@
     fake_put(k, "a2", "app", "v1", false);
 }
 
+static inline void fake_init(Fake *k)
+{
+    fake_init_chart(k, FAKE_CHART);
+}
+
 static inline void fake_end(Fake *k)
 {
     wp_direct_end(&k->d);
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -484,6 +484,140 @@
     fake_end(&k);
 }
 
+/* A box that starts again counts from nothing; what it had told stays known. */
+static void what_a_box_told_outlives_it(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 200, 0, 0);
+    feed(sh, "v2", "n1", "chat", 4, 1, 0);
+    feed(sh, "v2", "n2", "chat", 4, 1, 0);
+    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 8, .failed = 3 }, 0);
+    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 0 }, 0);
+    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 1 }, 0);
+    assert_true(wp_shift_is_bad(sh, true, NULL));
+    fake_end(&k);
+}
+
+/* The chart that is shipped, at the middle of each hundredth of an order. */
+static void a_new_version_gets_few_requests_by_the_orders_time(void **state)
+{
+    static const char path[] = "charts/shift.yaml";
+    enum { STEPS = 100 };
+    const double most = 0.15; /* of the requests, by the platform's rule */
+    g_autofree char *text = NULL;
+    gsize n;
+    double share = 0, last = 0;
+    Fake k;
+    (void)state;
+    assert_true(g_file_get_contents(path, &text, &n, NULL));
+    fake_init_chart(&k, text);
+    WPShift *sh = order(&k);
+    wp_shift_hear_open(sh);
+    for (int i = 0; i < STEPS; i++) {
+        WPTime at = k.now;
+        at.wall_ms += DURATION_MS * (2 * i + 1) / (2 * STEPS);
+        bool done = wp_shift_due(k.d.shifts, sh, at, NULL) == WP_SHIFT_DONE;
+        double now = done ? 1 : wp_shift_stage(k.d.shifts, sh, at)->share;
+        assert_true(now >= last); /* a session never goes back */
+        share += now / STEPS;
+        last = now;
+    }
+    assert_true(share < most);
+    assert_true(last == 1);
+    fake_end(&k);
+}
+
+#define GATED_CHART                                                            \
+    "name: shift\ninitial: canary\nstates:\n"                                  \
+    "  - {name: canary, share: 0.1, dwell_part: 0.8, on: [{event: next, to: "  \
+    "full}, {event: bad, to: undone}]}\n"                                      \
+    "  - {name: full, share: 1, gate: evidence, dwell_part: 0.1, on: "         \
+    "[{event: "                                                                \
+    "next, to: done}, {event: bad, to: undone}]}\n"                            \
+    "  - {name: done, share: 1, final: true}\n"                                \
+    "  - {name: undone, share: 0, final: true}\n"
+
+/* Doubt holds the last stage back, and the end with it; once it is passed, here
+   or at another box, it stays so. */
+static void a_doubtful_version_does_not_get_all(void **state)
+{
+    Fake k;
+    g_autofree char *why = NULL;
+    (void)state;
+    fake_init_chart(&k, GATED_CHART);
+    WPShift *sh = order(&k);
+    feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
+    feed_times(sh, "v2", "n1", 0.02, 0, 1, 1); /* slow, but too few to tell */
+    fake_pass(&k, DURATION_MS);
+    assert_true(wp_shift_advance(k.d.shifts, sh, k.now, &why));
+    assert_string_equal(sh->stage, "canary");
+    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL),
+                     WP_SHIFT_RUNNING);
+    assert_false(wp_shift_takes(k.d.shifts, sh, k.now, 0.5, NULL));
+    feed_times(sh, "v2", "n1", 0.02, 3, 0, 0);
+    g_clear_pointer(&why, g_free);
+    assert_true(wp_shift_advance(k.d.shifts, sh, k.now, &why));
+    assert_string_equal(sh->stage, "full");
+    assert_non_null(strstr(why, "3 fast"));
+    feed_times(sh, "v2", "n1", 0.02, 0, 5, 5);
+    assert_true(wp_shift_takes(k.d.shifts, sh, k.now, 0.5, NULL));
+    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL), WP_SHIFT_DONE);
+    fake_end(&k);
+
+    fake_init_chart(&k, GATED_CHART);
+    sh = order(&k);
+    feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
+    feed_times(sh, "v2", "n1", 0.02, 0, 1, 1);
+    fake_pass(&k, DURATION_MS * 85 / 100);
+    assert_false(wp_shift_takes(k.d.shifts, sh, k.now, 0.5, NULL));
+    wp_shift_hear_open(sh);
+    assert_true(wp_shift_takes(k.d.shifts, sh, k.now, 0.5, NULL));
+    fake_end(&k);
+}
+
+/* Answers without a time, where the old version's have one, are a doubt too. */
+static void a_version_whose_times_are_not_known_is_doubtful(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
+    assert_false(wp_shift_is_doubtful(sh));
+    for (int i = 0; i < 50; i++)
+        wp_shift_answered(sh, &(WPShiftAnswer){ .version = "v2",
+                                                .replica = "n1",
+                                                .route = "chat" });
+    assert_true(wp_shift_is_doubtful(sh));
+    feed_times(sh, "v2", "n1", 0.02, 1, 1, 0);
+    assert_false(wp_shift_is_doubtful(sh));
+    fake_end(&k);
+}
+
+/* Sessions that have moved are told of as long as some have not. */
+static void moved_sessions_are_told_of_until_all_have_moved(void **state)
+{
+    Fake k;
+    uint64_t told[8];
+    (void)state;
+    fake_init_chart(&k, GATED_CHART);
+    WPShift *sh = order(&k);
+    fake_pass(&k, DURATION_MS * 7 / 10);
+    wp_direct_session_on(&k.d, k.now, 5, "v2");
+    wp_direct_session_on(&k.d, k.now, 6, "v1");
+    assert_int_equal(wp_direct_tell(&k.d, k.now, false, told, 8), 0);
+    assert_int_equal(wp_direct_tell(&k.d, k.now, true, told, 8), 1);
+    assert_int_equal(told[0], 5);
+    wp_shift_hear_open(sh);
+    fake_pass(&k, DURATION_MS * 15 / 100);
+    wp_direct_session_on(&k.d, k.now, 5, "v2");
+    assert_int_equal(wp_direct_tell(&k.d, k.now, true, told, 8), 0);
+    fake_end(&k);
+}
+
 /* As requests move over, the new version's endpoints fill and some answers
    come late; a bad version is slow for a good part of its requests. */
 static void a_version_is_not_slow_because_it_fills(void **state)
@@ -552,6 +686,11 @@
            T(a_version_is_bad_when_it_is_never_fast),
            T(one_slow_replica_is_not_the_versions_fault),
            T(what_ran_before_the_order_tells_of_the_old_version),
+           T(what_a_box_told_outlives_it),
+           T(a_new_version_gets_few_requests_by_the_orders_time),
+           T(a_doubtful_version_does_not_get_all),
+           T(a_version_whose_times_are_not_known_is_doubtful),
+           T(moved_sessions_are_told_of_until_all_have_moved),
            T(a_version_is_not_slow_because_it_fills),
            T(boxes_find_a_bad_version_together),
            T(an_old_order_changes_nothing))
