Boxes tell each other only of sessions that a move would take

Cause: in the first half of a move each box told all others of each session of the old version, whether or not a box that had not heard would have moved it: bytes that grow with the square of the number of boxes.

--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -11,6 +11,9 @@
 /* A session that is heard of again within this is not told on again. */
 #define HEARD_AGAIN_US (1500 * WP_US_PER_MS)
 
+/* Up to this many boxes take the whole share of a first half. */
+#define FEW_BOXES 4
+
 /* Sessions are kept this many times as long. */
 #define SESSION_KEPT 2
 
@@ -159,6 +162,46 @@
     return wp_hash_unit(wp_strn((const char *)&session, sizeof(session)), 1);
 }
 
+/* In the first half many boxes take a smaller share each: the verdict wants a
+   number of answers, not a part of all, and each session that is moved may meet
+   a box that has not heard of it. All boxes know the same number of boxes. */
+double wp_direct_place(const WPDirect *d, WPTime now, const WPShift *sh,
+                       double unit)
+{
+    double few = (double)FEW_BOXES / MAX(d->boxes, FEW_BOXES);
+    return wp_shift_first_half(sh, now) ? unit / few : unit;
+}
+
+typedef struct Reach {
+    const WPDirect *d;
+    WPTime now;
+    uint64_t session;
+    bool first_half; /* of some move */
+    bool taken;      /* some move takes the session, as far as its place goes */
+} Reach;
+
+static void note_reach(void *arg, WPShift *sh)
+{
+    Reach *r = arg;
+    if (sh->state != WP_SHIFT_RUNNING)
+        return;
+    double place =
+        wp_direct_place(r->d, r->now, sh, wp_direct_unit(r->session));
+    r->first_half |= wp_shift_first_half(sh, r->now);
+    r->taken |= place < wp_shift_stage(r->d->shifts, sh, r->now)->share;
+}
+
+/* Whether boxes that know nothing of a session would send it elsewhere than it
+   is. Most would not, and to tell of all sessions would grow with the square of
+   the number of boxes. */
+static bool needs_telling(const WPDirect *d, WPTime now, uint64_t session,
+                          bool moved)
+{
+    Reach r = { d, now, session, false, false };
+    wp_shifts_each(d->shifts, note_reach, &r);
+    return moved ? r.first_half || !r.taken : r.taken;
+}
+
 static bool is_new_version(const WPDirect *d, const char *version)
 {
     return wp_shifts_is_target(d->shifts, version);
@@ -180,6 +223,8 @@
         if (seen->told || seen->used_us <= oldest ||
             is_new_version(d, seen->version) != moved)
             continue;
+        if (!needs_telling(d, now, seen->session, moved))
+            continue;
         seen->told = true;
         out[n++] = seen->session;
     }
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -24,8 +24,11 @@
 WPUsual *wp_direct_usual(WPDirect *d, const char *what, WPStr model);
 WPQualitySeen *wp_direct_quality(WPDirect *d, const char *route);
 
-/* A session's place in [0, 1), the same at every box. */
+/* A session's place in [0, 1), the same at every box, and its place in a move:
+   below the stage's share it goes to the new version. */
 double wp_direct_unit(uint64_t session);
+double wp_direct_place(const WPDirect *d, WPTime now, const WPShift *sh,
+                       double unit);
 
 /* The version that served the session within the time it binds, or NULL. */
 const char *wp_direct_session(WPDirect *d, WPTime now, uint64_t session);
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -1,11 +1,7 @@
 /* Which endpoint and which model a request goes to. */
 #include "wp_flow_int.h"
 
-enum {
-    FEW_BOXES = 4, /* up to this many take the whole share of a first half */
-    PATIENCE_LEAST_MS = 150,
-    PATIENCE_STREAM_LEAST_MS = 600
-};
+enum { PATIENCE_LEAST_MS = 150, PATIENCE_STREAM_LEAST_MS = 600 };
 
 /* A leg that may be repeated is waited for this many times the mean. */
 #define PATIENCE_TIMES 5.0
@@ -61,16 +57,6 @@
                      .once = !wp_flow_may_repeat(f) };
 }
 
-/* The request's place. In the first half many boxes take a smaller share each:
-   the verdict wants a number of answers, not a part of all, and each session
-   that is moved may meet a box that has not heard of it. All boxes know the
-   same number of boxes. */
-static double place_of(const WPFlow *f, const WPShift *sh, WPTime now)
-{
-    double few = (double)FEW_BOXES / MAX(f->d->boxes, FEW_BOXES);
-    return wp_shift_first_half(sh, now) ? f->unit / few : f->unit;
-}
-
 /* While a service moves between versions: an endpoint of the side that this
    request belongs to, or NULL when that side has none. */
 static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w)
@@ -78,7 +64,8 @@
     WPDirect *d = f->d;
     const char *last =
         f->session ? wp_direct_session(d, now, f->session) : NULL;
-    if (wp_shift_takes(d->shifts, sh, now, place_of(f, sh, now), last))
+    if (wp_shift_takes(d->shifts, sh, now, wp_direct_place(d, now, sh, f->unit),
+                       last))
         w.version = sh->version;
     else
         w.allowed = other_allowed;
