Boxes that are behind ask the store for what is new, not for all

Besides, a box that started pulled a whole copy from another zone while the store was answering it.

Change: the lag is that of the oldest revision still missing (src/wp_lag.c); a box that is behind or stale watches from what it has until the first answer, and reads all only if the store cannot tell; one that starts waits for the store by the number of entries before it asks the others; the own zone is asked first, any other at the second try; three boxes of a zone keep links to the others.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4001,7 +4001,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[7] =
 {
   {
     "complete",
@@ -4075,12 +4075,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MirrorDigest, has_entries),
+    offsetof(Wp__MirrorDigest, entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   5,   /* field[5] = blind */
   3,   /* field[3] = bound */
   0,   /* field[0] = complete */
+  6,   /* field[6] = entries */
   4,   /* field[4] = moved */
   1,   /* field[1] = moves */
 };
@@ -4088,7 +4101,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -4098,7 +4111,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  6,
+  7,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -652,6 +652,11 @@
    */
   protobuf_c_boolean has_blind;
   protobuf_c_boolean blind;
+  /*
+   * of the store, as the sender knows them
+   */
+  protobuf_c_boolean has_entries;
+  uint32_t entries;
   /*
    * since a box had an answer of the store
    */
@@ -670,7 +675,7 @@
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -3,16 +3,17 @@
 #include "wp_clock.h"
 #include "wp_code.h"
 #include "wp_http.h"
+#include "wp_lag.h"
 #include "wp_link.h"
 
 enum {
-    DIGEST_HURRY_MS = 250, /* the same, while a move runs */
-    DIGEST_MS = 1000,      /* between digests that tell nothing new */
-    PULL_WAIT_MS = 120,  /* a box that watches the store itself mostly hears of
-                            a change before it could be told */
-    PULL_AGAIN_MS = 200, /* a pull without an answer */
-    SILENT_MS = 3000,    /* a link that is silent so long is closed */
-    CONNECT_MS = 1000    /* between attempts to reach the same box */
+    DIGEST_HURRY_MS = 250,    /* the same, while a move runs */
+    DIGEST_MS = 1000,         /* between digests that tell nothing new */
+    PULL_AGAIN_MS = 200,      /* a pull without an answer */
+    PULL_ALL_AGAIN_MS = 1500, /* the same of all entries: 0.6 MB for three
+                                 thousand, over links of 10 Mbit/s */
+    SILENT_MS = 3000,         /* a link that is silent so long is closed */
+    CONNECT_MS = 1000         /* between attempts to reach the same box */
 };
 
 enum {
@@ -20,6 +21,9 @@
                              beyond, each reaches some at growing distances in
                              the order of ids, and news takes some hops */
     FAR_LINKS = 2,        /* to each other zone */
+    FAR_BOXES = 3,        /* boxes of a zone that have them, the first by a hash
+                             of ids among those that are linked: bytes between
+                             zones are paid for */
     DIAL_LATER_MS = 2000  /* the box with the lower id dials; the other one
                              only if that does not come about */
 };
@@ -36,7 +40,8 @@
     int64_t tried_us;
     int64_t unlinked_us; /* since when there is no link; 0: there is one */
     bool linked;
-    bool blind; /* the store does not answer it, by its last digest */
+    bool blind;     /* the store does not answer it, by its last digest */
+    uint64_t knows; /* all revisions up to this, by its last digest */
 } Member;
 
 struct WPPeers {
@@ -50,14 +55,15 @@
     GPtrArray *seeds;    /* addresses */
     unsigned n_seeds;
     int64_t digest_us;
-    uint64_t told;     /* revision of the last digest */
-    bool dirty;        /* a digest is due now */
-    bool hurry;        /* digests more often */
-    bool watching;     /* this box has its own watch of the store */
-    uint64_t behind;   /* the highest revision heard of */
-    int64_t behind_us; /* since when it is not known here */
+    uint64_t told;        /* revision of the last digest */
+    bool dirty;           /* a digest is due now */
+    bool hurry;           /* digests more often */
+    uint32_t patience_ms; /* before the others are asked */
+    WPLag lag;            /* revisions that others know and this box does not */
     int64_t pulled_us;
+    unsigned pulls; /* in a row that brought nothing */
     uint64_t behind_link;
+    uint32_t entries; /* the most that another box has told of */
     unsigned linked;
     int64_t seeds_us;
 };
@@ -76,6 +82,8 @@
 {
     wp__mirror_digest__init(d);
     d->complete = wp_mirror_complete(p->mirror);
+    d->has_entries = 1;
+    d->entries = wp_mirror_size(p->mirror);
     p->ops->fill(p->arg, d);
 }
 
@@ -95,16 +103,17 @@
 
 static void take_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
 {
-    uint64_t complete = wp_mirror_complete(p->mirror);
+    WPTime now = wp_clock_now(0);
     Member *m = g_hash_table_lookup(p->members, l->peer);
-    if (m)
+    if (m) {
         m->blind = d->blind;
+        m->knows = d->complete;
+    }
+    p->entries = MAX(p->entries, d->entries);
     p->ops->heard(p->arg, l->peer, d);
-    if (d->complete <= complete)
+    if (d->complete <= wp_mirror_complete(p->mirror))
         return;
-    if (p->behind <= complete)
-        p->behind_us = wp_clock_now(0).mono_us;
-    p->behind = MAX(p->behind, d->complete);
+    wp_lag_hear(&p->lag, now, d->complete);
     /* The newest that knows more is asked: an earlier one may have died. */
     p->behind_link = l->id;
 }
@@ -133,6 +142,7 @@
         /* A delta that begins after what is known would leave a gap. */
         if (f->mirror_delta->since <= wp_mirror_complete(p->mirror))
             p->ops->delta(p->arg, l->peer, f->mirror_delta);
+        p->pulls = 0;
         break;
     default:
         break;
@@ -145,6 +155,8 @@
     p->linked++;
     Wp__MirrorDigest d = WP__MIRROR_DIGEST__INIT;
     d.complete = wp_mirror_complete(p->mirror);
+    d.has_entries = 1;
+    d.entries = wp_mirror_size(p->mirror);
     p->ops->changed(p->arg, l->peer, true);
     send_digest(l, &d);
 }
@@ -340,6 +352,25 @@
     }
 }
 
+/* Whether this box is to keep links to other zones. A box that has just been
+   heard of counts as one that lives. */
+static bool has_far_links(const WPPeers *p, WPTime now)
+{
+    uint64_t own = wp_hash(wp_str(p->self.id), 0);
+    unsigned before = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Member *m = v;
+        bool lives = m->linked || now.mono_us - m->unlinked_us <
+                                      (int64_t)SILENT_MS * WP_US_PER_MS;
+        before += lives && !strcmp(m->zone, p->self.zone) &&
+                  wp_hash(wp_str(m->id), 0) < own;
+    }
+    return before < FAR_BOXES;
+}
+
 static void reach_members(WPPeers *p, WPTime now)
 {
     g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
@@ -351,7 +382,7 @@
     while (g_hash_table_iter_next(&it, NULL, &v))
         g_hash_table_add(zones, ((Member *)v)->zone);
     g_hash_table_iter_init(&it, zones);
-    while (g_hash_table_iter_next(&it, &v, NULL))
+    while (has_far_links(p, now) && g_hash_table_iter_next(&it, &v, NULL))
         if (strcmp(v, p->self.zone))
             reach_zone(p, v, now);
 }
@@ -399,35 +430,53 @@
 }
 
 typedef struct Find {
-    uint64_t id;
-    WPLink *link;
+    const WPPeers *peers;
+    uint64_t id;  /* of the link whose digest told more last */
+    WPLink *link; /* that one, else any */
+    WPLink *near; /* one in this zone that knows more */
 } Find;
 
 static void find_link(void *arg, WPLink *l)
 {
     Find *f = arg;
-    if (l->peer && (l->id == f->id || !f->link))
+    const WPPeers *p = f->peers;
+    if (!l->peer)
+        return;
+    if (l->id == f->id || !f->link)
         f->link = l;
+    const Member *m = g_hash_table_lookup(p->members, l->peer);
+    if (m && !strcmp(m->zone, p->self.zone) &&
+        m->knows > wp_mirror_complete(p->mirror))
+        f->near = l;
+}
+
+/* A box of this zone is asked first, then, as that one may have died, the one
+   that told of more last. */
+static WPLink *choose_link(WPPeers *p)
+{
+    Find f = { p, p->behind_link, NULL, NULL };
+    wp_hub_each(p->hub, find_link, &f);
+    return f.near && !p->pulls ? f.near : f.link;
 }
 
 static void pull(WPPeers *p, WPTime now)
 {
-    Find find = { p->behind_link, NULL };
     uint64_t complete = wp_mirror_complete(p->mirror);
-    int64_t wait_us = p->watching ? (int64_t)PULL_WAIT_MS * WP_US_PER_MS : 0;
-    bool waited = now.mono_us - p->behind_us >= wait_us;
-    if (p->behind <= complete || !waited ||
-        !is_due(&p->pulled_us, now, PULL_AGAIN_MS))
+    int64_t behind_ms = wp_peers_behind_ms(p, now);
+    if (!behind_ms || behind_ms < p->patience_ms ||
+        !is_due(&p->pulled_us, now,
+                complete ? PULL_AGAIN_MS : PULL_ALL_AGAIN_MS))
         return;
-    wp_hub_each(p->hub, find_link, &find);
-    if (!find.link)
+    WPLink *l = choose_link(p);
+    if (!l)
         return;
+    p->pulls++;
     Wp__Frame f = WP__FRAME__INIT;
     Wp__MirrorPull ask = WP__MIRROR_PULL__INIT;
     ask.since = complete;
     f.body_case = WP__FRAME__BODY_MIRROR_PULL;
     f.mirror_pull = &ask;
-    wp_link_send(find.link, &f);
+    wp_link_send(l, &f);
 }
 
 static void close_silent(void *arg, WPLink *l)
@@ -455,11 +504,10 @@
     wp_hub_each(p->hub, send_to_each, &d);
 }
 
-int64_t wp_peers_behind_ms(const WPPeers *p, WPTime now)
+int64_t wp_peers_behind_ms(WPPeers *p, WPTime now)
 {
-    if (p->behind <= wp_mirror_complete(p->mirror))
-        return 0;
-    return MAX((now.mono_us - p->behind_us) / WP_US_PER_MS, 1);
+    wp_lag_known(&p->lag, wp_mirror_complete(p->mirror));
+    return wp_lag_ms(&p->lag, now);
 }
 
 void wp_peers_hurry(WPPeers *p, bool hurry)
@@ -467,9 +515,14 @@
     p->hurry = hurry;
 }
 
-void wp_peers_watching(WPPeers *p, bool watching)
+void wp_peers_patience(WPPeers *p, uint32_t ms)
+{
+    p->patience_ms = ms;
+}
+
+uint32_t wp_peers_entries(const WPPeers *p)
 {
-    p->watching = watching;
+    return p->entries;
 }
 
 unsigned wp_peers_known(const WPPeers *p)
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -48,13 +48,16 @@
 void wp_peers_tick(WPPeers *p, WPTime now);
 
 /* For how long others have known more than this box; 0: they do not. */
-int64_t wp_peers_behind_ms(const WPPeers *p, WPTime now);
+int64_t wp_peers_behind_ms(WPPeers *p, WPTime now);
 
 /* Digests are due more often: what they carry besides is wanted soon. */
 void wp_peers_hurry(WPPeers *p, bool hurry);
 
-/* Whether this box watches the store itself. */
-void wp_peers_watching(WPPeers *p, bool watching);
+/* How long what others know may be missing here before they are asked. */
+void wp_peers_patience(WPPeers *p, uint32_t ms);
+
+/* The most entries of the store that another box has told of. */
+uint32_t wp_peers_entries(const WPPeers *p);
 
 /* Boxes known, this one included. */
 unsigned wp_peers_known(const WPPeers *p);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -7,8 +7,14 @@
     STALE_MS = 3200,     /* a box that has heard nothing fresh for so long asks
                             the store itself; watches last 2.5 s */
     ASK_AGAIN_MS = 1000, /* between such questions, and up to twice as long */
-    BEHIND_MS = 400,     /* a box that others do not bring up to date within
-                            this asks the store itself */
+    BEHIND_MS = 800,     /* a box that others do not bring up to date within
+                            this asks the store itself; news takes some 100 ms
+                            a hop, and six hops in a zone of a hundred boxes */
+    START_PULL_US = 800, /* for each entry of the store, a box that starts waits
+                            for the store's answer before it asks the others:
+                            all at once, the copies would fill the links */
+    WATCH_PULL_MS = 120, /* and a box that watches the store, which mostly hears
+                            of a change before it could be told */
     DOUBT_MS = 3000,     /* after the store was away, entries that lapsed
                             meanwhile may still come back: the platform says
                             two seconds */
@@ -38,6 +44,7 @@
 static void on_event(void *arg, const WPKvItem *item)
 {
     WPSync *s = arg;
+    s->catching_up = false;
     if (!item) {
         s->watching = false;
         s->again_us =
@@ -73,6 +80,25 @@
     }
 }
 
+static void watch_from(WPSync *s, uint64_t revision)
+{
+    s->watching = true;
+    s->kv->ops->watch(s->kv, "", revision, on_event, s);
+}
+
+/* Asks the store for what has changed since this box's copy; all is read again
+   only if the store cannot tell. */
+static void catch_up(WPSync *s, WPTime now)
+{
+    if (!s->complete) {
+        read_all(s);
+        return;
+    }
+    s->catching_up = true;
+    s->asked_us = now.mono_us;
+    watch_from(s, wp_mirror_complete(s->mirror) + 1);
+}
+
 static void on_range(void *arg, const WPKvResult *r)
 {
     WPSync *s = arg;
@@ -96,8 +122,7 @@
     wp_peers_announce(s->peers);
     if (!wp_peers_on_duty(s->peers))
         return;
-    s->watching = true;
-    s->kv->ops->watch(s->kv, "", r->revision + 1, on_event, s);
+    watch_from(s, r->revision + 1);
 }
 
 static void read_all(WPSync *s)
@@ -242,7 +267,7 @@
     int64_t age_ms = (now.mono_us - s->fresh_us) / WP_US_PER_MS;
     int64_t pause_ms = (int64_t)(ASK_AGAIN_MS * (1 + s->haste));
     bool duty = wp_peers_on_duty(s->peers);
-    if (s->watching && !duty) {
+    if (s->watching && !duty && !s->catching_up) {
         s->kv->ops->unwatch(s->kv);
         s->watching = false;
     }
@@ -250,11 +275,20 @@
         return;
     bool behind = wp_peers_behind_ms(s->peers, now) > BEHIND_MS &&
                   now.mono_us - s->asked_us > BEHIND_MS * WP_US_PER_MS;
-    if (duty || behind)
-        read_all(s);
-    else if (age_ms > STALE_MS &&
-             now.mono_us - s->asked_us > pause_ms * WP_US_PER_MS)
+    bool stale = age_ms > STALE_MS &&
+                 now.mono_us - s->asked_us > pause_ms * WP_US_PER_MS;
+    if (duty)
         read_all(s);
+    else if (behind || stale)
+        catch_up(s, now);
+}
+
+/* How long the others are given before this box asks them. */
+static uint32_t pull_wait_ms(const WPSync *s)
+{
+    if (!s->complete && s->reading)
+        return wp_peers_entries(s->peers) * START_PULL_US / WP_US_PER_MS;
+    return s->watching ? WATCH_PULL_MS : 0;
 }
 
 static void note_running(void *arg, WPShift *sh)
@@ -276,7 +310,7 @@
     bool moving = false;
     wp_shifts_each(s->host->direct.shifts, note_running, &moving);
     wp_peers_hurry(s->peers, moving);
-    wp_peers_watching(s->peers, s->watching);
+    wp_peers_patience(s->peers, pull_wait_ms(s));
     wp_peers_tick(s->peers, now);
     s->host->direct.boxes = wp_peers_known(s->peers);
 }
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -23,6 +23,7 @@
     WPPeers *peers;
     bool reading;     /* a range is under way */
     bool watching;    /* a watch is under way */
+    bool catching_up; /* it is to end with its first answer */
     int64_t fresh_us; /* when the store's word was last known to be fresh */
     int64_t asked_us; /* when everything was last read */
     double haste;     /* in [0, 1), so that boxes do not ask all at once */
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -70,6 +70,11 @@
     return i && i->value ? i : NULL;
 }
 
+uint32_t wp_mirror_size(const WPMirror *m)
+{
+    return g_hash_table_size(m->items);
+}
+
 uint64_t wp_mirror_revision(const WPMirror *m, const char *key)
 {
     const WPMirrorItem *i = wp_mirror_get(m, key);
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -31,6 +31,8 @@
                    uint64_t revision, bool lapsed);
 
 /* The revision of the key as it is; 0 when it is not there. */
+/* Entries, removed ones that are still remembered included. */
+uint32_t wp_mirror_size(const WPMirror *m);
 uint64_t wp_mirror_revision(const WPMirror *m, const char *key);
 
 /* The value, or NULL. */
--- /dev/null
+++ b/tests/test_lag.c
@@ -0,0 +1,60 @@
+/* How long a box is behind the others. */
+#include "test.h"
+#include "wp_lag.h"
+
+static WPTime at(int64_t ms)
+{
+    return (WPTime){ ms * WP_US_PER_MS, ms };
+}
+
+static void the_oldest_missing_revision_counts(void **state)
+{
+    WPLag l = { 0 };
+    (void)state;
+    assert_int_equal(wp_lag_ms(&l, at(5)), 0);
+    wp_lag_hear(&l, at(0), 10);
+    assert_int_equal(wp_lag_ms(&l, at(0)), 1);
+    wp_lag_hear(&l, at(100), 12);
+    wp_lag_hear(&l, at(150), 11); /* another box that knows less */
+    assert_int_equal(wp_lag_ms(&l, at(300)), 300);
+    wp_lag_known(&l, 10);
+    assert_int_equal(wp_lag_ms(&l, at(300)), 200);
+    assert_int_equal(wp_lag_highest(&l), 12);
+    wp_lag_known(&l, 12);
+    assert_int_equal(wp_lag_ms(&l, at(300)), 0);
+    assert_int_equal(wp_lag_highest(&l), 0);
+}
+
+/* While all boxes start, the store changes all the time. A box that gets each
+   change a little later than it hears of it is not far behind: it must not read
+   the whole store, as every box would. */
+static void steady_changes_that_arrive_are_no_lag(void **state)
+{
+    WPLag l = { 0 };
+    (void)state;
+    for (int64_t i = 1; i <= 100; i++) {
+        wp_lag_hear(&l, at(i * 50), (uint64_t)i);
+        wp_lag_known(&l, i > 2 ? (uint64_t)i - 2 : 0);
+        assert_true(wp_lag_ms(&l, at(i * 50)) <= 100);
+    }
+}
+
+/* More marks than fit: the lag is rather told too long. */
+static void many_missing_revisions_keep_the_first_time(void **state)
+{
+    WPLag l = { 0 };
+    (void)state;
+    for (int64_t i = 1; i <= 200; i++)
+        wp_lag_hear(&l, at(i), (uint64_t)i);
+    assert_int_equal(wp_lag_ms(&l, at(500)), 499);
+    assert_int_equal(wp_lag_highest(&l), 200);
+    wp_lag_known(&l, 150);
+    assert_int_equal(wp_lag_highest(&l), 200);
+    assert_true(wp_lag_ms(&l, at(500)) >= 350);
+    wp_lag_known(&l, 200);
+    assert_int_equal(wp_lag_ms(&l, at(500)), 0);
+}
+
+TESTS_MAIN(T(the_oldest_missing_revision_counts),
+           T(steady_changes_that_arrive_are_no_lag),
+           T(many_missing_revisions_keep_the_first_time))
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -15,11 +15,12 @@
     Wp__DirectSettings set;
     char *addr;
     bool got_delta, blind;
+    char *got_from; /* the box that sent the first delta */
 } Box;
 
 typedef struct World {
     struct event_base *base;
-    Box *boxes[5];
+    Box *boxes[12];
     size_t n;
     int64_t end_us;
 } World;
@@ -27,7 +28,8 @@
 static void on_delta(void *arg, const char *from, const Wp__MirrorDelta *d)
 {
     Box *b = arg;
-    (void)from;
+    if (!b->got_from)
+        b->got_from = g_strdup(from);
     wp_mirror_advance(b->mirror, d->complete);
     b->got_delta = true;
 }
@@ -67,14 +69,14 @@
     return ntohs(sa.sin_port);
 }
 
-static Box *new_box(World *w, const char *id)
+static Box *new_box_in(World *w, const char *id, const char *zone)
 {
     GError *error = NULL;
     Box *b = g_new0(Box, 1);
     wp__direct_settings__init(&b->set);
     b->addr = g_strdup_printf("127.0.0.1:%u", free_port());
     b->set.id = (char *)id;
-    b->set.zone = (char *)"z1";
+    b->set.zone = (char *)zone;
     b->set.peers = b->addr;
     b->mirror = wp_mirror_new();
     b->peers = wp_peers_new(w->base, &b->set, b->mirror, &ops, b, &error);
@@ -84,8 +86,14 @@
     return b;
 }
 
+static Box *new_box(World *w, const char *id)
+{
+    return new_box_in(w, id, "z1");
+}
+
 static void free_box(Box *b)
 {
+    g_free(b->got_from);
     wp_peers_free(b->peers);
     wp_mirror_free(b->mirror);
     g_free(b->addr);
@@ -216,6 +224,20 @@
                      wp_peers_linked(d->world->boxes[i]->peers) >= d->links;
 }
 
+/* Waits until the boxes of the first zone are all linked, and the last box to
+   some of them. */
+static void look_near(evutil_socket_t fd, short what, void *arg)
+{
+    Duty *d = arg;
+    const World *w = d->world;
+    (void)fd;
+    (void)what;
+    unsigned far = wp_peers_linked(w->boxes[w->n - 1]->peers), near = 0;
+    for (size_t i = 0; i + 1 < w->n; i++)
+        near += wp_peers_linked(w->boxes[i]->peers);
+    d->reached = far > 0 && near == (w->n - 1) * d->links + far;
+}
+
 static bool duty_comes_to(World *w, unsigned wanted)
 {
     Duty d = { w, wanted, w->n - 1, false };
@@ -233,7 +255,7 @@
         for (size_t k = 0; k < w->n; k++)
             if (i != k)
                 wp_peers_member(w->boxes[i]->peers, w->boxes[k]->set.id,
-                                w->boxes[k]->addr, "z1");
+                                w->boxes[k]->addr, w->boxes[k]->set.zone);
 }
 
 static Box *watcher(const World *w)
@@ -287,6 +309,61 @@
     event_base_free(w.base);
 }
 
-TESTS_MAIN(T(a_box_that_the_store_does_not_answer_has_no_duty),
+/* A box of the own zone is asked, although one of another zone knows as much.
+ */
+static void the_own_zone_is_asked_first(void **state)
+{
+    World w = { .base = event_base_new() };
+    WPStr value = wp_str("1");
+    (void)state;
+    Box *behind = new_box(&w, "e1");
+    Box *near = new_box(&w, "e2"), *far = new_box_in(&w, "e3", "z2");
+    wp_mirror_put(near->mirror, "k", &value, 10, false);
+    wp_mirror_advance(near->mirror, 10);
+    wp_mirror_put(far->mirror, "k", &value, 11, false);
+    wp_mirror_advance(far->mirror, 11);
+    wp_peers_patience(behind->peers, 300);
+    all_meet(&w);
+    assert_true(run_until(&w, &behind->got_delta));
+    assert_string_equal(behind->got_from, "e2");
+    free_box(behind);
+    free_box(near);
+    free_box(far);
+    event_base_free(w.base);
+}
+
+/* Of many boxes, some keep links to another zone: three of theirs, and the two
+   that a box there chooses. */
+static void few_boxes_of_a_zone_keep_links_to_others(void **state)
+{
+    World w = { .base = event_base_new() };
+    const char *ids[] = {
+        "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"
+    };
+    const unsigned fellows = G_N_ELEMENTS(ids) - 1;
+    unsigned far_links = 0;
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+        new_box(&w, ids[i]);
+    Box *far = new_box_in(&w, "f", "z2");
+    all_meet(&w);
+    Duty d = { &w, 1, fellows, false };
+    struct timeval every = { 0, TICK_MS * WP_US_PER_MS };
+    struct event *e = event_new(w.base, -1, EV_PERSIST, look_near, &d);
+    event_add(e, &every);
+    assert_true(run_until(&w, &d.reached));
+    event_free(e);
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+        far_links += wp_peers_linked(w.boxes[i]->peers) - fellows;
+    assert_in_range(far_links, 1, 5);
+    assert_int_equal(wp_peers_linked(far->peers), far_links);
+    for (size_t i = 0; i < w.n; i++)
+        free_box(w.boxes[i]);
+    event_base_free(w.base);
+}
+
+TESTS_MAIN(T(the_own_zone_is_asked_first),
+           T(few_boxes_of_a_zone_keep_links_to_others),
+           T(a_box_that_the_store_does_not_answer_has_no_duty),
            T(more_boxes_watch_when_one_is_turned_away),
            T(who_is_behind_asks_another_when_one_falls_silent))
