A version that fails on loaded endpoints is found after its move, and spared

Cause: a version that is bad only on half-full replicas shows nothing during a move in which none is half full.

Change: answers are counted by version and by whether the endpoint was loaded; four failures there, a fifth of the loaded answers, and hardly any elsewhere, show it for 30 s after the last. Boxes tell each other at once. Loaded endpoints of such a version are passed over, and the largest model, which fills them, is not asked from 0.3 of all places on. A line fails_loaded names the request that showed it.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4001,7 +4001,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[8] =
 {
   {
     "complete",
@@ -4087,6 +4087,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fails_loaded",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__MirrorDigest, n_fails_loaded),
+    offsetof(Wp__MirrorDigest, fails_loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -4094,6 +4106,7 @@
   3,   /* field[3] = bound */
   0,   /* field[0] = complete */
   6,   /* field[6] = entries */
+  7,   /* field[7] = fails_loaded */
   4,   /* field[4] = moved */
   1,   /* field[1] = moves */
 };
@@ -4101,7 +4114,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -4111,7 +4124,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  7,
+  8,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -662,6 +662,11 @@
    */
   protobuf_c_boolean has_age_ms;
   uint32_t age_ms;
+  /*
+   * "SERVICE VERSION" of those that the sender found to fail on loaded endpoints.
+   */
+  size_t n_fails_loaded;
+  char **fails_loaded;
   /*
    * Sessions that a move's first stage must leave on the old version.
    */
@@ -675,7 +680,7 @@
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -42,6 +42,8 @@
 void wp_sync_tick(WPSync *s, WPTime now);
 
 /* Whether enough is known to serve. */
+/* What this box has found out is to be told to the others now. */
+void wp_sync_tell(WPSync *s);
 bool wp_sync_ready(const WPSync *s);
 bool wp_sync_store_up(const WPSync *s);
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -82,6 +82,11 @@
                          : 0);
     snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt_tokens,
              f->answer_tokens);
+    if (f->fails_loaded) {
+        wp_log(&r->host->log, WP_WARN, "fails_loaded", "service",
+               f->service->name, "version", f->fails_loaded, "id", f->id, NULL);
+        wp_sync_tell(r->host->sync);
+    }
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
            "status", code, "ms", ms, "first_ms", first, "tokens", tokens,
            "route", f->route ? f->route->name : "-", "service",
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -180,12 +180,22 @@
         wp_shift_hear_open(sh);
 }
 
+/* "SERVICE VERSION"; neither has blanks. */
+static void hear_loaded(WPSync *s, WPTime now, const char *what)
+{
+    g_auto(GStrv) part = g_strsplit(what, " ", 2);
+    if (part[0] && part[1])
+        wp_fleet_hear_loaded(s->host->direct.fleet, now, part[0], part[1]);
+}
+
 static void on_heard(void *arg, const char *from, const Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
     WPTime now = wp_clock_now(0);
     for (size_t i = 0; i < d->n_moves; i++)
         hear_sums(s, from, d->moves[i]);
+    for (size_t i = 0; i < d->n_fails_loaded; i++)
+        hear_loaded(s, now, d->fails_loaded[i]);
     if (d->has_age_ms)
         s->fresh_us =
             MAX(s->fresh_us, now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
@@ -231,6 +241,13 @@
     m->loaded_bad = own.loaded_bad;
 }
 
+static void fill_loaded(void *arg, const char *what)
+{
+    Fill *f = arg;
+    if (f->digest->n_fails_loaded < WP_LOADED_TOLD)
+        f->sync->loaded[f->digest->n_fails_loaded++] = (char *)what;
+}
+
 static void on_fill(void *arg, Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
@@ -243,6 +260,8 @@
     Fill f = { s, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
+    d->fails_loaded = s->loaded;
+    wp_fleet_each_loaded(s->host->direct.fleet, now, fill_loaded, &f);
     d->bound = s->bound;
     d->n_bound =
         wp_direct_tell(&s->host->direct, now, false, s->bound, WP_BOUND_TOLD);
@@ -315,6 +334,11 @@
     s->host->direct.boxes = wp_peers_known(s->peers);
 }
 
+void wp_sync_tell(WPSync *s)
+{
+    wp_peers_announce(s->peers);
+}
+
 bool wp_sync_ready(const WPSync *s)
 {
     return s->complete && s->host->direct.routes != NULL;
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -10,7 +10,11 @@
 #define WP_KEY_BOX "wp/box/"   /* where a box is reached: "IP:PORT ZONE" */
 #define WP_KEY_MOVE "wp/move/" /* when a move began: "REVISION WALL_MS" */
 
-enum { WP_MOVES_TOLD = 8, WP_BOUND_TOLD = 512 /* in one digest */ };
+enum {
+    WP_MOVES_TOLD = 8,
+    WP_LOADED_TOLD = 8,
+    WP_BOUND_TOLD = 512 /* in one digest */
+};
 
 struct WPSync {
     /* What the next digest points to. */
@@ -21,9 +25,10 @@
     WPKv *kv;
     WPMirror *mirror;
     WPPeers *peers;
-    bool reading;     /* a range is under way */
-    bool watching;    /* a watch is under way */
-    bool catching_up; /* it is to end with its first answer */
+    bool reading;                 /* a range is under way */
+    bool watching;                /* a watch is under way */
+    char *loaded[WP_LOADED_TOLD]; /* told with the digest; the fleet's */
+    bool catching_up;             /* it is to end with its first answer */
     int64_t fresh_us; /* when the store's word was last known to be fresh */
     int64_t asked_us; /* when everything was last read */
     double haste;     /* in [0, 1), so that boxes do not ask all at once */
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -30,7 +30,9 @@
     X(SESSIONS_MOVED, "sessions_moved_total",                                  \
       "turns of sessions whose version may not serve them any more")           \
     X(ROLLOUT_STEPS, "rollout_steps_total", "roll-out changes written")        \
-    X(STOPS, "automatic_stops_total", "versions withdrawn automatically")
+    X(STOPS, "automatic_stops_total", "versions withdrawn automatically")      \
+    X(FAILS_LOADED, "fails_loaded_total",                                      \
+      "versions found to fail on half-full endpoints")
 
 typedef enum WPCounter {
 #define X(name, metric, help) WP_C_##name,
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -149,8 +149,10 @@
     WPAttempt leg;         /* the one under way */
     WPReplica *tried[WP_FLOW_TRIED_MOST]; /* each held */
     size_t n_tried;
-    bool passing; /* the caller has part of an answer */
-    bool hurried; /* went elsewhere once for want of patience */
+    bool passing;       /* the caller has part of an answer */
+    bool hurried;       /* went elsewhere once for want of patience */
+    char *fails_loaded; /* a version that this request showed to fail on
+                           half-full endpoints; NULL: none */
 } WPFlow;
 
 /* Decides on a new request. The flow is freed with wp_flow_free() after its
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -18,17 +18,46 @@
     LIST_GRACE_US = 2500 * WP_US_PER_MS, /* for entries that lapsed while the
                                             list was away */
     LOAD_FRESH_US = 1500 * WP_US_PER_MS,
+    LOADED_LASTS_US = 30000 * WP_US_PER_MS, /* after the last failure */
     AVOID_FIRST_US = 500 * WP_US_PER_MS,
     AVOID_MOST_US = 4000 * WP_US_PER_MS,
     AVOID_FAILURES = 3 /* in a row until it is avoided */
 };
 
+/* A version fails under load when so many answers of loaded endpoints failed,
+   at least this part of them, and hardly any of the others. Versions were seen
+   to fail on half-full endpoints; as what others send to one is not known at
+   once, it counts as loaded from a little less on, and is passed over from
+   still less. The platform allows fifty failures; in a burst they came
+   within 1.3 s. */
+#define LOADED_FROM 0.44
+#define FULL_FROM 0.4
+#define LOADED_FAILED_LEAST 3.5 /* four, as older ones fade */
+#define LOADED_FAILED_SHARE 0.2
+#define LIGHT_FAILED_SHARE 0.05
+#define LOADED 5.0 /* the weight of a loaded one, in places */
+
+/* Such a version is spared work from this share of all its places on, as what
+   runs goes on for seconds. */
+#define SPARE_FROM 0.3
+
+/* What remains of an older answer's weight with each new one. */
+#define LEARN_KEEP 0.995
+
 #define FAIL_WEIGHT 0.12        /* of the newest outcome */
 #define FAIL_HALF_LIFE_US 3.0e6 /* old failures are forgotten */
 #define SLOW_WEIGHT 0.15
 #define SLOWNESS_MOST 20.0
 
+/* Answers of one version, by whether the endpoint was half full. */
+typedef struct LoadSeen {
+    double loaded, loaded_failed, light, light_failed;
+    int64_t until_us; /* so long it counts as one that fails there */
+    int64_t own_us;   /* the same, by this box's own requests */
+} LoadSeen;
+
 struct WPFleet {
+    GHashTable *by_load; /* service and version -> LoadSeen */
     GHashTable *by_id;
     GHashTable *by_service; /* name -> GPtrArray of WPReplica */
     GRand *rand;
@@ -61,6 +90,7 @@
 WPFleet *wp_fleet_new(uint32_t seed)
 {
     WPFleet *f = g_new0(WPFleet, 1);
+    f->by_load = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     f->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_ptr_array_unref);
@@ -79,6 +109,7 @@
         wp_fleet_release(s);
     g_hash_table_unref(f->by_id);
     g_hash_table_unref(f->by_service);
+    g_hash_table_unref(f->by_load);
     g_rand_free(f->rand);
     g_free(f);
 }
@@ -219,6 +250,66 @@
            f->rules.work * s->prompt_ahead / PROMPT_SCALE;
 }
 
+static LoadSeen *load_seen(WPFleet *f, const char *service, const char *version)
+{
+    g_autofree char *key = g_strdup_printf("%s %s", service, version);
+    LoadSeen *l = g_hash_table_lookup(f->by_load, key);
+    if (!l) {
+        l = g_new0(LoadSeen, 1);
+        g_hash_table_insert(f->by_load, g_steal_pointer(&key), l);
+    }
+    return l;
+}
+
+/* Hardly any answer fails while loaded endpoints are passed over, so what was
+   found holds for a while. */
+void wp_fleet_learn(WPFleet *f, WPTime now, const WPReplica *s, double taken,
+                    bool failed)
+{
+    LoadSeen *l = load_seen(f, s->service, s->version);
+    bool loaded = taken >= LOADED_FROM;
+    double *n = loaded ? &l->loaded : &l->light;
+    double *bad = loaded ? &l->loaded_failed : &l->light_failed;
+    *n = *n * LEARN_KEEP + 1;
+    *bad = *bad * LEARN_KEEP + failed;
+    bool found = l->loaded_failed >= LOADED_FAILED_LEAST &&
+                 l->loaded_failed >= LOADED_FAILED_SHARE * l->loaded &&
+                 l->light_failed <= LIGHT_FAILED_SHARE * l->light;
+    if (loaded && failed && (found || l->until_us > now.mono_us))
+        l->own_us = l->until_us = now.mono_us + LOADED_LASTS_US;
+}
+
+void wp_fleet_hear_loaded(WPFleet *f, WPTime now, const char *service,
+                          const char *version)
+{
+    LoadSeen *l = load_seen(f, service, version);
+    l->until_us = MAX(l->until_us, now.mono_us + LOADED_LASTS_US);
+}
+
+void wp_fleet_each_loaded(WPFleet *f, WPTime now,
+                          void (*fn)(void *arg, const char *what), void *arg)
+{
+    GHashTableIter it;
+    gpointer what, l;
+    g_hash_table_iter_init(&it, f->by_load);
+    while (g_hash_table_iter_next(&it, &what, &l))
+        if (((LoadSeen *)l)->own_us > now.mono_us)
+            fn(arg, what);
+}
+
+bool wp_fleet_fails_loaded(WPFleet *f, WPTime now, const char *service,
+                           const char *version)
+{
+    return load_seen(f, service, version)->until_us > now.mono_us;
+}
+
+bool wp_fleet_spares(WPFleet *f, WPTime now, const WPWant *w,
+                     const char *version)
+{
+    return wp_fleet_fails_loaded(f, now, w->service, version) &&
+           wp_fleet_pressure(f, now, w) >= SPARE_FROM;
+}
+
 static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s)
 {
     double v = places_taken(f, s, now);
@@ -231,6 +322,9 @@
         v += AVOIDED;
     if (s->cold_until_us > now.mono_us)
         v += COLD;
+    if (wp_fleet_taken(s, now) >= FULL_FROM &&
+        wp_fleet_fails_loaded(f, now, s->service, s->version))
+        v += LOADED;
     return v;
 }
 
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -123,6 +123,29 @@
 /* The request has ended there. */
 void wp_fleet_ended(WPReplica *s, WPTime now, WPServed how);
 
+/* An answer, or a failure of its own, of an endpoint of which so much was taken
+   when the request was sent. A version may fail only on endpoints that are half
+   full: those are then passed over while others have room. */
+void wp_fleet_learn(WPFleet *f, WPTime now, const WPReplica *s, double taken,
+                    bool failed);
+
+/* Another box has found it. */
+void wp_fleet_hear_loaded(WPFleet *f, WPTime now, const char *service,
+                          const char *version);
+
+/* The versions of which this box has found it, as "SERVICE VERSION". */
+void wp_fleet_each_loaded(WPFleet *f, WPTime now,
+                          void (*fn)(void *arg, const char *what), void *arg);
+
+/* Whether that has been seen of this version. */
+bool wp_fleet_fails_loaded(WPFleet *f, WPTime now, const char *service,
+                           const char *version);
+
+/* Whether its endpoints are so full, on the whole, that it is to be given less
+   to do. */
+bool wp_fleet_spares(WPFleet *f, WPTime now, const WPWant *w,
+                     const char *version);
+
 /* The endpoint's own word on its load. */
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -53,9 +53,33 @@
                      .patience_ms = wp_flow_patience(f) };
 }
 
+/* While a version is on trial its failures are for the verdict. */
+static void learn_load(WPFlow *f, WPTime now, const WPAttempt *leg,
+                       WPServed how)
+{
+    const WPShift *sh = wp_flow_shift(f);
+    const char *version = leg->replica->version;
+    bool on_trial =
+        sh && sh->state == WP_SHIFT_RUNNING && !strcmp(version, sh->version);
+    if (on_trial || (how != WP_SERVED_OK && how != WP_SERVED_FAILED))
+        return;
+    WPFleet *fleet = f->d->fleet;
+    bool known =
+        wp_fleet_fails_loaded(fleet, now, leg->replica->service, version);
+    wp_fleet_learn(fleet, now, leg->replica, leg->taken,
+                   how == WP_SERVED_FAILED);
+    if (known ||
+        !wp_fleet_fails_loaded(fleet, now, leg->replica->service, version))
+        return;
+    wp_count(&f->d->counters, WP_C_FAILS_LOADED);
+    g_free(f->fails_loaded);
+    f->fails_loaded = g_strdup(version);
+}
+
 static void end_leg(WPFlow *f, WPTime now, const WPAttempt *leg, WPServed how)
 {
     WPShift *sh = wp_flow_shift(f);
+    learn_load(f, now, leg, how);
     if (leg->old_version && sh && sh->old_running)
         sh->old_running--;
     wp_fleet_ended(leg->replica, now, how);
@@ -431,6 +455,7 @@
     wp_routes_unref(f->routes);
     g_free(f->id);
     g_free(f->model);
+    g_free(f->fails_loaded);
     g_free(f);
 }
 
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -143,6 +143,11 @@
     const GPtrArray *models = f->route->models;
     if (a->confidence < 0 || f->step + 1 >= models->len || f->passing)
         return false;
+    /* Better a poor answer than a failure on endpoints that fail when full: the
+       largest model is what fills them. */
+    const WPWant w = want_of(f);
+    if (wp_fleet_spares(f->d->fleet, now, &w, f->leg.replica->version))
+        return false;
     /* With this leg and the larger model's, one attempt should be left. */
     if (f->ran > 0 && f->ran + 3 > f->route->max_attempts)
         return false;
