The verdict on a version in a module of its own; one count of a zone's boxes

src/wp_shift.c had grown to 564 lines with two concerns: the course of a move, and what sums of answers tell. The latter is src/wp_verdict.c now; walks over the moves, and over the boxes of a zone in io/wp_peers.c, stand once each. tests/test_shift.c (717 lines) is split the same way, with what both use in tests/shift_fake.h: 13 and 14 tests, the same 27 as before.

--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -352,23 +352,51 @@
     }
 }
 
-/* Whether this box is to keep links to other zones. A box that has just been
-   heard of counts as one that lives. */
-static bool has_far_links(const WPPeers *p, WPTime now)
+typedef bool (*MemberIs)(const WPPeers *p, const Member *m, WPTime now);
+
+/* How many other boxes of this zone are so. */
+static unsigned count_fellows(const WPPeers *p, WPTime now, MemberIs is)
 {
-    uint64_t own = wp_hash(wp_str(p->self.id), 0);
-    unsigned before = 0;
+    unsigned n = 0;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, p->members);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Member *m = v;
-        bool lives = m->linked || now.mono_us - m->unlinked_us <
-                                      (int64_t)SILENT_MS * WP_US_PER_MS;
-        before += lives && !strcmp(m->zone, p->self.zone) &&
-                  wp_hash(wp_str(m->id), 0) < own;
-    }
-    return before < FAR_BOXES;
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        n += !strcmp(((Member *)v)->zone, p->self.zone) && is(p, v, now);
+    return n;
+}
+
+/* In the order by which boxes take on work for their zone. */
+static bool is_before(const WPPeers *p, const Member *m)
+{
+    return wp_hash(wp_str(m->id), 0) < wp_hash(wp_str(p->self.id), 0);
+}
+
+/* A box that has just been heard of counts as one that lives. */
+static bool lives_before(const WPPeers *p, const Member *m, WPTime now)
+{
+    int64_t silent_us = (int64_t)SILENT_MS * WP_US_PER_MS;
+    bool lives = m->linked || now.mono_us - m->unlinked_us < silent_us;
+    return lives && is_before(p, m);
+}
+
+static bool may_watch_before(const WPPeers *p, const Member *m, WPTime now)
+{
+    (void)now;
+    return m->linked && !m->blind && is_before(p, m);
+}
+
+static bool is_turned_away(const WPPeers *p, const Member *m, WPTime now)
+{
+    (void)p;
+    (void)now;
+    return m->linked && m->blind;
+}
+
+/* Whether this box is to keep links to other zones. */
+static bool has_far_links(const WPPeers *p, WPTime now)
+{
+    return count_fellows(p, now, lives_before) < FAR_BOXES;
 }
 
 static void reach_members(WPPeers *p, WPTime now)
@@ -389,36 +417,14 @@
 
 unsigned wp_peers_rank(const WPPeers *p)
 {
-    uint64_t own = wp_hash(wp_str(p->self.id), 0);
-    unsigned n = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, p->members);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Member *m = v;
-        n += m->linked && !m->blind && !strcmp(m->zone, p->self.zone) &&
-             wp_hash(wp_str(m->id), 0) < own;
-    }
-    return n;
-}
-
-/* Boxes of this zone that are linked and that the store does not answer. */
-static unsigned turned_away(const WPPeers *p)
-{
-    unsigned n = 0;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, p->members);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Member *m = v;
-        n += m->linked && m->blind && !strcmp(m->zone, p->self.zone);
-    }
-    return n;
+    return count_fellows(p, (WPTime){ 0 }, may_watch_before);
 }
 
 bool wp_peers_on_duty(const WPPeers *p)
 {
-    return wp_peers_rank(p) < WATCHERS + SPARE_WATCHERS * turned_away(p);
+    /* Boxes that are linked and that the store does not answer. */
+    unsigned away = count_fellows(p, (WPTime){ 0 }, is_turned_away);
+    return wp_peers_rank(p) < WATCHERS + SPARE_WATCHERS * away;
 }
 
 static void reach_seeds(WPPeers *p, WPTime now)
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -10,7 +10,7 @@
 #define WP_SHIFT_H
 
 #include "settings.pb-c.h"
-#include "wp_base.h"
+#include "wp_verdict.h"
 
 typedef enum WPShiftState {
     WP_SHIFT_RUNNING,
@@ -25,18 +25,6 @@
     uint64_t revision; /* in the store; a later order replaces an earlier */
 } WPShiftOrder;
 
-/* What the answers of a group were; sums of boxes can be added. */
-typedef struct WPShiftSums {
-    uint32_t answered, failed;
-    uint32_t timed, slow; /* answers that could be slow, and that were */
-    uint32_t fast;        /* of those, the faster than a quarter of the old */
-    uint64_t taken;       /* of those, places taken where they ran, summed in
-                             thousandths of all places */
-    /* Answers of replicas that were half full or more, those that failed, and
-       the replicas that failed some. */
-    uint32_t loaded, loaded_failed, loaded_bad;
-} WPShiftSums;
-
 typedef struct WPShift {
     char *service, *version;
     uint64_t revision;
@@ -89,22 +77,7 @@
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
                     double unit, const char *last);
 
-/* How an answer came. */
-typedef enum WPShiftTime {
-    WP_TIME_UNKNOWN, /* the endpoint was so full that it says nothing */
-    WP_TIME_FAST,    /* as the fastest quarter of the old version's */
-    WP_TIME_USUAL,   /* between */
-    WP_TIME_SLOW     /* as the slowest quarter of the old version's */
-} WPShiftTime;
-
 /* How one request ended at an endpoint. */
-typedef struct WPShiftAnswer {
-    const char *version, *replica, *route;
-    bool failed;
-    WPShiftTime time;
-    double taken; /* share of the endpoint's places when it was sent */
-} WPShiftAnswer;
-
 void wp_shift_answered(WPShift *sh, const WPShiftAnswer *a);
 
 /* An answer of the new version came from a replica that was half full. */
--- /dev/null
+++ b/tests/shift_fake.h
@@ -0,0 +1,66 @@
+/* A move of a service between versions, made for tests. */
+#ifndef SHIFT_FAKE_H
+#define SHIFT_FAKE_H
+
+#include "direct_fake.h"
+
+enum { DURATION_MS = 20000, LEAD_MS = 2000 };
+
+static inline WPShift *order(Fake *k)
+{
+    WPShiftOrder o = { "llm", "v2", DURATION_MS, 10 };
+    WPShift *sh = wp_shifts_order(k->d.shifts, &o);
+    sh->began_ms = k->now.wall_ms;
+    fake_put(k, "n1", "llm", "v2", false);
+    fake_put(k, "n2", "llm", "v2", false);
+    return sh;
+}
+
+/* The version that serves one request of a session. */
+static inline const char *serve(Fake *k, const char *session)
+{
+    WPMove m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, "/chat/x", session, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    const char *version = g_intern_string(m.replica->version);
+    wp_flow_answer(f, k->now, &a, &m);
+    wp_flow_done(f, k->now, 0);
+    wp_flow_free(f);
+    return version;
+}
+
+static inline void feed(WPShift *sh, const char *version, const char *replica,
+                        const char *route, unsigned n, unsigned failed,
+                        unsigned slow)
+{
+    for (unsigned i = 0; i < n; i++) {
+        bool is_slow = i >= failed && i < failed + slow;
+        const WPShiftAnswer a = { .version = version,
+                                  .replica = replica,
+                                  .route = route,
+                                  .failed = i < failed,
+                                  .time =
+                                      is_slow ? WP_TIME_SLOW : WP_TIME_USUAL };
+        wp_shift_answered(sh, &a);
+    }
+}
+
+/* Feeds answers whose times lie as told among the old version's, from
+   endpoints of which this share of the places is taken. */
+static inline void feed_times(WPShift *sh, const char *version,
+                              const char *replica, double taken, unsigned fast,
+                              unsigned usual, unsigned slow)
+{
+    WPShiftAnswer a = {
+        .version = version, .replica = replica, .route = "chat", .taken = taken
+    };
+    for (unsigned i = 0; i < fast + usual + slow; i++) {
+        a.time = i < fast           ? WP_TIME_FAST
+                 : i < fast + usual ? WP_TIME_USUAL
+                                    : WP_TIME_SLOW;
+        wp_shift_answered(sh, &a);
+    }
+}
+
+#endif
