A box that starts asks the others after 0.7 s at most

A box that starts waits 0.8 ms for each entry before it asks the others: 2.4 s at 3,000, and again after each reading that failed, as the store's own link was full with 302 readings of over a megabyte.

Change: the wait ends at 700 ms; it is a function of its own (src/wp_lag.c) with a test. Sites of fewer than 875 entries wait as long as before.

--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -2,6 +2,7 @@
  * follows; after a break all is read again and compared. What the store does
  * not tell this box, other boxes do. */
 #include "wp_sync_int.h"
+#include "wp_lag.h"
 
 enum {
     STALE_MS = 3200,     /* a box that has heard nothing fresh for so long asks
@@ -10,11 +11,8 @@
     BEHIND_MS = 800,     /* a box that others do not bring up to date within
                             this asks the store itself; news takes some 100 ms
                             a hop, and six hops in a zone of a hundred boxes */
-    START_PULL_US = 800, /* for each entry of the store, a box that starts waits
-                            for the store's answer before it asks the others:
-                            all at once, the copies would fill the links */
-    WATCH_PULL_MS = 120, /* and a box that watches the store, which mostly hears
-                            of a change before it could be told */
+    WATCH_PULL_MS = 120, /* a box that watches the store mostly hears of a
+                            change before it could be told */
     DOUBT_MS = 3000,     /* after the store was away, entries that lapsed
                             meanwhile may still come back: the platform says
                             two seconds */
@@ -311,7 +309,7 @@
 static uint32_t pull_wait_ms(const WPSync *s)
 {
     if (!s->complete && s->reading)
-        return wp_peers_entries(s->peers) * START_PULL_US / WP_US_PER_MS;
+        return wp_lag_start_ms(wp_peers_entries(s->peers));
     return s->watching ? WATCH_PULL_MS : 0;
 }
 
--- a/src/wp_lag.c
+++ b/src/wp_lag.c
@@ -1,6 +1,12 @@
 /* Marks of revisions that others know. */
 #include "wp_lag.h"
 
+/* Where boxes start together the copies that all ask for would fill the links;
+   but where all of them start, the store's own link is full, and to wait longer
+   was seen to cost thirty seconds at 3,000 entries and 302 boxes. */
+#define START_US_EACH 800
+#define START_MOST_MS 700
+
 void wp_lag_hear(WPLag *l, WPTime now, uint64_t revision)
 {
     if (l->n && l->marks[l->n - 1].revision >= revision)
@@ -32,3 +38,9 @@
         return 0;
     return MAX((now.mono_us - l->marks[0].heard_us) / WP_US_PER_MS, 1);
 }
+
+uint32_t wp_lag_start_ms(uint32_t entries)
+{
+    uint64_t ms = (uint64_t)entries * START_US_EACH / WP_US_PER_MS;
+    return (uint32_t)MIN(ms, START_MOST_MS);
+}
--- a/src/wp_lag.h
+++ b/src/wp_lag.h
@@ -31,4 +31,8 @@
    is. */
 int64_t wp_lag_ms(const WPLag *l, WPTime now);
 
+/* How long a box that starts waits for the store's answer before it asks the
+   others for all entries, of which there are so many. */
+uint32_t wp_lag_start_ms(uint32_t entries);
+
 #endif
--- a/tests/test_lag.c
+++ b/tests/test_lag.c
@@ -55,6 +55,18 @@
     assert_int_equal(wp_lag_ms(&l, at(500)), 0);
 }
 
-TESTS_MAIN(T(the_oldest_missing_revision_counts),
+/* Few entries are asked for at once; many wait, but never long. */
+static void a_box_that_starts_waits_by_the_number_of_entries(void **state)
+{
+    (void)state;
+    assert_int_equal(wp_lag_start_ms(0), 0);
+    assert_true(wp_lag_start_ms(60) < 50);
+    assert_true(wp_lag_start_ms(600) > 400);
+    assert_true(wp_lag_start_ms(3000) <= 1000);
+    assert_true(wp_lag_start_ms(UINT32_MAX) <= 1000);
+}
+
+TESTS_MAIN(T(a_box_that_starts_waits_by_the_number_of_entries),
+           T(the_oldest_missing_revision_counts),
            T(steady_changes_that_arrive_are_no_lag),
            T(many_missing_revisions_keep_the_first_time))
