A box asks the store at an age derived from the bound on changes

All keys of a workspace were revoked at 2.58 s (accepted 2.65 s) and still served at 5.8 to 6.05 s; the first box asked at 6.2 s. Besides, a watch that timed out read all over another old connection, which was as silent, and took 1.5 s more.

Ruled out: a box of another zone that knew and did not tell (none knew before 6.2 s); a lost digest (the watchers had nothing to tell).

Change: src/wp_fresh.c, ages as parts of the setting `apply_ms` (filled from bounds.configApplyMs): a box that does not watch asks at 0.75 to 0.87 of it, by its rank in the zone; what others know and do not bring is asked for after 0.35 of it. Watchers announce each word of the store.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1575,8 +1575,9 @@
 static const double wp__direct_settings__weigh_work__default_value = 1;
 static const double wp__direct_settings__weigh_slow__default_value = 0.25;
 static const uint32_t wp__direct_settings__choices__default_value = 0u;
+static const uint32_t wp__direct_settings__apply_ms__default_value = 2000u;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[31] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[32] =
 {
   {
     "id",
@@ -1950,9 +1951,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "apply_ms",
+    32,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DirectSettings, has_apply_ms),
+    offsetof(Wp__DirectSettings, apply_ms),
+    NULL,
+    &wp__direct_settings__apply_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
+  31,   /* field[31] = apply_ms */
   8,   /* field[8] = charts */
   30,   /* field[30] = choices */
   18,   /* field[18] = confidence_even */
@@ -1987,7 +2001,7 @@
 static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -1997,7 +2011,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  31,
+  32,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   1,  wp__direct_settings__number_ranges,
--- a/io/wp_host_platform.c
+++ b/io/wp_host_platform.c
@@ -139,7 +139,7 @@
     case WP_ACT_WATCH:
         h->kv->ops->watch(h->kv, WP_KV_HEAD,
                           wp_config_revision(wp_node_config(h->node)) + 1,
-                          on_watch, h);
+                          false, on_watch, h);
         break;
     case WP_ACT_UNWATCH:
         h->kv->ops->unwatch(h->kv);
--- a/io/wp_http.c
+++ b/io/wp_http.c
@@ -50,6 +50,52 @@
     return h;
 }
 
+/* A connection that is no longer used, and its calls. */
+typedef struct Retired {
+    struct evhttp_connection *con;
+    WPList calls;
+} Retired;
+
+/* evhttp tells nothing of the calls of a connection that is freed. */
+static void end_retired(evutil_socket_t fd, short what, void *arg)
+{
+    Retired *old = arg;
+    (void)fd;
+    (void)what;
+    evhttp_connection_free(old->con);
+    wp_list_each_safe (it, tmp, &old->calls) {
+        Call *c = wp_list_item(it, Call, link);
+        wp_list_remove(it);
+        if (c->owner)
+            c->done(c->arg, 0, wp_str(""));
+        g_free(c);
+    }
+    g_free(old);
+}
+
+/* The connection is freed from the loop: this may be called from within one of
+   its own answers. */
+void wp_http_renew(WPHttp *h)
+{
+    const struct timeval at_once = { 0, 0 };
+    if (!h->con)
+        return;
+    Retired *old = g_new0(Retired, 1);
+    old->con = h->con;
+    wp_list_init(&old->calls);
+    wp_list_each_safe (it, tmp, &h->calls) {
+        wp_list_remove(it);
+        wp_list_append(&old->calls, it);
+    }
+    h->con = NULL;
+    event_base_once(h->base, -1, EV_TIMEOUT, end_retired, old, &at_once);
+}
+
+bool wp_http_is_busy(const WPHttp *h)
+{
+    return !wp_list_empty(&h->calls);
+}
+
 void wp_http_free(WPHttp *h)
 {
     if (!h)
--- a/io/wp_http.h
+++ b/io/wp_http.h
@@ -26,6 +26,14 @@
 void wp_http_call(WPHttp *h, const char *path, const char *body,
                   WPHttpDone done, void *arg);
 
+/* The next call uses a new connection, as the present one may have fallen
+   silent without a sign. Calls under way end, from the loop, without an answer.
+ */
+void wp_http_renew(WPHttp *h);
+
+/* Whether calls are under way. */
+bool wp_http_is_busy(const WPHttp *h);
+
 /* Splits host:port; returns false when it is malformed. */
 bool wp_http_target(const char *target, char **host, uint16_t *port);
 
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -55,8 +55,11 @@
        compared. */
     void (*txn)(WPKv *kv, const WPKvCompare *compares, size_t n_compares,
                 const WPKvOp *ops, size_t n_ops, WPKvDone done, void *arg);
-    void (*watch)(WPKv *kv, const char *key, uint64_t from, WPKvEvent event,
-                  void *arg);
+    /* Replaces the watch under way, which is then no longer trusted: the
+       new one uses another connection. With `look` the service first answers
+       at once, whether there is news or not, where it can. */
+    void (*watch)(WPKv *kv, const char *key, uint64_t from, bool look,
+                  WPKvEvent event, void *arg);
     void (*unwatch)(WPKv *kv);
     void (*free)(WPKv *kv);
 } WPKvOps;
--- a/io/wp_kv_etcd.c
+++ b/io/wp_kv_etcd.c
@@ -226,9 +226,11 @@
     e->watch_con = NULL;
 }
 
-static void etcd_watch(WPKv *kv, const char *key, uint64_t from,
+/* The gateway answers a new watch at once in any case. */
+static void etcd_watch(WPKv *kv, const char *key, uint64_t from, bool look,
                        WPKvEvent event, void *arg)
 {
+    (void)look;
     Etcd *e = (Etcd *)kv;
     g_autofree char *host = NULL;
     g_autofree char *rev = g_strdup_printf("%lu", (unsigned long)from);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -5,12 +5,6 @@
 #include "wp_lag.h"
 
 enum {
-    STALE_MS = 3200,     /* a box that has heard nothing fresh for so long asks
-                            the store itself; watches last 2.5 s */
-    ASK_AGAIN_MS = 1000, /* between such questions, and up to twice as long */
-    BEHIND_MS = 800,     /* a box that others do not bring up to date within
-                            this asks the store itself; news takes some 100 ms
-                            a hop, and six hops in a zone of a hundred boxes */
     WATCH_PULL_MS = 120, /* a box that watches the store mostly hears of a
                             change before it could be told */
     DOUBT_MS = 3000,     /* after the store was away, entries that lapsed
@@ -27,7 +21,7 @@
 {
     int64_t now_us = wp_clock_now(0).mono_us;
     if (up)
-        s->fresh_us = now_us;
+        wp_fresh_hear(&s->fresh, now_us);
     else
         s->away_us = now_us;
     if (s->up == up && s->tried)
@@ -51,12 +45,12 @@
         return;
     }
     set_up(s, true);
+    wp_peers_announce(s->peers);
     if (!item->key.n)
         return;
     wp_news_take(s, item->key.p, item->removed ? NULL : &item->value,
                  item->mod_revision, false);
     wp_mirror_advance(s->mirror, item->mod_revision);
-    wp_peers_announce(s->peers);
 }
 
 /* What the reading lacks is gone; right after the store was away it may only
@@ -78,10 +72,10 @@
     }
 }
 
-static void watch_from(WPSync *s, uint64_t revision)
+static void watch_from(WPSync *s, uint64_t revision, bool look)
 {
     s->watching = true;
-    s->kv->ops->watch(s->kv, "", revision, on_event, s);
+    s->kv->ops->watch(s->kv, "", revision, look, on_event, s);
 }
 
 /* Asks the store for what has changed since this box's copy; all is read again
@@ -93,8 +87,8 @@
         return;
     }
     s->catching_up = true;
-    s->asked_us = now.mono_us;
-    watch_from(s, wp_mirror_complete(s->mirror) + 1);
+    wp_fresh_ask(&s->fresh, now);
+    watch_from(s, wp_mirror_complete(s->mirror) + 1, true);
 }
 
 static void on_range(void *arg, const WPKvResult *r)
@@ -120,7 +114,7 @@
     wp_peers_announce(s->peers);
     if (!wp_peers_on_duty(s->peers))
         return;
-    watch_from(s, r->revision + 1);
+    watch_from(s, r->revision + 1, false);
 }
 
 static void read_all(WPSync *s)
@@ -129,7 +123,7 @@
         return;
     s->reading = true;
     s->retry_us = 0;
-    s->asked_us = wp_clock_now(0).mono_us;
+    wp_fresh_ask(&s->fresh, wp_clock_now(0));
     s->kv->ops->range(s->kv, "", NULL, on_range, s);
 }
 
@@ -197,8 +191,8 @@
     for (size_t i = 0; i < d->n_fails_loaded; i++)
         hear_loaded(s, now, d->fails_loaded[i]);
     if (d->has_age_ms)
-        s->fresh_us =
-            MAX(s->fresh_us, now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
+        wp_fresh_hear(&s->fresh,
+                      now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
     for (size_t i = 0; i < d->n_bound; i++)
         wp_direct_hear(&s->host->direct, now, false, d->bound[i]);
     for (size_t i = 0; i < d->n_moved; i++)
@@ -258,8 +252,8 @@
     int64_t now_us = now.mono_us;
     d->has_blind = 1;
     d->blind = s->tried && !s->up;
-    d->has_age_ms = s->fresh_us > 0;
-    d->age_ms = (uint32_t)((now_us - s->fresh_us) / WP_US_PER_MS);
+    d->has_age_ms = s->fresh.word_us > 0;
+    d->age_ms = (uint32_t)((now_us - s->fresh.word_us) / WP_US_PER_MS);
     Fill f = { s, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
@@ -282,23 +276,21 @@
 
 static const WPPeersOps peers_ops = { on_delta, on_heard, on_fill, on_peer };
 
-/* A box on duty watches; one that is not asks the store only when nobody has
-   had its word for long. */
+/* A box on duty watches: the client of the store ends a watch that has fallen
+   silent. One that is not asks the store when nobody has had its word for
+   long. */
 static void keep_fresh(WPSync *s, WPTime now)
 {
-    int64_t age_ms = (now.mono_us - s->fresh_us) / WP_US_PER_MS;
-    int64_t pause_ms = (int64_t)(ASK_AGAIN_MS * (1 + s->haste));
     bool duty = wp_peers_on_duty(s->peers);
+    bool stale = wp_fresh_is_due(&s->fresh, now, wp_peers_rank(s->peers));
     if (s->watching && !duty && !s->catching_up) {
         s->kv->ops->unwatch(s->kv);
         s->watching = false;
     }
     if (s->reading || s->retry_us || s->watching)
         return;
-    bool behind = wp_peers_behind_ms(s->peers, now) > BEHIND_MS &&
-                  now.mono_us - s->asked_us > BEHIND_MS * WP_US_PER_MS;
-    bool stale = age_ms > STALE_MS &&
-                 now.mono_us - s->asked_us > pause_ms * WP_US_PER_MS;
+    bool behind =
+        wp_fresh_lags(&s->fresh, now, wp_peers_behind_ms(s->peers, now));
     if (duty)
         read_all(s);
     else if (behind || stale)
@@ -356,7 +348,8 @@
 {
     WPSync *s = g_new0(WPSync, 1);
     s->host = h;
-    s->haste = g_rand_double(h->direct.rand);
+    s->fresh.apply_ms = h->settings->apply_ms;
+    s->fresh.haste = g_rand_double(h->direct.rand);
     s->mirror = wp_mirror_new();
     s->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->peers =
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -3,6 +3,7 @@
 #define WP_SYNC_INT_H
 
 #include "wp_direct_int.h"
+#include "wp_fresh.h"
 #include "wp_mirror.h"
 #include "wp_peers.h"
 
@@ -29,9 +30,7 @@
     bool watching;                /* a watch is under way */
     char *loaded[WP_LOADED_TOLD]; /* told with the digest; the fleet's */
     bool catching_up;             /* it is to end with its first answer */
-    int64_t fresh_us; /* when the store's word was last known to be fresh */
-    int64_t asked_us; /* when everything was last read */
-    double haste;     /* in [0, 1), so that boxes do not ask all at once */
+    WPFresh fresh;
     bool up, tried;   /* the store's last answer; whether it was ever asked */
     bool complete;    /* the store or a peer has told everything once */
     int64_t retry_us; /* when to read again; 0: not waiting */
--- /dev/null
+++ b/src/wp_fresh.c
@@ -0,0 +1,54 @@
+/* Ages of the store's word. */
+#include "wp_fresh.h"
+
+/* Parts of the time that a change may take: the last rank asks at 0.87 of it;
+   the question and the word to the others take 0.1 to 0.2 s. Guards against
+   watches of all zones that fall silent at once: with a fixed age of 3.2 s a
+   revoked key was served for up to 0.7 s beyond a bound of 3 s (one day in
+   which all watchers are cut off, five plays: 5 to 10 requests in each; with
+   these parts none in five). */
+#define LIMIT_PART 0.75    /* the first of a zone asks */
+#define RANK_PART 0.03     /* each later one so much later */
+#define RANKS_MOST 3       /* all others come together */
+#define HASTE_PART 0.03    /* spread within a rank */
+#define ASK_AGAIN_PART 0.4 /* between questions, and up to twice as long */
+#define BEHIND_PART                                                            \
+    0.35 /* news takes some 100 ms a hop, and six hops in a                    \
+            zone of a hundred boxes */
+
+void wp_fresh_hear(WPFresh *f, int64_t at_us)
+{
+    f->word_us = MAX(f->word_us, at_us);
+}
+
+void wp_fresh_ask(WPFresh *f, WPTime now)
+{
+    f->asked_us = now.mono_us;
+}
+
+static int64_t part_us(const WPFresh *f, double part)
+{
+    return (int64_t)(f->apply_ms * part) * WP_US_PER_MS;
+}
+
+uint32_t wp_fresh_limit_ms(const WPFresh *f, unsigned rank)
+{
+    double part =
+        LIMIT_PART + RANK_PART * MIN(rank, RANKS_MOST) + HASTE_PART * f->haste;
+    return (uint32_t)(f->apply_ms * part);
+}
+
+bool wp_fresh_is_due(const WPFresh *f, WPTime now, unsigned rank)
+{
+    int64_t limit_us = (int64_t)wp_fresh_limit_ms(f, rank) * WP_US_PER_MS;
+    int64_t again_us = part_us(f, ASK_AGAIN_PART * (1 + f->haste));
+    return now.mono_us - f->word_us > limit_us &&
+           now.mono_us - f->asked_us > again_us;
+}
+
+bool wp_fresh_lags(const WPFresh *f, WPTime now, int64_t behind_ms)
+{
+    int64_t limit_us = part_us(f, BEHIND_PART);
+    return behind_ms * WP_US_PER_MS > limit_us &&
+           now.mono_us - f->asked_us > limit_us;
+}
--- /dev/null
+++ b/src/wp_fresh.h
@@ -0,0 +1,34 @@
+/* How old the store's word may grow before a box asks for it itself. All ages
+ * are parts of the time within which a change must be in force everywhere, so
+ * that it is kept even if every box that watches the store has fallen silent
+ * without knowing: the first box asks, and tells the others. */
+#ifndef WP_FRESH_H
+#define WP_FRESH_H
+
+#include "wp_base.h"
+
+typedef struct WPFresh {
+    uint32_t apply_ms; /* a change is to be in force within this */
+    double haste;      /* in [0, 1), so that boxes do not ask all at once */
+    int64_t word_us;   /* when the store's word was last known to be fresh */
+    int64_t asked_us;  /* when this box last asked it */
+} WPFresh;
+
+/* The store's word was fresh at `at_us`, heard from it or from another box. */
+void wp_fresh_hear(WPFresh *f, int64_t at_us);
+
+/* This box asks the store now. */
+void wp_fresh_ask(WPFresh *f, WPTime now);
+
+/* Whether this box is to ask, of which `rank` others of its zone ask before
+   it. */
+bool wp_fresh_is_due(const WPFresh *f, WPTime now, unsigned rank);
+
+/* Whether it is to ask because others have known more for `behind_ms` and have
+   not brought it up to date. */
+bool wp_fresh_lags(const WPFresh *f, WPTime now, int64_t behind_ms);
+
+/* The age in milliseconds at which the box of this rank asks. */
+uint32_t wp_fresh_limit_ms(const WPFresh *f, unsigned rank);
+
+#endif
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -60,6 +60,7 @@
     { "weigh_work", 0, 100, NULL },
     { "weigh_slow", 0, 100, NULL },
     { "choices", 0, 1000, NULL },
+    { "apply_ms", 200, 600000, NULL },
     { "dwell_part", 0, 1, NULL },
 };
 
--- /dev/null
+++ b/tests/test_fresh.c
@@ -0,0 +1,115 @@
+/* How soon boxes ask the store when every box that watches it has fallen
+ * silent, in virtual time. */
+#include "test.h"
+#include "wp_fresh.h"
+
+enum {
+    ZONES = 3,
+    ZONE_BOXES = 7,
+    BOXES = ZONES * ZONE_BOXES,
+    TICK_MS = 50,
+    ANSWER_MS = 60, /* connection and answer of the store, and a tick */
+    HOP_MS = 100    /* to the other boxes of the zone */
+};
+
+static WPTime at(int64_t ms)
+{
+    return (WPTime){ (1000 + ms) * WP_US_PER_MS, ms };
+}
+
+typedef struct Box {
+    WPFresh fresh;
+    int64_t answer_ms; /* when the store's answer comes; 0: none is awaited */
+    int64_t knows_ms;  /* when it knows of the change; 0: not yet */
+} Box;
+
+/* The box of rank 0 of each zone watches and is silent; so are `cut` more. A
+   change is made right after the last word. Returns when the last box that may
+   reach the store or a fellow knows of it. */
+static int64_t spread(uint32_t apply_ms, unsigned cut, uint32_t seed)
+{
+    Box boxes[BOXES] = { 0 };
+    GRand *r = g_rand_new_with_seed(seed);
+    int64_t last = 0;
+    for (unsigned i = 0; i < BOXES; i++) {
+        boxes[i].fresh.apply_ms = apply_ms;
+        boxes[i].fresh.haste = g_rand_double(r);
+        wp_fresh_hear(&boxes[i].fresh, at(0).mono_us);
+    }
+    g_rand_free(r);
+    for (int64_t ms = 0; ms <= 2 * apply_ms; ms += TICK_MS)
+        for (unsigned i = 0; i < BOXES; i++) {
+            Box *b = &boxes[i];
+            unsigned rank = i % ZONE_BOXES, zone = i / ZONE_BOXES;
+            if (rank > cut && !b->answer_ms && !b->knows_ms &&
+                wp_fresh_is_due(&b->fresh, at(ms), rank)) {
+                wp_fresh_ask(&b->fresh, at(ms));
+                b->answer_ms = ms + ANSWER_MS;
+            }
+            if (!b->answer_ms || ms < b->answer_ms || b->knows_ms)
+                continue;
+            for (unsigned k = 0; k < ZONE_BOXES; k++) {
+                Box *fellow = &boxes[zone * ZONE_BOXES + k];
+                int64_t told = b->answer_ms + (k == rank ? 0 : HOP_MS);
+                if (!fellow->knows_ms || told < fellow->knows_ms)
+                    fellow->knows_ms = told;
+            }
+        }
+    for (unsigned i = 0; i < BOXES; i++) {
+        assert_true(boxes[i].knows_ms > 0);
+        last = MAX(last, boxes[i].knows_ms);
+    }
+    return last;
+}
+
+static void a_change_is_known_in_time_though_all_watchers_are_silent(void **st)
+{
+    (void)st;
+    for (uint32_t seed = 1; seed <= 50; seed++)
+        for (unsigned cut = 0; cut < 4; cut++) {
+            assert_true(spread(2000, cut, seed) < 2000);
+            assert_true(spread(3000, cut, seed) < 3000);
+            assert_true(spread(4000, cut, seed) < 4000);
+        }
+}
+
+/* In calm the watches of three zones bring word every 2.6 s at the latest;
+   where the bound allows it, nobody else asks. */
+static void nobody_asks_while_word_comes(void **state)
+{
+    WPFresh f = { .apply_ms = 4000 };
+    (void)state;
+    for (int64_t ms = 0; ms < 60000; ms += TICK_MS) {
+        if (ms % 2600 == 0)
+            wp_fresh_hear(&f, at(ms).mono_us);
+        assert_false(wp_fresh_is_due(&f, at(ms), 1));
+    }
+}
+
+/* A store that does not answer is not asked without pause. */
+static void questions_keep_a_pause(void **state)
+{
+    WPFresh f = { .apply_ms = 2000 };
+    unsigned asked = 0;
+    (void)state;
+    for (int64_t ms = 0; ms < 20000; ms += TICK_MS)
+        if (wp_fresh_is_due(&f, at(ms), 0)) {
+            wp_fresh_ask(&f, at(ms));
+            asked++;
+        }
+    assert_true(asked >= 10 && asked <= 25);
+}
+
+/* An older word never replaces a newer one. */
+static void word_does_not_grow_older(void **state)
+{
+    WPFresh f = { .apply_ms = 2000 };
+    (void)state;
+    wp_fresh_hear(&f, at(5000).mono_us);
+    wp_fresh_hear(&f, at(100).mono_us);
+    assert_false(wp_fresh_is_due(&f, at(5500), 0));
+}
+
+TESTS_MAIN(T(a_change_is_known_in_time_though_all_watchers_are_silent),
+           T(nobody_asks_while_word_comes), T(questions_keep_a_pause),
+           T(word_does_not_grow_older))
