A box that stops takes plain requests that fit; resumed streams go elsewhere

And a stream that a crash broke off came back as a new request and was sent to the endpoint that had crashed.

Change: after 2.8 s a plain request is taken if four times what three quarters of its route's answers stay below is left, and its time limit is the box's end, so it gets an answer in any case.

Tried: streams by a foretold longest time (first bytes of both models and the 0.95 share of the time for each token that might be made, times 1.4, 1.5, 2.0, and 1.6 with a pause of 1.5 s added; smallest model where only that fits).

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -12,11 +12,13 @@
                          another endpoint is asked before that */
     IDLE_MS = 4000,   /* of connections whose endpoint told no time */
     IDLE_ONCE_MS = 800,
-    LEAVE_TAKE_MS = 2800, /* how long a leaving box takes requests: the
+    LEAVE_TAKE_MS = 2800, /* how long a leaving box takes all requests: the
                              balancer asks once a second and turns away after
-                             two misses */
+                             two misses; then it takes those that it can
+                             finish */
     LEAVE_IDLE_MS = 300,  /* a connection that rests so long is closed */
-    LEAVE_SPARE_MS = 500  /* before the platform's kill */
+    LEAVE_SPARE_MS = 500, /* before the platform's kill */
+    LEAVE_WRITE_MS = 300  /* what is answered last still has to leave */
 };
 
 static void free_event(struct event *e)
@@ -33,7 +35,8 @@
     unsigned open;
     if (ms < LEAVE_TAKE_MS)
         return;
-    h->refusing = true;
+    h->end_us =
+        h->leave_us + (most - LEAVE_SPARE_MS - LEAVE_WRITE_MS) * WP_US_PER_MS;
     open = wp_front_close_idle(h->front, now, LEAVE_IDLE_MS);
     if ((!open && !h->n_relays) || ms >= most - LEAVE_SPARE_MS)
         event_base_loopbreak(h->base);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -27,8 +27,8 @@
     struct event *tick, *term, *hup;
     WPList relays;
     unsigned n_relays;
-    bool leaving;  /* a planned stop has begun */
-    bool refusing; /* and no request is taken any more */
+    bool leaving;   /* a planned stop has begun */
+    int64_t end_us; /* of the process, then; 0: all requests are still taken */
     int64_t leave_us;
 };
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -7,8 +7,7 @@
 
 enum {
     BUFFER_MOST = 16 << 20, /* bytes of an answer that is gathered whole */
-    LOG_NUMBER = 24,
-    LEAVING_RETRY_MS = 100 /* other boxes serve meanwhile */
+    LOG_NUMBER = 24
 };
 
 typedef struct Relay {
@@ -449,10 +448,9 @@
         refuse_ask(h, p, &ask, WP_BAD_REQUEST, 0, bad);
         return;
     }
-    if (h->refusing) {
-        refuse_ask(h, p, &ask, WP_LEAVING, LEAVING_RETRY_MS, "leaving");
-        return;
-    }
+    if (h->end_us)
+        ask.stay_ms =
+            (uint32_t)MAX(1, (h->end_us - now.mono_us) / WP_US_PER_MS);
     Relay *r = new_relay(h, p);
     if (ask.resumes)
         wp_stream_after(&r->stream, ask.after_event);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -68,6 +68,7 @@
     uint32_t prompt_tokens;
     uint32_t answer_tokens; /* as the caller guesses, or the most */
     uint32_t deadline_ms;   /* how long the caller waits; 0: not told */
+    uint32_t stay_ms;       /* this box ends in so many; 0: it stays */
     bool resumes;           /* goes on after `after_event` */
     uint64_t after_event;
 } WPDirectAsk;
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -462,6 +462,13 @@
         if (s->failures >= AVOID_FAILURES)
             avoid(s, now, s->failures - AVOID_FAILURES);
         break;
+    case WP_SERVED_BROKEN:
+        /* The caller comes back at once and is not to be sent to what has
+           crashed: it then waited 4 s there for a first event. */
+        s->failures++;
+        note_outcome(s, now, true);
+        avoid(s, now, 0);
+        break;
     case WP_SERVED_SILENT:
         s->failures++;
         note_outcome(s, now, true);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -46,6 +46,7 @@
     WP_SERVED_OK,
     WP_SERVED_REFUSED, /* it said that it did not run the request */
     WP_SERVED_FAILED,  /* an error of its own, or no whole answer */
+    WP_SERVED_BROKEN,  /* a stream broke off: it may have crashed */
     WP_SERVED_SILENT,  /* could not be reached, or said nothing in time */
     WP_SERVED_LEFT,    /* given up by the caller or by this box: no verdict */
     WP_SERVED_WRONG    /* another endpoint has the address */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -4,7 +4,8 @@
 enum {
     REFUSALS_MOST = 4,    /* legs that did not run, before giving up */
     NO_ENDPOINT_MS = 300, /* when to come back; endpoints start in seconds */
-    STARTING_MS = 500     /* the same, while no routes are known */
+    STARTING_MS = 500,    /* the same, while no routes are known */
+    LEAVING_MS = 100      /* the same, of a box that stops: others serve */
 };
 
 /* Share of places taken from which on a version may be bad under load, and
@@ -73,13 +74,13 @@
     const char *version = leg->replica->version;
     bool on_trial =
         sh && sh->state == WP_SHIFT_RUNNING && !strcmp(version, sh->version);
-    if (on_trial || (how != WP_SERVED_OK && how != WP_SERVED_FAILED))
+    bool failed = how == WP_SERVED_FAILED || how == WP_SERVED_BROKEN;
+    if (on_trial || (how != WP_SERVED_OK && !failed))
         return;
     WPFleet *fleet = f->d->fleet;
     bool known =
         wp_fleet_fails_loaded(fleet, now, leg->replica->service, version);
-    wp_fleet_learn(fleet, now, leg->replica, leg->taken,
-                   how == WP_SERVED_FAILED);
+    wp_fleet_learn(fleet, now, leg->replica, leg->taken, failed);
     if (known ||
         !wp_fleet_fails_loaded(fleet, now, leg->replica->service, version))
         return;
@@ -172,6 +173,9 @@
     uint32_t ms = ask->deadline_ms;
     if (route_ms && (!ms || route_ms < ms))
         ms = route_ms;
+    /* What does not end in time after all gets a final answer, not a cut. */
+    if (ask->stay_ms && (!ms || ask->stay_ms < ms))
+        ms = ask->stay_ms;
     f->deadline_us =
         ms ? now.mono_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
 }
@@ -200,6 +204,10 @@
         return f;
     }
     set_times(f, now, ask);
+    if (ask->stay_ms && !wp_flow_fits(f, ask->stay_ms)) {
+        *out = move_fail(WP_LEAVING, LEAVING_MS);
+        return f;
+    }
     wp_budget_request(wp_direct_budget(d, f->service->name), &d->rules.retries,
                       now);
     if (wp_flow_skips_ahead(f))
@@ -398,9 +406,12 @@
         after_refusal(f, now, WP_SERVED_SILENT, out);
         return;
     }
+    bool stream = f->route->repeat == WP_REPEAT_STREAM;
     f->ran++;
     end_this(f, now,
-             how == WP_LOSS_SILENT ? WP_SERVED_SILENT : WP_SERVED_FAILED);
+             how == WP_LOSS_SILENT ? WP_SERVED_SILENT
+             : stream              ? WP_SERVED_BROKEN
+                                   : WP_SERVED_FAILED);
     WPWhy why = f->passing ? WP_WHY_RESUME : WP_WHY_RETRY;
     if (wp_flow_may_repeat(f) && again(f, now, why, out))
         return;
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -27,6 +27,12 @@
 /* The endpoint for the next leg, held; NULL when there is none. */
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now);
 
+/* Whether the answer will surely be whole within `left_ms`. No stream's is:
+   with lengths foretold from tokens, first bytes and pace, one was cut on 1 to
+   2 of 50 days on which all boxes stop in turn, and worth rose by less than
+   0.01. */
+bool wp_flow_fits(WPFlow *f, uint32_t left_ms);
+
 /* Whether the answer in hand is to be dropped for the largest model's. */
 bool wp_flow_wants_better(WPFlow *f, WPTime now, const WPDirectAnswer *a);
 
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -83,7 +83,13 @@
     if (!s) /* the other side rather than none */
         s = wp_fleet_choose(d->fleet, now, &w);
     if (!s && f->n_tried && wp_flow_may_repeat(f)) {
-        /* All have been tried: better one of them again than none. */
+        /* All have been tried: better one of them again than none, and rather
+           not the one that has just failed. */
+        w.tried = &f->tried[f->n_tried - 1];
+        w.n_tried = 1;
+        s = wp_fleet_choose(d->fleet, now, &w);
+    }
+    if (!s && f->n_tried && wp_flow_may_repeat(f)) {
         w.n_tried = 0;
         s = wp_fleet_choose(d->fleet, now, &w);
     }
@@ -128,6 +134,19 @@
     return MAX((uint32_t)(PATIENCE_TIMES * mean / WP_US_PER_MS), least);
 }
 
+/* Plain answers hardly ever take so many times what three quarters of them stay
+   below. */
+#define PLAIN_TIMES 4.0
+
+bool wp_flow_fits(WPFlow *f, uint32_t left_ms)
+{
+    double upper =
+        wp_usual_upper(wp_direct_usual(f->d, f->route->name, wp_flow_model(f)));
+    bool plain = f->route->repeat != WP_REPEAT_STREAM;
+    return plain && upper > 0 &&
+           PLAIN_TIMES * upper < (double)left_ms * WP_US_PER_MS;
+}
+
 /* The chance that a leg with this model begins in time. */
 static double in_time(WPFlow *f, WPTime now, WPStr model)
 {
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -137,6 +137,101 @@
     fake_end(&k);
 }
 
+/* The caller whose stream broke off comes back with a new request. */
+static void a_stream_is_not_resumed_where_it_broke_off(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer good = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    for (int i = 0; i < 20; i++) {
+        WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+        const WPReplica *first = m.replica;
+        wp_flow_answer(f, k.now, &good, &m);
+        wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+        assert_ptr_not_equal(m.replica, first);
+        wp_flow_left(f, k.now);
+        wp_flow_free(f);
+        f = fake_ask(&k, "/chat/x", NULL, &m);
+        assert_ptr_not_equal(m.replica, first);
+        wp_flow_done(f, k.now, 9);
+        wp_flow_free(f);
+        fake_pass(&k, 5000);
+    }
+    fake_end(&k);
+}
+
+/* Nor is it sent back to the endpoint that failed last, when all have. */
+static void the_last_to_fail_is_not_asked_next(void **state)
+{
+    Fake k;
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    for (int i = 0; i < 20; i++) {
+        WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+        wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+        const WPReplica *second = m.replica;
+        wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+        assert_int_equal(m.kind, WP_MOVE_SEND);
+        assert_ptr_not_equal(m.replica, second);
+        wp_flow_left(f, k.now);
+        wp_flow_free(f);
+        fake_pass(&k, 8000);
+    }
+    fake_end(&k);
+}
+
+/* Begins a request to a box that ends in `stay_ms`. */
+static WPFlow *ask_leaving(Fake *k, const char *path, uint32_t stay_ms,
+                           WPMove *m)
+{
+    WPDirectAsk ask = { .id = wp_str("r"),
+                        .host = wp_str("h.example"),
+                        .path = wp_str(path),
+                        .key = wp_str("key-1"),
+                        .deadline_ms = 10000,
+                        .stay_ms = stay_ms };
+    return wp_flow_begin(&k->d, k->now, &ask, m);
+}
+
+/* A box that stops takes what it can finish, and tells others at once that
+   they have not run. */
+static void a_box_that_stops_takes_what_it_can_finish(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer ok = fake_answer(200, -1);
+    (void)state;
+    fake_init(&k);
+    for (int i = 0; i < 10; i++) { /* plain answers take 50 ms */
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        fake_pass(&k, 50);
+        wp_flow_answer(f, k.now, &ok, &m);
+        wp_flow_done(f, k.now, 0);
+        wp_flow_free(f);
+    }
+    WPFlow *f = ask_leaving(&k, "/safe/x", 1000, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    /* Its answer is the box's own, if need be, before the process ends. */
+    assert_true(m.budget_ms <= 1000);
+    wp_flow_done(f, k.now, 0);
+    wp_flow_free(f);
+    const struct {
+        const char *path;
+        uint32_t stay_ms;
+    } refused[] = { { "/safe/x", 100 }, { "/chat/x", 4000 } };
+    for (size_t i = 0; i < WP_COUNT(refused); i++) {
+        f = ask_leaving(&k, refused[i].path, refused[i].stay_ms, &m);
+        assert_int_equal(m.kind, WP_MOVE_FAIL);
+        assert_int_equal(m.code, WP_LEAVING);
+        assert_true(m.retry_ms > 0);
+        wp_flow_free(f);
+    }
+    fake_end(&k);
+}
+
 static void another_endpoint_at_the_address_is_left_alone(void **state)
 {
     Fake k;
@@ -324,7 +419,10 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(what_may_have_run_once_is_never_sent_again),
+TESTS_MAIN(T(a_stream_is_not_resumed_where_it_broke_off),
+           T(the_last_to_fail_is_not_asked_next),
+           T(a_box_that_stops_takes_what_it_can_finish),
+           T(what_may_have_run_once_is_never_sent_again),
            T(what_never_left_goes_elsewhere),
            T(a_refusal_goes_elsewhere_and_is_told_only_if_nothing_ran),
            T(an_endpoints_503_without_its_mark_is_no_promise),
