--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1569,15 +1569,18 @@
 static const double wp__direct_settings__answer_value__default_value = 0.35;
 static const double wp__direct_settings__request_value__default_value = 0.4;
 static const double wp__direct_settings__strain_from__default_value = 0.1;
-static const double wp__direct_settings__strain_weight__default_value = 80;
+static const double wp__direct_settings__strain_weight__default_value = 2.5;
 static const double wp__direct_settings__weigh_zone__default_value = 0.35;
-static const double wp__direct_settings__weigh_prompt__default_value = 0.4;
-static const double wp__direct_settings__weigh_work__default_value = 1;
+static const double wp__direct_settings__weigh_zone_kb__default_value = 0.03;
+static const double wp__direct_settings__weigh_time__default_value = 0.05;
+static const double wp__direct_settings__weigh_home__default_value = 0.4;
+static const double wp__direct_settings__weigh_read_kt__default_value = 0.04;
+static const double wp__direct_settings__weigh_move_kt__default_value = 0.1;
 static const double wp__direct_settings__weigh_slow__default_value = 0.25;
 static const uint32_t wp__direct_settings__choices__default_value = 0u;
 static const uint32_t wp__direct_settings__apply_ms__default_value = 2000u;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[32] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[35] =
 {
   {
     "id",
@@ -1891,30 +1894,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "weigh_prompt",
-    27,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_DOUBLE,
-    offsetof(Wp__DirectSettings, has_weigh_prompt),
-    offsetof(Wp__DirectSettings, weigh_prompt),
-    NULL,
-    &wp__direct_settings__weigh_prompt__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "weigh_work",
-    28,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_DOUBLE,
-    offsetof(Wp__DirectSettings, has_weigh_work),
-    offsetof(Wp__DirectSettings, weigh_work),
-    NULL,
-    &wp__direct_settings__weigh_work__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "request_value",
     29,
@@ -1963,12 +1942,72 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weigh_zone_kb",
+    33,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_zone_kb),
+    offsetof(Wp__DirectSettings, weigh_zone_kb),
+    NULL,
+    &wp__direct_settings__weigh_zone_kb__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_time",
+    34,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_time),
+    offsetof(Wp__DirectSettings, weigh_time),
+    NULL,
+    &wp__direct_settings__weigh_time__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_home",
+    35,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_home),
+    offsetof(Wp__DirectSettings, weigh_home),
+    NULL,
+    &wp__direct_settings__weigh_home__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_read_kt",
+    36,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_read_kt),
+    offsetof(Wp__DirectSettings, weigh_read_kt),
+    NULL,
+    &wp__direct_settings__weigh_read_kt__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_move_kt",
+    37,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_move_kt),
+    offsetof(Wp__DirectSettings, weigh_move_kt),
+    NULL,
+    &wp__direct_settings__weigh_move_kt__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
-  31,   /* field[31] = apply_ms */
+  29,   /* field[29] = apply_ms */
   8,   /* field[8] = charts */
-  30,   /* field[30] = choices */
+  28,   /* field[28] = choices */
   18,   /* field[18] = confidence_even */
   21,   /* field[21] = confidence_spread */
   12,   /* field[12] = drain_s */
@@ -1982,7 +2021,7 @@
   6,   /* field[6] = metrics_port */
   5,   /* field[5] = peers */
   4,   /* field[4] = ready */
-  28,   /* field[28] = request_value */
+  26,   /* field[26] = request_value */
   13,   /* field[13] = retry_ratio */
   14,   /* field[14] = retry_slack */
   15,   /* field[15] = retry_window_ms */
@@ -1992,16 +2031,20 @@
   7,   /* field[7] = store */
   23,   /* field[23] = strain_from */
   24,   /* field[24] = strain_weight */
-  26,   /* field[26] = weigh_prompt */
-  29,   /* field[29] = weigh_slow */
-  27,   /* field[27] = weigh_work */
+  32,   /* field[32] = weigh_home */
+  34,   /* field[34] = weigh_move_kt */
+  33,   /* field[33] = weigh_read_kt */
+  27,   /* field[27] = weigh_slow */
+  31,   /* field[31] = weigh_time */
   25,   /* field[25] = weigh_zone */
+  30,   /* field[30] = weigh_zone_kb */
   1,   /* field[1] = zone */
 };
-static const ProtobufCIntRange wp__direct_settings__number_ranges[1 + 1] =
+static const ProtobufCIntRange wp__direct_settings__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 32 }
+  { 29, 26 },
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2011,10 +2054,10 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  32,
+  35,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
-  1,  wp__direct_settings__number_ranges,
+  2,  wp__direct_settings__number_ranges,
   (ProtobufCMessageInit) wp__direct_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -359,10 +359,31 @@
   double strain_weight;
   protobuf_c_boolean has_weigh_zone;
   double weigh_zone;
-  protobuf_c_boolean has_weigh_prompt;
-  double weigh_prompt;
-  protobuf_c_boolean has_weigh_work;
-  double weigh_work;
+  /*
+   * each KB of a prompt
+   */
+  protobuf_c_boolean has_weigh_zone_kb;
+  double weigh_zone_kb;
+  /*
+   * a second to first bytes
+   */
+  protobuf_c_boolean has_weigh_time;
+  double weigh_time;
+  /*
+   * of a shared prompt
+   */
+  protobuf_c_boolean has_weigh_home;
+  double weigh_home;
+  /*
+   * 1,000 read again
+   */
+  protobuf_c_boolean has_weigh_read_kt;
+  double weigh_read_kt;
+  /*
+   * 1,000 moved; 0: none
+   */
+  protobuf_c_boolean has_weigh_move_kt;
+  double weigh_move_kt;
   protobuf_c_boolean has_weigh_slow;
   double weigh_slow;
   /*
@@ -388,7 +409,7 @@
 extern char wp__direct_settings__log_format__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 80, 0, 0.35, 0, 0.4, 0, 1, 0, 0.25, 0, 0u, 0, 2000u, 0, 0u, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 2.5, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 2000u, 0, 0u, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4027,7 +4027,7 @@
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[11] =
 {
   {
     "complete",
@@ -4125,6 +4125,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept_at",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MirrorDigest, n_kept_at),
+    offsetof(Wp__MirrorDigest, kept_at),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept_prefix",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MirrorDigest, n_kept_prefix),
+    offsetof(Wp__MirrorDigest, kept_prefix),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept_tokens",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MirrorDigest, n_kept_tokens),
+    offsetof(Wp__MirrorDigest, kept_tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -4133,6 +4169,9 @@
   0,   /* field[0] = complete */
   6,   /* field[6] = entries */
   7,   /* field[7] = fails_loaded */
+  8,   /* field[8] = kept_at */
+  9,   /* field[9] = kept_prefix */
+  10,   /* field[10] = kept_tokens */
   4,   /* field[4] = moved */
   1,   /* field[1] = moves */
 };
@@ -4140,7 +4179,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -4150,7 +4189,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  8,
+  11,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -687,10 +687,20 @@
    */
   size_t n_moved;
   uint64_t *moved;
+  /*
+   * What endpoints keep of prompts that the sender has sent there: hashes of
+   * the endpoint's id and of the prompt's beginning and model, and its tokens.
+   */
+  size_t n_kept_at;
+  uint64_t *kept_at;
+  size_t n_kept_prefix;
+  uint64_t *kept_prefix;
+  size_t n_kept_tokens;
+  uint32_t *kept_tokens;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Wp__MirrorPull
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -77,8 +77,14 @@
         .session_ms = s->session_ms,
         .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
                      s->request_value, s->strain_from, s->strain_weight },
-        .fleet = { s->weigh_zone, s->weigh_prompt, s->weigh_work, s->weigh_slow,
-                   s->choices }
+        .fleet = { .zone = s->weigh_zone,
+                   .zone_kb = s->weigh_zone_kb,
+                   .home = s->weigh_home,
+                   .read_kt = s->weigh_read_kt,
+                   .move_kt = s->weigh_move_kt,
+                   .slow = s->weigh_slow,
+                   .choices = s->choices },
+        .second = s->weigh_time
     };
 }
 
--- a/io/wp_platform.h
+++ b/io/wp_platform.h
@@ -35,6 +35,7 @@
     const char *workspace; /* NULL: anonymous */
     WPStr model;           /* empty: as the caller named it */
     uint32_t budget_ms;
+    const char *fetch; /* where kept memory is taken from; NULL: nowhere */
     int priority;
     bool resumes;
     uint64_t after_event;
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -79,7 +79,7 @@
     snprintf(first, sizeof(first), "%.1f",
              r->begun_us ? (double)(r->begun_us - f->start_us) / WP_US_PER_MS
                          : 0);
-    snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt_tokens,
+    snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt.tokens,
              f->answer_tokens);
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
            "status", code, "ms", ms, "first_ms", first, "tokens", tokens,
@@ -90,7 +90,8 @@
 }
 
 /* One line's part for each leg: why, where, how loaded that was believed to
-   be and how old the belief was. */
+   be and how old the belief was, what it was believed to have to read, and the
+   first byte's time foretold from that. */
 static void note_leg(Relay *r, const WPMove *m, WPTime now)
 {
     const WPReplica *s = m->replica;
@@ -100,6 +101,12 @@
                            r->legs->len ? "," : "", wp_why_name(m->why), s->id,
                            s->version, (int)m->model.n, m->model.p, s->running,
                            s->waiting, s->slots, (long)age_ms);
+    const WPAttempt *leg = &r->flow->leg;
+    if (leg->expect_us > 0)
+        g_string_append_printf(r->legs, ":unread=%u:expect=%.0fms",
+                               leg->work.unread, leg->expect_us / WP_US_PER_MS);
+    if (m->fetch)
+        g_string_append_printf(r->legs, ":fetch=%s", m->fetch);
 }
 
 static void note_result(Relay *r, const char *how)
@@ -176,6 +183,7 @@
                       .budget_ms = r->flow->deadline_us < INT64_MAX / 2
                                        ? m->budget_ms
                                        : 0,
+                      .fetch = m->fetch,
                       .priority = r->flow->priority,
                       .resumes = r->stream.has_last,
                       .after_event = r->stream.last };
@@ -448,6 +456,7 @@
         refuse_ask(h, p, &ask, WP_BAD_REQUEST, 0, bad);
         return;
     }
+    ask.body_bytes = p->body->len;
     if (h->end_us)
         ask.stay_ms =
             (uint32_t)MAX(1, (h->end_us - now.mono_us) / WP_US_PER_MS);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -182,6 +182,17 @@
         wp_fleet_hear_loaded(s->host->direct.fleet, now, part[0], part[1]);
 }
 
+/* Arrays of unlike lengths are a peer's fault: the rest is left out. */
+static void hear_kept(WPSync *s, WPTime now, const Wp__MirrorDigest *d)
+{
+    size_t n = MIN(d->n_kept_at, MIN(d->n_kept_prefix, d->n_kept_tokens));
+    for (size_t i = 0; i < n; i++) {
+        const WPKeptNews news = { d->kept_at[i], d->kept_prefix[i],
+                                  d->kept_tokens[i] };
+        wp_fleet_hear_kept(s->host->direct.fleet, now, &news);
+    }
+}
+
 static void on_heard(void *arg, const char *from, const Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
@@ -190,6 +201,7 @@
         hear_sums(s, from, d->moves[i]);
     for (size_t i = 0; i < d->n_fails_loaded; i++)
         hear_loaded(s, now, d->fails_loaded[i]);
+    hear_kept(s, now, d);
     if (d->has_age_ms)
         wp_fresh_hear(&s->fresh,
                       now.mono_us - (int64_t)d->age_ms * WP_US_PER_MS);
@@ -245,6 +257,21 @@
         f->sync->loaded[f->digest->n_fails_loaded++] = (char *)what;
 }
 
+static void fill_kept(WPSync *s, Wp__MirrorDigest *d)
+{
+    WPKeptNews news[WP_KEPT_TOLD];
+    size_t n = wp_fleet_tell_kept(s->host->direct.fleet, news, WP_KEPT_TOLD);
+    for (size_t i = 0; i < n; i++) {
+        s->kept_at[i] = news[i].replica;
+        s->kept_prefix[i] = news[i].key;
+        s->kept_tokens[i] = news[i].tokens;
+    }
+    d->n_kept_at = d->n_kept_prefix = d->n_kept_tokens = n;
+    d->kept_at = s->kept_at;
+    d->kept_prefix = s->kept_prefix;
+    d->kept_tokens = s->kept_tokens;
+}
+
 static void on_fill(void *arg, Wp__MirrorDigest *d)
 {
     WPSync *s = arg;
@@ -262,6 +289,7 @@
     d->bound = s->bound;
     d->n_bound =
         wp_direct_tell(&s->host->direct, now, false, s->bound, WP_BOUND_TOLD);
+    fill_kept(s, d);
     d->moved = s->moved;
     d->n_moved =
         wp_direct_tell(&s->host->direct, now, true, s->moved, WP_BOUND_TOLD);
--- /dev/null
+++ b/src/wp_bid.c
@@ -0,0 +1,62 @@
+/* Costs at an engine. */
+#include "wp_bid.h"
+
+#define KILO 1000.0
+
+static const WPKeeper *keeper_of(const WPKeepers *k, const char *version)
+{
+    for (unsigned i = 0; i < k->n; i++)
+        if (!strcmp(k->of[i].replica->version, version))
+            return &k->of[i];
+    return NULL;
+}
+
+static void note_keeper(WPKeepers *k, const WPReplica *s, uint32_t tokens)
+{
+    WPKeeper *of = (WPKeeper *)keeper_of(k, s->version);
+    if (!of && k->n < WP_KEEPERS_MOST)
+        k->of[k->n++] = (WPKeeper){ s, tokens };
+    else if (of && tokens > of->tokens)
+        *of = (WPKeeper){ s, tokens };
+}
+
+void wp_keepers_find(WPKeepers *k, WPTime now, const WPWant *w,
+                     const GPtrArray *list)
+{
+    k->n = 0;
+    for (guint i = 0; w->prompt && i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        uint32_t tokens = wp_kept_tokens(s->kept, now, w->model, w->prompt);
+        if (tokens && !s->unreachable)
+            note_keeper(k, s, tokens);
+    }
+}
+
+static double cost_of(const WPFleetRules *r, const WPWant *w,
+                      const WPWork *work)
+{
+    double us = w->speed ? wp_speed_expect(w->speed, work) : 0;
+    uint32_t own = work->prompt - wp_prompt_shared_tokens(w->prompt);
+    uint32_t again = work->unread > own ? work->unread - own : 0;
+    return w->second * us / WP_US_PER_S + r->read_kt * again / KILO;
+}
+
+WPBid wp_bid(const WPFleetRules *r, WPTime now, const WPWant *w,
+             const WPReplica *s, const WPKeepers *keepers)
+{
+    uint32_t own = wp_kept_tokens(s->kept, now, w->model, w->prompt);
+    WPBid reads = { .work = { .prompt = w->prompt->tokens,
+                              .unread = w->prompt->tokens - own,
+                              .load = wp_fleet_load_of(s, now),
+                              .ahead_us = s->ahead_us } };
+    reads.cost = cost_of(r, w, &reads.work);
+    const WPKeeper *k = keeper_of(keepers, s->version);
+    if (!r->move_kt || !k || k->replica == s || k->tokens <= own)
+        return reads;
+    WPBid takes = reads;
+    takes.work.unread = w->prompt->tokens - k->tokens;
+    takes.source = k->replica;
+    takes.cost =
+        cost_of(r, w, &takes.work) + r->move_kt * (k->tokens - own) / KILO;
+    return takes.cost < reads.cost ? takes : reads;
+}
--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -35,10 +35,42 @@
     return cost * (answer + PROMPT_PRICE * prompt) / PRICED_TOKENS;
 }
 
-/* How much dearer work is than its price list says. */
-static double strain_of(const WPCascadeRules *r, double lag)
+/* What remains of the older requests' weight with each new one. */
+#define EARNED_KEEP 0.99
+
+/* What engines are taken to earn in a second until this box has seen for
+   itself, and how many seconds that counts for. */
+#define EARNED_FIRST 20.0
+#define EARNED_FIRST_S 8.0
+#define EARNED_LEAST_S 0.1
+
+void wp_earned_init(WPEarned *e)
+{
+    *e = (WPEarned){ EARNED_FIRST * EARNED_FIRST_S, EARNED_FIRST_S };
+}
+
+void wp_earned_request(WPEarned *e, const WPCascadeRules *r,
+                       uint32_t prompt_tokens, uint32_t answer_tokens)
+{
+    e->value =
+        e->value * EARNED_KEEP + worth_of(r, prompt_tokens, answer_tokens);
+    e->read_s *= EARNED_KEEP;
+}
+
+void wp_earned_read(WPEarned *e, double read_s)
+{
+    e->read_s += read_s;
+}
+
+double wp_earned_rate(const WPEarned *e)
+{
+    return e->value / MAX(e->read_s, EARNED_LEAST_S);
+}
+
+double wp_cascade_second(const WPCascadeRules *r, const WPEarned *e, double lag)
 {
-    return 1 + MAX(0, lag - r->strain_from) * r->strain_weight;
+    double strain = MAX(0, lag - r->strain_from) * r->strain_weight;
+    return strain * wp_earned_rate(e);
 }
 
 /* What an answer is worth, as a part, that comes in time with this chance. */
@@ -75,14 +107,14 @@
     double keep = (good + (1 - good) * POOR) * worth;
     double ask = timely(c->in_time) * worth;
     double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens);
-    return ask - keep - price * strain_of(r, c->lag);
+    return ask - keep - price - c->read;
 }
 
 bool wp_cascade_skips(const WPCascadeRules *r, const WPCascadeAhead *c)
 {
     double worth = worth_of(r, c->prompt_tokens, c->answer_tokens);
-    double price = price_of(c->cost, c->prompt_tokens, c->answer_tokens) *
-                   strain_of(r, c->lag);
+    double price =
+        price_of(c->cost, c->prompt_tokens, c->answer_tokens) + c->read;
     /* The larger one is then asked only if that is worth it. */
     double second = MAX(timely(c->in_time_both) * worth - price, POOR * worth);
     double by_steps = c->good * worth + (1 - c->good) * second;
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -16,27 +16,49 @@
     double base;   /* of a good answer of any length, besides */
     double strain_from;   /* first bytes later than this part of their aim
                              show that the endpoints are strained */
-    double strain_weight; /* how much dearer work is for each whole part */
+    double strain_weight; /* for each whole part beyond, reading costs so many
+                             times what engines earn in that time */
 } WPCascadeRules;
 
 typedef struct WPCascadeCase {
     int confidence; /* of the answer in hand, 0 to 100 */
     uint32_t prompt_tokens, answer_tokens;
     double cost; /* of 1,000 tokens of the larger model */
-    double lag;  /* recent first bytes, as a part of their aim */
+    double read; /* price of reading the prompt with it, by the strain */
     double
         in_time; /* the chance that the larger model's answer meets the aim */
 } WPCascadeCase;
 
 typedef struct WPCascadeAhead {
     uint32_t prompt_tokens, answer_tokens;
-    double cost;         /* of 1,000 tokens of the largest model */
-    double good;         /* share of the smallest's answers that are good */
+    double cost; /* of 1,000 tokens of the largest model */
+    double read; /* price of reading the prompt with it, by the strain */
+    double good; /* share of the smallest's answers that are good */
     double in_time_both; /* the chance that one after the other meet the aim */
     double in_time_one;  /* that the largest alone does */
-    double lag;          /* recent first bytes, as a part of their aim */
 } WPCascadeAhead;
 
+/* What engines earn, for each second that they read: sums over recent
+   requests. */
+typedef struct WPEarned {
+    double value;  /* of good answers to the requests that came */
+    double read_s; /* that engines spent on reading for them */
+} WPEarned;
+
+/* Begins with what is usual, as if it had been seen for a while. */
+void wp_earned_init(WPEarned *e);
+
+void wp_earned_request(WPEarned *e, const WPCascadeRules *r,
+                       uint32_t prompt_tokens, uint32_t answer_tokens);
+void wp_earned_read(WPEarned *e, double read_s);
+
+/* What engines earn in a second of reading; 0 while too little is known. */
+double wp_earned_rate(const WPEarned *e);
+
+/* The price of a second's reading at this lag. */
+double wp_cascade_second(const WPCascadeRules *r, const WPEarned *e,
+                         double lag);
+
 /* How often the smallest model's answers were good, as far as their
    confidence tells. */
 typedef struct WPQualitySeen {
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -23,6 +23,7 @@
     memset(d, 0, sizeof(*d));
     d->rules = *rules;
     d->boxes = 1;
+    wp_earned_init(&d->earned);
     d->fleet = wp_fleet_new(seed);
     wp_fleet_rules(d->fleet, &rules->fleet);
     d->shifts = wp_shifts_new(chart);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -19,6 +19,8 @@
     uint32_t session_ms; /* requests of a session follow within this */
     WPCascadeRules cascade;
     WPFleetRules fleet;
+    double second; /* weight of a second until the first byte, in places for
+                      what engines earn in that time */
 } WPDirectRules;
 
 typedef struct WPDirect {
@@ -34,6 +36,7 @@
     GHashTable *usual;    /* service or route, and model -> usual times */
     GHashTable *quality;  /* route -> how good the smallest model's are */
     double lag;           /* recent first bytes, as a part of their aim */
+    WPEarned earned;
     int64_t swept_us;
     GRand *rand;
 } WPDirect;
@@ -61,11 +64,11 @@
 typedef struct WPDirectAsk {
     WPStr id;
     WPStr host, path;
-    WPStr key;       /* empty: none was sent */
-    WPStr session;   /* empty: on its own */
-    WPStr model;     /* empty: none was named */
-    uint64_t prompt; /* hash of the parts that other requests share; 0: none */
-    uint32_t prompt_tokens;
+    WPStr key;     /* empty: none was sent */
+    WPStr session; /* empty: on its own */
+    WPStr model;   /* empty: none was named */
+    WPPrompt prompt;
+    uint32_t body_bytes;
     uint32_t answer_tokens; /* as the caller guesses, or the most */
     uint32_t deadline_ms;   /* how long the caller waits; 0: not told */
     uint32_t stay_ms;       /* this box ends in so many; 0: it stays */
@@ -93,7 +96,9 @@
     WPReplica *replica;
     WPStr model; /* to name to the endpoint; empty: as it came */
     WPWhy why;
-    uint32_t budget_ms;   /* what is left of the caller's time */
+    const char *fetch;  /* address of an endpoint that keeps more of the prompt
+                           and from which it is to be taken; NULL: none */
+    uint32_t budget_ms; /* what is left of the caller's time */
     uint32_t patience_ms; /* to the first byte, then go elsewhere; 0: none */
     WPCode code;
     uint32_t retry_ms; /* when to come back; 0: not told */
@@ -123,14 +128,17 @@
 typedef struct WPAttempt {
     WPReplica *replica; /* NULL: none is under way */
     int64_t sent_us;
-    int64_t first_us; /* when its first byte came */
-    bool heard;       /* its first byte has come */
-    bool crowded;     /* its endpoint was so full, or so new, that it may be
-                         slow */
-    double taken;     /* share of its endpoint's places when it was sent */
-    bool loaded;      /* its endpoint was half full */
-    bool judged;      /* counted in the verdict on a move's new version */
-    bool old_version; /* counts among those of a move's old version */
+    int64_t first_us;  /* when its first byte came */
+    bool heard;        /* its first byte has come */
+    bool crowded;      /* its endpoint was so full, or so new, that it may be
+                          slow */
+    WPWork work;       /* before the first byte, as believed when it was sent */
+    double expect_us;  /* what was foretold from that; 0: nothing */
+    double reading_us; /* of its own prompt, of that */
+    double taken;      /* share of its endpoint's places when it was sent */
+    bool loaded;       /* its endpoint was half full */
+    bool judged;       /* counted in the verdict on a move's new version */
+    bool old_version;  /* counts among those of a move's old version */
 } WPAttempt;
 
 typedef struct WPFlow {
@@ -141,8 +149,9 @@
     char *id, *model;
     const char *workspace; /* NULL: anonymous */
     int priority;
-    uint64_t session, prompt;
-    uint32_t prompt_tokens, answer_tokens;
+    uint64_t session;
+    WPPrompt prompt;
+    uint32_t answer_tokens, body_bytes;
     double unit; /* place of the session (or request) in [0, 1) */
     int64_t start_us, deadline_us;
     unsigned step;         /* index of the model in the route's list */
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -1,5 +1,5 @@
 /* The fleet of endpoints that are called directly. */
-#include "wp_fleet.h"
+#include "wp_bid.h"
 
 #include <math.h>
 
@@ -11,8 +11,6 @@
 #define AVOIDED 20.0     /* chosen only when nothing else is left */
 #define COLD 0.3         /* has just started */
 #define JITTER 0.02      /* so that boxes with one view do not herd */
-#define PROMPT_SCALE                                                           \
-    60000 /* tokens to be read that weigh as one full replica */
 
 enum {
     LIST_GRACE_US = 2500 * WP_US_PER_MS, /* for entries that lapsed while the
@@ -60,6 +58,8 @@
     GHashTable *by_load; /* service and version -> LoadSeen */
     GHashTable *by_id;
     GHashTable *by_service; /* name -> GPtrArray of WPReplica */
+    GHashTable *by_hash;    /* of the id -> WPReplica */
+    GArray *untold;         /* WPKeptNews */
     GRand *rand;
     WPFleetRules rules;
 };
@@ -73,6 +73,7 @@
     g_free(s->addr);
     g_free(s->zone);
     g_free(s->version);
+    wp_kept_free(s->kept);
     g_free(s);
 }
 
@@ -94,6 +95,8 @@
     f->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     f->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_ptr_array_unref);
+    f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
     f->rand = g_rand_new_with_seed(seed);
     return f;
 }
@@ -110,6 +113,8 @@
     g_hash_table_unref(f->by_id);
     g_hash_table_unref(f->by_service);
     g_hash_table_unref(f->by_load);
+    g_hash_table_unref(f->by_hash);
+    g_array_unref(f->untold);
     g_rand_free(f->rand);
     g_free(f);
 }
@@ -134,7 +139,10 @@
     s->zone = g_strdup(l->zone);
     s->version = g_strdup(l->version);
     s->slowness = 1;
+    s->kept = wp_kept_new();
+    s->id_hash = wp_hash(wp_str(s->id), 0);
     g_hash_table_insert(f->by_id, s->id, s);
+    g_hash_table_insert(f->by_hash, &s->id_hash, s);
     g_ptr_array_add(of_service(f, s->service), s);
     return s;
 }
@@ -163,6 +171,7 @@
 {
     s->gone = true;
     g_hash_table_remove(f->by_id, s->id);
+    g_hash_table_remove(f->by_hash, &s->id_hash);
     g_ptr_array_remove_fast(of_service(f, s->service), s);
     wp_fleet_release(s);
 }
@@ -230,8 +239,7 @@
     return s->fail_rate * exp2(-age / FAIL_HALF_LIFE_US);
 }
 
-/* Requests believed to be at the replica, from all boxes. */
-static double load_of(const WPReplica *s, WPTime now)
+double wp_fleet_load_of(const WPReplica *s, WPTime now)
 {
     bool fresh = s->load_us && now.mono_us - s->load_us < LOAD_FRESH_US;
     double told = fresh ? s->running + s->waiting + s->since_load : 0;
@@ -240,14 +248,7 @@
 
 double wp_fleet_taken(const WPReplica *s, WPTime now)
 {
-    return load_of(s, now) / (s->slots ? s->slots : 1);
-}
-
-static double places_taken(const WPFleet *f, const WPReplica *s, WPTime now)
-{
-    double slots = s->slots ? s->slots : 1;
-    return load_of(s, now) / slots +
-           f->rules.work * s->prompt_ahead / PROMPT_SCALE;
+    return wp_fleet_load_of(s, now) / (s->slots ? s->slots : 1);
 }
 
 static LoadSeen *load_seen(WPFleet *f, const char *service, const char *version)
@@ -311,14 +312,30 @@
            wp_fleet_pressure(f, now, w) >= SPARE_FROM;
 }
 
-static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s)
+#define KB 1024.0
+
+static double engine_score(const WPFleet *f, WPTime now, const WPWant *w,
+                           const WPReplica *s, const WPKeepers *keepers,
+                           bool home)
 {
-    double v = places_taken(f, s, now);
+    const WPBid b = wp_bid(&f->rules, now, w, s, keepers);
+    double v = b.cost - (home ? f->rules.home : 0);
+    if (strcmp(s->zone, w->zone))
+        v += f->rules.zone_kb * w->body_bytes / KB;
+    return v;
+}
+
+static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s,
+                    const WPKeepers *keepers, bool home)
+{
+    double v = wp_fleet_taken(s, now);
+    if (w->prompt)
+        v += engine_score(f, now, w, s, keepers, home);
+    else if (strcmp(s->zone, w->zone))
+        v += f->rules.zone;
     v += (w->once ? FAILING_ONCE : FAILING) * fail_rate(s, now);
     v += f->rules.slow * (s->slowness - 1);
     v += JITTER * g_rand_double(f->rand);
-    if (strcmp(s->zone, w->zone))
-        v += f->rules.zone;
     if (s->avoid_until_us > now.mono_us)
         v += AVOIDED;
     if (s->cold_until_us > now.mono_us)
@@ -346,25 +363,27 @@
         const WPReplica *s = g_ptr_array_index(list, i);
         if (!may_take(w, s) || s->avoid_until_us > now.mono_us)
             continue;
-        taken += load_of(s, now);
+        taken += wp_fleet_load_of(s, now);
         slots += s->slots;
     }
     return slots > 0 ? taken / slots : 1;
 }
 
-/* The replica of this zone that requests with the same shared prompt go to,
-   so that it reads the shared part once. */
+/* The replica that all boxes send requests with the same shared prompt to, so
+   that it is read once. */
 static const WPReplica *home_of(const WPWant *w, GPtrArray *list)
 {
     const WPReplica *best = NULL;
-    double best_score = 0;
-    if (!w->affinity)
+    uint64_t best_score = 0;
+    uint64_t shared = w->prompt ? wp_prompt_shared(w->prompt) : 0;
+    if (!shared)
         return NULL;
     for (guint i = 0; i < list->len; i++) {
         const WPReplica *s = g_ptr_array_index(list, i);
+        uint64_t key[2] = { shared ^ w->model, s->id_hash };
         if (!may_take(w, s) || strcmp(s->zone, w->zone))
             continue;
-        double v = wp_rendezvous(wp_str(s->id), w->affinity, 1);
+        uint64_t v = wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
         if (!best || v > best_score) {
             best = s;
             best_score = v;
@@ -386,11 +405,13 @@
     const WPReplica *home = home_of(w, list);
     WPReplica *best = NULL;
     double best_score = 0;
+    WPKeepers keepers;
+    wp_keepers_find(&keepers, now, w, list);
     for (guint i = 0; i < list->len; i++) {
         WPReplica *s = g_ptr_array_index(list, i);
         if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)))
             continue;
-        double v = score(f, now, w, s) - (s == home ? f->rules.prompt : 0);
+        double v = score(f, now, w, s, &keepers, s == home);
         if (!best || v < best_score) {
             best = s;
             best_score = v;
@@ -412,18 +433,70 @@
     return best ? wp_fleet_hold(best) : NULL;
 }
 
-void wp_fleet_sent(WPReplica *s, WPTime now, uint32_t prompt_tokens)
+WPWork wp_fleet_work(WPFleet *f, WPTime now, const WPWant *w,
+                     const WPReplica *s, const WPReplica **source)
+{
+    WPKeepers keepers;
+    *source = NULL;
+    if (!w->prompt)
+        return (WPWork){ .load = wp_fleet_load_of(s, now) };
+    wp_keepers_find(&keepers, now, w, of_service(f, w->service));
+    const WPBid b = wp_bid(&f->rules, now, w, s, &keepers);
+    *source = b.source;
+    return b.work;
+}
+
+enum { UNTOLD_MOST = 256 };
+
+/* Reading that takes less is not worth telling of. */
+#define TOLD_LEAST_US (100 * WP_US_PER_MS)
+
+static void note_untold(WPFleet *f, const WPReplica *s, const WPWant *w)
+{
+    uint32_t shared = wp_prompt_shared_tokens(w->prompt);
+    const WPWork work = { .prompt = shared, .unread = shared };
+    if (f->untold->len == UNTOLD_MOST ||
+        wp_speed_reading(w->speed, &work) < TOLD_LEAST_US)
+        return;
+    uint64_t key = wp_kept_key(w->model, wp_prompt_shared(w->prompt));
+    const WPKeptNews n = { s->id_hash, key, shared };
+    g_array_append_val(f->untold, n);
+}
+
+size_t wp_fleet_tell_kept(WPFleet *f, WPKeptNews *out, size_t most)
+{
+    guint n = (guint)MIN(most, f->untold->len);
+    if (!n)
+        return 0;
+    memcpy(out, f->untold->data, n * sizeof(*out));
+    g_array_remove_range(f->untold, 0, n);
+    return n;
+}
+
+void wp_fleet_hear_kept(WPFleet *f, WPTime now, const WPKeptNews *n)
+{
+    WPReplica *s = g_hash_table_lookup(f->by_hash, &n->replica);
+    if (s)
+        wp_kept_hear(s->kept, now, n->key, n->tokens);
+}
+
+void wp_fleet_sent(WPFleet *f, WPReplica *s, WPTime now, const WPWant *w,
+                   double reading_us)
 {
-    (void)now;
     s->in_flight++;
     s->since_load++;
-    s->prompt_ahead += prompt_tokens;
+    s->ahead_us += reading_us;
+    if (!w->prompt)
+        return;
+    wp_kept_room(s->kept, w->memory_tokens);
+    wp_kept_read(s->kept, now, w->model, w->prompt);
+    note_untold(f, s, w);
 }
 
-void wp_fleet_began(WPReplica *s, uint32_t prompt_tokens, int64_t took_us,
+void wp_fleet_began(WPReplica *s, double reading_us, int64_t took_us,
                     int64_t expected_us)
 {
-    s->prompt_ahead = MAX(0, s->prompt_ahead - prompt_tokens);
+    s->ahead_us = MAX(0, s->ahead_us - reading_us);
     if (expected_us <= 0)
         return;
     double ratio = (double)took_us / (double)expected_us;
@@ -449,7 +522,7 @@
     if (s->in_flight)
         s->in_flight--;
     if (!s->in_flight)
-        s->prompt_ahead = 0;
+        s->ahead_us = 0;
     switch (how) {
     case WP_SERVED_OK:
         s->failures = 0;
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -5,7 +5,8 @@
 #ifndef WP_FLEET_H
 #define WP_FLEET_H
 
-#include "wp_base.h"
+#include "wp_kept.h"
+#include "wp_speed.h"
 
 /* One endpoint as the list tells of it. */
 typedef struct WPListing {
@@ -33,9 +34,12 @@
     /* This box's own requests. */
     uint32_t in_flight;
     uint32_t since_load; /* sent since the last report of its load */
-    double prompt_ahead; /* prompt tokens sent whose first event is awaited */
-    double fail_rate;    /* moving average over ended requests, 0 to 1 */
-    int64_t fail_us;     /* when `fail_rate` was last brought up to date */
+    double ahead_us;     /* reading of prompts sent whose first event is
+                            awaited, as foretold */
+    WPKept *kept;        /* prompts that it has read for this box */
+    uint64_t id_hash;
+    double fail_rate;  /* moving average over ended requests, 0 to 1 */
+    int64_t fail_us;   /* when `fail_rate` was last brought up to date */
     double slowness;   /* moving ratio of its time to the expected, 1: alike */
     uint32_t failures; /* in a row */
     int64_t avoid_until_us;
@@ -60,9 +64,14 @@
     const char *version; /* only this one; NULL: as `allowed` says */
     WPVersionFn allowed; /* NULL: all */
     void *allowed_arg;
-    const char *zone;  /* of this box */
-    uint64_t affinity; /* hash of the shared prompt parts; 0: none */
-    uint32_t prompt_tokens;
+    const char *zone; /* of this box */
+    /* Of an engine; NULL: not one. */
+    const WPPrompt *prompt;
+    uint64_t model; /* hash */
+    WPSpeed *speed; /* of first bytes with that model; NULL: not known */
+    double second;  /* weight of a second until the first byte, in places */
+    uint64_t memory_tokens;  /* of each endpoint; 0: not known */
+    uint32_t body_bytes;     /* that go to the endpoint */
     WPReplica *const *tried; /* not these again */
     size_t n_tried;
     bool once; /* may not be repeated: doubtful endpoints cost more */
@@ -71,10 +80,13 @@
 /* Weights of a choice, in places: 1 is a replica whose every place is
    taken. */
 typedef struct WPFleetRules {
-    double zone;   /* against another zone: bytes between zones are paid for */
-    double prompt; /* for the replica that likely keeps the shared prompt */
-    double work;   /* of prompts that wait to be read */
-    double slow;   /* of its slowness beyond its peers' */
+    double zone;    /* against another zone: bytes between zones are paid for */
+    double zone_kb; /* the same of an engine, for each KB that goes there */
+    double home;    /* for the replica that boxes prefer for a shared prompt */
+    double read_kt; /* of each 1,000 shared tokens that are read again */
+    double move_kt; /* of each 1,000 tokens that are taken from another engine;
+                       0: none are */
+    double slow;    /* of its slowness beyond its peers' */
     uint32_t choices; /* candidates drawn at random, the home besides; 0: all */
 } WPFleetRules;
 
@@ -106,6 +118,9 @@
 /* The endpoint for a request, held for the caller; NULL if there is none. */
 WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w);
 
+/* Requests believed to be at the replica, from all boxes. */
+double wp_fleet_load_of(const WPReplica *s, WPTime now);
+
 /* The share of its places that are taken, as far as is known. */
 double wp_fleet_taken(const WPReplica *s, WPTime now);
 
@@ -113,12 +128,30 @@
 WPReplica *wp_fleet_hold(WPReplica *s);
 void wp_fleet_release(WPReplica *s);
 
-/* A request that was chosen for `s` has been handed to it. */
-void wp_fleet_sent(WPReplica *s, WPTime now, uint32_t prompt_tokens);
+/* What an endpoint has to do before the first byte of this request, and another
+   one from which it is to take the prompt's beginning, or NULL. */
+WPWork wp_fleet_work(WPFleet *f, WPTime now, const WPWant *w,
+                     const WPReplica *s, const WPReplica **source);
+
+/* What this box's requests have made endpoints keep and the other boxes have
+   not been told of: written to `out`, they count as told. */
+typedef struct WPKeptNews {
+    uint64_t replica; /* hash of its id */
+    uint64_t key;     /* wp_kept_key() */
+    uint32_t tokens;
+} WPKeptNews;
+
+size_t wp_fleet_tell_kept(WPFleet *f, WPKeptNews *out, size_t most);
+void wp_fleet_hear_kept(WPFleet *f, WPTime now, const WPKeptNews *n);
+
+/* A request that was chosen for `s` is handed to it; its prompt takes so long
+   to read there. */
+void wp_fleet_sent(WPFleet *f, WPReplica *s, WPTime now, const WPWant *w,
+                   double reading_us);
 
 /* The first byte of its answer came after `took_us`, where an endpoint of its
    kind is expected to take `expected_us`; 0: not to be compared. */
-void wp_fleet_began(WPReplica *s, uint32_t prompt_tokens, int64_t took_us,
+void wp_fleet_began(WPReplica *s, double reading_us, int64_t took_us,
                     int64_t expected_us);
 
 /* The request has ended there. */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -37,6 +37,30 @@
     return !f->service->slots && f->route->repeat != WP_REPEAT_STREAM;
 }
 
+static void note_earned(WPFlow *f, WPWhy why)
+{
+    WPDirect *d = f->d;
+    if (why == WP_WHY_FIRST)
+        wp_earned_request(&d->earned, &d->rules.cascade, f->prompt.tokens,
+                          f->answer_tokens);
+    wp_earned_read(&d->earned, f->leg.reading_us / WP_US_PER_S);
+}
+
+/* Notes what the leg's endpoint has to do, and hands the request to it. Returns
+   the address to take the prompt's beginning from, or NULL. */
+static const char *foretell(WPFlow *f, WPTime now, WPReplica *s, WPWhy why)
+{
+    const WPWant w = wp_flow_want(f);
+    const WPReplica *source;
+    f->leg.work = wp_fleet_work(f->d->fleet, now, &w, s, &source);
+    f->leg.expect_us = wp_speed_expect(w.speed, &f->leg.work);
+    f->leg.reading_us = wp_speed_reading(w.speed, &f->leg.work);
+    if (w.prompt && f->leg.expect_us > 0)
+        note_earned(f, why);
+    wp_fleet_sent(f->d->fleet, s, now, &w, f->leg.reading_us);
+    return source ? source->addr : NULL;
+}
+
 static void begin_leg(WPFlow *f, WPTime now, WPReplica *s, WPWhy why,
                       WPMove *out)
 {
@@ -57,11 +81,12 @@
        before this one is answered. */
     if (f->session)
         wp_direct_session_on(f->d, now, f->session, s->version);
-    wp_fleet_sent(s, now, f->prompt_tokens);
+    const char *fetch = foretell(f, now, s, why);
     *out = (WPMove){ .kind = WP_MOVE_SEND,
                      .replica = s,
                      .model = wp_flow_model(f),
                      .why = why,
+                     .fetch = fetch,
                      .budget_ms = (uint32_t)MAX(wp_flow_left_ms(f, now), 1),
                      .patience_ms = wp_flow_patience(f) };
 }
@@ -190,8 +215,8 @@
     f->start_us = now.mono_us;
     f->deadline_us = INT64_MAX / 2;
     f->prompt = ask->prompt;
-    f->prompt_tokens = ask->prompt_tokens;
     f->answer_tokens = ask->answer_tokens;
+    f->body_bytes = ask->body_bytes;
     f->session = ask->session.n ? wp_hash(ask->session, 0) : 0;
     f->unit = wp_direct_unit(f->session ? f->session : wp_hash(ask->id, 0));
     wp_count(&d->counters, WP_C_REQUESTS);
@@ -210,7 +235,7 @@
     }
     wp_budget_request(wp_direct_budget(d, f->service->name), &d->rules.retries,
                       now);
-    if (wp_flow_skips_ahead(f))
+    if (wp_flow_skips_ahead(f, now))
         f->step = f->route->models->len - 1;
     WPReplica *s = wp_flow_choose(f, now);
     if (s)
@@ -242,16 +267,16 @@
 {
     WPSpeed *v = wp_flow_speed(f, wp_flow_model(f));
     int64_t took = now.mono_us - f->leg.sent_us;
-    double mean = wp_speed_expect(v, f->prompt_tokens);
     if (f->leg.heard)
         return;
     f->leg.heard = true;
     f->leg.first_us = now.mono_us;
     if (f->route->aim_ms)
         note_lag(f, took);
-    wp_fleet_began(f->leg.replica, f->prompt_tokens, took, (int64_t)mean);
-    if (!is_on_trial(f) || !mean)
-        wp_speed_add(v, f->prompt_tokens, took);
+    wp_fleet_began(f->leg.replica, f->leg.reading_us, took,
+                   (int64_t)f->leg.expect_us);
+    if (!is_on_trial(f) || !f->leg.expect_us)
+        wp_speed_add(v, &f->leg.work, took);
 }
 
 /* What the leg tells of the version that it was on; once a leg. */
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -18,12 +18,16 @@
 /* What is known of how long the first byte takes with a model, and how long it
    takes for this request; 0: not known. */
 WPSpeed *wp_flow_speed(WPFlow *f, WPStr model);
-double wp_flow_expect_us(WPFlow *f, WPStr model);
+double wp_flow_expect_us(WPFlow *f, WPTime now, WPStr model,
+                         double *reading_us);
 
 /* How long the first byte is waited for before another endpoint is asked; 0:
    no other is. */
 uint32_t wp_flow_patience(WPFlow *f);
 
+/* What the request wants of an endpoint with its present model. */
+WPWant wp_flow_want(WPFlow *f);
+
 /* The endpoint for the next leg, held; NULL when there is none. */
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now);
 
@@ -38,6 +42,6 @@
 
 /* Whether to begin with the largest model: asking the smallest first would
    make most answers that need the largest late. */
-bool wp_flow_skips_ahead(WPFlow *f);
+bool wp_flow_skips_ahead(WPFlow *f, WPTime now);
 
 #endif
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -39,24 +39,31 @@
     return wp_shift_allows(sh, version) && strcmp(version, sh->version);
 }
 
-static uint64_t affinity_of(const WPFlow *f)
-{
-    return f->prompt ? wp_hash(wp_flow_model(f), f->prompt) : 0;
-}
-
-static WPWant want_of(const WPFlow *f)
+/* What the request wants of an endpoint with this model. */
+static WPWant want_of(WPFlow *f, WPStr model)
 {
+    bool engine = f->route->repeat == WP_REPEAT_STREAM;
     return (WPWant){ .service = f->service->name,
                      .allowed = version_allowed,
                      .allowed_arg = wp_flow_shift(f),
                      .zone = f->d->rules.zone,
-                     .affinity = affinity_of(f),
-                     .prompt_tokens = f->prompt_tokens,
+                     .prompt = engine ? &f->prompt : NULL,
+                     .model = engine ? wp_hash(model, 0) : 0,
+                     .speed = wp_flow_speed(f, model),
+                     .second =
+                         f->d->rules.second * wp_earned_rate(&f->d->earned),
+                     .memory_tokens = f->service->memory_tokens,
+                     .body_bytes = f->body_bytes,
                      .tried = f->tried,
                      .n_tried = f->n_tried,
                      .once = !wp_flow_may_repeat(f) };
 }
 
+WPWant wp_flow_want(WPFlow *f)
+{
+    return want_of(f, wp_flow_model(f));
+}
+
 /* While a service moves between versions: an endpoint of the side that this
    request belongs to, or NULL when that side has none. */
 static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w)
@@ -76,7 +83,7 @@
 {
     WPDirect *d = f->d;
     WPShift *sh = wp_flow_shift(f);
-    WPWant w = want_of(f);
+    WPWant w = wp_flow_want(f);
     WPReplica *s = NULL;
     if (sh && sh->state == WP_SHIFT_RUNNING)
         s = choose_side(f, now, sh, w);
@@ -115,14 +122,23 @@
                            model);
 }
 
-double wp_flow_expect_us(WPFlow *f, WPStr model)
+double wp_flow_expect_us(WPFlow *f, WPTime now, WPStr model, double *reading_us)
 {
-    return wp_speed_expect(wp_flow_speed(f, model), f->prompt_tokens);
+    *reading_us = 0;
+    const WPWant w = want_of(f, model);
+    WPReplica *s = w.prompt ? wp_fleet_choose(f->d->fleet, now, &w) : NULL;
+    if (!s)
+        return 0;
+    const WPReplica *source;
+    const WPWork work = wp_fleet_work(f->d->fleet, now, &w, s, &source);
+    wp_fleet_release(s);
+    *reading_us = wp_speed_reading(w.speed, &work);
+    return wp_speed_expect(w.speed, &work);
 }
 
 uint32_t wp_flow_patience(WPFlow *f)
 {
-    double mean = wp_flow_expect_us(f, wp_flow_model(f));
+    double mean = f->leg.expect_us;
     uint32_t least = f->route->repeat == WP_REPEAT_STREAM
                          ? PATIENCE_STREAM_LEAST_MS
                          : PATIENCE_LEAST_MS;
@@ -148,13 +164,22 @@
 }
 
 /* The chance that a leg with this model begins in time. */
-static double in_time(WPFlow *f, WPTime now, WPStr model)
+static double in_time(WPFlow *f, WPTime now, WPStr model, double *reading_us)
 {
     double aim_us = (double)f->route->aim_ms * WP_US_PER_MS;
     double left_us = aim_us - (double)(now.mono_us - f->start_us);
+    *reading_us = 0;
     if (aim_us > 0 && left_us <= 0)
         return 0;
-    return wp_cascade_in_time(wp_flow_expect_us(f, model), left_us);
+    return wp_cascade_in_time(wp_flow_expect_us(f, now, model, reading_us),
+                              left_us);
+}
+
+static double reading_price(const WPFlow *f, double us)
+{
+    const WPDirect *d = f->d;
+    return us / WP_US_PER_S *
+           wp_cascade_second(&d->rules.cascade, &d->earned, d->lag);
 }
 
 bool wp_flow_wants_better(WPFlow *f, WPTime now, const WPDirectAnswer *a)
@@ -164,7 +189,7 @@
         return false;
     /* Better a poor answer than a failure on endpoints that fail when full: the
        largest model is what fills them. */
-    const WPWant w = want_of(f);
+    const WPWant w = wp_flow_want(f);
     if (wp_fleet_spares(f->d->fleet, now, &w, f->leg.replica->version))
         return false;
     /* With this leg and the larger model's, one attempt should be left. */
@@ -173,36 +198,40 @@
     wp_quality_note(wp_direct_quality(f->d, f->route->name),
                     wp_cascade_good(&f->d->rules.cascade, a->confidence));
     const char *largest = g_ptr_array_index(models, models->len - 1);
+    double reading_us;
+    double chance = in_time(f, now, wp_str(largest), &reading_us);
     const WPCascadeCase c = { .confidence = a->confidence,
-                              .prompt_tokens = f->prompt_tokens,
+                              .prompt_tokens = f->prompt.tokens,
                               .answer_tokens = f->answer_tokens,
                               .cost = wp_service_cost(f->service, largest),
-                              .lag = f->d->lag,
-                              .in_time = in_time(f, now, wp_str(largest)) };
+                              .read = reading_price(f, reading_us),
+                              .in_time = chance };
     if (wp_cascade_gain(&f->d->rules.cascade, &c) <= 0)
         return false;
     double took = (double)(now.mono_us - f->leg.sent_us);
     return wp_flow_left_ms(f, now) * WP_US_PER_MS > BETTER_TIMES * took;
 }
 
-bool wp_flow_skips_ahead(WPFlow *f)
+bool wp_flow_skips_ahead(WPFlow *f, WPTime now)
 {
     const GPtrArray *models = f->route->models;
     double aim_us = (double)f->route->aim_ms * WP_US_PER_MS;
     if (models->len < 2 || aim_us <= 0)
         return false;
-    double small = wp_flow_expect_us(f, model_at(f, 0));
-    double large = wp_flow_expect_us(f, model_at(f, models->len - 1));
+    double reading_us;
+    double small = wp_flow_expect_us(f, now, model_at(f, 0), &reading_us);
+    double large =
+        wp_flow_expect_us(f, now, model_at(f, models->len - 1), &reading_us);
     if (small <= 0 || large <= 0)
         return false;
     const WPCascadeAhead c = {
-        .prompt_tokens = f->prompt_tokens,
+        .prompt_tokens = f->prompt.tokens,
         .answer_tokens = f->answer_tokens,
         .cost = wp_service_cost(f->service, model_at(f, models->len - 1).p),
+        .read = reading_price(f, reading_us),
         .good = wp_direct_quality(f->d, f->route->name)->good,
         .in_time_both = wp_cascade_in_time(small + large, aim_us),
         .in_time_one = wp_cascade_in_time(large, aim_us),
-        .lag = f->d->lag
     };
     return wp_cascade_skips(&f->d->rules.cascade, &c);
 }
--- a/src/wp_speed.c
+++ b/src/wp_speed.c
@@ -1,85 +1,128 @@
-/* The curve of times over prompt lengths, and usual times. */
+/* First bytes foretold by least squares, and usual times. */
 #include "wp_speed.h"
 
 #include <math.h>
 #include <stdlib.h>
 
-enum { SEEN_LEAST = 20 /* answers before the curve is relied on */ };
+enum {
+    SEEN_LEAST = 20,  /* answers before the fit is relied on */
+    FIT_EVERY = 8,    /* answers between fits */
+    FIT_EACH_TO = 100 /* while so few are known, each one gives a new fit */
+};
 
 /* What remains of an older answer's weight with each new one: some two hundred
    count. */
 #define KEEP 0.995
 
+/* Units in which the inputs are of the order of one. */
 #define UNIT_TOKENS 10000.0
+#define UNIT_LOAD 10.0
+#define UNIT_AHEAD_US 1e6
 
-/* A system of equations is taken for one without a solution when its
-   determinant is smaller than this part of the product of its diagonal. */
-#define SINGULAR 1e-6
+/* Added to the sums of squares: inputs that have not varied get no slope. */
+#define RIDGE 1e-3
 
-void wp_speed_add(WPSpeed *s, uint32_t prompt_tokens, int64_t took_us)
+/* The least that is foretold, as a part of the mean. */
+#define LEAST_PART 0.1
+
+enum { READ, READ_SQUARED, LOAD, AHEAD };
+
+static void inputs_of(const WPWork *w, double x[WP_SPEED_INPUTS])
 {
-    double x = prompt_tokens / UNIT_TOKENS, y = (double)took_us;
-    s->n = s->n * KEEP + 1;
-    s->x = s->x * KEEP + x;
-    s->x2 = s->x2 * KEEP + x * x;
-    s->x3 = s->x3 * KEEP + x * x * x;
-    s->x4 = s->x4 * KEEP + x * x * x * x;
-    s->y = s->y * KEEP + y;
-    s->xy = s->xy * KEEP + x * y;
-    s->x2y = s->x2y * KEEP + x * x * y;
-    s->seen++;
+    double unread = w->unread / UNIT_TOKENS;
+    double prompt = w->prompt / UNIT_TOKENS;
+    x[READ] = unread;
+    /* Each token that is read looks at all before it. */
+    x[READ_SQUARED] = unread * (prompt - unread / 2);
+    x[LOAD] = w->load / UNIT_LOAD;
+    x[AHEAD] = w->ahead_us / UNIT_AHEAD_US;
 }
 
-/* Least squares of y = a + b x. */
-static double on_line(const WPSpeed *s, double x)
+/* Solves the normal equations for the inputs in use, by elimination; the
+   matrix is positive definite by the ridge. */
+static void solve(const WPSpeed *s, const bool used[WP_SPEED_INPUTS],
+                  double slope[WP_SPEED_INPUTS])
 {
-    double mean_x = s->x / s->n, mean_y = s->y / s->n;
-    double var = s->x2 / s->n - mean_x * mean_x;
-    double cov = s->xy / s->n - mean_x * mean_y;
-    /* Prompts of one length give no slope. */
-    double slope = var > SINGULAR ? MAX(0, cov / var) : 0;
-    return mean_y + slope * (x - mean_x);
+    double m[WP_SPEED_INPUTS][WP_SPEED_INPUTS + 1];
+    unsigned at[WP_SPEED_INPUTS], n = 0;
+    for (unsigned i = 0; i < WP_SPEED_INPUTS; i++) {
+        slope[i] = 0;
+        if (used[i])
+            at[n++] = i;
+    }
+    for (unsigned i = 0; i < n; i++) {
+        unsigned a = at[i];
+        for (unsigned k = 0; k < n; k++)
+            m[i][k] = s->xx[a][at[k]] - s->x[a] * s->x[at[k]] / s->n;
+        m[i][i] += RIDGE;
+        m[i][n] = s->xy[a] - s->x[a] * s->y / s->n;
+    }
+    for (unsigned i = 0; i < n; i++)
+        for (unsigned r = i + 1; r < n; r++) {
+            double f = m[r][i] / m[i][i];
+            for (unsigned k = i; k <= n; k++)
+                m[r][k] -= f * m[i][k];
+        }
+    for (unsigned i = n; i-- > 0;) {
+        double v = m[i][n];
+        for (unsigned k = i + 1; k < n; k++)
+            v -= m[i][k] * slope[at[k]];
+        slope[at[i]] = v / m[i][i];
+    }
 }
 
-static double det3(const double m[3][3])
+/* More work never makes an answer faster: an input whose slope would be
+   negative, by chance, is left out. */
+static void fit(WPSpeed *s)
 {
-    return m[0][0] * (m[1][1] * m[2][2] - m[1][2] * m[2][1]) -
-           m[0][1] * (m[1][0] * m[2][2] - m[1][2] * m[2][0]) +
-           m[0][2] * (m[1][0] * m[2][1] - m[1][1] * m[2][0]);
+    bool used[WP_SPEED_INPUTS] = { true, true, true, true };
+    for (;;) {
+        unsigned worst = 0;
+        solve(s, used, s->slope);
+        for (unsigned i = 1; i < WP_SPEED_INPUTS; i++)
+            if (s->slope[i] < s->slope[worst])
+                worst = i;
+        if (s->slope[worst] >= 0)
+            break;
+        used[worst] = false;
+    }
+    s->fitted = s->seen;
 }
 
-/* Least squares of y = a + b x + c x^2, by Cramer's rule; false when the
-   lengths do not tell, or when the curve would fall with the length. */
-static bool on_curve(const WPSpeed *s, double x, double *y)
+void wp_speed_add(WPSpeed *s, const WPWork *w, int64_t took_us)
 {
-    const double m[3][3] = { { s->n, s->x, s->x2 },
-                             { s->x, s->x2, s->x3 },
-                             { s->x2, s->x3, s->x4 } };
-    const double right[3] = { s->y, s->xy, s->x2y };
-    double part[3], whole = det3(m);
-    if (fabs(whole) <= SINGULAR * m[0][0] * m[1][1] * m[2][2])
-        return false;
-    for (int k = 0; k < 3; k++) {
-        double with[3][3];
-        memcpy(with, m, sizeof(with));
-        for (int row = 0; row < 3; row++)
-            with[row][k] = right[row];
-        part[k] = det3(with) / whole;
+    double x[WP_SPEED_INPUTS], y = (double)took_us;
+    inputs_of(w, x);
+    s->n = s->n * KEEP + 1;
+    s->y = s->y * KEEP + y;
+    for (unsigned i = 0; i < WP_SPEED_INPUTS; i++) {
+        s->x[i] = s->x[i] * KEEP + x[i];
+        s->xy[i] = s->xy[i] * KEEP + x[i] * y;
+        for (unsigned k = 0; k < WP_SPEED_INPUTS; k++)
+            s->xx[i][k] = s->xx[i][k] * KEEP + x[i] * x[k];
     }
-    if (part[1] < 0 || part[2] < 0)
-        return false;
-    *y = part[0] + part[1] * x + part[2] * x * x;
-    return true;
+    s->seen++;
+    if (s->seen < FIT_EACH_TO || s->seen - s->fitted >= FIT_EVERY)
+        fit(s);
 }
 
-double wp_speed_expect(const WPSpeed *s, uint32_t prompt_tokens)
+double wp_speed_expect(WPSpeed *s, const WPWork *w)
 {
-    double x = prompt_tokens / UNIT_TOKENS, y;
+    double x[WP_SPEED_INPUTS];
     if (s->seen < SEEN_LEAST)
         return 0;
-    if (!on_curve(s, x, &y))
-        y = on_line(s, x);
-    return MAX(y, s->y / s->n / 10);
+    double mean = s->y / s->n, us = mean;
+    inputs_of(w, x);
+    for (unsigned i = 0; i < WP_SPEED_INPUTS; i++)
+        us += s->slope[i] * (x[i] - s->x[i] / s->n);
+    return MAX(us, LEAST_PART * mean);
+}
+
+double wp_speed_reading(WPSpeed *s, const WPWork *w)
+{
+    double x[WP_SPEED_INPUTS];
+    inputs_of(w, x);
+    return s->slope[READ] * x[READ] + s->slope[READ_SQUARED] * x[READ_SQUARED];
 }
 
 /* The shares that stay below the bounds, and the step as a part of them. */
--- a/tests/direct_fake.h
+++ b/tests/direct_fake.h
@@ -68,16 +68,18 @@
 static inline void fake_init_chart(Fake *k, const char *chart)
 {
     GError *error = NULL;
-    WPDirectRules rules = { .zone = "z1",
-                            .retries = { 0.5, 20, 10000 },
-                            .session_ms = 5000,
-                            .cascade = { .even = 50,
-                                         .spread = 10,
-                                         .value = 0.35,
-                                         .base = 0.6,
-                                         .strain_from = 0.35,
-                                         .strain_weight = 5 },
-                            .fleet = { 0.35, 0.15, 1, 0.25, 0 } };
+    WPDirectRules rules = {
+        .zone = "z1",
+        .retries = { 0.5, 20, 10000 },
+        .session_ms = 5000,
+        .cascade = { .even = 50,
+                     .spread = 10,
+                     .value = 0.35,
+                     .base = 0.6,
+                     .strain_from = 0.35,
+                     .strain_weight = 5 },
+        .fleet = { .zone = 0.35, .zone_kb = 0.02, .home = 0.4, .slow = 0.25 }
+    };
     memset(k, 0, sizeof(*k));
     k->now = (WPTime){ 1000000000, 1700000000000 };
     k->chart = wp_chart_read(wp_str(chart), "chart", &error);
@@ -119,7 +121,7 @@
                         .path = wp_str(path),
                         .key = wp_str("key-1"),
                         .session = wp_str(session),
-                        .prompt_tokens = 1000,
+                        .prompt = { .tokens = 1000 },
                         .answer_tokens = 300,
                         .deadline_ms = 10000 };
     return wp_flow_begin(&k->d, k->now, &ask, m);
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -152,7 +152,7 @@
     fake_init(&k);
     WPReplica *a1 = wp_fleet_find(k.d.fleet, "a1");
     for (int i = 0; i < 4; i++) {
-        wp_fleet_sent(a1, k.now, 0);
+        wp_fleet_sent(k.d.fleet, a1, k.now, &w, 0);
         wp_fleet_ended(a1, k.now, WP_SERVED_SILENT);
     }
     for (int i = 0; i < 100; i++) {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -152,7 +152,7 @@
     assert_null(pf_read_ask(&h, &ask));
     assert_true(wp_str_eq(ask.key, wp_str("k1")));
     assert_true(wp_str_eq(ask.path, wp_str("/x/y")));
-    assert_int_equal(ask.prompt_tokens, 1460);
+    assert_int_equal(ask.prompt.tokens, 1460);
     assert_int_equal(ask.answer_tokens, 80);
     assert_int_equal(ask.deadline_ms, 25000);
     g_autofree char *text = leg_text(&h, &leg);
@@ -176,14 +176,48 @@
     (void)state;
     pf_read_ask(&ha, &x);
     pf_read_ask(&hb, &y);
-    assert_true(x.prompt && x.prompt == y.prompt);
+    assert_true(wp_prompt_shared(&x.prompt) &&
+                wp_prompt_shared(&x.prompt) == wp_prompt_shared(&y.prompt));
     ha.n_fields = 1;
     assert_null(pf_read_ask(&ha, &x));
-    assert_int_equal(x.prompt, 0);
+    assert_int_equal(wp_prompt_shared(&x.prompt), 0);
     ha.n_fields = 0;
     assert_non_null(pf_read_ask(&ha, &x));
 }
 
+/* A malformed or absurd list of parts changes nothing but what is believed of
+   that one request. */
+static void malformed_parts_are_the_requests_own(void **state)
+{
+    static const char *const texts[] = {
+        "",
+        ",",
+        ":",
+        "aa",
+        "aa:",
+        "aa:x",
+        ":5",
+        "aa:5;bb:6",
+        "aa:-1,bb:2",
+        "aa:5,,bb:6",
+        "aa:99999999999999999999999999,bb:1",
+        "aa:4294967295,bb:4294967295",
+        "a:1,b:1,c:1,d:1,e:1,f:1,g:1,h:1,i:1,j:1",
+    };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(texts); i++) {
+        WPField f[] = { field(PF_H_REQUEST_ID, "1"),
+                        field(PF_H_TOKENS, "1000,50"),
+                        field(PF_H_PROMPT, texts[i]) };
+        WPHead h = { .fields = f, .n_fields = 3, .target = wp_str("/") };
+        WPDirectAsk ask;
+        assert_null(pf_read_ask(&h, &ask));
+        assert_int_equal(ask.prompt.tokens, 1000);
+        assert_true(ask.prompt.n <= WP_PARTS_MOST);
+        assert_true(wp_prompt_shared_tokens(&ask.prompt) <= 1000);
+    }
+}
+
 static void answers_are_told_apart(void **state)
 {
     WPField f[] = { field("X-Attempt-Id", "id1"), field("X-Replica-Seal", "s"),
@@ -212,4 +246,4 @@
            T(an_outcome_that_is_written_reads_the_same),
            T(a_request_goes_on_with_what_is_the_callers),
            T(shared_prompts_are_known_by_all_parts_but_the_last),
-           T(answers_are_told_apart))
+           T(malformed_parts_are_the_requests_own), T(answers_are_told_apart))
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -12,16 +12,34 @@
     return (int64_t)(50000 + 27000 * k + 460 * k * k);
 }
 
+/* A prompt of which nothing is kept, on an idle endpoint. */
+static WPWork cold(uint32_t tokens)
+{
+    return (WPWork){ .prompt = tokens, .unread = tokens };
+}
+
+static void add(WPSpeed *s, uint32_t tokens, int64_t us)
+{
+    WPWork w = cold(tokens);
+    wp_speed_add(s, &w, us);
+}
+
+static double expect_of(WPSpeed *s, uint32_t tokens)
+{
+    WPWork w = cold(tokens);
+    return wp_speed_expect(s, &w);
+}
+
 static void long_prompts_are_foretold_by_the_curve(void **state)
 {
     WPSpeed s = { 0 };
     (void)state;
     for (uint32_t i = 0; i < 300; i++) {
         uint32_t tokens = 500 + (i * 7919) % 20000;
-        wp_speed_add(&s, tokens, read_us(tokens));
+        add(&s, tokens, read_us(tokens));
     }
     for (uint32_t tokens = 1000; tokens <= 60000; tokens += 1000) {
-        double expect = wp_speed_expect(&s, tokens);
+        double expect = expect_of(&s, tokens);
         assert_true(fabs(expect - (double)read_us(tokens)) <
                     0.02 * (double)read_us(tokens));
     }
@@ -32,10 +50,10 @@
     WPSpeed s = { 0 };
     (void)state;
     for (int i = 0; i < 19; i++)
-        wp_speed_add(&s, 600, 60000);
-    assert_true(wp_speed_expect(&s, 600) == 0);
-    wp_speed_add(&s, 600, 60000);
-    assert_true(fabs(wp_speed_expect(&s, 50000) - 60000) < 1);
+        add(&s, 600, 60000);
+    assert_true(expect_of(&s, 600) == 0);
+    add(&s, 600, 60000);
+    assert_true(fabs(expect_of(&s, 50000) - 60000) < 1);
 }
 
 /* A chance late answer to a short prompt bends the curve down: the line is
@@ -46,9 +64,39 @@
     (void)state;
     for (uint32_t i = 0; i < 100; i++) {
         uint32_t tokens = 500 + (i * 7919) % 20000;
-        wp_speed_add(&s, tokens, tokens < 1500 ? 900000 : read_us(tokens));
+        add(&s, tokens, tokens < 1500 ? 900000 : read_us(tokens));
+    }
+    assert_true(expect_of(&s, 60000) >= expect_of(&s, 20000));
+}
+
+/* What is kept is not read; what runs and waits there comes before. */
+static void kept_tokens_load_and_prompts_ahead_are_told_apart(void **state)
+{
+    WPSpeed s = { 0 };
+    GRand *r = g_rand_new_with_seed(3);
+    (void)state;
+    for (int i = 0; i < 600; i++) {
+        WPWork w = { .prompt = (uint32_t)g_rand_int_range(r, 1000, 40000) };
+        w.unread = (uint32_t)(w.prompt * g_rand_double(r));
+        w.load = g_rand_double(r) * 20;
+        w.ahead_us = g_rand_double(r) * 2e6;
+        double k = w.unread / 1000.0, all = w.prompt / 1000.0;
+        double us = 20000 + 27000 * k + 500 * k * (all - k / 2) +
+                    8000 * w.load + 1.5 * w.ahead_us;
+        us *= 0.9 + 0.2 * g_rand_double(r);
+        wp_speed_add(&s, &w, (int64_t)us);
     }
-    assert_true(wp_speed_expect(&s, 60000) >= wp_speed_expect(&s, 20000));
+    g_rand_free(r);
+    WPWork full = { .prompt = 30000, .unread = 30000 };
+    WPWork most = { .prompt = 30000, .unread = 3000 };
+    WPWork busy = { .prompt = 30000, .unread = 3000, .load = 20 };
+    WPWork after = { .prompt = 30000, .unread = 3000, .ahead_us = 2e6 };
+    double base = wp_speed_expect(&s, &most);
+    assert_true(fabs(wp_speed_expect(&s, &full) - 1055000) < 80000);
+    assert_true(fabs(base - 143750) < 60000);
+    assert_true(fabs(wp_speed_expect(&s, &busy) - base - 160000) < 40000);
+    assert_true(fabs(wp_speed_expect(&s, &after) - base - 3e6) < 200000);
+    assert_true(wp_speed_reading(&s, &most) < wp_speed_reading(&s, &full));
 }
 
 static const WPCascadeRules rules = { .even = 44,
@@ -56,7 +104,7 @@
                                       .value = 0.35,
                                       .base = 0.4,
                                       .strain_from = 0.1,
-                                      .strain_weight = 80 };
+                                      .strain_weight = 3 };
 
 static void the_chance_to_be_in_time(void **state)
 {
@@ -85,7 +133,51 @@
     assert_false(wp_cascade_skips(&rules, &c));
 }
 
-TESTS_MAIN(T(long_prompts_are_foretold_by_the_curve),
+/* Reading is dear where engines are strained and earn much; what is kept need
+   not be read, so its answer is still worth asking for. */
+static void reading_is_priced_by_strain_and_earnings(void **state)
+{
+    WPEarned e;
+    WPCascadeCase c = { .confidence = 45,
+                        .prompt_tokens = 17000,
+                        .answer_tokens = 120,
+                        .cost = 0.12,
+                        .in_time = 1 };
+    (void)state;
+    wp_earned_init(&e);
+    assert_true(wp_cascade_second(&rules, &e, 0.05) == 0);
+    double mild = wp_cascade_second(&rules, &e, 0.15);
+    assert_true(mild > 0);
+    assert_true(wp_cascade_second(&rules, &e, 0.3) > 3 * mild);
+    for (int i = 0; i < 300; i++) { /* twice the earnings of a second */
+        wp_earned_request(&e, &rules, 17000, 120);
+        wp_earned_read(&e, 0.17);
+    }
+    assert_true(fabs(wp_earned_rate(&e) - 6.77 / 0.17) < 2);
+    double busy = wp_cascade_second(&rules, &e, 0.25);
+    c.read = 1.4 * busy;
+    assert_true(wp_cascade_gain(&rules, &c) < 0);
+    c.read = 0.1 * busy;
+    assert_true(wp_cascade_gain(&rules, &c) > 0);
+}
+
+/* Right after a start nothing has been seen: what is usual holds, and the
+   first requests do not move it far. */
+static void a_start_does_not_make_reading_dear(void **state)
+{
+    WPEarned e;
+    (void)state;
+    wp_earned_init(&e);
+    double usual = wp_earned_rate(&e);
+    for (int i = 0; i < 10; i++)
+        wp_earned_request(&e, &rules, 9000, 100);
+    assert_true(wp_earned_rate(&e) < 1.5 * usual);
+}
+
+TESTS_MAIN(T(reading_is_priced_by_strain_and_earnings),
+           T(a_start_does_not_make_reading_dear),
+           T(kept_tokens_load_and_prompts_ahead_are_told_apart),
+           T(long_prompts_are_foretold_by_the_curve),
            T(few_or_alike_prompts_are_no_reason_for_a_slope),
            T(no_curve_falls_with_the_length), T(the_chance_to_be_in_time),
            T(the_largest_model_is_asked_at_once_where_two_are_late))
