A version that one box finds bad is bad for all; three failures where none are due

At the last stage one box found it at five of 22. Another one, cut off from the others until then, wrote at the same moment that the move was done: its own replicas' answers did not show the fault spread over two.

Ruled out: the choice by foretold cost alone (this box's sums are what decided); lost digests (the cut had ended 0.3 s before).

Change: the digest says that its sender finds the version bad; who hears it leaves the version and ends the move as undone. Three failures are enough where fewer than 0.04 were to be expected. Tests that fail without either.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3807,7 +3807,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[16] =
 {
   {
     "service",
@@ -3989,9 +3989,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "bad",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MoveSums, has_bad),
+    offsetof(Wp__MoveSums, bad),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
+  15,   /* field[15] = bad */
   3,   /* field[3] = failed */
   14,   /* field[14] = far */
   10,   /* field[10] = fast */
@@ -4010,7 +4023,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4020,7 +4033,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  15,
+  16,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -642,10 +642,15 @@
    */
   protobuf_c_boolean has_open;
   protobuf_c_boolean open;
+  /*
+   * the sender finds the version bad
+   */
+  protobuf_c_boolean has_bad;
+  protobuf_c_boolean bad;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -102,6 +102,7 @@
         sh->suspect = true;
         wp_log(&s->host->log, WP_WARN, "version_bad", "service", sh->service,
                "version", sh->version, "why", why, NULL);
+        wp_peers_announce(s->peers);
     }
     if (!may_write(s, now))
         return;
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -172,6 +172,12 @@
     wp_shift_hear(sh, from, sums, m->old_running);
     if (m->open)
         wp_shift_hear_open(sh);
+    if (m->bad && !sh->suspect) {
+        wp_shift_hear_bad(sh);
+        wp_log(&s->host->log, WP_WARN, "version_bad", "service", sh->service,
+               "version", sh->version, "why", "another box says so", "from",
+               from, NULL);
+    }
 }
 
 /* "SERVICE VERSION"; neither has blanks. */
@@ -243,6 +249,8 @@
     m->far = own.far;
     m->has_open = 1;
     m->open = sh->open;
+    m->has_bad = 1;
+    m->bad = sh->suspect;
     m->has_loaded = 1;
     m->loaded = own.loaded;
     m->has_loaded_failed = m->has_loaded_bad = 1;
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -289,6 +289,11 @@
     sh->open = true;
 }
 
+void wp_shift_hear_bad(WPShift *sh)
+{
+    sh->suspect = sh->suspect || sh->state == WP_SHIFT_RUNNING;
+}
+
 /* The new version's sums of all boxes. */
 static WPShiftSums pooled(const WPShift *sh)
 {
@@ -391,6 +396,11 @@
     const Wp__ChartState *stage = wp_shift_stage(s, sh, now);
     if (wp_shift_is_bad(sh, stage->share < 1, why))
         return WP_SHIFT_UNDONE;
+    if (sh->suspect) {
+        if (why)
+            *why = g_strdup("found bad before or by another box");
+        return WP_SHIFT_UNDONE;
+    }
     const Wp__ChartState *next = wp_chart_next(s->chart, stage->name, "next");
     if (!next || !next->final || part_over(sh, now) < part_before(s, next))
         return WP_SHIFT_RUNNING;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -37,7 +37,7 @@
     WPShiftSums lost;        /* heard of boxes that have started again since */
     GHashTable *heard_old;   /* box -> its requests on other versions */
     GHashTable *loaded;      /* replica -> WPShiftSums under load */
-    bool suspect;            /* found bad here: takes nothing any more */
+    bool suspect;            /* found bad: takes nothing any more */
     bool open;               /* the gate of a stage has been passed */
     const char *stage;       /* its name at the last look; the chart's */
     uint32_t old_running;    /* requests of this box on other versions */
@@ -88,6 +88,11 @@
 void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
                    uint32_t old_running);
 
+/* Another box finds the version bad: that holds here as well, whatever this one
+   has seen itself. Guards against a box that was cut off from the others and
+   ends the move on what it knows: 418 requests went to a bad version. */
+void wp_shift_hear_bad(WPShift *sh);
+
 /* Another box has passed the gate before the last stage. */
 void wp_shift_hear_open(WPShift *sh);
 
--- a/src/wp_verdict.c
+++ b/src/wp_verdict.c
@@ -9,6 +9,12 @@
 #define LEAST_BAD 5
 #define DEVIATIONS 4.0
 
+/* Fewer bad answers are enough where hardly any were to be expected: in a trial
+   of 18 answers three failed of a version that fails three in ten, none of the
+   old version's 586. Three by chance have odds of one in 100,000. */
+#define FEW_BAD 3
+#define FEW_EXPECTED 0.04
+
 /* A version is slow when most of its answers are past the bound that a quarter
    of the old version's are past. Good ones had up to half of them there while
    they filled, so that is only asked while the old version serves beside it. */
@@ -98,7 +104,9 @@
 static bool too_many(uint32_t bad, uint32_t n, uint32_t old_bad, uint32_t old_n)
 {
     double expected = n * (old_bad + 1.0) / (old_n + PRIOR_ANSWERS);
-    return bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
+    bool clear =
+        bad >= LEAST_BAD && bad > expected + DEVIATIONS * sqrt(expected);
+    return clear || (bad >= FEW_BAD && expected < FEW_EXPECTED);
 }
 
 static bool fails(const WPShiftSums *v, const WPShiftSums *old)
--- a/tests/test_verdict.c
+++ b/tests/test_verdict.c
@@ -46,6 +46,43 @@
     fake_end(&k);
 }
 
+/* Three failures are enough where the old version has none, not where it has
+   some. */
+static void few_failures_tell_where_none_were_expected(void **state)
+{
+    (void)state;
+    for (int clean = 0; clean < 2; clean++) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = order(&k);
+        feed(sh, "v1", "l1", "chat", 586, clean ? 0 : 12, 0);
+        feed(sh, "v2", "n1", "chat", 9, 2, 0);
+        feed(sh, "v2", "n2", "chat", 9, 1, 0);
+        assert_int_equal(wp_shift_is_bad(sh, true, NULL), clean);
+        fake_end(&k);
+    }
+}
+
+/* What one box has found holds for all, also for one that has seen little
+   itself and would end the move. */
+static void a_box_takes_anothers_word_that_a_version_is_bad(void **state)
+{
+    Fake k;
+    g_autofree char *why = NULL;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    feed(sh, "v1", "l1", "chat", 200, 0, 0);
+    feed(sh, "v2", "n1", "chat", 5, 0, 0);
+    assert_false(wp_shift_is_bad(sh, true, NULL));
+    wp_shift_hear_bad(sh);
+    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, &why),
+                     WP_SHIFT_UNDONE);
+    for (int i = 0; i < 20; i++)
+        assert_string_equal(serve(&k, NULL), "v1");
+    fake_end(&k);
+}
+
 /* Neither failures that the old version has too, nor one failing endpoint
    among many, make a version bad. */
 static void a_good_version_is_not_blamed(void **state)
@@ -399,7 +436,9 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(a_plain_service_is_slow_when_some_answers_are_far_off),
+TESTS_MAIN(T(few_failures_tell_where_none_were_expected),
+           T(a_box_takes_anothers_word_that_a_version_is_bad),
+           T(a_plain_service_is_slow_when_some_answers_are_far_off),
            T(an_answer_that_was_not_waited_for_is_slow),
            T(few_far_answers_are_a_doubt), T(a_bad_version_is_found_and_left),
            T(a_version_is_bad_when_it_is_slow_or_on_one_route),
