Before a model has been seen, its price tells how slowly it reads

Change: until a model has been seen, its first byte is that of the smallest one with the reading in proportion to the prices. A test that fails without it.

--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -122,6 +122,29 @@
                            model);
 }
 
+/* While a model has not been seen enough: by the smallest one's, reading in
+   proportion to the prices. Guards against prompts of 40,000 tokens and more
+   that are asked of the largest one right after a start and hold an engine up
+   for nine seconds. */
+static double expect_by_price(WPFlow *f, WPStr model, const WPWork *work,
+                              double *reading_us)
+{
+    const GPtrArray *models = f->route->models;
+    if (!models->len)
+        return 0;
+    const char *smallest = g_ptr_array_index(models, 0);
+    WPSpeed *s = wp_flow_speed(f, wp_str(smallest));
+    double least = wp_service_cost(f->service, smallest);
+    double us = wp_speed_expect(s, work);
+    if (us <= 0 || least <= 0)
+        return 0;
+    g_autofree char *name = g_strndup(model.p, model.n);
+    double times = wp_service_cost(f->service, name) / least;
+    double own_us = wp_speed_reading(s, work);
+    *reading_us = own_us * times;
+    return us - own_us + *reading_us;
+}
+
 double wp_flow_expect_us(WPFlow *f, WPTime now, WPStr model, double *reading_us)
 {
     *reading_us = 0;
@@ -132,8 +155,9 @@
     const WPReplica *source;
     const WPWork work = wp_fleet_work(f->d->fleet, now, &w, s, &source);
     wp_fleet_release(s);
+    double us = wp_speed_expect(w.speed, &work);
     *reading_us = wp_speed_reading(w.speed, &work);
-    return wp_speed_expect(w.speed, &work);
+    return us > 0 ? us : expect_by_price(f, model, &work, reading_us);
 }
 
 uint32_t wp_flow_patience(WPFlow *f)
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -232,6 +232,51 @@
     fake_end(&k);
 }
 
+/* Begins a request with a prompt of that many tokens. */
+static WPFlow *ask_prompt(Fake *k, uint32_t tokens, WPMove *m)
+{
+    WPDirectAsk ask = { .id = wp_str("r"),
+                        .host = wp_str("h.example"),
+                        .path = wp_str("/chat/x"),
+                        .key = wp_str("key-1"),
+                        .prompt = { .tokens = tokens },
+                        .answer_tokens = 300,
+                        .deadline_ms = 20000 };
+    return wp_flow_begin(&k->d, k->now, &ask, m);
+}
+
+/* Before the largest model has been seen, its price tells how much slower it
+   reads: a long prompt is not asked of it in vain. */
+static void an_unseen_model_is_foretold_by_its_price(void **state)
+{
+    Fake k;
+    WPMove m;
+    WPDirectAnswer good = fake_answer(200, 90), poor = fake_answer(200, 5);
+    (void)state;
+    fake_init(&k);
+    for (uint32_t i = 0; i < 40; i++) {
+        uint32_t tokens = 500 + i * 300;
+        WPFlow *f = ask_prompt(&k, tokens, &m);
+        fake_pass(&k, 20 + tokens / 200);
+        wp_flow_answer(f, k.now, &good, &m);
+        wp_flow_done(f, k.now, 9);
+        wp_flow_free(f);
+    }
+    WPFlow *f = ask_prompt(&k, 60000, &m);
+    fake_pass(&k, 320);
+    wp_flow_answer(f, k.now, &poor, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_done(f, k.now, 9);
+    wp_flow_free(f);
+    f = ask_prompt(&k, 2000, &m);
+    fake_pass(&k, 30);
+    wp_flow_answer(f, k.now, &poor, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    wp_flow_left(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
 /* A few first bytes that come far too late, as after all boxes have stopped, do
    not show strain for long. */
 static void late_first_bytes_are_soon_forgotten(void **state)
@@ -440,7 +485,8 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(late_first_bytes_are_soon_forgotten),
+TESTS_MAIN(T(an_unseen_model_is_foretold_by_its_price),
+           T(late_first_bytes_are_soon_forgotten),
            T(a_stream_is_not_resumed_where_it_broke_off),
            T(the_last_to_fail_is_not_asked_next),
            T(a_box_that_stops_takes_what_it_can_finish),
