--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1578,9 +1578,10 @@
 static const double wp__direct_settings__weigh_move_kt__default_value = 0.1;
 static const double wp__direct_settings__weigh_slow__default_value = 0.25;
 static const uint32_t wp__direct_settings__choices__default_value = 0u;
+static const protobuf_c_boolean wp__direct_settings__keep_prompts__default_value = 1;
 static const uint32_t wp__direct_settings__apply_ms__default_value = 2000u;
 static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[35] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[36] =
 {
   {
     "id",
@@ -2002,6 +2003,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keep_prompts",
+    38,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__DirectSettings, has_keep_prompts),
+    offsetof(Wp__DirectSettings, keep_prompts),
+    NULL,
+    &wp__direct_settings__keep_prompts__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
@@ -2013,6 +2026,7 @@
   12,   /* field[12] = drain_s */
   3,   /* field[3] = http */
   0,   /* field[0] = id */
+  35,   /* field[35] = keep_prompts */
   2,   /* field[2] = listen */
   11,   /* field[11] = log_format */
   17,   /* field[17] = log_kb_per_s */
@@ -2044,7 +2058,7 @@
 {
   { 1, 0 },
   { 29, 26 },
-  { 0, 35 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2054,7 +2068,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  35,
+  36,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   2,  wp__direct_settings__number_ranges,
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -82,6 +82,7 @@
                    .home = s->weigh_home,
                    .read_kt = s->weigh_read_kt,
                    .move_kt = s->weigh_move_kt,
+                   .keep = s->keep_prompts,
                    .slow = s->weigh_slow,
                    .choices = s->choices },
         .second = s->weigh_time
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -486,7 +486,7 @@
     s->in_flight++;
     s->since_load++;
     s->ahead_us += reading_us;
-    if (!w->prompt)
+    if (!w->prompt || !f->rules.keep)
         return;
     wp_kept_room(s->kept, w->memory_tokens);
     wp_kept_read(s->kept, now, w->model, w->prompt);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -86,6 +86,7 @@
     double read_kt; /* of each 1,000 shared tokens that are read again */
     double move_kt; /* of each 1,000 tokens that are taken from another engine;
                        0: none are */
+    bool keep;      /* note what engines keep of prompts */
     double slow;    /* of its slowness beyond its peers' */
     uint32_t choices; /* candidates drawn at random, the home besides; 0: all */
 } WPFleetRules;
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -88,9 +88,9 @@
     }
 }
 
-static const WPFleetRules rules = { .zone_kb = 0.03,
-                                    .read_kt = 0.04,
-                                    .move_kt = 0.1 };
+static const WPFleetRules rules = {
+    .zone_kb = 0.03, .read_kt = 0.04, .move_kt = 0.1, .keep = true
+};
 
 static WPWant want_of(WPSpeed *s, const WPPrompt *p, double second)
 {
@@ -191,6 +191,7 @@
     (void)state;
     fake_init(&x);
     fake_init(&y);
+    wp_fleet_rules(x.d.fleet, &rules);
     learn(&s);
     WPReplica *a = wp_fleet_find(x.d.fleet, "l1");
     WPWant w = want_of(&s, &p, 1);
