--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 COMMON := $(BUILD)/cmd/daemon.o
 BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload wpdirect)
 UNIT := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed wpproxy wpsoak) $(UNIT)
+TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed wpchoice wpproxy wpsoak) $(UNIT)
 
 LOAD := tools/load.c tools/load_sums.c tools/sample.c
 LAB := bench/lab.c bench/lab_events.c bench/lab_setup.c bench/lab_sums.c tools/sample.c
@@ -68,6 +68,7 @@
 $(BUILD)/wpcapacity: $(patsubst %.c,$(BUILD)/%.o,bench/wpcapacity.c bench/fleet.c) $(LIB)
 $(BUILD)/wpsoak: $(BUILD)/tests/soak.o $(BUILD)/tests/path.o $(BUILD)/tools/ports.o $(LIB)
 $(BUILD)/wpproxy: $(BUILD)/tools/wpproxy.o $(LIB)
+$(BUILD)/wpchoice: $(BUILD)/bench/wpchoice.o $(LIB)
 $(BUILD)/wpspeed: $(BUILD)/bench/wpspeed.o $(SITE) $(LIB)
 
 $(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/tests/path.o $(PLATFORM) $(BUILD)/bench/fleet.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
@@ -102,6 +103,7 @@
 bench: tests
 	@$(BUILD)/wpbench $(TABLES)
 	@$(BUILD)/wpspeed
+	@$(BUILD)/wpchoice
 
 capacity: tests
 	@$(BUILD)/wpcapacity
--- /dev/null
+++ b/bench/wpchoice.c
@@ -0,0 +1,71 @@
+/* How long the choice of an endpoint takes: 160 engines of which 1,000 kept
+ * prompt parts each are noted. Prints the mean in microseconds. */
+#include "wp_fleet.h"
+
+#include <stdio.h>
+
+enum { ENGINES = 160, PARTS = 1000, CHOICES = 20000 };
+
+static WPPrompt prompt_of(unsigned subject, unsigned own)
+{
+    WPPrompt p = { .tokens = 12000 };
+    uint32_t a = subject % 7, b = subject, c = own;
+    wp_prompt_add(&p, wp_strn((const char *)&a, sizeof(a)), 2500);
+    wp_prompt_add(&p, wp_strn((const char *)&b, sizeof(b)), 4000);
+    wp_prompt_add(&p, wp_strn((const char *)&c, sizeof(c)), 5500);
+    return p;
+}
+
+static void fill(WPFleet *f, WPTime now, const WPWant *like)
+{
+    for (unsigned i = 0; i < ENGINES; i++) {
+        g_autofree char *id = g_strdup_printf("i-%04u", i);
+        g_autofree char *zone = g_strdup_printf("z%u", i % 4);
+        const WPListing l = { id, "llm", "127.0.0.1:1", zone, "v1", 64, 0, 0 };
+        wp_fleet_put(f, now, &l);
+        WPReplica *s = wp_fleet_find(f, id);
+        for (unsigned n = 0; n < PARTS / 2; n++) {
+            WPPrompt p = prompt_of((i * 31 + n) % 400, i * PARTS + n);
+            WPWant w = *like;
+            w.prompt = &p;
+            wp_fleet_sent(f, s, now, &w, 0);
+            wp_fleet_ended(s, now, WP_SERVED_OK);
+        }
+    }
+}
+
+int main(void)
+{
+    const WPFleetRules rules = { .zone = 0.35,
+                                 .zone_kb = 0.03,
+                                 .home = 0.4,
+                                 .read_kt = 0.04,
+                                 .move_kt = 0.1,
+                                 .keep = true,
+                                 .slow = 0.25 };
+    WPTime now = { 1000 * WP_US_PER_S, 0 };
+    WPSpeed speed = { 0 };
+    WPFleet *f = wp_fleet_new(1);
+    wp_fleet_rules(f, &rules);
+    for (uint32_t i = 0; i < 200; i++) {
+        WPWork work = { .prompt = 100 * i, .unread = 100 * i };
+        wp_speed_add(&speed, &work, 20000 + 8000 * (int64_t)i);
+    }
+    WPWant w = { .service = "llm",
+                 .zone = "z1",
+                 .model = 7,
+                 .speed = &speed,
+                 .second = 1,
+                 .body_bytes = 12000 };
+    fill(f, now, &w);
+    int64_t start = g_get_monotonic_time();
+    for (unsigned n = 0; n < CHOICES; n++) {
+        WPPrompt p = prompt_of(n % 500, n);
+        w.prompt = &p;
+        wp_fleet_release(wp_fleet_choose(f, now, &w));
+    }
+    printf("choice among %d engines: %.2f us\n", ENGINES,
+           (double)(g_get_monotonic_time() - start) / CHOICES);
+    wp_fleet_free(f);
+    return 0;
+}
--- a/src/wp_bid.c
+++ b/src/wp_bid.c
@@ -27,6 +27,7 @@
     for (guint i = 0; w->prompt && i < list->len; i++) {
         const WPReplica *s = g_ptr_array_index(list, i);
         uint32_t tokens = wp_kept_tokens(s->kept, now, w->model, w->prompt);
+        k->own[i] = tokens;
         if (tokens && !s->unreachable)
             note_keeper(k, s, tokens);
     }
@@ -42,9 +43,8 @@
 }
 
 WPBid wp_bid(const WPFleetRules *r, WPTime now, const WPWant *w,
-             const WPReplica *s, const WPKeepers *keepers)
+             const WPReplica *s, uint32_t own, const WPKeepers *keepers)
 {
-    uint32_t own = wp_kept_tokens(s->kept, now, w->model, w->prompt);
     WPBid reads = { .work = { .prompt = w->prompt->tokens,
                               .unread = w->prompt->tokens - own,
                               .load = wp_fleet_load_of(s, now),
--- a/src/wp_bid.h
+++ b/src/wp_bid.h
@@ -19,9 +19,10 @@
 typedef struct WPKeepers {
     WPKeeper of[WP_KEEPERS_MOST];
     unsigned n;
+    uint32_t *own; /* what each endpoint of the list keeps; the caller's */
 } WPKeepers;
 
-/* Of each version among `list` (WPReplica). */
+/* Of each version among `list` (WPReplica); fills `own`, of the same length. */
 void wp_keepers_find(WPKeepers *k, WPTime now, const WPWant *w,
                      const GPtrArray *list);
 
@@ -32,8 +33,8 @@
     double cost;
 } WPBid;
 
-/* The cheaper of the two ways. */
+/* The cheaper of the two ways, at an endpoint that keeps `own` tokens. */
 WPBid wp_bid(const WPFleetRules *r, WPTime now, const WPWant *w,
-             const WPReplica *s, const WPKeepers *keepers);
+             const WPReplica *s, uint32_t own, const WPKeepers *keepers);
 
 #endif
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -1,17 +1,8 @@
 /* The fleet of endpoints that are called directly. */
-#include "wp_bid.h"
+#include "wp_fleet_int.h"
 
 #include <math.h>
 
-/* Weights of a replica's score, in places: 1 is a replica whose every place
-   is taken. The lowest score wins. Measured on both example sites; see
-   docs/PLATFORM.md. */
-#define FAILING 2.0      /* times its rate of failures */
-#define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
-#define AVOIDED 20.0     /* chosen only when nothing else is left */
-#define COLD 0.3         /* has just started */
-#define JITTER 0.02      /* so that boxes with one view do not herd */
-
 enum {
     LIST_GRACE_US = 2500 * WP_US_PER_MS, /* for entries that lapsed while the
                                             list was away */
@@ -29,15 +20,9 @@
    still less. The platform allows fifty failures; in a burst they came
    within 1.3 s. */
 #define LOADED_FROM 0.44
-#define FULL_FROM 0.4
 #define LOADED_FAILED_LEAST 2.5 /* three, as older ones fade */
 #define LOADED_FAILED_SHARE 0.2
 #define LIGHT_FAILED_SHARE 0.05
-#define LOADED 5.0 /* the weight of a loaded one, in places */
-
-/* Such a version is spared work from this share of all its places on, as what
-   runs goes on for seconds. */
-#define SPARE_FROM 0.3
 
 /* What remains of an older answer's weight with each new one. */
 #define LEARN_KEEP 0.995
@@ -54,16 +39,6 @@
     int64_t own_us;   /* the same, by this box's own requests */
 } LoadSeen;
 
-struct WPFleet {
-    GHashTable *by_load; /* service and version -> LoadSeen */
-    GHashTable *by_id;
-    GHashTable *by_service; /* name -> GPtrArray of WPReplica */
-    GHashTable *by_hash;    /* of the id -> WPReplica */
-    GArray *untold;         /* WPKeptNews */
-    GRand *rand;
-    WPFleetRules rules;
-};
-
 void wp_fleet_release(WPReplica *s)
 {
     if (--s->refs > 0)
@@ -119,7 +94,7 @@
     g_free(f);
 }
 
-static GPtrArray *of_service(WPFleet *f, const char *service)
+GPtrArray *wp_fleet_of_service(WPFleet *f, const char *service)
 {
     GPtrArray *list = g_hash_table_lookup(f->by_service, service);
     if (!list) {
@@ -143,7 +118,7 @@
     s->id_hash = wp_hash(wp_str(s->id), 0);
     g_hash_table_insert(f->by_id, s->id, s);
     g_hash_table_insert(f->by_hash, &s->id_hash, s);
-    g_ptr_array_add(of_service(f, s->service), s);
+    g_ptr_array_add(wp_fleet_of_service(f, s->service), s);
     return s;
 }
 
@@ -172,7 +147,7 @@
     s->gone = true;
     g_hash_table_remove(f->by_id, s->id);
     g_hash_table_remove(f->by_hash, &s->id_hash);
-    g_ptr_array_remove_fast(of_service(f, s->service), s);
+    g_ptr_array_remove_fast(wp_fleet_of_service(f, s->service), s);
     wp_fleet_release(s);
 }
 
@@ -216,25 +191,10 @@
         fn(arg, s);
 }
 
-static bool was_tried(const WPWant *w, const WPReplica *s)
-{
-    for (size_t i = 0; i < w->n_tried; i++)
-        if (w->tried[i] == s)
-            return true;
-    return false;
-}
-
-static bool may_take(const WPWant *w, const WPReplica *s)
-{
-    if (s->draining || s->gone || s->unreachable || was_tried(w, s))
-        return false;
-    if (w->version)
-        return !strcmp(s->version, w->version);
-    return !w->allowed || w->allowed(w->allowed_arg, s->version);
-}
-
-static double fail_rate(const WPReplica *s, WPTime now)
+double wp_fleet_fail_rate(const WPReplica *s, WPTime now)
 {
+    if (s->fail_rate <= 0)
+        return 0;
     double age = (double)(now.mono_us - s->fail_us);
     return s->fail_rate * exp2(-age / FAIL_HALF_LIFE_US);
 }
@@ -279,6 +239,7 @@
                  l->light_failed <= LIGHT_FAILED_SHARE * l->light;
     if (loaded && failed && (found || l->until_us > now.mono_us))
         l->own_us = l->until_us = now.mono_us + LOADED_LASTS_US;
+    f->loaded_until_us = MAX(f->loaded_until_us, l->until_us);
 }
 
 void wp_fleet_hear_loaded(WPFleet *f, WPTime now, const char *service,
@@ -286,6 +247,7 @@
 {
     LoadSeen *l = load_seen(f, service, version);
     l->until_us = MAX(l->until_us, now.mono_us + LOADED_LASTS_US);
+    f->loaded_until_us = MAX(f->loaded_until_us, l->until_us);
 }
 
 void wp_fleet_each_loaded(WPFleet *f, WPTime now,
@@ -302,150 +264,11 @@
 bool wp_fleet_fails_loaded(WPFleet *f, WPTime now, const char *service,
                            const char *version)
 {
+    if (f->loaded_until_us <= now.mono_us)
+        return false;
     return load_seen(f, service, version)->until_us > now.mono_us;
 }
 
-bool wp_fleet_spares(WPFleet *f, WPTime now, const WPWant *w,
-                     const char *version)
-{
-    return wp_fleet_fails_loaded(f, now, w->service, version) &&
-           wp_fleet_pressure(f, now, w) >= SPARE_FROM;
-}
-
-#define KB 1024.0
-
-static double engine_score(const WPFleet *f, WPTime now, const WPWant *w,
-                           const WPReplica *s, const WPKeepers *keepers,
-                           bool home)
-{
-    const WPBid b = wp_bid(&f->rules, now, w, s, keepers);
-    double v = b.cost - (home ? f->rules.home : 0);
-    if (strcmp(s->zone, w->zone))
-        v += f->rules.zone_kb * w->body_bytes / KB;
-    return v;
-}
-
-static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s,
-                    const WPKeepers *keepers, bool home)
-{
-    double v = wp_fleet_taken(s, now);
-    if (w->prompt)
-        v += engine_score(f, now, w, s, keepers, home);
-    else if (strcmp(s->zone, w->zone))
-        v += f->rules.zone;
-    v += (w->once ? FAILING_ONCE : FAILING) * fail_rate(s, now);
-    v += f->rules.slow * (s->slowness - 1);
-    v += JITTER * g_rand_double(f->rand);
-    if (s->avoid_until_us > now.mono_us)
-        v += AVOIDED;
-    if (s->cold_until_us > now.mono_us)
-        v += COLD;
-    if (wp_fleet_taken(s, now) + 1.0 / MAX(s->slots, 1) >= FULL_FROM &&
-        wp_fleet_fails_loaded(f, now, s->service, s->version))
-        v += LOADED;
-    return v;
-}
-
-unsigned wp_fleet_count(WPFleet *f, const WPWant *w)
-{
-    GPtrArray *list = of_service(f, w->service);
-    unsigned n = 0;
-    for (guint i = 0; i < list->len; i++)
-        n += may_take(w, g_ptr_array_index(list, i));
-    return n;
-}
-
-double wp_fleet_pressure(WPFleet *f, WPTime now, const WPWant *w)
-{
-    GPtrArray *list = of_service(f, w->service);
-    double taken = 0, slots = 0;
-    for (guint i = 0; i < list->len; i++) {
-        const WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || s->avoid_until_us > now.mono_us)
-            continue;
-        taken += wp_fleet_load_of(s, now);
-        slots += s->slots;
-    }
-    return slots > 0 ? taken / slots : 1;
-}
-
-/* The replica that all boxes send requests with the same shared prompt to, so
-   that it is read once. */
-static const WPReplica *home_of(const WPWant *w, GPtrArray *list)
-{
-    const WPReplica *best = NULL;
-    uint64_t best_score = 0;
-    uint64_t shared = w->prompt ? wp_prompt_shared(w->prompt) : 0;
-    if (!shared)
-        return NULL;
-    for (guint i = 0; i < list->len; i++) {
-        const WPReplica *s = g_ptr_array_index(list, i);
-        uint64_t key[2] = { shared ^ w->model, s->id_hash };
-        if (!may_take(w, s) || strcmp(s->zone, w->zone))
-            continue;
-        uint64_t v = wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
-        if (!best || v > best_score) {
-            best = s;
-            best_score = v;
-        }
-    }
-    return best;
-}
-
-/* Whether one of `n` is among the candidates of this choice. */
-static bool is_drawn(WPFleet *f, guint n)
-{
-    return !f->rules.choices || n <= f->rules.choices ||
-           g_rand_double(f->rand) * n < f->rules.choices;
-}
-
-static WPReplica *best_of(WPFleet *f, WPTime now, const WPWant *w,
-                          GPtrArray *list)
-{
-    const WPReplica *home = home_of(w, list);
-    WPReplica *best = NULL;
-    double best_score = 0;
-    WPKeepers keepers;
-    wp_keepers_find(&keepers, now, w, list);
-    for (guint i = 0; i < list->len; i++) {
-        WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)))
-            continue;
-        double v = score(f, now, w, s, &keepers, s == home);
-        if (!best || v < best_score) {
-            best = s;
-            best_score = v;
-        }
-    }
-    return best;
-}
-
-WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
-{
-    GPtrArray *list = of_service(f, w->service);
-    uint32_t choices = f->rules.choices;
-    WPReplica *best = best_of(f, now, w, list);
-    if (!best && choices) { /* none was drawn that may take it */
-        f->rules.choices = 0;
-        best = best_of(f, now, w, list);
-        f->rules.choices = choices;
-    }
-    return best ? wp_fleet_hold(best) : NULL;
-}
-
-WPWork wp_fleet_work(WPFleet *f, WPTime now, const WPWant *w,
-                     const WPReplica *s, const WPReplica **source)
-{
-    WPKeepers keepers;
-    *source = NULL;
-    if (!w->prompt)
-        return (WPWork){ .load = wp_fleet_load_of(s, now) };
-    wp_keepers_find(&keepers, now, w, of_service(f, w->service));
-    const WPBid b = wp_bid(&f->rules, now, w, s, &keepers);
-    *source = b.source;
-    return b.work;
-}
-
 enum { UNTOLD_MOST = 256 };
 
 /* Reading that takes less is not worth telling of. */
@@ -506,7 +329,7 @@
 
 static void note_outcome(WPReplica *s, WPTime now, bool failed)
 {
-    s->fail_rate = fail_rate(s, now);
+    s->fail_rate = wp_fleet_fail_rate(s, now);
     s->fail_us = now.mono_us;
     s->fail_rate += FAIL_WEIGHT * ((failed ? 1 : 0) - s->fail_rate);
 }
--- /dev/null
+++ b/src/wp_fleet_pick.c
@@ -0,0 +1,181 @@
+/* Which endpoint takes a request. */
+#include "wp_fleet_int.h"
+
+/* Weights of a replica's score, in places: 1 is a replica whose every place
+   is taken. The lowest score wins. Measured on both example sites; see
+   docs/PLATFORM.md. */
+#define FAILING 2.0      /* times its rate of failures */
+#define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
+#define AVOIDED 20.0     /* chosen only when nothing else is left */
+#define COLD 0.3         /* has just started */
+#define JITTER 0.02      /* so that boxes with one view do not herd */
+
+/* A version that fails on loaded endpoints is passed over on those from this
+   share of their places on, a little before it is seen to fail, as what others
+   send there is not known at once. */
+#define FULL_FROM 0.4
+#define LOADED 5.0 /* the weight of a loaded one, in places */
+
+/* Such a version is spared work from this share of all its places on, as what
+   runs goes on for seconds. */
+#define SPARE_FROM 0.3
+
+static bool was_tried(const WPWant *w, const WPReplica *s)
+{
+    for (size_t i = 0; i < w->n_tried; i++)
+        if (w->tried[i] == s)
+            return true;
+    return false;
+}
+
+static bool may_take(const WPWant *w, const WPReplica *s)
+{
+    if (s->draining || s->gone || s->unreachable || was_tried(w, s))
+        return false;
+    if (w->version)
+        return !strcmp(s->version, w->version);
+    return !w->allowed || w->allowed(w->allowed_arg, s->version);
+}
+
+bool wp_fleet_spares(WPFleet *f, WPTime now, const WPWant *w,
+                     const char *version)
+{
+    return wp_fleet_fails_loaded(f, now, w->service, version) &&
+           wp_fleet_pressure(f, now, w) >= SPARE_FROM;
+}
+
+#define KB 1024.0
+
+static double engine_score(const WPFleet *f, WPTime now, const WPWant *w,
+                           const WPReplica *s, uint32_t own,
+                           const WPKeepers *keepers, bool home)
+{
+    const WPBid b = wp_bid(&f->rules, now, w, s, own, keepers);
+    double v = b.cost - (home ? f->rules.home : 0);
+    if (strcmp(s->zone, w->zone))
+        v += f->rules.zone_kb * w->body_bytes / KB;
+    return v;
+}
+
+static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s,
+                    uint32_t own, const WPKeepers *keepers, bool home)
+{
+    double v = wp_fleet_taken(s, now);
+    if (w->prompt)
+        v += engine_score(f, now, w, s, own, keepers, home);
+    else if (strcmp(s->zone, w->zone))
+        v += f->rules.zone;
+    v += (w->once ? FAILING_ONCE : FAILING) * wp_fleet_fail_rate(s, now);
+    v += f->rules.slow * (s->slowness - 1);
+    v += JITTER * g_rand_double(f->rand);
+    if (s->avoid_until_us > now.mono_us)
+        v += AVOIDED;
+    if (s->cold_until_us > now.mono_us)
+        v += COLD;
+    if (wp_fleet_taken(s, now) + 1.0 / MAX(s->slots, 1) >= FULL_FROM &&
+        wp_fleet_fails_loaded(f, now, s->service, s->version))
+        v += LOADED;
+    return v;
+}
+
+unsigned wp_fleet_count(WPFleet *f, const WPWant *w)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    unsigned n = 0;
+    for (guint i = 0; i < list->len; i++)
+        n += may_take(w, g_ptr_array_index(list, i));
+    return n;
+}
+
+double wp_fleet_pressure(WPFleet *f, WPTime now, const WPWant *w)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    double taken = 0, slots = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s) || s->avoid_until_us > now.mono_us)
+            continue;
+        taken += wp_fleet_load_of(s, now);
+        slots += s->slots;
+    }
+    return slots > 0 ? taken / slots : 1;
+}
+
+/* The replica that all boxes send requests with the same shared prompt to, so
+   that it is read once. */
+static const WPReplica *home_of(const WPWant *w, GPtrArray *list)
+{
+    const WPReplica *best = NULL;
+    uint64_t best_score = 0;
+    uint64_t shared = w->prompt ? wp_prompt_shared(w->prompt) : 0;
+    if (!shared)
+        return NULL;
+    for (guint i = 0; i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        uint64_t key[2] = { shared ^ w->model, s->id_hash };
+        if (!may_take(w, s) || strcmp(s->zone, w->zone))
+            continue;
+        uint64_t v = wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
+        if (!best || v > best_score) {
+            best = s;
+            best_score = v;
+        }
+    }
+    return best;
+}
+
+/* Whether one of `n` is among the candidates of this choice. */
+static bool is_drawn(WPFleet *f, guint n)
+{
+    return !f->rules.choices || n <= f->rules.choices ||
+           g_rand_double(f->rand) * n < f->rules.choices;
+}
+
+static WPReplica *best_of(WPFleet *f, WPTime now, const WPWant *w,
+                          GPtrArray *list)
+{
+    const WPReplica *home = home_of(w, list);
+    WPReplica *best = NULL;
+    double best_score = 0;
+    WPKeepers keepers = { .own = g_newa(uint32_t, list->len + 1) };
+    wp_keepers_find(&keepers, now, w, list);
+    for (guint i = 0; i < list->len; i++) {
+        WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)))
+            continue;
+        double v = score(f, now, w, s, keepers.own[i], &keepers, s == home);
+        if (!best || v < best_score) {
+            best = s;
+            best_score = v;
+        }
+    }
+    return best;
+}
+
+WPReplica *wp_fleet_choose(WPFleet *f, WPTime now, const WPWant *w)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    uint32_t choices = f->rules.choices;
+    WPReplica *best = best_of(f, now, w, list);
+    if (!best && choices) { /* none was drawn that may take it */
+        f->rules.choices = 0;
+        best = best_of(f, now, w, list);
+        f->rules.choices = choices;
+    }
+    return best ? wp_fleet_hold(best) : NULL;
+}
+
+WPWork wp_fleet_work(WPFleet *f, WPTime now, const WPWant *w,
+                     const WPReplica *s, const WPReplica **source)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    WPKeepers keepers = { .own = g_newa(uint32_t, list->len + 1) };
+    *source = NULL;
+    if (!w->prompt)
+        return (WPWork){ .load = wp_fleet_load_of(s, now) };
+    wp_keepers_find(&keepers, now, w, list);
+    uint32_t own = wp_kept_tokens(s->kept, now, w->model, w->prompt);
+    const WPBid b = wp_bid(&f->rules, now, w, s, own, &keepers);
+    *source = b.source;
+    return b.work;
+}
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -13,40 +13,11 @@
     LEAVING_MS = 100      /* the same, of a box that stops: others serve */
 };
 
-/* Share of places taken from which on a version may be bad under load, and
-   from which on any engine may be slow, and any plain endpoint. */
-#define HALF_FULL 0.5
-#define CROWDED 0.25
-#define CROWDED_PLAIN 0.9
-
-/* A plain answer is slow from so many times the usual upper bound on. */
-#define FAR_TIMES 2.0
-
-/* Events of a stream from which on its pace is judged, and the fewest of a
-   whole one that tell anything. */
-#define PACE_EVENTS 6
-#define PACE_LEAST 4
-
-/* Part of the newest in the moving mean of lags. */
-#define LAG_WEIGHT 0.06
-
-/* A first byte that comes later than its aim counts as one that is just late:
-   after all boxes had stopped, a few that took three times their aim kept the
-   larger models unused for eight seconds. */
-#define LAG_MOST 1.0
-
 static WPMove move_fail(WPCode code, uint32_t retry_ms)
 {
     return (WPMove){ .kind = WP_MOVE_FAIL, .code = code, .retry_ms = retry_ms };
 }
 
-/* Whether the service's endpoints work on each request by itself, not in
-   batches as engines do. */
-static bool is_plain(const WPFlow *f)
-{
-    return !f->service->slots && f->route->repeat != WP_REPEAT_STREAM;
-}
-
 static void note_earned(WPFlow *f, WPWhy why)
 {
     WPDirect *d = f->d;
@@ -78,11 +49,10 @@
     bool old = sh && strcmp(s->version, sh->version);
     double taken = wp_fleet_taken(s, now);
     bool cold = s->cold_until_us > now.mono_us;
-    double crowded = is_plain(f) ? CROWDED_PLAIN : CROWDED;
     f->leg = (WPAttempt){ .replica = s,
                           .sent_us = now.mono_us,
-                          .crowded = taken >= crowded || cold,
-                          .loaded = taken >= HALF_FULL,
+                          .crowded = wp_flow_is_crowded(f, taken) || cold,
+                          .loaded = taken >= WP_FLOW_HALF_FULL,
                           .taken = taken,
                           .old_version = old };
     if (old)
@@ -101,33 +71,10 @@
                      .patience_ms = wp_flow_patience(f) };
 }
 
-/* While a version is on trial its failures are for the verdict. */
-static void learn_load(WPFlow *f, WPTime now, const WPAttempt *leg,
-                       WPServed how)
-{
-    const WPShift *sh = wp_flow_shift(f);
-    const char *version = leg->replica->version;
-    bool on_trial =
-        sh && sh->state == WP_SHIFT_RUNNING && !strcmp(version, sh->version);
-    bool failed = how == WP_SERVED_FAILED || how == WP_SERVED_BROKEN;
-    if (on_trial || (how != WP_SERVED_OK && !failed))
-        return;
-    WPFleet *fleet = f->d->fleet;
-    bool known =
-        wp_fleet_fails_loaded(fleet, now, leg->replica->service, version);
-    wp_fleet_learn(fleet, now, leg->replica, leg->taken, failed);
-    if (known ||
-        !wp_fleet_fails_loaded(fleet, now, leg->replica->service, version))
-        return;
-    wp_count(&f->d->counters, WP_C_FAILS_LOADED);
-    g_free(f->fails_loaded);
-    f->fails_loaded = g_strdup(version);
-}
-
 static void end_leg(WPFlow *f, WPTime now, const WPAttempt *leg, WPServed how)
 {
     WPShift *sh = wp_flow_shift(f);
-    learn_load(f, now, leg, how);
+    wp_flow_learn_load(f, now, leg, how);
     if (leg->old_version && sh && sh->old_running)
         sh->old_running--;
     wp_fleet_ended(leg->replica, now, how);
@@ -259,102 +206,6 @@
     return f;
 }
 
-/* How late first bytes come shows the strain on the endpoints, whatever their
-   number of places is. */
-static void note_lag(WPFlow *f, int64_t took_us)
-{
-    double aim_us = (double)f->route->aim_ms * WP_US_PER_MS;
-    double part = MIN((double)took_us / aim_us, LAG_MOST);
-    f->d->lag += LAG_WEIGHT * (part - f->d->lag);
-}
-
-/* Whether the leg is on the version that a running move leads to: it is
-   measured against the others, not against itself. */
-static bool is_on_trial(const WPFlow *f)
-{
-    const WPShift *sh = wp_flow_shift(f);
-    return sh && sh->state == WP_SHIFT_RUNNING &&
-           !strcmp(f->leg.replica->version, sh->version);
-}
-
-/* The first byte of the leg has come: what it tells of the endpoint. */
-static void note_first(WPFlow *f, WPTime now)
-{
-    WPSpeed *v = wp_flow_speed(f, wp_flow_model(f));
-    int64_t took = now.mono_us - f->leg.sent_us;
-    if (f->leg.heard)
-        return;
-    f->leg.heard = true;
-    f->leg.first_us = now.mono_us;
-    if (f->route->aim_ms)
-        note_lag(f, took);
-    wp_fleet_began(f->leg.replica, f->leg.reading_us, took,
-                   (int64_t)f->leg.expect_us);
-    if (!is_on_trial(f) || !f->leg.expect_us)
-        wp_speed_add(v, &f->leg.work, took);
-}
-
-/* What the leg tells of the version that it was on; once a leg. */
-static void judge(WPFlow *f, bool failed, WPShiftTime time)
-{
-    WPShift *sh = wp_flow_shift(f);
-    if (f->leg.judged || !f->leg.replica)
-        return;
-    f->leg.judged = true;
-    if (!sh || sh->state != WP_SHIFT_RUNNING)
-        return;
-    if (is_on_trial(f) && f->leg.loaded)
-        wp_shift_loaded(sh, f->leg.replica->id, failed);
-    const WPShiftAnswer a = { .version = f->leg.replica->version,
-                              .replica = f->leg.replica->id,
-                              .route = f->route->name,
-                              .failed = failed,
-                              .time = time,
-                              .taken = f->leg.taken };
-    wp_shift_answered(sh, &a);
-}
-
-/* How a time lies among the old version's, by bounds that this box learns. A
-   crowded endpoint's tell nothing. `what`: with whose times it is compared. */
-static WPShiftTime judge_time(WPFlow *f, const char *what, double us)
-{
-    WPUsual *u = wp_direct_usual(f->d, what, wp_flow_model(f));
-    double lower = wp_usual_lower(u), upper = wp_usual_upper(u);
-    if (f->leg.crowded)
-        return WP_TIME_UNKNOWN;
-    if (!is_on_trial(f))
-        wp_usual_add(u, us);
-    if (upper <= 0)
-        return WP_TIME_UNKNOWN;
-    if (is_plain(f))
-        return us > FAR_TIMES * upper ? WP_TIME_FAR : WP_TIME_NEAR;
-    if (us > upper)
-        return WP_TIME_SLOW;
-    return us < lower ? WP_TIME_FAST : WP_TIME_USUAL;
-}
-
-/* A slow version may begin its answers in time and then make their events
-   several times more slowly. Few events show nothing. The pace hangs on the
-   model, not on the route. */
-static void judge_pace(WPFlow *f, WPTime now, uint64_t events)
-{
-    if (f->leg.judged || !f->leg.heard)
-        return;
-    if (events < PACE_LEAST) {
-        judge(f, false, WP_TIME_UNKNOWN);
-        return;
-    }
-    int64_t rest_us = now.mono_us - f->leg.first_us;
-    double pace_us = (double)rest_us / (double)(events - 1);
-    judge(f, false, judge_time(f, f->service->name, pace_us));
-}
-
-void wp_flow_progress(WPFlow *f, WPTime now, uint64_t events)
-{
-    if (events >= PACE_EVENTS && !f->leg.judged)
-        judge_pace(f, now, events);
-}
-
 static void give_up(WPFlow *f, WPCode code, uint32_t retry_ms, WPMove *out)
 {
     if (f->passing)
@@ -387,7 +238,7 @@
 {
     WPAttempt had;
     unsigned step = f->step;
-    judge(f, false, WP_TIME_UNKNOWN);
+    wp_flow_judge(f, false, WP_TIME_UNKNOWN);
     had = f->leg;
     f->step = f->route->models->len - 1;
     f->ran++;
@@ -414,12 +265,13 @@
         wp_flow_lost(f, now, WP_LOSS_BROKEN, out);
         return;
     }
-    note_first(f, now);
+    wp_flow_note_first(f, now);
     if (failed || f->route->repeat != WP_REPEAT_STREAM)
-        judge(f, failed,
-              failed ? WP_TIME_UNKNOWN
-                     : judge_time(f, f->route->name,
-                                  (double)(now.mono_us - f->leg.sent_us)));
+        wp_flow_judge(f, failed,
+                      failed ? WP_TIME_UNKNOWN
+                             : wp_flow_judge_time(
+                                   f, f->route->name,
+                                   (double)(now.mono_us - f->leg.sent_us)));
     if (failed) {
         f->ran++;
         end_this(f, now, WP_SERVED_FAILED);
@@ -459,18 +311,6 @@
             out);
 }
 
-/* A plain answer that has not come for long is a slow one. */
-static void judge_overdue(WPFlow *f, WPTime now)
-{
-    if (!f->leg.replica || f->leg.judged || !is_plain(f))
-        return;
-    double us = (double)(now.mono_us - f->leg.sent_us);
-    double upper =
-        wp_usual_upper(wp_direct_usual(f->d, f->route->name, wp_flow_model(f)));
-    if (upper > 0 && us > FAR_TIMES * upper && !f->leg.crowded)
-        judge(f, false, WP_TIME_FAR);
-}
-
 bool wp_flow_impatient(WPFlow *f, WPTime now, WPMove *out)
 {
     WPAttempt had = f->leg;
@@ -478,7 +318,7 @@
         return false;
     if (f->n_tried == WP_FLOW_TRIED_MOST)
         return false;
-    judge_overdue(f, now);
+    wp_flow_judge_overdue(f, now);
     f->hurried = true;
     f->tried[f->n_tried++] = wp_fleet_hold(had.replica);
     f->ran++;
@@ -494,7 +334,7 @@
 void wp_flow_expired(WPFlow *f, WPTime now, WPMove *out)
 {
     bool sent = f->leg.replica || f->ran;
-    judge_overdue(f, now);
+    wp_flow_judge_overdue(f, now);
     end_this(f, now, f->leg.heard ? WP_SERVED_LEFT : WP_SERVED_SILENT);
     if (sent)
         give_up(f, WP_TIMED_OUT, 0, out);
@@ -511,7 +351,7 @@
 
 void wp_flow_done(WPFlow *f, WPTime now, uint64_t events)
 {
-    judge_pace(f, now, events);
+    wp_flow_judge_pace(f, now, events);
     note_session(f, now);
     end_this(f, now, WP_SERVED_OK);
     wp_count(&f->d->counters, WP_C_ANSWERED);
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -28,6 +28,31 @@
 /* What the request wants of an endpoint with its present model. */
 WPWant wp_flow_want(WPFlow *f);
 
+/* wp_flow_learn.c: what legs tell. Share of places taken from which on a
+   version may be bad under load: */
+#define WP_FLOW_HALF_FULL 0.5
+
+/* Whether an endpoint so full may be slow for that. */
+bool wp_flow_is_crowded(const WPFlow *f, double taken);
+
+/* How a leg ended, for versions that fail on loaded endpoints. */
+void wp_flow_learn_load(WPFlow *f, WPTime now, const WPAttempt *leg,
+                        WPServed how);
+
+/* The first byte of the leg has come. */
+void wp_flow_note_first(WPFlow *f, WPTime now);
+
+/* What the leg tells of the version that it was on; once a leg. */
+void wp_flow_judge(WPFlow *f, bool failed, WPShiftTime time);
+
+/* How a time lies among the old version's; `what`: with whose times it is
+   compared. */
+WPShiftTime wp_flow_judge_time(WPFlow *f, const char *what, double us);
+
+/* By the pace of its events; by its not having come yet. */
+void wp_flow_judge_pace(WPFlow *f, WPTime now, uint64_t events);
+void wp_flow_judge_overdue(WPFlow *f, WPTime now);
+
 /* The endpoint for the next leg, held; NULL when there is none. */
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now);
 
--- a/tests/test_kept.c
+++ b/tests/test_kept.c
@@ -132,7 +132,8 @@
 {
     Fake k;
     WPSpeed s = { 0 };
-    WPKeepers keepers;
+    uint32_t own_tokens[2];
+    WPKeepers keepers = { .own = own_tokens };
     WPPrompt p = prompt_of(9000, 1000, 1);
     (void)state;
     fake_init(&k);
@@ -146,8 +147,8 @@
     for (int dear = 0; dear < 2; dear++) {
         const WPWant w = want_of(&s, &p, dear ? 4 : 0.1);
         wp_keepers_find(&keepers, k.now, &w, list);
-        WPBid own = wp_bid(&rules, k.now, &w, a, &keepers);
-        WPBid other = wp_bid(&rules, k.now, &w, b, &keepers);
+        WPBid own = wp_bid(&rules, k.now, &w, a, own_tokens[0], &keepers);
+        WPBid other = wp_bid(&rules, k.now, &w, b, own_tokens[1], &keepers);
         assert_null(own.source);
         assert_true(other.cost > own.cost);
         assert_true((other.source == a) == dear);
@@ -162,7 +163,8 @@
 {
     Fake k;
     WPSpeed s = { 0 };
-    WPKeepers keepers;
+    uint32_t own_tokens[2];
+    WPKeepers keepers = { .own = own_tokens };
     WPPrompt p = prompt_of(9000, 1000, 1);
     (void)state;
     fake_init(&k);
@@ -174,8 +176,8 @@
     wp_kept_read(wp_fleet_find(k.d.fleet, "l1")->kept, k.now, 7, &p);
     const WPWant w = want_of(&s, &p, 4);
     wp_keepers_find(&keepers, k.now, &w, list);
-    WPBid b =
-        wp_bid(&rules, k.now, &w, wp_fleet_find(k.d.fleet, "l2"), &keepers);
+    WPBid b = wp_bid(&rules, k.now, &w, wp_fleet_find(k.d.fleet, "l2"),
+                     own_tokens[1], &keepers);
     assert_null(b.source);
     g_ptr_array_unref(list);
     fake_end(&k);
