--- a/tests/judge.c
+++ b/tests/judge.c
@@ -54,11 +54,6 @@
     return f->once && runs > 1;
 }
 
-static bool refused_but_ran(const LoadFate *f, guint runs)
-{
-    return !f->ok && !strcmp(f->ran, "not_run") && runs > 0;
-}
-
 static bool answered_without_run(const LoadFate *f, guint runs)
 {
     return f->ok && runs == 0;
@@ -78,6 +73,20 @@
     return n;
 }
 
+/* Runs of attempts that were told not to have run. Each attempt has an id of
+   its own: another attempt of the same call may have run. */
+static double count_refused_but_ran(Site *s)
+{
+    json_t *rows = ledgers(s, NULL);
+    g_autoptr(GHashTable) runs = count_by(rows, "request_id");
+    const GPtrArray *ids = load_result(s->load)->refused_ids;
+    double n = 0;
+    for (guint i = 0; i < ids->len; i++)
+        n += count_of(runs, g_ptr_array_index(ids, i)) > 0;
+    json_decref(rows);
+    return n;
+}
+
 static const Mark *find_mark(Site *s, const char *name)
 {
     for (guint i = 0; i < s->marks->len; i++) {
@@ -307,7 +316,7 @@
     if (!strcmp(name, "runs.twice"))
         return count_fates(s, ran_twice);
     if (!strcmp(name, "runs.refused_but_ran"))
-        return count_fates(s, refused_but_ran);
+        return count_refused_but_ran(s);
     if (!strcmp(name, "runs.answered_without"))
         return count_fates(s, answered_without_run);
     if (g_str_has_prefix(name, "runs."))
--- a/tools/load.c
+++ b/tools/load.c
@@ -131,6 +131,7 @@
     l->r.whole_ms = g_array_new(FALSE, FALSE, sizeof(double));
     l->r.between_ms = g_array_new(FALSE, FALSE, sizeof(double));
     l->r.fates = g_array_new(FALSE, FALSE, sizeof(LoadFate));
+    l->r.refused_ids = g_ptr_array_new_with_free_func(g_free);
     l->timer = evtimer_new(base, on_timer, l);
     l->health = event_new(base, -1, EV_PERSIST, on_health_timer, l);
     struct timeval every = { 0, HEALTH_MS * WP_US_PER_MS };
@@ -182,6 +183,7 @@
     g_array_unref(l->r.whole_ms);
     g_array_unref(l->r.between_ms);
     g_array_unref(l->r.fates);
+    g_ptr_array_unref(l->r.refused_ids);
     g_ptr_array_unref(l->prefixes);
     g_rand_free(l->rand);
     g_free(l);
@@ -371,6 +373,7 @@
     (void)r;
     ++*need_count(l->r.codes, code ? code : "?");
     if (!strcmp(c->fate.ran, "not_run")) {
+        g_ptr_array_add(l->r.refused_ids, g_strdup(c->fate.request_id));
         l->r.not_run++;
         l->r.late_finals += took > 0.9 * c->item->deadline_ms;
     } else {
--- a/tools/load.h
+++ b/tools/load.h
@@ -28,7 +28,8 @@
     GHashTable *quality;  /* kind -> LoadQuality */
     GHashTable *served;   /* workspace -> requests answered */
     GArray *first_ms, *whole_ms, *between_ms; /* of double */
-    GArray *fates; /* of LoadFate, in order of ending */
+    GArray *fates;          /* of LoadFate, in order of ending */
+    GPtrArray *refused_ids; /* of attempts that were told not to have run */
     double cost;
 } LoadResult;
 
