--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -151,10 +151,13 @@
         wp_flow_answer(f, k.now, &good, &m);
         wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
         assert_ptr_not_equal(m.replica, first);
+        WPReplica *other = m.replica;
         wp_flow_left(f, k.now);
         wp_flow_free(f);
+        /* Also where the other one is the fuller by far. */
+        wp_fleet_load(other, k.now, 6, 0, 8);
         f = fake_ask(&k, "/chat/x", NULL, &m);
-        assert_ptr_not_equal(m.replica, first);
+        assert_ptr_equal(m.replica, other);
         wp_flow_done(f, k.now, 9);
         wp_flow_free(f);
         fake_pass(&k, 5000);
