--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -7,6 +7,7 @@
 #include "wp_direct_host.h"
 #include "wp_front.h"
 #include "wp_log.h"
+#include "wp_steady.h"
 
 #include <event2/http.h>
 
@@ -27,6 +28,7 @@
     struct event *tick, *term, *hup;
     WPList relays;
     unsigned n_relays;
+    WPSteady steady;
     bool leaving;   /* a planned stop has begun */
     int64_t end_us; /* of the process, then; 0: all requests are still taken */
     int64_t leave_us;
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -37,7 +37,7 @@
 
 static void take_order(WPSync *s, const WPShiftOrder *o)
 {
-    if (wp_shifts_order(s->host->direct.shifts, o))
+    if (wp_shifts_order(s->host->direct.shifts, wp_clock_now(0), o))
         wp_log(&s->host->log, WP_INFO, "move_ordered", "service", o->service,
                "version", o->version, NULL);
 }
@@ -48,10 +48,12 @@
     WPShift *sh = wp_shifts_find(shifts, n->order.service);
     WPShiftState had = sh ? sh->state : WP_SHIFT_RUNNING;
     wp_shifts_outcome(shifts, n->order.service, n->order.version, n->state);
-    if (sh && sh->state != had)
-        wp_log(&s->host->log, WP_INFO, "move_ended", "service", sh->service,
-               "version", sh->version, "state", wp_shift_state_name(sh->state),
-               NULL);
+    if (!sh || sh->state == had)
+        return;
+    g_autofree char *figures = wp_shift_figures(sh, wp_clock_now(0));
+    wp_log(&s->host->log, WP_INFO, "move_ended", "service", sh->service,
+           "version", sh->version, "state", wp_shift_state_name(sh->state),
+           "figures", figures, NULL);
 }
 
 /* This system's own record of when a move began. */
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -57,10 +57,11 @@
                         (long)(sh->began_ms ? sh->began_ms : now.wall_ms));
     const WPKvOp ops[] = { { key, wp_str(text), false },
                            { own, wp_str(began), false } };
+    g_autofree char *figures = wp_shift_figures(sh, now);
     wp_count(&s->host->direct.counters, WP_C_ROLLOUT_STEPS);
     wp_log(&s->host->log, WP_INFO, "move_step", "service", sh->service,
            "version", sh->version, "state", wp_shift_state_name(state), "why",
-           why ? why : "ordered", NULL);
+           why ? why : "ordered", "figures", figures, NULL);
     write_all(s, ops, WP_COUNT(ops));
 }
 
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -83,7 +83,7 @@
     return t;
 }
 
-WPShift *wp_shifts_order(WPShifts *s, const WPShiftOrder *o)
+WPShift *wp_shifts_order(WPShifts *s, WPTime now, const WPShiftOrder *o)
 {
     const WPShift *had = wp_shifts_find(s, o->service);
     if (had && had->revision >= o->revision)
@@ -94,6 +94,7 @@
     sh->version = g_strdup(o->version);
     sh->revision = o->revision;
     sh->duration_ms = o->duration_ms;
+    sh->known_us = now.mono_us;
     sh->fresh = sums_table();
     sh->old = sums_table();
     sh->replicas = sums_table();
@@ -329,6 +330,18 @@
     return sum;
 }
 
+char *wp_shift_figures(const WPShift *sh, WPTime now)
+{
+    WPShiftSums fresh = pooled(sh), old = total(sh->old);
+    g_autofree char *sums = wp_sums_text("all", &fresh, &old);
+    return g_strdup_printf(
+        "order=%lu known_ms=%ld wall_ms=%ld boxes=%u %s",
+        (unsigned long)sh->revision,
+        (long)((now.mono_us - sh->known_us) / WP_US_PER_MS),
+        (long)(sh->began_ms ? now.wall_ms - sh->began_ms : 0),
+        g_hash_table_size(sh->heard), sums);
+}
+
 bool wp_shift_is_doubtful(const WPShift *sh)
 {
     WPShiftSums fresh = pooled(sh), old = total(sh->old);
@@ -388,8 +401,7 @@
     if (sh->stage && !strcmp(sh->stage, at->name))
         return false;
     sh->stage = at->name;
-    WPShiftSums fresh = pooled(sh), old = total(sh->old);
-    *why = wp_sums_text("all", &fresh, &old);
+    *why = wp_shift_figures(sh, now);
     return true;
 }
 
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -30,6 +30,7 @@
     uint64_t revision;
     WPShiftState state;
     int64_t began_ms; /* wall time; 0: not yet known */
+    int64_t known_us; /* since when this box knows of the order */
     int64_t duration_ms;
     GHashTable *fresh, *old; /* route -> WPShiftSums, of this box */
     GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
@@ -51,7 +52,7 @@
 void wp_shifts_free(WPShifts *s);
 
 /* Takes an order; NULL when it is known already. */
-WPShift *wp_shifts_order(WPShifts *s, const WPShiftOrder *o);
+WPShift *wp_shifts_order(WPShifts *s, WPTime now, const WPShiftOrder *o);
 
 /* Takes the store's word on how a move ended. */
 void wp_shifts_outcome(WPShifts *s, const char *service, const char *version,
@@ -84,6 +85,9 @@
 /* An answer of the new version came from a replica that was half full. */
 void wp_shift_loaded(WPShift *sh, const char *replica, bool failed);
 
+/* What this box knows of the move, for the log; free with g_free(). */
+char *wp_shift_figures(const WPShift *sh, WPTime now);
+
 /* The new version's sums at this box, and those of another box. */
 WPShiftSums wp_shift_own(const WPShift *sh);
 void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
--- /dev/null
+++ b/src/wp_steady.h
@@ -0,0 +1,22 @@
+/* Whether a process's own clocks run as they should: the time of day against
+ * the monotonic clock, and looks that come late. */
+#ifndef WP_STEADY_H
+#define WP_STEADY_H
+
+#include "wp_base.h"
+
+typedef struct WPSteady {
+    WPTime last; /* of the last look; zero: none yet */
+} WPSteady;
+
+/* What the time since the last look was like. */
+typedef struct WPSteadyLook {
+    int64_t step_ms;  /* by which the time of day was set on, or (below zero)
+                         back, meanwhile; 0: by less than a quarter second */
+    int64_t pause_ms; /* that passed without a look; 0: less than a second */
+} WPSteadyLook;
+
+/* To be called several times a second. */
+WPSteadyLook wp_steady_look(WPSteady *s, WPTime now);
+
+#endif
--- a/tests/shift_fake.h
+++ b/tests/shift_fake.h
@@ -9,7 +9,7 @@
 static inline WPShift *order(Fake *k)
 {
     WPShiftOrder o = { "llm", "v2", DURATION_MS, 10 };
-    WPShift *sh = wp_shifts_order(k->d.shifts, &o);
+    WPShift *sh = wp_shifts_order(k->d.shifts, k->now, &o);
     sh->began_ms = k->now.wall_ms;
     fake_put(k, "n1", "llm", "v2", false);
     fake_put(k, "n2", "llm", "v2", false);
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -323,9 +323,9 @@
     fake_init(&k);
     order(&k);
     WPShiftOrder old = { "llm", "v0", DURATION_MS, 9 };
-    assert_null(wp_shifts_order(k.d.shifts, &old));
+    assert_null(wp_shifts_order(k.d.shifts, k.now, &old));
     WPShiftOrder next = { "llm", "v3", DURATION_MS, 11 };
-    assert_non_null(wp_shifts_order(k.d.shifts, &next));
+    assert_non_null(wp_shifts_order(k.d.shifts, k.now, &next));
     /* A record of the order before does not end this one. */
     wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_DONE);
     assert_int_equal(wp_shifts_find(k.d.shifts, "llm")->state,
@@ -343,7 +343,7 @@
     fake_init(&k);
     order(&k);
     wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_UNDONE);
-    WPShift *sh = wp_shifts_order(k.d.shifts, &next);
+    WPShift *sh = wp_shifts_order(k.d.shifts, k.now, &next);
     sh->began_ms = k.now.wall_ms;
     fake_put(&k, "m1", "llm", "v3", false);
     for (int i = 0; i < 200; i++) {
@@ -353,7 +353,7 @@
     }
     /* An order for it again: it may have been mended. */
     const WPShiftOrder again = { "llm", "v2", DURATION_MS, 30 };
-    sh = wp_shifts_order(k.d.shifts, &again);
+    sh = wp_shifts_order(k.d.shifts, k.now, &again);
     assert_true(wp_shift_allows(sh, "v2"));
     fake_end(&k);
 }
--- a/tests/test_verdict.c
+++ b/tests/test_verdict.c
@@ -357,7 +357,7 @@
 static WPShift *order_plain(Fake *k)
 {
     WPShiftOrder o = { "app", "v2", DURATION_MS, 10 };
-    WPShift *sh = wp_shifts_order(k->d.shifts, &o);
+    WPShift *sh = wp_shifts_order(k->d.shifts, k->now, &o);
     sh->began_ms = k->now.wall_ms;
     fake_put(k, "b1", "app", "v2", false);
     fake_put(k, "b2", "app", "v2", false);
