--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -1402,6 +1402,51 @@
   assert(message->base.descriptor == &wp__move_sums__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__move_record__init
+                     (Wp__MoveRecord         *message)
+{
+  static const Wp__MoveRecord init_value = WP__MOVE_RECORD__INIT;
+  *message = init_value;
+}
+size_t wp__move_record__get_packed_size
+                     (const Wp__MoveRecord *message)
+{
+  assert(message->base.descriptor == &wp__move_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__move_record__pack
+                     (const Wp__MoveRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__move_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__move_record__pack_to_buffer
+                     (const Wp__MoveRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__move_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__MoveRecord *
+       wp__move_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__MoveRecord *)
+     protobuf_c_message_unpack (&wp__move_record__descriptor,
+                                allocator, len, data);
+}
+void   wp__move_record__free_unpacked
+                     (Wp__MoveRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__move_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__mirror_digest__init
                      (Wp__MirrorDigest         *message)
 {
@@ -3897,7 +3942,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[16] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[20] =
 {
   {
     "service",
@@ -4091,13 +4136,64 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "life",
+    17,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MoveSums, has_life),
+    offsetof(Wp__MoveSums, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MoveSums, has_elapsed_ms),
+    offsetof(Wp__MoveSums, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fails_spread",
+    19,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MoveSums, has_fails_spread),
+    offsetof(Wp__MoveSums, fails_spread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow_spread",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MoveSums, has_slow_spread),
+    offsetof(Wp__MoveSums, slow_spread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
   15,   /* field[15] = bad */
+  17,   /* field[17] = elapsed_ms */
   3,   /* field[3] = failed */
+  18,   /* field[18] = fails_spread */
   14,   /* field[14] = far */
   10,   /* field[10] = fast */
+  16,   /* field[16] = life */
   6,   /* field[6] = loaded */
   9,   /* field[9] = loaded_bad */
   8,   /* field[8] = loaded_failed */
@@ -4106,6 +4202,7 @@
   1,   /* field[1] = order */
   0,   /* field[0] = service */
   4,   /* field[4] = slow */
+  19,   /* field[19] = slow_spread */
   11,   /* field[11] = taken */
   7,   /* field[7] = timed */
   13,   /* field[13] = wholes */
@@ -4113,7 +4210,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4123,13 +4220,77 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  16,
+  20,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wp__move_record__field_descriptors[3] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MoveRecord, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MoveRecord, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lives",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__MoveRecord, n_lives),
+    offsetof(Wp__MoveRecord, lives),
+    &wp__move_sums__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__move_record__field_indices_by_name[] = {
+  1,   /* field[1] = elapsed_ms */
+  2,   /* field[2] = lives */
+  0,   /* field[0] = order */
+};
+static const ProtobufCIntRange wp__move_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wp__move_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.MoveRecord",
+  "MoveRecord",
+  "Wp__MoveRecord",
+  "wp",
+  sizeof(Wp__MoveRecord),
+  3,
+  wp__move_record__field_descriptors,
+  wp__move_record__field_indices_by_name,
+  1,  wp__move_record__number_ranges,
+  (ProtobufCMessageInit) wp__move_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[11] =
 {
   {
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Wp__Witness Wp__Witness;
 typedef struct Wp__MirrorItem Wp__MirrorItem;
 typedef struct Wp__MoveSums Wp__MoveSums;
+typedef struct Wp__MoveRecord Wp__MoveRecord;
 typedef struct Wp__MirrorDigest Wp__MirrorDigest;
 typedef struct Wp__MirrorPull Wp__MirrorPull;
 typedef struct Wp__MirrorDelta Wp__MirrorDelta;
@@ -649,10 +650,56 @@
    */
   protobuf_c_boolean has_bad;
   protobuf_c_boolean bad;
+  /*
+   * of the sender's process
+   */
+  protobuf_c_boolean has_life;
+  uint64_t life;
+  /*
+   * since the move began; absent: it has not
+   */
+  protobuf_c_boolean has_elapsed_ms;
+  uint64_t elapsed_ms;
+  /*
+   * failures on enough endpoints
+   */
+  protobuf_c_boolean has_fails_spread;
+  protobuf_c_boolean fails_spread;
+  /*
+   * slowness, the same
+   */
+  protobuf_c_boolean has_slow_spread;
+  protobuf_c_boolean slow_spread;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * What a box keeps in the store of a move that runs, so that it outlasts a loss
+ * of all boxes.
+ */
+struct  Wp__MoveRecord
+{
+  ProtobufCMessage base;
+  /*
+   * revision of the operator's order
+   */
+  uint64_t order;
+  /*
+   * since the move began
+   */
+  uint64_t elapsed_ms;
+  /*
+   * of this box's processes
+   */
+  size_t n_lives;
+  Wp__MoveSums **lives;
+};
+#define WP__MOVE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__move_record__descriptor) \
+    , 0, 0, 0,NULL }
 
 
 /*
@@ -1484,6 +1531,25 @@
 void   wp__move_sums__free_unpacked
                      (Wp__MoveSums *message,
                       ProtobufCAllocator *allocator);
+/* Wp__MoveRecord methods */
+void   wp__move_record__init
+                     (Wp__MoveRecord         *message);
+size_t wp__move_record__get_packed_size
+                     (const Wp__MoveRecord   *message);
+size_t wp__move_record__pack
+                     (const Wp__MoveRecord   *message,
+                      uint8_t             *out);
+size_t wp__move_record__pack_to_buffer
+                     (const Wp__MoveRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__MoveRecord *
+       wp__move_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__move_record__free_unpacked
+                     (Wp__MoveRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__MirrorDigest methods */
 void   wp__mirror_digest__init
                      (Wp__MirrorDigest         *message);
@@ -1712,6 +1778,9 @@
 typedef void (*Wp__MoveSums_Closure)
                  (const Wp__MoveSums *message,
                   void *closure_data);
+typedef void (*Wp__MoveRecord_Closure)
+                 (const Wp__MoveRecord *message,
+                  void *closure_data);
 typedef void (*Wp__MirrorDigest_Closure)
                  (const Wp__MirrorDigest *message,
                   void *closure_data);
@@ -1772,6 +1841,7 @@
 extern const ProtobufCMessageDescriptor wp__witness__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_item__descriptor;
 extern const ProtobufCMessageDescriptor wp__move_sums__descriptor;
+extern const ProtobufCMessageDescriptor wp__move_record__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_digest__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_pull__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_delta__descriptor;
--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -2,23 +2,16 @@
  * store: sums of moves between versions, what fails, sessions, kept prompts. */
 #include "wp_sync_int.h"
 
-static void hear_sums(WPSync *s, const char *from, const Wp__MoveSums *m)
+static void hear_sums(WPSync *s, WPTime now, const char *from,
+                      const Wp__MoveSums *m)
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
-    WPShiftSums sums = { .answered = m->answered,
-                         .failed = m->failed,
-                         .timed = m->timed,
-                         .slow = m->slow,
-                         .fast = m->fast,
-                         .taken = m->taken,
-                         .wholes = m->wholes,
-                         .far = m->far,
-                         .loaded = m->loaded,
-                         .loaded_failed = m->loaded_failed,
-                         .loaded_bad = m->loaded_bad };
+    WPShiftSums sums = wp_move_sums_read(m);
     if (!sh || sh->revision != m->order)
         return;
-    wp_shift_hear(sh, from, sums, m->old_running);
+    wp_trial_hear(&sh->trial, from, m->life, &sums);
+    if (m->has_elapsed_ms)
+        wp_shift_hear_elapsed(sh, now, (int64_t)m->elapsed_ms);
     if (m->open)
         wp_shift_hear_open(sh);
     if (m->bad && !sh->suspect) {
@@ -53,7 +46,7 @@
     WPSync *s = arg;
     WPTime now = wp_clock_now(0);
     for (size_t i = 0; i < d->n_moves; i++)
-        hear_sums(s, from, d->moves[i]);
+        hear_sums(s, now, from, d->moves[i]);
     for (size_t i = 0; i < d->n_fails_loaded; i++)
         hear_loaded(s, now, d->fails_loaded[i]);
     hear_kept(s, now, d);
@@ -68,6 +61,7 @@
 
 typedef struct Fill {
     WPSync *sync;
+    WPTime now;
     Wp__MirrorDigest *digest;
 } Fill;
 
@@ -77,34 +71,16 @@
     Wp__MirrorDigest *d = f->digest;
     if (sh->state != WP_SHIFT_RUNNING || d->n_moves == WP_MOVES_TOLD)
         return;
-    WPShiftSums own = wp_shift_own(sh);
+    WPShiftSums own = wp_trial_own(&sh->trial);
     Wp__MoveSums *m = &f->sync->sums[d->n_moves];
     f->sync->sums_list[d->n_moves++] = m;
-    wp__move_sums__init(m);
-    m->service = sh->service;
-    m->order = sh->revision;
-    m->has_answered = m->has_failed = m->has_slow = m->has_old_running = 1;
-    m->answered = own.answered;
-    m->failed = own.failed;
-    m->slow = own.slow;
-    m->old_running = sh->old_running;
-    m->has_timed = 1;
-    m->timed = own.timed;
-    m->has_fast = m->has_taken = 1;
-    m->fast = own.fast;
-    m->taken = own.taken;
-    m->has_wholes = m->has_far = 1;
-    m->wholes = own.wholes;
-    m->far = own.far;
+    wp_move_sums_fill(sh, f->sync->life, &own, m);
+    m->has_elapsed_ms = wp_elapsed_begun(&sh->elapsed);
+    m->elapsed_ms = (uint64_t)wp_elapsed_ms(&sh->elapsed, f->now);
     m->has_open = 1;
     m->open = sh->open;
     m->has_bad = 1;
     m->bad = sh->suspect;
-    m->has_loaded = 1;
-    m->loaded = own.loaded;
-    m->has_loaded_failed = m->has_loaded_bad = 1;
-    m->loaded_failed = own.loaded_failed;
-    m->loaded_bad = own.loaded_bad;
 }
 
 static void fill_loaded(void *arg, const char *what)
@@ -138,7 +114,7 @@
     d->blind = s->tried && !s->up;
     d->has_age_ms = s->fresh.word_us > 0;
     d->age_ms = (uint32_t)((now_us - s->fresh.word_us) / WP_US_PER_MS);
-    Fill f = { s, d };
+    Fill f = { s, now, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
     d->fails_loaded = s->loaded;
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -47,7 +47,7 @@
     WPShifts *shifts = s->host->direct.shifts;
     WPShift *sh = wp_shifts_find(shifts, n->order.service);
     WPShiftState had = sh ? sh->state : WP_SHIFT_RUNNING;
-    wp_shifts_outcome(shifts, n->order.service, n->order.version, n->state);
+    wp_shifts_outcome(shifts, &n->order, n->state);
     if (!sh || sh->state == had)
         return;
     g_autofree char *figures = wp_shift_figures(sh, wp_clock_now(0));
@@ -56,16 +56,14 @@
            "figures", figures, NULL);
 }
 
-/* This system's own record of when a move began. */
+/* This system's own record that a move has begun. */
 static void take_began(WPSync *s, const char *service, WPStr value)
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, service);
     g_autofree char *text = g_strndup(value.p, value.n);
-    char *end;
-    uint64_t revision = g_ascii_strtoull(text, &end, 10);
-    int64_t began = g_ascii_strtoll(end, NULL, 10);
-    if (sh && sh->revision == revision && began > 0)
-        sh->began_ms = began;
+    uint64_t order = g_ascii_strtoull(text, NULL, 10);
+    if (sh && sh->revision == order)
+        wp_shift_hear_elapsed(sh, wp_clock_now(0), 0);
 }
 
 static const char *after(const char *key, const char *prefix)
@@ -77,7 +75,8 @@
 static bool take_own(WPSync *s, const char *key, const WPStr *value)
 {
     const char *box = after(key, WP_KEY_BOX);
-    const char *service = after(key, WP_KEY_MOVE);
+    const char *service = after(key, WP_KEY_BEGAN);
+    const char *seen = after(key, WP_KEY_SEEN);
     if (box && value) {
         WPStr zone = *value, addr = wp_str_cut(&zone, ' ');
         g_autofree char *a = g_strndup(addr.p, addr.n);
@@ -86,7 +85,9 @@
     }
     if (service && value)
         take_began(s, service, *value);
-    return box || service;
+    if (seen && value)
+        wp_seen_take(s, seen, *value);
+    return box || service || seen;
 }
 
 static void take_platform(WPSync *s, const WPKvItem *i, bool lapsed)
--- a/io/wp_platform.h
+++ b/io/wp_platform.h
@@ -23,7 +23,8 @@
     WPNewsKind kind;
     WPRoutes *routes;   /* ROUTES: the caller's */
     WPListing listing;  /* ENDPOINT; GONE: the id alone */
-    WPShiftOrder order; /* ORDER; OUTCOME: service and version */
+    WPShiftOrder order; /* ORDER; OUTCOME: service, version and the record's own
+                           revision */
     WPShiftState state; /* OUTCOME */
     const char *problem;
     void *owner; /* holds the strings until news_end() */
@@ -49,8 +50,9 @@
     void (*news)(const WPKvItem *item, WPNews *out);
     void (*news_end)(WPNews *n);
 
-    /* Where the outcome of a move is kept, and its text; free with
-       g_free(). */
+    /* Where an order for a service stands, where the outcome of its move is
+       kept, and the text of that; free with g_free(). */
+    char *(*order_key)(const char *service);
     char *(*outcome_key)(const char *service);
     char *(*outcome_text)(const WPShift *sh, WPShiftState state);
 
--- a/io/wp_record.c
+++ b/io/wp_record.c
@@ -34,27 +34,35 @@
     s->write_after_us = now.mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
 }
 
-static void write_all(WPSync *s, const WPKvOp *ops, size_t n)
+static void write_all(WPSync *s, const WPKvCompare *compares, size_t n_compares,
+                      const WPKvOp *ops, size_t n)
 {
-    g_autofree WPKvCompare *compares = g_new0(WPKvCompare, n);
-    for (size_t i = 0; i < n; i++)
-        compares[i] =
-            (WPKvCompare){ ops[i].key,
-                           wp_mirror_revision(s->mirror, ops[i].key) };
     s->writing = true;
     wp_count(&s->host->direct.counters, WP_C_STORE_WRITES);
-    s->kv->ops->txn(s->kv, compares, n, ops, n, on_written, s);
+    s->kv->ops->txn(s->kv, compares, n_compares, ops, n, on_written, s);
 }
 
+/* The condition that nobody has written a key since it was read. */
+static WPKvCompare as_read(const WPSync *s, const char *key)
+{
+    return (WPKvCompare){ key, wp_mirror_revision(s->mirror, key) };
+}
+
+/* A step holds only for the order that it was decided on: one that a paused box
+   sends late would else end the next. */
 static void write_move(WPSync *s, const WPShift *sh, WPShiftState state,
                        WPTime now, const char *why)
 {
-    g_autofree char *key = s->host->platform->outcome_key(sh->service);
-    g_autofree char *own = g_strconcat(WP_KEY_MOVE, sh->service, NULL);
-    g_autofree char *text = s->host->platform->outcome_text(sh, state);
+    const WPPlatformOps *platform = s->host->platform;
+    g_autofree char *order = platform->order_key(sh->service);
+    g_autofree char *key = platform->outcome_key(sh->service);
+    g_autofree char *own = g_strconcat(WP_KEY_BEGAN, sh->service, NULL);
+    g_autofree char *text = platform->outcome_text(sh, state);
     g_autofree char *began =
-        g_strdup_printf("%lu %ld", (unsigned long)sh->revision,
-                        (long)(sh->began_ms ? sh->began_ms : now.wall_ms));
+        g_strdup_printf("%lu", (unsigned long)sh->revision);
+    const WPKvCompare compares[] = { { order, sh->revision },
+                                     as_read(s, key),
+                                     as_read(s, own) };
     const WPKvOp ops[] = { { key, wp_str(text), false },
                            { own, wp_str(began), false } };
     g_autofree char *figures = wp_shift_figures(sh, now);
@@ -62,7 +70,7 @@
     wp_log(&s->host->log, WP_INFO, "move_step", "service", sh->service,
            "version", sh->version, "state", wp_shift_state_name(state), "why",
            why ? why : "ordered", "figures", figures, NULL);
-    write_all(s, ops, WP_COUNT(ops));
+    write_all(s, compares, WP_COUNT(compares), ops, WP_COUNT(ops));
 }
 
 /* Whether this box's turn to write has come: boxes wait for different times,
@@ -90,6 +98,18 @@
            now.mono_us >= s->write_after_us;
 }
 
+static void note_waits(WPSync *s, WPShift *sh, WPTime now)
+{
+    const char *had = sh->told_waits;
+    sh->told_waits = sh->waits;
+    if (!sh->waits || sh->waits == had)
+        return;
+    g_autofree char *figures = wp_shift_figures(sh, now);
+    wp_count(&s->host->direct.counters, WP_C_MOVE_WAITS);
+    wp_log(&s->host->log, WP_INFO, "move_waits", "service", sh->service,
+           "version", sh->version, "why", sh->waits, "figures", figures, NULL);
+}
+
 static void carry_on(void *arg, WPShift *sh)
 {
     WPSync *s = arg;
@@ -104,6 +124,7 @@
         g_clear_pointer(&why, g_free);
     }
     WPShiftState due = wp_shift_due(s->host->direct.shifts, sh, now, &why);
+    note_waits(s, sh, now);
     /* A bad version is left at once, whether or not the store hears of it. */
     if (due == WP_SHIFT_UNDONE && !sh->suspect) {
         sh->suspect = true;
@@ -113,7 +134,7 @@
     }
     if (!may_write(s, now))
         return;
-    bool begin = !sh->began_ms;
+    bool begin = !wp_elapsed_begun(&sh->elapsed);
     if ((begin || due != WP_SHIFT_RUNNING) && is_turn(s, sh, due, now))
         write_move(s, sh, due, now, why);
 }
@@ -121,6 +142,7 @@
 /* What is written of boxes in one transaction. */
 typedef struct Boxes {
     WPSync *sync;
+    WPKvCompare compares[BOXES_MOST];
     WPKvOp ops[BOXES_MOST];
     char *owned[2 * BOXES_MOST];
     size_t n;
@@ -138,6 +160,7 @@
     bool same = had && wp_str_eq(wp_strn(value, n), wp_str(text));
     if (same || (had && any) || b->n == BOXES_MOST)
         return;
+    b->compares[b->n] = as_read(b->sync, key);
     b->ops[b->n] = (WPKvOp){ key, wp_str(text), false };
     b->owned[2 * b->n] = g_steal_pointer(&key);
     b->owned[2 * b->n + 1] = g_steal_pointer(&text);
@@ -167,7 +190,7 @@
     if (s->up && wp_peers_on_duty(s->peers, false))
         wp_peers_each(s->peers, add_linked, &b);
     if (b.n)
-        write_all(s, b.ops, b.n);
+        write_all(s, b.compares, b.n, b.ops, b.n);
     for (size_t i = 0; i < 2 * b.n; i++)
         g_free(b.owned[i]);
 }
--- /dev/null
+++ b/io/wp_seen.c
@@ -0,0 +1,229 @@
+/* What a box keeps in the store of each move that runs: how long ago it began
+ * and what this box's processes have seen of the new version. Processes forget;
+ * without this, boxes that were all killed four times ended a move to a version
+ * that had been slow for 21 s, in 7 of 188 plays.
+ *
+ * Each box writes its own entry, so writers never meet. A box that starts reads
+ * all of them and goes on from there. */
+#include "wp_pb.h"
+#include "wp_sync_int.h"
+
+enum {
+    PARTS = 16,           /* records of a box in an order's time */
+    PAUSE_LEAST_MS = 500, /* between two */
+    BOXES_FREE = 4,       /* with more boxes each writes less often: 4 write 4
+                             times a second at most, and so do 3,600 */
+    LIVES_MOST = 16 /* XXX: of a box that starts more often in one move, the
+                       rest is forgotten when all boxes are lost */
+};
+
+typedef struct WPSeen {
+    bool writing;
+    int64_t due_us;
+    /* The write under way. */
+    char *key;
+    GByteArray *value;
+} WPSeen;
+
+WPSeen *wp_seen_new(void)
+{
+    return g_new0(WPSeen, 1);
+}
+
+static void clear(WPSeen *v)
+{
+    g_clear_pointer(&v->key, g_free);
+    g_clear_pointer(&v->value, g_byte_array_unref);
+}
+
+void wp_seen_free(WPSeen *v)
+{
+    if (!v)
+        return;
+    clear(v);
+    g_free(v);
+}
+
+void wp_move_sums_fill(const WPShift *sh, uint64_t life, const WPShiftSums *v,
+                       Wp__MoveSums *m)
+{
+    wp__move_sums__init(m);
+    m->service = sh->service;
+    m->order = sh->revision;
+    m->has_life = 1;
+    m->life = life;
+    m->has_answered = m->has_failed = m->has_slow = 1;
+    m->answered = v->answered;
+    m->failed = v->failed;
+    m->slow = v->slow;
+    m->has_timed = m->has_fast = m->has_taken = 1;
+    m->timed = v->timed;
+    m->fast = v->fast;
+    m->taken = v->taken;
+    m->has_wholes = m->has_far = 1;
+    m->wholes = v->wholes;
+    m->far = v->far;
+    m->has_loaded = m->has_loaded_failed = m->has_loaded_bad = 1;
+    m->loaded = v->loaded;
+    m->loaded_failed = v->loaded_failed;
+    m->loaded_bad = v->loaded_bad;
+    m->has_fails_spread = m->has_slow_spread = 1;
+    m->fails_spread = v->fails_spread;
+    m->slow_spread = v->slow_spread;
+}
+
+WPShiftSums wp_move_sums_read(const Wp__MoveSums *m)
+{
+    return (WPShiftSums){ .answered = m->answered,
+                          .failed = m->failed,
+                          .timed = m->timed,
+                          .slow = m->slow,
+                          .fast = m->fast,
+                          .taken = m->taken,
+                          .wholes = m->wholes,
+                          .far = m->far,
+                          .loaded = m->loaded,
+                          .loaded_failed = m->loaded_failed,
+                          .loaded_bad = m->loaded_bad,
+                          .fails_spread = m->fails_spread,
+                          .slow_spread = m->slow_spread };
+}
+
+static void on_written(void *arg, const WPKvResult *r)
+{
+    WPSync *s = arg;
+    WPSeen *v = s->seen;
+    WPStr value = wp_strn((const char *)v->value->data, v->value->len);
+    v->writing = false;
+    wp_count(&s->host->direct.counters,
+             r->ok ? WP_C_MOVE_RECORDS : WP_C_STORE_ERRORS);
+    if (r->ok && r->succeeded)
+        wp_news_take(s, v->key, &value, r->revision, false);
+    /* An earlier write of this box whose answer was lost, most likely. */
+    for (size_t i = 0; i < r->n_items; i++)
+        wp_news_take(s, r->items[i].key.p, &r->items[i].value,
+                     r->items[i].mod_revision, false);
+    clear(v);
+}
+
+/* The lives of this box in one record. */
+typedef struct Lives {
+    const WPShift *shift;
+    Wp__MoveSums sums[LIVES_MOST], *list[LIVES_MOST];
+    size_t n;
+} Lives;
+
+static void add_life(void *arg, const WPTrialLife *l)
+{
+    Lives *all = arg;
+    if (all->n == LIVES_MOST)
+        return;
+    wp_move_sums_fill(all->shift, l->life, &l->sums, &all->sums[all->n]);
+    all->list[all->n] = &all->sums[all->n];
+    all->n++;
+}
+
+static void write_seen(WPSync *s, const WPShift *sh, WPTime now)
+{
+    WPSeen *v = s->seen;
+    const char *box = s->host->settings->id;
+    Lives lives = { .shift = sh };
+    const WPTrialLife own = { NULL, s->life, wp_trial_own(&sh->trial) };
+    add_life(&lives, &own);
+    wp_trial_each(&sh->trial, box, add_life, &lives);
+    Wp__MoveRecord m = WP__MOVE_RECORD__INIT;
+    m.order = sh->revision;
+    m.elapsed_ms = (uint64_t)wp_elapsed_ms(&sh->elapsed, now);
+    m.lives = lives.list;
+    m.n_lives = lives.n;
+    v->key = g_strconcat(WP_KEY_SEEN, sh->service, "/", box, NULL);
+    v->value = wp_pb_pack(&m.base);
+    v->writing = true;
+    const WPKvCompare compare = { v->key,
+                                  wp_mirror_revision(s->mirror, v->key) };
+    const WPKvOp op = { v->key,
+                        wp_strn((const char *)v->value->data, v->value->len),
+                        false };
+    wp_count(&s->host->direct.counters, WP_C_STORE_WRITES);
+    s->kv->ops->txn(s->kv, &compare, 1, &op, 1, on_written, s);
+}
+
+typedef struct Find {
+    const WPShift *shift; /* the move whose record is the oldest */
+    WPSync *sync;
+    uint64_t revision;
+} Find;
+
+static void find_oldest(void *arg, WPShift *sh)
+{
+    Find *f = arg;
+    if (sh->state != WP_SHIFT_RUNNING || !wp_elapsed_begun(&sh->elapsed))
+        return;
+    g_autofree char *key = g_strconcat(WP_KEY_SEEN, sh->service, "/",
+                                       f->sync->host->settings->id, NULL);
+    uint64_t revision = wp_mirror_revision(f->sync->mirror, key);
+    if (f->shift && revision >= f->revision)
+        return;
+    f->shift = sh;
+    f->revision = revision;
+}
+
+/* Boxes write at different times. */
+static int64_t pause_ms(const WPSync *s, const WPShift *sh)
+{
+    double many = MAX(1.0, (double)s->host->direct.boxes / (double)BOXES_FREE);
+    double ms = MAX((double)sh->duration_ms / PARTS, PAUSE_LEAST_MS) * many;
+    return (int64_t)(ms * (0.5 + g_rand_double(s->host->direct.rand)));
+}
+
+void wp_seen_tick(WPSync *s, WPTime now)
+{
+    WPSeen *v = s->seen;
+    Find f = { .sync = s };
+    if (v->writing || !s->up || !s->complete || now.mono_us < v->due_us)
+        return;
+    wp_shifts_each(s->host->direct.shifts, find_oldest, &f);
+    if (!f.shift)
+        return;
+    if (v->due_us)
+        write_seen(s, f.shift, now);
+    v->due_us = now.mono_us + pause_ms(s, f.shift) * WP_US_PER_MS;
+}
+
+/* A box that goes on where its process before was. */
+static void note_own(WPSync *s, const WPShift *sh, const Wp__MoveRecord *m)
+{
+    g_autofree char *elapsed =
+        g_strdup_printf("%lu", (unsigned long)m->elapsed_ms);
+    g_autofree char *figures = wp_trial_text(&sh->trial);
+    wp_log(&s->host->log, WP_INFO, "move_resumed", "service", sh->service,
+           "version", sh->version, "elapsed_ms", elapsed, "figures", figures,
+           NULL);
+}
+
+void wp_seen_take(WPSync *s, const char *what, WPStr value)
+{
+    g_auto(GStrv) part = g_strsplit(what, "/", 2);
+    WPShift *sh =
+        part[0] ? wp_shifts_find(s->host->direct.shifts, part[0]) : NULL;
+    Wp__MoveRecord *m =
+        wp__move_record__unpack(NULL, value.n, (const uint8_t *)value.p);
+    bool is_new = false;
+    if (!m || !part[0] || !part[1]) {
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", what, "why",
+               "not a record of a move", NULL);
+    } else if (sh && sh->revision == m->order) {
+        wp_shift_hear_elapsed(sh, wp_clock_now(0), (int64_t)m->elapsed_ms);
+        bool own = !strcmp(part[1], s->host->settings->id);
+        for (size_t i = 0; i < m->n_lives; i++) {
+            WPShiftSums sums = wp_move_sums_read(m->lives[i]);
+            if (!own || m->lives[i]->life != s->life)
+                is_new |= wp_trial_hear(&sh->trial, part[1], m->lives[i]->life,
+                                        &sums);
+        }
+        if (own && is_new)
+            note_own(s, sh, m);
+    }
+    if (m)
+        wp__move_record__free_unpacked(m, NULL);
+}
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -322,6 +322,7 @@
             watch_from(s, s->again_from, true);
     }
     wp_record_tick(s, now);
+    wp_seen_tick(s, now);
     bool moving = false;
     wp_shifts_each(s->host->direct.shifts, note_running, &moving);
     wp_peers_hurry(s->peers, moving);
@@ -372,6 +373,8 @@
     WPSync *s = g_new0(WPSync, 1);
     s->host = h;
     s->fresh.apply_ms = h->settings->apply_ms;
+    s->seen = wp_seen_new();
+    s->life = (uint64_t)wp_clock_seed() << 32 | wp_clock_seed();
     s->fresh.haste = g_rand_double(h->direct.rand);
     s->mirror = wp_mirror_new();
     s->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -404,5 +407,6 @@
     wp_peers_free(s->peers);
     wp_mirror_free(s->mirror);
     g_hash_table_unref(s->turns);
+    wp_seen_free(s->seen);
     g_free(s);
 }
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -8,8 +8,11 @@
 #include "wp_peers.h"
 
 /* Entries of the system itself. */
-#define WP_KEY_BOX "wp/box/"   /* where a box is reached: "IP:PORT ZONE" */
-#define WP_KEY_MOVE "wp/move/" /* when a move began: "REVISION WALL_MS" */
+#define WP_KEY_BOX "wp/box/" /* where a box is reached: "IP:PORT ZONE" */
+#define WP_KEY_BEGAN                                                           \
+    "wp/began/"                /* of a service: its move has begun; "ORDER"    \
+                                */
+#define WP_KEY_SEEN "wp/seen/" /* SERVICE/BOX: a MoveRecord */
 
 enum {
     WP_MOVES_TOLD = 8,
@@ -26,6 +29,7 @@
     uint32_t kept_tokens[WP_KEPT_TOLD];
 
     WPDirectHost *host;
+    uint64_t life; /* of this process, as boxes tell of it */
     WPKv *kv;
     WPMirror *mirror;
     WPPeers *peers;
@@ -51,6 +55,7 @@
     int64_t tick_us;     /* the last tick's time */
     int64_t start_us;    /* when to read the store at the start, if no other box
                             tells */
+    struct WPSeen *seen; /* what is kept of moves that run */
     bool writing;        /* a transaction is under way */
     int64_t write_after_us;
     int64_t boxes_us;  /* when to look for boxes without a record */
@@ -70,6 +75,17 @@
 void wp_sync_hear(void *arg, const char *from, const Wp__MirrorDigest *d);
 void wp_sync_fill(void *arg, Wp__MirrorDigest *d);
 
+/* wp_seen.c: what outlasts a loss of all boxes of a move that runs. */
+struct WPSeen *wp_seen_new(void);
+void wp_seen_free(struct WPSeen *v);
+void wp_seen_tick(WPSync *s, WPTime now);
+void wp_seen_take(WPSync *s, const char *what, WPStr value);
+
+/* The sums of one life, on the wire. */
+void wp_move_sums_fill(const WPShift *sh, uint64_t life, const WPShiftSums *v,
+                       Wp__MoveSums *out);
+WPShiftSums wp_move_sums_read(const Wp__MoveSums *m);
+
 /* wp_record.c: writes what this box has to tell. */
 void wp_record_tick(WPSync *s, WPTime now);
 
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -31,6 +31,10 @@
       "turns of sessions whose version may not serve them any more")           \
     X(ROLLOUT_STEPS, "rollout_steps_total", "roll-out changes written")        \
     X(STOPS, "automatic_stops_total", "versions withdrawn automatically")      \
+    X(MOVE_RECORDS, "move_records_total",                                      \
+      "records of what was seen of a move, written")                           \
+    X(MOVE_WAITS, "move_waits_total",                                          \
+      "times that a move's next stage waited for answers")                     \
     X(FAILS_LOADED, "fails_loaded_total",                                      \
       "versions found to fail on half-full endpoints")
 
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -103,7 +103,7 @@
     if (!sh || sh->state != WP_SHIFT_RUNNING)
         return;
     if (is_on_trial(f) && f->leg.loaded)
-        wp_shift_loaded(sh, f->leg.replica->id, failed);
+        wp_trial_loaded(&sh->trial, f->leg.replica->id, failed);
     const WPShiftAnswer a = { .version = f->leg.replica->version,
                               .replica = f->leg.replica->id,
                               .route = f->route->name,
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -2,11 +2,6 @@
 #include "wp_shift.h"
 #include "wp_rollout.h"
 
-/* A version is bad on all its endpoints; an endpoint that fails alone is the
-   business of the choice of endpoints. */
-#define REPLICA_SHARE 0.25
-#define REPLICA_ANSWERS 3
-
 /* A little more than the half that the platform grants sessions, as clocks
    differ. */
 #define FIRST_HALF 0.52
@@ -19,6 +14,10 @@
    under way. */
 #define LEAD_MS 1500
 
+/* Looks come every 50 ms; after a pause of more, what this box knows of others
+   may be old, and what they know of it. */
+#define PAUSE_MS 1000
+
 struct WPShifts {
     const Wp__Chart *chart;
     GHashTable *by_service;
@@ -27,23 +26,13 @@
 static void shift_free(void *p)
 {
     WPShift *sh = p;
-    g_hash_table_unref(sh->fresh);
-    g_hash_table_unref(sh->old);
-    g_hash_table_unref(sh->replicas);
-    g_hash_table_unref(sh->heard);
-    g_hash_table_unref(sh->loaded);
+    wp_trial_end(&sh->trial);
     g_hash_table_unref(sh->undone);
-    g_hash_table_unref(sh->heard_old);
     g_free(sh->service);
     g_free(sh->version);
     g_free(sh);
 }
 
-static GHashTable *sums_table(void)
-{
-    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-}
-
 WPShifts *wp_shifts_new(const Wp__Chart *chart)
 {
     WPShifts *s = g_new0(WPShifts, 1);
@@ -94,24 +83,18 @@
     sh->version = g_strdup(o->version);
     sh->revision = o->revision;
     sh->duration_ms = o->duration_ms;
-    sh->known_us = now.mono_us;
-    sh->fresh = sums_table();
-    sh->old = sums_table();
-    sh->replicas = sums_table();
-    sh->heard = sums_table();
-    sh->loaded = sums_table();
-    sh->heard_old =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sh->looked_us = sh->watched_us = sh->stage_us = now.mono_us;
+    wp_trial_init(&sh->trial);
     g_hash_table_replace(s->by_service, sh->service, sh);
     return sh;
 }
 
-void wp_shifts_outcome(WPShifts *s, const char *service, const char *version,
-                       WPShiftState state)
+void wp_shifts_outcome(WPShifts *s, const WPShiftOrder *o, WPShiftState state)
 {
-    WPShift *sh = wp_shifts_find(s, service);
-    /* A record may still tell of the order before. */
-    if (sh && !strcmp(sh->version, version) && state != WP_SHIFT_RUNNING)
+    WPShift *sh = wp_shifts_find(s, o->service);
+    if (!sh || strcmp(sh->version, o->version) || o->revision <= sh->revision)
+        return;
+    if (state != WP_SHIFT_RUNNING)
         sh->state = state;
 }
 
@@ -129,14 +112,29 @@
         fn(arg, sh);
 }
 
-/* The part of the order's duration that is over, with some time to spare at its
-   end. */
+void wp_shift_hear_elapsed(WPShift *sh, WPTime now, int64_t ms)
+{
+    wp_elapsed_hear(&sh->elapsed, now, ms);
+}
+
+/* The time that the stages have, with some to spare at the order's end. */
+static int64_t span_ms(const WPShift *sh)
+{
+    return MAX(sh->duration_ms - SPARE_MS, 1);
+}
+
+/* The part of it that is over. */
 static double part_over(const WPShift *sh, WPTime now)
 {
-    int64_t ms = MAX(sh->duration_ms - SPARE_MS, 1);
-    if (!sh->began_ms || sh->duration_ms <= 0)
+    if (sh->duration_ms <= 0)
         return 0;
-    return (double)(now.wall_ms - sh->began_ms) / (double)ms;
+    return (double)wp_elapsed_ms(&sh->elapsed, now) / (double)span_ms(sh);
+}
+
+static bool has_run(int64_t from_us, WPTime now, double part, const WPShift *sh)
+{
+    int64_t us = (int64_t)(part * (double)span_ms(sh)) * WP_US_PER_MS;
+    return now.mono_us - from_us >= us;
 }
 
 typedef bool (*ShiftIs)(const WPShifts *s, const WPShift *sh, WPTime now);
@@ -231,39 +229,13 @@
 
 bool wp_shift_first_half(const WPShift *sh, WPTime now)
 {
-    int64_t ms = now.wall_ms - sh->began_ms;
-    return !sh->began_ms || (double)ms < FIRST_HALF * (double)sh->duration_ms;
-}
-
-static WPShiftSums *need_sums(GHashTable *t, const char *name)
-{
-    WPShiftSums *v = g_hash_table_lookup(t, name);
-    if (!v) {
-        v = g_new0(WPShiftSums, 1);
-        g_hash_table_insert(t, g_strdup(name), v);
-    }
-    return v;
+    int64_t ms = wp_elapsed_ms(&sh->elapsed, now);
+    return (double)ms < FIRST_HALF * (double)sh->duration_ms;
 }
 
 void wp_shift_answered(WPShift *sh, const WPShiftAnswer *a)
 {
-    if (strcmp(a->version, sh->version)) {
-        wp_sums_answer(need_sums(sh->old, a->route), a);
-        return;
-    }
-    wp_sums_answer(need_sums(sh->fresh, a->route), a);
-    wp_sums_answer(need_sums(sh->replicas, a->replica), a);
-}
-
-static WPShiftSums total(GHashTable *t)
-{
-    WPShiftSums sum = { 0 };
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, t);
-    while (g_hash_table_iter_next(&it, NULL, &v))
-        wp_sums_add(&sum, v);
-    return sum;
+    wp_trial_answered(&sh->trial, a, !strcmp(a->version, sh->version));
 }
 
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
@@ -271,7 +243,7 @@
 {
     if (sh->state != WP_SHIFT_RUNNING)
         return sh->state == WP_SHIFT_DONE;
-    if (!sh->began_ms || sh->suspect || now.wall_ms - sh->began_ms < LEAD_MS)
+    if (sh->suspect || wp_elapsed_ms(&sh->elapsed, now) < LEAD_MS)
         return false;
     if (last && !strcmp(last, sh->version))
         return true;
@@ -280,37 +252,6 @@
     return unit < wp_shift_stage(s, sh, now)->share;
 }
 
-void wp_shift_loaded(WPShift *sh, const char *replica, bool failed)
-{
-    wp_sums_answer(need_sums(sh->loaded, replica),
-                   &(WPShiftAnswer){ .failed = failed });
-}
-
-WPShiftSums wp_shift_own(const WPShift *sh)
-{
-    WPShiftSums sum = total(sh->fresh), loaded = total(sh->loaded);
-    GHashTableIter it;
-    gpointer v;
-    sum.loaded = loaded.answered;
-    sum.loaded_failed = loaded.failed;
-    g_hash_table_iter_init(&it, sh->loaded);
-    while (g_hash_table_iter_next(&it, NULL, &v))
-        sum.loaded_bad += ((WPShiftSums *)v)->failed > 0;
-    return sum;
-}
-
-void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
-                   uint32_t old_running)
-{
-    WPShiftSums *had = need_sums(sh->heard, box);
-    /* A box that starts again begins anew; what it had told stays true. */
-    if (sums.answered < had->answered)
-        wp_sums_add(&sh->lost, had);
-    *had = sums;
-    g_hash_table_replace(sh->heard_old, g_strdup(box),
-                         GUINT_TO_POINTER(old_running));
-}
-
 void wp_shift_hear_open(WPShift *sh)
 {
     sh->open = true;
@@ -321,118 +262,83 @@
     sh->suspect = sh->suspect || sh->state == WP_SHIFT_RUNNING;
 }
 
-/* The new version's sums of all boxes. */
-static WPShiftSums pooled(const WPShift *sh)
-{
-    WPShiftSums sum = wp_shift_own(sh), heard = total(sh->heard);
-    wp_sums_add(&sum, &heard);
-    wp_sums_add(&sum, &sh->lost);
-    return sum;
-}
-
 char *wp_shift_figures(const WPShift *sh, WPTime now)
 {
-    WPShiftSums fresh = pooled(sh), old = total(sh->old);
-    g_autofree char *sums = wp_sums_text("all", &fresh, &old);
+    g_autofree char *sums = wp_trial_text(&sh->trial);
     return g_strdup_printf(
-        "order=%lu known_ms=%ld wall_ms=%ld boxes=%u %s",
-        (unsigned long)sh->revision,
-        (long)((now.mono_us - sh->known_us) / WP_US_PER_MS),
-        (long)(sh->began_ms ? now.wall_ms - sh->began_ms : 0),
-        g_hash_table_size(sh->heard), sums);
+        "order=%lu elapsed_ms=%ld watched_ms=%ld %s",
+        (unsigned long)sh->revision, (long)wp_elapsed_ms(&sh->elapsed, now),
+        (long)((now.mono_us - sh->watched_us) / WP_US_PER_MS), sums);
 }
 
-bool wp_shift_is_doubtful(const WPShift *sh)
+/* Whether a stage may begin on what is known: on answers that tell, or when
+   this box would have seen them. To know nothing bad is not enough: boxes that
+   had all started again ended a move to a slow version on 4 answers. */
+static bool is_shown(const WPShifts *s, const WPShift *sh, WPTime now,
+                     const Wp__ChartState *stage)
 {
-    WPShiftSums fresh = pooled(sh), old = total(sh->old);
-    return wp_sums_doubtful(&fresh, &old);
+    return wp_trial_tells(&sh->trial) ||
+           has_run(sh->watched_us, now, part_before(s, stage), sh);
 }
 
-/* Whether the bad answers come from enough of the endpoints. */
-static bool is_spread(const WPShift *sh, WPFault fault)
+static void note_look(WPShift *sh, WPTime now)
 {
-    bool slow = fault == WP_FAULT_SLOW;
-    unsigned heard = 0, bad = 0;
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, sh->replicas);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const WPShiftSums *v = p;
-        bool is_bad = slow ? wp_sums_slow(v) : wp_sums_failed(v);
-        bad += is_bad;
-        heard += is_bad ||
-                 (slow ? v->timed + v->wholes : v->answered) >= REPLICA_ANSWERS;
-    }
-    return bad >= WP_VERDICT_REPLICAS && bad >= REPLICA_SHARE * heard;
+    if (now.mono_us - sh->looked_us >= PAUSE_MS * WP_US_PER_MS)
+        sh->watched_us = sh->stage_us = now.mono_us;
+    sh->looked_us = now.mono_us;
 }
 
-/* A version may be bad on a single route only. */
-static WPFault route_fault(const WPShift *sh, bool beside, const char **route,
-                           WPShiftSums *out)
+/* Why the gate before a stage stays shut though its time has come, or NULL. */
+static const char *ask_gate(const WPShifts *s, const WPShift *sh, WPTime now,
+                            const Wp__ChartState *stage)
 {
-    GHashTableIter it;
-    gpointer name, p;
-    g_hash_table_iter_init(&it, sh->fresh);
-    while (g_hash_table_iter_next(&it, &name, &p)) {
-        const WPShiftSums *old = g_hash_table_lookup(sh->old, name);
-        WPShiftSums none = { 0 };
-        WPFault fault = wp_sums_fault(p, old ? old : &none, beside);
-        if (fault == WP_FAULT_NONE)
-            continue;
-        *route = name;
-        *out = *(WPShiftSums *)p;
-        return fault;
-    }
-    return WP_FAULT_NONE;
+    if (wp_trial_is_doubtful(&sh->trial))
+        return "doubt: the answers speak rather for a slow version";
+    return is_shown(s, sh, now, stage) ? NULL : "too few answers are known";
 }
 
 bool wp_shift_advance(const WPShifts *s, WPShift *sh, WPTime now, char **why)
 {
-    if (sh->state != WP_SHIFT_RUNNING || !sh->began_ms)
+    note_look(sh, now);
+    if (sh->state != WP_SHIFT_RUNNING || !wp_elapsed_begun(&sh->elapsed))
         return false;
     const Wp__ChartState *at = wp_shift_stage(s, sh, now);
     const Wp__ChartState *next = wp_chart_next(s->chart, at->name, "next");
-    if (next && !strcmp(next->gate, "evidence") &&
-        part_over(sh, now) >= part_before(s, next) &&
-        !wp_shift_is_doubtful(sh)) {
-        sh->open = true;
+    sh->waits = NULL;
+    if (next && !strcmp(next->gate, "evidence") && !sh->open &&
+        part_over(sh, now) >= part_before(s, next)) {
+        sh->waits = ask_gate(s, sh, now, next);
+        sh->open = !sh->waits;
         at = wp_shift_stage(s, sh, now);
     }
     if (sh->stage && !strcmp(sh->stage, at->name))
         return false;
     sh->stage = at->name;
+    sh->stage_us = now.mono_us;
     *why = wp_shift_figures(sh, now);
     return true;
 }
 
-bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why)
+/* Whether the last stage has lasted as it should, before this box's eyes. One
+   that was paused over both stages would end the move at its first look. */
+static bool is_over(const WPShifts *s, WPShift *sh, WPTime now,
+                    const Wp__ChartState *stage, const Wp__ChartState *end)
 {
-    WPShiftSums fresh = pooled(sh), old = total(sh->old);
-    const char *route = "all";
-    if (wp_sums_fail_loaded(&fresh)) {
-        if (why)
-            *why = g_strdup_printf("loaded=%u/%u failed on %u replicas",
-                                   fresh.loaded_failed, fresh.loaded,
-                                   fresh.loaded_bad);
-        return true;
-    }
-    WPFault fault = wp_sums_fault(&fresh, &old, beside);
-    if (fault == WP_FAULT_NONE)
-        fault = route_fault(sh, beside, &route, &fresh);
-    if (fault == WP_FAULT_NONE || !is_spread(sh, fault))
+    if (part_over(sh, now) < part_before(s, end) ||
+        !has_run(sh->stage_us, now, stage->dwell_part, sh))
         return false;
-    if (why)
-        *why = wp_sums_text(route, &fresh, &old);
-    return true;
+    bool shown = is_shown(s, sh, now, end);
+    sh->waits = shown ? NULL : "too few answers are known to end";
+    return shown;
 }
 
-WPShiftState wp_shift_due(const WPShifts *s, const WPShift *sh, WPTime now,
+WPShiftState wp_shift_due(const WPShifts *s, WPShift *sh, WPTime now,
                           char **why)
 {
-    if (sh->state != WP_SHIFT_RUNNING || !sh->began_ms)
+    if (sh->state != WP_SHIFT_RUNNING || !wp_elapsed_begun(&sh->elapsed))
         return WP_SHIFT_RUNNING;
     const Wp__ChartState *stage = wp_shift_stage(s, sh, now);
-    if (wp_shift_is_bad(sh, stage->share < 1, why))
+    if (wp_trial_is_bad(&sh->trial, stage->share < 1, why))
         return WP_SHIFT_UNDONE;
     if (sh->suspect) {
         if (why)
@@ -440,7 +346,7 @@
         return WP_SHIFT_UNDONE;
     }
     const Wp__ChartState *next = wp_chart_next(s->chart, stage->name, "next");
-    if (!next || !next->final || part_over(sh, now) < part_before(s, next))
+    if (!next || !next->final || !is_over(s, sh, now, stage, next))
         return WP_SHIFT_RUNNING;
     if (why)
         *why = g_strdup_printf("old_running=%u", sh->old_running);
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -2,15 +2,16 @@
  * version each request may go to while the move runs, whether the new version
  * is bad, and when the move may be called done.
  *
- * The stages follow from the order and the time when it was first seen, which
- * the store keeps; so every box computes the same share, also after a
- * restart. What ends a move is written to the store by compare-and-swap, and
- * one outcome holds. */
+ * The stages follow from the order and from how long ago its record was
+ * written, which boxes tell each other and the store keeps (wp_elapsed.h); so
+ * every box computes nearly the same share, also after a restart. What ends a
+ * move is written to the store by compare-and-swap, and one outcome holds. */
 #ifndef WP_SHIFT_H
 #define WP_SHIFT_H
 
 #include "settings.pb-c.h"
-#include "wp_verdict.h"
+#include "wp_elapsed.h"
+#include "wp_trial.h"
 
 typedef enum WPShiftState {
     WP_SHIFT_RUNNING,
@@ -29,20 +30,19 @@
     char *service, *version;
     uint64_t revision;
     WPShiftState state;
-    int64_t began_ms; /* wall time; 0: not yet known */
-    int64_t known_us; /* since when this box knows of the order */
     int64_t duration_ms;
-    GHashTable *fresh, *old; /* route -> WPShiftSums, of this box */
-    GHashTable *replicas;    /* id -> WPShiftSums, of the new version */
-    GHashTable *heard;       /* box -> WPShiftSums, of the new version */
-    WPShiftSums lost;        /* heard of boxes that have started again since */
-    GHashTable *heard_old;   /* box -> its requests on other versions */
-    GHashTable *loaded;      /* replica -> WPShiftSums under load */
-    GHashTable *undone;      /* versions of earlier orders that were bad */
-    bool suspect;            /* found bad: takes nothing any more */
-    bool open;               /* the gate of a stage has been passed */
-    const char *stage;       /* its name at the last look; the chart's */
-    uint32_t old_running;    /* requests of this box on other versions */
+    WPElapsed elapsed; /* since its record was written */
+    WPTrial trial;
+    GHashTable *undone;     /* versions of earlier orders that were bad */
+    bool suspect;           /* found bad: takes nothing any more */
+    bool open;              /* the gate of a stage has been passed */
+    const char *stage;      /* its name at the last look; the chart's */
+    uint32_t old_running;   /* requests of this box on other versions */
+    int64_t looked_us;      /* when this box last looked at the move */
+    int64_t watched_us;     /* since when it has without a pause */
+    int64_t stage_us;       /* the same, at this stage */
+    const char *waits;      /* why the next stage waits; NULL: it does not */
+    const char *told_waits; /* the same, as the log tells it */
 } WPShift;
 
 typedef struct WPShifts WPShifts;
@@ -54,9 +54,9 @@
 /* Takes an order; NULL when it is known already. */
 WPShift *wp_shifts_order(WPShifts *s, WPTime now, const WPShiftOrder *o);
 
-/* Takes the store's word on how a move ended. */
-void wp_shifts_outcome(WPShifts *s, const char *service, const char *version,
-                       WPShiftState state);
+/* Takes the store's word on how a move ended; `o` has the revision of that
+   record. One that is older than the order is of an order before it. */
+void wp_shifts_outcome(WPShifts *s, const WPShiftOrder *o, WPShiftState state);
 
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
@@ -79,20 +79,16 @@
 bool wp_shift_takes(const WPShifts *s, const WPShift *sh, WPTime now,
                     double unit, const char *last);
 
+/* The record of the move has been in the store for at least so long. Before
+   that nothing goes to the new version. */
+void wp_shift_hear_elapsed(WPShift *sh, WPTime now, int64_t ms);
+
 /* How one request ended at an endpoint. */
 void wp_shift_answered(WPShift *sh, const WPShiftAnswer *a);
 
-/* An answer of the new version came from a replica that was half full. */
-void wp_shift_loaded(WPShift *sh, const char *replica, bool failed);
-
 /* What this box knows of the move, for the log; free with g_free(). */
 char *wp_shift_figures(const WPShift *sh, WPTime now);
 
-/* The new version's sums at this box, and those of another box. */
-WPShiftSums wp_shift_own(const WPShift *sh);
-void wp_shift_hear(WPShift *sh, const char *box, WPShiftSums sums,
-                   uint32_t old_running);
-
 /* Another box finds the version bad: that holds here as well, whatever this one
    has seen itself. Guards against a box that was cut off from the others and
    ends the move on what it knows: 418 requests went to a bad version. */
@@ -101,11 +97,6 @@
 /* Another box has passed the gate before the last stage. */
 void wp_shift_hear_open(WPShift *sh);
 
-/* Whether the answers so far show that the new version is bad; `why`, when it
-   is, gives the figures and is freed with g_free(). `beside`: the old version
-   serves as well, so that times can be compared. */
-bool wp_shift_is_bad(const WPShift *sh, bool beside, char **why);
-
 /* Whether the move is in its first half, in which sessions stay on the old
    version. */
 bool wp_shift_first_half(const WPShift *sh, WPTime now);
@@ -114,17 +105,16 @@
 const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
                                      WPTime now);
 
-/* Whether the answers so far speak rather for a slow version than for a good
-   one, or are too few to speak where there could be more. */
-bool wp_shift_is_doubtful(const WPShift *sh);
-
-/* Passes the gate of the next stage when its time has come and there is no
-   doubt. Returns true when the stage is another one than at the last call;
-   `why` then gives the figures and is freed with g_free(). */
+/* Looks at the move, several times a second: passes the gate of the next stage
+   when its time has come and the answers are good. Returns true when the stage
+   is another one than at the last call; `why` then gives the figures and is
+   freed with g_free(). */
 bool wp_shift_advance(const WPShifts *s, WPShift *sh, WPTime now, char **why);
 
-/* The state that the move is to be given now; RUNNING: none. */
-WPShiftState wp_shift_due(const WPShifts *s, const WPShift *sh, WPTime now,
+/* The state that the move is to be given now; RUNNING: none. The end cannot be
+   taken back, so it wants good answers, or to have looked on without a pause
+   for as long as all stages take. */
+WPShiftState wp_shift_due(const WPShifts *s, WPShift *sh, WPTime now,
                           char **why);
 
 const char *wp_shift_state_name(WPShiftState s);
--- a/src/wp_verdict.c
+++ b/src/wp_verdict.c
@@ -53,6 +53,14 @@
 #define OLD_TIMED_LEAST 20
 #define UNTIMED_MOST 40
 
+/* So many answers of a new version, and so many of them with a time, tell a
+   good one from a bad one: of a version that fails three in ten, 8 are without
+   a failure in 6 of 100 cases, and it is caught at once when it gets all
+   requests; of a slow one 5 of 5 speak for a good one in less than 1 of 1,000.
+   A move was ended on 4. */
+#define TELLING_ANSWERS 8
+#define TELLING_TIMES 5
+
 /* A version that is bad under load failed half of its answers there. */
 #define LOADED_LEAST 8
 #define LOADED_FAILED_SHARE 0.25
@@ -91,6 +99,8 @@
     to->wholes += v->wholes;
     to->far += v->far;
     to->taken += v->taken;
+    to->fails_spread |= v->fails_spread;
+    to->slow_spread |= v->slow_spread;
 }
 
 static double rate(uint32_t part, uint32_t n)
@@ -173,6 +183,13 @@
     return rate(v->slow, v->timed) >= LEAST_SLOW_SHARE;
 }
 
+bool wp_sums_tell(const WPShiftSums *v, const WPShiftSums *old)
+{
+    return v->answered >= TELLING_ANSWERS &&
+           v->timed + v->wholes >= TELLING_TIMES &&
+           old->timed + old->wholes >= OLD_TIMED_LEAST;
+}
+
 WPFault wp_sums_fault(const WPShiftSums *v, const WPShiftSums *old, bool beside)
 {
     if (fails(v, old))
--- a/src/wp_verdict.h
+++ b/src/wp_verdict.h
@@ -18,6 +18,9 @@
     /* Answers of replicas that were half full or more, those that failed, and
        the replicas that failed some. */
     uint32_t loaded, loaded_failed, loaded_bad;
+    /* Whether a box saw failures, or slowness, on enough endpoints to be the
+       version's and not some endpoints'. */
+    bool fails_spread, slow_spread;
 } WPShiftSums;
 
 /* How an answer came. */
@@ -58,6 +61,10 @@
    are too few to speak where there could be more. */
 bool wp_sums_doubtful(const WPShiftSums *v, const WPShiftSums *old);
 
+/* Whether there are enough answers of both versions, with times, to tell a good
+   one from a bad one. */
+bool wp_sums_tell(const WPShiftSums *v, const WPShiftSums *old);
+
 /* Whether it fails on endpoints that are half full. */
 bool wp_sums_fail_loaded(const WPShiftSums *v);
 
--- a/tests/shift_fake.h
+++ b/tests/shift_fake.h
@@ -4,13 +4,13 @@
 
 #include "direct_fake.h"
 
-enum { DURATION_MS = 20000, LEAD_MS = 2000 };
+enum { DURATION_MS = 20000, LEAD_MS = 2000, LOOK_MS = 50 };
 
 static inline WPShift *order(Fake *k)
 {
     WPShiftOrder o = { "llm", "v2", DURATION_MS, 10 };
     WPShift *sh = wp_shifts_order(k->d.shifts, k->now, &o);
-    sh->began_ms = k->now.wall_ms;
+    wp_shift_hear_elapsed(sh, k->now, 0);
     fake_put(k, "n1", "llm", "v2", false);
     fake_put(k, "n2", "llm", "v2", false);
     return sh;
@@ -19,15 +19,29 @@
 /* The move turns out to have begun so long ago. */
 static inline void begun_before(Fake *k, WPShift *sh, int64_t ms)
 {
-    sh->began_ms = k->now.wall_ms - ms;
+    wp_shift_hear_elapsed(sh, k->now, ms);
 }
 
 /* The store's record of how a move stands, written at this revision. */
 static inline void outcome(Fake *k, const char *version, uint64_t revision,
                            WPShiftState state)
 {
-    (void)revision;
-    wp_shifts_outcome(k->d.shifts, "llm", version, state);
+    const WPShiftOrder o = { "llm", version, 0, revision };
+    wp_shifts_outcome(k->d.shifts, &o, state);
+}
+
+/* Lets so much time pass with a look at the move at each tick, as a process
+   has; returns the state that it is to be given. */
+static inline WPShiftState look_on(Fake *k, WPShift *sh, int64_t ms)
+{
+    WPShiftState due = WP_SHIFT_RUNNING;
+    for (int64_t at = 0; at < ms && due == WP_SHIFT_RUNNING; at += LOOK_MS) {
+        g_autofree char *why = NULL;
+        fake_pass(k, LOOK_MS);
+        wp_shift_advance(k->d.shifts, sh, k->now, &why);
+        due = wp_shift_due(k->d.shifts, sh, k->now, NULL);
+    }
+    return due;
 }
 
 /* The version that serves one request of a session. */
--- a/tests/test_move_end.c
+++ b/tests/test_move_end.c
@@ -20,22 +20,6 @@
  * soak's moves: 1,181 and 2,137 requests later than allowed. */
 #include "shift_fake.h"
 
-enum { LOOK_MS = 50 };
-
-/* Lets so much time pass with a look at the move at each tick, as a process
-   has; returns the state that it is to be given. */
-static WPShiftState look_on(Fake *k, WPShift *sh, int64_t ms)
-{
-    WPShiftState due = WP_SHIFT_RUNNING;
-    for (int64_t at = 0; at < ms && due == WP_SHIFT_RUNNING; at += LOOK_MS) {
-        g_autofree char *why = NULL;
-        fake_pass(k, LOOK_MS);
-        wp_shift_advance(k->d.shifts, sh, k->now, &why);
-        due = wp_shift_due(k->d.shifts, sh, k->now, NULL);
-    }
-    return due;
-}
-
 static void good_answers(WPShift *sh, unsigned n)
 {
     feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -8,7 +8,7 @@
     (void)state;
     fake_init(&k);
     WPShift *sh = order(&k);
-    sh->began_ms = 0;
+    sh->elapsed = (WPElapsed){ 0 };
     for (int i = 0; i < 100; i++)
         assert_string_equal(serve(&k, NULL), "v1");
     fake_end(&k);
@@ -187,8 +187,9 @@
     order(&k);
     fake_pass(&k, DURATION_MS * 6 / 10);
     assert_string_equal(serve(&k, "s"), "v2");
-    /* Another box's clock may still be in the first stage. */
-    k.now.wall_ms -= DURATION_MS * 2 / 10;
+    /* Another box may have heard later that the move began. */
+    wp_shifts_find(k.d.shifts, "llm")->elapsed.from_us +=
+        DURATION_MS * 2 / 10 * WP_US_PER_MS;
     assert_string_equal(serve(&k, "s"), "v2");
     fake_end(&k);
 }
@@ -199,12 +200,9 @@
     (void)state;
     fake_init(&k);
     WPShift *sh = order(&k);
-    fake_pass(&k, DURATION_MS * 8 / 10);
-    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL),
-                     WP_SHIFT_RUNNING);
-    fake_pass(&k, DURATION_MS * 11 / 100);
-    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL), WP_SHIFT_DONE);
-    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_DONE);
+    assert_int_equal(look_on(&k, sh, DURATION_MS * 8 / 10), WP_SHIFT_RUNNING);
+    assert_int_equal(look_on(&k, sh, DURATION_MS * 11 / 100), WP_SHIFT_DONE);
+    outcome(&k, "v2", 12, WP_SHIFT_DONE);
     for (int i = 0; i < 50; i++)
         assert_string_equal(serve(&k, NULL), "v2");
     fake_end(&k);
@@ -225,11 +223,10 @@
     fake_init_chart(&k, text);
     WPShift *sh = order(&k);
     wp_shift_hear_open(sh);
+    bool done = false;
     for (int i = 0; i < STEPS; i++) {
-        WPTime at = k.now;
-        at.wall_ms += DURATION_MS * (2 * i + 1) / (2 * STEPS);
-        bool done = wp_shift_due(k.d.shifts, sh, at, NULL) == WP_SHIFT_DONE;
-        double now = done ? 1 : wp_shift_stage(k.d.shifts, sh, at)->share;
+        done = done || look_on(&k, sh, DURATION_MS / STEPS) == WP_SHIFT_DONE;
+        double now = done ? 1 : wp_shift_stage(k.d.shifts, sh, k.now)->share;
         assert_true(now >= last); /* a session never goes back */
         /* An order's time may be found over a little early. */
         assert_true(done || i < STEPS * 97 / 100);
@@ -262,20 +259,18 @@
     WPShift *sh = order(&k);
     feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
     feed_times(sh, "v2", "n1", 0.02, 0, 1, 1); /* slow, but too few to tell */
-    fake_pass(&k, DURATION_MS);
-    assert_true(wp_shift_advance(k.d.shifts, sh, k.now, &why));
+    assert_int_equal(look_on(&k, sh, DURATION_MS), WP_SHIFT_RUNNING);
     assert_string_equal(sh->stage, "canary");
-    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL),
-                     WP_SHIFT_RUNNING);
     assert_false(wp_shift_takes(k.d.shifts, sh, k.now, 0.5, NULL));
     feed_times(sh, "v2", "n1", 0.02, 3, 0, 0);
-    g_clear_pointer(&why, g_free);
     assert_true(wp_shift_advance(k.d.shifts, sh, k.now, &why));
     assert_string_equal(sh->stage, "full");
     assert_non_null(strstr(why, "3 fast"));
     feed_times(sh, "v2", "n1", 0.02, 0, 5, 5);
     assert_true(wp_shift_takes(k.d.shifts, sh, k.now, 0.5, NULL));
-    assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, NULL), WP_SHIFT_DONE);
+    /* The last stage still lasts its time. */
+    assert_int_equal(look_on(&k, sh, DURATION_MS / 20), WP_SHIFT_RUNNING);
+    assert_int_equal(look_on(&k, sh, DURATION_MS / 20), WP_SHIFT_DONE);
     fake_end(&k);
 
     fake_init_chart(&k, GATED_CHART);
@@ -327,7 +322,7 @@
     WPShiftOrder next = { "llm", "v3", DURATION_MS, 11 };
     assert_non_null(wp_shifts_order(k.d.shifts, k.now, &next));
     /* A record of the order before does not end this one. */
-    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_DONE);
+    outcome(&k, "v2", 12, WP_SHIFT_DONE);
     assert_int_equal(wp_shifts_find(k.d.shifts, "llm")->state,
                      WP_SHIFT_RUNNING);
     fake_end(&k);
@@ -342,9 +337,9 @@
     (void)state;
     fake_init(&k);
     order(&k);
-    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_UNDONE);
+    outcome(&k, "v2", 12, WP_SHIFT_UNDONE);
     WPShift *sh = wp_shifts_order(k.d.shifts, k.now, &next);
-    sh->began_ms = k.now.wall_ms;
+    wp_shift_hear_elapsed(sh, k.now, 0);
     fake_put(&k, "m1", "llm", "v3", false);
     for (int i = 0; i < 200; i++) {
         g_autofree char *session = g_strdup_printf("s%d", i);
--- a/tests/test_verdict.c
+++ b/tests/test_verdict.c
@@ -15,7 +15,7 @@
     assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, &why),
                      WP_SHIFT_UNDONE);
     assert_non_null(strstr(why, "new=6/16"));
-    wp_shifts_outcome(k.d.shifts, "llm", "v2", WP_SHIFT_UNDONE);
+    outcome(&k, "v2", 12, WP_SHIFT_UNDONE);
     for (int i = 0; i < 50; i++)
         assert_string_equal(serve(&k, NULL), "v1");
     fake_end(&k);
@@ -30,9 +30,9 @@
     feed(sh, "v1", "l1", "chat", 200, 0, 0);
     feed(sh, "v2", "n1", "chat", 10, 0, 8);
     feed(sh, "v2", "n2", "chat", 10, 0, 8);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     /* Once all is on the new version there is nothing to compare with. */
-    assert_false(wp_shift_is_bad(sh, false, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, false, NULL));
     fake_end(&k);
 
     fake_init(&k);
@@ -42,7 +42,7 @@
     feed(sh, "v2", "n1", "other", 300, 0, 0);
     feed(sh, "v2", "n1", "chat", 6, 4, 0);
     feed(sh, "v2", "n2", "chat", 6, 4, 0);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -58,7 +58,7 @@
         feed(sh, "v1", "l1", "chat", 586, clean ? 0 : 12, 0);
         feed(sh, "v2", "n1", "chat", 9, 2, 0);
         feed(sh, "v2", "n2", "chat", 9, 1, 0);
-        assert_int_equal(wp_shift_is_bad(sh, true, NULL), clean);
+        assert_int_equal(wp_trial_is_bad(&sh->trial, true, NULL), clean);
         fake_end(&k);
     }
 }
@@ -74,7 +74,7 @@
     WPShift *sh = order(&k);
     feed(sh, "v1", "l1", "chat", 200, 0, 0);
     feed(sh, "v2", "n1", "chat", 5, 0, 0);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     wp_shift_hear_bad(sh);
     assert_int_equal(wp_shift_due(k.d.shifts, sh, k.now, &why),
                      WP_SHIFT_UNDONE);
@@ -94,7 +94,7 @@
     feed(sh, "v1", "l1", "chat", 200, 30, 0);
     feed(sh, "v2", "n1", "chat", 30, 5, 0);
     feed(sh, "v2", "n2", "chat", 30, 5, 0);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 
     fake_init(&k);
@@ -105,10 +105,12 @@
         g_autofree char *id = g_strdup_printf("n%d", i);
         feed(sh, "v2", id, "chat", 20, 0, 0);
     }
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
+enum { LONG_MS = 3600 * WP_MS_PER_S };
+
 /* Serves one request whose events come `gap_ms` apart. */
 static void serve_paced(Fake *k, const char *want, int gap_ms)
 {
@@ -136,15 +138,16 @@
     (void)state;
     fake_init(&k);
     WPShift *sh = order(&k);
+    sh->duration_ms = LONG_MS; /* the answers take longer than a first stage */
     fake_pass(&k, LEAD_MS);
     for (int i = 0; i < 60; i++)
         serve_paced(&k, "v1", 30);
     for (int i = 0; i < 10; i++)
         serve_paced(&k, "v2", 30);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     for (int i = 0; i < 30; i++) /* as slow as one was seen to be */
         serve_paced(&k, "v2", 105);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -161,11 +164,11 @@
         feed(sh, "v2", id, "chat", 5, 0, 0);
     }
     for (int i = 0; i < 8; i++)
-        wp_shift_loaded(sh, "n1", i % 2);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+        wp_trial_loaded(&sh->trial, "n1", i % 2);
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     for (int i = 0; i < 4; i++)
-        wp_shift_loaded(sh, "n2", i % 2);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+        wp_trial_loaded(&sh->trial, "n2", i % 2);
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -177,6 +180,7 @@
     (void)state;
     fake_init(&k);
     WPShift *sh = order(&k);
+    sh->duration_ms = LONG_MS;
     fake_pass(&k, LEAD_MS);
     for (int i = 0; i < 60; i++)
         serve_paced(&k, "v1", 30);
@@ -185,7 +189,7 @@
         wp_fleet_load(wp_fleet_find(k.d.fleet, "n2"), k.now, 4, 0, 8);
         serve_paced(&k, "v2", 240);
     }
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -199,7 +203,7 @@
     feed(sh, "v1", "l1", "chat", 700, 0, 0);
     feed(sh, "v2", "n1", "chat", 130, 4, 0);
     feed(sh, "v2", "n2", "chat", 130, 3, 0);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -229,7 +233,7 @@
                    cases[i].usual, cases[i].slow);
         feed_times(sh, "v2", "n2", cases[i].taken, cases[i].fast,
                    cases[i].usual, cases[i].slow);
-        assert_int_equal(wp_shift_is_bad(sh, true, NULL), cases[i].bad);
+        assert_int_equal(wp_trial_is_bad(&sh->trial, true, NULL), cases[i].bad);
         fake_end(&k);
     }
 }
@@ -243,9 +247,9 @@
     WPShift *sh = order(&k);
     feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
     feed_times(sh, "v2", "n1", 0.02, 0, 10, 5);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     feed_times(sh, "v2", "n2", 0.02, 0, 1, 0);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -264,8 +268,8 @@
     wp_flow_answer(f, k.now, &a, &m);
     wp_flow_done(f, k.now, 10);
     wp_flow_free(f);
-    assert_int_equal(wp_shift_own(sh).loaded, 0);
-    assert_int_equal(wp_shift_own(sh).answered, 0);
+    assert_int_equal(wp_trial_own(&sh->trial).loaded, 0);
+    assert_int_equal(wp_trial_own(&sh->trial).answered, 0);
     fake_end(&k);
 }
 
@@ -279,10 +283,16 @@
     feed(sh, "v1", "l1", "chat", 200, 0, 0);
     feed(sh, "v2", "n1", "chat", 4, 1, 0);
     feed(sh, "v2", "n2", "chat", 4, 1, 0);
-    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 8, .failed = 3 }, 0);
-    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 0 }, 0);
-    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 1 }, 0);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    const WPShiftSums first = { .answered = 8, .failed = 3 }, none = { 0 },
+                      one = { .answered = 1 };
+    wp_trial_hear(&sh->trial, "e2", 1, &first);
+    wp_trial_hear(&sh->trial, "e2", 2, &none);
+    wp_trial_hear(&sh->trial, "e2", 2, &one);
+    /* Nor do they count twice, told again or late. */
+    wp_trial_hear(&sh->trial, "e2", 1, &first);
+    wp_trial_hear(&sh->trial, "e2", 1, &one);
+    assert_int_equal(wp_trial_pooled(&sh->trial).answered, 8 + 8 + 1);
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -294,14 +304,14 @@
     fake_init(&k);
     WPShift *sh = order(&k);
     feed_times(sh, "v1", "l1", 0.2, 25, 50, 25);
-    assert_false(wp_shift_is_doubtful(sh));
+    assert_false(wp_trial_is_doubtful(&sh->trial));
     for (int i = 0; i < 50; i++)
         wp_shift_answered(sh, &(WPShiftAnswer){ .version = "v2",
                                                 .replica = "n1",
                                                 .route = "chat" });
-    assert_true(wp_shift_is_doubtful(sh));
+    assert_true(wp_trial_is_doubtful(&sh->trial));
     feed_times(sh, "v2", "n1", 0.02, 1, 1, 0);
-    assert_false(wp_shift_is_doubtful(sh));
+    assert_false(wp_trial_is_doubtful(&sh->trial));
     fake_end(&k);
 }
 
@@ -316,7 +326,7 @@
     feed(sh, "v1", "l1", "chat", 655, 0, 0);
     feed(sh, "v2", "n1", "chat", 52, 0, 26);
     feed(sh, "v2", "n2", "chat", 51, 0, 26);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -330,10 +340,12 @@
     feed(sh, "v1", "l1", "chat", 100, 0, 0);
     feed(sh, "v2", "n1", "chat", 4, 1, 0);
     feed(sh, "v2", "n2", "chat", 4, 1, 0);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
-    wp_shift_hear(sh, "e2", (WPShiftSums){ .answered = 8, .failed = 3 }, 0);
-    wp_shift_hear(sh, "e3", (WPShiftSums){ .answered = 8, .failed = 2 }, 0);
-    assert_true(wp_shift_is_bad(sh, true, NULL));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
+    const WPShiftSums e2 = { .answered = 8, .failed = 3 },
+                      e3 = { .answered = 8, .failed = 2 };
+    wp_trial_hear(&sh->trial, "e2", 1, &e2);
+    wp_trial_hear(&sh->trial, "e3", 1, &e3);
+    assert_true(wp_trial_is_bad(&sh->trial, true, NULL));
     fake_end(&k);
 }
 
@@ -358,7 +370,8 @@
 {
     WPShiftOrder o = { "app", "v2", DURATION_MS, 10 };
     WPShift *sh = wp_shifts_order(k->d.shifts, k->now, &o);
-    sh->began_ms = k->now.wall_ms;
+    sh->duration_ms = LONG_MS;
+    wp_shift_hear_elapsed(sh, k->now, 0);
     fake_put(k, "b1", "app", "v2", false);
     fake_put(k, "b2", "app", "v2", false);
     return sh;
@@ -382,7 +395,7 @@
             wp_fleet_load(wp_fleet_find(k.d.fleet, "b2"), k.now, 2, 0, 8);
             serve_plain(&k, "v2", times[i % 5] * (slow && i % 2 ? 8 : 1));
         }
-        assert_int_equal(wp_shift_is_bad(sh, true, NULL), slow);
+        assert_int_equal(wp_trial_is_bad(&sh->trial, true, NULL), slow);
         fake_end(&k);
     }
 }
@@ -407,7 +420,7 @@
     }
     k.now.mono_us += 400 * WP_US_PER_MS;
     assert_true(wp_flow_impatient(f, k.now, &m));
-    assert_int_equal(wp_shift_own(sh).far, 1);
+    assert_int_equal(wp_trial_own(&sh->trial).far, 1);
     wp_flow_left(f, k.now);
     wp_flow_free(f);
     fake_end(&k);
@@ -428,11 +441,11 @@
     wp_shift_answered(sh, &a);
     a.time = WP_TIME_NEAR;
     wp_shift_answered(sh, &a);
-    assert_false(wp_shift_is_bad(sh, true, NULL));
-    assert_true(wp_shift_is_doubtful(sh));
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
+    assert_true(wp_trial_is_doubtful(&sh->trial));
     for (int i = 0; i < 10; i++)
         wp_shift_answered(sh, &a);
-    assert_false(wp_shift_is_doubtful(sh));
+    assert_false(wp_trial_is_doubtful(&sh->trial));
     fake_end(&k);
 }
 
