--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -42,26 +42,13 @@
         event_base_loopbreak(h->base);
 }
 
-/* Moves are decided by time: what disturbs a box's clocks must be seen beside
-   them. */
-static void note_clocks(WPDirectHost *h, WPTime now)
-{
-    WPSteadyLook look = wp_steady_look(&h->steady, now);
-    g_autofree char *step = g_strdup_printf("%ld", (long)look.step_ms);
-    g_autofree char *pause = g_strdup_printf("%ld", (long)look.pause_ms);
-    if (look.step_ms)
-        wp_log(&h->log, WP_WARN, "clock_stepped", "by_ms", step, NULL);
-    if (look.pause_ms)
-        wp_log(&h->log, WP_WARN, "paused", "ms", pause, NULL);
-}
-
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
     WPDirectHost *h = arg;
     WPTime now = wp_clock_now(0);
     (void)fd;
     (void)what;
-    note_clocks(h, now);
+    wp_log_clocks(&h->log, &h->steady, now);
     wp_direct_tick(&h->direct, now);
     wp_back_tick(h->back, now);
     wp_sync_tick(h->sync, now);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -7,7 +7,6 @@
 #include "wp_direct_host.h"
 #include "wp_front.h"
 #include "wp_log.h"
-#include "wp_steady.h"
 
 #include <event2/http.h>
 
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -14,7 +14,9 @@
 
 WPTime wp_host_now(const WPHost *h)
 {
-    return wp_clock_now(h->settings->clock_skew_ms);
+    WPTime now = wp_clock_now(h->settings->clock_skew_ms);
+    now.wall_ms = wp_steady_wall_ms(&h->steady, now);
+    return now;
 }
 
 void wp_host_pump(WPHost *h)
@@ -171,9 +173,11 @@
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
     WPHost *h = arg;
-    WPTime now = wp_host_now(h);
     (void)fd;
     (void)what;
+    wp_log_clocks(&h->log, &h->steady,
+                  wp_clock_now(h->settings->clock_skew_ms));
+    WPTime now = wp_host_now(h);
     wp_node_tick(h->node, now);
     wp_host_pump(h);
     int64_t patience = is_agent(h) ? AGENT_PATIENCE : 1;
--- a/src/wp_steady.h
+++ b/src/wp_steady.h
@@ -6,7 +6,8 @@
 #include "wp_base.h"
 
 typedef struct WPSteady {
-    WPTime last; /* of the last look; zero: none yet */
+    WPTime last;       /* of the last look; zero: none yet */
+    int64_t offset_us; /* the time of day without steps, less the monotonic */
 } WPSteady;
 
 /* What the time since the last look was like. */
@@ -19,4 +20,11 @@
 /* To be called several times a second. */
 WPSteadyLook wp_steady_look(WPSteady *s, WPTime now);
 
+/* Unix milliseconds without steps: a step of the time of day is followed at a
+   tenth of the time that passes. Where boxes compare times of day, as for keys
+   of requests that may run once and for the dwell of a roll-out's states, a
+   clock that is 20 s ahead for 5 s is then 0.5 s ahead at most. The raw time
+   before the first look. */
+int64_t wp_steady_wall_ms(const WPSteady *s, WPTime now);
+
 #endif
--- a/tests/test_steady.c
+++ b/tests/test_steady.c
@@ -36,4 +36,32 @@
     assert_int_equal(look.step_ms, 0);
 }
 
-TESTS_MAIN(T(a_step_of_the_time_of_day_is_seen_once), T(a_pause_is_no_step))
+/* A key of a request that may run once is told from an old one by times of day,
+   with two seconds for clocks that differ. */
+static void a_short_step_hardly_moves_what_boxes_compare(void **state)
+{
+    WPSteady s = { 0 };
+    WPTime now = { 1000000, 1700000000000 };
+    int64_t truth_ms = now.wall_ms, off_ms = 60000;
+    (void)state;
+    assert_int_equal(wp_steady_wall_ms(&s, now), now.wall_ms);
+    wp_steady_look(&s, now);
+    now.wall_ms += off_ms;
+    for (int i = 0; i < 100; i++, truth_ms += LOOK_MS) {
+        after(&s, &now, LOOK_MS, LOOK_MS);
+        assert_in_range(wp_steady_wall_ms(&s, now), truth_ms,
+                        truth_ms + 5000 / 10 + LOOK_MS);
+    }
+    now.wall_ms -= off_ms;
+    for (int i = 0; i < 101; i++, truth_ms += LOOK_MS)
+        after(&s, &now, LOOK_MS, LOOK_MS);
+    assert_int_equal(wp_steady_wall_ms(&s, now), truth_ms);
+    /* A clock that was wrong and is set right is followed in the end. */
+    now.wall_ms += 2000;
+    for (int i = 0; i < 401; i++)
+        after(&s, &now, LOOK_MS, LOOK_MS);
+    assert_int_equal(wp_steady_wall_ms(&s, now), now.wall_ms);
+}
+
+TESTS_MAIN(T(a_short_step_hardly_moves_what_boxes_compare),
+           T(a_step_of_the_time_of_day_is_seen_once), T(a_pause_is_no_step))
