Elsewhere: roll-outs of boxes with agents dwell before the box's own eyes

Change: each box notes since when it has seen a roll-out in its state, by its monotonic clock, and how many ratings the version had then (WPWatch in src/wp_rollout.c). Ruled out: a gate of its own for done: it is watched, and 'bad' leaves it.

--- a/bench/lab.c
+++ b/bench/lab.c
@@ -568,9 +568,10 @@
     g_autofree char *why = NULL;
     GPtrArray *ops = NULL;
     (void)e;
+    wp_watch_look(&lab->watch, wp_entry_policy(entry), q, lab_now(lab));
     if (lab->plan->chart)
         ops = wp_rollout_step(lab->plan->chart, wp_entry_policy(entry), q,
-                              lab_now(lab), &why);
+                              &lab->watch, lab_now(lab), &why);
     if (!ops && lab->plan->stop_bad)
         ops = wp_stop_bad(wp_entry_policy(entry), q, lab_now(lab), &why);
     if (ops) {
--- a/bench/lab_int.h
+++ b/bench/lab_int.h
@@ -72,6 +72,7 @@
 } Event;
 
 struct Lab {
+    WPWatch watch;
     const LabPlan *plan;
     LabResult *r;
     Wp__Mix *mix;
--- a/src/wp_quality.c
+++ b/src/wp_quality.c
@@ -169,7 +169,7 @@
     for (guint i = 0; i < q->cells->len; i++) {
         const Cell *c = q->cells->pdata[i];
         if (!strcmp(c->version, version))
-            n += c->count;
+            n += c->count_seen;
     }
     return n;
 }
--- a/src/wp_rollout.c
+++ b/src/wp_rollout.c
@@ -111,9 +111,53 @@
     return ops;
 }
 
+typedef struct WPWatched {
+    uint64_t fence; /* of the state that it is in */
+    int64_t since_us;
+    double ratings; /* of the new version when it was first seen */
+    bool rated;     /* sums of ratings were known at the last look */
+} WPWatched;
+
+void wp_watch_init(WPWatch *w)
+{
+    w->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void wp_watch_end(WPWatch *w)
+{
+    g_hash_table_unref(w->seen);
+}
+
+static void look_at(WPWatch *w, const WPRollout *r, const WPQuality *q,
+                    WPTime now)
+{
+    WPWatched *d = g_hash_table_lookup(w->seen, r->spec->name);
+    if (!d) {
+        d = g_new0(WPWatched, 1);
+        g_hash_table_insert(w->seen, g_strdup(r->spec->name), d);
+    }
+    /* The first sums that a box hears are of the past; sums may be dropped. */
+    double count = wp_quality_count(q, r->spec->to);
+    if (!d->since_us || !d->rated || count < d->ratings)
+        d->ratings = count;
+    d->rated = wp_quality_seq(q) > 0;
+    if (d->since_us && d->fence == r->spec->fence)
+        return;
+    d->fence = r->spec->fence;
+    d->since_us = now.mono_us;
+}
+
+void wp_watch_look(WPWatch *w, const WPPolicy *p, const WPQuality *q,
+                   WPTime now)
+{
+    for (unsigned i = 0; i < wp_policy_rollouts(p); i++)
+        look_at(w, wp_policy_rollout_at(p, i), q, now);
+}
+
 /* The gate's event, or NULL to wait. */
 static const char *ask_gate(const Wp__ChartState *s, const WPRollout *r,
-                            const WPQuality *q, bool dwelt, const char **why)
+                            const WPQuality *q, const WPWatched *d, bool dwelt,
+                            const char **why)
 {
     const char *kind;
     bool held = !strcmp(s->gate, "hold") || !strcmp(s->gate, "watch");
@@ -124,23 +168,23 @@
     if (!dwelt || held)
         return NULL;
     if (!strcmp(s->gate, "quality") &&
-        wp_quality_count(q, r->spec->to) < s->ratings)
+        wp_quality_count(q, r->spec->to) - d->ratings < s->ratings)
         return NULL;
     *why = "dwell and gate passed";
     return "next";
 }
 
 static GPtrArray *step_one(const Wp__Chart *c, const WPPolicy *p,
-                           const WPRollout *r, const WPQuality *q, WPTime now,
-                           char **why)
+                           const WPRollout *r, const WPQuality *q,
+                           const WPWatched *d, WPTime now, char **why)
 {
     const Wp__ChartState *s = wp_chart_state(c, r->spec->state);
     const char *reason = NULL;
-    if (!s)
+    if (!s || !d || d->fence != r->spec->fence)
         return NULL;
-    uint64_t due = r->spec->entered_ms + (uint64_t)s->dwell_s * WP_MS_PER_S;
-    const char *event =
-        ask_gate(s, r, q, (uint64_t)now.wall_ms >= due, &reason);
+    int64_t dwell_us = (int64_t)s->dwell_s * WP_US_PER_S;
+    bool dwelt = now.mono_us - d->since_us >= dwell_us;
+    const char *event = ask_gate(s, r, q, d, dwelt, &reason);
     const Wp__ChartState *to = event ? wp_chart_next(c, s->name, event) : NULL;
     if (!to)
         return NULL;
@@ -157,13 +201,15 @@
 }
 
 GPtrArray *wp_rollout_step(const Wp__Chart *c, const WPPolicy *p,
-                           const WPQuality *q, WPTime now, char **why)
+                           const WPQuality *q, const WPWatch *w, WPTime now,
+                           char **why)
 {
     for (unsigned i = 0; i < wp_policy_rollouts(p); i++) {
         const WPRollout *r = wp_policy_rollout_at(p, i);
         if (wp_policy_version_at(p, r->to)->spec->withdrawn)
             continue;
-        GPtrArray *ops = step_one(c, p, r, q, now, why);
+        const WPWatched *d = g_hash_table_lookup(w->seen, r->spec->name);
+        GPtrArray *ops = step_one(c, p, r, q, d, now, why);
         if (ops)
             return ops;
     }
--- a/src/wp_rollout.h
+++ b/src/wp_rollout.h
@@ -19,10 +19,27 @@
 const Wp__ChartState *wp_chart_next(const Wp__Chart *c, const char *state,
                                     const char *event);
 
+/* What this box has seen itself of the roll-outs that it may carry on: since
+   when each is in its state, by the monotonic clock, and how many ratings the
+   new version had when the roll-out was first seen. Neither the time of day at
+   which another box says that it entered the state nor ratings from before the
+   roll-out open a gate. */
+typedef struct WPWatch {
+    GHashTable *seen; /* roll-out's name -> WPWatched */
+} WPWatch;
+
+void wp_watch_init(WPWatch *w);
+void wp_watch_end(WPWatch *w);
+
+/* To be called several times a second. */
+void wp_watch_look(WPWatch *w, const WPPolicy *p, const WPQuality *q,
+                   WPTime now);
+
 /* Operations that carry one roll-out one step on, NULL when nothing is due.
    Free with wp_ops_free(). `why` is set to a line for the events. */
 GPtrArray *wp_rollout_step(const Wp__Chart *c, const WPPolicy *p,
-                           const WPQuality *q, WPTime now, char **why);
+                           const WPQuality *q, const WPWatch *w, WPTime now,
+                           char **why);
 
 /* The operations of an operator's event ("pause", "resume", "abort") on the
    roll-out `name`, or NULL and an error. */
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -45,6 +45,11 @@
     wp_quality_take(q, &r, p);
 }
 
+static WPTime at_ms(int64_t ms)
+{
+    return (WPTime){ ms * WP_US_PER_MS, ms };
+}
+
 /* The state after one step, or NULL when nothing is due. */
 static char *step(const char *rules, uint32_t ratings, double good,
                   int64_t now_ms, bool *withdrawn)
@@ -55,11 +60,15 @@
     Wp__Chart *ch = chart();
     g_autofree char *why = NULL;
     char *state = NULL;
-    if (ratings) {
+    WPWatch w;
+    wp_watch_init(&w);
+    if (ratings)
         rate(q, p, 1, good);
-        rate(q, p, ratings, good);
-    }
-    GPtrArray *ops = wp_rollout_step(ch, p, q, (WPTime){ 0, now_ms }, &why);
+    wp_watch_look(&w, p, q, at_ms(1000));
+    if (ratings)
+        rate(q, p, 1 + ratings, good);
+    wp_watch_look(&w, p, q, at_ms(now_ms));
+    GPtrArray *ops = wp_rollout_step(ch, p, q, &w, at_ms(now_ms), &why);
     *withdrawn = false;
     for (guint i = 0; ops && i < ops->len; i++) {
         const Wp__Op *op = ops->pdata[i];
@@ -72,6 +81,7 @@
     }
     if (ops)
         wp_ops_free(ops);
+    wp_watch_end(&w);
     wp_pb_free(ch);
     wp_quality_free(q);
     wp_policy_unref(p);
@@ -79,6 +89,39 @@
     return state;
 }
 
+/* A state that another box has entered lasts before this box's eyes: its time
+   of day may be ahead, and ratings from before the roll-out tell nothing of it.
+ */
+static void neither_a_clock_nor_the_past_opens_a_gate(void **unused)
+{
+    WPConfig *c = config_from(RULES("canary", ""), 1);
+    WPPolicy *p = wp_policy_new(c);
+    WPQuality *q = wp_quality_new();
+    Wp__Chart *ch = chart();
+    WPWatch w;
+    WPTime now = at_ms(1000);
+    g_autofree char *why = NULL;
+    (void)unused;
+    wp_watch_init(&w);
+    wp_watch_look(&w, p, q, now);
+    rate(q, p, 10, 0.9);
+    wp_watch_look(&w, p, q, now);
+    now.wall_ms += 60000;
+    wp_watch_look(&w, p, q, now);
+    assert_null(wp_rollout_step(ch, p, q, &w, now, &why));
+    now.mono_us += 20 * WP_US_PER_S;
+    assert_null(wp_rollout_step(ch, p, q, &w, now, &why));
+    rate(q, p, 15, 0.9);
+    GPtrArray *ops = wp_rollout_step(ch, p, q, &w, now, &why);
+    assert_non_null(ops);
+    wp_ops_free(ops);
+    wp_watch_end(&w);
+    wp_pb_free(ch);
+    wp_quality_free(q);
+    wp_policy_unref(p);
+    wp_config_free(c);
+}
+
 static void states_follow_their_gates(void **unused)
 {
     static const struct {
@@ -196,6 +239,7 @@
 }
 
 TESTS_MAIN(T(states_follow_their_gates),
+           T(neither_a_clock_nor_the_past_opens_a_gate),
            T(operators_events_lead_where_the_chart_says),
            T(charts_must_lead_somewhere), T(the_past_stops_nothing),
            T(the_last_version_is_not_stopped))
