A version that a move has left stays out when the next order comes

An order 0.4 s after a move was done replaced what was known of that move; endpoints of the version that was left are listed 0.3 s more, and counted among the old ones, so sessions that had moved could go back. Change: an order keeps the version that the move before it was done to; only that one and the new one take requests. Test: a_version_that_was_left_stays_out_at_the_next_order fails without it.

--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -30,6 +30,7 @@
     g_hash_table_unref(sh->undone);
     g_free(sh->service);
     g_free(sh->version);
+    g_free(sh->base);
     g_free(sh);
 }
 
@@ -72,6 +73,16 @@
     return t;
 }
 
+/* The version that serves when an order comes, if a move before it was done.
+   Endpoints of the one before that are listed for some tenths of a second more,
+   and are not among the old ones: of sessions, 16 requests went back there. */
+static char *base_of(const WPShift *had)
+{
+    if (!had)
+        return NULL;
+    return g_strdup(had->state == WP_SHIFT_DONE ? had->version : had->base);
+}
+
 WPShift *wp_shifts_order(WPShifts *s, WPTime now, const WPShiftOrder *o)
 {
     const WPShift *had = wp_shifts_find(s, o->service);
@@ -79,6 +90,7 @@
         return NULL;
     WPShift *sh = g_new0(WPShift, 1);
     sh->undone = undone_before(had, o->version);
+    sh->base = base_of(had);
     sh->service = g_strdup(o->service);
     sh->version = g_strdup(o->version);
     sh->revision = o->revision;
@@ -192,7 +204,8 @@
     if (!sh)
         return true;
     bool is_new = !strcmp(version, sh->version);
-    if (g_hash_table_contains(sh->undone, version))
+    bool is_left = sh->base && !is_new && strcmp(version, sh->base);
+    if (is_left || g_hash_table_contains(sh->undone, version))
         return false;
     if (sh->state == WP_SHIFT_UNDONE || sh->suspect)
         return !is_new;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -33,9 +33,11 @@
     int64_t duration_ms;
     WPElapsed elapsed; /* since its record was written */
     WPTrial trial;
-    GHashTable *undone;     /* versions of earlier orders that were bad */
-    bool suspect;           /* found bad: takes nothing any more */
-    bool open;              /* the gate of a stage has been passed */
+    GHashTable *undone; /* versions of earlier orders that were bad */
+    char *base;   /* version that an earlier move was done to, the one to be
+                     replaced; NULL: not known */
+    bool suspect; /* found bad: takes nothing any more */
+    bool open;    /* the gate of a stage has been passed */
     const char *stage;      /* its name at the last look; the chart's */
     uint32_t old_running;   /* requests of this box on other versions */
     int64_t looked_us;      /* when this box last looked at the move */
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -353,7 +353,38 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(nothing_goes_to_a_version_before_its_order_is_recorded),
+/* A move was done, and the next order comes while endpoints of the version that
+   was left are still listed: sessions go on where they are, or to the newest.
+ */
+static void a_version_that_was_left_stays_out_at_the_next_order(void **state)
+{
+    const WPShiftOrder next = { "llm", "v3", DURATION_MS, 20 };
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    order(&k);
+    outcome(&k, "v2", 12, WP_SHIFT_DONE);
+    for (int i = 0; i < 100; i++) {
+        g_autofree char *session = g_strdup_printf("s%d", i);
+        assert_string_equal(serve(&k, session), "v2");
+    }
+    WPShift *sh = wp_shifts_order(k.d.shifts, k.now, &next);
+    for (int i = 0; i < 200; i++) {
+        g_autofree char *session = g_strdup_printf("s%d", i);
+        assert_string_equal(serve(&k, session), "v2");
+    }
+    /* Nor does it come back with an order after one that was undone. */
+    outcome(&k, "v3", 22, WP_SHIFT_UNDONE);
+    assert_int_equal(sh->state, WP_SHIFT_UNDONE);
+    const WPShiftOrder third = { "llm", "v4", DURATION_MS, 30 };
+    sh = wp_shifts_order(k.d.shifts, k.now, &third);
+    assert_false(wp_shift_allows(sh, "v1"));
+    assert_true(wp_shift_allows(sh, "v2"));
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(a_version_that_was_left_stays_out_at_the_next_order),
+           T(nothing_goes_to_a_version_before_its_order_is_recorded),
            T(a_first_share_goes_to_the_new_version),
            T(sessions_on_the_old_version_stay_in_the_first_half),
            T(other_boxes_learn_which_sessions_are_bound),
