--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -48,7 +48,7 @@
     WPTime now = wp_clock_now(0);
     (void)fd;
     (void)what;
-    wp_log_clocks(&h->log, &h->steady, now);
+    wp_clock_watch(&h->log, &h->steady, now);
     wp_direct_tick(&h->direct, now);
     wp_back_tick(h->back, now);
     wp_sync_tick(h->sync, now);
--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -175,8 +175,8 @@
     WPHost *h = arg;
     (void)fd;
     (void)what;
-    wp_log_clocks(&h->log, &h->steady,
-                  wp_clock_now(h->settings->clock_skew_ms));
+    wp_clock_watch(&h->log, &h->steady,
+                   wp_clock_now(h->settings->clock_skew_ms));
     WPTime now = wp_host_now(h);
     wp_node_tick(h->node, now);
     wp_host_pump(h);
--- a/io/wp_log.c
+++ b/io/wp_log.c
@@ -161,17 +161,3 @@
     ssize_t wrote = write(l->fd, out->str, out->len);
     (void)wrote; /* nobody is left to tell */
 }
-
-void wp_log_clocks(WPLog *l, WPSteady *s, WPTime now)
-{
-    WPSteadyLook look = wp_steady_look(s, now);
-    g_autofree char *step = NULL, *pause = NULL;
-    if (look.step_ms) {
-        step = g_strdup_printf("%ld", (long)look.step_ms);
-        wp_log(l, WP_WARN, "clock_stepped", "by_ms", step, NULL);
-    }
-    if (look.pause_ms) {
-        pause = g_strdup_printf("%ld", (long)look.pause_ms);
-        wp_log(l, WP_WARN, "paused", "ms", pause, NULL);
-    }
-}
--- a/io/wp_log.h
+++ b/io/wp_log.h
@@ -4,7 +4,7 @@
 #ifndef WP_LOG_H
 #define WP_LOG_H
 
-#include "wp_steady.h"
+#include "wp_base.h"
 
 typedef enum WPLevel { WP_DEBUG, WP_INFO, WP_WARN, WP_ERROR_LEVEL } WPLevel;
 
@@ -30,10 +30,6 @@
 void wp_log_flush(WPLog *l);
 void wp_log_end(WPLog *l);
 
-/* Looks at the process's clocks and tells what disturbs them: steps of the time
-   of day, and pauses. */
-void wp_log_clocks(WPLog *l, WPSteady *s, WPTime now);
-
 /* `event` is one word; then pairs of key and value, ended by NULL. */
 void wp_log(WPLog *l, WPLevel level, const char *event,
             ...) G_GNUC_NULL_TERMINATED;
