A version that no order has named waits for its order

Without an order every listed version was served alike: the same class, nothing speaks against it. Ruled out: retries and 'the other side rather than none' (legs are firsts to v2 while v1 answers), a move's stages (no move_stage before). Change: what a box finds when it starts serves; a version that appears later waits for an order while there are others. Tests: a_version_without_an_order_waits_for_it, versions_found_at_the_start_serve.

--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -18,6 +18,8 @@
 
 static void take_endpoint(WPSync *s, const WPListing *l)
 {
+    wp_shifts_listed(s->host->direct.shifts, l->service, l->version,
+                     !s->complete);
     if (!wp_fleet_put(s->host->direct.fleet, wp_clock_now(0), l))
         return;
     wp_log(&s->host->log, WP_INFO, "endpoint", "id", l->id, "service",
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -30,12 +30,14 @@
 
 static bool version_allowed(void *arg, const char *version)
 {
-    return wp_shift_allows(arg, version);
+    const WPFlow *f = arg;
+    return wp_shifts_allow(f->d->shifts, f->service->name, version);
 }
 
+/* Of the versions that a move does not lead to. */
 static bool other_allowed(void *arg, const char *version)
 {
-    const WPShift *sh = arg;
+    const WPShift *sh = wp_flow_shift(arg);
     return wp_shift_allows(sh, version) && strcmp(version, sh->version);
 }
 
@@ -46,7 +48,7 @@
     return (
         WPWant){ .service = f->service->name,
                  .allowed = version_allowed,
-                 .allowed_arg = wp_flow_shift(f),
+                 .allowed_arg = f,
                  .zone = f->d->rules.zone,
                  .prompt = engine ? &f->prompt : NULL,
                  .model = engine ? wp_hash(model, 0) : 0,
@@ -93,6 +95,10 @@
         s = choose_side(f, now, sh, w);
     if (!s) /* the other side rather than none */
         s = wp_fleet_choose(d->fleet, now, &w);
+    if (!s && !sh) { /* a version that no order has named rather than none */
+        w.allowed = NULL;
+        s = wp_fleet_choose(d->fleet, now, &w);
+    }
     if (!s && f->n_tried && wp_flow_may_repeat(f)) {
         /* All have been tried: better one of them again than none, and rather
            not the one that has just failed. */
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -21,6 +21,7 @@
 struct WPShifts {
     const Wp__Chart *chart;
     GHashTable *by_service;
+    GHashTable *serving; /* service -> set of versions that no order named */
 };
 
 static void shift_free(void *p)
@@ -40,6 +41,8 @@
     s->chart = chart;
     s->by_service =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, shift_free);
+    s->serving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                       (GDestroyNotify)g_hash_table_unref);
     return s;
 }
 
@@ -48,6 +51,7 @@
     if (!s)
         return;
     g_hash_table_unref(s->by_service);
+    g_hash_table_unref(s->serving);
     g_free(s);
 }
 
@@ -199,10 +203,31 @@
     return false;
 }
 
+void wp_shifts_listed(WPShifts *s, const char *service, const char *version,
+                      bool starting)
+{
+    GHashTable *set = g_hash_table_lookup(s->serving, service);
+    if (!set) {
+        set = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_insert(s->serving, g_strdup(service), set);
+        starting = true;
+    }
+    if (starting)
+        g_hash_table_add(set, g_strdup(version));
+}
+
+bool wp_shifts_allow(const WPShifts *s, const char *service,
+                     const char *version)
+{
+    const WPShift *sh = g_hash_table_lookup(s->by_service, service);
+    GHashTable *set = g_hash_table_lookup(s->serving, service);
+    if (sh)
+        return wp_shift_allows(sh, version);
+    return !set || g_hash_table_contains(set, version);
+}
+
 bool wp_shift_allows(const WPShift *sh, const char *version)
 {
-    if (!sh)
-        return true;
     bool is_new = !strcmp(version, sh->version);
     bool is_left = sh->base && !is_new && strcmp(version, sh->base);
     if (is_left || g_hash_table_contains(sh->undone, version))
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -63,6 +63,18 @@
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
 
+/* An endpoint of this version is listed. `starting`: this box is still being
+   told what there is; what it finds then serves. Later a version that no order
+   has named is passed over while there are others: its endpoints may be known
+   before the order for them, by a box that the store has stopped answering in
+   between, and would get an equal share. */
+void wp_shifts_listed(WPShifts *s, const char *service, const char *version,
+                      bool starting);
+
+/* Whether a version of the service may take requests. */
+bool wp_shifts_allow(const WPShifts *s, const char *service,
+                     const char *version);
+
 /* Whether some move is in its first half. */
 bool wp_shifts_first_half(const WPShifts *s, WPTime now);
 
@@ -72,7 +84,7 @@
 /* Whether some running move leads to this version. */
 bool wp_shifts_is_target(const WPShifts *s, const char *version);
 
-/* Whether a version may take requests at all. NULL allows every version. */
+/* Whether a version may take requests beside or after this move. */
 bool wp_shift_allows(const WPShift *sh, const char *version);
 
 /* Whether a request is to go to the new version. `unit` in [0, 1) is the same
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -46,6 +46,7 @@
 if [ "$1" != unit ]; then
     soak faults "--seconds 4" tests/soak-cases.txt
     soak moves "--moves alone --seconds 12" tests/soak-move-cases.txt
+    soak beside "--moves beside --seconds 12" tests/soak-beside-cases.txt
     out=$(mktemp)
     WP_BIN=$BUILD tests/run-scenarios.sh 4 | tee "$out"
     p=$(sed -n 's/^\([0-9]*\) passed, \([0-9]*\) failed$/\1/p' "$out")
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -383,7 +383,46 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(a_version_that_was_left_stays_out_at_the_next_order),
+/* A box hears of the new version's endpoints, and the store stops answering it
+   before it hears of the order: 60 of 108 requests went there in a second. */
+static void a_version_without_an_order_waits_for_it(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    wp_shifts_listed(k.d.shifts, "llm", "v1", true);
+    wp_shifts_listed(k.d.shifts, "llm", "v2", false);
+    fake_put(&k, "n1", "llm", "v2", false);
+    fake_put(&k, "n2", "llm", "v2", false);
+    for (int i = 0; i < 100; i++)
+        assert_string_equal(serve(&k, NULL), "v1");
+    /* Rather that one than none. */
+    wp_fleet_remove(k.d.fleet, k.now, "l1", false);
+    wp_fleet_remove(k.d.fleet, k.now, "l2", false);
+    assert_string_equal(serve(&k, NULL), "v2");
+    fake_end(&k);
+}
+
+/* What a box finds when it starts serves, whatever versions those are. */
+static void versions_found_at_the_start_serve(void **state)
+{
+    Fake k;
+    unsigned second = 0;
+    (void)state;
+    fake_init(&k);
+    wp_shifts_listed(k.d.shifts, "llm", "v1", true);
+    wp_shifts_listed(k.d.shifts, "llm", "v2", true);
+    fake_put(&k, "n1", "llm", "v2", false);
+    fake_put(&k, "n2", "llm", "v2", false);
+    for (int i = 0; i < 100; i++)
+        second += !strcmp(serve(&k, NULL), "v2");
+    assert_in_range(second, 20, 80);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(a_version_without_an_order_waits_for_it),
+           T(versions_found_at_the_start_serve),
+           T(a_version_that_was_left_stays_out_at_the_next_order),
            T(nothing_goes_to_a_version_before_its_order_is_recorded),
            T(a_first_share_goes_to_the_new_version),
            T(sessions_on_the_old_version_stay_in_the_first_half),
