--- a/io/wp_seen.c
+++ b/io/wp_seen.c
@@ -11,8 +11,8 @@
 enum {
     PARTS = 16,           /* records of a box in an order's time */
     PAUSE_LEAST_MS = 500, /* between two */
-    BOXES_FREE = 4,       /* with more boxes each writes less often: 4 write 4
-                             times a second at most, and so do 3,600 */
+    FULL_RATE_BOXES = 4,  /* with more, each writes less often: however many
+                             boxes, 8 writes a second at most for a move */
     LIVES_MOST = 16 /* XXX: of a box that starts more often in one move, the
                        rest is forgotten when all boxes are lost */
 };
@@ -171,7 +171,8 @@
 /* Boxes write at different times. */
 static int64_t pause_ms(const WPSync *s, const WPShift *sh)
 {
-    double many = MAX(1.0, (double)s->host->direct.boxes / (double)BOXES_FREE);
+    double many =
+        MAX(1.0, (double)s->host->direct.boxes / (double)FULL_RATE_BOXES);
     double ms = MAX((double)sh->duration_ms / PARTS, PAUSE_LEAST_MS) * many;
     return (int64_t)(ms * (0.5 + g_rand_double(s->host->direct.rand)));
 }
