A few failures are a doubt, as a few slow answers are

Too few for a verdict after a start, and doubt was of slowness alone: the same class once more. Change: while the failures speak rather for a version that fails in 0.15 of its answers more than the old one, neither the last stage nor the end is reached. Test: a_few_failures_hold_a_move fails without it.

--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -326,10 +326,15 @@
     sh->looked_us = now.mono_us;
 }
 
+static const char fails_doubt[] =
+    "doubt: the failures speak rather for a bad version";
+
 /* Why the gate before a stage stays shut though its time has come, or NULL. */
 static const char *ask_gate(const WPShifts *s, const WPShift *sh, WPTime now,
                             const Wp__ChartState *stage)
 {
+    if (wp_trial_may_fail(&sh->trial))
+        return fails_doubt;
     if (wp_trial_is_doubtful(&sh->trial))
         return "doubt: the answers speak rather for a slow version";
     return is_shown(s, sh, now, stage) ? NULL : "too few answers are known";
@@ -365,9 +370,12 @@
     if (part_over(sh, now) < part_before(s, end) ||
         !has_run(sh->stage_us, now, stage->dwell_part, sh))
         return false;
-    bool shown = is_shown(s, sh, now, end);
-    sh->waits = shown ? NULL : "too few answers are known to end";
-    return shown;
+    sh->waits = NULL;
+    if (wp_trial_may_fail(&sh->trial))
+        sh->waits = fails_doubt;
+    else if (!is_shown(s, sh, now, end))
+        sh->waits = "too few answers are known to end";
+    return !sh->waits;
 }
 
 WPShiftState wp_shift_due(const WPShifts *s, WPShift *sh, WPTime now,
--- a/src/wp_trial.c
+++ b/src/wp_trial.c
@@ -154,6 +154,12 @@
     return wp_sums_doubtful(&fresh, &old);
 }
 
+bool wp_trial_may_fail(const WPTrial *t)
+{
+    WPShiftSums fresh = wp_trial_pooled(t), old = wp_trial_old(t);
+    return wp_sums_may_fail(&fresh, &old);
+}
+
 bool wp_trial_tells(const WPTrial *t)
 {
     WPShiftSums fresh = wp_trial_pooled(t), old = wp_trial_old(t);
--- a/src/wp_trial.h
+++ b/src/wp_trial.h
@@ -51,6 +51,10 @@
    serves as well, so that times can be compared. */
 bool wp_trial_is_bad(const WPTrial *t, bool beside, char **why);
 
+/* Whether the failures so far speak rather for a version that fails than for a
+   good one. */
+bool wp_trial_may_fail(const WPTrial *t);
+
 /* Whether the answers so far speak rather for a slow version than for a good
    one, or are too few to speak where there could be more. */
 bool wp_trial_is_doubtful(const WPTrial *t);
--- a/src/wp_verdict.c
+++ b/src/wp_verdict.c
@@ -53,6 +53,10 @@
 #define OLD_TIMED_LEAST 20
 #define UNTIMED_MOST 40
 
+/* A version that fails does so with so many more of its answers, at least: the
+   fewest that were played. */
+#define FAILS_MORE 0.15
+
 /* So many answers of a new version, and so many of them with a time, tell a
    good one from a bad one: of a version that fails three in ten, 8 are without
    a failure in 6 of 100 cases, and it is caught at once when it gets all
@@ -168,6 +172,18 @@
            (v->wholes - v->far) * log((1 - FAR_SLOW) / (1 - FAR_GOOD));
 }
 
+/* With 3 failures of 27 where the old version had none of 600 a move was ended,
+   in 4 of 18 plays of one day: too few for a verdict after a start, too many to
+   go on. */
+bool wp_sums_may_fail(const WPShiftSums *v, const WPShiftSums *old)
+{
+    double good = (old->failed + 1.0) / (old->answered + PRIOR_ANSWERS);
+    double bad = MIN(good + FAILS_MORE, 1 - FAILS_MORE);
+    double odds = v->failed * log(bad / good) +
+                  (v->answered - v->failed) * log((1 - bad) / (1 - good));
+    return v->failed && odds > 0;
+}
+
 bool wp_sums_doubtful(const WPShiftSums *v, const WPShiftSums *old)
 {
     if (v->wholes && far_odds(v) > 0)
--- a/src/wp_verdict.h
+++ b/src/wp_verdict.h
@@ -57,6 +57,10 @@
 WPFault wp_sums_fault(const WPShiftSums *v, const WPShiftSums *old,
                       bool beside);
 
+/* Whether the failures speak rather for a version that fails than for a good
+   one; a verdict wants more. */
+bool wp_sums_may_fail(const WPShiftSums *v, const WPShiftSums *old);
+
 /* Whether the answers speak rather for a slow version than for a good one, or
    are too few to speak where there could be more. */
 bool wp_sums_doubtful(const WPShiftSums *v, const WPShiftSums *old);
--- a/tests/test_move_end.c
+++ b/tests/test_move_end.c
@@ -120,7 +120,36 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(the_time_of_day_does_not_end_a_move),
+/* Three failures of 27 are too few for a verdict where little is known of the
+   old version, and too many to go on. */
+static void a_few_failures_hold_a_move(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    good_answers(sh, 24);
+    feed(sh, "v1", "l1", "chat", 46, 0, 0);
+    feed(sh, "v2", "n1", "chat", 2, 2, 0);
+    feed(sh, "v2", "n2", "chat", 1, 1, 0);
+    assert_false(wp_trial_is_bad(&sh->trial, true, NULL));
+    assert_int_equal(look_on(&k, sh, 2 * DURATION_MS), WP_SHIFT_RUNNING);
+    /* Two more are enough; so would be good ones for the move to go on. */
+    feed(sh, "v2", "n2", "chat", 2, 2, 0);
+    assert_int_equal(look_on(&k, sh, LOOK_MS), WP_SHIFT_UNDONE);
+    fake_end(&k);
+
+    fake_init(&k);
+    sh = order(&k);
+    good_answers(sh, 80);
+    feed(sh, "v1", "l1", "chat", 46, 0, 0);
+    feed(sh, "v2", "n1", "chat", 2, 2, 0);
+    assert_int_equal(look_on(&k, sh, 2 * DURATION_MS), WP_SHIFT_DONE);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(a_few_failures_hold_a_move),
+           T(the_time_of_day_does_not_end_a_move),
            T(a_move_ends_in_time_whatever_the_time_of_day),
            T(a_box_that_knows_nothing_does_not_end_a_move),
            T(a_move_of_an_idle_service_ends),
