Boxes judge failures by the same figures; one that stops ends no move

Change: old_answered and old_failed in MoveSums and records; a stopping box is blind. Tests: boxes_judge_failures_by_the_same_figures, a_box_that_stops_ends_no_move.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3942,7 +3942,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[20] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[22] =
 {
   {
     "service",
@@ -4184,6 +4184,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "old_answered",
+    21,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_old_answered),
+    offsetof(Wp__MoveSums, old_answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_failed",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_old_failed),
+    offsetof(Wp__MoveSums, old_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -4197,6 +4221,8 @@
   6,   /* field[6] = loaded */
   9,   /* field[9] = loaded_bad */
   8,   /* field[8] = loaded_failed */
+  20,   /* field[20] = old_answered */
+  21,   /* field[21] = old_failed */
   5,   /* field[5] = old_running */
   12,   /* field[12] = open */
   1,   /* field[1] = order */
@@ -4210,7 +4236,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4220,7 +4246,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  20,
+  22,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -670,10 +670,17 @@
    */
   protobuf_c_boolean has_slow_spread;
   protobuf_c_boolean slow_spread;
+  /*
+   * of the old version
+   */
+  protobuf_c_boolean has_old_answered;
+  uint32_t old_answered;
+  protobuf_c_boolean has_old_failed;
+  uint32_t old_failed;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_seen.c
+++ b/io/wp_seen.c
@@ -70,6 +70,9 @@
     m->has_fails_spread = m->has_slow_spread = 1;
     m->fails_spread = v->fails_spread;
     m->slow_spread = v->slow_spread;
+    m->has_old_answered = m->has_old_failed = 1;
+    m->old_answered = v->old_answered;
+    m->old_failed = v->old_failed;
 }
 
 WPShiftSums wp_move_sums_read(const Wp__MoveSums *m)
@@ -86,7 +89,9 @@
                           .loaded_failed = m->loaded_failed,
                           .loaded_bad = m->loaded_bad,
                           .fails_spread = m->fails_spread,
-                          .slow_spread = m->slow_spread };
+                          .slow_spread = m->slow_spread,
+                          .old_answered = m->old_answered,
+                          .old_failed = m->old_failed };
 }
 
 static void on_written(void *arg, const WPKvResult *r)
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -20,6 +20,7 @@
 
 struct WPShifts {
     const Wp__Chart *chart;
+    bool blind; /* this box takes no requests */
     GHashTable *by_service;
     GHashTable *serving; /* service -> set of versions that no order named */
 };
@@ -114,6 +115,11 @@
         sh->state = state;
 }
 
+void wp_shifts_set_blind(WPShifts *s, bool blind)
+{
+    s->blind = blind;
+}
+
 WPShift *wp_shifts_find(WPShifts *s, const char *service)
 {
     return g_hash_table_lookup(s->by_service, service);
@@ -326,16 +332,15 @@
     sh->looked_us = now.mono_us;
 }
 
-static const char fails_doubt[] =
-    "doubt: the failures speak rather for a bad version";
-
 /* Why the gate before a stage stays shut though its time has come, or NULL. */
 static const char *ask_gate(const WPShifts *s, const WPShift *sh, WPTime now,
                             const Wp__ChartState *stage)
 {
+    if (s->blind)
+        return "this box takes no requests";
     if (wp_trial_may_fail(&sh->trial))
-        return fails_doubt;
-    if (wp_trial_is_doubtful(&sh->trial))
+        return "doubt: the failures speak rather for a bad version";
+    if (!stage->final && wp_trial_is_doubtful(&sh->trial))
         return "doubt: the answers speak rather for a slow version";
     return is_shown(s, sh, now, stage) ? NULL : "too few answers are known";
 }
@@ -370,11 +375,7 @@
     if (part_over(sh, now) < part_before(s, end) ||
         !has_run(sh->stage_us, now, stage->dwell_part, sh))
         return false;
-    sh->waits = NULL;
-    if (wp_trial_may_fail(&sh->trial))
-        sh->waits = fails_doubt;
-    else if (!is_shown(s, sh, now, end))
-        sh->waits = "too few answers are known to end";
+    sh->waits = ask_gate(s, sh, now, end);
     return !sh->waits;
 }
 
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -60,6 +60,11 @@
    record. One that is older than the order is of an order before it. */
 void wp_shifts_outcome(WPShifts *s, const WPShiftOrder *o, WPShiftState state);
 
+/* Whether this box is one that takes no requests, as it stops: it sees nothing
+   of a stage, and neither opens gates nor ends moves. Three that were stopped
+   in turn let a last stage pass in which none of them had a request. */
+void wp_shifts_set_blind(WPShifts *s, bool blind);
+
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
 
--- a/src/wp_trial.c
+++ b/src/wp_trial.c
@@ -127,6 +127,9 @@
     g_hash_table_iter_init(&it, t->loaded);
     while (g_hash_table_iter_next(&it, NULL, &v))
         sum.loaded_bad += ((WPShiftSums *)v)->failed > 0;
+    WPShiftSums old = total(t->old);
+    sum.old_answered = old.answered;
+    sum.old_failed = old.failed;
     sum.fails_spread = is_spread(t, WP_FAULT_FAILS);
     sum.slow_spread = is_spread(t, WP_FAULT_SLOW);
     return sum;
@@ -143,9 +146,15 @@
     return sum;
 }
 
+/* By the same failures all boxes come to the same end: one that had started
+   last and knew least of the old version ended a move that two others held.
+   Times are told apart by each box's own bounds. */
 WPShiftSums wp_trial_old(const WPTrial *t)
 {
-    return total(t->old);
+    WPShiftSums old = total(t->old), all = wp_trial_pooled(t);
+    old.answered = all.old_answered;
+    old.failed = all.old_failed;
+    return old;
 }
 
 bool wp_trial_is_doubtful(const WPTrial *t)
--- a/src/wp_trial.h
+++ b/src/wp_trial.h
@@ -41,7 +41,8 @@
                    void (*fn)(void *arg, const WPTrialLife *l), void *arg);
 
 /* The sums of the version on trial at this box in this life; of all that is
-   known; and those of the old version at this box. */
+   known; and those of the old version, its answers and failures at all boxes,
+   its times at this one. */
 WPShiftSums wp_trial_own(const WPTrial *t);
 WPShiftSums wp_trial_pooled(const WPTrial *t);
 WPShiftSums wp_trial_old(const WPTrial *t);
--- a/src/wp_verdict.c
+++ b/src/wp_verdict.c
@@ -105,6 +105,8 @@
     to->taken += v->taken;
     to->fails_spread |= v->fails_spread;
     to->slow_spread |= v->slow_spread;
+    to->old_answered += v->old_answered;
+    to->old_failed += v->old_failed;
 }
 
 static double rate(uint32_t part, uint32_t n)
--- a/src/wp_verdict.h
+++ b/src/wp_verdict.h
@@ -21,6 +21,8 @@
     /* Whether a box saw failures, or slowness, on enough endpoints to be the
        version's and not some endpoints'. */
     bool fails_spread, slow_spread;
+    /* Of the version on trial: what its box saw of the old one meanwhile. */
+    uint32_t old_answered, old_failed;
 } WPShiftSums;
 
 /* How an answer came. */
--- a/tests/test_move_end.c
+++ b/tests/test_move_end.c
@@ -148,7 +148,44 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(a_few_failures_hold_a_move),
+/* One failure of 24 means nothing where 155 answers of the old version are
+   known without one, and is a doubt where 629 are: what others have seen
+   counts. */
+static void boxes_judge_failures_by_the_same_figures(void **state)
+{
+    const WPShiftSums others = { .old_answered = 474 };
+    (void)state;
+    for (int told = 0; told < 2; told++) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = order(&k);
+        good_answers(sh, 23);
+        feed(sh, "v1", "l1", "chat", 55, 0, 0);
+        feed(sh, "v2", "n1", "chat", 1, 1, 0);
+        if (told)
+            wp_trial_hear(&sh->trial, "e2", 1, &others);
+        assert_int_equal(look_on(&k, sh, 2 * DURATION_MS),
+                         told ? WP_SHIFT_RUNNING : WP_SHIFT_DONE);
+        fake_end(&k);
+    }
+}
+
+/* A box that stops takes no requests: it sees nothing of a stage. */
+static void a_box_that_stops_ends_no_move(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    good_answers(sh, 40);
+    look_on(&k, sh, DURATION_MS / 2);
+    wp_shifts_set_blind(k.d.shifts, true);
+    assert_int_equal(look_on(&k, sh, 2 * DURATION_MS), WP_SHIFT_RUNNING);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(boxes_judge_failures_by_the_same_figures),
+           T(a_box_that_stops_ends_no_move), T(a_few_failures_hold_a_move),
            T(the_time_of_day_does_not_end_a_move),
            T(a_move_ends_in_time_whatever_the_time_of_day),
            T(a_box_that_knows_nothing_does_not_end_a_move),
