--- a/io/wp_seen.c
+++ b/io/wp_seen.c
@@ -207,29 +207,35 @@
            NULL);
 }
 
+/* Takes what a box has told; this process's own life is known better. */
+static void hear_record(WPSync *s, WPShift *sh, const char *box,
+                        const Wp__MoveRecord *m)
+{
+    bool own = !strcmp(box, s->host->settings->id), is_new = false;
+    if (sh->revision != m->order)
+        return;
+    wp_shift_hear_elapsed(sh, wp_clock_now(0), (int64_t)m->elapsed_ms);
+    for (size_t i = 0; i < m->n_lives; i++) {
+        WPShiftSums sums = wp_move_sums_read(m->lives[i]);
+        if (!own || m->lives[i]->life != s->life)
+            is_new |= wp_trial_hear(&sh->trial, box, m->lives[i]->life, &sums);
+    }
+    if (own && is_new)
+        note_own(s, sh, m);
+}
+
 void wp_seen_take(WPSync *s, const char *what, WPStr value)
 {
     g_auto(GStrv) part = g_strsplit(what, "/", 2);
-    WPShift *sh =
-        part[0] ? wp_shifts_find(s->host->direct.shifts, part[0]) : NULL;
     Wp__MoveRecord *m =
         wp__move_record__unpack(NULL, value.n, (const uint8_t *)value.p);
-    bool is_new = false;
-    if (!m || !part[0] || !part[1]) {
+    if (!m || g_strv_length(part) != 2) {
         wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", what, "why",
                "not a record of a move", NULL);
-    } else if (sh && sh->revision == m->order) {
-        wp_shift_hear_elapsed(sh, wp_clock_now(0), (int64_t)m->elapsed_ms);
-        bool own = !strcmp(part[1], s->host->settings->id);
-        for (size_t i = 0; i < m->n_lives; i++) {
-            WPShiftSums sums = wp_move_sums_read(m->lives[i]);
-            if (!own || m->lives[i]->life != s->life)
-                is_new |= wp_trial_hear(&sh->trial, part[1], m->lives[i]->life,
-                                        &sums);
-        }
-        if (own && is_new)
-            note_own(s, sh, m);
+    } else {
+        WPShift *sh = wp_shifts_find(s->host->direct.shifts, part[0]);
+        if (sh)
+            hear_record(s, sh, part[1], m);
     }
-    if (m)
-        wp__move_record__free_unpacked(m, NULL);
+    wp_pb_free(m);
 }
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -79,6 +79,8 @@
 struct WPSeen *wp_seen_new(void);
 void wp_seen_free(struct WPSeen *v);
 void wp_seen_tick(WPSync *s, WPTime now);
+
+/* Takes the record of a box; `what` is SERVICE/BOX. */
 void wp_seen_take(WPSync *s, const char *what, WPStr value);
 
 /* The sums of one life, on the wire. */
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -2,8 +2,8 @@
 #include "wp_shift.h"
 #include "wp_rollout.h"
 
-/* A little more than the half that the platform grants sessions, as clocks
-   differ. */
+/* A little more than the half that the platform grants sessions, as boxes hear
+   at different times that a move has begun. */
 #define FIRST_HALF 0.52
 
 /* A move is to be done so long before the order's time: it begins up to 300 ms
@@ -153,6 +153,7 @@
     return (double)wp_elapsed_ms(&sh->elapsed, now) / (double)span_ms(sh);
 }
 
+/* Whether this part of it has passed since a moment of this box's. */
 static bool has_run(int64_t from_us, WPTime now, double part, const WPShift *sh)
 {
     int64_t us = (int64_t)(part * (double)span_ms(sh)) * WP_US_PER_MS;
@@ -325,6 +326,7 @@
            has_run(sh->watched_us, now, part_before(s, stage), sh);
 }
 
+/* After a pause a box has not watched, whatever it did before. */
 static void note_look(WPShift *sh, WPTime now)
 {
     if (now.mono_us - sh->looked_us >= PAUSE_MS * WP_US_PER_MS)
