--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -66,7 +66,7 @@
         return;
     h->leaving = true;
     h->leave_us = wp_clock_now(0).mono_us;
-    wp_shifts_set_blind(h->direct.shifts, true);
+    wp_shifts_set_draining(h->direct.shifts, true);
     wp_log(&h->log, WP_INFO, "leaving", NULL);
     wp_front_leave(h->front);
 }
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -20,7 +20,7 @@
 
 struct WPShifts {
     const Wp__Chart *chart;
-    bool blind; /* this box takes no requests */
+    bool draining; /* this box takes no requests */
     GHashTable *by_service;
     GHashTable *serving; /* service -> set of versions that no order named */
 };
@@ -115,9 +115,9 @@
         sh->state = state;
 }
 
-void wp_shifts_set_blind(WPShifts *s, bool blind)
+void wp_shifts_set_draining(WPShifts *s, bool draining)
 {
-    s->blind = blind;
+    s->draining = draining;
 }
 
 WPShift *wp_shifts_find(WPShifts *s, const char *service)
@@ -338,7 +338,7 @@
 static const char *ask_gate(const WPShifts *s, const WPShift *sh, WPTime now,
                             const Wp__ChartState *stage)
 {
-    if (s->blind)
+    if (s->draining)
         return "this box takes no requests";
     if (wp_trial_may_fail(&sh->trial))
         return "doubt: the failures speak rather for a bad version";
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -63,7 +63,7 @@
 /* Whether this box is one that takes no requests, as it stops: it sees nothing
    of a stage, and neither opens gates nor ends moves. Three that were stopped
    in turn let a last stage pass in which none of them had a request. */
-void wp_shifts_set_blind(WPShifts *s, bool blind);
+void wp_shifts_set_draining(WPShifts *s, bool draining);
 
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 void wp_shifts_each(WPShifts *s, void (*fn)(void *arg, WPShift *sh), void *arg);
--- a/tests/test_move_end.c
+++ b/tests/test_move_end.c
@@ -179,7 +179,7 @@
     WPShift *sh = order(&k);
     good_answers(sh, 40);
     look_on(&k, sh, DURATION_MS / 2);
-    wp_shifts_set_blind(k.d.shifts, true);
+    wp_shifts_set_draining(k.d.shifts, true);
     assert_int_equal(look_on(&k, sh, 2 * DURATION_MS), WP_SHIFT_RUNNING);
     fake_end(&k);
 }
