Settings take durations with decimals; an empty value is the default

Cause: the template does arithmetic on text ({{bounds.sessionS}}000), so a bound with a fraction (8.5) is no whole number and no process starts. Ruled out: rounding in the template (it has no arithmetic); a second setting in ms beside the one in seconds (stands twice). Change: session_s, retry_window_s, drain_s, apply_ms, memory_mb are numbers with decimals; an optional field without a value keeps its default; a value that is no number (nan) fails its range as well. After: tests/test_template.c renders deploy/settings.yaml with whole and fractional figures, empty and bad ones.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1558,11 +1558,11 @@
 char wp__direct_settings__log_format__default_value[] = "kv";
 static const uint32_t wp__direct_settings__metrics_port__default_value = 9464u;
 static const uint64_t wp__direct_settings__seed__default_value = 0ull;
-static const uint32_t wp__direct_settings__drain_s__default_value = 8u;
+static const double wp__direct_settings__drain_s__default_value = 8;
 static const double wp__direct_settings__retry_ratio__default_value = 0.1;
 static const double wp__direct_settings__retry_slack__default_value = 50;
-static const uint32_t wp__direct_settings__retry_window_ms__default_value = 10000u;
-static const uint32_t wp__direct_settings__session_ms__default_value = 5000u;
+static const double wp__direct_settings__retry_window_s__default_value = 10;
+static const double wp__direct_settings__session_s__default_value = 5;
 static const uint32_t wp__direct_settings__log_kb_per_s__default_value = 256u;
 static const double wp__direct_settings__confidence_even__default_value = 44;
 static const double wp__direct_settings__confidence_spread__default_value = 7;
@@ -1581,8 +1581,8 @@
 static const protobuf_c_boolean wp__direct_settings__keep_prompts__default_value = 1;
 static const double wp__direct_settings__weigh_pause__default_value = 1;
 static const protobuf_c_boolean wp__direct_settings__zone_news__default_value = 1;
-static const uint32_t wp__direct_settings__apply_ms__default_value = 2000u;
-static const uint32_t wp__direct_settings__memory_mb__default_value = 0u;
+static const double wp__direct_settings__apply_ms__default_value = 2000;
+static const double wp__direct_settings__memory_mb__default_value = 0;
 static const protobuf_c_boolean wp__direct_settings__first_start__default_value = 0;
 static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[39] =
 {
@@ -1734,7 +1734,7 @@
     "drain_s",
     13,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     offsetof(Wp__DirectSettings, has_drain_s),
     offsetof(Wp__DirectSettings, drain_s),
     NULL,
@@ -1767,26 +1767,26 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_window_ms",
+    "retry_window_s",
     16,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__DirectSettings, has_retry_window_ms),
-    offsetof(Wp__DirectSettings, retry_window_ms),
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_retry_window_s),
+    offsetof(Wp__DirectSettings, retry_window_s),
     NULL,
-    &wp__direct_settings__retry_window_ms__default_value,
+    &wp__direct_settings__retry_window_s__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "session_ms",
+    "session_s",
     17,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Wp__DirectSettings, has_session_ms),
-    offsetof(Wp__DirectSettings, session_ms),
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_session_s),
+    offsetof(Wp__DirectSettings, session_s),
     NULL,
-    &wp__direct_settings__session_ms__default_value,
+    &wp__direct_settings__session_s__default_value,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1818,7 +1818,7 @@
     "memory_mb",
     20,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     offsetof(Wp__DirectSettings, has_memory_mb),
     offsetof(Wp__DirectSettings, memory_mb),
     NULL,
@@ -1938,7 +1938,7 @@
     "apply_ms",
     32,
     PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     offsetof(Wp__DirectSettings, has_apply_ms),
     offsetof(Wp__DirectSettings, apply_ms),
     NULL,
@@ -2078,10 +2078,10 @@
   26,   /* field[26] = request_value */
   13,   /* field[13] = retry_ratio */
   14,   /* field[14] = retry_slack */
-  15,   /* field[15] = retry_window_ms */
+  15,   /* field[15] = retry_window_s */
   9,   /* field[9] = seed */
   20,   /* field[20] = seeds */
-  16,   /* field[16] = session_ms */
+  16,   /* field[16] = session_s */
   7,   /* field[7] = store */
   23,   /* field[23] = strain_from */
   24,   /* field[24] = strain_weight */
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -318,16 +318,19 @@
   uint64_t seed;
   char *log_level;
   char *log_format;
+  /*
+   * Durations may have decimals: operators give some in seconds.
+   */
   protobuf_c_boolean has_drain_s;
-  uint32_t drain_s;
+  double drain_s;
   protobuf_c_boolean has_retry_ratio;
   double retry_ratio;
   protobuf_c_boolean has_retry_slack;
   double retry_slack;
-  protobuf_c_boolean has_retry_window_ms;
-  uint32_t retry_window_ms;
-  protobuf_c_boolean has_session_ms;
-  uint32_t session_ms;
+  protobuf_c_boolean has_retry_window_s;
+  double retry_window_s;
+  protobuf_c_boolean has_session_s;
+  double session_s;
   protobuf_c_boolean has_log_kb_per_s;
   uint32_t log_kb_per_s;
   /*
@@ -410,9 +413,9 @@
    * A change of the store is in force everywhere within this.
    */
   protobuf_c_boolean has_apply_ms;
-  uint32_t apply_ms;
+  double apply_ms;
   protobuf_c_boolean has_memory_mb;
-  uint32_t memory_mb;
+  double memory_mb;
   /*
    * of the whole system
    */
@@ -429,7 +432,7 @@
 extern char wp__direct_settings__log_format__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8u, 0, 0.1, 0, 50, 0, 10000u, 0, 5000u, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 2000u, 0, 0u, 0, 0, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 2000, 0, 0, 0, 0, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -4,6 +4,7 @@
 #include "wp_rollout.h"
 #include "wp_settings.h"
 
+#include <math.h>
 #include <signal.h>
 
 enum {
@@ -31,7 +32,7 @@
 static void carry_on_leaving(WPDirectHost *h, WPTime now)
 {
     int64_t ms = (now.mono_us - h->leave_us) / WP_US_PER_MS;
-    int64_t most = (int64_t)h->settings->drain_s * WP_MS_PER_S;
+    int64_t most = (int64_t)(h->settings->drain_s * WP_MS_PER_S);
     unsigned open;
     if (ms < LEAVE_TAKE_MS)
         return;
@@ -71,12 +72,19 @@
     wp_front_leave(h->front);
 }
 
+/* A duration of the settings, up to a whole millisecond. */
+static uint32_t in_ms(double s)
+{
+    return (uint32_t)ceil(s * WP_MS_PER_S);
+}
+
 static WPDirectRules rules_of(const Wp__DirectSettings *s)
 {
     return (WPDirectRules){
         .zone = s->zone,
-        .retries = { s->retry_ratio, s->retry_slack, s->retry_window_ms },
-        .session_ms = s->session_ms,
+        .retries = { s->retry_ratio, s->retry_slack,
+                     in_ms(s->retry_window_s) },
+        .session_ms = in_ms(s->session_s),
         .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
                      s->request_value, s->strain_from, s->strain_weight },
         .fleet = { .own_zone = g_intern_string(s->zone),
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -372,7 +372,7 @@
 {
     WPSync *s = g_new0(WPSync, 1);
     s->host = h;
-    s->fresh.apply_ms = h->settings->apply_ms;
+    s->fresh.apply_ms = (uint32_t)h->settings->apply_ms;
     s->seen = wp_seen_new();
     s->life = (uint64_t)wp_clock_seed() << 32 | wp_clock_seed();
     s->fresh.haste = g_rand_double(h->direct.rand);
--- a/src/wp_pb.c
+++ b/src/wp_pb.c
@@ -188,9 +188,20 @@
     return f;
 }
 
+/* `field:` with nothing after it, as a template writes what it has no value
+   for. */
+static bool is_empty(const yaml_node_t *node)
+{
+    return node->type == YAML_SCALAR_NODE && !node->data.scalar.length &&
+           node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE;
+}
+
+/* An optional field without a value keeps its default. */
 static bool read_field(Reader *r, yaml_node_t *value, Field *f,
                        ProtobufCMessage *m)
 {
+    if (f->label == PROTOBUF_C_LABEL_OPTIONAL && is_empty(value))
+        return true;
     if (f->label == PROTOBUF_C_LABEL_REPEATED)
         return read_list(r, value, f, m);
     if (f->quantifier_offset)
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -46,8 +46,8 @@
     { "listed_port", 0, 65535, NULL },
     { "retry_ratio", 0, 10, NULL },
     { "retry_slack", 0, 1000000, NULL },
-    { "retry_window_ms", 100, 600000, NULL },
-    { "session_ms", 0, 86400000, NULL },
+    { "retry_window_s", 0.1, 600, NULL },
+    { "session_s", 0, 86400, NULL },
     { "log_kb_per_s", 0, 1000000, NULL },
     { "confidence_even", 0, 100, NULL },
     { "confidence_spread", 0.1, 100, NULL },
@@ -116,7 +116,8 @@
                     "%s: %s: expected one of: %s", file, f->name, r->words);
         return false;
     }
-    if (!r->words && is_number(f, at, &v) && (v < r->least || v > r->most)) {
+    /* Written so that what is not a number fails as well. */
+    if (!r->words && is_number(f, at, &v) && !(v >= r->least && v <= r->most)) {
         g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
                     "%s: %s: expected %g to %g, not %g", file, f->name,
                     r->least, r->most, v);
