Zones that an operator keeps out; lives of endpoints; entries of other writers

Cause: nothing read op/evacuate/, so requests went on to the zone; an id was taken for one start for good, so an endpoint that starts again under its id was called at its old address or not at all, with all that was believed of the life before; pf_news cast what it found (slots -3 became 4,294,967,293). Ruled out: a deadline of its own for orders (configuration already reaches every box within apply_ms, by the store or by other boxes); forgetting an endpoint whose entry turns unreadable (its requests run on, and it comes back). Change: WP_NEWS_ZONE_OUT/BACK and a flag at each endpoint that every choice, retry, resumption and source of kept prompts heeds; where a service is out everywhere, a refusal at once with 2 s. A later born, or another address, zone or service, is a new replica object; news between boxes names the life by a hash, ids alone are still understood. src/wp_json.c notes what is missing or of another type, wp_listing_problem() what is out of range; such an entry is refused whole, counted (bad_entries_total) and logged.

--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -13,6 +13,18 @@
                                      : "starting\n"));
 }
 
+typedef struct ZonesOut {
+    const char *box;
+    GString *text;
+} ZonesOut;
+
+static void add_zone_out(void *arg, const char *zone)
+{
+    ZonesOut *z = arg;
+    g_string_append_printf(z->text, "wp_zone_out{box=\"%s\",zone=\"%s\"} 1\n",
+                           z->box, zone);
+}
+
 static void on_metrics(struct evhttp_request *r, void *arg)
 {
     WPDirectHost *h = arg;
@@ -29,6 +41,8 @@
         labels, h->n_relays, labels, wp_front_connections(h->front), labels,
         (unsigned long)wp_back_opened(h->back), labels,
         wp_sync_store_up(h->sync), labels, (unsigned long)h->log.dropped);
+    ZonesOut z = { s->id, out };
+    wp_fleet_each_zone_out(h->direct.fleet, add_zone_out, &z);
     wp_http_text(r, 200, "text/plain; version=0.0.4",
                  wp_strn(out->str, out->len));
 }
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -82,8 +82,7 @@
 {
     return (WPDirectRules){
         .zone = s->zone,
-        .retries = { s->retry_ratio, s->retry_slack,
-                     in_ms(s->retry_window_s) },
+        .retries = { s->retry_ratio, s->retry_slack, in_ms(s->retry_window_s) },
         .session_ms = in_ms(s->session_s),
         .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
                      s->request_value, s->strain_from, s->strain_weight },
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -16,15 +16,35 @@
     wp_log(&h->log, WP_INFO, "routes", "version", version, NULL);
 }
 
-static void take_endpoint(WPSync *s, const WPListing *l)
+/* An entry that is of no use; one of an endpoint takes it out of use. */
+static void refuse_entry(WPSync *s, const char *key, const char *endpoint,
+                         const char *problem)
 {
+    if (endpoint)
+        wp_fleet_set_unreadable(s->host->direct.fleet, endpoint);
+    wp_count(&s->host->direct.counters, WP_C_BAD_ENTRIES);
+    wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", key, "why",
+           problem, NULL);
+}
+
+static void take_endpoint(WPSync *s, const char *key, const WPListing *l)
+{
+    const char *problem = wp_listing_problem(l);
+    if (problem) {
+        refuse_entry(s, key, l->id, problem);
+        return;
+    }
     wp_shifts_listed(s->host->direct.shifts, l->service, l->version,
                      !s->complete);
     if (!wp_fleet_put(s->host->direct.fleet, wp_clock_now(0), l))
         return;
+    char born[24], cold[24];
+    snprintf(born, sizeof(born), "%ld", (long)l->born_ms);
+    snprintf(cold, sizeof(cold), "%ld", (long)l->cold_left_ms);
     wp_log(&s->host->log, WP_INFO, "endpoint", "id", l->id, "service",
            l->service, "addr", l->addr, "zone", l->zone, "version", l->version,
-           "state", l->draining ? "draining" : "ready", NULL);
+           "born", born, "cold_ms", cold, "state",
+           l->draining ? "draining" : "ready", NULL);
 }
 
 static void lose_endpoint(WPSync *s, const char *id, bool lapsed)
@@ -37,6 +57,13 @@
     wp_fleet_remove(s->host->direct.fleet, now, id, lapsed);
 }
 
+static void take_zone(WPSync *s, const char *zone, bool out)
+{
+    if (wp_fleet_set_zone_out(s->host->direct.fleet, zone, out))
+        wp_log(&s->host->log, WP_INFO, out ? "zone_out" : "zone_back", "zone",
+               zone, NULL);
+}
+
 static void take_order(WPSync *s, const WPShiftOrder *o)
 {
     if (wp_shifts_order(s->host->direct.shifts, wp_clock_now(0), o))
@@ -100,14 +127,13 @@
     case WP_NEWS_NONE:
         break;
     case WP_NEWS_BAD:
-        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", i->key.p,
-               "why", n.problem, NULL);
+        refuse_entry(s, i->key.p, n.listing.id, n.problem);
         break;
     case WP_NEWS_ROUTES:
         take_routes(s, n.routes);
         break;
     case WP_NEWS_ENDPOINT:
-        take_endpoint(s, &n.listing);
+        take_endpoint(s, i->key.p, &n.listing);
         break;
     case WP_NEWS_GONE:
         lose_endpoint(s, n.listing.id, lapsed);
@@ -118,6 +144,10 @@
     case WP_NEWS_OUTCOME:
         take_outcome(s, &n);
         break;
+    case WP_NEWS_ZONE_OUT:
+    case WP_NEWS_ZONE_BACK:
+        take_zone(s, n.zone, n.kind == WP_NEWS_ZONE_OUT);
+        break;
     }
     s->host->platform->news_end(&n);
 }
--- a/io/wp_platform.h
+++ b/io/wp_platform.h
@@ -10,19 +10,23 @@
 
 typedef enum WPNewsKind {
     WP_NEWS_NONE,     /* an entry that does not concern the router */
-    WP_NEWS_BAD,      /* an entry that cannot be read; `problem` tells why */
+    WP_NEWS_BAD,      /* an entry that cannot be read; `problem` tells why;
+                         with the id, where it is an endpoint's */
     WP_NEWS_ROUTES,   /* a whole table of routes */
     WP_NEWS_ENDPOINT, /* an endpoint is there */
     WP_NEWS_GONE,     /* an endpoint is not there any more */
     WP_NEWS_ORDER,    /* a service is to move to another version */
-    WP_NEWS_OUTCOME   /* how such a move stands */
+    WP_NEWS_OUTCOME,  /* how such a move stands */
+    WP_NEWS_ZONE_OUT, /* an operator keeps requests out of a zone */
+    WP_NEWS_ZONE_BACK /* and not any more */
 } WPNewsKind;
 
 /* One entry of the store, decoded. */
 typedef struct WPNews {
     WPNewsKind kind;
     WPRoutes *routes;   /* ROUTES: the caller's */
-    WPListing listing;  /* ENDPOINT; GONE: the id alone */
+    WPListing listing;  /* ENDPOINT; GONE, BAD: the id alone */
+    const char *zone;   /* ZONE_OUT, ZONE_BACK */
     WPShiftOrder order; /* ORDER; OUTCOME: service, version and the record's own
                            revision */
     WPShiftState state; /* OUTCOME */
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -23,6 +23,8 @@
     X(STORE_WRITES, "store_writes_total", "writes asked of the store")         \
     X(STORE_ERRORS, "store_errors_total", "store calls that failed")           \
     X(CONFIG_CHANGES, "config_changes_total", "changes taken")                 \
+    X(BAD_ENTRIES, "bad_entries_total",                                        \
+      "entries of the store that cannot be read or be true")                   \
     X(GOSSIP_SENT, "gossip_sent_total", "messages to other boxes")             \
     X(GOSSIP_BYTES, "gossip_bytes_total", "bytes to other boxes")              \
     X(EJECTIONS, "ejections_total", "endpoints set aside")                     \
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -72,6 +72,7 @@
     f->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_ptr_array_unref);
     f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    f->zones_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
     f->rand = g_rand_new_with_seed(seed);
     return f;
@@ -91,6 +92,7 @@
     g_hash_table_unref(f->by_load);
     g_hash_table_unref(f->cohorts);
     g_hash_table_unref(f->by_hash);
+    g_hash_table_unref(f->zones_out);
     g_array_unref(f->untold);
     g_rand_free(f->rand);
     g_free(f);
@@ -106,6 +108,15 @@
     return list;
 }
 
+/* Boxes name lives to each other by this. */
+static uint64_t life_hash(const WPReplica *s)
+{
+    if (!s->born_ms)
+        return s->id_hash;
+    return wp_hash(wp_strn((const char *)&s->born_ms, sizeof(s->born_ms)),
+                   s->id_hash);
+}
+
 static WPReplica *add(WPFleet *f, const WPListing *l)
 {
     WPReplica *s = g_new0(WPReplica, 1);
@@ -115,45 +126,123 @@
     s->addr = g_strdup(l->addr);
     s->zone = g_strdup(l->zone);
     s->version = g_strdup(l->version);
+    s->born_ms = l->born_ms;
     s->cohort = wp_fleet_cohort(f, s);
     s->far = f->rules.own_zone && strcmp(f->rules.own_zone, s->zone);
+    s->zone_out = g_hash_table_contains(f->zones_out, s->zone);
     s->slowness = 1;
     s->kept = wp_kept_new();
     s->id_hash = wp_hash(wp_str(s->id), 0);
+    s->life_hash = life_hash(s);
     g_hash_table_insert(f->by_id, s->id, s);
     g_hash_table_insert(f->by_hash, &s->id_hash, s);
+    g_hash_table_insert(f->by_hash, &s->life_hash, s);
     g_ptr_array_add(wp_fleet_of_service(f, s->service), s);
     return s;
 }
 
-bool wp_fleet_put(WPFleet *f, WPTime now, const WPListing *l)
+static void forget(WPFleet *f, WPReplica *s)
 {
-    WPReplica *s = wp_fleet_find(f, l->id);
-    bool fresh = !s;
-    if (!s)
-        s = add(f, l);
-    bool changed = fresh || s->draining != l->draining ||
-                   strcmp(s->version, l->version) != 0 || s->missing_us;
-    if (strcmp(s->version, l->version)) {
+    s->gone = true;
+    g_hash_table_remove(f->by_id, s->id);
+    g_hash_table_remove(f->by_hash, &s->id_hash);
+    g_hash_table_remove(f->by_hash, &s->life_hash);
+    g_ptr_array_remove_fast(wp_fleet_of_service(f, s->service), s);
+    wp_fleet_release(s);
+}
+
+/* Of a start that is over, as another listing has told. */
+static bool is_late(const WPReplica *s, const WPListing *l)
+{
+    return l->born_ms && l->born_ms < s->born_ms;
+}
+
+static bool is_new_life(const WPReplica *s, const WPListing *l)
+{
+    bool later = s->born_ms && l->born_ms > s->born_ms;
+    return later || strcmp(s->addr, l->addr) || strcmp(s->zone, l->zone) ||
+           strcmp(s->service, l->service);
+}
+
+/* The same life, told of anew. */
+static bool update(WPFleet *f, WPReplica *s, const WPListing *l)
+{
+    bool other_version = strcmp(s->version, l->version) != 0;
+    bool changed = other_version || s->draining != l->draining ||
+                   s->missing_us || s->unreadable;
+    if (other_version) {
         g_free(s->version);
         s->version = g_strdup(l->version);
         s->cohort = wp_fleet_cohort(f, s);
     }
-    s->slots = l->slots;
-    /* What is leaving does not come back under the same id. */
-    s->draining = s->draining || l->draining;
     s->missing_us = 0;
-    s->cold_until_us = now.mono_us + (int64_t)l->cold_left_ms * WP_US_PER_MS;
+    s->unreadable = false;
     return changed;
 }
 
-static void forget(WPFleet *f, WPReplica *s)
+bool wp_fleet_put(WPFleet *f, WPTime now, const WPListing *l)
 {
-    s->gone = true;
-    g_hash_table_remove(f->by_id, s->id);
-    g_hash_table_remove(f->by_hash, &s->id_hash);
-    g_ptr_array_remove_fast(wp_fleet_of_service(f, s->service), s);
-    wp_fleet_release(s);
+    WPReplica *s = wp_fleet_find(f, l->id);
+    if (s && is_late(s, l))
+        return false;
+    if (s && is_new_life(s, l)) {
+        forget(f, s);
+        s = NULL;
+    }
+    bool changed = s ? update(f, s, l) : true;
+    if (!s)
+        s = add(f, l);
+    s->slots = (uint32_t)l->slots;
+    /* What is leaving does not come back in the same life. */
+    s->draining = s->draining || l->draining;
+    s->cold_until_us = now.mono_us + l->cold_left_ms * WP_US_PER_MS;
+    return changed;
+}
+
+void wp_fleet_set_unreadable(WPFleet *f, const char *id)
+{
+    WPReplica *s = wp_fleet_find(f, id);
+    if (s)
+        s->unreadable = true;
+}
+
+bool wp_fleet_set_zone_out(WPFleet *f, const char *zone, bool out)
+{
+    bool was = g_hash_table_contains(f->zones_out, zone);
+    GHashTableIter it;
+    gpointer p;
+    if (was == out)
+        return false;
+    if (out)
+        g_hash_table_add(f->zones_out, g_strdup(zone));
+    else
+        g_hash_table_remove(f->zones_out, zone);
+    g_hash_table_iter_init(&it, f->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        WPReplica *s = p;
+        if (!strcmp(s->zone, zone))
+            s->zone_out = out;
+    }
+    return true;
+}
+
+bool wp_fleet_is_kept_out(WPFleet *f, const char *service)
+{
+    const GPtrArray *list = wp_fleet_of_service(f, service);
+    for (guint i = 0; i < list->len; i++)
+        if (((WPReplica *)g_ptr_array_index(list, i))->zone_out)
+            return true;
+    return false;
+}
+
+void wp_fleet_each_zone_out(WPFleet *f, void (*fn)(void *, const char *),
+                            void *arg)
+{
+    GHashTableIter it;
+    gpointer zone;
+    g_hash_table_iter_init(&it, f->zones_out);
+    while (g_hash_table_iter_next(&it, &zone, NULL))
+        fn(arg, zone);
 }
 
 void wp_fleet_remove(WPFleet *f, WPTime now, const char *id, bool doubt)
@@ -289,7 +378,7 @@
     if (wp_speed_reading(w->speed, &work) < TOLD_LEAST_US)
         return;
     uint64_t key = wp_kept_key(w->model, wp_prompt_shared(w->prompt));
-    const WPKeptNews n = { s->id_hash, key, shared };
+    const WPKeptNews n = { s->life_hash, key, shared };
     if (f->untold->len < UNTOLD_MOST)
         g_array_append_val(f->untold, n);
     if (f->news)
@@ -333,7 +422,7 @@
 {
     s->ahead_us = MAX(0, s->ahead_us - reading_us);
     if (f->news)
-        wp_box_news_began(f->news, s->id_hash, reading_us);
+        wp_box_news_began(f->news, s->life_hash, reading_us);
     if (expected_us <= 0)
         return;
     double ratio = (double)took_us / (double)expected_us;
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -6,26 +6,22 @@
 #define WP_FLEET_H
 
 #include "wp_kept.h"
+#include "wp_listing.h"
 #include "wp_pause.h"
 #include "wp_speed.h"
 
-/* One endpoint as the list tells of it. */
-typedef struct WPListing {
-    const char *id; /* of this start of the endpoint; never used again */
-    const char *service, *addr, *zone, *version;
-    uint32_t slots;
-    bool draining;
-    uint32_t cold_left_ms; /* how much longer it is slow from its start */
-} WPListing;
-
 struct WPCohort;
 
+/* One life of an endpoint: what started again is another one. */
 typedef struct WPReplica {
     char *id, *service, *addr, *zone, *version;
+    int64_t born_ms;         /* time of day of its start; 0: not told */
     struct WPCohort *cohort; /* of its service and version */
     bool far;                /* not of this box's zone */
     uint32_t slots;
     bool draining;
+    bool zone_out;      /* nothing is to be sent to its zone */
+    bool unreadable;    /* its entry in the list is, at present */
     bool gone;          /* out of the list; kept while requests run on it */
     bool unreachable;   /* another endpoint answers at its address */
     int64_t missing_us; /* since when the list lacks it; 0: it does not */
@@ -44,13 +40,14 @@
     double others_us;    /* the same, sent by other boxes of the zone, as of
                             `others_at_us` */
     int64_t others_at_us;
-    WPPeaks peaks; /* of all that it had to read at one time */
-    WPKept *kept;  /* prompts that it has read for this box */
-    uint64_t id_hash;
-    double fail_rate;  /* moving average over ended requests, 0 to 1 */
-    int64_t fail_us;   /* when `fail_rate` was last brought up to date */
-    double slowness;   /* moving ratio of its time to the expected, 1: alike */
-    uint32_t failures; /* in a row */
+    WPPeaks peaks;      /* of all that it had to read at one time */
+    WPKept *kept;       /* prompts that it has read for this box */
+    uint64_t id_hash;   /* of its id: of all its lives */
+    uint64_t life_hash; /* of this one; the same when its start is not told */
+    double fail_rate;   /* moving average over ended requests, 0 to 1 */
+    int64_t fail_us;    /* when `fail_rate` was last brought up to date */
+    double slowness;    /* moving ratio of its time to the expected, 1: alike */
+    uint32_t failures;  /* in a row */
     int64_t avoid_until_us;
 } WPReplica;
 
@@ -112,9 +109,26 @@
 void wp_fleet_free(WPFleet *f);
 void wp_fleet_rules(WPFleet *f, const WPFleetRules *rules);
 
-/* Takes one listing; returns true when it changes what is known. */
+/* Takes one listing, which wp_listing_problem() has passed; returns true when
+   it changes what is known. One of a later start, or of another address, zone
+   or service, is of a new life: nothing that was believed of the one before
+   holds. One of an earlier start comes late and changes nothing. */
 bool wp_fleet_put(WPFleet *f, WPTime now, const WPListing *l);
 
+/* Its entry in the list cannot be read: it takes nothing until it can. */
+void wp_fleet_set_unreadable(WPFleet *f, const char *id);
+
+/* An operator's order that nothing is sent to the endpoints of a zone, and its
+   end. Returns true when that is new. */
+bool wp_fleet_set_zone_out(WPFleet *f, const char *zone, bool out);
+
+/* Whether the service has endpoints that only such orders keep out. */
+bool wp_fleet_is_kept_out(WPFleet *f, const char *service);
+
+/* Calls `fn` for each zone that is out. */
+void wp_fleet_each_zone_out(WPFleet *f, void (*fn)(void *arg, const char *zone),
+                            void *arg);
+
 /* The list lacks it. With `doubt` the list itself may have lost entries: the
    endpoint then stays in use until wp_fleet_tick() has waited. */
 void wp_fleet_remove(WPFleet *f, WPTime now, const char *id, bool doubt);
@@ -152,7 +166,7 @@
 /* What this box's requests have made endpoints keep and the other boxes have
    not been told of: written to `out`, they count as told. */
 typedef struct WPKeptNews {
-    uint64_t replica; /* hash of its id */
+    uint64_t replica; /* hash of its life */
     uint64_t key;     /* wp_kept_key() */
     uint32_t tokens;
 } WPKeptNews;
@@ -204,7 +218,8 @@
    others should know goes to `news`; NULL: nowhere. */
 void wp_fleet_tell(WPFleet *f, struct WPBoxNews *news);
 
-/* By the hash of its id; NULL: not known. */
+/* By the hash of its life, or of its id, as boxes tell that know no lives;
+   NULL: not known. */
 WPReplica *wp_fleet_by_hash(WPFleet *f, uint64_t hash);
 
 /* As wp_fleet_load(), and told on. */
--- a/src/wp_fleet_hear.c
+++ b/src/wp_fleet_hear.c
@@ -29,7 +29,7 @@
 void wp_fleet_tell_sent(WPFleet *f, const WPReplica *s, double reading_us)
 {
     if (f->news)
-        wp_box_news_sent(f->news, s->id_hash, reading_us);
+        wp_box_news_sent(f->news, s->life_hash, reading_us);
 }
 
 void wp_fleet_told_load(WPFleet *f, WPReplica *s, WPTime now, uint32_t running,
@@ -37,7 +37,7 @@
 {
     wp_fleet_load(s, now, running, waiting, slots);
     if (f->news)
-        wp_box_news_load(f->news, s->id_hash, running, waiting);
+        wp_box_news_load(f->news, s->life_hash, running, waiting);
 }
 
 /* Reading for other boxes' requests that is left by now. */
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -20,7 +20,8 @@
     int64_t loaded_until_us; /* the latest of theirs */
     GHashTable *by_id;
     GHashTable *by_service; /* name -> GPtrArray of WPReplica */
-    GHashTable *by_hash;    /* of the id -> WPReplica */
+    GHashTable *by_hash;    /* of the life, and of the id -> WPReplica */
+    GHashTable *zones_out;  /* set of names */
     GArray *untold;         /* WPKeptNews */
     GRand *rand;
     WPFleetRules rules;
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -28,9 +28,16 @@
     return false;
 }
 
+/* Whether requests of this service may go there at all. */
+static bool is_in_use(const WPReplica *s)
+{
+    return !s->draining && !s->gone && !s->unreachable && !s->unreadable &&
+           !s->zone_out;
+}
+
 static bool may_take(const WPWant *w, const WPReplica *s)
 {
-    if (s->draining || s->gone || s->unreachable || was_tried(w, s))
+    if (!is_in_use(s) || was_tried(w, s))
         return false;
     if (w->version)
         return !strcmp(s->version, w->version);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -10,6 +10,9 @@
                              With half a second 0.052 were refused twice on a
                              day on which all boxes start meanwhile, with this
                              0.027 */
+    KEPT_OUT_MS = 2000,   /* the same, while an operator keeps requests out of
+                             all zones that have any: orders last for seconds
+                             at least */
     LEAVING_MS = 100      /* the same, of a box that stops: others serve */
 };
 
@@ -162,6 +165,13 @@
         ms ? now.mono_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
 }
 
+/* When there may be an endpoint for the request. */
+static uint32_t endpoint_in_ms(const WPFlow *f)
+{
+    return wp_fleet_is_kept_out(f->d->fleet, f->service->name) ? KEPT_OUT_MS
+                                                               : NO_ENDPOINT_MS;
+}
+
 static uint32_t when_to_come_back(const WPDirect *d, WPCode code)
 {
     if (code == WP_NOT_READY)
@@ -207,7 +217,7 @@
     if (s)
         begin_leg(f, now, s, WP_WHY_FIRST, out);
     else
-        *out = move_fail(WP_NO_ENDPOINT, NO_ENDPOINT_MS);
+        *out = move_fail(WP_NO_ENDPOINT, endpoint_in_ms(f));
     return f;
 }
 
@@ -230,7 +240,7 @@
     if (f->ran)
         give_up(f, WP_ENDPOINT_FAILED, 0, out);
     else
-        give_up(f, WP_NO_ENDPOINT, NO_ENDPOINT_MS, out);
+        give_up(f, WP_NO_ENDPOINT, endpoint_in_ms(f), out);
 }
 
 static void pass(WPFlow *f, WPMove *out)
@@ -345,7 +355,7 @@
     if (sent)
         give_up(f, WP_TIMED_OUT, 0, out);
     else
-        give_up(f, WP_NO_ENDPOINT, NO_ENDPOINT_MS, out);
+        give_up(f, WP_NO_ENDPOINT, endpoint_in_ms(f), out);
 }
 
 /* A session binds from the end of its last request. */
--- /dev/null
+++ b/src/wp_json.c
@@ -0,0 +1,47 @@
+/* Fields of JSON objects. */
+#include "wp_json.h"
+
+#include <math.h>
+
+const char *wp_json_text(WPJson *o, const char *name)
+{
+    const char *s = json_string_value(json_object_get(o->j, name));
+    if (s && *s)
+        return s;
+    o->problem = name;
+    return "";
+}
+
+int64_t wp_json_whole(WPJson *o, const char *name, double least)
+{
+    double v = wp_json_number(o->j, name, NAN);
+    if (v >= least && v <= WP_JSON_WHOLE_MOST && v == floor(v))
+        return (int64_t)v;
+    o->problem = name;
+    return 0;
+}
+
+const json_t *wp_json_list(WPJson *o, const char *name)
+{
+    const json_t *list = json_object_get(o->j, name);
+    if (json_is_array(list))
+        return list;
+    o->problem = name;
+    return NULL;
+}
+
+double wp_json_number(const json_t *j, const char *name, double absent)
+{
+    const json_t *v = json_object_get(j, name);
+    return json_is_number(v) ? json_number_value(v) : absent;
+}
+
+uint32_t wp_json_count(const json_t *j, const char *name, double absent)
+{
+    return (uint32_t)CLAMP(wp_json_number(j, name, absent), 0, UINT32_MAX);
+}
+
+bool wp_json_flag(const json_t *j, const char *name)
+{
+    return json_is_true(json_object_get(j, name));
+}
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -63,11 +63,12 @@
         "%s:%u", p->set->listen,
         p->set->listed_port ? p->set->listed_port : p->set->port);
     g_autofree char *key = g_strconcat(PF_K_ENDPOINT, p->id, NULL);
-    json_t *j = json_pack("{s:{s:s,s:{s:s,s:s,s:s,s:s,s:i,s:s,s:i}}}", "put",
-                          "key", key, "value", "service", p->set->service,
-                          "address", addr, "zone", p->set->zone, "version",
-                          p->set->version, "slots", (int)p->set->slots, "state",
-                          p->draining ? "draining" : "ready", "coldLeftMs", 0);
+    json_t *j = json_pack(
+        "{s:{s:s,s:{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}}}", "put", "key", key,
+        "value", "service", p->set->service, "address", addr, "zone",
+        p->set->zone, "version", p->set->version, "slots", (int)p->set->slots,
+        "state", p->draining ? "draining" : "ready", "coldLeftMs", 0, "callSeq",
+        1);
     char *text = json_dumps(j, JSON_COMPACT);
     wp_http_call(p->store, "/control", text, ignore, NULL);
     free(text);
--- a/tests/test_box_news.c
+++ b/tests/test_box_news.c
@@ -182,7 +182,12 @@
 
 static void put_in(Fake *k, const char *id, const char *zone)
 {
-    const WPListing l = { id, "far", "127.0.0.1:1", zone, "v1", 8, 0, 0 };
+    const WPListing l = { .id = id,
+                          .service = "far",
+                          .addr = "127.0.0.1:1",
+                          .zone = zone,
+                          .version = "v1",
+                          .slots = 8 };
     wp_fleet_put(k->d.fleet, k->now, &l);
 }
 
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -174,7 +174,12 @@
 static void the_own_zone_comes_first_until_it_is_loaded(void **state)
 {
     Fake k;
-    WPListing far = { "a9", "app", "127.0.0.1:9", "z2", "v1", 8, false, 0 };
+    WPListing far = { .id = "a9",
+                      .service = "app",
+                      .addr = "127.0.0.1:9",
+                      .zone = "z2",
+                      .version = "v1",
+                      .slots = 8 };
     WPWant w = { .service = "app", .zone = "z1" };
     (void)state;
     fake_init(&k);
--- a/tests/test_placing.c
+++ b/tests/test_placing.c
@@ -78,8 +78,12 @@
             wp_fleet_tell(p->fleets[b], &p->news[b]);
         for (unsigned e = 0; e < ENGINES; e++) {
             g_autofree char *id = g_strdup_printf("i-%02u", e);
-            const WPListing l = { id, "llm", "127.0.0.1:1", "z1", "v1", SLOTS,
-                                  0,  0 };
+            const WPListing l = { .id = id,
+                                  .service = "llm",
+                                  .addr = "127.0.0.1:1",
+                                  .zone = "z1",
+                                  .version = "v1",
+                                  .slots = SLOTS };
             wp_fleet_put(p->fleets[b], now_of(p), &l);
         }
     }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -61,7 +61,7 @@
     WPNews n = news(PF_K_ENDPOINT "i-7",
                     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
                     "\"z\",\"version\":\"v1\",\"slots\":32,\"state\":"
-                    "\"draining\",\"coldLeftMs\":5}",
+                    "\"draining\",\"coldLeftMs\":5,\"callSeq\":1}",
                     9);
     assert_int_equal(n.kind, WP_NEWS_ENDPOINT);
     assert_string_equal(n.listing.id, "i-7");
@@ -90,6 +90,96 @@
     assert_int_equal(n.kind, WP_NEWS_NONE);
 }
 
+#define ENTRY(field)                                                           \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
+    "\"version\":\"v1\",\"slots\":32,\"state\":\"ready\",\"coldLeftMs\":0,"    \
+    "\"callSeq\":1," field "}"
+
+/* What another writer may leave in the store names nothing to use. Of a field
+   that is written twice the last one counts. */
+static void entries_of_other_writers_are_refused(void **state)
+{
+    static const struct {
+        const char *key, *value, *problem;
+    } rows[] = {
+        { PF_K_ENDPOINT "e", "", "not a JSON object" },
+        { PF_K_ENDPOINT "e", "\xff\xfe{", "not a JSON object" },
+        { PF_K_ENDPOINT "e", "[]", "not a JSON object" },
+        { PF_K_ENDPOINT "e", "{}", "state" },
+        { PF_K_ENDPOINT "e", ENTRY("\"slots\":-3"), "slots" },
+        { PF_K_ENDPOINT "e", ENTRY("\"slots\":\"8\""), "slots" },
+        { PF_K_ENDPOINT "e", ENTRY("\"slots\":8.5"), "slots" },
+        { PF_K_ENDPOINT "e", ENTRY("\"slots\":null"), "slots" },
+        { PF_K_ENDPOINT "e", ENTRY("\"state\":\"sleeping\""), "state" },
+        { PF_K_ENDPOINT "e", ENTRY("\"state\":7"), "state" },
+        { PF_K_ENDPOINT "e", ENTRY("\"service\":[]"), "service" },
+        { PF_K_ENDPOINT "e", ENTRY("\"address\":{}"), "address" },
+        { PF_K_ENDPOINT "e", ENTRY("\"zone\":\"\""), "zone" },
+        { PF_K_ENDPOINT "e", ENTRY("\"version\":3"), "version" },
+        { PF_K_ENDPOINT "e", ENTRY("\"coldLeftMs\":-5"), "coldLeftMs" },
+        { PF_K_ENDPOINT "e", ENTRY("\"coldLeftMs\":1e300"), "coldLeftMs" },
+        { PF_K_ENDPOINT "e", ENTRY("\"callSeq\":true"), "callSeq" },
+        { PF_K_ENDPOINT "e", ENTRY("\"born\":1.5"), "born" },
+        { PF_K_ENDPOINT "e", ENTRY("\"born\":\"now\""), "born" },
+        { PF_K_ORDER "s", "{\"service\":\"s\"}", "targetVersion" },
+        { PF_K_OUTCOME "s", "{\"targetVersion\":\"v\",\"state\":\"odd\"}",
+          "state" },
+        { PF_K_CONFIG, "{\"version\":1,\"services\":[],\"routes\":{}}",
+          "routes" },
+        { PF_K_CONFIG, "{\"version\":\"1\",\"services\":[],\"routes\":[]}",
+          "version" },
+        { PF_K_CONFIG, "{\"version\":1,\"services\":[{}],\"routes\":[]}",
+          "name" },
+        { PF_K_CONFIG,
+          "{\"version\":1,\"services\":[],\"routes\":[{\"name\":\"r\",\"host\":"
+          "\"h\",\"prefix\":\"/"
+          "\",\"kind\":\"safe\",\"service\":\"s\",\"sizes\":"
+          "[1,null]}]}",
+          "sizes" },
+        { PF_K_CONFIG,
+          "{\"version\":1,\"services\":[],\"routes\":[],\"tenants\":7}",
+          "tenants" },
+    };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(rows); i++) {
+        WPNews n = news(rows[i].key, rows[i].value, 3);
+        if (n.kind != WP_NEWS_BAD || strcmp(n.problem, rows[i].problem))
+            fail_msg("%s: %s", rows[i].value, n.problem);
+        assert_null(n.routes);
+        if (g_str_has_prefix(rows[i].key, PF_K_ENDPOINT))
+            assert_string_equal(n.listing.id, "e");
+        pf_news_end(&n);
+    }
+}
+
+static void a_start_is_read_where_it_is_told(void **state)
+{
+    (void)state;
+    WPNews n = news(PF_K_ENDPOINT "e", ENTRY("\"born\":1700000000123"), 3);
+    assert_int_equal(n.kind, WP_NEWS_ENDPOINT);
+    assert_int_equal(n.listing.born_ms, 1700000000123);
+    pf_news_end(&n);
+    n = news(PF_K_ENDPOINT "e", ENTRY("\"other\":[]"), 3);
+    assert_int_equal(n.kind, WP_NEWS_ENDPOINT);
+    assert_int_equal(n.listing.born_ms, 0);
+    pf_news_end(&n);
+}
+
+/* The key alone is the order, whatever bytes it has. */
+static void orders_to_keep_out_of_a_zone_are_read(void **state)
+{
+    static const char *const values[] = { "{}", "", "\xff" };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(values); i++) {
+        WPNews n = news(PF_K_ZONE_OUT "z1", values[i], 3);
+        assert_int_equal(n.kind, WP_NEWS_ZONE_OUT);
+        assert_string_equal(n.zone, "z1");
+    }
+    WPNews n = news(PF_K_ZONE_OUT "z1", NULL, 4);
+    assert_int_equal(n.kind, WP_NEWS_ZONE_BACK);
+    assert_string_equal(n.zone, "z1");
+}
+
 static void an_outcome_that_is_written_reads_the_same(void **state)
 {
     WPShift sh = { .service = (char *)"s", .version = (char *)"v2" };
@@ -243,6 +333,9 @@
 
 TESTS_MAIN(T(a_configuration_is_read_whole),
            T(endpoints_orders_and_outcomes_are_read),
+           T(entries_of_other_writers_are_refused),
+           T(a_start_is_read_where_it_is_told),
+           T(orders_to_keep_out_of_a_zone_are_read),
            T(an_outcome_that_is_written_reads_the_same),
            T(a_request_goes_on_with_what_is_the_callers),
            T(shared_prompts_are_known_by_all_parts_but_the_last),
