test_sync: the fake's listing names its fields

Cause: WPListing got born_ms before slots; the positional initializer of the fake put 8 into born_ms and 0 into slots, which the new check refuses. The test's checks are as they were.

--- a/tests/sync_fake.h
+++ b/tests/sync_fake.h
@@ -104,8 +104,12 @@
         return;
     }
     *out = (WPNews){ .kind = item->removed ? WP_NEWS_GONE : WP_NEWS_ENDPOINT,
-                     .listing = { item->key.p, "llm", "127.0.0.1:1", "z1", "v1",
-                                  8, 0, 0 } };
+                     .listing = { .id = item->key.p,
+                                  .service = "llm",
+                                  .addr = "127.0.0.1:1",
+                                  .zone = "z1",
+                                  .version = "v1",
+                                  .slots = 8 } };
 }
 
 static void end_news(WPNews *n)
