Requests to cold endpoints are paced over all boxes, by owners

Cause: coldPerS of a service was read nowhere and a cold endpoint was merely less preferred; the bound on the sum over all boxes was met by luck. Change: src/wp_pace.c, quotas within 1.1 s by rendezvous hashing over the boxes that the store lists, half of the bound in all; an endpoint counts as cold by the list, after silence, and when its zone is brought back; when all are used up a refusal at once (503 endpoints_starting) with the true time.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1581,10 +1581,12 @@
 static const protobuf_c_boolean wp__direct_settings__keep_prompts__default_value = 1;
 static const double wp__direct_settings__weigh_pause__default_value = 1;
 static const protobuf_c_boolean wp__direct_settings__zone_news__default_value = 1;
+static const double wp__direct_settings__cold_overshoot__default_value = 1;
+static const double wp__direct_settings__cold_slack__default_value = 0;
 static const double wp__direct_settings__apply_ms__default_value = 2000;
 static const double wp__direct_settings__memory_mb__default_value = 0;
 static const protobuf_c_boolean wp__direct_settings__first_start__default_value = 0;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[39] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[41] =
 {
   {
     "id",
@@ -2054,12 +2056,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_overshoot",
+    42,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_cold_overshoot),
+    offsetof(Wp__DirectSettings, cold_overshoot),
+    NULL,
+    &wp__direct_settings__cold_overshoot__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_slack",
+    43,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_cold_slack),
+    offsetof(Wp__DirectSettings, cold_slack),
+    NULL,
+    &wp__direct_settings__cold_slack__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
   29,   /* field[29] = apply_ms */
   8,   /* field[8] = charts */
   28,   /* field[28] = choices */
+  39,   /* field[39] = cold_overshoot */
+  40,   /* field[40] = cold_slack */
   18,   /* field[18] = confidence_even */
   21,   /* field[21] = confidence_spread */
   12,   /* field[12] = drain_s */
@@ -2100,7 +2128,7 @@
 {
   { 1, 0 },
   { 29, 26 },
-  { 0, 39 }
+  { 0, 41 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2110,7 +2138,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  39,
+  41,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   2,  wp__direct_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -409,6 +409,14 @@
    */
   protobuf_c_boolean has_zone_news;
   protobuf_c_boolean zone_news;
+  /*
+   * Requests that reach a cold endpoint in a second: so many times what its
+   * service tells, and so many besides.
+   */
+  protobuf_c_boolean has_cold_overshoot;
+  double cold_overshoot;
+  protobuf_c_boolean has_cold_slack;
+  double cold_slack;
   /*
    * A change of the store is in force everywhere within this.
    */
@@ -432,7 +440,7 @@
 extern char wp__direct_settings__log_format__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 2000, 0, 0, 0, 0, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -92,6 +92,8 @@
                    .home = s->weigh_home,
                    .read_kt = s->weigh_read_kt,
                    .move_kt = s->weigh_move_kt,
+                   .cold_overshoot = s->cold_overshoot,
+                   .cold_slack = s->cold_slack,
                    .keep = s->keep_prompts,
                    .pause = s->weigh_pause,
                    .slow = s->weigh_slow,
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -197,6 +197,23 @@
     m->addr = g_strdup(addr);
     m->zone = g_strdup(zone);
     g_hash_table_replace(p->members, m->id, m);
+    p->changes++;
+}
+
+uint32_t wp_peers_changes(const WPPeers *p)
+{
+    return p->changes;
+}
+
+void wp_peers_each_member(WPPeers *p, WPPeersEach fn, void *arg)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, p->members);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const WPPeerMember *m = v;
+        fn(arg, m->id, m->addr, m->zone);
+    }
 }
 
 void wp_peers_announce(WPPeers *p)
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -85,6 +85,10 @@
                             const char *zone);
 void wp_peers_each(WPPeers *p, WPPeersEach fn, void *arg);
 
+/* The same for each other box that is known, and how often those changed. */
+void wp_peers_each_member(WPPeers *p, WPPeersEach fn, void *arg);
+uint32_t wp_peers_changes(const WPPeers *p);
+
 /* Links that work at present. */
 unsigned wp_peers_linked(const WPPeers *p);
 
--- a/io/wp_peers_int.h
+++ b/io/wp_peers_int.h
@@ -31,6 +31,7 @@
     const WPPeersOps *ops;
     void *arg;
     GHashTable *members; /* id -> WPPeerMember */
+    uint32_t changes;    /* of that table */
     GPtrArray *seeds;    /* addresses */
     unsigned n_seeds;
     int64_t digest_us;
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -111,6 +111,8 @@
                                leg->work.unread, leg->expect_us / WP_US_PER_MS);
     if (m->fetch)
         g_string_append_printf(r->legs, ":fetch=%s", m->fetch);
+    if (wp_fleet_is_cold(s, now))
+        g_string_append(r->legs, ":cold");
 }
 
 static void note_result(Relay *r, const char *how)
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -308,6 +308,29 @@
     return slow || (s->tried && !s->up);
 }
 
+static void add_box(void *arg, const char *id, const char *addr,
+                    const char *zone)
+{
+    const WPPaceBox b = { wp_hash(wp_str(id), 0), zone };
+    (void)addr;
+    g_array_append_val((GArray *)arg, b);
+}
+
+/* Which boxes send to the same endpoints. */
+static void share_endpoints(WPSync *s)
+{
+    const Wp__DirectSettings *set = s->host->settings;
+    const WPPaceBox self = { wp_hash(wp_str(set->id), 0), set->zone };
+    if (s->boxes_known == wp_peers_changes(s->peers) + 1)
+        return;
+    s->boxes_known = wp_peers_changes(s->peers) + 1;
+    g_autoptr(GArray) others = g_array_new(FALSE, FALSE, sizeof(WPPaceBox));
+    wp_peers_each_member(s->peers, add_box, others);
+    wp_fleet_set_boxes(s->host->direct.fleet, &self,
+                       (const WPPaceBox *)(void *)others->data, others->len,
+                       wp_peers_known(s->peers));
+}
+
 void wp_sync_tick(WPSync *s, WPTime now)
 {
     s->tick_us = now.mono_us;
@@ -332,6 +355,7 @@
         s->start_us = MIN(s->start_us, now.mono_us);
     wp_peers_tick(s->peers, now);
     s->host->direct.boxes = wp_peers_known(s->peers);
+    share_endpoints(s);
 }
 
 void wp_sync_share(WPSync *s)
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -34,6 +34,8 @@
     WPKv *kv;
     WPMirror *mirror;
     WPPeers *peers;
+    uint32_t boxes_known; /* one more than wp_peers_changes() when the
+                             fleet was told; 0: it was not */
     struct WPZone *zone;
     bool reading;                 /* a range is under way */
     int64_t read_us;              /* since when */
--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -23,6 +23,8 @@
     X(NO_ENDPOINT, "no_endpoint", 503, NOT_RUN, "no endpoint is available")    \
     X(SESSION_BOUND, "session_bound", 503, NOT_RUN,                            \
       "the session's version has been replaced; it is free again then")        \
+    X(STARTING, "endpoints_starting", 503, NOT_RUN,                            \
+      "the endpoints have just started and take few requests")                 \
     X(OVERLOADED, "overloaded", 429, NOT_RUN, "no capacity at this time")      \
     X(LATE, "deadline_unreachable", 429, NOT_RUN,                              \
       "the deadline cannot be met")                                            \
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -58,6 +58,10 @@
     }
     wp_routes_unref(d->routes);
     d->routes = t;
+    for (guint i = 0; i < t->services->len; i++) {
+        const WPService *s = g_ptr_array_index(t->services, i);
+        wp_fleet_set_cold(d->fleet, s->name, s->cold_per_s, s->cold_start_s);
+    }
     wp_count(&d->counters, WP_C_CONFIG_CHANGES);
     return true;
 }
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -10,7 +10,10 @@
     LOADED_LASTS_US = 30000 * WP_US_PER_MS, /* after the last failure */
     AVOID_FIRST_US = 500 * WP_US_PER_MS,
     AVOID_MOST_US = 4000 * WP_US_PER_MS,
-    AVOID_FAILURES = 3 /* in a row until it is avoided */
+    AVOID_FAILURES = 3, /* in a row until it is avoided */
+    DOUBT_FAILURES = 2  /* in a row, then an answer: it may have started again;
+                           one in thirty answers is spoilt or lost now and then,
+                           two in a row hardly ever */
 };
 
 /* A version fails under load when so many answers of loaded endpoints failed,
@@ -73,6 +76,8 @@
                                           (GDestroyNotify)g_ptr_array_unref);
     f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     f->zones_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    f->cold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    wp_pace_boxes_init(&f->boxes);
     f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
     f->rand = g_rand_new_with_seed(seed);
     return f;
@@ -93,6 +98,8 @@
     g_hash_table_unref(f->cohorts);
     g_hash_table_unref(f->by_hash);
     g_hash_table_unref(f->zones_out);
+    g_hash_table_unref(f->cold);
+    wp_pace_boxes_end(&f->boxes);
     g_array_unref(f->untold);
     g_rand_free(f->rand);
     g_free(f);
@@ -117,6 +124,36 @@
                    s->id_hash);
 }
 
+static WPColdRule *cold_rule(WPFleet *f, const char *service)
+{
+    WPColdRule *r = g_hash_table_lookup(f->cold, service);
+    if (!r) {
+        r = g_new0(WPColdRule, 1);
+        g_hash_table_insert(f->cold, g_strdup(service), r);
+    }
+    return r;
+}
+
+void wp_fleet_set_cold(WPFleet *f, const char *service, double per_s,
+                       double start_s)
+{
+    WPColdRule *r = cold_rule(f, service);
+    r->per_s = per_s;
+    r->start_us = (int64_t)(start_s * WP_US_PER_S);
+}
+
+void wp_fleet_set_boxes(WPFleet *f, const WPPaceBox *self,
+                        const WPPaceBox *others, size_t n, unsigned least)
+{
+    wp_pace_boxes_set(&f->boxes, self, others, n, least);
+}
+
+/* Until the list tells, it may be cold. */
+static void doubt(WPReplica *s, WPTime now)
+{
+    s->doubt_until_us = now.mono_us + s->cold->start_us;
+}
+
 static WPReplica *add(WPFleet *f, const WPListing *l)
 {
     WPReplica *s = g_new0(WPReplica, 1);
@@ -128,6 +165,7 @@
     s->version = g_strdup(l->version);
     s->born_ms = l->born_ms;
     s->cohort = wp_fleet_cohort(f, s);
+    s->cold = cold_rule(f, s->service);
     s->far = f->rules.own_zone && strcmp(f->rules.own_zone, s->zone);
     s->zone_out = g_hash_table_contains(f->zones_out, s->zone);
     s->slowness = 1;
@@ -206,7 +244,7 @@
         s->unreadable = true;
 }
 
-bool wp_fleet_set_zone_out(WPFleet *f, const char *zone, bool out)
+bool wp_fleet_set_zone_out(WPFleet *f, WPTime now, const char *zone, bool out)
 {
     bool was = g_hash_table_contains(f->zones_out, zone);
     GHashTableIter it;
@@ -220,8 +258,11 @@
     g_hash_table_iter_init(&it, f->by_id);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         WPReplica *s = p;
-        if (!strcmp(s->zone, zone))
-            s->zone_out = out;
+        if (strcmp(s->zone, zone))
+            continue;
+        s->zone_out = out;
+        if (!out)
+            doubt(s, now);
     }
     return true;
 }
@@ -407,6 +448,7 @@
 {
     s->in_flight++;
     s->since_load++;
+    wp_pace_note(&s->pace, now);
     s->ahead_us += reading_us;
     wp_peaks_note(&s->peaks, now, wp_fleet_ahead_us(s, now));
     wp_fleet_tell_sent(f, s, reading_us);
@@ -451,6 +493,8 @@
         s->ahead_us = 0;
     switch (how) {
     case WP_SERVED_OK:
+        if (s->failures >= DOUBT_FAILURES)
+            doubt(s, now);
         s->failures = 0;
         s->avoid_until_us = 0;
         note_outcome(s, now, false);
@@ -469,6 +513,7 @@
         avoid(s, now, 0);
         break;
     case WP_SERVED_SILENT:
+        doubt(s, now);
         s->failures++;
         note_outcome(s, now, true);
         avoid(s, now, s->failures);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -7,10 +7,12 @@
 
 #include "wp_kept.h"
 #include "wp_listing.h"
+#include "wp_pace.h"
 #include "wp_pause.h"
 #include "wp_speed.h"
 
 struct WPCohort;
+struct WPColdRule;
 
 /* One life of an endpoint: what started again is another one. */
 typedef struct WPReplica {
@@ -25,7 +27,10 @@
     bool gone;          /* out of the list; kept while requests run on it */
     bool unreachable;   /* another endpoint answers at its address */
     int64_t missing_us; /* since when the list lacks it; 0: it does not */
-    int64_t cold_until_us;
+    const struct WPColdRule *cold; /* of its service */
+    int64_t cold_until_us;         /* by the list */
+    int64_t doubt_until_us;        /* it may have started again unnoticed */
+    WPPace pace;                   /* what this box has sent there */
     int refs; /* requests that hold it, and the fleet itself */
 
     /* What the endpoint told, and when. */
@@ -96,7 +101,8 @@
     double read_kt; /* of each 1,000 shared tokens that are read again */
     double move_kt; /* of each 1,000 tokens that are taken from another engine;
                        0: none are */
-    bool keep;      /* note what engines keep of prompts */
+    double cold_overshoot, cold_slack; /* see WPPaceRules */
+    bool keep;                         /* note what engines keep of prompts */
     double pause; /* of a stream that pauses for too long, for what it loses */
     double slow;  /* of its slowness beyond its peers' */
     uint32_t choices; /* candidates drawn at random, the home besides; 0: all */
@@ -120,7 +126,23 @@
 
 /* An operator's order that nothing is sent to the endpoints of a zone, and its
    end. Returns true when that is new. */
-bool wp_fleet_set_zone_out(WPFleet *f, const char *zone, bool out);
+bool wp_fleet_set_zone_out(WPFleet *f, WPTime now, const char *zone, bool out);
+
+/* How a service's endpoints start: so many requests a second reach one while it
+   is cold (0: they need no pacing), for so long after an unnoticed start. */
+void wp_fleet_set_cold(WPFleet *f, const char *service, double per_s,
+                       double start_s);
+
+/* The boxes that send to these endpoints. */
+void wp_fleet_set_boxes(WPFleet *f, const WPPaceBox *self,
+                        const WPPaceBox *others, size_t n, unsigned least);
+
+/* Whether the endpoint is to be spared requests, as it has just started. */
+bool wp_fleet_is_cold(const WPReplica *s, WPTime now);
+
+/* In how many ms one of the endpoints that are only spared takes a request; 0:
+   none is. */
+uint32_t wp_fleet_spared_ms(WPFleet *f, WPTime now, const WPWant *w);
 
 /* Whether the service has endpoints that only such orders keep out. */
 bool wp_fleet_is_kept_out(WPFleet *f, const char *service);
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -14,7 +14,15 @@
     int64_t at_us;   /* when that was worked out */
 } WPCohort;
 
+/* How the endpoints of a service start. */
+typedef struct WPColdRule {
+    double per_s; /* requests that a cold one bears; 0: no matter */
+    int64_t start_us;
+} WPColdRule;
+
 struct WPFleet {
+    WPPaceBoxes boxes;
+    GHashTable *cold;        /* service -> WPColdRule */
     GHashTable *cohorts;     /* "SERVICE VERSION" -> WPCohort */
     GHashTable *by_load;     /* service and version -> LoadSeen */
     int64_t loaded_until_us; /* the latest of theirs */
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -131,6 +131,46 @@
     return best;
 }
 
+bool wp_fleet_is_cold(const WPReplica *s, WPTime now)
+{
+    return s->cold->per_s > 0 &&
+           MAX(s->cold_until_us, s->doubt_until_us) > now.mono_us;
+}
+
+/* When a cold endpoint takes this box's next request; INT64_MAX: not before it
+   is warm. */
+static int64_t free_us(WPFleet *f, WPReplica *s)
+{
+    const WPPaceRules rules = { s->cold->per_s, f->rules.cold_overshoot,
+                                f->rules.cold_slack };
+    WPPace *p = &s->pace;
+    if (p->change != f->boxes.change)
+        p->quota = wp_pace_quota(&f->boxes, &rules, s->life_hash, s->zone);
+    p->change = f->boxes.change;
+    return wp_pace_free_us(p, p->quota);
+}
+
+static bool is_spared(WPFleet *f, WPTime now, WPReplica *s)
+{
+    return wp_fleet_is_cold(s, now) && free_us(f, s) > now.mono_us;
+}
+
+uint32_t wp_fleet_spared_ms(WPFleet *f, WPTime now, const WPWant *w)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    int64_t best_us = INT64_MAX;
+    for (guint i = 0; i < list->len; i++) {
+        WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s) || !is_spared(f, now, s))
+            continue;
+        int64_t warm_us = MAX(s->cold_until_us, s->doubt_until_us);
+        best_us = MIN(best_us, MIN(warm_us, free_us(f, s)));
+    }
+    if (best_us == INT64_MAX)
+        return 0;
+    return (uint32_t)((best_us - now.mono_us) / WP_US_PER_MS) + 1;
+}
+
 /* Whether one of `n` is among the candidates of this choice. */
 static bool is_drawn(WPFleet *f, guint n)
 {
@@ -148,7 +188,8 @@
     wp_keepers_find(&keepers, now, w, list);
     for (guint i = 0; i < list->len; i++) {
         WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)))
+        if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)) ||
+            is_spared(f, now, s))
             continue;
         double v = score(f, now, w, s, keepers.own[i], &keepers, s == home);
         if (!best || v < best_score) {
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -165,11 +165,16 @@
         ms ? now.mono_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
 }
 
-/* When there may be an endpoint for the request. */
-static uint32_t endpoint_in_ms(const WPFlow *f)
+/* No endpoint takes the request at present: why, and when one may. */
+static WPMove no_endpoint(WPFlow *f, WPTime now)
 {
-    return wp_fleet_is_kept_out(f->d->fleet, f->service->name) ? KEPT_OUT_MS
-                                                               : NO_ENDPOINT_MS;
+    const WPWant w = wp_flow_want(f);
+    WPFleet *fleet = f->d->fleet;
+    uint32_t spared_ms = wp_fleet_spared_ms(fleet, now, &w);
+    if (spared_ms)
+        return move_fail(WP_STARTING, spared_ms);
+    bool kept_out = wp_fleet_is_kept_out(fleet, f->service->name);
+    return move_fail(WP_NO_ENDPOINT, kept_out ? KEPT_OUT_MS : NO_ENDPOINT_MS);
 }
 
 static uint32_t when_to_come_back(const WPDirect *d, WPCode code)
@@ -217,7 +222,7 @@
     if (s)
         begin_leg(f, now, s, WP_WHY_FIRST, out);
     else
-        *out = move_fail(WP_NO_ENDPOINT, endpoint_in_ms(f));
+        *out = no_endpoint(f, now);
     return f;
 }
 
@@ -229,6 +234,13 @@
         *out = move_fail(code, retry_ms);
 }
 
+/* The same of a request that no endpoint has run. */
+static void give_up_unrun(WPFlow *f, WPTime now, WPMove *out)
+{
+    const WPMove m = no_endpoint(f, now);
+    give_up(f, m.code, m.retry_ms, out);
+}
+
 /* The endpoint did not run it. The request has not run at all only if no
    earlier leg may have. */
 static void after_refusal(WPFlow *f, WPTime now, WPServed how, WPMove *out)
@@ -240,7 +252,7 @@
     if (f->ran)
         give_up(f, WP_ENDPOINT_FAILED, 0, out);
     else
-        give_up(f, WP_NO_ENDPOINT, endpoint_in_ms(f), out);
+        give_up_unrun(f, now, out);
 }
 
 static void pass(WPFlow *f, WPMove *out)
@@ -355,7 +367,7 @@
     if (sent)
         give_up(f, WP_TIMED_OUT, 0, out);
     else
-        give_up(f, WP_NO_ENDPOINT, endpoint_in_ms(f), out);
+        give_up_unrun(f, now, out);
 }
 
 /* A session binds from the end of its last request. */
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -95,7 +95,9 @@
         s = choose_side(f, now, sh, w);
     if (!s) /* the other side rather than none */
         s = wp_fleet_choose(d->fleet, now, &w);
-    if (!s && !sh) { /* a version that no order has named rather than none */
+    bool spared = !s && wp_fleet_spared_ms(d->fleet, now, &w);
+    if (!s && !sh && !spared) {
+        /* A version that no order has named rather than none. */
         w.allowed = NULL;
         s = wp_fleet_choose(d->fleet, now, &w);
     }
--- /dev/null
+++ b/src/wp_pace.c
@@ -0,0 +1,106 @@
+/* The pacing of requests to cold endpoints. */
+#include "wp_pace.h"
+
+#include <math.h>
+
+/* The platform counts within one second; requests that leave so far apart
+   arrive further apart than that, though ways differ by some ms. */
+#define WINDOW_US (1100 * WP_US_PER_MS)
+
+/* The part of the bound that boxes with one list of boxes use. With two lists
+   that have nothing in common they would reach the bound. */
+#define BOUND_PART 0.5
+
+/* Of the senders so many at most are of the endpoint's zone, where most
+   requests for it come from; the others serve the rest and a zone without
+   boxes. */
+#define NEAR_PART 0.75
+
+void wp_pace_boxes_init(WPPaceBoxes *b)
+{
+    const WPPaceBox self = { 0, "" };
+    *b = (WPPaceBoxes){ .all = g_array_new(FALSE, FALSE, sizeof(WPPaceBox)) };
+    wp_pace_boxes_set(b, &self, NULL, 0, 1);
+}
+
+void wp_pace_boxes_end(WPPaceBoxes *b)
+{
+    g_array_unref(b->all);
+}
+
+static void add_box(WPPaceBoxes *b, const WPPaceBox *box)
+{
+    const WPPaceBox own = { box->hash, g_intern_string(box->zone) };
+    g_array_append_val(b->all, own);
+}
+
+void wp_pace_boxes_set(WPPaceBoxes *b, const WPPaceBox *self,
+                       const WPPaceBox *others, size_t n, unsigned least)
+{
+    g_array_set_size(b->all, 0);
+    add_box(b, self);
+    b->self = g_array_index(b->all, WPPaceBox, 0);
+    for (size_t i = 0; i < n; i++)
+        if (others[i].hash != self->hash)
+            add_box(b, &others[i]);
+    b->least = MAX(least, b->all->len);
+    b->change = MAX(b->change + 1, 1);
+}
+
+/* By rendezvous hashing every box ranks the senders of an endpoint alike, and a
+   box that comes or goes changes few of them. */
+static uint64_t weight_of(uint64_t box, uint64_t endpoint)
+{
+    uint64_t key[2] = { box, endpoint };
+    return wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
+}
+
+/* The boxes on this box's side of the endpoint's zone, in it or not. */
+typedef struct Side {
+    bool is_near;
+    unsigned boxes, others; /* on this side, this box included; on the other */
+    unsigned rank;          /* boxes of this side that come before this one */
+} Side;
+
+static Side side_of(const WPPaceBoxes *b, uint64_t endpoint, const char *zone)
+{
+    uint64_t own = weight_of(b->self.hash, endpoint);
+    Side s = { .is_near = !strcmp(b->self.zone, zone) };
+    for (guint i = 0; i < b->all->len; i++) {
+        const WPPaceBox *o = &g_array_index(b->all, WPPaceBox, i);
+        bool same = !strcmp(o->zone, zone) == s.is_near;
+        s.boxes += same;
+        s.others += !same;
+        s.rank += same && weight_of(o->hash, endpoint) > own;
+    }
+    /* Those that are not known may be on this side. */
+    s.boxes += b->least - b->all->len;
+    return s;
+}
+
+unsigned wp_pace_quota(const WPPaceBoxes *b, const WPPaceRules *r,
+                       uint64_t endpoint, const char *zone)
+{
+    double bound = floor(r->per_s * r->overshoot + r->slack);
+    unsigned all = (unsigned)MAX(bound * BOUND_PART, 1);
+    unsigned near = (unsigned)ceil(all * NEAR_PART);
+    Side s = side_of(b, endpoint, zone);
+    unsigned part = !s.others ? all : s.is_near ? near : all - near;
+    unsigned quota = part / s.boxes + (s.rank < part % s.boxes);
+    return MIN(quota, WP_PACE_QUOTA_MOST);
+}
+
+void wp_pace_note(WPPace *p, WPTime now)
+{
+    p->sent_us[p->next] = now.mono_us;
+    p->next = (p->next + 1) % WP_PACE_QUOTA_MOST;
+}
+
+int64_t wp_pace_free_us(const WPPace *p, unsigned quota)
+{
+    if (!quota)
+        return INT64_MAX;
+    /* The one that has to be a window old: of the last `quota` the oldest. */
+    unsigned at = (p->next + WP_PACE_QUOTA_MOST - quota) % WP_PACE_QUOTA_MOST;
+    return p->sent_us[at] ? p->sent_us[at] + WINDOW_US : 0;
+}
--- a/src/wp_route.h
+++ b/src/wp_route.h
@@ -24,6 +24,9 @@
     uint32_t max_connections; /* an endpoint's, from all boxes together */
     uint32_t slots; /* requests an engine runs at once; 0: not an engine */
     uint64_t memory_tokens; /* an engine's; 0: not an engine */
+    double cold_per_s;      /* requests that an endpoint bears while it is cold;
+                               0: it needs no pacing */
+    double cold_start_s;    /* how long it is cold after a start */
     GArray *models;         /* WPModel */
 } WPService;
 
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -66,6 +66,8 @@
     { "choices", 0, 1000, NULL },
     { "apply_ms", 200, 600000, NULL },
     { "dwell_part", 0, 1, NULL },
+    { "cold_overshoot", 0, 1000, NULL },
+    { "cold_slack", 0, 100000, NULL },
 };
 
 static const Range *range_of(const char *field)
--- a/tests/test_lives.c
+++ b/tests/test_lives.c
@@ -137,15 +137,15 @@
     (void)state;
     fake_init(&k);
     put_in_zone(&k, "far", "z2");
-    assert_true(wp_fleet_set_zone_out(k.d.fleet, "z1", true));
-    assert_false(wp_fleet_set_zone_out(k.d.fleet, "z1", true));
+    assert_true(wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", true));
+    assert_false(wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", true));
     put_in_zone(&k, "late", "z1"); /* listed meanwhile */
     for (int i = 0; i < 50; i++)
         assert_string_equal(chosen(&k, "/safe/x"), "far");
     /* A zone that nobody knows keeps nothing out. */
-    assert_true(wp_fleet_set_zone_out(k.d.fleet, "z9", true));
+    assert_true(wp_fleet_set_zone_out(k.d.fleet, k.now, "z9", true));
     assert_string_equal(chosen(&k, "/safe/x"), "far");
-    assert_true(wp_fleet_set_zone_out(k.d.fleet, "z1", false));
+    assert_true(wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", false));
     unsigned near = 0;
     for (int i = 0; i < 50; i++)
         near += strcmp(chosen(&k, "/safe/x"), "far") != 0;
@@ -159,7 +159,7 @@
     Fake k;
     (void)state;
     fake_init(&k);
-    wp_fleet_set_zone_out(k.d.fleet, "z1", true);
+    wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", true);
     WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
     assert_int_equal(m.kind, WP_MOVE_FAIL);
     assert_int_equal(m.code, WP_NO_ENDPOINT);
@@ -179,7 +179,7 @@
     put_in_zone(&k, "far", "z2");
     WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
     while (strcmp(m.replica->id, "far")) { /* begun before the order */
-        wp_fleet_set_zone_out(k.d.fleet, "z1", true);
+        wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", true);
         wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
         assert_int_equal(m.kind, WP_MOVE_SEND);
     }
