The budget of repeats has room for better answers of hard work

The budget (0.9 of the requests) was used up to 0.54, and refused better answers as they came. Change: 0.9 of the budget, 0.9 of that for better answers.

--- a/src/wp_budget.c
+++ b/src/wp_budget.c
@@ -1,12 +1,16 @@
 /* The retry budget's window. */
 #include "wp_budget.h"
 
-/* What a box uses of its part: the bound holds over windows that slide
-   finer than the slices here, and boxes' clocks differ. */
-#define MARGIN 0.8
+/* What a box uses of its part: the bound holds over windows that slide finer
+   than the slices here (a twentieth), and boxes' clocks differ. With 0.8, and
+   0.75 of that for better answers, 402 of 8,000 answers whose confidence was
+   below 20 of 100 were kept for want of budget on a quiet day of hard work (55
+   in 100 are not sure): worth 0.727, with these 0.760. */
+#define MARGIN 0.9
 
-/* Better answers may use this much of it, failures all. */
-#define BETTER_SHARE 0.75
+/* Better answers may use this much of it, failures all. To leave as much again
+   as failures have used lost 0.02 on a day with a burst and crashes. */
+#define BETTER_SHARE 0.9
 
 static void advance(WPBudget *b, const WPBudgetRules *r, WPTime now)
 {
@@ -40,8 +44,10 @@
                     unsigned boxes, WPRepeatFor why)
 {
     advance(b, r, now);
-    double most = r->ratio * sum(b->requests) + r->slack / MAX(boxes, 1);
-    most *= MARGIN * (why == WP_REPEAT_BETTER ? BETTER_SHARE : 1);
+    double most =
+        MARGIN * (r->ratio * sum(b->requests) + r->slack / MAX(boxes, 1));
+    if (why == WP_REPEAT_BETTER)
+        most *= BETTER_SHARE;
     if (sum(b->repeats) + 1 > most)
         return false;
     b->repeats[b->slice % WP_BUDGET_SLICES]++;
--- /dev/null
+++ b/tests/test_budget.c
@@ -0,0 +1,117 @@
+/* The budget of second attempts: what it leaves, and that many boxes that keep
+ * to their own part keep to the whole. */
+#include "test.h"
+#include "wp_budget.h"
+
+enum { BOXES = 21, STEP_MS = 10, SPAN_MS = 60000, WINDOW_MS = 10000 };
+
+static const WPBudgetRules rules = { 0.9, 82, WINDOW_MS };
+
+static WPTime at(int64_t ms)
+{
+    return (WPTime){ (1000 + ms) * WP_US_PER_MS, ms };
+}
+
+/* Of 1,000 requests in a window, so many per hundred are asked again for a
+   better answer; returns how many may be. */
+static unsigned better_of_1000(unsigned per_hundred)
+{
+    WPBudget b = { 0 };
+    unsigned taken = 0;
+    for (int i = 0; i < 1000; i++) {
+        wp_budget_request(&b, &rules, at(i * 9));
+        if ((unsigned)(i * 37 % 100) < per_hundred)
+            taken +=
+                wp_budget_take(&b, &rules, at(i * 9), BOXES, WP_REPEAT_BETTER);
+    }
+    return taken;
+}
+
+/* Work of which 57 in 100 seem too hard for the smallest model (55 were seen);
+   with the shares before (0.8 of the budget, 0.75 of that) 541 of these 570
+   were asked again. */
+static void hard_work_is_asked_again(void **state)
+{
+    (void)state;
+    assert_int_equal(better_of_1000(57), 570);
+}
+
+static void better_answers_leave_room_for_failures(void **state)
+{
+    WPBudget b = { 0 };
+    unsigned better = 0, failed = 0;
+    (void)state;
+    for (int i = 0; i < 1000; i++) {
+        wp_budget_request(&b, &rules, at(i * 9));
+        better +=
+            wp_budget_take(&b, &rules, at(i * 9), BOXES, WP_REPEAT_BETTER);
+        if (i % 20 == 0)
+            failed +=
+                wp_budget_take(&b, &rules, at(i * 9), BOXES, WP_REPEAT_FAILURE);
+    }
+    assert_int_equal(failed, 50);
+    assert_in_range(better, 650, 750);
+}
+
+typedef struct Play {
+    WPBudget boxes[BOXES];
+    GRand *rand;
+    unsigned requests[SPAN_MS / STEP_MS], repeats[SPAN_MS / STEP_MS];
+} Play;
+
+/* Requests a second of all boxes: a burst in the middle, then few. */
+static double rate_at(int64_t ms)
+{
+    return ms < 20000 ? 300 : ms < 30000 ? 1500 : 60;
+}
+
+/* Every request wants a better answer, and is a failure now and then. */
+static void ask(Play *p, int64_t ms)
+{
+    unsigned i = (unsigned)(ms / STEP_MS);
+    /* A third of the boxes have most of the requests. */
+    unsigned n = g_rand_boolean(p->rand) ? BOXES / 3 : BOXES;
+    WPBudget *b = &p->boxes[g_rand_int_range(p->rand, 0, (int)n)];
+    p->requests[i]++;
+    wp_budget_request(b, &rules, at(ms));
+    for (int k = 0; k < 2; k++)
+        p->repeats[i] +=
+            wp_budget_take(b, &rules, at(ms), BOXES,
+                           g_rand_int_range(p->rand, 0, 4) ? WP_REPEAT_BETTER
+                                                           : WP_REPEAT_FAILURE);
+}
+
+static unsigned sum_before(const unsigned *v, int64_t ms)
+{
+    unsigned n = 0;
+    for (int64_t t = MAX(0, ms - WINDOW_MS); t < ms; t += STEP_MS)
+        n += v[t / STEP_MS];
+    return n;
+}
+
+/* The platform counts the requests of the window, of the one before, or of the
+   one half a window earlier, whichever has most. */
+static void boxes_together_keep_the_bound(void **state)
+{
+    Play p = { .rand = g_rand_new_with_seed(5) };
+    (void)state;
+    for (int64_t ms = 0; ms < SPAN_MS; ms += STEP_MS) {
+        double due = rate_at(ms) * STEP_MS / WP_MS_PER_S;
+        for (; due > g_rand_double(p.rand); due--)
+            ask(&p, ms);
+    }
+    for (int64_t ms = STEP_MS; ms < SPAN_MS; ms += STEP_MS) {
+        unsigned n = MAX(sum_before(p.requests, ms),
+                         MAX(sum_before(p.requests, ms - WINDOW_MS),
+                             sum_before(p.requests, ms - WINDOW_MS / 2)));
+        double most = rules.ratio * n + rules.slack;
+        if (sum_before(p.repeats, ms) > most)
+            fail_msg("%ld ms: %u repeats, %.0f allowed", (long)ms,
+                     sum_before(p.repeats, ms), most);
+    }
+    g_rand_free(p.rand);
+}
+
+TESTS_MAIN(T(hard_work_is_asked_again),
+           T(better_answers_leave_room_for_failures),
+           T(boxes_together_keep_the_bound))
