The fleet's beliefs and the relay's log lines have files of their own

Change: src/wp_fleet_learn.c, io/wp_relay_log.c with io/wp_relay_int.h; moved as they were. No behaviour changed.

--- /dev/null
+++ b/io/wp_relay_log.c
@@ -0,0 +1,72 @@
+/* What the log tells of one request: a line at its end. */
+#include "wp_relay_int.h"
+
+#include <stdio.h>
+
+enum {
+    LOG_NUMBER = 24 /* bytes of a figure as text */
+};
+
+void wp_relay_log_end(WPRelay *r, const char *outcome, int status)
+{
+    const WPFlow *f = r->flow;
+    char ms[LOG_NUMBER], code[LOG_NUMBER], version[LOG_NUMBER];
+    char session[LOG_NUMBER], first[LOG_NUMBER], tokens[LOG_NUMBER];
+    char gap[LOG_NUMBER], aims[LOG_NUMBER];
+    int64_t us = wp_clock_now(0).mono_us - f->start_us;
+    uint64_t table = f->routes ? f->routes->version : 0;
+    snprintf(ms, sizeof(ms), "%.1f", (double)us / WP_US_PER_MS);
+    snprintf(code, sizeof(code), "%d", status);
+    snprintf(session, sizeof(session), "%016lx", (unsigned long)f->session);
+    snprintf(version, sizeof(version), "%lu", (unsigned long)table);
+    /* When a stream began, and the tokens read and (as told) to be made. */
+    snprintf(first, sizeof(first), "%.1f",
+             r->begun_us ? (double)(r->begun_us - f->start_us) / WP_US_PER_MS
+                         : 0);
+    snprintf(gap, sizeof(gap), "%.1f", (double)f->gap_us / WP_US_PER_MS);
+    snprintf(aims, sizeof(aims), "%u+%u", f->route ? f->route->aim_ms : 0,
+             f->route ? f->route->gap_ms : 0);
+    snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt.tokens,
+             f->answer_tokens);
+    wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
+           "status", code, "ms", ms, "first_ms", first, "gap_ms", gap, "aims",
+           aims, "tokens", tokens, "route", f->route ? f->route->name : "-",
+           "service", f->service ? f->service->name : "-", "workspace",
+           f->workspace ? f->workspace : "-", "routes_version", version,
+           "session", f->session ? session : "-", "legs", r->legs->str, NULL);
+}
+
+void wp_relay_note_leg(WPRelay *r, const WPMove *m, WPTime now)
+{
+    const WPReplica *s = m->replica;
+    int64_t age_ms =
+        s->load_us ? (now.mono_us - s->load_us) / WP_US_PER_MS : -1;
+    g_string_append_printf(r->legs, "%s%s:%s:%s:%.*s:load=%u+%u/%u:age=%ldms",
+                           r->legs->len ? "," : "", wp_why_name(m->why), s->id,
+                           s->version, (int)m->model.n, m->model.p, s->running,
+                           s->waiting, s->slots, (long)age_ms);
+    const WPAttempt *leg = &r->flow->leg;
+    if (leg->expect_us > 0)
+        g_string_append_printf(r->legs, ":unread=%u:expect=%.0fms",
+                               leg->work.unread, leg->expect_us / WP_US_PER_MS);
+    if (m->fetch)
+        g_string_append_printf(r->legs, ":fetch=%s", m->fetch);
+    if (wp_fleet_is_cold(s, now))
+        g_string_append(r->legs, ":cold");
+}
+
+void wp_relay_note_result(WPRelay *r, const char *how)
+{
+    g_string_append_printf(r->legs, ":%s", how);
+}
+
+void wp_relay_note_answer(WPRelay *r)
+{
+    int64_t us = wp_clock_now(0).mono_us - r->flow->leg.sent_us;
+    g_string_append_printf(r->legs, ":%d/%ldms", r->answer.status,
+                           (long)(us / WP_US_PER_MS));
+    if (r->answer.confidence >= 0)
+        g_string_append_printf(r->legs, "/conf=%d", r->answer.confidence);
+    if (r->answer.not_run)
+        g_string_append(r->legs, "/not_run");
+}
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -1,4 +1,4 @@
-/* What wp_fleet.c and wp_fleet_pick.c share. */
+/* What the files of the fleet share. */
 #ifndef WP_FLEET_INT_H
 #define WP_FLEET_INT_H
 
@@ -37,6 +37,9 @@
     struct WPBoxNews *news; /* what the zone is told; NULL: nothing */
 };
 
+/* wp_fleet_learn.c: until the list tells, it may be cold. */
+void wp_fleet_doubt(WPReplica *s, WPTime now);
+
 /* The endpoints of a service (WPReplica), made when it is not known yet. */
 GPtrArray *wp_fleet_of_service(WPFleet *f, const char *service);
 
