A resting connection that ends early is a sign of a start

Ruled out: counting every idle end (endpoints close what rests for long). Change: one that ends before the time the endpoint told with Keep-Alive makes the endpoint count as cold for coldStartS; the stand-in tells that time.

--- a/io/wp_back.c
+++ b/io/wp_back.c
@@ -35,6 +35,7 @@
     size_t queued; /* bytes of the request */
     int64_t idle_since_us;
     int64_t idle_us; /* how long it may rest */
+    bool idle_told;  /* by the endpoint */
     bool connected, no_body;
     bool mine, began, keep; /* of the answer being read */
     bool dead;              /* freed at the end of the callback under way */
@@ -111,7 +112,8 @@
     double seconds = keep_alive_s(h);
     c->mine = !interim && c->arg && c->back->ops->is_mine(c->arg, h);
     c->keep = h->keep_alive && !h->until_close;
-    c->idle_us = seconds > 0
+    c->idle_told = seconds > 0;
+    c->idle_us = c->idle_told
                      ? (int64_t)(seconds * KEEP_ALIVE_PART * WP_US_PER_S)
                      : (int64_t)c->back->rules.idle_ms * WP_US_PER_MS;
     if (!c->mine)
@@ -208,6 +210,15 @@
         event_del(c->connect_timer);
 }
 
+/* A resting connection that ends before the time that the endpoint told is a
+   sign that it has started again. */
+static void note_idle_end(const WPChannel *c, WPTime now)
+{
+    bool early = now.mono_us - c->idle_since_us < c->idle_us;
+    if (!c->arg && c->idle_told && early)
+        wp_fleet_idle_lost(c->to, now);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
     WPChannel *c = arg;
@@ -216,6 +227,7 @@
         on_connected(c);
         return;
     }
+    note_idle_end(c, wp_clock_now(0));
     c->in_callback = true;
     bool clean = (what & BEV_EVENT_EOF) && c->arg && c->mine;
     if (clean && wp_h1_eof(&c->h1) == WP_H1_WHOLE && !c->dead) {
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -232,6 +232,10 @@
 bool wp_fleet_spares(WPFleet *f, WPTime now, const WPWant *w,
                      const char *version);
 
+/* A resting connection to it ended before its time: it may have started again,
+   and the list tells of that some tenths of a second later. */
+void wp_fleet_idle_lost(WPReplica *s, WPTime now);
+
 /* The endpoint's own word on its load. */
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -189,6 +189,11 @@
     s->slowness += SLOW_WEIGHT * (ratio - s->slowness);
 }
 
+void wp_fleet_idle_lost(WPReplica *s, WPTime now)
+{
+    wp_fleet_doubt(s, now);
+}
+
 static void note_outcome(WPReplica *s, WPTime now, bool failed)
 {
     s->fail_rate = wp_fleet_fail_rate(s, now);
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -88,6 +88,7 @@
     if (id)
         evhttp_add_header(h, PF_H_REQUEST_ID, id);
     evhttp_add_header(h, PF_H_LOAD, load);
+    evhttp_add_header(h, "Keep-Alive", "timeout=30");
     if (!ran) {
         evhttp_add_header(h, PF_H_NOT_RUN, "1");
         return;
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -231,6 +231,20 @@
     fake_end(&k);
 }
 
+/* Nor can the list tell at once of one whose connections have ended. */
+static void lost_resting_connections_are_a_sign_of_a_start(void **state)
+{
+    Fake k;
+    (void)state;
+    WPReplica *s = begin(&k);
+    s->cold_until_us = 0;
+    wp_fleet_idle_lost(s, k.now);
+    assert_true(wp_fleet_is_cold(s, k.now));
+    fake_pass(&k, 3001);
+    assert_false(wp_fleet_is_cold(s, k.now));
+    fake_end(&k);
+}
+
 /* All of a zone that an operator brings back may be cold. */
 static void a_zone_that_is_back_is_taken_for_cold(void **state)
 {
@@ -253,4 +267,5 @@
            T(a_box_that_starts_waits_for_a_window),
            T(other_services_are_not_paced),
            T(what_comes_back_after_silence_is_taken_for_cold),
+           T(lost_resting_connections_are_a_sign_of_a_start),
            T(a_zone_that_is_back_is_taken_for_cold))
