--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -197,33 +197,41 @@
     return some_move(s, now, is_partial);
 }
 
-bool wp_shifts_is_target(const WPShifts *s, const char *version)
+typedef bool (*ShiftHas)(const WPShift *sh, const char *version);
+
+/* Whether some move has this to do with the version. */
+static bool some_has(const WPShifts *s, const char *version, ShiftHas has)
 {
     GHashTableIter it;
     gpointer p;
     g_hash_table_iter_init(&it, s->by_service);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const WPShift *sh = p;
-        if (sh->state == WP_SHIFT_RUNNING && !strcmp(sh->version, version))
+    while (g_hash_table_iter_next(&it, NULL, &p))
+        if (has(p, version))
             return true;
-    }
     return false;
 }
 
+static bool leads_to(const WPShift *sh, const char *version)
+{
+    return sh->state == WP_SHIFT_RUNNING && !strcmp(sh->version, version);
+}
+
+static bool was_done_away_from(const WPShift *sh, const char *version)
+{
+    bool done = sh->state == WP_SHIFT_DONE && strcmp(sh->version, version);
+    return done || wp_shift_has_left(sh, version);
+}
+
+bool wp_shifts_is_target(const WPShifts *s, const char *version)
+{
+    return some_has(s, version, leads_to);
+}
+
 /* XXX: of versions that two services name alike, the one that is left counts
    for both. */
 bool wp_shifts_have_left(const WPShifts *s, const char *version)
 {
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, s->by_service);
-    while (g_hash_table_iter_next(&it, NULL, &p)) {
-        const WPShift *sh = p;
-        bool done = sh->state == WP_SHIFT_DONE && strcmp(sh->version, version);
-        if (done || wp_shift_has_left(sh, version))
-            return true;
-    }
-    return false;
+    return some_has(s, version, was_done_away_from);
 }
 
 void wp_shifts_listed(WPShifts *s, const char *service, const char *version,
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -106,18 +106,19 @@
     wp_pace_boxes_end(&b);
 }
 
+static const WPListing cold_listing = { .id = "l1",
+                                        .service = "llm",
+                                        .addr = "127.0.0.1:1",
+                                        .zone = "z1",
+                                        .version = "v1",
+                                        .slots = 8,
+                                        .cold_left_ms = 3000 };
+
 /* The list of services asks for pacing, one endpoint is cold, and this box is
    one of eight. */
 static WPReplica *begin(Fake *k)
 {
     const WPPaceBox self = { 1, "z1" };
-    const WPListing l = { .id = "l1",
-                          .service = "llm",
-                          .addr = "127.0.0.1:1",
-                          .zone = "z1",
-                          .version = "v1",
-                          .slots = 8,
-                          .cold_left_ms = 3000 };
     fake_init(k);
     k->d.rules.fleet.cold_overshoot = 1.5;
     k->d.rules.fleet.cold_slack = 5;
@@ -126,10 +127,19 @@
     wp_fleet_set_cold(k->d.fleet, "llm", 18, 3);
     wp_fleet_remove(k->d.fleet, k->now, "l2", false);
     fake_pass(k, WP_PACE_WINDOW_MS);
-    wp_fleet_put(k->d.fleet, k->now, &l);
+    wp_fleet_put(k->d.fleet, k->now, &cold_listing);
     return wp_fleet_find(k->d.fleet, "l1");
 }
 
+/* The same, and the endpoint is warm by now. */
+static WPReplica *begin_warm(Fake *k)
+{
+    WPReplica *s = begin(k);
+    s->cold_until_us = 0;
+    assert_false(wp_fleet_is_cold(s, k->now));
+    return s;
+}
+
 /* One request that is answered at once; the reason when there is none. */
 static const char *ask_once(Fake *k, WPMove *m)
 {
@@ -183,14 +193,7 @@
     k.d.fleet = wp_fleet_new(1);
     wp_fleet_rules(k.d.fleet, &k.d.rules.fleet);
     wp_fleet_set_cold(k.d.fleet, "llm", 18, 3);
-    const WPListing l = { .id = "l1",
-                          .service = "llm",
-                          .addr = "127.0.0.1:1",
-                          .zone = "z1",
-                          .version = "v1",
-                          .slots = 8,
-                          .cold_left_ms = 3000 };
-    wp_fleet_put(k.d.fleet, k.now, &l);
+    wp_fleet_put(k.d.fleet, k.now, &cold_listing);
     assert_string_equal(ask_once(&k, &m), "endpoints_starting");
     assert_in_range(m.retry_ms, 1000, 1200);
     fake_pass(&k, m.retry_ms);
@@ -217,9 +220,7 @@
 {
     Fake k;
     (void)state;
-    WPReplica *s = begin(&k);
-    s->cold_until_us = 0;
-    assert_false(wp_fleet_is_cold(s, k.now));
+    WPReplica *s = begin_warm(&k);
     wp_fleet_ended(s, k.now, WP_SERVED_SILENT);
     wp_fleet_ended(s, k.now, WP_SERVED_SILENT);
     fake_pass(&k, 10000);
@@ -236,8 +237,7 @@
 {
     Fake k;
     (void)state;
-    WPReplica *s = begin(&k);
-    s->cold_until_us = 0;
+    WPReplica *s = begin_warm(&k);
     wp_fleet_idle_lost(s, k.now);
     assert_true(wp_fleet_is_cold(s, k.now));
     fake_pass(&k, 3001);
@@ -250,8 +250,7 @@
 {
     Fake k;
     (void)state;
-    WPReplica *s = begin(&k);
-    s->cold_until_us = 0;
+    WPReplica *s = begin_warm(&k);
     wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", true);
     assert_false(wp_fleet_is_cold(s, k.now));
     wp_fleet_set_zone_out(k.d.fleet, k.now, "z1", false);
