--- a/Makefile
+++ b/Makefile
@@ -129,7 +129,13 @@
 PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
 PLATFORM_LINES := 900
 
-# The formatter, the linter, the rule that src/ does no I/O, and those of
+# Fails when a file of folder $(1) includes a header of a folder other than $(2).
+includes_only = for h in $$(sed -n 's/^\#include "\(.*\)"/\1/p' $(1)/*.[ch] | sort -u); do \
+	found=; for d in $(2); do [ ! -f $$d/$$h ] || found=1; done; \
+	[ "$$found" ] || { echo "$(1)/ may not include $$h (docs/ARCHITECTURE.md)"; exit 1; }; done
+
+# The formatter, the linter, the rule that src/ does no I/O, what each folder
+# may include, and the rules of
 # platform/: nothing outside names the platform's words, and it stays small.
 lint:
 	@clang-format --dry-run -Werror $(OWN)
@@ -139,6 +145,13 @@
 	    src io cmd standins tools platform
 	@! grep -nE 'event2/|sys/socket|\b(clock_gettime|gettimeofday|g_get_(monotonic|real)_time|fopen|g_file_get_contents|socket)\(' src/*.[ch]
 	@! grep -nE '$(PLATFORM_WORDS)' src/*.[ch] io/*.[ch] cmd/*.[ch] tools/*.[ch] bench/*.[ch]
+	@$(call includes_only,src,src gen)
+	@$(call includes_only,io,io src gen)
+	@$(call includes_only,platform,platform io src gen cmd)
+	@$(call includes_only,cmd,cmd io src gen)
+	@$(call includes_only,standins,standins platform io src gen cmd)
+	@$(call includes_only,tools,tools io src gen cmd)
+	@$(call includes_only,bench,bench tools src gen)
 	@test $$(cat platform/*.[ch] | wc -l) -le $(PLATFORM_LINES)
 	@echo "lint: clean"
 
