--- a/standins/replica.c
+++ b/standins/replica.c
@@ -6,7 +6,10 @@
  * So is what makes a version bad: fail, on fail_path alone (a path's beginning)
  * and only while fail_running requests run; slow: a share that takes slow_ms
  * longer, and ten times as long from event to event.
- * /control also tells what ran: ids with how often, and what broke a promise.
+ * A request whose body begins with "crash" ends the process that runs it, a
+ * stream after its first event; "BAD BODY MS ID" and "CRASH BODY MS ID" are
+ * noted when it comes and when that happens. /control also tells what ran: ids
+ * with how often, and what broke a promise.
  */
 #include "pf_names.h"
 #include "stand.h"
@@ -21,7 +24,9 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-enum { EVENT_MS = 10, LOOK_MS = 20, SLOW_TIMES = 10 };
+enum { EVENT_MS = 10, LOOK_MS = 20, SLOW_TIMES = 10, CRASH_CODE = 3 };
+
+#define CRASH "crash"
 
 typedef struct Replica {
     struct event_base *base;
@@ -48,6 +53,7 @@
     struct event *timer;
     char *id;
     char *path;
+    char *crash; /* the body; NULL: it does no harm */
     bool stream, begun, cut, mute, slow;
     unsigned next, last;
 } Run;
@@ -106,6 +112,7 @@
     event_free(n->timer);
     g_free(n->id);
     g_free(n->path);
+    g_free(n->crash);
     g_free(n);
 }
 
@@ -190,6 +197,25 @@
     note(p, line);
 }
 
+/* Of a request that crashes what runs it: "WHAT BODY MS ID". */
+static void note_crash(const Replica *p, const char *what, const char *body)
+{
+    g_autofree char *line =
+        g_strdup_printf("%s %s %ld %s\n", what, body, now_ms(), p->id);
+    note(p, line);
+}
+
+/* The body, if it is one that crashes; NULL: it is not. */
+static char *crash_of(struct evhttp_request *r)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(r);
+    size_t n = evbuffer_get_length(in);
+    const char *body = (const char *)evbuffer_pullup(in, -1);
+    if (!body || n < strlen(CRASH) || strncmp(body, CRASH, strlen(CRASH)))
+        return NULL;
+    return g_strndup(body, n);
+}
+
 static bool fails(const Run *n)
 {
     const Replica *p = n->to;
@@ -208,6 +234,10 @@
         stay_mute(n);
         return;
     }
+    if (n->crash && (!n->stream || n->begun)) {
+        note_crash(p, "CRASH", n->crash);
+        _exit(CRASH_CODE);
+    }
     if (!n->begun && fails(n)) {
         note_bad(p);
         answer_text(n, 500);
@@ -278,7 +308,11 @@
     g_hash_table_replace(p->ids, g_strdup(id), GINT_TO_POINTER(times + 1));
     p->ran++;
     check_cold(p);
-    note_run(p, r, id);
+    g_autofree char *crash = crash_of(r);
+    if (crash)
+        note_crash(p, "BAD", crash);
+    else
+        note_run(p, r, id);
     p->wrong += wp_http_header(r, PF_H_KEY) != NULL ||
                 wp_http_header(r, PF_H_HOLD) != NULL;
     p->keyless += wp_http_header(r, PF_H_WORKSPACE) == NULL;
@@ -289,6 +323,7 @@
     n->id = g_strdup(id);
     n->path = g_strdup(stand_path(r));
     n->slow = p->slow > 0 && g_rand_double(p->rand) < p->slow;
+    n->crash = g_steal_pointer(&crash);
     n->stream = strstr(stand_path(r), "stream") != NULL;
     n->next = after ? (unsigned)atoi(after) + 1 : 1;
     n->last = (unsigned)p->events;
--- a/tests/path.c
+++ b/tests/path.c
@@ -453,6 +453,32 @@
     restart(p, child(p->replicas, replica));
 }
 
+bool path_replica_ended(Path *p, unsigned replica)
+{
+    Child *c = child(p->replicas, replica);
+    if (c->running && waitpid(c->pid, NULL, WNOHANG) == c->pid)
+        c->running = false;
+    return !c->running;
+}
+
+/* Its id is the last word of the line that it wrote as it ended. */
+void path_unlist_replica(Path *p, unsigned replica)
+{
+    g_autofree char *file = g_build_filename(p->folder, "runs", NULL);
+    g_autofree char *text = NULL;
+    g_autofree char *id =
+        g_strdup_printf(" i-%u-", child(p->replicas, replica)->port);
+    if (!g_file_get_contents(file, &text, NULL, NULL))
+        return;
+    const char *at = g_strrstr(text, id);
+    if (!at)
+        return;
+    g_autofree char *last = g_strndup(at + 1, strcspn(at, "\n") - 1);
+    g_autofree char *json =
+        g_strdup_printf("{\"remove\":\"servers/%s\"}", last);
+    json_decref(control(p->store.control, json));
+}
+
 void path_way_to_store(Path *p, unsigned entry, const char *json)
 {
     json_decref(control(child(p->proxies, entry)->control, json));
@@ -497,13 +523,15 @@
 }
 
 static char *request_text(const char *id, const char *method,
-                          const char *target, const char *fields)
+                          const char *target, const char *fields,
+                          const char *body)
 {
     return g_strdup_printf(
         "%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\n"
         "X-Deadline-Ms: 20000\r\nX-Hold: forged\r\n%s"
-        "Content-Length: 0\r\n\r\n",
-        method, target, id, fields ? fields : "Authorization: Token key-1\r\n");
+        "Content-Length: %zu\r\n\r\n%s",
+        method, target, id, fields ? fields : "Authorization: Token key-1\r\n",
+        strlen(body), body);
 }
 
 static PathAnswer begin_with(Path *p, unsigned entry, const char *method,
@@ -511,7 +539,7 @@
 {
     PathAnswer a = begin_at(child(p->entries, entry)->port);
     g_snprintf(a.id, sizeof(a.id), "r%u", ++p->asked);
-    g_autofree char *text = request_text(a.id, method, target, fields);
+    g_autofree char *text = request_text(a.id, method, target, fields, "");
     if (a.fd >= 0)
         send_all(a.fd, text);
     return a;
@@ -520,7 +548,13 @@
 void path_exchange(PathAnswer *a, uint16_t port, const char *method,
                    const char *target)
 {
-    g_autofree char *text = request_text(a->id, method, target, NULL);
+    path_exchange_body(a, port, method, target, "");
+}
+
+void path_exchange_body(PathAnswer *a, uint16_t port, const char *method,
+                        const char *target, const char *body)
+{
+    g_autofree char *text = request_text(a->id, method, target, NULL, body);
     if (a->fd < 0)
         a->fd = dial(port);
     if (a->fd >= 0)
@@ -622,7 +656,7 @@
 {
     unsigned n = 0;
     for (guint i = 0; i < p->replicas->len; i++)
-        if (!child(p->replicas, i)->gone)
+        if (!child(p->replicas, i)->gone && !path_replica_ended(p, i))
             n += figure(p, i, "wrong") + figure(p, i, "keyless");
     return n;
 }
--- a/tests/path.h
+++ b/tests/path.h
@@ -38,6 +38,8 @@
    threads of the soak, which keep connections open. */
 void path_exchange(PathAnswer *a, uint16_t port, const char *method,
                    const char *target);
+void path_exchange_body(PathAnswer *a, uint16_t port, const char *method,
+                        const char *target, const char *body);
 
 /* Bytes as they are; all that comes back until the connection ends. */
 PathAnswer path_raw(Path *p, unsigned entry, const char *bytes);
@@ -72,6 +74,11 @@
 void path_signal_entry(Path *p, unsigned entry, int signal);
 void path_restart_entry(Path *p, unsigned entry);
 void path_restart_replica(Path *p, unsigned replica);
+
+/* Whether a replica that was started has ended by itself; takes its entry out
+   of the store's list. */
+bool path_replica_ended(Path *p, unsigned replica);
+void path_unlist_replica(Path *p, unsigned replica);
 void path_way_to_store(Path *p, unsigned entry, const char *json);
 void path_way_to_replica(Path *p, unsigned replica, const char *json);
 void path_try_fault(Path *p, unsigned replica, const char *json);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -16,10 +16,13 @@
  *   - with --moves (soak_move.h): a version that is bad gets few requests, is
  *     left in time, and no move to it is completed;
  *   - with --zones (soak_zone.h): nothing runs in a zone that is kept out, and
- * no cold endpoint gets more than it bears.
+ * no cold endpoint gets more than it bears;
+ *   - with --crashing (soak_crash.h): a request that crashes what runs it ends
+ * few endpoints, and others are served.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
- *          [--callers 8] [--moves alone|beside] [--zones] */
+ *          [--callers 8] [--moves alone|beside] [--zones] [--crashing] */
+#include "soak_crash.h"
 #include "soak_move.h"
 #include "soak_zone.h"
 
@@ -37,6 +40,8 @@
 
 static char *moves;    /* NULL, "alone" or "beside" other faults */
 static gboolean zones; /* zones that are kept out, beside starts of processes */
+static gboolean
+    crashing; /* requests that crash endpoints, and no other fault */
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* One request as a caller saw it end. */
@@ -54,8 +59,9 @@
     gint stop, lives[64]; /* generation of each entry's process */
     gint shown[64];       /* generation that has shown the new route */
     uint32_t seed;
-    SoakMove *move; /* NULL: none */
-    SoakZone *zone; /* NULL: none */
+    SoakMove *move;   /* NULL: none */
+    SoakZone *zone;   /* NULL: none */
+    SoakCrash *crash; /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -150,7 +156,8 @@
     }
     if (a.body)
         g_string_free(a.body, TRUE);
-    if (!a.status)
+    bool heeds = crashing && a.status != 200; /* as callers are told to */
+    if (!a.status || heeds)
         g_usleep(STEP_LEAST_MS * WP_US_PER_MS);
 }
 
@@ -296,7 +303,7 @@
     }
 }
 
-static void restart_for_move(void *arg, unsigned entry)
+static void restart_for(void *arg, unsigned entry)
 {
     restart_entry(arg, entry);
 }
@@ -316,7 +323,10 @@
             soak_move_tick(s->move);
         if (s->zone)
             soak_zone_tick(s->zone);
-        if (faults->len < FAULTS_MOST && g_strcmp0(moves, "alone")) {
+        if (s->crash)
+            soak_crash_tick(s->crash);
+        if (!s->crash && faults->len < FAULTS_MOST &&
+            g_strcmp0(moves, "alone")) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
         }
@@ -414,12 +424,16 @@
                       .entry = (unsigned)(i % entries) };
         threads[i] = g_thread_new("caller", call_on, &all[i]);
     }
-    const SoakMoveOps ops = { restart_for_move, &s };
+    const SoakMoveOps ops = { restart_for, &s };
+    const SoakCrashOps crash_ops = { restart_for, &s };
     if (moves)
         s.move = soak_move_new(s.path, seed, seconds, (unsigned)entries,
                                (unsigned)replicas, &ops);
     if (zones)
         s.zone = soak_zone_new(s.path, seed);
+    if (crashing)
+        s.crash = soak_crash_new(s.path, seed, (unsigned)entries,
+                                 (unsigned)replicas, &crash_ops);
     play_faults(&s);
     check_recovery(&s);
     g_atomic_int_set(&s.stop, 1);
@@ -432,9 +446,11 @@
     unsigned served = check_runs(&s);
     if (path_broken(s.path))
         complain(&s, "an endpoint saw what only the system may set");
-    g_autofree char *more = s.move   ? soak_move_end(s.move, s.problems)
-                            : s.zone ? soak_zone_end(s.zone, s.problems)
-                                     : g_strdup("no move");
+    g_autofree char *more =
+        s.move    ? soak_move_end(s.move, s.problems)
+        : s.zone  ? soak_zone_end(s.zone, s.problems)
+        : s.crash ? soak_crash_end(s.crash, s.seen->len, served, s.problems)
+                  : g_strdup("no move");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
            ok ? "ok" : "FAILED", s.seen->len, served, more, s.problems->str);
@@ -459,6 +475,8 @@
         { "moves", 0, 0, G_OPTION_ARG_STRING, &moves, "one a run",
           "alone|beside" },
         { "zones", 0, 0, G_OPTION_ARG_NONE, &zones, "kept out by turns", NULL },
+        { "crashing", 0, 0, G_OPTION_ARG_NONE, &crashing,
+          "requests that crash endpoints", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
