The clock counts while the machine is suspended

Cause: the steady clock stands still then: a request held its endpoint longer by as much, the time of day was taken for stepped, and the loop's timers are late. What was ruled out: the time of day in its place (it steps). Change: CLOCK_BOOTTIME; after a late tick the ends of all requests are set anew. Measured: a_suspended_box_counts_the_time fails before (the request ended after 20 s of its own), passes after; test_path 12 of 12.

--- a/io/wp_clock.c
+++ b/io/wp_clock.c
@@ -1,9 +1,25 @@
 /* Reads the clocks. */
 #include "wp_clock.h"
 
+#include <time.h>
+
+enum { NS_PER_US = 1000 };
+
+/* The clock that also counts while the machine is suspended. With the steady
+   one, which stands still then, a request held its endpoint for the time of the
+   suspension longer, and a suspension of 5 s looked like a step of the time of
+   day, which is followed within 45 s. */
+static int64_t since_boot_us(void)
+{
+    struct timespec t;
+    if (clock_gettime(CLOCK_BOOTTIME, &t))
+        return g_get_monotonic_time();
+    return (int64_t)t.tv_sec * WP_US_PER_S + t.tv_nsec / NS_PER_US;
+}
+
 WPTime wp_clock_now(int32_t skew_ms)
 {
-    return (WPTime){ g_get_monotonic_time(),
+    return (WPTime){ since_boot_us(),
                      g_get_real_time() / WP_US_PER_MS + skew_ms };
 }
 
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -9,6 +9,8 @@
 
 enum {
     TICK_MS = 50,
+    LATE_MS = 200, /* a tick that is so late: the loop's timers may have stood
+                      still, as the machine was suspended */
     CONNECT_MS = 400, /* a lost opening packet is sent again after a second:
                          another endpoint is asked before that */
     IDLE_MS = 4000,   /* of connections whose endpoint told no time */
@@ -49,7 +51,10 @@
     WPTime now = wp_clock_now(0);
     (void)fd;
     (void)what;
+    bool late = now.mono_us - h->steady.last.mono_us > LATE_MS * WP_US_PER_MS;
     wp_clock_watch(&h->log, &h->steady, now);
+    if (late)
+        wp_relay_set_timers(h, now);
     wp_direct_tick(&h->direct, now);
     wp_back_tick(h->back, now);
     wp_sync_tick(h->sync, now);
@@ -200,6 +205,7 @@
 void wp_direct_host_run(WPDirectHost *h)
 {
     wp_log(&h->log, WP_INFO, "started", "version", WP_VERSION, NULL);
+    wp_clock_watch(&h->log, &h->steady, wp_clock_now(0));
     event_base_dispatch(h->base);
     wp_log(&h->log, WP_INFO, "stopped", NULL);
 }
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -37,6 +37,9 @@
 extern const WPFrontOps wp_relay_front_ops;
 extern const WPBackOps wp_relay_back_ops;
 
+/* Sets the ends of all requests anew, by the present time. */
+void wp_relay_set_timers(WPDirectHost *h, WPTime now);
+
 /* wp_sync.c: what the store tells, and what is written to it. */
 WPSync *wp_sync_new(WPDirectHost *h, GError **error);
 void wp_sync_free(WPSync *s);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -329,6 +329,20 @@
     do_move(r, &m);
 }
 
+static void set_expiry(WPRelay *r, WPTime now)
+{
+    struct timeval at = in_us(r->flow->deadline_us - now.mono_us);
+    if (r->flow->deadline_us < INT64_MAX / 2)
+        event_add(r->expire, &at);
+}
+
+void wp_relay_set_timers(WPDirectHost *h, WPTime now)
+{
+    wp_list_each_safe (it, tmp, &h->relays) {
+        set_expiry(wp_list_item(it, WPRelay, node), now);
+    }
+}
+
 static WPRelay *new_relay(WPDirectHost *h, WPPeer *p)
 {
     WPRelay *r = g_new0(WPRelay, 1);
@@ -393,10 +407,8 @@
     if (ask.resumes)
         wp_stream_after(&r->stream, ask.after_event);
     r->flow = wp_flow_begin(&h->direct, now, &ask, &m);
-    if (m.kind == WP_MOVE_SEND && r->flow->deadline_us < INT64_MAX / 2) {
-        struct timeval at = in_us(r->flow->deadline_us - now.mono_us);
-        event_add(r->expire, &at);
-    }
+    if (m.kind == WP_MOVE_SEND)
+        set_expiry(r, now);
     do_move(r, &m);
 }
 
--- a/tests/path.c
+++ b/tests/path.c
@@ -352,6 +352,12 @@
     g_file_set_contents(child(p->entries, entry)->clock, text, -1, NULL);
 }
 
+void path_suspend(Path *p, unsigned entry, int64_t ms)
+{
+    g_autofree char *text = g_strdup_printf("0 %ld", (long)ms);
+    g_file_set_contents(child(p->entries, entry)->clock, text, -1, NULL);
+}
+
 void path_add_version(Path *p, const char *version, unsigned n,
                       const char *json)
 {
--- a/tests/path.h
+++ b/tests/path.h
@@ -99,6 +99,10 @@
 Path *path_new_clocks(unsigned entries, unsigned replicas);
 void path_clock(Path *p, unsigned entry, int64_t ms);
 
+/* To the same entry's clocks its machine has been suspended for so long, in
+   all. */
+void path_suspend(Path *p, unsigned entry, int64_t ms);
+
 /* Entries and replicas in two zones by turns. Replicas start again under their
    ids, and are cold for a while then: they bear few requests, and note what is
    more. The second zone can be kept out. */
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -5,6 +5,8 @@
 
 #include <signal.h>
 
+enum { ROUTE_S = 20 /* a route's time */ };
+
 static void a_request_is_served_and_goes_on_clean(void **state)
 {
     Path *p = path_new(2, 2);
@@ -199,6 +201,24 @@
     path_free(p);
 }
 
+/* A request's time runs on while its box is suspended: the steady clock stands
+   still then, and so do the loop's timers. */
+static void a_suspended_box_counts_the_time(void **state)
+{
+    Path *p = path_new_clocks(1, 1);
+    (void)state;
+    path_fault(p, 0, "{\"mute\":1}");
+    int64_t from_us = g_get_monotonic_time();
+    PathAnswer a = path_begin(p, 0, "GET", "/call/x");
+    path_wait_running(p, 0, 1);
+    path_suspend(p, 0, ROUTE_S * WP_MS_PER_S);
+    path_finish(p, &a);
+    assert_int_equal(a.status, 504);
+    assert_true(g_get_monotonic_time() - from_us < ROUTE_S * WP_US_PER_S / 2);
+    path_answer_end(&a);
+    path_free(p);
+}
+
 TESTS_MAIN(T(a_request_is_served_and_goes_on_clean), T(odd_heads_are_refused),
            T(kept_connections_carry_one_request_at_a_time),
            T(broken_streams_go_on_elsewhere),
@@ -206,4 +226,5 @@
            T(a_box_without_the_store_learns_from_another),
            T(a_leaving_endpoint_is_left_by_all), T(the_store_may_be_away),
            T(a_planned_stop_cuts_nothing), T(a_reload_disturbs_nothing),
-           T(a_caller_that_leaves_frees_its_endpoint))
+           T(a_caller_that_leaves_frees_its_endpoint),
+           T(a_suspended_box_counts_the_time))
