One crash is one failure of its version, however many requests it ends

Each request that ran on a half-full endpoint as it crashed counted as a failure of its version under load; six of them made the version one that fails on half-full endpoints, whose endpoints are then passed over and spared better answers for 30 s. What was ruled out: the verdict on a version on trial (lost legs are not judged there). Change: only the first request that an endpoint's end is seen by counts as its failure. What is cleared before anybody heard of it is not told.

--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -366,23 +366,39 @@
         pass(f, out);
 }
 
+/* How the leg ended that has lost its connection. An endpoint that crashes ends
+   all that runs there: only the first one is a failure of its version. With
+   each counted, one crash of a half-full endpoint made its version one that
+   fails under load, which is then spared for 30 s (test_loaded). */
+static WPServed ended_how(const WPFlow *f, WPLoss how)
+{
+    bool gone = wp_suspects_is_gone(f->d->suspects, f->leg.replica->life_hash);
+    if (how == WP_LOSS_SILENT || gone)
+        return WP_SERVED_SILENT;
+    bool stream = f->route->repeat == WP_REPEAT_STREAM;
+    return stream ? WP_SERVED_BROKEN : WP_SERVED_FAILED;
+}
+
+/* Notes that the leg's endpoint may have ended under the request. */
+static void note_ended(WPFlow *f, WPTime now)
+{
+    const WPReplica *s = f->leg.replica;
+    const WPSuspectRun run = { f->hash, s->life_hash, version_hash(s),
+                               f->leg.sent_us, f->leg.first_us };
+    wp_count(&f->d->counters, WP_C_ENDED_UNDER);
+    f->ended = wp_suspects_ended(f->d->suspects, now, &run);
+}
+
 void wp_flow_lost(WPFlow *f, WPTime now, WPLoss how, WPMove *out)
 {
     if (how == WP_LOSS_UNSENT) {
         after_refusal(f, now, WP_SERVED_SILENT, out);
         return;
     }
-    bool stream = f->route->repeat == WP_REPEAT_STREAM;
-    const WPReplica *s = f->leg.replica;
     f->ran++;
-    wp_count(&f->d->counters, WP_C_ENDED_UNDER);
-    const WPSuspectRun run = { f->hash, s->life_hash, version_hash(s),
-                               f->leg.sent_us, f->leg.first_us };
-    f->ended = wp_suspects_ended(f->d->suspects, now, &run);
-    end_this(f, now,
-             how == WP_LOSS_SILENT ? WP_SERVED_SILENT
-             : stream              ? WP_SERVED_BROKEN
-                                   : WP_SERVED_FAILED);
+    WPServed served = ended_how(f, how);
+    note_ended(f, now);
+    end_this(f, now, served);
     WPWhy why = f->passing ? WP_WHY_RESUME : WP_WHY_RETRY;
     if (wp_flow_may_repeat(f) && again(f, now, why, out))
         return;
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -191,6 +191,14 @@
     s->untold = true;
 }
 
+/* The same of a life that counts no more: of what nobody has heard, nobody need
+   hear. */
+static void cleared(WPSuspects *s, WPTime now, WPSuspect *p)
+{
+    changed(s, now, p, true);
+    p->untold = p->told;
+}
+
 static WPSuspectLife *life_of(WPSuspect *p, uint64_t life)
 {
     for (unsigned i = 0; i < p->n_lives; i++)
@@ -361,6 +369,11 @@
     return wp_suspect_count(p);
 }
 
+bool wp_suspects_is_gone(const WPSuspects *s, uint64_t life)
+{
+    return g_hash_table_contains(s->dead, &life);
+}
+
 static void clear_life(WPSuspects *s, WPTime now, uint64_t life)
 {
     GHashTableIter it;
@@ -371,7 +384,7 @@
         if (!l || l->cleared)
             continue;
         l->cleared = true;
-        changed(s, now, v, true);
+        cleared(s, now, v);
     }
 }
 
@@ -406,9 +419,7 @@
         p->lives[i].cleared = true;
     p->busy_until_us = 0;
     p->tries = 0;
-    changed(s, now, p, true);
-    /* Of what nobody has heard, nobody need hear. */
-    p->untold = p->told;
+    cleared(s, now, p);
     return true;
 }
 
@@ -487,6 +498,8 @@
         p->tries = m->tries;
         is_new = true;
     }
+    if (!has_uncleared(p))
+        p->tries = 0;
     if (is_later(m, p)) {
         p->busy_until_us =
             now.mono_us + MIN(m->busy_ms * WP_US_PER_MS, BUSY_US);
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -87,6 +87,9 @@
    Returns the lives that count against it now. */
 unsigned wp_suspects_ended(WPSuspects *s, WPTime now, const WPSuspectRun *r);
 
+/* Whether the life is taken to have ended. */
+bool wp_suspects_is_gone(const WPSuspects *s, uint64_t life);
+
 /* An endpoint has answered a request that was sent to it then: if it was taken
    to have ended, it has not. */
 void wp_suspects_alive(WPSuspects *s, WPTime now, uint64_t life,
--- a/tests/test_loaded.c
+++ b/tests/test_loaded.c
@@ -150,7 +150,33 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(a_few_failures_under_load_are_enough),
+/* An endpoint that crashes ends all that ran there: one failure, not as many as
+   there were requests. */
+static void a_crash_is_one_failure(void **state)
+{
+    enum { AT_ONCE = 6 };
+    Fake k;
+    WPFlow *f[AT_ONCE];
+    WPMove m;
+    (void)state;
+    fake_init(&k);
+    wp_fleet_remove(k.d.fleet, k.now, "l2", false);
+    learn(&k, 0.1, 100, 0);
+    wp_fleet_load(wp_fleet_find(k.d.fleet, "l1"), k.now, 5, 0, 8);
+    for (int i = 0; i < AT_ONCE; i++) {
+        f[i] = fake_ask(&k, "/chat/x", NULL, &m);
+        assert_int_equal(m.kind, WP_MOVE_SEND);
+    }
+    fake_pass(&k, 100);
+    for (int i = 0; i < AT_ONCE; i++) {
+        wp_flow_lost(f[i], k.now, WP_LOSS_BROKEN, &m);
+        wp_flow_free(f[i]);
+    }
+    assert_false(is_found(&k));
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(a_crash_is_one_failure), T(a_few_failures_under_load_are_enough),
            T(what_fails_at_any_load_is_not_found),
            T(loaded_endpoints_are_passed_over),
            T(the_largest_model_is_not_asked_of_it),
