Requests kept out: seen in the metrics, let in by an operator; files split

What was ruled out: a command of wpctl (it speaks to the product's own store, wpdirect reads the platform's).

--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -13,18 +13,28 @@
                                      : "starting\n"));
 }
 
-typedef struct ZonesOut {
+typedef struct Page {
     const char *box;
     GString *text;
-} ZonesOut;
+} Page;
 
 static void add_zone_out(void *arg, const char *zone)
 {
-    ZonesOut *z = arg;
+    Page *z = arg;
     g_string_append_printf(z->text, "wp_zone_out{box=\"%s\",zone=\"%s\"} 1\n",
                            z->box, zone);
 }
 
+static void add_kept_out(void *arg, const WPSuspect *p)
+{
+    Page *z = arg;
+    unsigned n = wp_suspect_count(p);
+    if (n >= WP_SUSPECT_KEPT_OUT)
+        g_string_append_printf(
+            z->text, "wp_request_kept_out{box=\"%s\",request=\"%016lx\"} %u\n",
+            z->box, (unsigned long)p->request, n);
+}
+
 static void on_metrics(struct evhttp_request *r, void *arg)
 {
     WPDirectHost *h = arg;
@@ -41,8 +51,9 @@
         labels, h->n_relays, labels, wp_front_connections(h->front), labels,
         (unsigned long)wp_back_opened(h->back), labels,
         wp_sync_store_up(h->sync), labels, (unsigned long)h->log.dropped);
-    ZonesOut z = { s->id, out };
+    Page z = { s->id, out };
     wp_fleet_each_zone_out(h->direct.fleet, add_zone_out, &z);
+    wp_suspects_each(h->direct.suspects, add_kept_out, &z);
     wp_http_text(r, 200, "text/plain; version=0.0.4",
                  wp_strn(out->str, out->len));
 }
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -119,7 +119,7 @@
     if (seen && value)
         wp_seen_take(s, seen, *value);
     if (suspect)
-        wp_doubts_take(s, suspect, value);
+        wp_suspect_news_take(s, suspect, value);
     return box || service || seen || suspect;
 }
 
--- a/io/wp_doubts.c
+++ b/io/wp_suspect_news.c
@@ -30,7 +30,7 @@
     HEX = 16
 };
 
-typedef struct WPDoubts {
+typedef struct WPSuspectNews {
     WPSync *sync;
     struct event *send;
     GHashTable *due; /* request -> int64_t, when this box writes its record */
@@ -41,7 +41,7 @@
     /* The write under way. */
     char *key;
     GByteArray *value; /* NULL: it removes the record */
-} WPDoubts;
+} WPSuspectNews;
 
 static void note(const WPSync *s, const char *event, const char *from,
                  const WPSuspect *p)
@@ -63,7 +63,7 @@
 } Message;
 
 /* How many requests may be told now. */
-static size_t allow(WPDoubts *d, WPTime now)
+static size_t allow(WPSuspectNews *d, WPTime now)
 {
     double passed_s = (double)(now.mono_us - d->sent_us) / WP_US_PER_S;
     d->allowance = MIN(d->allowance + PER_S * passed_s, (double)BURST);
@@ -71,7 +71,7 @@
     return MIN((size_t)d->allowance, WP_SUSPECTS_TOLD);
 }
 
-static void send_news(WPDoubts *d, WPTime now, size_t most)
+static void send_news(WPSuspectNews *d, WPTime now, size_t most)
 {
     WPSync *s = d->sync;
     g_autofree Message *m = g_new(Message, 1);
@@ -90,17 +90,17 @@
 
 static void on_send(evutil_socket_t fd, short what, void *arg)
 {
-    WPDoubts *d = arg;
+    WPSuspectNews *d = arg;
     WPTime now = wp_clock_now(0);
     size_t most = allow(d, now);
     (void)fd;
     (void)what;
     if (most)
         send_news(d, now, most);
-    wp_doubts_wake(d);
+    wp_suspect_news_wake(d);
 }
 
-void wp_doubts_wake(WPDoubts *d)
+void wp_suspect_news_wake(WPSuspectNews *d)
 {
     static const struct timeval at_once = { 0, 0 };
     static const struct timeval later = { 0, GAP_MS * WP_US_PER_MS };
@@ -135,14 +135,15 @@
         wp_suspects_each(all, note_found, &f);
 }
 
-void wp_doubts_heard(WPSync *s, const char *from, const Wp__SuspectNews *n)
+void wp_suspect_news_heard(WPSync *s, const char *from,
+                           const Wp__SuspectNews *n)
 {
     for (size_t i = 0; i < n->n_suspects; i++)
         hear(s, "suspect_heard", from, n->suspects[i]);
-    wp_doubts_wake(s->doubts);
+    wp_suspect_news_wake(s->suspect_news);
 }
 
-void wp_doubts_take(WPSync *s, const char *hex, const WPStr *value)
+void wp_suspect_news_take(WPSync *s, const char *hex, const WPStr *value)
 {
     uint64_t request = strtoull(hex, NULL, HEX);
     if (!value) {
@@ -200,7 +201,7 @@
 
 /* Whether this box's turn to write has come: boxes wait for different times,
    and most then find the record written. */
-static bool is_turn(WPDoubts *d, WPTime now, const WPSuspect *p)
+static bool is_turn(WPSuspectNews *d, WPTime now, const WPSuspect *p)
 {
     WPSync *s = d->sync;
     int64_t *due = g_hash_table_lookup(d->due, &p->request);
@@ -223,7 +224,7 @@
 {
     Look *l = arg;
     WPSync *s = l->sync;
-    WPDoubts *d = s->doubts;
+    WPSuspectNews *d = s->suspect_news;
     g_autofree char *key = key_of(p->request);
     const Recorded r = read_record(s, key);
     bool lasts = wp_suspect_lasts(p, l->now);
@@ -241,7 +242,7 @@
     l->suspect = *p;
 }
 
-static void clear(WPDoubts *d)
+static void clear(WPSuspectNews *d)
 {
     g_clear_pointer(&d->key, g_free);
     g_clear_pointer(&d->value, g_byte_array_unref);
@@ -250,7 +251,7 @@
 static void on_written(void *arg, const WPKvResult *r)
 {
     WPSync *s = arg;
-    WPDoubts *d = s->doubts;
+    WPSuspectNews *d = s->suspect_news;
     d->writing = false;
     if (!r->ok)
         wp_count(&s->host->direct.counters, WP_C_STORE_ERRORS);
@@ -268,7 +269,7 @@
 
 static void write_record(WPSync *s, const Look *l)
 {
-    WPDoubts *d = s->doubts;
+    WPSuspectNews *d = s->suspect_news;
     WPSuspectRoom room;
     Wp__Suspect m;
     d->key = key_of(l->suspect.request);
@@ -288,11 +289,11 @@
     s->kv->ops->txn(s->kv, &compare, 1, &op, 1, on_written, s);
 }
 
-void wp_doubts_tick(WPSync *s, WPTime now)
+void wp_suspect_news_tick(WPSync *s, WPTime now)
 {
-    WPDoubts *d = s->doubts;
+    WPSuspectNews *d = s->suspect_news;
     Look l = { .sync = s, .now = now };
-    wp_doubts_wake(d);
+    wp_suspect_news_wake(d);
     if (d->writing || !s->up || !s->complete)
         return;
     d->records = 0;
@@ -301,16 +302,16 @@
         write_record(s, &l);
 }
 
-WPDoubts *wp_doubts_new(WPSync *s)
+WPSuspectNews *wp_suspect_news_new(WPSync *s)
 {
-    WPDoubts *d = g_new0(WPDoubts, 1);
+    WPSuspectNews *d = g_new0(WPSuspectNews, 1);
     d->sync = s;
     d->send = evtimer_new(s->host->base, on_send, d);
     d->due = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     return d;
 }
 
-void wp_doubts_free(WPDoubts *d)
+void wp_suspect_news_free(WPSuspectNews *d)
 {
     if (!d)
         return;
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -268,8 +268,8 @@
 static void on_suspects(void *arg, const char *from, const Wp__SuspectNews *n)
 {
     WPSync *s = arg;
-    if (s->doubts)
-        wp_doubts_heard(s, from, n);
+    if (s->suspect_news)
+        wp_suspect_news_heard(s, from, n);
 }
 
 static const WPPeersOps peers_ops = { on_delta, wp_sync_hear, wp_sync_fill,
@@ -356,7 +356,7 @@
     }
     wp_record_tick(s, now);
     wp_seen_tick(s, now);
-    wp_doubts_tick(s, now);
+    wp_suspect_news_tick(s, now);
     bool moving = false;
     wp_shifts_each(s->host->direct.shifts, note_running, &moving);
     wp_peers_hurry(s->peers, moving);
@@ -376,8 +376,8 @@
 
 void wp_sync_suspects(WPSync *s)
 {
-    if (s->doubts)
-        wp_doubts_wake(s->doubts);
+    if (s->suspect_news)
+        wp_suspect_news_wake(s->suspect_news);
 }
 
 void wp_sync_tell(WPSync *s)
@@ -424,7 +424,7 @@
     s->kv = s->peers ? h->platform->store(h->base, h->settings->store) : NULL;
     if (s->kv) {
         s->zone = wp_zone_new(h, s->peers);
-        s->doubts = wp_doubts_new(s);
+        s->suspect_news = wp_suspect_news_new(s);
         s->start_us = start_of(s, wp_clock_now(0));
         s->self_us = s->start_us + SELF_MS * WP_US_PER_MS;
         s->boxes_us = time_of(s).mono_us + SELF_MS * WP_US_PER_MS / 2;
@@ -446,7 +446,7 @@
     if (s->kv)
         s->kv->ops->free(s->kv);
     wp_zone_free(s->zone);
-    wp_doubts_free(s->doubts);
+    wp_suspect_news_free(s->suspect_news);
     wp_peers_free(s->peers);
     wp_mirror_free(s->mirror);
     g_hash_table_unref(s->turns);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -62,8 +62,9 @@
     int64_t start_us;    /* when to read the store at the start, if no other box
                             tells */
     struct WPSeen *seen; /* what is kept of moves that run */
-    struct WPDoubts *doubts; /* news of requests that end endpoints */
-    bool writing;            /* a transaction is under way */
+    struct WPSuspectNews
+        *suspect_news; /* news of requests that end endpoints */
+    bool writing;      /* a transaction is under way */
     int64_t write_after_us;
     int64_t boxes_us;  /* when to look for boxes without a record */
     int64_t self_us;   /* from when on to write the own record, if no other box
@@ -90,16 +91,17 @@
 /* Takes the record of a box; `what` is SERVICE/BOX. */
 void wp_seen_take(WPSync *s, const char *what, WPStr value);
 
-/* wp_doubts.c: news and records of requests under which endpoints have ended
-   (src/wp_suspects.h). */
-struct WPDoubts *wp_doubts_new(WPSync *s);
-void wp_doubts_free(struct WPDoubts *d);
-void wp_doubts_tick(WPSync *s, WPTime now);
-void wp_doubts_wake(struct WPDoubts *d);
-void wp_doubts_heard(WPSync *s, const char *from, const Wp__SuspectNews *n);
+/* wp_suspect_news.c: news and records of requests under which endpoints have
+   ended (src/wp_suspects.h). */
+struct WPSuspectNews *wp_suspect_news_new(WPSync *s);
+void wp_suspect_news_free(struct WPSuspectNews *d);
+void wp_suspect_news_tick(WPSync *s, WPTime now);
+void wp_suspect_news_wake(struct WPSuspectNews *d);
+void wp_suspect_news_heard(WPSync *s, const char *from,
+                           const Wp__SuspectNews *n);
 
 /* Takes a record of the store; NULL: it has been removed. */
-void wp_doubts_take(WPSync *s, const char *hex, const WPStr *value);
+void wp_suspect_news_take(WPSync *s, const char *hex, const WPStr *value);
 
 /* The sums of one life, on the wire. */
 void wp_move_sums_fill(const WPShift *sh, uint64_t life, const WPShiftSums *v,
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -51,11 +51,6 @@
     return source ? source->addr : NULL;
 }
 
-static uint64_t version_hash(const WPReplica *s)
-{
-    return wp_hash(wp_str(s->version), wp_hash(wp_str(s->service), 0));
-}
-
 static void begin_leg(WPFlow *f, WPTime now, WPReplica *s, WPWhy why,
                       WPMove *out)
 {
@@ -168,14 +163,6 @@
     return f->service ? WP_OK : WP_NO_ENDPOINT;
 }
 
-/* The workspace is part of what is the same, so that nobody speaks for
-   another's requests by sending a copy. */
-static uint64_t hash_of(const WPFlow *f, const WPDirectAsk *ask)
-{
-    WPStr caller = f->workspace ? wp_str(f->workspace) : wp_str("");
-    return wp_hash(caller, wp_hash(ask->host, ask->content));
-}
-
 static void set_times(WPFlow *f, WPTime now, const WPDirectAsk *ask)
 {
     uint32_t route_ms = f->route->timeout_ms;
@@ -205,7 +192,8 @@
    request. */
 static void begin(WPFlow *f, WPTime now, WPReplica *s, WPMove *out)
 {
-    switch (wp_suspects_admit(f->d->suspects, now, f->hash, version_hash(s))) {
+    switch (
+        wp_suspects_admit(f->d->suspects, now, f->hash, wp_flow_version(s))) {
     case WP_SUSPECT_FREE:
         begin_leg(f, now, s, WP_WHY_FIRST, out);
         return;
@@ -246,7 +234,7 @@
         *out = move_fail(code, when_to_come_back(d, code));
         return f;
     }
-    f->hash = hash_of(f, ask);
+    f->hash = wp_flow_hash(f, ask);
     set_times(f, now, ask);
     if (ask->stay_ms && !wp_flow_fits(f, ask->stay_ms)) {
         *out = move_fail(WP_LEAVING, LEAVING_MS);
@@ -366,29 +354,6 @@
         pass(f, out);
 }
 
-/* How the leg ended that has lost its connection. An endpoint that crashes ends
-   all that runs there: only the first one is a failure of its version. With
-   each counted, one crash of a half-full endpoint made its version one that
-   fails under load, which is then spared for 30 s (test_loaded). */
-static WPServed ended_how(const WPFlow *f, WPLoss how)
-{
-    bool gone = wp_suspects_is_gone(f->d->suspects, f->leg.replica->life_hash);
-    if (how == WP_LOSS_SILENT || gone)
-        return WP_SERVED_SILENT;
-    bool stream = f->route->repeat == WP_REPEAT_STREAM;
-    return stream ? WP_SERVED_BROKEN : WP_SERVED_FAILED;
-}
-
-/* Notes that the leg's endpoint may have ended under the request. */
-static void note_ended(WPFlow *f, WPTime now)
-{
-    const WPReplica *s = f->leg.replica;
-    const WPSuspectRun run = { f->hash, s->life_hash, version_hash(s),
-                               f->leg.sent_us, f->leg.first_us };
-    wp_count(&f->d->counters, WP_C_ENDED_UNDER);
-    f->ended = wp_suspects_ended(f->d->suspects, now, &run);
-}
-
 void wp_flow_lost(WPFlow *f, WPTime now, WPLoss how, WPMove *out)
 {
     if (how == WP_LOSS_UNSENT) {
@@ -396,8 +361,8 @@
         return;
     }
     f->ran++;
-    WPServed served = ended_how(f, how);
-    note_ended(f, now);
+    WPServed served = wp_flow_ended_how(f, how);
+    wp_flow_note_ended(f, now);
     end_this(f, now, served);
     WPWhy why = f->passing ? WP_WHY_RESUME : WP_WHY_RETRY;
     if (wp_flow_may_repeat(f) && again(f, now, why, out))
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -11,6 +11,16 @@
    as endpoints have ended under it. */
 bool wp_flow_is_single(const WPFlow *f);
 
+/* What names the request wherever its caller sends it, and the version of an
+   endpoint. */
+uint64_t wp_flow_hash(const WPFlow *f, const WPDirectAsk *ask);
+uint64_t wp_flow_version(const WPReplica *s);
+
+/* How the leg ended that has lost its connection; and the note that its
+   endpoint may have ended under the request. */
+WPServed wp_flow_ended_how(const WPFlow *f, WPLoss how);
+void wp_flow_note_ended(WPFlow *f, WPTime now);
+
 /* The model to name to the endpoint. */
 WPStr wp_flow_model(const WPFlow *f);
 
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -1,11 +1,7 @@
 /* Which endpoint and which model a request goes to. */
 #include "wp_flow_int.h"
 
-enum {
-    PATIENCE_LEAST_MS = 150,
-    PATIENCE_STREAM_LEAST_MS = 600,
-    SINGLE_FROM = 2 /* endpoints that have ended under a request */
-};
+enum { PATIENCE_LEAST_MS = 150, PATIENCE_STREAM_LEAST_MS = 600 };
 
 /* A leg that may be repeated is waited for this many times the mean. */
 #define PATIENCE_TIMES 5.0
@@ -27,12 +23,6 @@
     return wp_str(f->model);
 }
 
-/* From the second crash on each leg is a possible crash more. */
-bool wp_flow_is_single(const WPFlow *f)
-{
-    return wp_suspects_count(f->d->suspects, f->hash) >= SINGLE_FROM;
-}
-
 WPShift *wp_flow_shift(const WPFlow *f)
 {
     return wp_shifts_find(f->d->shifts, f->service->name);
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -1,5 +1,5 @@
 /* Requests under which endpoints have ended. */
-#include "wp_suspects.h"
+#include "wp_suspects_int.h"
 
 #include <stdlib.h>
 
@@ -7,7 +7,6 @@
     SUSPECTS_MOST = 1024, /* an endpoint ends with up to some hundred requests;
                              a caller may send many different ones */
     LIVES_MOST = 512,     /* endpoints taken to have ended */
-    RECENT = 1024,        /* requests that have ended whole lately */
     RECORD_FROM = 2,      /* lives: most that were merely there have one */
     TRIES_MOST = 3        /* the platform's bound on what comes later */
 };
@@ -27,10 +26,6 @@
 /* Answers that were on their way come up to so long after a crash. */
 #define ON_THE_WAY_US (100 * WP_US_PER_MS)
 
-/* Another box runs it for so long at most, unless it tells more: crashes came
-   50 to 1,200 ms after the request was sent. */
-#define BUSY_US (1500 * WP_US_PER_MS)
-
 /* A request that ended whole so lately is innocent. */
 #define TRUST_US (5000 * WP_US_PER_MS)
 
@@ -39,36 +34,6 @@
 #define RECORD_GOES_US (30 * WP_US_PER_S) /* until its record is removed */
 #define DEAD_FADE_US (60 * WP_US_PER_S)   /* endpoints taken to have ended */
 
-typedef struct Recent {
-    uint64_t request;
-    int64_t at_us;
-} Recent;
-
-/* An endpoint's life that is taken to have ended. */
-typedef struct Dead {
-    uint64_t life;
-    int64_t at_us;
-} Dead;
-
-/* Legs of one request that are under way here. */
-typedef struct Legs {
-    uint64_t request;
-    unsigned n;
-} Legs;
-
-struct WPSuspects {
-    GHashTable *all;     /* request -> WPSuspect */
-    GHashTable *running; /* request -> Legs: all of this box, in doubt or not:
-                            copies that were sent before the first crash count
-                            as well. Without them 6 endpoints ended where a
-                            request came each 0.1 s, with them 5 (test_suspects)
-                          */
-    GHashTable *dead;    /* life -> Dead */
-    uint64_t self;
-    Recent recent[RECENT];
-    bool untold;
-};
-
 WPSuspects *wp_suspects_new(uint64_t self)
 {
     WPSuspects *s = g_new0(WPSuspects, 1);
@@ -137,7 +102,7 @@
 static gboolean dead_is_over(gpointer key, gpointer value, gpointer arg)
 {
     const WPTime *now = arg;
-    const Dead *d = value;
+    const WPSuspectDead *d = value;
     (void)key;
     return now->mono_us - d->at_us > DEAD_FADE_US;
 }
@@ -171,7 +136,7 @@
     g_hash_table_remove(s->all, &request);
 }
 
-static WPSuspect *need(WPSuspects *s, uint64_t request)
+WPSuspect *wp_suspects_need(WPSuspects *s, uint64_t request)
 {
     WPSuspect *p = find(s, request);
     if (p)
@@ -183,7 +148,7 @@
     return p;
 }
 
-static void changed(WPSuspects *s, WPTime now, WPSuspect *p, bool own)
+void wp_suspects_changed(WPSuspects *s, WPTime now, WPSuspect *p, bool own)
 {
     p->changed_us = now.mono_us;
     p->own = own;
@@ -195,11 +160,11 @@
    hear. */
 static void cleared(WPSuspects *s, WPTime now, WPSuspect *p)
 {
-    changed(s, now, p, true);
+    wp_suspects_changed(s, now, p, true);
     p->untold = p->told;
 }
 
-static WPSuspectLife *life_of(WPSuspect *p, uint64_t life)
+WPSuspectLife *wp_suspect_life(WPSuspect *p, uint64_t life)
 {
     for (unsigned i = 0; i < p->n_lives; i++)
         if (p->lives[i].life == life)
@@ -209,10 +174,10 @@
 
 /* Returns NULL when it is known, or there are enough. A cleared one makes
    room. */
-static WPSuspectLife *add_life(WPSuspect *p, const WPSuspectLife *l)
+WPSuspectLife *wp_suspect_add(WPSuspect *p, const WPSuspectLife *l)
 {
     WPSuspectLife *at = NULL;
-    if (life_of(p, l->life))
+    if (wp_suspect_life(p, l->life))
         return NULL;
     for (unsigned i = 0; i < p->n_lives && !at; i++)
         if (p->lives[i].cleared)
@@ -224,28 +189,28 @@
     return at;
 }
 
-static Recent *recent_of(WPSuspects *s, uint64_t request)
+static WPSuspectWhole *recent_of(WPSuspects *s, uint64_t request)
 {
-    return &s->recent[request % RECENT];
+    return &s->recent[request % WP_SUSPECTS_RECENT];
 }
 
-static bool is_trusted(WPSuspects *s, WPTime now, uint64_t request)
+bool wp_suspects_trust(WPSuspects *s, WPTime now, uint64_t request)
 {
-    const Recent *r = recent_of(s, request);
+    const WPSuspectWhole *r = recent_of(s, request);
     return r->request == request && r->at_us &&
            now.mono_us - r->at_us < TRUST_US;
 }
 
-static unsigned own_legs(const WPSuspects *s, uint64_t request)
+unsigned wp_suspects_legs(const WPSuspects *s, uint64_t request)
 {
-    const Legs *l = g_hash_table_lookup(s->running, &request);
+    const WPSuspectLegs *l = g_hash_table_lookup(s->running, &request);
     return l ? l->n : 0;
 }
 
 /* Whether a copy of it is under way, here or at another box. */
 static bool is_busy(const WPSuspects *s, const WPSuspect *p, WPTime now)
 {
-    return p->busy_until_us > now.mono_us || own_legs(s, p->request);
+    return p->busy_until_us > now.mono_us || wp_suspects_legs(s, p->request);
 }
 
 static bool ended_on(const WPSuspect *p, uint64_t version)
@@ -287,19 +252,18 @@
 {
     const WPSuspect *p = find(s, request);
     unsigned n = p ? wp_suspect_count(p) : 0;
-    if (!n || is_trusted(s, now, request))
+    if (!n || wp_suspects_trust(s, now, request))
         return WP_SUSPECT_FREE;
-    if (is_busy(s, p, now))
-        return WP_SUSPECT_BUSY;
-    bool may = n < WP_SUSPECT_KEPT_OUT || has_try(p, n, version);
-    return may ? WP_SUSPECT_FREE : WP_SUSPECT_OUT;
+    if (n >= WP_SUSPECT_KEPT_OUT && !has_try(p, n, version))
+        return WP_SUSPECT_OUT;
+    return is_busy(s, p, now) ? WP_SUSPECT_BUSY : WP_SUSPECT_FREE;
 }
 
 bool wp_suspects_may_go_on(WPSuspects *s, WPTime now, uint64_t request)
 {
     const WPSuspect *p = find(s, request);
     unsigned n = p ? wp_suspect_count(p) : 0;
-    if (!n || is_trusted(s, now, request))
+    if (!n || wp_suspects_trust(s, now, request))
         return true;
     return n < WP_SUSPECT_KEPT_OUT && !is_busy(s, p, now);
 }
@@ -308,9 +272,9 @@
 {
     WPSuspect *p = find(s, request);
     unsigned n = p ? wp_suspect_count(p) : 0;
-    Legs *l = g_hash_table_lookup(s->running, &request);
+    WPSuspectLegs *l = g_hash_table_lookup(s->running, &request);
     if (!l) {
-        l = g_new0(Legs, 1);
+        l = g_new0(WPSuspectLegs, 1);
         l->request = request;
         g_hash_table_insert(s->running, &l->request, l);
     }
@@ -319,30 +283,30 @@
         return false;
     if (n >= WP_SUSPECT_KEPT_OUT)
         p->tries++;
-    if (!is_trusted(s, now, request)) {
+    if (!wp_suspects_trust(s, now, request)) {
         p->busy_number++;
         p->busy_box = s->self;
-        changed(s, now, p, true);
+        wp_suspects_changed(s, now, p, true);
     }
     return true;
 }
 
 void wp_suspects_left(WPSuspects *s, uint64_t request)
 {
-    Legs *l = g_hash_table_lookup(s->running, &request);
+    WPSuspectLegs *l = g_hash_table_lookup(s->running, &request);
     if (l && !--l->n)
         g_hash_table_remove(s->running, &request);
 }
 
 /* Since when the life is taken to have ended, from now on at the latest. */
-static int64_t died_us(WPSuspects *s, WPTime now, uint64_t life)
+int64_t wp_suspects_died_us(WPSuspects *s, WPTime now, uint64_t life)
 {
-    Dead *d = g_hash_table_lookup(s->dead, &life);
+    WPSuspectDead *d = g_hash_table_lookup(s->dead, &life);
     if (d)
         return d->at_us;
     if (g_hash_table_size(s->dead) >= LIVES_MOST)
         return now.mono_us;
-    d = g_new0(Dead, 1);
+    d = g_new0(WPSuspectDead, 1);
     d->life = life;
     d->at_us = now.mono_us;
     g_hash_table_insert(s->dead, &d->life, d);
@@ -352,19 +316,19 @@
 unsigned wp_suspects_ended(WPSuspects *s, WPTime now, const WPSuspectRun *r)
 {
     /* What is sent to an endpoint that is already gone did not end it. */
-    if (r->sent_us > died_us(s, now, r->life))
+    if (r->sent_us > wp_suspects_died_us(s, now, r->life))
         return wp_suspects_count(s, r->request);
-    WPSuspect *p = need(s, r->request);
+    WPSuspect *p = wp_suspects_need(s, r->request);
     const WPSuspectLife l = { .life = r->life,
                               .version = r->version,
                               .at_us = now.mono_us,
                               .weak = r->first_us &&
                                       now.mono_us - r->first_us > LONG_RUN_US };
-    if (!add_life(p, &l))
+    if (!wp_suspect_add(p, &l))
         return wp_suspect_count(p);
-    changed(s, now, p, true);
+    wp_suspects_changed(s, now, p, true);
     /* What is much in use ends whole in a moment: nobody need know. */
-    if (is_trusted(s, now, r->request))
+    if (wp_suspects_trust(s, now, r->request))
         p->untold = false;
     return wp_suspect_count(p);
 }
@@ -380,7 +344,7 @@
     gpointer v;
     g_hash_table_iter_init(&it, s->all);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        WPSuspectLife *l = life_of(v, life);
+        WPSuspectLife *l = wp_suspect_life(v, life);
         if (!l || l->cleared)
             continue;
         l->cleared = true;
@@ -391,7 +355,7 @@
 void wp_suspects_alive(WPSuspects *s, WPTime now, uint64_t life,
                        int64_t sent_us)
 {
-    const Dead *d =
+    const WPSuspectDead *d =
         g_hash_table_size(s->dead) ? g_hash_table_lookup(s->dead, &life) : NULL;
     if (!d)
         return;
@@ -403,7 +367,7 @@
     clear_life(s, now, life);
 }
 
-static bool has_uncleared(const WPSuspect *p)
+bool wp_suspect_has_uncleared(const WPSuspect *p)
 {
     for (unsigned i = 0; i < p->n_lives; i++)
         if (!p->lives[i].cleared)
@@ -413,7 +377,7 @@
 
 static bool clear_all(WPSuspects *s, WPTime now, WPSuspect *p)
 {
-    if (!p || !has_uncleared(p))
+    if (!p || !wp_suspect_has_uncleared(p))
         return false;
     for (unsigned i = 0; i < p->n_lives; i++)
         p->lives[i].cleared = true;
@@ -425,7 +389,7 @@
 
 bool wp_suspects_whole(WPSuspects *s, WPTime now, uint64_t request)
 {
-    *recent_of(s, request) = (Recent){ request, now.mono_us };
+    *recent_of(s, request) = (WPSuspectWhole){ request, now.mono_us };
     return clear_all(s, now, find(s, request));
 }
 
@@ -434,136 +398,6 @@
     return clear_all(s, now, find(s, request));
 }
 
-/* Whatever is heard only ever adds: a life that counts, or that it counts no
-   more. News that two boxes could take back from each other would go round for
-   ever. */
-static bool hear_life(WPSuspects *s, WPTime now, WPSuspect *p,
-                      const WPSuspectLife *heard)
-{
-    WPSuspectLife *l = life_of(p, heard->life);
-    if (!l && !heard->cleared && add_life(p, heard)) {
-        died_us(s, now, heard->life);
-        return true;
-    }
-    if (!l || l->cleared == heard->cleared)
-        return false;
-    /* The teller is behind: it is told. */
-    if (l->cleared) {
-        p->untold = s->untold = true;
-        return false;
-    }
-    l->cleared = true;
-    return true;
-}
-
-static bool hear_lives(WPSuspects *s, WPTime now, WPSuspect *p,
-                       const Wp__Suspect *m)
-{
-    bool is_new = false;
-    size_t n = MIN(m->n_lives, MIN(m->n_versions, m->n_cleared));
-    for (size_t i = 0; i < n; i++) {
-        const WPSuspectLife heard = { .life = m->lives[i],
-                                      .version = m->versions[i],
-                                      .at_us = now.mono_us,
-                                      .weak = i < m->n_weak && m->weak[i],
-                                      .cleared = m->cleared[i] };
-        is_new |= hear_life(s, now, p, &heard);
-    }
-    return is_new;
-}
-
-static bool is_later(const Wp__Suspect *m, const WPSuspect *p)
-{
-    return m->busy_number > p->busy_number ||
-           (m->busy_number == p->busy_number && m->busy_box > p->busy_box);
-}
-
-/* Copies that this box sent before it heard of a crash. */
-static void note_copies(WPSuspects *s, WPTime now, WPSuspect *p)
-{
-    if (!own_legs(s, p->request) || is_trusted(s, now, p->request))
-        return;
-    p->busy_box = s->self;
-    p->busy_number++;
-}
-
-bool wp_suspects_hear(WPSuspects *s, WPTime now, const Wp__Suspect *m)
-{
-    WPSuspect *p = need(s, m->request);
-    bool is_new = hear_lives(s, now, p, m);
-    if (is_new && wp_suspect_count(p))
-        note_copies(s, now, p);
-    p->told = true;
-    if (m->tries > p->tries && wp_suspect_count(p)) {
-        p->tries = m->tries;
-        is_new = true;
-    }
-    if (!has_uncleared(p))
-        p->tries = 0;
-    if (is_later(m, p)) {
-        p->busy_until_us =
-            now.mono_us + MIN(m->busy_ms * WP_US_PER_MS, BUSY_US);
-        p->busy_box = m->busy_box;
-        p->busy_number = m->busy_number;
-        is_new = true;
-    }
-    if (is_new)
-        changed(s, now, p, false);
-    return is_new;
-}
-
-bool wp_suspects_any_untold(const WPSuspects *s)
-{
-    return s->untold;
-}
-
-static gint by_count(gconstpointer a, gconstpointer b)
-{
-    unsigned m = wp_suspect_count(*(WPSuspect *const *)a);
-    unsigned n = wp_suspect_count(*(WPSuspect *const *)b);
-    return m < n ? 1 : m > n ? -1 : 0;
-}
-
-static void tell_one(WPSuspects *s, WPSuspect *p, WPSuspect *out)
-{
-    p->untold = false;
-    p->told = true;
-    *out = *p;
-    if (p->busy_box == s->self && own_legs(s, p->request))
-        out->busy_until_us = INT64_MAX;
-}
-
-size_t wp_suspects_tell(WPSuspects *s, WPSuspect *out, size_t most)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_autoptr(GPtrArray) list = g_ptr_array_new();
-    g_hash_table_iter_init(&it, s->all);
-    while (g_hash_table_iter_next(&it, NULL, &v))
-        if (((WPSuspect *)v)->untold)
-            g_ptr_array_add(list, v);
-    if (list->len > most)
-        g_ptr_array_sort(list, by_count);
-    size_t n = MIN(list->len, most);
-    for (size_t i = 0; i < n; i++)
-        tell_one(s, list->pdata[i], &out[i]);
-    s->untold = list->len > most;
-    return n;
-}
-
-void wp_suspects_tell_all(WPSuspects *s)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, s->all);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        if (!wp_suspect_count(v))
-            continue;
-        ((WPSuspect *)v)->untold = true;
-        s->untold = true;
-    }
-}
-
 void wp_suspects_each(WPSuspects *s, void (*fn)(void *arg, const WPSuspect *p),
                       void *arg)
 {
@@ -573,28 +407,3 @@
     while (g_hash_table_iter_next(&it, NULL, &v))
         fn(arg, v);
 }
-
-void wp_suspect_fill(const WPSuspect *p, WPTime now, WPSuspectRoom *room,
-                     Wp__Suspect *m)
-{
-    int64_t busy_us = CLAMP(p->busy_until_us - now.mono_us, 0, BUSY_US);
-    wp__suspect__init(m);
-    m->request = p->request;
-    m->n_lives = m->n_versions = m->n_cleared = m->n_weak = p->n_lives;
-    m->lives = room->lives;
-    m->versions = room->versions;
-    m->cleared = room->cleared;
-    m->weak = room->weak;
-    for (unsigned i = 0; i < p->n_lives; i++) {
-        room->lives[i] = p->lives[i].life;
-        room->versions[i] = p->lives[i].version;
-        room->cleared[i] = p->lives[i].cleared;
-        room->weak[i] = p->lives[i].weak;
-    }
-    m->has_tries = m->has_busy_ms = 1;
-    m->tries = p->tries;
-    m->busy_ms = (uint32_t)(busy_us / WP_US_PER_MS);
-    m->has_busy_box = m->has_busy_number = 1;
-    m->busy_box = p->busy_box;
-    m->busy_number = p->busy_number;
-}
--- a/tests/path.c
+++ b/tests/path.c
@@ -624,6 +624,25 @@
     need(control(p->store.control, json));
 }
 
+static bool has_key(Path *p, const char *key)
+{
+    g_autofree char *json = g_strdup_printf("{\"get\":\"%s\"}", key);
+    json_t *j = control(p->store.control, json);
+    bool has = json_string_value(json_object_get(j, "value")) != NULL;
+    json_decref(j);
+    return has;
+}
+
+void path_wait_stored(Path *p, const char *key)
+{
+    for (int i = 0; i < WAIT_S * WP_MS_PER_S / PAUSE_MS; i++) {
+        if (has_key(p, key))
+            return;
+        g_usleep(PAUSE_MS * WP_US_PER_MS);
+    }
+    fail_msg("the store never had %s", key);
+}
+
 void path_cut_store(Path *p, unsigned entry)
 {
     need(control(child(p->proxies, entry)->control, "{\"mode\":\"silent\"}"));
--- a/tests/path.h
+++ b/tests/path.h
@@ -64,6 +64,7 @@
 
 /* Waits, until the test's time is over. */
 void path_wait_status(Path *p, unsigned entry, const char *target, int status);
+void path_wait_stored(Path *p, const char *key);
 void path_wait_leaving(Path *p, unsigned replica);
 void path_wait_running(Path *p, unsigned replica, unsigned n);
 
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -5,7 +5,11 @@
 
 #include <signal.h>
 
-enum { ROUTE_S = 20 /* a route's time */ };
+enum {
+    ROUTE_S = 20, /* a route's time */
+    SENDS_MOST = 60,
+    SEND_EVERY_MS = 100
+};
 
 static void a_request_is_served_and_goes_on_clean(void **state)
 {
@@ -219,6 +223,62 @@
     path_free(p);
 }
 
+/* The key of the store's record of a request. */
+static char *record_of(const char *target, const char *body)
+{
+    uint64_t head = wp_hash(wp_str(target), wp_hash(wp_str("POST"), 0));
+    uint64_t content = wp_hash(wp_str(body), head);
+    uint64_t request =
+        wp_hash(wp_str("acme"), wp_hash(wp_str("h.example"), content));
+    return g_strdup_printf("wp/suspect/%016lx", (unsigned long)request);
+}
+
+/* Sends it to the entries by turns until it is answered so; endpoints that end
+   are started again. */
+static bool send_until(Path *p, unsigned replicas, const char *body, int status)
+{
+    for (int i = 0; i < SENDS_MOST; i++) {
+        PathAnswer a = { .fd = -1, .body = g_string_new(NULL) };
+        g_snprintf(a.id, sizeof(a.id), "%s.%d", body, i);
+        path_exchange_body(&a, path_port(p, (unsigned)i % 2), "POST", "/once/x",
+                           body);
+        bool done =
+            a.status == status && !strstr(a.body->str, "request_in_doubt");
+        path_answer_end(&a);
+        for (unsigned r = 0; r < replicas; r++)
+            if (path_replica_ended(p, r))
+                path_restart_replica(p, r);
+        if (done)
+            return true;
+        g_usleep(SEND_EVERY_MS * WP_US_PER_MS);
+    }
+    return false;
+}
+
+/* A request that ends endpoints is kept out at all entries, also after these
+   were all killed, until an operator removes its record. */
+static void a_request_is_kept_out_until_an_operator_lets_it_in(void **state)
+{
+    enum { REPLICAS = 6 };
+    static const char body[] = "crash-0";
+    Path *p = path_new(2, REPLICAS);
+    g_autofree char *key = record_of("/once/x", body);
+    g_autofree char *remove = g_strdup_printf("{\"remove\":\"%s\"}", key);
+    (void)state;
+    assert_true(send_until(p, REPLICAS, body, 503));
+    path_wait_stored(p, key);
+    path_restart_entry(p, 0);
+    path_restart_entry(p, 1);
+    path_wait_status(p, 0, "/call/x", 200);
+    path_wait_status(p, 1, "/call/x", 200);
+    unsigned before = path_ran(p);
+    assert_true(send_until(p, REPLICAS, body, 503));
+    assert_int_equal(path_ran(p), before);
+    path_store(p, remove);
+    assert_true(send_until(p, REPLICAS, body, 502));
+    path_free(p);
+}
+
 TESTS_MAIN(T(a_request_is_served_and_goes_on_clean), T(odd_heads_are_refused),
            T(kept_connections_carry_one_request_at_a_time),
            T(broken_streams_go_on_elsewhere),
@@ -227,4 +287,5 @@
            T(a_leaving_endpoint_is_left_by_all), T(the_store_may_be_away),
            T(a_planned_stop_cuts_nothing), T(a_reload_disturbs_nothing),
            T(a_caller_that_leaves_frees_its_endpoint),
-           T(a_suspended_box_counts_the_time))
+           T(a_suspended_box_counts_the_time),
+           T(a_request_is_kept_out_until_an_operator_lets_it_in))
