Records of requests that cannot be read are counted; small things of the news

Cause: read again as a newcomer: a record of another writer was logged and not counted, a search through all requests stood where one look-up does, the clock was read for each move of a request. What was ruled out: - Change: those; no decision changes.

--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -292,13 +292,12 @@
     WPLoss how = !sent   ? WP_LOSS_UNSENT
                  : began ? WP_LOSS_BROKEN
                          : WP_LOSS_SILENT;
-    char *at = g_strdup(r->flow->leg.replica->id);
+    g_autofree char *at = g_strdup(r->flow->leg.replica->id);
     r->channel = NULL;
     wp_relay_note_result(r, !sent ? "unreachable" : began ? "broken" : "lost");
     wp_flow_lost(r->flow, wp_clock_now(0), how, &m);
     if (how != WP_LOSS_UNSENT)
         wp_relay_log_ended(r, at);
-    g_free(at);
     do_move(r, &m);
 }
 
--- a/io/wp_suspect_news.c
+++ b/io/wp_suspect_news.c
@@ -104,35 +104,22 @@
 {
     static const struct timeval at_once = { 0, 0 };
     static const struct timeval later = { 0, GAP_MS * WP_US_PER_MS };
+    if (!wp_suspects_any_untold(d->sync->host->direct.suspects) ||
+        event_pending(d->send, EV_TIMEOUT, NULL))
+        return;
     int64_t gap_us = wp_clock_now(0).mono_us - d->sent_us;
     bool waits = gap_us < (int64_t)GAP_MS * WP_US_PER_MS;
-    if (wp_suspects_any_untold(d->sync->host->direct.suspects) &&
-        !event_pending(d->send, EV_TIMEOUT, NULL))
-        event_add(d->send, waits ? &later : &at_once);
-}
-
-typedef struct Find {
-    const WPSync *sync;
-    const char *event, *from;
-    uint64_t request;
-} Find;
-
-static void note_found(void *arg, const WPSuspect *p)
-{
-    const Find *f = arg;
-    if (p->request == f->request)
-        note(f->sync, f->event, f->from, p);
+    event_add(d->send, waits ? &later : &at_once);
 }
 
 static void hear(WPSync *s, const char *event, const char *from,
                  const Wp__Suspect *m)
 {
     WPSuspects *all = s->host->direct.suspects;
-    Find f = { s, event, from, m->request };
     unsigned had = wp_suspects_count(all, m->request);
     if (wp_suspects_hear(all, wp_clock_now(0), m) &&
         wp_suspects_count(all, m->request) != had)
-        wp_suspects_each(all, note_found, &f);
+        note(s, event, from, wp_suspects_find(all, m->request));
 }
 
 void wp_suspect_news_heard(WPSync *s, const char *from,
@@ -155,11 +142,13 @@
     }
     Wp__Suspect *m =
         wp__suspect__unpack(NULL, value->n, (const uint8_t *)value->p);
-    if (m && m->request == request)
+    if (m && m->request == request) {
         hear(s, "suspect_read", "store", m);
-    else
+    } else {
+        wp_count(&s->host->direct.counters, WP_C_BAD_ENTRIES);
         wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", hex, "why",
                "not a record of a request", NULL);
+    }
     wp_pb_free(m);
 }
 
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -60,6 +60,11 @@
     return g_hash_table_lookup(s->all, &request);
 }
 
+const WPSuspect *wp_suspects_find(WPSuspects *s, uint64_t request)
+{
+    return find(s, request);
+}
+
 /* Two that are weak count as one. */
 unsigned wp_suspect_count(const WPSuspect *p)
 {
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -55,6 +55,9 @@
 /* Forgets what is over. */
 void wp_suspects_tick(WPSuspects *s, WPTime now);
 
+/* What is known of a request; NULL: nothing. */
+const WPSuspect *wp_suspects_find(WPSuspects *s, uint64_t request);
+
 /* Lives that count against a request; 0: it is not known. */
 unsigned wp_suspects_count(WPSuspects *s, uint64_t request);
 
