--- a/tests/path.c
+++ b/tests/path.c
@@ -1,6 +1,5 @@
 /* A direct site for tests. */
-#include "path.h"
-#include "ports.h"
+#include "path_int.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -19,27 +18,6 @@
     READ_S = 30    /* for an answer */
 };
 
-typedef struct Child {
-    GPid pid;
-    char *program, *file; /* to start it again */
-    uint16_t port, control;
-    bool running, gone; /* gone: not to be started again */
-    char *clock;        /* file with what its time of day is off by; or NULL */
-} Child;
-
-struct Path {
-    Ports ports;
-    char *folder;
-    const char *bin;
-    Child store;
-    GArray *entries, *proxies, *replicas; /* of Child */
-    GArray *replica_ways;                 /* of Child: proxies */
-    GArray *peers, *ready;                /* of uint16_t */
-    unsigned asked, version;
-    bool clocks;
-    bool zones; /* see path_new_zones() */
-};
-
 static void die_with_parent(void *arg)
 {
     (void)arg;
@@ -54,7 +32,7 @@
                                     : G_SPAWN_STDOUT_TO_DEV_NULL;
 }
 
-static void spawn(Path *p, Child *c, char **argv)
+void path_spawn(Path *p, Child *c, char **argv)
 {
     GError *error = NULL;
     g_auto(GStrv) env = g_get_environ();
@@ -85,7 +63,7 @@
     c->file = g_strdup(file);
     if (!g_file_set_contents(file, settings, -1, NULL))
         fail_msg("cannot write %s", file);
-    spawn(p, c, argv);
+    path_spawn(p, c, argv);
 }
 
 static int dial(uint16_t port)
@@ -161,7 +139,7 @@
 }
 
 /* A page of a stand-in or a proxy, as JSON; NULL when it does not answer. */
-static json_t *control(uint16_t port, const char *json)
+json_t *path_control(uint16_t port, const char *json)
 {
     PathAnswer a = begin_at(port);
     g_autofree char *text =
@@ -176,12 +154,12 @@
     return j;
 }
 
-static Child *child(GArray *list, unsigned i)
+Child *path_child(GArray *list, unsigned i)
 {
     return &g_array_index(list, Child, i);
 }
 
-static void need(json_t *j)
+void path_need(json_t *j)
 {
     if (!j)
         fail_msg("a stand-in does not answer");
@@ -219,12 +197,12 @@
     g_autofree char *far = g_strdup_printf("--to=%u", to);
     g_autofree char *ctl = g_strdup_printf("--control=%u", c.control);
     char *argv[] = { path, listen, far, ctl, NULL };
-    spawn(p, &c, argv);
+    path_spawn(p, &c, argv);
     wait_up(c.control);
     return c;
 }
 
-static void start_replica(Path *p, unsigned i, const char *version)
+void path_start_replica(Path *p, unsigned i, const char *version)
 {
     Child c = { 0 };
     c.port = c.control = ports_next(&p->ports);
@@ -259,7 +237,7 @@
         "seeds: [127.0.0.1:%u]\nstore: 127.0.0.1:%u\n%s",
         name, p->zones && i % 2 ? PATH_ZONE_OUT : "z1", c.port,
         port_at(p->ready, i), port_at(p->peers, i), metrics,
-        port_at(p->peers, 0), child(p->proxies, i)->port,
+        port_at(p->peers, 0), path_child(p->proxies, i)->port,
         p->zones ? COLD_ENTRY : "");
     if (p->clocks) {
         c.clock = g_strdup_printf("%s/clock%u", p->folder, i);
@@ -286,7 +264,7 @@
         "\"routes\":[%s],\"services\":[{\"name\":\"app\"%s}],\"limits\":{},"
         "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"key-1\"]}]}}}",
         version, routes->str, p->zones ? COLD_SERVICE : "");
-    need(control(p->store.control, text));
+    path_need(path_control(p->store.control, text));
 }
 
 static Path *new_path(unsigned entries, unsigned replicas, bool clocks,
@@ -307,7 +285,7 @@
     start_store(p);
     path_config(p, 1, "/old/");
     for (unsigned i = 0; i < replicas; i++)
-        start_replica(p, i, "v1");
+        path_start_replica(p, i, "v1");
     for (unsigned i = 0; i < entries; i++) {
         uint16_t a = ports_next(&p->ports), b = ports_next(&p->ports);
         g_array_append_val(p->peers, a);
@@ -337,60 +315,7 @@
     return new_path(entries, replicas, false, true);
 }
 
-void path_zone(Path *p, bool out)
-{
-    static const char key[] = "\"op/evacuate/" PATH_ZONE_OUT "\"";
-    g_autofree char *text =
-        out ? g_strdup_printf("{\"put\":{\"key\":%s,\"value\":{}}}", key)
-            : g_strdup_printf("{\"remove\":%s}", key);
-    json_decref(control(p->store.control, text));
-}
-
-void path_clock(Path *p, unsigned entry, int64_t ms)
-{
-    g_autofree char *text = g_strdup_printf("%ld", (long)ms);
-    g_file_set_contents(child(p->entries, entry)->clock, text, -1, NULL);
-}
-
-void path_suspend(Path *p, unsigned entry, int64_t ms)
-{
-    g_autofree char *text = g_strdup_printf("0 %ld", (long)ms);
-    g_file_set_contents(child(p->entries, entry)->clock, text, -1, NULL);
-}
-
-void path_add_version(Path *p, const char *version, unsigned n,
-                      const char *json)
-{
-    for (unsigned i = 0; i < n; i++) {
-        unsigned at = p->replicas->len;
-        start_replica(p, at, version);
-        path_fault(p, at, json);
-    }
-}
-
-void path_order(Path *p, const char *version, double seconds)
-{
-    g_autofree char *text = g_strdup_printf(
-        "{\"put\":{\"key\":\"op/rollout/app\",\"value\":{\"service\":\"app\","
-        "\"targetVersion\":\"%s\",\"durationS\":%.3f}}}",
-        version, seconds);
-    need(control(p->store.control, text));
-}
-
-char *path_move_state(Path *p)
-{
-    json_t *j = control(p->store.control, "{\"get\":\"status/rollout/app\"}");
-    const char *text = json_string_value(json_object_get(j, "value"));
-    gsize n = 0;
-    g_autofree guchar *value = text ? g_base64_decode(text, &n) : NULL;
-    json_t *status = value ? json_loadb((char *)value, n, 0, NULL) : NULL;
-    char *state = g_strdup(json_string_value(json_object_get(status, "state")));
-    json_decref(status);
-    json_decref(j);
-    return state;
-}
-
-static void end_process(Child *c)
+void path_end_process(Child *c)
 {
     if (!c->running)
         return;
@@ -401,7 +326,7 @@
 
 static void end_child(Child *c)
 {
-    end_process(c);
+    path_end_process(c);
     g_free(c->program);
     g_free(c->file);
     g_free(c->clock);
@@ -409,7 +334,7 @@
 
 uint16_t path_port(const Path *p, unsigned entry)
 {
-    return child(p->entries, entry)->port;
+    return path_child(p->entries, entry)->port;
 }
 
 const char *path_folder(const Path *p)
@@ -417,93 +342,10 @@
     return p->folder;
 }
 
-/* Ends what is running and starts it with the same settings. */
-static void restart(Path *p, Child *c)
-{
-    char *argv[] = { c->program, (char *)"--config", c->file, NULL };
-    if (c->gone)
-        return;
-    end_process(c);
-    spawn(p, c, argv);
-}
-
-void path_end_replicas(Path *p, unsigned end)
-{
-    for (unsigned i = 0; i < end; i++) {
-        Child *c = child(p->replicas, i);
-        json_t *j = control(c->control, "{}");
-        g_autofree char *text =
-            g_strdup_printf("{\"remove\":\"servers/%s\"}",
-                            json_string_value(json_object_get(j, "id")));
-        json_decref(j);
-        end_process(c);
-        c->gone = true;
-        json_decref(control(p->store.control, text));
-    }
-}
-
-void path_signal_entry(Path *p, unsigned entry, int signal)
-{
-    Child *c = child(p->entries, entry);
-    if (c->running)
-        kill(c->pid, signal);
-}
-
-void path_restart_entry(Path *p, unsigned entry)
-{
-    restart(p, child(p->entries, entry));
-}
-
-void path_restart_replica(Path *p, unsigned replica)
-{
-    restart(p, child(p->replicas, replica));
-}
-
-bool path_replica_ended(Path *p, unsigned replica)
-{
-    Child *c = child(p->replicas, replica);
-    if (c->running && waitpid(c->pid, NULL, WNOHANG) == c->pid)
-        c->running = false;
-    return !c->running;
-}
-
-/* Its id is the last word of the line that it wrote as it ended. */
-void path_unlist_replica(Path *p, unsigned replica)
-{
-    g_autofree char *file = g_build_filename(p->folder, "runs", NULL);
-    g_autofree char *text = NULL;
-    g_autofree char *id =
-        g_strdup_printf(" i-%u-", child(p->replicas, replica)->port);
-    if (!g_file_get_contents(file, &text, NULL, NULL))
-        return;
-    const char *at = g_strrstr(text, id);
-    if (!at)
-        return;
-    g_autofree char *last = g_strndup(at + 1, strcspn(at, "\n") - 1);
-    g_autofree char *json =
-        g_strdup_printf("{\"remove\":\"servers/%s\"}", last);
-    json_decref(control(p->store.control, json));
-}
-
-void path_way_to_store(Path *p, unsigned entry, const char *json)
-{
-    json_decref(control(child(p->proxies, entry)->control, json));
-}
-
-void path_way_to_replica(Path *p, unsigned replica, const char *json)
-{
-    json_decref(control(child(p->replica_ways, replica)->control, json));
-}
-
-void path_try_fault(Path *p, unsigned replica, const char *json)
-{
-    json_decref(control(child(p->replicas, replica)->control, json));
-}
-
 static void end_all(GArray *list)
 {
     for (guint i = 0; i < list->len; i++)
-        end_child(child(list, i));
+        end_child(path_child(list, i));
     g_array_unref(list);
 }
 
@@ -543,7 +385,7 @@
 static PathAnswer begin_with(Path *p, unsigned entry, const char *method,
                              const char *target, const char *fields)
 {
-    PathAnswer a = begin_at(child(p->entries, entry)->port);
+    PathAnswer a = begin_at(path_child(p->entries, entry)->port);
     g_snprintf(a.id, sizeof(a.id), "r%u", ++p->asked);
     g_autofree char *text = request_text(a.id, method, target, fields, "");
     if (a.fd >= 0)
@@ -590,7 +432,7 @@
 
 PathAnswer path_raw(Path *p, unsigned entry, const char *bytes)
 {
-    PathAnswer a = begin_at(child(p->entries, entry)->port);
+    PathAnswer a = begin_at(path_child(p->entries, entry)->port);
     char buf[4096];
     ssize_t n;
     send_all(a.fd, bytes);
@@ -616,18 +458,18 @@
 
 void path_fault(Path *p, unsigned replica, const char *json)
 {
-    need(control(child(p->replicas, replica)->control, json));
+    path_need(path_control(path_child(p->replicas, replica)->control, json));
 }
 
 void path_store(Path *p, const char *json)
 {
-    need(control(p->store.control, json));
+    path_need(path_control(p->store.control, json));
 }
 
 static bool has_key(Path *p, const char *key)
 {
     g_autofree char *json = g_strdup_printf("{\"get\":\"%s\"}", key);
-    json_t *j = control(p->store.control, json);
+    json_t *j = path_control(p->store.control, json);
     bool has = json_string_value(json_object_get(j, "value")) != NULL;
     json_decref(j);
     return has;
@@ -645,12 +487,13 @@
 
 void path_cut_store(Path *p, unsigned entry)
 {
-    need(control(child(p->proxies, entry)->control, "{\"mode\":\"silent\"}"));
+    path_need(path_control(path_child(p->proxies, entry)->control,
+                           "{\"mode\":\"silent\"}"));
 }
 
 static json_t *seen_at(Path *p, unsigned replica)
 {
-    json_t *j = control(child(p->replicas, replica)->control, "{}");
+    json_t *j = path_control(path_child(p->replicas, replica)->control, "{}");
     if (!j)
         fail_msg("replica %u does not answer", replica);
     return j;
@@ -681,7 +524,7 @@
 {
     unsigned n = 0;
     for (guint i = 0; i < p->replicas->len; i++)
-        if (!child(p->replicas, i)->gone && !path_replica_ended(p, i))
+        if (!path_child(p->replicas, i)->gone && !path_replica_ended(p, i))
             n += figure(p, i, "wrong") + figure(p, i, "keyless");
     return n;
 }
@@ -756,12 +599,12 @@
 
 void path_stop(Path *p, unsigned entry)
 {
-    kill(child(p->entries, entry)->pid, SIGTERM);
+    kill(path_child(p->entries, entry)->pid, SIGTERM);
 }
 
 int path_exit_code(Path *p, unsigned entry)
 {
-    Child *c = child(p->entries, entry);
+    Child *c = path_child(p->entries, entry);
     int status = -1;
     waitpid(c->pid, &status, 0);
     c->running = false;
