--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -8,7 +8,7 @@
  * never ends whole, and what merely was there does when it is sent elsewhere.
  *
  * Guards against: one request that ended 48 to 59 of ten endpoints in 14 s
- * (they were back after 2 s) while 0.35 to 0.65 of the others were served; with
+ * (they were back after 2 s) while 0.42 to 0.99 of the others were served; with
  * it 4 or 5 end (wpsoak --crashing). */
 #ifndef WP_SUSPECTS_H
 #define WP_SUSPECTS_H
