Sight: what endpoints say of the requests that they take

Cause: no log line or metric tells that an endpoint names a limit, nor how many requests a box sends to it, so that a sum over boxes could not be told from a field that is not read. What was ruled out: the load that answers carry tells neither. Change: the field is decoded (a positive decimal number or none), a change of it is a log line (endpoint_limit, with what it was and the request by which it was heard), a bad one too, once in 10 s; /limit= in a request's legs; a gauge of what each endpoint names and a counter of what this box has sent to it since. No decision uses it yet.

--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 $(BUILD)/wpbench: $(patsubst %.c,$(BUILD)/%.o,bench/wpbench.c $(LAB)) $(LIB)
 
 $(BUILD)/wpcapacity: $(patsubst %.c,$(BUILD)/%.o,bench/wpcapacity.c bench/fleet.c) $(LIB)
-$(BUILD)/wpsoak: $(BUILD)/tests/soak.o $(BUILD)/tests/soak_move.o $(BUILD)/tests/soak_zone.o $(BUILD)/tests/soak_crash.o $(BUILD)/tests/path.o $(BUILD)/tests/path_faults.o $(BUILD)/tools/ports.o $(LIB)
+$(BUILD)/wpsoak: $(BUILD)/tests/soak.o $(BUILD)/tests/soak_move.o $(BUILD)/tests/soak_zone.o $(BUILD)/tests/soak_crash.o $(BUILD)/tests/soak_limit.o $(BUILD)/tests/path.o $(BUILD)/tests/path_faults.o $(BUILD)/tools/ports.o $(LIB)
 $(BUILD)/wpproxy: $(BUILD)/tools/wpproxy.o $(LIB)
 $(BUILD)/wpchoice: $(BUILD)/bench/wpchoice.o $(LIB)
 $(BUILD)/wppace: $(BUILD)/bench/wppace.o $(BUILD)/bench/pace_play.o $(LIB)
@@ -126,7 +126,7 @@
 	clang-format -i $(OWN)
 
 # What only platform/ may name: the platform's fields, entries and calls.
-PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
+PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|Server-Limit|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
 PLATFORM_LINES := 900
 
 # Fails when a file of folder $(1) includes a header of a folder other than $(2).
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -25,6 +25,18 @@
                            z->box, zone);
 }
 
+static void add_limit(void *arg, WPReplica *s)
+{
+    Page *z = arg;
+    if (s->limit)
+        g_string_append_printf(
+            z->text,
+            "wp_endpoint_limit{box=\"%s\",endpoint=\"%s\"} %g\n"
+            "wp_endpoint_limited_sent_total{box=\"%s\",endpoint=\"%s\"} %lu\n",
+            z->box, s->id, s->limit->per_s, z->box, s->id,
+            (unsigned long)s->limit->sent);
+}
+
 static void add_kept_out(void *arg, const WPSuspect *p)
 {
     Page *z = arg;
@@ -54,6 +66,7 @@
     Page z = { s->id, out };
     wp_fleet_each_zone_out(h->direct.fleet, add_zone_out, &z);
     wp_suspects_each(h->direct.suspects, add_kept_out, &z);
+    wp_fleet_each(h->direct.fleet, add_limit, &z);
     wp_http_text(r, 200, "text/plain; version=0.0.4",
                  wp_strn(out->str, out->len));
 }
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -212,12 +212,34 @@
     }
 }
 
+/* With the head of any answer: its body may be long in coming. */
+static void note_limit(WPRelay *r)
+{
+    const WPDirectAnswer *a = &r->answer;
+    WPReplica *s = r->flow->leg.replica;
+    double was = wp_fleet_limit_of(s);
+    if (a->wrong)
+        return;
+    switch (wp_fleet_told_limit(s, wp_clock_now(0), a->limit, a->genuine)) {
+    case WP_LIMIT_SAME:
+        break;
+    case WP_LIMIT_CHANGED:
+        wp_relay_log_limit(r, s, was);
+        break;
+    case WP_LIMIT_ODD:
+        wp_log(&r->host->log, WP_WARN, "endpoint_limit_bad", "endpoint", s->id,
+               "id", r->flow->id, NULL);
+        break;
+    }
+}
+
 static void on_head(void *arg, const WPHead *h)
 {
     WPRelay *r = arg;
     WPMove m;
     r->host->platform->read_answer(h, &r->answer);
     wp_relay_note_answer(r);
+    note_limit(r);
     if (!r->begun)
         keep_fields(r, h);
     r->answer_streams = r->flow->route->repeat == WP_REPEAT_STREAM &&
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -29,6 +29,9 @@
 /* wp_relay_log.c: the line of a request, with what decided it. */
 void wp_relay_log_end(WPRelay *r, const char *outcome, int status);
 
+/* The endpoint's answer names another limit than it had before. */
+void wp_relay_log_limit(WPRelay *r, const WPReplica *s, double was);
+
 /* The connection to an endpoint has ended under the request. */
 void wp_relay_log_ended(WPRelay *r, const char *endpoint);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -49,6 +49,16 @@
            NULL);
 }
 
+void wp_relay_log_limit(WPRelay *r, const WPReplica *s, double was)
+{
+    char had[LOG_NUMBER], has[LOG_NUMBER];
+    snprintf(had, sizeof(had), "%g", was);
+    snprintf(has, sizeof(has), "%g", wp_fleet_limit_of(s));
+    wp_log(&r->host->log, WP_INFO, "endpoint_limit", "endpoint", s->id,
+           "service", s->service, "version", s->version, "per_s", has, "was",
+           had, "from", "answer", "id", r->flow->id, NULL);
+}
+
 void wp_relay_note_leg(WPRelay *r, const WPMove *m, WPTime now)
 {
     const WPReplica *s = m->replica;
@@ -82,4 +92,6 @@
         g_string_append_printf(r->legs, "/conf=%d", r->answer.confidence);
     if (r->answer.not_run)
         g_string_append(r->legs, "/not_run");
+    if (r->answer.limit.said == WP_LIMIT_NAMED)
+        g_string_append_printf(r->legs, "/limit=%g", r->answer.limit.per_s);
 }
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -127,6 +127,7 @@
     int confidence; /* the model's own opinion, 0 to 100; -1: none */
     bool has_load;
     uint32_t running, waiting, slots;
+    WPLimitField limit;
 } WPDirectAnswer;
 
 /* How a leg ended without an answer. */
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -16,6 +16,7 @@
     g_free(s->zone);
     g_free(s->version);
     wp_kept_free(s->kept);
+    g_free(s->limit);
     g_free(s);
 }
 
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -6,6 +6,7 @@
 #define WP_FLEET_H
 
 #include "wp_kept.h"
+#include "wp_limit.h"
 #include "wp_listing.h"
 #include "wp_pace.h"
 #include "wp_pause.h"
@@ -31,7 +32,8 @@
     int64_t cold_until_us;         /* by the list */
     int64_t doubt_until_us;        /* it may have started again unnoticed */
     WPPace pace;                   /* what this box has sent there */
-    int refs; /* requests that hold it, and the fleet itself */
+    WPLimit *limit; /* of all boxes' requests; NULL: none was named */
+    int refs;       /* requests that hold it, and the fleet itself */
 
     /* What the endpoint told, and when. */
     uint32_t running, waiting;
@@ -241,6 +243,23 @@
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
 
+/* What an answer's word on its endpoint's limit changed. */
+typedef enum WPLimitChange {
+    WP_LIMIT_SAME,
+    WP_LIMIT_CHANGED, /* named for the first time, another one, or dropped */
+    WP_LIMIT_ODD      /* a bad field is to be reported; what is believed is that
+                         it names none */
+} WPLimitChange;
+
+/* wp_fleet_limit.c: what an answer says of the requests that its endpoint
+   takes. A `genuine` one without the field, or with a bad one, ends what was
+   named before. */
+WPLimitChange wp_fleet_told_limit(WPReplica *s, WPTime now, WPLimitField field,
+                                  bool genuine);
+
+/* The limit that is believed to be in force; 0: none. */
+double wp_fleet_limit_of(const WPReplica *s);
+
 /* wp_fleet_hear.c: what the boxes of a zone tell each other. From now on, what
    others should know goes to `news`; NULL: nowhere. */
 void wp_fleet_tell(WPFleet *f, struct WPBoxNews *news);
