--- a/standins/replica.c
+++ b/standins/replica.c
@@ -2,7 +2,9 @@
  * streams events, tells its load. It lists itself in the store's stand-in.
  * Faults are set on /control:
  *   fail, refuse, cut, mute: shares of requests; delay_ms; confidence; events;
- *   draining: says that it leaves.
+ *   draining: says that it leaves; limit: the field that names the requests a
+ *   second that it takes, as it is (empty: none; a bar parts two of them). From
+ *   the first one on each arrival is noted: "ARRIVED LIMIT MS ID".
  * So is what makes a version bad: fail, on fail_path alone (a path's beginning)
  * and only while fail_running requests run; slow: a share that takes slow_ms
  * longer, and ten times as long from event to event.
@@ -38,6 +40,7 @@
     double fail, refuse, cut, mute, delay_ms, confidence, events;
     double fail_running, slow, slow_ms;
     char *fail_path; /* NULL: any */
+    char *limit;     /* NULL: none was ever set */
     unsigned running;
     double ran, wrong, keyless;
     int run_log;     /* -1: none */
@@ -95,6 +98,9 @@
         evhttp_add_header(h, PF_H_REQUEST_ID, id);
     evhttp_add_header(h, PF_H_LOAD, load);
     evhttp_add_header(h, "Keep-Alive", "timeout=30");
+    g_auto(GStrv) limits = g_strsplit(p->limit ? p->limit : "", "|", -1);
+    for (char **l = limits; *l; l++)
+        evhttp_add_header(h, PF_H_LIMIT, *l);
     if (!ran) {
         evhttp_add_header(h, PF_H_NOT_RUN, "1");
         return;
@@ -225,6 +231,14 @@
     return ms;
 }
 
+/* An arrival: "ARRIVED LIMIT MS ID". */
+static void note_arrival(const Replica *p)
+{
+    g_autofree char *line = g_strdup_printf(
+        "ARRIVED %s %ld %s\n", *p->limit ? p->limit : "0", now_ms(), p->id);
+    note(p, line);
+}
+
 static bool fails(const Run *n)
 {
     const Replica *p = n->to;
@@ -311,6 +325,8 @@
 {
     const char *id = wp_http_header(r, PF_H_REQUEST_ID);
     const char *after = wp_http_header(r, PF_H_AFTER_EVENT);
+    if (p->limit)
+        note_arrival(p);
     if (refuses(p, r, id))
         return;
     int times = GPOINTER_TO_INT(g_hash_table_lookup(p->ids, id));
@@ -371,6 +387,10 @@
     if (json_object_get(j, "fail_path"))
         p->fail_path =
             g_strdup(json_string_value(json_object_get(j, "fail_path")));
+    if (json_object_get(j, "limit")) {
+        g_free(p->limit);
+        p->limit = g_strdup(json_string_value(json_object_get(j, "limit")));
+    }
     stand_set_bool(j, "draining", &p->draining);
     if (was != p->draining)
         list_self(p);
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -49,6 +49,8 @@
     soak zones "--zones --seconds 6" tests/soak-zone-cases.txt
     soak crashing "--crashing --entries 4 --replicas 10 --seconds 14" \
         tests/soak-crash-cases.txt
+    soak limits "--limits --entries 4 --replicas 10 --seconds 14" \
+        tests/soak-limit-cases.txt
     soak beside "--moves beside --seconds 12" tests/soak-beside-cases.txt
     out=$(mktemp)
     WP_BIN=$BUILD tests/run-scenarios.sh 4 | tee "$out"
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -18,11 +18,15 @@
  *   - with --zones (soak_zone.h): nothing runs in a zone that is kept out, and
  * no cold endpoint gets more than it bears;
  *   - with --crashing (soak_crash.h): a request that crashes what runs it ends
- * few endpoints, and others are served.
+ * few endpoints, and others are served;
+ *   - with --limits (soak_limit.h): endpoints that name a limit get no more,
+ * and use it.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
- *          [--callers 8] [--moves alone|beside] [--zones] [--crashing] */
+ *          [--callers 8] [--moves alone|beside] [--zones] [--crashing]
+ *          [--limits] */
 #include "soak_crash.h"
+#include "soak_limit.h"
 #include "soak_move.h"
 #include "soak_zone.h"
 
@@ -35,13 +39,16 @@
     RECOVER_S = 15,
     STEP_LEAST_MS = 60,
     STEP_MOST_MS = 350,
+    LIMIT_PAUSE_MS = 40, /* between a caller's requests, with limits: 8 callers
+                            send nearly 200 a second */
     FAULTS_MOST = 64
 };
 
 static char *moves;    /* NULL, "alone" or "beside" other faults */
 static gboolean zones; /* zones that are kept out, beside starts of processes */
 static gboolean
-    crashing; /* requests that crash endpoints, and no other fault */
+    crashing;           /* requests that crash endpoints, and no other fault */
+static gboolean limits; /* endpoints that name one, and no other fault */
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* One request as a caller saw it end. */
@@ -62,6 +69,7 @@
     SoakMove *move;   /* NULL: none */
     SoakZone *zone;   /* NULL: none */
     SoakCrash *crash; /* NULL: none */
+    SoakLimit *limit; /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -133,6 +141,14 @@
     g_mutex_unlock(&s->lock);
 }
 
+static unsigned choose_entry(Caller *c)
+{
+    const SoakLimit *l = c->soak->limit;
+    if (l && soak_limit_one_entry(l))
+        return 0;
+    return (unsigned)g_rand_int_range(c->rand, 0, entries);
+}
+
 static void ask(Caller *c)
 {
     static const char *const targets[] = { "/call/x", "/once/x", "/stream/x",
@@ -152,13 +168,15 @@
     if (a.closed || !a.whole) {
         path_answer_end(&a);
         c->fd = -1;
-        c->entry = (unsigned)g_rand_int_range(c->rand, 0, entries);
+        c->entry = choose_entry(c);
     }
     if (a.body)
         g_string_free(a.body, TRUE);
     bool heeds = crashing && a.status != 200; /* as callers are told to */
     if (!a.status || heeds)
         g_usleep(STEP_LEAST_MS * WP_US_PER_MS);
+    if (limits)
+        g_usleep(LIMIT_PAUSE_MS * WP_US_PER_MS);
 }
 
 static gpointer call_on(gpointer arg)
@@ -325,7 +343,9 @@
             soak_zone_tick(s->zone);
         if (s->crash)
             soak_crash_tick(s->crash);
-        if (!s->crash && faults->len < FAULTS_MOST &&
+        if (s->limit)
+            soak_limit_tick(s->limit);
+        if (!s->crash && !s->limit && faults->len < FAULTS_MOST &&
             g_strcmp0(moves, "alone")) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
@@ -424,13 +444,18 @@
     g_mutex_init(&s.lock);
     for (int i = 0; i < entries; i++)
         s.lives[i] = 1;
+    const SoakLimitOps limit_ops = { restart_for, &s };
+    if (limits)
+        s.limit = soak_limit_new(s.path, seed, seconds, (unsigned)entries,
+                                 (unsigned)replicas, &limit_ops);
+    bool one_entry = s.limit && soak_limit_one_entry(s.limit);
     for (int i = 0; i < callers; i++) {
         all[i] =
             (Caller){ .soak = &s,
                       .number = (unsigned)i,
                       .rand = g_rand_new_with_seed(seed * 1000 + (uint32_t)i),
                       .fd = -1,
-                      .entry = (unsigned)(i % entries) };
+                      .entry = one_entry ? 0 : (unsigned)(i % entries) };
         threads[i] = g_thread_new("caller", call_on, &all[i]);
     }
     const SoakMoveOps ops = { restart_for, &s };
@@ -460,6 +485,8 @@
         : s.zone ? soak_zone_end(s.zone, s.problems)
         : s.crash
             ? soak_crash_end(s.crash, count_routed(&s), served, s.problems)
+        : s.limit
+            ? soak_limit_end(s.limit, count_routed(&s), served, s.problems)
             : g_strdup("no move");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
@@ -487,6 +514,8 @@
         { "zones", 0, 0, G_OPTION_ARG_NONE, &zones, "kept out by turns", NULL },
         { "crashing", 0, 0, G_OPTION_ARG_NONE, &crashing,
           "requests that crash endpoints", NULL },
+        { "limits", 0, 0, G_OPTION_ARG_NONE, &limits,
+          "endpoints that name a limit", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
