--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -1762,6 +1762,141 @@
   assert(message->base.descriptor == &wp__suspect_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__endpoint_limit__init
+                     (Wp__EndpointLimit         *message)
+{
+  static const Wp__EndpointLimit init_value = WP__ENDPOINT_LIMIT__INIT;
+  *message = init_value;
+}
+size_t wp__endpoint_limit__get_packed_size
+                     (const Wp__EndpointLimit *message)
+{
+  assert(message->base.descriptor == &wp__endpoint_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__endpoint_limit__pack
+                     (const Wp__EndpointLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__endpoint_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__endpoint_limit__pack_to_buffer
+                     (const Wp__EndpointLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__endpoint_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__EndpointLimit *
+       wp__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__EndpointLimit *)
+     protobuf_c_message_unpack (&wp__endpoint_limit__descriptor,
+                                allocator, len, data);
+}
+void   wp__endpoint_limit__free_unpacked
+                     (Wp__EndpointLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__endpoint_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__zone_demand__init
+                     (Wp__ZoneDemand         *message)
+{
+  static const Wp__ZoneDemand init_value = WP__ZONE_DEMAND__INIT;
+  *message = init_value;
+}
+size_t wp__zone_demand__get_packed_size
+                     (const Wp__ZoneDemand *message)
+{
+  assert(message->base.descriptor == &wp__zone_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__zone_demand__pack
+                     (const Wp__ZoneDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__zone_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__zone_demand__pack_to_buffer
+                     (const Wp__ZoneDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__zone_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__ZoneDemand *
+       wp__zone_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__ZoneDemand *)
+     protobuf_c_message_unpack (&wp__zone_demand__descriptor,
+                                allocator, len, data);
+}
+void   wp__zone_demand__free_unpacked
+                     (Wp__ZoneDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__zone_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__limit_news__init
+                     (Wp__LimitNews         *message)
+{
+  static const Wp__LimitNews init_value = WP__LIMIT_NEWS__INIT;
+  *message = init_value;
+}
+size_t wp__limit_news__get_packed_size
+                     (const Wp__LimitNews *message)
+{
+  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__limit_news__pack
+                     (const Wp__LimitNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__limit_news__pack_to_buffer
+                     (const Wp__LimitNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__LimitNews *
+       wp__limit_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__LimitNews *)
+     protobuf_c_message_unpack (&wp__limit_news__descriptor,
+                                allocator, len, data);
+}
+void   wp__limit_news__free_unpacked
+                     (Wp__LimitNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__frame__init
                      (Wp__Frame         *message)
 {
@@ -4691,7 +4826,7 @@
   (ProtobufCMessageInit) wp__mirror_delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__box_news__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wp__box_news__field_descriptors[13] =
 {
   {
     "box",
@@ -4825,8 +4960,34 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_of",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__BoxNews, n_asked_of),
+    offsetof(Wp__BoxNews, asked_of),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_per_min",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_asked_per_min),
+    offsetof(Wp__BoxNews, asked_per_min),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__box_news__field_indices_by_name[] = {
+  11,   /* field[11] = asked_of */
+  12,   /* field[12] = asked_per_min */
   9,   /* field[9] = began_at */
   10,   /* field[10] = began_ms */
   0,   /* field[0] = box */
@@ -4842,7 +5003,7 @@
 static const ProtobufCIntRange wp__box_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wp__box_news__descriptor =
 {
@@ -4852,7 +5013,7 @@
   "Wp__BoxNews",
   "wp",
   sizeof(Wp__BoxNews),
-  11,
+  13,
   wp__box_news__field_descriptors,
   wp__box_news__field_indices_by_name,
   1,  wp__box_news__number_ranges,
@@ -5090,7 +5251,225 @@
   (ProtobufCMessageInit) wp__suspect_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor wp__endpoint_limit__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__EndpointLimit, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wp__EndpointLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wp__EndpointLimit, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "box",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__EndpointLimit, box),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__endpoint_limit__field_indices_by_name[] = {
+  3,   /* field[3] = box */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = number */
+  1,   /* field[1] = per_s */
+};
+static const ProtobufCIntRange wp__endpoint_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wp__endpoint_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.EndpointLimit",
+  "EndpointLimit",
+  "Wp__EndpointLimit",
+  "wp",
+  sizeof(Wp__EndpointLimit),
+  4,
+  wp__endpoint_limit__field_descriptors,
+  wp__endpoint_limit__field_indices_by_name,
+  1,  wp__endpoint_limit__number_ranges,
+  (ProtobufCMessageInit) wp__endpoint_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__zone_demand__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__ZoneDemand, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__ZoneDemand, zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_min",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wp__ZoneDemand, per_min),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    4,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wp__ZoneDemand, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "box",
+    5,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__ZoneDemand, box),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__zone_demand__field_indices_by_name[] = {
+  4,   /* field[4] = box */
+  3,   /* field[3] = number */
+  2,   /* field[2] = per_min */
+  0,   /* field[0] = service */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange wp__zone_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wp__zone_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.ZoneDemand",
+  "ZoneDemand",
+  "Wp__ZoneDemand",
+  "wp",
+  sizeof(Wp__ZoneDemand),
+  5,
+  wp__zone_demand__field_descriptors,
+  wp__zone_demand__field_indices_by_name,
+  1,  wp__zone_demand__number_ranges,
+  (ProtobufCMessageInit) wp__zone_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__limit_news__field_descriptors[2] =
+{
+  {
+    "limits",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__LimitNews, n_limits),
+    offsetof(Wp__LimitNews, limits),
+    &wp__endpoint_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__LimitNews, n_demands),
+    offsetof(Wp__LimitNews, demands),
+    &wp__zone_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__limit_news__field_indices_by_name[] = {
+  1,   /* field[1] = demands */
+  0,   /* field[0] = limits */
+};
+static const ProtobufCIntRange wp__limit_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wp__limit_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.LimitNews",
+  "LimitNews",
+  "Wp__LimitNews",
+  "wp",
+  sizeof(Wp__LimitNews),
+  2,
+  wp__limit_news__field_descriptors,
+  wp__limit_news__field_indices_by_name,
+  1,  wp__limit_news__number_ranges,
+  (ProtobufCMessageInit) wp__limit_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__frame__field_descriptors[30] =
 {
   {
     "stream",
@@ -5440,6 +5819,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_news",
+    35,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Frame, body_case),
+    offsetof(Wp__Frame, limit_news),
+    &wp__limit_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__frame__field_indices_by_name[] = {
   6,   /* field[6] = accept */
@@ -5453,6 +5844,7 @@
   8,   /* field[8] = head */
   4,   /* field[4] = hello */
   3,   /* field[3] = hlc */
+  29,   /* field[29] = limit_news */
   2,   /* field[2] = load */
   18,   /* field[18] = members */
   25,   /* field[25] = mirror_delta */
@@ -5476,7 +5868,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor wp__frame__descriptor =
 {
@@ -5486,7 +5878,7 @@
   "Wp__Frame",
   "wp",
   sizeof(Wp__Frame),
-  29,
+  30,
   wp__frame__field_descriptors,
   wp__frame__field_indices_by_name,
   2,  wp__frame__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -55,6 +55,9 @@
 typedef struct Wp__ZoneNews Wp__ZoneNews;
 typedef struct Wp__Suspect Wp__Suspect;
 typedef struct Wp__SuspectNews Wp__SuspectNews;
+typedef struct Wp__EndpointLimit Wp__EndpointLimit;
+typedef struct Wp__ZoneDemand Wp__ZoneDemand;
+typedef struct Wp__LimitNews Wp__LimitNews;
 typedef struct Wp__Frame Wp__Frame;
 typedef struct Wp__SessionClaim Wp__SessionClaim;
 
@@ -840,10 +843,18 @@
   uint64_t *kept_prefix;
   size_t n_kept_tokens;
   uint32_t *kept_tokens;
+  /*
+   * Callers' requests a minute by service (hash of its name), where that is of
+   * use.
+   */
+  size_t n_asked_of;
+  uint64_t *asked_of;
+  size_t n_asked_per_min;
+  uint32_t *asked_per_min;
 };
 #define WP__BOX_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__box_news__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -923,6 +934,65 @@
     , 0,NULL }
 
 
+/*
+ * The requests a second that an endpoint takes from all boxes together, as some
+ * box has heard from it. The highest (number, box) is the latest.
+ */
+struct  Wp__EndpointLimit
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its life
+   */
+  uint64_t endpoint;
+  /*
+   * 0: it names none any more
+   */
+  double per_s;
+  uint32_t number;
+  /*
+   * hash of the id of the one that heard it
+   */
+  uint64_t box;
+};
+#define WP__ENDPOINT_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__endpoint_limit__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Callers' requests a minute for a service in a zone, the same way.
+ */
+struct  Wp__ZoneDemand
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of the names
+   */
+  uint64_t service;
+  uint64_t zone;
+  uint32_t per_min;
+  uint32_t number;
+  uint64_t box;
+};
+#define WP__ZONE_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__zone_demand__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Wp__LimitNews
+{
+  ProtobufCMessage base;
+  size_t n_limits;
+  Wp__EndpointLimit **limits;
+  size_t n_demands;
+  Wp__ZoneDemand **demands;
+};
+#define WP__LIMIT_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__limit_news__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 typedef enum {
   WP__FRAME__BODY__NOT_SET = 0,
   WP__FRAME__BODY_HELLO = 10,
@@ -949,7 +1019,8 @@
   WP__FRAME__BODY_MIRROR_DELTA = 31,
   WP__FRAME__BODY_WITNESS = 32,
   WP__FRAME__BODY_ZONE_NEWS = 33,
-  WP__FRAME__BODY_SUSPECT_NEWS = 34
+  WP__FRAME__BODY_SUSPECT_NEWS = 34,
+  WP__FRAME__BODY_LIMIT_NEWS = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WP__FRAME__BODY__CASE)
 } Wp__Frame__BodyCase;
 
@@ -993,6 +1064,7 @@
     Wp__Witness *witness;
     Wp__ZoneNews *zone_news;
     Wp__SuspectNews *suspect_news;
+    Wp__LimitNews *limit_news;
   };
 };
 #define WP__FRAME__INIT \
@@ -1759,6 +1831,63 @@
 void   wp__suspect_news__free_unpacked
                      (Wp__SuspectNews *message,
                       ProtobufCAllocator *allocator);
+/* Wp__EndpointLimit methods */
+void   wp__endpoint_limit__init
+                     (Wp__EndpointLimit         *message);
+size_t wp__endpoint_limit__get_packed_size
+                     (const Wp__EndpointLimit   *message);
+size_t wp__endpoint_limit__pack
+                     (const Wp__EndpointLimit   *message,
+                      uint8_t             *out);
+size_t wp__endpoint_limit__pack_to_buffer
+                     (const Wp__EndpointLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__EndpointLimit *
+       wp__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__endpoint_limit__free_unpacked
+                     (Wp__EndpointLimit *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__ZoneDemand methods */
+void   wp__zone_demand__init
+                     (Wp__ZoneDemand         *message);
+size_t wp__zone_demand__get_packed_size
+                     (const Wp__ZoneDemand   *message);
+size_t wp__zone_demand__pack
+                     (const Wp__ZoneDemand   *message,
+                      uint8_t             *out);
+size_t wp__zone_demand__pack_to_buffer
+                     (const Wp__ZoneDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__ZoneDemand *
+       wp__zone_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__zone_demand__free_unpacked
+                     (Wp__ZoneDemand *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__LimitNews methods */
+void   wp__limit_news__init
+                     (Wp__LimitNews         *message);
+size_t wp__limit_news__get_packed_size
+                     (const Wp__LimitNews   *message);
+size_t wp__limit_news__pack
+                     (const Wp__LimitNews   *message,
+                      uint8_t             *out);
+size_t wp__limit_news__pack_to_buffer
+                     (const Wp__LimitNews   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__LimitNews *
+       wp__limit_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__limit_news__free_unpacked
+                     (Wp__LimitNews *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__Frame methods */
 void   wp__frame__init
                      (Wp__Frame         *message);
@@ -1916,6 +2045,15 @@
 typedef void (*Wp__SuspectNews_Closure)
                  (const Wp__SuspectNews *message,
                   void *closure_data);
+typedef void (*Wp__EndpointLimit_Closure)
+                 (const Wp__EndpointLimit *message,
+                  void *closure_data);
+typedef void (*Wp__ZoneDemand_Closure)
+                 (const Wp__ZoneDemand *message,
+                  void *closure_data);
+typedef void (*Wp__LimitNews_Closure)
+                 (const Wp__LimitNews *message,
+                  void *closure_data);
 typedef void (*Wp__Frame_Closure)
                  (const Wp__Frame *message,
                   void *closure_data);
@@ -1969,6 +2107,9 @@
 extern const ProtobufCMessageDescriptor wp__zone_news__descriptor;
 extern const ProtobufCMessageDescriptor wp__suspect__descriptor;
 extern const ProtobufCMessageDescriptor wp__suspect_news__descriptor;
+extern const ProtobufCMessageDescriptor wp__endpoint_limit__descriptor;
+extern const ProtobufCMessageDescriptor wp__zone_demand__descriptor;
+extern const ProtobufCMessageDescriptor wp__limit_news__descriptor;
 extern const ProtobufCMessageDescriptor wp__frame__descriptor;
 extern const ProtobufCMessageDescriptor wp__session_claim__descriptor;
 
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -54,6 +54,9 @@
 /* The same, to all boxes, of requests under which endpoints have ended. */
 void wp_sync_suspects(WPSync *s);
 
+/* The same, of limits that endpoints name. */
+void wp_sync_limits(WPSync *s);
+
 /* Whether enough is known to serve. */
 bool wp_sync_ready(const WPSync *s);
 bool wp_sync_store_up(const WPSync *s);
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -96,6 +96,9 @@
     case WP__FRAME__BODY_SUSPECT_NEWS:
         p->ops->suspects(p->arg, l->peer, f->suspect_news);
         break;
+    case WP__FRAME__BODY_LIMIT_NEWS:
+        p->ops->limits(p->arg, l->peer, f->limit_news);
+        break;
     default:
         break;
     }
@@ -277,18 +280,34 @@
     wp_link_send(l, &f);
 }
 
+typedef struct SendTo {
+    const char *to; /* NULL: all */
+    Wp__Frame *frame;
+} SendTo;
+
 static void send_frame(void *arg, WPLink *l)
 {
-    if (l->peer)
-        wp_link_send(l, arg);
+    const SendTo *s = arg;
+    if (l->peer && (!s->to || !strcmp(s->to, l->peer)))
+        wp_link_send(l, s->frame);
 }
 
 void wp_peers_send_suspects(WPPeers *p, Wp__SuspectNews *n)
 {
     Wp__Frame f = WP__FRAME__INIT;
+    SendTo s = { NULL, &f };
     f.body_case = WP__FRAME__BODY_SUSPECT_NEWS;
     f.suspect_news = n;
-    wp_hub_each(p->hub, send_frame, &f);
+    wp_hub_each(p->hub, send_frame, &s);
+}
+
+void wp_peers_send_limits(WPPeers *p, const char *to, Wp__LimitNews *n)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    SendTo s = { to, &f };
+    f.body_case = WP__FRAME__BODY_LIMIT_NEWS;
+    f.limit_news = n;
+    wp_hub_each(p->hub, send_frame, &s);
 }
 
 static void close_silent(void *arg, WPLink *l)
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -24,6 +24,8 @@
     void (*zone_news)(void *arg, const char *from, const Wp__ZoneNews *z);
     /* News of requests under which endpoints have ended. */
     void (*suspects)(void *arg, const char *from, const Wp__SuspectNews *n);
+    /* News of limits that endpoints name. */
+    void (*limits)(void *arg, const char *from, const Wp__LimitNews *n);
 } WPPeersOps;
 
 /* Listens on the settings' `peers`. NULL and an error if that fails. */
@@ -65,6 +67,10 @@
 /* Sends news of requests to all that this box is linked to. */
 void wp_peers_send_suspects(WPPeers *p, Wp__SuspectNews *n);
 
+/* Sends news of limits to all that this box is linked to; to one of them, if
+   `to` is not NULL. */
+void wp_peers_send_limits(WPPeers *p, const char *to, Wp__LimitNews *n);
+
 void wp_peers_tick(WPPeers *p, WPTime now);
 
 /* For how long others have known more than this box; 0: they do not. */
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -184,6 +184,8 @@
             answer_whole(r);
         break;
     case WP_MOVE_FAIL:
+        if (m.limited)
+            wp_relay_note_limited(r, m.limited);
         answer_own(r, m.code, m.retry_ms);
         break;
     case WP_MOVE_CUT:
@@ -215,16 +217,20 @@
 /* With the head of any answer: its body may be long in coming. */
 static void note_limit(WPRelay *r)
 {
-    const WPDirectAnswer *a = &r->answer;
-    WPReplica *s = r->flow->leg.replica;
+    const WPAttempt *leg = &r->flow->leg;
+    WPFleet *fleet = r->host->direct.fleet;
+    WPReplica *s = leg->replica;
     double was = wp_fleet_limit_of(s);
-    if (a->wrong)
+    const WPLimitSeen seen = { r->answer.limit, r->answer.genuine,
+                               leg->sent_us };
+    if (r->answer.wrong)
         return;
-    switch (wp_fleet_told_limit(s, wp_clock_now(0), a->limit, a->genuine)) {
+    switch (wp_fleet_told_limit(fleet, s, wp_clock_now(0), &seen)) {
     case WP_LIMIT_SAME:
         break;
     case WP_LIMIT_CHANGED:
         wp_relay_log_limit(r, s, was);
+        wp_sync_limits(r->host->sync);
         break;
     case WP_LIMIT_ODD:
         wp_log(&r->host->log, WP_WARN, "endpoint_limit_bad", "endpoint", s->id,
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -32,6 +32,10 @@
 /* The endpoint's answer names another limit than it had before. */
 void wp_relay_log_limit(WPRelay *r, const WPReplica *s, double was);
 
+/* The request is refused for limits of endpoints, this one's the first that
+   would let it in. */
+void wp_relay_note_limited(WPRelay *r, const WPReplica *s);
+
 /* The connection to an endpoint has ended under the request. */
 void wp_relay_log_ended(WPRelay *r, const char *endpoint);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -78,6 +78,13 @@
         g_string_append(r->legs, ":cold");
 }
 
+void wp_relay_note_limited(WPRelay *r, const WPReplica *s)
+{
+    g_string_append_printf(r->legs, "%snone:%s:limit=%g",
+                           r->legs->len ? "," : "", s->id,
+                           wp_fleet_limit_of(s));
+}
+
 void wp_relay_note_result(WPRelay *r, const char *how)
 {
     g_string_append_printf(r->legs, ":%s", how);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -3,6 +3,7 @@
  * not tell this box, other boxes do. */
 #include "wp_sync_int.h"
 #include "wp_lag.h"
+#include "wp_limit_news.h"
 #include "wp_zone.h"
 
 enum {
@@ -255,6 +256,8 @@
     if (up)
         wp_suspects_tell_all(s->host->direct.suspects);
     wp_sync_suspects(s);
+    if (s->limit_news)
+        wp_limit_news_peer(s->limit_news, peer, up);
 }
 
 static void on_zone_news(void *arg, const char *from, const Wp__ZoneNews *m)
@@ -272,8 +275,16 @@
         wp_suspect_news_heard(s, from, n);
 }
 
+static void on_limits(void *arg, const char *from, const Wp__LimitNews *n)
+{
+    WPSync *s = arg;
+    if (s->limit_news)
+        wp_limit_news_heard(s->limit_news, from, n);
+}
+
 static const WPPeersOps peers_ops = { on_delta, wp_sync_hear, wp_sync_fill,
-                                      on_peer,  on_zone_news, on_suspects };
+                                      on_peer,  on_zone_news, on_suspects,
+                                      on_limits };
 
 /* A box on duty watches: the client of the store ends a watch that has fallen
    silent. One that is not asks the store when nobody has had its word for
@@ -357,6 +368,8 @@
     wp_record_tick(s, now);
     wp_seen_tick(s, now);
     wp_suspect_news_tick(s, now);
+    wp_zone_tick(s->zone, now);
+    wp_limit_news_tick(s->limit_news, now);
     bool moving = false;
     wp_shifts_each(s->host->direct.shifts, note_running, &moving);
     wp_peers_hurry(s->peers, moving);
@@ -380,6 +393,12 @@
         wp_suspect_news_wake(s->suspect_news);
 }
 
+void wp_sync_limits(WPSync *s)
+{
+    if (s->limit_news)
+        wp_limit_news_wake(s->limit_news);
+}
+
 void wp_sync_tell(WPSync *s)
 {
     wp_peers_announce(s->peers);
@@ -425,6 +444,7 @@
     if (s->kv) {
         s->zone = wp_zone_new(h, s->peers);
         s->suspect_news = wp_suspect_news_new(s);
+        s->limit_news = wp_limit_news_new(h, s->peers);
         s->start_us = start_of(s, wp_clock_now(0));
         s->self_us = s->start_us + SELF_MS * WP_US_PER_MS;
         s->boxes_us = time_of(s).mono_us + SELF_MS * WP_US_PER_MS / 2;
@@ -447,6 +467,7 @@
         s->kv->ops->free(s->kv);
     wp_zone_free(s->zone);
     g_clear_pointer(&s->suspect_news, wp_suspect_news_free);
+    g_clear_pointer(&s->limit_news, wp_limit_news_free);
     wp_peers_free(s->peers);
     wp_mirror_free(s->mirror);
     g_hash_table_unref(s->turns);
--- a/io/wp_zone.c
+++ b/io/wp_zone.c
@@ -87,6 +87,17 @@
         arm(z);
 }
 
+void wp_zone_tick(WPZone *z, WPTime now)
+{
+    WPDemand *d = wp_fleet_demand(z->host->direct.fleet);
+    WPDemandNews n;
+    if (!z->host->settings->zone_news || !wp_demand_is_wanted(d, now))
+        return;
+    while (wp_demand_tell(d, now, &n))
+        wp_box_news_asked(&z->news, &n);
+    wp_zone_wake(z);
+}
+
 void wp_zone_heard(WPZone *z, const Wp__ZoneNews *m)
 {
     WPTime now = wp_clock_now(0);
--- a/io/wp_zone.h
+++ b/io/wp_zone.h
@@ -11,6 +11,9 @@
 WPZone *wp_zone_new(WPDirectHost *h, WPPeers *peers);
 void wp_zone_free(WPZone *z);
 
+/* This box's own figures go out when they are due. */
+void wp_zone_tick(WPZone *z, WPTime now);
+
 /* What this box has to tell goes out soon. */
 void wp_zone_wake(WPZone *z);
 
--- a/src/wp_box_news.c
+++ b/src/wp_box_news.c
@@ -20,6 +20,8 @@
     n->kept_at = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     n->kept_prefix = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     n->kept_tokens = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    n->asked_of = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    n->asked_per_min = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 }
 
 void wp_box_news_end(WPBoxNews *n)
@@ -34,6 +36,8 @@
     g_array_unref(n->kept_at);
     g_array_unref(n->kept_prefix);
     g_array_unref(n->kept_tokens);
+    g_array_unref(n->asked_of);
+    g_array_unref(n->asked_per_min);
 }
 
 /* Whether one more fits; counts it if not. */
@@ -99,10 +103,18 @@
     g_array_append_val(n->kept_tokens, kept->tokens);
 }
 
+void wp_box_news_asked(WPBoxNews *n, const WPDemandNews *asked)
+{
+    if (!has_room(n, n->asked_of))
+        return;
+    g_array_append_val(n->asked_of, asked->service);
+    g_array_append_val(n->asked_per_min, asked->per_min);
+}
+
 bool wp_box_news_any(const WPBoxNews *n)
 {
     return n->sent_to->len || n->began_at->len || n->load_of->len ||
-           n->kept_at->len;
+           n->kept_at->len || n->asked_of->len;
 }
 
 void wp_box_news_fill(const WPBoxNews *n, uint64_t box, Wp__BoxNews *out)
@@ -125,6 +137,9 @@
     out->kept_at = (uint64_t *)(void *)n->kept_at->data;
     out->kept_prefix = (uint64_t *)(void *)n->kept_prefix->data;
     out->kept_tokens = (uint32_t *)(void *)n->kept_tokens->data;
+    out->n_asked_of = out->n_asked_per_min = n->asked_of->len;
+    out->asked_of = (uint64_t *)(void *)n->asked_of->data;
+    out->asked_per_min = (uint32_t *)(void *)n->asked_per_min->data;
 }
 
 void wp_box_news_clear(WPBoxNews *n)
@@ -139,6 +154,8 @@
     g_array_set_size(n->kept_at, 0);
     g_array_set_size(n->kept_prefix, 0);
     g_array_set_size(n->kept_tokens, 0);
+    g_array_set_size(n->asked_of, 0);
+    g_array_set_size(n->asked_per_min, 0);
 }
 
 /* The longest of two or three lists less the shortest: records without a
@@ -205,10 +222,26 @@
     return odd(m->n_kept_at, m->n_kept_prefix, m->n_kept_tokens);
 }
 
+static unsigned hear_asked(WPFleet *f, WPTime now, const Wp__BoxNews *m)
+{
+    size_t n = MIN(m->n_asked_of, m->n_asked_per_min);
+    unsigned bad = odd(m->n_asked_of, m->n_asked_per_min, n);
+    for (size_t i = 0; i < n; i++) {
+        const WPDemandNews news = { .service = m->asked_of[i],
+                                    .of = m->box,
+                                    .per_min = m->asked_per_min[i] };
+        if (news.per_min > WP_DEMAND_MOST)
+            bad++;
+        else
+            wp_demand_hear(wp_fleet_demand(f), now, &news);
+    }
+    return bad;
+}
+
 unsigned wp_box_news_hear(WPFleet *f, WPTime now, const Wp__BoxNews *m)
 {
     return hear_sent(f, now, m) + hear_began(f, now, m) + hear_load(f, now, m) +
-           hear_kept(f, now, m);
+           hear_kept(f, now, m) + hear_asked(f, now, m);
 }
 
 static void free_copy(gpointer m)
@@ -228,7 +261,8 @@
 
 void wp_bundle_add(WPBundle *b, const Wp__BoxNews *m)
 {
-    size_t records = m->n_sent_to + m->n_began_at + m->n_load_of + m->n_kept_at;
+    size_t records = m->n_sent_to + m->n_began_at + m->n_load_of +
+                     m->n_kept_at + m->n_asked_of;
     if (b->records + records > WP_BUNDLE_MOST) {
         b->dropped++;
         return;
--- a/src/wp_box_news.h
+++ b/src/wp_box_news.h
@@ -23,6 +23,7 @@
     GArray *began_at, *began_ms;
     GArray *load_of, *load_running, *load_waiting;
     GArray *kept_at, *kept_prefix, *kept_tokens;
+    GArray *asked_of, *asked_per_min;
     uint64_t dropped; /* records beyond the bound */
 } WPBoxNews;
 
@@ -35,6 +36,7 @@
 void wp_box_news_load(WPBoxNews *n, uint64_t replica, uint32_t running,
                       uint32_t waiting);
 void wp_box_news_kept(WPBoxNews *n, const WPKeptNews *kept);
+void wp_box_news_asked(WPBoxNews *n, const WPDemandNews *asked);
 
 bool wp_box_news_any(const WPBoxNews *n);
 
--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -29,6 +29,8 @@
       "endpoints ended under this request each time that it ran")              \
     X(STARTING, "endpoints_starting", 503, NOT_RUN,                            \
       "the endpoints have just started and take few requests")                 \
+    X(LIMITED, "endpoints_limited", 503, NOT_RUN,                              \
+      "the endpoints take few requests at present")                            \
     X(OVERLOADED, "overloaded", 429, NOT_RUN, "no capacity at this time")      \
     X(LATE, "deadline_unreachable", 429, NOT_RUN,                              \
       "the deadline cannot be met")                                            \
--- /dev/null
+++ b/src/wp_demand_quota.c
@@ -0,0 +1,219 @@
+/* This box's part of what endpoints take, by the boxes' requests. */
+#include "wp_demand_int.h"
+
+enum {
+    UNKNOWN_MS = 3000, /* what has not been heard for so long has no requests;
+                          a box that comes is told within some tens of ms */
+    VIEW_MS = 100      /* what quotas rest on is put together anew */
+};
+
+/* A zone whose boxes have so many times the requests that its endpoints take
+   uses them up alone. */
+#define ENOUGH 1.5
+
+/* What is left of an exact share after its whole ones, if not by rounding. */
+#define PART_LEAST 1e-9
+
+static double fraction_of(const WPShare *s, size_t n, double sum, unsigned part,
+                          unsigned *whole)
+{
+    double exact = sum > 0 ? part * s->weight / sum : (double)part / (double)n;
+    *whole = (unsigned)(exact + PART_LEAST);
+    return MAX(exact - *whole, 0);
+}
+
+unsigned wp_share_of(const WPShare *all, size_t n, size_t self, unsigned part,
+                     uint64_t seed)
+{
+    double sum = 0, own_score = 0;
+    unsigned own = 0, given = 0, before = 0;
+    g_autofree double *score = g_new0(double, n);
+    for (size_t i = 0; i < n; i++)
+        sum += all[i].weight;
+    for (size_t i = 0; i < n; i++) {
+        unsigned whole;
+        double rest = fraction_of(&all[i], n, sum, part, &whole);
+        given += whole;
+        WPStr key = wp_strn((const char *)&all[i].key, sizeof(all[i].key));
+        score[i] = rest > PART_LEAST ? wp_rendezvous(key, seed, rest) : 0;
+        if (i != self)
+            continue;
+        own = whole;
+        own_score = score[i];
+    }
+    for (size_t i = 0; i < n; i++)
+        before += score[i] > own_score;
+    bool gets_one = own_score > 0 && given < part && before < part - given;
+    return own + gets_one;
+}
+
+/* What a box of this zone tells; below 0: not known. */
+static double weight_of(WPDemand *d, WPTime now, const WPPaceBox *b,
+                        uint64_t service)
+{
+    uint64_t key = wp_demand_key(b->hash, service);
+    const WPDemandFigure *f = g_hash_table_lookup(d->boxes, &key);
+    if (g_hash_table_contains(d->away, &b->hash))
+        return 0;
+    if (f && wp_demand_is_fresh(f->heard_us, now, WP_DEMAND_FRESH_MS))
+        return f->per_min;
+    bool early =
+        now.mono_us - d->listens_us < (int64_t)UNKNOWN_MS * WP_US_PER_MS;
+    bool alone = !wp_demand_is_fresh(d->heard_us, now, WP_DEMAND_FRESH_MS);
+    return early || alone ? -1 : 0;
+}
+
+/* What is not known counts as the mean of what is. */
+static void fill_unknown(GArray *shares)
+{
+    double sum = 0;
+    unsigned n = 0;
+    for (guint i = 0; i < shares->len; i++) {
+        double w = g_array_index(shares, WPShare, i).weight;
+        sum += MAX(w, 0);
+        n += w >= 0;
+    }
+    double mean = n && sum > 0 ? sum / n : 1;
+    for (guint i = 0; i < shares->len; i++) {
+        WPShare *s = &g_array_index(shares, WPShare, i);
+        s->weight = s->weight < 0 ? mean : s->weight;
+    }
+}
+
+/* This box, those of its zone, and those that are only known to be there. */
+static void view_boxes(WPDemand *d, WPTime now, const WPPaceBoxes *b,
+                       WPDemandService *s)
+{
+    WPDemandView *v = &s->view;
+    g_array_set_size(v->boxes, 0);
+    v->self = 0;
+    for (guint i = 0; i < b->all->len; i++) {
+        const WPPaceBox *o = &g_array_index(b->all, WPPaceBox, i);
+        bool self = o->hash == b->self.hash;
+        if (strcmp(o->zone, b->self.zone))
+            continue;
+        double weight = !self        ? weight_of(d, now, o, s->service)
+                        : s->told_us ? s->told_per_min
+                                     : wp_demand_per_min(s, now);
+        const WPShare share = { o->hash, weight };
+        if (self)
+            v->self = v->boxes->len;
+        g_array_append_val(v->boxes, share);
+    }
+    for (unsigned i = b->all->len; i < b->least; i++) {
+        const WPShare share = { i, -1 };
+        g_array_append_val(v->boxes, share);
+    }
+    fill_unknown(v->boxes);
+    v->per_min = 0;
+    for (guint i = 0; i < v->boxes->len; i++)
+        v->per_min += g_array_index(v->boxes, WPShare, i).weight;
+}
+
+static bool is_all_away(const WPDemand *d, const WPPaceBoxes *b,
+                        const char *zone)
+{
+    for (guint i = 0; i < b->all->len; i++) {
+        const WPPaceBox *o = &g_array_index(b->all, WPPaceBox, i);
+        if (!strcmp(o->zone, zone) && !g_hash_table_contains(d->away, &o->hash))
+            return false;
+    }
+    return true;
+}
+
+/* Requests of another zone; below 0: not known. */
+static double zone_weight(WPDemand *d, WPTime now, const WPPaceBoxes *b,
+                          const char *zone, uint64_t service)
+{
+    uint64_t key = wp_demand_key(wp_demand_zone_hash(zone), service);
+    const WPDemandZoneFigure *z = g_hash_table_lookup(d->zones, &key);
+    if (is_all_away(d, b, zone))
+        return 0;
+    bool known =
+        z && wp_demand_is_fresh(z->heard_us, now, WP_DEMAND_ZONE_FRESH_MS);
+    return known ? (double)z->news.per_min : -1;
+}
+
+static bool has_share(const GArray *shares, uint64_t key)
+{
+    for (guint i = 0; i < shares->len; i++)
+        if (g_array_index(shares, WPShare, i).key == key)
+            return true;
+    return false;
+}
+
+static void view_zones(WPDemand *d, WPTime now, const WPPaceBoxes *b,
+                       WPDemandService *s)
+{
+    WPDemandView *v = &s->view;
+    g_array_set_size(v->zones, 0);
+    for (guint i = 0; i < b->all->len; i++) {
+        const WPPaceBox *o = &g_array_index(b->all, WPPaceBox, i);
+        bool own = !strcmp(o->zone, b->self.zone);
+        WPShare share = { wp_demand_zone_hash(o->zone), v->per_min };
+        if (has_share(v->zones, share.key))
+            continue;
+        if (own)
+            v->self_zone = v->zones->len;
+        else
+            share.weight = zone_weight(d, now, b, o->zone, s->service);
+        g_array_append_val(v->zones, share);
+    }
+}
+
+const WPDemandView *wp_demand_view(WPDemand *d, WPTime now,
+                                   const WPPaceBoxes *b, WPDemandService *s)
+{
+    WPDemandView *v = &s->view;
+    int64_t age_us = now.mono_us - v->at_us;
+    bool same = v->change == d->change && v->boxes_change == b->change;
+    if (v->at_us && same && age_us < (int64_t)VIEW_MS * WP_US_PER_MS)
+        return v;
+    if (!v->boxes) {
+        v->boxes = g_array_new(FALSE, FALSE, sizeof(WPShare));
+        v->zones = g_array_new(FALSE, FALSE, sizeof(WPShare));
+    }
+    view_boxes(d, now, b, s);
+    view_zones(d, now, b, s);
+    v->at_us = now.mono_us;
+    v->change = d->change;
+    v->boxes_change = b->change;
+    return v;
+}
+
+/* How many are this box's zone's. */
+static unsigned zone_part(const WPDemandView *v, const WPDemandFor *e)
+{
+    uint64_t key = wp_demand_zone_hash(e->zone);
+    const WPShare *own = &g_array_index(v->zones, WPShare, v->self_zone);
+    g_autofree WPShare *all =
+        g_memdup2(v->zones->data, v->zones->len * sizeof(WPShare));
+    double near = 0;
+    for (guint i = 0; i < v->zones->len; i++) {
+        if (all[i].key == key)
+            near = all[i].weight;
+        all[i].weight = MAX(all[i].weight, 0);
+    }
+    bool is_near = own->key == key;
+    bool there = has_share(v->zones, key);
+    if (there &&
+        (near < 0 || near >= ENOUGH * e->zone_per_s * WP_DEMAND_S_PER_MIN))
+        return is_near ? e->part : 0;
+    double sum = 0;
+    for (guint i = 0; i < v->zones->len; i++)
+        sum += all[i].weight;
+    if (there && sum <= 0)
+        return is_near ? e->part : 0;
+    return wp_share_of(all, v->zones->len, v->self_zone, e->part, e->endpoint);
+}
+
+unsigned wp_demand_quota(WPDemand *d, WPTime now, const WPPaceBoxes *b,
+                         const WPDemandFor *e)
+{
+    const WPDemandView *v =
+        wp_demand_view(d, now, b, wp_demand_service(d, e->service));
+    unsigned part = zone_part(v, e);
+    return part ? wp_share_of((const WPShare *)(void *)v->boxes->data,
+                              v->boxes->len, v->self, part, e->endpoint)
+                : 0;
+}
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -115,7 +115,9 @@
     uint32_t budget_ms; /* what is left of the caller's time */
     uint32_t patience_ms; /* to the first byte, then go elsewhere; 0: none */
     WPCode code;
-    uint32_t retry_ms; /* when to come back; 0: not told */
+    uint32_t retry_ms;        /* when to come back; 0: not told */
+    const WPReplica *limited; /* FAIL: whose limit would have let the request
+                                 come first; valid at once only; NULL: none */
 } WPMove;
 
 /* The head of an endpoint's answer, decoded. */
@@ -170,6 +172,7 @@
                       time that a caller sends it */
     WPPrompt prompt;
     uint32_t answer_tokens, body_bytes;
+    double draw; /* at random in [0, 1): see wp_fleet_limit_yields() */
     double unit; /* place of the session (or request) in [0, 1) */
     int64_t start_us, deadline_us;
     unsigned step;         /* index of the model in the route's list */
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -45,6 +45,12 @@
     f->cold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     wp_pace_boxes_init(&f->boxes);
     f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
+    f->limited = g_ptr_array_new();
+    f->limit_sums =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    f->refusals =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    f->demand = wp_demand_new();
     f->rand = g_rand_new_with_seed(seed);
     return f;
 }
@@ -67,6 +73,10 @@
     g_hash_table_unref(f->cold);
     wp_pace_boxes_end(&f->boxes);
     g_array_unref(f->untold);
+    g_ptr_array_unref(f->limited);
+    g_hash_table_unref(f->limit_sums);
+    g_hash_table_unref(f->refusals);
+    wp_demand_free(f->demand);
     g_rand_free(f->rand);
     g_free(f);
 }
@@ -144,6 +154,7 @@
 static void forget(WPFleet *f, WPReplica *s)
 {
     s->gone = true;
+    wp_fleet_forget_limit(f, s);
     g_hash_table_remove(f->by_id, s->id);
     g_hash_table_remove(f->by_hash, &s->id_hash);
     g_hash_table_remove(f->by_hash, &s->life_hash);
@@ -273,6 +284,7 @@
     }
     for (guint i = 0; i < lapsed->len; i++)
         forget(f, g_ptr_array_index(lapsed, i));
+    wp_fleet_tick_limits(f, now);
 }
 
 WPReplica *wp_fleet_find(WPFleet *f, const char *id)
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -5,6 +5,7 @@
 #ifndef WP_FLEET_H
 #define WP_FLEET_H
 
+#include "wp_demand.h"
 #include "wp_kept.h"
 #include "wp_limit.h"
 #include "wp_listing.h"
@@ -12,6 +13,8 @@
 #include "wp_pause.h"
 #include "wp_speed.h"
 
+enum { WP_PRIORITIES = 10 };
+
 struct WPCohort;
 struct WPColdRule;
 
@@ -92,6 +95,8 @@
     size_t n_tried;
     bool once;        /* may not be repeated: doubtful endpoints cost more */
     unsigned suspect; /* endpoints that have ended under it */
+    int priority;     /* 0 is the most urgent */
+    double draw;      /* of the request, at random in [0, 1) */
 } WPWant;
 
 /* Weights of a choice, in places: 1 is a replica whose every place is
@@ -243,7 +248,9 @@
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
 
-/* What an answer's word on its endpoint's limit changed. */
+/* wp_fleet_limit.c: what endpoints say of the requests that they take.
+
+   What an answer's word on that changed. */
 typedef enum WPLimitChange {
     WP_LIMIT_SAME,
     WP_LIMIT_CHANGED, /* named for the first time, another one, or dropped */
@@ -251,15 +258,64 @@
                          it names none */
 } WPLimitChange;
 
-/* wp_fleet_limit.c: what an answer says of the requests that its endpoint
-   takes. A `genuine` one without the field, or with a bad one, ends what was
-   named before. */
-WPLimitChange wp_fleet_told_limit(WPReplica *s, WPTime now, WPLimitField field,
-                                  bool genuine);
+typedef struct WPLimitSeen {
+    WPLimitField field;
+    bool genuine;    /* the answer carries the endpoint's mark: only then its
+                        saying nothing counts */
+    int64_t sent_us; /* when the request was sent that it answers */
+} WPLimitSeen;
+
+WPLimitChange wp_fleet_told_limit(WPFleet *f, WPReplica *s, WPTime now,
+                                  const WPLimitSeen *seen);
 
 /* The limit that is believed to be in force; 0: none. */
 double wp_fleet_limit_of(const WPReplica *s);
 
+/* A belief as boxes tell it; see WPLimit. */
+typedef struct WPLimitNews {
+    uint64_t endpoint; /* hash of its life */
+    double per_s;      /* 0: it names none any more */
+    uint32_t number;
+    uint64_t box;
+} WPLimitNews;
+
+/* Returns the endpoint when that is new; it is then told on. */
+WPReplica *wp_fleet_hear_limit(WPFleet *f, WPTime now, const WPLimitNews *n);
+
+/* What is to be told now; it counts as told. */
+size_t wp_fleet_tell_limits(WPFleet *f, WPTime now, WPLimitNews *out,
+                            size_t most);
+bool wp_fleet_any_untold_limit(const WPFleet *f);
+
+/* All of it, for a box that comes. */
+void wp_fleet_each_limit(WPFleet *f,
+                         void (*fn)(void *arg, const WPLimitNews *n),
+                         void *arg);
+
+/* The boxes' requests by service, which quotas rest on. */
+WPDemand *wp_fleet_demand(WPFleet *f);
+
+/* The figure of this box's zone that is to be told to the others, if any. */
+bool wp_fleet_tell_zone_demand(WPFleet *f, WPTime now, WPDemandNews *out);
+
+/* A caller's request for a service. */
+void wp_fleet_asked(WPFleet *f, WPTime now, const char *service);
+
+/* The endpoints that are kept from a request by their limits alone. */
+typedef struct WPLimitMet {
+    const WPReplica *endpoint; /* the first that is free again */
+    int64_t free_us;           /* when; INT64_MAX: not for this box */
+    double own_per_s;          /* what this box may send to all of these */
+} WPLimitMet;
+
+bool wp_fleet_limit_met(WPFleet *f, WPTime now, const WPWant *w,
+                        WPLimitMet *out);
+
+/* A request is refused for that; returns in how many ms its caller is to come
+   back. */
+uint32_t wp_fleet_limit_refused(WPFleet *f, WPTime now, const WPWant *w,
+                                const WPLimitMet *met);
+
 /* wp_fleet_hear.c: what the boxes of a zone tell each other. From now on, what
    others should know goes to `news`; NULL: nowhere. */
 void wp_fleet_tell(WPFleet *f, struct WPBoxNews *news);
--- a/src/wp_fleet_hear.c
+++ b/src/wp_fleet_hear.c
@@ -52,6 +52,8 @@
     s->others_us = others_left_us(s, now) + reading_us;
     s->others_at_us = now.mono_us;
     s->since_load++;
+    if (s->limit)
+        wp_limit_note_other(s->limit, now);
     wp_peaks_note(&s->peaks, now, wp_fleet_ahead_us(s, now));
 }
 
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -32,6 +32,11 @@
     GHashTable *by_hash;    /* of the life, and of the id -> WPReplica */
     GHashTable *zones_out;  /* set of names */
     GArray *untold;         /* WPKeptNews */
+    GPtrArray *limited;     /* WPReplica: of which a limit is remembered */
+    bool limits_untold;
+    GHashTable *limit_sums; /* WPLimit.place -> PlaceSum */
+    GHashTable *refusals;   /* service -> Refusals: for limits */
+    WPDemand *demand;
     GRand *rand;
     WPFleetRules rules;
     struct WPBoxNews *news; /* what the zone is told; NULL: nothing */
@@ -40,6 +45,15 @@
 /* wp_fleet_learn.c: until the list tells, it may be cold. */
 void wp_fleet_doubt(WPReplica *s, WPTime now);
 
+/* wp_fleet_limit.c: when an endpoint's limit lets this box send it one more;
+   what this box may send there in a second; whether a request leaves such
+   places to more urgent ones. */
+int64_t wp_fleet_limit_free_us(WPFleet *f, WPTime now, const WPReplica *s);
+double wp_fleet_limit_own_rate(WPFleet *f, WPTime now, const WPReplica *s);
+bool wp_fleet_limit_yields(WPFleet *f, WPTime now, const WPWant *w);
+void wp_fleet_tick_limits(WPFleet *f, WPTime now);
+void wp_fleet_forget_limit(WPFleet *f, WPReplica *s);
+
 /* The endpoints of a service (WPReplica), made when it is not known yet. */
 GPtrArray *wp_fleet_of_service(WPFleet *f, const char *service);
 
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -167,7 +167,7 @@
     s->since_load++;
     wp_pace_note(&s->pace, now);
     if (s->limit)
-        s->limit->sent++;
+        wp_limit_note_own(s->limit, now);
     s->ahead_us += reading_us;
     wp_peaks_note(&s->peaks, now, wp_fleet_ahead_us(s, now));
     wp_fleet_tell_sent(f, s, reading_us);
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -8,6 +8,8 @@
 #define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
 #define AVOIDED 20.0     /* chosen only when nothing else is left */
 #define COLD 0.3         /* has just started */
+#define LIMITED 0.2      /* preferred: its limit has room for this box */
+#define UNHEARD 1.0      /* the same, and it has not answered for long */
 #define JITTER 0.02      /* so that boxes with one view do not herd */
 
 /* A version that fails on loaded endpoints is passed over on those from this
@@ -27,6 +29,10 @@
 #define SUSPECT_ALONE 10.0
 #define SUSPECT_ALONE_FROM 2
 
+/* An endpoint that names a limit has to be asked now and then whether it still
+   does. */
+enum { UNHEARD_MS = 3000 };
+
 static bool was_tried(const WPWant *w, const WPReplica *s)
 {
     for (size_t i = 0; i < w->n_tried; i++)
@@ -71,6 +77,13 @@
     return v;
 }
 
+/* Of one that is not spared: what it takes is to be used. */
+static double limit_bonus(const WPLimit *l, WPTime now)
+{
+    bool unheard = now.mono_us - l->heard_us > UNHEARD_MS * WP_US_PER_MS;
+    return unheard ? UNHEARD : LIMITED;
+}
+
 static double score(WPFleet *f, WPTime now, const WPWant *w, const WPReplica *s,
                     uint32_t own, const WPKeepers *keepers, bool home)
 {
@@ -88,6 +101,8 @@
         v += AVOIDED;
     if (s->cold_until_us > now.mono_us)
         v += COLD;
+    if (wp_fleet_limit_of(s) > 0)
+        v -= limit_bonus(s->limit, now);
     if (wp_fleet_taken(s, now) + 1.0 / MAX(s->slots, 1) >= FULL_FROM &&
         wp_fleet_fails_loaded(f, now, s->service, s->version))
         v += LOADED;
@@ -168,6 +183,35 @@
     return wp_fleet_is_cold(s, now) && free_us(f, s) > now.mono_us;
 }
 
+/* Whether its limit has no room for this request. */
+static bool is_limited(WPFleet *f, WPTime now, const WPWant *w,
+                       const WPReplica *s)
+{
+    if (!s->limit || wp_limit_rate(s->limit, now) <= 0)
+        return false;
+    return wp_fleet_limit_free_us(f, now, s) > now.mono_us ||
+           wp_fleet_limit_yields(f, now, w);
+}
+
+bool wp_fleet_limit_met(WPFleet *f, WPTime now, const WPWant *w,
+                        WPLimitMet *out)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    *out = (WPLimitMet){ .free_us = INT64_MAX };
+    for (guint i = 0; i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        if (!may_take(w, s) || !is_limited(f, now, w, s))
+            continue;
+        int64_t free_us = wp_fleet_limit_free_us(f, now, s);
+        out->own_per_s += wp_fleet_limit_own_rate(f, now, s);
+        if (out->endpoint && free_us >= out->free_us)
+            continue;
+        out->endpoint = s;
+        out->free_us = free_us;
+    }
+    return out->endpoint != NULL;
+}
+
 uint32_t wp_fleet_spared_ms(WPFleet *f, WPTime now, const WPWant *w)
 {
     GPtrArray *list = wp_fleet_of_service(f, w->service);
@@ -202,7 +246,7 @@
     for (guint i = 0; i < list->len; i++) {
         WPReplica *s = g_ptr_array_index(list, i);
         if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)) ||
-            is_spared(f, now, s))
+            is_spared(f, now, s) || is_limited(f, now, w, s))
             continue;
         double v = score(f, now, w, s, keepers.own[i], &keepers, s == home);
         if (!best || v < best_score) {
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -179,6 +179,13 @@
 {
     const WPWant w = wp_flow_want(f);
     WPFleet *fleet = f->d->fleet;
+    WPLimitMet met;
+    if (wp_fleet_limit_met(fleet, now, &w, &met)) {
+        WPMove m =
+            move_fail(WP_LIMITED, wp_fleet_limit_refused(fleet, now, &w, &met));
+        m.limited = met.endpoint;
+        return m;
+    }
     uint32_t spared_ms = wp_fleet_spared_ms(fleet, now, &w);
     if (spared_ms)
         return move_fail(WP_STARTING, spared_ms);
@@ -245,6 +252,8 @@
     }
     wp_budget_request(wp_direct_budget(d, f->service->name), &d->rules.retries,
                       now);
+    wp_fleet_asked(d->fleet, now, f->service->name);
+    f->draw = g_rand_double(d->rand);
     if (wp_flow_skips_ahead(f, now))
         f->step = f->route->models->len - 1;
     WPReplica *s = wp_flow_choose(f, now);
@@ -268,6 +277,7 @@
 {
     const WPMove m = no_endpoint(f, now);
     give_up(f, m.code, m.retry_ms, out);
+    out->limited = m.limited;
 }
 
 /* The endpoint did not run it. The request has not run at all only if no
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -63,7 +63,9 @@
                  .tried = f->tried,
                  .n_tried = f->n_tried,
                  .once = !wp_flow_may_repeat(f),
-                 .suspect = wp_suspects_count(f->d->suspects, f->hash) };
+                 .suspect = wp_suspects_count(f->d->suspects, f->hash),
+                 .priority = f->priority,
+                 .draw = f->draw };
 }
 
 WPWant wp_flow_want(WPFlow *f)
@@ -71,19 +73,33 @@
     return want_of(f, wp_flow_model(f));
 }
 
+/* Whether limits of endpoints alone keep the request from some. */
+static bool is_limited(const WPFlow *f, WPTime now, const WPWant *w)
+{
+    WPLimitMet met;
+    return wp_fleet_limit_met(f->d->fleet, now, w, &met);
+}
+
 /* While a service moves between versions: an endpoint of the side that this
-   request belongs to, or NULL when that side has none. */
-static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w)
+   request belongs to, or NULL when that side has none. `stays`: it is not to go
+   to the other one either, as its own has endpoints whose limits are met: a new
+   version would get more than the move's share, or a session would change. */
+static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w,
+                              bool *stays)
 {
     WPDirect *d = f->d;
     const char *last =
         f->session ? wp_direct_session(d, now, f->session) : NULL;
-    if (wp_shift_takes(d->shifts, sh, now, wp_direct_place(d, now, sh, f->unit),
-                       last))
+    bool new_side = wp_shift_takes(d->shifts, sh, now,
+                                   wp_direct_place(d, now, sh, f->unit), last);
+    if (new_side)
         w.version = sh->version;
     else
         w.allowed = other_allowed;
-    return wp_fleet_choose(d->fleet, now, &w);
+    WPReplica *s = wp_fleet_choose(d->fleet, now, &w);
+    bool bound = !new_side || last;
+    *stays = !s && bound && !f->passing && is_limited(f, now, &w);
+    return s;
 }
 
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now)
@@ -92,11 +108,15 @@
     WPShift *sh = wp_flow_shift(f);
     WPWant w = wp_flow_want(f);
     WPReplica *s = NULL;
+    bool stays = false;
     if (sh && sh->state == WP_SHIFT_RUNNING)
-        s = choose_side(f, now, sh, w);
+        s = choose_side(f, now, sh, w, &stays);
+    if (stays)
+        return NULL;
     if (!s) /* the other side rather than none */
         s = wp_fleet_choose(d->fleet, now, &w);
-    bool spared = !s && wp_fleet_spared_ms(d->fleet, now, &w);
+    bool spared =
+        !s && (wp_fleet_spared_ms(d->fleet, now, &w) || is_limited(f, now, &w));
     if (!s && !sh && !spared) {
         /* A version that no order has named rather than none. */
         w.allowed = NULL;
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -62,6 +62,13 @@
     (void)n;
 }
 
+static void on_limits(void *arg, const char *from, const Wp__LimitNews *n)
+{
+    (void)arg;
+    (void)from;
+    (void)n;
+}
+
 static void on_zone_news(void *arg, const char *from, const Wp__ZoneNews *z)
 {
     Box *b = arg;
@@ -72,8 +79,8 @@
         b->asked++;
 }
 
-static const WPPeersOps ops = { on_delta,   on_heard,     on_fill,
-                                on_changed, on_zone_news, on_suspects };
+static const WPPeersOps ops = { on_delta,     on_heard,    on_fill,  on_changed,
+                                on_zone_news, on_suspects, on_limits };
 
 static Box *new_box_in(World *w, const char *id, const char *zone)
 {
