--- a/io/wp_limit_news.c
+++ b/io/wp_limit_news.c
@@ -19,27 +19,39 @@
     int64_t sent_us;
 };
 
+/* To all boxes that are linked, or to one of them; goes out when it is full. */
 typedef struct Message {
+    WPPeers *peers;
+    const char *to; /* NULL: all */
     Wp__EndpointLimit limits[TOLD_MOST], *limit_list[TOLD_MOST];
     Wp__ZoneDemand demands[TOLD_MOST], *demand_list[TOLD_MOST];
     Wp__LimitNews news;
 } Message;
 
-static Message *new_message(void)
+static Message *new_message(WPPeers *peers, const char *to)
 {
     Message *m = g_new(Message, 1);
+    m->peers = peers;
+    m->to = to;
     wp__limit_news__init(&m->news);
     m->news.limits = m->limit_list;
     m->news.demands = m->demand_list;
     return m;
 }
 
+static void send_message(Message *m)
+{
+    if (m->news.n_limits || m->news.n_demands)
+        wp_peers_send_limits(m->peers, m->to, &m->news);
+    m->news.n_limits = m->news.n_demands = 0;
+}
+
 static void add_limit(void *arg, const WPLimitNews *n)
 {
     Message *m = arg;
-    size_t i = m->news.n_limits;
-    if (i == TOLD_MOST)
-        return;
+    if (m->news.n_limits == TOLD_MOST)
+        send_message(m);
+    size_t i = m->news.n_limits++;
     Wp__EndpointLimit *l = &m->limits[i];
     wp__endpoint_limit__init(l);
     l->endpoint = n->endpoint;
@@ -47,15 +59,14 @@
     l->number = n->number;
     l->box = n->box;
     m->limit_list[i] = l;
-    m->news.n_limits++;
 }
 
 static void add_demand(void *arg, const WPDemandNews *n)
 {
     Message *m = arg;
-    size_t i = m->news.n_demands;
-    if (i == TOLD_MOST)
-        return;
+    if (m->news.n_demands == TOLD_MOST)
+        send_message(m);
+    size_t i = m->news.n_demands++;
     Wp__ZoneDemand *d = &m->demands[i];
     wp__zone_demand__init(d);
     d->service = n->service;
@@ -64,13 +75,6 @@
     d->number = n->number;
     d->box = n->box;
     m->demand_list[i] = d;
-    m->news.n_demands++;
-}
-
-static void send_message(WPLimitFlood *n, const char *to, Message *m)
-{
-    if (m->news.n_limits || m->news.n_demands)
-        wp_peers_send_limits(n->peers, to, &m->news);
 }
 
 static void on_send(evutil_socket_t fd, short what, void *arg)
@@ -78,7 +82,7 @@
     WPLimitFlood *n = arg;
     WPTime now = wp_clock_now(0);
     WPLimitNews limits[TOLD_MOST];
-    g_autofree Message *m = new_message();
+    g_autofree Message *m = new_message(n->peers, NULL);
     (void)fd;
     (void)what;
     size_t count = wp_fleet_tell_limits(n->host->direct.fleet, now, limits,
@@ -89,7 +93,7 @@
         add_demand(m, &g_array_index(n->demands, WPDemandNews, i));
     g_array_set_size(n->demands, 0);
     n->sent_us = now.mono_us;
-    send_message(n, NULL, m);
+    send_message(m);
 }
 
 void wp_limit_news_wake(WPLimitFlood *n)
@@ -168,13 +172,13 @@
 {
     WPFleet *f = n->host->direct.fleet;
     WPDemand *d = wp_fleet_demand(f);
-    g_autofree Message *m = new_message();
+    g_autofree Message *m = new_message(n->peers, peer);
     wp_demand_set_away(d, wp_hash(wp_str(peer), 0), !up);
     if (!up)
         return;
     wp_fleet_each_limit(f, add_limit, m);
     wp_demand_each_zone(d, wp_clock_now(0), add_demand, m);
-    send_message(n, peer, m);
+    send_message(m);
 }
 
 WPLimitFlood *wp_limit_news_new(WPDirectHost *h, WPPeers *peers)
--- a/src/wp_demand_quota.c
+++ b/src/wp_demand_quota.c
@@ -8,8 +8,10 @@
 };
 
 /* A zone whose boxes have so many times the requests that its endpoints take
-   uses them up alone. */
-#define ENOUGH 1.5
+   uses them up alone. With a step there in place of a slope 12 boxes in three
+   zones used 1.14 of what their endpoints take (wplimit, callers uneven), as
+   boxes see the step at different times. */
+#define ENOUGH 1.25
 
 /* What is left of an exact share after its whole ones, if not by rounding. */
 #define PART_LEAST 1e-9
@@ -134,6 +136,14 @@
     return known ? (double)z->news.per_min : -1;
 }
 
+/* Whether this zone's figure is known as the other zones know it. */
+static bool is_told(WPDemand *d, WPTime now, uint64_t zone, uint64_t service)
+{
+    uint64_t key = wp_demand_key(zone, service);
+    const WPDemandZoneFigure *z = g_hash_table_lookup(d->zones, &key);
+    return z && wp_demand_is_fresh(z->heard_us, now, WP_DEMAND_ZONE_FRESH_MS);
+}
+
 static bool has_share(const GArray *shares, uint64_t key)
 {
     for (guint i = 0; i < shares->len; i++)
@@ -155,7 +165,7 @@
             continue;
         if (own)
             v->self_zone = v->zones->len;
-        else
+        if (!own || is_told(d, now, share.key, s->service))
             share.weight = zone_weight(d, now, b, o->zone, s->service);
         g_array_append_val(v->zones, share);
     }
@@ -181,29 +191,45 @@
     return v;
 }
 
-/* How many are this box's zone's. */
-static unsigned zone_part(const WPDemandView *v, const WPDemandFor *e)
+/* What the endpoint's own zone has of its endpoints' requests: all, if its
+   boxes have enough callers to use them up. Below 0: the zone has no boxes.
+   Without a word from there it is left all. */
+static double near_share(const WPDemandView *v, const WPDemandFor *e)
 {
     uint64_t key = wp_demand_zone_hash(e->zone);
-    const WPShare *own = &g_array_index(v->zones, WPShare, v->self_zone);
-    g_autofree WPShare *all =
-        g_memdup2(v->zones->data, v->zones->len * sizeof(WPShare));
-    double near = 0;
+    double needs = ENOUGH * e->zone_per_s * WP_DEMAND_S_PER_MIN;
     for (guint i = 0; i < v->zones->len; i++) {
-        if (all[i].key == key)
-            near = all[i].weight;
+        const WPShare *z = &g_array_index(v->zones, WPShare, i);
+        if (z->key == key)
+            return z->weight < 0 || needs <= 0 ? 1 : MIN(z->weight / needs, 1);
+    }
+    return -1;
+}
+
+/* Weights of the zones: the others share by their callers what is left. */
+static WPShare *zone_shares(const WPDemandView *v, const WPDemandFor *e)
+{
+    uint64_t key = wp_demand_zone_hash(e->zone);
+    double near = near_share(v, e), far = 0;
+    guint n = v->zones->len;
+    WPShare *all = g_memdup2(v->zones->data, n * sizeof(WPShare));
+    for (guint i = 0; i < n; i++) {
         all[i].weight = MAX(all[i].weight, 0);
+        far += all[i].key == key ? 0 : all[i].weight;
     }
-    bool is_near = own->key == key;
-    bool there = has_share(v->zones, key);
-    if (there &&
-        (near < 0 || near >= ENOUGH * e->zone_per_s * WP_DEMAND_S_PER_MIN))
-        return is_near ? e->part : 0;
-    double sum = 0;
-    for (guint i = 0; i < v->zones->len; i++)
-        sum += all[i].weight;
-    if (there && sum <= 0)
-        return is_near ? e->part : 0;
+    if (near >= 0 && far <= 0)
+        near = 1;
+    for (guint i = 0; i < n && near >= 0; i++)
+        all[i].weight = all[i].key == key ? near
+                        : far > 0         ? (1 - near) * all[i].weight / far
+                                          : 0;
+    return all;
+}
+
+/* How many are this box's zone's. */
+static unsigned zone_part(const WPDemandView *v, const WPDemandFor *e)
+{
+    g_autofree WPShare *all = zone_shares(v, e);
     return wp_share_of(all, v->zones->len, v->self_zone, e->part, e->endpoint);
 }
 
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -46,6 +46,8 @@
     wp_pace_boxes_init(&f->boxes);
     f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
     f->limited = g_ptr_array_new();
+    f->early_limits =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->limit_sums =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->refusals =
@@ -74,6 +76,7 @@
     wp_pace_boxes_end(&f->boxes);
     g_array_unref(f->untold);
     g_ptr_array_unref(f->limited);
+    g_hash_table_unref(f->early_limits);
     g_hash_table_unref(f->limit_sums);
     g_hash_table_unref(f->refusals);
     wp_demand_free(f->demand);
@@ -202,8 +205,10 @@
         s = NULL;
     }
     bool changed = s ? update(f, s, l) : true;
-    if (!s)
+    if (!s) {
         s = add(f, l);
+        wp_fleet_take_early_limit(f, now, s);
+    }
     s->slots = (uint32_t)l->slots;
     /* What is leaving does not come back in the same life. */
     s->draining = s->draining || l->draining;
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -34,8 +34,10 @@
     GArray *untold;         /* WPKeptNews */
     GPtrArray *limited;     /* WPReplica: of which a limit is remembered */
     bool limits_untold;
-    GHashTable *limit_sums; /* WPLimit.place -> PlaceSum */
-    GHashTable *refusals;   /* service -> Refusals: for limits */
+    GHashTable *early_limits; /* hash of a life that is not listed ->
+                                 WPLimitNews */
+    GHashTable *limit_sums;   /* WPLimit.place -> PlaceSum */
+    GHashTable *refusals;     /* service -> Refusals: for limits */
     WPDemand *demand;
     GRand *rand;
     WPFleetRules rules;
@@ -52,6 +54,7 @@
 double wp_fleet_limit_own_rate(WPFleet *f, WPTime now, const WPReplica *s);
 bool wp_fleet_limit_yields(WPFleet *f, WPTime now, const WPWant *w);
 void wp_fleet_tick_limits(WPFleet *f, WPTime now);
+void wp_fleet_take_early_limit(WPFleet *f, WPTime now, const WPReplica *s);
 void wp_fleet_forget_limit(WPFleet *f, WPReplica *s);
 
 /* The endpoints of a service (WPReplica), made when it is not known yet. */
--- a/src/wp_fleet_limit.c
+++ b/src/wp_fleet_limit.c
@@ -10,6 +10,7 @@
     SUM_MS = 200,         /* the same of what a zone's endpoints take */
     FORGOTTEN_MS = 60000, /* an endpoint that names none any more is told of to
                              boxes that come, for so long */
+    EARLY_MOST = 4096,    /* endpoints that are not listed yet */
     RETURN_MOST_MS = 5000, /* a refused caller is told to come back by then */
     RETURN_LEAST_MS = 20,
     YIELDS_MS = 1000 /* after a more urgent request was refused */
@@ -44,11 +45,12 @@
     return wp_hash(wp_str(service), 0);
 }
 
-static WPLimit *limit_of(WPFleet *f, WPReplica *s)
+static WPLimit *limit_of(WPFleet *f, WPReplica *s, WPTime now)
 {
     if (s->limit)
         return s->limit;
     s->limit = g_new0(WPLimit, 1);
+    s->limit->born_us = now.mono_us;
     s->limit->place = wp_hash(wp_str(s->zone), service_hash(s->service));
     g_ptr_array_add(f->limited, s);
     return s->limit;
@@ -94,7 +96,7 @@
     bool named = seen->field.said == WP_LIMIT_NAMED;
     if (s->gone || (!s->limit && seen->field.said == WP_LIMIT_NONE))
         return WP_LIMIT_SAME;
-    WPLimit *l = limit_of(f, s);
+    WPLimit *l = limit_of(f, s, now);
     double per_s = named ? seen->field.per_s : 0;
     l->heard_us = now.mono_us;
     bool odd = seen->field.said == WP_LIMIT_BAD && is_to_be_reported(l, now);
@@ -106,16 +108,43 @@
     return odd ? WP_LIMIT_ODD : WP_LIMIT_SAME;
 }
 
+static bool is_later(const WPLimitNews *n, uint32_t number, uint64_t box)
+{
+    return n->number > number || (n->number == number && n->box > box);
+}
+
+/* A box that starts is told of limits before it has the list of endpoints. */
+static void keep_early(WPFleet *f, const WPLimitNews *n)
+{
+    WPLimitNews *had = g_hash_table_lookup(f->early_limits, &n->endpoint);
+    if (had && is_later(n, had->number, had->box))
+        *had = *n;
+    if (had || g_hash_table_size(f->early_limits) >= EARLY_MOST)
+        return;
+    g_hash_table_insert(f->early_limits,
+                        g_memdup2(&n->endpoint, sizeof(n->endpoint)),
+                        g_memdup2(n, sizeof(*n)));
+}
+
+void wp_fleet_take_early_limit(WPFleet *f, WPTime now, const WPReplica *s)
+{
+    const WPLimitNews *n = g_hash_table_lookup(f->early_limits, &s->life_hash);
+    if (!n)
+        return;
+    wp_fleet_hear_limit(f, now, n);
+    g_hash_table_remove(f->early_limits, &s->life_hash);
+}
+
 WPReplica *wp_fleet_hear_limit(WPFleet *f, WPTime now, const WPLimitNews *n)
 {
     WPReplica *s = wp_fleet_by_hash(f, n->endpoint);
     bool sane = n->per_s >= 0 && n->per_s <= PER_S_MOST;
+    if (!s && sane)
+        keep_early(f, n);
     if (!s || !sane || (!s->limit && n->per_s <= 0))
         return NULL;
-    WPLimit *l = limit_of(f, s);
-    bool later =
-        n->number > l->number || (n->number == l->number && n->box > l->box);
-    if (!later)
+    WPLimit *l = limit_of(f, s, now);
+    if (!is_later(n, l->number, l->box))
         return NULL;
     if (l->per_s != n->per_s)
         wp_limit_set(l, now, n->per_s);
@@ -230,7 +259,7 @@
     const WPLimitWindow w = wp_limit_window(s->limit, now);
     if (!w.part)
         return 0;
-    return wp_limit_free_us(s->limit, &w, quota_of(f, now, s, w.part));
+    return wp_limit_free_us(s->limit, now, &w, quota_of(f, now, s, w.part));
 }
 
 double wp_fleet_limit_own_rate(WPFleet *f, WPTime now, const WPReplica *s)
--- a/src/wp_limit.c
+++ b/src/wp_limit.c
@@ -113,12 +113,15 @@
     return at_us ? at_us + age_us : 0;
 }
 
-int64_t wp_limit_free_us(const WPLimit *l, const WPLimitWindow *w,
+int64_t wp_limit_free_us(const WPLimit *l, WPTime now, const WPLimitWindow *w,
                          unsigned quota)
 {
     if (!quota)
         return INT64_MAX;
-    int64_t gap_us = (int64_t)(GAP_PART * (double)w->us / quota);
+    int64_t even_us = w->us / quota;
+    if (now.mono_us - l->born_us < w->us)
+        return MAX(l->born_us, log_at(&l->own, 1)) + even_us;
+    int64_t gap_us = (int64_t)(GAP_PART * (double)even_us);
     int64_t own_us = log_free_us(&l->own, MIN(quota, w->part), w->us);
     int64_t all_us = log_free_us(&l->all, w->part, w->us);
     return MAX(MAX(own_us, all_us), log_free_us(&l->own, 1, gap_us));
--- a/src/wp_limit.h
+++ b/src/wp_limit.h
@@ -49,6 +49,7 @@
     uint32_t number;    /* of this belief; 0: there was none */
     uint64_t box;       /* that heard it from the endpoint, by hash */
     int64_t changed_us; /* when it became this box's */
+    int64_t born_us;    /* since when this box knows of a limit there */
     double had_per_s;   /* what it named until it named none */
     bool untold;        /* other boxes are to hear of it */
     int64_t told_us;
@@ -77,8 +78,9 @@
 void wp_limit_note_other(WPLimit *l, WPTime now);
 
 /* When a box with this quota of the window may send one more; INT64_MAX: not
-   before it has another quota. */
-int64_t wp_limit_free_us(const WPLimit *l, const WPLimitWindow *w,
+   before it has another quota. During the first window it keeps an even
+   distance from the beginning on: it does not know what was sent before. */
+int64_t wp_limit_free_us(const WPLimit *l, WPTime now, const WPLimitWindow *w,
                          unsigned quota);
 
 #endif
