A refusal's own word on when to come back is heeded

Cause: the class of the limits: what an endpoint says of itself in an answer is passed on and not listened to. Its Retry-After on a 429 or 503 was not read; what it got after that hung on its rate of failures alone. What was ruled out: nothing else that answers carry is passed over: load, confidence, marks and kept connections' times are read. Change: an endpoint that refuses and tells a time is asked only when nothing else is left until then, for 4 s at most (a huge value must not end it).

--- a/src/wp_base.c
+++ b/src/wp_base.c
@@ -31,6 +31,29 @@
     return s;
 }
 
+enum { DIGITS_MOST = 18 }; /* of a number that is taken */
+
+/* What else strtod() takes (signs, exponents, "nan") is no decimal number. */
+static bool is_decimal(WPStr s)
+{
+    unsigned digits = 0, points = 0;
+    for (size_t i = 0; i < s.n; i++) {
+        digits += g_ascii_isdigit(s.p[i]);
+        points += s.p[i] == '.';
+    }
+    return digits && digits <= DIGITS_MOST && points <= 1 &&
+           digits + points == s.n;
+}
+
+bool wp_str_decimal(WPStr s, double *out)
+{
+    if (!is_decimal(s))
+        return false;
+    g_autofree char *number = g_strndup(s.p, s.n);
+    *out = g_ascii_strtod(number, NULL);
+    return true;
+}
+
 uint64_t wp_hash(WPStr s, uint64_t seed)
 {
     return XXH64(s.p, s.n, seed);
--- a/src/wp_base.h
+++ b/src/wp_base.h
@@ -47,6 +47,10 @@
 WPStr wp_str_cut(WPStr *s, char sep);
 WPStr wp_str_trim(WPStr s);
 
+/* Reads a decimal number: digits with at most one point among them, and nothing
+   else; false when it is none. */
+bool wp_str_decimal(WPStr s, double *out);
+
 /* Intrusive doubly linked list; a head points to itself when empty. */
 typedef struct WPList {
     struct WPList *prev, *next;
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -130,6 +130,7 @@
     bool has_load;
     uint32_t running, waiting, slots;
     WPLimitField limit;
+    double retry_s; /* a refusal's word on when to come back; 0: none */
 } WPDirectAnswer;
 
 /* How a leg ended without an answer. */
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -244,6 +244,9 @@
    and the list tells of that some tenths of a second later. */
 void wp_fleet_idle_lost(WPReplica *s, WPTime now);
 
+/* The endpoint has refused a request and told when to come back. */
+void wp_fleet_told_busy(WPReplica *s, WPTime now, double retry_s);
+
 /* The endpoint's own word on its load. */
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -255,6 +255,13 @@
     }
 }
 
+/* Others are asked meanwhile; it is, when nothing else is left. */
+void wp_fleet_told_busy(WPReplica *s, WPTime now, double retry_s)
+{
+    double us = MIN(retry_s * WP_US_PER_S, (double)AVOID_MOST_US);
+    s->avoid_until_us = MAX(s->avoid_until_us, now.mono_us + (int64_t)us);
+}
+
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots)
 {
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -317,6 +317,12 @@
     pass(f, out);
 }
 
+/* Whether the endpoint says that it has no room for this request. */
+static bool refuses(const WPDirectAnswer *a)
+{
+    return !a->wrong && (a->status == 429 || a->status == 503);
+}
+
 void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a, WPMove *out)
 {
     if (a->has_load)
@@ -325,6 +331,8 @@
     if (!a->wrong)
         wp_suspects_alive(f->d->suspects, now, f->leg.replica->life_hash,
                           f->leg.sent_us);
+    if (a->retry_s > 0 && refuses(a))
+        wp_fleet_told_busy(f->leg.replica, now, a->retry_s);
     if (a->wrong || a->not_run) {
         after_refusal(f, now, a->wrong ? WP_SERVED_WRONG : WP_SERVED_REFUSED,
                       out);
--- a/src/wp_limit.c
+++ b/src/wp_limit.c
@@ -4,7 +4,6 @@
 #include <math.h>
 
 enum {
-    DIGITS_MOST = 18,   /* of a number that is taken */
     WINDOW_LEAST_S = 4, /* as the platform counts */
     BACK_STEP_MS = 500, /* after its end a limit doubles each time, so that
                            the boxes do not all come back at once */
@@ -19,19 +18,6 @@
 /* A box's requests keep this part of an even distance. */
 #define GAP_PART 0.5
 
-/* Digits with at most one point among them, and nothing else: what else
-   strtod() takes (signs, exponents, "nan") is no decimal number. */
-static bool is_decimal(WPStr s)
-{
-    unsigned digits = 0, points = 0;
-    for (size_t i = 0; i < s.n; i++) {
-        digits += g_ascii_isdigit(s.p[i]);
-        points += s.p[i] == '.';
-    }
-    return digits && digits <= DIGITS_MOST && points <= 1 &&
-           digits + points == s.n;
-}
-
 WPLimitField wp_limit_read(WPStr text, unsigned times)
 {
     WPLimitField f = { WP_LIMIT_NONE, 0 };
@@ -39,11 +25,8 @@
     if (!times)
         return f;
     f.said = WP_LIMIT_BAD;
-    if (times > 1 || !is_decimal(s))
-        return f;
-    g_autofree char *number = g_strndup(s.p, s.n);
-    double per_s = g_ascii_strtod(number, NULL);
-    if (per_s > 0)
+    double per_s;
+    if (times == 1 && wp_str_decimal(s, &per_s) && per_s > 0)
         f = (WPLimitField){ WP_LIMIT_NAMED, per_s };
     return f;
 }
