How old what a box knows of the list is; one that is cut off hears from other zones

It had all news by way of one neighbour; how old that was could not be told from any line. What was ruled out: nothing; the cause looks likely (that neighbour itself behind, or silent until it was lost after 3 s), and is not shown. Change: list_age_ms in a request's line (at its last leg's choice) and wp_list_age_seconds: since when something may have changed that this box does not know, by its own answers of the store or by a digest with which it has caught up. A box that the store does not answer and whose list is older than 1 s keeps links to the other zones, wherever it comes in its own.

--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -57,6 +57,9 @@
 /* The same, of limits that endpoints name. */
 void wp_sync_limits(WPSync *s);
 
+/* How old what this box knows of the list is; -1: it knows nothing. */
+int64_t wp_sync_list_age_ms(const WPSync *s, WPTime now);
+
 /* Whether enough is known to serve. */
 bool wp_sync_ready(const WPSync *s);
 bool wp_sync_store_up(const WPSync *s);
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -350,6 +350,11 @@
     p->pulls_far = far;
 }
 
+void wp_peers_reach_far(WPPeers *p, bool far)
+{
+    p->reaches_far = far;
+}
+
 void wp_peers_patience(WPPeers *p, uint32_t ms)
 {
     p->patience_ms = ms;
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -82,6 +82,12 @@
 /* Whether a box that knows nothing may be told all by one of another zone. */
 void wp_peers_pull_far(WPPeers *p, bool far);
 
+/* Whether this box keeps links to other zones, wherever it comes among those of
+   its own: a box that the store does not answer hears of an endpoint that
+   leaves from others alone. With its own zone's links alone it may hear from
+   one that is itself behind. */
+void wp_peers_reach_far(WPPeers *p, bool far);
+
 /* How long what others know may be missing here before they are asked. */
 void wp_peers_patience(WPPeers *p, uint32_t ms);
 
--- a/io/wp_peers_int.h
+++ b/io/wp_peers_int.h
@@ -44,6 +44,7 @@
     unsigned pulls; /* in a row that brought nothing */
     uint64_t behind_link;
     bool pulls_far;   /* all entries, if need be */
+    bool reaches_far; /* links to other zones, in any case */
     uint32_t entries; /* the most that another box has told of */
     unsigned linked;
     int64_t seeds_us;
--- a/io/wp_peers_reach.c
+++ b/io/wp_peers_reach.c
@@ -178,7 +178,7 @@
 /* Whether this box is to keep links to other zones. */
 static bool has_far_links(const WPPeers *p, WPTime now)
 {
-    return count_fellows(p, now, lives_before) < FAR_BOXES;
+    return p->reaches_far || count_fellows(p, now, lives_before) < FAR_BOXES;
 }
 
 static void reach_seeds(WPPeers *p, WPTime now)
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -23,7 +23,9 @@
     WPDirectAnswer answer; /* the leg's, decoded */
     GString *fields;       /* that reach the caller */
     GByteArray *body;
-    GString *legs; /* for the log */
+    GString *legs;       /* for the log */
+    int64_t list_age_ms; /* how old what the last leg's choice knew of the list
+                            was */
 } WPRelay;
 
 /* wp_relay_log.c: the line of a request, with what decided it. */
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -13,6 +13,7 @@
     char ms[LOG_NUMBER], code[LOG_NUMBER], version[LOG_NUMBER];
     char session[LOG_NUMBER], first[LOG_NUMBER], tokens[LOG_NUMBER];
     char gap[LOG_NUMBER], aims[LOG_NUMBER], hash[LOG_NUMBER];
+    char age[LOG_NUMBER];
     int64_t us = wp_clock_now(0).mono_us - f->start_us;
     uint64_t table = f->routes ? f->routes->version : 0;
     snprintf(ms, sizeof(ms), "%.1f", (double)us / WP_US_PER_MS);
@@ -29,13 +30,14 @@
              f->route ? f->route->gap_ms : 0);
     snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt.tokens,
              f->answer_tokens);
+    snprintf(age, sizeof(age), "%ld", (long)r->list_age_ms);
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
            "status", code, "ms", ms, "first_ms", first, "gap_ms", gap, "aims",
            aims, "tokens", tokens, "route", f->route ? f->route->name : "-",
            "service", f->service ? f->service->name : "-", "workspace",
            f->workspace ? f->workspace : "-", "routes_version", version,
-           "session", f->session ? session : "-", "request_hash",
-           f->hash ? hash : "-", "legs", r->legs->str, NULL);
+           "list_age_ms", age, "session", f->session ? session : "-",
+           "request_hash", f->hash ? hash : "-", "legs", r->legs->str, NULL);
 }
 
 void wp_relay_log_ended(WPRelay *r, const char *endpoint)
@@ -61,6 +63,7 @@
 
 void wp_relay_note_leg(WPRelay *r, const WPMove *m, WPTime now)
 {
+    r->list_age_ms = wp_sync_list_age_ms(r->host->sync, now);
     const WPReplica *s = m->replica;
     int64_t age_ms =
         s->load_us ? (now.mono_us - s->load_us) / WP_US_PER_MS : -1;
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -22,9 +22,11 @@
                                  to tell sixty boxes 0.6 MB each takes a link of
                                  20 Mbit/s 14 s */
     SLOW_READ_MS = 2500,      /* a reading of 3,000 entries takes 1 s */
-    SELF_MS = 1000, /* after the start, until the own record is written */
-    AGAIN_MS = 1300 /* after a watch broke: the store's watches may stay deaf
-                       for a second around a break */
+    SELF_MS = 1000,  /* after the start, until the own record is written */
+    ALONE_MS = 1000, /* between words of the store by way of other boxes:
+                        digests come once a second */
+    AGAIN_MS = 1300  /* after a watch broke: the store's watches may stay deaf
+                        for a second around a break */
 };
 
 static void read_all(WPSync *s);
@@ -125,6 +127,13 @@
     note_failure(s);
 }
 
+/* All that the store holds at present has been taken in. */
+static void note_known(WPSync *s)
+{
+    uint64_t has = wp_mirror_complete(s->mirror);
+    wp_fresh_know(&s->fresh, has, has, time_of(s).mono_us);
+}
+
 static void on_answer(WPSync *s)
 {
     s->looking = s->catching_up = false;
@@ -142,9 +151,11 @@
         wp_news_take(s, item->key.p, item->removed ? NULL : &item->value,
                      item->mod_revision, item->removed && may_have_lapsed(s));
         wp_mirror_advance(s->mirror, item->mod_revision);
+        note_known(s);
         break;
     case WP_KV_QUIET:
         on_answer(s);
+        note_known(s);
         break;
     case WP_KV_BROKEN:
         on_broken(s);
@@ -202,6 +213,7 @@
                      r->items[i].mod_revision, false);
     lose_missing(s, r);
     wp_mirror_advance(s->mirror, r->revision);
+    note_known(s);
     s->complete = true;
     wp_peers_announce(s->peers);
     if (s->broken)
@@ -243,6 +255,7 @@
     for (size_t i = 0; i < d->n_items; i++)
         take_delta_item(s, d->items[i]);
     wp_mirror_advance(s->mirror, d->complete);
+    wp_fresh_know(&s->fresh, 0, wp_mirror_complete(s->mirror), 0);
     s->complete = true;
     wp_peers_announce(s->peers);
     wp_log(&s->host->log, WP_INFO, "caught_up", "from", from, NULL);
@@ -321,6 +334,19 @@
     *moving = *moving || sh->state == WP_SHIFT_RUNNING;
 }
 
+int64_t wp_sync_list_age_ms(const WPSync *s, WPTime now)
+{
+    return wp_fresh_known_ms(&s->fresh, now);
+}
+
+/* Whether this box may be the last to hear of a change: the store does not
+   answer it, and what it knows grows old, as where the others of its zone are
+   cut off as well or have fallen silent without a sign. */
+static bool is_cut_off(const WPSync *s, WPTime now)
+{
+    return s->tried && !s->up && wp_sync_list_age_ms(s, now) > ALONE_MS;
+}
+
 /* Whether the store gives this box nothing, or only slowly. */
 static bool gets_little(const WPSync *s, WPTime now)
 {
@@ -375,6 +401,7 @@
     wp_peers_hurry(s->peers, moving);
     wp_peers_patience(s->peers, pull_wait_ms(s));
     wp_peers_pull_far(s->peers, gets_little(s, now));
+    wp_peers_reach_far(s->peers, is_cut_off(s, now));
     if (!s->complete && wp_peers_entries(s->peers) > TOLD_ENTRIES_MOST)
         s->start_us = MIN(s->start_us, now.mono_us);
     wp_peers_tick(s->peers, now);
--- a/src/wp_fresh.c
+++ b/src/wp_fresh.c
@@ -39,6 +39,27 @@
     f->word_us = MAX(f->word_us, at_us);
 }
 
+void wp_fresh_know(WPFresh *f, uint64_t upto, uint64_t has, int64_t at_us)
+{
+    if (f->lacks && has >= f->lacks) {
+        f->known_us = MAX(f->known_us, f->lacks_us);
+        f->lacks = 0;
+    }
+    if (has >= upto) {
+        f->known_us = MAX(f->known_us, at_us);
+    } else if (!f->lacks || at_us > f->lacks_us) {
+        f->lacks = upto;
+        f->lacks_us = at_us;
+    }
+}
+
+int64_t wp_fresh_known_ms(const WPFresh *f, WPTime now)
+{
+    if (!f->known_us)
+        return -1;
+    return MAX(0, (now.mono_us - f->known_us) / WP_US_PER_MS);
+}
+
 void wp_fresh_ask(WPFresh *f, WPTime now)
 {
     f->asked_us = now.mono_us;
--- a/src/wp_fresh.h
+++ b/src/wp_fresh.h
@@ -12,11 +12,25 @@
     double haste;      /* in [0, 1), so that boxes do not ask all at once */
     int64_t word_us;   /* when the store's word was last known to be fresh */
     int64_t asked_us;  /* when this box last asked it */
+    /* This box knows all that the store held then; 0: it has no list yet. */
+    int64_t known_us;
+    /* The same for another box, up to a revision that this one lacks. */
+    uint64_t lacks;
+    int64_t lacks_us;
 } WPFresh;
 
 /* The store's word was fresh at `at_us`, heard from it or from another box. */
 void wp_fresh_hear(WPFresh *f, int64_t at_us);
 
+/* The store was known whole at `at_us` by a box that knows it up to a revision;
+   this one does up to `has`. */
+void wp_fresh_know(WPFresh *f, uint64_t upto, uint64_t has, int64_t at_us);
+
+/* How old what this box knows of the store is, in milliseconds: at the most so
+   long ago something may have changed that it does not know. -1: it knows
+   nothing. */
+int64_t wp_fresh_known_ms(const WPFresh *f, WPTime now);
+
 /* This box asks the store now. */
 void wp_fresh_ask(WPFresh *f, WPTime now);
 
--- a/tests/test_fresh.c
+++ b/tests/test_fresh.c
@@ -110,6 +110,22 @@
     assert_false(wp_fresh_is_due(&f, at(5500), 0));
 }
 
-TESTS_MAIN(T(a_change_is_known_in_time_though_all_watchers_are_silent),
+/* What others know counts when this box has caught up with them. */
+static void what_is_known_is_as_old_as_the_last_full_word(void **state)
+{
+    WPFresh f = { .apply_ms = 2000 };
+    (void)state;
+    assert_int_equal(wp_fresh_known_ms(&f, at(1000)), -1);
+    wp_fresh_know(&f, 10, 10, at(1000).mono_us);
+    wp_fresh_know(&f, 12, 10, at(2000).mono_us); /* it lacks two changes */
+    assert_int_equal(wp_fresh_known_ms(&f, at(3000)), 2000);
+    wp_fresh_know(&f, 15, 11, at(2500).mono_us);
+    assert_int_equal(wp_fresh_known_ms(&f, at(3000)), 2000);
+    wp_fresh_know(&f, 0, 15, 0); /* the delta has come */
+    assert_int_equal(wp_fresh_known_ms(&f, at(3000)), 500);
+}
+
+TESTS_MAIN(T(what_is_known_is_as_old_as_the_last_full_word),
+           T(a_change_is_known_in_time_though_all_watchers_are_silent),
            T(nobody_asks_while_word_comes), T(questions_keep_a_pause),
            T(word_does_not_grow_older))
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -375,6 +375,42 @@
     event_base_free(w.base);
 }
 
+/* All are linked to the far one, the last. */
+static void look_far(evutil_socket_t fd, short what, void *arg)
+{
+    Duty *d = arg;
+    const World *w = d->world;
+    (void)fd;
+    (void)what;
+    d->reached = wp_peers_linked(w->boxes[w->n - 1]->peers) == w->n - 1;
+}
+
+/* A box to which the store does not answer heard of an endpoint's leaving 3.2 s
+   late, by way of one neighbour that was lost and reached again. */
+static void a_box_that_is_cut_off_reaches_other_zones(void **state)
+{
+    World w = { .base = event_base_new() };
+    const char *ids[] = { "e1", "e2", "e3", "e4", "e5" };
+    const unsigned fellows = G_N_ELEMENTS(ids) - 1;
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+        new_box(&w, ids[i]);
+    Box *far = new_box_in(&w, "f", "z2");
+    all_meet(&w);
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+        wp_peers_reach_far(w.boxes[i]->peers, true);
+    Duty d = { &w, 1, fellows, false };
+    struct timeval every = { 0, TICK_MS * WP_US_PER_MS };
+    struct event *e = event_new(w.base, -1, EV_PERSIST, look_far, &d);
+    event_add(e, &every);
+    assert_true(run_until(&w, &d.reached));
+    event_free(e);
+    assert_int_equal(wp_peers_linked(far->peers), G_N_ELEMENTS(ids));
+    for (size_t i = 0; i < w.n; i++)
+        free_box(w.boxes[i]);
+    event_base_free(w.base);
+}
+
 /* Whether one box of the zone passes news on and all others send to it. */
 static void look_passer(evutil_socket_t fd, short what, void *arg)
 {
@@ -540,6 +576,7 @@
 
 TESTS_MAIN(T(the_own_zone_is_asked_first),
            T(few_boxes_of_a_zone_keep_links_to_others),
+           T(a_box_that_is_cut_off_reaches_other_zones),
            T(a_box_that_the_store_does_not_answer_has_no_duty),
            T(more_boxes_watch_when_one_is_turned_away),
            T(who_is_behind_asks_another_when_one_falls_silent),
