--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -79,6 +79,9 @@
 void wp_news_take(WPSync *s, const char *key, const WPStr *value,
                   uint64_t revision, bool lapsed);
 
+/* wp_sync_peers.c: what comes from other boxes. */
+extern const WPPeersOps wp_sync_peers_ops;
+
 /* wp_digest.c: what another box tells with its digest, and what this one does;
    see WPPeersOps. */
 void wp_sync_hear(void *arg, const char *from, const Wp__MirrorDigest *d);
--- /dev/null
+++ b/io/wp_sync_peers.c
@@ -0,0 +1,70 @@
+/* What other boxes bring: entries of the store that this one lacks, and news.
+ */
+#include "wp_limit_news.h"
+#include "wp_sync_int.h"
+#include "wp_zone.h"
+
+static void take_delta_item(WPSync *s, const Wp__MirrorItem *item)
+{
+    g_autoptr(GBytes) bytes = wp_mirror_item_value(item);
+    gsize n = 0;
+    if (!bytes && !item->removed) {
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_entry", "key", item->key,
+               "why", "a peer's copy cannot be unpacked", NULL);
+        return;
+    }
+    const char *data = bytes ? g_bytes_get_data(bytes, &n) : NULL;
+    WPStr value = wp_strn(data ? data : "", n);
+    wp_news_take(s, item->key, bytes ? &value : NULL, item->revision,
+                 item->lapsed);
+}
+
+static void on_delta(void *arg, const char *from, const Wp__MirrorDelta *d)
+{
+    WPSync *s = arg;
+    for (size_t i = 0; i < d->n_items; i++)
+        take_delta_item(s, d->items[i]);
+    wp_mirror_advance(s->mirror, d->complete);
+    wp_fresh_know(&s->fresh, 0, wp_mirror_complete(s->mirror), 0);
+    s->complete = true;
+    wp_peers_announce(s->peers);
+    wp_log(&s->host->log, WP_INFO, "caught_up", "from", from, NULL);
+}
+
+static void on_peer(void *arg, const char *peer, bool up)
+{
+    WPSync *s = arg;
+    wp_log(&s->host->log, WP_INFO, up ? "peer_reached" : "peer_lost", "peer",
+           peer, NULL);
+    if (up)
+        wp_suspects_tell_all(s->host->direct.suspects);
+    wp_sync_suspects(s);
+    if (s->limit_news)
+        wp_limit_news_peer(s->limit_news, peer, up);
+}
+
+static void on_zone_news(void *arg, const char *from, const Wp__ZoneNews *m)
+{
+    WPSync *s = arg;
+    (void)from;
+    if (s->zone)
+        wp_zone_heard(s->zone, m);
+}
+
+static void on_suspects(void *arg, const char *from, const Wp__SuspectNews *n)
+{
+    WPSync *s = arg;
+    if (s->suspect_news)
+        wp_suspect_news_heard(s, from, n);
+}
+
+static void on_limits(void *arg, const char *from, const Wp__LimitNews *n)
+{
+    WPSync *s = arg;
+    if (s->limit_news)
+        wp_limit_news_heard(s->limit_news, from, n);
+}
+
+const WPPeersOps wp_sync_peers_ops = { on_delta, wp_sync_hear, wp_sync_fill,
+                                       on_peer,  on_zone_news, on_suspects,
+                                       on_limits };
--- a/src/wp_demand.h
+++ b/src/wp_demand.h
@@ -9,23 +9,12 @@
 #define WP_DEMAND_H
 
 #include "wp_pace.h"
+#include "wp_share.h"
 
 enum {
     WP_DEMAND_MOST = 60000000 /* requests a minute that one box may tell */
 };
 
-/* Something that has a share by its weight. */
-typedef struct WPShare {
-    uint64_t key; /* hash of its name, the same at all boxes */
-    double weight;
-} WPShare;
-
-/* How many of `part` whole things fall to share `self`: all get what their
-   weight makes in whole ones, the rest goes by rendezvous hashing. Equal parts
-   where all weights are 0. */
-unsigned wp_share_of(const WPShare *all, size_t n, size_t self, unsigned part,
-                     uint64_t seed);
-
 typedef struct WPDemand WPDemand;
 
 WPDemand *wp_demand_new(void);
--- a/src/wp_limit.c
+++ b/src/wp_limit.c
@@ -1,5 +1,6 @@
 /* What endpoints say of the requests that they take, and keeping to it. */
 #include "wp_limit.h"
+#include "wp_recent.h"
 
 #include <math.h>
 
@@ -67,14 +68,13 @@
 
 static void log_add(WPLimitLog *l, WPTime now)
 {
-    l->at_us[l->next] = now.mono_us;
-    l->next = (l->next + 1) % WP_LIMIT_PART_MOST;
+    wp_recent_add(l->at_us, WP_LIMIT_PART_MOST, &l->next, now);
 }
 
-/* The `n`th latest; 0: there is none. */
-static int64_t log_at(const WPLimitLog *l, unsigned n)
+/* When the `n`th latest is so old. */
+static int64_t log_old_us(const WPLimitLog *l, unsigned n, int64_t age_us)
 {
-    return l->at_us[(l->next + WP_LIMIT_PART_MOST - n) % WP_LIMIT_PART_MOST];
+    return wp_recent_old_us(l->at_us, WP_LIMIT_PART_MOST, l->next, n, age_us);
 }
 
 void wp_limit_note_own(WPLimit *l, WPTime now)
@@ -89,13 +89,6 @@
     log_add(&l->all, now);
 }
 
-/* When the `n`th latest is so old. */
-static int64_t log_free_us(const WPLimitLog *l, unsigned n, int64_t age_us)
-{
-    int64_t at_us = log_at(l, n);
-    return at_us ? at_us + age_us : 0;
-}
-
 int64_t wp_limit_free_us(const WPLimit *l, WPTime now, const WPLimitWindow *w,
                          unsigned quota)
 {
@@ -103,9 +96,9 @@
         return INT64_MAX;
     int64_t even_us = w->us / quota;
     if (now.mono_us - l->born_us < w->us)
-        return MAX(l->born_us, log_at(&l->own, 1)) + even_us;
+        return MAX(l->born_us + even_us, log_old_us(&l->own, 1, even_us));
     int64_t gap_us = (int64_t)(GAP_PART * (double)even_us);
-    int64_t own_us = log_free_us(&l->own, MIN(quota, w->part), w->us);
-    int64_t all_us = log_free_us(&l->all, w->part, w->us);
-    return MAX(MAX(own_us, all_us), log_free_us(&l->own, 1, gap_us));
+    int64_t own_us = log_old_us(&l->own, MIN(quota, w->part), w->us);
+    int64_t all_us = log_old_us(&l->all, w->part, w->us);
+    return MAX(MAX(own_us, all_us), log_old_us(&l->own, 1, gap_us));
 }
--- a/src/wp_pace.c
+++ b/src/wp_pace.c
@@ -1,5 +1,7 @@
 /* The pacing of requests to cold endpoints. */
 #include "wp_pace.h"
+#include "wp_recent.h"
+#include "wp_share.h"
 
 #include <math.h>
 
@@ -50,34 +52,33 @@
     wp_pace_boxes_changed(b);
 }
 
-/* By rendezvous hashing every box ranks the senders of an endpoint alike, and a
-   box that comes or goes changes few of them. */
-static uint64_t weight_of(uint64_t box, uint64_t endpoint)
-{
-    uint64_t key[2] = { box, endpoint };
-    return wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
-}
-
 /* The boxes on this box's side of the endpoint's zone, in it or not. */
 typedef struct Side {
     bool is_near;
-    unsigned boxes, others; /* on this side, this box included; on the other */
-    unsigned rank;          /* boxes of this side that come before this one */
+    GArray *boxes;   /* WPShare, this box first */
+    unsigned others; /* boxes on the other side */
 } Side;
 
-static Side side_of(const WPPaceBoxes *b, uint64_t endpoint, const char *zone)
+static void add_share(Side *s, uint64_t key)
+{
+    const WPShare share = { key, 1 };
+    g_array_append_val(s->boxes, share);
+}
+
+static Side side_of(const WPPaceBoxes *b, const char *zone)
 {
-    uint64_t own = weight_of(b->self.hash, endpoint);
-    Side s = { .is_near = !strcmp(b->self.zone, zone) };
+    Side s = { .is_near = !strcmp(b->self.zone, zone),
+               .boxes = g_array_new(FALSE, FALSE, sizeof(WPShare)) };
     for (guint i = 0; i < b->all->len; i++) {
         const WPPaceBox *o = &g_array_index(b->all, WPPaceBox, i);
-        bool same = !strcmp(o->zone, zone) == s.is_near;
-        s.boxes += same;
-        s.others += !same;
-        s.rank += same && weight_of(o->hash, endpoint) > own;
+        if (!strcmp(o->zone, zone) == s.is_near)
+            add_share(&s, o->hash);
+        else
+            s.others++;
     }
     /* Those that are not known may be on this side. */
-    s.boxes += b->least - b->all->len;
+    for (unsigned i = b->all->len; i < b->least; i++)
+        add_share(&s, i);
     return s;
 }
 
@@ -87,23 +88,23 @@
     double bound = floor(r->per_s * r->overshoot + r->slack);
     unsigned all = (unsigned)MAX(bound * BOUND_PART, 1);
     unsigned near = (unsigned)ceil(all * NEAR_PART);
-    Side s = side_of(b, endpoint, zone);
+    Side s = side_of(b, zone);
     unsigned part = !s.others ? all : s.is_near ? near : all - near;
-    unsigned quota = part / s.boxes + (s.rank < part % s.boxes);
+    unsigned quota = wp_share_of((const WPShare *)(void *)s.boxes->data,
+                                 s.boxes->len, 0, part, endpoint);
+    g_array_unref(s.boxes);
     return MIN(quota, WP_PACE_QUOTA_MOST);
 }
 
 void wp_pace_note(WPPace *p, WPTime now)
 {
-    p->sent_us[p->next] = now.mono_us;
-    p->next = (p->next + 1) % WP_PACE_QUOTA_MOST;
+    wp_recent_add(p->sent_us, WP_PACE_QUOTA_MOST, &p->next, now);
 }
 
 int64_t wp_pace_free_us(const WPPace *p, unsigned quota)
 {
     if (!quota)
         return INT64_MAX;
-    /* The one that has to be a window old: of the last `quota` the oldest. */
-    unsigned at = (p->next + WP_PACE_QUOTA_MOST - quota) % WP_PACE_QUOTA_MOST;
-    return p->sent_us[at] ? p->sent_us[at] + WINDOW_US : 0;
+    return wp_recent_old_us(p->sent_us, WP_PACE_QUOTA_MOST, p->next, quota,
+                            WINDOW_US);
 }
