--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -47,6 +47,16 @@
             z->box, (unsigned long)p->request, n);
 }
 
+static void add_traffic(void *arg, const char *kind, const char *border,
+                        const char *way, uint64_t bytes)
+{
+    Page *z = arg;
+    g_string_append_printf(z->text,
+                           "wp_peer_bytes_total{box=\"%s\",kind=\"%s\","
+                           "border=\"%s\",way=\"%s\"} %lu\n",
+                           z->box, kind, border, way, (unsigned long)bytes);
+}
+
 static void on_metrics(struct evhttp_request *r, void *arg)
 {
     WPDirectHost *h = arg;
@@ -70,6 +80,7 @@
     wp_fleet_each_zone_out(h->direct.fleet, add_zone_out, &z);
     wp_suspects_each(h->direct.suspects, add_kept_out, &z);
     wp_fleet_each(h->direct.fleet, add_limit, &z);
+    wp_traffic_each(wp_sync_traffic(h->sync), add_traffic, &z);
     wp_http_text(r, 200, "text/plain; version=0.0.4",
                  wp_strn(out->str, out->len));
 }
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -9,6 +9,7 @@
 
 enum {
     TICK_MS = 50,
+    TRAFFIC_MS = 10000, /* between lines on bytes to other boxes */
     LATE_MS = 200, /* a tick that is so late: the loop's timers may have stood
                       still, as the machine was suspended */
     CONNECT_MS = 400, /* a lost opening packet is sent again after a second:
@@ -45,6 +46,29 @@
         event_base_loopbreak(h->base);
 }
 
+static void add_traffic(void *arg, const char *kind, const char *border,
+                        const char *way, uint64_t bytes)
+{
+    GString *text = arg;
+    g_string_append_printf(text, "%s%s/%s/%s=%lu", text->len ? "," : "", kind,
+                           border, way, (unsigned long)bytes);
+}
+
+/* What boxes tell each other is paid for by the byte: where it goes is seen in
+   the log as well, of processes that nobody asks for metrics. */
+static void log_traffic(WPDirectHost *h, WPTime now)
+{
+    int64_t age_us = now.mono_us - h->traffic_us;
+    if (h->traffic_us && age_us < (int64_t)TRAFFIC_MS * WP_US_PER_MS)
+        return;
+    if (h->traffic_us) {
+        g_autoptr(GString) text = g_string_new(NULL);
+        wp_traffic_each(wp_sync_traffic(h->sync), add_traffic, text);
+        wp_log(&h->log, WP_INFO, "peer_bytes", "since_start", text->str, NULL);
+    }
+    h->traffic_us = now.mono_us;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
     WPDirectHost *h = arg;
@@ -58,6 +82,7 @@
     wp_direct_tick(&h->direct, now);
     wp_back_tick(h->back, now);
     wp_sync_tick(h->sync, now);
+    log_traffic(h, now);
     wp_log_flush(&h->log);
     if (h->leaving)
         carry_on_leaving(h, now);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -7,6 +7,7 @@
 #include "wp_direct_host.h"
 #include "wp_front.h"
 #include "wp_log.h"
+#include "wp_traffic.h"
 
 #include <event2/http.h>
 
@@ -28,7 +29,8 @@
     WPList relays;
     unsigned n_relays;
     WPSteady steady;
-    bool leaving;   /* a planned stop has begun */
+    int64_t traffic_us; /* when the bytes to other boxes were last logged */
+    bool leaving;       /* a planned stop has begun */
     int64_t end_us; /* of the process, then; 0: all requests are still taken */
     int64_t leave_us;
 };
@@ -64,6 +66,9 @@
 bool wp_sync_ready(const WPSync *s);
 bool wp_sync_store_up(const WPSync *s);
 
+/* Bytes that went to other boxes and came from them. */
+const WPTraffic *wp_sync_traffic(const WPSync *s);
+
 /* wp_direct_admin.c: whether the box is ready, and its metrics. */
 bool wp_direct_open_admin(WPDirectHost *h, GError **error);
 void wp_direct_close_admin(WPDirectHost *h);
--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -24,11 +24,18 @@
     GHashTable *by_addr; /* address -> WPLink */
     uint64_t next_id;
     WPLink *reading; /* whose frames are being taken, while it lives */
+    WPTraffic traffic;
 };
 
 static void on_read(struct bufferevent *bev, void *arg);
 static void on_event(struct bufferevent *bev, short what, void *arg);
 
+static bool is_in_zone(const WPLink *l)
+{
+    const char *zone = l->hub->self->zone;
+    return zone && l->peer_zone && !strcmp(zone, l->peer_zone);
+}
+
 static void say_hello(WPLink *l)
 {
     Wp__Frame f = WP__FRAME__INIT;
@@ -148,6 +155,8 @@
         return false;
     }
     evbuffer_drain(in, size);
+    wp_traffic_add(&l->hub->traffic, f, is_in_zone(l), WP_TRAFFIC_RECEIVED,
+                   size + LENGTH_BYTES);
     dispatch(l, f);
     wp__frame__free_unpacked(f, NULL);
     return true;
@@ -305,10 +314,17 @@
     v.iov_len = size + LENGTH_BYTES;
     evbuffer_commit_space(out, &v, 1);
     l->queued += v.iov_len;
+    wp_traffic_add(&l->hub->traffic, f, is_in_zone(l), WP_TRAFFIC_SENT,
+                   v.iov_len);
     if (l->connected && is_awaited(f))
         leave_now(l);
 }
 
+const WPTraffic *wp_hub_traffic(const WPHub *h)
+{
+    return &h->traffic;
+}
+
 void wp_link_send_packed(WPLink *l, const uint8_t *data, size_t size)
 {
     uint32_t length = htonl((uint32_t)size);
--- a/io/wp_link.h
+++ b/io/wp_link.h
@@ -5,6 +5,7 @@
 
 #include "wire.pb-c.h"
 #include "wp_base.h"
+#include "wp_traffic.h"
 
 #include <event2/event.h>
 
@@ -52,6 +53,9 @@
                   GError **error);
 void wp_hub_free(WPHub *h);
 
+/* What has gone over its links; frames packed beforehand are not in it. */
+const WPTraffic *wp_hub_traffic(const WPHub *h);
+
 /* The link to the peer that listens at `addr`, made if need be; NULL when
    the address is malformed. */
 WPLink *wp_hub_link(WPHub *h, const char *addr);
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -370,6 +370,11 @@
     return 1 + MAX(g_hash_table_size(p->members), p->n_seeds);
 }
 
+const WPTraffic *wp_peers_traffic(const WPPeers *p)
+{
+    return wp_hub_traffic(p->hub);
+}
+
 unsigned wp_peers_linked(const WPPeers *p)
 {
     return p->linked;
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -6,6 +6,7 @@
 #include "settings.pb-c.h"
 #include "wp_mirror.h"
 #include "wp_shift.h"
+#include "wp_traffic.h"
 
 #include <event2/event.h>
 
@@ -106,6 +107,9 @@
 void wp_peers_each_member(WPPeers *p, WPPeersEach fn, void *arg);
 uint32_t wp_peers_changes(const WPPeers *p);
 
+/* Bytes that went over links to other boxes. */
+const WPTraffic *wp_peers_traffic(const WPPeers *p);
+
 /* Links that work at present. */
 unsigned wp_peers_linked(const WPPeers *p);
 
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -366,6 +366,11 @@
     wp_peers_announce(s->peers);
 }
 
+const WPTraffic *wp_sync_traffic(const WPSync *s)
+{
+    return wp_peers_traffic(s->peers);
+}
+
 bool wp_sync_ready(const WPSync *s)
 {
     return s->complete && s->host->direct.routes != NULL;
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -385,6 +385,40 @@
     d->reached = wp_peers_linked(w->boxes[w->n - 1]->peers) == w->n - 1;
 }
 
+static void note_traffic(void *arg, const char *kind, const char *border,
+                         const char *way, uint64_t bytes)
+{
+    GString *text = arg;
+    assert_true(bytes > 0);
+    g_string_append_printf(text, "%s/%s/%s ", kind, border, way);
+}
+
+static void bytes_are_counted_by_kind_and_border(void **state)
+{
+    World w = { .base = event_base_new() };
+    g_autoptr(GString) near = g_string_new(NULL), far = g_string_new(NULL);
+    (void)state;
+    Box *a = new_box(&w, "e1");
+    new_box(&w, "e2");
+    Box *other = new_box_in(&w, "f", "z2");
+    all_meet(&w);
+    Duty d = { &w, 1, 1, false };
+    struct timeval every = { 0, TICK_MS * WP_US_PER_MS };
+    struct event *e = event_new(w.base, -1, EV_PERSIST, look_far, &d);
+    event_add(e, &every);
+    assert_true(run_until(&w, &d.reached));
+    event_free(e);
+    wp_traffic_each(wp_peers_traffic(a->peers), note_traffic, near);
+    wp_traffic_each(wp_peers_traffic(other->peers), note_traffic, far);
+    assert_non_null(strstr(near->str, "mirror_digest/zone/sent"));
+    assert_non_null(strstr(near->str, "hello/far/sent"));
+    assert_non_null(strstr(far->str, "mirror_digest/far/sent"));
+    assert_null(strstr(far->str, "/zone/"));
+    for (size_t i = 0; i < w.n; i++)
+        free_box(w.boxes[i]);
+    event_base_free(w.base);
+}
+
 /* A box to which the store does not answer heard of an endpoint's leaving 3.2 s
    late, by way of one neighbour that was lost and reached again. */
 static void a_box_that_is_cut_off_reaches_other_zones(void **state)
@@ -577,6 +611,7 @@
 TESTS_MAIN(T(the_own_zone_is_asked_first),
            T(few_boxes_of_a_zone_keep_links_to_others),
            T(a_box_that_is_cut_off_reaches_other_zones),
+           T(bytes_are_counted_by_kind_and_border),
            T(a_box_that_the_store_does_not_answer_has_no_duty),
            T(more_boxes_watch_when_one_is_turned_away),
            T(who_is_behind_asks_another_when_one_falls_silent),
