--- a/src/wp_demand_quota.c
+++ b/src/wp_demand_quota.c
@@ -4,6 +4,7 @@
 enum {
     UNKNOWN_MS = 3000, /* what has not been heard for so long has no requests;
                           a box that comes is told within some tens of ms */
+    SMALL_ZONE = 3,    /* boxes: all of them keep links to other zones */
     VIEW_MS = 100      /* what quotas rest on is put together anew */
 };
 
@@ -76,15 +77,22 @@
         v->per_min += g_array_index(v->boxes, WPShare, i).weight;
 }
 
+/* Whether links to all boxes of a small zone are lost. In a large one most
+   boxes give up their links to other zones when they have started, so that this
+   tells nothing there. */
 static bool is_all_away(const WPDemand *d, const WPPaceBoxes *b,
                         const char *zone)
 {
+    unsigned n = 0;
     for (guint i = 0; i < b->all->len; i++) {
         const WPPaceBox *o = &g_array_index(b->all, WPPaceBox, i);
-        if (!strcmp(o->zone, zone) && !g_hash_table_contains(d->away, &o->hash))
+        if (strcmp(o->zone, zone))
+            continue;
+        n++;
+        if (!g_hash_table_contains(d->away, &o->hash))
             return false;
     }
-    return true;
+    return n <= SMALL_ZONE;
 }
 
 /* Requests of another zone; below 0: not known. */
