--- a/io/wp_peers_reach.c
+++ b/io/wp_peers_reach.c
@@ -60,11 +60,8 @@
     g_hash_table_iter_init(&it, p->members);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         WPPeerMember *m = v;
-        m->wanted = false;
         if (!m->linked)
-            m->linked_us = 0;
-        else if (!m->linked_us)
-            m->linked_us = now.mono_us;
+            m->kept_us = now.mono_us;
         if (m->linked)
             m->unlinked_us = 0;
         else if (!m->unlinked_us)
@@ -83,7 +80,7 @@
 
 static void reach(WPPeers *p, WPPeerMember *m, WPTime now)
 {
-    m->wanted = true;
+    m->kept_us = now.mono_us;
     wp_peers_dial(p, m, now, strcmp(p->self.id, m->id) < 0);
 }
 
@@ -147,9 +144,8 @@
     const Leave *v = arg;
     WPPeerMember *m =
         l->peer ? g_hash_table_lookup(v->peers->members, l->peer) : NULL;
-    if (!l->outgoing || !m || m->wanted || !m->linked_us ||
-        !strcmp(m->zone, v->peers->self.zone) ||
-        v->now.mono_us - m->linked_us < (int64_t)LEAVE_MS * WP_US_PER_MS)
+    if (!l->outgoing || !m || !strcmp(m->zone, v->peers->self.zone) ||
+        v->now.mono_us - m->kept_us < (int64_t)LEAVE_MS * WP_US_PER_MS)
         return;
     m->left = true;
     wp_link_close(l);
--- a/src/wp_fleet_limit.c
+++ b/src/wp_fleet_limit.c
@@ -73,8 +73,8 @@
 }
 
 /* Whether an answer may be older than what is believed: to a request that was
-   sent before that was known. What it adds to a limit is believed all the same,
-   as nothing is risked by that. */
+   sent before that was known. A lower limit is believed all the same, as
+   nothing is risked by that. */
 static bool may_be_old(const WPLimit *l, double per_s, int64_t sent_us)
 {
     bool lower = per_s > 0 && l->per_s > 0 && per_s < l->per_s;
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -146,6 +146,9 @@
     tell(&k, "a1", LIMIT);
     wp_fleet_find(k.d.fleet, "a1")->slowness = 2.5;
     assert_in_range(ask_for(&k, 10000, "a1"), 18, 23);
+    tell(&k, "a1", 0.5);
+    wp_fleet_find(k.d.fleet, "a1")->slowness = 5;
+    assert_in_range(ask_for(&k, 20000, "a1"), 4, 10);
     fake_end(&k);
 }
 
