Tests and plays of limits: what stood twice stands once

Cause: duplicates on the change: a served request in two tests, a draw in two plays, a loop twice in the soak.

--- a/bench/limit_play.c
+++ b/bench/limit_play.c
@@ -1,5 +1,6 @@
 /* Endpoints that name a limit before many boxes. */
 #include "limit_play.h"
+#include "play.h"
 #include "wp_box_news.h"
 #include "wp_fleet.h"
 
@@ -213,15 +214,6 @@
         p->boxes[i].share = weight_of(p->plan, i, ms) / sum;
 }
 
-static unsigned poisson(GRand *r, double mean)
-{
-    double limit = exp(-mean), product = g_rand_double(r);
-    unsigned n = 0;
-    for (; product > limit; n++)
-        product *= g_rand_double(r);
-    return n;
-}
-
 static void send(Play *p, unsigned box, WPReplica *s, int64_t ms,
                  const WPWant *w)
 {
@@ -419,8 +411,9 @@
     spread_callers(p, ms);
     for (unsigned i = 0; i < p->plan->boxes; i++) {
         if (p->boxes[i].share > 0)
-            for (unsigned n = poisson(p->rand, per_step * p->boxes[i].share); n;
-                 n--)
+            for (unsigned n =
+                     play_poisson(p->rand, per_step * p->boxes[i].share);
+                 n; n--)
                 ask(p, i, ms);
         if (ms % GATHER_MS)
             continue;
--- a/bench/pace_play.c
+++ b/bench/pace_play.c
@@ -1,7 +1,6 @@
 /* Cold endpoints before many boxes. */
 #include "pace_play.h"
-
-#include <math.h>
+#include "play.h"
 
 enum {
     ZONES = 3,
@@ -169,15 +168,6 @@
     return most;
 }
 
-static unsigned poisson(GRand *r, double mean)
-{
-    double limit = exp(-mean), product = g_rand_double(r);
-    unsigned n = 0;
-    for (; product > limit; n++)
-        product *= g_rand_double(r);
-    return n;
-}
-
 PaceSums pace_play(const PacePlan *plan, const PaceWay *way)
 {
     double per_box = plan->per_endpoint * plan->endpoints / plan->boxes;
@@ -188,7 +178,8 @@
     for (int64_t ms = 0; ms < PACE_COLD_MS; ms += STEP_MS) {
         const WPTime now = { (1000 + ms) * WP_US_PER_MS, ms };
         for (unsigned b = 0; b < plan->boxes; b += ZONES)
-            for (unsigned n = poisson(p.rand, per_box * STEP_MS / WP_MS_PER_S);
+            for (unsigned n =
+                     play_poisson(p.rand, per_box * STEP_MS / WP_MS_PER_S);
                  n; n--) {
                 bin_asked++;
                 bin_stayed += place(&p, b, now);
--- a/tests/direct_fake.h
+++ b/tests/direct_fake.h
@@ -134,4 +134,22 @@
                              .confidence = confidence };
 }
 
+/* A request that is answered at once by what it reaches: the endpoint's id, or
+   why it was refused. */
+static inline const char *fake_serve(Fake *k, const char *path, WPMove *m)
+{
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, path, NULL, m);
+    const char *what = "";
+    if (m->kind == WP_MOVE_FAIL) {
+        what = wp_code_info(m->code)->code;
+    } else {
+        what = g_intern_string(m->replica->id);
+        wp_flow_answer(f, k->now, &a, &(WPMove){ 0 });
+        wp_flow_done(f, k->now, 0);
+    }
+    wp_flow_free(f);
+    return what;
+}
+
 #endif
--- a/tests/soak_limit.c
+++ b/tests/soak_limit.c
@@ -313,6 +313,14 @@
     sum_use(a, s, per_s, sums);
 }
 
+static bool has_named(const Arrivals *a)
+{
+    for (guint i = 0; i < a->per_s->len; i++)
+        if (g_array_index(a->per_s, double, i) > 0)
+            return true;
+    return false;
+}
+
 static void check_stretch(const SoakLimit *l, GHashTable *all, const Stretch *s,
                           GString *text, GString *problems)
 {
@@ -321,12 +329,8 @@
     gpointer v;
     g_hash_table_iter_init(&it, all);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Arrivals *a = v;
-        bool named = false;
-        for (guint i = 0; i < a->per_s->len; i++)
-            named = named || g_array_index(a->per_s, double, i) > 0;
-        if (named)
-            sum_stretch(a, s, &sums);
+        if (has_named(v))
+            sum_stretch(v, s, &sums);
     }
     if (!sums.endpoints)
         return;
@@ -364,11 +368,8 @@
     gpointer v;
     g_hash_table_iter_init(&it, all);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const Arrivals *a = v;
-        bool named = false;
-        for (guint i = 0; i < a->per_s->len; i++)
-            named = named || g_array_index(a->per_s, double, i) > 0;
-        back += named ? count_within(a, from_ms + BACK_MS, to_ms) : 0;
+        if (has_named(v))
+            back += count_within(v, from_ms + BACK_MS, to_ms);
     }
     double per_s = back / lasted_s;
     double had = l->limited * g_ascii_strtod(l->plan->first, NULL);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -84,28 +84,9 @@
     tell_sent(k, id, per_s, k->now.mono_us);
 }
 
-/* A request that is answered at once by what it reaches; the endpoint's id, or
-   why it was refused. */
-static const char *ask_path(Fake *k, const char *path, const char *session,
-                            WPMove *m)
-{
-    WPDirectAnswer a = fake_answer(200, 90);
-    WPFlow *f = fake_ask(k, path, session, m);
-    const char *what = "";
-    if (m->kind == WP_MOVE_FAIL) {
-        what = wp_code_info(m->code)->code;
-    } else {
-        what = g_intern_string(m->replica->id);
-        wp_flow_answer(f, k->now, &a, &(WPMove){ 0 });
-        wp_flow_done(f, k->now, 0);
-    }
-    wp_flow_free(f);
-    return what;
-}
-
 static const char *ask_once(Fake *k, WPMove *m)
 {
-    return ask_path(k, "/safe/x", NULL, m);
+    return fake_serve(k, "/safe/x", m);
 }
 
 enum { ASK_EVERY_MS = 20 };
@@ -194,7 +175,7 @@
         if (g_rand_boolean(r))
             urgent += ask_once(&k, &m)[0] == 'a';
         else
-            other += ask_path(&k, "/late/x", NULL, &m)[0] == 'a';
+            other += fake_serve(&k, "/late/x", &m)[0] == 'a';
         fake_pass(&k, ASK_EVERY_MS / 2);
     }
     g_rand_free(r);
@@ -359,7 +340,7 @@
     tell(&k, "l1", LIMIT);
     tell(&k, "l2", LIMIT);
     for (int i = 0; i < 300; i++) {
-        const char *what = ask_path(&k, "/chat/x", NULL, &m);
+        const char *what = fake_serve(&k, "/chat/x", &m);
         to_new += what[0] == 'n';
         refused += !strcmp(what, "endpoints_limited");
         fake_pass(&k, ASK_EVERY_MS);
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -140,21 +140,9 @@
     return s;
 }
 
-/* One request that is answered at once; the reason when there is none. */
 static const char *ask_once(Fake *k, WPMove *m)
 {
-    WPDirectAnswer a = fake_answer(200, 90);
-    WPFlow *f = fake_ask(k, "/chat/x", NULL, m);
-    const char *what = "";
-    if (m->kind == WP_MOVE_FAIL) {
-        what = wp_code_info(m->code)->code;
-    } else {
-        what = g_intern_string(m->replica->id);
-        wp_flow_answer(f, k->now, &a, &(WPMove){ 0 });
-        wp_flow_done(f, k->now, 0);
-    }
-    wp_flow_free(f);
-    return what;
+    return fake_serve(k, "/chat/x", m);
 }
 
 static void a_cold_endpoint_gets_this_boxs_quota(void **state)
