--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -122,11 +122,7 @@
     if (!l->peer)
         return;
     p->linked--;
-    WPPeerMember *m = g_hash_table_lookup(p->members, l->peer);
-    if (m && m->left) /* not a loss */
-        m->left = false;
-    else
-        p->ops->changed(p->arg, l->peer, false);
+    p->ops->changed(p->arg, l->peer, false);
 }
 
 static void on_stamp(void *arg, Wp__Frame *f)
--- a/io/wp_peers_int.h
+++ b/io/wp_peers_int.h
@@ -15,9 +15,7 @@
     char *id, *addr, *zone;
     int64_t tried_us;
     int64_t unlinked_us; /* since when there is no link; 0: there is one */
-    int64_t kept_us; /* when this box last was to be linked to it, or was not */
     bool linked;
-    bool left; /* this box is closing its link, as it is not to keep it */
     uint64_t
         news_no;    /* of the last news sent to it: two links may lead there */
     bool heard;     /* a digest has come */
--- a/io/wp_peers_reach.c
+++ b/io/wp_peers_reach.c
@@ -9,12 +9,8 @@
     FAR_BOXES = 3,        /* boxes of a zone that have them, the first by a hash
                              of ids among those that are linked: bytes between
                              zones are paid for */
-    LEAVE_MS = 5000,     /* a link to another zone that this box made and is not
-                            to keep is closed: those of its start, when it
-                            knew nobody else. 103 boxes had 450 such links for
-                            120 (a quiet day, bytes of digests between zones) */
-    DIAL_LATER_MS = 2000 /* the box with the lower id dials; the other one
-                             only if that does not come about */
+    DIAL_LATER_MS = 2000  /* the box with the lower id dials; the other one
+                              only if that does not come about */
 };
 
 enum {
@@ -60,8 +56,6 @@
     g_hash_table_iter_init(&it, p->members);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         WPPeerMember *m = v;
-        if (!m->linked)
-            m->kept_us = now.mono_us;
         if (m->linked)
             m->unlinked_us = 0;
         else if (!m->unlinked_us)
@@ -80,7 +74,6 @@
 
 static void reach(WPPeers *p, WPPeerMember *m, WPTime now)
 {
-    m->kept_us = now.mono_us;
     wp_peers_dial(p, m, now, strcmp(p->self.id, m->id) < 0);
 }
 
@@ -134,23 +127,6 @@
     }
 }
 
-typedef struct Leave {
-    WPPeers *peers;
-    WPTime now;
-} Leave;
-
-static void leave_unwanted(void *arg, WPLink *l)
-{
-    const Leave *v = arg;
-    WPPeerMember *m =
-        l->peer ? g_hash_table_lookup(v->peers->members, l->peer) : NULL;
-    if (!l->outgoing || !m || !strcmp(m->zone, v->peers->self.zone) ||
-        v->now.mono_us - m->kept_us < (int64_t)LEAVE_MS * WP_US_PER_MS)
-        return;
-    m->left = true;
-    wp_link_close(l);
-}
-
 typedef bool (*MemberIs)(const WPPeers *p, const WPPeerMember *m, WPTime now);
 
 /* How many other boxes of this zone are so. */
@@ -229,8 +205,6 @@
             reach_zone(p, v, now);
     wp_peers_choose_passer(p, now);
     reach_seeds(p, now);
-    Leave leave = { p, now };
-    wp_hub_each(p->hub, leave_unwanted, &leave);
 }
 
 unsigned wp_peers_rank(const WPPeers *p)
--- a/src/wp_demand_quota.c
+++ b/src/wp_demand_quota.c
@@ -77,9 +77,8 @@
         v->per_min += g_array_index(v->boxes, WPShare, i).weight;
 }
 
-/* Whether links to all boxes of a small zone are lost. In a large one most
-   boxes give up their links to other zones when they have started, so that this
-   tells nothing there. */
+/* Whether links to all boxes of a small zone are lost. In a large one few boxes
+   keep links to other zones, so that this tells nothing there. */
 static bool is_all_away(const WPDemand *d, const WPPaceBoxes *b,
                         const char *zone)
 {
