--- a/bench/limit_play.c
+++ b/bench/limit_play.c
@@ -8,6 +8,7 @@
 
 enum {
     LASTS_MS = 24000,
+    DUE_MOST_MS = LASTS_MS + 2000, /* what is due later is not played */
     NAMES_MS = 2000,
     CHANGES_MS = 13000,
     TOLD_MS = 3000,   /* the platform counts so long after the naming */
@@ -66,8 +67,8 @@
     GRand *rand;
     Box *boxes;
     Endpoint *endpoints;
-    GPtrArray *legs[LASTS_MS + 2000]; /* by the time at which they are due */
-    GPtrArray *words[LASTS_MS + 2000];
+    GPtrArray *legs[DUE_MOST_MS]; /* by the time at which they are due */
+    GPtrArray *words[DUE_MOST_MS];
     unsigned asked, refused; /* after TOLD_MS */
     unsigned next_kill;
 } Play;
@@ -91,7 +92,7 @@
 
 static void due(GPtrArray **table, int64_t at_ms, gpointer what)
 {
-    if (at_ms >= LASTS_MS + 2000) {
+    if (at_ms >= DUE_MOST_MS) {
         g_free(what);
         return;
     }
@@ -161,7 +162,7 @@
 
 static void free_due(GPtrArray **table)
 {
-    for (unsigned i = 0; i < LASTS_MS + 2000; i++)
+    for (unsigned i = 0; i < DUE_MOST_MS; i++)
         if (table[i])
             g_ptr_array_unref(table[i]);
 }
@@ -450,7 +451,6 @@
             most = MAX(most, count_within(e, ms, MIN(ms + WINDOW_MS, to_ms)));
     }
     sums->most = MAX(sums->most, most);
-    sums->most_times = MAX(sums->most_times, most / (per_s * WINDOW_MS / 1000));
     sums->over += most > limit_allowed(per_s);
     double used = count_within(e, from_ms, to_ms) * (double)WP_MS_PER_S /
                   (per_s * (double)(to_ms - from_ms));
--- a/bench/limit_play.h
+++ b/bench/limit_play.h
@@ -43,7 +43,6 @@
 typedef struct LimitSums {
     unsigned most;     /* that reached one endpoint within 4 s, later than 3 s
                           after it first named its limit */
-    double most_times; /* the same, of what the limit allows in that time */
     double used;       /* of all limits, from 3 s after the naming on */
     double used_least; /* the same, of one endpoint */
     double served;     /* share of all requests from then on */
