Sight: what answers say of leaving and of rest

Cause: no log line tells that an answer says that its endpoint leaves, or for how long it asks for rest, so that a word that is not read cannot be told from one that is dropped. What was ruled out: the list's `draining` tells only what the store has taken. No decision uses more than before: a rest is still the preference that it was.

--- a/Makefile
+++ b/Makefile
@@ -128,7 +128,7 @@
 	clang-format -i $(OWN)
 
 # What only platform/ may name: the platform's fields, entries and calls.
-PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|Server-Limit|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
+PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|Server-Limit|Server-Leaving|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
 PLATFORM_LINES := 900
 
 # Fails when a file of folder $(1) includes a header of a folder other than $(2).
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -104,4 +104,8 @@
         g_string_append(r->legs, "/not_run");
     if (r->answer.limit.said == WP_LIMIT_NAMED)
         g_string_append_printf(r->legs, "/limit=%g", r->answer.limit.per_s);
+    if (r->answer.leaving.said == WP_NOTICE_GIVEN)
+        g_string_append(r->legs, "/leaving");
+    if (r->answer.rest.said == WP_NOTICE_GIVEN)
+        g_string_append_printf(r->legs, "/rest=%gs", r->answer.rest.rest_s);
 }
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -10,6 +10,7 @@
 #include "wp_code.h"
 #include "wp_counters.h"
 #include "wp_fleet.h"
+#include "wp_notice.h"
 #include "wp_route.h"
 #include "wp_shift.h"
 #include "wp_suspects.h"
@@ -130,7 +131,8 @@
     bool has_load;
     uint32_t running, waiting, slots;
     WPLimitField limit;
-    double retry_s; /* a refusal's word on when to come back; 0: none */
+    WPNoticeField leaving;
+    WPNoticeField rest; /* counts of a refusal */
 } WPDirectAnswer;
 
 /* How a leg ended without an answer. */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -331,8 +331,8 @@
     if (!a->wrong)
         wp_suspects_alive(f->d->suspects, now, f->leg.replica->life_hash,
                           f->leg.sent_us);
-    if (a->retry_s > 0 && refuses(a))
-        wp_fleet_told_busy(f->leg.replica, now, a->retry_s);
+    if (a->rest.rest_s > 0 && refuses(a))
+        wp_fleet_told_busy(f->leg.replica, now, a->rest.rest_s);
     if (a->wrong || a->not_run) {
         after_refusal(f, now, a->wrong ? WP_SERVED_WRONG : WP_SERVED_REFUSED,
                       out);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -382,7 +382,7 @@
     (void)state;
     fake_init(&k);
     full.not_run = true;
-    full.retry_s = 2;
+    full.rest = (WPNoticeField){ WP_NOTICE_GIVEN, 2 };
     WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
     const char *refuses = g_intern_string(m.replica->id);
     wp_flow_answer(f, k.now, &full, &m);
@@ -391,11 +391,11 @@
     assert_int_equal(ask_for(&k, 1900, refuses), 0);
     fake_pass(&k, 30000); /* its failure is forgotten */
     assert_true(ask_for(&k, 2000, refuses) > 10);
-    full.retry_s = 1e12; /* believed for some seconds at most */
+    full.rest.rest_s = 1e12; /* believed for some seconds at most */
     while (strcmp(ask_once(&k, &m), refuses))
         continue;
     WPReplica *s = wp_fleet_find(k.d.fleet, refuses);
-    wp_fleet_told_busy(s, k.now, full.retry_s);
+    wp_fleet_told_busy(s, k.now, full.rest.rest_s);
     fake_pass(&k, 4100);
     assert_true(ask_for(&k, 1000, refuses) > 5);
     fake_end(&k);
