Tests and soak: endpoints that leave and that rest (fail; known red)

Cause: nothing reads an answer's word that its endpoint leaves; a rest is a preference for 4 s at most that failures share, any good answer sets back and a lack of others overrides. What was ruled out: words heard too late, ways that pass the choice by (first requests fail). The code endpoints_resting is named and not given yet.

--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -31,6 +31,8 @@
       "the endpoints have just started and take few requests")                 \
     X(LIMITED, "endpoints_limited", 503, NOT_RUN,                              \
       "the endpoints take few requests at present")                            \
+    X(RESTING, "endpoints_resting", 503, NOT_RUN,                              \
+      "the endpoints have asked for rest")                                     \
     X(OVERLOADED, "overloaded", 429, NOT_RUN, "no capacity at this time")      \
     X(LATE, "deadline_unreachable", 429, NOT_RUN,                              \
       "the deadline cannot be met")                                            \
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -4,7 +4,12 @@
  *   fail, refuse, cut, mute: shares of requests; delay_ms; confidence; events;
  *   draining: says that it leaves; limit: the field that names the requests a
  *   second that it takes, as it is (empty: none; a bar parts two of them). From
- *   the first one on each arrival is noted: "ARRIVED LIMIT MS ID".
+ *   the first one on each arrival is noted: "ARRIVED LIMIT MS ID"; leaving: the
+ *   field by which answers say that it leaves, in the same way; rest: the field
+ *   by which it asks for rest while it refuses all; rest_ms: refuses all for so
+ *   long from now and asks for what is left of it; noting: notes each arrival,
+ *   "CAME - MS ID REQUEST", and what it tells in its answer, "TOLD leaving MS
+ *   ID REQUEST", "TOLD SECONDS MS ID REQUEST".
  * So is what makes a version bad: fail, on fail_path alone (a path's beginning)
  * and only while fail_running requests run; slow: a share that takes slow_ms
  * longer, and ten times as long from event to event.
@@ -39,8 +44,11 @@
     bool draining;
     double fail, refuse, cut, mute, delay_ms, confidence, events;
     double fail_running, slow, slow_ms;
-    char *fail_path; /* NULL: any */
-    char *limit;     /* NULL: none was ever set */
+    char *fail_path;      /* NULL: any */
+    char *limit;          /* NULL: none was ever set */
+    char *leaving, *rest; /* NULL or empty: not said */
+    int64_t rest_until_us;
+    bool noting;
     unsigned running;
     double ran, wrong, keyless;
     int run_log;     /* -1: none */
@@ -87,6 +95,14 @@
     json_decref(j);
 }
 
+/* A field for each part of the text; NULL: none. */
+static void add_each(struct evkeyvalq *h, const char *name, const char *text)
+{
+    g_auto(GStrv) parts = g_strsplit(text ? text : "", "|", -1);
+    for (char **part = parts; *part; part++)
+        evhttp_add_header(h, name, *part);
+}
+
 static void add_head(struct evhttp_request *r, const Replica *p, const char *id,
                      bool ran)
 {
@@ -98,9 +114,8 @@
         evhttp_add_header(h, PF_H_REQUEST_ID, id);
     evhttp_add_header(h, PF_H_LOAD, load);
     evhttp_add_header(h, "Keep-Alive", "timeout=30");
-    g_auto(GStrv) limits = g_strsplit(p->limit ? p->limit : "", "|", -1);
-    for (char **l = limits; *l; l++)
-        evhttp_add_header(h, PF_H_LIMIT, *l);
+    add_each(h, PF_H_LIMIT, p->limit);
+    add_each(h, PF_H_LEAVING, p->leaving);
     if (!ran) {
         evhttp_add_header(h, PF_H_NOT_RUN, "1");
         return;
@@ -239,6 +254,17 @@
     note(p, line);
 }
 
+/* Of arrivals and of what is told: "WHAT HOW MS ID REQUEST". */
+static void note_notice(const Replica *p, const char *what, const char *how,
+                        const char *request)
+{
+    if (!p->noting)
+        return;
+    g_autofree char *line = g_strdup_printf("%s %s %ld %s %s\n", what, how,
+                                            now_ms(), p->id, request);
+    note(p, line);
+}
+
 static bool fails(const Run *n)
 {
     const Replica *p = n->to;
@@ -282,12 +308,37 @@
     send_event(n);
 }
 
+static bool rests(const Replica *p)
+{
+    return (p->rest && *p->rest) || g_get_monotonic_time() < p->rest_until_us;
+}
+
+/* Refuses for want of rest. */
+static void ask_for_rest(const Replica *p, struct evhttp_request *r,
+                         const char *id)
+{
+    int64_t left_us = p->rest_until_us - g_get_monotonic_time();
+    g_autofree char *left =
+        left_us > 0 ? g_strdup_printf("%.3f", (double)left_us / WP_US_PER_S)
+                    : NULL;
+    struct evkeyvalq *h = evhttp_request_get_output_headers(r);
+    if (left)
+        note_notice(p, "TOLD", left, id);
+    add_each(h, PF_H_RETRY, left ? left : p->rest);
+    add_head(r, p, id, false);
+    wp_http_text(r, 503, "text/plain", wp_str("rests"));
+}
+
 static bool refuses(Replica *p, struct evhttp_request *r, const char *id)
 {
     const char *expected = wp_http_header(r, PF_H_EXPECT_REPLICA);
     bool other = expected && strcmp(expected, p->id) != 0;
     bool full =
         p->running >= p->set->slots || g_rand_double(p->rand) < p->refuse;
+    if (!other && id && rests(p)) {
+        ask_for_rest(p, r, id);
+        return true;
+    }
     if (!other && !full && id)
         return false;
     add_head(r, p, id, false);
@@ -327,6 +378,10 @@
     const char *after = wp_http_header(r, PF_H_AFTER_EVENT);
     if (p->limit)
         note_arrival(p);
+    if (id)
+        note_notice(p, "CAME", "-", id);
+    if (id && p->leaving && !strcmp(p->leaving, "1"))
+        note_notice(p, "TOLD", "leaving", id);
     if (refuses(p, r, id))
         return;
     int times = GPOINTER_TO_INT(g_hash_table_lookup(p->ids, id));
@@ -368,12 +423,22 @@
     event_add(n->timer, &at);
 }
 
+static void set_text(const json_t *j, const char *name, char **text)
+{
+    const json_t *v = json_object_get(j, name);
+    if (!v)
+        return;
+    g_free(*text);
+    *text = g_strdup(json_string_value(v));
+}
+
 static void control(Replica *p, struct evhttp_request *r)
 {
     json_t *j = wp_http_body_json(r), *ids = json_object();
     GHashTableIter it;
     gpointer id, times;
     bool was = p->draining;
+    double rest_ms = -1;
     stand_set_number(j, "fail", &p->fail);
     stand_set_number(j, "refuse", &p->refuse);
     stand_set_number(j, "cut", &p->cut);
@@ -387,10 +452,14 @@
     if (json_object_get(j, "fail_path"))
         p->fail_path =
             g_strdup(json_string_value(json_object_get(j, "fail_path")));
-    if (json_object_get(j, "limit")) {
-        g_free(p->limit);
-        p->limit = g_strdup(json_string_value(json_object_get(j, "limit")));
-    }
+    set_text(j, "limit", &p->limit);
+    set_text(j, "leaving", &p->leaving);
+    set_text(j, "rest", &p->rest);
+    stand_set_number(j, "rest_ms", &rest_ms);
+    if (rest_ms >= 0)
+        p->rest_until_us =
+            g_get_monotonic_time() + (int64_t)(rest_ms * WP_US_PER_MS);
+    stand_set_bool(j, "noting", &p->noting);
     stand_set_bool(j, "draining", &p->draining);
     if (was != p->draining)
         list_self(p);
--- a/tests/path.c
+++ b/tests/path.c
@@ -217,9 +217,9 @@
     g_autofree char *name = g_strdup_printf("replica%u", i);
     g_autofree char *text = g_strdup_printf(
         "kind: replica\nport: %u\nstore: 127.0.0.1:%u\nservice: app\n"
-        "seed: %u\nslots: 64\nlisted_port: %u\nrun_log: %s/runs\n"
+        "seed: %u\nslots: %u\nlisted_port: %u\nrun_log: %s/runs\n"
         "version: %s\n%s%s",
-        c.port, p->store.port, i + 1, way.port, p->folder, version,
+        c.port, p->store.port, i + 1, p->slots, way.port, p->folder, version,
         p->zones ? "same_id: true\n" COLD_REPLICA : "",
         p->zones && i % 2 ? "zone: " PATH_ZONE_OUT "\n" : "");
     start(p, &c, "wpstand", name, text);
@@ -273,12 +273,15 @@
     path_need(path_control(p->store.control, text));
 }
 
+enum { SLOTS = 64 };
+
 static Path *new_path(unsigned entries, unsigned replicas, bool clocks,
-                      bool zones)
+                      bool zones, unsigned slots)
 {
     Path *p = g_new0(Path, 1);
     p->clocks = clocks;
     p->zones = zones;
+    p->slots = slots;
     p->bin = g_getenv("WP_BIN") ? g_getenv("WP_BIN") : "build";
     p->folder = g_dir_make_tmp("wp-path-XXXXXX", NULL);
     ports_init(&p->ports);
@@ -308,17 +311,23 @@
 
 Path *path_new(unsigned entries, unsigned replicas)
 {
-    return new_path(entries, replicas, false, false);
+    return new_path(entries, replicas, false, false, SLOTS);
 }
 
 Path *path_new_clocks(unsigned entries, unsigned replicas)
 {
-    return new_path(entries, replicas, true, false);
+    return new_path(entries, replicas, true, false, SLOTS);
 }
 
 Path *path_new_zones(unsigned entries, unsigned replicas)
 {
-    return new_path(entries, replicas, false, true);
+    return new_path(entries, replicas, false, true, SLOTS);
+}
+
+Path *path_new_small(unsigned entries, unsigned replicas, unsigned slots,
+                     bool zones)
+{
+    return new_path(entries, replicas, false, zones, slots);
 }
 
 void path_end_process(Child *c)
--- a/tests/path.h
+++ b/tests/path.h
@@ -75,6 +75,7 @@
 void path_signal_entry(Path *p, unsigned entry, int signal);
 void path_restart_entry(Path *p, unsigned entry);
 void path_restart_replica(Path *p, unsigned replica);
+void path_wait_replica(Path *p, unsigned replica); /* until it answers */
 
 /* Whether a replica that was started has ended by itself; takes its entry out
    of the store's list. */
@@ -111,6 +112,10 @@
 Path *path_new_zones(unsigned entries, unsigned replicas);
 void path_zone(Path *p, bool out);
 
+/* Each replica has so few places, in one zone or in two as above. */
+Path *path_new_small(unsigned entries, unsigned replicas, unsigned slots,
+                     bool zones);
+
 /* SIGTERM to an entry, and how it ended. */
 void path_stop(Path *p, unsigned entry);
 int path_exit_code(Path *p, unsigned entry);
--- a/tests/path_faults.c
+++ b/tests/path_faults.c
@@ -5,6 +5,8 @@
 #include <signal.h>
 #include <sys/wait.h>
 
+enum { START_MS = 5000, LOOK_MS = 5 };
+
 void path_zone(Path *p, bool out)
 {
     static const char key[] = "\"op/evacuate/" PATH_ZONE_OUT "\"";
@@ -101,6 +103,17 @@
     restart(p, path_child(p->replicas, replica));
 }
 
+void path_wait_replica(Path *p, unsigned replica)
+{
+    json_t *j = NULL;
+    for (int i = 0; !j && i < START_MS / LOOK_MS; i++) {
+        j = path_control(path_child(p->replicas, replica)->control, "{}");
+        if (!j)
+            g_usleep(LOOK_MS * WP_US_PER_MS);
+    }
+    json_decref(j);
+}
+
 bool path_replica_ended(Path *p, unsigned replica)
 {
     Child *c = path_child(p->replicas, replica);
--- a/tests/path_int.h
+++ b/tests/path_int.h
@@ -23,7 +23,8 @@
     GArray *peers, *ready;                /* of uint16_t */
     unsigned asked, version;
     bool clocks;
-    bool zones; /* see path_new_zones() */
+    bool zones;     /* see path_new_zones() */
+    unsigned slots; /* of each replica */
 };
 
 /* A stand-in's or a proxy's page, asked with `json`; NULL when it does not
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -55,6 +55,8 @@
         tests/soak-crash-cases.txt
     soak limits "--limits --entries 4 --replicas 10 --seconds 14" \
         tests/soak-limit-cases.txt 3
+    soak notices "--notices --entries 4 --replicas 10 --callers 24 --seconds 14" \
+        tests/soak-notice-cases.txt 3
     soak beside "--moves beside --seconds 12" tests/soak-beside-cases.txt
     out=$(mktemp)
     WP_BIN=$BUILD tests/run-scenarios.sh 4 | tee "$out"
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -20,14 +20,17 @@
  *   - with --crashing (soak_crash.h): a request that crashes what runs it ends
  * few endpoints, and others are served;
  *   - with --limits (soak_limit.h): endpoints that name a limit get no more,
- * and use it.
+ * and use it;
+ *   - with --notices (soak_notice.h): endpoints that say that they leave, or
+ * ask for rest, are left alone, and others serve.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
  *          [--callers 8] [--moves alone|beside] [--zones] [--crashing]
- *          [--limits] */
+ *          [--limits] [--notices] */
 #include "soak_crash.h"
 #include "soak_limit.h"
 #include "soak_move.h"
+#include "soak_notice.h"
 #include "soak_zone.h"
 
 #include <signal.h>
@@ -47,8 +50,9 @@
 static char *moves;    /* NULL, "alone" or "beside" other faults */
 static gboolean zones; /* zones that are kept out, beside starts of processes */
 static gboolean
-    crashing;           /* requests that crash endpoints, and no other fault */
-static gboolean limits; /* endpoints that name one, and no other fault */
+    crashing;            /* requests that crash endpoints, and no other fault */
+static gboolean limits;  /* endpoints that name one, and no other fault */
+static gboolean notices; /* that leave and that rest, and no other fault */
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* One request as a caller saw it end. */
@@ -66,10 +70,11 @@
     gint stop, lives[64]; /* generation of each entry's process */
     gint shown[64];       /* generation that has shown the new route */
     uint32_t seed;
-    SoakMove *move;   /* NULL: none */
-    SoakZone *zone;   /* NULL: none */
-    SoakCrash *crash; /* NULL: none */
-    SoakLimit *limit; /* NULL: none */
+    SoakMove *move;     /* NULL: none */
+    SoakZone *zone;     /* NULL: none */
+    SoakCrash *crash;   /* NULL: none */
+    SoakLimit *limit;   /* NULL: none */
+    SoakNotice *notice; /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -156,7 +161,11 @@
     unsigned k = (unsigned)g_rand_int_range(c->rand, 0, WP_COUNT(targets));
     gint life = g_atomic_int_get(&c->soak->lives[c->entry]);
     PathAnswer a = { .fd = c->fd, .body = g_string_new(NULL) };
-    g_snprintf(a.id, sizeof(a.id), "s%u.%u", c->number, ++c->asked);
+    if (notices)
+        g_snprintf(a.id, sizeof(a.id), SOAK_NOTICE_ID, c->entry, c->number,
+                   ++c->asked);
+    else
+        g_snprintf(a.id, sizeof(a.id), "s%u.%u", c->number, ++c->asked);
     path_exchange(&a, path_port(c->soak->path, c->entry),
                   k == 1 ? "POST" : "GET", targets[k]);
     c->fd = a.fd;
@@ -175,7 +184,7 @@
     bool heeds = crashing && a.status != 200; /* as callers are told to */
     if (!a.status || heeds)
         g_usleep(STEP_LEAST_MS * WP_US_PER_MS);
-    if (limits)
+    if (limits || notices)
         g_usleep(LIMIT_PAUSE_MS * WP_US_PER_MS);
 }
 
@@ -345,7 +354,9 @@
             soak_crash_tick(s->crash);
         if (s->limit)
             soak_limit_tick(s->limit);
-        if (!s->crash && !s->limit && faults->len < FAULTS_MOST &&
+        if (s->notice)
+            soak_notice_tick(s->notice);
+        if (!s->crash && !s->limit && !s->notice && faults->len < FAULTS_MOST &&
             g_strcmp0(moves, "alone")) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
@@ -438,7 +449,9 @@
     GThread **threads = g_new0(GThread *, callers);
     s.path = moves   ? path_new_clocks((unsigned)entries, (unsigned)replicas)
              : zones ? path_new_zones((unsigned)entries, (unsigned)replicas)
-                     : path_new((unsigned)entries, (unsigned)replicas);
+             : notices
+                 ? soak_notice_path(seed, (unsigned)entries, (unsigned)replicas)
+                 : path_new((unsigned)entries, (unsigned)replicas);
     s.seen = g_array_new(FALSE, FALSE, sizeof(Seen));
     s.problems = g_string_new(NULL);
     g_mutex_init(&s.lock);
@@ -448,6 +461,10 @@
     if (limits)
         s.limit = soak_limit_new(s.path, seed, seconds, (unsigned)entries,
                                  (unsigned)replicas, &limit_ops);
+    const SoakNoticeOps notice_ops = { restart_for, &s };
+    if (notices)
+        s.notice = soak_notice_new(s.path, seed, seconds, (unsigned)entries,
+                                   (unsigned)replicas, &notice_ops);
     bool one_entry = s.limit && soak_limit_one_entry(s.limit);
     for (int i = 0; i < callers; i++) {
         all[i] =
@@ -487,6 +504,8 @@
             ? soak_crash_end(s.crash, count_routed(&s), served, s.problems)
         : s.limit
             ? soak_limit_end(s.limit, count_routed(&s), served, s.problems)
+        : s.notice
+            ? soak_notice_end(s.notice, count_routed(&s), served, s.problems)
             : g_strdup("no move");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
@@ -516,6 +535,8 @@
           "requests that crash endpoints", NULL },
         { "limits", 0, 0, G_OPTION_ARG_NONE, &limits,
           "endpoints that name a limit", NULL },
+        { "notices", 0, 0, G_OPTION_ARG_NONE, &notices,
+          "endpoints that leave and that rest", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
