--- a/bench/limit_play.c
+++ b/bench/limit_play.c
@@ -322,7 +322,7 @@
         w.kind = WORD_SENT;
         w.endpoint = g_array_index(b->news.sent_to, uint64_t, i);
         const WPReplica *s = wp_fleet_by_hash(b->fleet, w.endpoint);
-        if (s && s->limit)
+        if (s && s->said.limit)
             say_in_zone(p, box, ms, &w);
     }
     wp_box_news_clear(&b->news);
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -1852,49 +1852,49 @@
   assert(message->base.descriptor == &wp__zone_demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wp__limit_news__init
-                     (Wp__LimitNews         *message)
+void   wp__notice_news__init
+                     (Wp__NoticeNews         *message)
 {
-  static const Wp__LimitNews init_value = WP__LIMIT_NEWS__INIT;
+  static const Wp__NoticeNews init_value = WP__NOTICE_NEWS__INIT;
   *message = init_value;
 }
-size_t wp__limit_news__get_packed_size
-                     (const Wp__LimitNews *message)
+size_t wp__notice_news__get_packed_size
+                     (const Wp__NoticeNews *message)
 {
-  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  assert(message->base.descriptor == &wp__notice_news__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wp__limit_news__pack
-                     (const Wp__LimitNews *message,
+size_t wp__notice_news__pack
+                     (const Wp__NoticeNews *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  assert(message->base.descriptor == &wp__notice_news__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wp__limit_news__pack_to_buffer
-                     (const Wp__LimitNews *message,
+size_t wp__notice_news__pack_to_buffer
+                     (const Wp__NoticeNews *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  assert(message->base.descriptor == &wp__notice_news__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wp__LimitNews *
-       wp__limit_news__unpack
+Wp__NoticeNews *
+       wp__notice_news__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wp__LimitNews *)
-     protobuf_c_message_unpack (&wp__limit_news__descriptor,
+  return (Wp__NoticeNews *)
+     protobuf_c_message_unpack (&wp__notice_news__descriptor,
                                 allocator, len, data);
 }
-void   wp__limit_news__free_unpacked
-                     (Wp__LimitNews *message,
+void   wp__notice_news__free_unpacked
+                     (Wp__NoticeNews *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wp__limit_news__descriptor);
+  assert(message->base.descriptor == &wp__notice_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   wp__frame__init
@@ -5418,15 +5418,15 @@
   (ProtobufCMessageInit) wp__zone_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__limit_news__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wp__notice_news__field_descriptors[3] =
 {
   {
     "limits",
     1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wp__LimitNews, n_limits),
-    offsetof(Wp__LimitNews, limits),
+    offsetof(Wp__NoticeNews, n_limits),
+    offsetof(Wp__NoticeNews, limits),
     &wp__endpoint_limit__descriptor,
     NULL,
     0,             /* flags */
@@ -5437,36 +5437,49 @@
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wp__LimitNews, n_demands),
-    offsetof(Wp__LimitNews, demands),
+    offsetof(Wp__NoticeNews, n_demands),
+    offsetof(Wp__NoticeNews, demands),
     &wp__zone_demand__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__NoticeNews, n_leaving),
+    offsetof(Wp__NoticeNews, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wp__limit_news__field_indices_by_name[] = {
+static const unsigned wp__notice_news__field_indices_by_name[] = {
   1,   /* field[1] = demands */
+  2,   /* field[2] = leaving */
   0,   /* field[0] = limits */
 };
-static const ProtobufCIntRange wp__limit_news__number_ranges[1 + 1] =
+static const ProtobufCIntRange wp__notice_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wp__limit_news__descriptor =
+const ProtobufCMessageDescriptor wp__notice_news__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wp.LimitNews",
-  "LimitNews",
-  "Wp__LimitNews",
+  "wp.NoticeNews",
+  "NoticeNews",
+  "Wp__NoticeNews",
   "wp",
-  sizeof(Wp__LimitNews),
-  2,
-  wp__limit_news__field_descriptors,
-  wp__limit_news__field_indices_by_name,
-  1,  wp__limit_news__number_ranges,
-  (ProtobufCMessageInit) wp__limit_news__init,
+  sizeof(Wp__NoticeNews),
+  3,
+  wp__notice_news__field_descriptors,
+  wp__notice_news__field_indices_by_name,
+  1,  wp__notice_news__number_ranges,
+  (ProtobufCMessageInit) wp__notice_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wp__frame__field_descriptors[30] =
@@ -5820,13 +5833,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_news",
+    "notice_news",
     35,
     PROTOBUF_C_LABEL_OPTIONAL,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Wp__Frame, body_case),
-    offsetof(Wp__Frame, limit_news),
-    &wp__limit_news__descriptor,
+    offsetof(Wp__Frame, notice_news),
+    &wp__notice_news__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -5844,12 +5857,12 @@
   8,   /* field[8] = head */
   4,   /* field[4] = hello */
   3,   /* field[3] = hlc */
-  29,   /* field[29] = limit_news */
   2,   /* field[2] = load */
   18,   /* field[18] = members */
   25,   /* field[25] = mirror_delta */
   23,   /* field[23] = mirror_digest */
   24,   /* field[24] = mirror_pull */
+  29,   /* field[29] = notice_news */
   13,   /* field[13] = ping */
   14,   /* field[14] = pong */
   16,   /* field[16] = pull */
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -57,7 +57,7 @@
 typedef struct Wp__SuspectNews Wp__SuspectNews;
 typedef struct Wp__EndpointLimit Wp__EndpointLimit;
 typedef struct Wp__ZoneDemand Wp__ZoneDemand;
-typedef struct Wp__LimitNews Wp__LimitNews;
+typedef struct Wp__NoticeNews Wp__NoticeNews;
 typedef struct Wp__Frame Wp__Frame;
 typedef struct Wp__SessionClaim Wp__SessionClaim;
 
@@ -980,17 +980,22 @@
     , 0, 0, 0, 0, 0 }
 
 
-struct  Wp__LimitNews
+struct  Wp__NoticeNews
 {
   ProtobufCMessage base;
   size_t n_limits;
   Wp__EndpointLimit **limits;
   size_t n_demands;
   Wp__ZoneDemand **demands;
+  /*
+   * lives of endpoints, by hash
+   */
+  size_t n_leaving;
+  uint64_t *leaving;
 };
-#define WP__LIMIT_NEWS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wp__limit_news__descriptor) \
-    , 0,NULL, 0,NULL }
+#define WP__NOTICE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__notice_news__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
@@ -1020,7 +1025,7 @@
   WP__FRAME__BODY_WITNESS = 32,
   WP__FRAME__BODY_ZONE_NEWS = 33,
   WP__FRAME__BODY_SUSPECT_NEWS = 34,
-  WP__FRAME__BODY_LIMIT_NEWS = 35
+  WP__FRAME__BODY_NOTICE_NEWS = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WP__FRAME__BODY__CASE)
 } Wp__Frame__BodyCase;
 
@@ -1064,7 +1069,7 @@
     Wp__Witness *witness;
     Wp__ZoneNews *zone_news;
     Wp__SuspectNews *suspect_news;
-    Wp__LimitNews *limit_news;
+    Wp__NoticeNews *notice_news;
   };
 };
 #define WP__FRAME__INIT \
@@ -1869,24 +1874,24 @@
 void   wp__zone_demand__free_unpacked
                      (Wp__ZoneDemand *message,
                       ProtobufCAllocator *allocator);
-/* Wp__LimitNews methods */
-void   wp__limit_news__init
-                     (Wp__LimitNews         *message);
-size_t wp__limit_news__get_packed_size
-                     (const Wp__LimitNews   *message);
-size_t wp__limit_news__pack
-                     (const Wp__LimitNews   *message,
+/* Wp__NoticeNews methods */
+void   wp__notice_news__init
+                     (Wp__NoticeNews         *message);
+size_t wp__notice_news__get_packed_size
+                     (const Wp__NoticeNews   *message);
+size_t wp__notice_news__pack
+                     (const Wp__NoticeNews   *message,
                       uint8_t             *out);
-size_t wp__limit_news__pack_to_buffer
-                     (const Wp__LimitNews   *message,
+size_t wp__notice_news__pack_to_buffer
+                     (const Wp__NoticeNews   *message,
                       ProtobufCBuffer     *buffer);
-Wp__LimitNews *
-       wp__limit_news__unpack
+Wp__NoticeNews *
+       wp__notice_news__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wp__limit_news__free_unpacked
-                     (Wp__LimitNews *message,
+void   wp__notice_news__free_unpacked
+                     (Wp__NoticeNews *message,
                       ProtobufCAllocator *allocator);
 /* Wp__Frame methods */
 void   wp__frame__init
@@ -2051,8 +2056,8 @@
 typedef void (*Wp__ZoneDemand_Closure)
                  (const Wp__ZoneDemand *message,
                   void *closure_data);
-typedef void (*Wp__LimitNews_Closure)
-                 (const Wp__LimitNews *message,
+typedef void (*Wp__NoticeNews_Closure)
+                 (const Wp__NoticeNews *message,
                   void *closure_data);
 typedef void (*Wp__Frame_Closure)
                  (const Wp__Frame *message,
@@ -2109,7 +2114,7 @@
 extern const ProtobufCMessageDescriptor wp__suspect_news__descriptor;
 extern const ProtobufCMessageDescriptor wp__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor wp__zone_demand__descriptor;
-extern const ProtobufCMessageDescriptor wp__limit_news__descriptor;
+extern const ProtobufCMessageDescriptor wp__notice_news__descriptor;
 extern const ProtobufCMessageDescriptor wp__frame__descriptor;
 extern const ProtobufCMessageDescriptor wp__session_claim__descriptor;
 
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -28,13 +28,13 @@
 static void add_limit(void *arg, WPReplica *s)
 {
     Page *z = arg;
-    if (s->limit)
+    if (s->said.limit)
         g_string_append_printf(
             z->text,
             "wp_endpoint_limit{box=\"%s\",endpoint=\"%s\"} %g\n"
             "wp_endpoint_limited_sent_total{box=\"%s\",endpoint=\"%s\"} %lu\n",
-            z->box, s->id, s->limit->per_s, z->box, s->id,
-            (unsigned long)s->limit->sent);
+            z->box, s->id, s->said.limit->per_s, z->box, s->id,
+            (unsigned long)s->said.limit->sent);
 }
 
 static void add_kept_out(void *arg, const WPSuspect *p)
@@ -76,6 +76,11 @@
         wp_sync_store_up(h->sync), labels,
         (double)wp_sync_list_age_ms(h->sync, wp_clock_now(0)) / WP_MS_PER_S,
         labels, (unsigned long)h->log.dropped);
+    const WPNoticeCount notices =
+        wp_fleet_count_notices(h->direct.fleet, wp_clock_now(0));
+    g_string_append_printf(
+        out, "wp_endpoints_leaving{%s} %u\nwp_endpoints_resting{%s} %u\n",
+        labels, notices.leaving, labels, notices.resting);
     Page z = { s->id, out };
     wp_fleet_each_zone_out(h->direct.fleet, add_zone_out, &z);
     wp_suspects_each(h->direct.suspects, add_kept_out, &z);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -56,8 +56,8 @@
 /* The same, to all boxes, of requests under which endpoints have ended. */
 void wp_sync_suspects(WPSync *s);
 
-/* The same, of limits that endpoints name. */
-void wp_sync_limits(WPSync *s);
+/* The same, of what endpoints say of themselves. */
+void wp_sync_notices(WPSync *s);
 
 /* How old what this box knows of the list is; -1: it knows nothing. */
 int64_t wp_sync_list_age_ms(const WPSync *s, WPTime now);
--- a/io/wp_limit_news.c
+++ b/io/wp_notice_news.c
@@ -1,7 +1,8 @@
-/* News of the limits that endpoints name. A limit that is first named goes out
- * with the loop's next turn, as the endpoint counts what all boxes send from
- * then on; what follows within some ms goes in one message. */
-#include "wp_limit_news.h"
+/* News of limits that endpoints name, and of endpoints that leave. A word goes
+ * out with the loop's next turn, as an endpoint counts what all boxes send from
+ * the first naming of a limit on; what follows within some ms goes in one
+ * message. */
+#include "wp_notice_news.h"
 
 #include <stdio.h>
 
@@ -11,7 +12,7 @@
     FIGURE = 24      /* bytes of a figure as text */
 };
 
-struct WPLimitFlood {
+struct WPNoticeFlood {
     WPDirectHost *host;
     WPPeers *peers;
     struct event *send;
@@ -25,7 +26,8 @@
     const char *to; /* NULL: all */
     Wp__EndpointLimit limits[TOLD_MOST], *limit_list[TOLD_MOST];
     Wp__ZoneDemand demands[TOLD_MOST], *demand_list[TOLD_MOST];
-    Wp__LimitNews news;
+    uint64_t leaving[TOLD_MOST];
+    Wp__NoticeNews news;
 } Message;
 
 static Message *new_message(WPPeers *peers, const char *to)
@@ -33,17 +35,18 @@
     Message *m = g_new(Message, 1);
     m->peers = peers;
     m->to = to;
-    wp__limit_news__init(&m->news);
+    wp__notice_news__init(&m->news);
     m->news.limits = m->limit_list;
     m->news.demands = m->demand_list;
+    m->news.leaving = m->leaving;
     return m;
 }
 
 static void send_message(Message *m)
 {
-    if (m->news.n_limits || m->news.n_demands)
-        wp_peers_send_limits(m->peers, m->to, &m->news);
-    m->news.n_limits = m->news.n_demands = 0;
+    if (m->news.n_limits || m->news.n_demands || m->news.n_leaving)
+        wp_peers_send_notices(m->peers, m->to, &m->news);
+    m->news.n_limits = m->news.n_demands = m->news.n_leaving = 0;
 }
 
 static void add_limit(void *arg, const WPLimitNews *n)
@@ -77,9 +80,17 @@
     m->demand_list[i] = d;
 }
 
+static void add_leaving(void *arg, uint64_t life)
+{
+    Message *m = arg;
+    if (m->news.n_leaving == TOLD_MOST)
+        send_message(m);
+    m->leaving[m->news.n_leaving++] = life;
+}
+
 static void on_send(evutil_socket_t fd, short what, void *arg)
 {
-    WPLimitFlood *n = arg;
+    WPNoticeFlood *n = arg;
     WPTime now = wp_clock_now(0);
     WPLimitNews limits[TOLD_MOST];
     g_autofree Message *m = new_message(n->peers, NULL);
@@ -92,16 +103,19 @@
     for (guint i = 0; i < n->demands->len; i++)
         add_demand(m, &g_array_index(n->demands, WPDemandNews, i));
     g_array_set_size(n->demands, 0);
+    m->news.n_leaving = wp_fleet_tell_leaving(n->host->direct.fleet, m->leaving,
+                                              WP_COUNT(m->leaving));
     n->sent_us = now.mono_us;
     send_message(m);
 }
 
-void wp_limit_news_wake(WPLimitFlood *n)
+void wp_notice_news_wake(WPNoticeFlood *n)
 {
     static const struct timeval at_once = { 0, 0 };
     static const struct timeval later = { 0, GAP_MS * WP_US_PER_MS };
-    bool any =
-        n->demands->len || wp_fleet_any_untold_limit(n->host->direct.fleet);
+    const WPFleet *f = n->host->direct.fleet;
+    bool any = n->demands->len || wp_fleet_any_untold_limit(f) ||
+               wp_fleet_any_untold_leaving(f);
     if (!any || event_pending(n->send, EV_TIMEOUT, NULL))
         return;
     int64_t gap_us = wp_clock_now(0).mono_us - n->sent_us;
@@ -109,13 +123,23 @@
     event_add(n->send, waits ? &later : &at_once);
 }
 
-static void add_figure(WPLimitFlood *n, const WPDemandNews *d)
+static void add_figure(WPNoticeFlood *n, const WPDemandNews *d)
 {
     if (n->demands->len < TOLD_MOST)
         g_array_append_val(n->demands, *d);
 }
 
-void wp_limit_news_tick(WPLimitFlood *n, WPTime now)
+static void log_rested(WPNoticeFlood *n, WPTime now)
+{
+    WPReplica *s;
+    while ((s = wp_fleet_rested(n->host->direct.fleet, now))) {
+        wp_log(&n->host->log, WP_INFO, "endpoint_rested", "endpoint", s->id,
+               "service", s->service, "version", s->version, NULL);
+        wp_fleet_release(s);
+    }
+}
+
+void wp_notice_news_tick(WPNoticeFlood *n, WPTime now)
 {
     WPFleet *f = n->host->direct.fleet;
     WPDemandNews d;
@@ -123,10 +147,11 @@
            wp_peers_passes_news(n->peers) &&
            wp_fleet_tell_zone_demand(f, now, &d))
         add_figure(n, &d);
-    wp_limit_news_wake(n);
+    log_rested(n, now);
+    wp_notice_news_wake(n);
 }
 
-static void log_heard(WPLimitFlood *n, const char *from, const WPReplica *s,
+static void log_heard(WPNoticeFlood *n, const char *from, const WPReplica *s,
                       double was)
 {
     char had[FIGURE], has[FIGURE];
@@ -137,7 +162,7 @@
            had, "from", from, NULL);
 }
 
-static void hear_limit(WPLimitFlood *n, WPTime now, const char *from,
+static void hear_limit(WPNoticeFlood *n, WPTime now, const char *from,
                        const Wp__EndpointLimit *l)
 {
     WPFleet *f = n->host->direct.fleet;
@@ -149,7 +174,7 @@
         log_heard(n, from, s, was);
 }
 
-static void hear_demand(WPLimitFlood *n, WPTime now, const Wp__ZoneDemand *d)
+static void hear_demand(WPNoticeFlood *n, WPTime now, const Wp__ZoneDemand *d)
 {
     const WPDemandNews news = { d->service, d->zone, d->per_min, d->number,
                                 d->box };
@@ -157,18 +182,31 @@
         add_figure(n, &news);
 }
 
-void wp_limit_news_heard(WPLimitFlood *n, const char *from,
-                         const Wp__LimitNews *m)
+static void hear_leaving(WPNoticeFlood *n, WPTime now, const char *from,
+                         uint64_t life)
+{
+    const WPReplica *s =
+        wp_fleet_hear_leaving(n->host->direct.fleet, now, life);
+    if (s)
+        wp_log(&n->host->log, WP_INFO, "endpoint_leaving", "endpoint", s->id,
+               "service", s->service, "version", s->version, "zone", s->zone,
+               "from", from, NULL);
+}
+
+void wp_notice_news_heard(WPNoticeFlood *n, const char *from,
+                          const Wp__NoticeNews *m)
 {
     WPTime now = wp_clock_now(0);
     for (size_t i = 0; i < m->n_limits; i++)
         hear_limit(n, now, from, m->limits[i]);
     for (size_t i = 0; i < m->n_demands; i++)
         hear_demand(n, now, m->demands[i]);
-    wp_limit_news_wake(n);
+    for (size_t i = 0; i < m->n_leaving; i++)
+        hear_leaving(n, now, from, m->leaving[i]);
+    wp_notice_news_wake(n);
 }
 
-void wp_limit_news_peer(WPLimitFlood *n, const char *peer, bool up)
+void wp_notice_news_peer(WPNoticeFlood *n, const char *peer, bool up)
 {
     WPFleet *f = n->host->direct.fleet;
     WPDemand *d = wp_fleet_demand(f);
@@ -178,12 +216,13 @@
         return;
     wp_fleet_each_limit(f, add_limit, m);
     wp_demand_each_zone(d, wp_clock_now(0), add_demand, m);
+    wp_fleet_each_leaving(f, add_leaving, m);
     send_message(m);
 }
 
-WPLimitFlood *wp_limit_news_new(WPDirectHost *h, WPPeers *peers)
+WPNoticeFlood *wp_notice_news_new(WPDirectHost *h, WPPeers *peers)
 {
-    WPLimitFlood *n = g_new0(WPLimitFlood, 1);
+    WPNoticeFlood *n = g_new0(WPNoticeFlood, 1);
     n->host = h;
     n->peers = peers;
     n->send = evtimer_new(h->base, on_send, n);
@@ -191,7 +230,7 @@
     return n;
 }
 
-void wp_limit_news_free(WPLimitFlood *n)
+void wp_notice_news_free(WPNoticeFlood *n)
 {
     if (!n)
         return;
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -96,8 +96,8 @@
     case WP__FRAME__BODY_SUSPECT_NEWS:
         p->ops->suspects(p->arg, l->peer, f->suspect_news);
         break;
-    case WP__FRAME__BODY_LIMIT_NEWS:
-        p->ops->limits(p->arg, l->peer, f->limit_news);
+    case WP__FRAME__BODY_NOTICE_NEWS:
+        p->ops->notices(p->arg, l->peer, f->notice_news);
         break;
     default:
         break;
@@ -301,12 +301,12 @@
     wp_hub_each(p->hub, send_frame, &s);
 }
 
-void wp_peers_send_limits(WPPeers *p, const char *to, Wp__LimitNews *n)
+void wp_peers_send_notices(WPPeers *p, const char *to, Wp__NoticeNews *n)
 {
     Wp__Frame f = WP__FRAME__INIT;
     SendTo s = { to, &f };
-    f.body_case = WP__FRAME__BODY_LIMIT_NEWS;
-    f.limit_news = n;
+    f.body_case = WP__FRAME__BODY_NOTICE_NEWS;
+    f.notice_news = n;
     wp_hub_each(p->hub, send_frame, &s);
 }
 
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -25,8 +25,8 @@
     void (*zone_news)(void *arg, const char *from, const Wp__ZoneNews *z);
     /* News of requests under which endpoints have ended. */
     void (*suspects)(void *arg, const char *from, const Wp__SuspectNews *n);
-    /* News of limits that endpoints name. */
-    void (*limits)(void *arg, const char *from, const Wp__LimitNews *n);
+    /* News of what endpoints say of themselves. */
+    void (*notices)(void *arg, const char *from, const Wp__NoticeNews *n);
 } WPPeersOps;
 
 /* Listens on the settings' `peers`. NULL and an error if that fails. */
@@ -68,9 +68,9 @@
 /* Sends news of requests to all that this box is linked to. */
 void wp_peers_send_suspects(WPPeers *p, Wp__SuspectNews *n);
 
-/* Sends news of limits to all that this box is linked to; to one of them, if
-   `to` is not NULL. */
-void wp_peers_send_limits(WPPeers *p, const char *to, Wp__LimitNews *n);
+/* Sends news of what endpoints say to all that this box is linked to; to one of
+   them, if `to` is not NULL. */
+void wp_peers_send_notices(WPPeers *p, const char *to, Wp__NoticeNews *n);
 
 void wp_peers_tick(WPPeers *p, WPTime now);
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -184,8 +184,8 @@
             answer_whole(r);
         break;
     case WP_MOVE_FAIL:
-        if (m.limited)
-            wp_relay_note_limited(r, m.limited);
+        if (m.barred)
+            wp_relay_note_barred(r, &m);
         answer_own(r, m.code, m.retry_ms);
         break;
     case WP_MOVE_CUT:
@@ -215,28 +215,14 @@
 }
 
 /* With the head of any answer: its body may be long in coming. */
-static void note_limit(WPRelay *r)
-{
-    const WPAttempt *leg = &r->flow->leg;
-    WPFleet *fleet = r->host->direct.fleet;
-    WPReplica *s = leg->replica;
-    double was = wp_fleet_limit_of(s);
-    const WPLimitSeen seen = { r->answer.limit, r->answer.genuine,
-                               leg->sent_us };
-    if (r->answer.wrong)
-        return;
-    switch (wp_fleet_told_limit(fleet, s, wp_clock_now(0), &seen)) {
-    case WP_LIMIT_SAME:
-        break;
-    case WP_LIMIT_CHANGED:
-        wp_relay_log_limit(r, s, was);
-        wp_sync_limits(r->host->sync);
-        break;
-    case WP_LIMIT_ODD:
-        wp_log(&r->host->log, WP_WARN, "endpoint_limit_bad", "endpoint", s->id,
-               "id", r->flow->id, NULL);
-        break;
-    }
+static void note_words(WPRelay *r)
+{
+    const WPReplica *s = r->flow->leg.replica;
+    WPHeard heard;
+    wp_flow_head(r->flow, wp_clock_now(0), &r->answer, &heard);
+    wp_relay_log_heard(r, s, &heard);
+    if (heard.leaves || heard.limit == WP_LIMIT_CHANGED)
+        wp_sync_notices(r->host->sync);
 }
 
 static void on_head(void *arg, const WPHead *h)
@@ -245,7 +231,7 @@
     WPMove m;
     r->host->platform->read_answer(h, &r->answer);
     wp_relay_note_answer(r);
-    note_limit(r);
+    note_words(r);
     if (!r->begun)
         keep_fields(r, h);
     r->answer_streams = r->flow->route->repeat == WP_REPEAT_STREAM &&
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -31,12 +31,11 @@
 /* wp_relay_log.c: the line of a request, with what decided it. */
 void wp_relay_log_end(WPRelay *r, const char *outcome, int status);
 
-/* The endpoint's answer names another limit than it had before. */
-void wp_relay_log_limit(WPRelay *r, const WPReplica *s, double was);
+/* What an answer's head told of its endpoint, where that is new. */
+void wp_relay_log_heard(WPRelay *r, const WPReplica *s, const WPHeard *h);
 
-/* The request is refused for limits of endpoints, this one's the first that
-   would let it in. */
-void wp_relay_note_limited(WPRelay *r, const WPReplica *s);
+/* The request is refused for what bars endpoints for a while. */
+void wp_relay_note_barred(WPRelay *r, const WPMove *m);
 
 /* The connection to an endpoint has ended under the request. */
 void wp_relay_log_ended(WPRelay *r, const char *endpoint);
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -51,7 +51,7 @@
            NULL);
 }
 
-void wp_relay_log_limit(WPRelay *r, const WPReplica *s, double was)
+static void log_limit(WPRelay *r, const WPReplica *s, double was)
 {
     char had[LOG_NUMBER], has[LOG_NUMBER];
     snprintf(had, sizeof(had), "%g", was);
@@ -61,16 +61,44 @@
            had, "from", "answer", "id", r->flow->id, NULL);
 }
 
+static void log_rest(WPRelay *r, const WPReplica *s)
+{
+    char rest[LOG_NUMBER];
+    snprintf(rest, sizeof(rest), "%.3f", r->answer.rest.rest_s);
+    wp_log(&r->host->log, WP_INFO, "endpoint_rests", "endpoint", s->id,
+           "service", s->service, "version", s->version, "seconds", rest, "id",
+           r->flow->id, NULL);
+}
+
+void wp_relay_log_heard(WPRelay *r, const WPReplica *s, const WPHeard *h)
+{
+    if (h->limit == WP_LIMIT_CHANGED)
+        log_limit(r, s, h->limit_was);
+    if (h->limit == WP_LIMIT_ODD)
+        wp_log(&r->host->log, WP_WARN, "endpoint_limit_bad", "endpoint", s->id,
+               "id", r->flow->id, NULL);
+    if (h->leaves)
+        wp_log(&r->host->log, WP_INFO, "endpoint_leaving", "endpoint", s->id,
+               "service", s->service, "version", s->version, "zone", s->zone,
+               "from", "answer", "id", r->flow->id, NULL);
+    if (h->rests)
+        log_rest(r, s);
+    if (h->bad)
+        wp_log(&r->host->log, WP_WARN, "endpoint_notice_bad", "endpoint", s->id,
+               "field", h->bad, "id", r->flow->id, NULL);
+}
+
 void wp_relay_note_leg(WPRelay *r, const WPMove *m, WPTime now)
 {
     r->list_age_ms = wp_sync_list_age_ms(r->host->sync, now);
     const WPReplica *s = m->replica;
     int64_t age_ms =
-        s->load_us ? (now.mono_us - s->load_us) / WP_US_PER_MS : -1;
+        s->said.load_us ? (now.mono_us - s->said.load_us) / WP_US_PER_MS : -1;
     g_string_append_printf(r->legs, "%s%s:%s:%s:%.*s:load=%u+%u/%u:age=%ldms",
                            r->legs->len ? "," : "", wp_why_name(m->why), s->id,
-                           s->version, (int)m->model.n, m->model.p, s->running,
-                           s->waiting, s->slots, (long)age_ms);
+                           s->version, (int)m->model.n, m->model.p,
+                           s->said.running, s->said.waiting, s->slots,
+                           (long)age_ms);
     const WPAttempt *leg = &r->flow->leg;
     if (leg->expect_us > 0)
         g_string_append_printf(r->legs, ":unread=%u:expect=%.0fms",
@@ -81,11 +109,20 @@
         g_string_append(r->legs, ":cold");
 }
 
-void wp_relay_note_limited(WPRelay *r, const WPReplica *s)
+void wp_relay_note_barred(WPRelay *r, const WPMove *m)
 {
-    g_string_append_printf(r->legs, "%snone:%s:limit=%g",
-                           r->legs->len ? "," : "", s->id,
-                           wp_fleet_limit_of(s));
+    const WPReplica *s = m->barred;
+    int64_t now_us = wp_clock_now(0).mono_us;
+    g_string_append_printf(r->legs, "%snone:%s", r->legs->len ? "," : "",
+                           s->id);
+    if (m->bar == WP_BAR_LIMIT)
+        g_string_append_printf(r->legs, ":limit=%g", wp_fleet_limit_of(s));
+    else if (m->bar == WP_BAR_REST)
+        g_string_append_printf(r->legs, ":rest=%.3fs",
+                               (double)(s->said.rest_until_us - now_us) /
+                                   WP_US_PER_S);
+    else
+        g_string_append(r->legs, ":cold");
 }
 
 void wp_relay_note_result(WPRelay *r, const char *how)
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -3,7 +3,7 @@
  * not tell this box, other boxes do. */
 #include "wp_sync_int.h"
 #include "wp_lag.h"
-#include "wp_limit_news.h"
+#include "wp_notice_news.h"
 #include "wp_zone.h"
 
 enum {
@@ -330,7 +330,7 @@
     wp_seen_tick(s, now);
     wp_suspect_news_tick(s, now);
     wp_zone_tick(s->zone, now);
-    wp_limit_news_tick(s->limit_news, now);
+    wp_notice_news_tick(s->notice_news, now);
     bool moving = false;
     wp_shifts_each(s->host->direct.shifts, note_running, &moving);
     wp_peers_hurry(s->peers, moving);
@@ -355,10 +355,10 @@
         wp_suspect_news_wake(s->suspect_news);
 }
 
-void wp_sync_limits(WPSync *s)
+void wp_sync_notices(WPSync *s)
 {
-    if (s->limit_news)
-        wp_limit_news_wake(s->limit_news);
+    if (s->notice_news)
+        wp_notice_news_wake(s->notice_news);
 }
 
 void wp_sync_tell(WPSync *s)
@@ -411,7 +411,7 @@
     if (s->kv) {
         s->zone = wp_zone_new(h, s->peers);
         s->suspect_news = wp_suspect_news_new(s);
-        s->limit_news = wp_limit_news_new(h, s->peers);
+        s->notice_news = wp_notice_news_new(h, s->peers);
         s->start_us = start_of(s, wp_clock_now(0));
         s->self_us = s->start_us + SELF_MS * WP_US_PER_MS;
         s->boxes_us = time_of(s).mono_us + SELF_MS * WP_US_PER_MS / 2;
@@ -434,7 +434,7 @@
         s->kv->ops->free(s->kv);
     wp_zone_free(s->zone);
     g_clear_pointer(&s->suspect_news, wp_suspect_news_free);
-    g_clear_pointer(&s->limit_news, wp_limit_news_free);
+    g_clear_pointer(&s->notice_news, wp_notice_news_free);
     wp_peers_free(s->peers);
     wp_mirror_free(s->mirror);
     g_hash_table_unref(s->turns);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -63,9 +63,9 @@
                             tells */
     struct WPSeen *seen; /* what is kept of moves that run */
     struct WPSuspectNews
-        *suspect_news;               /* news of requests that end endpoints */
-    struct WPLimitFlood *limit_news; /* of limits that endpoints name */
-    bool writing;                    /* a transaction is under way */
+        *suspect_news;                 /* news of requests that end endpoints */
+    struct WPNoticeFlood *notice_news; /* of what endpoints say of themselves */
+    bool writing;                      /* a transaction is under way */
     int64_t write_after_us;
     int64_t boxes_us;  /* when to look for boxes without a record */
     int64_t self_us;   /* from when on to write the own record, if no other box
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -1,6 +1,6 @@
 /* What other boxes bring: entries of the store that this one lacks, and news.
  */
-#include "wp_limit_news.h"
+#include "wp_notice_news.h"
 #include "wp_sync_int.h"
 #include "wp_zone.h"
 
@@ -39,8 +39,8 @@
     if (up)
         wp_suspects_tell_all(s->host->direct.suspects);
     wp_sync_suspects(s);
-    if (s->limit_news)
-        wp_limit_news_peer(s->limit_news, peer, up);
+    if (s->notice_news)
+        wp_notice_news_peer(s->notice_news, peer, up);
 }
 
 static void on_zone_news(void *arg, const char *from, const Wp__ZoneNews *m)
@@ -58,13 +58,13 @@
         wp_suspect_news_heard(s, from, n);
 }
 
-static void on_limits(void *arg, const char *from, const Wp__LimitNews *n)
+static void on_notices(void *arg, const char *from, const Wp__NoticeNews *n)
 {
     WPSync *s = arg;
-    if (s->limit_news)
-        wp_limit_news_heard(s->limit_news, from, n);
+    if (s->notice_news)
+        wp_notice_news_heard(s->notice_news, from, n);
 }
 
-const WPPeersOps wp_sync_peers_ops = { on_delta, wp_sync_hear, wp_sync_fill,
-                                       on_peer,  on_zone_news, on_suspects,
-                                       on_limits };
+const WPPeersOps wp_sync_peers_ops = { on_delta,  wp_sync_hear, wp_sync_fill,
+                                       on_peer,   on_zone_news, on_suspects,
+                                       on_notices };
--- a/src/wp_bid.c
+++ b/src/wp_bid.c
@@ -28,7 +28,8 @@
         const WPReplica *s = g_ptr_array_index(list, i);
         uint32_t tokens = wp_kept_tokens(s->kept, now, w->model, w->prompt);
         k->own[i] = tokens;
-        bool spared = s->zone_out || wp_fleet_limit_of(s) > 0;
+        bool spared =
+            s->zone_out || wp_fleet_limit_of(s) > 0 || wp_fleet_rests(s, now);
         if (tokens && !s->unreachable && !s->unreadable && !spared)
             note_keeper(k, s, tokens);
     }
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -116,9 +116,10 @@
     uint32_t budget_ms; /* what is left of the caller's time */
     uint32_t patience_ms; /* to the first byte, then go elsewhere; 0: none */
     WPCode code;
-    uint32_t retry_ms;        /* when to come back; 0: not told */
-    const WPReplica *limited; /* FAIL: whose limit would have let the request
-                                 come first; valid at once only; NULL: none */
+    uint32_t retry_ms;       /* when to come back; 0: not told */
+    const WPReplica *barred; /* FAIL: the endpoint that would take it first;
+                                valid at once only; NULL: none */
+    WPBar bar;               /* what keeps it from there */
 } WPMove;
 
 /* The head of an endpoint's answer, decoded. */
@@ -197,7 +198,20 @@
 WPFlow *wp_flow_begin(WPDirect *d, WPTime now, const WPDirectAsk *ask,
                       WPMove *out);
 
-/* The head of an answer (of a stream that succeeds), or a whole answer. */
+/* What an answer's head changed of what is believed of its endpoint. */
+typedef struct WPHeard {
+    bool leaves, rests;  /* new */
+    WPLimitChange limit; /* new, or to be reported */
+    double limit_was;    /* requests a second; 0: none */
+    const char *bad;     /* a field to be reported; NULL: none */
+} WPHeard;
+
+/* The head of any answer of this leg has come: what it says of its endpoint
+   counts from now on, whatever becomes of the answer. */
+void wp_flow_head(WPFlow *f, WPTime now, const WPDirectAnswer *a, WPHeard *out);
+
+/* The head of an answer (of a stream that succeeds), or a whole answer; what
+   its head says was taken by wp_flow_head(). */
 void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
                     WPMove *out);
 
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -16,7 +16,7 @@
     g_free(s->zone);
     g_free(s->version);
     wp_kept_free(s->kept);
-    g_free(s->limit);
+    g_free(s->said.limit);
     g_free(s);
 }
 
@@ -46,6 +46,10 @@
     wp_pace_boxes_init(&f->boxes);
     f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
     f->limited = g_ptr_array_new();
+    f->leaving = g_ptr_array_new();
+    f->resting = g_ptr_array_new();
+    f->unlisted =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->early_limits =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->limit_sums =
@@ -76,6 +80,9 @@
     wp_pace_boxes_end(&f->boxes);
     g_array_unref(f->untold);
     g_ptr_array_unref(f->limited);
+    g_ptr_array_unref(f->leaving);
+    g_ptr_array_unref(f->resting);
+    g_hash_table_unref(f->unlisted);
     g_hash_table_unref(f->early_limits);
     g_hash_table_unref(f->limit_sums);
     g_hash_table_unref(f->refusals);
@@ -158,6 +165,7 @@
 {
     s->gone = true;
     wp_fleet_forget_limit(f, s);
+    wp_fleet_forget_notices(f, s);
     g_hash_table_remove(f->by_id, s->id);
     g_hash_table_remove(f->by_hash, &s->id_hash);
     g_hash_table_remove(f->by_hash, &s->life_hash);
@@ -165,6 +173,13 @@
     wp_fleet_release(s);
 }
 
+/* The list has it no more; the same life may come back. */
+static void unlist(WPFleet *f, WPTime now, WPReplica *s)
+{
+    wp_fleet_keep_notices(f, now, s);
+    forget(f, s);
+}
+
 /* Of a start that is over, as another listing has told. */
 static bool is_late(const WPReplica *s, const WPListing *l)
 {
@@ -181,7 +196,7 @@
 static bool update(WPFleet *f, WPReplica *s, const WPListing *l)
 {
     bool other_version = strcmp(s->version, l->version) != 0;
-    bool changed = other_version || s->draining != l->draining ||
+    bool changed = other_version || (!s->said.leaving.from && l->draining) ||
                    s->missing_us || s->unreadable;
     if (other_version) {
         g_free(s->version);
@@ -208,11 +223,13 @@
     if (!s) {
         s = add(f, l);
         wp_fleet_take_early_limit(f, now, s);
+        wp_fleet_take_notices(f, s);
     }
     s->slots = (uint32_t)l->slots;
     /* What is leaving does not come back in the same life. */
-    s->draining = s->draining || l->draining;
-    s->cold_until_us = now.mono_us + l->cold_left_ms * WP_US_PER_MS;
+    if (l->draining && !s->said.leaving.from)
+        s->said.leaving.from = WP_FROM_LIST;
+    s->said.cold_until_us = now.mono_us + l->cold_left_ms * WP_US_PER_MS;
     return changed;
 }
 
@@ -271,7 +288,7 @@
     if (!s)
         return;
     if (!doubt)
-        forget(f, s);
+        unlist(f, now, s);
     else if (!s->missing_us)
         s->missing_us = now.mono_us;
 }
@@ -288,7 +305,7 @@
             g_ptr_array_add(lapsed, p);
     }
     for (guint i = 0; i < lapsed->len; i++)
-        forget(f, g_ptr_array_index(lapsed, i));
+        unlist(f, now, g_ptr_array_index(lapsed, i));
     wp_fleet_tick_limits(f, now);
 }
 
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -7,8 +7,8 @@
 
 #include "wp_demand.h"
 #include "wp_kept.h"
-#include "wp_limit.h"
 #include "wp_listing.h"
+#include "wp_notice.h"
 #include "wp_pace.h"
 #include "wp_pause.h"
 #include "wp_speed.h"
@@ -25,22 +25,16 @@
     struct WPCohort *cohort; /* of its service and version */
     bool far;                /* not of this box's zone */
     uint32_t slots;
-    bool draining;
+    WPSaid said;        /* by itself; see wp_notice.h */
     bool zone_out;      /* nothing is to be sent to its zone */
     bool unreadable;    /* its entry in the list is, at present */
     bool gone;          /* out of the list; kept while requests run on it */
     bool unreachable;   /* another endpoint answers at its address */
     int64_t missing_us; /* since when the list lacks it; 0: it does not */
     const struct WPColdRule *cold; /* of its service */
-    int64_t cold_until_us;         /* by the list */
     int64_t doubt_until_us;        /* it may have started again unnoticed */
     WPPace pace;                   /* what this box has sent there */
-    WPLimit *limit; /* of all boxes' requests; NULL: none was named */
-    int refs;       /* requests that hold it, and the fleet itself */
-
-    /* What the endpoint told, and when. */
-    uint32_t running, waiting;
-    int64_t load_us; /* 0: never */
+    int refs; /* requests that hold it, and the fleet itself */
 
     /* This box's own requests. */
     uint32_t in_flight;
@@ -65,6 +59,7 @@
 typedef enum WPServed {
     WP_SERVED_OK,
     WP_SERVED_REFUSED, /* it said that it did not run the request */
+    WP_SERVED_RESTS,   /* the same, and asked for rest: no verdict */
     WP_SERVED_FAILED,  /* an error of its own, or no whole answer */
     WP_SERVED_BROKEN,  /* a stream broke off: it may have crashed */
     WP_SERVED_SILENT,  /* could not be reached, or said nothing in time */
@@ -148,10 +143,6 @@
 /* Whether the endpoint is to be spared requests, as it has just started. */
 bool wp_fleet_is_cold(const WPReplica *s, WPTime now);
 
-/* In how many ms one of the endpoints that are only spared takes a request; 0:
-   none is. */
-uint32_t wp_fleet_spared_ms(WPFleet *f, WPTime now, const WPWant *w);
-
 /* Whether the service has endpoints that only such orders keep out. */
 bool wp_fleet_is_kept_out(WPFleet *f, const char *service);
 
@@ -244,9 +235,6 @@
    and the list tells of that some tenths of a second later. */
 void wp_fleet_idle_lost(WPReplica *s, WPTime now);
 
-/* The endpoint has refused a request and told when to come back. */
-void wp_fleet_told_busy(WPReplica *s, WPTime now, double retry_s);
-
 /* The endpoint's own word on its load. */
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
@@ -304,20 +292,70 @@
 /* A caller's request for a service. */
 void wp_fleet_asked(WPFleet *f, WPTime now, const char *service);
 
-/* The endpoints that are kept from a request by their limits alone. */
-typedef struct WPLimitMet {
-    const WPReplica *endpoint; /* the first that is free again */
+/* A request is refused as limits alone keep it from endpoints; returns in how
+   many ms its caller is to come back. */
+struct WPBarred;
+uint32_t wp_fleet_limit_refused(WPFleet *f, WPTime now, const WPWant *w,
+                                const struct WPBarred *met);
+
+/* wp_fleet_notice.c: endpoints that leave, and endpoints that want nothing from
+   this box for a while. Each returns true when that is new. */
+bool wp_fleet_told_leaving(WPFleet *f, WPReplica *s, WPTime now);
+bool wp_fleet_told_rest(WPFleet *f, WPReplica *s, WPTime now, double rest_s);
+
+/* A field that cannot be read: whether it is to be reported. */
+bool wp_fleet_told_bad(WPReplica *s, WPTime now);
+
+/* Another box was told by the endpoint of this life that it leaves. Returns the
+   endpoint when that is new; it is then told on. */
+WPReplica *wp_fleet_hear_leaving(WPFleet *f, WPTime now, uint64_t life);
+
+/* The lives that are to be told of now; they count as told. */
+size_t wp_fleet_tell_leaving(WPFleet *f, uint64_t *out, size_t most);
+bool wp_fleet_any_untold_leaving(const WPFleet *f);
+
+/* All of them, for a box that comes. */
+void wp_fleet_each_leaving(WPFleet *f, void (*fn)(void *arg, uint64_t life),
+                           void *arg);
+
+bool wp_fleet_rests(const WPReplica *s, WPTime now);
+
+/* An endpoint whose rest has ended, each once, held for the caller; NULL: none
+   has. */
+WPReplica *wp_fleet_rested(WPFleet *f, WPTime now);
+
+/* How many endpoints leave, and rest, at present. */
+typedef struct WPNoticeCount {
+    unsigned leaving, resting;
+} WPNoticeCount;
+
+WPNoticeCount wp_fleet_count_notices(const WPFleet *f, WPTime now);
+
+/* wp_fleet_bar.c: why nothing, or nothing more, is to be sent to an endpoint.
+ */
+typedef enum WPBar {
+    WP_BAR_NONE,
+    WP_BAR_UNLISTED, /* gone, unreadable, or another one has its address */
+    WP_BAR_ZONE_OUT,
+    WP_BAR_LEAVING,
+    /* From here on for a while. */
+    WP_BAR_REST,
+    WP_BAR_COLD, /* what this box may send it while it is cold is sent */
+    WP_BAR_LIMIT /* the same by its limit */
+} WPBar;
+
+/* For this request; the one question that each way to an endpoint asks. */
+WPBar wp_fleet_bar(WPFleet *f, WPTime now, const WPWant *w, WPReplica *s);
+
+/* The endpoints that one passing bar alone keeps from a request. */
+typedef struct WPBarred {
+    const WPReplica *endpoint; /* the first that is free again; NULL: none */
     int64_t free_us;           /* when; INT64_MAX: not for this box */
-    double own_per_s;          /* what this box may send to all of these */
-} WPLimitMet;
-
-bool wp_fleet_limit_met(WPFleet *f, WPTime now, const WPWant *w,
-                        WPLimitMet *out);
+    double own_per_s; /* LIMIT: what this box may send to all of these */
+} WPBarred;
 
-/* A request is refused for that; returns in how many ms its caller is to come
-   back. */
-uint32_t wp_fleet_limit_refused(WPFleet *f, WPTime now, const WPWant *w,
-                                const WPLimitMet *met);
+bool wp_fleet_barred(WPFleet *f, WPTime now, const WPWant *w, WPBar bar,
+                     WPBarred *out);
 
 /* wp_fleet_hear.c: what the boxes of a zone tell each other. From now on, what
    others should know goes to `news`; NULL: nowhere. */
--- a/src/wp_fleet_hear.c
+++ b/src/wp_fleet_hear.c
@@ -52,8 +52,8 @@
     s->others_us = others_left_us(s, now) + reading_us;
     s->others_at_us = now.mono_us;
     s->since_load++;
-    if (s->limit)
-        wp_limit_note_other(s->limit, now);
+    if (s->said.limit)
+        wp_limit_note_other(s->said.limit, now);
     wp_peaks_note(&s->peaks, now, wp_fleet_ahead_us(s, now));
 }
 
@@ -66,7 +66,7 @@
 void wp_fleet_hear_load(WPReplica *s, WPTime now, uint32_t running,
                         uint32_t waiting)
 {
-    if (!s->load_us || now.mono_us - s->load_us > HEARD_AGE_US)
+    if (!s->said.load_us || now.mono_us - s->said.load_us > HEARD_AGE_US)
         wp_fleet_load(s, now, running, waiting, 0);
 }
 
@@ -80,7 +80,7 @@
 
 bool wp_fleet_is_fresh(const WPReplica *s, WPTime now)
 {
-    return s->load_us && now.mono_us - s->load_us < LOAD_FRESH_US;
+    return s->said.load_us && now.mono_us - s->said.load_us < LOAD_FRESH_US;
 }
 
 WPCohort *wp_fleet_cohort(WPFleet *f, const WPReplica *s)
@@ -96,7 +96,7 @@
 
 static bool counts(const WPReplica *s, const WPCohort *c, WPTime now)
 {
-    return s->cohort == c && !s->far && !s->draining && s->slots &&
+    return s->cohort == c && !s->far && !s->said.leaving.from && s->slots &&
            wp_fleet_is_fresh(s, now);
 }
 
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -34,6 +34,10 @@
     GArray *untold;         /* WPKeptNews */
     GPtrArray *limited;     /* WPReplica: of which a limit is remembered */
     bool limits_untold;
+    GPtrArray *leaving; /* WPReplica: that said so to a box */
+    bool leaving_untold;
+    GPtrArray *resting;   /* WPReplica: until the end is told */
+    GHashTable *unlisted; /* hash of a life -> Unlisted, of wp_fleet_notice.c */
     GHashTable *early_limits; /* hash of a life that is not listed ->
                                  WPLimitNews */
     GHashTable *limit_sums;   /* WPLimit.place -> PlaceSum */
@@ -57,6 +61,17 @@
 void wp_fleet_take_early_limit(WPFleet *f, WPTime now, const WPReplica *s);
 void wp_fleet_forget_limit(WPFleet *f, WPReplica *s);
 
+/* wp_fleet_notice.c: what a life has said outlasts its entry in the list, which
+   may lapse and come back; a new life has said nothing. */
+void wp_fleet_take_notices(WPFleet *f, WPReplica *s);
+void wp_fleet_keep_notices(WPFleet *f, WPTime now, const WPReplica *s);
+void wp_fleet_forget_notices(WPFleet *f, WPReplica *s);
+
+/* wp_fleet_bar.c: a bar that does not pass by itself, or none; whether requests
+   of this sort are meant for the endpoint, whatever bars it. */
+WPBar wp_fleet_lasting_bar(const WPReplica *s);
+bool wp_fleet_suits(const WPWant *w, const WPReplica *s);
+
 /* The endpoints of a service (WPReplica), made when it is not known yet. */
 GPtrArray *wp_fleet_of_service(WPFleet *f, const char *service);
 
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -51,13 +51,30 @@
     return s->fail_rate * exp2(-age / FAIL_HALF_LIFE_US);
 }
 
+/* Whether it has told no load since its rest ended. */
+static bool is_unheard(const WPReplica *s, WPTime now)
+{
+    return s->said.load_us && s->said.rest_until_us > s->said.load_us &&
+           !wp_fleet_rests(s, now);
+}
+
+/* Of one that has told nothing lately the mean of its peers is believed; but no
+   more than what boxes have sent there, right after a rest: what is believed to
+   be as busy as the mean is never the least busy one, and had no work for
+   seconds. */
+static double load_by_peers(const WPReplica *s, WPTime now)
+{
+    double mean = s->cohort->taken * s->slots;
+    return is_unheard(s, now) ? MIN(mean, (double)s->since_load) : mean;
+}
+
 double wp_fleet_load_of(const WPReplica *s, WPTime now)
 {
     double told = 0;
     if (wp_fleet_is_fresh(s, now))
-        told = s->running + s->waiting + s->since_load;
+        told = s->said.running + s->said.waiting + s->since_load;
     else
-        told = s->cohort->taken * s->slots;
+        told = load_by_peers(s, now);
     return MAX(told, (double)s->in_flight);
 }
 
@@ -166,8 +183,8 @@
     s->in_flight++;
     s->since_load++;
     wp_pace_note(&s->pace, now);
-    if (s->limit)
-        wp_limit_note_own(s->limit, now);
+    if (s->said.limit)
+        wp_limit_note_own(s->said.limit, now);
     s->ahead_us += reading_us;
     wp_peaks_note(&s->peaks, now, wp_fleet_ahead_us(s, now));
     wp_fleet_tell_sent(f, s, reading_us);
@@ -250,25 +267,21 @@
     case WP_SERVED_WRONG:
         s->unreachable = true;
         break;
+    case WP_SERVED_RESTS:
+        /* Its rest bars it; held against it as a failure besides, it had no
+           work for seconds after that. */
     case WP_SERVED_LEFT:
         break;
     }
 }
 
-/* Others are asked meanwhile; it is, when nothing else is left. */
-void wp_fleet_told_busy(WPReplica *s, WPTime now, double retry_s)
-{
-    double us = MIN(retry_s * WP_US_PER_S, (double)AVOID_MOST_US);
-    s->avoid_until_us = MAX(s->avoid_until_us, now.mono_us + (int64_t)us);
-}
-
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots)
 {
-    s->running = running;
-    s->waiting = waiting;
+    s->said.running = running;
+    s->said.waiting = waiting;
     s->since_load = 0;
-    s->load_us = now.mono_us;
+    s->said.load_us = now.mono_us;
     if (slots)
         s->slots = slots;
 }
--- a/src/wp_fleet_limit.c
+++ b/src/wp_fleet_limit.c
@@ -37,7 +37,7 @@
 
 double wp_fleet_limit_of(const WPReplica *s)
 {
-    return s->limit ? s->limit->per_s : 0;
+    return s->said.limit ? s->said.limit->per_s : 0;
 }
 
 static uint64_t service_hash(const char *service)
@@ -47,20 +47,20 @@
 
 static WPLimit *limit_of(WPFleet *f, WPReplica *s, WPTime now)
 {
-    if (s->limit)
-        return s->limit;
-    s->limit = g_new0(WPLimit, 1);
-    s->limit->born_us = now.mono_us;
-    s->limit->place = wp_hash(wp_str(s->zone), service_hash(s->service));
+    if (s->said.limit)
+        return s->said.limit;
+    s->said.limit = g_new0(WPLimit, 1);
+    s->said.limit->born_us = now.mono_us;
+    s->said.limit->place = wp_hash(wp_str(s->zone), service_hash(s->service));
     g_ptr_array_add(f->limited, s);
-    return s->limit;
+    return s->said.limit;
 }
 
 void wp_fleet_forget_limit(WPFleet *f, WPReplica *s)
 {
-    if (s->limit)
+    if (s->said.limit)
         g_ptr_array_remove_fast(f->limited, s);
-    g_clear_pointer(&s->limit, g_free);
+    g_clear_pointer(&s->said.limit, g_free);
 }
 
 static bool is_to_be_reported(WPLimit *l, WPTime now)
@@ -94,7 +94,7 @@
                                   const WPLimitSeen *seen)
 {
     bool named = seen->field.said == WP_LIMIT_NAMED;
-    if (s->gone || (!s->limit && seen->field.said == WP_LIMIT_NONE))
+    if (s->gone || (!s->said.limit && seen->field.said == WP_LIMIT_NONE))
         return WP_LIMIT_SAME;
     WPLimit *l = limit_of(f, s, now);
     double per_s = named ? seen->field.per_s : 0;
@@ -143,7 +143,7 @@
     bool sane = n->per_s >= 0 && n->per_s <= PER_S_MOST;
     if (!s && sane)
         keep_early(f, n);
-    if (!s || !sane || (!s->limit && n->per_s <= 0))
+    if (!s || !sane || (!s->said.limit && n->per_s <= 0))
         return NULL;
     WPLimit *l = limit_of(f, s, now);
     if (!is_later(n, l->number, l->box))
@@ -159,7 +159,7 @@
 
 static WPLimitNews news_of(const WPReplica *s)
 {
-    const WPLimit *l = s->limit;
+    const WPLimit *l = s->said.limit;
     return (WPLimitNews){ s->life_hash, l->per_s, l->number, l->box };
 }
 
@@ -172,7 +172,7 @@
     f->limits_untold = false;
     for (guint i = 0; i < f->limited->len; i++) {
         const WPReplica *s = g_ptr_array_index(f->limited, i);
-        WPLimit *l = s->limit;
+        WPLimit *l = s->said.limit;
         int64_t age_us = now.mono_us - l->told_us;
         bool due = !l->told_us || age_us >= TELL_LEAST_MS * WP_US_PER_MS;
         if (!l->untold)
@@ -207,7 +207,7 @@
 {
     for (guint i = f->limited->len; i-- > 0;) {
         WPReplica *s = g_ptr_array_index(f->limited, i);
-        const WPLimit *l = s->limit;
+        const WPLimit *l = s->said.limit;
         int64_t age_us = now.mono_us - MAX(l->changed_us, l->heard_us);
         if (wp_limit_rate(l, now) > 0)
             wp_demand_want(f->demand, now, service_hash(s->service));
@@ -229,8 +229,8 @@
     p->per_s = 0;
     for (guint i = 0; i < f->limited->len; i++) {
         const WPReplica *s = g_ptr_array_index(f->limited, i);
-        if (s->limit->place == place)
-            p->per_s += wp_limit_rate(s->limit, now);
+        if (s->said.limit->place == place)
+            p->per_s += wp_limit_rate(s->said.limit, now);
     }
     return p->per_s;
 }
@@ -238,7 +238,7 @@
 static unsigned quota_of(WPFleet *f, WPTime now, const WPReplica *s,
                          unsigned part)
 {
-    WPLimit *l = s->limit;
+    WPLimit *l = s->said.limit;
     bool fresh = l->quota_us && l->quota_part == part &&
                  now.mono_us - l->quota_us < QUOTA_MS * WP_US_PER_MS;
     if (fresh)
@@ -256,17 +256,18 @@
 
 int64_t wp_fleet_limit_free_us(WPFleet *f, WPTime now, const WPReplica *s)
 {
-    if (!s->limit)
+    if (!s->said.limit)
         return 0;
-    const WPLimitWindow w = wp_limit_window(s->limit, now);
+    const WPLimitWindow w = wp_limit_window(s->said.limit, now);
     if (!w.part)
         return 0;
-    return wp_limit_free_us(s->limit, now, &w, quota_of(f, now, s, w.part));
+    return wp_limit_free_us(s->said.limit, now, &w,
+                            quota_of(f, now, s, w.part));
 }
 
 double wp_fleet_limit_own_rate(WPFleet *f, WPTime now, const WPReplica *s)
 {
-    const WPLimitWindow w = wp_limit_window(s->limit, now);
+    const WPLimitWindow w = wp_limit_window(s->said.limit, now);
     if (!w.part)
         return 0;
     return (double)quota_of(f, now, s, w.part) * WP_US_PER_S / (double)w.us;
@@ -286,7 +287,7 @@
    come back in the same instant; whoever would be too late by that, any time.
  */
 static int64_t come_back_us(WPFleet *f, Refusals *r, WPTime now,
-                            const WPLimitMet *met)
+                            const WPBarred *met)
 {
     int64_t most_us = now.mono_us + (int64_t)RETURN_MOST_MS * WP_US_PER_MS;
     int64_t least_us = now.mono_us + RETURN_LEAST_MS * WP_US_PER_MS;
@@ -304,7 +305,7 @@
 }
 
 uint32_t wp_fleet_limit_refused(WPFleet *f, WPTime now, const WPWant *w,
-                                const WPLimitMet *met)
+                                const WPBarred *met)
 {
     Refusals *r = refusals_of(f, w->service);
     r->at_us[CLAMP(w->priority, 0, WP_PRIORITIES - 1)] = now.mono_us;
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -33,28 +33,10 @@
    does. */
 enum { UNHEARD_MS = 3000 };
 
-static bool was_tried(const WPWant *w, const WPReplica *s)
-{
-    for (size_t i = 0; i < w->n_tried; i++)
-        if (w->tried[i] == s)
-            return true;
-    return false;
-}
-
-/* Whether requests of this service may go there at all. */
-static bool is_in_use(const WPReplica *s)
-{
-    return !s->draining && !s->gone && !s->unreachable && !s->unreadable &&
-           !s->zone_out;
-}
-
+/* Whether it may take the request once what passes by itself has passed. */
 static bool may_take(const WPWant *w, const WPReplica *s)
 {
-    if (!is_in_use(s) || was_tried(w, s))
-        return false;
-    if (w->version)
-        return !strcmp(s->version, w->version);
-    return !w->allowed || w->allowed(w->allowed_arg, s->version);
+    return wp_fleet_suits(w, s) && !wp_fleet_lasting_bar(s);
 }
 
 bool wp_fleet_spares(WPFleet *f, WPTime now, const WPWant *w,
@@ -108,10 +90,10 @@
         v += SUSPECT_ALONE * wp_fleet_taken(s, now);
     if (s->avoid_until_us > now.mono_us)
         v += AVOIDED;
-    if (s->cold_until_us > now.mono_us)
+    if (s->said.cold_until_us > now.mono_us)
         v += COLD;
     if (wp_fleet_limit_of(s) > 0)
-        v -= limit_bonus(s->limit, now);
+        v -= limit_bonus(s->said.limit, now);
     if (wp_fleet_taken(s, now) + 1.0 / MAX(s->slots, 1) >= FULL_FROM &&
         wp_fleet_fails_loaded(f, now, s->service, s->version))
         v += LOADED;
@@ -133,7 +115,8 @@
     double taken = 0, slots = 0;
     for (guint i = 0; i < list->len; i++) {
         const WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || s->avoid_until_us > now.mono_us)
+        if (!may_take(w, s) || s->avoid_until_us > now.mono_us ||
+            wp_fleet_rests(s, now))
             continue;
         taken += wp_fleet_load_of(s, now);
         slots += s->slots;
@@ -143,7 +126,7 @@
 
 /* The replica that all boxes send requests with the same shared prompt to, so
    that it is read once. */
-static const WPReplica *home_of(const WPWant *w, GPtrArray *list)
+static const WPReplica *home_of(const WPWant *w, WPTime now, GPtrArray *list)
 {
     const WPReplica *best = NULL;
     uint64_t best_score = 0;
@@ -153,7 +136,8 @@
     for (guint i = 0; i < list->len; i++) {
         const WPReplica *s = g_ptr_array_index(list, i);
         uint64_t key[2] = { shared ^ w->model, s->id_hash };
-        if (!may_take(w, s) || strcmp(s->zone, w->zone))
+        if (!may_take(w, s) || wp_fleet_rests(s, now) ||
+            strcmp(s->zone, w->zone))
             continue;
         uint64_t v = wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
         if (!best || v > best_score) {
@@ -164,79 +148,6 @@
     return best;
 }
 
-bool wp_fleet_is_cold(const WPReplica *s, WPTime now)
-{
-    return s->cold->per_s > 0 &&
-           MAX(s->cold_until_us, s->doubt_until_us) > now.mono_us;
-}
-
-/* When a cold endpoint takes this box's next request; INT64_MAX: not before it
-   is warm. */
-static int64_t free_us(WPFleet *f, WPReplica *s)
-{
-    const WPPaceRules rules = { s->cold->per_s, f->rules.cold_overshoot,
-                                f->rules.cold_slack };
-    WPPace *p = &s->pace;
-    if (p->change != f->boxes.change)
-        p->quota = wp_pace_quota(&f->boxes, &rules, s->life_hash, s->zone);
-    p->change = f->boxes.change;
-    /* A process does not know what the one before it has sent: with boxes that
-       start again several times a second, cold endpoints got 9 requests more
-       than they bore in 6 s (wpsoak --zones, seed 1); with this none. */
-    int64_t known_us = f->start_us + (int64_t)WP_PACE_WINDOW_MS * WP_US_PER_MS;
-    return MAX(wp_pace_free_us(p, p->quota), known_us);
-}
-
-static bool is_spared(WPFleet *f, WPTime now, WPReplica *s)
-{
-    return wp_fleet_is_cold(s, now) && free_us(f, s) > now.mono_us;
-}
-
-/* Whether its limit has no room for this request. */
-static bool is_limited(WPFleet *f, WPTime now, const WPWant *w,
-                       const WPReplica *s)
-{
-    if (!s->limit || wp_limit_rate(s->limit, now) <= 0)
-        return false;
-    return wp_fleet_limit_free_us(f, now, s) > now.mono_us ||
-           wp_fleet_limit_yields(f, now, w);
-}
-
-bool wp_fleet_limit_met(WPFleet *f, WPTime now, const WPWant *w,
-                        WPLimitMet *out)
-{
-    GPtrArray *list = wp_fleet_of_service(f, w->service);
-    *out = (WPLimitMet){ .free_us = INT64_MAX };
-    for (guint i = 0; i < list->len; i++) {
-        const WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || !is_limited(f, now, w, s))
-            continue;
-        int64_t free_us = wp_fleet_limit_free_us(f, now, s);
-        out->own_per_s += wp_fleet_limit_own_rate(f, now, s);
-        if (out->endpoint && free_us >= out->free_us)
-            continue;
-        out->endpoint = s;
-        out->free_us = free_us;
-    }
-    return out->endpoint != NULL;
-}
-
-uint32_t wp_fleet_spared_ms(WPFleet *f, WPTime now, const WPWant *w)
-{
-    GPtrArray *list = wp_fleet_of_service(f, w->service);
-    int64_t best_us = INT64_MAX;
-    for (guint i = 0; i < list->len; i++) {
-        WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || !is_spared(f, now, s))
-            continue;
-        int64_t warm_us = MAX(s->cold_until_us, s->doubt_until_us);
-        best_us = MIN(best_us, MIN(warm_us, free_us(f, s)));
-    }
-    if (best_us == INT64_MAX)
-        return 0;
-    return (uint32_t)((best_us - now.mono_us) / WP_US_PER_MS) + 1;
-}
-
 /* Whether one of `n` is among the candidates of this choice. */
 static bool is_drawn(WPFleet *f, guint n)
 {
@@ -247,15 +158,15 @@
 static WPReplica *best_of(WPFleet *f, WPTime now, const WPWant *w,
                           GPtrArray *list)
 {
-    const WPReplica *home = home_of(w, list);
+    const WPReplica *home = home_of(w, now, list);
     WPReplica *best = NULL;
     double best_score = 0;
     WPKeepers keepers = { .own = g_newa(uint32_t, list->len + 1) };
     wp_keepers_find(&keepers, now, w, list);
     for (guint i = 0; i < list->len; i++) {
         WPReplica *s = g_ptr_array_index(list, i);
-        if (!may_take(w, s) || (s != home && !is_drawn(f, list->len)) ||
-            is_spared(f, now, s) || is_limited(f, now, w, s))
+        if (!wp_fleet_suits(w, s) || (s != home && !is_drawn(f, list->len)) ||
+            wp_fleet_bar(f, now, w, s))
             continue;
         double v = score(f, now, w, s, keepers.own[i], &keepers, s == home);
         if (!best || v < best_score) {
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -17,6 +17,7 @@
     IN_DOUBT_MS = 300,    /* the same, while another copy of the request may end
                              an endpoint: crashes came 50 to 300 ms after a
                              request was sent where nothing waited */
+    RESTED_SPREAD_MS = 500,
     KEPT_OUT_REQUEST_MS =
         60000 /* the same, of one that ends each endpoint: only another release
                  or an operator's order lets it in again */
@@ -57,7 +58,7 @@
     WPShift *sh = wp_flow_shift(f);
     bool old = sh && strcmp(s->version, sh->version);
     double taken = wp_fleet_taken(s, now);
-    bool cold = s->cold_until_us > now.mono_us;
+    bool cold = s->said.cold_until_us > now.mono_us;
     f->leg = (WPAttempt){ .replica = s,
                           .sent_us = now.mono_us,
                           .crowded = wp_flow_is_crowded(f, taken) || cold,
@@ -174,21 +175,48 @@
         ms ? now.mono_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
 }
 
+static uint32_t ms_until(WPTime now, int64_t us)
+{
+    return (uint32_t)(MAX(us - now.mono_us, 0) / WP_US_PER_MS) + 1;
+}
+
+/* Callers are spread a little behind the end of the first rest, so that they do
+   not all come back in one instant. */
+static uint32_t rested_ms(const WPFlow *f, WPTime now, const WPBarred *rest)
+{
+    double spread_ms = g_rand_double(f->d->rand) * RESTED_SPREAD_MS;
+    return ms_until(now, rest->free_us) + (uint32_t)spread_ms;
+}
+
+static WPMove barred(WPCode code, uint32_t retry_ms, const WPBarred *by,
+                     WPBar bar)
+{
+    WPMove m = move_fail(code, retry_ms);
+    m.barred = by->endpoint;
+    m.bar = bar;
+    return m;
+}
+
 /* No endpoint takes the request at present: why, and when one may. */
 static WPMove no_endpoint(WPFlow *f, WPTime now)
 {
     const WPWant w = wp_flow_want(f);
     WPFleet *fleet = f->d->fleet;
-    WPLimitMet met;
-    if (wp_fleet_limit_met(fleet, now, &w, &met)) {
-        WPMove m =
-            move_fail(WP_LIMITED, wp_fleet_limit_refused(fleet, now, &w, &met));
-        m.limited = met.endpoint;
-        return m;
-    }
-    uint32_t spared_ms = wp_fleet_spared_ms(fleet, now, &w);
-    if (spared_ms)
-        return move_fail(WP_STARTING, spared_ms);
+    WPBarred limit, cold, rest;
+    bool limited = wp_fleet_barred(fleet, now, &w, WP_BAR_LIMIT, &limit);
+    bool spared = wp_fleet_barred(fleet, now, &w, WP_BAR_COLD, &cold);
+    WPWant any = w; /* what it has tried may have asked for rest just now */
+    any.n_tried = 0;
+    bool rests = wp_fleet_barred(fleet, now, &any, WP_BAR_REST, &rest);
+    if (rests && rest.free_us <= MIN(limit.free_us, cold.free_us))
+        return barred(WP_RESTING, rested_ms(f, now, &rest), &rest, WP_BAR_REST);
+    if (limited)
+        return barred(WP_LIMITED,
+                      wp_fleet_limit_refused(fleet, now, &w, &limit), &limit,
+                      WP_BAR_LIMIT);
+    if (spared)
+        return barred(WP_STARTING, ms_until(now, cold.free_us), &cold,
+                      WP_BAR_COLD);
     bool kept_out = wp_fleet_is_kept_out(fleet, f->service->name);
     return move_fail(WP_NO_ENDPOINT, kept_out ? KEPT_OUT_MS : NO_ENDPOINT_MS);
 }
@@ -277,7 +305,8 @@
 {
     const WPMove m = no_endpoint(f, now);
     give_up(f, m.code, m.retry_ms, out);
-    out->limited = m.limited;
+    out->barred = m.barred;
+    out->bar = m.bar;
 }
 
 /* The endpoint did not run it. The request has not run at all only if no
@@ -317,25 +346,17 @@
     pass(f, out);
 }
 
-/* Whether the endpoint says that it has no room for this request. */
-static bool refuses(const WPDirectAnswer *a)
+static WPServed refused_how(const WPDirectAnswer *a)
 {
-    return !a->wrong && (a->status == 429 || a->status == 503);
+    if (a->wrong)
+        return WP_SERVED_WRONG;
+    return wp_flow_asks_for_rest(a) ? WP_SERVED_RESTS : WP_SERVED_REFUSED;
 }
 
 void wp_flow_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a, WPMove *out)
 {
-    if (a->has_load)
-        wp_fleet_told_load(f->d->fleet, f->leg.replica, now, a->running,
-                           a->waiting, a->slots);
-    if (!a->wrong)
-        wp_suspects_alive(f->d->suspects, now, f->leg.replica->life_hash,
-                          f->leg.sent_us);
-    if (a->rest.rest_s > 0 && refuses(a))
-        wp_fleet_told_busy(f->leg.replica, now, a->rest.rest_s);
     if (a->wrong || a->not_run) {
-        after_refusal(f, now, a->wrong ? WP_SERVED_WRONG : WP_SERVED_REFUSED,
-                      out);
+        after_refusal(f, now, refused_how(a), out);
         return;
     }
     bool failed = a->status >= 500;
--- /dev/null
+++ b/src/wp_flow_head.c
@@ -0,0 +1,45 @@
+/* What the head of an answer tells of its endpoint. */
+#include "wp_flow_int.h"
+
+bool wp_flow_asks_for_rest(const WPDirectAnswer *a)
+{
+    /* A 429 that has run may be the application's word to one caller. */
+    bool refuses = a->status == 503 || (a->status == 429 && a->not_run);
+    return !a->wrong && refuses && a->rest.rest_s > 0;
+}
+
+static void hear_limit(WPFlow *f, WPTime now, const WPDirectAnswer *a,
+                       WPHeard *out)
+{
+    WPReplica *s = f->leg.replica;
+    const WPLimitSeen seen = { a->limit, a->genuine, f->leg.sent_us };
+    out->limit_was = wp_fleet_limit_of(s);
+    out->limit = wp_fleet_told_limit(f->d->fleet, s, now, &seen);
+}
+
+static const char *bad_field(const WPDirectAnswer *a)
+{
+    if (a->leaving.said == WP_NOTICE_BAD)
+        return "leaving";
+    return a->rest.said == WP_NOTICE_BAD ? "rest" : NULL;
+}
+
+void wp_flow_head(WPFlow *f, WPTime now, const WPDirectAnswer *a, WPHeard *out)
+{
+    WPFleet *fleet = f->d->fleet;
+    WPReplica *s = f->leg.replica;
+    *out = (WPHeard){ 0 };
+    if (a->wrong) /* another endpoint's word */
+        return;
+    if (a->has_load)
+        wp_fleet_told_load(fleet, s, now, a->running, a->waiting, a->slots);
+    wp_suspects_alive(f->d->suspects, now, s->life_hash, f->leg.sent_us);
+    hear_limit(f, now, a, out);
+    if (a->leaving.said == WP_NOTICE_GIVEN)
+        out->leaves = wp_fleet_told_leaving(fleet, s, now);
+    if (wp_flow_asks_for_rest(a))
+        out->rests = wp_fleet_told_rest(fleet, s, now, a->rest.rest_s);
+    out->bad = bad_field(a);
+    if (out->bad && !wp_fleet_told_bad(s, now))
+        out->bad = NULL;
+}
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -76,6 +76,9 @@
    the end of the move before, 4 to 7 sessions did. */
 uint32_t wp_flow_bound_ms(const WPFlow *f, WPTime now);
 
+/* wp_flow_head.c: whether the answer refuses and asks for rest. */
+bool wp_flow_asks_for_rest(const WPDirectAnswer *a);
+
 /* The endpoint for the next leg, held; NULL when there is none. */
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now);
 
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -73,17 +73,28 @@
     return want_of(f, wp_flow_model(f));
 }
 
-/* Whether limits of endpoints alone keep the request from some. */
-static bool is_limited(const WPFlow *f, WPTime now, const WPWant *w)
+/* Whether a bar of this kind, which passes by itself, alone keeps the request
+   from some. */
+static bool is_barred(const WPFlow *f, WPTime now, const WPWant *w, WPBar bar)
 {
-    WPLimitMet met;
-    return wp_fleet_limit_met(f->d->fleet, now, w, &met);
+    WPBarred barred;
+    return wp_fleet_barred(f->d->fleet, now, w, bar, &barred);
+}
+
+/* The same of rests, also of the endpoints that this request has tried: they
+   are what it was told to wait for. */
+static bool is_resting(const WPFlow *f, WPTime now, const WPWant *w)
+{
+    WPWant any = *w;
+    any.n_tried = 0;
+    return is_barred(f, now, &any, WP_BAR_REST);
 }
 
 /* While a service moves between versions: an endpoint of the side that this
    request belongs to, or NULL when that side has none. `stays`: it is not to go
-   to the other one either, as its own has endpoints whose limits are met: a new
-   version would get more than the move's share, or a session would change. */
+   to the other one either, as its own has endpoints that rest or whose limits
+   are met: a new version would get more than the move's share, or a session
+   would change. */
 static WPReplica *choose_side(WPFlow *f, WPTime now, WPShift *sh, WPWant w,
                               bool *stays)
 {
@@ -98,7 +109,8 @@
         w.allowed = other_allowed;
     WPReplica *s = wp_fleet_choose(d->fleet, now, &w);
     bool bound = !new_side || last;
-    *stays = !s && bound && !f->passing && is_limited(f, now, &w);
+    *stays = !s && bound && !f->passing &&
+             (is_barred(f, now, &w, WP_BAR_LIMIT) || is_resting(f, now, &w));
     return s;
 }
 
@@ -115,9 +127,10 @@
         return NULL;
     if (!s) /* the other side rather than none */
         s = wp_fleet_choose(d->fleet, now, &w);
-    bool spared =
-        !s && (wp_fleet_spared_ms(d->fleet, now, &w) || is_limited(f, now, &w));
-    if (!s && !sh && !spared) {
+    bool waits =
+        !s && (is_barred(f, now, &w, WP_BAR_COLD) ||
+               is_barred(f, now, &w, WP_BAR_LIMIT) || is_resting(f, now, &w));
+    if (!s && !sh && !waits) {
         /* A version that no order has named rather than none. */
         w.allowed = NULL;
         s = wp_fleet_choose(d->fleet, now, &w);
--- a/src/wp_notice.h
+++ b/src/wp_notice.h
@@ -1,10 +1,20 @@
-/* What an endpoint's answers say of itself beside its load and its limit
- * (wp_limit.h): that it leaves, and that it wants nothing from this box for a
- * while. */
+/* What an endpoint has said of itself, in one place:
+ *
+ *   word    | heard from             | binds     | ends with               |
+ *   leaving | list, answers, boxes   | each box  | its life                |
+ * bars rest    | a refusal to this box  | this box  | its time, its life      |
+ * bars limit   | answers, boxes         | all boxes | an answer without, life |
+ * bars cold    | the list               | all boxes | its time                |
+ * bars load    | answers, boxes nearby  | nobody    | its age                 |
+ * weighs
+ *
+ * Limits and cold endpoints bar what is beyond a quota (wp_limit.h, wp_pace.h).
+ * Each way to an endpoint asks wp_fleet_bar() (wp_fleet_bar.c). Ways weighed:
+ * docs/design/what-endpoints-say.md. */
 #ifndef WP_NOTICE_H
 #define WP_NOTICE_H
 
-#include "wp_base.h"
+#include "wp_limit.h"
 
 typedef enum WPNoticeSaid {
     WP_NOTICE_NONE,  /* nothing */
@@ -18,6 +28,30 @@
     double rest_s; /* of a rest; else 0 */
 } WPNoticeField;
 
+/* Who has told that an endpoint leaves. */
+typedef enum WPNoticeFrom {
+    WP_FROM_NOBODY,
+    WP_FROM_LIST,
+    WP_FROM_ANSWER, /* of its own, to this box */
+    WP_FROM_BOX     /* that was told so, and passed it on */
+} WPNoticeFrom;
+
+typedef struct WPLeaving {
+    WPNoticeFrom from;
+    bool untold; /* other boxes are to hear of it */
+} WPLeaving;
+
+/* All that is believed; microseconds of this process's clock, 0: never. */
+typedef struct WPSaid {
+    WPLeaving leaving;
+    int64_t rest_until_us;
+    WPLimit *limit;            /* NULL: none was named */
+    int64_t cold_until_us;     /* by the list */
+    uint32_t running, waiting; /* its load */
+    int64_t load_us;           /* when that was told */
+    int64_t bad_us;            /* when a bad field was last reported */
+} WPSaid;
+
 /* Reads a field, which the answer carries `times` times. A rest is a decimal
    number of seconds or a date, and ends at once if that is over. */
 WPNoticeField wp_notice_read_leaving(WPStr text, unsigned times);
--- a/tests/soak_notice.c
+++ b/tests/soak_notice.c
@@ -50,7 +50,7 @@
 static const NoticeCase cases[] = {
     { .leave_tenths = 2, .room = true },
     { .leave_tenths = 2, .kills = true },
-    { .leave_tenths = 9, .room = true },
+    { .leave_tenths = 9 },
     { .leave_tenths = 10, .new_life = true },
     { .leave_tenths = 2, .store_away = true, .room = true },
     { .rest_tenths = 2, .rest_ms = 3000, .room = true },
@@ -77,6 +77,7 @@
     { .rest_tenths = 2, .rest_ms = 3000, .delay_ms = 300, .room = true },
     { .rest_tenths = 5, .delay_ms = 300 },
     { .leave_tenths = 4, .delay_ms = 300, .room = true },
+    { .leave_tenths = 7, .room = true },
 };
 
 /* A time in which an entry's process was started anew. */
@@ -250,8 +251,9 @@
 
 /* One line of an endpoint's notes. */
 typedef struct Noted {
-    bool came;     /* a request; else what it was told */
-    double rest_s; /* told; 0: that the endpoint leaves */
+    bool came;   /* a request; else what it was told */
+    bool leaves; /* told; else a rest */
+    double rest_s;
     int64_t at_ms;
     const char *endpoint; /* interned */
     unsigned entry;
@@ -265,6 +267,7 @@
                &out->entry) != 5)
         return false;
     out->came = !strcmp(what, "CAME");
+    out->leaves = !strcmp(how, "leaving");
     out->rest_s = g_ascii_strtod(how, NULL);
     out->at_ms = ms;
     out->endpoint = g_intern_string(endpoint);
@@ -315,21 +318,52 @@
     return count;
 }
 
-/* Whether any entry's request came to the endpoint then. */
-static bool any_came(const GArray *all, const char *endpoint, int64_t from_ms,
-                     int64_t to_ms)
+/* How long after `from_ms` any entry's request came to the endpoint; until the
+   end, if none did. */
+static int64_t idle_ms(const GArray *all, const char *endpoint, int64_t from_ms,
+                       int64_t end_ms)
 {
     for (guint i = 0; i < all->len; i++) {
         const Noted *c = &g_array_index(all, Noted, i);
-        if (c->came && c->endpoint == endpoint && c->at_ms >= from_ms &&
-            c->at_ms <= to_ms)
+        if (c->came && c->endpoint == endpoint && c->at_ms >= from_ms)
+            return c->at_ms - from_ms;
+    }
+    return MAX(end_ms - from_ms, 0);
+}
+
+static bool was_told(const GArray *all, const char *endpoint)
+{
+    for (guint i = 0; i < all->len; i++) {
+        const Noted *told = &g_array_index(all, Noted, i);
+        if (!told->came && told->endpoint == endpoint)
             return true;
     }
     return false;
 }
 
+/* The longest time that an endpoint which never said anything had no work: at
+   little load some have none for seconds. */
+static int64_t longest_idle_ms(const GArray *all)
+{
+    g_autoptr(GHashTable) last = g_hash_table_new(NULL, NULL);
+    int64_t longest_ms = 0;
+    for (guint i = 0; i < all->len; i++) {
+        const Noted *c = &g_array_index(all, Noted, i);
+        gpointer id = (gpointer)c->endpoint;
+        const Noted *had = g_hash_table_lookup(last, id);
+        if (!c->came || was_told(all, c->endpoint))
+            continue;
+        if (had)
+            longest_ms = MAX(longest_ms, c->at_ms - had->at_ms);
+        g_hash_table_insert(last, id, (gpointer)c);
+    }
+    return longest_ms;
+}
+
 typedef struct Sums {
     unsigned late, rests, broken, most, idle;
+    int64_t usual_ms;   /* without work, of endpoints that never rested */
+    const Noted *worst; /* the word after which most came late; NULL: none */
 } Sums;
 
 static void check_leaving(const SoakNotice *n, const GArray *all,
@@ -337,6 +371,8 @@
 {
     unsigned late =
         count_came(n, all, told, told->at_ms + LEAVING_MS, INT64_MAX);
+    if (late > sums->late)
+        sums->worst = told;
     sums->late = MAX(sums->late, late);
 }
 
@@ -348,9 +384,8 @@
     sums->rests++;
     sums->broken += came > RESTING_MOST;
     sums->most = MAX(sums->most, came);
-    if (over_ms + BACK_MS < end_ms)
-        sums->idle +=
-            !any_came(all, told->endpoint, over_ms, over_ms + BACK_MS);
+    sums->idle += idle_ms(all, told->endpoint, over_ms, end_ms) >
+                  MAX(BACK_MS, sums->usual_ms);
 }
 
 /* Endpoints that were not there before what leaves started again, and have
@@ -378,10 +413,10 @@
         const Noted *told = &g_array_index(all, Noted, i);
         if (told->came)
             continue;
-        if (told->rest_s > 0)
-            check_rest(n, all, told, end_ms, sums);
-        else
+        if (told->leaves)
             check_leaving(n, all, told, sums);
+        else
+            check_rest(n, all, told, end_ms, sums);
     }
 }
 
@@ -393,8 +428,11 @@
     if (s->late)
         g_string_append_printf(problems,
                                "    %u requests came more than %d ms after "
-                               "their box was told that the endpoint leaves\n",
-                               s->late, LEAVING_MS);
+                               "their box was told that the endpoint leaves "
+                               "(entry %u, %s, told at %ld ms)\n",
+                               s->late, LEAVING_MS, s->worst->entry,
+                               s->worst->endpoint,
+                               (long)(s->worst->at_ms - n->start_ms));
     if (s->broken)
         g_string_append_printf(problems,
                                "    %u rests of %u broken, by up to %u "
@@ -403,7 +441,7 @@
     if (sure && s->idle)
         g_string_append_printf(problems,
                                "    %u times no work %d ms after a rest\n",
-                               s->idle, BACK_MS);
+                               s->idle, (int)MAX(BACK_MS, s->usual_ms));
     if (plan->new_life && fresh < n->leaving)
         g_string_append_printf(problems,
                                "    %u of %u new lives have work %d ms after "
@@ -418,7 +456,7 @@
 {
     g_autoptr(GArray) all = read_notes(n);
     double share = sent ? (double)served / sent : 0;
-    Sums sums = { 0 };
+    Sums sums = { .usual_ms = longest_idle_ms(all) };
     check_each(n, all, now_ms(), &sums);
     unsigned fresh = n->plan->new_life ? count_new(n, all) : 0;
     complain(n, &sums, fresh, share, problems);
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -145,7 +145,7 @@
     assert_string_not_equal(ask_once(&k, &m), "endpoints_limited");
     for (int i = 0; i < 5; i++) {
         assert_string_equal(ask_once(&k, &m), "endpoints_limited");
-        assert_true(wp_fleet_limit_of(m.limited) == LIMIT);
+        assert_true(wp_fleet_limit_of(m.barred) == LIMIT);
         assert_true(m.retry_ms > last_ms);
         last_ms = m.retry_ms;
     }
@@ -368,36 +368,7 @@
         wp_flow_free(f);
         fake_pass(&k, ASK_EVERY_MS);
     }
-    assert_in_range(s->limit->sent, 5, 10);
-    fake_end(&k);
-}
-
-/* An endpoint that refuses and tells when to come back is left alone until
-   then, while there are others; before, it got what its failures let it. */
-static void a_refusal_tells_when_to_come_back(void **state)
-{
-    WPDirectAnswer full = fake_answer(503, -1);
-    WPMove m;
-    Fake k;
-    (void)state;
-    fake_init(&k);
-    full.not_run = true;
-    full.rest = (WPNoticeField){ WP_NOTICE_GIVEN, 2 };
-    WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
-    const char *refuses = g_intern_string(m.replica->id);
-    wp_flow_answer(f, k.now, &full, &m);
-    wp_flow_left(f, k.now);
-    wp_flow_free(f);
-    assert_int_equal(ask_for(&k, 1900, refuses), 0);
-    fake_pass(&k, 30000); /* its failure is forgotten */
-    assert_true(ask_for(&k, 2000, refuses) > 10);
-    full.rest.rest_s = 1e12; /* believed for some seconds at most */
-    while (strcmp(ask_once(&k, &m), refuses))
-        continue;
-    WPReplica *s = wp_fleet_find(k.d.fleet, refuses);
-    wp_fleet_told_busy(s, k.now, full.rest.rest_s);
-    fake_pass(&k, 4100);
-    assert_true(ask_for(&k, 1000, refuses) > 5);
+    assert_in_range(s->said.limit->sent, 5, 10);
     fake_end(&k);
 }
 
@@ -511,8 +482,7 @@
            T(a_tiny_limit_starves_nothing_for_long),
            T(a_new_life_names_its_own), T(a_limit_is_known_before_its_endpoint),
            T(news_of_limits_comes_to_rest), T(limits_do_not_hurry_a_move),
-           T(repeats_count_as_well), T(a_refusal_tells_when_to_come_back),
-           T(the_rule_holds_over_all_boxes),
+           T(repeats_count_as_well), T(the_rule_holds_over_all_boxes),
            T(others_are_served_while_there_is_room),
            T(the_rule_holds_in_trouble), T(a_lower_limit_holds_at_once),
            T(after_its_end_the_work_is_back))
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -75,6 +75,13 @@
     return a;
 }
 
+static void answer(Fake *k, WPFlow *f, const WPDirectAnswer *a, WPMove *m)
+{
+    WPHeard heard;
+    wp_flow_head(f, k->now, a, &heard);
+    wp_flow_answer(f, k->now, a, m);
+}
+
 /* A request whose endpoint answers so; returns that endpoint's id. */
 static const char *answered(Fake *k, const char *path, const WPDirectAnswer *a)
 {
@@ -82,7 +89,7 @@
     WPFlow *f = fake_ask(k, path, NULL, &m);
     assert_int_equal(m.kind, WP_MOVE_SEND);
     const char *id = g_intern_string(m.replica->id);
-    wp_flow_answer(f, k->now, a, &m);
+    answer(k, f, a, &m);
     if (m.kind == WP_MOVE_PASS)
         wp_flow_done(f, k->now, 0);
     else
@@ -146,7 +153,7 @@
     poor.confidence = 0;
     WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
     id = g_intern_string(m.replica->id);
-    wp_flow_answer(f, k.now, &poor, &m);
+    answer(&k, f, &poor, &m);
     assert_int_equal(m.kind, WP_MOVE_SEND);
     assert_string_not_equal(m.replica->id, id);
     wp_flow_left(f, k.now);
@@ -165,7 +172,7 @@
     fake_init(&k);
     wrong.wrong = wrong.not_run = true;
     const char *id = answered(&k, "/safe/x", &wrong);
-    assert_false(wp_fleet_find(k.d.fleet, id)->draining);
+    assert_false(wp_fleet_find(k.d.fleet, id)->said.leaving.from);
     fake_end(&k);
 }
 
@@ -252,7 +259,7 @@
         early[i] = fake_ask(&k, "/safe/x", NULL, &m);
     const char *id = answered(&k, "/safe/x", &rests);
     for (size_t i = 0; i < WP_COUNT(early); i++) {
-        wp_flow_answer(early[i], k.now, &ok, &m);
+        answer(&k, early[i], &ok, &m);
         wp_flow_done(early[i], k.now, 0);
         wp_flow_free(early[i]);
     }
@@ -276,7 +283,7 @@
     for (size_t i = 0; i < WP_COUNT(early); i++) {
         bool same = !strcmp(early[i]->leg.replica->id, id);
         if (same && i % 2)
-            wp_flow_answer(early[i], k.now, &less, &m);
+            answer(&k, early[i], &less, &m);
         else if (same)
             wp_flow_lost(early[i], k.now, WP_LOSS_BROKEN, &m);
         wp_flow_left(early[i], k.now);
@@ -310,9 +317,216 @@
     fake_end(&k);
 }
 
+/* A slip of units does not keep an endpoint out for good. */
+static void a_rest_is_believed_for_so_long_at_most(void **state)
+{
+    const WPDirectAnswer rests = resting_answer(1e12);
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    const char *id = answered(&k, "/safe/x", &rests);
+    fake_pass(&k, 1000 * 1000);
+    assert_false(goes_to(&k, "/safe/x", id, 500));
+    fake_pass(&k, 200 * 1000);
+    assert_true(goes_to(&k, "/safe/x", id, 10));
+    fake_end(&k);
+}
+
+/* At an even load it has its share at once: the refusal is not held against it
+   as a failure besides. */
+static void after_a_rest_the_work_is_back(void **state)
+{
+    const WPDirectAnswer rests = resting_answer(1);
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    const char *id = answered(&k, "/safe/x", &rests);
+    fake_pass(&k, 1001);
+    assert_true(goes_to(&k, "/safe/x", id, 12));
+    fake_end(&k);
+}
+
+/* A refusal of a request beyond its places, and an application's 429, ask for
+   no rest. */
+static void what_asks_for_no_rest_is_asked_again(void **state)
+{
+    WPDirectAnswer full = resting_answer(0), own = fake_answer(429, -1);
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    own.rest = (WPNoticeField){ WP_NOTICE_GIVEN, 60 };
+    answered(&k, "/safe/x", &full);
+    answered(&k, "/safe/x", &own);
+    const WPNoticeCount n = wp_fleet_count_notices(k.d.fleet, k.now);
+    assert_int_equal(n.resting, 0);
+    fake_end(&k);
+}
+
+/* One word beside another: the longer one holds. */
+static void words_hold_beside_each_other(void **state)
+{
+    const WPLimitSeen limit = { { WP_LIMIT_NAMED, 0.1 }, true, INT64_MAX };
+    WPWant w = { .service = "app", .zone = "z1" };
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPFleet *f = k.d.fleet;
+    WPReplica *s = wp_fleet_find(f, "a1");
+    wp_fleet_told_limit(f, s, k.now, &limit);
+    wp_fleet_sent(f, s, k.now, &w, 0);
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_LIMIT);
+    wp_fleet_set_cold(f, "app", 0.1, 0);
+    s->said.cold_until_us = k.now.mono_us + 5 * WP_US_PER_S;
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_COLD);
+    assert_true(wp_fleet_told_rest(f, s, k.now, 2));
+    assert_false(wp_fleet_told_rest(f, s, k.now, 1));
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_REST);
+    fake_pass(&k, 2001);
+    wp_fleet_sent(f, s, k.now, &w, 0);
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_COLD);
+    fake_pass(&k, 3000);
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_LIMIT);
+    wp_fleet_told_rest(f, s, k.now, 2);
+    assert_true(wp_fleet_told_leaving(f, s, k.now));
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_LEAVING);
+    wp_fleet_set_zone_out(f, k.now, "z1", true);
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_ZONE_OUT);
+    wp_fleet_set_zone_out(f, k.now, "z1", false);
+    assert_int_equal(wp_fleet_bar(f, k.now, &w, s), WP_BAR_LEAVING);
+    fake_end(&k);
+}
+
+/* Rests of the old version's endpoints send the new one no more than the move's
+   share, and no session to another version. */
+static void rests_do_not_hurry_a_move(void **state)
+{
+    unsigned to_new = 0, refused = 0;
+    WPMove m;
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    look_on(&k, sh, LEAD_MS);
+    wp_fleet_told_rest(k.d.fleet, wp_fleet_find(k.d.fleet, "l1"), k.now, 60);
+    wp_fleet_told_rest(k.d.fleet, wp_fleet_find(k.d.fleet, "l2"), k.now, 60);
+    for (int i = 0; i < 300; i++) {
+        const char *what = fake_serve(&k, "/chat/x", &m);
+        to_new += what[0] == 'n';
+        refused += !strcmp(what, "endpoints_resting");
+        fake_pass(&k, 20);
+    }
+    assert_in_range(to_new, 15, 60); /* a tenth are its own */
+    assert_int_equal(to_new + refused, 300);
+    fake_end(&k);
+}
+
+/* The new version's endpoints rest: they are neither good nor bad by that. */
+static void a_rest_is_no_verdict(void **state)
+{
+    WPMove m;
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = order(&k);
+    look_on(&k, sh, LEAD_MS);
+    for (int i = 0; i < 300; i++) {
+        WPDirectAnswer ok = fake_answer(200, 90), rests = resting_answer(0.1);
+        WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+        while (m.kind == WP_MOVE_SEND && m.replica->id[0] == 'n')
+            answer(&k, f, &rests, &m);
+        if (m.kind == WP_MOVE_SEND)
+            answer(&k, f, &ok, &m);
+        wp_flow_left(f, k.now);
+        wp_flow_free(f);
+        assert_int_equal(look_on(&k, sh, LOOK_MS), WP_SHIFT_RUNNING);
+    }
+    assert_int_equal(sh->state, WP_SHIFT_RUNNING);
+    fake_end(&k);
+}
+
+/* Boxes pass the word on once, also to a box that comes, and before the
+   endpoint is listed there. */
+static void news_of_leaving_comes_to_rest(void **state)
+{
+    uint64_t lives[4];
+    Fake a, b;
+    (void)state;
+    fake_init(&a);
+    fake_init(&b);
+    WPReplica *s = wp_fleet_find(a.d.fleet, "a1");
+    assert_true(wp_fleet_told_leaving(a.d.fleet, s, a.now));
+    assert_false(wp_fleet_told_leaving(a.d.fleet, s, a.now));
+    assert_int_equal(wp_fleet_tell_leaving(a.d.fleet, lives, 4), 1);
+    assert_int_equal(wp_fleet_tell_leaving(a.d.fleet, lives, 4), 0);
+    assert_non_null(wp_fleet_hear_leaving(b.d.fleet, b.now, lives[0]));
+    assert_false(goes_to(&b, "/safe/x", "a1", 50));
+    assert_int_equal(wp_fleet_tell_leaving(b.d.fleet, lives, 4), 1);
+    assert_null(wp_fleet_hear_leaving(a.d.fleet, a.now, lives[0]));
+    assert_false(wp_fleet_any_untold_leaving(a.d.fleet));
+    fake_end(&a);
+    fake_end(&b);
+}
+
+static void a_word_outlasts_a_lapse_of_the_list(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPFleet *f = k.d.fleet;
+    wp_fleet_told_leaving(f, wp_fleet_find(f, "a1"), k.now);
+    wp_fleet_told_rest(f, wp_fleet_find(f, "a2"), k.now, 60);
+    wp_fleet_remove(f, k.now, "a1", false);
+    wp_fleet_remove(f, k.now, "a2", true);
+    fake_pass(&k, 5000);
+    assert_null(wp_fleet_find(f, "a2"));
+    fake_put(&k, "a1", "app", "v1", false);
+    fake_put(&k, "a2", "app", "v1", false);
+    assert_true(refused(&k, "/safe/x", WP_RESTING) > 50000);
+    wp_fleet_remove(f, k.now, "a1", false);
+    const WPListing again = listing_of("a1", "127.0.0.1:1", 7);
+    wp_fleet_put(f, k.now, &again);
+    assert_true(goes_to(&k, "/safe/x", "a1", 1));
+    fake_end(&k);
+}
+
+/* A bad field has no effect and is reported now and then. */
+static void bad_words_have_no_effect(void **state)
+{
+    WPDirectAnswer bad = fake_answer(200, 90);
+    WPHeard heard;
+    WPMove m;
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    bad.leaving.said = WP_NOTICE_BAD;
+    bad.rest.said = WP_NOTICE_BAD;
+    unsigned reported = 0;
+    for (int i = 0; i < 500; i++) {
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        assert_int_equal(m.kind, WP_MOVE_SEND);
+        wp_flow_head(f, k.now, &bad, &heard);
+        assert_false(heard.leaves || heard.rests);
+        reported += heard.bad != NULL;
+        wp_flow_answer(f, k.now, &bad, &m);
+        wp_flow_done(f, k.now, 0);
+        wp_flow_free(f);
+        fake_pass(&k, 20);
+    }
+    assert_in_range(reported, 2, 4); /* of two endpoints, in 10 s */
+    const WPNoticeCount n = wp_fleet_count_notices(k.d.fleet, k.now);
+    assert_int_equal(n.leaving + n.resting, 0);
+    fake_end(&k);
+}
+
 TESTS_MAIN(T(only_one_is_leaving), T(rests_are_seconds_or_dates),
            T(what_leaves_gets_no_more), T(any_answer_tells_that_it_leaves),
            T(another_endpoints_word_is_not_its_own),
            T(a_new_life_is_asked_again), T(the_last_of_a_service_leaves),
            T(a_rest_is_kept), T(an_earlier_request_does_not_end_a_rest),
-           T(a_rest_is_not_cut_short), T(all_rest))
+           T(a_rest_is_not_cut_short), T(all_rest),
+           T(a_rest_is_believed_for_so_long_at_most),
+           T(after_a_rest_the_work_is_back),
+           T(what_asks_for_no_rest_is_asked_again),
+           T(words_hold_beside_each_other), T(rests_do_not_hurry_a_move),
+           T(a_rest_is_no_verdict), T(news_of_leaving_comes_to_rest),
+           T(a_word_outlasts_a_lapse_of_the_list), T(bad_words_have_no_effect))
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -135,7 +135,7 @@
 static WPReplica *begin_warm(Fake *k)
 {
     WPReplica *s = begin(k);
-    s->cold_until_us = 0;
+    s->said.cold_until_us = 0;
     assert_false(wp_fleet_is_cold(s, k->now));
     return s;
 }
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -62,7 +62,7 @@
     (void)n;
 }
 
-static void on_limits(void *arg, const char *from, const Wp__LimitNews *n)
+static void on_notices(void *arg, const char *from, const Wp__NoticeNews *n)
 {
     (void)arg;
     (void)from;
@@ -79,8 +79,9 @@
         b->asked++;
 }
 
-static const WPPeersOps ops = { on_delta,     on_heard,    on_fill,  on_changed,
-                                on_zone_news, on_suspects, on_limits };
+static const WPPeersOps ops = { on_delta,   on_heard,     on_fill,
+                                on_changed, on_zone_news, on_suspects,
+                                on_notices };
 
 static Box *new_box_in(World *w, const char *id, const char *zone)
 {
