--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
 	@echo "  CC $<"
-	@$(CC) $(CFLAGS) -MMD -c $< -o $@
+	@$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(LIB): $(CORE) $(IO)
 	@rm -f $@
