An endpoint of the own zone that has just come has work at once

Cause: what has told no load yet is believed to be as busy as the mean of its peers; while load is even that is never the least busy one, so that nothing is sent there and nothing is told. What was ruled out: that the list told of it late (the entry's log line comes at once). Change: until its first word on its load it counts as no busier than what the boxes of the zone have sent it; of another zone the mean holds, as its boxes' sends are not heard (test_box_news an_unknown_endpoint_counts_as_the_zones_mean). Why it holds: a box hears within tens of ms what others of its zone send; each request that is sent there counts against it at once.

--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -51,17 +51,21 @@
     return s->fail_rate * exp2(-age / FAIL_HALF_LIFE_US);
 }
 
-/* Whether it has told no load since its rest ended. */
+/* Whether it has told no load since it began, or since its rest ended. Of the
+   start of one of another zone too little is known: its own boxes are not
+   heard.
+ */
 static bool is_unheard(const WPReplica *s, WPTime now)
 {
-    return s->said.load_us && s->said.rest_until_us > s->said.load_us &&
-           !wp_fleet_rests(s, now);
+    if (!s->said.load_us)
+        return !s->far;
+    return s->said.rest_until_us > s->said.load_us && !wp_fleet_rests(s, now);
 }
 
 /* Of one that has told nothing lately the mean of its peers is believed; but no
-   more than what boxes have sent there, right after a rest: what is believed to
-   be as busy as the mean is never the least busy one, and had no work for
-   seconds. */
+   more than what boxes have sent there, right after its start or its rest: what
+   is believed to be as busy as the mean is never the least busy one, and had no
+   work for seconds. */
 static double load_by_peers(const WPReplica *s, WPTime now)
 {
     double mean = s->cohort->taken * s->slots;
