--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -393,7 +393,7 @@
                     wp_str(body));
 }
 
-/* 7 us for the largest body that is usual, 72 KB (mean of 2,000 calls). */
+/* The bodies that are usual take some microseconds. */
 static uint64_t content_of(const WPHead *h, const GByteArray *body)
 {
     uint64_t head = wp_hash(h->target, wp_hash(h->method, 0));
--- a/io/wp_seen.c
+++ b/io/wp_seen.c
@@ -1,7 +1,7 @@
 /* What a box keeps in the store of each move that runs: how long ago it began
- * and what this box's processes have seen of the new version. Processes forget;
- * without this, boxes that were all killed four or five times ended a move to a
- * slow version in 9 of 18 plays, with it in none.
+ * and what this box's processes have seen of the new version. Processes forget:
+ * guards against boxes that are all killed several times and then end a move to
+ * a slow version, as none has seen enough of it.
  *
  * Each box writes its own entry, so writers never meet. A box that starts reads
  * all of them and goes on from there. */
--- a/io/wp_suspect_news.c
+++ b/io/wp_suspect_news.c
@@ -3,8 +3,7 @@
  * that are linked, and each passes on what it did not know; it may not wait for
  * the next tick, as the caller repeats such a request after a tenth of a
  * second. What two endpoints have ended under is kept in the store, where it
- * outlasts a loss of all boxes: without that 8 ended in place of 4
- * (wpsoak --crashing, seeds 2 and 4). */
+ * outlasts a loss of all boxes: it would end as many endpoints again. */
 #include "wp_pb.h"
 #include "wp_sync_int.h"
 
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -15,9 +15,8 @@
     FIRST_ANSWER_MS = 300, /* from a lost store's first word until all pages of
                               it are read */
     START_RETRY_MS = 300,  /* between calls of a box that knows nothing yet and
-                              whose callers wait: with pauses that grow, 973 of
-                              54,000 requests were refused on a day on which all
-                              start while the store is away, with this 945 */
+                              whose callers wait: they are served sooner than
+                              with pauses that grow */
     TOLD_ENTRIES_MOST = 1000, /* of more, each box reads the store for itself:
                                  to tell sixty boxes 0.6 MB each takes a link of
                                  20 Mbit/s 14 s */
@@ -108,8 +107,8 @@
 
 /* All is read again, and what has changed since is asked for once more when the
    store's watches are sure to tell all. A watch that is opened around a break
-   may stay without an answer for 1.3 s, a reading does not: with a look in
-   place of it a roll-out was begun 1.0 to 1.6 s after its order. */
+   may stay without an answer for a second, a reading does not: an order would
+   be begun that much later. */
 static void read_after_break(WPSync *s)
 {
     s->watching = s->catching_up = false;
--- a/src/wp_box_news.h
+++ b/src/wp_box_news.h
@@ -1,9 +1,7 @@
 /* What a box tells the others of its zone of the endpoints that they share:
  * which requests it has sent there, what load they told, what they keep of
  * prompts. A box that chooses by its own requests alone knows little of what an
- * engine has before it: of 103 boxes before 160 engines one in five choices
- * knew nothing, and half of the others something older than 1.7 s (log of a
- * quiet day).
+ * engine has before it, as most of that is of others.
  *
  * Everything told fades by itself, so that lost and late news do no harm:
  * reading is done after the time it takes, loads are believed for a while. */
--- a/src/wp_budget.c
+++ b/src/wp_budget.c
@@ -2,14 +2,12 @@
 #include "wp_budget.h"
 
 /* What a box uses of its part: the bound holds over windows that slide finer
-   than the slices here (a twentieth), and boxes' clocks differ. With 0.8, and
-   0.75 of that for better answers, 402 of 8,000 answers whose confidence was
-   below 20 of 100 were kept for want of budget on a quiet day of hard work (55
-   in 100 are not sure): worth 0.727, with these 0.760. */
+   than the slices here (a twentieth), and boxes' clocks differ. Less is used in
+   vain: better answers are what it is spent on. */
 #define MARGIN 0.9
 
-/* Better answers may use this much of it, failures all. To leave as much again
-   as failures have used lost 0.02 on a day with a burst and crashes. */
+/* Better answers may use this much of it, failures all. What is left is for
+   failures that come in a burst. */
 #define BETTER_SHARE 0.9
 
 static void advance(WPBudget *b, const WPBudgetRules *r, WPTime now)
--- a/src/wp_demand_quota.c
+++ b/src/wp_demand_quota.c
@@ -9,9 +9,8 @@
 };
 
 /* A zone whose boxes have so many times the requests that its endpoints take
-   uses them up alone. With a step there in place of a slope 12 boxes in three
-   zones used 1.14 of what their endpoints take (wplimit, callers uneven), as
-   boxes see the step at different times. */
+   uses them up alone. A slope leads there: with a step, which boxes see at
+   different times, they use more than their endpoints take. */
 #define ENOUGH 1.25
 
 /* What a box of this zone tells; below 0: not known. */
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -13,11 +13,11 @@
 };
 
 /* A version fails under load when so many answers of loaded endpoints failed,
-   at least this part of them, and hardly any of the others. Versions were seen
-   to fail on half-full endpoints; as what others send to one is not known at
-   once, it counts as loaded from a little less on, and is passed over from
-   still less. The platform allows fifty failures; in a burst they came
-   within 1.3 s. */
+   at least this part of them, and hardly any of the others. Versions may fail
+   on half-full endpoints; as what others send to one is not known at once, it
+   counts as loaded from a little less on, and is passed over from still less.
+   The platform allows fifty failures, which a burst brings within a second or
+   two. */
 #define LOADED_FROM 0.44
 #define LOADED_FAILED_LEAST 2.5 /* three, as older ones fade */
 #define LOADED_FAILED_SHARE 0.2
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -2,8 +2,7 @@
 #include "wp_fleet_int.h"
 
 /* Weights of a replica's score, in places: 1 is a replica whose every place
-   is taken. The lowest score wins. Measured on both example sites; see
-   docs/PLATFORM.md. */
+   is taken. The lowest score wins. */
 #define FAILING 2.0      /* times its rate of failures */
 #define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
 #define AVOIDED 20.0     /* chosen only when nothing else is left */
@@ -23,9 +22,7 @@
 #define SPARE_FROM 0.3
 
 /* A request under which two endpoints have ended goes to the one that has the
-   least to lose. At 12 endpoints with 25 requests each, 1 to 30 boxes (the play
-   of test_suspects, 32 times): 3,610 other requests lost their endpoint with
-   this, 3,897 without. */
+   least to lose: fewer other requests lose their endpoint with it. */
 #define SUSPECT_ALONE 10.0
 #define SUSPECT_ALONE_FROM 2
 
@@ -67,9 +64,8 @@
 }
 
 /* Of one that names a limit it is not known: what gets few requests is hardly
-   measured, and two slow answers, as those of a start, were held against it for
-   a minute. With that an endpoint had 0.62 of 1.3 a second, or 0.75 of 8, where
-   it was asked at all (wpsoak --limits, seeds 123 and 6). */
+   measured, and two slow answers, as those of a start, would be held against it
+   for a minute, while its limit is not used. */
 static double slow_cost(const WPFleet *f, const WPReplica *s)
 {
     return wp_fleet_limit_of(s) > 0 ? 0 : f->rules.slow * (s->slowness - 1);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -6,17 +6,15 @@
     NO_ENDPOINT_MS = 300, /* when to come back; endpoints start in seconds */
     STARTING_MS = 500,    /* the same, while no routes are known */
     AWAY_MS = 2000,       /* the same, and the store does not answer: it stays
-                             away for seconds, and callers come back but once.
-                             With half a second 0.052 were refused twice on a
-                             day on which all boxes start meanwhile, with this
-                             0.027 */
+                             away for seconds, and callers come back but once:
+                             too soon, and they are refused twice */
     KEPT_OUT_MS = 2000,   /* the same, while an operator keeps requests out of
                              all zones that have any: orders last for seconds
                              at least */
     LEAVING_MS = 100,     /* the same, of a box that stops: others serve */
     IN_DOUBT_MS = 300,    /* the same, while another copy of the request may end
-                             an endpoint: crashes came 50 to 300 ms after a
-                             request was sent where nothing waited */
+                             an endpoint: crashes come some tenths of a second
+                             after a request is sent where nothing waits */
     RESTED_SPREAD_MS = 500,
     KEPT_OUT_REQUEST_MS =
         60000 /* the same, of one that ends each endpoint: only another release
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -72,8 +72,7 @@
 
 /* How long the request's session still binds it to a version that has been left
    while the next order runs; 0: it does not. Wherever it went it would change
-   its version beside a move that it is no part of: with an order 0.4 s after
-   the end of the move before, 4 to 7 sessions did. */
+   its version beside a move that it is no part of. */
 uint32_t wp_flow_bound_ms(const WPFlow *f, WPTime now);
 
 /* wp_flow_head.c: whether the answer refuses and asks for rest. */
@@ -82,10 +81,9 @@
 /* The endpoint for the next leg, held; NULL when there is none. */
 WPReplica *wp_flow_choose(WPFlow *f, WPTime now);
 
-/* Whether the answer will surely be whole within `left_ms`. No stream's is:
-   with lengths foretold from tokens, first bytes and pace, one was cut on 1 to
-   2 of 50 days on which all boxes stop in turn, and worth rose by less than
-   0.01. */
+/* Whether the answer will surely be whole within `left_ms`. No stream's is: its
+   length is only guessed, and a stream that is cut costs more than one that is
+   refused. */
 bool wp_flow_fits(WPFlow *f, uint32_t left_ms);
 
 /* Whether the answer in hand is to be dropped for the largest model's. */
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -11,10 +11,9 @@
 #define FAR_TIMES 2.0
 
 /* Quarters of the usual times that are closer than this do not part a slow
-   version from a good one: of endpoints that take 10.2 ms an event whatever
-   they have to do, good versions that were 0.1 ms slower on idle connections
-   were undone in 4 of 4 runs of real processes. Engines' quarters are several
-   times apart. */
+   version from a good one: endpoints that take the same time whatever they have
+   to do differ by tenths of a millisecond, by their connections alone. Engines'
+   quarters are several times apart. */
 #define NARROW_TIMES 1.25
 
 /* Events of a stream from which on its pace is judged, and the fewest of a
--- a/src/wp_fresh.c
+++ b/src/wp_fresh.c
@@ -3,10 +3,8 @@
 
 /* Parts of the time that a change may take: the last rank asks at 0.87 of it;
    the question and the word to the others take 0.1 to 0.2 s. Guards against
-   watches of all zones that fall silent at once: with a fixed age of 3.2 s a
-   revoked key was served for up to 0.7 s beyond a bound of 3 s (one day in
-   which all watchers are cut off, five plays: 5 to 10 requests in each; with
-   these parts none in five). */
+   watches of all zones that fall silent at once: an age that does not follow
+   from that time lets a revoked key be served beyond it. */
 #define LIMIT_PART 0.75    /* the first of a zone asks */
 #define RANK_PART 0.03     /* each later one so much later */
 #define RANKS_MOST 3       /* all others come together */
@@ -23,18 +21,15 @@
 
 /* Pauses before a store that does not answer is asked again: the first, the
    longest as a part of the time that a change may take, and how much longer
-   some boxes wait. Calls are paid for, also those that are turned away: with
-   0.4 s each time a hundred boxes made 2,657 readings on a day on which the
-   store was away for 14 s. */
+   some boxes wait. Calls are paid for, also those that are turned away. */
 #define PAUSE_FIRST_MS 400
 #define PAUSE_MOST_PART 0.4
 #define PAUSE_SPREAD 0.5
 
 /* A box that reads the store makes a call for each 50 entries; one that is told
    by another box makes none. At the system's first start nobody waits for it
-   yet, and others are given time to tell: 934 calls of a hundred boxes became
-   418. At any other start callers wait: with 0.7 s 551 of them were refused on
-   a day on which all boxes start, without 42. */
+   yet, and others are given time to tell; at any other start callers wait and
+   would be refused meanwhile. */
 #define START_MS 0
 #define START_FIRST_MS 4000
 #define START_SPREAD 0.4
--- a/src/wp_lag.c
+++ b/src/wp_lag.c
@@ -2,8 +2,8 @@
 #include "wp_lag.h"
 
 /* Where boxes start together the copies that all ask for would fill the links;
-   but where all of them start, the store's own link is full, and to wait longer
-   was seen to cost thirty seconds at 3,000 entries and 302 boxes. */
+   but where all of them start, the store's own link is full, and longer waits
+   make it worse. */
 #define START_US_EACH 800
 #define START_MOST_MS 700
 
--- a/src/wp_pace.c
+++ b/src/wp_pace.c
@@ -12,8 +12,8 @@
 #define BOUND_PART 0.5
 
 /* So much of that is for the boxes of the endpoint's zone, where most requests
-   for it come from; the rest for the others. With one part for all, a quarter
-   of the requests of a zone with 7 of 21 boxes left it (bench/wppace.c). */
+   for it come from; the rest for the others. One part for all would send the
+   requests of a small zone out of it. */
 #define NEAR_PART 0.75
 
 void wp_pace_boxes_init(WPPaceBoxes *b)
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -6,8 +6,8 @@
    at different times that a move has begun. */
 #define FIRST_HALF 0.52
 
-/* A move is to be done so long before the order's time: it begins up to 300 ms
-   after the order, and 180 ms before the time were seen to be too late. */
+/* A move is to be done so long before the order's time: it begins some tenths
+   of a second after the order, and its record is written before the time. */
 #define SPARE_MS 500
 
 /* How long a move waits until boxes have told each other which sessions are
@@ -57,9 +57,9 @@
 }
 
 /* Versions that an earlier order led to and that were found bad: their
-   endpoints are still there for some seconds, and are not among the old ones. A
-   session was sent on one of them 0.9 s after it had been left for being bad.
-   XXX: a box that starts after the next order does not know of them. */
+   endpoints are still there for some seconds, and are not among the old ones:
+   no session goes back there. XXX: a box that starts after the next order does
+   not know of them. */
 static GHashTable *undone_before(const WPShift *had, const char *version)
 {
     GHashTable *t =
@@ -79,8 +79,8 @@
 }
 
 /* The version that serves when an order comes, if a move before it was done.
-   Endpoints of the one before that are listed for some tenths of a second more,
-   and are not among the old ones: of sessions, 16 requests went back there. */
+   Endpoints of the one before that are listed for some tenths of a second more;
+   they are not among the old ones, so that no session goes back there. */
 static char *base_of(const WPShift *had)
 {
     if (!had)
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -115,9 +115,9 @@
 /* What this box knows of the move, for the log; free with g_free(). */
 char *wp_shift_figures(const WPShift *sh, WPTime now);
 
-/* Another box finds the version bad: that holds here as well, whatever this one
-   has seen itself. Guards against a box that was cut off from the others and
-   ends the move on what it knows: 418 requests went to a bad version. */
+/* Another box finds the version bad: that holds here as well, whatever this
+   one has seen itself. Guards against a box that was cut off from the others
+   and ends the move on what it knows. */
 void wp_shift_hear_bad(WPShift *sh);
 
 /* Another box has passed the gate before the last stage. */
--- a/src/wp_steady.c
+++ b/src/wp_steady.c
@@ -5,8 +5,8 @@
 
 enum {
     STEP_MS = 250,  /* time services that only slew stay far below this */
-    PAUSE_MS = 1000 /* looks come every 50 ms; a box with a fifth of a slow core
-                       was seen to be late by 300 */
+    PAUSE_MS = 1000 /* looks come every 50 ms; a box with a part of a slow
+                       core is late by some hundred */
 };
 
 /* The part of the time that passes by which steps are followed. */
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -17,10 +17,9 @@
 
 #define AT_ONCE_US (30 * WP_US_PER_MS) /* between ends of one cause */
 
-/* What crashes its endpoint does so 40 to 100 ms after its first byte; what has
-   run for longer was more likely there by chance. Guards against: a stream that
-   three crashes had met in 4.5 s was kept out (deploy/days, crashes beside
-   resets). */
+/* What crashes its endpoint does so soon after its first byte; what has run for
+   longer was more likely there by chance. Guards against streams that are kept
+   out for crashes that they met. */
 #define LONG_RUN_US (1000 * WP_US_PER_MS)
 
 /* Answers that were on their way come up to so long after a crash. */
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -7,9 +7,8 @@
  * One whole answer clears a request of everything: what crashes its endpoint
  * never ends whole, and what merely was there does when it is sent elsewhere.
  *
- * Guards against: one request that ended 48 to 59 of ten endpoints in 14 s
- * (they were back after 2 s) while 0.42 to 0.99 of the others were served; with
- * it 4 or 5 end (wpsoak --crashing). */
+ * Guards against: one request that ends all endpoints again and again while
+ * others find none. */
 #ifndef WP_SUSPECTS_H
 #define WP_SUSPECTS_H
 
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -6,8 +6,7 @@
 
 enum { WP_SUSPECTS_RECENT = 1024 /* requests that have ended whole lately */ };
 
-/* Another box runs it for so long at most, unless it tells more: crashes came
-   50 to 1,200 ms after the request was sent. */
+/* Another box runs it for so long at most, unless it tells more. */
 #define WP_SUSPECT_BUSY_US (1500 * WP_US_PER_MS)
 
 typedef struct WPSuspectWhole {
@@ -31,9 +30,8 @@
     GHashTable *all; /* request -> WPSuspect */
 
     /* request -> WPSuspectLegs: all of this box, in doubt or not, as copies
-       that were sent before the first crash count as well. Without them 6
-       endpoints ended at 3 boxes where a request came each 0.1 s, with them 4
-       or 5 (test_suspects). */
+       that were sent before the first crash count as well: more endpoints end
+       without them */
     GHashTable *running;
 
     GHashTable *dead; /* life -> WPSuspectDead */
--- a/src/wp_verdict.c
+++ b/src/wp_verdict.c
@@ -9,9 +9,9 @@
 #define LEAST_BAD 5
 #define DEVIATIONS 4.0
 
-/* Fewer bad answers are enough where hardly any were to be expected: in a trial
-   of 18 answers three failed of a version that fails three in ten, none of the
-   old version's 586. Three by chance have odds of one in 100,000. */
+/* Fewer bad answers are enough where hardly any were to be expected: three of
+   some twenty, where the old version had none in hundreds, are hardly chance.
+ */
 #define FEW_BAD 3
 #define FEW_EXPECTED 0.04
 
@@ -25,8 +25,7 @@
 
 /* Where the times of answers lie among the old version's (below its first
    quarter, between, above its third) when they come from endpoints that are
-   less loaded: of a good version, and of a slow one. Seen on 72 good and 60
-   slow plays of both example sites; docs/PLATFORM.md. */
+   less loaded: of a good version, and of a slow one. docs/PLATFORM.md. */
 static const struct {
     double fast, usual, slow;
 } good_times = { 0.6, 0.3, 0.1 }, slow_times = { 0.03, 0.57, 0.4 };
@@ -61,7 +60,7 @@
    good one from a bad one: of a version that fails three in ten, 8 are without
    a failure in 6 of 100 cases, and it is caught at once when it gets all
    requests; of a slow one 5 of 5 speak for a good one in less than 1 of 1,000.
-   A move was ended on 4. */
+ */
 #define TELLING_ANSWERS 8
 #define TELLING_TIMES 5
 
@@ -174,9 +173,8 @@
            (v->wholes - v->far) * log((1 - FAR_SLOW) / (1 - FAR_GOOD));
 }
 
-/* With 3 failures of 27 where the old version had none of 600 a move was ended,
-   in 4 of 18 plays of one day: too few for a verdict after a start, too many to
-   go on. */
+/* Three failures of some thirty, where the old version had none in hundreds,
+   are too few for a verdict after a start, and too many to end the move on. */
 bool wp_sums_may_fail(const WPShiftSums *v, const WPShiftSums *old)
 {
     double good = (old->failed + 1.0) / (old->answered + PRIOR_ANSWERS);
