Boxes tell each other of rests, which weigh; a spent budget of repeats is told as such

Cause: each box learns of a rest by a refusal of its own, 102 of them in 14 s; each costs a repeat, and the service's budget of repeats is spent. The refusal then told the end of a rest though others were free. What was ruled out: want of places (loads of 1 to 3 of 6 in the refused requests' legs). Change: a rest is told to all boxes once; for those it is no bar and weighs a place for 5 s at most.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -1852,6 +1852,51 @@
   assert(message->base.descriptor == &wp__zone_demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__endpoint_rest__init
+                     (Wp__EndpointRest         *message)
+{
+  static const Wp__EndpointRest init_value = WP__ENDPOINT_REST__INIT;
+  *message = init_value;
+}
+size_t wp__endpoint_rest__get_packed_size
+                     (const Wp__EndpointRest *message)
+{
+  assert(message->base.descriptor == &wp__endpoint_rest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__endpoint_rest__pack
+                     (const Wp__EndpointRest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__endpoint_rest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__endpoint_rest__pack_to_buffer
+                     (const Wp__EndpointRest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__endpoint_rest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__EndpointRest *
+       wp__endpoint_rest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__EndpointRest *)
+     protobuf_c_message_unpack (&wp__endpoint_rest__descriptor,
+                                allocator, len, data);
+}
+void   wp__endpoint_rest__free_unpacked
+                     (Wp__EndpointRest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__endpoint_rest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__notice_news__init
                      (Wp__NoticeNews         *message)
 {
@@ -5418,7 +5463,58 @@
   (ProtobufCMessageInit) wp__zone_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__notice_news__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wp__endpoint_rest__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__EndpointRest, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wp__EndpointRest, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__endpoint_rest__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = left_ms */
+};
+static const ProtobufCIntRange wp__endpoint_rest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wp__endpoint_rest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.EndpointRest",
+  "EndpointRest",
+  "Wp__EndpointRest",
+  "wp",
+  sizeof(Wp__EndpointRest),
+  2,
+  wp__endpoint_rest__field_descriptors,
+  wp__endpoint_rest__field_indices_by_name,
+  1,  wp__endpoint_rest__number_ranges,
+  (ProtobufCMessageInit) wp__endpoint_rest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__notice_news__field_descriptors[4] =
 {
   {
     "limits",
@@ -5456,16 +5552,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rests",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__NoticeNews, n_rests),
+    offsetof(Wp__NoticeNews, rests),
+    &wp__endpoint_rest__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__notice_news__field_indices_by_name[] = {
   1,   /* field[1] = demands */
   2,   /* field[2] = leaving */
   0,   /* field[0] = limits */
+  3,   /* field[3] = rests */
 };
 static const ProtobufCIntRange wp__notice_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wp__notice_news__descriptor =
 {
@@ -5475,7 +5584,7 @@
   "Wp__NoticeNews",
   "wp",
   sizeof(Wp__NoticeNews),
-  3,
+  4,
   wp__notice_news__field_descriptors,
   wp__notice_news__field_indices_by_name,
   1,  wp__notice_news__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -57,6 +57,7 @@
 typedef struct Wp__SuspectNews Wp__SuspectNews;
 typedef struct Wp__EndpointLimit Wp__EndpointLimit;
 typedef struct Wp__ZoneDemand Wp__ZoneDemand;
+typedef struct Wp__EndpointRest Wp__EndpointRest;
 typedef struct Wp__NoticeNews Wp__NoticeNews;
 typedef struct Wp__Frame Wp__Frame;
 typedef struct Wp__SessionClaim Wp__SessionClaim;
@@ -980,6 +981,20 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A rest that an endpoint has asked of a box.
+ */
+struct  Wp__EndpointRest
+{
+  ProtobufCMessage base;
+  uint64_t endpoint;
+  uint32_t left_ms;
+};
+#define WP__ENDPOINT_REST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__endpoint_rest__descriptor) \
+    , 0, 0 }
+
+
 struct  Wp__NoticeNews
 {
   ProtobufCMessage base;
@@ -992,10 +1007,12 @@
    */
   size_t n_leaving;
   uint64_t *leaving;
+  size_t n_rests;
+  Wp__EndpointRest **rests;
 };
 #define WP__NOTICE_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__notice_news__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 typedef enum {
@@ -1874,6 +1891,25 @@
 void   wp__zone_demand__free_unpacked
                      (Wp__ZoneDemand *message,
                       ProtobufCAllocator *allocator);
+/* Wp__EndpointRest methods */
+void   wp__endpoint_rest__init
+                     (Wp__EndpointRest         *message);
+size_t wp__endpoint_rest__get_packed_size
+                     (const Wp__EndpointRest   *message);
+size_t wp__endpoint_rest__pack
+                     (const Wp__EndpointRest   *message,
+                      uint8_t             *out);
+size_t wp__endpoint_rest__pack_to_buffer
+                     (const Wp__EndpointRest   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__EndpointRest *
+       wp__endpoint_rest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__endpoint_rest__free_unpacked
+                     (Wp__EndpointRest *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__NoticeNews methods */
 void   wp__notice_news__init
                      (Wp__NoticeNews         *message);
@@ -2056,6 +2092,9 @@
 typedef void (*Wp__ZoneDemand_Closure)
                  (const Wp__ZoneDemand *message,
                   void *closure_data);
+typedef void (*Wp__EndpointRest_Closure)
+                 (const Wp__EndpointRest *message,
+                  void *closure_data);
 typedef void (*Wp__NoticeNews_Closure)
                  (const Wp__NoticeNews *message,
                   void *closure_data);
@@ -2114,6 +2153,7 @@
 extern const ProtobufCMessageDescriptor wp__suspect_news__descriptor;
 extern const ProtobufCMessageDescriptor wp__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor wp__zone_demand__descriptor;
+extern const ProtobufCMessageDescriptor wp__endpoint_rest__descriptor;
 extern const ProtobufCMessageDescriptor wp__notice_news__descriptor;
 extern const ProtobufCMessageDescriptor wp__frame__descriptor;
 extern const ProtobufCMessageDescriptor wp__session_claim__descriptor;
--- a/io/wp_notice_news.c
+++ b/io/wp_notice_news.c
@@ -27,6 +27,7 @@
     Wp__EndpointLimit limits[TOLD_MOST], *limit_list[TOLD_MOST];
     Wp__ZoneDemand demands[TOLD_MOST], *demand_list[TOLD_MOST];
     uint64_t leaving[TOLD_MOST];
+    Wp__EndpointRest rests[TOLD_MOST], *rest_list[TOLD_MOST];
     Wp__NoticeNews news;
 } Message;
 
@@ -39,14 +40,17 @@
     m->news.limits = m->limit_list;
     m->news.demands = m->demand_list;
     m->news.leaving = m->leaving;
+    m->news.rests = m->rest_list;
     return m;
 }
 
 static void send_message(Message *m)
 {
-    if (m->news.n_limits || m->news.n_demands || m->news.n_leaving)
+    if (m->news.n_limits || m->news.n_demands || m->news.n_leaving ||
+        m->news.n_rests)
         wp_peers_send_notices(m->peers, m->to, &m->news);
-    m->news.n_limits = m->news.n_demands = m->news.n_leaving = 0;
+    m->news.n_limits = m->news.n_demands = 0;
+    m->news.n_leaving = m->news.n_rests = 0;
 }
 
 static void add_limit(void *arg, const WPLimitNews *n)
@@ -88,6 +92,19 @@
     m->leaving[m->news.n_leaving++] = life;
 }
 
+static void add_rests(WPNoticeFlood *n, WPTime now, Message *m)
+{
+    WPRestNews rests[TOLD_MOST];
+    m->news.n_rests =
+        wp_fleet_tell_rests(n->host->direct.fleet, now, rests, WP_COUNT(rests));
+    for (size_t i = 0; i < m->news.n_rests; i++) {
+        wp__endpoint_rest__init(&m->rests[i]);
+        m->rests[i].endpoint = rests[i].endpoint;
+        m->rests[i].left_ms = rests[i].left_ms;
+        m->rest_list[i] = &m->rests[i];
+    }
+}
+
 static void on_send(evutil_socket_t fd, short what, void *arg)
 {
     WPNoticeFlood *n = arg;
@@ -105,6 +122,7 @@
     g_array_set_size(n->demands, 0);
     m->news.n_leaving = wp_fleet_tell_leaving(n->host->direct.fleet, m->leaving,
                                               WP_COUNT(m->leaving));
+    add_rests(n, now, m);
     n->sent_us = now.mono_us;
     send_message(m);
 }
@@ -115,7 +133,7 @@
     static const struct timeval later = { 0, GAP_MS * WP_US_PER_MS };
     const WPFleet *f = n->host->direct.fleet;
     bool any = n->demands->len || wp_fleet_any_untold_limit(f) ||
-               wp_fleet_any_untold_leaving(f);
+               wp_fleet_any_untold_leaving(f) || wp_fleet_any_untold_rest(f);
     if (!any || event_pending(n->send, EV_TIMEOUT, NULL))
         return;
     int64_t gap_us = wp_clock_now(0).mono_us - n->sent_us;
@@ -203,6 +221,10 @@
         hear_demand(n, now, m->demands[i]);
     for (size_t i = 0; i < m->n_leaving; i++)
         hear_leaving(n, now, from, m->leaving[i]);
+    for (size_t i = 0; i < m->n_rests; i++) {
+        const WPRestNews r = { m->rests[i]->endpoint, m->rests[i]->left_ms };
+        wp_fleet_hear_rest(n->host->direct.fleet, now, &r);
+    }
     wp_notice_news_wake(n);
 }
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -221,7 +221,7 @@
     WPHeard heard;
     wp_flow_head(r->flow, wp_clock_now(0), &r->answer, &heard);
     wp_relay_log_heard(r, s, &heard);
-    if (heard.leaves || heard.limit == WP_LIMIT_CHANGED)
+    if (heard.leaves || heard.rests || heard.limit == WP_LIMIT_CHANGED)
         wp_sync_notices(r->host->sync);
 }
 
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -186,6 +186,7 @@
     size_t n_tried;
     bool passing;       /* the caller has part of an answer */
     bool hurried;       /* went elsewhere once for want of patience */
+    bool spent;         /* the budget of repeats let it go nowhere else */
     unsigned ended;     /* endpoints whose connection ended under it */
     int64_t event_us;   /* when the caller's last event came; 0: none has */
     int64_t gap_us;     /* the longest time between two of them */
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -48,6 +48,7 @@
     f->limited = g_ptr_array_new();
     f->leaving = g_ptr_array_new();
     f->resting = g_ptr_array_new();
+    f->rested_by = g_ptr_array_new();
     f->unlisted =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->early_limits =
@@ -82,6 +83,7 @@
     g_ptr_array_unref(f->limited);
     g_ptr_array_unref(f->leaving);
     g_ptr_array_unref(f->resting);
+    g_ptr_array_unref(f->rested_by);
     g_hash_table_unref(f->unlisted);
     g_hash_table_unref(f->early_limits);
     g_hash_table_unref(f->limit_sums);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -324,6 +324,20 @@
    has. */
 WPReplica *wp_fleet_rested(WPFleet *f, WPTime now);
 
+/* A rest as boxes tell it: it is likely that the endpoint refuses the others as
+   well. */
+typedef struct WPRestNews {
+    uint64_t endpoint; /* hash of its life */
+    uint32_t left_ms;
+} WPRestNews;
+
+void wp_fleet_hear_rest(WPFleet *f, WPTime now, const WPRestNews *n);
+
+/* What is to be told now; it counts as told. */
+size_t wp_fleet_tell_rests(WPFleet *f, WPTime now, WPRestNews *out,
+                           size_t most);
+bool wp_fleet_any_untold_rest(const WPFleet *f);
+
 /* How many endpoints leave, and rest, at present. */
 typedef struct WPNoticeCount {
     unsigned leaving, resting;
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -37,6 +37,8 @@
     GPtrArray *leaving; /* WPReplica: that said so to a box */
     bool leaving_untold;
     GPtrArray *resting;   /* WPReplica: until the end is told */
+    GPtrArray *rested_by; /* WPReplica: whose rest boxes are told of */
+    bool rests_untold;
     GHashTable *unlisted; /* hash of a life -> Unlisted, of wp_fleet_notice.c */
     GHashTable *early_limits; /* hash of a life that is not listed ->
                                  WPLimitNews */
--- a/src/wp_fleet_notice.c
+++ b/src/wp_fleet_notice.c
@@ -6,6 +6,9 @@
     BAD_AGAIN_MS = 10000, /* between two reports of one endpoint's bad fields */
     REST_MOST_S = 1200,   /* a longer rest is asked about again, so that a slip
                              of units does not keep an endpoint out for good */
+    REST_NEWS_MS = 250,   /* a later end is told on if it is so much later */
+    REST_HEARD_MS = 5000, /* the longest rest that is believed of others: it may
+                             be meant for them alone */
     UNLISTED_MOST = 4096,
     UNLISTED_LASTS_S = 600
 };
@@ -47,6 +50,21 @@
     g_ptr_array_add(f->leaving, s);
 }
 
+/* Of two boxes that are told of one rest the second has mostly heard of it. */
+static void note_rest_news(WPFleet *f, WPTime now, WPReplica *s,
+                           int64_t until_us)
+{
+    int64_t most_us = now.mono_us + (int64_t)REST_HEARD_MS * WP_US_PER_MS;
+    until_us = MIN(until_us, most_us);
+    if (until_us < s->said.rest_known_us + REST_NEWS_MS * WP_US_PER_MS)
+        return;
+    s->said.rest_known_us = until_us;
+    if (!s->said.rest_untold)
+        g_ptr_array_add(f->rested_by, s);
+    s->said.rest_untold = true;
+    f->rests_untold = true;
+}
+
 static void believe_rest(WPFleet *f, WPReplica *s, int64_t until_us)
 {
     if (!g_ptr_array_find(f->resting, s, NULL))
@@ -76,9 +94,38 @@
         return false;
     }
     believe_rest(f, s, now.mono_us + (int64_t)us);
+    note_rest_news(f, now, s, s->said.rest_until_us);
     return !rested;
 }
 
+void wp_fleet_hear_rest(WPFleet *f, WPTime now, const WPRestNews *n)
+{
+    WPReplica *s = wp_fleet_by_hash(f, n->endpoint);
+    if (s)
+        note_rest_news(f, now, s,
+                       now.mono_us + (int64_t)n->left_ms * WP_US_PER_MS);
+}
+
+size_t wp_fleet_tell_rests(WPFleet *f, WPTime now, WPRestNews *out, size_t most)
+{
+    size_t n = 0;
+    while (f->rested_by->len && n < most) {
+        WPReplica *s = g_ptr_array_steal_index_fast(f->rested_by, 0);
+        int64_t left_us = s->said.rest_known_us - now.mono_us;
+        s->said.rest_untold = false;
+        if (left_us > 0)
+            out[n++] = (WPRestNews){ s->life_hash,
+                                     (uint32_t)(left_us / WP_US_PER_MS) };
+    }
+    f->rests_untold = f->rested_by->len > 0;
+    return n;
+}
+
+bool wp_fleet_any_untold_rest(const WPFleet *f)
+{
+    return f->rests_untold;
+}
+
 bool wp_fleet_rests(const WPReplica *s, WPTime now)
 {
     return s->said.rest_until_us > now.mono_us;
@@ -189,4 +236,5 @@
 {
     g_ptr_array_remove_fast(f->leaving, s);
     g_ptr_array_remove_fast(f->resting, s);
+    g_ptr_array_remove_fast(f->rested_by, s);
 }
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -7,6 +7,7 @@
 #define FAILING_ONCE 6.0 /* the same, for what may not be repeated */
 #define AVOIDED 20.0     /* chosen only when nothing else is left */
 #define COLD 0.3         /* has just started */
+#define RESTING 1.0      /* refuses other boxes: likely this one as well */
 #define LIMITED 0.5      /* preferred: its limit has room for this box */
 #define UNHEARD 1.0      /* the same, and it has not answered for long */
 #define JITTER 0.02      /* so that boxes with one view do not herd */
@@ -88,6 +89,8 @@
         v += AVOIDED;
     if (s->said.cold_until_us > now.mono_us)
         v += COLD;
+    if (s->said.rest_known_us > now.mono_us)
+        v += RESTING;
     if (wp_fleet_limit_of(s) > 0)
         v -= limit_bonus(s->said.limit, now);
     if (wp_fleet_taken(s, now) + 1.0 / MAX(s->slots, 1) >= FULL_FROM &&
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -121,6 +121,7 @@
     if (!wp_budget_take(wp_direct_budget(d, f->service->name),
                         &d->rules.retries, now, d->boxes, needed)) {
         wp_fleet_release(s);
+        f->spent = true;
         return false;
     }
     wp_count(&d->counters,
@@ -195,27 +196,37 @@
     return m;
 }
 
-/* No endpoint takes the request at present: why, and when one may. */
-static WPMove no_endpoint(WPFlow *f, WPTime now)
+/* By what passes first: a rest, a limit, or the time that an endpoint is cold.
+   Returns false when none of these keeps the request from any. */
+static bool barred_for_a_while(WPFlow *f, WPTime now, WPMove *out)
 {
     const WPWant w = wp_flow_want(f);
+    WPWant any = w; /* what it has tried may have asked for rest just now */
+    any.n_tried = 0;
     WPFleet *fleet = f->d->fleet;
     WPBarred limit, cold, rest;
     bool limited = wp_fleet_barred(fleet, now, &w, WP_BAR_LIMIT, &limit);
     bool spared = wp_fleet_barred(fleet, now, &w, WP_BAR_COLD, &cold);
-    WPWant any = w; /* what it has tried may have asked for rest just now */
-    any.n_tried = 0;
     bool rests = wp_fleet_barred(fleet, now, &any, WP_BAR_REST, &rest);
     if (rests && rest.free_us <= MIN(limit.free_us, cold.free_us))
-        return barred(WP_RESTING, rested_ms(f, now, &rest), &rest, WP_BAR_REST);
-    if (limited)
-        return barred(WP_LIMITED,
-                      wp_fleet_limit_refused(fleet, now, &w, &limit), &limit,
-                      WP_BAR_LIMIT);
-    if (spared)
-        return barred(WP_STARTING, ms_until(now, cold.free_us), &cold,
+        *out = barred(WP_RESTING, rested_ms(f, now, &rest), &rest, WP_BAR_REST);
+    else if (limited)
+        *out =
+            barred(WP_LIMITED, wp_fleet_limit_refused(fleet, now, &w, &limit),
+                   &limit, WP_BAR_LIMIT);
+    else if (spared)
+        *out = barred(WP_STARTING, ms_until(now, cold.free_us), &cold,
                       WP_BAR_COLD);
-    bool kept_out = wp_fleet_is_kept_out(fleet, f->service->name);
+    return rests || limited || spared;
+}
+
+/* No endpoint takes the request at present: why, and when one may. */
+static WPMove no_endpoint(WPFlow *f, WPTime now)
+{
+    WPMove m;
+    if (!f->spent && barred_for_a_while(f, now, &m))
+        return m;
+    bool kept_out = wp_fleet_is_kept_out(f->d->fleet, f->service->name);
     return move_fail(WP_NO_ENDPOINT, kept_out ? KEPT_OUT_MS : NO_ENDPOINT_MS);
 }
 
--- a/src/wp_notice.h
+++ b/src/wp_notice.h
@@ -1,12 +1,12 @@
-/* What an endpoint has said of itself, in one place:
+/* What an endpoint has said of itself, in one place. Of each word: from whom,
+ * whom it binds, what ends it, and whether it bars or only weighs:
  *
- *   word    | heard from             | binds     | ends with               |
- *   leaving | list, answers, boxes   | each box  | its life                |
- * bars rest    | a refusal to this box  | this box  | its time, its life      |
- * bars limit   | answers, boxes         | all boxes | an answer without, life |
- * bars cold    | the list               | all boxes | its time                |
- * bars load    | answers, boxes nearby  | nobody    | its age                 |
- * weighs
+ * - leaving: the list, answers, boxes; each box; its life; bars
+ * - rest: a refusal to this box; this box; its time or its life; bars
+ * - rest of others: boxes that were told; nobody; some seconds; weighs
+ * - limit: answers, boxes; all boxes together; an answer without it; bars
+ * - cold: the list; all boxes together; its time; bars
+ * - load: answers, boxes of the zone; nobody; its age; weighs
  *
  * Limits and cold endpoints bar what is beyond a quota (wp_limit.h, wp_pace.h).
  * Each way to an endpoint asks wp_fleet_bar() (wp_fleet_bar.c). Ways weighed:
@@ -45,6 +45,8 @@
 typedef struct WPSaid {
     WPLeaving leaving;
     int64_t rest_until_us;
+    int64_t rest_known_us; /* the same to any box, as all are told */
+    bool rest_untold;
     WPLimit *limit;            /* NULL: none was named */
     int64_t cold_until_us;     /* by the list */
     uint32_t running, waiting; /* its load */
--- a/tests/soak_notice.c
+++ b/tests/soak_notice.c
@@ -75,7 +75,7 @@
     { .leave_tenths = 2, .rest_tenths = 2, .zone_out = true },
     { .leave_tenths = 5, .rest_tenths = 5, .rest_ms = 3000, .kills = true },
     { .rest_tenths = 2, .rest_ms = 3000, .delay_ms = 300, .room = true },
-    { .rest_tenths = 5, .delay_ms = 300 },
+    { .rest_tenths = 5, .delay_ms = 300, .room = true },
     { .leave_tenths = 4, .delay_ms = 300, .room = true },
     { .leave_tenths = 7, .room = true },
 };
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -332,6 +332,30 @@
     fake_end(&k);
 }
 
+/* Another box's rest is no bar, and weighs: what rests for one mostly refuses
+   the others as well. Boxes tell it once. */
+static void a_rest_of_another_box_weighs(void **state)
+{
+    WPRestNews n[4];
+    Fake a, b;
+    (void)state;
+    fake_init(&a);
+    fake_init(&b);
+    wp_fleet_told_rest(a.d.fleet, wp_fleet_find(a.d.fleet, "a1"), a.now, 3);
+    wp_fleet_told_rest(a.d.fleet, wp_fleet_find(a.d.fleet, "a1"), a.now, 3.1);
+    assert_int_equal(wp_fleet_tell_rests(a.d.fleet, a.now, n, 4), 1);
+    assert_in_range(n[0].left_ms, 2999, 3000);
+    wp_fleet_hear_rest(b.d.fleet, b.now, &n[0]);
+    assert_false(goes_to(&b, "/safe/x", "a1", 100));
+    assert_int_equal(wp_fleet_tell_rests(b.d.fleet, b.now, n, 4), 1);
+    wp_fleet_hear_rest(a.d.fleet, a.now, &n[0]);
+    assert_false(wp_fleet_any_untold_rest(a.d.fleet));
+    wp_fleet_told_leaving(b.d.fleet, wp_fleet_find(b.d.fleet, "a2"), b.now);
+    assert_true(goes_to(&b, "/safe/x", "a1", 1)); /* the only one */
+    fake_end(&a);
+    fake_end(&b);
+}
+
 /* At an even load it has its share at once: the refusal is not held against it
    as a failure besides. */
 static void after_a_rest_the_work_is_back(void **state)
@@ -525,7 +549,7 @@
            T(a_rest_is_kept), T(an_earlier_request_does_not_end_a_rest),
            T(a_rest_is_not_cut_short), T(all_rest),
            T(a_rest_is_believed_for_so_long_at_most),
-           T(after_a_rest_the_work_is_back),
+           T(a_rest_of_another_box_weighs), T(after_a_rest_the_work_is_back),
            T(what_asks_for_no_rest_is_asked_again),
            T(words_hold_beside_each_other), T(rests_do_not_hurry_a_move),
            T(a_rest_is_no_verdict), T(news_of_leaving_comes_to_rest),
