A word counts wherever its endpoint stands in the list; rests of others are not passed on

Cause: a request that was sent before its endpoint's entry lapsed told the old record, while the same life was listed anew; a list's word hid the endpoint's own, which alone outlasts a lapse; news of rests that boxes pass on ends later by each hop, and where a hop takes more than 0.25 s would go round for good. Change: words go to the life that is listed now; an endpoint's own word takes the place of the list's; a rest is told by the box that was told, to those that it is linked to. Tests: a_word_by_an_earlier_listing_counts, the_lists_word_does_not_hide_its_own, a_rest_of_another_box_weighs (test_notice, 23).

--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -324,8 +324,8 @@
    has. */
 WPReplica *wp_fleet_rested(WPFleet *f, WPTime now);
 
-/* A rest as boxes tell it: it is likely that the endpoint refuses the others as
-   well. */
+/* A rest as a box tells it to those that it is linked to: it is likely that the
+   endpoint refuses the others as well. */
 typedef struct WPRestNews {
     uint64_t endpoint; /* hash of its life */
     uint32_t left_ms;
--- a/src/wp_fleet_notice.c
+++ b/src/wp_fleet_notice.c
@@ -50,12 +50,24 @@
     g_ptr_array_add(f->leaving, s);
 }
 
-/* Of two boxes that are told of one rest the second has mostly heard of it. */
-static void note_rest_news(WPFleet *f, WPTime now, WPReplica *s,
-                           int64_t until_us)
+/* The endpoint of this life that is listed now; `s` may have been taken out of
+   the list since its request was sent, and its life have come back. */
+static WPReplica *listed(WPFleet *f, WPReplica *s)
+{
+    WPReplica *live = s->gone ? wp_fleet_by_hash(f, s->life_hash) : s;
+    return live && live->life_hash == s->life_hash ? live : NULL;
+}
+
+static int64_t believed_of_others_us(WPTime now, int64_t until_us)
 {
     int64_t most_us = now.mono_us + (int64_t)REST_HEARD_MS * WP_US_PER_MS;
-    until_us = MIN(until_us, most_us);
+    return MIN(until_us, most_us);
+}
+
+/* Of two boxes that are told of one rest the second has mostly heard of it. */
+static void tell_rest(WPFleet *f, WPTime now, WPReplica *s)
+{
+    int64_t until_us = believed_of_others_us(now, s->said.rest_until_us);
     if (until_us < s->said.rest_known_us + REST_NEWS_MS * WP_US_PER_MS)
         return;
     s->said.rest_known_us = until_us;
@@ -74,12 +86,15 @@
 
 bool wp_fleet_told_leaving(WPFleet *f, WPReplica *s, WPTime now)
 {
-    if (s->gone)
+    WPReplica *l = listed(f, s);
+    if (!l)
         unlisted_of(f, now, s->life_hash)->leaving = true;
-    if (s->gone || s->said.leaving.from)
+    /* Its own word outlasts the list's. */
+    if (!l || l->said.leaving.from > WP_FROM_LIST)
         return false;
-    believe_leaving(f, s, WP_FROM_ANSWER);
-    return true;
+    bool is_new = !l->said.leaving.from;
+    believe_leaving(f, l, WP_FROM_ANSWER);
+    return is_new;
 }
 
 /* Only its time and a new life end a rest: requests that end well there
@@ -87,23 +102,28 @@
 bool wp_fleet_told_rest(WPFleet *f, WPReplica *s, WPTime now, double rest_s)
 {
     double us = MIN(rest_s, (double)REST_MOST_S) * WP_US_PER_S;
-    bool rested = wp_fleet_rests(s, now);
-    if (s->gone) {
+    int64_t until_us = now.mono_us + (int64_t)us;
+    WPReplica *l = listed(f, s);
+    if (!l) {
         Unlisted *u = unlisted_of(f, now, s->life_hash);
-        u->rest_until_us = MAX(u->rest_until_us, now.mono_us + (int64_t)us);
+        u->rest_until_us = MAX(u->rest_until_us, until_us);
         return false;
     }
-    believe_rest(f, s, now.mono_us + (int64_t)us);
-    note_rest_news(f, now, s, s->said.rest_until_us);
-    return !rested;
+    bool is_new = !wp_fleet_rests(l, now);
+    believe_rest(f, l, until_us);
+    tell_rest(f, now, l);
+    return is_new;
 }
 
+/* Not passed on: with each box its end would come later by its time on the way,
+   and it might go round for good. */
 void wp_fleet_hear_rest(WPFleet *f, WPTime now, const WPRestNews *n)
 {
     WPReplica *s = wp_fleet_by_hash(f, n->endpoint);
+    int64_t until_us = now.mono_us + (int64_t)n->left_ms * WP_US_PER_MS;
     if (s)
-        note_rest_news(f, now, s,
-                       now.mono_us + (int64_t)n->left_ms * WP_US_PER_MS);
+        s->said.rest_known_us =
+            MAX(s->said.rest_known_us, believed_of_others_us(now, until_us));
 }
 
 size_t wp_fleet_tell_rests(WPFleet *f, WPTime now, WPRestNews *out, size_t most)
--- a/src/wp_notice.h
+++ b/src/wp_notice.h
@@ -45,7 +45,7 @@
 typedef struct WPSaid {
     WPLeaving leaving;
     int64_t rest_until_us;
-    int64_t rest_known_us; /* the same to any box, as all are told */
+    int64_t rest_known_us; /* the same to any box that this one hears */
     bool rest_untold;
     WPLimit *limit;            /* NULL: none was named */
     int64_t cold_until_us;     /* by the list */
