--- a/io/wp_notice_news.c
+++ b/io/wp_notice_news.c
@@ -1,7 +1,7 @@
-/* News of limits that endpoints name, and of endpoints that leave. A word goes
- * out with the loop's next turn, as an endpoint counts what all boxes send from
- * the first naming of a limit on; what follows within some ms goes in one
- * message. */
+/* News of limits that endpoints name, and of endpoints that leave or rest. A
+ * word goes out with the loop's next turn, as an endpoint counts what all boxes
+ * send from the first naming of a limit on; what follows within some ms goes in
+ * one message. */
 #include "wp_notice_news.h"
 
 #include <stdio.h>
