Usage by window and workspace: counts that only grow, told between boxes

Reports of usage ask for the requests of each workspace that began to run in each window of the time of day, from all boxes together. Each process counts its own by a clock that steps of the time of day do not move; the highest count that was told holds, so lost, repeated and late news leaves the sums as they are.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1598,6 +1598,7 @@
 char wp__direct_settings__charts__default_value[] = "charts";
 char wp__direct_settings__log_level__default_value[] = "info";
 char wp__direct_settings__log_format__default_value[] = "kv";
+char wp__direct_settings__report_to__default_value[] = "";
 static const uint32_t wp__direct_settings__metrics_port__default_value = 9464u;
 static const uint64_t wp__direct_settings__seed__default_value = 0ull;
 static const double wp__direct_settings__drain_s__default_value = 8;
@@ -1628,7 +1629,10 @@
 static const double wp__direct_settings__apply_ms__default_value = 2000;
 static const double wp__direct_settings__memory_mb__default_value = 0;
 static const protobuf_c_boolean wp__direct_settings__first_start__default_value = 0;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[41] =
+static const double wp__direct_settings__usage_window_s__default_value = 0;
+static const double wp__direct_settings__usage_late_s__default_value = 10;
+static const double wp__direct_settings__duty_lease_ms__default_value = 3000;
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[47] =
 {
   {
     "id",
@@ -2122,10 +2126,83 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "report_to",
+    44,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, report_to),
+    NULL,
+    &wp__direct_settings__report_to__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duties",
+    45,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__DirectSettings, n_duties),
+    offsetof(Wp__DirectSettings, duties),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_window_s",
+    46,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_usage_window_s),
+    offsetof(Wp__DirectSettings, usage_window_s),
+    NULL,
+    &wp__direct_settings__usage_window_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_late_s",
+    47,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_usage_late_s),
+    offsetof(Wp__DirectSettings, usage_late_s),
+    NULL,
+    &wp__direct_settings__usage_late_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duty_lease_ms",
+    48,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_duty_lease_ms),
+    offsetof(Wp__DirectSettings, duty_lease_ms),
+    NULL,
+    &wp__direct_settings__duty_lease_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "areas",
+    49,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__DirectSettings, n_areas),
+    offsetof(Wp__DirectSettings, areas),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
   29,   /* field[29] = apply_ms */
+  46,   /* field[46] = areas */
   8,   /* field[8] = charts */
   28,   /* field[28] = choices */
   39,   /* field[39] = cold_overshoot */
@@ -2133,6 +2210,8 @@
   18,   /* field[18] = confidence_even */
   21,   /* field[21] = confidence_spread */
   12,   /* field[12] = drain_s */
+  42,   /* field[42] = duties */
+  45,   /* field[45] = duty_lease_ms */
   36,   /* field[36] = first_start */
   3,   /* field[3] = http */
   0,   /* field[0] = id */
@@ -2145,6 +2224,7 @@
   6,   /* field[6] = metrics_port */
   5,   /* field[5] = peers */
   4,   /* field[4] = ready */
+  41,   /* field[41] = report_to */
   26,   /* field[26] = request_value */
   13,   /* field[13] = retry_ratio */
   14,   /* field[14] = retry_slack */
@@ -2155,6 +2235,8 @@
   7,   /* field[7] = store */
   23,   /* field[23] = strain_from */
   24,   /* field[24] = strain_weight */
+  44,   /* field[44] = usage_late_s */
+  43,   /* field[43] = usage_window_s */
   32,   /* field[32] = weigh_home */
   34,   /* field[34] = weigh_move_kt */
   37,   /* field[37] = weigh_pause */
@@ -2170,7 +2252,7 @@
 {
   { 1, 0 },
   { 29, 26 },
-  { 0, 41 }
+  { 0, 47 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2180,7 +2262,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  41,
+  47,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   2,  wp__direct_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -449,13 +449,40 @@
    */
   size_t n_seeds;
   char **seeds;
+  /*
+   * Where usage is reported to (host:port); empty: nowhere.
+   */
+  char *report_to;
+  /*
+   * what it takes, in the platform's words
+   */
+  size_t n_duties;
+  char **duties;
+  /*
+   * 0: none is reported
+   */
+  protobuf_c_boolean has_usage_window_s;
+  double usage_window_s;
+  /*
+   * due so long after its end
+   */
+  protobuf_c_boolean has_usage_late_s;
+  double usage_late_s;
+  protobuf_c_boolean has_duty_lease_ms;
+  double duty_lease_ms;
+  /*
+   * "ZONE=AREA"
+   */
+  size_t n_areas;
+  char **areas;
 };
 extern char wp__direct_settings__charts__default_value[];
 extern char wp__direct_settings__log_level__default_value[];
 extern char wp__direct_settings__log_format__default_value[];
+extern char wp__direct_settings__report_to__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL }
 
 
 /* Wp__NodeSettings methods */
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -1492,6 +1492,186 @@
   assert(message->base.descriptor == &wp__mirror_digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__usage_row__init
+                     (Wp__UsageRow         *message)
+{
+  static const Wp__UsageRow init_value = WP__USAGE_ROW__INIT;
+  *message = init_value;
+}
+size_t wp__usage_row__get_packed_size
+                     (const Wp__UsageRow *message)
+{
+  assert(message->base.descriptor == &wp__usage_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__usage_row__pack
+                     (const Wp__UsageRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__usage_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__usage_row__pack_to_buffer
+                     (const Wp__UsageRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__usage_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__UsageRow *
+       wp__usage_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__UsageRow *)
+     protobuf_c_message_unpack (&wp__usage_row__descriptor,
+                                allocator, len, data);
+}
+void   wp__usage_row__free_unpacked
+                     (Wp__UsageRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__usage_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__usage_news__init
+                     (Wp__UsageNews         *message)
+{
+  static const Wp__UsageNews init_value = WP__USAGE_NEWS__INIT;
+  *message = init_value;
+}
+size_t wp__usage_news__get_packed_size
+                     (const Wp__UsageNews *message)
+{
+  assert(message->base.descriptor == &wp__usage_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__usage_news__pack
+                     (const Wp__UsageNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__usage_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__usage_news__pack_to_buffer
+                     (const Wp__UsageNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__usage_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__UsageNews *
+       wp__usage_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__UsageNews *)
+     protobuf_c_message_unpack (&wp__usage_news__descriptor,
+                                allocator, len, data);
+}
+void   wp__usage_news__free_unpacked
+                     (Wp__UsageNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__usage_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__settled_usage__init
+                     (Wp__SettledUsage         *message)
+{
+  static const Wp__SettledUsage init_value = WP__SETTLED_USAGE__INIT;
+  *message = init_value;
+}
+size_t wp__settled_usage__get_packed_size
+                     (const Wp__SettledUsage *message)
+{
+  assert(message->base.descriptor == &wp__settled_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__settled_usage__pack
+                     (const Wp__SettledUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__settled_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__settled_usage__pack_to_buffer
+                     (const Wp__SettledUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__settled_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__SettledUsage *
+       wp__settled_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__SettledUsage *)
+     protobuf_c_message_unpack (&wp__settled_usage__descriptor,
+                                allocator, len, data);
+}
+void   wp__settled_usage__free_unpacked
+                     (Wp__SettledUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__settled_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wp__duty_record__init
+                     (Wp__DutyRecord         *message)
+{
+  static const Wp__DutyRecord init_value = WP__DUTY_RECORD__INIT;
+  *message = init_value;
+}
+size_t wp__duty_record__get_packed_size
+                     (const Wp__DutyRecord *message)
+{
+  assert(message->base.descriptor == &wp__duty_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__duty_record__pack
+                     (const Wp__DutyRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__duty_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__duty_record__pack_to_buffer
+                     (const Wp__DutyRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__duty_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__DutyRecord *
+       wp__duty_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__DutyRecord *)
+     protobuf_c_message_unpack (&wp__duty_record__descriptor,
+                                allocator, len, data);
+}
+void   wp__duty_record__free_unpacked
+                     (Wp__DutyRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__duty_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__mirror_pull__init
                      (Wp__MirrorPull         *message)
 {
@@ -4587,7 +4767,7 @@
   (ProtobufCMessageInit) wp__move_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[13] =
 {
   {
     "complete",
@@ -4733,11 +4913,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    14,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorDigest, has_clock_ms),
+    offsetof(Wp__MirrorDigest, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   5,   /* field[5] = blind */
   3,   /* field[3] = bound */
+  12,   /* field[12] = clock_ms */
   0,   /* field[0] = complete */
   6,   /* field[6] = entries */
   7,   /* field[7] = fails_loaded */
@@ -4752,7 +4945,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -4762,13 +4955,295 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  12,
+  13,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
   (ProtobufCMessageInit) wp__mirror_digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wp__usage_row__field_descriptors[5] =
+{
+  {
+    "life",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__UsageRow, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "window",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__UsageRow, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspaces",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__UsageRow, n_workspaces),
+    offsetof(Wp__UsageRow, workspaces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__UsageRow, n_counts),
+    offsetof(Wp__UsageRow, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "far",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__UsageRow, has_far),
+    offsetof(Wp__UsageRow, far),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__usage_row__field_indices_by_name[] = {
+  3,   /* field[3] = counts */
+  4,   /* field[4] = far */
+  0,   /* field[0] = life */
+  1,   /* field[1] = window */
+  2,   /* field[2] = workspaces */
+};
+static const ProtobufCIntRange wp__usage_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wp__usage_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.UsageRow",
+  "UsageRow",
+  "Wp__UsageRow",
+  "wp",
+  sizeof(Wp__UsageRow),
+  5,
+  wp__usage_row__field_descriptors,
+  wp__usage_row__field_indices_by_name,
+  1,  wp__usage_row__number_ranges,
+  (ProtobufCMessageInit) wp__usage_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__usage_news__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__UsageNews, n_rows),
+    offsetof(Wp__UsageNews, rows),
+    &wp__usage_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__usage_news__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange wp__usage_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wp__usage_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.UsageNews",
+  "UsageNews",
+  "Wp__UsageNews",
+  "wp",
+  sizeof(Wp__UsageNews),
+  1,
+  wp__usage_news__field_descriptors,
+  wp__usage_news__field_indices_by_name,
+  1,  wp__usage_news__number_ranges,
+  (ProtobufCMessageInit) wp__usage_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__settled_usage__field_descriptors[3] =
+{
+  {
+    "window",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__SettledUsage, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspaces",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__SettledUsage, n_workspaces),
+    offsetof(Wp__SettledUsage, workspaces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__SettledUsage, n_counts),
+    offsetof(Wp__SettledUsage, counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__settled_usage__field_indices_by_name[] = {
+  2,   /* field[2] = counts */
+  0,   /* field[0] = window */
+  1,   /* field[1] = workspaces */
+};
+static const ProtobufCIntRange wp__settled_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wp__settled_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.SettledUsage",
+  "SettledUsage",
+  "Wp__SettledUsage",
+  "wp",
+  sizeof(Wp__SettledUsage),
+  3,
+  wp__settled_usage__field_descriptors,
+  wp__settled_usage__field_indices_by_name,
+  1,  wp__settled_usage__number_ranges,
+  (ProtobufCMessageInit) wp__settled_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__duty_record__field_descriptors[5] =
+{
+  {
+    "holder",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DutyRecord, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DutyRecord, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    3,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DutyRecord, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settled",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__DutyRecord, n_settled),
+    offsetof(Wp__DutyRecord, settled),
+    &wp__settled_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renewals",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__DutyRecord, has_renewals),
+    offsetof(Wp__DutyRecord, renewals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__duty_record__field_indices_by_name[] = {
+  1,   /* field[1] = fence */
+  0,   /* field[0] = holder */
+  2,   /* field[2] = next */
+  4,   /* field[4] = renewals */
+  3,   /* field[3] = settled */
+};
+static const ProtobufCIntRange wp__duty_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wp__duty_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.DutyRecord",
+  "DutyRecord",
+  "Wp__DutyRecord",
+  "wp",
+  sizeof(Wp__DutyRecord),
+  5,
+  wp__duty_record__field_descriptors,
+  wp__duty_record__field_indices_by_name,
+  1,  wp__duty_record__number_ranges,
+  (ProtobufCMessageInit) wp__duty_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wp__mirror_pull__field_descriptors[1] =
 {
   {
@@ -5591,7 +6066,7 @@
   (ProtobufCMessageInit) wp__notice_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__frame__field_descriptors[30] =
+static const ProtobufCFieldDescriptor wp__frame__field_descriptors[31] =
 {
   {
     "stream",
@@ -5953,6 +6428,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usage_news",
+    36,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Frame, body_case),
+    offsetof(Wp__Frame, usage_news),
+    &wp__usage_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__frame__field_indices_by_name[] = {
   6,   /* field[6] = accept */
@@ -5982,6 +6469,7 @@
   5,   /* field[5] = start */
   0,   /* field[0] = stream */
   28,   /* field[28] = suspect_news */
+  30,   /* field[30] = usage_news */
   12,   /* field[12] = window */
   26,   /* field[26] = witness */
   27,   /* field[27] = zone_news */
@@ -5990,7 +6478,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 30 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor wp__frame__descriptor =
 {
@@ -6000,7 +6488,7 @@
   "Wp__Frame",
   "wp",
   sizeof(Wp__Frame),
-  30,
+  31,
   wp__frame__field_descriptors,
   wp__frame__field_indices_by_name,
   2,  wp__frame__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -49,6 +49,10 @@
 typedef struct Wp__MoveSums Wp__MoveSums;
 typedef struct Wp__MoveRecord Wp__MoveRecord;
 typedef struct Wp__MirrorDigest Wp__MirrorDigest;
+typedef struct Wp__UsageRow Wp__UsageRow;
+typedef struct Wp__UsageNews Wp__UsageNews;
+typedef struct Wp__SettledUsage Wp__SettledUsage;
+typedef struct Wp__DutyRecord Wp__DutyRecord;
 typedef struct Wp__MirrorPull Wp__MirrorPull;
 typedef struct Wp__MirrorDelta Wp__MirrorDelta;
 typedef struct Wp__BoxNews Wp__BoxNews;
@@ -769,10 +773,97 @@
   uint64_t *kept_prefix;
   size_t n_kept_tokens;
   uint32_t *kept_tokens;
+  /*
+   * The sender's time of day, Unix ms, where usage is reported.
+   */
+  protobuf_c_boolean has_clock_ms;
+  uint64_t clock_ms;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * What one run of a box's process has seen begin in a window, by workspace.
+ */
+struct  Wp__UsageRow
+{
+  ProtobufCMessage base;
+  uint64_t life;
+  uint64_t window;
+  size_t n_workspaces;
+  char **workspaces;
+  /*
+   * so far; the highest holds
+   */
+  size_t n_counts;
+  uint32_t *counts;
+  /*
+   * comes from another zone
+   */
+  protobuf_c_boolean has_far;
+  protobuf_c_boolean far;
+};
+#define WP__USAGE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__usage_row__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
+
+
+struct  Wp__UsageNews
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Wp__UsageRow **rows;
+};
+#define WP__USAGE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__usage_news__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * What is reported of a window, whoever reports it.
+ */
+struct  Wp__SettledUsage
+{
+  ProtobufCMessage base;
+  uint64_t window;
+  size_t n_workspaces;
+  char **workspaces;
+  size_t n_counts;
+  uint32_t *counts;
+};
+#define WP__SETTLED_USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__settled_usage__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
+/*
+ * The store's record of a duty that one box has at a time.
+ */
+struct  Wp__DutyRecord
+{
+  ProtobufCMessage base;
+  char *holder;
+  /*
+   * rises with each change of the holder
+   */
+  uint64_t fence;
+  /*
+   * the first window that is not settled
+   */
+  uint64_t next;
+  /*
+   * not known to be reported
+   */
+  size_t n_settled;
+  Wp__SettledUsage **settled;
+  protobuf_c_boolean has_renewals;
+  uint32_t renewals;
+};
+#define WP__DUTY_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__duty_record__descriptor) \
+    , NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Wp__MirrorPull
@@ -1042,7 +1133,8 @@
   WP__FRAME__BODY_WITNESS = 32,
   WP__FRAME__BODY_ZONE_NEWS = 33,
   WP__FRAME__BODY_SUSPECT_NEWS = 34,
-  WP__FRAME__BODY_NOTICE_NEWS = 35
+  WP__FRAME__BODY_NOTICE_NEWS = 35,
+  WP__FRAME__BODY_USAGE_NEWS = 36
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WP__FRAME__BODY__CASE)
 } Wp__Frame__BodyCase;
 
@@ -1087,6 +1179,7 @@
     Wp__ZoneNews *zone_news;
     Wp__SuspectNews *suspect_news;
     Wp__NoticeNews *notice_news;
+    Wp__UsageNews *usage_news;
   };
 };
 #define WP__FRAME__INIT \
@@ -1739,6 +1832,82 @@
 void   wp__mirror_digest__free_unpacked
                      (Wp__MirrorDigest *message,
                       ProtobufCAllocator *allocator);
+/* Wp__UsageRow methods */
+void   wp__usage_row__init
+                     (Wp__UsageRow         *message);
+size_t wp__usage_row__get_packed_size
+                     (const Wp__UsageRow   *message);
+size_t wp__usage_row__pack
+                     (const Wp__UsageRow   *message,
+                      uint8_t             *out);
+size_t wp__usage_row__pack_to_buffer
+                     (const Wp__UsageRow   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__UsageRow *
+       wp__usage_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__usage_row__free_unpacked
+                     (Wp__UsageRow *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__UsageNews methods */
+void   wp__usage_news__init
+                     (Wp__UsageNews         *message);
+size_t wp__usage_news__get_packed_size
+                     (const Wp__UsageNews   *message);
+size_t wp__usage_news__pack
+                     (const Wp__UsageNews   *message,
+                      uint8_t             *out);
+size_t wp__usage_news__pack_to_buffer
+                     (const Wp__UsageNews   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__UsageNews *
+       wp__usage_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__usage_news__free_unpacked
+                     (Wp__UsageNews *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__SettledUsage methods */
+void   wp__settled_usage__init
+                     (Wp__SettledUsage         *message);
+size_t wp__settled_usage__get_packed_size
+                     (const Wp__SettledUsage   *message);
+size_t wp__settled_usage__pack
+                     (const Wp__SettledUsage   *message,
+                      uint8_t             *out);
+size_t wp__settled_usage__pack_to_buffer
+                     (const Wp__SettledUsage   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__SettledUsage *
+       wp__settled_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__settled_usage__free_unpacked
+                     (Wp__SettledUsage *message,
+                      ProtobufCAllocator *allocator);
+/* Wp__DutyRecord methods */
+void   wp__duty_record__init
+                     (Wp__DutyRecord         *message);
+size_t wp__duty_record__get_packed_size
+                     (const Wp__DutyRecord   *message);
+size_t wp__duty_record__pack
+                     (const Wp__DutyRecord   *message,
+                      uint8_t             *out);
+size_t wp__duty_record__pack_to_buffer
+                     (const Wp__DutyRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__DutyRecord *
+       wp__duty_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__duty_record__free_unpacked
+                     (Wp__DutyRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__MirrorPull methods */
 void   wp__mirror_pull__init
                      (Wp__MirrorPull         *message);
@@ -2068,6 +2237,18 @@
 typedef void (*Wp__MirrorDigest_Closure)
                  (const Wp__MirrorDigest *message,
                   void *closure_data);
+typedef void (*Wp__UsageRow_Closure)
+                 (const Wp__UsageRow *message,
+                  void *closure_data);
+typedef void (*Wp__UsageNews_Closure)
+                 (const Wp__UsageNews *message,
+                  void *closure_data);
+typedef void (*Wp__SettledUsage_Closure)
+                 (const Wp__SettledUsage *message,
+                  void *closure_data);
+typedef void (*Wp__DutyRecord_Closure)
+                 (const Wp__DutyRecord *message,
+                  void *closure_data);
 typedef void (*Wp__MirrorPull_Closure)
                  (const Wp__MirrorPull *message,
                   void *closure_data);
@@ -2145,6 +2326,10 @@
 extern const ProtobufCMessageDescriptor wp__move_sums__descriptor;
 extern const ProtobufCMessageDescriptor wp__move_record__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_digest__descriptor;
+extern const ProtobufCMessageDescriptor wp__usage_row__descriptor;
+extern const ProtobufCMessageDescriptor wp__usage_news__descriptor;
+extern const ProtobufCMessageDescriptor wp__settled_usage__descriptor;
+extern const ProtobufCMessageDescriptor wp__duty_record__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_pull__descriptor;
 extern const ProtobufCMessageDescriptor wp__mirror_delta__descriptor;
 extern const ProtobufCMessageDescriptor wp__box_news__descriptor;
--- /dev/null
+++ b/tests/test_usage.c
@@ -0,0 +1,116 @@
+/* Usage by window and workspace, and what boxes tell each other of it. */
+#include "test.h"
+#include "wp_usage.h"
+
+enum { WINDOW_MS = 5000, KEEP_MS = 20000 };
+#define START_MS 1700000000000 /* the beginning of a window */
+
+static WPTime at(int64_t ms)
+{
+    return (WPTime){ ms * WP_US_PER_MS, START_MS + ms };
+}
+
+static WPUsage *usage(uint64_t life)
+{
+    WPUsage *u = wp_usage_new(life, WINDOW_MS, KEEP_MS);
+    wp_usage_start_clock(u, at(0));
+    return u;
+}
+
+static void take(void *arg, const WPUsageCount *c)
+{
+    wp_usage_hear(arg, c);
+}
+
+static void add(void *arg, const WPUsageCount *c)
+{
+    g_string_append_printf(arg, "%s=%u ", c->workspace, c->count);
+}
+
+static char *sums(const WPUsage *u, uint64_t window)
+{
+    GString *s = g_string_new(NULL);
+    wp_usage_each_sum(u, window, add, s);
+    return g_string_free(s, FALSE);
+}
+
+static void assert_sums(const WPUsage *u, uint64_t window, const char *want)
+{
+    g_autofree char *has = sums(u, window);
+    assert_string_equal(has, want);
+}
+
+static void counts_by_window(void **state)
+{
+    (void)state;
+    WPUsage *u = usage(1);
+    uint64_t first = wp_usage_window(u, START_MS);
+    wp_usage_note(u, at(10).mono_us, "acme");
+    wp_usage_note(u, at(4999).mono_us, "acme");
+    wp_usage_note(u, at(5000).mono_us, "zoo");
+    assert_sums(u, first, "acme=2 ");
+    assert_sums(u, first + 1, "zoo=1 ");
+    wp_usage_free(u);
+}
+
+/* News that is lost, repeated or late leaves sums as they are. */
+static void the_highest_count_holds(void **state)
+{
+    (void)state;
+    WPUsage *a = usage(1), *b = usage(2);
+    uint64_t first = wp_usage_window(a, START_MS);
+    wp_usage_note(a, at(10).mono_us, "acme");
+    wp_usage_tell(a, take, b);
+    wp_usage_note(a, at(20).mono_us, "acme");
+    assert_true(wp_usage_any_untold(a));
+    wp_usage_tell(a, take, b);
+    assert_false(wp_usage_any_untold(a));
+    wp_usage_tell_all(a);
+    wp_usage_tell(a, take, b);
+    const WPUsageCount late = { 1, first, "acme", 1, false };
+    assert_false(wp_usage_hear(b, &late));
+    wp_usage_note(b, at(30).mono_us, "acme");
+    assert_sums(b, first, "acme=3 ");
+    wp_usage_free(a);
+    wp_usage_free(b);
+}
+
+static void old_windows_are_forgotten(void **state)
+{
+    (void)state;
+    WPUsage *u = usage(1);
+    wp_usage_note(u, at(10).mono_us, "acme");
+    wp_usage_tick(u, at(KEEP_MS));
+    assert_int_equal(wp_usage_rows(u), 1);
+    wp_usage_tick(u, at(KEEP_MS + WINDOW_MS));
+    assert_int_equal(wp_usage_rows(u), 0);
+    assert_false(wp_usage_any_untold(u));
+    wp_usage_free(u);
+}
+
+/* A box that starts with a time of day that is 20 s ahead counts into the same
+   windows as the others; one that is wrong does not move those that are right.
+ */
+static void clocks_go_by_the_median(void **state)
+{
+    (void)state;
+    WPUsage *u = usage(1), *wrong = wp_usage_new(2, WINDOW_MS, KEEP_MS);
+    WPTime ahead = at(100);
+    ahead.wall_ms += 20000;
+    wp_usage_start_clock(wrong, ahead);
+    for (uint64_t box = 10; box < 13; box++) {
+        wp_usage_hear_clock(u, at(100), box, START_MS + 100);
+        wp_usage_hear_clock(wrong, at(100), box, START_MS + 100);
+    }
+    wp_usage_hear_clock(u, at(100), 2,
+                        wp_usage_own_clock_ms(wrong, at(100).mono_us));
+    assert_int_equal(wp_usage_clock_ms(u, at(200).mono_us), START_MS + 200);
+    assert_int_equal(wp_usage_clock_ms(wrong, at(200).mono_us), START_MS + 200);
+    assert_int_equal(wp_usage_own_clock_ms(wrong, at(200).mono_us),
+                     START_MS + 20200);
+    wp_usage_free(u);
+    wp_usage_free(wrong);
+}
+
+TESTS_MAIN(T(counts_by_window), T(the_highest_count_holds),
+           T(old_windows_are_forgotten), T(clocks_go_by_the_median))
