--- a/io/wp_http.c
+++ b/io/wp_http.c
@@ -151,6 +151,13 @@
 
 void wp_http_call(WPHttp *h, const char *path, const char *body,
                   WPHttpDone done, GDestroyNotify drop, void *arg)
+{
+    wp_http_call_with(h, path, NULL, 0, body, done, drop, arg);
+}
+
+void wp_http_call_with(WPHttp *h, const char *path, const WPHttpField *fields,
+                       size_t n_fields, const char *body, WPHttpDone done,
+                       GDestroyNotify drop, void *arg)
 {
     Call *c = g_new0(Call, 1);
     struct evhttp_request *r = evhttp_request_new(on_done, c);
@@ -161,6 +168,8 @@
     c->arg = arg;
     wp_list_append(&h->calls, &c->link);
     evhttp_add_header(head, "Host", h->host);
+    for (size_t i = 0; i < n_fields; i++)
+        evhttp_add_header(head, fields[i].name, fields[i].value);
     if (body) {
         evhttp_add_header(head, "Content-Type", "application/json");
         evbuffer_add(evhttp_request_get_output_buffer(r), body, strlen(body));
--- a/io/wp_http.h
+++ b/io/wp_http.h
@@ -21,12 +21,23 @@
 /* Calls under way end without their `done` being called; `drop` is. */
 void wp_http_free(WPHttp *h);
 
+/* A field of a call's head. */
+typedef struct WPHttpField {
+    const char *name;
+    char *value;
+} WPHttpField;
+
 /* `body` NULL: GET; else POST with JSON. `done` is always called once, but
    never from within this call; if the client is freed before, `drop` is called
    with `arg` instead (NULL: nothing is to be freed). */
 void wp_http_call(WPHttp *h, const char *path, const char *body,
                   WPHttpDone done, GDestroyNotify drop, void *arg);
 
+/* The same with further fields. */
+void wp_http_call_with(WPHttp *h, const char *path, const WPHttpField *fields,
+                       size_t n_fields, const char *body, WPHttpDone done,
+                       GDestroyNotify drop, void *arg);
+
 /* The next call uses a new connection, as the present one may have fallen
    silent without a sign. Calls under way end, from the loop, without an answer.
  */
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -96,18 +96,13 @@
         wp_shift_hear_elapsed(sh, wp_clock_now(0), 0);
 }
 
-static const char *after(const char *key, const char *prefix)
-{
-    return g_str_has_prefix(key, prefix) ? key + strlen(prefix) : NULL;
-}
-
 /* Returns whether the key is one of the system's own. */
 static bool take_own(WPSync *s, const char *key, const WPStr *value)
 {
-    const char *box = after(key, WP_KEY_BOX);
-    const char *service = after(key, WP_KEY_BEGAN);
-    const char *seen = after(key, WP_KEY_SEEN);
-    const char *suspect = after(key, WP_KEY_SUSPECT);
+    const char *box = wp_after(key, WP_KEY_BOX);
+    const char *service = wp_after(key, WP_KEY_BEGAN);
+    const char *seen = wp_after(key, WP_KEY_SEEN);
+    const char *suspect = wp_after(key, WP_KEY_SUSPECT);
     if (box && value) {
         WPStr zone = *value, addr = wp_str_cut(&zone, ' ');
         g_autofree char *a = g_strndup(addr.p, addr.n);
--- a/io/wp_platform.h
+++ b/io/wp_platform.h
@@ -6,6 +6,7 @@
 
 #include "wp_direct.h"
 #include "wp_h1.h"
+#include "wp_http.h"
 #include "wp_kv.h"
 
 typedef enum WPNewsKind {
@@ -46,6 +47,15 @@
     uint64_t after_event;
 } WPLegText;
 
+enum { WP_REPORT_FIELDS = 2 };
+
+/* A report of usage as it is sent. */
+typedef struct WPReportText {
+    const char *path;
+    WPHttpField fields[WP_REPORT_FIELDS]; /* values: free with g_free() */
+    char *body;                           /* the same */
+} WPReportText;
+
 typedef struct WPPlatformOps {
     /* A client of the store at `target`; NULL when that is malformed. */
     WPKv *(*store)(struct event_base *base, const char *target);
@@ -74,6 +84,11 @@
     /* Whether a field of an answer reaches the caller. */
     bool (*passes_back)(const WPHead *h, const WPField *f);
 
+    /* Whether a duty of this name is to report usage; and such a report. */
+    bool (*is_usage_duty)(const char *word);
+    void (*write_report)(const char *holder, uint64_t fence,
+                         const Wp__SettledUsage *u, WPReportText *out);
+
     /* Appends the fields of an answer of the box's own. */
     void (*write_own)(const char *id, uint32_t retry_ms, GString *out);
 } WPPlatformOps;
--- a/src/wp_base.c
+++ b/src/wp_base.c
@@ -31,8 +31,27 @@
     return s;
 }
 
+const char *wp_after(const char *s, const char *prefix)
+{
+    return g_str_has_prefix(s, prefix) ? s + strlen(prefix) : NULL;
+}
+
 enum { DIGITS_MOST = 18 }; /* of a number that is taken */
 
+bool wp_str_whole(WPStr s, uint64_t *out)
+{
+    uint64_t v = 0;
+    if (!s.n || s.n > DIGITS_MOST)
+        return false;
+    for (size_t i = 0; i < s.n; i++) {
+        if (!g_ascii_isdigit(s.p[i]))
+            return false;
+        v = v * 10 + (uint64_t)(s.p[i] - '0');
+    }
+    *out = v;
+    return true;
+}
+
 /* What else strtod() takes (signs, exponents, "nan") is no decimal number. */
 static bool is_decimal(WPStr s)
 {
--- a/src/wp_base.h
+++ b/src/wp_base.h
@@ -47,6 +47,12 @@
 WPStr wp_str_cut(WPStr *s, char sep);
 WPStr wp_str_trim(WPStr s);
 
+/* What follows `prefix` in `s`; NULL when it does not begin so. */
+const char *wp_after(const char *s, const char *prefix);
+
+/* Reads a whole number of digits alone, at most 18; false when it is none. */
+bool wp_str_whole(WPStr s, uint64_t *out);
+
 /* Reads a decimal number: digits with at most one point among them, and nothing
    else; false when it is none. */
 bool wp_str_decimal(WPStr s, double *out);
--- a/src/wp_json.c
+++ b/src/wp_json.c
@@ -2,6 +2,7 @@
 #include "wp_json.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 const char *wp_json_text(WPJson *o, const char *name)
 {
@@ -30,6 +31,18 @@
     return NULL;
 }
 
+void wp_json_texts(WPJson *o, const char *name, GPtrArray *out)
+{
+    json_t *one;
+    size_t i;
+    json_array_foreach (json_object_get(o->j, name), i, one) {
+        if (json_is_string(one))
+            g_ptr_array_add(out, g_strdup(json_string_value(one)));
+        else
+            o->problem = name;
+    }
+}
+
 double wp_json_number(const json_t *j, const char *name, double absent)
 {
     const json_t *v = json_object_get(j, name);
@@ -41,6 +54,15 @@
     return (uint32_t)CLAMP(wp_json_number(j, name, absent), 0, UINT32_MAX);
 }
 
+char *wp_json_dump(json_t *j)
+{
+    char *text = json_dumps(j, JSON_COMPACT);
+    char *out = g_strdup(text);
+    free(text);
+    json_decref(j);
+    return out;
+}
+
 bool wp_json_flag(const json_t *j, const char *name)
 {
     return json_is_true(json_object_get(j, name));
--- a/src/wp_route.c
+++ b/src/wp_route.c
@@ -25,6 +25,7 @@
 {
     WPRoute *r = p;
     g_ptr_array_unref(r->models);
+    g_ptr_array_unref(r->areas);
     g_array_unref(r->targets);
     g_free(r->name);
     g_free(r->host);
@@ -35,6 +36,7 @@
 static void free_caller(void *p)
 {
     WPCaller *c = p;
+    g_ptr_array_unref(c->areas);
     g_free(c->workspace);
     g_free(c);
 }
@@ -110,6 +112,7 @@
     r->prefix = g_strdup(prefix);
     r->max_attempts = 1;
     r->models = g_ptr_array_new_with_free_func(g_free);
+    r->areas = g_ptr_array_new_with_free_func(g_free);
     r->targets = g_array_new(FALSE, FALSE, sizeof(WPTarget));
     t->longest_prefix = MAX(t->longest_prefix, n);
     g_ptr_array_add(t->routes, r);
@@ -133,6 +136,7 @@
     WPCaller *c = g_new0(WPCaller, 1);
     c->workspace = g_strdup(workspace);
     c->priority = priority;
+    c->areas = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(t->callers, c);
     t->keyed = true;
     return c;
--- a/src/wp_route.h
+++ b/src/wp_route.h
@@ -46,12 +46,14 @@
     bool anonymous;    /* no key is asked for */
     bool resumable;    /* a stream may go on at another endpoint */
     GPtrArray *models; /* char *, the smallest first; empty: as asked */
+    GPtrArray *areas;  /* char *, where it may be served; empty: anywhere */
     GArray *targets;   /* WPTarget */
 } WPRoute;
 
 typedef struct WPCaller {
     char *workspace;
-    int priority; /* -1: the route's */
+    int priority;     /* -1: the route's */
+    GPtrArray *areas; /* as a route's; both bind */
 } WPCaller;
 
 typedef struct WPRouteLimits {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -202,7 +202,7 @@
 static char *leg_text(const WPHead *h, const WPLegText *leg)
 {
     struct evbuffer *out = evbuffer_new();
-    pf_write_leg(h, leg, out);
+    pf_ops.write_leg(h, leg, out);
     evbuffer_add(out, "", 1);
     char *text = g_strdup((char *)evbuffer_pullup(out, -1));
     evbuffer_free(out);
@@ -239,7 +239,7 @@
     WPDirectAsk ask;
     (void)state;
     h.target = wp_str("/x/y?z=1");
-    assert_null(pf_read_ask(&h, &ask));
+    assert_null(pf_ops.read_ask(&h, &ask));
     assert_true(wp_str_eq(ask.key, wp_str("k1")));
     assert_true(wp_str_eq(ask.path, wp_str("/x/y")));
     assert_int_equal(ask.prompt.tokens, 1460);
@@ -264,15 +264,15 @@
     WPHead hb = { .fields = b, .n_fields = 2, .target = wp_str("/") };
     WPDirectAsk x, y;
     (void)state;
-    pf_read_ask(&ha, &x);
-    pf_read_ask(&hb, &y);
+    pf_ops.read_ask(&ha, &x);
+    pf_ops.read_ask(&hb, &y);
     assert_true(wp_prompt_shared(&x.prompt) &&
                 wp_prompt_shared(&x.prompt) == wp_prompt_shared(&y.prompt));
     ha.n_fields = 1;
-    assert_null(pf_read_ask(&ha, &x));
+    assert_null(pf_ops.read_ask(&ha, &x));
     assert_int_equal(wp_prompt_shared(&x.prompt), 0);
     ha.n_fields = 0;
-    assert_non_null(pf_read_ask(&ha, &x));
+    assert_non_null(pf_ops.read_ask(&ha, &x));
 }
 
 /* A malformed or absurd list of parts changes nothing but what is believed of
@@ -301,7 +301,7 @@
                         field(PF_H_PROMPT, texts[i]) };
         WPHead h = { .fields = f, .n_fields = 3, .target = wp_str("/") };
         WPDirectAsk ask;
-        assert_null(pf_read_ask(&h, &ask));
+        assert_null(pf_ops.read_ask(&h, &ask));
         assert_int_equal(ask.prompt.tokens, 1000);
         assert_true(ask.prompt.n <= WP_PARTS_MOST);
         assert_true(wp_prompt_shared_tokens(&ask.prompt) <= 1000);
@@ -316,18 +316,18 @@
     WPHead h = { .status = 200, .fields = f, .n_fields = WP_COUNT(f) };
     WPDirectAnswer a;
     (void)state;
-    assert_true(pf_is_answer_to(&h, "id1"));
-    assert_false(pf_is_answer_to(&h, "id2"));
-    pf_read_answer(&h, &a);
+    assert_true(pf_ops.is_answer_to(&h, "id1"));
+    assert_false(pf_ops.is_answer_to(&h, "id2"));
+    pf_ops.read_answer(&h, &a);
     assert_true(a.genuine && a.has_load && !a.not_run);
     assert_int_equal(a.confidence, 61);
     assert_int_equal(a.running * 100 + a.waiting * 10 + a.slots, 318);
     f[3] = field("Content-Encoding", "gzip");
-    pf_read_answer(&h, &a);
+    pf_ops.read_answer(&h, &a);
     assert_false(a.genuine);
     f[3] = field("X-Not-Executed", "1");
     h.status = 503;
-    pf_read_answer(&h, &a);
+    pf_ops.read_answer(&h, &a);
     assert_true(a.not_run);
 }
 
