Areas of a route and of its caller's workspace bind on every way to an endpoint

The operator may name the areas where a route or a workspace is served; so far any endpoint was taken. The areas of zones come with the settings. They are asked where all ways meet (wp_fleet_suits: first legs, repeats, streams that go on, better answers, the rest that is tried when all have failed) and where kept memory is copied from (wp_keepers_find). With endpoints listed but none where the request may be served it is refused at once, no_endpoint_in_area, to come back after 2 s.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -133,6 +133,20 @@
     };
 }
 
+/* Each "ZONE=AREA". */
+static void take_areas(WPDirectHost *h)
+{
+    const Wp__DirectSettings *s = h->settings;
+    for (size_t i = 0; i < s->n_areas; i++) {
+        g_auto(GStrv) part = g_strsplit(s->areas[i], "=", 2);
+        if (part[0] && part[1])
+            wp_fleet_set_area(h->direct.fleet, part[0], part[1]);
+        else
+            wp_log(&h->log, WP_ERROR_LEVEL, "bad_setting", "areas", s->areas[i],
+                   "why", "expected ZONE=AREA", NULL);
+    }
+}
+
 static Wp__DirectSettings *read_settings(WPDirectHost *h)
 {
     g_autofree char *text = NULL;
@@ -162,6 +176,7 @@
     h->log.box = s->id;
     h->direct.rules = rules_of(s);
     wp_fleet_rules(h->direct.fleet, &h->direct.rules.fleet);
+    take_areas(h);
     wp_log(&h->log, WP_INFO, "reloaded", NULL);
 }
 
@@ -219,6 +234,7 @@
     WPDirectRules rules = rules_of(h->settings);
     bool ok = read_chart(h, error);
     wp_direct_init(&h->direct, &rules, h->chart, seed);
+    take_areas(h);
     if (ok && open_sides(h, error)) {
         open_signals(h);
         return h;
--- a/src/wp_bid.c
+++ b/src/wp_bid.c
@@ -30,7 +30,9 @@
         k->own[i] = tokens;
         bool spared =
             s->zone_out || wp_fleet_limit_of(s) > 0 || wp_fleet_rests(s, now);
-        if (tokens && !s->unreachable && !s->unreadable && !spared)
+        /* What lies elsewhere may not be copied from there either. */
+        bool allowed = wp_fleet_in_areas(w, s);
+        if (tokens && allowed && !s->unreachable && !s->unreadable && !spared)
             note_keeper(k, s, tokens);
     }
 }
--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -21,6 +21,8 @@
     X(VERSION_REFUSED, "version_not_allowed", 409, NOT_RUN,                    \
       "the version may not serve this request")                                \
     X(NO_ENDPOINT, "no_endpoint", 503, NOT_RUN, "no endpoint is available")    \
+    X(NO_AREA, "no_endpoint_in_area", 503, NOT_RUN,                            \
+      "no endpoint is listed in the areas where this may be served")           \
     X(SESSION_BOUND, "session_bound", 503, NOT_RUN,                            \
       "the session's version has been replaced; it is free again then")        \
     X(IN_DOUBT, "request_in_doubt", 503, NOT_RUN,                              \
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -169,7 +169,8 @@
     const WPRoute *route;
     const WPService *service;
     char *id, *model;
-    const char *workspace; /* NULL: anonymous */
+    const char *workspace;  /* NULL: anonymous */
+    const GPtrArray *areas; /* of its caller; see WPWant */
     int priority;
     uint64_t session;
     uint64_t hash; /* of caller, method, host, path and body: the same for each
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -42,6 +42,7 @@
                                           (GDestroyNotify)g_ptr_array_unref);
     f->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     f->zones_out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    f->areas = g_hash_table_new(g_str_hash, g_str_equal);
     f->cold = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     wp_pace_boxes_init(&f->boxes);
     f->untold = g_array_new(FALSE, FALSE, sizeof(WPKeptNews));
@@ -77,6 +78,7 @@
     g_hash_table_unref(f->cohorts);
     g_hash_table_unref(f->by_hash);
     g_hash_table_unref(f->zones_out);
+    g_hash_table_unref(f->areas);
     g_hash_table_unref(f->cold);
     wp_pace_boxes_end(&f->boxes);
     g_array_unref(f->untold);
@@ -152,6 +154,7 @@
     s->cold = cold_rule(f, s->service);
     s->far = f->rules.own_zone && strcmp(f->rules.own_zone, s->zone);
     s->zone_out = g_hash_table_contains(f->zones_out, s->zone);
+    s->area = g_hash_table_lookup(f->areas, s->zone);
     s->slowness = 1;
     s->kept = wp_kept_new();
     s->id_hash = wp_hash(wp_str(s->id), 0);
@@ -242,6 +245,20 @@
         s->unreadable = true;
 }
 
+void wp_fleet_set_area(WPFleet *f, const char *zone, const char *area)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_insert(f->areas, (gpointer)g_intern_string(zone),
+                        (gpointer)g_intern_string(area));
+    g_hash_table_iter_init(&it, f->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        WPReplica *s = v;
+        if (!strcmp(s->zone, zone))
+            s->area = g_intern_string(area);
+    }
+}
+
 bool wp_fleet_set_zone_out(WPFleet *f, WPTime now, const char *zone, bool out)
 {
     bool was = g_hash_table_contains(f->zones_out, zone);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -24,6 +24,7 @@
     int64_t born_ms;         /* time of day of its start; 0: not told */
     struct WPCohort *cohort; /* of its service and version */
     bool far;                /* not of this box's zone */
+    const char *area;        /* of its zone; interned, NULL: not known */
     uint32_t slots;
     WPSaid said;        /* by itself; see wp_notice.h */
     bool zone_out;      /* nothing is to be sent to its zone */
@@ -92,6 +93,9 @@
     unsigned suspect; /* endpoints that have ended under it */
     int priority;     /* 0 is the most urgent */
     double draw;      /* of the request, at random in [0, 1) */
+    /* char *, the only areas where the request may be served: by its route, by
+       its caller. NULL or empty: anywhere. */
+    const GPtrArray *areas, *caller_areas;
 } WPWant;
 
 /* Weights of a choice, in places: 1 is a replica whose every place is
@@ -131,6 +135,14 @@
    end. Returns true when that is new. */
 bool wp_fleet_set_zone_out(WPFleet *f, WPTime now, const char *zone, bool out);
 
+/* Which area a zone lies in. */
+void wp_fleet_set_area(WPFleet *f, const char *zone, const char *area);
+
+/* Whether the request may be served there, by its areas; whether all endpoints
+   of its service that are listed lie where it may not. */
+bool wp_fleet_in_areas(const WPWant *w, const WPReplica *s);
+bool wp_fleet_is_elsewhere(WPFleet *f, const WPWant *w);
+
 /* How a service's endpoints start: so many requests a second reach one while it
    is cold (0: they need no pacing), for so long after an unnoticed start. */
 void wp_fleet_set_cold(WPFleet *f, const char *service, double per_s,
--- a/src/wp_fleet_bar.c
+++ b/src/wp_fleet_bar.c
@@ -10,9 +10,35 @@
     return false;
 }
 
+static bool allows(const GPtrArray *areas, const char *area)
+{
+    for (guint i = 0; areas && i < areas->len; i++)
+        if (!g_strcmp0(g_ptr_array_index(areas, i), area))
+            return true;
+    return !areas || !areas->len;
+}
+
+bool wp_fleet_in_areas(const WPWant *w, const WPReplica *s)
+{
+    return allows(w->areas, s->area) && allows(w->caller_areas, s->area);
+}
+
+bool wp_fleet_is_elsewhere(WPFleet *f, const WPWant *w)
+{
+    GPtrArray *list = wp_fleet_of_service(f, w->service);
+    unsigned listed = 0;
+    for (guint i = 0; i < list->len; i++) {
+        const WPReplica *s = g_ptr_array_index(list, i);
+        if (!s->gone && wp_fleet_in_areas(w, s))
+            return false;
+        listed += !s->gone;
+    }
+    return listed > 0;
+}
+
 bool wp_fleet_suits(const WPWant *w, const WPReplica *s)
 {
-    if (was_tried(w, s))
+    if (was_tried(w, s) || !wp_fleet_in_areas(w, s))
         return false;
     if (w->version)
         return !strcmp(s->version, w->version);
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -31,6 +31,7 @@
     GHashTable *by_service; /* name -> GPtrArray of WPReplica */
     GHashTable *by_hash;    /* of the life, and of the id -> WPReplica */
     GHashTable *zones_out;  /* set of names */
+    GHashTable *areas;      /* zone -> area, interned */
     GArray *untold;         /* WPKeptNews */
     GPtrArray *limited;     /* WPReplica: of which a limit is remembered */
     bool limits_untold;
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -11,6 +11,8 @@
     KEPT_OUT_MS = 2000,   /* the same, while an operator keeps requests out of
                              all zones that have any: orders last for seconds
                              at least */
+    NO_AREA_MS = 2000,    /* the same, while no endpoint is listed where the
+                             request may be served */
     LEAVING_MS = 100,     /* the same, of a box that stops: others serve */
     IN_DOUBT_MS = 300,    /* the same, while another copy of the request may end
                              an endpoint: crashes come some tenths of a second
@@ -140,6 +142,7 @@
     if (!c)
         return WP_NO_KEY;
     f->workspace = c->workspace;
+    f->areas = c->areas;
     if (c->priority >= 0)
         f->priority = c->priority;
     return WP_OK;
@@ -226,6 +229,9 @@
     WPMove m;
     if (!f->spent && barred_for_a_while(f, now, &m))
         return m;
+    const WPWant w = wp_flow_want(f);
+    if (wp_fleet_is_elsewhere(f->d->fleet, &w))
+        return move_fail(WP_NO_AREA, NO_AREA_MS);
     bool kept_out = wp_fleet_is_kept_out(f->d->fleet, f->service->name);
     return move_fail(WP_NO_ENDPOINT, kept_out ? KEPT_OUT_MS : NO_ENDPOINT_MS);
 }
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -65,7 +65,9 @@
                  .once = !wp_flow_may_repeat(f),
                  .suspect = wp_suspects_count(f->d->suspects, f->hash),
                  .priority = f->priority,
-                 .draw = f->draw };
+                 .draw = f->draw,
+                 .areas = f->route->areas,
+                 .caller_areas = f->areas };
 }
 
 WPWant wp_flow_want(WPFlow *f)
--- /dev/null
+++ b/tests/test_areas.c
@@ -0,0 +1,169 @@
+/* Areas in which a route or a workspace may be served: they bind on each way to
+ * an endpoint. */
+#include "direct_fake.h"
+#include "wp_direct_int.h"
+
+static void put(Fake *k, const char *id, const char *service, const char *zone)
+{
+    WPListing l = { .id = id,
+                    .service = service,
+                    .addr = "127.0.0.1:1",
+                    .zone = zone,
+                    .version = "v1",
+                    .slots = 8 };
+    wp_fleet_put(k->d.fleet, k->now, &l);
+}
+
+/* One endpoint a service in the own zone z1 of area north, one in z2 of area
+   south; `route` and `caller`: where they may be served, NULL: anywhere. */
+static void init(Fake *k, const char *route, const char *caller)
+{
+    static const char *const made[] = { "l1", "l2", "a1", "a2" };
+    fake_init(k);
+    for (size_t i = 0; i < WP_COUNT(made); i++)
+        wp_fleet_remove(k->d.fleet, k->now, made[i], false);
+    WPRoutes *t = fake_routes(2);
+    for (guint i = 0; i < t->routes->len && route; i++) {
+        WPRoute *r = g_ptr_array_index(t->routes, i);
+        g_ptr_array_add(r->areas, g_strdup(route));
+    }
+    WPCaller *c = g_ptr_array_index(t->callers, 0);
+    if (caller)
+        g_ptr_array_add(c->areas, g_strdup(caller));
+    wp_direct_routes(&k->d, t);
+    wp_fleet_set_area(k->d.fleet, "z1", "north");
+    wp_fleet_set_area(k->d.fleet, "z2", "south");
+    put(k, "north-llm", "llm", "z1");
+    put(k, "south-llm", "llm", "z2");
+    put(k, "north-app", "app", "z1");
+    put(k, "south-app", "app", "z2");
+}
+
+static void assert_sent(const WPMove *m, const char *id)
+{
+    assert_int_equal(m->kind, WP_MOVE_SEND);
+    assert_string_equal(m->replica->id, id);
+}
+
+static void first_leg(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    init(&k, "south", NULL);
+    assert_string_equal(fake_serve(&k, "/once/x", &m), "south-app");
+    assert_string_equal(fake_serve(&k, "/chat/x", &m), "south-llm");
+    fake_end(&k);
+    init(&k, NULL, "south");
+    assert_string_equal(fake_serve(&k, "/safe/x", &m), "south-app");
+    fake_end(&k);
+    init(&k, NULL, NULL);
+    assert_string_equal(fake_serve(&k, "/safe/x", &m), "north-app");
+    fake_end(&k);
+}
+
+/* A repeat, and a stream that goes on, have nowhere else to go. */
+static void repeat_and_resume(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    init(&k, "south", NULL);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    assert_sent(&m, "south-llm");
+    wp_flow_lost(f, k.now, WP_LOSS_SILENT, &m);
+    assert_sent(&m, "south-llm");
+    WPDirectAnswer a = fake_answer(200, 99);
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.kind, WP_MOVE_PASS);
+    wp_flow_lost(f, k.now, WP_LOSS_BROKEN, &m);
+    if (m.kind == WP_MOVE_SEND)
+        assert_sent(&m, "south-llm");
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void better_answer(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    init(&k, NULL, "south");
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    assert_sent(&m, "south-llm");
+    WPDirectAnswer a = fake_answer(200, 0);
+    k.now.mono_us += 1000;
+    wp_flow_answer(f, k.now, &a, &m);
+    assert_int_equal(m.why, WP_WHY_BETTER);
+    assert_sent(&m, "south-llm");
+    wp_flow_left(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+/* Memory that is kept elsewhere is not copied from there. */
+static void kept_prompt(void **state)
+{
+    (void)state;
+    Fake k;
+    init(&k, "south", NULL);
+    WPPrompt p = { .tokens = 8000 };
+    wp_prompt_add(&p, wp_str("aa"), 6000);
+    wp_prompt_add(&p, wp_str("bb"), 2000);
+    GPtrArray *areas = g_ptr_array_new();
+    WPWant w = { .service = "llm",
+                 .zone = "z1",
+                 .prompt = &p,
+                 .model = 1,
+                 .speed = wp_direct_speed(&k.d, "llm", wp_str("small")) };
+    WPReplica *north = wp_fleet_find(k.d.fleet, "north-llm");
+    WPReplica *south = wp_fleet_find(k.d.fleet, "south-llm");
+    const WPReplica *source;
+    WPFleetRules rules = k.d.rules.fleet;
+    rules.keep = true;
+    rules.read_kt = 1;
+    rules.move_kt = 0.01;
+    wp_fleet_rules(k.d.fleet, &rules);
+    wp_fleet_sent(k.d.fleet, north, k.now, &w, 0);
+    k.now.mono_us += 1000000;
+    wp_fleet_work(k.d.fleet, k.now, &w, south, &source);
+    assert_ptr_equal(source, north);
+    g_ptr_array_add(areas, "south");
+    w.areas = areas;
+    wp_fleet_work(k.d.fleet, k.now, &w, south, &source);
+    assert_null(source);
+    g_ptr_array_unref(areas);
+    fake_end(&k);
+}
+
+/* Refused at once, with the reason, also while the endpoints elsewhere are
+   free. */
+static void no_endpoint_in_the_area(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    init(&k, "west", NULL);
+    assert_string_equal(fake_serve(&k, "/safe/x", &m), "no_endpoint_in_area");
+    assert_true(m.retry_ms > 0);
+    fake_end(&k);
+    init(&k, "north", "south");
+    assert_string_equal(fake_serve(&k, "/chat/x", &m), "no_endpoint_in_area");
+    fake_end(&k);
+}
+
+/* A zone that no area is told of is in none. */
+static void zone_of_no_area(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    init(&k, "south", NULL);
+    wp_fleet_remove(k.d.fleet, k.now, "south-app", false);
+    put(&k, "far-app", "app", "z9");
+    assert_string_equal(fake_serve(&k, "/safe/x", &m), "no_endpoint_in_area");
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(first_leg), T(repeat_and_resume), T(better_answer), T(kept_prompt),
+           T(no_endpoint_in_the_area), T(zone_of_no_area))
--- a/tests/test_template.c
+++ b/tests/test_template.c
@@ -16,6 +16,11 @@
 static const Sample samples[] = {
     { "nodeName", "front-1", false },
     { "zone", "z1", false },
+    { "#zones", "", false },
+    { "/zones", "", false },
+    { "@", "z1", false },
+    { ",", "", false },
+    { ".", "north", false },
     { "ip", "10.1.0.40", false },
     { "bind.", "10.1.0.40:8227", false },
     { "seeds", "10.1.0.40:8229,10.2.0.29:8229", false },
