Usage is reported: counts between boxes, the duty's record, calls to the service

A leg counts once its endpoint has answered (a stream with its head, a plain request from its sending); counts go each 0.4 s to the box that passes news on in the zone, from there to two boxes of each other zone, so that each box that passes news on can take the duty over with all counts. Digests carry the time of day; windows are of the median.

An unknown duty, a missing address, a record that cannot be read and windows of the future are logged, and nothing is sent. Metrics wp_usage_reports_total and others.

--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -1,5 +1,6 @@
 /* What boxes tell each other with each digest besides how far they know the
  * store: sums of moves between versions, what fails, sessions, kept prompts. */
+#include "wp_reports.h"
 #include "wp_sync_int.h"
 
 static void hear_sums(WPSync *s, WPTime now, const char *from,
@@ -50,6 +51,8 @@
     for (size_t i = 0; i < d->n_fails_loaded; i++)
         hear_loaded(s, now, d->fails_loaded[i]);
     hear_kept(s, now, d);
+    if (s->reports)
+        wp_reports_hear_clock(s->reports, now, from, d);
     int64_t word_us = wp_fresh_told_us(now, d->age_ms);
     if (d->has_age_ms) {
         wp_fresh_hear(&s->fresh, word_us);
@@ -125,6 +128,8 @@
     d->blind = s->tried && !s->up;
     d->has_age_ms = s->fresh.word_us > 0;
     d->age_ms = (uint32_t)((now_us - s->fresh.word_us) / WP_US_PER_MS);
+    if (s->reports)
+        wp_reports_fill(s->reports, now, d);
     Fill f = { s, now, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -66,6 +66,9 @@
 bool wp_sync_ready(const WPSync *s);
 bool wp_sync_store_up(const WPSync *s);
 
+/* Whether this box has the duty to report usage. */
+bool wp_sync_reports_usage(const WPSync *s);
+
 /* Bytes that went to other boxes and came from them. */
 const WPTraffic *wp_sync_traffic(const WPSync *s);
 
--- a/io/wp_news.c
+++ b/io/wp_news.c
@@ -1,5 +1,6 @@
 /* What the entries of the store mean for the router, wherever they were
  * learned. */
+#include "wp_reports.h"
 #include "wp_sync_int.h"
 
 #include <stdio.h>
@@ -97,8 +98,10 @@
 }
 
 /* Returns whether the key is one of the system's own. */
-static bool take_own(WPSync *s, const char *key, const WPStr *value)
+static bool take_own(WPSync *s, const char *key, const WPStr *value,
+                     uint64_t revision)
 {
+    bool duty = !strcmp(key, WP_KEY_DUTY);
     const char *box = wp_after(key, WP_KEY_BOX);
     const char *service = wp_after(key, WP_KEY_BEGAN);
     const char *seen = wp_after(key, WP_KEY_SEEN);
@@ -115,7 +118,9 @@
         wp_seen_take(s, seen, *value);
     if (suspect)
         wp_suspect_news_take(s, suspect, value);
-    return box || service || seen || suspect;
+    if (duty && s->reports)
+        wp_reports_record(s->reports, value, revision);
+    return box || service || seen || suspect || duty;
 }
 
 static void take_platform(WPSync *s, const WPKvItem *i, bool lapsed)
@@ -157,6 +162,6 @@
     WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision, !value };
     if (!wp_mirror_put(s->mirror, key, value, revision, lapsed))
         return;
-    if (!take_own(s, key, value))
+    if (!take_own(s, key, value, revision))
         take_platform(s, &i, lapsed);
 }
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -99,6 +99,10 @@
     case WP__FRAME__BODY_NOTICE_NEWS:
         p->ops->notices(p->arg, l->peer, f->notice_news);
         break;
+    case WP__FRAME__BODY_USAGE_NEWS:
+        p->ops->usage(p->arg, g_strcmp0(l->peer_zone, p->self.zone) != 0,
+                      f->usage_news);
+        break;
     default:
         break;
     }
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -27,6 +27,8 @@
     void (*suspects)(void *arg, const char *from, const Wp__SuspectNews *n);
     /* News of what endpoints say of themselves. */
     void (*notices)(void *arg, const char *from, const Wp__NoticeNews *n);
+    /* Counts of usage; `far`: from a box of another zone. */
+    void (*usage)(void *arg, bool far, const Wp__UsageNews *n);
 } WPPeersOps;
 
 /* Listens on the settings' `peers`. NULL and an error if that fails. */
@@ -65,6 +67,12 @@
 bool wp_peers_passes_news(const WPPeers *p);
 void wp_peers_pass_news(WPPeers *p, Wp__ZoneNews *z);
 
+/* The box that does; NULL: none is reached. */
+const char *wp_peers_passer(const WPPeers *p);
+
+/* Sends counts of usage to that box; from there to some of each other zone. */
+void wp_peers_send_usage(WPPeers *p, Wp__UsageNews *n);
+
 /* Sends news of requests to all that this box is linked to. */
 void wp_peers_send_suspects(WPPeers *p, Wp__SuspectNews *n);
 
--- a/io/wp_peers_zone.c
+++ b/io/wp_peers_zone.c
@@ -4,6 +4,8 @@
 #include "wp_peers_int.h"
 
 enum {
+    USAGE_LINKS = 2,      /* to each other zone, of the box that passes news
+                             on: one of them may lead to a box that is cut */
     PASSER_LATE_MS = 1500 /* the next box takes over from one that cannot be
                              reached; meanwhile each knows its own requests */
 };
@@ -94,3 +96,44 @@
 {
     send_to(p, NULL, z);
 }
+
+const char *wp_peers_passer(const WPPeers *p)
+{
+    if (p->passes)
+        return p->self.id;
+    return p->passer ? p->passer->id : NULL;
+}
+
+typedef struct SendUsage {
+    WPPeers *peers;
+    Wp__Frame *frame;
+    GHashTable *zones; /* name -> links of it that it went along */
+} SendUsage;
+
+static void send_usage(void *arg, WPLink *l)
+{
+    const SendUsage *s = arg;
+    WPPeers *p = s->peers;
+    if (!l->peer || !l->peer_zone)
+        return;
+    if (!p->passes) {
+        if (p->passer && !strcmp(l->peer, p->passer->id))
+            wp_link_send(l, s->frame);
+        return;
+    }
+    guint had = GPOINTER_TO_UINT(g_hash_table_lookup(s->zones, l->peer_zone));
+    if (!strcmp(l->peer_zone, p->self.zone) || had == USAGE_LINKS)
+        return;
+    g_hash_table_insert(s->zones, l->peer_zone, GUINT_TO_POINTER(had + 1));
+    wp_link_send(l, s->frame);
+}
+
+void wp_peers_send_usage(WPPeers *p, Wp__UsageNews *n)
+{
+    Wp__Frame f = WP__FRAME__INIT;
+    g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
+    SendUsage s = { p, &f, zones };
+    f.body_case = WP__FRAME__BODY_USAGE_NEWS;
+    f.usage_news = n;
+    wp_hub_each(p->hub, send_usage, &s);
+}
--- /dev/null
+++ b/io/wp_reports.c
@@ -0,0 +1,285 @@
+/* Reports of usage: does what src/wp_duty.c decides. */
+#include "wp_reports.h"
+#include "wp_duty.h"
+#include "wp_http.h"
+#include "wp_pb.h"
+#include "wp_usage_news.h"
+
+#include <stdio.h>
+
+enum {
+    SEND_MS = 900,    /* a report's answer; with the half lease in which it sets
+                         out it arrives before another box may send */
+    KEEP_WINDOWS = 3, /* after a report is due */
+    FIGURE = 24       /* bytes of a figure as text */
+};
+
+struct WPReports {
+    WPSync *sync;
+    WPUsage *usage;
+    WPUsageNews *news;
+    WPDuty *duty;
+    char *box; /* settings go when they are read anew */
+    WPHttp *service;
+    GByteArray *value;   /* of the write under way */
+    bool holder;         /* as last logged */
+    const char *problem; /* the same */
+    uint64_t missed;     /* the same */
+    uint64_t window;     /* of the report under way */
+    int64_t sent_us;
+};
+
+static WPLog *log_of(const WPReports *r)
+{
+    return &r->sync->host->log;
+}
+
+static WPCounters *counters_of(const WPReports *r)
+{
+    return &r->sync->host->direct.counters;
+}
+
+/* Only a box that other boxes' counts come to may report them. */
+static bool may_act(const WPReports *r)
+{
+    const WPSync *s = r->sync;
+    return s->up && s->complete && !s->host->leaving &&
+           wp_peers_passes_news(s->peers);
+}
+
+static uint64_t total_of(const Wp__SettledUsage *u)
+{
+    uint64_t n = 0;
+    for (size_t i = 0; i < u->n_counts; i++)
+        n += u->counts[i];
+    return n;
+}
+
+static void log_settled(WPReports *r, const Wp__DutyRecord *rec)
+{
+    for (size_t i = 0; i < rec->n_settled; i++) {
+        const Wp__SettledUsage *u = rec->settled[i];
+        char window[FIGURE], total[FIGURE], many[FIGURE];
+        snprintf(window, sizeof(window), "%lu", (gulong)u->window);
+        snprintf(total, sizeof(total), "%lu", (gulong)total_of(u));
+        snprintf(many, sizeof(many), "%zu", u->n_workspaces);
+        wp_log(log_of(r), WP_INFO, "usage_settled", "window", window,
+               "requests", total, "workspaces", many, NULL);
+    }
+}
+
+static void on_written(void *arg, const WPKvResult *res)
+{
+    WPReports *r = arg;
+    WPTime now = wp_clock_now(0);
+    WPStr value = wp_strn((const char *)r->value->data, r->value->len);
+    bool done = res->ok && res->succeeded;
+    if (!res->ok)
+        wp_count(counters_of(r), WP_C_STORE_ERRORS);
+    wp_duty_written(r->duty, now, done, res->revision);
+    if (done)
+        wp_news_take(r->sync, WP_KEY_DUTY, &value, res->revision, false);
+    for (size_t i = 0; i < res->n_items; i++)
+        wp_news_take(r->sync, res->items[i].key.p, &res->items[i].value,
+                     res->items[i].mod_revision, false);
+    g_clear_pointer(&r->value, g_byte_array_unref);
+}
+
+static void write_record(WPReports *r, const WPDutyAct *a)
+{
+    WPSync *s = r->sync;
+    const WPKvCompare compare = { WP_KEY_DUTY, a->revision };
+    r->value = wp_pb_pack(&a->record->base);
+    const WPKvOp op = { WP_KEY_DUTY,
+                        wp_strn((const char *)r->value->data, r->value->len),
+                        false };
+    wp_count(counters_of(r), WP_C_STORE_WRITES);
+    if (!strcmp(a->why, "settles"))
+        log_settled(r, a->record);
+    s->kv->ops->txn(s->kv, &compare, 1, &op, 1, on_written, r);
+}
+
+static void on_sent(void *arg, int status, WPStr body)
+{
+    WPReports *r = arg;
+    WPTime now = wp_clock_now(0);
+    char window[FIGURE], code[FIGURE], ms[FIGURE], fence[FIGURE];
+    bool taken = status == 200;
+    (void)body;
+    snprintf(window, sizeof(window), "%lu", (gulong)r->window);
+    snprintf(code, sizeof(code), "%d", status);
+    snprintf(fence, sizeof(fence), "%lu", (gulong)wp_duty_fence(r->duty));
+    snprintf(ms, sizeof(ms), "%.1f",
+             (double)(now.mono_us - r->sent_us) / WP_US_PER_MS);
+    wp_count(counters_of(r), taken ? WP_C_REPORTS : WP_C_REPORTS_FAILED);
+    wp_log(log_of(r), taken ? WP_INFO : WP_WARN,
+           taken ? "usage_reported" : "usage_report_failed", "window", window,
+           "fence", fence, "status", code, "ms", ms, NULL);
+    wp_duty_sent(r->duty, now, taken);
+}
+
+static void send_report(WPReports *r, WPTime now, const WPDutyAct *a)
+{
+    WPReportText t;
+    r->sync->host->platform->write_report(r->box, a->fence, a->report, &t);
+    r->window = a->report->window;
+    r->sent_us = now.mono_us;
+    /* One that rested since the last window may have fallen silent. */
+    wp_http_renew(r->service);
+    wp_http_call_with(r->service, t.path, t.fields, WP_REPORT_FIELDS, t.body,
+                      on_sent, NULL, r);
+    for (size_t i = 0; i < WP_REPORT_FIELDS; i++)
+        g_free(t.fields[i].value);
+    g_free(t.body);
+}
+
+static void log_holder(WPReports *r)
+{
+    bool is = wp_duty_is_mine(r->duty);
+    char fence[FIGURE];
+    if (is == r->holder)
+        return;
+    r->holder = is;
+    snprintf(fence, sizeof(fence), "%lu", (gulong)wp_duty_fence(r->duty));
+    wp_log(log_of(r), WP_INFO, is ? "duty_taken" : "duty_lost", "duty", "usage",
+           "fence", fence, NULL);
+}
+
+static void log_trouble(WPReports *r, WPTime now)
+{
+    const char *problem = wp_duty_problem(r->duty, now);
+    uint64_t missed = wp_duty_missed(r->duty) - r->missed;
+    char n[FIGURE];
+    if (problem && problem != r->problem)
+        wp_log(log_of(r), WP_ERROR_LEVEL, "usage_barred", "why", problem, NULL);
+    r->problem = problem;
+    if (!missed)
+        return;
+    r->missed += missed;
+    counters_of(r)->value[WP_C_REPORTS_MISSED] += missed;
+    snprintf(n, sizeof(n), "%lu", (gulong)missed);
+    wp_log(log_of(r), WP_WARN, "usage_missed", "windows", n, NULL);
+}
+
+void wp_reports_tick(WPReports *r, WPTime now)
+{
+    WPDutyAct a;
+    wp_usage_news_tick(r->news, now);
+    wp_duty_next(r->duty, now, may_act(r), &a);
+    if (a.kind == WP_DUTY_WRITE)
+        write_record(r, &a);
+    else if (a.kind == WP_DUTY_SEND)
+        send_report(r, now, &a);
+    log_holder(r);
+    log_trouble(r, now);
+}
+
+void wp_reports_heard(WPReports *r, bool far, const Wp__UsageNews *n)
+{
+    wp_usage_news_heard(r->news, far, n);
+}
+
+void wp_reports_peer(WPReports *r)
+{
+    wp_usage_tell_all(r->usage);
+}
+
+void wp_reports_record(WPReports *r, const WPStr *value, uint64_t revision)
+{
+    WPTime now = wp_clock_now(0);
+    Wp__DutyRecord *rec =
+        value
+            ? wp__duty_record__unpack(NULL, value->n, (const uint8_t *)value->p)
+            : NULL;
+    wp_duty_record(r->duty, now, revision, rec, value && !rec);
+    wp_pb_free(rec);
+}
+
+void wp_reports_fill(const WPReports *r, WPTime now, Wp__MirrorDigest *d)
+{
+    d->has_clock_ms = 1;
+    d->clock_ms = (uint64_t)wp_usage_own_clock_ms(r->usage, now.mono_us);
+}
+
+void wp_reports_hear_clock(WPReports *r, WPTime now, const char *from,
+                           const Wp__MirrorDigest *d)
+{
+    if (d->has_clock_ms)
+        wp_usage_hear_clock(r->usage, now, wp_hash(wp_str(from), 0),
+                            (int64_t)d->clock_ms);
+}
+
+bool wp_reports_is_holder(const WPReports *r)
+{
+    return wp_duty_is_mine(r->duty);
+}
+
+/* Whether the settings ask for reports; names of duties that are not known here
+   are told. */
+static bool has_duty(WPSync *s)
+{
+    const Wp__DirectSettings *set = s->host->settings;
+    bool usage = false;
+    for (size_t i = 0; i < set->n_duties; i++) {
+        bool is = s->host->platform->is_usage_duty(set->duties[i]);
+        usage = usage || is;
+        if (!is)
+            wp_log(&s->host->log, WP_INFO, "duty_not_taken", "duty",
+                   set->duties[i], "why", "this release does not know it",
+                   NULL);
+    }
+    if (usage && (!*set->report_to || set->usage_window_s <= 0)) {
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_setting", "why",
+               "usage is to be reported, but no address or window is given",
+               NULL);
+        return false;
+    }
+    return usage;
+}
+
+WPReports *wp_reports_new(WPSync *s)
+{
+    const Wp__DirectSettings *set = s->host->settings;
+    uint32_t window_ms = (uint32_t)(set->usage_window_s * WP_MS_PER_S);
+    uint32_t late_ms = (uint32_t)(set->usage_late_s * WP_MS_PER_S);
+    WPTime now = wp_clock_now(0);
+    if (!has_duty(s))
+        return NULL;
+    WPHttp *service = wp_http_new(s->host->base, set->report_to, SEND_MS);
+    if (!service) {
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_setting", "report_to",
+               set->report_to, "why", "expected HOST:PORT", NULL);
+        return NULL;
+    }
+    WPReports *r = g_new0(WPReports, 1);
+    r->sync = s;
+    r->service = service;
+    r->box = g_strdup(set->id);
+    r->usage =
+        wp_usage_new(s->life, window_ms, late_ms + KEEP_WINDOWS * window_ms);
+    wp_usage_start_clock(r->usage, now);
+    r->news = wp_usage_news_new(s->peers, r->usage);
+    const WPDutyRules rules = { .box = r->box,
+                                .window_ms = window_ms,
+                                .late_ms = late_ms,
+                                .lease_ms = (uint32_t)set->duty_lease_ms,
+                                .haste = s->fresh.haste };
+    r->duty = wp_duty_new(&rules, r->usage, now);
+    s->host->direct.usage = r->usage;
+    return r;
+}
+
+void wp_reports_free(WPReports *r)
+{
+    if (!r)
+        return;
+    r->sync->host->direct.usage = NULL;
+    wp_http_free(r->service);
+    wp_usage_news_free(r->news);
+    wp_duty_free(r->duty);
+    wp_usage_free(r->usage);
+    if (r->value)
+        g_byte_array_unref(r->value);
+    g_free(r->box);
+    g_free(r);
+}
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -4,6 +4,7 @@
 #include "wp_sync_int.h"
 #include "wp_lag.h"
 #include "wp_notice_news.h"
+#include "wp_reports.h"
 #include "wp_zone.h"
 
 enum {
@@ -330,6 +331,8 @@
     wp_suspect_news_tick(s, now);
     wp_zone_tick(s->zone, now);
     wp_notice_news_tick(s->notice_news, now);
+    if (s->reports)
+        wp_reports_tick(s->reports, now);
     bool moving = false;
     wp_shifts_each(s->host->direct.shifts, note_running, &moving);
     wp_peers_hurry(s->peers, moving);
@@ -370,6 +373,11 @@
     return wp_peers_traffic(s->peers);
 }
 
+bool wp_sync_reports_usage(const WPSync *s)
+{
+    return s->reports && wp_reports_is_holder(s->reports);
+}
+
 bool wp_sync_ready(const WPSync *s)
 {
     return s->complete && s->host->direct.routes != NULL;
@@ -411,6 +419,7 @@
         s->zone = wp_zone_new(h, s->peers);
         s->suspect_news = wp_suspect_news_new(s);
         s->notice_news = wp_notice_news_new(h, s->peers);
+        s->reports = wp_reports_new(s);
         s->start_us = start_of(s, wp_clock_now(0));
         s->self_us = s->start_us + SELF_MS * WP_US_PER_MS;
         s->boxes_us = time_of(s).mono_us + SELF_MS * WP_US_PER_MS / 2;
@@ -432,6 +441,7 @@
     if (s->kv)
         s->kv->ops->free(s->kv);
     wp_zone_free(s->zone);
+    g_clear_pointer(&s->reports, wp_reports_free);
     g_clear_pointer(&s->suspect_news, wp_suspect_news_free);
     g_clear_pointer(&s->notice_news, wp_notice_news_free);
     wp_peers_free(s->peers);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -17,6 +17,8 @@
     "wp/suspect/" /* hash of a request, in hex: a Suspect; an operator who     \
                      removes it lets the request in again */
 
+#define WP_KEY_DUTY "wp/duty/usage" /* a DutyRecord */
+
 enum {
     WP_MOVES_TOLD = 8,
     WP_LOADED_TOLD = 8,
@@ -65,6 +67,7 @@
     struct WPSuspectNews
         *suspect_news;                 /* news of requests that end endpoints */
     struct WPNoticeFlood *notice_news; /* of what endpoints say of themselves */
+    struct WPReports *reports;         /* of usage; NULL: none are due */
     bool writing;                      /* a transaction is under way */
     int64_t write_after_us;
     int64_t boxes_us;  /* when to look for boxes without a record */
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -1,6 +1,7 @@
 /* What other boxes bring: entries of the store that this one lacks, and news.
  */
 #include "wp_notice_news.h"
+#include "wp_reports.h"
 #include "wp_sync_int.h"
 #include "wp_zone.h"
 
@@ -41,6 +42,8 @@
     wp_sync_suspects(s);
     if (s->notice_news)
         wp_notice_news_peer(s->notice_news, peer, up);
+    if (s->reports)
+        wp_reports_peer(s->reports);
 }
 
 static void on_zone_news(void *arg, const char *from, const Wp__ZoneNews *m)
@@ -65,6 +68,13 @@
         wp_notice_news_heard(s->notice_news, from, n);
 }
 
-const WPPeersOps wp_sync_peers_ops = { on_delta,  wp_sync_hear, wp_sync_fill,
-                                       on_peer,   on_zone_news, on_suspects,
-                                       on_notices };
+static void on_usage(void *arg, bool far, const Wp__UsageNews *n)
+{
+    WPSync *s = arg;
+    if (s->reports)
+        wp_reports_heard(s->reports, far, n);
+}
+
+const WPPeersOps wp_sync_peers_ops = { on_delta,   wp_sync_hear, wp_sync_fill,
+                                       on_peer,    on_zone_news, on_suspects,
+                                       on_notices, on_usage };
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -41,6 +41,11 @@
       "connections that ended under a request")                                \
     X(SUSPECTS_CLEARED, "suspects_cleared_total",                              \
       "requests in doubt that ended whole")                                    \
+    X(REPORTS, "usage_reports_total", "reports of usage that were taken")      \
+    X(REPORTS_FAILED, "usage_reports_failed_total",                            \
+      "calls with a report that was not taken")                                \
+    X(REPORTS_MISSED, "usage_windows_missed_total",                            \
+      "windows of usage that nobody was told of in time")                      \
     X(FAILS_LOADED, "fails_loaded_total",                                      \
       "versions found to fail on half-full endpoints")
 
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -32,6 +32,8 @@
     WPFleet *fleet;
     WPShifts *shifts;
     WPSuspects *suspects;
+    struct WPUsage *usage; /* what is to be reported is counted there; its
+                              maker's, NULL: nothing is */
     WPCounters counters;
     bool store_away;      /* it did not answer this box's last call */
     unsigned boxes;       /* entries that share the retry budget */
@@ -159,6 +161,7 @@
     double reading_us; /* of its own prompt, of that */
     double taken;      /* share of its endpoint's places when it was sent */
     bool loaded;       /* its endpoint was half full */
+    bool counted;      /* as usage */
     bool judged;       /* counted in the verdict on a move's new version */
     bool old_version;  /* counts among those of a move's old version */
 } WPAttempt;
--- a/src/wp_duty.c
+++ b/src/wp_duty.c
@@ -229,9 +229,10 @@
     d->out = r;
     d->out_us = now.mono_us;
     d->writing = true;
-    *out = (WPDutyAct){
-        .kind = WP_DUTY_WRITE, .why = why, .record = r, .revision = d->revision
-    };
+    *out = (WPDutyAct){ .kind = WP_DUTY_WRITE,
+                        .why = why,
+                        .record = r,
+                        .revision = d->record ? d->revision : 0 };
 }
 
 static void send(WPDuty *d, WPTime now, const Wp__SettledUsage *s,
--- a/src/wp_flow_head.c
+++ b/src/wp_flow_head.c
@@ -1,5 +1,6 @@
 /* What the head of an answer tells of its endpoint. */
 #include "wp_flow_int.h"
+#include "wp_usage.h"
 
 bool wp_flow_asks_for_rest(const WPDirectAnswer *a)
 {
@@ -24,6 +25,19 @@
     return a->rest.said == WP_NOTICE_BAD ? "rest" : NULL;
 }
 
+/* An endpoint's answer shows that the request began to run there: a stream's
+   head comes with its first token, a plain answer after its work. */
+static void note_usage(WPFlow *f, WPTime now, const WPDirectAnswer *a)
+{
+    bool streams = f->route->repeat == WP_REPEAT_STREAM;
+    bool ran = !a->not_run && a->genuine && (!streams || a->status == 200);
+    if (!f->d->usage || !f->workspace || !ran || f->leg.counted)
+        return;
+    f->leg.counted = true;
+    wp_usage_note(f->d->usage, streams ? now.mono_us : f->leg.sent_us,
+                  f->workspace);
+}
+
 void wp_flow_head(WPFlow *f, WPTime now, const WPDirectAnswer *a, WPHeard *out)
 {
     WPFleet *fleet = f->d->fleet;
@@ -34,6 +48,7 @@
     if (a->has_load)
         wp_fleet_told_load(fleet, s, now, a->running, a->waiting, a->slots);
     wp_suspects_alive(f->d->suspects, now, s->life_hash, f->leg.sent_us);
+    note_usage(f, now, a);
     hear_limit(f, now, a, out);
     if (a->leaving.said == WP_NOTICE_GIVEN)
         out->leaves = wp_fleet_told_leaving(fleet, s, now);
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -68,6 +68,9 @@
     { "dwell_part", 0, 1, NULL },
     { "cold_overshoot", 0, 1000, NULL },
     { "cold_slack", 0, 100000, NULL },
+    { "usage_window_s", 0, 86400, NULL },
+    { "usage_late_s", 0, 86400, NULL },
+    { "duty_lease_ms", 1, 600000, NULL },
 };
 
 static const Range *range_of(const char *field)
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -79,9 +79,16 @@
         b->asked++;
 }
 
+static void on_usage(void *arg, bool far, const Wp__UsageNews *n)
+{
+    (void)arg;
+    (void)far;
+    (void)n;
+}
+
 static const WPPeersOps ops = { on_delta,   on_heard,     on_fill,
                                 on_changed, on_zone_news, on_suspects,
-                                on_notices };
+                                on_notices, on_usage };
 
 static Box *new_box_in(World *w, const char *id, const char *zone)
 {
