--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -161,7 +161,6 @@
     double reading_us; /* of its own prompt, of that */
     double taken;      /* share of its endpoint's places when it was sent */
     bool loaded;       /* its endpoint was half full */
-    bool counted;      /* as usage */
     bool judged;       /* counted in the verdict on a move's new version */
     bool old_version;  /* counts among those of a move's old version */
 } WPAttempt;
@@ -190,6 +189,7 @@
     size_t n_tried;
     bool passing;       /* the caller has part of an answer */
     bool hurried;       /* went elsewhere once for want of patience */
+    bool counted;       /* as usage */
     bool spent;         /* the budget of repeats let it go nowhere else */
     unsigned ended;     /* endpoints whose connection ended under it */
     int64_t event_us;   /* when the caller's last event came; 0: none has */
--- a/src/wp_flow_head.c
+++ b/src/wp_flow_head.c
@@ -25,15 +25,16 @@
     return a->rest.said == WP_NOTICE_BAD ? "rest" : NULL;
 }
 
-/* An endpoint's answer shows that the request began to run there: a stream's
-   head comes with its first token, a plain answer after its work. */
+/* An endpoint's answer shows that the request began to run: a stream's head
+   comes with its first token, a plain answer after its work. A repeat or a
+   better answer is the same request. */
 static void note_usage(WPFlow *f, WPTime now, const WPDirectAnswer *a)
 {
     bool streams = f->route->repeat == WP_REPEAT_STREAM;
     bool ran = !a->not_run && a->genuine && (!streams || a->status == 200);
-    if (!f->d->usage || !f->workspace || !ran || f->leg.counted)
+    if (!f->d->usage || !f->workspace || !ran || f->counted)
         return;
-    f->leg.counted = true;
+    f->counted = true;
     wp_usage_note(f->d->usage, streams ? now.mono_us : f->leg.sent_us,
                   f->workspace);
 }
