An endpoint's own word on its pace scales how long it is expected to take

What callers saw: on a deployment whose endpoints differ in speed (0.7 and 1.7 of the usual), a fifth of the streams are late; each of 24 boxes learns an endpoint's speed from some three requests of its own. It jumps by 2.5 for some 0.1 s (of pairs of words within 0.1 s of an endpoint at 2.5 times its least, 235 of 379 agree; after 0.3 s one in five), so what lasts of it is believed: a moving mean of weight 0.1. First bytes are learned and foretold in units of it.

Endpoints that tell none (all other sites at hand) are as before.

--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -137,6 +137,8 @@
                            (long)(us / WP_US_PER_MS));
     if (r->answer.confidence >= 0)
         g_string_append_printf(r->legs, "/conf=%d", r->answer.confidence);
+    if (r->answer.pace)
+        g_string_append_printf(r->legs, "/pace=%u", r->answer.pace);
     if (r->answer.not_run)
         g_string_append(r->legs, "/not_run");
     if (r->answer.limit.said == WP_LIMIT_NAMED)
--- a/src/wp_bid.c
+++ b/src/wp_bid.c
@@ -66,7 +66,8 @@
     WPBid reads = { .work = { .prompt = w->prompt->tokens,
                               .unread = w->prompt->tokens - own,
                               .load = wp_fleet_load_of(s, now),
-                              .ahead_us = wp_fleet_ahead_us(s, now) } };
+                              .ahead_us = wp_fleet_ahead_us(s, now),
+                              .pace = s->said.pace } };
     reads.cost = cost_of(r, w, &reads.work);
     const WPKeeper *k = keeper_of(keepers, s->version);
     if (!r->move_kt || !k || k->replica == s || k->tokens <= own)
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -133,6 +133,7 @@
     int confidence; /* the model's own opinion, 0 to 100; -1: none */
     bool has_load;
     uint32_t running, waiting, slots;
+    uint32_t pace; /* how long work takes there now, 100: as usual; 0: untold */
     WPLimitField limit;
     WPNoticeField leaving;
     WPNoticeField rest; /* counts of a refusal */
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -251,6 +251,10 @@
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots);
 
+/* The endpoint's own word on how long work takes there, in hundredths of the
+   usual. It changes many times a second; what lasts of it is believed. */
+void wp_fleet_told_pace(WPReplica *s, uint32_t pace);
+
 /* wp_fleet_limit.c: what endpoints say of the requests that they take.
 
    What an answer's word on that changed. */
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -279,6 +279,18 @@
     }
 }
 
+#define PACE_WEIGHT 0.1 /* of one word, against those before */
+#define PACE_USUAL 100.0
+#define PACE_LEAST 0.1
+#define PACE_MOST 10.0
+
+void wp_fleet_told_pace(WPReplica *s, uint32_t pace)
+{
+    double v = CLAMP(pace / PACE_USUAL, PACE_LEAST, PACE_MOST);
+    double had = s->said.pace > 0 ? s->said.pace : v;
+    s->said.pace = had + PACE_WEIGHT * (v - had);
+}
+
 void wp_fleet_load(WPReplica *s, WPTime now, uint32_t running, uint32_t waiting,
                    uint32_t slots)
 {
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -197,7 +197,8 @@
     WPKeepers keepers = { .own = g_newa(uint32_t, list->len + 1) };
     *source = NULL;
     if (!w->prompt)
-        return (WPWork){ .load = wp_fleet_load_of(s, now) };
+        return (WPWork){ .load = wp_fleet_load_of(s, now),
+                         .pace = s->said.pace };
     wp_keepers_find(&keepers, now, w, list);
     uint32_t own = wp_kept_tokens(s->kept, now, w->model, w->prompt);
     const WPBid b = wp_bid(&f->rules, now, w, s, own, &keepers);
--- a/src/wp_flow_head.c
+++ b/src/wp_flow_head.c
@@ -48,6 +48,8 @@
         return;
     if (a->has_load)
         wp_fleet_told_load(fleet, s, now, a->running, a->waiting, a->slots);
+    if (a->pace)
+        wp_fleet_told_pace(s, a->pace);
     wp_suspects_alive(f->d->suspects, now, s->life_hash, f->leg.sent_us);
     note_usage(f, now, a);
     hear_limit(f, now, a, out);
--- a/src/wp_notice.h
+++ b/src/wp_notice.h
@@ -7,6 +7,7 @@
  * - limit: answers, boxes; all boxes together; an answer without it; bars
  * - cold: the list; all boxes together; its time; bars
  * - load: answers, boxes of the zone; nobody; its age; weighs
+ * - pace: answers; nobody; follows slowly; weighs
  *
  * Limits and cold endpoints bar what is beyond a quota (wp_limit.h, wp_pace.h).
  * Each way to an endpoint asks wp_fleet_bar() (wp_fleet_bar.c). Ways weighed:
@@ -51,7 +52,9 @@
     int64_t cold_until_us;     /* by the list */
     uint32_t running, waiting; /* its load */
     int64_t load_us;           /* when that was told */
-    int64_t bad_us;            /* when a bad field was last reported */
+    double pace; /* how long work takes there, 1: as usual, on the mean; 0: it
+                    does not say */
+    int64_t bad_us; /* when a bad field was last reported */
 } WPSaid;
 
 /* Reads a field, which the answer carries `times` times. A rest is a decimal
--- a/src/wp_speed.c
+++ b/src/wp_speed.c
@@ -89,9 +89,14 @@
     s->fitted = s->seen;
 }
 
+static double pace_of(const WPWork *w)
+{
+    return w->pace > 0 ? w->pace : 1;
+}
+
 void wp_speed_add(WPSpeed *s, const WPWork *w, int64_t took_us)
 {
-    double x[WP_SPEED_INPUTS], y = (double)took_us;
+    double x[WP_SPEED_INPUTS], y = (double)took_us / pace_of(w);
     inputs_of(w, x);
     s->n = s->n * KEEP + 1;
     s->y = s->y * KEEP + y;
@@ -115,14 +120,15 @@
     inputs_of(w, x);
     for (unsigned i = 0; i < WP_SPEED_INPUTS; i++)
         us += s->slope[i] * (x[i] - s->x[i] / s->n);
-    return MAX(us, LEAST_PART * mean);
+    return pace_of(w) * MAX(us, LEAST_PART * mean);
 }
 
 double wp_speed_reading(WPSpeed *s, const WPWork *w)
 {
     double x[WP_SPEED_INPUTS];
     inputs_of(w, x);
-    return s->slope[READ] * x[READ] + s->slope[READ_SQUARED] * x[READ_SQUARED];
+    return pace_of(w) * (s->slope[READ] * x[READ] +
+                         s->slope[READ_SQUARED] * x[READ_SQUARED]);
 }
 
 /* The shares that stay below the bounds, and the step as a part of them. */
--- a/src/wp_speed.h
+++ b/src/wp_speed.h
@@ -15,6 +15,8 @@
     double load;     /* requests at the endpoint, running or waiting */
     double ahead_us; /* of prompts that this box has sent there and whose first
                         byte has not come */
+    double pace;     /* how long work takes there by the endpoint's own word, 1:
+                        as usual; 0: it does not say */
 } WPWork;
 
 enum { WP_SPEED_INPUTS = 4 };
