--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -322,6 +322,11 @@
     assert_true(a.genuine && a.has_load && !a.not_run);
     assert_int_equal(a.confidence, 61);
     assert_int_equal(a.running * 100 + a.waiting * 10 + a.slots, 318);
+    assert_int_equal(a.pace, 0);
+    f[3] = field("X-Replica-Load", "3,1,8,170");
+    pf_ops.read_answer(&h, &a);
+    assert_int_equal(a.running * 100 + a.waiting * 10 + a.slots, 318);
+    assert_int_equal(a.pace, 170);
     f[3] = field("Content-Encoding", "gzip");
     pf_ops.read_answer(&h, &a);
     assert_false(a.genuine);
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -106,6 +106,27 @@
                                       .strain_from = 0.1,
                                       .strain_weight = 3 };
 
+/* An endpoint that says that its work takes twice as long is expected to take
+   twice as long, and what it takes tells of the others what it would there. */
+static void pace_scales_times(void **state)
+{
+    (void)state;
+    WPSpeed s = { 0 };
+    for (uint32_t i = 0; i < 300; i++) {
+        uint32_t tokens = 500 + (i * 7919) % 20000;
+        WPWork slow = cold(tokens);
+        slow.pace = 2;
+        wp_speed_add(&s, &slow, 2 * read_us(tokens));
+        add(&s, tokens, read_us(tokens));
+    }
+    WPWork w = cold(10000);
+    double us = wp_speed_expect(&s, &w), reading_us = wp_speed_reading(&s, &w);
+    assert_true(fabs(us - (double)read_us(10000)) < 0.02 * us);
+    w.pace = 2;
+    assert_true(fabs(wp_speed_expect(&s, &w) - 2 * us) < 1);
+    assert_true(fabs(wp_speed_reading(&s, &w) - 2 * reading_us) < 1);
+}
+
 static void the_chance_to_be_in_time(void **state)
 {
     (void)state;
@@ -179,5 +200,6 @@
            T(kept_tokens_load_and_prompts_ahead_are_told_apart),
            T(long_prompts_are_foretold_by_the_curve),
            T(few_or_alike_prompts_are_no_reason_for_a_slope),
-           T(no_curve_falls_with_the_length), T(the_chance_to_be_in_time),
+           T(no_curve_falls_with_the_length), T(pace_scales_times),
+           T(the_chance_to_be_in_time),
            T(the_largest_model_is_asked_at_once_where_two_are_late))
