What slow readers leave in a box is bounded by the machine's memory

Each connection's share was bounded (64 KB of a stream, 4 MB of a body, 16 MB of an answer that is gathered), their sum was not: forty bodies of 4 MB fill a box of 160 MB. Now the sum has a bound of 0.4 of the machine's memory (wp_held). From there until it has fallen to three quarters of it: bodies and gathered answers beyond 64 KB are not read on, and callers that have read nothing for 3 s of what waits for them are cut off, counted and logged (held_over, held_under, callers_cut_unread_total, wp_held_bytes).

--- a/io/wp_back.c
+++ b/io/wp_back.c
@@ -332,6 +332,16 @@
     }
 }
 
+uint64_t wp_back_held(const WPBack *b)
+{
+    uint64_t sum = 0;
+    wp_list_each (it, &b->channels) {
+        const WPChannel *c = wp_list_item(it, WPChannel, node);
+        sum += evbuffer_get_length(bufferevent_get_output(c->bev));
+    }
+    return sum;
+}
+
 uint64_t wp_back_opened(const WPBack *b)
 {
     return b->opened;
--- a/io/wp_back.h
+++ b/io/wp_back.h
@@ -50,6 +50,9 @@
 void wp_back_tick(WPBack *b, WPTime now);
 
 /* New connections made so far. */
+/* Bytes of requests that endpoints have not taken yet. */
+uint64_t wp_back_held(const WPBack *b);
+
 uint64_t wp_back_opened(const WPBack *b);
 
 #endif
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -70,12 +70,13 @@
         "wp_requests_open{%s} %u\nwp_callers_open{%s} %u\n"
         "wp_endpoint_connections_total{%s} %lu\nwp_store_up{%s} %d\n"
         "wp_reports_usage{%s} %d\n"
+        "wp_held_bytes{%s} %lu\n"
         "wp_list_age_seconds{%s} %.3f\n"
         "wp_log_lines_dropped_total{%s} %lu\n",
         labels, h->n_relays, labels, wp_front_connections(h->front), labels,
         (unsigned long)wp_back_opened(h->back), labels,
         wp_sync_store_up(h->sync), labels, wp_sync_reports_usage(h->sync),
-        labels,
+        labels, (gulong)h->held.sum, labels,
         (double)wp_sync_list_age_ms(h->sync, wp_clock_now(0)) / WP_MS_PER_S,
         labels, (unsigned long)h->log.dropped);
     const WPNoticeCount notices =
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -69,6 +69,30 @@
     h->traffic_us = now.mono_us;
 }
 
+/* What slow readers leave here is bounded by the machine's memory. */
+static void watch_held(WPDirectHost *h, WPTime now)
+{
+    uint64_t sum =
+        wp_front_held(h->front, now) + wp_back_held(h->back) + wp_relay_held(h);
+    bool changed = wp_held_note(&h->held, sum);
+    unsigned cut = 0;
+    if (changed) {
+        wp_front_hold(h->front, h->held.over);
+        if (!h->held.over)
+            wp_relay_go_on(h);
+    }
+    if (h->held.over)
+        cut = wp_front_cut_unread(h->front, now, WP_HELD_UNREAD_MS);
+    h->direct.counters.value[WP_C_CUT_UNREAD] += cut;
+    if (!changed && !cut)
+        return;
+    g_autofree char *bytes = g_strdup_printf("%lu", (gulong)sum);
+    g_autofree char *most = g_strdup_printf("%lu", (gulong)h->held.most);
+    g_autofree char *n = g_strdup_printf("%u", cut);
+    wp_log(&h->log, WP_WARN, h->held.over ? "held_over" : "held_under", "bytes",
+           bytes, "most", most, "callers_cut", n, NULL);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
     WPDirectHost *h = arg;
@@ -82,6 +106,7 @@
     wp_direct_tick(&h->direct, now);
     wp_back_tick(h->back, now);
     wp_sync_tick(h->sync, now);
+    watch_held(h, now);
     log_traffic(h, now);
     wp_log_flush(&h->log);
     if (h->leaving)
@@ -176,6 +201,7 @@
     h->log.box = s->id;
     h->direct.rules = rules_of(s);
     wp_fleet_rules(h->direct.fleet, &h->direct.rules.fleet);
+    wp_held_limit(&h->held, s->memory_mb);
     take_areas(h);
     wp_log(&h->log, WP_INFO, "reloaded", NULL);
 }
@@ -234,6 +260,7 @@
     WPDirectRules rules = rules_of(h->settings);
     bool ok = read_chart(h, error);
     wp_direct_init(&h->direct, &rules, h->chart, seed);
+    wp_held_limit(&h->held, h->settings->memory_mb);
     take_areas(h);
     if (ok && open_sides(h, error)) {
         open_signals(h);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -6,6 +6,7 @@
 #include "wp_clock.h"
 #include "wp_direct_host.h"
 #include "wp_front.h"
+#include "wp_held.h"
 #include "wp_log.h"
 #include "wp_traffic.h"
 
@@ -29,6 +30,7 @@
     WPList relays;
     unsigned n_relays;
     WPSteady steady;
+    WPHeld held;
     int64_t traffic_us; /* when the bytes to other boxes were last logged */
     bool leaving;       /* a planned stop has begun */
     int64_t end_us; /* of the process, then; 0: all requests are still taken */
@@ -42,6 +44,10 @@
 /* Sets the ends of all requests anew, by the present time. */
 void wp_relay_set_timers(WPDirectHost *h, WPTime now);
 
+/* Bytes of answers that are gathered; those that waited are read on. */
+uint64_t wp_relay_held(const WPDirectHost *h);
+void wp_relay_go_on(WPDirectHost *h);
+
 /* wp_sync.c: what the store tells, and what is written to it. */
 WPSync *wp_sync_new(WPDirectHost *h, GError **error);
 void wp_sync_free(WPSync *s);
--- a/io/wp_front.c
+++ b/io/wp_front.c
@@ -1,6 +1,7 @@
 /* The callers' side. */
 #include "wp_front.h"
 #include "wp_clock.h"
+#include "wp_held.h"
 #include "wp_net.h"
 
 #include <event2/bufferevent.h>
@@ -24,6 +25,7 @@
     WPList peers;
     unsigned n_peers;
     bool leaving;
+    bool over; /* too much is held */
 };
 
 static void advance(WPPeer *p);
@@ -157,6 +159,14 @@
         p->front->ops->request(p->front->arg, p, &p->head);
 }
 
+static void wait_if_large(WPPeer *p)
+{
+    if (!p->front->over || p->waits || p->body->len < WP_HELD_SMALL)
+        return;
+    p->waits = true;
+    bufferevent_disable(p->bev, EV_READ);
+}
+
 /* Goes on with what has been read, until a request is whole. */
 static void advance(WPPeer *p)
 {
@@ -175,6 +185,7 @@
             whole(p);
         else {
             set_timer(p, p->front->limits.idle_ms);
+            wait_if_large(p);
             return;
         }
     }
@@ -394,6 +405,47 @@
     f->limits = *limits;
 }
 
+uint64_t wp_front_held(WPFront *f, WPTime now)
+{
+    uint64_t sum = 0;
+    wp_list_each (it, &f->peers) {
+        WPPeer *p = wp_list_item(it, WPPeer, node);
+        size_t unread = evbuffer_get_length(bufferevent_get_output(p->bev));
+        sum += unread + p->body->len +
+               evbuffer_get_length(bufferevent_get_input(p->bev));
+        if (!unread || unread < p->unread || !p->unread_us)
+            p->unread_us = now.mono_us;
+        p->unread = unread;
+    }
+    return sum;
+}
+
+void wp_front_hold(WPFront *f, bool over)
+{
+    f->over = over;
+    wp_list_each (it, &f->peers) {
+        WPPeer *p = wp_list_item(it, WPPeer, node);
+        if (over || !p->waits)
+            continue;
+        p->waits = false;
+        bufferevent_enable(p->bev, EV_READ);
+    }
+}
+
+unsigned wp_front_cut_unread(WPFront *f, WPTime now, uint32_t unread_ms)
+{
+    int64_t late_us = now.mono_us - (int64_t)unread_ms * WP_US_PER_MS;
+    unsigned n = 0;
+    wp_list_each_safe (it, tmp, &f->peers) {
+        WPPeer *p = wp_list_item(it, WPPeer, node);
+        if (!p->unread || p->unread_us > late_us)
+            continue;
+        n++;
+        gone(p);
+    }
+    return n;
+}
+
 void wp_front_leave(WPFront *f)
 {
     f->leaving = true;
--- a/io/wp_front.h
+++ b/io/wp_front.h
@@ -31,6 +31,9 @@
     bool chunked;    /* the answer goes out in chunks */
     bool is_head;    /* HEAD: no body goes out */
     bool held;       /* the caller reads too slowly */
+    bool waits;      /* its body is not read on, as too much is held */
+    size_t unread;   /* bytes that the caller has not taken, at the last look */
+    int64_t unread_us; /* when it last took some, or nothing waited */
     int64_t active_us;
 } WPPeer;
 
@@ -59,6 +62,17 @@
 unsigned wp_front_close_idle(WPFront *f, WPTime now, uint32_t idle_ms);
 unsigned wp_front_connections(const WPFront *f);
 
+/* Bytes that are held for callers. To be called some times a second: it also
+   notes who reads. */
+uint64_t wp_front_held(WPFront *f, WPTime now);
+
+/* While too much is held, no large body is read on. */
+void wp_front_hold(WPFront *f, bool over);
+
+/* Cuts off the callers that have read nothing for so long of what waits for
+   them; returns how many. */
+unsigned wp_front_cut_unread(WPFront *f, WPTime now, uint32_t unread_ms);
+
 /* An answer of one piece. `fields` are lines with their line ends. */
 void wp_front_answer(WPPeer *p, int status, WPStr fields, WPStr body);
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -264,6 +264,34 @@
         wp_back_pause(r->channel, true);
 }
 
+/* Part of an answer that is given as a whole; a large one waits while too much
+   is held. */
+static void gather(WPRelay *r, const char *p, size_t n)
+{
+    g_byte_array_append(r->body, (const guint8 *)p, (guint)n);
+    if (r->host->held.over && r->body->len >= WP_HELD_SMALL)
+        wp_back_pause(r->channel, true);
+}
+
+uint64_t wp_relay_held(const WPDirectHost *h)
+{
+    uint64_t sum = 0;
+    wp_list_each (it, &h->relays) {
+        const WPRelay *r = wp_list_item(it, WPRelay, node);
+        sum += r->body->len;
+    }
+    return sum;
+}
+
+void wp_relay_go_on(WPDirectHost *h)
+{
+    wp_list_each (it, &h->relays) {
+        WPRelay *r = wp_list_item(it, WPRelay, node);
+        if (r->channel && !r->streaming)
+            wp_back_pause(r->channel, false);
+    }
+}
+
 static void on_body(void *arg, const char *p, size_t n)
 {
     WPRelay *r = arg;
@@ -272,7 +300,7 @@
     else if (r->body->len + n > BUFFER_MOST)
         lose_answer(r, "too_large");
     else
-        g_byte_array_append(r->body, (const guint8 *)p, (guint)n);
+        gather(r, p, n);
 }
 
 static void finish_stream(WPRelay *r)
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -41,6 +41,8 @@
       "connections that ended under a request")                                \
     X(SUSPECTS_CLEARED, "suspects_cleared_total",                              \
       "requests in doubt that ended whole")                                    \
+    X(CUT_UNREAD, "callers_cut_unread_total",                                  \
+      "callers cut off as they read nothing while too much was held")          \
     X(REPORTS, "usage_reports_total", "reports of usage that were taken")      \
     X(REPORTS_FAILED, "usage_reports_failed_total",                            \
       "calls with a report that was not taken")                                \
