Requests are held while a box that starts learns its routes

Cause: 382 boxes read the whole store together, 0.46 MB each over its link of 1,000 Mbit/s; all know the routes 0.82 to 1.26 s after their start (log: 267 boxes, half by 1.16 s), and refused whatever came before at once. Ruled out: the store's rates (1,155 reads of 16,000 a second), the boxes' own links (0.18 s each).

Now what comes to a box that starts is held for a quarter of its caller's time, at most 1.5 s, unless the store does not answer or the start lasts for over 4 s. src/wp_start decides; the time held is the caller's.

test_start plays it: 1,300 callers of the fleet's kinds on 385 boxes that are ready after 0.8 to 1.3 s: 832 served when refused, 1,268 when held, 186 of 1,300 were held in vain by their first box.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -261,6 +261,7 @@
     bool ok = read_chart(h, error);
     wp_direct_init(&h->direct, &rules, h->chart, seed);
     wp_held_limit(&h->held, h->settings->memory_mb);
+    h->direct.start.start_us = wp_clock_now(0).mono_us;
     take_areas(h);
     if (ok && open_sides(h, error)) {
         open_signals(h);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -44,6 +44,9 @@
 /* Sets the ends of all requests anew, by the present time. */
 void wp_relay_set_timers(WPDirectHost *h, WPTime now);
 
+/* The routes are known: requests that were held for that go on. */
+void wp_relay_enter_held(WPDirectHost *h);
+
 /* Bytes of answers that are gathered; those that waited are read on. */
 uint64_t wp_relay_held(const WPDirectHost *h);
 void wp_relay_go_on(WPDirectHost *h);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -162,6 +162,15 @@
     wp_sync_tell(r->host->sync);
 }
 
+static void hold(WPRelay *r, uint32_t ms)
+{
+    struct timeval at = in_us((int64_t)ms * WP_US_PER_MS);
+    r->held = true;
+    wp_count(&r->host->direct.counters, WP_C_HELD);
+    g_string_append(r->legs, "held");
+    event_add(r->expire, &at);
+}
+
 /* Does what the flow decided; a leg that cannot even be begun asks again. */
 static void do_move(WPRelay *r, const WPMove *first)
 {
@@ -183,6 +192,9 @@
         else
             answer_whole(r);
         break;
+    case WP_MOVE_HOLD:
+        hold(r, m.retry_ms);
+        break;
     case WP_MOVE_FAIL:
         if (m.barred)
             wp_relay_note_barred(r, &m);
@@ -354,7 +366,10 @@
     (void)what;
     wp_relay_note_result(r, "expired");
     drop_channel(r);
-    wp_flow_expired(r->flow, wp_clock_now(0), &m);
+    if (r->held)
+        wp_flow_held_out(r->flow, &m);
+    else
+        wp_flow_expired(r->flow, wp_clock_now(0), &m);
     do_move(r, &m);
 }
 
@@ -428,22 +443,53 @@
     return wp_hash(wp_strn((const char *)body->data, body->len), head);
 }
 
+/* Reads a caller's request. Returns NULL, or why it is refused. */
+static const char *read_ask(const WPDirectHost *h, WPTime now, const WPPeer *p,
+                            const WPHead *head, WPDirectAsk *out)
+{
+    const char *bad = h->platform->read_ask(head, out);
+    out->body_bytes = p->body->len;
+    out->content = content_of(head, p->body);
+    if (h->end_us)
+        out->stay_ms =
+            (uint32_t)MAX(1, (h->end_us - now.mono_us) / WP_US_PER_MS);
+    return bad;
+}
+
+static void enter(WPRelay *r, WPTime now)
+{
+    WPDirectAsk ask;
+    WPMove m;
+    r->held = false;
+    event_del(r->expire);
+    read_ask(r->host, now, r->peer, &r->peer->head, &ask);
+    wp_flow_enter(r->flow, now, &ask, &m);
+    if (m.kind == WP_MOVE_SEND)
+        set_expiry(r, now);
+    do_move(r, &m);
+}
+
+void wp_relay_enter_held(WPDirectHost *h)
+{
+    WPTime now = wp_clock_now(0);
+    wp_list_each_safe (it, tmp, &h->relays) {
+        WPRelay *r = wp_list_item(it, WPRelay, node);
+        if (r->held && h->direct.routes)
+            enter(r, now);
+    }
+}
+
 static void on_request(void *arg, WPPeer *p, const WPHead *head)
 {
     WPDirectHost *h = arg;
     WPTime now = wp_clock_now(0);
     WPDirectAsk ask;
     WPMove m;
-    const char *bad = h->platform->read_ask(head, &ask);
+    const char *bad = read_ask(h, now, p, head, &ask);
     if (bad) {
         refuse_ask(h, p, &ask, WP_BAD_REQUEST, 0, bad);
         return;
     }
-    ask.body_bytes = p->body->len;
-    ask.content = content_of(head, p->body);
-    if (h->end_us)
-        ask.stay_ms =
-            (uint32_t)MAX(1, (h->end_us - now.mono_us) / WP_US_PER_MS);
     WPRelay *r = new_relay(h, p);
     if (ask.resumes)
         wp_stream_after(&r->stream, ask.after_event);
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -16,6 +16,7 @@
     WPStream stream;
     uint64_t leg_from;     /* events that had come before this leg */
     GByteArray *piece;     /* of events, on their way */
+    bool held;             /* until the routes are known */
     bool begun;            /* the caller has the head of a stream */
     int64_t begun_us;      /* since when; 0: not yet */
     bool answer_streams;   /* the leg's answer is a stream */
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -53,7 +53,7 @@
     s->turned_us = now_us;
     s->up = up;
     s->tried = true;
-    s->host->direct.store_away = !up;
+    s->host->direct.start.store_away = !up;
     wp_peers_announce(s->peers);
     wp_log(&s->host->log, up ? WP_INFO : WP_WARN,
            up ? "store_regained" : "store_lost", NULL);
@@ -215,6 +215,7 @@
     wp_mirror_advance(s->mirror, r->revision);
     note_known(s);
     s->complete = true;
+    wp_relay_enter_held(s->host);
     wp_peers_announce(s->peers);
     if (s->broken)
         ask_again_from(s, r->revision + 1);
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -28,6 +28,7 @@
     wp_mirror_advance(s->mirror, d->complete);
     wp_fresh_know(&s->fresh, 0, wp_mirror_complete(s->mirror), 0);
     s->complete = true;
+    wp_relay_enter_held(s->host);
     wp_peers_announce(s->peers);
     wp_log(&s->host->log, WP_INFO, "caught_up", "from", from, NULL);
 }
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -41,6 +41,8 @@
       "connections that ended under a request")                                \
     X(SUSPECTS_CLEARED, "suspects_cleared_total",                              \
       "requests in doubt that ended whole")                                    \
+    X(HELD, "requests_held_total",                                             \
+      "requests that waited for the routes of a box that starts")              \
     X(CUT_UNREAD, "callers_cut_unread_total",                                  \
       "callers cut off as they read nothing while too much was held")          \
     X(REPORTS, "usage_reports_total", "reports of usage that were taken")      \
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -13,6 +13,7 @@
 #include "wp_notice.h"
 #include "wp_route.h"
 #include "wp_shift.h"
+#include "wp_start.h"
 #include "wp_suspects.h"
 
 typedef struct WPDirectRules {
@@ -35,7 +36,7 @@
     struct WPUsage *usage; /* what is to be reported is counted there; its
                               maker's, NULL: nothing is */
     WPCounters counters;
-    bool store_away;      /* it did not answer this box's last call */
+    WPStart start;
     unsigned boxes;       /* entries that share the retry budget */
     GHashTable *budgets;  /* service -> WPBudget */
     GHashTable *sessions; /* hash -> which version served it, and when */
@@ -97,6 +98,8 @@
     WP_MOVE_SEND, /* to `replica`, which is held until the flow says how it
                      ended there */
     WP_MOVE_PASS, /* give the caller the answer that is in hand */
+    WP_MOVE_HOLD, /* no routes are known yet: for `retry_ms` at most, unless
+                     wp_flow_enter() comes before */
     WP_MOVE_FAIL, /* give the caller an answer of the box's own */
     WP_MOVE_CUT   /* the caller has part of an answer: break it off */
 } WPMoveKind;
@@ -204,6 +207,12 @@
 WPFlow *wp_flow_begin(WPDirect *d, WPTime now, const WPDirectAsk *ask,
                       WPMove *out);
 
+/* The routes are known now: decides on a request that was held. */
+void wp_flow_enter(WPFlow *f, WPTime now, const WPDirectAsk *ask, WPMove *out);
+
+/* They are not in time: it is refused. */
+void wp_flow_held_out(WPFlow *f, WPMove *out);
+
 /* What an answer's head changed of what is believed of its endpoint. */
 typedef struct WPHeard {
     bool leaves, rests;  /* new */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -164,7 +164,7 @@
     return f->service ? WP_OK : WP_NO_ENDPOINT;
 }
 
-static void set_times(WPFlow *f, WPTime now, const WPDirectAsk *ask)
+static void set_times(WPFlow *f, const WPDirectAsk *ask)
 {
     uint32_t route_ms = f->route->timeout_ms;
     uint32_t ms = ask->deadline_ms;
@@ -174,7 +174,7 @@
     if (ask->stay_ms && (!ms || ask->stay_ms < ms))
         ms = ask->stay_ms;
     f->deadline_us =
-        ms ? now.mono_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
+        ms ? f->start_us + (int64_t)ms * WP_US_PER_MS : INT64_MAX / 2;
 }
 
 static uint32_t ms_until(WPTime now, int64_t us)
@@ -258,10 +258,48 @@
 static uint32_t when_to_come_back(const WPDirect *d, WPCode code)
 {
     if (code == WP_NOT_READY)
-        return d->store_away ? AWAY_MS : STARTING_MS;
+        return d->start.store_away ? AWAY_MS : STARTING_MS;
     return code == WP_NO_ENDPOINT ? NO_ENDPOINT_MS : 0;
 }
 
+/* A request whose route and caller are known. */
+static void place(WPFlow *f, WPTime now, WPMove *out)
+{
+    WPDirect *d = f->d;
+    wp_budget_request(wp_direct_budget(d, f->service->name), &d->rules.retries,
+                      now);
+    wp_fleet_asked(d->fleet, now, f->service->name);
+    f->draw = g_rand_double(d->rand);
+    if (wp_flow_skips_ahead(f, now))
+        f->step = f->route->models->len - 1;
+    WPReplica *s = wp_flow_choose(f, now);
+    if (s)
+        begin(f, now, s, out);
+    else
+        *out = no_endpoint(f, now);
+}
+
+void wp_flow_enter(WPFlow *f, WPTime now, const WPDirectAsk *ask, WPMove *out)
+{
+    WPDirect *d = f->d;
+    WPCode code = admit(f, ask);
+    if (code != WP_OK) {
+        *out = move_fail(code, when_to_come_back(d, code));
+        return;
+    }
+    f->hash = wp_flow_hash(f, ask);
+    set_times(f, ask);
+    if (ask->stay_ms && !wp_flow_fits(f, ask->stay_ms)) {
+        *out = move_fail(WP_LEAVING, LEAVING_MS);
+        return;
+    }
+    uint32_t bound_ms = wp_flow_bound_ms(f, now);
+    if (bound_ms)
+        *out = move_fail(WP_SESSION_BOUND, bound_ms);
+    else
+        place(f, now, out);
+}
+
 WPFlow *wp_flow_begin(WPDirect *d, WPTime now, const WPDirectAsk *ask,
                       WPMove *out)
 {
@@ -277,36 +315,20 @@
     f->session = ask->session.n ? wp_hash(ask->session, 0) : 0;
     f->unit = wp_direct_unit(f->session ? f->session : wp_hash(ask->id, 0));
     wp_count(&d->counters, WP_C_REQUESTS);
-    WPCode code = admit(f, ask);
-    if (code != WP_OK) {
-        *out = move_fail(code, when_to_come_back(d, code));
-        return f;
-    }
-    f->hash = wp_flow_hash(f, ask);
-    set_times(f, now, ask);
-    if (ask->stay_ms && !wp_flow_fits(f, ask->stay_ms)) {
-        *out = move_fail(WP_LEAVING, LEAVING_MS);
-        return f;
-    }
-    uint32_t bound_ms = wp_flow_bound_ms(f, now);
-    if (bound_ms) {
-        *out = move_fail(WP_SESSION_BOUND, bound_ms);
-        return f;
-    }
-    wp_budget_request(wp_direct_budget(d, f->service->name), &d->rules.retries,
-                      now);
-    wp_fleet_asked(d->fleet, now, f->service->name);
-    f->draw = g_rand_double(d->rand);
-    if (wp_flow_skips_ahead(f, now))
-        f->step = f->route->models->len - 1;
-    WPReplica *s = wp_flow_choose(f, now);
-    if (s)
-        begin(f, now, s, out);
+    uint32_t hold_ms =
+        d->routes ? 0 : wp_start_hold_ms(&d->start, now, ask->deadline_ms);
+    if (hold_ms)
+        *out = (WPMove){ .kind = WP_MOVE_HOLD, .retry_ms = hold_ms };
     else
-        *out = no_endpoint(f, now);
+        wp_flow_enter(f, now, ask, out);
     return f;
 }
 
+void wp_flow_held_out(WPFlow *f, WPMove *out)
+{
+    *out = move_fail(WP_NOT_READY, when_to_come_back(f->d, WP_NOT_READY));
+}
+
 static void give_up(WPFlow *f, WPCode code, uint32_t retry_ms, WPMove *out)
 {
     if (f->passing)
--- /dev/null
+++ b/tests/test_start.c
@@ -0,0 +1,158 @@
+/* Requests that come while boxes start: which are held, and what callers get of
+ * it when all boxes start at once. */
+#include "direct_fake.h"
+
+static void what_is_held(void **state)
+{
+    (void)state;
+    WPStart s = { .start_us = 1000000 };
+    WPTime now = { 1100000, 0 };
+    assert_true(wp_start_hold_ms(&s, now, 20000) >= 1000);
+    assert_int_equal(wp_start_hold_ms(&s, now, 1200), 300);
+    assert_true(wp_start_hold_ms(&s, now, 0) > 0);
+    s.store_away = true;
+    assert_int_equal(wp_start_hold_ms(&s, now, 20000), 0);
+    s.store_away = false;
+    now.mono_us += 5000000;
+    assert_int_equal(wp_start_hold_ms(&s, now, 20000), 0);
+    s.start_us = 0;
+    assert_int_equal(wp_start_hold_ms(&s, now, 20000), 0);
+}
+
+/* The time that a request is held is the caller's. */
+static void a_held_request_goes_on_with_what_is_left(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    fake_init(&k);
+    WPRoutes *t = wp_routes_ref(k.d.routes);
+    wp_routes_unref(k.d.routes);
+    k.d.routes = NULL;
+    k.d.start.start_us = k.now.mono_us - 1;
+    WPDirectAsk ask = { .id = wp_str("r1"),
+                        .host = wp_str("h.example"),
+                        .path = wp_str("/safe/x"),
+                        .key = wp_str("key-1"),
+                        .deadline_ms = 2000 };
+    WPFlow *f = wp_flow_begin(&k.d, k.now, &ask, &m);
+    assert_int_equal(m.kind, WP_MOVE_HOLD);
+    assert_int_equal(m.retry_ms, 500);
+    fake_pass(&k, 300);
+    k.d.routes = t;
+    wp_flow_enter(f, k.now, &ask, &m);
+    assert_int_equal(m.kind, WP_MOVE_SEND);
+    assert_int_equal(m.budget_ms, 1700);
+    wp_flow_left(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void one_that_is_held_in_vain_has_not_run(void **state)
+{
+    (void)state;
+    Fake k;
+    WPMove m;
+    fake_init(&k);
+    wp_routes_unref(k.d.routes);
+    k.d.routes = NULL;
+    k.d.start.start_us = k.now.mono_us - 1;
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    assert_int_equal(m.kind, WP_MOVE_HOLD);
+    wp_flow_held_out(f, &m);
+    assert_int_equal(m.code, WP_NOT_READY);
+    assert_true(m.retry_ms > 0);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+/* All boxes start at once and are ready between 0.8 and 1.3 s later, as
+   measured where 385 of them read the store together. Callers come all the
+   while; one that is refused comes back once, to another box, after the time
+   that it was told or a third of what it has left. */
+enum {
+    BOXES = 385,
+    CALLERS = 1300,
+    COME_MS = 1500,
+    LEAST_MS = 800,
+    MOST_MS = 1300
+};
+
+typedef struct Kind {
+    uint32_t deadline_ms;
+    double share;
+} Kind;
+
+static const Kind kinds[] = {
+    { 20000, 0.23 }, { 15000, 0.14 }, { 5000, 0.37 }, { 1500, 0.26 }
+};
+
+typedef struct Load {
+    GRand *rand;
+    int64_t ready_ms[BOXES];
+    bool holds;
+    unsigned served, held_out;
+} Load;
+
+static uint32_t draw_deadline(Load *l)
+{
+    double unit = g_rand_double(l->rand);
+    size_t i = 0;
+    while (i + 1 < WP_COUNT(kinds) && unit >= kinds[i].share)
+        unit -= kinds[i++].share;
+    return kinds[i].deadline_ms;
+}
+
+/* When the caller has its answer of this attempt; `*served`: it is none of the
+   box's own. */
+static int64_t attempt(Load *l, int64_t at_ms, uint32_t left_ms, bool *served)
+{
+    const WPStart start = { .start_us = 1 };
+    const WPTime now = { 1 + at_ms * WP_US_PER_MS, 0 };
+    int64_t ready_ms = l->ready_ms[g_rand_int_range(l->rand, 0, BOXES)];
+    int64_t hold_ms = l->holds ? wp_start_hold_ms(&start, now, left_ms) : 0;
+    *served = at_ms + hold_ms >= ready_ms;
+    l->held_out += hold_ms && !*served;
+    return *served ? MAX(at_ms, ready_ms) : at_ms + hold_ms;
+}
+
+static void call(Load *l)
+{
+    enum { STARTING_MS = 500 };
+    uint32_t deadline_ms = draw_deadline(l);
+    int64_t at_ms = g_rand_int_range(l->rand, 0, COME_MS);
+    int64_t end_ms = at_ms + deadline_ms;
+    bool served;
+    int64_t ms = attempt(l, at_ms, deadline_ms, &served);
+    if (!served) {
+        ms += MIN(STARTING_MS, (end_ms - ms) / 3);
+        attempt(l, ms, (uint32_t)(end_ms - ms), &served);
+    }
+    l->served += served;
+}
+
+static Load play(bool holds)
+{
+    Load l = { .holds = holds };
+    l.rand = g_rand_new_with_seed(1);
+    for (unsigned i = 0; i < BOXES; i++)
+        l.ready_ms[i] = g_rand_int_range(l.rand, LEAST_MS, MOST_MS);
+    for (unsigned i = 0; i < CALLERS; i++)
+        call(&l);
+    g_rand_free(l.rand);
+    return l;
+}
+
+static void callers_of_a_start_of_all_boxes(void **state)
+{
+    (void)state;
+    Load refuses = play(false), holds = play(true);
+    print_message("served of %u: %u when refused, %u when held (%u in vain)\n",
+                  CALLERS, refuses.served, holds.served, holds.held_out);
+    assert_true(holds.served > 0.95 * CALLERS);
+    assert_true(refuses.served < 0.85 * CALLERS);
+}
+
+TESTS_MAIN(T(what_is_held), T(a_held_request_goes_on_with_what_is_left),
+           T(one_that_is_held_in_vain_has_not_run),
+           T(callers_of_a_start_of_all_boxes))
