--- a/tests/sync_fake.h
+++ b/tests/sync_fake.h
@@ -140,6 +140,7 @@
     s->settings.peers = s->addr;
     s->settings.store = (char *)"127.0.0.1:1";
     s->settings.apply_ms = 4000;
+    wp_list_init(&s->host.relays);
     s->host.settings = &s->settings;
     s->host.platform = &platform;
     s->host.base = event_base_new();
