News of a zone goes by way of some boxes, not from one to all

Now it passes news on to four boxes, each of these to four more: a box sends at most four times what it is told, whatever the size of the zone, and news takes log4(77) = 3.1 hops more. Each box asks the one before it in the order that all share; one that cannot be reached is left out by those after it. What comes by another way is dropped, as requests would count twice. Also: a box's record that changes its address freed what pointed to it.

test_peers: in a zone of twelve each is told once, none passes on to more than four; when the first is gone another one does. While boxes of the release before run beside, those that come after one of them hear no news of others' requests.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -5592,7 +5592,7 @@
   (ProtobufCMessageInit) wp__box_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__zone_news__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wp__zone_news__field_descriptors[3] =
 {
   {
     "boxes",
@@ -5618,15 +5618,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__ZoneNews, has_wants),
+    offsetof(Wp__ZoneNews, wants),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__zone_news__field_indices_by_name[] = {
   0,   /* field[0] = boxes */
   1,   /* field[1] = passed_on */
+  2,   /* field[2] = wants */
 };
 static const ProtobufCIntRange wp__zone_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wp__zone_news__descriptor =
 {
@@ -5636,7 +5649,7 @@
   "Wp__ZoneNews",
   "wp",
   sizeof(Wp__ZoneNews),
-  2,
+  3,
   wp__zone_news__field_descriptors,
   wp__zone_news__field_indices_by_name,
   1,  wp__zone_news__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -967,8 +967,8 @@
 
 
 /*
- * From a box to the one that passes news on in its zone, and from that one to
- * all of the zone.
+ * From a box to the one that passes news on in its zone, and from that one by
+ * way of others to all of the zone.
  */
 struct  Wp__ZoneNews
 {
@@ -977,10 +977,15 @@
   Wp__BoxNews **boxes;
   protobuf_c_boolean has_passed_on;
   protobuf_c_boolean passed_on;
+  /*
+   * what is passed on is to go to the sender as well
+   */
+  protobuf_c_boolean has_wants;
+  protobuf_c_boolean wants;
 };
 #define WP__ZONE_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__zone_news__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -119,7 +119,7 @@
         take_delta(p, l, f->mirror_delta);
         break;
     case WP__FRAME__BODY_ZONE_NEWS:
-        p->ops->zone_news(p->arg, l->peer, f->zone_news);
+        wp_peers_take_news(p, l, wp_clock_now(0), f->zone_news);
         break;
     case WP__FRAME__BODY_SUSPECT_NEWS:
         p->ops->suspects(p->arg, l->peer, f->suspect_news);
@@ -234,6 +234,7 @@
     m->id = g_strdup(id);
     m->addr = g_strdup(addr);
     m->zone = g_strdup(zone);
+    wp_peers_forget_passer(p, g_hash_table_lookup(p->members, id));
     g_hash_table_replace(p->members, m->id, m);
     p->changes++;
 }
--- a/io/wp_peers.h
+++ b/io/wp_peers.h
@@ -67,10 +67,13 @@
    false when there is none, or it is this one. */
 bool wp_peers_send_news(WPPeers *p, Wp__ZoneNews *z);
 
-/* Whether this box passes news on to the others of its zone; it does that to
-   all that it is linked to. */
+/* Whether this box passes news on to the others of its zone: to some, which
+   pass it on in turn. */
 bool wp_peers_passes_news(const WPPeers *p);
-void wp_peers_pass_news(WPPeers *p, Wp__ZoneNews *z);
+void wp_peers_pass_news(WPPeers *p, WPTime now, Wp__ZoneNews *z);
+
+/* How many boxes are told by this one what is passed on. */
+unsigned wp_peers_feeds(const WPPeers *p, WPTime now);
 
 /* The box that does; NULL: none is reached. */
 const char *wp_peers_passer(const WPPeers *p);
--- a/io/wp_peers_int.h
+++ b/io/wp_peers_int.h
@@ -8,8 +8,11 @@
 #include "wp_tell.h"
 
 enum {
-    WP_PEERS_SILENT_MS = 3000, /* a link that is silent so long is closed */
-    WP_PEERS_CONNECT_MS = 1000 /* between attempts to reach the same box */
+    WP_PEERS_SILENT_MS = 3000,  /* a link that is silent so long is closed */
+    WP_PEERS_CONNECT_MS = 1000, /* between attempts to reach the same box */
+    WP_PEERS_ALL_LINKED = 10 /* a zone's boxes are all linked up to this many;
+                                beyond, each reaches some at growing distances
+                                in the order of ids, and news takes some hops */
 };
 
 typedef struct WPPeerMember {
@@ -18,10 +21,11 @@
     int64_t unlinked_us; /* since when there is no link; 0: there is one */
     bool linked;
     uint64_t
-        news_no;    /* of the last news sent to it: two links may lead there */
-    bool heard;     /* a digest has come */
-    bool blind;     /* the store does not answer it, by its last digest */
-    uint64_t knows; /* all revisions up to this, by its last digest */
+        news_no; /* of the last news sent to it: two links may lead there */
+    int64_t fed_until_us; /* until then it is sent what is passed on */
+    bool heard;           /* a digest has come */
+    bool blind;           /* the store does not answer it, by its last digest */
+    uint64_t knows;       /* all revisions up to this, by its last digest */
 } WPPeerMember;
 
 struct WPPeers {
@@ -55,6 +59,9 @@
     const WPPeerMember *passer; /* passes news on in this zone; NULL: none is
                                    reached, or this box does */
     bool passes;                /* this box does */
+    const WPPeerMember *feeder; /* what is passed on comes from there; NULL:
+                                   nothing does */
+    int64_t wanted_us;          /* when it was last asked to send it */
     uint64_t news_no;           /* of the last message of news */
 };
 
@@ -72,7 +79,14 @@
 /* Tries to link to a box, at once if it is this one's turn to dial. */
 void wp_peers_dial(WPPeers *p, WPPeerMember *m, WPTime now, bool mine);
 
-/* wp_peers_zone.c: which box passes news on in this zone. */
+/* wp_peers_zone.c: which box passes news on in this zone, and from which one
+   this box has it. */
 void wp_peers_choose_passer(WPPeers *p, WPTime now);
 
+/* A member is about to be freed. */
+void wp_peers_forget_passer(WPPeers *p, const WPPeerMember *m);
+
+/* News along a link: goes on to those that want it from this box. */
+void wp_peers_take_news(WPPeers *p, WPLink *l, WPTime now, Wp__ZoneNews *z);
+
 #endif
--- a/io/wp_peers_reach.c
+++ b/io/wp_peers_reach.c
@@ -2,15 +2,12 @@
 #include "wp_peers_int.h"
 
 enum {
-    ZONE_LINKS_MOST = 10, /* a zone's boxes are all linked up to this many;
-                             beyond, each reaches some at growing distances in
-                             the order of ids, and news takes some hops */
-    FAR_LINKS = 2,        /* to each other zone */
-    FAR_BOXES = 3,        /* boxes of a zone that have them, the first by a hash
-                             of ids among those that are linked: bytes between
-                             zones are paid for */
-    DIAL_LATER_MS = 2000  /* the box with the lower id dials; the other one
-                              only if that does not come about */
+    FAR_LINKS = 2,       /* to each other zone */
+    FAR_BOXES = 3,       /* boxes of a zone that have them, the first by a hash
+                            of ids among those that are linked: bytes between
+                            zones are paid for */
+    DIAL_LATER_MS = 2000 /* the box with the lower id dials; the other one
+                             only if that does not come about */
 };
 
 enum {
@@ -94,7 +91,7 @@
 {
     g_autoptr(GPtrArray) list = of_zone(p, p->self.zone);
     guint self = 0;
-    if (list->len <= ZONE_LINKS_MOST) {
+    if (list->len <= WP_PEERS_ALL_LINKED) {
         for (guint i = 0; i < list->len; i++)
             reach(p, g_ptr_array_index(list, i), now);
         return;
--- a/io/wp_zone.c
+++ b/io/wp_zone.c
@@ -38,13 +38,13 @@
     wp_log(&z->host->log, WP_WARN, "zone_news_dropped", "records", n, NULL);
 }
 
-static void pass_on(WPZone *z)
+static void pass_on(WPZone *z, WPTime now)
 {
     Wp__ZoneNews out;
     if (!z->bundle.records)
         return;
     wp_bundle_fill(&z->bundle, &out);
-    wp_peers_pass_news(z->peers, &out);
+    wp_peers_pass_news(z->peers, now, &out);
     wp_bundle_clear(&z->bundle);
 }
 
@@ -69,9 +69,10 @@
     WPZone *z = arg;
     (void)fd;
     (void)what;
+    WPTime now = wp_clock_now(0);
     tell(z);
-    pass_on(z);
-    log_drops(z, wp_clock_now(0));
+    pass_on(z, now);
+    log_drops(z, now);
 }
 
 static void arm(WPZone *z)
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -506,8 +506,34 @@
     a->all = n == a->world->n - 1;
 }
 
-/* One box of a zone passes on to all others, once each; when it is gone,
-   another one does. With twelve boxes not all are linked to each other. */
+static void look_ways(evutil_socket_t fd, short what, void *arg)
+{
+    Arrived *a = arg;
+    unsigned fed = 0, most = 0;
+    (void)fd;
+    (void)what;
+    for (size_t i = 0; i < a->world->n; i++) {
+        unsigned n = wp_peers_feeds(a->world->boxes[i]->peers, wp_clock_now(0));
+        fed += n;
+        most = MAX(most, n);
+    }
+    a->all = fed == a->world->n - 1 && most <= 4;
+}
+
+/* Until each box has one that it has news from, and none feeds many. */
+static void wait_for_ways(World *w)
+{
+    Arrived a = { w, false };
+    struct timeval every = { 0, TICK_MS * WP_US_PER_MS };
+    struct event *e = event_new(w->base, -1, EV_PERSIST, look_ways, &a);
+    event_add(e, &every);
+    assert_true(run_until(w, &a.all));
+    event_free(e);
+}
+
+/* One box of a zone passes on to all others, once each, none to many; when it
+   is gone, another one does. With twelve boxes not all are linked to each
+   other. */
 static void news_is_passed_on_by_one_box_of_the_zone(void **state)
 {
     World w = { .base = event_base_new() };
@@ -525,10 +551,13 @@
     struct event *e = event_new(w.base, -1, EV_PERSIST, look_arrived, &a);
     event_add(e, &every);
     z.has_passed_on = z.passed_on = 1;
-    wp_peers_pass_news(passer->peers, &z);
+    wait_for_ways(&w);
+    wp_peers_pass_news(passer->peers, wp_clock_now(0), &z);
     assert_true(run_until(&w, &a.all));
-    for (size_t i = 0; i < w.n; i++)
+    for (size_t i = 0; i < w.n; i++) {
         assert_int_equal(w.boxes[i]->news, w.boxes[i] != passer);
+        assert_true(wp_peers_feeds(w.boxes[i]->peers, wp_clock_now(0)) <= 4);
+    }
     event_free(e);
     for (size_t i = 0; i < w.n; i++)
         if (w.boxes[i] == passer)
