A box that stops gives the duty to report up; nothing is reported of windows unknown

A box that stops, or that the counts of others no longer come to, writes a record without a holder; whoever is next takes over at once. A window that ended before the process began and of which nobody has told anything is left out, counted as missed.

--- a/io/wp_reports.c
+++ b/io/wp_reports.c
@@ -40,11 +40,13 @@
 }
 
 /* Only a box that other boxes' counts come to may report them. */
-static bool may_act(const WPReports *r)
+static WPDutyFit fit_of(const WPReports *r)
 {
     const WPSync *s = r->sync;
-    return s->up && s->complete && !s->host->leaving &&
-           wp_peers_passes_news(s->peers);
+    if (!s->up || !s->complete)
+        return WP_DUTY_CANNOT;
+    bool fit = !s->host->leaving && wp_peers_passes_news(s->peers);
+    return fit ? WP_DUTY_MAY : WP_DUTY_YIELDS;
 }
 
 static uint64_t total_of(const Wp__SettledUsage *u)
@@ -165,7 +167,7 @@
 {
     WPDutyAct a;
     wp_usage_news_tick(r->news, now);
-    wp_duty_next(r->duty, now, may_act(r), &a);
+    wp_duty_next(r->duty, now, fit_of(r), &a);
     if (a.kind == WP_DUTY_WRITE)
         write_record(r, &a);
     else if (a.kind == WP_DUTY_SEND)
--- a/src/wp_duty.c
+++ b/src/wp_duty.c
@@ -23,6 +23,7 @@
     int64_t until_us;     /* it may send until then */
     Wp__DutyRecord *out;  /* the write under way, or the last */
     int64_t out_us;       /* when that set out */
+    int64_t acted_us;     /* when this process last sent; 0: it never did */
     bool writing, sending;
     int64_t again_us; /* no call before that */
     GArray *reported; /* windows of the record that were taken */
@@ -187,16 +188,27 @@
     }
 }
 
+/* Whether nothing can be known of a window: it ended before this process began,
+   and whoever has counted has told nobody that is left. No report is better
+   than one of nothing. */
+static bool is_lost(const WPDuty *d, const Wp__SettledUsage *u)
+{
+    int64_t end_ms = (int64_t)((u->window + 1) * d->rules.window_ms);
+    return !u->n_counts && end_ms <= wp_usage_clock_ms(d->usage, d->start_us);
+}
+
 /* Settles the windows whose counts are in; those that are too late are left
    out, as nobody is to take them. */
 static void settle(WPDuty *d, WPTime now, Wp__DutyRecord *r, GPtrArray *to)
 {
     while (is_past(d, now, r->next, settle_ms(d)) && to->len < SETTLED_MOST) {
-        if (is_late(d, now, r->next))
-            d->out_missed++;
-        else
-            g_ptr_array_add(to, sum_of(d, r->next));
-        r->next++;
+        Wp__SettledUsage *u = sum_of(d, r->next++);
+        if (!is_late(d, now, u->window) && !is_lost(d, u)) {
+            g_ptr_array_add(to, u);
+            continue;
+        }
+        d->out_missed++;
+        wp_pb_free(u);
     }
 }
 
@@ -249,6 +261,7 @@
         s = d->fresh;
     }
     d->sending = true;
+    d->acted_us = now.mono_us;
     d->sent = s->window;
     *out = (WPDutyAct){ .kind = WP_DUTY_SEND,
                         .report = s,
@@ -272,6 +285,12 @@
     int64_t quiet_us = in_us(d->rules.lease_ms) + in_us(MARGIN_MS);
     int64_t since_us = d->record ? MAX(d->seen_us, d->start_us) : d->start_us;
     double spread_us = d->rules.haste * SPREAD_MS * WP_US_PER_MS;
+    /* Nor does a box come back so soon that another one acted in between. */
+    if (d->acted_us && now.mono_us < d->acted_us + quiet_us)
+        return false;
+    if (d->record && !*d->record->holder) /* given up */
+        return now.mono_us >= d->start_us + quiet_us &&
+               now.mono_us >= d->seen_us + (int64_t)spread_us;
     if (now.mono_us < since_us + quiet_us + (int64_t)spread_us)
         return false;
     return !d->record || is_past(d, now, d->record->next, takeover_ms(d));
@@ -287,6 +306,15 @@
     write(d, now, next_record(d, now, fence, false), "takes over", out);
 }
 
+/* Nothing is under way: whoever is next may act at once. */
+static void give_up(WPDuty *d, WPTime now, WPDutyAct *out)
+{
+    Wp__DutyRecord *r = next_record(d, now, d->record->fence, false);
+    g_free(r->holder);
+    r->holder = g_strdup("");
+    write(d, now, r, "gives up", out);
+}
+
 const char *wp_duty_problem(const WPDuty *d, WPTime now)
 {
     int64_t clock_ms = wp_usage_clock_ms(d->usage, now.mono_us);
@@ -297,15 +325,18 @@
     return NULL;
 }
 
-void wp_duty_next(WPDuty *d, WPTime now, bool may, WPDutyAct *out)
+void wp_duty_next(WPDuty *d, WPTime now, WPDutyFit fit, WPDutyAct *out)
 {
+    bool mine = wp_duty_is_mine(d);
     *out = (WPDutyAct){ .kind = WP_DUTY_REST };
-    if (!may || d->writing || d->sending || d->unreadable ||
+    if (fit == WP_DUTY_CANNOT || d->writing || d->sending || d->unreadable ||
         now.mono_us < d->again_us)
         return;
-    if (wp_duty_is_mine(d))
+    if (mine && fit == WP_DUTY_YIELDS)
+        give_up(d, now, out);
+    else if (mine)
         work(d, now, out);
-    else if (has_ceased(d, now))
+    else if (fit == WP_DUTY_MAY && has_ceased(d, now))
         take_over(d, now, out);
 }
 
--- a/src/wp_duty.h
+++ b/src/wp_duty.h
@@ -9,7 +9,8 @@
  *   whoever reports it, after a crash or a lost answer, sends the same.
  * - The holder sends for half a lease from when its last write set out. Another
  *   box takes over a whole lease and a margin after it has seen the last write,
- *   and the store takes that only if there was none since. So no two boxes send
+ *   or when the holder has given the duty up, and the store takes that only if
+ *   there was none since. So no two boxes send
  *   at one time, and none sends under an older fence than was sent before. */
 #ifndef WP_DUTY_H
 #define WP_DUTY_H
@@ -37,6 +38,14 @@
 void wp_duty_record(WPDuty *d, WPTime now, uint64_t revision,
                     const Wp__DutyRecord *r, bool unreadable);
 
+/* Whether this box is to have the duty. */
+typedef enum WPDutyFit {
+    WP_DUTY_MAY,    /* it has the other boxes' counts, and the store answers */
+    WP_DUTY_CANNOT, /* the store does not answer */
+    WP_DUTY_YIELDS  /* it stops, or the others' counts go elsewhere: a duty that
+                       it has is given up, so that another one need not wait */
+} WPDutyFit;
+
 typedef enum WPDutyKind {
     WP_DUTY_REST,  /* nothing to do at present */
     WP_DUTY_WRITE, /* `record`, if the store's is still at `revision` */
@@ -45,7 +54,7 @@
 
 typedef struct WPDutyAct {
     WPDutyKind kind;
-    const char *why; /* takes over, settles, renews */
+    const char *why; /* takes over, settles, renews, gives up */
     /* Live until the next call. */
     const Wp__DutyRecord *record;
     uint64_t revision;
@@ -53,10 +62,9 @@
     uint64_t fence;
 } WPDutyAct;
 
-/* The next step. `may`: this box has the other boxes' counts, the store answers
-   it, and it is not leaving. A write or a report is under way until
-   wp_duty_written() or wp_duty_sent(). */
-void wp_duty_next(WPDuty *d, WPTime now, bool may, WPDutyAct *out);
+/* The next step. A write or a report is under way until wp_duty_written() or
+   wp_duty_sent(). */
+void wp_duty_next(WPDuty *d, WPTime now, WPDutyFit fit, WPDutyAct *out);
 
 /* The write's end. Without an answer it may still be done. */
 void wp_duty_written(WPDuty *d, WPTime now, bool done, uint64_t revision);
--- a/tests/duty_play.c
+++ b/tests/duty_play.c
@@ -14,9 +14,12 @@
     LEASE_MS = 3000,
     KEEP_MS = 25000,
     STORE_MS = 4,
-    BACK_MS = 900,   /* until a box that comes back hears of changes */
-    WAKES_MS = 7300, /* long enough for another one to take over */
-    LOST_MS = 1500,  /* until a call without an answer ends */
+    BACK_MS = 900, /* until a box that comes back hears of changes */
+    YIELD_MS = 400,
+    YIELD_EACH_MS = 800, /* one after the other */
+    STOPPED_MS = 300,    /* between a stop and the start */
+    WAKES_MS = 7300,     /* long enough for another one to take over */
+    LOST_MS = 1500,      /* until a call without an answer ends */
     WINDOWS = LENGTH_MS / WINDOW_MS,
     WORKSPACES = 8,
     JUMP_MS = 20000
@@ -37,6 +40,8 @@
     int64_t cut_ms;    /* until then nothing reaches it */
     int64_t blind_ms;  /* until then the store does not answer it */
     int64_t jump_ms;   /* of its time of day */
+    int64_t yields_ms; /* until then it is not to have the duty */
+    int64_t stops_ms;  /* until then it is being stopped; 0: it is not */
     unsigned known;    /* index of the last version of the record it has */
 } Box;
 
@@ -74,6 +79,7 @@
     /* What troubles store and service, until when. */
     int64_t store_away_ms, store_lost_ms;
     int64_t away_ms, busy_ms, slow_ms;
+    int64_t yields_ms; /* until then each holder gives up */
     unsigned wakes; /* one more than the box that is to stop after a refusal */
     /* The truth, and what the service has taken. */
     uint32_t began[WINDOWS][WORKSPACES];
@@ -222,8 +228,6 @@
 static void take_report(World *w, Call *c)
 {
     unsigned k = (unsigned)(c->report->window - START_MS / WINDOW_MS);
-    w->result.sends++;
-    judge(w, c);
     if (k >= WINDOWS)
         return;
     if (!w->taken[k]) {
@@ -241,6 +245,9 @@
     bool busy = w->now_ms < w->busy_ms;
     bool arrives = !cut && !busy && (!away || g_rand_boolean(w->rand));
     int64_t ms = w->now_ms < w->slow_ms ? 400 : 5;
+    w->result.sends++;
+    if (!cut && (!away || arrives))
+        judge(w, c);
     if (arrives)
         take_report(w, c);
     if (busy && w->wakes == c->box + 1) {
@@ -301,7 +308,11 @@
     Box *b = &w->boxes[i];
     WPDutyAct a;
     bool late = w->now_ms < w->store_lost_ms && g_rand_boolean(w->rand);
-    wp_duty_next(b->duty, time_of(w, b), true, &a);
+    wp_duty_next(b->duty, time_of(w, b),
+                 w->now_ms < b->stops_ms || w->now_ms < b->yields_ms
+                     ? WP_DUTY_YIELDS
+                     : WP_DUTY_MAY,
+                 &a);
     if (a.kind == WP_DUTY_WRITE) {
         Call *c = call(w, CALL_TXN, i, late ? 2000 : 1);
         c->record = wp_pb_copy(&a.record->base);
@@ -404,6 +415,12 @@
     case DUTY_SERVICE_SLOW:
         w->slow_ms = until_ms;
         break;
+    case DUTY_STOP:
+        b->stops_ms = until_ms;
+        break;
+    case DUTY_YIELDS:
+        w->yields_ms = w->busy_ms = until_ms;
+        break;
     case DUTY_WAKES:
         w->busy_ms = until_ms;
         w->wakes = holder + 1;
@@ -430,14 +447,29 @@
             g_rand_int_range(w->rand, 500, mix ? 9000 : 4000));
 }
 
+/* Each holder in turn gives up for a while. */
+static void let_yield(World *w)
+{
+    Box *b = &w->boxes[holder_of(w)];
+    if (w->now_ms < w->yields_ms && w->now_ms % YIELD_EACH_MS == 0 &&
+        w->now_ms >= b->yields_ms)
+        b->yields_ms = w->now_ms + YIELD_MS;
+}
+
 static void step(World *w)
 {
+    let_yield(w);
     begin_requests(w);
     end_calls(w);
     for (unsigned i = 0; i < BOXES; i++) {
         Box *b = &w->boxes[i];
         if (!runs(w, b))
             continue;
+        if (b->stops_ms && w->now_ms >= b->stops_ms) {
+            b->stops_ms = 0;
+            kill_box(w, i, STOPPED_MS);
+            continue;
+        }
         watch(w, b);
         if ((w->now_ms + i * STEP_MS) % TICK_MS == 0) {
             wp_usage_tick(b->usage, time_of(w, b));
--- a/tests/duty_play.h
+++ b/tests/duty_play.h
@@ -17,9 +17,11 @@
     DUTY_SERVICE_AWAY, /* reports reach the service, or not; no answer */
     DUTY_SERVICE_BUSY, /* it takes none */
     DUTY_SERVICE_SLOW,
-    DUTY_WAKES, /* the holder stops while it has a report that was not taken */
-    DUTY_CLOCK, /* times of day jump at some boxes, which then start again */
-    DUTY_MIX,   /* several of these, at random */
+    DUTY_STOP,   /* the holder is stopped, and starts again */
+    DUTY_YIELDS, /* the holder gives the duty up, and so does the next */
+    DUTY_WAKES,  /* the holder stops while it has a report that was not taken */
+    DUTY_CLOCK,  /* times of day jump at some boxes, which then start again */
+    DUTY_MIX,    /* several of these, at random */
     DUTY_TROUBLES
 } DutyTrouble;
 
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -46,6 +46,8 @@
     one_trouble(DUTY_FREEZE, true);
     one_trouble(DUTY_STORE_CUT, true);
     one_trouble(DUTY_WAKES, false);
+    one_trouble(DUTY_STOP, false);
+    one_trouble(DUTY_YIELDS, true);
 }
 
 static void store_and_service_that_fail(void **state)
