--- a/tests/path.c
+++ b/tests/path.c
@@ -347,6 +347,17 @@
     g_free(c->clock);
 }
 
+long path_entry_kb(const Path *p, unsigned entry)
+{
+    g_autofree char *file = g_strdup_printf(
+        "/proc/%d/status", (int)path_child(p->entries, entry)->pid);
+    g_autofree char *text = NULL;
+    if (!g_file_get_contents(file, &text, NULL, NULL))
+        return 0;
+    const char *at = strstr(text, "VmRSS:");
+    return at ? strtol(at + strlen("VmRSS:"), NULL, 10) : 0;
+}
+
 uint16_t path_port(const Path *p, unsigned entry)
 {
     return path_child(p->entries, entry)->port;
--- a/tests/path.h
+++ b/tests/path.h
@@ -70,6 +70,7 @@
 
 /* For the soak: signals, restarts, and ways that misbehave (wpproxy's modes as
    JSON). Nothing of these fails a test; what is not running is passed over. */
+long path_entry_kb(const Path *p, unsigned entry); /* resident memory */
 uint16_t path_port(const Path *p, unsigned entry);
 const char *path_folder(const Path *p);
 void path_signal_entry(Path *p, unsigned entry, int signal);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -3,10 +3,18 @@
  * needs; nothing depends on how fast the machine is. */
 #include "path.h"
 
+#include <arpa/inet.h>
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum {
     ROUTE_S = 20, /* a route's time */
+    SLOW_CALLERS = 100,
+    SLOW_BODY = 4 << 20,  /* bytes, of which the last never comes */
+    STILL_ROUNDS = 50,    /* without a byte that is taken */
+    ENTRY_KB = 160 << 10, /* of a small machine */
     SENDS_MOST = 60,
     SEND_EVERY_MS = 100
 };
@@ -294,14 +302,77 @@
     path_free(p);
 }
 
+/* A caller that has sent the head of a request with a large body. */
+static int begin_slow(const Path *p)
+{
+    static const char head[] = "POST /call/x HTTP/1.1\r\nHost: h.example\r\n"
+                               "Authorization: Token key-1\r\n"
+                               "X-Attempt-Id: slow\r\n"
+                               "Content-Length: %d\r\n\r\n";
+    struct sockaddr_in sa = { .sin_family = AF_INET,
+                              .sin_port = htons(path_port(p, 0)) };
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    g_autofree char *text = g_strdup_printf(head, SLOW_BODY);
+    inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+    assert_int_equal(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+    assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    return fd;
+}
+
+/* Sends what is taken of the bodies; returns how much that was. */
+static size_t send_on(const int *fds, size_t *left)
+{
+    static const char zeros[64 << 10];
+    size_t sum = 0;
+    for (unsigned i = 0; i < SLOW_CALLERS; i++) {
+        ssize_t n = write(fds[i], zeros, MIN(left[i], sizeof(zeros)));
+        left[i] -= (size_t)MAX(n, 0);
+        sum += (size_t)MAX(n, 0);
+    }
+    return sum;
+}
+
+/* A hundred callers that send 4 MB each but for the last byte do not fill the
+   memory of a small machine, and others are served beside them. */
+static void slow_callers_do_not_fill_a_box(void **state)
+{
+    Path *p = path_new(1, 2);
+    int fds[SLOW_CALLERS];
+    size_t left[SLOW_CALLERS];
+    unsigned asked = 0, served = 0;
+    long most_kb = 0;
+    (void)state;
+    for (unsigned i = 0; i < SLOW_CALLERS; i++) {
+        fds[i] = begin_slow(p);
+        left[i] = SLOW_BODY - 1;
+    }
+    for (unsigned still = 0; still < STILL_ROUNDS; still++) {
+        if (send_on(fds, left))
+            still = 0;
+        PathAnswer a = path_ask(p, 0, "GET", "/call/x", NULL);
+        asked++;
+        served += a.status == 200;
+        path_answer_end(&a);
+        most_kb = MAX(most_kb, path_entry_kb(p, 0));
+    }
+    print_message("%u of %u served, %ld MB at the most\n", served, asked,
+                  most_kb >> 10);
+    assert_true(served >= 0.98 * asked);
+    assert_in_range(most_kb, 1, ENTRY_KB);
+    for (unsigned i = 0; i < SLOW_CALLERS; i++)
+        close(fds[i]);
+    path_free(p);
+}
+
 TESTS_MAIN(T(a_request_is_served_and_goes_on_clean), T(odd_heads_are_refused),
            T(kept_connections_carry_one_request_at_a_time),
            T(broken_streams_go_on_elsewhere),
            T(what_may_not_be_repeated_runs_once),
            T(a_box_without_the_store_learns_from_another),
            T(a_leaving_endpoint_is_left_by_all), T(the_store_may_be_away),
-           T(a_planned_stop_cuts_nothing), T(a_linked_box_stops_cleanly),
-           T(a_reload_disturbs_nothing),
+           T(slow_callers_do_not_fill_a_box), T(a_planned_stop_cuts_nothing),
+           T(a_linked_box_stops_cleanly), T(a_reload_disturbs_nothing),
            T(a_caller_that_leaves_frees_its_endpoint),
            T(a_suspended_box_counts_the_time),
            T(a_request_is_kept_out_until_an_operator_lets_it_in))
