wpdirect: a log line and a metric for the use of the retry budgets

Now 'retry_budget' once a second for each service whose budget was used (requests of the window, taken and denied since the start, left, boxes, age of the process), and retries_denied_total.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -9,6 +9,7 @@
 
 enum {
     TICK_MS = 50,
+    RETRY_LOG_MS = 1000,    /* between log lines on a retry budget */
     TRAFFIC_LOG_MS = 10000, /* between log lines on bytes to other boxes */
     LATE_TICK_MS = 200, /* after a longer time without a tick the loop's timers
                            may have stood still, as the machine was
@@ -76,6 +77,39 @@
     h->traffic_logged_us = now.mono_us;
 }
 
+static void log_retry_budget(WPDirectHost *h, WPTime now, const char *service,
+                             WPRetryBudget *b)
+{
+    WPRetryBudgetReport report;
+    if (!wp_retry_budget_report(b, &h->direct.rules.retry_budget, now,
+                                h->direct.boxes, &report))
+        return;
+    int64_t age_us = now.mono_us - h->direct.startup.start_us;
+    g_autofree char *requests = g_strdup_printf("%u", report.requests);
+    g_autofree char *taken = g_strdup_printf("%lu", (gulong)report.taken);
+    g_autofree char *denied = g_strdup_printf("%lu", (gulong)report.denied);
+    g_autofree char *left = g_strdup_printf("%.1f", report.left);
+    g_autofree char *boxes = g_strdup_printf("%u", h->direct.boxes);
+    g_autofree char *age =
+        g_strdup_printf("%ld", (glong)(age_us / WP_US_PER_MS));
+    wp_log(&h->log, WP_INFO, "retry_budget", "service", service, "requests",
+           requests, "taken", taken, "denied", denied, "left", left, "boxes",
+           boxes, "since_start_ms", age, NULL);
+}
+
+static void log_retry_budgets(WPDirectHost *h, WPTime now)
+{
+    int64_t age_us = now.mono_us - h->retries_logged_us;
+    GHashTableIter it;
+    gpointer service, b;
+    if (age_us < (int64_t)RETRY_LOG_MS * WP_US_PER_MS)
+        return;
+    h->retries_logged_us = now.mono_us;
+    g_hash_table_iter_init(&it, h->direct.retry_budgets);
+    while (g_hash_table_iter_next(&it, &service, &b))
+        log_retry_budget(h, now, service, b);
+}
+
 /* Bounds the bytes buffered for slow readers by the machine's memory. Above the
    limit, large bodies are not read any further, and callers that have read
    nothing for WP_BUFFERED_READ_TIMEOUT_MS are disconnected. */
@@ -124,6 +158,7 @@
     wp_sync_tick(h->sync, now);
     check_buffered(h, now);
     log_peer_traffic(h, now);
+    log_retry_budgets(h, now);
     wp_log_flush(&h->log);
     if (h->draining)
         continue_drain(h, now);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -33,6 +33,7 @@
     WPBuffered buffered;
     int64_t traffic_logged_us; /* when the bytes to and from other boxes were
                                   last logged; 0: not yet */
+    int64_t retries_logged_us; /* when the retry budgets were last logged */
     bool draining;             /* a planned stop has begun */
     int64_t exit_us; /* time by which requests must have ended, set once a
                         draining box accepts only those that it can finish by
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -12,6 +12,8 @@
     X(REFUSED, "refused_total", "requests refused")                            \
     X(FAILED, "failed_total", "requests that failed after a start")            \
     X(RETRIES, "retries_total", "second and later attempts")                   \
+    X(RETRIES_DENIED, "retries_denied_total",                                  \
+      "retries that the budget did not allow")                                 \
     X(ESCALATIONS, "escalations_total", "cascade steps to a stronger version") \
     X(CALLERS_GONE, "callers_gone_total", "callers that left early")           \
     X(BAD_INPUT, "bad_input_total", "malformed requests")                      \
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -151,6 +151,7 @@
                               &d->rules.retry_budget, now, d->boxes, needed)) {
         wp_replica_unref(s);
         f->retry_budget_spent = true;
+        wp_count(&d->counters, WP_C_RETRIES_DENIED);
         return false;
     }
     wp_count(&d->counters,
--- a/src/wp_retry_budget.c
+++ b/src/wp_retry_budget.c
@@ -40,16 +40,38 @@
     b->requests[b->slice % WP_RETRY_BUDGET_SLICES]++;
 }
 
+static double limit_of(const WPRetryBudget *b, const WPRetryBudgetRules *r,
+                       unsigned boxes)
+{
+    return MARGIN * (r->ratio * sum(b->requests) + r->slack / MAX(boxes, 1));
+}
+
 bool wp_retry_budget_take(WPRetryBudget *b, const WPRetryBudgetRules *r,
                           WPTime now, unsigned boxes, WPRetryPurpose purpose)
 {
     advance(b, r, now);
-    double limit =
-        MARGIN * (r->ratio * sum(b->requests) + r->slack / MAX(boxes, 1));
+    double limit = limit_of(b, r, boxes);
     if (purpose == WP_RETRY_FOR_ESCALATION)
         limit *= ESCALATION_SHARE;
-    if (sum(b->retries) + 1 > limit)
+    if (sum(b->retries) + 1 > limit) {
+        b->denied++;
         return false;
+    }
     b->retries[b->slice % WP_RETRY_BUDGET_SLICES]++;
+    b->taken++;
+    return true;
+}
+
+bool wp_retry_budget_report(WPRetryBudget *b, const WPRetryBudgetRules *r,
+                            WPTime now, unsigned boxes,
+                            WPRetryBudgetReport *out)
+{
+    uint64_t total = b->taken + b->denied;
+    if (total == b->reported)
+        return false;
+    b->reported = total;
+    advance(b, r, now);
+    *out = (WPRetryBudgetReport){ sum(b->requests), b->taken, b->denied,
+                                  limit_of(b, r, boxes) - sum(b->retries) };
     return true;
 }
--- a/src/wp_retry_budget.h
+++ b/src/wp_retry_budget.h
@@ -18,6 +18,8 @@
 typedef struct WPRetryBudget {
     int64_t slice; /* index of the newest slice */
     uint32_t requests[WP_RETRY_BUDGET_SLICES], retries[WP_RETRY_BUDGET_SLICES];
+    uint64_t taken, denied; /* retries since the process started */
+    uint64_t reported;      /* their sum at the last report */
 } WPRetryBudget;
 
 /* The purpose of a retry; escalations leave some of the budget for failures. */
@@ -36,4 +38,16 @@
 bool wp_retry_budget_take(WPRetryBudget *b, const WPRetryBudgetRules *r,
                           WPTime now, unsigned boxes, WPRetryPurpose purpose);
 
+/* The use of a budget, for the log. */
+typedef struct WPRetryBudgetReport {
+    unsigned requests;      /* in the window */
+    uint64_t taken, denied; /* retries since the process started */
+    double left;            /* retries that may be taken now */
+} WPRetryBudgetReport;
+
+/* Returns false if no retry was taken or denied since the last report. */
+bool wp_retry_budget_report(WPRetryBudget *b, const WPRetryBudgetRules *r,
+                            WPTime now, unsigned boxes,
+                            WPRetryBudgetReport *out);
+
 #endif
