Retry budget: a token bucket that is empty when a process starts

Cause: the budget was a sliding window in the process. A process that follows another on a box knew nothing of what that had taken: it had its whole part of the slack again, and what its predecessor had taken from the requests of the ten seconds before its end was spent twice.

Now a bucket is filled by requests and by time and is empty at the start: in any window the processes of a box take one full bucket at most and what was added in that window, however often they are killed, without telling each other anything. The bound holds for any sliding window exactly, so less of it is kept back.

--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -103,7 +103,8 @@
 {
     WPRetryBudget *b = g_hash_table_lookup(d->retry_budgets, service);
     if (!b) {
-        b = g_new0(WPRetryBudget, 1);
+        b = g_new(WPRetryBudget, 1);
+        wp_retry_budget_init(b, d->startup.start_us);
         g_hash_table_insert(d->retry_budgets, g_strdup(service), b);
     }
     return b;
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -320,7 +320,7 @@
 {
     WPDirect *d = f->direct;
     wp_retry_budget_count_request(wp_direct_retry_budget(d, f->service->name),
-                                  &d->rules.retry_budget, now);
+                                  &d->rules.retry_budget, now, d->boxes);
     wp_fleet_count_request(d->fleet, now, f->service->name);
     f->draw = g_rand_double(d->rand);
     if (wp_flow_starts_with_largest(f, now))
--- a/src/wp_retry_budget.c
+++ b/src/wp_retry_budget.c
@@ -1,15 +1,20 @@
-/* The sliding window of the retry budget. */
+/* The token bucket of the retry budget. */
 #include "wp_retry_budget.h"
 
-/* Share of its part that a box uses. Below 1, as the bound holds for windows
-   that slide in finer steps than the slices here (a twentieth of the window),
-   and the boxes' clocks differ. Not lower than needed for that: what is not
-   used is lost to escalations, which get better answers. */
-#define MARGIN 0.9
+/* Share of the bound that is used. The rest covers attempts that reach their
+   endpoint later than they are counted. */
+#define BOUND_SHARE 0.97
 
-/* Share of that which escalations may use; retries after failures may use all
-   of it. The rest is kept for failures that come in a burst. */
-#define ESCALATION_SHARE 0.9
+/* Share of `ratio` that a request adds to the bucket; the rest makes the bucket
+   larger. */
+#define REFILL_RATIO_SHARE 0.9
+
+/* Share of `slack` that is added evenly over a window; the rest makes the
+   bucket larger. */
+#define REFILL_SLACK_SHARE 0.5
+
+/* Share of a full bucket that escalations leave for failures. */
+#define ESCALATION_RESERVE 0.15
 
 static void advance(WPRetryBudget *b, const WPRetryBudgetRules *r, WPTime now)
 {
@@ -17,47 +22,86 @@
         MAX(1, (int64_t)r->window_ms * WP_US_PER_MS / WP_RETRY_BUDGET_SLICES);
     int64_t slice = now.mono_us / slice_us;
     int64_t n = MIN(slice - b->slice, WP_RETRY_BUDGET_SLICES);
-    for (int64_t i = 0; i < n; i++) {
-        size_t at = (size_t)((slice - i) % WP_RETRY_BUDGET_SLICES);
-        b->requests[at] = 0;
-        b->retries[at] = 0;
-    }
+    for (int64_t i = 0; i < n; i++)
+        b->requests[(slice - i) % WP_RETRY_BUDGET_SLICES] = 0;
     b->slice = MAX(b->slice, slice);
 }
 
-static uint32_t sum(const uint32_t *v)
+static unsigned requests_in_window(const WPRetryBudget *b)
 {
-    uint32_t n = 0;
+    unsigned n = 0;
     for (size_t i = 0; i < WP_RETRY_BUDGET_SLICES; i++)
-        n += v[i];
+        n += b->requests[i];
     return n;
 }
 
-void wp_retry_budget_count_request(WPRetryBudget *b,
-                                   const WPRetryBudgetRules *r, WPTime now)
+/* This box's part of the slack, in retries a window. */
+static double slack_part(const WPRetryBudgetRules *r, unsigned boxes)
 {
+    return BOUND_SHARE * r->slack / MAX(boxes, 1);
+}
+
+/* The size of the bucket, in retries; less than 1 at a box with few requests
+   among many boxes. */
+static double bucket_size(const WPRetryBudget *b, const WPRetryBudgetRules *r,
+                          unsigned boxes)
+{
+    return BOUND_SHARE * (1 - REFILL_RATIO_SHARE) * r->ratio *
+               requests_in_window(b) +
+           (1 - REFILL_SLACK_SHARE) * slack_part(r, boxes);
+}
+
+/* Adds tokens, but no more than the bucket holds; that is one at least, as
+   otherwise no retry could ever be taken. */
+static void add_tokens(WPRetryBudget *b, const WPRetryBudgetRules *r,
+                       unsigned boxes, double tokens)
+{
+    b->tokens = MIN(b->tokens + tokens, MAX(bucket_size(b, r, boxes), 1));
+}
+
+static void refill(WPRetryBudget *b, const WPRetryBudgetRules *r, WPTime now,
+                   unsigned boxes)
+{
+    double window_us = (double)MAX(r->window_ms, 1) * WP_US_PER_MS;
+    double since_us = (double)(now.mono_us - b->refilled_us);
     advance(b, r, now);
-    b->requests[b->slice % WP_RETRY_BUDGET_SLICES]++;
+    add_tokens(b, r, boxes,
+               REFILL_SLACK_SHARE * slack_part(r, boxes) * since_us /
+                   window_us);
+    b->refilled_us = now.mono_us;
+}
+
+void wp_retry_budget_init(WPRetryBudget *b, int64_t start_us)
+{
+    *b = (WPRetryBudget){ .refilled_us = start_us };
 }
 
-static double limit_of(const WPRetryBudget *b, const WPRetryBudgetRules *r,
-                       unsigned boxes)
+void wp_retry_budget_count_request(WPRetryBudget *b,
+                                   const WPRetryBudgetRules *r, WPTime now,
+                                   unsigned boxes)
 {
-    return MARGIN * (r->ratio * sum(b->requests) + r->slack / MAX(boxes, 1));
+    double tokens = BOUND_SHARE * REFILL_RATIO_SHARE * r->ratio;
+    refill(b, r, now, boxes);
+    b->requests[b->slice % WP_RETRY_BUDGET_SLICES]++;
+    /* What add_tokens() lets a small bucket hold beyond its size is withheld
+       from the refill of a window's requests. */
+    double beyond_size = MAX(1 - bucket_size(b, r, boxes), 0);
+    tokens -= beyond_size / requests_in_window(b);
+    add_tokens(b, r, boxes, MAX(tokens, 0));
 }
 
 bool wp_retry_budget_take(WPRetryBudget *b, const WPRetryBudgetRules *r,
                           WPTime now, unsigned boxes, WPRetryPurpose purpose)
 {
-    advance(b, r, now);
-    double limit = limit_of(b, r, boxes);
+    double reserve = 0;
+    refill(b, r, now, boxes);
     if (purpose == WP_RETRY_FOR_ESCALATION)
-        limit *= ESCALATION_SHARE;
-    if (sum(b->retries) + 1 > limit) {
+        reserve = ESCALATION_RESERVE * bucket_size(b, r, boxes);
+    if (b->tokens < reserve + 1) {
         b->denied++;
         return false;
     }
-    b->retries[b->slice % WP_RETRY_BUDGET_SLICES]++;
+    b->tokens--;
     b->taken++;
     return true;
 }
@@ -70,8 +114,8 @@
     if (total == b->reported)
         return false;
     b->reported = total;
-    advance(b, r, now);
-    *out = (WPRetryBudgetReport){ sum(b->requests), b->taken, b->denied,
-                                  limit_of(b, r, boxes) - sum(b->retries) };
+    refill(b, r, now, boxes);
+    *out = (WPRetryBudgetReport){ requests_in_window(b), b->taken, b->denied,
+                                  b->tokens };
     return true;
 }
--- a/src/wp_retry_budget.h
+++ b/src/wp_retry_budget.h
@@ -1,7 +1,12 @@
 /* A budget for retries, that is second and later attempts, so that they cannot
- * multiply a burst of requests: a share of the requests in a sliding window.
- * The bound holds for all boxes together; each box keeps to its own part of it
- * without communication. */
+ * multiply a burst of requests: a share of the requests in a sliding window,
+ * and some slack. The bound holds for all boxes together; each box keeps to its
+ * own part of it without communication.
+ *
+ * It is a token bucket that is empty when the process starts. In any window the
+ * processes that follow each other on a box take one full bucket at most and
+ * what was added in that window, so that none needs to know what those before
+ * it have taken. */
 #ifndef WP_RETRY_BUDGET_H
 #define WP_RETRY_BUDGET_H
 
@@ -16,8 +21,10 @@
 } WPRetryBudgetRules;
 
 typedef struct WPRetryBudget {
-    int64_t slice; /* index of the newest slice */
-    uint32_t requests[WP_RETRY_BUDGET_SLICES], retries[WP_RETRY_BUDGET_SLICES];
+    double tokens;       /* retries that may be taken now */
+    int64_t refilled_us; /* when the slack was last added */
+    int64_t slice;       /* index of the newest slice */
+    uint32_t requests[WP_RETRY_BUDGET_SLICES];
     uint64_t taken, denied; /* retries since the process started */
     uint64_t reported;      /* their sum at the last report */
 } WPRetryBudget;
@@ -28,13 +35,16 @@
     WP_RETRY_FOR_ESCALATION /* to get a better answer than the one received */
 } WPRetryPurpose;
 
-/* Counts a new request in the window. */
+/* `start_us`: when this process started. */
+void wp_retry_budget_init(WPRetryBudget *b, int64_t start_us);
+
+/* Counts a new request in the window. `boxes`: how many share the slack. */
 void wp_retry_budget_count_request(WPRetryBudget *b,
-                                   const WPRetryBudgetRules *r, WPTime now);
+                                   const WPRetryBudgetRules *r, WPTime now,
+                                   unsigned boxes);
 
 /* Takes one retry from this box's part of the budget; returns false, and takes
-   nothing, if too little is left for that purpose. `boxes`: how many share the
-   slack. */
+   nothing, if too little is left for that purpose. */
 bool wp_retry_budget_take(WPRetryBudget *b, const WPRetryBudgetRules *r,
                           WPTime now, unsigned boxes, WPRetryPurpose purpose);
 
