Retry budget: requests that waited for a frozen box add nothing to it

Cause: a request counts when the box reads it. Those that callers sent while the process stood still are all read after it, so a window then has the retries of more than its own requests.

A late tick shows how long the process stood still. As many requests as usually come in that time refill nothing, within one window.

--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -1,6 +1,9 @@
 /* The state of an entry in direct mode. */
 #include "wp_direct_int.h"
 
+/* A longer time without a tick is a pause of the process. */
+#define PAUSE_MIN_US (200 * WP_US_PER_MS)
+
 /* How often expired sessions and suspects are removed. */
 #define EXPIRE_INTERVAL_US (1000 * WP_US_PER_MS)
 
@@ -86,11 +89,27 @@
     return record->last_used_us < expiry->oldest_us;
 }
 
+/* Notes in all retry budgets that the process has stood still since the last
+   tick, if it has. */
+static void note_pause(WPDirect *d, WPTime now)
+{
+    int64_t pause_us = d->tick_us ? now.mono_us - d->tick_us : 0;
+    GHashTableIter it;
+    gpointer b;
+    d->tick_us = now.mono_us;
+    if (pause_us < PAUSE_MIN_US)
+        return;
+    g_hash_table_iter_init(&it, d->retry_budgets);
+    while (g_hash_table_iter_next(&it, NULL, &b))
+        wp_retry_budget_note_pause(b, &d->rules.retry_budget, now, pause_us);
+}
+
 void wp_direct_tick(WPDirect *d, WPTime now)
 {
     int64_t keep_us =
         (int64_t)d->rules.session_idle_ms * WP_US_PER_MS * SESSION_KEEP_TIMES;
     Expiry expiry = { now, now.mono_us - keep_us };
+    note_pause(d, now);
     wp_fleet_tick(d->fleet, now);
     if (now.mono_us - d->expired_us < EXPIRE_INTERVAL_US)
         return;
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -50,6 +50,7 @@
                               their targets */
     WPValueRate value_rate;
     WPStallModel stalls;
+    int64_t tick_us;    /* of the last tick; 0: none */
     int64_t expired_us; /* when sessions and suspects last expired */
     GRand *rand;
 } WPDirect;
--- a/src/wp_retry_budget.c
+++ b/src/wp_retry_budget.c
@@ -59,15 +59,19 @@
     b->tokens = MIN(b->tokens + tokens, MAX(bucket_size(b, r, boxes), 1));
 }
 
+static double window_us_of(const WPRetryBudgetRules *r)
+{
+    return (double)MAX(r->window_ms, 1) * WP_US_PER_MS;
+}
+
 static void refill(WPRetryBudget *b, const WPRetryBudgetRules *r, WPTime now,
                    unsigned boxes)
 {
-    double window_us = (double)MAX(r->window_ms, 1) * WP_US_PER_MS;
     double since_us = (double)(now.mono_us - b->refilled_us);
     advance(b, r, now);
     add_tokens(b, r, boxes,
                REFILL_SLACK_SHARE * slack_part(r, boxes) * since_us /
-                   window_us);
+                   window_us_of(r));
     b->refilled_us = now.mono_us;
 }
 
@@ -87,7 +91,21 @@
        from the refill of a window's requests. */
     double beyond_size = MAX(1 - bucket_size(b, r, boxes), 0);
     tokens -= beyond_size / requests_in_window(b);
-    add_tokens(b, r, boxes, MAX(tokens, 0));
+    tokens = MAX(tokens, 0);
+    if (now.mono_us > b->withheld_until_us)
+        b->withheld = 0;
+    double withheld = MIN(tokens, b->withheld);
+    b->withheld -= withheld;
+    add_tokens(b, r, boxes, tokens - withheld);
+}
+
+void wp_retry_budget_note_pause(WPRetryBudget *b, const WPRetryBudgetRules *r,
+                                WPTime now, int64_t pause_us)
+{
+    double windows = MIN((double)pause_us / window_us_of(r), 1);
+    b->withheld_until_us = now.mono_us + (int64_t)window_us_of(r);
+    b->withheld += BOUND_SHARE * REFILL_RATIO_SHARE * r->ratio *
+                   requests_in_window(b) * windows;
 }
 
 bool wp_retry_budget_take(WPRetryBudget *b, const WPRetryBudgetRules *r,
--- a/src/wp_retry_budget.h
+++ b/src/wp_retry_budget.h
@@ -21,9 +21,11 @@
 } WPRetryBudgetRules;
 
 typedef struct WPRetryBudget {
-    double tokens;       /* retries that may be taken now */
-    int64_t refilled_us; /* when the slack was last added */
-    int64_t slice;       /* index of the newest slice */
+    double tokens;             /* retries that may be taken now */
+    int64_t refilled_us;       /* when the slack was last added */
+    double withheld;           /* tokens that the next requests do not add, */
+    int64_t withheld_until_us; /* up to this time */
+    int64_t slice;             /* index of the newest slice */
     uint32_t requests[WP_RETRY_BUDGET_SLICES];
     uint64_t taken, denied; /* retries since the process started */
     uint64_t reported;      /* their sum at the last report */
@@ -43,6 +45,12 @@
                                    const WPRetryBudgetRules *r, WPTime now,
                                    unsigned boxes);
 
+/* The process has stood still for `pause_us` until now. Requests that callers
+   sent meanwhile are counted after it, but belong to the window before: as many
+   as usually come in that time add nothing. */
+void wp_retry_budget_note_pause(WPRetryBudget *b, const WPRetryBudgetRules *r,
+                                WPTime now, int64_t pause_us);
+
 /* Takes one retry from this box's part of the budget; returns false, and takes
    nothing, if too little is left for that purpose. */
 bool wp_retry_budget_take(WPRetryBudget *b, const WPRetryBudgetRules *r,
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -494,6 +494,39 @@
     fake_end(&k);
 }
 
+/* Requests that all fail, one each `gap_ms`; returns how many retries they
+   got. */
+static unsigned retries_of_failing(Fake *k, unsigned requests, int64_t gap_ms)
+{
+    WPFlowAction m;
+    unsigned retries = 0;
+    for (unsigned i = 0; i < requests; i++) {
+        WPFlow *f = fake_ask(k, "/safe/x", NULL, &m);
+        wp_flow_on_lost(f, k->now, WP_LOSS_NO_ANSWER, &m);
+        for (; m.kind == WP_FLOW_SEND; retries++)
+            wp_flow_on_lost(f, k->now, WP_LOSS_NO_ANSWER, &m);
+        wp_flow_free(f);
+        if (gap_ms)
+            fake_advance(k, gap_ms);
+    }
+    return retries;
+}
+
+static void requests_that_waited_for_a_frozen_box_add_no_retries(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    fake_advance(&k, 50);
+    retries_of_failing(&k, 200, 50);
+    fake_advance(&k, 2000);
+    /* 40 requests have come in 2 s; 4 retries of the slack are added in that
+       time at most. */
+    assert_true(retries_of_failing(&k, 40, 0) <= 4);
+    assert_true(retries_of_failing(&k, 200, 50) >= 80);
+    fake_end(&k);
+}
+
 /* A request that may be repeated does not wait for an endpoint that does not
    answer: at the first-byte time-out it goes to another one. A request that may
    not be repeated waits. */
@@ -565,5 +598,6 @@
            T(broken_stream_is_resumed_elsewhere), T(route_time_limit_gives_504),
            T(keys_and_routes_are_checked), T(older_routes_are_rejected),
            T(retries_stay_within_the_budget),
+           T(requests_that_waited_for_a_frozen_box_add_no_retries),
            T(first_byte_timeout_tries_another_endpoint),
            T(longest_event_gap_is_recorded))
