--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -58,6 +58,8 @@
         tests/soak-limit-cases.txt 3
     soak notices "--notices --entries 4 --replicas 10 --callers 24 --seconds 14" \
         tests/soak-notice-cases.txt 3
+    soak retries "--retries --entries 3 --replicas 6 --seconds 14" \
+        tests/soak-retry-cases.txt 4
     soak beside "--moves beside --seconds 12" tests/soak-beside-cases.txt
     out=$(mktemp)
     WP_BIN=$BUILD tests/run-scenarios.sh 4 | tee "$out"
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -24,15 +24,18 @@
  *   - with --limits (soak_limit.h): endpoints that report a rate limit get no
  *     more than that, and the limit is used;
  *   - with --notices (soak_notice.h): endpoints that are draining or ask for
- *     back-off get no requests, and others serve.
+ *     back-off get no requests, and others serve;
+ *   - with --retries (soak_retry.h): all entries together keep to the retry
+ *     budget.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
  *          [--callers 8] [--moves alone|beside] [--zones] [--crashing]
- *          [--limits] [--notices] */
+ *          [--limits] [--notices] [--retries] */
 #include "soak_crash.h"
 #include "soak_limit.h"
 #include "soak_shift.h"
 #include "soak_notice.h"
+#include "soak_retry.h"
 #include "soak_zone.h"
 
 #include <signal.h>
@@ -44,8 +47,8 @@
     RECOVER_S = 15,     /* after the faults, until every entry serves */
     STEP_MIN_MS = 60,   /* between two faults */
     STEP_MAX_MS = 350,
-    /* Between a caller's requests, with --limits and --notices: 8 callers send
-       nearly 200 a second. */
+    /* Between a caller's requests, with --limits, --notices and --retries: 8
+       callers send nearly 200 a second. */
     REQUEST_INTERVAL_MS = 40,
     FAULTS_MAX = 64
 };
@@ -55,6 +58,7 @@
 static gboolean crashing; /* requests that crash endpoints; no other faults */
 static gboolean limits;   /* endpoints that report one; no other faults */
 static gboolean notices;  /* of draining and back-off; no other faults */
+static gboolean retries;  /* with failing endpoints; no other faults */
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* The result of one request as its caller saw it. */
@@ -62,6 +66,7 @@
     char id[24];
     bool non_repeatable;
     int status;
+    int64_t sent_ms; /* monotonic clock */
 } RequestOutcome;
 
 typedef struct Soak {
@@ -78,6 +83,7 @@
     SoakCrash *crash;   /* NULL: none */
     SoakLimit *limit;   /* NULL: none */
     SoakNotice *notice; /* NULL: none */
+    SoakRetry *retry;   /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -148,10 +154,12 @@
                        c->entry);
 }
 
-static void record_outcome(Soak *s, const ClusterAnswer *a, bool non_repeatable)
+static void record_outcome(Soak *s, const ClusterAnswer *a, bool non_repeatable,
+                           int64_t sent_us)
 {
     RequestOutcome outcome = { .non_repeatable = non_repeatable,
-                               .status = a->status };
+                               .status = a->status,
+                               .sent_ms = sent_us / WP_US_PER_MS };
     g_strlcpy(outcome.id, a->id, sizeof(outcome.id));
     g_mutex_lock(&s->lock);
     g_array_append_val(s->outcomes, outcome);
@@ -178,6 +186,7 @@
                    ++c->sent);
     else
         g_snprintf(a.id, sizeof(a.id), "s%u.%u", c->number, ++c->sent);
+    int64_t sent_us = g_get_monotonic_time();
     cluster_exchange(&a, cluster_entry_port(c->soak->cluster, c->entry),
                      k == 1 ? "POST" : "GET", targets[k]);
     c->fd = a.fd;
@@ -185,7 +194,7 @@
         check_route(c, a.status, incarnation);
     else
         check_answer(c, targets[k], &a);
-    record_outcome(c->soak, &a, k == 1);
+    record_outcome(c->soak, &a, k == 1, sent_us);
     if (a.closed || !a.complete) {
         cluster_answer_release(&a);
         c->fd = -1;
@@ -198,7 +207,7 @@
         a.status != 200; /* as callers are required to after an error */
     if (!a.status || backs_off)
         g_usleep(STEP_MIN_MS * WP_US_PER_MS);
-    if (limits || notices)
+    if (limits || notices || retries)
         g_usleep(REQUEST_INTERVAL_MS * WP_US_PER_MS);
 }
 
@@ -378,8 +387,10 @@
             soak_limit_tick(s->limit);
         if (s->notice)
             soak_notice_tick(s->notice);
-        if (!s->crash && !s->limit && !s->notice && faults->len < FAULTS_MAX &&
-            g_strcmp0(shifts, "alone")) {
+        if (s->retry)
+            soak_retry_tick(s->retry);
+        if (!s->crash && !s->limit && !s->notice && !s->retry &&
+            faults->len < FAULTS_MAX && g_strcmp0(shifts, "alone")) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
         }
@@ -451,6 +462,19 @@
     return n;
 }
 
+/* When the requests to existing routes were sent (int64_t, ms). */
+static GArray *routed_sent_ms(const Soak *s)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    for (guint i = 0; i < s->outcomes->len; i++) {
+        const RequestOutcome *o =
+            &g_array_index(s->outcomes, RequestOutcome, i);
+        if (o->status != 404)
+            g_array_append_val(out, o->sent_ms);
+    }
+    return out;
+}
+
 /* Checks that every entry serves requests within 15 s after the faults. */
 static void check_recovery(Soak *s)
 {
@@ -495,6 +519,10 @@
     if (notices)
         s.notice = soak_notice_new(s.cluster, seed, seconds, (unsigned)entries,
                                    (unsigned)replicas, &notice_ops);
+    const SoakRetryOps retry_ops = { on_restart_entry, &s };
+    if (retries)
+        s.retry = soak_retry_new(s.cluster, seed, seconds, (unsigned)entries,
+                                 (unsigned)replicas, &retry_ops);
     bool single_entry = s.limit && soak_limit_uses_one_entry(s.limit);
     for (int i = 0; i < callers; i++) {
         all_callers[i] =
@@ -528,6 +556,7 @@
     if (cluster_count_field_violations(s.cluster))
         report_problem(&s,
                        "an endpoint got a caller's key or a reserved field");
+    g_autoptr(GArray) sent_ms = routed_sent_ms(&s);
     g_autofree char *summary =
         s.shift  ? soak_shift_end(s.shift, s.problems)
         : s.zone ? soak_zone_end(s.zone, s.problems)
@@ -537,7 +566,8 @@
             ? soak_limit_end(s.limit, count_routed(&s), served, s.problems)
         : s.notice
             ? soak_notice_end(s.notice, count_routed(&s), served, s.problems)
-            : g_strdup("no special case");
+        : s.retry ? soak_retry_end(s.retry, sent_ms, s.problems)
+                  : g_strdup("no special case");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
            ok ? "ok" : "FAILED", s.outcomes->len, served, summary,
@@ -572,6 +602,8 @@
           "endpoints that report a rate limit", NULL },
         { "notices", 0, 0, G_OPTION_ARG_NONE, &notices,
           "endpoints that drain or ask for back-off", NULL },
+        { "retries", 0, 0, G_OPTION_ARG_NONE, &retries,
+          "endpoints that refuse or fail, entries killed in series", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
