wpdirect: log lines on the store's era and on entries that count as old

Now 'store_era', 'store_era_late', 'store_era_bad' and 'entry_older'; the client of the store passes the header of each answer on.

--- a/Makefile
+++ b/Makefile
@@ -129,7 +129,7 @@
 
 # Header fields, store keys and calls of the platform, which only files in
 # platform/ may name.
-PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|Server-Limit|Server-Leaving|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
+PLATFORM_WORDS := X-(Attempt|Deadline|Model|Token-Count|Prompt|Tenant|Expect|Request-Priority|Hold|Pin|Kv|Replica|Not-Executed|Confidence|Length-Hint)|Server-Limit|Server-Leaving|Store-Era|kv-(range|watch|txn|lease|key)|op/(config|rollout)|rolled_back|apiKeys|trafficSplit|targetVersion
 PLATFORM_LINES := 900
 
 # Fails when a file of folder $(1) includes a header of a folder other than $(2).
--- a/io/wp_http.c
+++ b/io/wp_http.c
@@ -7,6 +7,8 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 
+typedef struct Call Call;
+
 struct WPHttp {
     struct event_base *base;
     struct evhttp_connection *con;
@@ -14,15 +16,17 @@
     uint16_t port;
     int timeout_ms;
     WPList calls;
+    Call *current; /* whose `done` is being called; NULL: none */
 };
 
-typedef struct Call {
+struct Call {
     WPList link;
     WPHttp *owner;
+    struct evhttp_request *response; /* NULL: none */
     WPHttpDone done;
     GDestroyNotify drop; /* called in place of `done` to free `arg`; or NULL */
     void *arg;
-} Call;
+};
 
 bool wp_http_parse_target(const char *target, char **host, uint16_t *port)
 {
@@ -92,6 +96,12 @@
     event_base_once(h->base, -1, EV_TIMEOUT, free_retired, old, &at_once);
 }
 
+const char *wp_http_response_header(const WPHttp *h, const char *name)
+{
+    struct evhttp_request *r = h->current ? h->current->response : NULL;
+    return r ? wp_http_header(r, name) : NULL;
+}
+
 bool wp_http_is_busy(const WPHttp *h)
 {
     return !wp_list_empty(&h->calls);
@@ -113,6 +123,8 @@
        without an owner they are dropped. */
     wp_list_each (it, &h->calls)
         wp_list_item(it, Call, link)->owner = NULL;
+    if (h->current)
+        h->current->owner = NULL;
     if (h->con)
         evhttp_connection_free(h->con);
     wp_list_each_safe (it, tmp, &h->calls)
@@ -138,7 +150,11 @@
         return;
     }
     wp_list_remove(&c->link);
+    c->response = r;
+    c->owner->current = c;
     c->done(c->arg, status, body);
+    if (c->owner)
+        c->owner->current = NULL;
     g_free(c);
 }
 
--- a/io/wp_http.h
+++ b/io/wp_http.h
@@ -49,6 +49,10 @@
    with status 0. */
 void wp_http_reconnect(WPHttp *h);
 
+/* Returns a header field of the response whose `done` is being called; NULL if
+   it has none, or if there was no response. */
+const char *wp_http_response_header(const WPHttp *h, const char *name);
+
 /* Returns whether calls are in flight. */
 bool wp_http_is_busy(const WPHttp *h);
 
--- a/io/wp_kv.c
+++ b/io/wp_kv.c
@@ -1,4 +1,4 @@
-/* Reads the configuration from the key-value store. */
+/* What the clients of key-value stores share. */
 #include "wp_kv.h"
 #include "wp_pb.h"
 
@@ -15,6 +15,14 @@
     return op;
 }
 
+bool wp_kv_observe_era(WPKv *kv, const char *text)
+{
+    WPStoreEraChange change = wp_store_era_observe(&kv->era, text);
+    if (change != WP_STORE_ERA_SAME && kv->era_changed)
+        kv->era_changed(kv->era_arg, change, text);
+    return change != WP_STORE_ERA_LATE;
+}
+
 Wp__Snapshot *wp_kv_snapshot(const WPKvResult *r)
 {
     Wp__Snapshot *s = g_new0(Wp__Snapshot, 1);
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -4,7 +4,7 @@
 #define WP_KV_H
 
 #include "config.pb-c.h"
-#include "wp_base.h"
+#include "wp_store_era.h"
 
 #include <event2/event.h>
 
@@ -82,10 +82,22 @@
     void (*free)(WPKv *kv);
 } WPKvOps;
 
+/* Reports an answer that names another era than the one before, or none that
+   can be read; `text`: as it is named. */
+typedef void (*WPKvEraFn)(void *arg, WPStoreEraChange change, const char *text);
+
 struct WPKv {
     const WPKvOps *ops;
+    WPStoreEra era;
+    WPKvEraFn era_changed; /* NULL: nothing is reported */
+    void *era_arg;
 };
 
+/* For clients: takes the era that an answer names, before anything else of the
+   answer; NULL: it names none. Returns false if the answer is from before a
+   restore of the store and does not count. */
+bool wp_kv_observe_era(WPKv *kv, const char *text);
+
 /* Converts the result of a range over WP_KV_CONFIG: the configuration's
    objects, and as its revision that of WP_KV_HEAD. Free with wp_pb_free(). */
 Wp__Snapshot *wp_kv_snapshot(const WPKvResult *r);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -8,6 +8,8 @@
 #include "wp_reports.h"
 #include "wp_zone_updates.h"
 
+#include <stdio.h>
+
 enum {
     /* a box that watches the store usually gets a change before another box
        could send it */
@@ -67,6 +69,46 @@
            up ? "store_regained" : "store_lost", NULL);
 }
 
+static void on_era(void *arg, WPStoreEraChange change, const char *text)
+{
+    WPSync *s = arg;
+    char revision[24];
+    snprintf(revision, sizeof(revision), "%lu",
+             (unsigned long)wp_mirror_complete_revision(s->mirror));
+    switch (change) {
+    case WP_STORE_ERA_SAME:
+        break;
+    case WP_STORE_ERA_RISEN:
+        wp_log(&s->host->log, WP_INFO, "store_era", "era", text,
+               "known_revision", revision, NULL);
+        break;
+    case WP_STORE_ERA_LATE:
+        wp_log(&s->host->log, WP_WARN, "store_era_late", "era", text, NULL);
+        break;
+    case WP_STORE_ERA_INVALID:
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "store_era_bad", "era", text,
+               NULL);
+        break;
+    }
+}
+
+/* Applies an item that the store has sent. Logs that it is older than the one
+   that is known. */
+static void apply_item(WPSync *s, const WPKvItem *item, bool lapsed)
+{
+    uint64_t known = wp_mirror_key_revision(s->mirror, item->key.p);
+    if (item->mod_revision < known) {
+        char revision[24], had[24];
+        snprintf(revision, sizeof(revision), "%lu",
+                 (unsigned long)item->mod_revision);
+        snprintf(had, sizeof(had), "%lu", (unsigned long)known);
+        wp_log(&s->host->log, WP_INFO, "entry_older", "key", item->key.p,
+               "revision", revision, "known", had, NULL);
+    }
+    wp_store_apply(s, item->key.p, item->removed ? NULL : &item->value,
+                   item->mod_revision, lapsed);
+}
+
 /* Returns whether an entry that the store now lacks may have been removed
    only because its lease expired while the store was unavailable: it is
    missing in the store's first answer after a time in which it answered none
@@ -163,8 +205,7 @@
     switch (what) {
     case WP_KV_CHANGED:
         on_answer(s);
-        wp_store_apply(s, item->key.p, item->removed ? NULL : &item->value,
-                       item->mod_revision, item->removed && may_have_lapsed(s));
+        apply_item(s, item, item->removed && may_have_lapsed(s));
         wp_mirror_advance(s->mirror, item->mod_revision);
         note_synced(s);
         break;
@@ -226,8 +267,7 @@
     }
     set_store_up(s, true);
     for (size_t i = 0; i < r->n_items; i++)
-        wp_store_apply(s, r->items[i].key.p, &r->items[i].value,
-                       r->items[i].mod_revision, false);
+        apply_item(s, &r->items[i], false);
     remove_missing(s, r);
     wp_mirror_advance(s->mirror, r->revision);
     note_synced(s);
@@ -452,6 +492,8 @@
                             s, error);
     s->kv = s->peers ? h->platform->store(h->base, h->settings->store) : NULL;
     if (s->kv) {
+        s->kv->era_changed = on_era;
+        s->kv->era_arg = s;
         s->zone_updates = wp_zone_updates_new(h, s->peers);
         s->suspect_updates = wp_suspect_updates_new(s);
         s->notice_updates = wp_notice_updates_new(h, s->peers);
