--- a/standins/pstore.c
+++ b/standins/pstore.c
@@ -4,7 +4,10 @@
  *     connection is closed);
  *   lose_answers: share of transactions that are committed without a response;
  *   deaf: watches get no events;
- *   compact: drops the history and closes the connections of watches.
+ *   compact: drops the history and closes the connections of watches;
+ *   restore_ms: the store is as it was so many milliseconds ago, and its era
+ *     rises. After rewrite_ms the operator and the endpoints write again what
+ *     they have written since; what boxes have written is lost.
  * Writes of the operator and of endpoints come on /control too, as put and
  * remove; get returns an item's value. */
 #include "pf_names.h"
@@ -18,6 +21,7 @@
 typedef struct Item {
     char *key, *value; /* value in base64; NULL: removed */
     uint64_t revision, created;
+    int64_t at_us; /* when it was written */
 } Item;
 
 typedef struct Watch {
@@ -33,7 +37,10 @@
     struct event_base *base;
     GTree *items;       /* key -> Item */
     GPtrArray *history; /* of Item, in the order of writes */
-    uint64_t revision, oldest;
+    GPtrArray *journal; /* the same of all writes since the start */
+    GPtrArray *lost;    /* of Item: writes of others that a restore has lost */
+    struct event *rewrite;
+    uint64_t revision, oldest, era;
     WPList watches;
     GRand *rand;
     char down[16];
@@ -69,29 +76,37 @@
     return c;
 }
 
-/* Applies one write with the store's current revision. `value` NULL removes
-   the key. */
-static void apply(Store *s, const char *key, const char *value)
+/* Adds a write, whose ownership it takes, to the history and the items. */
+static void store_item(Store *s, Item *i)
 {
-    const Item *old = g_tree_lookup(s->items, key);
-    Item *i = g_new0(Item, 1);
-    i->key = g_strdup(key);
-    i->value = g_strdup(value);
-    i->revision = s->revision;
-    i->created = old && old->value ? old->created : s->revision;
     g_ptr_array_add(s->history, copy_of(i));
     if (s->history->len > HISTORY_MAX) {
         s->oldest = ((Item *)s->history->pdata[0])->revision;
         g_ptr_array_remove_index(s->history, 0);
     }
-    if (value) {
+    if (i->value) {
         g_tree_replace(s->items, i->key, i);
         return;
     }
-    g_tree_remove(s->items, key);
+    g_tree_remove(s->items, i->key);
     item_free(i);
 }
 
+/* Applies one write with the store's current revision. `value` NULL removes
+   the key. */
+static void apply(Store *s, const char *key, const char *value)
+{
+    const Item *old = g_tree_lookup(s->items, key);
+    Item *i = g_new0(Item, 1);
+    i->key = g_strdup(key);
+    i->value = g_strdup(value);
+    i->revision = s->revision;
+    i->created = old && old->value ? old->created : s->revision;
+    i->at_us = g_get_monotonic_time();
+    g_ptr_array_add(s->journal, copy_of(i));
+    store_item(s, i);
+}
+
 static void free_watch(Watch *w)
 {
     struct evhttp_connection *con = evhttp_request_get_connection(w->request);
@@ -166,7 +181,7 @@
     uint64_t ms = MIN(number(r, "waitMs"), WAIT_MAX_MS);
     struct timeval limit = { (time_t)(ms / WP_MS_PER_S),
                              (suseconds_t)(ms % WP_MS_PER_S * WP_US_PER_MS) };
-    if (after < s->oldest) {
+    if (after < s->oldest || after > s->revision) {
         wp_http_reply_json(r, 410, json_object());
         return;
     }
@@ -281,10 +296,8 @@
     notify_watches(s);
 }
 
-static void compact(Store *s)
+static void close_watches(Store *s)
 {
-    s->oldest = s->revision;
-    g_ptr_array_set_size(s->history, 0);
     wp_list_each_safe (it, tmp, &s->watches) {
         Watch *w = wp_list_item(it, Watch, node);
         struct evhttp_request *r = w->request;
@@ -293,6 +306,72 @@
     }
 }
 
+static void compact(Store *s)
+{
+    s->oldest = s->revision;
+    g_ptr_array_set_size(s->history, 0);
+    close_watches(s);
+}
+
+/* Writes again what the operator and the endpoints had written. */
+static void on_rewrite(evutil_socket_t fd, short what, void *arg)
+{
+    Store *s = arg;
+    (void)fd;
+    (void)what;
+    for (guint k = 0; k < s->lost->len; k++) {
+        const Item *i = s->lost->pdata[k];
+        const Item *now = g_tree_lookup(s->items, i->key);
+        /* Another write since the restore is later. */
+        if (now && now->at_us > i->at_us)
+            continue;
+        s->revision++;
+        apply(s, i->key, i->value);
+    }
+    g_ptr_array_set_size(s->lost, 0);
+    notify_watches(s);
+}
+
+/* Moves the writes after `at_us` from the journal to the lost ones, the last of
+   each key that boxes may not write. */
+static void cut_journal(Store *s, int64_t at_us)
+{
+    g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+    g_ptr_array_set_size(s->lost, 0);
+    while (s->journal->len) {
+        guint last = s->journal->len - 1;
+        const Item *i = s->journal->pdata[last];
+        if (i->at_us <= at_us)
+            return;
+        if (is_read_only(i->key) && !g_hash_table_contains(seen, i->key)) {
+            Item *lost = copy_of(i);
+            g_ptr_array_insert(s->lost, 0, lost);
+            g_hash_table_add(seen, lost->key);
+        }
+        g_ptr_array_remove_index(s->journal, last);
+    }
+}
+
+/* Restores the store from its copy of `ms` ago. */
+static void restore(Store *s, double ms, double rewrite_ms)
+{
+    const struct timeval later = { (time_t)(rewrite_ms / WP_MS_PER_S),
+                                   (suseconds_t)(rewrite_ms * WP_US_PER_MS) %
+                                       WP_US_PER_S };
+    cut_journal(s, g_get_monotonic_time() - (int64_t)(ms * WP_US_PER_MS));
+    g_tree_remove_all(s->items);
+    g_ptr_array_set_size(s->history, 0);
+    s->revision = s->oldest = 0;
+    for (guint k = 0; k < s->journal->len; k++) {
+        const Item *i = s->journal->pdata[k];
+        s->revision = i->revision;
+        store_item(s, copy_of(i));
+    }
+    s->era++;
+    close_watches(s);
+    event_add(s->rewrite, &later);
+}
+
 static void put_json(Store *s, const json_t *put)
 {
     char *text = json_dumps(json_object_get(put, "value"), JSON_COMPACT);
@@ -308,6 +387,11 @@
     json_t *j = wp_http_body_json(r);
     const json_t *down = json_object_get(j, "down");
     const char *remove = json_string_value(json_object_get(j, "remove"));
+    double restore_ms = 0, rewrite_ms = 0;
+    stand_set_number(j, "restore_ms", &restore_ms);
+    stand_set_number(j, "rewrite_ms", &rewrite_ms);
+    if (restore_ms > 0)
+        restore(s, restore_ms, rewrite_ms);
     if (json_is_string(down))
         g_strlcpy(s->down, json_string_value(down), sizeof(s->down));
     stand_set_bool(j, "deaf", &s->deaf);
@@ -353,6 +437,8 @@
 {
     Store *s = arg;
     const char *path = stand_path(r);
+    g_autofree char *era = g_strdup_printf("%lu", (gulong)s->era);
+    evhttp_add_header(evhttp_request_get_output_headers(r), PF_H_ERA, era);
     s->calls++;
     if (!strcmp(path, "/control"))
         control(s, r);
@@ -378,6 +464,10 @@
     s->items = g_tree_new_full((GCompareDataFunc)(void (*)(void))strcmp, NULL,
                                NULL, item_free);
     s->history = g_ptr_array_new_with_free_func(item_free);
+    s->journal = g_ptr_array_new_with_free_func(item_free);
+    s->lost = g_ptr_array_new_with_free_func(item_free);
+    s->rewrite = evtimer_new(base, on_rewrite, s);
+    s->era = 1;
     s->rand = g_rand_new_with_seed((guint32)set->seed);
     wp_list_init(&s->watches);
     evhttp_set_gencb(http, on_request, s);
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -257,7 +257,8 @@
     wait_listening(c.port);
 }
 
-void cluster_write_config(TestCluster *p, unsigned version, const char *prefix)
+static void write_config(TestCluster *p, unsigned version, const char *prefix,
+                         const char *key)
 {
     static const char route[] =
         "{\"name\":\"r%u\",\"host\":\"h.example\",\"prefix\":\"%s\","
@@ -271,8 +272,33 @@
     g_autofree char *text = g_strdup_printf(
         "{\"put\":{\"key\":\"op/config\",\"value\":{\"version\":%u,"
         "\"routes\":[%s],\"services\":[{\"name\":\"app\"%s}],\"limits\":{},"
-        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"key-1\"]}]}}}",
-        version, routes->str, p->zones ? COLD_SERVICE : "");
+        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"]}]}}}",
+        version, routes->str, p->zones ? COLD_SERVICE : "", key);
+    cluster_require_reply(cluster_post_control(p->store.control, text));
+}
+
+void cluster_write_config(TestCluster *p, unsigned version, const char *prefix)
+{
+    write_config(p, version, prefix, "key-1");
+}
+
+void cluster_revoke_key(TestCluster *p, unsigned version)
+{
+    write_config(p, version, "/new/", "key-2");
+}
+
+void cluster_write_filler(TestCluster *p, unsigned n)
+{
+    for (unsigned i = 0; i < n; i++)
+        cluster_require_reply(cluster_post_control(
+            p->store.control,
+            "{\"put\":{\"key\":\"op/filler\",\"value\":{}}}"));
+}
+
+void cluster_restore_store(TestCluster *p, unsigned ms, unsigned rewrite_ms)
+{
+    g_autofree char *text = g_strdup_printf(
+        "{\"restore_ms\":%u,\"rewrite_ms\":%u,\"down\":\"\"}", ms, rewrite_ms);
     cluster_require_reply(cluster_post_control(p->store.control, text));
 }
 
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -69,6 +69,17 @@
    of cluster_new(), into the store. */
 void cluster_write_config(TestCluster *p, unsigned version, const char *prefix);
 
+/* The same without the key of cluster_new()'s caller, which another one has. */
+void cluster_revoke_key(TestCluster *p, unsigned version);
+
+/* Restores the store from its copy of `ms` ago: what boxes have written since
+   is lost, its era rises, and after `rewrite_ms` the operator and the replicas
+   write again what they had written. A store that was down answers again. */
+void cluster_restore_store(TestCluster *p, unsigned ms, unsigned rewrite_ms);
+
+/* Writes `n` entries that nobody reads. */
+void cluster_write_filler(TestCluster *p, unsigned n);
+
 /* Runs that the replicas have counted: of all requests, at one replica, the
    maximum of any one request, and whether the request `id` ran. */
 unsigned cluster_count_runs(TestCluster *p);
