Retry budget: at the first start of a whole system it begins with a window's slack

A process must begin without retries as those before it may have used them. When the first complete copy of the store has no record of any box, there was none.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -318,6 +318,7 @@
     wp_direct_init(&h->direct, &rules, h->chart, seed);
     wp_buffered_set_limit(&h->buffered, h->settings->memory_mb);
     h->direct.startup.start_us = wp_clock_now(0).mono_us;
+    h->direct.retries_since_us = h->direct.startup.start_us;
     apply_areas(h);
     if (ok && open_connections(h, error)) {
         open_signals(h);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -253,6 +253,15 @@
     watch_from(s, wp_mirror_complete_revision(s->mirror) + 1, true);
 }
 
+void wp_sync_admit(WPSync *s)
+{
+    if (!s->complete && !wp_mirror_has_prefix(s->mirror, WP_KEY_BOX))
+        wp_direct_note_first_start(&s->host->direct);
+    s->complete = true;
+    wp_relay_admit_held(s->host);
+    wp_peers_schedule_digest(s->peers);
+}
+
 /* All entries were read, or the read has failed. Applies them, removes those
    that are gone, admits held requests and goes on with the watch. */
 static void on_range(void *arg, const WPKvResult *r)
@@ -271,9 +280,7 @@
     remove_missing(s, r);
     wp_mirror_advance(s->mirror, r->revision);
     note_synced(s);
-    s->complete = true;
-    wp_relay_admit_held(s->host);
-    wp_peers_schedule_digest(s->peers);
+    wp_sync_admit(s);
     if (s->watch_broken)
         schedule_rewatch(s, r->revision + 1);
     s->watch_broken = false;
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -100,6 +100,10 @@
 void wp_store_apply(WPSync *s, const char *key, const WPStr *value,
                     uint64_t revision, bool lapsed);
 
+/* wp_sync.c: the local copy is complete: admits held requests and sends a
+   digest. */
+void wp_sync_admit(WPSync *s);
+
 /* wp_sync_peers.c: handles what other boxes send. */
 extern const WPPeersOps wp_sync_peers_ops;
 
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -34,9 +34,7 @@
     wp_mirror_advance(s->mirror, d->complete);
     wp_staleness_note_synced(&s->staleness, 0,
                              wp_mirror_complete_revision(s->mirror), 0);
-    s->complete = true;
-    wp_relay_admit_held(s->host);
-    wp_peers_schedule_digest(s->peers);
+    wp_sync_admit(s);
     wp_log(&s->host->log, WP_INFO, "caught_up", "from", from, NULL);
 }
 
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -59,6 +59,12 @@
     g_rand_free(d->rand);
 }
 
+void wp_direct_note_first_start(WPDirect *d)
+{
+    d->retries_since_us -=
+        (int64_t)d->rules.retry_budget.window_ms * WP_US_PER_MS;
+}
+
 bool wp_direct_set_routes(WPDirect *d, WPRoutes *t)
 {
     if (d->routes && d->routes->version >= t->version) {
@@ -123,7 +129,7 @@
     WPRetryBudget *b = g_hash_table_lookup(d->retry_budgets, service);
     if (!b) {
         b = g_new(WPRetryBudget, 1);
-        wp_retry_budget_init(b, d->startup.start_us);
+        wp_retry_budget_init(b, d->retries_since_us);
         g_hash_table_insert(d->retry_budgets, g_strdup(service), b);
     }
     return b;
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -40,6 +40,9 @@
     WPCounters counters;
     WPStartup startup;
     unsigned boxes; /* entries that share the retry budget, with this one */
+    /* since when retry budgets are filled: the start of this process, or
+       earlier if no process of the system came before it */
+    int64_t retries_since_us;
     GHashTable *retry_budgets; /* service -> WPRetryBudget */
     GHashTable *sessions;      /* hash of the id -> WPSessionRecord */
     GHashTable
@@ -63,6 +66,10 @@
 /* Frees what `d` owns, but not `d` itself. */
 void wp_direct_end(WPDirect *d);
 
+/* This is the first start of the whole system, so that nothing was taken of the
+   retry budgets before: they begin with a window's slack. */
+void wp_direct_note_first_start(WPDirect *d);
+
 /* Takes over a table of routes, with the caller's reference. Returns false, and
    drops it, if its version is not newer than the known one, so that a table
    which was replaced never comes back into force. */
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -81,6 +81,19 @@
     return i && i->value ? i : NULL;
 }
 
+bool wp_mirror_has_prefix(const WPMirror *m, const char *prefix)
+{
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, m->items);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPMirrorItem *i = p;
+        if (i->value && g_str_has_prefix(i->key, prefix))
+            return true;
+    }
+    return false;
+}
+
 uint32_t wp_mirror_size(const WPMirror *m)
 {
     return g_hash_table_size(m->items);
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -34,6 +34,9 @@
 bool wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
                    uint64_t revision, bool lapsed);
 
+/* Returns whether there is an entry whose key begins with `prefix`. */
+bool wp_mirror_has_prefix(const WPMirror *m, const char *prefix);
+
 /* Returns the number of entries, including removed ones that are still on
    record. */
 uint32_t wp_mirror_size(const WPMirror *m);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -161,6 +161,23 @@
     sync_fixture_end(&s);
 }
 
+/* Only a box of a system that has just been set up may use a window's slack at
+   once. */
+static void a_restarted_box_begins_without_retries(void **state)
+{
+    static const char *const ids[] = { "s1", WP_KEY_BOX "e2" };
+    (void)state;
+    for (size_t known = 1; known <= WP_COUNT(ids); known++) {
+        SyncFixture s;
+        sync_fixture_init(&s);
+        int64_t since_us = s.host.direct.retries_since_us;
+        answer_range(ids, known, 12);
+        bool first = s.host.direct.retries_since_us < since_us;
+        assert_int_equal(first, known == 1);
+        sync_fixture_end(&s);
+    }
+}
+
 TESTS_MAIN(T(after_a_lost_watch_all_is_read_once),
            T(after_a_compaction_all_is_read_again),
            T(calls_to_an_unavailable_store_back_off),
@@ -168,4 +185,5 @@
            T(a_removal_takes_effect_at_once),
            T(a_box_with_seeds_does_not_read_at_first),
            T(a_partial_delta_does_not_make_a_box_ready),
-           T(a_box_without_entries_retries_soon))
+           T(a_box_without_entries_retries_soon),
+           T(a_restarted_box_begins_without_retries))
