Store: revisions are ordered by the store's era; what a restore has lost stays in force

Cause: order by revision alone, everywhere. After a restore the store gives out revisions again: a change whose number was not above the known one of its key, or of the whole copy, counted as old, and other boxes did not ask for it. Evidence: the timeline of the records (four configurations in a row deaf on boxes that counted as fresh), 'entry_older' for op/config after 'store_era' in test_store_restore.

Now a revision is ordered by the era that the store names in its answers and then by its number (src/wp_revision.h); the adapter joins and splits them, messages between boxes carry both. The first answer of a later era has everything read; answers of an earlier era, and transactions that were sent in one, do not count; nothing is written by revisions of an earlier era. A change that the store has lost stays in force, marked as lost: an earlier state of the entry is told from a new one by the number that the entry had before that change. An order that is written again goes on; an earlier one does not come back.

Platforms that name no era are served as before: eras are 0, no field is sent.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4276,7 +4276,7 @@
   (ProtobufCMessageInit) wp__witness__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wp__mirror_item__field_descriptors[9] =
 {
   {
     "key",
@@ -4362,10 +4362,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MirrorItem, has_lost),
+    offsetof(Wp__MirrorItem, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "era",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorItem, has_era),
+    offsetof(Wp__MirrorItem, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_item__field_indices_by_name[] = {
+  8,   /* field[8] = era */
   0,   /* field[0] = key */
   4,   /* field[4] = lapsed */
+  7,   /* field[7] = lost */
   5,   /* field[5] = packed */
   3,   /* field[3] = removed */
   2,   /* field[2] = revision */
@@ -4375,7 +4401,7 @@
 static const ProtobufCIntRange wp__mirror_item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wp__mirror_item__descriptor =
 {
@@ -4385,7 +4411,7 @@
   "Wp__MirrorItem",
   "wp",
   sizeof(Wp__MirrorItem),
-  7,
+  9,
   wp__mirror_item__field_descriptors,
   wp__mirror_item__field_indices_by_name,
   1,  wp__mirror_item__number_ranges,
@@ -4767,7 +4793,7 @@
   (ProtobufCMessageInit) wp__move_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[14] =
 {
   {
     "complete",
@@ -4925,6 +4951,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    15,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorDigest, has_era),
+    offsetof(Wp__MirrorDigest, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -4933,6 +4971,7 @@
   12,   /* field[12] = clock_ms */
   0,   /* field[0] = complete */
   6,   /* field[6] = entries */
+  13,   /* field[13] = era */
   7,   /* field[7] = fails_loaded */
   8,   /* field[8] = kept_at */
   9,   /* field[9] = kept_prefix */
@@ -4945,7 +4984,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -4955,7 +4994,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  13,
+  14,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
@@ -5244,7 +5283,7 @@
   (ProtobufCMessageInit) wp__duty_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_pull__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wp__mirror_pull__field_descriptors[3] =
 {
   {
     "since",
@@ -5270,15 +5309,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorPull, has_era),
+    offsetof(Wp__MirrorPull, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_pull__field_indices_by_name[] = {
+  2,   /* field[2] = era */
   1,   /* field[1] = packs */
   0,   /* field[0] = since */
 };
 static const ProtobufCIntRange wp__mirror_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wp__mirror_pull__descriptor =
 {
@@ -5288,14 +5340,14 @@
   "Wp__MirrorPull",
   "wp",
   sizeof(Wp__MirrorPull),
-  2,
+  3,
   wp__mirror_pull__field_descriptors,
   wp__mirror_pull__field_indices_by_name,
   1,  wp__mirror_pull__number_ranges,
   (ProtobufCMessageInit) wp__mirror_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_delta__field_descriptors[6] =
+static const ProtobufCFieldDescriptor wp__mirror_delta__field_descriptors[8] =
 {
   {
     "since",
@@ -5369,19 +5421,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorDelta, has_era),
+    offsetof(Wp__MirrorDelta, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_era",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorDelta, has_since_era),
+    offsetof(Wp__MirrorDelta, since_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_delta__field_indices_by_name[] = {
   1,   /* field[1] = complete */
+  6,   /* field[6] = era */
   2,   /* field[2] = items */
   3,   /* field[3] = packed */
   5,   /* field[5] = partial */
   0,   /* field[0] = since */
+  7,   /* field[7] = since_era */
   4,   /* field[4] = size */
 };
 static const ProtobufCIntRange wp__mirror_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor wp__mirror_delta__descriptor =
 {
@@ -5391,7 +5469,7 @@
   "Wp__MirrorDelta",
   "wp",
   sizeof(Wp__MirrorDelta),
-  6,
+  8,
   wp__mirror_delta__field_descriptors,
   wp__mirror_delta__field_indices_by_name,
   1,  wp__mirror_delta__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -613,10 +613,20 @@
    */
   protobuf_c_boolean has_lapsed;
   protobuf_c_boolean lapsed;
+  /*
+   * The store has lost this change in a restore; `revision` is what it has.
+   */
+  protobuf_c_boolean has_lost;
+  protobuf_c_boolean lost;
+  /*
+   * Era of the store that `revision` is of; that of the delta if absent.
+   */
+  protobuf_c_boolean has_era;
+  uint64_t era;
 };
 #define WP__MIRROR_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_item__descriptor) \
-    , NULL, 0, {0,NULL}, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0 }
+    , NULL, 0, {0,NULL}, 0, 0, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -812,10 +822,15 @@
    */
   protobuf_c_boolean has_clock_ms;
   uint64_t clock_ms;
+  /*
+   * of the store, that `complete` is of
+   */
+  protobuf_c_boolean has_era;
+  uint64_t era;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -914,10 +929,15 @@
    */
   protobuf_c_boolean has_packs;
   protobuf_c_boolean packs;
+  /*
+   * of the store, that `since` is of
+   */
+  protobuf_c_boolean has_era;
+  uint64_t era;
 };
 #define WP__MIRROR_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_pull__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -944,10 +964,17 @@
    */
   protobuf_c_boolean has_partial;
   protobuf_c_boolean partial;
+  /*
+   * Eras of the store that `complete` and `since` are of.
+   */
+  protobuf_c_boolean has_era;
+  uint64_t era;
+  protobuf_c_boolean has_since_era;
+  uint64_t since_era;
 };
 #define WP__MIRROR_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_delta__descriptor) \
-    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -12,7 +12,7 @@
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
     WPCanarySums sums = wp_shift_sums_decode(m);
-    if (!sh || sh->revision != m->order)
+    if (!sh || wp_shift_order_id(sh) != m->order)
         return;
     wp_canary_merge_report(&sh->canary, from, m->life, &sums);
     if (m->has_elapsed_ms)
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -15,8 +15,8 @@
 
 typedef struct WPKvItem {
     WPStr key, value;
-    uint64_t mod_revision;
-    bool removed; /* in a watch event: the key was deleted; no value */
+    uint64_t mod_revision; /* see wp_revision.h, as all revisions here */
+    bool removed;          /* in a watch event: the key was deleted; no value */
 } WPKvItem;
 
 /* One condition of a transaction: the key was last modified at this revision;
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -35,7 +35,7 @@
 static void fill_digest(WPPeers *p, Wp__MirrorDigest *d)
 {
     wp__mirror_digest__init(d);
-    d->complete = wp_mirror_complete_revision(p->mirror);
+    wp_mirror_digest_set_complete(d, wp_mirror_complete_revision(p->mirror));
     d->has_entries = 1;
     d->entries = wp_mirror_size(p->mirror);
     p->ops->fill_digest(p->arg, d);
@@ -55,12 +55,19 @@
         send_digest(l, arg);
 }
 
+/* The era of the store that the local copy is of. */
+static uint64_t own_era(const WPPeers *p)
+{
+    return wp_revision_era(wp_mirror_complete_revision(p->mirror));
+}
+
 /* Notes the revision and state of the store that a peer has sent. If its
    revision is newer than this box's, the lag begins and this link is the one to
    pull from. */
-static void handle_digest(WPPeers *p, WPLink *l, const Wp__MirrorDigest *d)
+static void handle_digest(WPPeers *p, WPLink *l, Wp__MirrorDigest *d)
 {
     WPTime now = wp_clock_now(0);
+    wp_mirror_digest_join(d, own_era(p));
     WPPeerMember *m = g_hash_table_lookup(p->members, l->peer);
     if (m) {
         m->digest_seen = true;
@@ -82,9 +89,10 @@
 /* Sends the entries changed since the revision of the pull. A full pull beyond
    the limit of full synchronizations gets only the records of the boxes in the
    peer's zone, which it may ask instead. */
-static void answer_pull(WPPeers *p, WPLink *l, const Wp__MirrorPull *pull)
+static void answer_pull(WPPeers *p, WPLink *l, Wp__MirrorPull *pull)
 {
     Wp__Frame f = WP__FRAME__INIT;
+    wp_mirror_pull_join(pull, own_era(p));
     Wp__MirrorDelta *d =
         pull->packs ? wp_mirror_delta_compressed(p->mirror, pull->since) : NULL;
     if (d && !pull->since &&
@@ -103,10 +111,13 @@
 
 /* Passes on the entries that a peer has sent, unless they begin after this
    box's revision. After a partial answer the next pull may follow at once. */
-static void handle_delta(WPPeers *p, WPLink *l, const Wp__MirrorDelta *d)
+static void handle_delta(WPPeers *p, WPLink *l, Wp__MirrorDelta *d)
 {
     Wp__MirrorDelta *decompressed =
         d->has_packed ? wp_mirror_delta_decompress(d) : NULL;
+    wp_mirror_delta_join(d, own_era(p));
+    if (decompressed)
+        wp_mirror_delta_join(decompressed, own_era(p));
     p->unanswered_pulls = 0;
     if (d->partial) {
         p->partial_us = wp_clock_now(0).mono_us;
@@ -163,7 +174,7 @@
     WPPeers *p = arg;
     p->linked++;
     Wp__MirrorDigest d = WP__MIRROR_DIGEST__INIT;
-    d.complete = wp_mirror_complete_revision(p->mirror);
+    wp_mirror_digest_set_complete(&d, wp_mirror_complete_revision(p->mirror));
     d.has_entries = 1;
     d.entries = wp_mirror_size(p->mirror);
     p->ops->peer_changed(p->arg, l->peer, true);
@@ -358,7 +369,7 @@
     p->unanswered_pulls++;
     Wp__Frame f = WP__FRAME__INIT;
     Wp__MirrorPull request = WP__MIRROR_PULL__INIT;
-    request.since = complete;
+    wp_mirror_pull_set_since(&request, complete);
     request.has_packs = request.packs = 1;
     f.body_case = WP__FRAME__BODY_MIRROR_PULL;
     f.mirror_pull = &request;
--- a/io/wp_platform.h
+++ b/io/wp_platform.h
@@ -75,12 +75,9 @@
     void (*decode_store_entry)(const WPKvItem *item, WPStoreEntry *out);
     void (*release_store_entry)(WPStoreEntry *n);
 
-    /* Returns the key of a service's shift order; free with g_free(). */
-    char *(*order_key)(const char *service);
-
-    /* Returns the key of the outcome of a service's shift; free with
-       g_free(). */
-    char *(*outcome_key)(const char *service);
+    /* Keys of a service's shift order, and of the outcome of its shift, without
+       the service's name, which follows. */
+    const char *order_prefix, *outcome_prefix;
 
     /* Returns the value of the outcome's entry for a shift in `state`; free
        with g_free(). */
--- a/io/wp_reports.c
+++ b/io/wp_reports.c
@@ -46,7 +46,7 @@
 static WPReportEligibility eligibility_of(const WPReports *r)
 {
     const WPSync *s = r->sync;
-    if (!s->store_up || !s->complete)
+    if (!s->store_up || !wp_sync_may_write(s))
         return WP_REPORT_STORE_DOWN;
     bool eligible = !s->host->draining && wp_peers_is_relay_root(s->peers);
     return eligible ? WP_REPORT_ELIGIBLE : WP_REPORT_YIELD;
@@ -210,6 +210,11 @@
     wp_pb_free(rec);
 }
 
+void wp_reports_renumber(WPReports *r, uint64_t revision)
+{
+    wp_report_lease_renumber(r->lease, revision);
+}
+
 void wp_reports_fill_digest(const WPReports *r, WPTime now, Wp__MirrorDigest *d)
 {
     d->has_clock_ms = 1;
--- a/io/wp_reports.h
+++ b/io/wp_reports.h
@@ -30,6 +30,10 @@
 void wp_reports_observe_record(WPReports *r, const WPStr *value,
                                uint64_t revision);
 
+/* The lease's record has another revision, after a restore of the store, and is
+   the same; 0: the store has lost it. */
+void wp_reports_renumber(WPReports *r, uint64_t revision);
+
 /* Adds this box's usage clock, which usage windows are based on, to a digest
    that is about to be sent. */
 void wp_reports_fill_digest(const WPReports *r, WPTime now,
--- a/io/wp_shift_records.c
+++ b/io/wp_shift_records.c
@@ -53,7 +53,7 @@
 {
     wp__move_sums__init(m);
     m->service = sh->service;
-    m->order = sh->revision;
+    m->order = wp_shift_order_id(sh);
     m->has_life = 1;
     m->life = incarnation;
     m->has_answered = m->has_failed = m->has_slow = 1;
@@ -149,7 +149,7 @@
     add_incarnation(&record, &own);
     wp_canary_each_report(&sh->canary, box, add_incarnation, &record);
     Wp__MoveRecord m = WP__MOVE_RECORD__INIT;
-    m.order = sh->revision;
+    m.order = wp_shift_order_id(sh);
     m.elapsed_ms = (uint64_t)wp_elapsed_ms(&sh->elapsed, now);
     m.lives = record.list;
     m.n_lives = record.n;
@@ -201,7 +201,8 @@
 {
     WPShiftRecords *v = s->shift_records;
     Find f = { .sync = s };
-    if (v->writing || !s->store_up || !s->complete || now.mono_us < v->due_us)
+    if (v->writing || !s->store_up || !wp_sync_may_write(s) ||
+        now.mono_us < v->due_us)
         return;
     wp_shifts_each(s->host->direct.shifts, find_oldest, &f);
     if (!f.shift)
@@ -229,7 +230,7 @@
                          const Wp__MoveRecord *m)
 {
     bool own = !strcmp(box, s->host->settings->id), is_new = false;
-    if (sh->revision != m->order)
+    if (wp_shift_order_id(sh) != m->order)
         return;
     wp_shift_merge_elapsed(sh, wp_clock_now(0), (int64_t)m->elapsed_ms);
     for (size_t i = 0; i < m->n_lives; i++) {
--- a/io/wp_store_apply.c
+++ b/io/wp_store_apply.c
@@ -96,7 +96,7 @@
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, service);
     g_autofree char *text = g_strndup(value.p, value.n);
     uint64_t order = g_ascii_strtoull(text, NULL, 10);
-    if (sh && sh->revision == order)
+    if (sh && wp_shift_order_id(sh) == order)
         wp_shift_merge_elapsed(sh, wp_clock_now(0), 0);
 }
 
@@ -161,12 +161,43 @@
     s->host->platform->release_store_entry(&n);
 }
 
-void wp_store_apply(WPSync *s, const char *key, const WPStr *value,
-                    uint64_t revision, bool lapsed)
+/* Tells those who use an entry's revision that it has another one, with the
+   same value. */
+static void apply_renumbered(WPSync *s, const WPKvItem *i)
 {
-    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision, !value };
-    if (!wp_mirror_put(s->mirror, key, value, revision, lapsed))
+    WPStoreEntry n;
+    if (!strcmp(i->key.p, WP_KEY_REPORT_LEASE) && s->reports)
+        wp_reports_renumber(s->reports,
+                            wp_mirror_key_revision(s->mirror, i->key.p));
+    if (i->removed ||
+        !g_str_has_prefix(i->key.p, s->host->platform->order_prefix))
         return;
-    if (!apply_own_entry(s, key, value, revision))
-        apply_platform_entry(s, &i, lapsed);
+    s->host->platform->decode_store_entry(i, &n);
+    if (n.kind == WP_STORE_ENTRY_SHIFT_ORDER)
+        wp_shifts_renumber(s->host->direct.shifts, &n.order);
+    s->host->platform->release_store_entry(&n);
+}
+
+WPMirrorChange wp_store_apply(WPSync *s, const char *key, const WPStr *value,
+                              uint64_t revision, bool lapsed)
+{
+    WPKvItem i = { wp_str(key), value ? *value : wp_str(""), revision, !value };
+    WPMirrorChange change =
+        wp_mirror_put(s->mirror, key, value, revision, lapsed);
+    switch (change) {
+    case WP_MIRROR_OLD:
+        break;
+    case WP_MIRROR_CHANGED:
+        if (!apply_own_entry(s, key, value, revision))
+            apply_platform_entry(s, &i, lapsed);
+        break;
+    case WP_MIRROR_SAME:
+        apply_renumbered(s, &i);
+        break;
+    case WP_MIRROR_LOST:
+        wp_log(&s->host->log, WP_INFO, "entry_lost", "key", key, "kept",
+               "until it is written again", NULL);
+        break;
+    }
+    return change;
 }
--- a/io/wp_store_writer.c
+++ b/io/wp_store_writer.c
@@ -63,13 +63,15 @@
                         WPTime now, const char *why)
 {
     const WPPlatformOps *platform = s->host->platform;
-    g_autofree char *order_key = platform->order_key(sh->service);
-    g_autofree char *key = platform->outcome_key(sh->service);
+    g_autofree char *order_key =
+        g_strconcat(platform->order_prefix, sh->service, NULL);
+    g_autofree char *key =
+        g_strconcat(platform->outcome_prefix, sh->service, NULL);
     g_autofree char *started_key =
         g_strconcat(WP_KEY_SHIFT_BEGAN, sh->service, NULL);
     g_autofree char *text = platform->outcome_text(sh, state);
     g_autofree char *started =
-        g_strdup_printf("%lu", (unsigned long)sh->revision);
+        g_strdup_printf("%lu", (unsigned long)wp_shift_order_id(sh));
     const WPKvCompare compares[] = { { order_key, sh->revision },
                                      unchanged_since_read(s, key),
                                      unchanged_since_read(s, started_key) };
@@ -104,7 +106,7 @@
 
 static bool may_write(const WPSync *s, WPTime now)
 {
-    return (s->store_up || !s->store_tried) && !s->writing &&
+    return (s->store_up || !s->store_tried) && !s->outdated_us && !s->writing &&
            now.mono_us >= s->write_after_us;
 }
 
--- a/io/wp_suspect_updates.c
+++ b/io/wp_suspect_updates.c
@@ -303,7 +303,7 @@
     WPSuspectUpdates *d = s->suspect_updates;
     Scan l = { .sync = s, .now = now };
     wp_suspect_updates_schedule(d);
-    if (d->writing || !s->store_up || !s->complete)
+    if (d->writing || !s->store_up || !wp_sync_may_write(s))
         return;
     d->records = 0;
     wp_suspects_each(s->host->direct.suspects, scan_suspect, &l);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -32,6 +32,9 @@
     /* between confirmations of the store that arrive by way of other boxes:
        digests come once a second */
     ISOLATED_AFTER_MS = 1000,
+    /* until a box that does not read the store for its zone does so, as it is
+       known to have been restored */
+    OUTDATED_WAIT_MS = 500,
     /* after a watch broke: the store's watches may deliver nothing for a
        second around an interruption */
     REWATCH_DELAY_MS = 1300
@@ -69,29 +72,6 @@
            up ? "store_regained" : "store_lost", NULL);
 }
 
-static void on_era(void *arg, WPStoreEraChange change, const char *text)
-{
-    WPSync *s = arg;
-    char revision[24];
-    snprintf(revision, sizeof(revision), "%lu",
-             (unsigned long)wp_mirror_complete_revision(s->mirror));
-    switch (change) {
-    case WP_STORE_ERA_SAME:
-        break;
-    case WP_STORE_ERA_RISEN:
-        wp_log(&s->host->log, WP_INFO, "store_era", "era", text,
-               "known_revision", revision, NULL);
-        break;
-    case WP_STORE_ERA_LATE:
-        wp_log(&s->host->log, WP_WARN, "store_era_late", "era", text, NULL);
-        break;
-    case WP_STORE_ERA_INVALID:
-        wp_log(&s->host->log, WP_ERROR_LEVEL, "store_era_bad", "era", text,
-               NULL);
-        break;
-    }
-}
-
 /* Applies an item that the store has sent. Logs that it is older than the one
    that is known. */
 static void apply_item(WPSync *s, const WPKvItem *item, bool lapsed)
@@ -206,7 +186,7 @@
     case WP_KV_CHANGED:
         on_answer(s);
         apply_item(s, item, item->removed && may_have_lapsed(s));
-        wp_mirror_advance(s->mirror, item->mod_revision);
+        wp_sync_advance(s, item->mod_revision);
         note_synced(s);
         break;
     case WP_KV_UNCHANGED:
@@ -277,8 +257,8 @@
     set_store_up(s, true);
     for (size_t i = 0; i < r->n_items; i++)
         apply_item(s, &r->items[i], false);
+    wp_sync_advance(s, r->revision);
     remove_missing(s, r);
-    wp_mirror_advance(s->mirror, r->revision);
     note_synced(s);
     wp_sync_admit(s);
     if (s->watch_broken)
@@ -316,6 +296,16 @@
            now.mono_us < s->start_us + start_wait_ms(s) * WP_US_PER_MS;
 }
 
+/* Whether the store is known to be in a later era than the local copy, and this
+   box is one of those that read it, or no other box has sent its copy. */
+static bool is_read_due(const WPSync *s, WPTime now)
+{
+    int64_t outdated_us = now.mono_us - s->outdated_us;
+    return s->outdated_us && !s->reading && !s->retry_us &&
+           (must_poll(s) ||
+            outdated_us > (int64_t)OUTDATED_WAIT_MS * WP_US_PER_MS);
+}
+
 /* A designated box watches the store; the store's client ends a watch that
    has fallen silent. Other boxes poll the store when no box has had an
    answer from it for too long. */
@@ -328,6 +318,10 @@
         s->kv->ops->unwatch(s->kv);
         s->watching = false;
     }
+    if (is_read_due(s, now)) {
+        s->kv->ops->unwatch(s->kv);
+        read_after_break(s);
+    }
     if (s->reading || s->retry_us || s->watching || waits_for_full_copy(s, now))
         return;
     bool behind = wp_staleness_catch_up_due(&s->staleness, now,
@@ -412,6 +406,7 @@
             watch_from(s, s->rewatch_revision, true);
     }
     wp_record_tick(s, now);
+    wp_sync_restore_tick(s, now);
     wp_shift_records_tick(s, now);
     wp_suspect_updates_tick(s, now);
     wp_zone_updates_tick(s->zone_updates, now);
@@ -499,7 +494,7 @@
                             s, error);
     s->kv = s->peers ? h->platform->store(h->base, h->settings->store) : NULL;
     if (s->kv) {
-        s->kv->era_changed = on_era;
+        s->kv->era_changed = wp_sync_on_era;
         s->kv->era_arg = s;
         s->zone_updates = wp_zone_updates_new(h, s->peers);
         s->suspect_updates = wp_suspect_updates_new(s);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -9,6 +9,7 @@
 #include "wp_peers.h"
 
 /* Keys of the router's own store entries. */
+#define WP_KEY_PREFIX "wp/"
 
 /* SERVICE: its shift has begun; value "ORDER", the revision of the order. */
 #define WP_KEY_SHIFT_BEGAN "wp/began/"
@@ -64,8 +65,15 @@
        this box knows; 0: never */
     int64_t store_unavailable_us;
     int64_t store_changed_us; /* when `store_up` last changed */
-    bool confirming;          /* the watch asks the store to answer at once */
-    unsigned failures;        /* consecutive failed calls */
+    /* since when the store is known to be in a later era than the local copy;
+       0: it is not */
+    int64_t outdated_us;
+    /* when the local copy came to the present era; 0: it began there, or all
+       that the store has lost in its restore was settled */
+    int64_t restored_us;
+    int64_t rewrite_us; /* when to write again what the store has lost */
+    bool confirming;    /* the watch asks the store to answer at once */
+    unsigned failures;  /* consecutive failed calls */
     /* when to open the watch once more after an interruption; 0: not due */
     int64_t rewatch_us;
     /* everything is read again as a watch broke, or as the store has
@@ -96,9 +104,24 @@
 /* wp_store_apply.c: applies a store entry (value NULL: removed). Does
    nothing if the local copy has that revision or a newer one. `lapsed`: the
    entry may have been removed only because its lease expired while the store
-   was unavailable. */
-void wp_store_apply(WPSync *s, const char *key, const WPStr *value,
-                    uint64_t revision, bool lapsed);
+   was unavailable. Returns what that has changed in the local copy. */
+WPMirrorChange wp_store_apply(WPSync *s, const char *key, const WPStr *value,
+                              uint64_t revision, bool lapsed);
+
+/* wp_sync_restore.c: whether this box may write to the store: its copy is
+   complete and of the store's present era, so that conditions on its revisions
+   hold. */
+bool wp_sync_may_write(const WPSync *s);
+
+/* The local copy is complete up to `revision`. Entries that it has from an
+   earlier era only have been lost by the store. */
+void wp_sync_advance(WPSync *s, uint64_t revision);
+
+/* Removes what a restored store has lost and others have not written again. */
+void wp_sync_restore_tick(WPSync *s, WPTime now);
+
+/* Logs another era of the store; a WPKvEraFn. */
+void wp_sync_on_era(void *arg, WPStoreEraChange change, const char *text);
 
 /* wp_sync.c: the local copy is complete: admits held requests and sends a
    digest. */
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -16,8 +16,10 @@
     }
     const char *data = bytes ? g_bytes_get_data(bytes, &n) : NULL;
     WPStr value = wp_strn(data ? data : "", n);
-    wp_store_apply(s, item->key, bytes ? &value : NULL, item->revision,
-                   item->lapsed);
+    WPMirrorChange change = wp_store_apply(s, item->key, bytes ? &value : NULL,
+                                           item->revision, item->lapsed);
+    if (item->lost && change != WP_MIRROR_OLD)
+        wp_mirror_mark_lost(s->mirror, item->key);
 }
 
 /* Applies the entries that another box has sent. Unless they are only a part of
@@ -31,7 +33,7 @@
         wp_log(&s->host->log, WP_INFO, "boxes_told", "from", from, NULL);
         return;
     }
-    wp_mirror_advance(s->mirror, d->complete);
+    wp_sync_advance(s, d->complete);
     wp_staleness_note_synced(&s->staleness, 0,
                              wp_mirror_complete_revision(s->mirror), 0);
     wp_sync_admit(s);
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -59,20 +59,112 @@
     m->complete = MAX(m->complete, revision);
 }
 
-bool wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
-                   uint64_t revision, bool lapsed)
+static bool has_value(const WPMirrorItem *i, const WPStr *value)
+{
+    gsize n;
+    if (!i->value || !value)
+        return !i->value && !value;
+    const char *p = g_bytes_get_data(i->value, &n);
+    return wp_str_eq(wp_strn(p, n), *value);
+}
+
+/* Whether a restored store that has an entry of this number has lost the known
+   change: the entry then is the one before that change or an earlier one. */
+static bool is_earlier_state(const WPMirrorItem *known, uint64_t revision)
+{
+    uint64_t number = wp_revision_number(revision);
+    uint64_t known_number = wp_revision_number(known->revision);
+    if (known->lost)
+        return number <= known_number;
+    return known->previous_known && number <= known->previous &&
+           number < known_number;
+}
+
+/* Gives a known state of an entry another revision. */
+static void renumber(WPMirror *m, WPMirrorItem *i, uint64_t revision, bool lost)
+{
+    /* A lost change that was written again follows what the store had. */
+    if (i->lost && !lost) {
+        i->previous = wp_revision_number(i->revision);
+        i->previous_known = true;
+    }
+    i->revision = revision;
+    i->lost = lost;
+    m->change++;
+}
+
+static void store_item(WPMirror *m, const char *key, const WPStr *value,
+                       uint64_t revision, bool lapsed)
 {
     const WPMirrorItem *had = g_hash_table_lookup(m->items, key);
-    if (had && had->revision >= revision)
-        return false;
     WPMirrorItem *i = g_new0(WPMirrorItem, 1);
     i->key = g_strdup(key);
     i->value = value ? g_bytes_new(value->p, value->n) : NULL;
     i->revision = revision;
     i->lapsed = lapsed;
+    /* Until there is a complete copy, other states may have come before. */
+    i->previous_known = had || m->complete;
+    i->previous = had ? wp_revision_number(had->revision) : 0;
     g_hash_table_replace(m->items, i->key, i);
     m->change++;
-    return true;
+}
+
+WPMirrorChange wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
+                             uint64_t revision, bool lapsed)
+{
+    WPMirrorItem *had = g_hash_table_lookup(m->items, key);
+    if (had && had->revision >= revision)
+        return WP_MIRROR_OLD;
+    bool restored =
+        had && wp_revision_era(had->revision) < wp_revision_era(revision);
+    if (had && (restored || had->lost) && has_value(had, value)) {
+        renumber(m, had, revision, false);
+        return WP_MIRROR_SAME;
+    }
+    if (restored && is_earlier_state(had, revision)) {
+        renumber(m, had, revision, true);
+        return WP_MIRROR_LOST;
+    }
+    store_item(m, key, value, revision, lapsed);
+    return WP_MIRROR_CHANGED;
+}
+
+void wp_mirror_mark_lost(WPMirror *m, const char *key)
+{
+    WPMirrorItem *i = g_hash_table_lookup(m->items, key);
+    if (i)
+        renumber(m, i, i->revision, true);
+}
+
+unsigned wp_mirror_mark_missing(WPMirror *m, uint64_t era)
+{
+    unsigned n = 0;
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, m->items);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        WPMirrorItem *i = p;
+        if (wp_revision_era(i->revision) >= era)
+            continue;
+        /* A removal that the store also lacks is not lost. */
+        renumber(m, i, wp_revision(era, 0), i->value != NULL);
+        n += i->lost;
+    }
+    return n;
+}
+
+GPtrArray *wp_mirror_lost(const WPMirror *m, const char *prefix)
+{
+    GPtrArray *list = g_ptr_array_new();
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, m->items);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        const WPMirrorItem *i = p;
+        if (i->lost && g_str_has_prefix(i->key, prefix))
+            g_ptr_array_add(list, p);
+    }
+    return list;
 }
 
 const WPMirrorItem *wp_mirror_get(const WPMirror *m, const char *key)
@@ -101,8 +193,10 @@
 
 uint64_t wp_mirror_key_revision(const WPMirror *m, const char *key)
 {
-    const WPMirrorItem *i = wp_mirror_get(m, key);
-    return i ? i->revision : 0;
+    const WPMirrorItem *i = g_hash_table_lookup(m->items, key);
+    bool exists =
+        i && (i->lost ? wp_revision_number(i->revision) > 0 : i->value != NULL);
+    return exists ? i->revision : 0;
 }
 
 static gint by_revision(gconstpointer a, gconstpointer b)
@@ -136,7 +230,9 @@
     g_hash_table_iter_init(&it, m->items);
     while (g_hash_table_iter_next(&it, NULL, &p)) {
         const WPMirrorItem *i = p;
-        if (i->value && i->revision <= revision &&
+        bool same_era =
+            wp_revision_era(i->revision) == wp_revision_era(revision);
+        if (i->value && !i->lost && same_era && i->revision <= revision &&
             !g_hash_table_contains(keys, i->key))
             g_ptr_array_add(list, p);
     }
@@ -180,12 +276,16 @@
     w->size = (uint32_t)g_bytes_get_size(i->value);
 }
 
-static Wp__MirrorItem *wire_item(WPMirrorItem *i, bool raw)
+static Wp__MirrorItem *wire_item(const WPMirror *m, WPMirrorItem *i, bool raw)
 {
+    uint64_t era = wp_revision_era(i->revision);
     Wp__MirrorItem *w = g_new0(Wp__MirrorItem, 1);
     wp__mirror_item__init(w);
     w->key = i->key;
-    w->revision = i->revision;
+    w->revision = wp_revision_number(i->revision);
+    w->has_era = era != wp_revision_era(m->complete);
+    w->era = era;
+    w->has_lost = w->lost = i->lost;
     w->has_removed = !i->value;
     w->removed = !i->value;
     w->has_lapsed = i->lapsed;
@@ -209,18 +309,69 @@
     return NULL;
 }
 
+/* Sets the revisions of a delta. Without an era, as on a platform that names
+   none, there are no fields for eras. */
+static void set_revisions(const WPMirror *m, Wp__MirrorDelta *d, uint64_t since)
+{
+    d->since = wp_revision_number(since);
+    d->since_era = wp_revision_era(since);
+    d->complete = wp_revision_number(m->complete);
+    d->era = wp_revision_era(m->complete);
+    d->has_era = d->has_since_era = d->era > 0;
+}
+
+static uint64_t joined(protobuf_c_boolean has_era, uint64_t era,
+                       uint64_t number, uint64_t absent)
+{
+    return wp_revision(has_era ? era : absent, number);
+}
+
+void wp_mirror_delta_join(Wp__MirrorDelta *d, uint64_t own_era)
+{
+    uint64_t era = d->has_era ? d->era : own_era;
+    d->since = joined(d->has_since_era, d->since_era, d->since, own_era);
+    d->complete = wp_revision(era, d->complete);
+    for (size_t i = 0; i < d->n_items; i++) {
+        Wp__MirrorItem *item = d->items[i];
+        item->revision = joined(item->has_era, item->era, item->revision, era);
+    }
+}
+
+void wp_mirror_digest_join(Wp__MirrorDigest *d, uint64_t own_era)
+{
+    d->complete = joined(d->has_era, d->era, d->complete, own_era);
+}
+
+void wp_mirror_pull_join(Wp__MirrorPull *p, uint64_t own_era)
+{
+    p->since = joined(p->has_era, p->era, p->since, own_era);
+}
+
+void wp_mirror_digest_set_complete(Wp__MirrorDigest *d, uint64_t revision)
+{
+    d->complete = wp_revision_number(revision);
+    d->era = wp_revision_era(revision);
+    d->has_era = d->era > 0;
+}
+
+void wp_mirror_pull_set_since(Wp__MirrorPull *p, uint64_t revision)
+{
+    p->since = wp_revision_number(revision);
+    p->era = wp_revision_era(revision);
+    p->has_era = p->era > 0;
+}
+
 /* `raw`: the values are not compressed one by one. */
 static Wp__MirrorDelta *make_delta(const WPMirror *m, uint64_t since, bool raw)
 {
     Wp__MirrorDelta *d = g_new0(Wp__MirrorDelta, 1);
     g_autoptr(GPtrArray) list = wp_mirror_since(m, since);
     wp__mirror_delta__init(d);
-    d->since = since;
-    d->complete = m->complete;
+    set_revisions(m, d, since);
     d->n_items = list->len;
     d->items = g_new0(Wp__MirrorItem *, list->len + 1);
     for (guint i = 0; i < list->len; i++)
-        d->items[i] = wire_item(g_ptr_array_index(list, i), raw);
+        d->items[i] = wire_item(m, g_ptr_array_index(list, i), raw);
     return d;
 }
 
@@ -288,8 +439,7 @@
     if (!m->block)
         return NULL;
     Wp__MirrorDelta *d = block_delta(m->block, m->block_size);
-    d->since = since;
-    d->complete = m->complete;
+    set_revisions(m, d, since);
     return d;
 }
 
@@ -329,8 +479,10 @@
         WPMirrorItem *i = p;
         if (i->value && g_str_has_prefix(i->key, prefix) &&
             ends_with(i->value, wp_str(end)))
-            d->items[d->n_items++] = wire_item(i, true);
+            d->items[d->n_items++] = wire_item(m, i, true);
     }
+    set_revisions(m, d, 0);
+    d->complete = 0;
     uint32_t size;
     g_autoptr(GBytes) packed = compress_items(d, &size);
     if (packed) {
--- a/src/wp_report_lease.c
+++ b/src/wp_report_lease.c
@@ -111,6 +111,11 @@
     prune_reported(d);
 }
 
+void wp_report_lease_renumber(WPReportLease *d, uint64_t revision)
+{
+    d->revision = revision;
+}
+
 /* Whether at least `ms` milliseconds have passed since the end of the window,
    by the usage clock. */
 static bool is_past(const WPReportLease *d, WPTime now, uint64_t window,
--- a/src/wp_report_lease.h
+++ b/src/wp_report_lease.h
@@ -47,6 +47,10 @@
 void wp_report_lease_observe(WPReportLease *d, WPTime now, uint64_t revision,
                              const Wp__DutyRecord *r, bool unreadable);
 
+/* The known record has this revision in the store now; 0: the store has lost
+   it. */
+void wp_report_lease_renumber(WPReportLease *d, uint64_t revision);
+
 /* Whether this box may hold the lease. */
 typedef enum WPReportEligibility {
     WP_REPORT_ELIGIBLE,   /* it receives the other boxes' counts, and the store
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -1,5 +1,6 @@
 /* Traffic shifts of services between versions. */
 #include "wp_shift.h"
+#include "wp_revision.h"
 #include "wp_rollout.h"
 
 /* The part of an order's duration for which sessions stay on the old version.
@@ -97,11 +98,51 @@
                         : previous->baseline_version);
 }
 
+uint64_t wp_shift_order_id(const WPShift *sh)
+{
+    return wp_revision_number(sh->revision);
+}
+
+void wp_shifts_renumber(WPShifts *s, const WPShiftOrder *o)
+{
+    WPShift *sh = wp_shifts_find(s, o->service);
+    if (!sh || sh->revision >= o->revision || strcmp(sh->version, o->version))
+        return;
+    sh->renumbered = sh->renumbered ||
+                     wp_shift_order_id(sh) != wp_revision_number(o->revision);
+    sh->revision = o->revision;
+}
+
+/* Whether an order that a restored store has is one of before the known one:
+   its version was retired or rolled back since. */
+static bool is_earlier_order(const WPShift *known, const WPShiftOrder *o)
+{
+    bool ended = !g_strcmp0(known->baseline_version, o->version) ||
+                 wp_shift_has_retired(known, o->version) ||
+                 g_hash_table_contains(known->reverted_versions, o->version);
+    return ended && wp_revision_number(o->revision) < wp_shift_order_id(known);
+}
+
+static bool is_same_order(const WPShift *known, const WPShiftOrder *o)
+{
+    return known->state == WP_SHIFT_RUNNING &&
+           !strcmp(known->version, o->version) &&
+           known->duration_ms == o->duration_ms;
+}
+
 WPShift *wp_shifts_add_order(WPShifts *s, WPTime now, const WPShiftOrder *o)
 {
     const WPShift *previous = wp_shifts_find(s, o->service);
     if (previous && previous->revision >= o->revision)
         return NULL;
+    bool restored = previous && wp_revision_era(previous->revision) <
+                                    wp_revision_era(o->revision);
+    if (restored && is_same_order(previous, o)) {
+        wp_shifts_renumber(s, o);
+        return NULL;
+    }
+    if (restored && is_earlier_order(previous, o))
+        return NULL;
     WPShift *sh = g_new0(WPShift, 1);
     sh->reverted_versions = reverted_before(previous, o->version);
     sh->baseline_version = baseline_after(previous);
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -45,9 +45,11 @@
        which is the one to be replaced; NULL: not known. */
     char *baseline_version;
 
-    bool found_bad;       /* the new version is bad and gets no more requests */
-    bool gate_passed;     /* the gate before the last stage has been passed */
-    const char *stage;    /* name of the stage at the last poll; the chart's */
+    bool renumbered;   /* the order has another revision than the records of the
+                          shift in the store know */
+    bool found_bad;    /* the new version is bad and gets no more requests */
+    bool gate_passed;  /* the gate before the last stage has been passed */
+    const char *stage; /* name of the stage at the last poll; the chart's */
     uint32_t old_running; /* this box's requests in flight on other versions */
     int64_t polled_us;    /* time of the last poll */
 
@@ -70,9 +72,18 @@
 void wp_shifts_free(WPShifts *s);
 
 /* Starts the shift of an order, in place of the service's earlier one. Returns
-   NULL if this order, or a later one for the service, is known already. */
+   NULL if this order, or a later one for the service, is known already. In
+   another era of the store these are the order of the running shift, written
+   again, and an earlier one that led to a version which has ended since. */
 WPShift *wp_shifts_add_order(WPShifts *s, WPTime now, const WPShiftOrder *o);
 
+/* The service's order has another revision, after a restore of the store, and
+   is the same. */
+void wp_shifts_renumber(WPShifts *s, const WPShiftOrder *o);
+
+/* Names the order in messages and records: the store's number of its entry. */
+uint64_t wp_shift_order_id(const WPShift *sh);
+
 /* Takes the state of a shift from its outcome record in the store. `o` names
    the service and the version and has the record's own revision. A record with
    a lower revision than the order's belongs to an earlier order and is
--- a/src/wp_store_era.c
+++ b/src/wp_store_era.c
@@ -6,7 +6,7 @@
     uint64_t number;
     if (!text)
         return WP_STORE_ERA_SAME;
-    if (!wp_str_uint(wp_str_trim(wp_str(text)), &number))
+    if (!wp_str_uint(wp_str_trim(wp_str(text)), &number) || number > WP_ERA_MAX)
         return WP_STORE_ERA_INVALID;
     if (number < e->number)
         return WP_STORE_ERA_LATE;
--- a/src/wp_store_era.h
+++ b/src/wp_store_era.h
@@ -4,7 +4,7 @@
 #ifndef WP_STORE_ERA_H
 #define WP_STORE_ERA_H
 
-#include "wp_base.h"
+#include "wp_revision.h"
 
 typedef struct WPStoreEra {
     uint64_t number; /* the highest that was named; 0: none */
@@ -14,7 +14,7 @@
     WP_STORE_ERA_SAME,
     WP_STORE_ERA_RISEN,  /* the store was restored */
     WP_STORE_ERA_LATE,   /* the answer is from before a restore */
-    WP_STORE_ERA_INVALID /* not a number; nothing changes */
+    WP_STORE_ERA_INVALID /* not a number up to WP_ERA_MAX; nothing changes */
 } WPStoreEraChange;
 
 /* Takes the era that an answer names; NULL: none, as before. */
--- a/tests/sync_fake.h
+++ b/tests/sync_fake.h
@@ -123,6 +123,8 @@
 }
 
 static const WPPlatformOps platform = { .store = open_store,
+                                        .order_prefix = ORDER_KEY,
+                                        .outcome_prefix = "outcome/",
                                         .decode_store_entry = decode_entry,
                                         .release_store_entry = release_entry };
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -194,7 +194,7 @@
     WPShift sh = { .service = (char *)"s", .version = (char *)"v2" };
     (void)state;
     for (int st = WP_SHIFT_RUNNING; st <= WP_SHIFT_ROLLED_BACK; st++) {
-        g_autofree char *key = pf_outcome_key("s");
+        g_autofree char *key = g_strconcat(pf_ops.outcome_prefix, "s", NULL);
         g_autofree char *text = pf_outcome_text(&sh, (WPShiftState)st);
         WPStoreEntry n = decode(key, text, 3);
         assert_int_equal(n.state, st);
--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -5,9 +5,12 @@
 enum {
     ENTRIES = 4,
     REPLICAS = 4,
-    COPY_MS = 3000, /* age of the copy that the store is restored from */
+    COPY_MS = 1500, /* age of the copy that the store is restored from */
     AWAY_MS = 1000,
-    FILLER = 60,     /* writes that the copy lacks */
+    FILLER = 60, /* writes that the copy lacks */
+    LONG_AGO_MS = 60000,
+    SHIFT_MS = 9000,
+    SHIFT_WAIT_MS = 20000,
     APPLY_MS = 2000, /* within which a change must be in force */
     POLL_MS = 10,
     TOLERANCE_MS = 100 /* of a test's own poll and answer */
@@ -92,5 +95,87 @@
     cluster_free(p);
 }
 
+static void key_revoked_before_a_restore_stays_revoked(void **state)
+{
+    TestCluster *p = cluster_new(ENTRIES, REPLICAS);
+    (void)state;
+    serve_for(p, AWAY_MS);
+    cluster_revoke_key(p, 2);
+    expect_revoked(p, now_ms() + APPLY_MS);
+    cluster_control_store(p, "{\"down\":\"silent\"}");
+    int64_t away_ms = now_ms();
+    while (now_ms() < away_ms + AWAY_MS)
+        g_usleep(POLL_MS * WP_US_PER_MS);
+    cluster_restore_store(p, 2 * AWAY_MS, AWAY_MS);
+    int64_t end_ms = now_ms() + 2 * AWAY_MS;
+    for (unsigned i = 0; now_ms() < end_ms; i++) {
+        assert_int_equal(status_of(p, i % ENTRIES), 401);
+        g_usleep(POLL_MS * WP_US_PER_MS);
+    }
+    cluster_free(p);
+}
+
+/* The copy is from before the boxes had written anything. */
+static void records_of_boxes_are_written_again(void **state)
+{
+    static const char *const keys[] = { "wp/box/e0", "wp/box/e1", "wp/box/e2",
+                                        "wp/box/e3" };
+    TestCluster *p = cluster_new(ENTRIES, REPLICAS);
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(keys); i++)
+        cluster_wait_store_key(p, keys[i]);
+    cluster_control_store(p, "{\"down\":\"silent\"}");
+    serve_for(p, AWAY_MS);
+    cluster_restore_store(p, LONG_AGO_MS, 0);
+    for (size_t i = 0; i < WP_COUNT(keys); i++)
+        cluster_wait_store_key(p, keys[i]);
+    serve_for(p, AWAY_MS);
+    cluster_free(p);
+}
+
+/* Waits until the store has this state of the shift. */
+static void wait_shift_state(TestCluster *p, const char *expected)
+{
+    int64_t end_ms = now_ms() + SHIFT_WAIT_MS;
+    for (;;) {
+        g_autofree char *state = cluster_read_shift_state(p);
+        if (!g_strcmp0(state, expected))
+            return;
+        if (now_ms() > end_ms)
+            fail_msg("the shift is %s, not %s", state ? state : "unknown",
+                     expected);
+        status_of(p, 0);
+        g_usleep(POLL_MS * WP_US_PER_MS);
+    }
+}
+
+/* The copies lack first the order and the record of its shift, then its end. */
+static void a_shift_survives_restores(void **state)
+{
+    TestCluster *p = cluster_new(ENTRIES, REPLICAS);
+    (void)state;
+    serve_for(p, AWAY_MS);
+    cluster_add_version(p, "v2", REPLICAS, "{}");
+    cluster_order_shift(p, "v2", (double)SHIFT_MS / WP_MS_PER_S);
+    int64_t ordered_ms = now_ms();
+    wait_shift_state(p, "running");
+    cluster_control_store(p, "{\"down\":\"silent\"}");
+    serve_for(p, AWAY_MS);
+    cluster_restore_store(p, (unsigned)(now_ms() - ordered_ms) + AWAY_MS / 2,
+                          AWAY_MS / 2);
+    wait_shift_state(p, "completed");
+    assert_true(now_ms() < ordered_ms + SHIFT_MS);
+    int64_t done_ms = now_ms();
+    serve_for(p, AWAY_MS);
+    cluster_control_store(p, "{\"down\":\"silent\"}");
+    serve_for(p, AWAY_MS);
+    cluster_restore_store(p, (unsigned)(now_ms() - done_ms) + AWAY_MS / 2, 0);
+    wait_shift_state(p, "completed");
+    serve_for(p, AWAY_MS);
+    cluster_free(p);
+}
+
 TESTS_MAIN(T(first_change_after_a_restore_is_in_force),
-           T(change_seen_late_after_a_restore_is_in_force))
+           T(change_seen_late_after_a_restore_is_in_force),
+           T(key_revoked_before_a_restore_stays_revoked),
+           T(records_of_boxes_are_written_again), T(a_shift_survives_restores))
