Store: boxes write again what they had written and a restore has lost

Callers saw nothing yet; found by reading and by tests. After a restore the records of boxes, of shifts and their outcome, of suspect requests and of the reporting lease stay in force at the boxes that know them, but nobody writes them again, so that a box that starts later does not have them: a shift that was done would begin again, a window would be reported twice.

The state of a shift is written again with its order as condition, and once more when the operator has written the order again, since only a later record refers to it.

Tests, failing before: records_of_boxes_are_written_again ('the store never had wp/box/e0'), a_shift_survives_restores ('the shift is unknown, not completed'), what_a_box_had_written_is_written_again_once.

--- a/io/wp_store_writer.c
+++ b/io/wp_store_writer.c
@@ -16,7 +16,8 @@
     BOXES_INTERVAL_MS = 400,
     /* A transaction has at most 32 items, by the platform's rules, and each box
        takes two: a condition and a value. */
-    BOXES_PER_TXN = 16
+    BOXES_PER_TXN = 16,
+    LOST_PER_TXN = 16 /* lost entries, for the same reason */
 };
 
 /* A write has ended. After a conflict the present values of its keys are
@@ -124,12 +125,41 @@
            NULL);
 }
 
+/* Whether the store's copy of this key is as this box knows it. */
+static bool is_in_store(const WPSync *s, const char *prefix,
+                        const char *service)
+{
+    g_autofree char *key = g_strconcat(prefix, service, NULL);
+    const WPMirrorItem *item = wp_mirror_get(s->mirror, key);
+    return item && !item->lost;
+}
+
+/* Writes the state of a shift again if the store has lost it in a restore, or
+   if the operator has written the order again, which only a later record of its
+   outcome refers to. */
+static void restore_shift(WPSync *s, WPShift *sh, WPTime now)
+{
+    const WPPlatformOps *platform = s->host->platform;
+    if (!s->restored_us || now.mono_us < s->rewrite_us || !may_write(s, now) ||
+        !wp_elapsed_started(&sh->elapsed) ||
+        !wp_peers_is_designated_watcher(s->peers, false))
+        return;
+    bool recorded = is_in_store(s, platform->outcome_prefix, sh->service) &&
+                    is_in_store(s, WP_KEY_SHIFT_BEGAN, sh->service);
+    if ((recorded && !sh->renumbered) ||
+        !is_in_store(s, platform->order_prefix, sh->service))
+        return;
+    sh->renumbered = false;
+    write_shift(s, sh, sh->state, now, "lost by the store");
+}
+
 /* Advances a running shift, and writes its next state when that is due. */
 static void advance_shift(void *arg, WPShift *sh)
 {
     WPSync *s = arg;
     WPTime now = wp_clock_now(0);
     g_autofree char *why = NULL;
+    restore_shift(s, sh, now);
     if (sh->state != WP_SHIFT_RUNNING)
         return;
     if (wp_shift_advance(s->host->direct.shifts, sh, now, &why)) {
@@ -215,8 +245,31 @@
         g_free(b.owned[i]);
 }
 
+/* Writes again what boxes had written and the store has lost, on the condition
+   that the store's entries are as they were read after the restore. */
+static void write_lost_entries(WPSync *s, WPTime now)
+{
+    WPKvCompare compares[LOST_PER_TXN];
+    WPKvOp ops[LOST_PER_TXN];
+    if (!s->restored_us || now.mono_us < s->rewrite_us || !may_write(s, now))
+        return;
+    g_autoptr(GPtrArray) lost = wp_mirror_lost(s->mirror, WP_KEY_PREFIX);
+    size_t n = MIN(lost->len, LOST_PER_TXN);
+    for (size_t i = 0; i < n; i++) {
+        const WPMirrorItem *item = g_ptr_array_index(lost, i);
+        gsize size = 0;
+        const char *value =
+            item->value ? g_bytes_get_data(item->value, &size) : NULL;
+        compares[i] = unchanged_since_read(s, item->key);
+        ops[i] = (WPKvOp){ item->key, wp_strn(value, size), !value };
+    }
+    if (n)
+        write_txn(s, compares, n, ops, n);
+}
+
 void wp_record_tick(WPSync *s, WPTime now)
 {
     wp_shifts_each(s->host->direct.shifts, advance_shift, s);
+    write_lost_entries(s, now);
     write_box_records(s, now);
 }
