Store: a new state with a number given before is not taken for an earlier one

Cause: what a restored store has counted as an earlier state of an entry if its number was not above the one before the known change. Where two changes were lost, a new one may have a number between theirs and was ignored (log: 'entry_lost key=op/config' at three boxes for version 15, which a restarted one took).

Now an entry keeps its latest eight earlier states, number and hash of the value, and only one of these counts as earlier; any other is new. What is not on record is safe to take: routes do not go back by their version, a draining endpoint stays so, an ended order is known, and the reporting lease's record, which now refuses a record with a lower fence or fewer windows.

--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -68,31 +68,45 @@
     return wp_str_eq(wp_strn(p, n), *value);
 }
 
-/* Whether a restored store that has an entry of this number has lost the known
-   change: the entry then is the one before that change or an earlier one. */
-static bool is_earlier_state(const WPMirrorItem *known, uint64_t revision)
+static WPMirrorState state_of(const WPStr *value, uint64_t revision)
 {
-    uint64_t number = wp_revision_number(revision);
-    uint64_t known_number = wp_revision_number(known->revision);
-    if (known->lost)
-        return number <= known_number;
-    return known->previous_known && number <= known->previous &&
-           number < known_number;
+    return (WPMirrorState){ wp_revision_number(revision),
+                            value ? wp_hash(*value, 0) : 0 };
+}
+
+/* Whether what a restored store has is a state from before the known one: the
+   store has lost the changes since. A state that is not on record counts as a
+   new one, as the store gives out its numbers again. */
+static bool is_earlier_state(const WPMirrorItem *known, WPMirrorState state)
+{
+    unsigned n = MIN(known->n_earlier, WP_MIRROR_EARLIER_MAX);
+    for (unsigned i = 0; i < n; i++)
+        if (known->earlier[i].number == state.number &&
+            known->earlier[i].hash == state.hash)
+            return true;
+    return false;
 }
 
 /* Gives a known state of an entry another revision. */
 static void renumber(WPMirror *m, WPMirrorItem *i, uint64_t revision, bool lost)
 {
-    /* A lost change that was written again follows what the store had. */
-    if (i->lost && !lost) {
-        i->previous = wp_revision_number(i->revision);
-        i->previous_known = true;
-    }
     i->revision = revision;
     i->lost = lost;
     m->change++;
 }
 
+/* Records the state of `had` as the latest before that of `i`. */
+static void record_earlier(WPMirrorItem *i, const WPMirrorItem *had)
+{
+    gsize n = 0;
+    const char *p = had->value ? g_bytes_get_data(had->value, &n) : NULL;
+    WPStr value = wp_strn(p, n);
+    memcpy(i->earlier, had->earlier, sizeof(i->earlier));
+    i->earlier[had->n_earlier % WP_MIRROR_EARLIER_MAX] =
+        state_of(had->value ? &value : NULL, had->revision);
+    i->n_earlier = had->n_earlier + 1;
+}
+
 static void store_item(WPMirror *m, const char *key, const WPStr *value,
                        uint64_t revision, bool lapsed)
 {
@@ -102,9 +116,8 @@
     i->value = value ? g_bytes_new(value->p, value->n) : NULL;
     i->revision = revision;
     i->lapsed = lapsed;
-    /* Until there is a complete copy, other states may have come before. */
-    i->previous_known = had || m->complete;
-    i->previous = had ? wp_revision_number(had->revision) : 0;
+    if (had)
+        record_earlier(i, had);
     g_hash_table_replace(m->items, i->key, i);
     m->change++;
 }
@@ -121,7 +134,7 @@
         renumber(m, had, revision, false);
         return WP_MIRROR_SAME;
     }
-    if (restored && is_earlier_state(had, revision)) {
+    if (restored && is_earlier_state(had, state_of(value, revision))) {
         renumber(m, had, revision, true);
         return WP_MIRROR_LOST;
     }
@@ -330,7 +343,7 @@
 {
     uint64_t era = d->has_era ? d->era : own_era;
     d->since = joined(d->has_since_era, d->since_era, d->since, own_era);
-    d->complete = wp_revision(era, d->complete);
+    d->complete = joined(d->has_era, d->era, d->complete, own_era);
     for (size_t i = 0; i < d->n_items; i++) {
         Wp__MirrorItem *item = d->items[i];
         item->revision = joined(item->has_era, item->era, item->revision, era);
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -12,6 +12,14 @@
 #include "wire.pb-c.h"
 #include "wp_revision.h"
 
+enum { WP_MIRROR_EARLIER_MAX = 8 };
+
+/* An earlier state of an entry. */
+typedef struct WPMirrorState {
+    uint64_t number; /* the store's */
+    uint64_t hash;   /* of the value */
+} WPMirrorState;
+
 typedef struct WPMirrorItem {
     char *key;
     GBytes *value; /* NULL: removed */
@@ -23,10 +31,9 @@
     /* The store has lost this change in a restore. It has an earlier state of
        the entry of the number of `revision`; 0: none. */
     bool lost;
-    /* The entry's number before this change; 0: it did not exist. Only if
-       `previous_known`. */
-    bool previous_known;
-    uint64_t previous;
+    /* The latest states before this one, in a ring. */
+    WPMirrorState earlier[WP_MIRROR_EARLIER_MAX];
+    unsigned n_earlier; /* that there were */
 } WPMirrorItem;
 
 /* What a state of an entry that was received has changed. */
--- a/src/wp_report_lease.c
+++ b/src/wp_report_lease.c
@@ -98,11 +98,24 @@
             g_array_remove_index_fast(d->reported, i - 1);
 }
 
+/* Whether a record is from before the known one. In the store neither fence nor
+   windows go back but by a restore. */
+static bool is_behind(const WPReportLease *d, const Wp__DutyRecord *r)
+{
+    return d->record && r &&
+           (r->fence < d->record->fence ||
+            (r->fence == d->record->fence && r->next < d->record->next));
+}
+
 void wp_report_lease_observe(WPReportLease *d, WPTime now, uint64_t revision,
                              const Wp__DutyRecord *r, bool unreadable)
 {
     if (revision <= d->revision)
         return;
+    if (is_behind(d, r)) {
+        d->revision = revision;
+        return;
+    }
     wp_pb_free(d->record);
     d->record = r ? wp_pb_copy(&r->base) : NULL;
     d->unreadable = unreadable;
--- a/src/wp_report_lease.h
+++ b/src/wp_report_lease.h
@@ -41,9 +41,10 @@
 void wp_report_lease_free(WPReportLease *d);
 
 /* Takes in the store's record of this revision; NULL: there is none. A revision
-   that is not newer than the known one changes nothing. `unreadable`: it cannot
-   be decoded; nothing is reported then until an operator removes it, because
-   its fencing token is not known. */
+   that is not newer than the known one changes nothing. A record that is behind
+   the known one, as a restored store has it, is only to be replaced.
+   `unreadable`: it cannot be decoded; nothing is reported then until an
+   operator removes it, because its fencing token is not known. */
 void wp_report_lease_observe(WPReportLease *d, WPTime now, uint64_t revision,
                              const Wp__DutyRecord *r, bool unreadable);
 
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -120,6 +120,17 @@
     }
 }
 
+/* Two changes were lost, and the new one has a number between theirs. */
+static void a_change_with_a_number_given_before_is_a_new_one(void **state)
+{
+    WPMirror *m = copy_with_changes("last");
+    (void)state;
+    put(m, "key", "latest", in_era(1, 170));
+    assert_int_equal(put(m, "key", "next", in_era(2, 130)), WP_MIRROR_CHANGED);
+    assert_true(has(m, "key", "next"));
+    wp_mirror_free(m);
+}
+
 static void a_lost_removal_stays(void **state)
 {
     WPMirror *m = copy_with_changes(NULL);
@@ -361,6 +372,7 @@
            T(an_unchanged_entry_only_gets_another_revision),
            T(a_lost_change_stays_until_it_is_written_again),
            T(a_change_after_a_restore_replaces_a_lost_one),
+           T(a_change_with_a_number_given_before_is_a_new_one),
            T(a_lost_removal_stays),
            T(a_missing_entry_stays_until_it_is_written_again),
            T(restores_in_series_lose_changes_again),
