Boxes: a box that knows nothing gets all entries also where the store names an era

Cause: since revisions have eras, a request for all changes after 0 named no era and was taken for one of the asked box's own era; the answer then began after the asking box's revision and was dropped as one that leaves a gap.

--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -336,6 +336,9 @@
 static uint64_t joined(protobuf_c_boolean has_era, uint64_t era,
                        uint64_t number, uint64_t absent)
 {
+    /* Nothing is known of any era. */
+    if (!has_era && !number)
+        return 0;
     return wp_revision(has_era ? era : absent, number);
 }
 
--- a/tests/test_store_era.c
+++ b/tests/test_store_era.c
@@ -231,6 +231,23 @@
     assert_int_equal(p.since, in_era(3, 60));
 }
 
+static void a_box_that_knows_nothing_gets_all(void **state)
+{
+    WPMirror *a = wp_mirror_new(), *b = wp_mirror_new();
+    Wp__MirrorPull p = WP__MIRROR_PULL__INIT;
+    (void)state;
+    put(a, "key", "x", in_era(2, 9));
+    wp_mirror_advance(a, in_era(2, 10));
+    wp_mirror_pull_set_since(&p, wp_mirror_complete_revision(b));
+    wp_mirror_pull_join(&p, 2);
+    assert_int_equal(p.since, 0);
+    send_delta(a, b);
+    assert_true(has(b, "key", "x"));
+    assert_int_equal(wp_mirror_complete_revision(b), in_era(2, 10));
+    wp_mirror_free(a);
+    wp_mirror_free(b);
+}
+
 /* A box that has read two endpoints in era 1, and learns of era 2 when it reads
    `ids` there. */
 static void start_and_restore(SyncFixture *s, const char *const *ids, size_t n)
@@ -378,6 +395,7 @@
            T(restores_in_series_lose_changes_again),
            T(a_box_of_the_era_before_gets_all_from_one_of_the_next),
            T(a_message_without_an_era_is_of_the_own_one),
+           T(a_box_that_knows_nothing_gets_all),
            T(an_endpoint_that_the_store_has_lost_is_kept_for_a_while),
            T(an_endpoint_that_registers_again_stays),
            T(nothing_is_written_by_revisions_of_an_earlier_era),
