--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -258,7 +258,7 @@
 }
 
 static void write_config(TestCluster *p, unsigned version, const char *prefix,
-                         const char *key)
+                         const char *keys)
 {
     static const char route[] =
         "{\"name\":\"r%u\",\"host\":\"h.example\",\"prefix\":\"%s\","
@@ -272,19 +272,26 @@
     g_autofree char *text = g_strdup_printf(
         "{\"put\":{\"key\":\"op/config\",\"value\":{\"version\":%u,"
         "\"routes\":[%s],\"services\":[{\"name\":\"app\"%s}],\"limits\":{},"
-        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"]}]}}}",
-        version, routes->str, p->zones ? COLD_SERVICE : "", key);
+        "\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[%s]}]}}}",
+        version, routes->str, p->zones ? COLD_SERVICE : "", keys);
     cluster_require_reply(cluster_post_control(p->store.control, text));
 }
 
 void cluster_write_config(TestCluster *p, unsigned version, const char *prefix)
 {
-    write_config(p, version, prefix, "key-1");
+    write_config(p, version, prefix, "\"key-1\"");
 }
 
 void cluster_revoke_key(TestCluster *p, unsigned version)
 {
-    write_config(p, version, "/new/", "key-2");
+    write_config(p, version, "/new/", "\"key-2\"");
+}
+
+void cluster_write_version_key(TestCluster *p, unsigned version)
+{
+    g_autofree char *keys =
+        g_strdup_printf("\"key-1\",\"version-%u\"", version);
+    write_config(p, version, "/new/", keys);
 }
 
 void cluster_write_filler(TestCluster *p, unsigned n)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -72,6 +72,9 @@
 /* The same without the key of cluster_new()'s caller, which another one has. */
 void cluster_revoke_key(TestCluster *p, unsigned version);
 
+/* The same with a further key that only this version has, "version-N". */
+void cluster_write_version_key(TestCluster *p, unsigned version);
+
 /* Restores the store from its copy of `ms` ago: what boxes have written since
    is lost, its era rises, and after `rewrite_ms` the operator and the replicas
    write again what they had written. A store that was down answers again. */
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -60,6 +60,8 @@
         tests/soak-notice-cases.txt 3
     soak retries "--retries --entries 3 --replicas 6 --seconds 14" \
         tests/soak-retry-cases.txt 4
+    soak restores "--restores --entries 4 --replicas 4 --seconds 24" \
+        tests/soak-restore-cases.txt 4
     soak beside "--moves beside --seconds 12" tests/soak-beside-cases.txt
     out=$(mktemp)
     WP_BIN=$BUILD tests/run-scenarios.sh 4 | tee "$out"
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -26,15 +26,19 @@
  *   - with --notices (soak_notice.h): endpoints that are draining or ask for
  *     back-off get no requests, and others serve;
  *   - with --retries (soak_retry.h): all entries together keep to the retry
- *     budget.
+ *     budget;
+ *   - with --restores (soak_restore.h): changes are in force in time around
+ *     restores of the store from older copies.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
  *          [--callers 8] [--moves alone|beside] [--zones] [--crashing]
- *          [--limits] [--notices] [--retries] */
+ *          [--limits] [--notices] [--retries]
+ *          [--restores] */
 #include "soak_crash.h"
 #include "soak_limit.h"
 #include "soak_shift.h"
 #include "soak_notice.h"
+#include "soak_restore.h"
 #include "soak_retry.h"
 #include "soak_zone.h"
 
@@ -59,6 +63,7 @@
 static gboolean limits;   /* endpoints that report one; no other faults */
 static gboolean notices;  /* of draining and back-off; no other faults */
 static gboolean retries;  /* with failing endpoints; no other faults */
+static gboolean restores; /* of the store; no other faults */
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* The result of one request as its caller saw it. */
@@ -78,12 +83,13 @@
     gint new_route_incarnation[64]; /* of each entry, the last
                                   one that served the new route */
     uint32_t seed;
-    SoakShift *shift;   /* NULL: none */
-    SoakZone *zone;     /* NULL: none */
-    SoakCrash *crash;   /* NULL: none */
-    SoakLimit *limit;   /* NULL: none */
-    SoakNotice *notice; /* NULL: none */
-    SoakRetry *retry;   /* NULL: none */
+    SoakShift *shift;     /* NULL: none */
+    SoakZone *zone;       /* NULL: none */
+    SoakCrash *crash;     /* NULL: none */
+    SoakLimit *limit;     /* NULL: none */
+    SoakNotice *notice;   /* NULL: none */
+    SoakRetry *retry;     /* NULL: none */
+    SoakRestore *restore; /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -207,7 +213,7 @@
         a.status != 200; /* as callers are required to after an error */
     if (!a.status || backs_off)
         g_usleep(STEP_MIN_MS * WP_US_PER_MS);
-    if (limits || notices || retries)
+    if (limits || notices || retries || restores)
         g_usleep(REQUEST_INTERVAL_MS * WP_US_PER_MS);
 }
 
@@ -389,12 +395,15 @@
             soak_notice_tick(s->notice);
         if (s->retry)
             soak_retry_tick(s->retry);
-        if (!s->crash && !s->limit && !s->notice && !s->retry &&
+        if (s->restore)
+            soak_restore_tick(s->restore, s->problems);
+        if (!s->crash && !s->limit && !s->notice && !s->retry && !s->restore &&
             faults->len < FAULTS_MAX && g_strcmp0(shifts, "alone")) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
         }
-        if (!changed && end_us - now_us < seconds * WP_US_PER_S / 2) {
+        if (!changed && !s->restore &&
+            end_us - now_us < seconds * WP_US_PER_S / 2) {
             cluster_write_config(s->cluster, 2, "/new/");
             changed = true;
         }
@@ -523,6 +532,10 @@
     if (retries)
         s.retry = soak_retry_new(s.cluster, seed, seconds, (unsigned)entries,
                                  (unsigned)replicas, &retry_ops);
+    const SoakRestoreOps restore_ops = { on_restart_entry, &s };
+    if (restores)
+        s.restore = soak_restore_new(s.cluster, seed, seconds,
+                                     (unsigned)entries, &restore_ops);
     bool single_entry = s.limit && soak_limit_uses_one_entry(s.limit);
     for (int i = 0; i < callers; i++) {
         all_callers[i] =
@@ -567,7 +580,9 @@
         : s.notice
             ? soak_notice_end(s.notice, count_routed(&s), served, s.problems)
         : s.retry ? soak_retry_end(s.retry, sent_ms, s.problems)
-                  : g_strdup("no special case");
+        : s.restore
+            ? soak_restore_end(s.restore, count_routed(&s), served, s.problems)
+            : g_strdup("no special case");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
            ok ? "ok" : "FAILED", s.outcomes->len, served, summary,
@@ -604,6 +619,8 @@
           "endpoints that drain or ask for back-off", NULL },
         { "retries", 0, 0, G_OPTION_ARG_NONE, &retries,
           "endpoints that refuse or fail, entries killed in series", NULL },
+        { "restores", 0, 0, G_OPTION_ARG_NONE, &restores,
+          "the store is restored from older copies in series", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
