--- a/tests/soak_restore.c
+++ b/tests/soak_restore.c
@@ -5,14 +5,16 @@
 #include "soak_restore.h"
 
 enum {
-    APPLY_MS = 2000,      /* within which a change must be in force */
-    TOLERANCE_MS = 200,   /* of the test's own requests */
-    END_MARGIN_MS = 3000, /* to the end, in which no fault begins */
-    QUIET_MS = 2800,      /* between two series of changes */
-    CHANGES_MAX = 4,      /* in a series */
-    FILLER = 4,           /* writes that nobody reads, in a tick */
-    RESTORES = 3,         /* in a series */
-    PAUSE_MS = 4000       /* between two series of restores */
+    APPLY_MS = 2000,    /* within which a change must be in force */
+    TOLERANCE_MS = 200, /* of the test's own requests */
+    /* to the end, in which no fault or change begins, so that the last one is
+       checked */
+    END_MARGIN_MS = 4000,
+    QUIET_MS = 2800, /* between two series of changes */
+    CHANGES_MAX = 4, /* in a series */
+    FILLER = 4,      /* writes that nobody reads, in a tick */
+    RESTORES = 3,    /* in a series */
+    PAUSE_MS = 4000  /* between two series of restores */
 };
 
 #define SERVED_MIN 0.97 /* of the callers' requests, without kills */
@@ -197,7 +199,8 @@
         kill_entries(s, now);
     if (!s->away)
         cluster_write_filler(s->cluster, FILLER);
-    change(s, now);
+    if (!s->ended)
+        change(s, now);
     for (unsigned i = 0; i < s->entries; i++)
         check_entry(s, i, now_ms(), problems);
 }
