Limits: the rate of a zone whose boxes all started anew replaces an expired one

After all boxes of a zone were away for over 20 s their updates begin at 1 again, and the other zones refused them until the old number was passed, so that the zone's part of limits was wrong for as long.

The class is that of the store's revisions: a number of another life is taken for an older one. A rate that has expired is replaced by any.

--- a/src/wp_demand.c
+++ b/src/wp_demand.c
@@ -200,7 +200,10 @@
     WPDemandZoneRate *z =
         get_value(d->zones, wp_demand_key(n->subject, n->service), sizeof(*z));
     const WPDemandUpdate *known = &z->update;
+    /* After an expired rate the zone's boxes may have started anew, with lower
+       sequences. */
     bool newer =
+        !wp_demand_is_fresh(z->received_us, now, WP_DEMAND_ZONE_TTL_MS) ||
         n->sequence > known->sequence ||
         (n->sequence == known->sequence && n->origin_box > known->origin_box);
     if (!newer)
