--- a/tests/soak.c
+++ b/tests/soak.c
@@ -28,12 +28,15 @@
  *   - with --retries (soak_retry.h): all entries together keep to the retry
  *     budget;
  *   - with --restores (soak_restore.h): changes are in force in time around
- *     restores of the store from older copies.
+ *     restores of the store from older copies;
+ *   - with --changes (soak_change.h): changes are in force in time; prints how
+ *     long they take.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
  *          [--callers 8] [--moves alone|beside] [--zones] [--crashing]
  *          [--limits] [--notices] [--retries]
- *          [--restores] */
+ *          [--restores] [--changes] */
+#include "soak_change.h"
 #include "soak_crash.h"
 #include "soak_limit.h"
 #include "soak_shift.h"
@@ -64,6 +67,7 @@
 static gboolean notices;  /* of draining and back-off; no other faults */
 static gboolean retries;  /* with failing endpoints; no other faults */
 static gboolean restores; /* of the store; no other faults */
+static gboolean changes;  /* how long they take; no other faults */
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* The result of one request as its caller saw it. */
@@ -90,6 +94,7 @@
     SoakNotice *notice;   /* NULL: none */
     SoakRetry *retry;     /* NULL: none */
     SoakRestore *restore; /* NULL: none */
+    SoakChange *change;   /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -213,7 +218,7 @@
         a.status != 200; /* as callers are required to after an error */
     if (!a.status || backs_off)
         g_usleep(STEP_MIN_MS * WP_US_PER_MS);
-    if (limits || notices || retries || restores)
+    if (limits || notices || retries || restores || changes)
         g_usleep(REQUEST_INTERVAL_MS * WP_US_PER_MS);
 }
 
@@ -397,12 +402,16 @@
             soak_retry_tick(s->retry);
         if (s->restore)
             soak_restore_tick(s->restore, s->problems);
-        if (!s->crash && !s->limit && !s->notice && !s->retry && !s->restore &&
-            faults->len < FAULTS_MAX && g_strcmp0(shifts, "alone")) {
+        if (s->change)
+            soak_change_tick(s->change, s->problems);
+        bool other_faults = !s->crash && !s->limit && !s->notice && !s->retry &&
+                            !s->restore && !s->change;
+        if (other_faults && faults->len < FAULTS_MAX &&
+            g_strcmp0(shifts, "alone")) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
         }
-        if (!changed && !s->restore &&
+        if (!changed && !s->restore && !s->change &&
             end_us - now_us < seconds * WP_US_PER_S / 2) {
             cluster_write_config(s->cluster, 2, "/new/");
             changed = true;
@@ -536,6 +545,10 @@
     if (restores)
         s.restore = soak_restore_new(s.cluster, seed, seconds,
                                      (unsigned)entries, &restore_ops);
+    const SoakChangeOps change_ops = { on_restart_entry, &s };
+    if (changes)
+        s.change =
+            soak_change_new(s.cluster, seed, (unsigned)entries, &change_ops);
     bool single_entry = s.limit && soak_limit_uses_one_entry(s.limit);
     for (int i = 0; i < callers; i++) {
         all_callers[i] =
@@ -582,7 +595,8 @@
         : s.retry ? soak_retry_end(s.retry, sent_ms, s.problems)
         : s.restore
             ? soak_restore_end(s.restore, count_routed(&s), served, s.problems)
-            : g_strdup("no special case");
+        : s.change ? soak_change_end(s.change)
+                   : g_strdup("no special case");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
            ok ? "ok" : "FAILED", s.outcomes->len, served, summary,
@@ -621,6 +635,8 @@
           "endpoints that refuse or fail, entries killed in series", NULL },
         { "restores", 0, 0, G_OPTION_ARG_NONE, &restores,
           "the store is restored from older copies in series", NULL },
+        { "changes", 0, 0, G_OPTION_ARG_NONE, &changes,
+          "how long changes take to be in force", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
--- a/tools/wpproxy.c
+++ b/tools/wpproxy.c
@@ -5,7 +5,8 @@
  *   silent: forwards nothing and closes nothing;
  *   in, out: forwards only towards the callers, or only away from them;
  *   reset: resets all connections, and each new one.
- * delay_ms delays each piece of data. */
+ * strand: true makes the present connections forward nothing any more, while
+ * new ones work. delay_ms delays each piece of data. */
 #include "wp_http.h"
 
 #include <event2/buffer.h>
@@ -32,6 +33,7 @@
 typedef struct Pair {
     WPList node;
     Proxy *proxy;
+    bool stranded;
     struct bufferevent *side[2]; /* the caller's side, the target's side */
 } Pair;
 
@@ -56,16 +58,17 @@
     g_free(p);
 }
 
-static bool passes(const Proxy *x, int from)
+static bool passes(const Pair *p, int from)
 {
-    return x->mode == PASS || (x->mode == OUT && from == 0) ||
-           (x->mode == IN && from == 1);
+    Mode mode = p->proxy->mode;
+    return !p->stranded && (mode == PASS || (mode == OUT && from == 0) ||
+                            (mode == IN && from == 1));
 }
 
 static void forward(Pair *p, int from)
 {
     struct evbuffer *in = bufferevent_get_input(p->side[from]);
-    if (passes(p->proxy, from))
+    if (passes(p, from))
         bufferevent_write_buffer(p->side[1 - from], in);
 }
 
@@ -118,7 +121,7 @@
     int from = bev == p->side[1];
     if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
         return;
-    if (!passes(p->proxy, from))
+    if (!passes(p, from))
         return; /* the end of the stream is withheld like data */
     forward(p, from);
     bufferevent_flush(p->side[1 - from], EV_WRITE, BEV_FINISHED);
@@ -169,6 +172,9 @@
     json_t *j = wp_http_body_json(r);
     const json_t *delay = json_object_get(j, "delay_ms");
     const char *mode = json_string_value(json_object_get(j, "mode"));
+    if (json_is_true(json_object_get(j, "strand")))
+        wp_list_each (it, &x->pairs)
+            wp_list_item(it, Pair, node)->stranded = true;
     if (json_is_number(delay))
         x->delay_ms = json_number_value(delay);
     for (size_t i = 0; mode && i < WP_COUNT(mode_names); i++)
