--- a/src/wp_staleness.c
+++ b/src/wp_staleness.c
@@ -24,8 +24,8 @@
    as a fraction of `apply_ms`, and the fraction by which the jitter may
    lengthen it. Calls to the store are billed, including those that are
    rejected. */
-#define BACKOFF_FIRST_MS 400
-#define BACKOFF_MAX_FRACTION 0.4
+#define BACKOFF_FIRST_MS 250
+#define BACKOFF_MAX_FRACTION 0.2
 #define BACKOFF_JITTER 0.5
 
 /* A box that reads the store makes a call for each 50 to 500 entries, and all
