--- a/src/wp_staleness.c
+++ b/src/wp_staleness.c
@@ -1,11 +1,11 @@
 /* Staleness of the local copy of the store. */
 #include "wp_staleness.h"
 
-/* Fractions of `apply_ms`. The last rank polls at 0.87 of it; the poll and the
+/* Fractions of `apply_ms`. The last rank polls at 0.77 of it; the poll and the
    messages to the other boxes take 0.1 to 0.2 s. The limits guard against
    watches of all zones that fail silently at once: a limit that is not derived
    from `apply_ms` lets a revoked key be served beyond that time. */
-#define LIMIT_FRACTION 0.75  /* the first box of a zone polls */
+#define LIMIT_FRACTION 0.65  /* the first box of a zone polls */
 #define RANK_FRACTION 0.03   /* added for each further rank */
 #define RANK_MAX 3           /* boxes of higher ranks poll together */
 #define JITTER_FRACTION 0.03 /* spread within a rank, times the jitter */
