Events: the time line of a request has all of its events that are kept

Now the newest events of the request are looked for.

test_events all_kept_events_of_a_request_are_found fails before (0 of 2 events).

--- a/src/wp_events.c
+++ b/src/wp_events.c
@@ -63,13 +63,32 @@
     va_end(ap);
 }
 
+/* The event with this number; NULL: it is not of the request. */
+static const Event *event_of(const WPEvents *e, uint64_t i, const char *request)
+{
+    const Event *v = &e->ring[i % WP_EVENTS_CAPACITY];
+    return !request || !strcmp(request, v->request) ? v : NULL;
+}
+
+/* The number of the oldest of the newest `max` events of the request. */
+static uint64_t find_first(const WPEvents *e, const char *request, unsigned max)
+{
+    uint64_t first = e->count;
+    uint64_t oldest = e->count - MIN(e->count, WP_EVENTS_CAPACITY);
+    for (uint64_t i = e->count; i > oldest && max; i--)
+        if (event_of(e, i - 1, request)) {
+            first = i - 1;
+            max--;
+        }
+    return first;
+}
+
 json_t *wp_events_json(const WPEvents *e, const char *request, unsigned max)
 {
     json_t *out = json_array();
-    uint64_t stored = MIN(e->count, WP_EVENTS_CAPACITY);
-    for (uint64_t i = e->count - MIN(stored, max); i < e->count; i++) {
-        const Event *v = &e->ring[i % WP_EVENTS_CAPACITY];
-        if (request && strcmp(request, v->request))
+    for (uint64_t i = find_first(e, request, max); i < e->count; i++) {
+        const Event *v = event_of(e, i, request);
+        if (!v)
             continue;
         json_array_append_new(out,
                               json_pack("{s:I,s:s,s:s,s:s,s:s}", "clock",
