Settings: a whole number beyond a signed field's range is rejected

Operators saw nothing yet (found by reading, known red): 2,147,483,648 to 4,294,967,295 was taken for an int32 setting and became negative.

--- a/src/wp_pb.c
+++ b/src/wp_pb.c
@@ -60,8 +60,9 @@
     bool small = field_size(f) == 4;
     bool sign =
         f->type == PROTOBUF_C_TYPE_INT32 || f->type == PROTOBUF_C_TYPE_INT64;
+    int64_t small_max = sign ? INT32_MAX : UINT32_MAX;
     if (!read_int(s, &v) || (!sign && v < 0) ||
-        (small && (v > UINT32_MAX || v < INT32_MIN)))
+        (small && (v > small_max || v < INT32_MIN)))
         return fail_at(r, node, f->name, "expected a whole number");
     if (small)
         *(uint32_t *)at = (uint32_t)v;
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -189,6 +189,28 @@
     }
 }
 
+static void numbers_beyond_their_field_are_rejected(void **state)
+{
+    static const struct {
+        const char *value;
+        bool fits;
+    } rows[] = { { "2147483647", true },
+                 { "-2147483648", true },
+                 { "2147483648", false },
+                 { "4294967295", false },
+                 { "-2147483649", false } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(rows); i++) {
+        g_autofree char *yaml = g_strdup_printf(
+            "id: e1\npeer_port: 1\nadmin_port: 2\nclock_skew_ms: %s\n",
+            rows[i].value);
+        g_autofree char *text =
+            read_error(&wp__node_settings__descriptor, yaml);
+        bool whole = text && strstr(text, "clock_skew_ms: expected a whole");
+        assert_int_equal(!whole, rows[i].fits);
+    }
+}
+
 /* Allowed versions are precomputed for requests without labels of their own;
    the table must give the same result as evaluating the selectors for each
    request. */
@@ -217,4 +239,6 @@
            T(rules_attach_labels_that_selectors_use),
            T(callers_cannot_forge_workspace_labels),
            T(unreadable_denials_deny_all), T(validation_finds_problems),
-           T(errors_name_file_line_and_field), T(table_and_evaluation_agree))
+           T(errors_name_file_line_and_field),
+           T(numbers_beyond_their_field_are_rejected),
+           T(table_and_evaluation_agree))
