Agents: an idempotency key that was handed over keeps its version

Callers saw nothing yet (found by reading, known red): a key that one agent hands to the next had no version there, so that no owner was found for it when that agent left in turn; its request could have run a second time.

The version goes along (OnceKey.version); agents of an older build send none, as before. test_idempotency a_key_that_was_handed_over_is_handed_on fails without it (no owner).

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -3711,7 +3711,7 @@
   (ProtobufCMessageInit) wp__settled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__once_key__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wp__once_key__field_descriptors[3] =
 {
   {
     "key",
@@ -3737,15 +3737,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__OnceKey, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__once_key__field_indices_by_name[] = {
   1,   /* field[1] = done */
   0,   /* field[0] = key */
+  2,   /* field[2] = version */
 };
 static const ProtobufCIntRange wp__once_key__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wp__once_key__descriptor =
 {
@@ -3755,7 +3768,7 @@
   "Wp__OnceKey",
   "wp",
   sizeof(Wp__OnceKey),
-  2,
+  3,
   wp__once_key__field_descriptors,
   wp__once_key__field_indices_by_name,
   1,  wp__once_key__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -462,10 +462,14 @@
   ProtobufCMessage base;
   char *key;
   protobuf_c_boolean done;
+  /*
+   * Of the request: the owners of a key are agents of its version.
+   */
+  char *version;
 };
 #define WP__ONCE_KEY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__once_key__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, NULL }
 
 
 /*
--- a/src/wp_agent.c
+++ b/src/wp_agent.c
@@ -404,6 +404,7 @@
     Wp__OnceKey *k = g_new0(Wp__OnceKey, 1);
     wp__once_key__init(k);
     k->key = (char *)key;
+    k->version = (char *)version;
     k->done = done;
     g_ptr_array_add(p->keys, k);
 }
@@ -483,8 +484,9 @@
 void wp_agent_receive_handover(WPAgent *a, WPTime now, const Wp__Handover *h)
 {
     for (size_t i = 0; i < h->n_keys; i++)
-        wp_idempotency_add_handed_over(a->idempotency, now, h->keys[i]->key,
-                                       h->keys[i]->done);
+        wp_idempotency_add_handed_over(
+            a->idempotency, now, h->keys[i]->version ? h->keys[i]->version : "",
+            h->keys[i]->key, h->keys[i]->done);
     wp_idempotency_note_handover(a->idempotency, h->agent, h->incarnation);
 }
 
--- a/src/wp_idempotency.c
+++ b/src/wp_idempotency.c
@@ -194,10 +194,11 @@
 }
 
 void wp_idempotency_add_handed_over(WPIdempotency *o, WPTime now,
-                                    const char *key, bool done)
+                                    const char *version, const char *key,
+                                    bool done)
 {
     if (!g_hash_table_contains(o->keys, key))
-        add_key(o, now, "", key, done);
+        add_key(o, now, version, key, done);
 }
 
 void wp_idempotency_note_handover(WPIdempotency *o, const char *id,
--- a/src/wp_idempotency.h
+++ b/src/wp_idempotency.h
@@ -66,9 +66,11 @@
                                     const char *key, bool done),
                          void *arg);
 
-/* Records a key that another agent has handed over. */
+/* Records a key that another agent has handed over. Without its version it is
+   not handed on. */
 void wp_idempotency_add_handed_over(WPIdempotency *o, WPTime now,
-                                    const char *key, bool done);
+                                    const char *version, const char *key,
+                                    bool done);
 
 /* Notes that this incarnation of an agent has handed over all its keys that
    this one is to own, so that no key becomes unknown when it drains. */
--- a/tests/test_idempotency.c
+++ b/tests/test_idempotency.c
@@ -80,8 +80,7 @@
 static void add_key(void *arg, const char *version, const char *key, bool done)
 {
     Handover *p = arg;
-    (void)version;
-    wp_idempotency_add_handed_over(p->to->keys, p->now, key, done);
+    wp_idempotency_add_handed_over(p->to->keys, p->now, version, key, done);
 }
 
 /* Sends all keys that `from` holds to `to`. */
@@ -246,6 +245,39 @@
     agent_end(&leaver);
 }
 
+static void find_owner(void *arg, const char *version, const char *key,
+                       bool done)
+{
+    const Agent *a = arg;
+    const WPMemberRow *r =
+        wp_idempotency_owner(a->members, version, key, 100000, SETTLE_MS);
+    (void)done;
+    assert_non_null(r);
+    assert_string_equal(r->m->id, "third");
+}
+
+/* An agent that drains looks for the next owner of each key that it has, also
+   of those that it was handed. */
+static void a_key_that_was_handed_over_is_handed_on(void **state)
+{
+    Agent first, second;
+    Wp__Member third = member("third", 1);
+    (void)state;
+    agent_init(&first, "first", 1);
+    agent_init(&second, "second", 1);
+    assert_int_equal(wp_idempotency_begin(first.keys, at_ms(100000), VERSION,
+                                          "w/key", 99990, 0),
+                     WP_OK);
+    hand_over_keys(&first, &second, 100010);
+    assert_int_equal(wp_idempotency_count(second.keys), 1);
+    wp_members_merge(second.members, &third, 0);
+    second.self.has_leaving = second.self.leaving = 1;
+    wp_members_merge(second.members, &second.self, 0);
+    wp_idempotency_each(second.keys, find_owner, &second);
+    agent_end(&first);
+    agent_end(&second);
+}
+
 static void keys_expire_after_the_window(void **state)
 {
     Agent a;
@@ -267,4 +299,5 @@
 TESTS_MAIN(T(a_key_runs_once_in_any_order_of_a_join),
            T(after_a_lost_owner_older_keys_are_unknown),
            T(after_a_drained_owner_no_key_is_unknown),
+           T(a_key_that_was_handed_over_is_handed_on),
            T(keys_expire_after_the_window))
