Store: a write that the store has taken is known at its box at once

Cause: a box that wrote the first state of a shift waited for its watch to report it. A store that became silent within that time left all boxes without it, although the write had been acknowledged: the shift began only after the store had come back, 1.8 s later.

Change: what a transaction of steps, box records and rewritten entries has written is applied when it is acknowledged, at the revision that the store names; the event of the watch is then no longer new.

test_sync an_acknowledged_write_is_known_before_its_watch_event fails on the code before.

--- a/io/wp_store_writer.c
+++ b/io/wp_store_writer.c
@@ -20,32 +20,60 @@
     LOST_PER_TXN = 16 /* lost entries, for the same reason */
 };
 
-/* A write has ended. After a conflict the present values of its keys are
-   applied. The next write waits for RETRY_MS, also after a write that took
-   effect: until then the watch reports the value. */
+void wp_sync_write_free(void *p)
+{
+    WPSyncWrite *w = p;
+    g_free(w->key);
+    g_bytes_unref(w->value);
+    g_free(w);
+}
+
+static void apply_written(WPSync *s, uint64_t revision)
+{
+    for (guint i = 0; i < s->written->len; i++) {
+        const WPSyncWrite *w = g_ptr_array_index(s->written, i);
+        gsize n = 0;
+        const char *p = w->value ? g_bytes_get_data(w->value, &n) : NULL;
+        WPStr value = wp_strn(p, n);
+        wp_store_apply(s, w->key, w->value ? &value : NULL, revision, false);
+    }
+}
+
+/* A write has ended. What took effect is in force at once, as the store may be
+   away before the watch reports it. After a conflict the present values of its
+   keys are applied. */
 static void on_written(void *arg, const WPKvResult *r)
 {
     WPSync *s = arg;
     WPTime now = wp_clock_now(0);
     s->writing = false;
+    s->write_after_us = now.mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
     if (!r->ok) {
         wp_count(&s->host->direct.counters, WP_C_STORE_ERRORS);
-        s->write_after_us = now.mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
+        return;
+    }
+    if (r->succeeded) {
+        apply_written(s, r->revision);
         return;
     }
     /* The present values are applied like those that other boxes write. */
     for (size_t i = 0; i < r->n_items; i++)
         wp_store_apply(s, r->items[i].key.p, &r->items[i].value,
                        r->items[i].mod_revision, false);
-    /* The watch will report what was written; until then the write is not
-       repeated. */
-    s->write_after_us = now.mono_us + (int64_t)RETRY_MS * WP_US_PER_MS;
 }
 
 static void write_txn(WPSync *s, const WPKvCompare *compares, size_t n_compares,
                       const WPKvOp *ops, size_t n)
 {
     s->writing = true;
+    g_ptr_array_set_size(s->written, 0);
+    for (size_t i = 0; i < n; i++) {
+        WPSyncWrite *w = g_new0(WPSyncWrite, 1);
+        w->key = g_strdup(ops[i].key);
+        if (!ops[i].remove)
+            w->value = g_bytes_new(ops[i].value.p, ops[i].value.n);
+        g_ptr_array_add(s->written, w);
+    }
     wp_count(&s->host->direct.counters, WP_C_STORE_WRITES);
     s->kv->ops->txn(s->kv, compares, n_compares, ops, n, on_written, s);
 }
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -488,6 +488,7 @@
     s->incarnation = (uint64_t)wp_clock_seed() << 32 | wp_clock_seed();
     s->staleness.jitter = g_rand_double(h->direct.rand);
     s->mirror = wp_mirror_new();
+    s->written = g_ptr_array_new_with_free_func(wp_sync_write_free);
     s->write_due =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->peers = wp_peers_new(h->base, h->settings, s->mirror, &wp_sync_peers_ops,
@@ -531,6 +532,7 @@
     wp_peers_free(s->peers);
     wp_mirror_free(s->mirror);
     g_hash_table_unref(s->write_due);
+    g_ptr_array_unref(s->written);
     wp_shift_records_free(s->shift_records);
     g_free(s);
 }
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -28,6 +28,12 @@
     WP_DIGEST_PREFIXES_MAX = 128
 };
 
+/* An entry that a transaction writes. */
+typedef struct WPSyncWrite {
+    char *key;
+    GBytes *value; /* NULL: it is removed */
+} WPSyncWrite;
+
 struct WPSync {
     /* Memory that the next digest points to. */
     Wp__MoveSums sums[WP_DIGEST_SHIFTS_MAX], *sums_list[WP_DIGEST_SHIFTS_MAX];
@@ -93,6 +99,7 @@
     struct WPNoticeUpdates *notice_updates;
     struct WPReports *reports; /* usage reports; NULL: not enabled */
     bool writing;              /* a transaction is in progress */
+    GPtrArray *written;        /* of WPSyncWrite: what it writes */
     int64_t write_after_us;    /* no transaction before this time */
     int64_t box_check_us; /* when to look for boxes without a store entry */
     /* when to write the own store entry if no other box has done so */
@@ -179,6 +186,9 @@
 /* Converts such counts from the wire format. */
 WPCanarySums wp_shift_sums_decode(const Wp__MoveSums *m);
 
+/* wp_store_writer.c: frees a WPSyncWrite. */
+void wp_sync_write_free(void *p);
+
 /* wp_store_writer.c: writes to the store what is due: steps of shifts and the
    entries of boxes. */
 void wp_record_tick(WPSync *s, WPTime now);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -178,6 +178,20 @@
     }
 }
 
+static void an_acknowledged_write_is_known_before_its_watch_event(void **state)
+{
+    const WPKvResult taken = { true, true, 11, NULL, 0 };
+    SyncFixture s;
+    (void)state;
+    sync_fixture_start(&s);
+    tick(&s, 2000);
+    assert_string_equal(store.key, WP_KEY_BOX "e1");
+    assert_null(wp_mirror_get(s.host.sync->mirror, store.key));
+    store.txn_done(store.txn_arg, &taken);
+    assert_non_null(wp_mirror_get(s.host.sync->mirror, store.key));
+    sync_fixture_end(&s);
+}
+
 TESTS_MAIN(T(after_a_lost_watch_all_is_read_once),
            T(after_a_compaction_all_is_read_again),
            T(calls_to_an_unavailable_store_back_off),
@@ -186,4 +200,5 @@
            T(a_box_with_seeds_does_not_read_at_first),
            T(a_partial_delta_does_not_make_a_box_ready),
            T(a_box_without_entries_retries_soon),
-           T(a_restarted_box_begins_without_retries))
+           T(a_restarted_box_begins_without_retries),
+           T(an_acknowledged_write_is_known_before_its_watch_event))
