--- a/tests/report_lease_sim.c
+++ b/tests/report_lease_sim.c
@@ -1,5 +1,6 @@
 /* Simulation of the usage reporting lease; see report_lease_sim.h. */
 #include "report_lease_sim.h"
+#include "wp_mirror.h"
 #include "wp_report_lease.h"
 #include "wp_pb.h"
 
@@ -20,12 +21,15 @@
     RESTART_MS = 300,         /* from a drained process's exit to its start */
     REFUSAL_FREEZE_MS = 7300, /* a successor takes the lease over meanwhile */
     CALL_TIMEOUT_MS = 1500,   /* until a call without an answer fails */
+    COPY_MAX_MS = 12000,      /* age of a copy that the store comes back from */
+    REWRITE_SPREAD_MS = 300,  /* until a box writes a lost record again */
     WINDOWS = RUN_MS / WINDOW_MS,
     WORKSPACES = 8,
     CLOCK_JUMP_MS = 20000
 };
 #define START_MS 1700000000000
 #define REQUESTS_PER_MS 0.15
+#define KEY "lease"
 
 static const char *const ids[BOXES] = { "b0", "b1", "b2", "b3", "b4" };
 static const char *const workspaces[WORKSPACES] = { "w0", "w1", "w2", "w3",
@@ -45,6 +49,9 @@
                             drain */
     unsigned seen_version; /* last version of the store's record that the box
                               has received; 0: none */
+    uint64_t era;          /* of the store, as the box knows it */
+    WPMirror *mirror;      /* with the store's record under KEY */
+    int64_t rewrite_ms;    /* when it writes a lost record again; 0: not due */
 } Box;
 
 /* One version of the lease record in the store. */
@@ -56,6 +63,7 @@
 typedef enum CallKind {
     CALL_TXN,
     CALL_TXN_DONE,
+    CALL_REWRITE, /* of a record that the store has lost */
     CALL_SEND,
     CALL_SENT
 } CallKind;
@@ -77,6 +85,8 @@
     int64_t now_ms;
     Box boxes[BOXES];
     GPtrArray *versions; /* Version; its length is the store's revision */
+    uint64_t era;        /* of the store */
+    int64_t restore_ms;  /* when the store comes back from a copy; 0: not due */
     GPtrArray *calls;
     /* Times until which faults of store and service last. */
     int64_t store_down_until_ms, store_answers_lost_until_ms;
@@ -125,6 +135,10 @@
     wp_usage_free(b->usage);
     b->incarnation++;
     b->seen_version = 0;
+    b->era = w->era;
+    b->rewrite_ms = 0;
+    wp_mirror_free(b->mirror);
+    b->mirror = wp_mirror_new();
     b->usage = wp_usage_new((uint64_t)b->incarnation << 8 | i, WINDOW_MS,
                             RETENTION_MS);
     wp_usage_start_clock(b->usage, time_of(w, b));
@@ -176,10 +190,12 @@
    the revision that the write names. */
 static void store_txn(Sim *w, Call *c)
 {
-    bool same = c->revision == w->versions->len;
-    bool lost = w->now_ms < w->store_answers_lost_until_ms;
+    bool same = wp_revision_number(c->revision) == w->versions->len;
+    bool lost = w->now_ms < w->store_answers_lost_until_ms ||
+                w->boxes[c->box].era < w->era;
     if (!reaches_store(w, &w->boxes[c->box])) {
-        add_answer(w, CALL_TXN_DONE, c, CALL_TIMEOUT_MS, false, 0);
+        if (c->kind == CALL_TXN)
+            add_answer(w, CALL_TXN_DONE, c, CALL_TIMEOUT_MS, false, 0);
         return;
     }
     w->result.writes++;
@@ -189,8 +205,10 @@
         v->record = g_steal_pointer(&c->record);
         g_ptr_array_add(w->versions, v);
     }
-    add_answer(w, CALL_TXN_DONE, c, lost ? CALL_TIMEOUT_MS : STORE_LATENCY_MS,
-               same && !lost, w->versions->len);
+    if (c->kind == CALL_TXN)
+        add_answer(w, CALL_TXN_DONE, c,
+                   lost ? CALL_TIMEOUT_MS : STORE_LATENCY_MS, same && !lost,
+                   wp_revision(w->era, w->versions->len));
 }
 
 static uint32_t count_in(const Wp__SettledUsage *s, const char *workspace)
@@ -279,7 +297,7 @@
     Box *b = &w->boxes[c->box];
     bool mine =
         b->incarnation == c->incarnation && w->now_ms >= b->down_until_ms;
-    if (c->kind == CALL_TXN)
+    if (c->kind == CALL_TXN || c->kind == CALL_REWRITE)
         store_txn(w, c);
     else if (c->kind == CALL_SEND)
         service_receive(w, c);
@@ -306,6 +324,56 @@
     }
 }
 
+/* The store has another state of the record for the box; NULL: none. */
+static void put_record(Sim *w, Box *b, const Wp__DutyRecord *r,
+                       uint64_t revision)
+{
+    g_autoptr(GByteArray) bytes = r ? wp_pb_pack(&r->base) : NULL;
+    WPStr value =
+        r ? wp_strn((const char *)bytes->data, bytes->len) : wp_str("");
+    WPMirrorChange change =
+        wp_mirror_put(b->mirror, KEY, r ? &value : NULL, revision, false);
+    if (change == WP_MIRROR_CHANGED)
+        wp_report_lease_observe(b->lease, time_of(w, b), revision, r, false);
+    else
+        wp_report_lease_renumber(b->lease,
+                                 wp_mirror_key_revision(b->mirror, KEY));
+}
+
+/* A box learns that the store was restored, and reads it. */
+static void read_restored(Sim *w, Box *b)
+{
+    const Version *v =
+        w->versions->len ? g_ptr_array_index(w->versions, w->versions->len - 1)
+                         : NULL;
+    b->era = w->era;
+    b->seen_version = w->versions->len;
+    if (v)
+        put_record(w, b, v->record, wp_revision(w->era, w->versions->len));
+    wp_mirror_advance(b->mirror, wp_revision(w->era, w->versions->len));
+    wp_mirror_mark_missing(b->mirror, w->era);
+    wp_report_lease_renumber(b->lease, wp_mirror_key_revision(b->mirror, KEY));
+    b->rewrite_ms =
+        w->now_ms + g_rand_int_range(w->rand, 1, REWRITE_SPREAD_MS + 1);
+}
+
+/* Writes the record again if the store has lost it. */
+static void rewrite_lost(Sim *w, unsigned i)
+{
+    Box *b = &w->boxes[i];
+    const WPMirrorItem *item = wp_mirror_get(b->mirror, KEY);
+    if (!b->rewrite_ms || w->now_ms < b->rewrite_ms || b->era < w->era)
+        return;
+    b->rewrite_ms = 0;
+    if (!item || !item->lost)
+        return;
+    gsize n;
+    const void *p = g_bytes_get_data(item->value, &n);
+    Call *c = add_call(w, CALL_REWRITE, i, 1);
+    c->record = wp__duty_record__unpack(NULL, n, p);
+    c->revision = wp_mirror_key_revision(b->mirror, KEY);
+}
+
 /* Delivers to a box the versions of the record that it lacks,
    STORE_LATENCY_MS after each write; after a fault of the box, none before
    RECONNECT_MS have passed. */
@@ -315,13 +383,14 @@
         MAX(MAX(b->frozen_until_ms, b->cut_off_until_ms), b->no_store_until_ms);
     if (back_ms && w->now_ms < back_ms + RECONNECT_MS)
         return;
+    if (reaches_store(w, b) && b->era < w->era)
+        read_restored(w, b);
     while (reaches_store(w, b) && b->seen_version < w->versions->len) {
         const Version *v = g_ptr_array_index(w->versions, b->seen_version);
         if (v->at_ms + STORE_LATENCY_MS > w->now_ms)
             return;
         b->seen_version++;
-        wp_report_lease_observe(b->lease, time_of(w, b), b->seen_version,
-                                v->record, false);
+        put_record(w, b, v->record, wp_revision(w->era, b->seen_version));
     }
 }
 
@@ -433,6 +502,9 @@
     case LEASE_FAULT_STORE_DOWN:
         w->store_down_until_ms = until_ms;
         break;
+    case LEASE_FAULT_STORE_RESTORED:
+        w->store_down_until_ms = w->restore_ms = until_ms;
+        break;
     case LEASE_FAULT_STORE_ANSWERS_LOST:
         w->store_answers_lost_until_ms = until_ms;
         break;
@@ -490,9 +562,26 @@
         b->yields_until_ms = w->now_ms + YIELD_MS;
 }
 
+/* Brings the store back from a copy if that is due: later versions are lost,
+   and their numbers are given out again. */
+static void restore_store(Sim *w)
+{
+    if (!w->restore_ms || w->now_ms < w->restore_ms)
+        return;
+    int64_t copied_ms = w->now_ms - g_rand_int_range(w->rand, 500, COPY_MAX_MS);
+    guint n = w->versions->len;
+    while (n && ((Version *)g_ptr_array_index(w->versions, n - 1))->at_ms >
+                    copied_ms)
+        n--;
+    g_ptr_array_set_size(w->versions, (gint)n);
+    w->era++;
+    w->restore_ms = 0;
+}
+
 static void step(Sim *w)
 {
     make_holders_yield(w);
+    restore_store(w);
     generate_requests(w);
     deliver_calls(w);
     for (unsigned i = 0; i < BOXES; i++) {
@@ -505,6 +594,7 @@
             continue;
         }
         watch_record(w, b);
+        rewrite_lost(w, i);
         if ((w->now_ms + i * STEP_MS) % TICK_MS == 0) {
             wp_usage_tick(b->usage, time_of(w, b));
             run_lease(w, i);
@@ -546,6 +636,7 @@
     for (unsigned i = 0; i < BOXES; i++) {
         wp_report_lease_free(w.boxes[i].lease);
         wp_usage_free(w.boxes[i].usage);
+        wp_mirror_free(w.boxes[i].mirror);
     }
     for (unsigned k = 0; k < WINDOWS; k++)
         wp_pb_free(w.accepted[k]);
--- a/tests/report_lease_sim.h
+++ b/tests/report_lease_sim.h
@@ -27,7 +27,9 @@
                                          refused a report of it */
     LEASE_FAULT_CLOCK_JUMP, /* the wall clocks of some boxes jump, then these
                                start again */
-    LEASE_FAULT_MIX,        /* several of the above, at random */
+    LEASE_FAULT_STORE_RESTORED, /* the store is down and comes back from an
+                                   older copy */
+    LEASE_FAULT_MIX,            /* several of the above, at random */
     LEASE_FAULT_COUNT
 } LeaseFault;
 
--- a/tests/test_report_lease.c
+++ b/tests/test_report_lease.c
@@ -62,6 +62,12 @@
     check_fault(LEASE_FAULT_SERVICE_SLOW, true);
 }
 
+static void a_restored_store_repeats_no_report_with_other_counts(void **state)
+{
+    (void)state;
+    check_fault(LEASE_FAULT_STORE_RESTORED, true);
+}
+
 static void clock_jumps(void **state)
 {
     (void)state;
@@ -92,5 +98,6 @@
 }
 
 TESTS_MAIN(T(no_fault), T(faults_of_the_holder), T(faults_of_store_and_service),
+           T(a_restored_store_repeats_no_report_with_other_counts),
            T(clock_jumps), T(several_faults_at_once),
            T(unsettled_counts_conflict))
