Test: an endpoint that leaves after the store came back from an older copy

The endpoint registers after the copy was made, the store comes back with lower revisions, and the endpoint says that it leaves.

--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -11,6 +11,7 @@
     LONG_AGO_MS = 60000,
     SHIFT_MS = 9000,
     SHIFT_WAIT_MS = 20000,
+    USED_WAIT_MS = 10000,
     APPLY_MS = 2000, /* within which a change must be in force */
     POLL_MS = 10,
     TOLERANCE_MS = 100 /* of a test's own poll and answer */
@@ -95,6 +96,37 @@
     cluster_free(p);
 }
 
+/* Serves until the replica has run a request. */
+static void wait_used(TestCluster *p, unsigned replica)
+{
+    int64_t end_ms = now_ms() + USED_WAIT_MS;
+    while (!cluster_count_replica_runs(p, replica)) {
+        if (now_ms() > end_ms)
+            fail_msg("replica %u gets no requests", replica);
+        serve_for(p, POLL_MS);
+    }
+}
+
+static void endpoint_that_leaves_after_a_restore_gets_no_requests(void **state)
+{
+    TestCluster *p = cluster_new(ENTRIES, REPLICAS);
+    (void)state;
+    serve_for(p, AWAY_MS);
+    int64_t copied_ms = now_ms();
+    cluster_write_filler(p, FILLER);
+    cluster_add_version(p, "v1", 1, "{}");
+    wait_used(p, REPLICAS);
+    cluster_control_store(p, "{\"down\":\"silent\"}");
+    serve_for(p, AWAY_MS);
+    cluster_restore_store(p, (unsigned)(now_ms() - copied_ms), 0);
+    cluster_set_replica_faults(p, REPLICAS, "{\"draining\":true}");
+    serve_for(p, APPLY_MS + TOLERANCE_MS);
+    unsigned runs = cluster_count_replica_runs(p, REPLICAS);
+    serve_for(p, AWAY_MS);
+    assert_int_equal(cluster_count_replica_runs(p, REPLICAS), runs);
+    cluster_free(p);
+}
+
 static void key_revoked_before_a_restore_stays_revoked(void **state)
 {
     TestCluster *p = cluster_new(ENTRIES, REPLICAS);
@@ -177,5 +209,6 @@
 
 TESTS_MAIN(T(first_change_after_a_restore_is_in_force),
            T(change_seen_late_after_a_restore_is_in_force),
+           T(endpoint_that_leaves_after_a_restore_gets_no_requests),
            T(key_revoked_before_a_restore_stays_revoked),
            T(records_of_boxes_are_written_again), T(a_shift_survives_restores))
