--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 $(BUILD)/wpbench: $(patsubst %.c,$(BUILD)/%.o,bench/wpbench.c $(LAB)) $(LIB)
 
 $(BUILD)/wpcapacity: $(patsubst %.c,$(BUILD)/%.o,bench/wpcapacity.c bench/fleet.c) $(LIB)
-$(BUILD)/wpsoak: $(BUILD)/tests/soak.o $(BUILD)/tests/soak_shift.o $(BUILD)/tests/soak_zone.o $(BUILD)/tests/soak_crash.o $(BUILD)/tests/soak_limit.o $(BUILD)/tests/soak_notice.o $(BUILD)/tests/soak_retry.o $(BUILD)/tests/soak_restore.o $(BUILD)/tests/soak_change.o $(BUILD)/tests/cluster.o $(BUILD)/tests/cluster_faults.o $(BUILD)/tools/ports.o $(LIB)
+$(BUILD)/wpsoak: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak*.c)) $(BUILD)/tests/cluster.o $(BUILD)/tests/cluster_faults.o $(BUILD)/tools/ports.o $(LIB)
 $(BUILD)/wpproxy: $(BUILD)/tools/wpproxy.o $(LIB)
 $(BUILD)/wpchoice: $(BUILD)/bench/wpchoice.o $(LIB)
 $(BUILD)/wppace: $(BUILD)/bench/wppace.o $(BUILD)/bench/pace_sim.o $(LIB)
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -15,35 +15,28 @@
  *   - an endpoint never sees a caller's key or fields reserved to the router;
  *   - a box that has served a route never answers 404 for it again;
  *   - after the faults every box serves again;
- *   - with --moves (soak_shift.h): a bad version gets few requests, is rolled
+ *   - with --moves (soak_shift.c): a bad version gets few requests, is rolled
  *     back in time, and no shift to it is completed;
- *   - with --zones (soak_zone.h): nothing runs in an evacuated zone, and
+ *   - with --zones (soak_zone.c): nothing runs in an evacuated zone, and
  *     no cold endpoint gets more than it can serve;
- *   - with --crashing (soak_crash.h): a request that crashes endpoints crashes
+ *   - with --crashing (soak_crash.c): a request that crashes endpoints crashes
  *     few of them, and other callers are served;
- *   - with --limits (soak_limit.h): endpoints that report a rate limit get no
+ *   - with --limits (soak_limit.c): endpoints that report a rate limit get no
  *     more than that, and the limit is used;
- *   - with --notices (soak_notice.h): endpoints that are draining or ask for
+ *   - with --notices (soak_notice.c): endpoints that are draining or ask for
  *     back-off get no requests, and others serve;
- *   - with --retries (soak_retry.h): all entries together keep to the retry
+ *   - with --retries (soak_retry.c): all entries together keep to the retry
  *     budget;
- *   - with --restores (soak_restore.h): changes are in force in time around
+ *   - with --restores (soak_restore.c): changes are in force in time around
  *     restores of the store from older copies;
- *   - with --changes (soak_change.h): changes are in force in time; prints how
+ *   - with --changes (soak_change.c): changes are in force in time; prints how
  *     long they take.
  *
  *   wpsoak [--seeds 1,2,3] [--seconds 6] [--entries 3] [--replicas 4]
  *          [--callers 8] [--moves alone|beside] [--zones] [--crashing]
  *          [--limits] [--notices] [--retries]
  *          [--restores] [--changes] */
-#include "soak_change.h"
-#include "soak_crash.h"
-#include "soak_limit.h"
-#include "soak_shift.h"
-#include "soak_notice.h"
-#include "soak_restore.h"
-#include "soak_retry.h"
-#include "soak_zone.h"
+#include "soak_case.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -54,20 +47,15 @@
     RECOVER_S = 15,     /* after the faults, until every entry serves */
     STEP_MIN_MS = 60,   /* between two faults */
     STEP_MAX_MS = 350,
-    /* Between a caller's requests, with --limits, --notices and --retries: 8
-       callers send nearly 200 a second. */
+    /* Between a caller's requests with SOAK_PACE_ALL: 8 callers send nearly 200
+       a second. */
     REQUEST_INTERVAL_MS = 40,
     FAULTS_MAX = 64
 };
 
-static char *shifts;      /* NULL: none; "alone" or "beside" other faults */
-static gboolean zones;    /* evacuations of a zone, and restarts of processes */
-static gboolean crashing; /* requests that crash endpoints; no other faults */
-static gboolean limits;   /* endpoints that report one; no other faults */
-static gboolean notices;  /* of draining and back-off; no other faults */
-static gboolean retries;  /* with failing endpoints; no other faults */
-static gboolean restores; /* of the store; no other faults */
-static gboolean changes;  /* how long they take; no other faults */
+static char *moves; /* NULL: none; "alone" or "beside" other faults */
+/* The case that was chosen; NULL: only the other faults. */
+static const SoakCaseOps *case_ops;
 static int seconds = 6, entries = 3, replicas = 4, callers = 8;
 
 /* The result of one request as its caller saw it. */
@@ -87,14 +75,7 @@
     gint new_route_incarnation[64]; /* of each entry, the last
                                   one that served the new route */
     uint32_t seed;
-    SoakShift *shift;     /* NULL: none */
-    SoakZone *zone;       /* NULL: none */
-    SoakCrash *crash;     /* NULL: none */
-    SoakLimit *limit;     /* NULL: none */
-    SoakNotice *notice;   /* NULL: none */
-    SoakRetry *retry;     /* NULL: none */
-    SoakRestore *restore; /* NULL: none */
-    SoakChange *change;   /* NULL: none */
+    SoakCase *special; /* NULL: none */
 } Soak;
 
 typedef struct Caller {
@@ -177,10 +158,15 @@
     g_mutex_unlock(&s->lock);
 }
 
+static bool uses_one_entry(const Soak *s)
+{
+    return case_ops && case_ops->uses_one_entry &&
+           case_ops->uses_one_entry(s->special);
+}
+
 static unsigned choose_entry(Caller *c)
 {
-    const SoakLimit *l = c->soak->limit;
-    if (l && soak_limit_uses_one_entry(l))
+    if (uses_one_entry(c->soak))
         return 0;
     return (unsigned)g_rand_int_range(c->rand, 0, entries);
 }
@@ -192,11 +178,8 @@
     unsigned k = (unsigned)g_rand_int_range(c->rand, 0, WP_COUNT(targets));
     gint incarnation = g_atomic_int_get(&c->soak->incarnations[c->entry]);
     ClusterAnswer a = { .fd = c->fd, .body = g_string_new(NULL) };
-    if (notices)
-        g_snprintf(a.id, sizeof(a.id), SOAK_NOTICE_ID, c->entry, c->number,
-                   ++c->sent);
-    else
-        g_snprintf(a.id, sizeof(a.id), "s%u.%u", c->number, ++c->sent);
+    g_snprintf(a.id, sizeof(a.id), SOAK_REQUEST_ID, c->entry, c->number,
+               ++c->sent);
     int64_t sent_us = g_get_monotonic_time();
     cluster_exchange(&a, cluster_entry_port(c->soak->cluster, c->entry),
                      k == 1 ? "POST" : "GET", targets[k]);
@@ -213,12 +196,11 @@
     }
     if (a.body)
         g_string_free(a.body, TRUE);
-    bool backs_off =
-        crashing &&
-        a.status != 200; /* as callers are required to after an error */
+    SoakPace pace = case_ops ? case_ops->pace : SOAK_PACE_NONE;
+    bool backs_off = pace == SOAK_PACE_ERRORS && a.status != 200;
     if (!a.status || backs_off)
         g_usleep(STEP_MIN_MS * WP_US_PER_MS);
-    if (limits || notices || retries || restores || changes)
+    if (pace == SOAK_PACE_ALL)
         g_usleep(REQUEST_INTERVAL_MS * WP_US_PER_MS);
 }
 
@@ -273,12 +255,20 @@
     cluster_restart_entry(s->cluster, at);
 }
 
+static SoakFaults other_faults(void)
+{
+    if (!case_ops)
+        return SOAK_FAULTS_ALL;
+    return g_strcmp0(moves, "alone") ? case_ops->other_faults
+                                     : SOAK_FAULTS_NONE;
+}
+
 /* With evacuations only restarts: each box must be able to learn of an order in
    time, which the other faults may prevent. */
 static FaultKind pick_fault_kind(GRand *r)
 {
     static const FaultKind starts[] = { KILL, REPLICA_KILL, REPLICA_KILL };
-    if (zones)
+    if (other_faults() == SOAK_FAULTS_RESTARTS)
         return starts[g_rand_int_range(r, 0, WP_COUNT(starts))];
     return (FaultKind)g_rand_int_range(r, 0, FAULT_KINDS);
 }
@@ -377,6 +367,16 @@
     restart_entry(arg, entry);
 }
 
+/* Callers may report problems meanwhile. */
+static void tick_special(Soak *s)
+{
+    g_autoptr(GString) found = g_string_new(NULL);
+    s->special->ops->tick(s->special, found);
+    g_mutex_lock(&s->lock);
+    g_string_append(s->problems, found->str);
+    g_mutex_unlock(&s->lock);
+}
+
 static void run_faults(Soak *s)
 {
     GRand *r = g_rand_new_with_seed(s->seed);
@@ -388,30 +388,13 @@
         Fault f = { .kind = pick_fault_kind(r) };
         f.until_us = now_us + g_rand_int_range(r, 100, 2500) * WP_US_PER_MS;
         end_due_faults(s, faults, now_us);
-        if (s->shift)
-            soak_shift_tick(s->shift);
-        if (s->zone)
-            soak_zone_tick(s->zone);
-        if (s->crash)
-            soak_crash_tick(s->crash);
-        if (s->limit)
-            soak_limit_tick(s->limit);
-        if (s->notice)
-            soak_notice_tick(s->notice);
-        if (s->retry)
-            soak_retry_tick(s->retry);
-        if (s->restore)
-            soak_restore_tick(s->restore, s->problems);
-        if (s->change)
-            soak_change_tick(s->change, s->problems);
-        bool other_faults = !s->crash && !s->limit && !s->notice && !s->retry &&
-                            !s->restore && !s->change;
-        if (other_faults && faults->len < FAULTS_MAX &&
-            g_strcmp0(shifts, "alone")) {
+        if (s->special)
+            tick_special(s);
+        if (other_faults() != SOAK_FAULTS_NONE && faults->len < FAULTS_MAX) {
             begin_fault(s, &f, r);
             g_array_append_val(faults, f);
         }
-        if (!changed && !s->restore && !s->change &&
+        if (!changed && !(case_ops && case_ops->writes_config) &&
             end_us - now_us < seconds * WP_US_PER_S / 2) {
             cluster_write_config(s->cluster, 2, "/new/");
             changed = true;
@@ -470,17 +453,8 @@
     return served;
 }
 
-/* Number of requests to existing routes: /new/ is added in the middle of a run,
-   and answered with 404 before. */
-static unsigned count_routed(const Soak *s)
-{
-    unsigned n = 0;
-    for (guint i = 0; i < s->outcomes->len; i++)
-        n += g_array_index(s->outcomes, RequestOutcome, i).status != 404;
-    return n;
-}
-
-/* When the requests to existing routes were sent (int64_t, ms). */
+/* When the requests to existing routes were sent (int64_t, ms): /new/ is added
+   in the middle of a run, and answered with 404 before. */
 static GArray *routed_sent_ms(const Soak *s)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(int64_t));
@@ -512,44 +486,35 @@
     }
 }
 
+static TestCluster *start_cluster(uint32_t seed)
+{
+    if (case_ops && case_ops->start)
+        return case_ops->start(seed, (unsigned)entries, (unsigned)replicas);
+    return cluster_new((unsigned)entries, (unsigned)replicas);
+}
+
 /* One run; prints its result and returns whether no check failed. */
 static bool run_seed(uint32_t seed)
 {
     Soak s = { .seed = seed };
     Caller *all_callers = g_new0(Caller, callers);
     GThread **threads = g_new0(GThread *, callers);
-    s.cluster =
-        shifts  ? cluster_new_with_clocks((unsigned)entries, (unsigned)replicas)
-        : zones ? cluster_new_with_zones((unsigned)entries, (unsigned)replicas)
-        : notices
-            ? soak_notice_cluster(seed, (unsigned)entries, (unsigned)replicas)
-            : cluster_new((unsigned)entries, (unsigned)replicas);
+    s.cluster = start_cluster(seed);
     s.outcomes = g_array_new(FALSE, FALSE, sizeof(RequestOutcome));
     s.problems = g_string_new(NULL);
     g_mutex_init(&s.lock);
     for (int i = 0; i < entries; i++)
         s.incarnations[i] = 1;
-    const SoakLimitOps limit_ops = { on_restart_entry, &s };
-    if (limits)
-        s.limit = soak_limit_new(s.cluster, seed, seconds, (unsigned)entries,
-                                 (unsigned)replicas, &limit_ops);
-    const SoakNoticeOps notice_ops = { on_restart_entry, &s };
-    if (notices)
-        s.notice = soak_notice_new(s.cluster, seed, seconds, (unsigned)entries,
-                                   (unsigned)replicas, &notice_ops);
-    const SoakRetryOps retry_ops = { on_restart_entry, &s };
-    if (retries)
-        s.retry = soak_retry_new(s.cluster, seed, seconds, (unsigned)entries,
-                                 (unsigned)replicas, &retry_ops);
-    const SoakRestoreOps restore_ops = { on_restart_entry, &s };
-    if (restores)
-        s.restore = soak_restore_new(s.cluster, seed, seconds,
-                                     (unsigned)entries, &restore_ops);
-    const SoakChangeOps change_ops = { on_restart_entry, &s };
-    if (changes)
-        s.change =
-            soak_change_new(s.cluster, seed, (unsigned)entries, &change_ops);
-    bool single_entry = s.limit && soak_limit_uses_one_entry(s.limit);
+    const SoakSetup setup = { .cluster = s.cluster,
+                              .seed = seed,
+                              .seconds = seconds,
+                              .entries = (unsigned)entries,
+                              .replicas = (unsigned)replicas,
+                              .restart_entry = on_restart_entry,
+                              .arg = &s };
+    if (case_ops)
+        s.special = case_ops->create(&setup);
+    bool single_entry = uses_one_entry(&s);
     for (int i = 0; i < callers; i++) {
         all_callers[i] =
             (Caller){ .soak = &s,
@@ -559,16 +524,6 @@
                       .entry = single_entry ? 0 : (unsigned)(i % entries) };
         threads[i] = g_thread_new("caller", run_caller, &all_callers[i]);
     }
-    const SoakShiftOps shift_ops = { on_restart_entry, &s };
-    const SoakCrashOps crash_ops = { on_restart_entry, &s };
-    if (shifts)
-        s.shift = soak_shift_new(s.cluster, seed, seconds, (unsigned)entries,
-                                 (unsigned)replicas, &shift_ops);
-    if (zones)
-        s.zone = soak_zone_new(s.cluster, seed);
-    if (crashing)
-        s.crash = soak_crash_new(s.cluster, seed, (unsigned)entries,
-                                 (unsigned)replicas, &crash_ops);
     run_faults(&s);
     check_recovery(&s);
     g_atomic_int_set(&s.stop, 1);
@@ -583,20 +538,10 @@
         report_problem(&s,
                        "an endpoint got a caller's key or a reserved field");
     g_autoptr(GArray) sent_ms = routed_sent_ms(&s);
+    const SoakTotals totals = { sent_ms->len, served, sent_ms };
     g_autofree char *summary =
-        s.shift  ? soak_shift_end(s.shift, s.problems)
-        : s.zone ? soak_zone_end(s.zone, s.problems)
-        : s.crash
-            ? soak_crash_end(s.crash, count_routed(&s), served, s.problems)
-        : s.limit
-            ? soak_limit_end(s.limit, count_routed(&s), served, s.problems)
-        : s.notice
-            ? soak_notice_end(s.notice, count_routed(&s), served, s.problems)
-        : s.retry ? soak_retry_end(s.retry, sent_ms, s.problems)
-        : s.restore
-            ? soak_restore_end(s.restore, count_routed(&s), served, s.problems)
-        : s.change ? soak_change_end(s.change)
-                   : g_strdup("no special case");
+        s.special ? case_ops->end(s.special, &totals, s.problems)
+                  : g_strdup("no special case");
     bool ok = !s.problems->len;
     printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
            ok ? "ok" : "FAILED", s.outcomes->len, served, summary,
@@ -610,10 +555,50 @@
     return ok;
 }
 
+static const SoakCaseOps *const all_cases[] = {
+    &soak_shift_ops,  &soak_zone_ops,  &soak_crash_ops,   &soak_limit_ops,
+    &soak_notice_ops, &soak_retry_ops, &soak_restore_ops, &soak_change_ops
+};
+
+/* Adds the option of each case, which sets its member of `chosen`; that of
+   shifts has a value. */
+static void add_case_options(GOptionContext *c, gboolean *chosen)
+{
+    g_autofree GOptionEntry *options =
+        g_new0(GOptionEntry, WP_COUNT(all_cases) + 1);
+    for (size_t i = 0; i < WP_COUNT(all_cases); i++) {
+        const SoakCaseOps *ops = all_cases[i];
+        options[i] = (GOptionEntry){ .long_name = ops->option,
+                                     .arg = G_OPTION_ARG_NONE,
+                                     .arg_data = &chosen[i],
+                                     .description = ops->help };
+        if (ops != &soak_shift_ops)
+            continue;
+        options[i].arg = G_OPTION_ARG_STRING;
+        options[i].arg_data = &moves;
+        options[i].arg_description = "alone|beside";
+    }
+    g_option_context_add_main_entries(c, options, NULL);
+}
+
+/* Sets the case that was chosen. Returns false if there is more than one. */
+static bool choose_case(const gboolean *chosen)
+{
+    for (size_t i = 0; i < WP_COUNT(all_cases); i++) {
+        if (!chosen[i] && !(moves && all_cases[i] == &soak_shift_ops))
+            continue;
+        if (case_ops)
+            return false;
+        case_ops = all_cases[i];
+    }
+    return true;
+}
+
 int main(int argc, char **argv)
 {
     g_autofree char *seeds = NULL;
     unsigned passed = 0, failed = 0;
+    gboolean chosen[WP_COUNT(all_cases)] = { 0 };
     const GOptionEntry options[] = {
         { "seeds", 0, 0, G_OPTION_ARG_STRING, &seeds, "one run per seed",
           "LIST" },
@@ -621,30 +606,15 @@
           "N" },
         { "entries", 0, 0, G_OPTION_ARG_INT, &entries, "64 at most", "N" },
         { "replicas", 0, 0, G_OPTION_ARG_INT, &replicas, "endpoints", "N" },
-        { "moves", 0, 0, G_OPTION_ARG_STRING, &shifts,
-          "one version shift per run", "alone|beside" },
-        { "zones", 0, 0, G_OPTION_ARG_NONE, &zones,
-          "evacuate a zone repeatedly", NULL },
-        { "crashing", 0, 0, G_OPTION_ARG_NONE, &crashing,
-          "requests that crash endpoints", NULL },
-        { "limits", 0, 0, G_OPTION_ARG_NONE, &limits,
-          "endpoints that report a rate limit", NULL },
-        { "notices", 0, 0, G_OPTION_ARG_NONE, &notices,
-          "endpoints that drain or ask for back-off", NULL },
-        { "retries", 0, 0, G_OPTION_ARG_NONE, &retries,
-          "endpoints that refuse or fail, entries killed in series", NULL },
-        { "restores", 0, 0, G_OPTION_ARG_NONE, &restores,
-          "the store is restored from older copies in series", NULL },
-        { "changes", 0, 0, G_OPTION_ARG_NONE, &changes,
-          "how long changes take to be in force", NULL },
         { "callers", 0, 0, G_OPTION_ARG_INT, &callers, "threads", "N" },
         { NULL, 0, 0, 0, NULL, NULL, NULL }
     };
     g_autoptr(GOptionContext) c = g_option_context_new(NULL);
     g_option_context_add_main_entries(c, options, NULL);
+    add_case_options(c, chosen);
     if (!g_option_context_parse(c, &argc, &argv, NULL) || entries < 1 ||
-        (shifts && strcmp(shifts, "alone") && strcmp(shifts, "beside")) ||
-        entries > 64 || replicas < 1 || callers < 1)
+        (moves && strcmp(moves, "alone") && strcmp(moves, "beside")) ||
+        !choose_case(chosen) || entries > 64 || replicas < 1 || callers < 1)
         return 2;
     signal(SIGPIPE, SIG_IGN);
     setvbuf(stdout, NULL, _IOLBF, 0);
--- a/tests/soak_change.c
+++ b/tests/soak_change.c
@@ -1,5 +1,7 @@
-/* Measures how long it takes until a change is in force. */
-#include "soak_change.h"
+/* Measures how long it takes until a revoked key is refused at each entry, from
+ * the later of the write of that change and the store's return. The seed
+ * chooses what happens beside it. Checked: the bound on changes. */
+#include "soak_case.h"
 
 enum {
     APPLY_MS = 2000, /* within which a change must be in force */
@@ -28,33 +30,32 @@
     "the store away",    "the store restored"
 };
 
-struct SoakChange {
+typedef struct SoakChange {
+    SoakCase base;
     TestCluster *cluster;
-    SoakChangeOps ops;
     Cause cause;
     GRand *rand;
     unsigned entries, version;
     GArray *in_force_ms; /* int */
-};
+} SoakChange;
 
 static int64_t now_ms(void)
 {
     return g_get_monotonic_time() / WP_US_PER_MS;
 }
 
-SoakChange *soak_change_new(TestCluster *p, uint32_t seed, unsigned entries,
-                            const SoakChangeOps *ops)
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakChange *s = g_new0(SoakChange, 1);
-    s->cluster = p;
-    s->ops = *ops;
-    s->cause = (Cause)(seed % CAUSES);
-    s->rand = g_rand_new_with_seed(seed);
-    s->entries = entries;
+    s->base = (SoakCase){ &soak_change_ops, *setup };
+    s->cluster = setup->cluster;
+    s->cause = (Cause)(setup->seed % CAUSES);
+    s->rand = g_rand_new_with_seed(setup->seed);
+    s->entries = setup->entries;
     s->version = 2;
     s->in_force_ms = g_array_new(FALSE, FALSE, sizeof(int));
-    cluster_write_version_key(p, s->version);
-    return s;
+    cluster_write_version_key(setup->cluster, s->version);
+    return &s->base;
 }
 
 static void set_proxies(SoakChange *s, unsigned entries, const char *json)
@@ -127,13 +128,14 @@
                                left, s->version);
 }
 
-void soak_change_tick(SoakChange *s, GString *problems)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakChange *s = (SoakChange *)base;
     begin_fault(s);
     cluster_write_version_key(s->cluster, ++s->version);
     int64_t written_ms = now_ms();
     if (s->cause == KILLED)
-        s->ops.restart_entry(s->ops.arg, s->version % s->entries);
+        soak_case_restart_entry(&s->base, s->version % s->entries);
     wait_in_force(s, written_ms, problems);
     end_fault(s);
     g_usleep((gulong)g_rand_int_range(s->rand, 0, REST_MAX_MS) * WP_US_PER_MS);
@@ -144,9 +146,12 @@
     return *(const int *)a - *(const int *)b;
 }
 
-char *soak_change_end(SoakChange *s)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakChange *s = (SoakChange *)base;
+    (void)totals;
     guint n = s->in_force_ms->len;
+    (void)problems;
     g_array_sort(s->in_force_ms, by_value);
     const int *ms = (const int *)(void *)s->in_force_ms->data;
     char *text = g_strdup_printf(
@@ -158,3 +163,14 @@
     g_free(s);
     return text;
 }
+
+const SoakCaseOps soak_change_ops = {
+    .option = "changes",
+    .help = "how long changes take to be in force",
+    .other_faults = SOAK_FAULTS_NONE,
+    .pace = SOAK_PACE_ALL,
+    .writes_config = true,
+    .create = create,
+    .tick = tick,
+    .end = end
+};
--- a/tests/soak_crash.c
+++ b/tests/soak_crash.c
@@ -1,14 +1,15 @@
-/* Soak test of requests that crash endpoints.
+/* Soak test of requests that crash endpoints. Some callers send such a request
+ * again and again to random entries; each endpoint that begins to run it
+ * crashes and is restarted after some seconds. The seed chooses whether it is a
+ * call, a non-repeatable request or a stream that crashes the endpoint after
+ * its first event; whether there are one or two such requests; whether all
+ * entries are killed meanwhile; and whether the store is unavailable at the
+ * start. Checked at the end: by the endpoints' run log, few endpoints crashed,
+ * and hardly any such request was sent after that; by the other callers'
+ * answers, they were served.
  *
- * Guards against one request crashing many endpoints: users saw one that
- * crashed 87; after the third crash it was sent 35 times more, and two thirds
- * of the failed requests were other callers'. The endpoint crashed with all
- * requests that ran there, the box retried them at the next endpoints, and the
- * caller sent the request again through another box, which started over: what a
- * box learned from a crash was forgotten with the attempt. With /once/, which
- * boxes never retry, 97 repeats by the caller at four boxes crashed 48
- * endpoints; no endpoint crashed that the repeated request had not reached. */
-#include "soak_crash.h"
+ * Guards against one request crashing many endpoints. */
+#include "soak_case.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -44,6 +45,8 @@
 } Outage;
 
 /* One crashing request, and the thread that sends it. */
+typedef struct SoakCrash SoakCrash;
+
 typedef struct CrashRequest {
     SoakCrash *soak;
     char body[24];
@@ -54,9 +57,9 @@
 } CrashRequest;
 
 struct SoakCrash {
+    SoakCase base;
     TestCluster *cluster;
     GRand *rand;
-    SoakCrashOps ops;
     unsigned entries, replicas, n_requests, interval_ms;
     const char *target;
     CrashRequest requests[REQUESTS_MAX];
@@ -99,31 +102,31 @@
                    g_rand_int_range(b->rand, 0, FAST_RUN_MAX_MS));
 }
 
-SoakCrash *soak_crash_new(TestCluster *p, uint32_t seed, unsigned entries,
-                          unsigned replicas, const SoakCrashOps *ops)
+static SoakCase *create(const SoakSetup *setup)
 {
     static const char *const targets[] = { "/call/x", "/stream/x", "/once/x" };
     SoakCrash *c = g_new0(SoakCrash, 1);
-    c->cluster = p;
-    c->rand = g_rand_new_with_seed(seed);
-    c->ops = *ops;
-    c->entries = entries;
-    c->replicas = replicas;
-    c->target = targets[seed % WP_COUNT(targets)];
-    c->n_requests = seed % 4 == 1 ? REQUESTS_MAX : 1;
-    c->kills = seed % 2 == 0;
-    c->store_down = seed % 5 == 0;
-    c->interval_ms = seed < FAST_FROM_SEED ? SEND_EVERY_MS : FAST_EVERY_MS;
-    c->outages = g_new0(Outage, replicas);
+    c->base = (SoakCase){ &soak_crash_ops, *setup };
+    c->cluster = setup->cluster;
+    c->rand = g_rand_new_with_seed(setup->seed);
+    c->entries = setup->entries;
+    c->replicas = setup->replicas;
+    c->target = targets[setup->seed % WP_COUNT(targets)];
+    c->n_requests = setup->seed % 4 == 1 ? REQUESTS_MAX : 1;
+    c->kills = setup->seed % 2 == 0;
+    c->store_down = setup->seed % 5 == 0;
+    c->interval_ms =
+        setup->seed < FAST_FROM_SEED ? SEND_EVERY_MS : FAST_EVERY_MS;
+    c->outages = g_new0(Outage, setup->replicas);
     c->start_ms = now_ms();
     for (unsigned i = 0; i < c->n_requests; i++) {
         CrashRequest *b = &c->requests[i];
         b->soak = c;
-        b->rand = g_rand_new_with_seed(seed * 10 + i);
-        make_body(b, i, seed);
+        b->rand = g_rand_new_with_seed(setup->seed * 10 + i);
+        make_body(b, i, setup->seed);
         b->thread = g_thread_new("bad", run_sender, b);
     }
-    return c;
+    return &c->base;
 }
 
 static char *read_run_log(const SoakCrash *c)
@@ -185,7 +188,7 @@
         return;
     c->killed = true;
     for (unsigned i = 0; i < c->entries; i++)
-        c->ops.restart_entry(c->ops.arg, i);
+        soak_case_restart_entry(&c->base, i);
 }
 
 /* Makes the store unavailable for 3 s from the start on. */
@@ -202,8 +205,10 @@
     }
 }
 
-void soak_crash_tick(SoakCrash *c)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakCrash *c = (SoakCrash *)base;
+    (void)problems;
     for (unsigned i = 0; i < c->replicas; i++)
         maintain_replica(c, i);
     control_store(c);
@@ -235,11 +240,12 @@
     return crashes->len;
 }
 
-char *soak_crash_end(SoakCrash *c, unsigned sent, unsigned served,
-                     GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakCrash *c = (SoakCrash *)base;
     unsigned crashes[REQUESTS_MAX] = { 0 }, requests_sent = 0, refused = 0;
-    double served_share = sent ? (double)served / sent : 0;
+    double served_share =
+        totals->sent ? (double)totals->served / totals->sent : 0;
     g_atomic_int_set(&c->stop, 1);
     for (unsigned i = 0; i < c->n_requests; i++) {
         g_thread_join(c->requests[i].thread);
@@ -251,13 +257,21 @@
     if (served_share < SERVED_MIN)
         g_string_append_printf(problems, "    other callers: %.3f served\n",
                                served_share);
-    char *text = g_strdup_printf(
-        "%s sent %u times, %u answered 5xx, %u+%u endpoints crashed, other "
-        "callers: %.3f served",
-        c->target, requests_sent, refused, crashes[0], crashes[1],
-        served_share);
+    char *text = g_strdup_printf("%s sent %u times, %u answered 5xx, "
+                                 "%u+%u endpoints crashed, other "
+                                 "callers: %.3f served",
+                                 c->target, requests_sent, refused, crashes[0],
+                                 crashes[1], served_share);
     g_rand_free(c->rand);
     g_free(c->outages);
     g_free(c);
     return text;
 }
+
+const SoakCaseOps soak_crash_ops = { .option = "crashing",
+                                     .help = "requests that crash endpoints",
+                                     .other_faults = SOAK_FAULTS_NONE,
+                                     .pace = SOAK_PACE_ERRORS,
+                                     .create = create,
+                                     .tick = tick,
+                                     .end = end };
--- a/tests/soak_limit.c
+++ b/tests/soak_limit.c
@@ -1,13 +1,14 @@
-/* Soak test of endpoints that report a rate limit.
+/* Soak test of endpoints that report a rate limit: the requests a second that
+ * they accept from all boxes together. The seed (tests/soak-limit-cases.txt)
+ * chooses whether one, two, a third or all of them do; whether the limit
+ * changes, ends or is invalid; whether all callers use one entry; and whether
+ * entries are killed in turn. Checked at the end: by the endpoints' run log,
+ * none got more than allowed, limits are used, and an endpoint that no longer
+ * reports a limit gets more than that again; by the callers' answers, they were
+ * served while other endpoints had capacity.
  *
- * Guards against limits being ignored: users saw that an endpoint that reported
- * 2.2 requests a second got 21 within 4 s. Boxes forwarded the field to the
- * caller and went on choosing endpoints by load and failures alone, as they
- * read only the load from an endpoint's reports. Both endpoints concerned were
- * overrun by the first attempts of one box, at the same rate before and after
- * the report. In a reproduction with two of ten endpoints at 2.2 a second and
- * four boxes, 46 requests came within 4 s. */
-#include "soak_limit.h"
+ * Guards against limits that endpoints report being ignored. */
+#include "soak_case.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -76,16 +77,16 @@
     { .endpoint_share = 0.5, .first = "2.2", .shifts_version = true },
 };
 
-struct SoakLimit {
+typedef struct SoakLimit {
+    SoakCase base;
     TestCluster *cluster;
     const LimitCase *plan;
-    SoakLimitOps ops;
     unsigned entries, replicas, limited;
     int64_t start_ms, half_ms, killed_ms;
     bool limit_set, changed, store_is_down, shift_ordered;
     unsigned next_kill, next_limit;
     int64_t next_limit_ms; /* when the next limit of a series is set */
-};
+} SoakLimit;
 
 static int64_t now_ms(void)
 {
@@ -100,32 +101,32 @@
         cluster_try_replica_faults(l->cluster, i, json);
 }
 
-SoakLimit *soak_limit_new(TestCluster *p, uint32_t seed, int seconds,
-                          unsigned entries, unsigned replicas,
-                          const SoakLimitOps *ops)
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakLimit *l = g_new0(SoakLimit, 1);
     const LimitCase *plan =
-        seed < COMBINED_FROM_SEED
-            ? &cases[seed % WP_COUNT(cases)]
-            : &combined_cases[seed % WP_COUNT(combined_cases)];
-    l->cluster = p;
+        setup->seed < COMBINED_FROM_SEED
+            ? &cases[setup->seed % WP_COUNT(cases)]
+            : &combined_cases[setup->seed % WP_COUNT(combined_cases)];
+    l->base = (SoakCase){ &soak_limit_ops, *setup };
+    l->cluster = setup->cluster;
     l->plan = plan;
-    l->ops = *ops;
-    l->entries = entries;
-    l->replicas = replicas;
+    l->entries = setup->entries;
+    l->replicas = setup->replicas;
     l->limited = plan->endpoint_share > 0
-                     ? (unsigned)(plan->endpoint_share * replicas)
-                     : MIN(plan->count, replicas);
+                     ? (unsigned)(plan->endpoint_share * setup->replicas)
+                     : MIN(plan->count, setup->replicas);
     l->start_ms = now_ms();
-    l->half_ms = (int64_t)seconds * WP_MS_PER_S / 2;
-    for (unsigned i = 0; i < replicas; i++) /* starts the run log of arrivals */
-        cluster_try_replica_faults(p, i, "{\"limit\":\"\"}");
-    return l;
+    l->half_ms = (int64_t)setup->seconds * WP_MS_PER_S / 2;
+    /* This starts the run log of arrivals. */
+    for (unsigned i = 0; i < setup->replicas; i++)
+        cluster_try_replica_faults(setup->cluster, i, "{\"limit\":\"\"}");
+    return &l->base;
 }
 
-bool soak_limit_uses_one_entry(const SoakLimit *l)
+static bool uses_one_entry(const SoakCase *base)
 {
+    const SoakLimit *l = (const SoakLimit *)base;
     return l->plan->single_entry;
 }
 
@@ -134,7 +135,7 @@
     if (!l->plan->kills || now - l->killed_ms < KILL_EVERY_MS)
         return;
     l->killed_ms = now;
-    l->ops.restart_entry(l->ops.arg, l->next_kill++ % l->entries);
+    soak_case_restart_entry(&l->base, l->next_kill++ % l->entries);
 }
 
 static void set_next_limit(SoakLimit *l, int64_t now)
@@ -153,7 +154,7 @@
     if (l->plan->kills_all && !l->changed && age_ms >= l->half_ms) {
         l->changed = true;
         for (unsigned i = 0; i < l->entries; i++)
-            l->ops.restart_entry(l->ops.arg, i);
+            soak_case_restart_entry(&l->base, i);
     }
     bool store_is_down = l->plan->store_down && age_ms >= STORE_DOWN_FROM_MS &&
                          age_ms < STORE_DOWN_TO_MS;
@@ -169,9 +170,11 @@
     }
 }
 
-void soak_limit_tick(SoakLimit *l)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakLimit *l = (SoakLimit *)base;
     int64_t now = now_ms(), age_ms = now - l->start_ms;
+    (void)problems;
     tick_other_faults(l, age_ms);
     if (l->limit_set)
         set_next_limit(l, now);
@@ -401,12 +404,13 @@
                                per_s, RECOVERY_MS, limits_per_s);
 }
 
-char *soak_limit_end(SoakLimit *l, unsigned sent, unsigned served,
-                     GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakLimit *l = (SoakLimit *)base;
     int64_t end_ms = now_ms();
     int64_t change_ms = l->plan->then ? l->start_ms + l->half_ms : end_ms;
-    double served_share = sent ? (double)served / sent : 0;
+    double served_share =
+        totals->sent ? (double)totals->served / totals->sent : 0;
     g_autoptr(GHashTable) all = read_arrivals(l);
     GString *text = g_string_new(NULL);
     const Period first = { l->plan->series ? SERIES_MAX : l->plan->first,
@@ -428,3 +432,13 @@
     g_free(l);
     return g_string_free(text, FALSE);
 }
+
+const SoakCaseOps soak_limit_ops = { .option = "limits",
+                                     .help =
+                                         "endpoints that report a rate limit",
+                                     .other_faults = SOAK_FAULTS_NONE,
+                                     .pace = SOAK_PACE_ALL,
+                                     .create = create,
+                                     .uses_one_entry = uses_one_entry,
+                                     .tick = tick,
+                                     .end = end };
--- a/tests/soak_notice.c
+++ b/tests/soak_notice.c
@@ -1,16 +1,15 @@
-/* Soak test of endpoints that are draining or ask for back-off.
+/* Soak test of endpoints that report that they are draining, or that ask a box
+ * to back off for a while. The seed (tests/soak-notice-cases.txt) chooses
+ * whether some, most or all of them do, in series that overlap, together with
+ * entries that are killed, an unavailable store, a shift between versions, an
+ * evacuated zone, or restarts of the draining endpoints. Checked at the end: by
+ * the endpoints' run log, no box sent requests to an endpoint after such a
+ * report (except those in flight), and endpoints get requests again after a
+ * back-off and after a restart; by the callers' answers, they were served while
+ * other endpoints had capacity.
  *
- * Guards against such reports being ignored: users saw that an endpoint whose
- * answers said that it was draining got requests from the same box 2.2 and 3.8
- * s later; one that refused a box and asked for 3 s of back-off got seven
- * requests from it meanwhile. Boxes forwarded the report and went on choosing
- * the endpoint until the registry said the same, 12 s later, as only the
- * registry marked endpoints as draining. A back-off was merely a preference,
- * shared with failures, that ended when an earlier request succeeded there.
- * First attempts went to the endpoint at the old rate while others had
- * capacity; in runs of this test with two of ten endpoints draining, 130 to 270
- * requests came later than 2 s after the report. */
-#include "soak_notice.h"
+ * Guards against such reports being ignored. */
+#include "soak_case.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -93,10 +92,10 @@
     int64_t from_ms, to_ms;
 } Restart;
 
-struct SoakNotice {
+typedef struct SoakNotice {
+    SoakCase base;
     TestCluster *cluster;
     const NoticeCase *plan;
-    SoakNoticeOps ops;
     GRand *rand;
     GArray *restarts; /* Restart */
     unsigned entries, replicas, n_draining, n_backoff;
@@ -105,7 +104,7 @@
     unsigned next_kill;
     bool notices_set, half_done, store_is_down, zone_is_evacuated,
         shift_ordered;
-};
+} SoakNotice;
 
 static int64_t now_ms(void)
 {
@@ -117,8 +116,7 @@
     return &cases[seed % WP_COUNT(cases)];
 }
 
-TestCluster *soak_notice_cluster(uint32_t seed, unsigned entries,
-                                 unsigned replicas)
+static TestCluster *start(uint32_t seed, unsigned entries, unsigned replicas)
 {
     return cluster_new_with_slots(entries, replicas, SLOTS,
                                   case_for_seed(seed)->evacuates_zone);
@@ -136,31 +134,29 @@
     }
 }
 
-SoakNotice *soak_notice_new(TestCluster *p, uint32_t seed, int seconds,
-                            unsigned entries, unsigned replicas,
-                            const SoakNoticeOps *ops)
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakNotice *n = g_new0(SoakNotice, 1);
-    n->cluster = p;
-    n->plan = case_for_seed(seed);
-    n->ops = *ops;
-    n->rand = g_rand_new_with_seed(seed);
+    n->base = (SoakCase){ &soak_notice_ops, *setup };
+    n->cluster = setup->cluster;
+    n->plan = case_for_seed(setup->seed);
+    n->rand = g_rand_new_with_seed(setup->seed);
     n->restarts = g_array_new(FALSE, FALSE, sizeof(Restart));
-    n->entries = entries;
-    n->replicas = replicas;
-    n->n_draining = n->plan->draining_tenths * replicas / 10;
-    n->n_backoff = n->plan->backoff_tenths * replicas / 10;
+    n->entries = setup->entries;
+    n->replicas = setup->replicas;
+    n->n_draining = n->plan->draining_tenths * setup->replicas / 10;
+    n->n_backoff = n->plan->backoff_tenths * setup->replicas / 10;
     n->next_backoff_ms = g_new0(int64_t, n->n_backoff + 1);
     n->start_ms = now_ms();
-    n->half_ms = (int64_t)seconds * WP_MS_PER_S / 2;
+    n->half_ms = (int64_t)setup->seconds * WP_MS_PER_S / 2;
     start_logging(n);
-    return n;
+    return &n->base;
 }
 
 static void restart_entry(SoakNotice *n, unsigned entry)
 {
     Restart r = { .entry = entry, .from_ms = now_ms() };
-    n->ops.restart_entry(n->ops.arg, entry);
+    soak_case_restart_entry(&n->base, entry);
     r.to_ms = now_ms();
     g_array_append_val(n->restarts, r);
 }
@@ -247,9 +243,11 @@
     }
 }
 
-void soak_notice_tick(SoakNotice *n)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakNotice *n = (SoakNotice *)base;
     int64_t now = now_ms(), age_ms = now - n->start_ms;
+    (void)problems;
     if (age_ms < NOTICES_AT_MS)
         return;
     if (!n->notices_set) {
@@ -477,11 +475,12 @@
         g_string_append_printf(problems, "    served %.3f\n", served_share);
 }
 
-char *soak_notice_end(SoakNotice *n, unsigned sent, unsigned served,
-                      GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakNotice *n = (SoakNotice *)base;
     g_autoptr(GArray) all = read_run_log(n);
-    double served_share = sent ? (double)served / sent : 0;
+    double served_share =
+        totals->sent ? (double)totals->served / totals->sent : 0;
     Sums sums = { .usual_idle_ms = longest_idle_ms(all) };
     check_notices(n, all, now_ms(), &sums);
     unsigned restarted =
@@ -498,3 +497,14 @@
     g_free(n);
     return text;
 }
+
+const SoakCaseOps soak_notice_ops = {
+    .option = "notices",
+    .help = "endpoints that drain or ask for back-off",
+    .other_faults = SOAK_FAULTS_NONE,
+    .pace = SOAK_PACE_ALL,
+    .start = start,
+    .create = create,
+    .tick = tick,
+    .end = end
+};
--- a/tests/soak_restore.c
+++ b/tests/soak_restore.c
@@ -1,8 +1,13 @@
-/* Soak test of a store that comes back from older copies.
+/* Soak test of a store that comes back from older copies, in series, while keys
+ * are revoked and added, entries are killed, and some of them are cut off from
+ * the store. The seed (tests/soak-restore-cases.txt) chooses how. Checked while
+ * it runs: a revoked key is refused, and a new one accepted, at each entry
+ * within the bound on changes from the later of its write and the entry's
+ * contact with the store.
  *
  * Guards against changes that are never in force after a restore: boxes
  * ordered them by revision alone. */
-#include "soak_restore.h"
+#include "soak_case.h"
 
 enum {
     APPLY_MS = 2000,    /* within which a change must be in force */
@@ -42,10 +47,10 @@
     { 1500, 200, 8000, 300, "busy", 4000, false, true },
 };
 
-struct SoakRestore {
+typedef struct SoakRestore {
+    SoakCase base;
     TestCluster *cluster;
     const RestoreCase *plan;
-    SoakRestoreOps ops;
     GRand *rand;
     unsigned entries, next_kill, restores, checks;
     int64_t end_ms, next_change_ms, next_fault_ms, heal_ms, next_kill_ms;
@@ -56,32 +61,31 @@
        number of changes left in the series. */
     unsigned version, changes_left;
     int64_t written_ms;
-};
+} SoakRestore;
 
 static int64_t now_ms(void)
 {
     return g_get_monotonic_time() / WP_US_PER_MS;
 }
 
-SoakRestore *soak_restore_new(TestCluster *p, uint32_t seed, int seconds,
-                              unsigned entries, const SoakRestoreOps *ops)
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakRestore *s = g_new0(SoakRestore, 1);
     int64_t now = now_ms();
-    s->cluster = p;
-    s->plan = &cases[seed % WP_COUNT(cases)];
-    s->ops = *ops;
-    s->rand = g_rand_new_with_seed(seed);
-    s->entries = entries;
-    s->end_ms = now + (int64_t)seconds * WP_MS_PER_S - END_MARGIN_MS;
+    s->base = (SoakCase){ &soak_restore_ops, *setup };
+    s->cluster = setup->cluster;
+    s->plan = &cases[setup->seed % WP_COUNT(cases)];
+    s->rand = g_rand_new_with_seed(setup->seed);
+    s->entries = setup->entries;
+    s->end_ms = now + (int64_t)setup->seconds * WP_MS_PER_S - END_MARGIN_MS;
     s->next_change_ms = now;
     s->next_fault_ms = now + s->plan->up_ms;
     s->next_kill_ms = now + s->plan->kill_ms;
     s->returned_ms = now;
     s->version = 1;
-    for (unsigned i = 0; i < entries; i++)
+    for (unsigned i = 0; i < setup->entries; i++)
         s->started_ms[i] = now;
-    return s;
+    return &s->base;
 }
 
 /* Writes a configuration with a key of its own; the one before is revoked. */
@@ -137,7 +141,7 @@
     for (unsigned i = 0; i < s->entries; i++) {
         if (!s->plan->kill_all && i != s->next_kill % s->entries)
             continue;
-        s->ops.restart_entry(s->ops.arg, i);
+        soak_case_restart_entry(&s->base, i);
         s->started_ms[i] = now_ms();
     }
     s->next_kill++;
@@ -180,8 +184,9 @@
             entry, s->version, (long)(now - bound_ms(s, entry)));
 }
 
-void soak_restore_tick(SoakRestore *s, GString *problems)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakRestore *s = (SoakRestore *)base;
     int64_t now = now_ms();
     if (s->heal_ms && now >= s->heal_ms) {
         cut(s, "{\"mode\":\"pass\"}");
@@ -205,10 +210,10 @@
         check_entry(s, i, now_ms(), problems);
 }
 
-char *soak_restore_end(SoakRestore *s, unsigned sent, unsigned served,
-                       GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
-    double share = sent ? (double)served / sent : 0;
+    SoakRestore *s = (SoakRestore *)base;
+    double share = totals->sent ? (double)totals->served / totals->sent : 0;
     if (!s->plan->kill_ms && share < SERVED_MIN)
         g_string_append_printf(problems, "    served %.3f\n", share);
     if (!s->checks)
@@ -220,3 +225,14 @@
     g_free(s);
     return text;
 }
+
+const SoakCaseOps soak_restore_ops = {
+    .option = "restores",
+    .help = "the store is restored from older copies in series",
+    .other_faults = SOAK_FAULTS_NONE,
+    .pace = SOAK_PACE_ALL,
+    .writes_config = true,
+    .create = create,
+    .tick = tick,
+    .end = end
+};
--- a/tests/soak_retry.c
+++ b/tests/soak_retry.c
@@ -1,8 +1,12 @@
-/* Soak test of the retry budget.
+/* Soak test of the retry budget: all endpoints refuse or fail most requests
+ * while entries are killed, frozen or stopped in series. The seed
+ * (tests/soak-retry-cases.txt) chooses how. Checked at the end, by the
+ * endpoints' run log: all entries together keep to the budget in every
+ * window.
  *
  * Guards against retries beyond the budget where entries are killed in series:
  * a process did not know what the one before it had taken. */
-#include "soak_retry.h"
+#include "soak_case.h"
 
 #include <signal.h>
 
@@ -36,16 +40,16 @@
     { FAIL, 2500, true, SIGSTOP },    { REFUSE, 60000, false, SIGKILL },
 };
 
-struct SoakRetry {
+typedef struct SoakRetry {
+    SoakCase base;
     TestCluster *cluster;
     const RetryCase *plan;
-    SoakRetryOps ops;
     unsigned entries, replicas, next;
     int64_t start_ms, next_ms;
     int64_t frozen_until_ms; /* 0: none is frozen */
     int64_t end_ms;          /* of the faults */
     bool failing, ended;
-};
+} SoakRetry;
 
 static int64_t now_ms(void)
 {
@@ -58,22 +62,21 @@
         cluster_try_replica_faults(s->cluster, i, json);
 }
 
-SoakRetry *soak_retry_new(TestCluster *p, uint32_t seed, int seconds,
-                          unsigned entries, unsigned replicas,
-                          const SoakRetryOps *ops)
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakRetry *s = g_new0(SoakRetry, 1);
-    s->cluster = p;
-    s->plan = &cases[seed % WP_COUNT(cases)];
-    s->ops = *ops;
-    s->entries = entries;
-    s->replicas = replicas;
-    s->next = seed;
+    s->base = (SoakCase){ &soak_retry_ops, *setup };
+    s->cluster = setup->cluster;
+    s->plan = &cases[setup->seed % WP_COUNT(cases)];
+    s->entries = setup->entries;
+    s->replicas = setup->replicas;
+    s->next = setup->seed;
     s->start_ms = now_ms();
-    s->end_ms = s->start_ms + (int64_t)seconds * WP_MS_PER_S - END_MARGIN_MS;
-    s->next_ms = s->start_ms + FAULTS_AT_MS + (int64_t)seed * 37 % 1000;
+    s->end_ms =
+        s->start_ms + (int64_t)setup->seconds * WP_MS_PER_S - END_MARGIN_MS;
+    s->next_ms = s->start_ms + FAULTS_AT_MS + (int64_t)setup->seed * 37 % 1000;
     set_fault(s, "{\"noting\":true}"); /* starts the log of arrivals */
-    return s;
+    return &s->base;
 }
 
 static void strike(SoakRetry *s, unsigned entry)
@@ -81,7 +84,7 @@
     if (s->plan->signal != SIGKILL)
         cluster_signal_entry(s->cluster, entry, s->plan->signal);
     if (s->plan->signal == SIGKILL)
-        s->ops.restart_entry(s->ops.arg, entry);
+        soak_case_restart_entry(&s->base, entry);
 }
 
 static void end_strike(SoakRetry *s)
@@ -90,7 +93,7 @@
         if (s->plan->signal == SIGSTOP)
             cluster_signal_entry(s->cluster, i, SIGCONT);
         else if (s->plan->all || i == s->next % s->entries)
-            s->ops.restart_entry(s->ops.arg, i);
+            soak_case_restart_entry(&s->base, i);
     }
     s->frozen_until_ms = 0;
     s->next++;
@@ -116,9 +119,11 @@
         s->frozen_until_ms = now + FREEZE_MS;
 }
 
-void soak_retry_tick(SoakRetry *s)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakRetry *s = (SoakRetry *)base;
     int64_t now = now_ms();
+    (void)problems;
     if (s->ended)
         return;
     if (now >= s->end_ms) {
@@ -186,15 +191,16 @@
     return RATIO * n + SLACK;
 }
 
-char *soak_retry_end(SoakRetry *s, GArray *sent_ms, GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakRetry *s = (SoakRetry *)base;
     g_autoptr(GArray) retries = read_retries(s);
     unsigned most = 0;
     double allowed = SLACK, over = 0;
     for (guint i = 0; i < retries->len; i++) {
         int64_t from_ms = g_array_index(retries, int64_t, i);
         unsigned n = count_within(retries, from_ms);
-        double max = allowed_within(sent_ms, from_ms);
+        double max = allowed_within(totals->sent_ms, from_ms);
         if (i && n - max <= over && n <= most)
             continue;
         over = MAX(over, n - max);
@@ -209,3 +215,13 @@
     g_free(s);
     return text;
 }
+
+const SoakCaseOps soak_retry_ops = {
+    .option = "retries",
+    .help = "endpoints that refuse or fail, entries killed in series",
+    .other_faults = SOAK_FAULTS_NONE,
+    .pace = SOAK_PACE_ALL,
+    .create = create,
+    .tick = tick,
+    .end = end
+};
--- a/tests/soak_shift.c
+++ b/tests/soak_shift.c
@@ -1,5 +1,9 @@
-/* Soak test of a shift between versions. */
-#include "soak_shift.h"
+/* Soak test of a shift between versions: one order to shift to a version that
+ * is good or fails in one of several ways, while entries' wall clocks step and
+ * all entries are restarted at once. Checked at the end, by the endpoints' run
+ * log: a bad version gets few requests, is rolled back in time, and no shift to
+ * it is completed. */
+#include "soak_case.h"
 
 #include <stdio.h>
 
@@ -49,16 +53,16 @@
     int64_t ms;
 } Event;
 
-struct SoakShift {
+typedef struct SoakShift {
+    SoakCase base;
     TestCluster *cluster;
-    SoakShiftOps ops;
     unsigned entries, replicas, version;
     double order_s;
     GArray *events;       /* Event */
     int64_t order_us;     /* when the order was given; 0: not yet */
     int64_t completed_us; /* when the shift was seen completed; 0: not */
     int64_t reverted_us;  /* when it was seen rolled back; 0: not */
-};
+} SoakShift;
 
 static void add_event(SoakShift *m, EventKind kind, int64_t at_us,
                       unsigned entry, int64_t ms)
@@ -83,34 +87,38 @@
     }
 }
 
-SoakShift *soak_shift_new(TestCluster *p, uint32_t seed, int seconds,
-                          unsigned entries, unsigned replicas,
-                          const SoakShiftOps *ops)
+static TestCluster *start(uint32_t seed, unsigned entries, unsigned replicas)
+{
+    (void)seed;
+    return cluster_new_with_clocks(entries, replicas);
+}
+
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakShift *m = g_new0(SoakShift, 1);
-    GRand *r = g_rand_new_with_seed(seed);
+    GRand *r = g_rand_new_with_seed(setup->seed);
     int64_t now_us = g_get_monotonic_time();
     int64_t order_us = now_us + ORDER_AT_MS * WP_US_PER_MS;
-    int64_t span_us = (int64_t)(seconds - 2) * WP_US_PER_S;
-    m->cluster = p;
-    m->ops = *ops;
-    m->entries = entries;
-    m->replicas = replicas;
-    m->order_s = seconds - 2;
+    int64_t span_us = (int64_t)(setup->seconds - 2) * WP_US_PER_S;
+    m->base = (SoakCase){ &soak_shift_ops, *setup };
+    m->cluster = setup->cluster;
+    m->entries = setup->entries;
+    m->replicas = setup->replicas;
+    m->order_s = setup->seconds - 2;
     m->version = (unsigned)g_rand_int_range(r, 0, (gint)WP_COUNT(versions));
     m->events = g_array_new(FALSE, FALSE, sizeof(Event));
     add_event(m, ORDER, order_us, 0, 0);
     if (versions[m->version].late)
         add_event(m, TURN_BAD,
                   order_us + (int64_t)(LATE_FRACTION * (double)span_us), 0, 0);
-    plan_clocks(m, r, now_us, (int64_t)seconds * WP_US_PER_S);
+    plan_clocks(m, r, now_us, (int64_t)setup->seconds * WP_US_PER_S);
     int restarts = g_rand_int_range(r, 0, RESTARTS_MAX + 1);
     for (int i = 0; i < restarts; i++)
         add_event(m, RESTART_ALL,
                   order_us + (int64_t)(g_rand_double(r) * (double)span_us), 0,
                   0);
     g_rand_free(r);
-    return m;
+    return &m->base;
 }
 
 static void turn_bad(SoakShift *m)
@@ -144,7 +152,7 @@
         break;
     case RESTART_ALL:
         for (unsigned i = 0; i < m->entries; i++)
-            m->ops.restart_entry(m->ops.arg, i);
+            soak_case_restart_entry(&m->base, i);
         break;
     }
 }
@@ -164,8 +172,10 @@
     }
 }
 
-void soak_shift_tick(SoakShift *m)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakShift *m = (SoakShift *)base;
+    (void)problems;
     for (guint i = 0; i < m->events->len;) {
         Event e = g_array_index(m->events, Event, i);
         if (e.at_us > g_get_monotonic_time()) {
@@ -254,10 +264,12 @@
                                s->bad_before_completion);
 }
 
-char *soak_shift_end(SoakShift *m, GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakShift *m = (SoakShift *)base;
     Sums s = read_runs(m);
     int64_t end_us = MAX(m->completed_us, m->reverted_us);
+    (void)totals;
     check(m, &s, problems);
     char *text = g_strdup_printf(
         "version %s, order of %.0f s, %s after %.1f s, %u bad answers",
@@ -270,3 +282,10 @@
     g_free(m);
     return text;
 }
+
+const SoakCaseOps soak_shift_ops = { .option = "moves",
+                                     .help = "one version shift per run",
+                                     .start = start,
+                                     .create = create,
+                                     .tick = tick,
+                                     .end = end };
--- a/tests/soak_zone.c
+++ b/tests/soak_zone.c
@@ -1,5 +1,9 @@
-/* Soak test of zone evacuations. */
-#include "soak_zone.h"
+/* Soak test of zone evacuations: an operator evacuates a zone and ends the
+ * evacuation, again and again, while endpoints restart with their old ids and
+ * are cold. Checked at the end, by the endpoints' run log: nothing ran in the
+ * zone while it was evacuated, and no cold endpoint got more than it can
+ * serve. */
+#include "soak_case.h"
 
 #include <stdlib.h>
 
@@ -19,29 +23,37 @@
         to_ms; /* by the monotonic clock, which all processes share */
 } Evacuation;
 
-struct SoakZone {
+typedef struct SoakZone {
+    SoakCase base;
     TestCluster *cluster;
     GRand *rand;
     GArray *evacuations; /* Evacuation; the last one's end is open while it
                             lasts */
     bool is_evacuated;
     int64_t next_toggle_ms;
-};
+} SoakZone;
 
 static int64_t now_ms(void)
 {
     return g_get_monotonic_time() / WP_US_PER_MS;
 }
 
-SoakZone *soak_zone_new(TestCluster *p, uint32_t seed)
+static TestCluster *start(uint32_t seed, unsigned entries, unsigned replicas)
+{
+    (void)seed;
+    return cluster_new_with_zones(entries, replicas);
+}
+
+static SoakCase *create(const SoakSetup *setup)
 {
     SoakZone *z = g_new0(SoakZone, 1);
-    z->cluster = p;
-    z->rand = g_rand_new_with_seed(seed);
+    z->base = (SoakCase){ &soak_zone_ops, *setup };
+    z->cluster = setup->cluster;
+    z->rand = g_rand_new_with_seed(setup->seed);
     z->evacuations = g_array_new(FALSE, FALSE, sizeof(Evacuation));
     z->next_toggle_ms =
         now_ms() + g_rand_int_range(z->rand, IN_USE_MIN_MS, IN_USE_MAX_MS);
-    return z;
+    return &z->base;
 }
 
 static void toggle_evacuation(SoakZone *z)
@@ -58,8 +70,10 @@
     }
 }
 
-void soak_zone_tick(SoakZone *z)
+static void tick(SoakCase *base, GString *problems)
 {
+    SoakZone *z = (SoakZone *)base;
+    (void)problems;
     if (now_ms() < z->next_toggle_ms)
         return;
     toggle_evacuation(z);
@@ -113,8 +127,10 @@
     return sums;
 }
 
-char *soak_zone_end(SoakZone *z, GString *problems)
+static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
+    SoakZone *z = (SoakZone *)base;
+    (void)totals;
     if (z->is_evacuated)
         toggle_evacuation(z);
     Sums s = read_runs(z);
@@ -132,3 +148,11 @@
     g_free(z);
     return text;
 }
+
+const SoakCaseOps soak_zone_ops = { .option = "zones",
+                                    .help = "evacuate a zone repeatedly",
+                                    .other_faults = SOAK_FAULTS_RESTARTS,
+                                    .start = start,
+                                    .create = create,
+                                    .tick = tick,
+                                    .end = end };
