Boxes: a copy that was read whole is not sent as all changes since an earlier one

Cause: a box that starts and reads the store does not know of entries that were removed before. Another box that lagged behind and asked it for the changes since its own revision got all that the new box knew to be newer, without the removal, and a revision beyond it, and so never asked again. Evidence: the box that sent to the endpoint has no endpoint_missing for it, but caught_up from front-depot-south-5, which had caught up from front-depot-south-1, whose store_regained came 0.1 s after the removal. The class: what is known by its result is passed on as what is known by its steps.

Change: WPMirror notes since which revision it has all changes, and the gap that a later full read leaves. A delta that would begin in between begins at 0; a box that has entries and gets such a whole copy removes what it lacks, as after a read of the store. A whole copy names the revision since which its sender has all changes, so that a box that started from another's copy can answer like it. Fields are optional; boxes of the release before go on as before.

test_sync an_endpoint_that_went_before_a_peer_started_is_removed fails when has_changes_since() is always true, as on the code before; test_mirror a_copy_sends_no_changes_from_before_it.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -5360,7 +5360,7 @@
   (ProtobufCMessageInit) wp__mirror_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_delta__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wp__mirror_delta__field_descriptors[10] =
 {
   {
     "since",
@@ -5458,8 +5458,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changes_from",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorDelta, has_changes_from),
+    offsetof(Wp__MirrorDelta, changes_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes_from_era",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__MirrorDelta, has_changes_from_era),
+    offsetof(Wp__MirrorDelta, changes_from_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_delta__field_indices_by_name[] = {
+  8,   /* field[8] = changes_from */
+  9,   /* field[9] = changes_from_era */
   1,   /* field[1] = complete */
   6,   /* field[6] = era */
   2,   /* field[2] = items */
@@ -5472,7 +5498,7 @@
 static const ProtobufCIntRange wp__mirror_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wp__mirror_delta__descriptor =
 {
@@ -5482,7 +5508,7 @@
   "Wp__MirrorDelta",
   "wp",
   sizeof(Wp__MirrorDelta),
-  8,
+  10,
   wp__mirror_delta__field_descriptors,
   wp__mirror_delta__field_indices_by_name,
   1,  wp__mirror_delta__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -975,10 +975,18 @@
   uint64_t era;
   protobuf_c_boolean has_since_era;
   uint64_t since_era;
+  /*
+   * With `since` 0, the whole copy: the revision, and its era, since which it
+   * has all changes, removals of entries included.  If absent: `complete`.
+   */
+  protobuf_c_boolean has_changes_from;
+  uint64_t changes_from;
+  protobuf_c_boolean has_changes_from_era;
+  uint64_t changes_from_era;
 };
 #define WP__MIRROR_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_delta__descriptor) \
-    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_peers.c
+++ b/io/wp_peers.c
@@ -86,16 +86,16 @@
     p->ahead_link_id = l->id;
 }
 
-/* Sends the entries changed since the revision of the pull. A full pull beyond
-   the limit of full synchronizations gets only the records of the boxes in the
-   peer's zone, which it may ask instead. */
+/* Sends the entries changed since the revision of the pull. In place of all
+   entries, beyond the limit of full synchronizations, it sends only the records
+   of the boxes in the peer's zone, which it may ask instead. */
 static void answer_pull(WPPeers *p, WPLink *l, Wp__MirrorPull *pull)
 {
     Wp__Frame f = WP__FRAME__INIT;
     wp_mirror_pull_join(pull, own_era(p));
     Wp__MirrorDelta *d =
         pull->packs ? wp_mirror_delta_compressed(p->mirror, pull->since) : NULL;
-    if (d && !pull->since &&
+    if (d && !d->since &&
         !wp_full_sync_limit_take(&p->full_sync_limit, wp_clock_now(0),
                                  d->packed.len)) {
         wp_mirror_delta_free(d);
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -89,6 +89,13 @@
                    item->mod_revision, lapsed);
 }
 
+bool wp_sync_was_store_lost(const WPSync *s)
+{
+    int64_t lost_us = time_of(s).mono_us - s->store_unavailable_us;
+    return s->store_unavailable_us &&
+           lost_us < (int64_t)LAPSED_GRACE_MS * WP_US_PER_MS;
+}
+
 /* Returns whether an entry that the store now lacks may have been removed
    only because its lease expired while the store was unavailable: it is
    missing in the store's first answer after a time in which it answered none
@@ -97,11 +104,9 @@
 static bool may_have_lapsed(const WPSync *s)
 {
     int64_t now_us = time_of(s).mono_us;
-    bool lately = now_us - s->store_unavailable_us <
-                  (int64_t)LAPSED_GRACE_MS * WP_US_PER_MS;
     bool first =
         now_us - s->store_changed_us < (int64_t)FIRST_ANSWER_MS * WP_US_PER_MS;
-    return s->store_unavailable_us && lately && first;
+    return first && wp_sync_was_store_lost(s);
 }
 
 /* Returns whether this box contacts the store on behalf of its zone, or for
@@ -202,22 +207,25 @@
     }
 }
 
+void wp_sync_remove_missing(WPSync *s, GHashTable *keys, uint64_t revision,
+                            bool lapsed)
+{
+    g_autoptr(GPtrArray) lacking = wp_mirror_not_in(s->mirror, keys, revision);
+    for (guint i = 0; i < lacking->len; i++) {
+        const WPMirrorItem *item = g_ptr_array_index(lacking, i);
+        g_autofree char *key = g_strdup(item->key);
+        wp_store_apply(s, key, NULL, MAX(revision, item->revision + 1), lapsed);
+    }
+}
+
 /* Removes entries that the range call did not return. Right after the store
    was unavailable, their leases may only have expired meanwhile. */
 static void remove_missing(WPSync *s, const WPKvResult *r)
 {
-    bool lapsed = may_have_lapsed(s);
     g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t i = 0; i < r->n_items; i++)
         g_hash_table_add(keys, (gpointer)r->items[i].key.p);
-    g_autoptr(GPtrArray) lacking =
-        wp_mirror_not_in(s->mirror, keys, r->revision);
-    for (guint i = 0; i < lacking->len; i++) {
-        const WPMirrorItem *item = g_ptr_array_index(lacking, i);
-        g_autofree char *key = g_strdup(item->key);
-        wp_store_apply(s, key, NULL, MAX(r->revision, item->revision + 1),
-                       lapsed);
-    }
+    wp_sync_remove_missing(s, keys, r->revision, may_have_lapsed(s));
 }
 
 /* Asks the store for the changes since the revision of the local copy.
@@ -257,6 +265,7 @@
     set_store_up(s, true);
     for (size_t i = 0; i < r->n_items; i++)
         apply_item(s, &r->items[i], false);
+    wp_mirror_note_copy(s->mirror, r->revision);
     wp_sync_advance(s, r->revision);
     remove_missing(s, r);
     note_synced(s);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -130,6 +130,15 @@
 /* Logs another era of the store; a WPKvEraFn. */
 void wp_sync_on_era(void *arg, WPStoreEraChange change, const char *text);
 
+/* wp_sync.c: removes the entries that a whole copy at `revision` does not have:
+   its keys are `keys`. `lapsed`: see wp_store_apply(). */
+void wp_sync_remove_missing(WPSync *s, GHashTable *keys, uint64_t revision,
+                            bool lapsed);
+
+/* wp_sync.c: whether the store was lately found to answer none of the boxes, so
+   that entries whose leases expired meanwhile may come back. */
+bool wp_sync_was_store_lost(const WPSync *s);
+
 /* wp_sync.c: the local copy is complete: admits held requests and sends a
    digest. */
 void wp_sync_admit(WPSync *s);
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -22,6 +22,15 @@
         wp_mirror_mark_lost(s->mirror, item->key);
 }
 
+/* Removes entries that another box's whole copy does not have. */
+static void remove_missing(WPSync *s, const Wp__MirrorDelta *d)
+{
+    g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < d->n_items; i++)
+        g_hash_table_add(keys, d->items[i]->key);
+    wp_sync_remove_missing(s, keys, d->complete, wp_sync_was_store_lost(s));
+}
+
 /* Applies the entries that another box has sent. Unless they are only a part of
    the state, this box has caught up then, and admits held requests. */
 static void on_delta(void *arg, const char *from, const Wp__MirrorDelta *d)
@@ -33,7 +42,11 @@
         wp_log(&s->host->log, WP_INFO, "boxes_told", "from", from, NULL);
         return;
     }
+    if (!d->since)
+        wp_mirror_note_copy(s->mirror, d->changes_from);
     wp_sync_advance(s, d->complete);
+    if (!d->since)
+        remove_missing(s, d);
     wp_staleness_note_synced(&s->staleness, 0,
                              wp_mirror_complete_revision(s->mirror), 0);
     wp_sync_admit(s);
--- a/src/wp_mirror.c
+++ b/src/wp_mirror.c
@@ -14,6 +14,9 @@
 struct WPMirror {
     GHashTable *items; /* key -> WPMirrorItem */
     uint64_t complete;
+    /* Changes up to `floor`, and after `gap_from` up to `gap_to`, are known
+       only by their result: removals may be missing. */
+    uint64_t floor, gap_from, gap_to;
     /* The last compressed delta, and the state that it was made for. */
     GBytes *block;
     uint32_t block_size;
@@ -59,6 +62,21 @@
     m->complete = MAX(m->complete, revision);
 }
 
+void wp_mirror_note_copy(WPMirror *m, uint64_t from)
+{
+    if (from <= m->complete)
+        return;
+    m->floor = m->gap_to;
+    m->gap_from = m->complete;
+    m->gap_to = from;
+}
+
+static bool has_changes_since(const WPMirror *m, uint64_t revision)
+{
+    bool in_gap = revision > m->gap_from && revision < m->gap_to;
+    return revision >= m->floor && !in_gap;
+}
+
 static bool has_value(const WPMirrorItem *i, const WPStr *value)
 {
     gsize n;
@@ -331,6 +349,10 @@
     d->complete = wp_revision_number(m->complete);
     d->era = wp_revision_era(m->complete);
     d->has_era = d->has_since_era = d->era > 0;
+    d->has_changes_from = !since;
+    d->changes_from = wp_revision_number(m->gap_to);
+    d->changes_from_era = wp_revision_era(m->gap_to);
+    d->has_changes_from_era = d->has_changes_from && d->has_era;
 }
 
 static uint64_t joined(protobuf_c_boolean has_era, uint64_t era,
@@ -347,6 +369,10 @@
     uint64_t era = d->has_era ? d->era : own_era;
     d->since = joined(d->has_since_era, d->since_era, d->since, own_era);
     d->complete = joined(d->has_era, d->era, d->complete, own_era);
+    d->changes_from = d->has_changes_from
+                          ? joined(d->has_changes_from_era, d->changes_from_era,
+                                   d->changes_from, own_era)
+                          : d->complete;
     for (size_t i = 0; i < d->n_items; i++) {
         Wp__MirrorItem *item = d->items[i];
         item->revision = joined(item->has_era, item->era, item->revision, era);
@@ -393,7 +419,7 @@
 
 Wp__MirrorDelta *wp_mirror_delta(const WPMirror *m, uint64_t since)
 {
-    return make_delta(m, since, false);
+    return make_delta(m, has_changes_since(m, since) ? since : 0, false);
 }
 
 static bool is_block_current(const WPMirror *m, uint64_t since)
@@ -450,6 +476,7 @@
 
 Wp__MirrorDelta *wp_mirror_delta_compressed(WPMirror *m, uint64_t since)
 {
+    since = has_changes_since(m, since) ? since : 0;
     if (!is_block_current(m, since))
         rebuild_block(m, since);
     if (!m->block)
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -58,6 +58,11 @@
 /* Raises the complete revision to `revision`; never lowers it. */
 void wp_mirror_advance(WPMirror *m, uint64_t revision);
 
+/* The entries are to be those of a whole copy that has all changes since `from`
+   only: of entries that came and went before, nothing is known. Call it before
+   wp_mirror_advance(). */
+void wp_mirror_note_copy(WPMirror *m, uint64_t from);
+
 /* Stores an entry, or its removal if `value` is NULL. Does nothing if
    `revision` is not higher than the known one of the key. */
 WPMirrorChange wp_mirror_put(WPMirror *m, const char *key, const WPStr *value,
@@ -101,7 +106,8 @@
                             uint64_t revision);
 
 /* Returns a message to another box with all entries changed after revision
-   `since`. Its items point into `m`; free it with wp_mirror_delta_free(). */
+   `since`, or with all entries, since 0, if not all changes since then are
+   known. Its items point into `m`; free it with wp_mirror_delta_free(). */
 Wp__MirrorDelta *wp_mirror_delta(const WPMirror *m, uint64_t since);
 void wp_mirror_delta_free(Wp__MirrorDelta *d);
 
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -61,6 +61,33 @@
 
 /* A configuration of many routes is repetitive: boxes with slow links
    receive it in time only if it is compressed. */
+static uint64_t delta_since(const WPMirror *m, uint64_t since)
+{
+    Wp__MirrorDelta *d = wp_mirror_delta(m, since);
+    uint64_t begins = d->since;
+    wp_mirror_delta_free(d);
+    return begins;
+}
+
+static void a_copy_sends_no_changes_from_before_it(void **state)
+{
+    WPMirror *m = wp_mirror_new();
+    (void)state;
+    put(m, "x", "1", 3);
+    wp_mirror_note_copy(m, 10);
+    wp_mirror_advance(m, 10);
+    assert_int_equal(delta_since(m, 9), 0);
+    assert_int_equal(delta_since(m, 10), 10);
+    wp_mirror_advance(m, 12);
+    wp_mirror_note_copy(m, 20); /* it was read again at 20 */
+    wp_mirror_advance(m, 20);
+    assert_int_equal(delta_since(m, 9), 0);
+    assert_int_equal(delta_since(m, 12), 12);
+    assert_int_equal(delta_since(m, 13), 0);
+    assert_int_equal(delta_since(m, 20), 20);
+    wp_mirror_free(m);
+}
+
 static void large_values_are_compressed(void **state)
 {
     WPMirror *m = wp_mirror_new();
@@ -325,6 +352,7 @@
 
 TESTS_MAIN(T(only_newer_entries_are_applied),
            T(a_delta_brings_another_box_up_to_date),
+           T(a_copy_sends_no_changes_from_before_it),
            T(large_values_are_compressed),
            T(all_entries_are_sent_as_one_compressed_block),
            T(a_partial_delta_has_the_boxes_of_a_zone),
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -178,6 +178,28 @@
     }
 }
 
+/* Another box has read the store after s2 had gone. */
+static void an_endpoint_that_went_before_a_peer_started_is_removed(void **state)
+{
+    WPMirror *peer = wp_mirror_new();
+    WPStr value = wp_str("x");
+    SyncFixture s;
+    (void)state;
+    sync_fixture_start(&s);
+    uint64_t since = wp_mirror_complete_revision(s.host.sync->mirror);
+    wp_mirror_put(peer, "s1", &value, 10, false);
+    wp_mirror_note_copy(peer, 20);
+    wp_mirror_advance(peer, 20);
+    Wp__MirrorDelta *d = wp_mirror_delta(peer, since);
+    wp_mirror_delta_join(d, 0);
+    wp_sync_peers_ops.delta(s.host.sync, "e2", d);
+    assert_non_null(find_endpoint(&s, "s1"));
+    assert_null(find_endpoint(&s, "s2"));
+    wp_mirror_delta_free(d);
+    wp_mirror_free(peer);
+    sync_fixture_end(&s);
+}
+
 static void an_acknowledged_write_is_known_before_its_watch_event(void **state)
 {
     const WPKvResult taken = { true, true, 11, NULL, 0 };
@@ -201,4 +223,5 @@
            T(a_partial_delta_does_not_make_a_box_ready),
            T(a_box_without_entries_retries_soon),
            T(a_restarted_box_begins_without_retries),
+           T(an_endpoint_that_went_before_a_peer_started_is_removed),
            T(an_acknowledged_write_is_known_before_its_watch_event))
