--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -976,7 +976,7 @@
   protobuf_c_boolean has_since_era;
   uint64_t since_era;
   /*
-   * With `since` 0, the whole copy: the revision, and its era, since which it
+   * With `since` 0, the full copy: the revision, and its era, since which it
    * has all changes, removals of entries included.  If absent: `complete`.
    */
   protobuf_c_boolean has_changes_from;
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -130,7 +130,7 @@
 /* Logs another era of the store; a WPKvEraFn. */
 void wp_sync_on_era(void *arg, WPStoreEraChange change, const char *text);
 
-/* wp_sync.c: removes the entries that a whole copy at `revision` does not have:
+/* wp_sync.c: removes the entries that a full copy at `revision` does not have:
    its keys are `keys`. `lapsed`: see wp_store_apply(). */
 void wp_sync_remove_missing(WPSync *s, GHashTable *keys, uint64_t revision,
                             bool lapsed);
--- a/io/wp_sync_peers.c
+++ b/io/wp_sync_peers.c
@@ -22,7 +22,7 @@
         wp_mirror_mark_lost(s->mirror, item->key);
 }
 
-/* Removes entries that another box's whole copy does not have. */
+/* Removes entries that another box's full copy does not have. */
 static void remove_missing(WPSync *s, const Wp__MirrorDelta *d)
 {
     g_autoptr(GHashTable) keys = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/wp_mirror.h
+++ b/src/wp_mirror.h
@@ -58,7 +58,7 @@
 /* Raises the complete revision to `revision`; never lowers it. */
 void wp_mirror_advance(WPMirror *m, uint64_t revision);
 
-/* The entries are to be those of a whole copy that has all changes since `from`
+/* The entries are to be those of a full copy that has all changes since `from`
    only: of entries that came and went before, nothing is known. Call it before
    wp_mirror_advance(). */
 void wp_mirror_note_copy(WPMirror *m, uint64_t from);
