--- a/tests/soak_limit.c
+++ b/tests/soak_limit.c
@@ -272,6 +272,7 @@
 typedef struct Period {
     const char *field;
     int64_t from_ms, to_ms;
+    bool is_series; /* of limits up to that one */
 } Period;
 
 /* Results over the endpoints that reported a limit in a period. */
@@ -282,13 +283,16 @@
 } Sums;
 
 /* When the endpoint first reported the period's limit, which it does with an
-   answer: the time of its first arrival in the period, as an idle endpoint may
-   get no request for seconds. */
-static int64_t first_arrival_ms(const Arrivals *a, const Period *s)
+   answer: the time of the first arrival with that limit, as an idle endpoint
+   may get no request for seconds. */
+static int64_t first_report_ms(const Arrivals *a, const Period *s)
 {
+    double limit = g_ascii_strtod(s->field, NULL);
     for (guint i = 0; i < a->at_ms->len; i++) {
         int64_t ms = g_array_index(a->at_ms, int64_t, i);
-        if (ms >= s->from_ms)
+        double per_s = g_array_index(a->per_s, double, i);
+        bool is_reported = s->is_series ? per_s > 0 : per_s == limit;
+        if (ms >= s->from_ms && is_reported)
             return ms;
     }
     return s->to_ms;
@@ -299,7 +303,7 @@
 static void add_use(const Arrivals *a, const Period *s, double per_s,
                     Sums *sums)
 {
-    int64_t from_ms = first_arrival_ms(a, s) + PROPAGATION_MS;
+    int64_t from_ms = first_report_ms(a, s) + PROPAGATION_MS;
     double lasted_s = (double)(s->to_ms - from_ms) / WP_MS_PER_S;
     double window_s = (double)WINDOW_MS / WP_MS_PER_S;
     if (lasted_s < USE_MIN_S)
@@ -414,13 +418,14 @@
     g_autoptr(GHashTable) all = read_arrivals(l);
     GString *text = g_string_new(NULL);
     const Period first = { l->plan->series ? SERIES_MAX : l->plan->first,
-                           l->start_ms + LIMIT_AT_MS, change_ms };
+                           l->start_ms + LIMIT_AT_MS, change_ms,
+                           l->plan->series };
     g_string_append_printf(text,
                            "%u of %u endpoints reported a limit, served %.3f",
                            l->limited, l->replicas, served_share);
     check_period(l, all, &first, text, problems);
     if (l->plan->then && *l->plan->then) {
-        const Period then = { l->plan->then, change_ms, end_ms };
+        const Period then = { l->plan->then, change_ms, end_ms, false };
         check_period(l, all, &then, text, problems);
     } else if (l->plan->then) {
         check_recovery(l, all, change_ms, end_ms, text, problems);
