Events: the version of each session, why, and the revision it follows from

The timeline could not tell by which revision of the configuration an entry had placed a session, so that the breaks of scenario 05-sessions could not be traced. The load generator names the session, both versions, the request and the entry of each break.

--- a/src/wp_events.h
+++ b/src/wp_events.h
@@ -19,6 +19,7 @@
     X(MEMBER, "member")                                                        \
     X(STORE, "store")                                                          \
     X(RECEIVED, "received")                                                    \
+    X(SESSION, "session")                                                      \
     X(CHOSEN, "chosen")                                                        \
     X(RUN, "run")                                                              \
     X(REFUSED, "refused")                                                      \
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -178,6 +178,10 @@
     r->sticky = true;
     r->session_moved = at.moved;
     r->session_start_ms = at.start_ms;
+    wp_events_add(wp_node_events(e->node), now, WP_EVENT_SESSION, r->id,
+                  "%s by %s, began %lu, revision %lu", r->version,
+                  claim ? "token" : "id", (unsigned long)at.start_ms,
+                  (unsigned long)wp_policy_revision(e->policy));
     if (at.moved)
         wp_count(wp_node_counters(e->node), WP_C_SESSIONS_MOVED);
 }
--- a/tools/load.c
+++ b/tools/load.c
@@ -286,6 +286,19 @@
     json_decref(j);
 }
 
+static void report_break(Call *c, struct evhttp_request *r, const char *version)
+{
+    const Session *s = c->session;
+    const char *id = wp_http_header(r, WP_H_REQUEST_ID);
+    c->load->r.session_breaks++;
+    fprintf(stderr,
+            "session break: %s (%s) from %s to %s, turn %u, request %s, entry "
+            "%s:%u, at %ld\n",
+            s->id, s->uses_token ? "token" : "id", s->version, version,
+            s->turns + 1, id ? id : "?", c->target->host, c->target->port,
+            (long)(g_get_real_time() / WP_US_PER_MS));
+}
+
 static void check_session(Call *c, struct evhttp_request *r,
                           const char *version)
 {
@@ -298,7 +311,7 @@
         if (wp_http_header(r, WP_H_SESSION_MOVED))
             c->load->r.session_moves++;
         else
-            c->load->r.session_breaks++;
+            report_break(c, r, version);
     }
     g_free(s->version);
     s->version = g_strdup(version);
