Sessions by id: placed by the configuration in force when they began

Cause: the version follows from the present configuration, of which only some objects have dates, and none the values that they replaced.

Change: what a change overwrites is kept as an undo, in the store by the same transaction and by the boxes; a change is used for sessions that begin 3 s after it or later. A session is placed by the configuration of its beginning, and again only by a later one that forbids its version. Denials hold at once.

--- a/cmd/ctl_change.c
+++ b/cmd/ctl_change.c
@@ -46,26 +46,30 @@
 }
 
 /* Writes at most MAX_OPS operations in one transaction, which takes effect only
-   if the store is still at `*revision`. Sets `*revision` to that of the store
-   afterwards and returns an exit code. */
-static int write_batch(Ctl *c, const GPtrArray *ops, uint64_t *revision)
+   if the store is still at the revision of `config`, and applies them to
+   `config` too. Returns an exit code. */
+static int write_batch(Ctl *c, const GPtrArray *ops, WPConfig *config)
 {
     WriteOutcome w = { 0 };
     g_autofree char *id = g_uuid_string_random();
-    wp_change_write(c->kv, *revision, id, c->author, ops, on_written, &w);
+    g_autofree Wp__Delta *d =
+        wp_change_new(config, ops, id, c->author, ctl_now());
+    wp_change_write(c->kv, config, d, on_written, &w);
     while (!w.done)
         event_base_loop(c->base, EVLOOP_ONCE);
     int code = EXIT_OK;
     if (w.result == WP_CHANGE_CONFLICT) {
-        code = print_conflict(c, *revision, &w);
+        code = print_conflict(c, d->prev, &w);
     } else if (w.result == WP_CHANGE_UNKNOWN) {
         fprintf(stderr,
                 "no answer from the store: change %s may or may not have "
                 "taken effect\n",
                 id);
         code = EXIT_UNAVAILABLE;
+    } else {
+        d->revision = w.revision;
+        wp_config_apply(config, d);
     }
-    *revision = w.revision;
     g_free(w.author);
     return code;
 }
@@ -100,12 +104,12 @@
 
 /* Validates the operations and writes them, in batches of MAX_OPS. With --wait,
    waits until every box has applied them. Returns an exit code. */
-static int write_ops(Ctl *c, const WPConfig *config, const GPtrArray *ops)
+static int write_ops(Ctl *c, WPConfig *config, const GPtrArray *ops)
 {
-    uint64_t revision = wp_config_revision(config);
     int code = EXIT_OK;
     if (!ops->len) {
-        printf("nothing to change at revision %lu\n", (unsigned long)revision);
+        printf("nothing to change at revision %lu\n",
+               (unsigned long)wp_config_revision(config));
         return EXIT_OK;
     }
     if (!validate(c, config, ops))
@@ -114,10 +118,11 @@
         g_autoptr(GPtrArray) part = g_ptr_array_new();
         for (guint i = at; i < MIN(at + MAX_OPS, ops->len); i++)
             g_ptr_array_add(part, ops->pdata[i]);
-        code = write_batch(c, part, &revision);
+        code = write_batch(c, part, config);
     }
     if (code != EXIT_OK)
         return code;
+    uint64_t revision = wp_config_revision(config);
     if (ctl_wants_json(c))
         printf("{\"accepted\":%lu}\n", (unsigned long)revision);
     else
@@ -248,7 +253,7 @@
 }
 
 /* Writes one operation, which is freed. Returns an exit code. */
-static int write_op(Ctl *c, const WPConfig *config, Wp__Op *op)
+static int write_op(Ctl *c, WPConfig *config, Wp__Op *op)
 {
     GPtrArray *ops = g_ptr_array_new();
     g_ptr_array_add(ops, op);
@@ -480,7 +485,7 @@
     return wp_chart_read(wp_strn(text, n), file, error);
 }
 
-static int start_rollout(Ctl *c, const WPConfig *config)
+static int start_rollout(Ctl *c, WPConfig *config)
 {
     Wp__Rollout r = WP__ROLLOUT__INIT;
     Wp__Object o = WP__OBJECT__INIT;
@@ -515,7 +520,7 @@
            r->reason ? ", " : "", r->reason ? r->reason : "");
 }
 
-static int rollout_event(Ctl *c, const WPConfig *config)
+static int rollout_event(Ctl *c, WPConfig *config)
 {
     GError *error = NULL;
     if (c->n_args < 3)
--- a/gen/config.pb-c.c
+++ b/gen/config.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &wp__delta__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wp__undo__init
+                     (Wp__Undo         *message)
+{
+  static const Wp__Undo init_value = WP__UNDO__INIT;
+  *message = init_value;
+}
+size_t wp__undo__get_packed_size
+                     (const Wp__Undo *message)
+{
+  assert(message->base.descriptor == &wp__undo__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wp__undo__pack
+                     (const Wp__Undo *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wp__undo__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wp__undo__pack_to_buffer
+                     (const Wp__Undo *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wp__undo__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wp__Undo *
+       wp__undo__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wp__Undo *)
+     protobuf_c_message_unpack (&wp__undo__descriptor,
+                                allocator, len, data);
+}
+void   wp__undo__free_unpacked
+                     (Wp__Undo *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wp__undo__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wp__snapshot__init
                      (Wp__Snapshot         *message)
 {
@@ -1958,7 +2003,7 @@
   (ProtobufCMessageInit) wp__op__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__delta__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wp__delta__field_descriptors[6] =
 {
   {
     "revision",
@@ -2020,10 +2065,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "effective_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Wp__Delta, has_effective_ms),
+    offsetof(Wp__Delta, effective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__delta__field_indices_by_name[] = {
   3,   /* field[3] = author */
   2,   /* field[2] = change_id */
+  5,   /* field[5] = effective_ms */
   4,   /* field[4] = ops */
   1,   /* field[1] = prev */
   0,   /* field[0] = revision */
@@ -2031,7 +2089,7 @@
 static const ProtobufCIntRange wp__delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wp__delta__descriptor =
 {
@@ -2041,14 +2099,78 @@
   "Wp__Delta",
   "wp",
   sizeof(Wp__Delta),
-  5,
+  6,
   wp__delta__field_descriptors,
   wp__delta__field_indices_by_name,
   1,  wp__delta__number_ranges,
   (ProtobufCMessageInit) wp__delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__snapshot__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wp__undo__field_descriptors[3] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__Undo, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "effective_ms",
+    2,
+    PROTOBUF_C_LABEL_REQUIRED,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wp__Undo, effective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ops",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Undo, n_ops),
+    offsetof(Wp__Undo, ops),
+    &wp__op__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wp__undo__field_indices_by_name[] = {
+  1,   /* field[1] = effective_ms */
+  2,   /* field[2] = ops */
+  0,   /* field[0] = revision */
+};
+static const ProtobufCIntRange wp__undo__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wp__undo__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wp.Undo",
+  "Undo",
+  "Wp__Undo",
+  "wp",
+  sizeof(Wp__Undo),
+  3,
+  wp__undo__field_descriptors,
+  wp__undo__field_indices_by_name,
+  1,  wp__undo__number_ranges,
+  (ProtobufCMessageInit) wp__undo__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wp__snapshot__field_descriptors[3] =
 {
   {
     "revision",
@@ -2074,15 +2196,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "undo",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__Snapshot, n_undo),
+    offsetof(Wp__Snapshot, undo),
+    &wp__undo__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__snapshot__field_indices_by_name[] = {
   1,   /* field[1] = ops */
   0,   /* field[0] = revision */
+  2,   /* field[2] = undo */
 };
 static const ProtobufCIntRange wp__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wp__snapshot__descriptor =
 {
@@ -2092,7 +2227,7 @@
   "Wp__Snapshot",
   "wp",
   sizeof(Wp__Snapshot),
-  2,
+  3,
   wp__snapshot__field_descriptors,
   wp__snapshot__field_indices_by_name,
   1,  wp__snapshot__number_ranges,
--- a/gen/config.pb-c.h
+++ b/gen/config.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Wp__Rules Wp__Rules;
 typedef struct Wp__Op Wp__Op;
 typedef struct Wp__Delta Wp__Delta;
+typedef struct Wp__Undo Wp__Undo;
 typedef struct Wp__Snapshot Wp__Snapshot;
 
 
@@ -372,14 +373,43 @@
   char *author;
   size_t n_ops;
   Wp__Op **ops;
+  /*
+   * Sessions that begin earlier keep to the configuration before this change,
+   * Unix ms.  Not set: the change is not recorded as an Undo.
+   */
+  protobuf_c_boolean has_effective_ms;
+  uint64_t effective_ms;
 };
 #define WP__DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__delta__descriptor) \
-    , 0, 0, NULL, NULL, 0,NULL }
+    , 0, 0, NULL, NULL, 0,NULL, 0, 0 }
 
 
 /*
- * The complete configuration at one revision.
+ * What leads back from a change to the configuration before it.
+ */
+struct  Wp__Undo
+{
+  ProtobufCMessage base;
+  /*
+   * of the configuration before the change
+   */
+  uint64_t revision;
+  /*
+   * as in the change's Delta
+   */
+  uint64_t effective_ms;
+  size_t n_ops;
+  Wp__Op **ops;
+};
+#define WP__UNDO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wp__undo__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * The complete configuration at one revision, with the Undos that lead back from
+ * it, oldest first.
  */
 struct  Wp__Snapshot
 {
@@ -387,10 +417,12 @@
   uint64_t revision;
   size_t n_ops;
   Wp__Op **ops;
+  size_t n_undo;
+  Wp__Undo **undo;
 };
 #define WP__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__snapshot__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL }
 
 
 /* Wp__Label methods */
@@ -659,6 +691,25 @@
 void   wp__delta__free_unpacked
                      (Wp__Delta *message,
                       ProtobufCAllocator *allocator);
+/* Wp__Undo methods */
+void   wp__undo__init
+                     (Wp__Undo         *message);
+size_t wp__undo__get_packed_size
+                     (const Wp__Undo   *message);
+size_t wp__undo__pack
+                     (const Wp__Undo   *message,
+                      uint8_t             *out);
+size_t wp__undo__pack_to_buffer
+                     (const Wp__Undo   *message,
+                      ProtobufCBuffer     *buffer);
+Wp__Undo *
+       wp__undo__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wp__undo__free_unpacked
+                     (Wp__Undo *message,
+                      ProtobufCAllocator *allocator);
 /* Wp__Snapshot methods */
 void   wp__snapshot__init
                      (Wp__Snapshot         *message);
@@ -722,6 +773,9 @@
 typedef void (*Wp__Delta_Closure)
                  (const Wp__Delta *message,
                   void *closure_data);
+typedef void (*Wp__Undo_Closure)
+                 (const Wp__Undo *message,
+                  void *closure_data);
 typedef void (*Wp__Snapshot_Closure)
                  (const Wp__Snapshot *message,
                   void *closure_data);
@@ -745,6 +799,7 @@
 extern const ProtobufCMessageDescriptor wp__rules__descriptor;
 extern const ProtobufCMessageDescriptor wp__op__descriptor;
 extern const ProtobufCMessageDescriptor wp__delta__descriptor;
+extern const ProtobufCMessageDescriptor wp__undo__descriptor;
 extern const ProtobufCMessageDescriptor wp__snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/io/wp_change.c
+++ b/io/wp_change.c
@@ -1,6 +1,7 @@
 /* Writes changes of the configuration to the store. */
 #include "wp_change.h"
 #include "wp_pb.h"
+#include "wp_undo.h"
 
 enum { HEAD_READ_TRIES = 3 };
 
@@ -58,34 +59,80 @@
         resolve_by_head(c, r->n_items ? r->items : NULL);
 }
 
-void wp_change_write(WPKv *kv, uint64_t read_revision, const char *change_id,
-                     const char *author, const GPtrArray *ops,
+Wp__Delta *wp_change_new(const WPConfig *base, const GPtrArray *ops,
+                         const char *change_id, const char *author, WPTime now)
+{
+    Wp__Delta *d = g_new0(Wp__Delta, 1);
+    wp__delta__init(d);
+    d->prev = wp_config_revision(base);
+    d->change_id = (char *)change_id;
+    d->author = (char *)author;
+    d->n_ops = ops->len;
+    d->ops = (Wp__Op **)ops->pdata;
+    d->has_effective_ms = d->prev > 0;
+    d->effective_ms = (uint64_t)now.wall_ms + WP_CHANGE_ACTIVATION_DELAY_MS;
+    return d;
+}
+
+static WPKvOp *add_put(GArray *puts, char *key, const uint8_t *value, size_t n)
+{
+    WPKvOp op = { .key = key, .value = wp_strn((const char *)value, n) };
+    g_array_append_val(puts, op);
+    return &g_array_index(puts, WPKvOp, puts->len - 1);
+}
+
+/* Revisions in fixed width, so that the store lists the undos in their order.
+ */
+static char *undo_key(uint64_t revision)
+{
+    return g_strdup_printf(WP_KV_UNDO "%020lu", (unsigned long)revision);
+}
+
+/* Adds the write of the change's undo, which is returned packed, and removes
+   the undos that are dropped for it. Returns NULL if the change has none. */
+static GByteArray *add_undo(GArray *puts, const WPConfig *base,
+                            const Wp__Delta *d)
+{
+    Wp__Undo *u = wp_undo_of_delta(base, d);
+    if (!u)
+        return NULL;
+    GByteArray *packed = wp_pb_pack(&u->base);
+    unsigned dropped = wp_config_undos_dropped(base, u->effective_ms);
+    add_put(puts, undo_key(u->revision), packed->data, packed->len);
+    for (unsigned i = 0; i < dropped; i++)
+        add_put(puts, undo_key(wp_config_undo_at(base, i)->revision), NULL, 0)
+            ->remove = true;
+    wp_pb_free(u);
+    return packed;
+}
+
+static void clear_put(gpointer p)
+{
+    WPKvOp *op = p;
+    g_free((gpointer)op->key);
+}
+
+void wp_change_write(WPKv *kv, const WPConfig *base, const Wp__Delta *d,
                      WPChangeDone done, void *arg)
 {
     Change *c = g_new0(Change, 1);
-    Wp__Delta d = WP__DELTA__INIT;
-    WPKvCompare head = { WP_KV_HEAD, read_revision };
-    g_autofree WPKvOp *puts = g_new0(WPKvOp, ops->len + 1);
+    WPKvCompare head = { WP_KV_HEAD, d->prev };
+    g_autoptr(GArray) puts = g_array_new(FALSE, TRUE, sizeof(WPKvOp));
+    g_array_set_clear_func(puts, clear_put);
     c->kv = kv;
-    c->id = g_strdup(change_id);
+    c->id = g_strdup(d->change_id);
     c->done = done;
     c->arg = arg;
-    d.prev = read_revision;
-    d.change_id = (char *)change_id;
-    d.author = (char *)author;
-    d.n_ops = ops->len;
-    d.ops = (Wp__Op **)ops->pdata;
-    g_autoptr(GByteArray) serialized = wp_pb_pack(&d.base);
-    for (guint i = 0; i < ops->len; i++) {
-        const Wp__Op *op = ops->pdata[i];
-        puts[i].key = g_strconcat(WP_KV_OBJECTS, op->key, NULL);
-        puts[i].value = wp_strn((const char *)op->value.data, op->value.len);
-        puts[i].remove = !op->has_value;
+    for (size_t i = 0; i < d->n_ops; i++) {
+        const Wp__Op *op = d->ops[i];
+        add_put(puts, g_strconcat(WP_KV_OBJECTS, op->key, NULL), op->value.data,
+                op->value.len)
+            ->remove = !op->has_value;
     }
-    puts[ops->len].key = WP_KV_HEAD;
-    puts[ops->len].value =
-        wp_strn((const char *)serialized->data, serialized->len);
-    kv->ops->txn(kv, &head, 1, puts, ops->len + 1, on_written, c);
-    for (guint i = 0; i < ops->len; i++)
-        g_free((gpointer)puts[i].key);
+    g_autoptr(GByteArray) undo = add_undo(puts, base, d);
+    g_autoptr(GByteArray) packed = wp_pb_pack(&d->base);
+    add_put(puts, g_strdup(WP_KV_HEAD), packed->data, packed->len);
+    (void)undo;
+    kv->ops->txn(kv, &head, 1, (const WPKvOp *)puts->data, puts->len,
+                 on_written, c);
 }
--- a/io/wp_change.h
+++ b/io/wp_change.h
@@ -21,10 +21,15 @@
 typedef void (*WPChangeDone)(void *arg, WPChangeResult result,
                              uint64_t revision, const char *author);
 
-/* Writes the changes `ops` (of Wp__Op; not modified) if the head is at
-   `read_revision`. Calls `done` once. */
-void wp_change_write(WPKv *kv, uint64_t read_revision, const char *change_id,
-                     const char *author, const GPtrArray *ops,
+/* Returns a change of `base` by `ops` (of Wp__Op), which it refers to, at the
+   present time `now`. All but the first change of an empty configuration are
+   recorded for sessions. Free with g_free(). */
+Wp__Delta *wp_change_new(const WPConfig *base, const GPtrArray *ops,
+                         const char *change_id, const char *author, WPTime now);
+
+/* Writes the change `d`, and what takes it back, if the head is at the revision
+   of `base`. Calls `done` once. */
+void wp_change_write(WPKv *kv, const WPConfig *base, const Wp__Delta *d,
                      WPChangeDone done, void *arg);
 
 #endif
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -10,6 +10,7 @@
 
 #define WP_KV_HEAD "/wp/config/head"
 #define WP_KV_OBJECTS "/wp/config/o/"
+#define WP_KV_UNDO "/wp/config/undo/"
 #define WP_KV_CONFIG "/wp/config/"
 #define WP_KV_CONFIG_END "/wp/config0"
 
@@ -99,7 +100,7 @@
 bool wp_kv_observe_era(WPKv *kv, const char *text);
 
 /* Converts the result of a range over WP_KV_CONFIG: the configuration's
-   objects, and as its revision that of WP_KV_HEAD. Free with wp_pb_free(). */
+   objects and undos, and as its revision that of WP_KV_HEAD. Free with wp_pb_free(). */
 Wp__Snapshot *wp_kv_snapshot(const WPKvResult *r);
 
 /* Creates a client of etcd's v3 JSON gateway. It uses one of `targets`
--- a/io/wp_rollout_control.c
+++ b/io/wp_rollout_control.c
@@ -43,7 +43,9 @@
     g_autofree char *why = NULL;
     bool stop = false;
     if (now.mono_us < s->rollout_due_us || s->rollout_writing || !kv ||
-        !wp_node_ready(n) || !wp_entry_policy(s->entry))
+        !wp_node_ready(n) || !wp_entry_policy(s->entry) ||
+        wp_policy_revision(wp_entry_policy(s->entry)) !=
+            wp_config_revision(wp_node_config(n)))
         return;
     s->rollout_due_us = now.mono_us + CONTROL_INTERVAL_US;
     wp_rollout_monitor_poll(&s->rollout_monitor, wp_entry_policy(s->entry),
@@ -61,7 +63,8 @@
         g_strdup_printf("%s-%ld", wp_node_self(n)->id, (long)now.mono_us);
     s->rollout_writing = true;
     wp_count(wp_node_counters(n), WP_C_STORE_WRITES);
-    wp_change_write(kv, wp_policy_revision(wp_entry_policy(s->entry)), id,
-                    "workspoint", ops, on_written, s);
+    const WPConfig *base = wp_node_config(n);
+    g_autofree Wp__Delta *d = wp_change_new(base, ops, id, "workspoint", now);
+    wp_change_write(kv, base, d, on_written, s);
     wp_ops_free(ops);
 }
--- a/src/wp_allow.c
+++ b/src/wp_allow.c
@@ -82,6 +82,25 @@
     return known;
 }
 
+static void keep_only_service(const WPPolicy *p, const char *service,
+                              WPVersionSet *set)
+{
+    for (unsigned i = 0; i < wp_policy_versions(p); i++) {
+        const char *s = wp_policy_version_at(p, i)->spec->service;
+        if (!s || strcmp(s, service))
+            wp_version_set_remove(set, i);
+    }
+}
+
+bool wp_policy_filter_request(const WPPolicy *p, const char *model,
+                              const char *service, WPVersionSet *set)
+{
+    if (!service)
+        return wp_policy_filter_model(p, model ? model : "auto", set);
+    keep_only_service(p, service, set);
+    return true;
+}
+
 /* One line of text on whether requests with these labels may go to the version,
    with the selectors that decide it. Free with g_free(). */
 static char *explain_version(const WPPolicy *p, const WPVersion *v,
--- a/src/wp_config.c
+++ b/src/wp_config.c
@@ -1,11 +1,13 @@
 /* Configuration objects, deltas and full copies. */
 #include "wp_config.h"
 #include "wp_pb.h"
+#include "wp_undo.h"
 
 struct WPConfig {
     uint64_t revision;
-    GTree *objects; /* key -> Wp__Object */
-    GQueue history; /* of HistoryEntry, oldest first */
+    GTree *objects;   /* key -> Wp__Object */
+    GQueue history;   /* of HistoryEntry, oldest first */
+    GPtrArray *undos; /* of Wp__Undo, oldest first */
 };
 
 typedef struct HistoryEntry {
@@ -31,6 +33,7 @@
     WPConfig *c = g_new0(WPConfig, 1);
     c->objects = g_tree_new_full(compare_keys, NULL, g_free, wp_pb_free);
     g_queue_init(&c->history);
+    c->undos = g_ptr_array_new_with_free_func(wp_pb_free);
     return c;
 }
 
@@ -40,6 +43,7 @@
         return;
     g_tree_unref(c->objects);
     g_queue_clear_full(&c->history, free_history_entry);
+    g_ptr_array_unref(c->undos);
     g_free(c);
 }
 
@@ -92,14 +96,73 @@
         free_history_entry(g_queue_pop_head(&c->history));
 }
 
+unsigned wp_config_undos(const WPConfig *c)
+{
+    return c->undos->len;
+}
+
+const Wp__Undo *wp_config_undo_at(const WPConfig *c, unsigned i)
+{
+    return c->undos->pdata[i];
+}
+
+unsigned wp_config_undos_dropped(const WPConfig *c, uint64_t effective_ms)
+{
+    unsigned n = 0;
+    while (n < MIN(c->undos->len, WP_UNDO_DROP_MAX)) {
+        const Wp__Undo *u = c->undos->pdata[n];
+        if (c->undos->len - n < WP_UNDO_MAX &&
+            u->effective_ms + WP_UNDO_KEEP_MS >= effective_ms)
+            break;
+        n++;
+    }
+    return n;
+}
+
+/* Records a change that has been applied; takes over `u`. */
+static void add_undo(WPConfig *c, Wp__Undo *u)
+{
+    unsigned dropped = wp_config_undos_dropped(c, u->effective_ms);
+    if (dropped)
+        g_ptr_array_remove_range(c->undos, 0, dropped);
+    g_ptr_array_add(c->undos, u);
+}
+
+static gboolean copy_object(gpointer key, gpointer value, gpointer arg)
+{
+    const Wp__Object *o = value;
+    WPConfig *copy = arg;
+    g_tree_replace(copy->objects, g_strdup(key), wp_pb_copy(&o->base));
+    return FALSE;
+}
+
+WPConfig *wp_config_copy(const WPConfig *c)
+{
+    WPConfig *copy = wp_config_new();
+    g_tree_foreach(c->objects, copy_object, copy);
+    copy->revision = c->revision;
+    return copy;
+}
+
+void wp_config_take_back(WPConfig *c, const Wp__Undo *u)
+{
+    store_ops(c, u->ops, u->n_ops);
+    c->revision = u->revision;
+}
+
 WPApplyResult wp_config_apply(WPConfig *c, const Wp__Delta *d)
 {
     if (d->revision <= c->revision)
         return WP_APPLY_STALE;
     if (d->prev != c->revision)
         return WP_APPLY_GAP;
-    if (!store_ops(c, d->ops, d->n_ops))
+    Wp__Undo *undo = wp_undo_of_delta(c, d);
+    if (!store_ops(c, d->ops, d->n_ops)) {
+        wp_pb_free(undo);
         return WP_APPLY_BAD;
+    }
+    if (undo)
+        add_undo(c, undo);
     c->revision = d->revision;
     append_history(c, d);
     return WP_APPLY_DONE;
@@ -118,6 +181,9 @@
     }
     g_tree_unref(old);
     g_queue_clear_full(&c->history, free_history_entry);
+    g_ptr_array_set_size(c->undos, 0);
+    for (size_t i = 0; i < s->n_undo; i++)
+        g_ptr_array_add(c->undos, wp_pb_copy(&s->undo[i]->base));
     c->revision = s->revision;
     return WP_APPLY_DONE;
 }
@@ -139,6 +205,10 @@
     g_tree_foreach(c->objects, add_op, ops);
     s->n_ops = ops->len;
     s->ops = (Wp__Op **)g_ptr_array_free(ops, FALSE);
+    s->n_undo = c->undos->len;
+    s->undo = g_new0(Wp__Undo *, s->n_undo + 1);
+    for (size_t i = 0; i < s->n_undo; i++)
+        s->undo[i] = wp_pb_copy(c->undos->pdata[i]);
     return s;
 }
 
--- a/src/wp_config.h
+++ b/src/wp_config.h
@@ -15,6 +15,14 @@
     WP_APPLY_BAD    /* cannot be decoded */
 } WPApplyResult;
 
+/* How many changes, and for how long, are kept as undos: sessions that began
+   earlier are placed as if they had begun by the oldest configuration kept. */
+enum { WP_UNDO_MAX = 256 };
+#define WP_UNDO_KEEP_MS (12 * 3600 * (uint64_t)WP_MS_PER_S)
+
+/* Number of undos that one change removes at most. */
+enum { WP_UNDO_DROP_MAX = 16 };
+
 /* Number of recent changes kept, so that boxes that lag a little behind can be
    brought up to date without a full copy. */
 enum { WP_CONFIG_HISTORY = 64 };
@@ -41,6 +49,22 @@
    back to `have`. Free with g_ptr_array_unref(). */
 GPtrArray *wp_config_deltas_since(const WPConfig *c, uint64_t have);
 
+/* The undos of recent changes, oldest first: their number, and the one at an
+   index below that number, owned by `c`. */
+unsigned wp_config_undos(const WPConfig *c);
+const Wp__Undo *wp_config_undo_at(const WPConfig *c, unsigned i);
+
+/* Returns how many of the oldest undos a change that is effective at
+   `effective_ms` (Unix ms) and is recorded removes. */
+unsigned wp_config_undos_dropped(const WPConfig *c, uint64_t effective_ms);
+
+/* Returns a copy of the objects and the revision, without undos and history. */
+WPConfig *wp_config_copy(const WPConfig *c);
+
+/* Takes back the change of `u`, which must be the last of those that are
+   recorded as undos and not taken back yet. */
+void wp_config_take_back(WPConfig *c, const Wp__Undo *u);
+
 /* Returns the object of `key`, owned by `c`, or NULL. */
 const Wp__Object *wp_config_get(const WPConfig *c, const char *key);
 
--- a/src/wp_entry.c
+++ b/src/wp_entry.c
@@ -81,8 +81,9 @@
 {
     const WPConfig *c = wp_node_config(e->node);
     if (!e->policy || wp_policy_revision(e->policy) != wp_config_revision(c)) {
-        wp_policy_unref(e->policy);
-        e->policy = wp_policy_new(c);
+        WPPolicy *old = e->policy;
+        e->policy = wp_policy_new_with_past(c, old);
+        wp_policy_unref(old);
         wp_node_set_policy(e->node, e->policy);
         update_withdrawals(e);
     }
--- a/src/wp_plan.c
+++ b/src/wp_plan.c
@@ -134,16 +134,6 @@
     r->explored = false;
 }
 
-static void keep_only_service(const WPPolicy *p, const char *service,
-                              WPVersionSet *set)
-{
-    for (unsigned i = 0; i < wp_policy_versions(p); i++) {
-        const char *s = wp_policy_version_at(p, i)->spec->service;
-        if (!s || strcmp(s, service))
-            wp_version_set_remove(set, i);
-    }
-}
-
 static void sign_token(WPEntry *e, WPTime now, WPRequest *r,
                        const Wp__SessionClaim *old, uint64_t start_ms)
 {
@@ -167,6 +157,8 @@
                          .workspace =
                              wp_policy_workspace(e->policy, r->workspace),
                          .labels = r->labels,
+                         .model = r->model,
+                         .service = r->service,
                          .now_ms = (uint64_t)now.wall_ms };
     if (e->guard_disabled[WP_GUARD_SESSION])
         return;
@@ -190,10 +182,7 @@
                            const WPKind *kind)
 {
     wp_policy_allowed(e->policy, ws, kind, r->labels, &r->allowed);
-    if (r->service)
-        keep_only_service(e->policy, r->service, &r->allowed);
-    else if (!wp_policy_filter_model(e->policy, r->model ? r->model : "auto",
-                                     &r->allowed))
+    if (!wp_policy_filter_request(e->policy, r->model, r->service, &r->allowed))
         return WP_UNKNOWN_MODEL;
     return wp_version_set_empty(&r->allowed) ? WP_NO_VERSION : WP_OK;
 }
--- a/src/wp_policy.c
+++ b/src/wp_policy.c
@@ -252,7 +252,6 @@
 WPPolicy *wp_policy_new(const WPConfig *c)
 {
     WPPolicy *p = g_new0(WPPolicy, 1);
-    Wp__Snapshot *copy = wp_config_snapshot(c);
     p->refs = 1;
     p->revision = wp_config_revision(c);
     p->versions = g_array_new(FALSE, TRUE, sizeof(WPVersion));
@@ -267,9 +266,8 @@
     p->by_key = g_hash_table_new(g_str_hash, g_str_equal);
     p->problems = g_ptr_array_new_with_free_func(g_free);
     /* The policy outlives the configuration's next change: keep a copy. */
-    p->config_copy = wp_config_new();
-    wp_config_apply_snapshot(p->config_copy, copy);
-    wp_pb_free(copy);
+    p->config_copy = wp_config_copy(c);
+    p->past = wp_past_new();
     wp_config_each(p->config_copy, add_object, p);
     compile_all(p);
     return p;
@@ -311,6 +309,7 @@
     g_hash_table_unref(p->by_key);
     g_ptr_array_unref(p->problems);
     wp_config_free(p->config_copy);
+    g_array_unref(p->past);
     g_free(p->allowed_table);
     g_free(p);
 }
--- a/src/wp_policy.h
+++ b/src/wp_policy.h
@@ -66,6 +66,21 @@
    parsed denies everything. */
 WPPolicy *wp_policy_new(const WPConfig *c);
 
+/* Like wp_policy_new(), with the policies of the configurations that the undos of
+   `c` lead back to. Those that `prev` has (NULL: none) are shared with it. */
+WPPolicy *wp_policy_new_with_past(const WPConfig *c, const WPPolicy *prev);
+
+/* A configuration that was replaced by a later one. */
+typedef struct WPPastPolicy {
+    uint64_t effective_ms; /* until when sessions began by it, Unix ms */
+    WPPolicy *policy;      /* has no past of its own */
+} WPPastPolicy;
+
+/* The past policies, oldest first: their number, and the one at an index below
+   that number, owned by `p`. */
+unsigned wp_policy_pasts(const WPPolicy *p);
+const WPPastPolicy *wp_policy_past_at(const WPPolicy *p, unsigned i);
+
 /* Takes and drops a reference. */
 WPPolicy *wp_policy_ref(WPPolicy *p);
 void wp_policy_unref(WPPolicy *p);
@@ -121,6 +136,12 @@
 bool wp_policy_filter_model(const WPPolicy *p, const char *model,
                             WPVersionSet *set);
 
+/* Removes from `set` the versions that a request to this plain service may not
+   go to or, if `service` is NULL, as wp_policy_filter_model() does; `model` NULL:
+   "auto". Returns false if no version or model has the model's name. */
+bool wp_policy_filter_request(const WPPolicy *p, const char *model,
+                              const char *service, WPVersionSet *set);
+
 /* Explains why each version may or may not serve the traffic. Returns one line
    per version (char *); free with g_ptr_array_unref(). */
 GPtrArray *wp_policy_explain(const WPPolicy *p, const WPWorkspace *ws,
--- a/src/wp_policy_int.h
+++ b/src/wp_policy_int.h
@@ -33,8 +33,12 @@
     WPVersionSet *allowed_table; /* [workspace * kinds + kind]: allowed versions
                                     of requests without labels */
     GPtrArray *problems;
+    GArray *past; /* of WPPastPolicy */
 };
 
+/* Returns an empty array of WPPastPolicy that owns the policies in it. */
+GArray *wp_past_new(void);
+
 /* Applies the rules on `target` ("model", "version", "workspace" or "request")
    to `labels` until they change nothing more. Rules match against `overrides`,
    which may be NULL, before `labels`. Returns false if rules undo each other's
--- a/src/wp_session.c
+++ b/src/wp_session.c
@@ -221,6 +221,61 @@
                         wp_hash(id, 0));
 }
 
+/* The version of the session by the policy `p`: the one named `kept`, if it is
+   in `allowed`, otherwise a new choice; -1: the set is empty. */
+static int keep_or_choose(const WPPolicy *p, const WPKind *kind,
+                          const WPVersionSet *allowed,
+                          const WPSessionQuery *query, uint64_t start_ms,
+                          const char *kept)
+{
+    const WPVersion *v = kept ? wp_policy_version(p, kept) : NULL;
+    if (v && wp_version_set_has(allowed, v->index))
+        return (int)v->index;
+    return version_by_id(p, kind, allowed, query, start_ms);
+}
+
+/* Does this by a past policy: returns the name of the version, owned by `p`;
+   NULL if it allows the session none. */
+static const char *keep_or_choose_then(const WPPolicy *p, const WPKind *kind,
+                                       const WPSessionQuery *query,
+                                       uint64_t start_ms, const char *kept)
+{
+    WPSessionQuery then = *query;
+    WPVersionSet allowed;
+    then.workspace = wp_policy_workspace(p, query->workspace->spec->name);
+    const WPKind *k = kind ? wp_policy_kind(p, kind->spec->name) : NULL;
+    if (!then.workspace || !k)
+        return NULL;
+    wp_policy_allowed(p, then.workspace, k, query->labels, &allowed);
+    if (!wp_policy_filter_request(p, query->model, query->service, &allowed))
+        return NULL;
+    int i = keep_or_choose(p, k, &allowed, &then, start_ms, kept);
+    return i < 0 ? NULL : wp_policy_version_at(p, (unsigned)i)->spec->name;
+}
+
+/* The index of the past policy that was in force at `at_ms`; the number of past
+   policies: the present one was. */
+static unsigned past_at(const WPPolicy *p, uint64_t at_ms)
+{
+    unsigned i = wp_policy_pasts(p);
+    while (i > 0 && wp_policy_past_at(p, i - 1)->effective_ms > at_ms)
+        i--;
+    return i;
+}
+
+/* Chooses by the configuration in force when the session began, and again by
+   each later one that does not allow the version any more. */
+static int place_by_id(const WPPolicy *p, const WPKind *kind,
+                       const WPVersionSet *allowed, const WPSessionQuery *query,
+                       uint64_t start_ms)
+{
+    const char *kept = NULL;
+    for (unsigned i = past_at(p, start_ms); i < wp_policy_pasts(p); i++)
+        kept = keep_or_choose_then(wp_policy_past_at(p, i)->policy, kind, query,
+                                   start_ms, kept);
+    return keep_or_choose(p, kind, allowed, query, start_ms, kept);
+}
+
 /* Places a session on the version of its claim, or, if that may not serve it or
    was withdrawn since the session began, on one of the others, chosen by hash.
  */
@@ -264,7 +319,7 @@
     uint64_t start = wp_uuid7_ms(query->id);
     if (start > query->now_ms + WP_SESSION_SKEW_MS)
         start = 0;
-    out.version = version_by_id(p, kind, allowed, query, start);
+    out.version = place_by_id(p, kind, allowed, query, start);
     out.start_ms = start ? start : query->now_ms;
     return out;
 }
--- a/src/wp_session.h
+++ b/src/wp_session.h
@@ -27,6 +27,8 @@
     WPStr id;                      /* the caller's own session id, or empty */
     const WPWorkspace *workspace;
     const WPLabels *labels; /* the request's; may be NULL */
+    const char *model;      /* that the request names; NULL: any */
+    const char *service;    /* plain service that it is for, or NULL */
     uint64_t now_ms;        /* Unix ms */
 } WPSessionQuery;
 
@@ -37,7 +39,9 @@
 } WPSessionPlacement;
 
 /* Returns the version of this session out of `allowed`; the same at every box
-   that has the same configuration revision. */
+   that has the same configuration revision. A session that has only an id gets
+   the version that the configuration in force when it began gives, and keeps it
+   through each later one that allows it. */
 WPSessionPlacement wp_session_place(const WPPolicy *p, const WPKind *kind,
                                     const WPVersionSet *allowed,
                                     const WPSessionQuery *query);
