Shifts: failures are judged route by route, pooled over boxes

Boxes compare failures over all routes, 62 of 566, so that 86 failures of 443 on a sound route say nothing; and 3 failures of 7 of the fragile route held the shift back for 2.4 s, beyond its time.

Change: reports carry the routes with the most failures (hash, four numbers); failures are expected route by route; a route on which the old version's failures are known suffices for a verdict.

Evidence: test_canary_judge, two tests that fail on the code before.

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4431,7 +4431,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[22] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[24] =
 {
   {
     "service",
@@ -4697,6 +4697,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "route",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MoveSums, n_route),
+    offsetof(Wp__MoveSums, route),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route_counts",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, n_route_counts),
+    offsetof(Wp__MoveSums, route_counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -4715,6 +4739,8 @@
   5,   /* field[5] = old_running */
   12,   /* field[12] = open */
   1,   /* field[1] = order */
+  22,   /* field[22] = route */
+  23,   /* field[23] = route_counts */
   0,   /* field[0] = service */
   4,   /* field[4] = slow */
   19,   /* field[19] = slow_spread */
@@ -4725,7 +4751,7 @@
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4735,7 +4761,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  22,
+  24,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -733,10 +733,18 @@
    */
   protobuf_c_boolean has_old_failed;
   uint32_t old_failed;
+  /*
+   * The routes with the most failures: hash of the name, and for each four numbers:
+   * answers of the new version, those that failed, and the same of the old one.
+   */
+  size_t n_route;
+  uint64_t *route;
+  size_t n_route_counts;
+  uint32_t *route_counts;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -94,9 +94,10 @@
     if (sh->state != WP_SHIFT_RUNNING || d->n_moves == WP_DIGEST_SHIFTS_MAX)
         return;
     WPCanarySums own = wp_canary_own_sums(&sh->canary);
-    Wp__MoveSums *m = &f->sync->sums[d->n_moves];
+    WPShiftSums *sums = &f->sync->sums[d->n_moves];
+    Wp__MoveSums *m = &sums->message;
     f->sync->sums_list[d->n_moves++] = m;
-    wp_shift_sums_encode(sh, f->sync->incarnation, &own, m);
+    wp_shift_sums_encode(sh, f->sync->incarnation, &own, sums);
     m->has_elapsed_ms = wp_elapsed_started(&sh->elapsed);
     m->elapsed_ms = (uint64_t)wp_elapsed_ms(&sh->elapsed, f->now);
     m->has_open = 1;
--- a/io/wp_shift_records.c
+++ b/io/wp_shift_records.c
@@ -48,9 +48,38 @@
     g_free(v);
 }
 
+static void encode_routes(const WPCanarySums *v, WPShiftSums *out)
+{
+    uint32_t *count = out->route_counts;
+    for (unsigned i = 0; i < v->n_routes; i++) {
+        const WPCanaryRoute *r = &v->routes[i];
+        out->routes[i] = r->name_hash;
+        *count++ = r->answered;
+        *count++ = r->failed;
+        *count++ = r->old_answered;
+        *count++ = r->old_failed;
+    }
+    out->message.n_route = v->n_routes;
+    out->message.route = out->routes;
+    out->message.n_route_counts = (size_t)(count - out->route_counts);
+    out->message.route_counts = out->route_counts;
+}
+
+static void decode_routes(const Wp__MoveSums *m, WPCanarySums *out)
+{
+    size_t n = MIN(m->n_route, m->n_route_counts / WP_SHIFT_ROUTE_COUNTS);
+    for (size_t i = 0; i < n; i++) {
+        const uint32_t *count = &m->route_counts[i * WP_SHIFT_ROUTE_COUNTS];
+        const WPCanaryRoute r = { m->route[i], count[0], count[1], count[2],
+                                  count[3] };
+        wp_canary_sums_add_route(out, &r);
+    }
+}
+
 void wp_shift_sums_encode(const WPShift *sh, uint64_t incarnation,
-                          const WPCanarySums *v, Wp__MoveSums *m)
+                          const WPCanarySums *v, WPShiftSums *out)
 {
+    Wp__MoveSums *m = &out->message;
     wp__move_sums__init(m);
     m->service = sh->service;
     m->order = wp_shift_order_id(sh);
@@ -77,25 +106,28 @@
     m->has_old_answered = m->has_old_failed = 1;
     m->old_answered = v->old_answered;
     m->old_failed = v->old_failed;
+    encode_routes(v, out);
 }
 
 WPCanarySums wp_shift_sums_decode(const Wp__MoveSums *m)
 {
-    return (WPCanarySums){ .answered = m->answered,
-                           .failed = m->failed,
-                           .timed = m->timed,
-                           .slow = m->slow,
-                           .fast = m->fast,
-                           .utilization_permille = m->taken,
-                           .ratio_timed = m->wholes,
-                           .ratio_slow = m->far,
-                           .loaded = m->loaded,
-                           .loaded_failed = m->loaded_failed,
-                           .loaded_bad_replicas = m->loaded_bad,
-                           .failures_widespread = m->fails_spread,
-                           .slowness_widespread = m->slow_spread,
-                           .old_answered = m->old_answered,
-                           .old_failed = m->old_failed };
+    WPCanarySums v = { .answered = m->answered,
+                       .failed = m->failed,
+                       .timed = m->timed,
+                       .slow = m->slow,
+                       .fast = m->fast,
+                       .utilization_permille = m->taken,
+                       .ratio_timed = m->wholes,
+                       .ratio_slow = m->far,
+                       .loaded = m->loaded,
+                       .loaded_failed = m->loaded_failed,
+                       .loaded_bad_replicas = m->loaded_bad,
+                       .failures_widespread = m->fails_spread,
+                       .slowness_widespread = m->slow_spread,
+                       .old_answered = m->old_answered,
+                       .old_failed = m->old_failed };
+    decode_routes(m, &v);
+    return v;
 }
 
 /* The write of a shift record has ended: applies the record, or, after a
@@ -121,7 +153,8 @@
 /* The incarnations of this box in one record. */
 typedef struct Incarnations {
     const WPShift *shift;
-    Wp__MoveSums sums[INCARNATIONS_MAX], *list[INCARNATIONS_MAX];
+    WPShiftSums sums[INCARNATIONS_MAX];
+    Wp__MoveSums *list[INCARNATIONS_MAX];
     size_t n;
 } Incarnations;
 
@@ -132,7 +165,7 @@
         return;
     wp_shift_sums_encode(all->shift, l->incarnation, &l->sums,
                          &all->sums[all->n]);
-    all->list[all->n] = &all->sums[all->n];
+    all->list[all->n] = &all->sums[all->n].message;
     all->n++;
 }
 
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -28,6 +28,16 @@
     WP_DIGEST_PREFIXES_MAX = 128
 };
 
+/* Numbers in a message for each route (MoveSums.route_counts). */
+enum { WP_SHIFT_ROUTE_COUNTS = 4 };
+
+/* A message with the memory that it points to. */
+typedef struct WPShiftSums {
+    Wp__MoveSums message;
+    uint64_t routes[WP_CANARY_ROUTES_MAX];
+    uint32_t route_counts[WP_CANARY_ROUTES_MAX * WP_SHIFT_ROUTE_COUNTS];
+} WPShiftSums;
+
 /* An entry that a transaction writes. */
 typedef struct WPSyncWrite {
     char *key;
@@ -36,7 +46,8 @@
 
 struct WPSync {
     /* Memory that the next digest points to. */
-    Wp__MoveSums sums[WP_DIGEST_SHIFTS_MAX], *sums_list[WP_DIGEST_SHIFTS_MAX];
+    WPShiftSums sums[WP_DIGEST_SHIFTS_MAX];
+    Wp__MoveSums *sums_list[WP_DIGEST_SHIFTS_MAX];
     uint64_t bound[WP_DIGEST_SESSIONS_MAX], moved[WP_DIGEST_SESSIONS_MAX];
     uint64_t retired[WP_DIGEST_SESSIONS_MAX];
     uint64_t prefix_replicas[WP_DIGEST_PREFIXES_MAX],
@@ -190,7 +201,7 @@
 /* Converts the counts that one incarnation has observed of a shift to the
    wire format. */
 void wp_shift_sums_encode(const WPShift *sh, uint64_t incarnation,
-                          const WPCanarySums *v, Wp__MoveSums *out);
+                          const WPCanarySums *v, WPShiftSums *out);
 
 /* Converts such counts from the wire format. */
 WPCanarySums wp_shift_sums_decode(const Wp__MoveSums *m);
--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -128,6 +128,36 @@
            bad >= MIN_BAD_REPLICA_SHARE * n_replicas;
 }
 
+static WPCanaryRoute own_route(const WPCanary *c, const char *name)
+{
+    const WPCanarySums *v = g_hash_table_lookup(c->new_by_route, name);
+    const WPCanarySums *old = g_hash_table_lookup(c->old_by_route, name);
+    return (WPCanaryRoute){ .name_hash = wp_canary_route_hash(name),
+                            .answered = v ? v->answered : 0,
+                            .failed = v ? v->failed : 0,
+                            .old_answered = old ? old->answered : 0,
+                            .old_failed = old ? old->failed : 0 };
+}
+
+/* Adds this box's routes to its own sums. */
+static void add_own_routes(const WPCanary *c, WPCanarySums *sum)
+{
+    GHashTableIter it;
+    gpointer name;
+    g_hash_table_iter_init(&it, c->new_by_route);
+    while (g_hash_table_iter_next(&it, &name, NULL)) {
+        WPCanaryRoute r = own_route(c, name);
+        wp_canary_sums_add_route(sum, &r);
+    }
+    g_hash_table_iter_init(&it, c->old_by_route);
+    while (g_hash_table_iter_next(&it, &name, NULL)) {
+        if (g_hash_table_contains(c->new_by_route, name))
+            continue;
+        WPCanaryRoute r = own_route(c, name);
+        wp_canary_sums_add_route(sum, &r);
+    }
+}
+
 WPCanarySums wp_canary_own_sums(const WPCanary *c)
 {
     WPCanarySums sum = total(c->new_by_route),
@@ -142,6 +172,7 @@
     WPCanarySums old = total(c->old_by_route);
     sum.old_answered = old.answered;
     sum.old_failed = old.failed;
+    add_own_routes(c, &sum);
     sum.failures_widespread = is_widespread(c, WP_VERSION_FAULT_FAILS);
     sum.slowness_widespread = is_widespread(c, WP_VERSION_FAULT_SLOW);
     return sum;
@@ -226,6 +257,15 @@
                                    new_sums.loaded_bad_replicas);
         return true;
     }
+    const WPCanaryRoute *failing = wp_canary_sums_failing_route(&new_sums);
+    if (failing && failures) {
+        if (why)
+            *why = g_strdup_printf(
+                "route=%016lx new=%u/%u failed; old=%u/%u failed",
+                (unsigned long)failing->name_hash, failing->failed,
+                failing->answered, failing->old_failed, failing->old_answered);
+        return true;
+    }
     WPVersionFault fault = wp_canary_judge(&new_sums, &old_sums, beside);
     if (fault == WP_VERSION_FAULT_NONE)
         fault = find_route_fault(c, beside, &route, &new_sums);
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -58,6 +58,10 @@
 #define MIN_OLD_TIMED 20
 #define MAX_UNTIMED 40
 
+/* With this many answers of the old version on a route, the new version may be
+   judged by this route alone. */
+#define MIN_OLD_ANSWERED 20
+
 /* A version that fails is assumed to have a failure rate this much above that
    of a good one: the smallest difference that was simulated. */
 #define EXTRA_FAILURE_RATE 0.15
@@ -97,8 +101,46 @@
     v->utilization_permille += (uint64_t)(a->utilization * PERMILLE);
 }
 
+uint64_t wp_canary_route_hash(const char *name)
+{
+    return wp_hash(wp_str(name), 0);
+}
+
+static void route_add(WPCanaryRoute *to, const WPCanaryRoute *r)
+{
+    to->answered += r->answered;
+    to->failed += r->failed;
+    to->old_answered += r->old_answered;
+    to->old_failed += r->old_failed;
+}
+
+static uint32_t failures(const WPCanaryRoute *r)
+{
+    return r->failed + r->old_failed;
+}
+
+void wp_canary_sums_add_route(WPCanarySums *v, const WPCanaryRoute *r)
+{
+    WPCanaryRoute *fewest = NULL;
+    for (unsigned i = 0; i < v->n_routes; i++) {
+        WPCanaryRoute *known = &v->routes[i];
+        if (known->name_hash == r->name_hash) {
+            route_add(known, r);
+            return;
+        }
+        if (!fewest || failures(known) < failures(fewest))
+            fewest = known;
+    }
+    if (v->n_routes < WP_CANARY_ROUTES_MAX)
+        v->routes[v->n_routes++] = *r;
+    else if (failures(fewest) < failures(r))
+        *fewest = *r;
+}
+
 void wp_canary_sums_add(WPCanarySums *to, const WPCanarySums *v)
 {
+    for (unsigned i = 0; i < v->n_routes; i++)
+        wp_canary_sums_add_route(to, &v->routes[i]);
     to->loaded += v->loaded;
     to->loaded_failed += v->loaded_failed;
     to->loaded_bad_replicas =
@@ -123,20 +165,64 @@
     return n ? (double)part / n : 0;
 }
 
-/* Whether `bad` of `n` answers are significantly more than the old version's
-   rate of `old_bad` of `old_n` makes expected. Without answers of the old
-   version, its rate is taken to be one in a hundred. */
-static bool too_many(uint32_t bad, uint32_t n, uint32_t old_bad, uint32_t old_n)
+/* Number of routes that `v` tells apart. A single one is not told apart from
+   answers whose route is not known. */
+static unsigned known_routes(const WPCanarySums *v)
+{
+    return v->n_routes > 1 ? v->n_routes : 0;
+}
+
+/* The answers of `v` and `old` on the routes that `v` does not tell apart. */
+static WPCanaryRoute other_routes(const WPCanarySums *v,
+                                  const WPCanarySums *old)
+{
+    WPCanaryRoute out = { 0, v->answered, v->failed, old->answered,
+                          old->failed };
+    for (unsigned i = 0; i < known_routes(v); i++) {
+        const WPCanaryRoute *r = &v->routes[i];
+        out.answered -= MIN(out.answered, r->answered);
+        out.failed -= MIN(out.failed, r->failed);
+        out.old_answered -= MIN(out.old_answered, r->old_answered);
+        out.old_failed -= MIN(out.old_failed, r->old_failed);
+    }
+    return out;
+}
+
+/* The old version's failure rate on a route. Without answers of the old version
+   it is taken to be one in a hundred. */
+static double good_rate(const WPCanaryRoute *r)
+{
+    return (r->old_failed + 1.0) / (r->old_answered + PRIOR_ANSWERS);
+}
+
+/* Whether `bad` failures are significantly more than `expected`. */
+static bool too_many(uint32_t bad, double expected)
 {
-    double expected = n * (old_bad + 1.0) / (old_n + PRIOR_ANSWERS);
     bool significant =
         bad >= MIN_BAD && bad > expected + DEVIATIONS * sqrt(expected);
     return significant || (bad >= FEW_BAD && expected < FEW_EXPECTED);
 }
 
+/* Failures are expected route by route: requests that fail whatever serves them
+   come by few routes. */
 static bool fails(const WPCanarySums *v, const WPCanarySums *old)
 {
-    return too_many(v->failed, v->answered, old->failed, old->answered);
+    WPCanaryRoute others = other_routes(v, old);
+    double expected = others.answered * good_rate(&others);
+    for (unsigned i = 0; i < known_routes(v); i++)
+        expected += v->routes[i].answered * good_rate(&v->routes[i]);
+    return too_many(v->failed, expected);
+}
+
+const WPCanaryRoute *wp_canary_sums_failing_route(const WPCanarySums *v)
+{
+    for (unsigned i = 0; i < v->n_routes; i++) {
+        const WPCanaryRoute *r = &v->routes[i];
+        if (r->old_answered >= MIN_OLD_ANSWERED &&
+            too_many(r->failed, r->answered * good_rate(r)))
+            return r;
+    }
+    return NULL;
 }
 
 /* Whether most answers are slow, and significantly more than expected from the
@@ -189,16 +275,24 @@
                log((1 - RATIO_SLOW_SHARE_BAD) / (1 - RATIO_SLOW_SHARE_GOOD));
 }
 
+/* Log odds of a version that fails against a good one, by one route. */
+static double failure_log_odds(const WPCanaryRoute *r)
+{
+    double good = good_rate(r);
+    double bad = MIN(good + EXTRA_FAILURE_RATE, 1 - EXTRA_FAILURE_RATE);
+    return r->failed * log(bad / good) +
+           (r->answered - r->failed) * log((1 - bad) / (1 - good));
+}
+
 /* Guards against completing a shift on uncertain statistics: three failures of
    some thirty answers, where the old version had none in hundreds, are too few
    for a decision after a start. */
 bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old)
 {
-    double good = (old->failed + 1.0) / (old->answered + PRIOR_ANSWERS);
-    double bad = MIN(good + EXTRA_FAILURE_RATE, 1 - EXTRA_FAILURE_RATE);
-    double log_odds_bad =
-        v->failed * log(bad / good) +
-        (v->answered - v->failed) * log((1 - bad) / (1 - good));
+    WPCanaryRoute others = other_routes(v, old);
+    double log_odds_bad = failure_log_odds(&others);
+    for (unsigned i = 0; i < known_routes(v); i++)
+        log_odds_bad += failure_log_odds(&v->routes[i]);
     return v->failed && log_odds_bad > 0;
 }
 
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -5,6 +5,17 @@
 
 #include "wp_base.h"
 
+/* Answers of one route: of the new version and of the old one at the same boxes,
+   and those of them that failed. */
+typedef struct WPCanaryRoute {
+    uint64_t name_hash; /* wp_canary_route_hash() of the route's name */
+    uint32_t answered, failed;
+    uint32_t old_answered, old_failed;
+} WPCanaryRoute;
+
+/* Number of routes that sums tell apart. */
+enum { WP_CANARY_ROUTES_MAX = 16 };
+
 /* Statistics of a group of answers. Those of several boxes can be added. */
 typedef struct WPCanarySums {
     uint32_t answered, failed;
@@ -29,8 +40,18 @@
     /* In the sums of a new version: answers of the old version at the same
        boxes, and those of them that failed. */
     uint32_t old_answered, old_failed;
+    /* Of these and of `answered`: the routes with the most failures. */
+    WPCanaryRoute routes[WP_CANARY_ROUTES_MAX];
+    unsigned n_routes;
 } WPCanarySums;
 
+/* Returns the hash by which boxes name a route to each other. */
+uint64_t wp_canary_route_hash(const char *name);
+
+/* Adds the answers of a route to the routes of `v`; the one with the fewest
+   failures is left out if there are too many. */
+void wp_canary_sums_add_route(WPCanarySums *v, const WPCanaryRoute *r);
+
 /* Class of an answer's time, compared with the times of the old version. */
 typedef enum WPAnswerTime {
     WP_TIME_UNKNOWN, /* not counted: the endpoint was too busy, or too few times
@@ -79,9 +100,12 @@
 WPVersionFault wp_canary_judge(const WPCanarySums *v, const WPCanarySums *old,
                                bool beside);
 
+/* Returns the route on which alone the new version fails, where the old version's
+   failures on that route are known; NULL: there is none. */
+const WPCanaryRoute *wp_canary_sums_failing_route(const WPCanarySums *v);
+
 /* Whether the failures are more likely from a version that fails than from a
-   good one. wp_canary_judge() takes
-   more. */
+   good one. wp_canary_judge() takes more. */
 bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old);
 
 /* Whether the answers are more likely from a slow version than from a good one,
--- a/tests/test_canary_judge.c
+++ b/tests/test_canary_judge.c
@@ -110,6 +110,65 @@
     fake_end(&k);
 }
 
+/* Records the answers of one box: of old version 180 on a route that often
+   fails and 230 on another, of the new one 7 and `n`, `failed` of which fail.
+ */
+static void record_two_routes(WPShift *sh, unsigned n, unsigned failed)
+{
+    record_answers(sh, "v1", "l1", "fragile", 180, 40, 0);
+    record_answers(sh, "v1", "l2", "sound", 230, 0, 0);
+    record_answers(sh, "v2", "n1", "fragile", 7, 3, 0);
+    record_answers(sh, "v2", "n1", "sound", n / 2, failed / 2, 0);
+    record_answers(sh, "v2", "n2", "sound", n - n / 2, failed - failed / 2, 0);
+}
+
+/* Guards against failures of one route that hide those of all others. */
+static void failures_on_a_sound_route_show_beside_a_fragile_one(void **state)
+{
+    Fake k, other;
+    (void)state;
+    fake_init(&k);
+    fake_init(&other);
+    WPShift *sh = start_shift(&k), *sh_other = start_shift(&other);
+    record_two_routes(sh, 12, 2);
+    record_two_routes(sh_other, 12, 3);
+    WPCanarySums told = wp_canary_own_sums(&sh_other->canary);
+    assert_false(wp_canary_is_bad(&sh->canary, true, NULL));
+    assert_true(wp_canary_may_fail(&sh->canary));
+    wp_canary_merge_report(&sh->canary, "other", 1, &told);
+    assert_true(wp_canary_is_bad(&sh->canary, true, NULL));
+    fake_end(&k);
+    fake_end(&other);
+}
+
+/* Guards against holding back a good version for requests that fail on any
+   version. */
+static void failures_on_a_fragile_route_alone_raise_no_doubt(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = start_shift(&k);
+    record_two_routes(sh, 14, 0);
+    assert_false(wp_canary_may_fail(&sh->canary));
+    assert_false(wp_canary_is_bad(&sh->canary, true, NULL));
+    fake_end(&k);
+}
+
+/* Boxes keep as many routes as they can tell each other of: those with the most
+   failures. */
+static void routes_with_the_most_failures_are_kept(void **state)
+{
+    WPCanarySums v = { 0 };
+    (void)state;
+    for (uint32_t i = 0; i < 2 * WP_CANARY_ROUTES_MAX; i++)
+        wp_canary_sums_add_route(
+            &v, &(WPCanaryRoute){ .name_hash = i, .answered = i, .failed = i });
+    assert_int_equal(v.n_routes, WP_CANARY_ROUTES_MAX);
+    for (unsigned i = 0; i < v.n_routes; i++)
+        assert_true(v.routes[i].failed >= WP_CANARY_ROUTES_MAX);
+}
+
 enum { LONG_MS = 3600 * WP_MS_PER_S };
 
 /* Serves one request at an endpoint of the version, with events `gap_ms`
@@ -495,6 +554,9 @@
            T(few_slow_answers_are_a_doubt), T(bad_version_is_rolled_back),
            T(version_is_bad_if_slow_or_failing_on_one_route),
            T(good_version_is_not_found_bad),
+           T(failures_on_a_sound_route_show_beside_a_fragile_one),
+           T(failures_on_a_fragile_route_alone_raise_no_doubt),
+           T(routes_with_the_most_failures_are_kept),
            T(version_is_bad_if_its_events_come_slowly),
            T(version_is_bad_if_loaded_replicas_fail),
            T(loaded_replica_may_be_slow),
