Shifts of plain services: failures compared with the old version, endpoints filled at the end

Change: a request of no session is tried on the old version next, and is not counted if it fails there too; in the last stage requests of no session fill one endpoint to 0.7 before the next; several failures hold back the completion until a good version is by far the likelier cause.

--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -215,6 +215,13 @@
     return wp_canary_sums_may_fail(&new_sums, &old_sums);
 }
 
+bool wp_canary_is_not_sound(const WPCanary *c)
+{
+    WPCanarySums new_sums = wp_canary_pooled_sums(c),
+                 old_sums = wp_canary_old_sums(c);
+    return wp_canary_sums_not_sound(&new_sums, &old_sums);
+}
+
 bool wp_canary_has_enough_answers(const WPCanary *c)
 {
     WPCanarySums new_sums = wp_canary_pooled_sums(c),
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -38,6 +38,10 @@
    as slow. The highest value of a good version in simulations was 1. */
 #define LOG_ODDS_SLOW 6.0
 
+/* Log odds of a good version against one that fails from which on a shift may be
+   completed. Another box may know of a failure more at that moment. */
+#define LOG_ODDS_SOUND 2.0
+
 /* The new version's endpoints are less loaded if their mean utilization is
    below this part of the old version's. */
 #define LESS_LOADED 0.5
@@ -287,13 +291,24 @@
 /* Guards against completing a shift on uncertain statistics: three failures of
    some thirty answers, where the old version had none in hundreds, are too few
    for a decision after a start. */
-bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old)
+static double all_failures_log_odds(const WPCanarySums *v,
+                                    const WPCanarySums *old)
 {
     WPCanaryRoute others = other_routes(v, old);
-    double log_odds_bad = failure_log_odds(&others);
+    double sum = failure_log_odds(&others);
     for (unsigned i = 0; i < known_routes(v); i++)
-        log_odds_bad += failure_log_odds(&v->routes[i]);
-    return v->failed && log_odds_bad > 0;
+        sum += failure_log_odds(&v->routes[i]);
+    return sum;
+}
+
+bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old)
+{
+    return v->failed && all_failures_log_odds(v, old) > 0;
+}
+
+bool wp_canary_sums_not_sound(const WPCanarySums *v, const WPCanarySums *old)
+{
+    return v->failed > 1 && all_failures_log_odds(v, old) > -LOG_ODDS_SOUND;
 }
 
 bool wp_canary_sums_may_be_slow(const WPCanarySums *v, const WPCanarySums *old)
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -108,6 +108,10 @@
    good one. wp_canary_judge() takes more. */
 bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old);
 
+/* Whether there are several failures, and a good version is not by far the more
+   likely one to have them. */
+bool wp_canary_sums_not_sound(const WPCanarySums *v, const WPCanarySums *old);
+
 /* Whether the answers are more likely from a slow version than from a good one,
    or there are many without a single time although the old version's answers
    have times. */
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -250,6 +250,11 @@
     /* when the last event of its stream came; 0: none has */
     int64_t last_event_us;
     int64_t max_gap_us; /* the longest time between two events */
+    /* Endpoint of a shift's new version that it failed at, not counted yet: an
+       attempt on the old version shows whether it fails there too. A reference;
+       NULL: none. */
+    WPReplica *canary_failure;
+    bool canary_failure_loaded; /* that endpoint was loaded */
     char *fails_loaded; /* a version that this request has shown to fail under
                            load, on half-full endpoints; to be reported, NULL:
                            none */
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -109,6 +109,7 @@
     /* Endpoints that have crashed during this request. */
     unsigned endpoint_losses;
     int priority;  /* 0 is the most urgent */
+    bool fill;     /* rather few endpoints half full than all less */
     double random; /* of the request, uniform in [0, 1) */
     /* The only areas where the request may be served, by its route and by its
        caller: of char *; NULL or empty: all areas. */
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -30,6 +30,12 @@
    as running requests go on for seconds. */
 #define REDUCE_LOAD_FROM 0.3
 
+/* With `fill`: bonus of endpoints below FILL_TO, larger the fuller they are.
+   Boxes prefer the same one of those that are empty by FILL_ORDER_BONUS. */
+#define FILL_TO 0.7
+#define FILL_BONUS 4.0
+#define FILL_ORDER_BONUS 1.0
+
 /* A request during which two endpoints have crashed goes to the endpoint with
    the fewest requests: if that crashes too, fewer other requests lose their
    endpoint. */
@@ -89,6 +95,14 @@
                : f->rules.slow_weight * (s->latency_ratio - 1);
 }
 
+static double fill_bonus(const WPReplica *s, double utilization)
+{
+    if (utilization + 1.0 / MAX(s->slots, 1) > FILL_TO)
+        return 0;
+    double order = (double)s->id_hash / (double)UINT64_MAX;
+    return FILL_BONUS * (1 + utilization) + FILL_ORDER_BONUS * order;
+}
+
 /* The cost of sending the request to the endpoint, in score units; the lowest
    is best. `cached`: tokens of the prompt in its prefix cache. `affine`: it is
    the affinity replica of the prompt. */
@@ -105,6 +119,8 @@
          wp_fleet_fail_rate(s, now);
     v += latency_cost(f, s);
     v += JITTER * g_rand_double(f->rand);
+    if (q->fill)
+        v -= fill_bonus(s, wp_fleet_utilization(s, now));
     if (q->endpoint_losses >= SUSPECT_FROM)
         v += SUSPECT_WEIGHT * wp_fleet_utilization(s, now);
     if (s->avoid_until_us > now.mono_us)
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -585,6 +585,7 @@
         return;
     for (size_t i = 0; i < f->n_tried; i++)
         wp_replica_unref(f->tried[i]);
+    wp_flow_settle_canary_failure(f, true);
     wp_routes_unref(f->routes);
     g_free(f->id);
     g_free(f->model);
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -104,6 +104,33 @@
         wp_ttfb_add(v, &f->attempt.ttfb_inputs, took_us);
 }
 
+/* Whether a failure on the new version can be compared with an attempt on the
+   old one. Sessions stay on the new version. */
+static bool is_comparable(const WPFlow *f)
+{
+    return !f->session && !f->canary_failure && wp_flow_is_retryable(f);
+}
+
+void wp_flow_settle_canary_failure(WPFlow *f, bool counts)
+{
+    WPReplica *s = f->canary_failure;
+    if (!s)
+        return;
+    WPShift *sh = wp_flow_shift(f);
+    if (sh && counts && sh->state == WP_SHIFT_RUNNING &&
+        !strcmp(s->version, sh->version)) {
+        const WPCanaryAnswer a = { .version = s->version,
+                                   .replica = s->id,
+                                   .route = f->route->name,
+                                   .failed = true };
+        if (f->canary_failure_loaded)
+            wp_canary_record_loaded(&sh->canary, s->id, true);
+        wp_shift_record_answer(sh, &a);
+    }
+    f->canary_failure = NULL;
+    wp_replica_unref(s);
+}
+
 void wp_flow_sample_shift(WPFlow *f, bool failed, WPAnswerTime time)
 {
     WPShift *sh = wp_flow_shift(f);
@@ -112,7 +139,17 @@
     f->attempt.sampled = true;
     if (!sh || sh->state != WP_SHIFT_RUNNING)
         return;
-    if (is_canary(f) && f->attempt.loaded)
+    bool canary = is_canary(f);
+    if (canary && failed && is_comparable(f)) {
+        f->canary_failure = wp_replica_ref(f->attempt.replica);
+        f->canary_failure_loaded = f->attempt.loaded;
+        return;
+    }
+    /* A request that fails on the old version too says nothing of the new one.
+     */
+    if (!canary)
+        wp_flow_settle_canary_failure(f, !failed);
+    if (canary && f->attempt.loaded)
         wp_canary_record_loaded(&sh->canary, f->attempt.replica->id, failed);
     const WPCanaryAnswer a = { .version = f->attempt.replica->version,
                                .replica = f->attempt.replica->id,
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -115,10 +115,14 @@
     bool new_side = wp_shift_routes_to_new(
         d->shifts, sh, now, wp_direct_shift_position(d, now, sh, f->position),
         last);
-    if (new_side)
+    if (f->canary_failure)
+        new_side = false;
+    if (new_side) {
         w.version = sh->version;
-    else
+        w.fill = !w.prompt && wp_shift_stage(d->shifts, sh, now)->share >= 1;
+    } else {
         w.allowed = is_other_version_allowed;
+    }
     WPReplica *s = wp_fleet_choose(d->fleet, now, &w);
     bool bound = !new_side || last;
     *stays = !s && bound && !f->answer_started &&
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -434,6 +434,9 @@
     if (wp_canary_may_fail(&sh->canary))
         return "the failures are more likely from a bad version than from a "
                "good one";
+    if (stage->final && wp_canary_is_not_sound(&sh->canary))
+        return "too few answers are known to call the failures those of a good "
+               "version";
     if (!stage->final && wp_canary_may_be_slow(&sh->canary))
         return "the answers are more likely from a slow version than from a "
                "good one";
