Sessions on a retired version: boxes pass on what they hear of them

Cause: such updates were sent only by the box that had served the session, to the boxes it is linked to, which are not all boxes of other zones; a box that heard one passed it on as a session bound to the old version, which by then is v2.

Change: updates of retired versions are passed on as such, once.

--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -262,9 +262,11 @@
 static bool is_unsent(const WPDirect *d, WPTime now, WPSessionUpdate what,
                       const WPSessionRecord *record)
 {
-    if (what == WP_SESSION_UPDATE_RETIRED)
-        return record->served_here && !record->sent_retired &&
-               wp_shifts_any_retired(d->shifts, record->version);
+    bool retired = strcmp(record->version, WP_VERSION_OLD) &&
+                   wp_shifts_any_retired(d->shifts, record->version);
+    if (what == WP_SESSION_UPDATE_RETIRED || retired)
+        return what == WP_SESSION_UPDATE_RETIRED && retired &&
+               !record->sent_retired;
     bool moved = what == WP_SESSION_UPDATE_MOVED;
     return !record->sent && is_new_version(d, record->version) == moved &&
            needs_sending(d, now, record->session, moved);
@@ -327,10 +329,13 @@
     if (what == WP_SESSION_UPDATE_MOVED)
         wp_shifts_each(d->shifts, find_target, &version);
     bool recent = record && age_us < RESEND_US;
+    bool recently_retired =
+        recent && !strcmp(record->version, WP_VERSION_RETIRED);
     wp_direct_record_session(d, now, session, version);
     record = g_hash_table_lookup(d->sessions, &session);
     record->served_here = false;
     /* It is sent on, for boxes that are linked to this one and not to the
        sender. An update that comes back is known by then, and stops here. */
     record->sent = recent;
+    record->sent_retired = recently_retired;
 }
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -486,6 +486,51 @@
     fake_end(&there);
 }
 
+/* Guards against a session that boxes of other zones, which hear of it from a
+   third box, send to the version that serves. */
+static void sessions_on_a_retired_version_are_passed_on(void **state)
+{
+    const WPShiftOrder next = { "llm", "v3", DURATION_MS, 20 };
+    Fake box[3]; /* the first serves the session, the last hears from the second
+                  */
+    uint64_t updates[8];
+    WPFlowAction m;
+    (void)state;
+    for (int i = 0; i < 3; i++) {
+        fake_init(&box[i]);
+        start_shift(&box[i]);
+        if (i == 0)
+            assert_string_equal(serving_version(&box[i], "s"), "v1");
+        apply_outcome(&box[i], "v2", 12, WP_SHIFT_DONE);
+        WPShift *sh = wp_shifts_add_order(box[i].d.shifts, box[i].now, &next);
+        wp_shift_merge_elapsed(sh, box[i].now, LEAD_MS);
+    }
+    for (int i = 0; i < 2; i++) {
+        assert_int_equal(wp_direct_take_unsent_sessions(&box[i].d, box[i].now,
+                                                        WP_SESSION_UPDATE_BOUND,
+                                                        updates, 8),
+                         0);
+        assert_int_equal(
+            wp_direct_take_unsent_sessions(
+                &box[i].d, box[i].now, WP_SESSION_UPDATE_RETIRED, updates, 8),
+            1);
+        wp_direct_merge_session(&box[i + 1].d, box[i + 1].now,
+                                WP_SESSION_UPDATE_RETIRED, updates[0]);
+    }
+    WPFlow *f = fake_ask(&box[2], "/chat/x", "s", &m);
+    assert_int_equal(m.code, WP_SESSION_BOUND);
+    wp_flow_free(f);
+    /* What comes back is not sent again. */
+    wp_direct_merge_session(&box[1].d, box[1].now, WP_SESSION_UPDATE_RETIRED,
+                            updates[0]);
+    assert_int_equal(wp_direct_take_unsent_sessions(&box[1].d, box[1].now,
+                                                    WP_SESSION_UPDATE_RETIRED,
+                                                    updates, 8),
+                     0);
+    for (int i = 0; i < 3; i++)
+        fake_end(&box[i]);
+}
+
 /* Guards against requests to a version whose order is not known: a box learned
    of the new version's endpoints, the store stopped answering before the box
    learned of the order, and 60 of 108 requests within a second went to the new
@@ -530,6 +575,7 @@
            T(retired_version_stays_excluded_at_the_next_order),
            T(session_of_a_retired_version_waits_until_unbound),
            T(other_boxes_learn_which_sessions_are_on_a_retired_version),
+           T(sessions_on_a_retired_version_are_passed_on),
            T(version_gets_nothing_before_its_order_is_recorded),
            T(first_share_goes_to_the_new_version),
            T(sessions_on_the_old_version_stay_in_the_first_half),
