Idempotency keys: a stopping agent sends them also to the agent about to own them

What callers could see: a request that may not be repeated ran twice, when an agent stopped within once_skew_ms before another one settled and the caller asked again.

Cause: the present owner hands its keys to the joining agent once, once_skew_ms before that settles; an agent that stops after that sent its keys by who owns them at that moment, to the present owner alone, and told the joining one that it lacks none. The joining agent then took the key as never seen.

Change: keys go to whoever owns them now or within twice once_skew_ms.

--- a/src/wp_agent.c
+++ b/src/wp_agent.c
@@ -390,16 +390,35 @@
     const WPAgent *agent;
     const char *successor;
     uint64_t now_ms;
-    uint32_t settle_ms;
     GPtrArray *keys; /* of Wp__OnceKey */
 } HandoverContext;
 
+static bool is_owner_at(const HandoverContext *p, const char *version,
+                        const char *key, uint64_t at_ms)
+{
+    const WPMemberRow *r =
+        wp_idempotency_owner(wp_node_members(p->agent->node), version, key,
+                             at_ms, p->agent->once_settle_ms);
+    return r && !strcmp(r->m->id, p->successor);
+}
+
+/* Whether the successor owns the key, or is about to: the present owner may
+   have handed its keys over to an agent that settles within `once_skew_ms`, by
+   a clock that is ahead by as much. */
+static bool needs_key_soon(const HandoverContext *p, const char *version,
+                           const char *key)
+{
+    bool needs = false;
+    for (unsigned i = 0; i <= 2; i++)
+        needs |= is_owner_at(p, version, key,
+                             p->now_ms + i * p->agent->once_skew_ms);
+    return needs;
+}
+
 static void add_key(void *arg, const char *version, const char *key, bool done)
 {
     HandoverContext *p = arg;
-    const WPMemberRow *r = wp_idempotency_owner(
-        wp_node_members(p->agent->node), version, key, p->now_ms, p->settle_ms);
-    if (!r || strcmp(r->m->id, p->successor))
+    if (!needs_key_soon(p, version, key))
         return;
     Wp__OnceKey *k = g_new0(Wp__OnceKey, 1);
     wp__once_key__init(k);
@@ -423,7 +442,7 @@
 {
     const Wp__Member *self = wp_node_self(a->node);
     Wp__Handover h = WP__HANDOVER__INIT;
-    HandoverContext p = { a, r->m->id, at_ms, a->once_settle_ms,
+    HandoverContext p = { a, r->m->id, at_ms,
                           g_ptr_array_new_with_free_func(g_free) };
     wp_idempotency_each(a->idempotency, add_key, &p);
     h.agent = self->id;
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -245,4 +245,32 @@
     assert_int_equal(lost_keys(false), 0);
 }
 
-TESTS_MAIN(T(key_is_handed_over_twice))
+/* Guards against a key that goes to its present owner alone when another agent
+   is about to settle as its owner, and so runs twice. */
+static void key_reaches_an_agent_that_is_about_to_own_it(void **state)
+{
+    unsigned repeated = 0, moved = 0;
+    (void)state;
+    for (unsigned k = 0; k < 40; k++) {
+        Site s;
+        WPCode code;
+        g_autofree char *key = g_strdup_printf("key-%u", k);
+        start_site(&s, AGENTS - 1);
+        int64_t issued_ms = s.now.wall_ms;
+        unsigned owner = send_to_owner(&s, key, issued_ms, &code);
+        assert_int_equal(code, WP_OK);
+        run_for(&s, WP_MS_PER_S);
+        start_agent(&s, AGENTS - 1);
+        run_for(&s, SETTLE_MS - SKEW_MS / 2);
+        stop_agent(&s, owner);
+        run_for(&s, 4 * WP_MS_PER_S);
+        moved += send_to_owner(&s, key, issued_ms, &code) == AGENTS - 1;
+        repeated += code == WP_OK;
+        end_site(&s);
+    }
+    assert_true(moved > 0);
+    assert_int_equal(repeated, 0);
+}
+
+TESTS_MAIN(T(key_is_handed_over_twice),
+           T(key_reaches_an_agent_that_is_about_to_own_it))
