Idempotency keys: one that came without its version is handed on

What callers could see: while agents of an earlier release run beside, a key that one of them had handed over had no owner when its receiver stopped, and the request was refused as of unknown outcome, or run again.

Cause: owners are found by key and version; the earlier release sends no version.

Change: such a key goes to the owners by each of the sender's versions.

--- a/src/wp_agent.c
+++ b/src/wp_agent.c
@@ -415,10 +415,21 @@
     return needs;
 }
 
+/* The same for a key of any of this agent's versions. */
+static bool needs_key_of_any_version(const HandoverContext *p, const char *key)
+{
+    bool needs = false;
+    for (char **v = p->agent->versions; *v; v++)
+        needs |= needs_key_soon(p, *v, key);
+    return needs;
+}
+
+/* Agents of earlier releases hand keys over without their versions. */
 static void add_key(void *arg, const char *version, const char *key, bool done)
 {
     HandoverContext *p = arg;
-    if (!needs_key_soon(p, version, key))
+    if (*version ? !needs_key_soon(p, version, key)
+                 : !needs_key_of_any_version(p, key))
         return;
     Wp__OnceKey *k = g_new0(Wp__OnceKey, 1);
     wp__once_key__init(k);
--- a/src/wp_idempotency.h
+++ b/src/wp_idempotency.h
@@ -66,8 +66,8 @@
                                     const char *key, bool done),
                          void *arg);
 
-/* Records a key that another agent has handed over. Without its version it is
-   not handed on. */
+/* Records a key that another agent has handed over; `version` is empty if that
+   agent has not named it. */
 void wp_idempotency_add_handed_over(WPIdempotency *o, WPTime now,
                                     const char *version, const char *key,
                                     bool done);
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -245,6 +245,14 @@
     assert_int_equal(lost_keys(false), 0);
 }
 
+/* Guards against a key that an agent of an earlier release sent without its
+   version, and that its receiver does not hand over. */
+static void key_without_a_version_is_handed_over_twice(void **state)
+{
+    (void)state;
+    assert_int_equal(lost_keys(true), 0);
+}
+
 /* Guards against a key that goes to its present owner alone when another agent
    is about to settle as its owner, and so runs twice. */
 static void key_reaches_an_agent_that_is_about_to_own_it(void **state)
@@ -273,4 +281,5 @@
 }
 
 TESTS_MAIN(T(key_is_handed_over_twice),
+           T(key_without_a_version_is_handed_over_twice),
            T(key_reaches_an_agent_that_is_about_to_own_it))
