Requests wait once for a slot where all endpoints are full and refuse

Cause: with all endpoints full a request went to one of them nevertheless; its refusal took from the retry budget, and the next ones failed for want of it.

Change: a request of a plain service waits once, for as long as a short answer of its route takes, where its best endpoint is full and refuses lately.

--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -32,6 +32,7 @@
         r->downstream_conn->request = NULL;
     event_free(r->deadline_timer);
     event_free(r->first_byte_timer);
+    event_free(r->slot_timer);
     wp_stream_end(&r->stream);
     wp_flow_free(r->flow);
     g_byte_array_unref(r->forward_buffer);
@@ -183,6 +184,13 @@
     event_add(r->deadline_timer, &at);
 }
 
+static void wait_for_slot(WPRelay *r, uint32_t ms)
+{
+    struct timeval at = timeval_from_us((int64_t)ms * WP_US_PER_MS);
+    wp_relay_note_wait(r, ms);
+    event_add(r->slot_timer, &at);
+}
+
 /* Carries out an action of the flow. If an attempt cannot be sent, the flow is
    asked for the next action. */
 static void do_action(WPRelay *r, const WPFlowAction *first)
@@ -205,6 +213,9 @@
         else
             forward_answer(r);
         break;
+    case WP_FLOW_WAIT:
+        wait_for_slot(r, m.retry_ms);
+        break;
     case WP_FLOW_HOLD:
         hold_for_routes(r, m.retry_ms);
         break;
@@ -407,6 +418,16 @@
     do_action(r, &m);
 }
 
+static void on_slot_wait_end(evutil_socket_t fd, short what, void *arg)
+{
+    WPRelay *r = arg;
+    WPFlowAction m;
+    (void)fd;
+    (void)what;
+    wp_flow_on_wait_end(r->flow, wp_clock_now(0), &m);
+    do_action(r, &m);
+}
+
 static void set_deadline_timer(WPRelay *r, WPTime now)
 {
     struct timeval at = timeval_from_us(r->flow->deadline_us - now.mono_us);
@@ -428,6 +449,7 @@
     r->downstream_conn = p;
     r->deadline_timer = evtimer_new(h->base, on_deadline, r);
     r->first_byte_timer = evtimer_new(h->base, on_first_byte_timeout, r);
+    r->slot_timer = evtimer_new(h->base, on_slot_wait_end, r);
     r->forward_buffer = g_byte_array_new();
     r->body = g_byte_array_new();
     r->fields = g_string_new(NULL);
@@ -491,7 +513,7 @@
     parse_request(r->host, now, r->downstream_conn, &r->downstream_conn->head,
                   &request);
     wp_flow_admit(r->flow, now, &request, &m);
-    if (m.kind == WP_FLOW_SEND)
+    if (m.kind == WP_FLOW_SEND || m.kind == WP_FLOW_WAIT)
         set_deadline_timer(r, now);
     do_action(r, &m);
 }
@@ -523,7 +545,7 @@
     if (request.resumes)
         wp_stream_set_last_id(&r->stream, request.after_event);
     r->flow = wp_flow_begin(&h->direct, now, &request, &m);
-    if (m.kind == WP_FLOW_SEND)
+    if (m.kind == WP_FLOW_SEND || m.kind == WP_FLOW_WAIT)
         set_deadline_timer(r, now);
     do_action(r, &m);
 }
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -15,6 +15,7 @@
     struct event *deadline_timer;  /* the request's deadline, or the end of the
                                       wait for routes */
     struct event *first_byte_timer;
+    struct event *slot_timer; /* end of the wait for an endpoint's slot */
     WPStream stream;
     uint64_t events_before_attempt; /* stream events received before the current
                                        attempt */
@@ -58,6 +59,9 @@
 /* Appends the head of the present attempt's answer to the log line. */
 void wp_relay_note_answer(WPRelay *r);
 
+/* Appends to the log line that the request waits for a slot. */
+void wp_relay_note_wait(WPRelay *r, uint32_t ms);
+
 /* Appends to the log line how the present attempt ended. */
 void wp_relay_note_result(WPRelay *r, const char *how);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -139,6 +139,12 @@
     g_string_append_printf(r->attempts_text, ":%s", how);
 }
 
+void wp_relay_note_wait(WPRelay *r, uint32_t ms)
+{
+    g_string_append_printf(r->attempts_text, "%swait=%ums",
+                           r->attempts_text->len ? "," : "", ms);
+}
+
 void wp_relay_note_answer(WPRelay *r)
 {
     int64_t us = wp_clock_now(0).mono_us - r->flow->attempt.sent_us;
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -46,6 +46,8 @@
       "requests in doubt that ended whole")                                    \
     X(HELD, "requests_held_total",                                             \
       "requests that waited for the routes of a box that starts")              \
+    X(SLOT_WAITS, "slot_waits_total",                                          \
+      "requests that waited for a slot of a full endpoint")                    \
     X(CUT_UNREAD, "callers_cut_unread_total",                                  \
       "callers cut off as they read nothing while too much was held")          \
     X(REPORTS, "usage_reports_total", "reports of usage that were taken")      \
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -126,6 +126,7 @@
 typedef enum WPFlowActionKind {
     WP_FLOW_SEND, /* send it to `replica`, to which the flow holds a reference
                      until the attempt has ended */
+    WP_FLOW_WAIT, /* ask again by wp_flow_on_wait_end() in `retry_ms` */
     WP_FLOW_FORWARD, /* forward the attempt's answer to the caller */
     WP_FLOW_HOLD, /* no routes are known yet: hold it until wp_flow_admit(), for
                      `retry_ms` at the most */
@@ -242,7 +243,8 @@
     bool answer_started;       /* the caller has been sent part of an answer */
     bool first_byte_timed_out; /* it left an endpoint whose first byte was
                                   overdue; once at the most */
-    bool usage_counted;        /* as usage of its workspace */
+    bool has_waited;    /* for a slot of a full endpoint; once at the most */
+    bool usage_counted; /* as usage of its workspace */
     /* the retry budget has refused it another attempt */
     bool retry_budget_spent;
     /* endpoints that count as lost while they ran it */
@@ -294,6 +296,9 @@
 void wp_flow_on_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
                        WPFlowAction *out);
 
+/* The wait of WP_FLOW_WAIT is over. */
+void wp_flow_on_wait_end(WPFlow *f, WPTime now, WPFlowAction *out);
+
 /* The attempt ended without a complete answer. */
 void wp_flow_on_lost(WPFlow *f, WPTime now, WPAttemptLoss how,
                      WPFlowAction *out);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -32,6 +32,7 @@
     bool gone; /* removed from the registry; kept while requests run on it */
     bool unreachable; /* another endpoint answers at its address */
     /* Since when it has been missing in the registry; 0: it is not missing. */
+    int64_t refused_us; /* when it last refused a request as full; 0: never */
     int64_t missing_since_us;
     const struct WPColdRule *cold;      /* of its service */
     int64_t restart_suspected_until_us; /* it may have restarted unnoticed, and
@@ -229,6 +230,10 @@
 /* Estimated number of requests at the endpoint, from all boxes. */
 double wp_fleet_load_of(const WPReplica *s, WPTime now);
 
+/* Whether the endpoint would most likely refuse a request as full: all its slots
+   are taken, and it has refused requests for that lately. */
+bool wp_fleet_refuses_now(const WPReplica *s, WPTime now);
+
 /* Utilization: that number over the endpoint's slots; above 1 with a queue. */
 double wp_fleet_utilization(const WPReplica *s, WPTime now);
 
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -34,6 +34,10 @@
 #define LATENCY_WEIGHT 0.15
 #define LATENCY_RATIO_MAX 20.0
 
+/* An endpoint that refused a request as full within this time does not queue
+   requests. */
+#define REFUSES_FOR_US (10 * WP_US_PER_S)
+
 /* Answers of one version, by whether the endpoint was loaded. */
 typedef struct LoadedAnswers {
     double loaded, loaded_failed, light, light_failed;
@@ -91,6 +95,12 @@
     return wp_fleet_load_of(s, now) / (s->slots ? s->slots : 1);
 }
 
+bool wp_fleet_refuses_now(const WPReplica *s, WPTime now)
+{
+    return s->refused_us && now.mono_us - s->refused_us < REFUSES_FOR_US &&
+           wp_fleet_utilization(s, now) >= 1;
+}
+
 static LoadedAnswers *loaded_answers(WPFleet *f, const char *service,
                                      const char *version)
 {
@@ -287,6 +297,7 @@
         /* The endpoint is full: it counts as having one request more until its
            next load report. */
         s->sent_since_load += 1;
+        s->refused_us = now.mono_us;
         note_outcome(s, now, true);
         break;
     case WP_OUTCOME_WRONG_ENDPOINT:
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -2,8 +2,12 @@
  * attempts, retries and the final result. */
 #include "wp_flow_int.h"
 
+#include <math.h>
+
 enum {
-    REFUSALS_MAX = 4, /* attempts that were not run, before giving up */
+    SLOT_WAIT_MAX_MS = 50, /* longest wait for a slot of a full endpoint */
+    SLOT_WAIT_PARTS = 8, /* the least number of such waits until the deadline */
+    REFUSALS_MAX = 4,    /* attempts that were not run, before giving up */
 
     /* After how many milliseconds a refused caller is told to retry:
 
@@ -131,6 +135,38 @@
     end_attempt(f, now, &attempt, how);
 }
 
+/* For how long to wait until one of the slots of `s` is free, instead of being
+   refused at once and spending the retry budget; 0: the request is not to wait.
+   A wait takes as long as a short answer of the route. */
+static uint32_t slot_wait_ms(WPFlow *f, WPTime now, const WPReplica *s)
+{
+    if (f->has_waited || f->attempt.replica || f->attempts_run ||
+        f->route->retry_policy == WP_RETRY_STREAM ||
+        !wp_fleet_refuses_now(s, now))
+        return 0;
+    double us = wp_quartiles_lower(
+        wp_direct_quartiles(f->direct, f->route->name, wp_flow_model(f)));
+    uint32_t ms = (uint32_t)ceil(us * (1 + f->draw) / 2 / WP_US_PER_MS);
+    ms = MIN(ms, SLOT_WAIT_MAX_MS);
+    return (int64_t)ms * SLOT_WAIT_PARTS < wp_flow_remaining_ms(f, now) ? ms
+                                                                        : 0;
+}
+
+/* Lets the request wait for a slot of `s`, whose reference is then dropped.
+   Returns false if it is to be sent now. */
+static bool wait_for_slot(WPFlow *f, WPTime now, WPReplica *s,
+                          WPFlowAction *out)
+{
+    uint32_t ms = slot_wait_ms(f, now, s);
+    if (!ms)
+        return false;
+    f->has_waited = true;
+    wp_replica_unref(s);
+    wp_count(&f->direct->counters, WP_C_SLOT_WAITS);
+    *out = (WPFlowAction){ .kind = WP_FLOW_WAIT, .retry_ms = ms };
+    return true;
+}
+
 /* Begins another attempt if the request, the route and the retry budget allow
    it. Returns false when they do not, or when there is no endpoint. */
 static bool try_again(WPFlow *f, WPTime now, WPAttemptReason why,
@@ -145,6 +181,8 @@
     WPReplica *s = wp_flow_choose_endpoint(f, now);
     if (!s)
         return false;
+    if (wait_for_slot(f, now, s, out))
+        return true;
     WPRetryPurpose needed = why == WP_ATTEMPT_ESCALATE ? WP_RETRY_FOR_ESCALATION
                                                        : WP_RETRY_FOR_FAILURE;
     if (!wp_retry_budget_take(wp_direct_retry_budget(d, f->service->name),
@@ -305,6 +343,17 @@
     wp_replica_unref(s);
 }
 
+/* Sends the request to its first endpoint, lets it wait for a slot there, or
+   fails it. */
+static void begin_first_or_wait(WPFlow *f, WPTime now, WPFlowAction *out)
+{
+    WPReplica *s = wp_flow_choose_endpoint(f, now);
+    if (!s)
+        *out = fail_no_endpoint(f, now);
+    else if (!wait_for_slot(f, now, s, out))
+        begin_first_attempt(f, now, s, out);
+}
+
 /* After how many milliseconds a caller that is refused with `code` should
    retry; 0: not told. */
 static uint32_t retry_ms_of(const WPDirect *d, WPCode code)
@@ -325,11 +374,7 @@
     f->draw = g_rand_double(d->rand);
     if (wp_flow_starts_with_largest(f, now))
         f->step = f->route->models->len - 1;
-    WPReplica *s = wp_flow_choose_endpoint(f, now);
-    if (s)
-        begin_first_attempt(f, now, s, out);
-    else
-        *out = fail_no_endpoint(f, now);
+    begin_first_or_wait(f, now, out);
 }
 
 void wp_flow_admit(WPFlow *f, WPTime now, const WPDirectRequest *request,
@@ -406,6 +451,15 @@
     out->exclusion = m.exclusion;
 }
 
+/* Ends a request that is sent to no further endpoint. */
+static void end_not_sent(WPFlow *f, WPTime now, WPFlowAction *out)
+{
+    if (f->attempts_run)
+        give_up(f, WP_ENDPOINT_FAILED, 0, out);
+    else
+        give_up_not_run(f, now, out);
+}
+
 /* The endpoint did not run the request. The caller is told that it was not run
    only if no earlier attempt may have run it. */
 static void after_refusal(WPFlow *f, WPTime now, WPAttemptOutcome how,
@@ -413,12 +467,16 @@
 {
     f->attempts_refused++;
     end_present_attempt(f, now, how);
-    if (try_again(f, now, WP_ATTEMPT_RETRY, out))
-        return;
-    if (f->attempts_run)
-        give_up(f, WP_ENDPOINT_FAILED, 0, out);
-    else
-        give_up_not_run(f, now, out);
+    if (!try_again(f, now, WP_ATTEMPT_RETRY, out))
+        end_not_sent(f, now, out);
+}
+
+void wp_flow_on_wait_end(WPFlow *f, WPTime now, WPFlowAction *out)
+{
+    if (!f->n_tried)
+        begin_first_or_wait(f, now, out);
+    else if (!try_again(f, now, WP_ATTEMPT_RETRY, out))
+        end_not_sent(f, now, out);
 }
 
 static void pass_answer(WPFlow *f, WPFlowAction *out)
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -579,7 +579,67 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(box_without_routes_tells_when_to_retry),
+/* Begins requests until all slots of both endpoints are taken and one was
+   refused as full. Returns that flow. */
+static WPFlow *fill_endpoints(Fake *k, WPFlow **flows, size_t n,
+                              WPFlowAction *m)
+{
+    for (size_t i = 0; i < n; i++) {
+        flows[i] = fake_ask(k, "/safe/x", NULL, m);
+        assert_int_equal(m->kind, WP_FLOW_SEND);
+    }
+    return fake_ask(k, "/safe/x", NULL, m);
+}
+
+/* Guards against requests that are refused, and spend the retry budget, at
+   endpoints known to be full, a moment before a slot is free. */
+static void request_waits_for_a_slot_of_a_full_endpoint(void **state)
+{
+    const WPDirectAnswer full = { .status = 503, .not_run = true };
+    enum { SLOTS = 16 };
+    Fake k;
+    WPFlow *flows[SLOTS];
+    WPFlowAction m;
+    (void)state;
+    fake_init(&k);
+    for (int i = 0; i < 100; i++) {
+        WPDirectAnswer a = fake_answer(200, -1);
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        fake_advance(&k, 8 + i % 3);
+        wp_flow_on_answer(f, k.now, &a, &m);
+        wp_flow_on_done(f, k.now, 0);
+        wp_flow_free(f);
+    }
+    WPFlow *f = fill_endpoints(&k, flows, SLOTS, &m);
+    /* Nothing is known of refusals yet: the endpoint may queue it. */
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    wp_flow_on_answer(f, k.now, &full, &m);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    wp_flow_on_answer(f, k.now, &full, &m);
+    assert_int_equal(m.kind, WP_FLOW_WAIT);
+    assert_in_range(m.retry_ms, 1, 10);
+    wp_flow_on_caller_gone(f, k.now);
+    wp_flow_free(f);
+    f = fake_ask(&k, "/safe/x", NULL, &m);
+    assert_int_equal(m.kind, WP_FLOW_WAIT);
+    fake_advance(&k, m.retry_ms);
+    wp_flow_on_caller_gone(flows[0], k.now);
+    wp_flow_on_wait_end(f, k.now, &m);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    wp_flow_on_answer(f, k.now, &full, &m);
+    assert_int_not_equal(m.kind, WP_FLOW_WAIT); /* once */
+    wp_flow_on_caller_gone(f, k.now);
+    wp_flow_free(f);
+    for (size_t i = 0; i < SLOTS; i++) {
+        if (i)
+            wp_flow_on_caller_gone(flows[i], k.now);
+        wp_flow_free(flows[i]);
+    }
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(request_waits_for_a_slot_of_a_full_endpoint),
+           T(box_without_routes_tells_when_to_retry),
            T(unseen_model_is_predicted_by_its_price),
            T(late_first_bytes_decay_quickly),
            T(stream_is_not_resumed_where_it_broke_off),
