--- a/standins/kv.c
+++ b/standins/kv.c
@@ -37,8 +37,10 @@
     int64_t filled_us;
     bool down, silent;
     double lose_answers, slow_ms, watch_lag_ms;
+    /* Transactions are held until this many have come; below 1: none is. */
+    double hold_writes;
+    GQueue held; /* of evhttp_request */
     uint64_t writes, reads, refused, peak_waiting;
-    json_t *held; /* unused */
 } Kv;
 
 static gint compare(gconstpointer a, gconstpointer b, gpointer arg)
@@ -309,11 +311,8 @@
     json_decref(request);
 }
 
-static void on_txn(struct evhttp_request *r, void *arg)
+static void serve_txn(Kv *kv, struct evhttp_request *r)
 {
-    Kv *kv = arg;
-    if (unavailable(kv, r))
-        return;
     kv->writes++;
     if (!take_token(kv, &kv->write_tokens)) {
         reply_rate_limited(r);
@@ -331,6 +330,35 @@
     reply(kv, r, j);
 }
 
+static void on_writer_gone(struct evhttp_connection *con, void *arg)
+{
+    Kv *kv = arg;
+    for (GList *l = kv->held.head; l; l = l->next) {
+        if (evhttp_request_get_connection(l->data) != con)
+            continue;
+        g_queue_delete_link(&kv->held, l);
+        return;
+    }
+}
+
+static void on_txn(struct evhttp_request *r, void *arg)
+{
+    Kv *kv = arg;
+    if (unavailable(kv, r))
+        return;
+    if (kv->hold_writes < 1) {
+        serve_txn(kv, r);
+        return;
+    }
+    g_queue_push_tail(&kv->held, r);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(r),
+                                  on_writer_gone, kv);
+    if (kv->held.length < kv->hold_writes)
+        return;
+    while ((r = g_queue_pop_head(&kv->held)))
+        serve_txn(kv, r);
+}
+
 static void on_watch_gone(struct evhttp_connection *con, void *arg)
 {
     Watch *w = arg;
@@ -380,6 +408,7 @@
     stand_set_bool(j, "silent", &kv->silent);
     stand_set_number(j, "lose_answers", &kv->lose_answers);
     stand_set_number(j, "slow_ms", &kv->slow_ms);
+    stand_set_number(j, "hold_writes", &kv->hold_writes);
     stand_set_number(j, "watch_lag_ms", &kv->watch_lag_ms);
     json_decref(j);
     if (kv->down || kv->silent)
@@ -397,6 +426,7 @@
 {
     Kv *kv = g_new0(Kv, 1);
     kv->base = base;
+    g_queue_init(&kv->held);
     kv->items = g_tree_new_full(compare, NULL, g_free, free_item);
     kv->writes_per_s = s->writes_per_s;
     kv->reads_per_s = s->reads_per_s;
