--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -100,7 +100,8 @@
 bool wp_kv_observe_era(WPKv *kv, const char *text);
 
 /* Converts the result of a range over WP_KV_CONFIG: the configuration's
-   objects and undos, and as its revision that of WP_KV_HEAD. Free with wp_pb_free(). */
+   objects and undos, and as its revision that of WP_KV_HEAD. Free with
+   wp_pb_free(). */
 Wp__Snapshot *wp_kv_snapshot(const WPKvResult *r);
 
 /* Creates a client of etcd's v3 JSON gateway. It uses one of `targets`
--- a/src/wp_canary.h
+++ b/src/wp_canary.h
@@ -77,8 +77,8 @@
    good one. */
 bool wp_canary_may_fail(const WPCanary *c);
 
-/* Whether the failures speak against completing the shift, which cannot be taken
-   back: a good version is not by far the more likely one to have them. */
+/* Whether the failures speak against completing the shift, which cannot be
+   taken back: a good version is not by far the more likely one to have them. */
 bool wp_canary_is_not_sound(const WPCanary *c);
 
 /* Whether the answers are more likely from a slow version than from a good one,
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -38,8 +38,8 @@
    as slow. The highest value of a good version in simulations was 1. */
 #define LOG_ODDS_SLOW 6.0
 
-/* Log odds of a good version against one that fails from which on a shift may be
-   completed. Another box may know of a failure more at that moment. */
+/* Log odds of a good version against one that fails from which on a shift may
+   be completed. Another box may know of a failure more at that moment. */
 #define LOG_ODDS_SOUND 2.0
 
 /* The new version's endpoints are less loaded if their mean utilization is
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -5,8 +5,8 @@
 
 #include "wp_base.h"
 
-/* Answers of one route: of the new version and of the old one at the same boxes,
-   and those of them that failed. */
+/* Answers of one route: of the new version and of the old one at the same
+   boxes, and those of them that failed. */
 typedef struct WPCanaryRoute {
     uint64_t name_hash; /* wp_canary_route_hash() of the route's name */
     uint32_t answered, failed;
@@ -100,8 +100,8 @@
 WPVersionFault wp_canary_judge(const WPCanarySums *v, const WPCanarySums *old,
                                bool beside);
 
-/* Returns the route on which alone the new version fails, where the old version's
-   failures on that route are known; NULL: there is none. */
+/* Returns the route on which alone the new version fails, where the old
+   version's failures on that route are known; NULL: there is none. */
 const WPCanaryRoute *wp_canary_sums_failing_route(const WPCanarySums *v);
 
 /* Whether the failures are more likely from a version that fails than from a
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -230,8 +230,8 @@
 /* Estimated number of requests at the endpoint, from all boxes. */
 double wp_fleet_load_of(const WPReplica *s, WPTime now);
 
-/* Whether the endpoint would most likely refuse a request as full: all its slots
-   are taken, and it has refused requests for that lately. */
+/* Whether the endpoint would most likely refuse a request as full: all its
+   slots are taken, and it has refused requests for that lately. */
 bool wp_fleet_refuses_now(const WPReplica *s, WPTime now);
 
 /* Utilization: that number over the endpoint's slots; above 1 with a queue. */
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -73,8 +73,8 @@
    at most once per attempt. `time`: the class of its time. */
 void wp_flow_sample_shift(WPFlow *f, bool failed, WPAnswerTime time);
 
-/* Ends the wait for a comparison of the request's failure on the new version, if
-   there is one: counts it, or drops it. */
+/* Ends the wait for a comparison of the request's failure on the new version,
+   if there is one: counts it, or drops it. */
 void wp_flow_settle_canary_failure(WPFlow *f, bool counts);
 
 /* Classifies the time `us` of the present attempt by the quartiles of the times
--- a/src/wp_policy.h
+++ b/src/wp_policy.h
@@ -66,8 +66,9 @@
    parsed denies everything. */
 WPPolicy *wp_policy_new(const WPConfig *c);
 
-/* Like wp_policy_new(), with the policies of the configurations that the undos of
-   `c` lead back to. Those that `prev` has (NULL: none) are shared with it. */
+/* Like wp_policy_new(), with the policies of the configurations that the undos
+   of `c` lead back to. Those that `prev` has (NULL: none) are shared with it.
+ */
 WPPolicy *wp_policy_new_with_past(const WPConfig *c, const WPPolicy *prev);
 
 /* A configuration that was replaced by a later one. */
@@ -137,8 +138,8 @@
                             WPVersionSet *set);
 
 /* Removes from `set` the versions that a request to this plain service may not
-   go to or, if `service` is NULL, as wp_policy_filter_model() does; `model` NULL:
-   "auto". Returns false if no version or model has the model's name. */
+   go to or, if `service` is NULL, as wp_policy_filter_model() does; `model`
+   NULL: "auto". Returns false if no version or model has the model's name. */
 bool wp_policy_filter_request(const WPPolicy *p, const char *model,
                               const char *service, WPVersionSet *set);
 
--- a/src/wp_undo.c
+++ b/src/wp_undo.c
@@ -19,8 +19,8 @@
     return true;
 }
 
-/* Whether `r` is the same roll-out as `old` with perhaps more shares, whose times
-   it keeps itself. */
+/* Whether `r` is the same roll-out as `old` with perhaps more shares, whose
+   times it keeps itself. */
 static bool continues(const Wp__Rollout *old, const Wp__Rollout *r)
 {
     if (strcmp(old->from, r->from) || strcmp(old->to, r->to) ||
