--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -35,6 +36,23 @@
                                     : G_SPAWN_STDOUT_TO_DEV_NULL;
 }
 
+/* Returns the path of the cluster's own copy of a file of the build, which is
+   made at the first call: a build that runs meanwhile changes nothing. */
+static char *own_copy(TestCluster *p, const char *name)
+{
+    char *copy = g_build_filename(p->folder, name, NULL);
+    g_autofree char *original = g_build_filename(p->bin, name, NULL);
+    g_autofree char *contents = NULL;
+    gsize n;
+    if (g_file_test(copy, G_FILE_TEST_EXISTS))
+        return copy;
+    if (!g_file_get_contents(original, &contents, &n, NULL) ||
+        !g_file_set_contents(copy, contents, (gssize)n, NULL) ||
+        chmod(copy, S_IRWXU))
+        fail_msg("%s cannot be copied to %s", original, copy);
+    return copy;
+}
+
 void cluster_spawn(TestCluster *p, Child *c, char **argv)
 {
     GError *error = NULL;
@@ -42,8 +60,7 @@
     /* glibc fills freed memory, so that a use after free is noticed. */
     env = g_environ_setenv(env, "MALLOC_PERTURB_", FREED_BYTE, TRUE);
     if (c->clock) {
-        g_autofree char *lib = g_build_filename(p->bin, "wpclock.so", NULL);
-        g_autofree char *path = g_canonicalize_filename(lib, NULL);
+        g_autofree char *path = own_copy(p, "wpclock.so");
         env = g_environ_setenv(env, "LD_PRELOAD", path, TRUE);
         env = g_environ_setenv(env, "ASAN_OPTIONS", "verify_asan_link_order=0",
                                TRUE);
@@ -64,7 +81,7 @@
 static void start_process(TestCluster *p, Child *c, const char *program,
                           const char *name, const char *settings)
 {
-    g_autofree char *path = g_build_filename(p->bin, program, NULL);
+    g_autofree char *path = own_copy(p, program);
     g_autofree char *file = g_strdup_printf("%s/%s.yaml", p->folder, name);
     char *argv[] = { path, (char *)"--config", file, NULL };
     c->program = g_strdup(path);
@@ -201,7 +218,7 @@
 {
     Child c = { .port = ports_next(&p->ports),
                 .control = ports_next(&p->ports) };
-    g_autofree char *path = g_build_filename(p->bin, "wpproxy", NULL);
+    g_autofree char *path = own_copy(p, "wpproxy");
     g_autofree char *listen = g_strdup_printf("--listen=%u", c.port);
     g_autofree char *target = g_strdup_printf("--to=%u", to);
     g_autofree char *ctl = g_strdup_printf("--control=%u", c.control);
