--- a/tests/test_canary_judge.c
+++ b/tests/test_canary_judge.c
@@ -141,8 +141,7 @@
     fake_end(&other);
 }
 
-/* Guards against holding back a good version for requests that fail on any
-   version. */
+/* Requests that fail on any version do not hold back a good one. */
 static void failures_on_a_fragile_route_alone_raise_no_doubt(void **state)
 {
     Fake k;
@@ -155,8 +154,7 @@
     fake_end(&k);
 }
 
-/* Boxes keep as many routes as they can tell each other of: those with the most
-   failures. */
+/* Sums tell WP_CANARY_ROUTES_MAX routes apart. */
 static void routes_with_the_most_failures_are_kept(void **state)
 {
     WPCanarySums v = { 0 };
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -591,8 +591,7 @@
     return fake_ask(k, "/safe/x", NULL, m);
 }
 
-/* Guards against requests that are refused, and spend the retry budget, at
-   endpoints known to be full, a moment before a slot is free. */
+/* A refusal would spend the retry budget a moment before a slot is free. */
 static void request_waits_for_a_slot_of_a_full_endpoint(void **state)
 {
     const WPDirectAnswer full = { .status = 503, .not_run = true };
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -245,16 +245,14 @@
     assert_int_equal(lost_keys(false), 0);
 }
 
-/* Guards against a key that an agent of an earlier release sent without its
-   version, and that its receiver does not hand over. */
+/* An agent of an earlier release sends keys without their versions. */
 static void key_without_a_version_is_handed_over_twice(void **state)
 {
     (void)state;
     assert_int_equal(lost_keys(true), 0);
 }
 
-/* Guards against a key that goes to its present owner alone when another agent
-   is about to settle as its owner, and so runs twice. */
+/* Else the request runs again at the agent that joins. */
 static void key_reaches_an_agent_that_is_about_to_own_it(void **state)
 {
     unsigned repeated = 0, moved = 0;
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -486,8 +486,7 @@
     fake_end(&there);
 }
 
-/* Guards against a session that boxes of other zones, which hear of it from a
-   third box, send to the version that serves. */
+/* Boxes of other zones hear of a session from a third box. */
 static void sessions_on_a_retired_version_are_passed_on(void **state)
 {
     const WPShiftOrder next = { "llm", "v3", DURATION_MS, 20 };
--- a/tests/test_shift_plain.c
+++ b/tests/test_shift_plain.c
@@ -26,8 +26,7 @@
     }
 }
 
-/* Guards against a good version that is held to be bad for requests that fail
-   wherever they run. */
+/* A version is not bad for requests that fail wherever they run. */
 static void request_that_fails_on_both_versions_is_not_counted(void **state)
 {
     const WPDirectAnswer failure = fake_answer(500, -1);
@@ -72,8 +71,7 @@
     fake_end(&k);
 }
 
-/* Guards against a last stage in which no endpoint of the new version is ever
-   half full. */
+/* Some endpoint of the new version is to be half full before the end. */
 static void last_stage_fills_one_endpoint_after_the_other(void **state)
 {
     Fake k;
@@ -100,8 +98,7 @@
     fake_end(&k);
 }
 
-/* Guards against a box that completes a shift beside another one that doubts
-   it: they know of failures at different moments. */
+/* Boxes know of failures at different moments, and any may complete. */
 static void several_failures_take_more_good_answers_to_complete(void **state)
 {
     (void)state;
