Log: the shared parts of a request's prompt

A crash loses the answers of some 20 requests, and no line told what they share: from the logs of the incident a part that crashes endpoints cannot be told from endpoints that fall by themselves. The lines `request` and `ended_under` name the keys of all shared parts, also of those behind the eighth, which the prefix cache does not keep.

--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -7,6 +7,18 @@
     NUMBER_SIZE = 24 /* buffer size for a number as text */
 };
 
+/* Appends the keys of the prompt's shared parts in hexadecimal, separated by
+   commas; "-" if there are none. */
+static void append_parts(const WPPrompt *p, GString *out)
+{
+    unsigned n = wp_prompt_shared_ids(p);
+    for (unsigned i = 0; i < n; i++)
+        g_string_append_printf(out, "%s%016lx", i ? "," : "",
+                               (unsigned long)wp_suspect_part_key(p->ids[i]));
+    if (!n)
+        g_string_append_c(out, '-');
+}
+
 void wp_relay_log_end(WPRelay *r, const char *outcome, int status)
 {
     const WPFlow *f = r->flow;
@@ -14,6 +26,7 @@
     char session[NUMBER_SIZE], first[NUMBER_SIZE], tokens[NUMBER_SIZE];
     char gap[NUMBER_SIZE], targets[NUMBER_SIZE], hash[NUMBER_SIZE];
     char age[NUMBER_SIZE];
+    g_autoptr(GString) parts = g_string_new(NULL);
     int64_t us = wp_clock_now(0).mono_us - f->start_us;
     uint64_t table = f->routes ? f->routes->version : 0;
     snprintf(ms, sizeof(ms), "%.1f", (double)us / WP_US_PER_MS);
@@ -34,25 +47,28 @@
     snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt.tokens,
              f->answer_tokens);
     snprintf(age, sizeof(age), "%ld", (long)r->registry_age_ms);
+    append_parts(&f->prompt, parts);
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
            "status", code, "ms", ms, "first_ms", first, "gap_ms", gap, "aims",
            targets, "tokens", tokens, "route", f->route ? f->route->name : "-",
            "service", f->service ? f->service->name : "-", "workspace",
            f->workspace ? f->workspace : "-", "routes_version", version,
            "list_age_ms", age, "session", f->session ? session : "-",
-           "request_hash", f->hash ? hash : "-", "legs", r->attempts_text->str,
-           NULL);
+           "request_hash", f->hash ? hash : "-", "parts", parts->str, "legs",
+           r->attempts_text->str, NULL);
 }
 
 void wp_relay_log_connection_lost(WPRelay *r, const char *endpoint)
 {
     const WPFlow *f = r->flow;
     char hash[NUMBER_SIZE], lost[NUMBER_SIZE];
+    g_autoptr(GString) parts = g_string_new(NULL);
+    append_parts(&f->prompt, parts);
     snprintf(hash, sizeof(hash), "%016lx", (unsigned long)f->hash);
     snprintf(lost, sizeof(lost), "%u", f->endpoints_lost);
     wp_log(&r->host->log, f->endpoints_lost > 1 ? WP_WARN : WP_INFO,
            "ended_under", "id", f->id, "request_hash", hash, "endpoint",
-           endpoint, "ended", lost, NULL);
+           endpoint, "ended", lost, "parts", parts->str, NULL);
 }
 
 static void log_limit(WPRelay *r, const WPReplica *s, double was)
--- a/src/wp_prompt.h
+++ b/src/wp_prompt.h
@@ -6,7 +6,9 @@
 #include "wp_base.h"
 
 enum {
-    WP_PROMPT_PARTS_MAX = 8 /* later ones are not shared between requests */
+    WP_PROMPT_PARTS_MAX = 8, /* later ones are not shared between requests */
+    /* XXX: later ones are not known as parts that crash endpoints. */
+    WP_PROMPT_IDS_MAX = 32
 };
 
 typedef struct WPPromptPart {
@@ -19,12 +21,19 @@
     uint32_t tokens; /* of the whole prompt */
     unsigned n_parts;
     WPPromptPart parts[WP_PROMPT_PARTS_MAX];
+    unsigned n_ids; /* of all parts, also of those that are not kept */
+    uint64_t ids[WP_PROMPT_IDS_MAX]; /* hash of each part's id */
 } WPPrompt;
 
 /* Appends a part of `tokens` tokens with this id; tokens beyond those of the
-   whole prompt do not count. Returns false if no more parts fit. */
+   whole prompt do not count. Returns false if no more parts fit; its id is
+   appended all the same. */
 bool wp_prompt_add(WPPrompt *p, WPStr id, uint32_t tokens);
 
+/* Number of entries of `ids` that belong to shared parts: all but the last,
+   which is the request's own or its session's. */
+unsigned wp_prompt_shared_ids(const WPPrompt *p);
+
 /* Hash of the shared prefix: all parts but the last, which is the request's
    own or its session's. 0 if there are no such parts. */
 uint64_t wp_prompt_shared_hash(const WPPrompt *p);
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -34,6 +34,15 @@
     WP_SUSPECTS_PER_MESSAGE = 64
 };
 
+/* The key of a prompt part in the table of suspects, from the hash of its id.
+   Its highest bit parts it from the keys of requests. */
+#define WP_SUSPECT_PART_BIT (UINT64_C(1) << 63)
+
+static inline uint64_t wp_suspect_part_key(uint64_t id_hash)
+{
+    return id_hash | WP_SUSPECT_PART_BIT;
+}
+
 /* The crash of one incarnation of an endpoint while it ran the request. */
 typedef struct WPSuspectCrash {
     uint64_t incarnation; /* hash of the incarnation */
--- a/tests/test_prefix_cache.c
+++ b/tests/test_prefix_cache.c
@@ -83,6 +83,21 @@
     wp_prefix_cache_free(k);
 }
 
+static void ids_are_kept_of_all_parts_but_the_last(void **state)
+{
+    WPPrompt p = { .tokens = 1000 };
+    (void)state;
+    assert_int_equal(wp_prompt_shared_ids(&p), 0);
+    for (unsigned n = 1; n <= WP_PROMPT_IDS_MAX + 3; n++) {
+        wp_prompt_add(&p, wp_strn((const char *)&n, sizeof(n)), 10);
+        assert_int_equal(wp_prompt_shared_ids(&p),
+                         MIN(n - 1, WP_PROMPT_IDS_MAX));
+    }
+    const unsigned tenth = 10;
+    assert_int_equal(p.ids[9],
+                     wp_hash(wp_strn((const char *)&tenth, sizeof(tenth)), 0));
+}
+
 /* An engine that takes 80 us to prefill a token (12.5 tokens a millisecond)
    with the model at hand. */
 static void learn(WPTtfbModel *s)
@@ -231,6 +246,7 @@
 
 TESTS_MAIN(T(parts_match_by_model_and_with_all_before_them),
            T(least_recently_used_is_evicted_first), T(estimates_are_bounded),
+           T(ids_are_kept_of_all_parts_but_the_last),
            T(endpoint_with_the_cached_prefix_is_preferred),
            T(prefix_is_fetched_where_that_is_cheaper),
            T(prefix_of_another_version_is_not_fetched),
