--- a/standins/replica.c
+++ b/standins/replica.c
@@ -25,7 +25,9 @@
  *
  * A request whose body begins with "crash" ends the process that runs it, a
  * stream after its first event: "BAD BODY MS ID" is logged when the request
- * arrives, "CRASH BODY MS ID" when the process ends.
+ * arrives, "CRASH BODY MS ID" when the process ends. So does a request with a
+ * prompt part, but for the last, whose id begins with "c0de": that id then
+ * stands for BODY.
  *
  * /control returns the ids of the requests that ran, each with how often it
  * did, and counts violations: requests with a field that must not be passed on
@@ -51,6 +53,7 @@
 };
 
 #define CRASH "crash"
+#define CRASH_PART "c0de"
 
 typedef struct Replica {
     struct event_base *base;
@@ -81,8 +84,8 @@
     struct event *timer;
     char *id;
     char *path;
-    char *crash; /* body of a request that crashes the process; NULL: not such a
-                    request */
+    char *crash; /* body, or prompt part, of a request that crashes the process;
+                    NULL: not such a request */
     bool stream, started, cut, mute, slow;
     unsigned next, last;
 } Run;
@@ -257,6 +260,18 @@
     return g_strndup(body, n);
 }
 
+/* The id of the request's first prompt part, but for the last, that crashes the
+   process; NULL: there is none. */
+static char *crash_part(struct evhttp_request *r)
+{
+    const char *prompt = wp_http_header(r, PF_H_PROMPT);
+    g_auto(GStrv) parts = g_strsplit(prompt ? prompt : "", ",", -1);
+    for (char **part = parts; *part && part[1]; part++)
+        if (g_str_has_prefix(*part, CRASH_PART))
+            return g_strndup(*part, strcspn(*part, ":"));
+    return NULL;
+}
+
 /* Time in ms before the crash: MS of a body "crash-NAME-MS"; else 0. */
 static double crash_ms(const Run *n)
 {
@@ -421,6 +436,8 @@
     p->ran++;
     check_cold_load(p);
     g_autofree char *crash = crash_body(r);
+    if (!crash)
+        crash = crash_part(r);
     if (crash)
         log_crash(p, "BAD", crash);
     else
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -482,7 +482,14 @@
 void cluster_exchange_body(ClusterAnswer *a, uint16_t port, const char *method,
                            const char *target, const char *body)
 {
-    g_autofree char *text = request_text(a->id, method, target, NULL, body);
+    cluster_exchange_fields(a, port, method, target, NULL, body);
+}
+
+void cluster_exchange_fields(ClusterAnswer *a, uint16_t port,
+                             const char *method, const char *target,
+                             const char *fields, const char *body)
+{
+    g_autofree char *text = request_text(a->id, method, target, fields, body);
     if (a->fd < 0)
         a->fd = connect_loopback(port);
     if (a->fd >= 0)
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -48,6 +48,12 @@
 void cluster_exchange_body(ClusterAnswer *a, uint16_t port, const char *method,
                            const char *target, const char *body);
 
+/* The same with `fields` in place of the field with the caller's key; NULL: as
+   above. */
+void cluster_exchange_fields(ClusterAnswer *a, uint16_t port,
+                             const char *method, const char *target,
+                             const char *fields, const char *body);
+
 /* Sends the bytes unchanged. The answer's body is all that was received, head
    included, until the connection ended. */
 ClusterAnswer cluster_send_raw(TestCluster *p, unsigned entry,
--- a/tests/run-all.sh
+++ b/tests/run-all.sh
@@ -54,6 +54,8 @@
     soak zones "--zones --seconds 6" tests/soak-zone-cases.txt
     soak crashing "--crashing --entries 4 --replicas 10 --seconds 14" \
         tests/soak-crash-cases.txt
+    soak parts "--crashing --entries 4 --replicas 10 --seconds 18" \
+        tests/soak-part-cases.txt 3
     soak limits "--limits --entries 4 --replicas 10 --seconds 14" \
         tests/soak-limit-cases.txt 3
     soak notices "--notices --entries 4 --replicas 10 --callers 24 --seconds 14" \
--- a/tests/soak_crash.c
+++ b/tests/soak_crash.c
@@ -8,7 +8,13 @@
  * and hardly any such request was sent after that; by the other callers'
  * answers, they were served.
  *
- * Guards against one request crashing many endpoints. */
+ * With a seed from PARTS_FROM_SEED on, no two of the requests are alike: a part
+ * of their prompts crashes the endpoints. Other callers, the neighbours, send
+ * requests with the same key and the same other parts to the same route; the
+ * seed chooses the place of the part, and whether the neighbours are there
+ * before it, come later, or are few.
+ *
+ * Guards against one request, or one part, crashing many endpoints. */
 #include "soak_case.h"
 
 #include <signal.h>
@@ -33,23 +39,52 @@
     CRASHES_KNOWN = 3,
     LATE_REQUESTS_MAX = 3,
     CRASHES_MAX = 5, /* endpoints that one request may crash */
-    LOG_WORDS = 4    /* of a line of the run log: kind, body, ms, endpoint */
+    LOG_WORDS = 4,   /* of a line of the run log: kind, body, ms, endpoint */
+
+    PARTS_FROM_SEED = 300,
+    PART_CRASHES_KNOWN = 5,
+    PART_CRASHES_MAX = PART_CRASHES_KNOWN + LATE_REQUESTS_MAX,
+    PART_AFTER_MS = 2000, /* neighbours alone are served until then */
+    NEIGHBOURS = 4,
+    NEIGHBOUR_EVERY_MS = 50,
+    FEW_NEIGHBOURS_EVERY_MS = 1500,
+    /* Neighbours are served again this long after the last crash that counts.
+     */
+    NEIGHBOURS_BACK_MS = 2 * PROPAGATION_MS,
+    ROUTE_PARTS = 12 /* longest prompt: parts before the last */
 };
 
 #define SERVED_MIN 0.98
+#define NEIGHBOURS_SERVED_MIN 0.5 /* of the share before */
+
+/* Endpoints take longer while parts are played: a crash ends several answers.
+ */
+#define PART_REPLICA "{\"delay_ms\":60,\"events\":30}"
 
 /* State of a replica between its crash and its restart. */
 typedef struct Outage {
     bool down, registered;
+    bool is_slow; /* takes as long as PART_REPLICA says */
     int64_t unregister_ms, restart_ms;
 } Outage;
 
 /* One crashing request, and the thread that sends it. */
 typedef struct SoakCrash SoakCrash;
 
+/* A caller whose requests share all parts but one with those that crash. */
+typedef struct Neighbour {
+    SoakCrash *soak;
+    unsigned number, sent;
+    GRand *rand;
+    GThread *thread;
+    GArray *sent_ms;   /* int64_t: when each request was sent */
+    GArray *is_served; /* gboolean: at its first attempt */
+} Neighbour;
+
 typedef struct CrashRequest {
     SoakCrash *soak;
-    char body[24];
+    unsigned number;
+    char body[24]; /* of the request, or the id of its part */
     GRand *rand;
     GThread *thread;
     unsigned sent;
@@ -63,6 +98,12 @@
     unsigned entries, replicas, n_requests, interval_ms;
     const char *target;
     CrashRequest requests[REQUESTS_MAX];
+    bool parts;
+    unsigned n_parts, place; /* of the prompt before its last; of the one that
+                                crashes endpoints */
+    Neighbour neighbours[NEIGHBOURS];
+    unsigned n_neighbours, neighbour_interval_ms;
+    bool neighbours_come_later;
     Outage *outages; /* of each replica */
     bool kills, store_down, killed;
     int64_t start_ms, store_up_ms;
@@ -74,16 +115,69 @@
     return g_get_monotonic_time() / WP_US_PER_MS;
 }
 
+/* The header fields of a request whose prompt has the part `crashing` (NULL:
+   a sound one in its place), and a last part of its own. */
+static char *make_fields(const SoakCrash *c, const char *crashing,
+                         const char *own)
+{
+    GString *s = g_string_new("Authorization: Token key-1\r\nX-Model: m\r\n"
+                              "X-Token-Count: 900,50\r\nX-Prompt-Prefix: ");
+    for (unsigned i = 0; i < c->n_parts; i++)
+        if (i == c->place && crashing)
+            g_string_append_printf(s, "%s:40,", crashing);
+        else if (i != c->place)
+            g_string_append_printf(s, "a%u:40,", i);
+    g_string_append_printf(s, "%s:60\r\n", own);
+    return g_string_free(s, FALSE);
+}
+
+/* Sends one request with a part that crashes endpoints. */
+static void send_part(CrashRequest *b, ClusterAnswer *a, uint16_t port)
+{
+    g_autofree char *own = g_strdup_printf("b%u%06u", b->number, b->sent);
+    g_autofree char *fields = make_fields(b->soak, b->body, own);
+    cluster_exchange_fields(a, port, "POST", b->soak->target, fields, own);
+}
+
+static gpointer run_neighbour(gpointer arg)
+{
+    Neighbour *b = arg;
+    SoakCrash *c = b->soak;
+    if (c->neighbours_come_later)
+        g_usleep((PART_AFTER_MS + PROPAGATION_MS) * WP_US_PER_MS);
+    while (!g_atomic_int_get(&c->stop)) {
+        unsigned entry = (unsigned)g_rand_int_range(b->rand, 0, c->entries);
+        ClusterAnswer a = { .fd = -1, .body = g_string_new(NULL) };
+        g_autofree char *own = g_strdup_printf("%u%06u", b->number, ++b->sent);
+        g_autofree char *fields = make_fields(c, NULL, own);
+        int64_t sent_ms = now_ms();
+        g_snprintf(a.id, sizeof(a.id), "n%u.%u", b->number, b->sent);
+        cluster_exchange_fields(&a, cluster_entry_port(c->cluster, entry),
+                                "POST", c->target, fields, own);
+        gboolean ok = a.status == 200 && a.complete;
+        g_array_append_val(b->sent_ms, sent_ms);
+        g_array_append_val(b->is_served, ok);
+        cluster_answer_release(&a);
+        g_usleep(c->neighbour_interval_ms * WP_US_PER_MS);
+    }
+    return NULL;
+}
+
 static gpointer run_sender(gpointer arg)
 {
     CrashRequest *b = arg;
     SoakCrash *c = b->soak;
+    if (c->parts)
+        g_usleep(PART_AFTER_MS * WP_US_PER_MS);
     while (!g_atomic_int_get(&c->stop)) {
         unsigned entry = (unsigned)g_rand_int_range(b->rand, 0, c->entries);
+        uint16_t port = cluster_entry_port(c->cluster, entry);
         ClusterAnswer a = { .fd = -1, .body = g_string_new(NULL) };
         g_snprintf(a.id, sizeof(a.id), "%s.%u", b->body, ++b->sent);
-        cluster_exchange_body(&a, cluster_entry_port(c->cluster, entry), "POST",
-                              c->target, b->body);
+        if (c->parts)
+            send_part(b, &a, port);
+        else
+            cluster_exchange_body(&a, port, "POST", c->target, b->body);
         b->answered[a.status / 100]++;
         cluster_answer_release(&a);
         g_usleep(c->interval_ms * WP_US_PER_MS);
@@ -95,13 +189,36 @@
    does. */
 static void make_body(CrashRequest *b, unsigned i, uint32_t seed)
 {
-    if (seed < FAST_FROM_SEED)
+    if (seed >= PARTS_FROM_SEED)
+        g_snprintf(b->body, sizeof(b->body), "c0de%04u", i);
+    else if (seed < FAST_FROM_SEED)
         g_snprintf(b->body, sizeof(b->body), "crash-%u", i);
     else
         g_snprintf(b->body, sizeof(b->body), "crash-%u-%d", i,
                    g_rand_int_range(b->rand, 0, FAST_RUN_MAX_MS));
 }
 
+static void start_neighbours(SoakCrash *c, uint32_t seed)
+{
+    static const unsigned lengths[] = { 2, 3, 1, ROUTE_PARTS };
+    c->n_parts = lengths[seed % WP_COUNT(lengths)];
+    c->place = (seed / WP_COUNT(lengths)) % c->n_parts;
+    c->neighbours_come_later = seed % 5 == 1;
+    bool few = seed % 5 == 2;
+    c->neighbour_interval_ms =
+        few ? FEW_NEIGHBOURS_EVERY_MS : NEIGHBOUR_EVERY_MS;
+    c->n_neighbours = NEIGHBOURS;
+    for (unsigned i = 0; i < c->n_neighbours; i++) {
+        Neighbour *b = &c->neighbours[i];
+        b->soak = c;
+        b->number = i;
+        b->rand = g_rand_new_with_seed(seed * 100 + i);
+        b->sent_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+        b->is_served = g_array_new(FALSE, FALSE, sizeof(gboolean));
+        b->thread = g_thread_new("neighbour", run_neighbour, b);
+    }
+}
+
 static SoakCase *create(const SoakSetup *setup)
 {
     static const char *const targets[] = { "/call/x", "/stream/x", "/once/x" };
@@ -115,13 +232,17 @@
     c->n_requests = setup->seed % 4 == 1 ? REQUESTS_MAX : 1;
     c->kills = setup->seed % 2 == 0;
     c->store_down = setup->seed % 5 == 0;
-    c->interval_ms =
-        setup->seed < FAST_FROM_SEED ? SEND_EVERY_MS : FAST_EVERY_MS;
+    c->parts = setup->seed >= PARTS_FROM_SEED;
+    c->interval_ms = setup->seed < FAST_FROM_SEED || c->parts ? SEND_EVERY_MS
+                                                              : FAST_EVERY_MS;
     c->outages = g_new0(Outage, setup->replicas);
     c->start_ms = now_ms();
+    if (c->parts)
+        start_neighbours(c, setup->seed);
     for (unsigned i = 0; i < c->n_requests; i++) {
         CrashRequest *b = &c->requests[i];
         b->soak = c;
+        b->number = i;
         b->rand = g_rand_new_with_seed(setup->seed * 10 + i);
         make_body(b, i, setup->seed);
         b->thread = g_thread_new("bad", run_sender, b);
@@ -174,17 +295,34 @@
     }
     if (d->down && now >= d->restart_ms) {
         cluster_restart_replica(c->cluster, i);
-        d->down = false;
+        d->down = d->is_slow = false;
+        return;
+    }
+    if (c->parts && !d->down && !d->is_slow) {
+        cluster_try_replica_faults(c->cluster, i, PART_REPLICA);
+        d->is_slow = true;
     }
 }
 
+/* Number of crashes after which few requests may still be sent. */
+static unsigned crashes_known(const SoakCrash *c)
+{
+    return c->parts ? PART_CRASHES_KNOWN : CRASHES_KNOWN;
+}
+
+/* The time of the crash from which the bounds run; 0: there was none. */
+static int64_t known_since_ms(const SoakCrash *c, const GArray *crashes)
+{
+    guint n = MIN(crashes->len, crashes_known(c));
+    return n ? g_array_index(crashes, int64_t, n - 1) : 0;
+}
+
 /* Kills all entries at once, 4 s after the third crash. */
 static void kill_entries(SoakCrash *c)
 {
     g_autoptr(GArray) crashes = find_times(c, "CRASH", c->requests[0].body);
     if (c->killed || !c->kills || crashes->len < CRASHES_KNOWN ||
-        now_ms() <
-            g_array_index(crashes, int64_t, CRASHES_KNOWN - 1) + KILL_AFTER_MS)
+        now_ms() < known_since_ms(c, crashes) + KILL_AFTER_MS)
         return;
     c->killed = true;
     for (unsigned i = 0; i < c->entries; i++)
@@ -222,24 +360,76 @@
 {
     g_autoptr(GArray) crashes = find_times(c, "CRASH", body);
     g_autoptr(GArray) arrivals = find_times(c, "BAD", body);
-    unsigned late = 0;
-    if (crashes->len >= CRASHES_KNOWN) {
-        int64_t from =
-            g_array_index(crashes, int64_t, CRASHES_KNOWN - 1) + PROPAGATION_MS;
+    unsigned late = 0, most = c->parts ? PART_CRASHES_MAX : CRASHES_MAX;
+    if (crashes->len >= crashes_known(c)) {
+        int64_t from = known_since_ms(c, crashes) + PROPAGATION_MS;
         for (guint i = 0; i < arrivals->len; i++)
             late += g_array_index(arrivals, int64_t, i) > from;
     }
     if (late > LATE_REQUESTS_MAX)
         g_string_append_printf(problems,
                                "    %s: sent %u times later than %d ms after "
-                               "its third crash\n",
-                               body, late, PROPAGATION_MS);
-    if (crashes->len > CRASHES_MAX)
+                               "its crash number %u\n",
+                               body, late, PROPAGATION_MS, crashes_known(c));
+    if (crashes->len > most)
         g_string_append_printf(problems, "    %s: crashed %u endpoints\n", body,
                                crashes->len);
     return crashes->len;
 }
 
+/* Counts the neighbours' requests sent from `from_ms` until `to_ms`; returns
+   the share that was served. */
+static double neighbours_served(const SoakCrash *c, int64_t from_ms,
+                                int64_t to_ms, unsigned *sent)
+{
+    unsigned served = 0;
+    *sent = 0;
+    for (unsigned i = 0; i < c->n_neighbours; i++) {
+        const Neighbour *b = &c->neighbours[i];
+        for (guint k = 0; k < b->sent_ms->len; k++) {
+            int64_t ms = g_array_index(b->sent_ms, int64_t, k);
+            if (ms < from_ms || ms >= to_ms)
+                continue;
+            ++*sent;
+            served += g_array_index(b->is_served, gboolean, k) != 0;
+        }
+    }
+    return *sent ? (double)served / *sent : 1;
+}
+
+/* Checks that the neighbours were served again while requests with the part
+   still came. Returns the share that was served of all of theirs. */
+static double check_neighbours(const SoakCrash *c, GString *problems)
+{
+    int64_t last_ms = 0;
+    unsigned n_before, n_after, n_all;
+    for (unsigned i = 0; i < c->n_requests; i++) {
+        g_autoptr(GArray) crashes = find_times(c, "CRASH", c->requests[i].body);
+        last_ms = MAX(last_ms, known_since_ms(c, crashes));
+    }
+    double before =
+        neighbours_served(c, 0, c->start_ms + PART_AFTER_MS, &n_before);
+    double after =
+        neighbours_served(c, last_ms + NEIGHBOURS_BACK_MS, INT64_MAX, &n_after);
+    if (c->neighbours_come_later)
+        before = 1;
+    if (n_after && after < NEIGHBOURS_SERVED_MIN * before)
+        g_string_append_printf(problems,
+                               "    neighbours: %.3f of %u served before, %.3f "
+                               "of %u after\n",
+                               before, n_before, after, n_after);
+    return neighbours_served(c, 0, INT64_MAX, &n_all);
+}
+
+static void end_neighbours(SoakCrash *c)
+{
+    for (unsigned i = 0; i < c->n_neighbours; i++) {
+        g_rand_free(c->neighbours[i].rand);
+        g_array_unref(c->neighbours[i].sent_ms);
+        g_array_unref(c->neighbours[i].is_served);
+    }
+}
+
 static char *end(SoakCase *base, const SoakTotals *totals, GString *problems)
 {
     SoakCrash *c = (SoakCrash *)base;
@@ -254,14 +444,18 @@
         refused += c->requests[i].answered[5];
         g_rand_free(c->requests[i].rand);
     }
+    for (unsigned i = 0; i < c->n_neighbours; i++)
+        g_thread_join(c->neighbours[i].thread);
+    double neighbours = c->parts ? check_neighbours(c, problems) : 1;
+    end_neighbours(c);
     if (served_share < SERVED_MIN)
         g_string_append_printf(problems, "    other callers: %.3f served\n",
                                served_share);
     char *text = g_strdup_printf("%s sent %u times, %u answered 5xx, "
                                  "%u+%u endpoints crashed, other "
-                                 "callers: %.3f served",
+                                 "callers: %.3f served, neighbours: %.3f",
                                  c->target, requests_sent, refused, crashes[0],
-                                 crashes[1], served_share);
+                                 crashes[1], served_share, neighbours);
     g_rand_free(c->rand);
     g_free(c->outages);
     g_free(c);
