--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -5799,7 +5799,7 @@
   (ProtobufCMessageInit) wp__zone_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__suspect__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wp__suspect__field_descriptors[10] =
 {
   {
     "request",
@@ -5909,8 +5909,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered_ms",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__Suspect, has_answered_ms),
+    offsetof(Wp__Suspect, answered_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__suspect__field_indices_by_name[] = {
+  9,   /* field[9] = answered_ms */
   6,   /* field[6] = busy_box */
   5,   /* field[5] = busy_ms */
   8,   /* field[8] = busy_number */
@@ -5924,7 +5937,7 @@
 static const ProtobufCIntRange wp__suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wp__suspect__descriptor =
 {
@@ -5934,7 +5947,7 @@
   "Wp__Suspect",
   "wp",
   sizeof(Wp__Suspect),
-  9,
+  10,
   wp__suspect__field_descriptors,
   wp__suspect__field_indices_by_name,
   1,  wp__suspect__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -1082,14 +1082,15 @@
 
 
 /*
- * A suspect request: endpoints have crashed while they ran it. Also a record in
- * the store, there without `busy_ms`.
+ * A suspect request, or part of a prompt: endpoints have crashed while they ran
+ * it. Also a record in the store, there without `busy_ms` and `answered_ms`.
  */
 struct  Wp__Suspect
 {
   ProtobufCMessage base;
   /*
-   * hash of caller, method, host, path, body
+   * Hash of caller, method, host, path, body; with the highest bit set: of the
+   * id of a prompt part.
    */
   uint64_t request;
   /*
@@ -1126,10 +1127,16 @@
    */
   size_t n_weak;
   protobuf_c_boolean *weak;
+  /*
+   * Of a prompt part: how long ago a request with it was last answered without
+   * a crash; absent if that is not known.
+   */
+  protobuf_c_boolean has_answered_ms;
+  uint32_t answered_ms;
 };
 #define WP__SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__suspect__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Wp__SuspectNews
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -42,10 +42,11 @@
 {
     Page *z = arg;
     unsigned n = wp_suspect_crash_count(p);
+    const char *kind = wp_suspect_key_is_part(p->request) ? "part" : "request";
     if (n >= WP_SUSPECT_QUARANTINE_CRASHES)
         g_string_append_printf(
-            z->text, "wp_request_kept_out{box=\"%s\",request=\"%016lx\"} %u\n",
-            z->box, (unsigned long)p->request, n);
+            z->text, "wp_%s_kept_out{box=\"%s\",%s=\"%016lx\"} %u\n", kind,
+            z->box, kind, (unsigned long)p->request, n);
 }
 
 static void add_peer_bytes(void *arg, const char *kind, const char *scope,
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -222,6 +222,8 @@
     case WP_FLOW_FAIL:
         if (m.excluded)
             wp_relay_note_excluded(r, &m);
+        if (m.suspect)
+            wp_relay_note_suspect(r, m.suspect);
         send_own_answer(r, m.code, m.retry_ms);
         break;
     case WP_FLOW_ABORT:
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -47,6 +47,9 @@
    closest to eligible, and its temporary exclusion. */
 void wp_relay_note_excluded(WPRelay *r, const WPFlowAction *m);
 
+/* The same for a request that is suspect: the key of what it is suspect for. */
+void wp_relay_note_suspect(WPRelay *r, uint64_t key);
+
 /* Logs that the connection to an endpoint was lost while it ran the request. */
 void wp_relay_log_connection_lost(WPRelay *r, const char *endpoint);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -150,6 +150,13 @@
         g_string_append(r->attempts_text, ":cold");
 }
 
+void wp_relay_note_suspect(WPRelay *r, uint64_t key)
+{
+    g_string_append_printf(r->attempts_text, "%ssuspect:%016lx",
+                           r->attempts_text->len ? "," : "",
+                           (unsigned long)key);
+}
+
 void wp_relay_note_result(WPRelay *r, const char *how)
 {
     g_string_append_printf(r->attempts_text, ":%s", how);
--- a/io/wp_suspect_updates.c
+++ b/io/wp_suspect_updates.c
@@ -50,6 +50,12 @@
     GByteArray *value; /* NULL: the write removes the record */
 } WPSuspectUpdates;
 
+/* The log field that has the suspect's key. */
+static const char *key_name(uint64_t key)
+{
+    return wp_suspect_key_is_part(key) ? "part" : "request_hash";
+}
+
 static void log_suspect(const WPSync *s, const char *event, const char *from,
                         const WPSuspect *p)
 {
@@ -60,8 +66,8 @@
     snprintf(tries, sizeof(tries), "%u", p->probes);
     wp_log(&s->host->log,
            n >= WP_SUSPECT_QUARANTINE_CRASHES ? WP_WARN : WP_INFO, event,
-           "request_hash", hash, "ended", ended, "tries", tries, "from", from,
-           NULL);
+           key_name(p->request), hash, "ended", ended, "tries", tries, "from",
+           from, NULL);
 }
 
 typedef struct Message {
@@ -144,7 +150,7 @@
     if (!value) {
         if (wp_suspects_release(s->host->direct.suspects, wp_clock_now(0),
                                 request))
-            wp_log(&s->host->log, WP_INFO, "suspect_let_in", "request_hash",
+            wp_log(&s->host->log, WP_INFO, "suspect_let_in", key_name(request),
                    hex, NULL);
         return;
     }
@@ -283,7 +289,7 @@
     Wp__Suspect m;
     d->key = key_of(l->suspect.request);
     wp_suspect_encode(&l->suspect, l->now, &buffers, &m);
-    m.has_busy_ms = m.has_busy_box = 0;
+    m.has_busy_ms = m.has_busy_box = m.has_answered_ms = 0;
     d->value = l->removes ? NULL : wp_pb_pack(&m.base);
     d->writing = true;
     const WPKvCompare compare = { d->key,
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -14,7 +14,7 @@
 #include "wp_route.h"
 #include "wp_shift.h"
 #include "wp_startup.h"
-#include "wp_suspects.h"
+#include "wp_suspect_keys.h"
 
 typedef struct WPDirectRules {
     uint64_t box; /* hash of this box's id */
@@ -161,6 +161,9 @@
        next call only; NULL: none */
     const WPReplica *excluded;
     WPExclusion exclusion; /* why that is excluded */
+    /* FAIL: key of the suspect, the request or a part of its prompt, for which
+       it is not sent; 0: none */
+    uint64_t suspect;
 } WPFlowAction;
 
 /* The head of an endpoint's answer, decoded. */
@@ -198,6 +201,7 @@
     int64_t first_byte_us; /* when its first byte came */
     uint64_t events;       /* events of its stream that have come */
     bool first_byte_seen;  /* its first byte has come */
+    bool ran_long; /* wp_flow_note_long_run() has cleared the prompt's parts */
     bool busy; /* its endpoint was so full, or had started so lately, that it
                   may be slow */
     /* what the endpoint has to do before the first byte, as known when the
@@ -227,6 +231,7 @@
     uint64_t session; /* hash of its id; 0: none */
     uint64_t hash; /* of workspace, method, host, path and body: the same each
                       time that the caller sends the request */
+    WPSuspectKeys suspects; /* what it may be suspect for */
     WPPrompt prompt;
     uint32_t answer_tokens, body_bytes;
     double draw;     /* at random in [0, 1); see wp_fleet_limit_yields() */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -61,7 +61,7 @@
 static const char *predict_and_send(WPFlow *f, WPTime now, WPReplica *s,
                                     WPAttemptReason why)
 {
-    const WPEndpointQuery w = wp_flow_query(f);
+    const WPEndpointQuery w = wp_flow_query(f, now);
     const WPReplica *source;
     f->attempt.ttfb_inputs =
         wp_fleet_ttfb_inputs(f->direct->fleet, now, &w, s, &source);
@@ -92,7 +92,7 @@
                      .old_version = old };
     if (old)
         sh->old_running++;
-    wp_suspects_attempt_started(f->direct->suspects, now, f->hash);
+    wp_suspect_keys_attempt_started(f->direct->suspects, now, &f->suspects);
     /* From now on the session is on this version, also for its requests that
        arrive before this one is answered. */
     if (f->session)
@@ -106,7 +106,7 @@
                            .budget_ms =
                                (uint32_t)MAX(wp_flow_remaining_ms(f, now), 1),
                            .first_byte_timeout_ms =
-                               wp_flow_first_byte_timeout_ms(f) };
+                               wp_flow_first_byte_timeout_ms(f, now) };
 }
 
 /* Ends an attempt and drops its reference to the endpoint. */
@@ -117,7 +117,7 @@
     wp_flow_learn_load_failures(f, now, attempt, how);
     if (attempt->old_version && sh && sh->old_running)
         sh->old_running--;
-    wp_suspects_attempt_ended(f->direct->suspects, f->hash);
+    wp_suspect_keys_attempt_ended(f->direct->suspects, &f->suspects);
     wp_fleet_request_ended(attempt->replica, now, how);
     wp_replica_unref(attempt->replica);
 }
@@ -176,7 +176,7 @@
     bool exhausted = f->attempts_run >= f->route->max_attempts ||
                      f->attempts_refused >= REFUSALS_MAX;
     if (exhausted || wp_flow_remaining_ms(f, now) <= 0 ||
-        !wp_suspects_may_retry(d->suspects, now, f->hash))
+        !wp_suspect_keys_may_retry(d->suspects, now, &f->suspects))
         return false;
     WPReplica *s = wp_flow_choose_endpoint(f, now);
     if (!s)
@@ -281,7 +281,7 @@
    start. Returns false when there is no such endpoint. */
 static bool fail_temporarily_excluded(WPFlow *f, WPTime now, WPFlowAction *out)
 {
-    const WPEndpointQuery w = wp_flow_query(f);
+    const WPEndpointQuery w = wp_flow_query(f, now);
     /* Endpoints already tried may have asked for a back-off just now. */
     WPEndpointQuery with_tried = w;
     with_tried.n_tried = 0;
@@ -314,7 +314,7 @@
     WPFlowAction m;
     if (!f->retry_budget_spent && fail_temporarily_excluded(f, now, &m))
         return m;
-    const WPEndpointQuery w = wp_flow_query(f);
+    const WPEndpointQuery w = wp_flow_query(f, now);
     if (wp_fleet_all_outside_areas(f->direct->fleet, &w))
         return fail_action(WP_NO_AREA, NO_AREA_MS);
     bool is_evacuated =
@@ -328,8 +328,9 @@
 static void begin_first_attempt(WPFlow *f, WPTime now, WPReplica *s,
                                 WPFlowAction *out)
 {
-    switch (wp_suspects_admit(f->direct->suspects, now, f->hash,
-                              wp_flow_version_hash(s))) {
+    uint64_t why = 0;
+    switch (wp_suspect_keys_admit(f->direct->suspects, now, &f->suspects,
+                                  wp_flow_version_hash(s), &why)) {
     case WP_SUSPECT_ADMITTED:
         begin_attempt(f, now, s, WP_ATTEMPT_FIRST, out);
         return;
@@ -340,6 +341,7 @@
         *out = fail_action(WP_KEPT_OUT, QUARANTINED_MS);
         break;
     }
+    out->suspect = why;
     wp_replica_unref(s);
 }
 
@@ -387,6 +389,7 @@
         return;
     }
     f->hash = wp_flow_request_hash(f, request);
+    wp_suspect_keys_init(&f->suspects, f->hash, &f->prompt);
     set_times(f, request);
     if (request->box_stops_in_ms &&
         !wp_flow_can_finish_within(f, request->box_stops_in_ms)) {
@@ -621,8 +624,7 @@
     wp_flow_learn_stall(f);
     note_session(f, now);
     end_present_attempt(f, now, WP_OUTCOME_OK);
-    if (wp_suspects_completed(f->direct->suspects, now, f->hash))
-        wp_count(&f->direct->counters, WP_C_SUSPECTS_CLEARED);
+    wp_flow_clear_suspects(f, now);
     wp_count(&f->direct->counters, WP_C_ANSWERED);
     wp_histogram_add(&f->direct->counters.whole_answer,
                      now.mono_us - f->start_us);
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -11,7 +11,7 @@
 /* Whether the request must run at one endpoint at a time, with neither
    escalations nor first-byte time-outs, because it may crash endpoints: two or
    more crashed during it. */
-bool wp_flow_is_serialized(const WPFlow *f);
+bool wp_flow_is_serialized(const WPFlow *f, WPTime now);
 
 /* Hash of workspace, host and content (method, target and body), the same at
    each box to which a caller sends the request. */
@@ -26,6 +26,14 @@
 /* Records that the present attempt's endpoint may have crashed during it. */
 void wp_flow_record_crash(WPFlow *f, WPTime now);
 
+/* Notes that the request has been answered without a crash: it is not suspect,
+   nor is any part of its prompt. */
+void wp_flow_clear_suspects(WPFlow *f, WPTime now);
+
+/* Clears the prompt's parts once the present attempt's answer has been coming
+   for so long that they do not crash its endpoint. */
+void wp_flow_note_long_run(WPFlow *f, WPTime now);
+
 /* The name of the model to request from the endpoint: the present one of the
    route's list, else the one that the caller named; may be empty. */
 WPStr wp_flow_model(const WPFlow *f);
@@ -48,10 +56,10 @@
 
 /* Time-out for the first byte of the present attempt, after which another
    endpoint is tried; 0: none. */
-uint32_t wp_flow_first_byte_timeout_ms(WPFlow *f);
+uint32_t wp_flow_first_byte_timeout_ms(WPFlow *f, WPTime now);
 
 /* The requirements of the request on an endpoint, with its present model. */
-WPEndpointQuery wp_flow_query(WPFlow *f);
+WPEndpointQuery wp_flow_query(WPFlow *f, WPTime now);
 
 /* wp_flow_learn.c: what attempts show of endpoints and versions.
 
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -215,6 +215,7 @@
     wp_suspects_endpoint_alive(f->direct->suspects, now,
                                f->attempt.replica->incarnation_hash,
                                f->attempt.sent_us);
+    wp_flow_note_long_run(f, now);
     if (events >= GAP_SAMPLE_EVENTS && !f->attempt.sampled)
         wp_flow_sample_event_gap(f, now, events);
 }
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -44,7 +44,7 @@
 }
 
 /* The requirements of the request on an endpoint with this model. */
-static WPEndpointQuery query_for(WPFlow *f, WPStr model)
+static WPEndpointQuery query_for(WPFlow *f, WPTime now, WPStr model)
 {
     bool engine = f->route->retry_policy == WP_RETRY_STREAM;
     return (WPEndpointQuery){
@@ -68,7 +68,7 @@
         .n_tried = f->n_tried,
         .non_repeatable = !wp_flow_is_retryable(f),
         .endpoint_losses =
-            wp_suspects_crash_count(f->direct->suspects, f->hash),
+            wp_suspect_keys_crash_count(f->direct->suspects, now, &f->suspects),
         .priority = f->priority,
         .random = f->draw,
         .areas = f->route->areas,
@@ -76,9 +76,9 @@
     };
 }
 
-WPEndpointQuery wp_flow_query(WPFlow *f)
+WPEndpointQuery wp_flow_query(WPFlow *f, WPTime now)
 {
-    return query_for(f, wp_flow_model(f));
+    return query_for(f, now, wp_flow_model(f));
 }
 
 /* Whether there are endpoints from which only a temporary exclusion of this
@@ -135,7 +135,7 @@
 {
     WPDirect *d = f->direct;
     WPShift *sh = wp_flow_shift(f);
-    WPEndpointQuery w = wp_flow_query(f);
+    WPEndpointQuery w = wp_flow_query(f, now);
     WPReplica *s = NULL;
     bool stays = false;
     if (sh && sh->state == WP_SHIFT_RUNNING)
@@ -225,7 +225,7 @@
                                 double *prefill_us)
 {
     *prefill_us = 0;
-    const WPEndpointQuery w = query_for(f, model);
+    const WPEndpointQuery w = query_for(f, now, model);
     WPReplica *s = w.prompt ? wp_fleet_choose(f->direct->fleet, now, &w) : NULL;
     if (!s)
         return 0;
@@ -238,14 +238,14 @@
     return us > 0 ? us : expected_ttfb_by_cost(f, model, &work, prefill_us);
 }
 
-uint32_t wp_flow_first_byte_timeout_ms(WPFlow *f)
+uint32_t wp_flow_first_byte_timeout_ms(WPFlow *f, WPTime now)
 {
     double expected_us = f->attempt.expected_ttfb_us;
     uint32_t min_ms = f->route->retry_policy == WP_RETRY_STREAM
                           ? STREAM_TIMEOUT_MIN_MS
                           : FIRST_BYTE_TIMEOUT_MIN_MS;
     if (!wp_flow_is_retryable(f) || f->first_byte_timed_out ||
-        f->attempt.busy || wp_flow_is_serialized(f) ||
+        f->attempt.busy || wp_flow_is_serialized(f, now) ||
         f->attempts_run + 1 >= f->route->max_attempts)
         return 0;
     if (expected_us <= 0)
@@ -296,11 +296,11 @@
 {
     const GPtrArray *models = f->route->models;
     if (a->confidence < 0 || f->step + 1 >= models->len || f->answer_started ||
-        wp_flow_is_serialized(f))
+        wp_flow_is_serialized(f, now))
         return false;
     /* Rather a poor answer than a failure at endpoints that fail under load:
        the largest model is what loads them most. */
-    const WPEndpointQuery w = wp_flow_query(f);
+    const WPEndpointQuery w = wp_flow_query(f, now);
     if (wp_fleet_should_reduce_load(f->direct->fleet, now, &w,
                                     f->attempt.replica->version))
         return false;
--- a/src/wp_flow_suspect.c
+++ b/src/wp_flow_suspect.c
@@ -5,10 +5,10 @@
     SERIALIZED_MIN_CRASHES = 2 /* of endpoints during a request */
 };
 
-bool wp_flow_is_serialized(const WPFlow *f)
+bool wp_flow_is_serialized(const WPFlow *f, WPTime now)
 {
-    return wp_suspects_crash_count(f->direct->suspects, f->hash) >=
-           SERIALIZED_MIN_CRASHES;
+    return wp_suspect_keys_crash_count(f->direct->suspects, now,
+                                       &f->suspects) >= SERIALIZED_MIN_CRASHES;
 }
 
 uint64_t wp_flow_version_hash(const WPReplica *s)
@@ -21,7 +21,9 @@
 uint64_t wp_flow_request_hash(const WPFlow *f, const WPDirectRequest *request)
 {
     WPStr caller = f->workspace ? wp_str(f->workspace) : wp_str("");
-    return wp_hash(caller, wp_hash(request->host, request->content_hash));
+    uint64_t hash =
+        wp_hash(caller, wp_hash(request->host, request->content_hash));
+    return hash & ~WP_SUSPECT_PART_BIT;
 }
 
 /* When an endpoint crashes, all requests that run there lose their connections:
@@ -38,6 +40,23 @@
     return stream ? WP_OUTCOME_STREAM_BROKEN : WP_OUTCOME_FAILED;
 }
 
+void wp_flow_clear_suspects(WPFlow *f, WPTime now)
+{
+    if (wp_suspect_keys_completed(f->direct->suspects, now, &f->suspects))
+        wp_count(&f->direct->counters, WP_C_SUSPECTS_CLEARED);
+}
+
+void wp_flow_note_long_run(WPFlow *f, WPTime now)
+{
+    WPAttempt *a = &f->attempt;
+    if (a->ran_long || !a->first_byte_seen ||
+        now.mono_us - a->first_byte_us <= WP_SUSPECT_LONG_RUN_US)
+        return;
+    a->ran_long = true;
+    if (wp_suspect_keys_ran_long(f->direct->suspects, now, &f->suspects))
+        wp_count(&f->direct->counters, WP_C_SUSPECTS_CLEARED);
+}
+
 void wp_flow_record_crash(WPFlow *f, WPTime now)
 {
     const WPReplica *s = f->attempt.replica;
@@ -45,6 +64,6 @@
                                    wp_flow_version_hash(s), f->attempt.sent_us,
                                    f->attempt.first_byte_us };
     wp_count(&f->direct->counters, WP_C_ENDED_UNDER);
-    f->endpoints_lost =
-        wp_suspects_record_crash(f->direct->suspects, now, &run);
+    f->endpoints_lost = wp_suspect_keys_record_crash(f->direct->suspects, now,
+                                                     &f->suspects, &run);
 }
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -24,12 +24,6 @@
 /* Crashes at most this far apart count as one event with a common cause. */
 #define SAME_EVENT_US (30 * WP_US_PER_MS)
 
-/* A request that crashes its endpoint does so soon after the first byte of its
-   answer. One that has run for longer than this was more likely there by
-   chance. Guards against streams that are quarantined for crashes that they did
-   not cause. */
-#define LONG_RUN_US (1000 * WP_US_PER_MS)
-
 /* Answers that were in transit arrive up to this long after a crash. */
 #define IN_TRANSIT_US (100 * WP_US_PER_MS)
 
@@ -37,6 +31,9 @@
    endpoints. */
 #define TRUST_US (5000 * WP_US_PER_MS)
 
+/* The same for a part: some are sent a few times a minute only. */
+#define PART_TRUST_US (60 * WP_US_PER_S)
+
 /* A record with fewer crashes than lead to quarantine expires this long after
    its last change. */
 #define EXPIRE_US (600 * WP_US_PER_S)
@@ -79,6 +76,11 @@
     return g_hash_table_lookup(s->by_request, &request);
 }
 
+bool wp_suspects_any(const WPSuspects *s)
+{
+    return g_hash_table_size(s->by_request) > 0;
+}
+
 const WPSuspect *wp_suspects_find(WPSuspects *s, uint64_t request)
 {
     return find(s, request);
@@ -112,7 +114,9 @@
 
 bool wp_suspect_is_persistent(const WPSuspect *p, WPTime now)
 {
-    return wp_suspect_crash_count(p) >= STORE_CRASHES && !is_expired(p, now);
+    unsigned least =
+        wp_suspect_is_part(p) ? WP_SUSPECT_QUARANTINE_CRASHES : STORE_CRASHES;
+    return wp_suspect_crash_count(p) >= least && !is_expired(p, now);
 }
 
 /* Whether the record expired long enough ago for its copy in the store to have
@@ -219,14 +223,44 @@
    on the same place overwrite each other. */
 static WPSuspectCompletion *completion_of(WPSuspects *s, uint64_t request)
 {
-    return &s->completions[request % WP_SUSPECTS_RECENT_SLOTS];
+    WPSuspectCompletion *list =
+        wp_suspect_key_is_part(request) ? s->part_completions : s->completions;
+    return &list[request % WP_SUSPECTS_RECENT_SLOTS];
 }
 
-bool wp_suspects_completed_recently(WPSuspects *s, WPTime now, uint64_t request)
+int64_t wp_suspects_completed_us(WPSuspects *s, uint64_t request)
 {
     const WPSuspectCompletion *r = completion_of(s, request);
-    return r->request == request && r->at_us &&
-           now.mono_us - r->at_us < TRUST_US;
+    return r->request == request ? r->at_us : 0;
+}
+
+bool wp_suspects_is_trusted(WPSuspects *s, WPTime now, uint64_t request)
+{
+    int64_t at_us = wp_suspects_completed_us(s, request);
+    if (!wp_suspect_key_is_part(request))
+        return at_us && now.mono_us - at_us < TRUST_US;
+    const WPSuspect *p = find(s, request);
+    at_us = MAX(at_us, p ? p->answered_us : 0);
+    return at_us && now.mono_us - at_us < PART_TRUST_US;
+}
+
+bool wp_suspects_is_quarantined(WPSuspects *s, WPTime now, const WPSuspect *p)
+{
+    bool trusted_part =
+        wp_suspect_is_part(p) && wp_suspects_is_trusted(s, now, p->request);
+    return wp_suspect_crash_count(p) >= (trusted_part
+                                             ? WP_SUSPECT_TRUSTED_CRASHES
+                                             : WP_SUSPECT_QUARANTINE_CRASHES);
+}
+
+/* Whether only one copy of the suspect may be in flight. A request that has
+   completed lately is sent whatever its crashes. */
+static bool is_serialized(WPSuspects *s, WPTime now, const WPSuspect *p)
+{
+    if (wp_suspect_is_part(p) && wp_suspects_is_quarantined(s, now, p))
+        return true;
+    return wp_suspect_crash_count(p) &&
+           !wp_suspects_is_trusted(s, now, p->request);
 }
 
 unsigned wp_suspects_local_attempts(const WPSuspects *s, uint64_t request)
@@ -236,7 +270,8 @@
 }
 
 /* Whether a copy of the request is in flight, from this box or another one. */
-static bool is_in_flight(const WPSuspects *s, const WPSuspect *p, WPTime now)
+bool wp_suspect_is_in_flight(const WPSuspects *s, const WPSuspect *p,
+                             WPTime now)
 {
     return p->in_flight_until_us > now.mono_us ||
            wp_suspects_local_attempts(s, p->request);
@@ -274,32 +309,51 @@
    fewer separate events than that gets one probe at any version. */
 static bool may_probe(const WPSuspect *p, unsigned n, uint64_t version)
 {
-    if (p->probes >= MAX_PROBES)
+    if (!wp_suspect_has_probes_left(p))
         return false;
     if (!crashed_on(p, version) || n == WP_SUSPECT_QUARANTINE_CRASHES)
         return true;
     return !p->probes && crash_events(p) < WP_SUSPECT_QUARANTINE_CRASHES;
 }
 
-WPSuspectAdmission wp_suspects_admit(WPSuspects *s, WPTime now,
-                                     uint64_t request, uint64_t version)
+WPSuspectAdmission wp_suspects_admit_with(WPSuspects *s, WPTime now,
+                                          uint64_t request, uint64_t version,
+                                          bool others_quarantined)
 {
     const WPSuspect *p = find(s, request);
-    unsigned n = p ? wp_suspect_crash_count(p) : 0;
-    if (!n || wp_suspects_completed_recently(s, now, request))
+    bool quarantined = p && wp_suspects_is_quarantined(s, now, p);
+    if (!p || !(quarantined || is_serialized(s, now, p)))
         return WP_SUSPECT_ADMITTED;
-    if (n >= WP_SUSPECT_QUARANTINE_CRASHES && !may_probe(p, n, version))
+    if (!wp_suspect_is_part(p) && wp_suspects_is_trusted(s, now, request))
+        return WP_SUSPECT_ADMITTED;
+    bool spent = others_quarantined && p->probes;
+    if (quarantined &&
+        (spent || !may_probe(p, wp_suspect_crash_count(p), version)))
         return WP_SUSPECT_QUARANTINED;
-    return is_in_flight(s, p, now) ? WP_SUSPECT_IN_FLIGHT : WP_SUSPECT_ADMITTED;
+    return wp_suspect_is_in_flight(s, p, now) ? WP_SUSPECT_IN_FLIGHT
+                                              : WP_SUSPECT_ADMITTED;
+}
+
+WPSuspectAdmission wp_suspects_admit(WPSuspects *s, WPTime now,
+                                     uint64_t request, uint64_t version)
+{
+    return wp_suspects_admit_with(s, now, request, version, false);
+}
+
+bool wp_suspect_has_probes_left(const WPSuspect *p)
+{
+    return p->probes < MAX_PROBES;
 }
 
 bool wp_suspects_may_retry(WPSuspects *s, WPTime now, uint64_t request)
 {
     const WPSuspect *p = find(s, request);
-    unsigned n = p ? wp_suspect_crash_count(p) : 0;
-    if (!n || wp_suspects_completed_recently(s, now, request))
+    if (!p ||
+        (!wp_suspect_is_part(p) && wp_suspects_is_trusted(s, now, request)))
         return true;
-    return n < WP_SUSPECT_QUARANTINE_CRASHES && !is_in_flight(s, p, now);
+    if (wp_suspects_is_quarantined(s, now, p))
+        return false;
+    return !is_serialized(s, now, p) || !wp_suspect_is_in_flight(s, p, now);
 }
 
 void wp_suspects_attempt_started(WPSuspects *s, WPTime now, uint64_t request)
@@ -315,9 +369,9 @@
     l->n++;
     if (!n)
         return;
-    if (n >= WP_SUSPECT_QUARANTINE_CRASHES)
+    if (wp_suspects_is_quarantined(s, now, p))
         p->probes++;
-    if (!wp_suspects_completed_recently(s, now, request)) {
+    if (is_serialized(s, now, p)) {
         p->in_flight_sequence++;
         p->in_flight_box = s->self;
         wp_suspects_mark_changed(s, now, p, true);
@@ -352,20 +406,24 @@
     /* A request that was sent after the crash did not cause it. */
     if (r->sent_us > wp_suspects_dead_since_us(s, now, r->incarnation))
         return wp_suspects_crash_count(s, r->request);
+    bool is_part = wp_suspect_key_is_part(r->request);
+    bool weak = r->first_byte_us &&
+                now.mono_us - r->first_byte_us > WP_SUSPECT_LONG_RUN_US;
+    if (is_part && weak)
+        return wp_suspects_crash_count(s, r->request);
     WPSuspect *p = wp_suspects_get_or_add(s, r->request);
-    const WPSuspectCrash c = {
-        .incarnation = r->incarnation,
-        .version = r->version,
-        .at_us = now.mono_us,
-        .weak = r->first_byte_us && now.mono_us - r->first_byte_us > LONG_RUN_US
-    };
+    const WPSuspectCrash c = { .incarnation = r->incarnation,
+                               .version = r->version,
+                               .at_us = now.mono_us,
+                               .weak = weak };
     if (!wp_suspect_add_crash(p, &c))
         return wp_suspect_crash_count(p);
     wp_suspects_mark_changed(s, now, p, true);
     /* A request that many callers send completes again in a moment, so the
        other boxes need not know. */
-    if (wp_suspects_completed_recently(s, now, r->request))
-        p->unsent = false;
+    if (wp_suspects_is_trusted(s, now, r->request))
+        p->unsent = is_part &&
+                    wp_suspect_crash_count(p) >= WP_SUSPECT_QUARANTINE_CRASHES;
     return wp_suspect_crash_count(p);
 }
 
@@ -405,12 +463,17 @@
     clear_crash(s, now, incarnation);
 }
 
-bool wp_suspect_has_uncleared(const WPSuspect *p)
+unsigned wp_suspect_uncleared(const WPSuspect *p)
 {
+    unsigned n = 0;
     for (unsigned i = 0; i < p->n_crashes; i++)
-        if (!p->crashes[i].cleared)
-            return true;
-    return false;
+        n += !p->crashes[i].cleared;
+    return n;
+}
+
+bool wp_suspect_has_uncleared(const WPSuspect *p)
+{
+    return wp_suspect_uncleared(p) > 0;
 }
 
 /* Clears all crashes of the record, which may be NULL. Returns whether some
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -1,4 +1,7 @@
-/* Suspect requests: requests during which endpoints have crashed. A request may
+/* Suspect requests and prompt parts: those during which endpoints have crashed.
+ * A part has a record of its own, by wp_suspect_part_key(); what is said of
+ * requests here holds for parts as well, but for what follows below. A request
+ * may
  * crash whatever runs it (a query of death), and its caller may repeat it at
  * any box. Each box records which incarnations of endpoints crashed while they
  * ran which request, the boxes send each other these records, and the record of
@@ -16,8 +19,14 @@
  * WPSuspectCrash, counts half. "Crashes" as a number, such as "the third crash"
  * above, is the sum of those, rounded down (wp_suspect_crash_count()).
  *
- * Guards against one request that crashes all endpoints again and again, so
- * that the other requests find none. */
+ * A part is in the crashes of all requests that have it. It is cleared as soon
+ * as any of them is answered completely, or has been answered for a second: a
+ * part that crashes endpoints does so when the answer begins. If that happened
+ * within the last minute, at any box, the part is trusted: its copies are not
+ * sent one at a time, and twice the crashes lead to quarantine.
+ *
+ * Guards against one request, or one part, that crashes all endpoints again and
+ * again, so that the other requests find none. */
 #ifndef WP_SUSPECTS_H
 #define WP_SUSPECTS_H
 
@@ -30,6 +39,8 @@
     /* Crashes from which on a request is quarantined. The platform allows three
        more sends then. */
     WP_SUSPECT_QUARANTINE_CRASHES = 3,
+    /* The same for a part that is trusted. */
+    WP_SUSPECT_TRUSTED_CRASHES = 6,
     /* Records in one message. */
     WP_SUSPECTS_PER_MESSAGE = 64
 };
@@ -43,6 +54,16 @@
     return id_hash | WP_SUSPECT_PART_BIT;
 }
 
+static inline bool wp_suspect_key_is_part(uint64_t key)
+{
+    return key & WP_SUSPECT_PART_BIT;
+}
+
+/* A request whose answer has been coming for this long since its first byte
+   does not crash its endpoint any more. Guards against streams that are
+   quarantined for crashes that they did not cause. */
+#define WP_SUSPECT_LONG_RUN_US (1000 * WP_US_PER_MS)
+
 /* The crash of one incarnation of an endpoint while it ran the request. */
 typedef struct WPSuspectCrash {
     uint64_t incarnation; /* hash of the incarnation */
@@ -56,7 +77,7 @@
 
 /* The record of one suspect request. */
 typedef struct WPSuspect {
-    uint64_t request; /* hash, by wp_flow_request_hash() */
+    uint64_t request; /* hash, by wp_flow_request_hash(); or key of a part */
     WPSuspectCrash crashes[WP_SUSPECT_MAX_CRASHES];
     unsigned n_crashes;
     unsigned probes; /* times that it was sent in quarantine */
@@ -69,6 +90,10 @@
     uint64_t in_flight_box;
     uint32_t in_flight_sequence;
 
+    /* Of a part: when a request with it was last answered without a crash, at
+       another box, monotonic; 0: unknown. */
+    int64_t answered_us;
+
     int64_t changed_us;  /* when the record last changed, monotonic */
     bool local_origin;   /* this box made the last change; it then writes the
                             record to the store before other boxes do */
--- a/src/wp_suspects_gossip.c
+++ b/src/wp_suspects_gossip.c
@@ -2,6 +2,15 @@
  * store. */
 #include "wp_suspects_int.h"
 
+/* Whether the request has completed at this box since the incarnation was
+   presumed dead, so that a late report of its crash does not count. */
+static bool completed_since(WPSuspects *s, uint64_t request,
+                            uint64_t incarnation)
+{
+    const WPDeadIncarnation *d = g_hash_table_lookup(s->dead, &incarnation);
+    return d && wp_suspects_completed_us(s, request) > d->at_us;
+}
+
 /* Merges a received crash into the record; returns whether it was new. Merging
    only ever adds a crash, or clears one. If a box could undo what another has
    sent, updates would circulate for ever. */
@@ -9,6 +18,12 @@
                         const WPSuspectCrash *received)
 {
     WPSuspectCrash *known = wp_suspect_find_crash(p, received->incarnation);
+    if (!known && !received->cleared &&
+        completed_since(s, p->request, received->incarnation)) {
+        known = wp_suspect_add_crash(p, received);
+        if (known)
+            known->cleared = true;
+    }
     if (!known && !received->cleared && wp_suspect_add_crash(p, received)) {
         wp_suspects_dead_since_us(s, now, received->incarnation);
         return true;
@@ -57,16 +72,33 @@
 static void claim_local_copies(WPSuspects *s, WPTime now, WPSuspect *p)
 {
     if (!wp_suspects_local_attempts(s, p->request) ||
-        wp_suspects_completed_recently(s, now, p->request))
+        wp_suspects_is_trusted(s, now, p->request))
         return;
     p->in_flight_box = s->self;
     p->in_flight_sequence++;
 }
 
+/* Merges when a request with the part was last answered elsewhere. Returns
+   whether the part has become trusted by that. */
+static bool merge_answered(WPSuspects *s, WPTime now, WPSuspect *p,
+                           const Wp__Suspect *m)
+{
+    bool trusted = wp_suspects_is_trusted(s, now, p->request);
+    if (!wp_suspect_is_part(p))
+        return false;
+    if (m->has_answered_ms)
+        p->answered_us =
+            MAX(p->answered_us, now.mono_us - m->answered_ms * WP_US_PER_MS);
+    else if (trusted)
+        p->unsent = s->unsent = true; /* the sender does not know it */
+    return !trusted && wp_suspects_is_trusted(s, now, p->request);
+}
+
 bool wp_suspects_merge(WPSuspects *s, WPTime now, const Wp__Suspect *m)
 {
     WPSuspect *p = wp_suspects_get_or_add(s, m->request);
     bool is_new = merge_crashes(s, now, p, m);
+    is_new |= merge_answered(s, now, p, m);
     if (is_new && wp_suspect_crash_count(p))
         claim_local_copies(s, now, p);
     p->known_to_peers = true;
@@ -108,6 +140,9 @@
     p->unsent = false;
     p->known_to_peers = true;
     *out = *p;
+    if (wp_suspect_is_part(p))
+        out->answered_us =
+            MAX(p->answered_us, wp_suspects_completed_us(s, p->request));
     if (p->in_flight_box == s->self &&
         wp_suspects_local_attempts(s, p->request))
         out->in_flight_until_us = INT64_MAX;
@@ -165,6 +200,9 @@
     m->has_tries = m->has_busy_ms = 1;
     m->tries = p->probes;
     m->busy_ms = (uint32_t)(in_flight_us / WP_US_PER_MS);
+    m->has_answered_ms = p->answered_us > 0;
+    m->answered_ms = (uint32_t)MIN(
+        (now.mono_us - p->answered_us) / WP_US_PER_MS, UINT32_MAX);
     m->has_busy_box = m->has_busy_number = 1;
     m->busy_box = p->in_flight_box;
     m->busy_number = p->in_flight_sequence;
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -1,4 +1,5 @@
-/* Declarations that wp_suspects.c and wp_suspects_gossip.c share. */
+/* Declarations that wp_suspects.c, wp_suspects_gossip.c and wp_suspect_keys.c
+ * share. */
 #ifndef WP_SUSPECTS_INT_H
 #define WP_SUSPECTS_INT_H
 
@@ -43,6 +44,7 @@
 
     /* Each at the request's hash modulo the size. */
     WPSuspectCompletion completions[WP_SUSPECTS_RECENT_SLOTS];
+    WPSuspectCompletion part_completions[WP_SUSPECTS_RECENT_SLOTS];
 
     bool unsent; /* some record has changes that are still to be sent */
 };
@@ -64,13 +66,43 @@
    not cleared. */
 WPSuspectCrash *wp_suspect_add_crash(WPSuspect *p, const WPSuspectCrash *c);
 
-/* Whether the record has a crash that is not cleared. */
+static inline bool wp_suspect_is_part(const WPSuspect *p)
+{
+    return wp_suspect_key_is_part(p->request);
+}
+
+/* Number of the record's crashes that are not cleared, weak ones included, and
+   whether there are any. */
+unsigned wp_suspect_uncleared(const WPSuspect *p);
 bool wp_suspect_has_uncleared(const WPSuspect *p);
 
-/* Whether the request has completed at this box within the last 5 s: it is then
-   trusted not to crash endpoints. */
-bool wp_suspects_completed_recently(WPSuspects *s, WPTime now,
-                                    uint64_t request);
+/* Whether the table has records. */
+bool wp_suspects_any(const WPSuspects *s);
+
+/* Whether the request has completed at this box within the last 5 s, or one
+   with the part at any box within the last minute: it is then trusted not to
+   crash endpoints. */
+bool wp_suspects_is_trusted(WPSuspects *s, WPTime now, uint64_t request);
+
+/* When the request last completed at this box, monotonic; 0: unknown. */
+int64_t wp_suspects_completed_us(WPSuspects *s, uint64_t request);
+
+/* Whether the record has as many crashes as lead to quarantine. */
+bool wp_suspects_is_quarantined(WPSuspects *s, WPTime now, const WPSuspect *p);
+
+/* As wp_suspects_admit(). `others_quarantined`: other keys of the same request
+   are quarantined too. Such a request is sent as one probe only, as it does not
+   show which of them crashes endpoints. */
+WPSuspectAdmission wp_suspects_admit_with(WPSuspects *s, WPTime now,
+                                          uint64_t request, uint64_t version,
+                                          bool others_quarantined);
+
+/* Whether the record's number of probes in quarantine is not used up. */
+bool wp_suspect_has_probes_left(const WPSuspect *p);
+
+/* Whether a copy of the suspect is in flight, from this box or another one. */
+bool wp_suspect_is_in_flight(const WPSuspects *s, const WPSuspect *p,
+                             WPTime now);
 
 /* Number of attempts of the request that are in flight from this box. */
 unsigned wp_suspects_local_attempts(const WPSuspects *s, uint64_t request);
--- a/tests/test_direct_mode.c
+++ b/tests/test_direct_mode.c
@@ -2,6 +2,7 @@
  * platform's store and endpoints. Each step waits for its condition, so that no
  * test depends on the speed of the machine. */
 #include "cluster.h"
+#include "wp_suspects.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -258,7 +259,8 @@
     uint64_t content = wp_hash(wp_str(body), head);
     uint64_t request =
         wp_hash(wp_str("acme"), wp_hash(wp_str("h.example"), content));
-    return g_strdup_printf("wp/suspect/%016lx", (unsigned long)request);
+    return g_strdup_printf("wp/suspect/%016lx",
+                           (unsigned long)(request & ~WP_SUSPECT_PART_BIT));
 }
 
 /* Sends the request to both entries alternately, 60 times at most, until it is
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -1,6 +1,6 @@
-/* Suspect requests, during which endpoints have crashed: what counts against
- * them, what clears them, and how many endpoints one of them crashes at 1, 3,
- * 30, 100 and 300 boxes. */
+/* Suspect requests and prompt parts, during which endpoints have crashed: what
+ * counts against them, what clears them, and how many endpoints one of them
+ * crashes at 1, 3, 30, 100 and 300 boxes. */
 #include "direct_fake.h"
 
 #include <stdio.h>
@@ -236,6 +236,229 @@
     fake_end(&k);
 }
 
+static WPSuspectKeys keys_of(uint64_t request, const char *const *parts)
+{
+    WPPrompt prompt = { .tokens = 1000 };
+    WPSuspectKeys k;
+    for (; *parts; parts++)
+        wp_prompt_add(&prompt, wp_str(*parts), 10);
+    wp_suspect_keys_init(&k, request, &prompt);
+    return k;
+}
+
+#define KEYS(request, ...)                                                     \
+    keys_of(request, (const char *const[]){ __VA_ARGS__, "own", NULL })
+
+static void crash_of(WPSuspects *s, int64_t ms, const WPSuspectKeys *k,
+                     uint64_t incarnation)
+{
+    const WPSuspectAttempt a = { .incarnation = incarnation,
+                                 .version = 1,
+                                 .sent_us = us_at(ms - 50) };
+    wp_suspect_keys_record_crash(s, at_ms(ms), k, &a);
+}
+
+static WPSuspectAdmission admit(WPSuspects *s, int64_t ms,
+                                const WPSuspectKeys *k)
+{
+    uint64_t why;
+    return wp_suspect_keys_admit(s, at_ms(ms), k, 1, &why);
+}
+
+/* Crashes endpoints with requests that share the parts, no two alike, until
+   they are not admitted any more; each probe is sent too. Returns how many.
+   `from`: how many were before. */
+static unsigned crash_until_kept_out(WPSuspects *s, unsigned from,
+                                     const char *const *parts)
+{
+    for (unsigned n = from; n < from + 20; n++) {
+        const WPSuspectKeys k = keys_of(1000 + n, parts);
+        if (admit(s, 100 * n, &k) != WP_SUSPECT_ADMITTED)
+            return n - from;
+        wp_suspect_keys_attempt_started(s, at_ms(100 * n), &k);
+        crash_of(s, 100 * n + 50, &k, 100 + n);
+        wp_suspect_keys_attempt_ended(s, &k);
+    }
+    fail_msg("parts go on crashing endpoints");
+    return 0;
+}
+
+static void
+part_that_crashes_endpoints_is_quarantined_in_unlike_requests(void **state)
+{
+    static const char *const places[][5] = { { "bad", "own" },
+                                             { "bad", "a", "own" },
+                                             { "a", "bad", "own" },
+                                             { "a", "b", "bad", "own" } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(places); i++) {
+        WPSuspects *s = wp_suspects_new(1);
+        unsigned n = crash_until_kept_out(s, 0, places[i]);
+        assert_int_equal(n, 4);
+        n += crash_until_kept_out(
+            s, n, (const char *const[]){ "x", "y", "bad", "z", "own", NULL });
+        assert_in_range(n, 4, 5);
+        const WPSuspectKeys other = KEYS(1, "x", "z", "bad", "y");
+        const WPSuspectKeys last =
+            keys_of(2, (const char *const[]){ "x", "bad", NULL });
+        assert_int_equal(admit(s, 5000, &other), WP_SUSPECT_QUARANTINED);
+        assert_int_equal(admit(s, 7200000, &other), WP_SUSPECT_QUARANTINED);
+        /* The last part of a prompt is the request's own. */
+        assert_int_equal(admit(s, 5000, &last), WP_SUSPECT_ADMITTED);
+        wp_suspects_free(s);
+    }
+}
+
+static void parts_that_were_in_the_crashes_are_sent_apart(void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys sound = KEYS(1, "a"), bad = KEYS(2, "bad"),
+                        both = KEYS(3, "a", "bad");
+    (void)state;
+    crash_until_kept_out(s, 0,
+                         (const char *const[]){ "a", "bad", "own", NULL });
+    assert_int_equal(admit(s, 1000, &both), WP_SUSPECT_QUARANTINED);
+    assert_int_equal(admit(s, 1000, &sound), WP_SUSPECT_ADMITTED);
+    wp_suspect_keys_attempt_started(s, at_ms(1000), &sound);
+    assert_int_equal(admit(s, 1010, &sound), WP_SUSPECT_IN_FLIGHT);
+    wp_suspect_keys_completed(s, at_ms(1100), &sound);
+    wp_suspect_keys_attempt_ended(s, &sound);
+    for (int i = 0; i < 10; i++) {
+        assert_int_equal(admit(s, 1200, &sound), WP_SUSPECT_ADMITTED);
+        wp_suspect_keys_attempt_started(s, at_ms(1200), &sound);
+    }
+    assert_int_equal(admit(s, 1300, &both), WP_SUSPECT_QUARANTINED);
+    assert_int_equal(admit(s, 1300, &bad), WP_SUSPECT_QUARANTINED);
+    wp_suspects_free(s);
+}
+
+/* The part that crashes endpoints is tried once apart; the one beside it has
+   fewer crashes then. */
+/* Two parts crash endpoints; what comes along with both has more crashes than
+   either. */
+static void part_beside_two_that_crash_is_sent_apart(void **state)
+{
+    const WPSuspectKeys one = KEYS(1, "bad1", "a", "b"),
+                        two = KEYS(2, "bad2", "a", "b");
+    const WPSuspectKeys sound = KEYS(3, "a", "b");
+    (void)state;
+    for (unsigned crashes = 3; crashes <= 6; crashes++) {
+        WPSuspects *s = wp_suspects_new(1);
+        for (unsigned n = 0; n < crashes; n++)
+            crash_of(s, 100 * n, n % 2 ? &one : &two, 1 + n);
+        /* One probe was sent with a part that crashes endpoints. */
+        wp_suspect_keys_attempt_started(s, at_ms(700), &one);
+        wp_suspect_keys_attempt_ended(s, &one);
+        assert_int_equal(admit(s, 1000, &sound), WP_SUSPECT_ADMITTED);
+        wp_suspect_keys_completed(s, at_ms(1100), &sound);
+        assert_int_equal(wp_suspects_crash_count(s, sound.keys[1]), 0);
+        wp_suspects_free(s);
+    }
+}
+
+static void crashing_part_is_told_from_its_companion(void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys sound = KEYS(1, "a"), bad = KEYS(2, "bad");
+    (void)state;
+    crash_until_kept_out(s, 0,
+                         (const char *const[]){ "a", "bad", "own", NULL });
+    assert_int_equal(admit(s, 1000, &bad), WP_SUSPECT_ADMITTED);
+    wp_suspect_keys_attempt_started(s, at_ms(1000), &bad);
+    crash_of(s, 1100, &bad, 50);
+    wp_suspect_keys_attempt_ended(s, &bad);
+    assert_int_equal(admit(s, 1200, &bad), WP_SUSPECT_QUARANTINED);
+    assert_int_equal(admit(s, 1200, &sound), WP_SUSPECT_ADMITTED);
+    wp_suspects_free(s);
+}
+
+static void
+part_answered_lately_is_not_quarantined_by_three_crashes(void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys k = KEYS(1, "a");
+    (void)state;
+    wp_suspect_keys_completed(s, at_ms(0), &k);
+    for (uint64_t n = 1; n <= 5; n++) {
+        const WPSuspectKeys other = KEYS(10 + n, "a");
+        crash_of(s, 100 * (int64_t)n, &other, n);
+    }
+    const WPSuspectKeys next = KEYS(20, "a");
+    assert_int_equal(admit(s, 600, &next), WP_SUSPECT_ADMITTED);
+    crash_of(s, 700, &next, 6);
+    const WPSuspectKeys last = KEYS(21, "a");
+    assert_int_equal(admit(s, 800, &last), WP_SUSPECT_QUARANTINED);
+    wp_suspects_free(s);
+}
+
+static void
+crash_during_a_long_answer_does_not_count_against_parts(void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys k = KEYS(1, "a");
+    (void)state;
+    for (uint64_t n = 1; n <= 5; n++) {
+        const WPSuspectAttempt a = { .incarnation = n,
+                                     .version = 1,
+                                     .sent_us = us_at(0),
+                                     .first_byte_us = us_at(100) };
+        wp_suspect_keys_record_crash(s, at_ms(1200), &k, &a);
+    }
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 0);
+    wp_suspects_free(s);
+}
+
+static void answer_that_comes_for_a_second_clears_its_parts(void **state)
+{
+    Fake k;
+    WPFlowAction m;
+    const WPDirectAnswer a = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    const WPSuspectKeys keys = KEYS(1, "a");
+    for (uint64_t n = 1; n <= 2; n++)
+        crash_of(k.d.suspects, 0, &keys, n);
+    WPDirectRequest ask = { .id = wp_str("r"),
+                            .host = wp_str("h.example"),
+                            .path = wp_str("/chat/x"),
+                            .key = wp_str("key-1"),
+                            .prompt = { .tokens = 100 },
+                            .deadline_ms = 10000 };
+    wp_prompt_add(&ask.prompt, wp_str("a"), 50);
+    wp_prompt_add(&ask.prompt, wp_str("own"), 50);
+    WPFlow *f = wp_flow_begin(&k.d, k.now, &ask, &m);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    wp_flow_on_answer(f, k.now, &a, &m);
+    fake_advance(&k, 900);
+    wp_flow_on_events(f, k.now, 1);
+    assert_int_equal(wp_suspects_crash_count(k.d.suspects, keys.keys[1]), 2);
+    fake_advance(&k, 200);
+    wp_flow_on_events(f, k.now, 2);
+    assert_int_equal(wp_suspects_crash_count(k.d.suspects, keys.keys[1]), 0);
+    wp_flow_on_done(f, k.now, 2);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void
+late_report_of_a_crash_does_not_count_after_a_complete_answer(void **state)
+{
+    WPSuspects *a = wp_suspects_new(1), *b = wp_suspects_new(2);
+    const WPSuspectKeys k = KEYS(1, "a");
+    (void)state;
+    crash_of(a, 50, &k, 9);
+    /* `b` knows of the crash by another request, and has then answered one with
+       the part. */
+    crash_of(b, 50, &(WPSuspectKeys){ 1, { GOOD } }, 9);
+    wp_suspects_completed(b, at_ms(100), k.keys[1]);
+    merge_unsent(a, b, at_ms(200));
+    assert_int_equal(wp_suspects_crash_count(b, k.keys[1]), 0);
+    merge_unsent(b, a, at_ms(210));
+    assert_int_equal(wp_suspects_crash_count(a, k.keys[1]), 0);
+    wp_suspects_free(a);
+    wp_suspects_free(b);
+}
+
 /* Simulation: boxes that relay updates along links, endpoints that crash and
    come back, one caller that repeats a request that crashes them, and other
    callers. */
@@ -250,6 +473,9 @@
     RESTART_MS = 2000,
     UNREGISTER_MS = 1200,
     LINKS = 8,
+    BEFORE_MS = 1000,     /* the other callers alone, where a part is bad */
+    RARE_PARTS = 300,     /* second parts of the other callers' prompts */
+    PART_CRASHES_MAX = 8, /* the fifth, and three more */
     RUNS_MAX = 4096,
     SEEDS = 4,
     QUIET_TEST_MS = 8000 /* the second half is without events */
@@ -285,6 +511,7 @@
     GArray *updates;
     GRand *rand;
     int64_t ms;
+    bool parts; /* no two bad requests are alike: a part of their prompts is */
     unsigned crashed, others, served;
 } Sim;
 
@@ -351,13 +578,22 @@
     r->box = (unsigned)g_rand_int_range(p->rand, 0, (gint32)p->n_boxes);
     r->bad = bad;
     g_autofree char *id = g_strdup_printf("r%u", p->others);
-    const WPDirectRequest params = { .id = wp_str(id),
-                                     .host = wp_str("h.example"),
-                                     .path = wp_str("/many/x"),
-                                     .key = wp_str("key-1"),
-                                     .content_hash =
-                                         bad ? BAD : 100 + g_rand_int(p->rand),
-                                     .deadline_ms = 10000 };
+    g_autofree char *rare =
+        g_strdup_printf("rare%d", g_rand_int_range(p->rand, 0, RARE_PARTS));
+    WPDirectRequest params = { .id = wp_str(id),
+                               .host = wp_str("h.example"),
+                               .path = wp_str("/many/x"),
+                               .key = wp_str("key-1"),
+                               .content_hash = bad && !p->parts
+                                                   ? BAD
+                                                   : 100 + g_rand_int(p->rand),
+                               .prompt = { .tokens = 100 },
+                               .deadline_ms = 10000 };
+    if (p->parts) {
+        wp_prompt_add(&params.prompt, wp_str("common"), 20);
+        wp_prompt_add(&params.prompt, wp_str(bad ? "bad" : rare), 20);
+        wp_prompt_add(&params.prompt, wp_str(id), 60);
+    }
     WPFlowAction m;
     r->flow = wp_flow_begin(&p->boxes[r->box].d, at_ms(p->ms), &params, &m);
     run_action(p, r, &m);
@@ -511,10 +747,11 @@
     wp_direct_set_routes(&k->d, t);
 }
 
-static void simulate(unsigned n_boxes, unsigned seed)
+static void simulate(unsigned n_boxes, unsigned seed, bool parts)
 {
     Sim *p = g_new0(Sim, 1);
     p->n_boxes = n_boxes;
+    p->parts = parts;
     p->rand = g_rand_new_with_seed(seed);
     p->updates = g_array_new(FALSE, FALSE, sizeof(Update));
     p->boxes = g_new0(Fake, n_boxes);
@@ -530,7 +767,7 @@
         register_everywhere(p, p->endpoints[i].id, true);
     }
     for (p->ms = 1; p->ms < RUN_MS; p->ms++) {
-        if (p->ms % BAD_INTERVAL_MS == 0)
+        if (p->ms % BAD_INTERVAL_MS == 0 && p->ms > (parts ? BEFORE_MS : 0))
             begin_request(p, true);
         if (p->ms % OTHER_INTERVAL_MS == 0)
             begin_request(p, false);
@@ -550,7 +787,7 @@
     }
     for (unsigned i = 0; i < n_boxes; i++)
         fake_end(&p->boxes[i]);
-    assert_in_range(p->crashed, 3, 5);
+    assert_in_range(p->crashed, 3, parts ? PART_CRASHES_MAX : 5);
     assert_true(p->served >= 0.98 * p->others);
     g_array_unref(p->updates);
     g_rand_free(p->rand);
@@ -564,7 +801,16 @@
     (void)state;
     for (size_t i = 0; i < WP_COUNT(sizes); i++)
         for (unsigned seed = 1; seed <= SEEDS; seed++)
-            simulate(sizes[i], seed);
+            simulate(sizes[i], seed, false);
+}
+
+static void one_part_crashes_few_endpoints_at_any_size(void **state)
+{
+    static const unsigned sizes[] = { 1, 3, 30, 100, 300 };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(sizes); i++)
+        for (unsigned seed = 1; seed <= SEEDS; seed++)
+            simulate(sizes[i], seed, true);
 }
 
 int main(void)
@@ -582,6 +828,19 @@
         cmocka_unit_test(request_that_may_crash_endpoints_is_not_escalated),
         cmocka_unit_test(updates_stop_without_events),
         cmocka_unit_test(one_request_crashes_few_endpoints_at_any_size),
+        cmocka_unit_test(
+            part_that_crashes_endpoints_is_quarantined_in_unlike_requests),
+        cmocka_unit_test(parts_that_were_in_the_crashes_are_sent_apart),
+        cmocka_unit_test(part_beside_two_that_crash_is_sent_apart),
+        cmocka_unit_test(crashing_part_is_told_from_its_companion),
+        cmocka_unit_test(
+            part_answered_lately_is_not_quarantined_by_three_crashes),
+        cmocka_unit_test(
+            crash_during_a_long_answer_does_not_count_against_parts),
+        cmocka_unit_test(answer_that_comes_for_a_second_clears_its_parts),
+        cmocka_unit_test(
+            late_report_of_a_crash_does_not_count_after_a_complete_answer),
+        cmocka_unit_test(one_part_crashes_few_endpoints_at_any_size),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
