Streams that end with their connections inside an event are broken off, not complete

Cause: by its framing such an answer ends well at any byte; the rest of an event was passed on and the answer ended. Now it counts as a lost connection: the stream is resumed, or aborted where it may not be.

test_direct_mode a_stream_that_closes_inside_an_event_does_not_look_complete failed before (4 of 6 events in a complete answer); answers_that_end_with_their_connections_are_passed_on_whole holds in both. The tests' proxy dropped what it had read last when a connection ended: it writes that first.

--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -272,6 +272,7 @@
     WPRelay *r = arg;
     WPFlowAction m;
     r->host->platform->read_answer(h, &r->answer);
+    r->answer.until_close = h->until_close;
     wp_relay_note_answer(r);
     note_head(r);
     if (!r->stream_begun)
@@ -360,11 +361,33 @@
     wp_downstream_end_chunked(p);
 }
 
+/* The connection of the present attempt has ended without a complete answer. */
+static void lose_attempt(WPRelay *r, WPAttemptLoss how, const char *result)
+{
+    WPFlowAction m;
+    g_autofree char *at = g_strdup(r->flow->attempt.replica->id);
+    wp_relay_note_result(r, result);
+    wp_flow_on_lost(r->flow, wp_clock_now(0), how, &m);
+    if (how != WP_LOSS_UNSENT)
+        wp_relay_log_connection_lost(r, at);
+    do_action(r, &m);
+}
+
+/* Whether a stream that ended with its connection was broken off. */
+static bool ended_inside_event(const WPRelay *r)
+{
+    return r->answer.until_close && !wp_stream_at_event_boundary(&r->stream);
+}
+
 static void on_complete(void *arg)
 {
     WPRelay *r = arg;
     WPFlowAction m;
     r->upstream_conn = NULL;
+    if (r->forwards_stream && ended_inside_event(r)) {
+        lose_attempt(r, WP_LOSS_BROKEN, "broken");
+        return;
+    }
     if (r->forwards_stream) {
         finish_stream(r);
         return;
@@ -377,17 +400,13 @@
 static void on_lost(void *arg, bool sent, bool began)
 {
     WPRelay *r = arg;
-    WPFlowAction m;
-    WPAttemptLoss how = !sent   ? WP_LOSS_UNSENT
-                        : began ? WP_LOSS_BROKEN
-                                : WP_LOSS_NO_ANSWER;
-    g_autofree char *at = g_strdup(r->flow->attempt.replica->id);
     r->upstream_conn = NULL;
-    wp_relay_note_result(r, !sent ? "unreachable" : began ? "broken" : "lost");
-    wp_flow_on_lost(r->flow, wp_clock_now(0), how, &m);
-    if (how != WP_LOSS_UNSENT)
-        wp_relay_log_connection_lost(r, at);
-    do_action(r, &m);
+    if (!sent)
+        lose_attempt(r, WP_LOSS_UNSENT, "unreachable");
+    else if (began)
+        lose_attempt(r, WP_LOSS_BROKEN, "broken");
+    else
+        lose_attempt(r, WP_LOSS_NO_ANSWER, "lost");
 }
 
 const WPUpstreamOps wp_relay_upstream_ops = { is_answer, on_head, on_body,
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -169,7 +169,9 @@
 /* The head of an endpoint's answer, decoded. */
 typedef struct WPDirectAnswer {
     int status;
-    bool not_run;        /* the endpoint says that it did not run the request */
+    bool until_close; /* it has neither a length nor chunks, and ends with its
+                         connection */
+    bool not_run;     /* the endpoint says that it did not run the request */
     bool wrong_endpoint; /* the answer is of another endpoint, which has this
                             address now */
     bool has_seal;  /* carries the endpoint's seal, so the endpoint itself has
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -6,6 +6,8 @@
  *   fail, refuse, cut, mute: shares of requests that get status 500, are
  *     refused (503), have their connection closed (a stream halfway), or get
  *     no response;
+ *   until_close: share of responses with neither a length nor chunks, which end
+ *     with their connections; a stream that is cut then ends inside an event;
  *   delay_ms: time before a response; confidence; events: events per stream;
  *   draining: sets the state "draining" in its registry entry;
  *   limit: text of the response field that sets a rate limit in requests per
@@ -38,6 +40,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http_struct.h>
 #include <sys/socket.h>
 
 #include <fcntl.h>
@@ -62,7 +65,7 @@
     char *id;
     WPHttp *store;
     bool draining;
-    double fail, refuse, cut, mute, delay_ms, confidence, events;
+    double fail, refuse, cut, until_close, mute, delay_ms, confidence, events;
     double fail_running, slow, slow_ms;
     char *fail_path; /* prefix of paths that `fail` applies to; NULL: all */
     char *limit;     /* NULL: never set */
@@ -86,7 +89,9 @@
     char *path;
     char *crash; /* body, or prompt part, of a request that crashes the process;
                     NULL: not such a request */
-    bool stream, started, cut, mute, slow;
+    bool stream, started, cut, until_close, mute, slow;
+    bool in_event; /* half of an event was sent; the connection is to be closed
+                      once that has left */
     unsigned next, last;
 } Run;
 
@@ -173,17 +178,37 @@
     wp_http_reply_text(r, status, "text/plain", wp_str(body));
 }
 
-static void send_event(Run *n)
+/* Sends the beginning of the next event, after which the connection ends. */
+static void send_half_event(Run *n)
 {
     struct evbuffer *b = evbuffer_new();
-    evbuffer_add_printf(b, "id: %u\ndata: %s-%u\n\n", n->next, n->id, n->next);
+    struct timeval at = { 0, EVENT_MS * WP_US_PER_MS };
+    evbuffer_add_printf(b, "id: %u\nda", n->next);
+    evhttp_send_reply_chunk(n->request, b);
+    evbuffer_free(b);
+    n->in_event = true;
+    event_add(n->timer, &at);
+}
+
+static void cut_stream(Run *n)
+{
+    struct evhttp_request *r = n->request;
+    if (n->until_close && !n->in_event) {
+        send_half_event(n);
+        return;
+    }
+    end_run(n);
+    stand_close_connection(r);
+}
+
+static void send_event(Run *n)
+{
     if (n->cut && n->next * 2 > n->last) {
-        struct evhttp_request *r = n->request;
-        evbuffer_free(b);
-        end_run(n);
-        stand_close_connection(r);
+        cut_stream(n);
         return;
     }
+    struct evbuffer *b = evbuffer_new();
+    evbuffer_add_printf(b, "id: %u\ndata: %s-%u\n\n", n->next, n->id, n->next);
     evhttp_send_reply_chunk(n->request, b);
     evbuffer_free(b);
     struct timeval at = { 0, EVENT_MS * WP_US_PER_MS *
@@ -457,6 +482,10 @@
     n->next = after ? (unsigned)atoi(after) + 1 : 1;
     n->last = (unsigned)p->events;
     n->cut = g_rand_double(p->rand) < p->cut;
+    n->until_close =
+        p->until_close > 0 && g_rand_double(p->rand) < p->until_close;
+    if (n->until_close)
+        r->minor = 0; /* evhttp then frames the response as HTTP/1.0 */
     n->timer = evtimer_new(p->base, on_timer, n);
     evhttp_connection_set_closecb(evhttp_request_get_connection(r),
                                   on_client_gone, n);
@@ -492,6 +521,7 @@
     stand_set_number(j, "fail", &p->fail);
     stand_set_number(j, "refuse", &p->refuse);
     stand_set_number(j, "cut", &p->cut);
+    stand_set_number(j, "until_close", &p->until_close);
     stand_set_number(j, "mute", &p->mute);
     stand_set_number(j, "delay_ms", &p->delay_ms);
     stand_set_number(j, "confidence", &p->confidence);
--- a/tests/test_direct_mode.c
+++ b/tests/test_direct_mode.c
@@ -106,6 +106,47 @@
     cluster_free(p);
 }
 
+/* Answers with neither a length nor chunks end with their connections. */
+static void
+a_stream_that_closes_inside_an_event_does_not_look_complete(void **state)
+{
+    enum { STREAMS = 60 };
+    TestCluster *p = cluster_new(1, 3);
+    unsigned whole = 0;
+    (void)state;
+    for (unsigned i = 0; i < 3; i++)
+        cluster_set_replica_faults(
+            p, i, "{\"until_close\":1,\"cut\":0.3,\"events\":6}");
+    for (unsigned i = 0; i < STREAMS; i++) {
+        ClusterAnswer a = cluster_request(p, 0, "GET", "/stream/x", NULL);
+        if (a.complete)
+            assert_int_equal(cluster_count_events(&a), 6);
+        whole += a.complete;
+        cluster_answer_release(&a);
+    }
+    assert_in_range(whole, STREAMS * 9 / 10, STREAMS);
+    cluster_free(p);
+}
+
+static void
+answers_that_end_with_their_connections_are_passed_on_whole(void **state)
+{
+    TestCluster *p = cluster_new(1, 1);
+    (void)state;
+    cluster_set_replica_faults(p, 0, "{\"until_close\":1,\"events\":6}");
+    for (int i = 0; i < 10; i++) {
+        ClusterAnswer a = cluster_request(p, 0, "GET", "/stream/x", NULL);
+        assert_int_equal(cluster_count_events(&a), 6);
+        cluster_answer_release(&a);
+        a = cluster_request(p, 0, "GET", "/call/x", NULL);
+        g_autofree char *body = g_strdup_printf("ran %s\n", a.id);
+        assert_true(a.complete);
+        assert_string_equal(a.body->str, body);
+        cluster_answer_release(&a);
+    }
+    cluster_free(p);
+}
+
 static void non_repeatable_requests_run_at_most_once(void **state)
 {
     TestCluster *p = cluster_new(2, 2);
@@ -378,6 +419,8 @@
            T(malformed_heads_are_rejected),
            T(keep_alive_connections_carry_one_request_at_a_time),
            T(aborted_streams_resume_at_another_endpoint),
+           T(a_stream_that_closes_inside_an_event_does_not_look_complete),
+           T(answers_that_end_with_their_connections_are_passed_on_whole),
            T(non_repeatable_requests_run_at_most_once),
            T(a_box_without_the_store_gets_the_configuration_from_a_peer),
            T(a_draining_endpoint_gets_no_requests),
--- a/tools/wpproxy.c
+++ b/tools/wpproxy.c
@@ -115,6 +115,16 @@
     event_base_once(x->base, -1, EV_TIMEOUT, on_delay, d, &at);
 }
 
+/* Writes what the event loop would still have to write before a close. */
+static void write_rest(struct bufferevent *to)
+{
+    struct evbuffer *out = bufferevent_get_output(to);
+    evutil_socket_t fd = bufferevent_getfd(to);
+    evbuffer_unfreeze(out, 1); /* a bufferevent freezes what it writes */
+    while (fd >= 0 && evbuffer_get_length(out) && evbuffer_write(out, fd) > 0)
+        ;
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
     Pair *p = arg;
@@ -124,7 +134,7 @@
     if (!passes(p, from))
         return; /* the end of the stream is withheld like data */
     forward(p, from);
-    bufferevent_flush(p->side[1 - from], EV_WRITE, BEV_FINISHED);
+    write_rest(p->side[1 - from]);
     free_pair(p, what & BEV_EVENT_ERROR);
 }
 
