An endpoint's own failure does not clear a suspect request or part

A 500 or 504 with its endpoint's seal that went to the caller counted as a complete answer: it cleared the request, and now its parts, of all crashes at all boxes, so that three endpoints more could crash. A failure says nothing of whether the request can be answered; only a success clears.

test_suspects failure_of_an_endpoint_does_not_clear failed before (0 crashes counted).

--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -248,6 +248,7 @@
                                             reference to each */
     size_t n_tried;
     bool answer_started;       /* the caller has been sent part of an answer */
+    bool endpoint_failed;      /* the caller gets an endpoint's own failure */
     bool first_byte_timed_out; /* it left an endpoint whose first byte was
                                   overdue; once at the most */
     bool has_waited;    /* for a slot of a full endpoint; once at the most */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -488,6 +488,14 @@
     *out = (WPFlowAction){ .kind = WP_FLOW_FORWARD };
 }
 
+/* Passes on an endpoint's own failure: it does not show that the request can be
+   answered without a crash. */
+static void forward_failure(WPFlow *f, WPFlowAction *out)
+{
+    f->endpoint_failed = true;
+    *out = (WPFlowAction){ .kind = WP_FLOW_FORWARD };
+}
+
 /* Asks the largest model for a better answer. If that attempt cannot begin, the
    caller gets the answer in hand. */
 static void try_escalation(WPFlow *f, WPTime now, WPFlowAction *out)
@@ -545,7 +553,7 @@
         if (f->answer_started || !a->has_seal || a->status == 503)
             give_up(f, WP_ENDPOINT_FAILED, 0, out);
         else
-            *out = (WPFlowAction){ .kind = WP_FLOW_FORWARD };
+            forward_failure(f, out);
         return;
     }
     if (f->answer_started) /* a stream that was resumed at another endpoint */
@@ -624,7 +632,8 @@
     wp_flow_learn_stall(f);
     note_session(f, now);
     end_present_attempt(f, now, WP_OUTCOME_OK);
-    wp_flow_clear_suspects(f, now);
+    if (!f->endpoint_failed)
+        wp_flow_clear_suspects(f, now);
     wp_count(&f->direct->counters, WP_C_ANSWERED);
     wp_histogram_add(&f->direct->counters.whole_answer,
                      now.mono_us - f->start_us);
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -440,6 +440,28 @@
     fake_end(&k);
 }
 
+static void failure_of_an_endpoint_does_not_clear(void **state)
+{
+    static const int statuses[] = { 500, 504 };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(statuses); i++) {
+        Fake k;
+        WPFlowAction m;
+        const WPDirectAnswer failed = fake_answer(statuses[i], -1);
+        fake_init(&k);
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        uint64_t request = f->hash;
+        wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+        assert_int_equal(m.kind, WP_FLOW_SEND);
+        wp_flow_on_answer(f, k.now, &failed, &m);
+        assert_int_equal(m.kind, WP_FLOW_FORWARD);
+        wp_flow_on_done(f, k.now, 0);
+        assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), 1);
+        wp_flow_free(f);
+        fake_end(&k);
+    }
+}
+
 static void
 late_report_of_a_crash_does_not_count_after_a_complete_answer(void **state)
 {
@@ -838,6 +860,7 @@
         cmocka_unit_test(
             crash_during_a_long_answer_does_not_count_against_parts),
         cmocka_unit_test(answer_that_comes_for_a_second_clears_its_parts),
+        cmocka_unit_test(failure_of_an_endpoint_does_not_clear),
         cmocka_unit_test(
             late_report_of_a_crash_does_not_count_after_a_complete_answer),
         cmocka_unit_test(one_part_crashes_few_endpoints_at_any_size),
