An answer that ended with its connection clears suspects once its endpoint answers again

An answer with neither a length nor chunks looks complete if its endpoint has crashed after an event: it cleared the request and its parts of all crashes. It counts now when the incarnation answers something within the next second, or had been coming for a second.

test_suspects answer_that_ends_with_its_connection_clears_when_its_endpoint_answers_again failed before (0 crashes counted while the endpoint was silent).

--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -203,6 +203,7 @@
     int64_t first_byte_us; /* when its first byte came */
     uint64_t events;       /* events of its stream that have come */
     bool first_byte_seen;  /* its first byte has come */
+    bool until_close;      /* of its answer: see WPDirectAnswer */
     bool ran_long; /* wp_flow_note_long_run() has cleared the prompt's parts */
     bool busy; /* its endpoint was so full, or had started so lately, that it
                   may be slow */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -536,6 +536,7 @@
         return;
     }
     wp_flow_record_first_byte(f, now);
+    f->attempt.until_close = a->until_close;
     if (failed || f->route->retry_policy != WP_RETRY_STREAM)
         wp_flow_sample_shift(
             f, failed,
@@ -631,9 +632,9 @@
     wp_flow_sample_event_gap(f, now, events);
     wp_flow_learn_stall(f);
     note_session(f, now);
-    end_present_attempt(f, now, WP_OUTCOME_OK);
     if (!f->endpoint_failed)
         wp_flow_clear_suspects(f, now);
+    end_present_attempt(f, now, WP_OUTCOME_OK);
     wp_count(&f->direct->counters, WP_C_ANSWERED);
     wp_histogram_add(&f->direct->counters.whole_answer,
                      now.mono_us - f->start_us);
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -26,8 +26,9 @@
 /* Records that the present attempt's endpoint may have crashed during it. */
 void wp_flow_record_crash(WPFlow *f, WPTime now);
 
-/* Notes that the request has been answered without a crash: it is not suspect,
-   nor is any part of its prompt. */
+/* Notes that the request has been answered without a crash, as far as that can
+   be seen: it is not suspect, nor is any part of its prompt. To be called while
+   its attempt is present. */
 void wp_flow_clear_suspects(WPFlow *f, WPTime now);
 
 /* Clears the prompt's parts once the present attempt's answer has been coming
--- a/src/wp_flow_suspect.c
+++ b/src/wp_flow_suspect.c
@@ -42,6 +42,13 @@
 
 void wp_flow_clear_suspects(WPFlow *f, WPTime now)
 {
+    const WPReplica *s = f->attempt.replica;
+    if (f->attempt.until_close && s && !f->attempt.ran_long) {
+        wp_suspects_ended_with_connection(f->direct->suspects, now,
+                                          s->incarnation_hash, f->suspects.keys,
+                                          f->suspects.n);
+        return;
+    }
     if (wp_suspect_keys_completed(f->direct->suspects, now, &f->suspects))
         wp_count(&f->direct->counters, WP_C_SUSPECTS_CLEARED);
 }
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -68,6 +68,8 @@
     g_hash_table_unref(s->by_request);
     g_hash_table_unref(s->dead);
     g_hash_table_unref(s->local_attempts);
+    for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++)
+        g_free(s->unconfirmed[i].keys);
     g_free(s);
 }
 
@@ -447,22 +449,6 @@
     }
 }
 
-void wp_suspects_endpoint_alive(WPSuspects *s, WPTime now, uint64_t incarnation,
-                                int64_t sent_us)
-{
-    const WPDeadIncarnation *d =
-        g_hash_table_size(s->dead) ? g_hash_table_lookup(s->dead, &incarnation)
-                                   : NULL;
-    if (!d)
-        return;
-    int64_t since_us = now.mono_us - d->at_us;
-    bool after_crash = sent_us > d->at_us || since_us > IN_TRANSIT_US;
-    if (!after_crash || since_us > ALIVE_WITHIN_US)
-        return;
-    g_hash_table_remove(s->dead, &incarnation);
-    clear_crash(s, now, incarnation);
-}
-
 unsigned wp_suspect_uncleared(const WPSuspect *p)
 {
     unsigned n = 0;
@@ -496,6 +482,59 @@
     return clear_all(s, now, find(s, request));
 }
 
+void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
+                                       uint64_t incarnation,
+                                       const uint64_t *keys, unsigned n)
+{
+    WPUnconfirmed *u = &s->unconfirmed[s->next_unconfirmed++];
+    s->next_unconfirmed %= WP_SUSPECTS_UNCONFIRMED;
+    g_free(u->keys);
+    *u = (WPUnconfirmed){ .incarnation = incarnation,
+                          .at_us = now.mono_us,
+                          .n = n,
+                          .keys = g_memdup2(keys, n * sizeof(*keys)) };
+}
+
+/* Whether an answer, to a request sent at `sent_us`, that comes now shows that
+   its endpoint was alive after the time `at_us`. */
+static bool shows_alive(WPTime now, int64_t at_us, int64_t sent_us)
+{
+    int64_t since_us = now.mono_us - at_us;
+    bool after = sent_us > at_us || since_us > IN_TRANSIT_US;
+    return after && since_us <= ALIVE_WITHIN_US;
+}
+
+/* Counts answers of the incarnation that ended with their connections as
+   complete. */
+static void confirm_answers(WPSuspects *s, WPTime now, uint64_t incarnation,
+                            int64_t sent_us)
+{
+    for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
+        WPUnconfirmed *u = &s->unconfirmed[i];
+        if (!u->at_us || u->incarnation != incarnation ||
+            !shows_alive(now, u->at_us, sent_us))
+            continue;
+        u->at_us = 0;
+        for (unsigned k = 0; k < u->n; k++)
+            wp_suspects_completed(s, now, u->keys[k]);
+    }
+}
+
+void wp_suspects_endpoint_alive(WPSuspects *s, WPTime now, uint64_t incarnation,
+                                int64_t sent_us)
+{
+    confirm_answers(s, now, incarnation, sent_us);
+    const WPDeadIncarnation *d =
+        g_hash_table_size(s->dead) ? g_hash_table_lookup(s->dead, &incarnation)
+                                   : NULL;
+    if (!d)
+        return;
+    if (!shows_alive(now, d->at_us, sent_us))
+        return;
+    g_hash_table_remove(s->dead, &incarnation);
+    clear_crash(s, now, incarnation);
+}
+
 bool wp_suspects_release(WPSuspects *s, WPTime now, uint64_t request)
 {
     return clear_all(s, now, find(s, request));
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -164,6 +164,13 @@
    crashes. Returns whether there was one that was not cleared before. */
 bool wp_suspects_completed(WPSuspects *s, WPTime now, uint64_t request);
 
+/* Notes that an answer by the incarnation looks complete, but ended with its
+   connection. It counts as complete, for all `n` keys, if the incarnation
+   answers something again in the next second. */
+void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
+                                       uint64_t incarnation,
+                                       const uint64_t *keys, unsigned n);
+
 /* Clears the request of all crashes by an operator's order. Returns whether
    there was one that was not cleared before. */
 bool wp_suspects_release(WPSuspects *s, WPTime now, uint64_t request);
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -6,7 +6,8 @@
 #include "wp_suspects.h"
 
 enum {
-    WP_SUSPECTS_RECENT_SLOTS = 1024 /* requests that have completed recently */
+    WP_SUSPECTS_RECENT_SLOTS = 1024, /* requests that have completed recently */
+    WP_SUSPECTS_UNCONFIRMED = 64     /* answers that ended with connections */
 };
 
 /* For at most this long, another box is assumed to run a copy of a request,
@@ -31,6 +32,15 @@
     unsigned n;
 } WPLocalAttempts;
 
+/* An answer that looks complete, but ended with its connection, as one does
+   whose endpoint has crashed. */
+typedef struct WPUnconfirmed {
+    uint64_t incarnation; /* of its endpoint */
+    int64_t at_us;        /* when it ended, monotonic; 0: free */
+    unsigned n;
+    uint64_t *keys; /* what it clears once the endpoint answers again */
+} WPUnconfirmed;
+
 struct WPSuspects {
     GHashTable *by_request; /* request -> WPSuspect */
 
@@ -46,6 +56,9 @@
     WPSuspectCompletion completions[WP_SUSPECTS_RECENT_SLOTS];
     WPSuspectCompletion part_completions[WP_SUSPECTS_RECENT_SLOTS];
 
+    WPUnconfirmed unconfirmed[WP_SUSPECTS_UNCONFIRMED];
+    unsigned next_unconfirmed; /* index that is overwritten next */
+
     bool unsent; /* some record has changes that are still to be sent */
 };
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -462,6 +462,55 @@
     }
 }
 
+/* Begins a request that differs from those of fake_ask(). */
+static WPFlow *ask_other(Fake *k, WPFlowAction *m)
+{
+    const WPDirectRequest ask = { .id = wp_str("other"),
+                                  .host = wp_str("h.example"),
+                                  .path = wp_str("/safe/x"),
+                                  .key = wp_str("key-1"),
+                                  .content_hash = OTHER,
+                                  .deadline_ms = 10000 };
+    return wp_flow_begin(&k->d, k->now, &ask, m);
+}
+
+/* Such an answer also looks complete if its endpoint has crashed. */
+static void
+answer_that_ends_with_its_connection_clears_when_its_endpoint_answers_again(
+    void **state)
+{
+    Fake k;
+    WPFlowAction m;
+    WPHeadChanges changes;
+    WPDirectAnswer a = fake_answer(200, 90);
+    bool same = false;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+    uint64_t request = f->hash;
+    wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    g_autofree char *endpoint = g_strdup(m.replica->id);
+    a.until_close = true;
+    wp_flow_on_answer(f, k.now, &a, &m);
+    wp_flow_on_done(f, k.now, 0);
+    wp_flow_free(f);
+    assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), 1);
+    a.until_close = false;
+    for (unsigned i = 0; i < 50 && !same; i++) {
+        fake_advance(&k, 10);
+        f = ask_other(&k, &m);
+        same = !strcmp(m.replica->id, endpoint);
+        wp_flow_on_head(f, k.now, &a, &changes);
+        assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), !same);
+        wp_flow_on_answer(f, k.now, &a, &m);
+        wp_flow_on_done(f, k.now, 0);
+        wp_flow_free(f);
+    }
+    assert_true(same);
+    fake_end(&k);
+}
+
 static void
 late_report_of_a_crash_does_not_count_after_a_complete_answer(void **state)
 {
@@ -861,6 +910,8 @@
             crash_during_a_long_answer_does_not_count_against_parts),
         cmocka_unit_test(answer_that_comes_for_a_second_clears_its_parts),
         cmocka_unit_test(failure_of_an_endpoint_does_not_clear),
+        cmocka_unit_test(
+            answer_that_ends_with_its_connection_clears_when_its_endpoint_answers_again),
         cmocka_unit_test(
             late_report_of_a_crash_does_not_count_after_a_complete_answer),
         cmocka_unit_test(one_part_crashes_few_endpoints_at_any_size),
