An answer that ended as its endpoint crashed counts as a crash

An answer with neither a length nor chunks of an endpoint that crashes after an event looks complete, and was no crash of its request and parts. It is one if the endpoint is found to have crashed within 100 ms of it, before or after.

--- a/src/wp_flow_suspect.c
+++ b/src/wp_flow_suspect.c
@@ -40,13 +40,21 @@
     return stream ? WP_OUTCOME_STREAM_BROKEN : WP_OUTCOME_FAILED;
 }
 
-void wp_flow_clear_suspects(WPFlow *f, WPTime now)
+/* The present attempt, as wp_suspects.h has it. */
+static WPSuspectAttempt suspect_attempt(const WPFlow *f)
 {
     const WPReplica *s = f->attempt.replica;
-    if (f->attempt.until_close && s && !f->attempt.ran_long) {
-        wp_suspects_ended_with_connection(f->direct->suspects, now,
-                                          s->incarnation_hash, f->suspects.keys,
-                                          f->suspects.n);
+    return (WPSuspectAttempt){ f->hash, s->incarnation_hash,
+                               wp_flow_version_hash(s), f->attempt.sent_us,
+                               f->attempt.first_byte_us };
+}
+
+void wp_flow_clear_suspects(WPFlow *f, WPTime now)
+{
+    if (f->attempt.until_close && f->attempt.replica && !f->attempt.ran_long) {
+        const WPSuspectAttempt run = suspect_attempt(f);
+        wp_suspects_ended_with_connection(f->direct->suspects, now, &run,
+                                          f->suspects.keys, f->suspects.n);
         return;
     }
     if (wp_suspect_keys_completed(f->direct->suspects, now, &f->suspects))
@@ -66,10 +74,7 @@
 
 void wp_flow_record_crash(WPFlow *f, WPTime now)
 {
-    const WPReplica *s = f->attempt.replica;
-    const WPSuspectAttempt run = { f->hash, s->incarnation_hash,
-                                   wp_flow_version_hash(s), f->attempt.sent_us,
-                                   f->attempt.first_byte_us };
+    const WPSuspectAttempt run = suspect_attempt(f);
     wp_count(&f->direct->counters, WP_C_ENDED_UNDER);
     f->endpoints_lost = wp_suspect_keys_record_crash(f->direct->suspects, now,
                                                      &f->suspects, &run);
--- a/src/wp_suspect_keys.c
+++ b/src/wp_suspect_keys.c
@@ -201,13 +201,7 @@
                                       const WPSuspectKeys *k,
                                       const WPSuspectAttempt *attempt)
 {
-    WPSuspectAttempt a = *attempt;
-    for (unsigned i = k->n; i-- > 1;) {
-        a.request = k->keys[i];
-        wp_suspects_record_crash(s, now, &a);
-    }
-    a.request = k->keys[0];
-    return wp_suspects_record_crash(s, now, &a);
+    return wp_suspects_record_crash_of_all(s, now, attempt, k->keys, k->n);
 }
 
 unsigned wp_suspect_keys_crash_count(WPSuspects *s, WPTime now,
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -402,12 +402,43 @@
     return d->at_us;
 }
 
+unsigned wp_suspects_record_crash_of_all(WPSuspects *s, WPTime now,
+                                         const WPSuspectAttempt *attempt,
+                                         const uint64_t *keys, unsigned n)
+{
+    WPSuspectAttempt a = *attempt;
+    unsigned crashes = 0;
+    for (unsigned i = n; i-- > 0;) {
+        a.request = keys[i];
+        crashes = wp_suspects_record_crash(s, now, &a);
+    }
+    return crashes;
+}
+
+/* The incarnation has crashed just now: so have the answers of it that ended
+   with their connections at the same time. */
+static void lose_unconfirmed(WPSuspects *s, WPTime now, uint64_t incarnation)
+{
+    for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
+        WPUnconfirmed *u = &s->unconfirmed[i];
+        if (!u->at_us || u->attempt.incarnation != incarnation)
+            continue;
+        bool at_once = now.mono_us - u->at_us <= IN_TRANSIT_US;
+        u->at_us = 0;
+        if (at_once)
+            wp_suspects_record_crash_of_all(s, now, &u->attempt, u->keys, u->n);
+    }
+}
+
 unsigned wp_suspects_record_crash(WPSuspects *s, WPTime now,
                                   const WPSuspectAttempt *r)
 {
+    bool was_dead = wp_suspects_is_presumed_dead(s, r->incarnation);
     /* A request that was sent after the crash did not cause it. */
     if (r->sent_us > wp_suspects_dead_since_us(s, now, r->incarnation))
         return wp_suspects_crash_count(s, r->request);
+    if (!was_dead)
+        lose_unconfirmed(s, now, r->incarnation);
     bool is_part = wp_suspect_key_is_part(r->request);
     bool weak = r->first_byte_us &&
                 now.mono_us - r->first_byte_us > WP_SUSPECT_LONG_RUN_US;
@@ -434,6 +465,25 @@
     return g_hash_table_contains(s->dead, &incarnation);
 }
 
+void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
+                                       const WPSuspectAttempt *attempt,
+                                       const uint64_t *keys, unsigned n)
+{
+    const WPDeadIncarnation *d =
+        g_hash_table_lookup(s->dead, &attempt->incarnation);
+    if (d && now.mono_us - d->at_us <= IN_TRANSIT_US) {
+        wp_suspects_record_crash_of_all(s, now, attempt, keys, n);
+        return;
+    }
+    WPUnconfirmed *u = &s->unconfirmed[s->next_unconfirmed++];
+    s->next_unconfirmed %= WP_SUSPECTS_UNCONFIRMED;
+    g_free(u->keys);
+    *u = (WPUnconfirmed){ .attempt = *attempt,
+                          .at_us = now.mono_us,
+                          .n = n,
+                          .keys = g_memdup2(keys, n * sizeof(*keys)) };
+}
+
 /* Clears the crash of the incarnation from all records. */
 static void clear_crash(WPSuspects *s, WPTime now, uint64_t incarnation)
 {
@@ -482,19 +532,6 @@
     return clear_all(s, now, find(s, request));
 }
 
-void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
-                                       uint64_t incarnation,
-                                       const uint64_t *keys, unsigned n)
-{
-    WPUnconfirmed *u = &s->unconfirmed[s->next_unconfirmed++];
-    s->next_unconfirmed %= WP_SUSPECTS_UNCONFIRMED;
-    g_free(u->keys);
-    *u = (WPUnconfirmed){ .incarnation = incarnation,
-                          .at_us = now.mono_us,
-                          .n = n,
-                          .keys = g_memdup2(keys, n * sizeof(*keys)) };
-}
-
 /* Whether an answer, to a request sent at `sent_us`, that comes now shows that
    its endpoint was alive after the time `at_us`. */
 static bool shows_alive(WPTime now, int64_t at_us, int64_t sent_us)
@@ -511,7 +548,7 @@
 {
     for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
         WPUnconfirmed *u = &s->unconfirmed[i];
-        if (!u->at_us || u->incarnation != incarnation ||
+        if (!u->at_us || u->attempt.incarnation != incarnation ||
             !shows_alive(now, u->at_us, sent_us))
             continue;
         u->at_us = 0;
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -164,11 +164,12 @@
    crashes. Returns whether there was one that was not cleared before. */
 bool wp_suspects_completed(WPSuspects *s, WPTime now, uint64_t request);
 
-/* Notes that an answer by the incarnation looks complete, but ended with its
-   connection. It counts as complete, for all `n` keys, if the incarnation
-   answers something again in the next second. */
+/* Notes that the answer of an attempt, of a request with `n` keys, looks
+   complete but ended with its connection. It counts as complete if the endpoint
+   answers something again in the next second, and as lost if the endpoint is
+   found to have crashed then. `attempt->request` is not used. */
 void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
-                                       uint64_t incarnation,
+                                       const WPSuspectAttempt *attempt,
                                        const uint64_t *keys, unsigned n);
 
 /* Clears the request of all crashes by an operator's order. Returns whether
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -35,8 +35,8 @@
 /* An answer that looks complete, but ended with its connection, as one does
    whose endpoint has crashed. */
 typedef struct WPUnconfirmed {
-    uint64_t incarnation; /* of its endpoint */
-    int64_t at_us;        /* when it ended, monotonic; 0: free */
+    WPSuspectAttempt attempt; /* `request` is not used */
+    int64_t at_us;            /* when it ended, monotonic; 0: free */
     unsigned n;
     uint64_t *keys; /* what it clears once the endpoint answers again */
 } WPUnconfirmed;
@@ -97,6 +97,12 @@
    crash endpoints. */
 bool wp_suspects_is_trusted(WPSuspects *s, WPTime now, uint64_t request);
 
+/* Records a crash of the attempt for each of the keys; `attempt->request` is
+   not used. Returns the number of crashes that count against the first. */
+unsigned wp_suspects_record_crash_of_all(WPSuspects *s, WPTime now,
+                                         const WPSuspectAttempt *attempt,
+                                         const uint64_t *keys, unsigned n);
+
 /* When the request last completed at this box, monotonic; 0: unknown. */
 int64_t wp_suspects_completed_us(WPSuspects *s, uint64_t request);
 
--- a/tests/soak_crash.c
+++ b/tests/soak_crash.c
@@ -42,6 +42,7 @@
     LOG_WORDS = 4,   /* of a line of the run log: kind, body, ms, endpoint */
 
     PARTS_FROM_SEED = 300,
+    CLOSING_FROM_SEED = 400,
     PART_CRASHES_KNOWN = 5,
     PART_CRASHES_MAX = PART_CRASHES_KNOWN + LATE_REQUESTS_MAX,
     PART_AFTER_MS = 2000, /* neighbours alone are served until then */
@@ -60,6 +61,9 @@
 /* Endpoints take longer while parts are played: a crash ends several answers.
  */
 #define PART_REPLICA "{\"delay_ms\":60,\"events\":30}"
+/* The same for seeds from CLOSING_FROM_SEED on: half of the answers end with
+   their connections. */
+#define CLOSING_REPLICA "{\"delay_ms\":60,\"events\":30,\"until_close\":0.5}"
 
 /* State of a replica between its crash and its restart. */
 typedef struct Outage {
@@ -98,7 +102,7 @@
     unsigned entries, replicas, n_requests, interval_ms;
     const char *target;
     CrashRequest requests[REQUESTS_MAX];
-    bool parts;
+    bool parts, closing;
     unsigned n_parts, place; /* of the prompt before its last; of the one that
                                 crashes endpoints */
     Neighbour neighbours[NEIGHBOURS];
@@ -233,6 +237,7 @@
     c->kills = setup->seed % 2 == 0;
     c->store_down = setup->seed % 5 == 0;
     c->parts = setup->seed >= PARTS_FROM_SEED;
+    c->closing = setup->seed >= CLOSING_FROM_SEED;
     c->interval_ms = setup->seed < FAST_FROM_SEED || c->parts ? SEND_EVERY_MS
                                                               : FAST_EVERY_MS;
     c->outages = g_new0(Outage, setup->replicas);
@@ -299,7 +304,8 @@
         return;
     }
     if (c->parts && !d->down && !d->is_slow) {
-        cluster_try_replica_faults(c->cluster, i, PART_REPLICA);
+        cluster_try_replica_faults(c->cluster, i,
+                                   c->closing ? CLOSING_REPLICA : PART_REPLICA);
         d->is_slow = true;
     }
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -511,6 +511,30 @@
     fake_end(&k);
 }
 
+/* In both orders in which a box may notice the two. */
+static void
+answer_that_ended_as_its_endpoint_crashed_counts_as_a_crash(void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys k = KEYS(1, "a");
+    const uint64_t other = OTHER;
+    (void)state;
+    WPSuspectAttempt a = { .incarnation = 1, .sent_us = us_at(0) };
+    wp_suspects_ended_with_connection(s, at_ms(100), &a, k.keys, k.n);
+    record_crash(s, 110, other, 1, 1, us_at(0));
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 1);
+    record_crash(s, 200, other, 2, 1, us_at(0));
+    a.incarnation = 2;
+    wp_suspects_ended_with_connection(s, at_ms(210), &a, k.keys, k.n);
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 2);
+    /* A crash later on is not its fault. */
+    a.incarnation = 3;
+    wp_suspects_ended_with_connection(s, at_ms(300), &a, k.keys, k.n);
+    record_crash(s, 600, other, 3, 1, us_at(0));
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 2);
+    wp_suspects_free(s);
+}
+
 static void
 late_report_of_a_crash_does_not_count_after_a_complete_answer(void **state)
 {
@@ -912,6 +936,8 @@
         cmocka_unit_test(failure_of_an_endpoint_does_not_clear),
         cmocka_unit_test(
             answer_that_ends_with_its_connection_clears_when_its_endpoint_answers_again),
+        cmocka_unit_test(
+            answer_that_ended_as_its_endpoint_crashed_counts_as_a_crash),
         cmocka_unit_test(
             late_report_of_a_crash_does_not_count_after_a_complete_answer),
         cmocka_unit_test(one_part_crashes_few_endpoints_at_any_size),
