--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -408,6 +408,43 @@
     wp_suspects_free(s);
 }
 
+static void part_is_quarantined_for_all_workspaces(void **state)
+{
+    static const char *const callers[] = { "key-1", "key-2" };
+    Fake k;
+    WPFlowAction m;
+    (void)state;
+    fake_init(&k);
+    WPRoutes *t = fake_routes(2);
+    wp_routes_add_key(t, "key-2", wp_routes_add_caller(t, "umbra", -1));
+    wp_direct_set_routes(&k.d, t);
+    crash_until_kept_out(k.d.suspects, 0,
+                         (const char *const[]){ "bad", "own", NULL });
+    /* A release that might mend the part is a reason for a probe. */
+    for (int i = 0; i < 3; i++)
+        wp_suspects_attempt_started(
+            k.d.suspects, k.now,
+            wp_suspect_part_key(wp_hash(wp_str("bad"), 0)));
+    for (size_t i = 0; i < WP_COUNT(callers); i++) {
+        WPDirectRequest ask = { .id = wp_str("r"),
+                                .host = wp_str("h.example"),
+                                .path = wp_str("/chat/x"),
+                                .key = wp_str(callers[i]),
+                                .prompt = { .tokens = 100 },
+                                .content_hash = i,
+                                .deadline_ms = 10000 };
+        wp_prompt_add(&ask.prompt, wp_str("bad"), 50);
+        wp_prompt_add(&ask.prompt, wp_str("own"), 50);
+        WPFlow *f = wp_flow_begin(&k.d, k.now, &ask, &m);
+        assert_int_equal(m.kind, WP_FLOW_FAIL);
+        assert_true(m.code == WP_KEPT_OUT || m.code == WP_IN_DOUBT);
+        assert_int_equal(m.suspect,
+                         wp_suspect_part_key(wp_hash(wp_str("bad"), 0)));
+        wp_flow_free(f);
+    }
+    fake_end(&k);
+}
+
 static void answer_that_comes_for_a_second_clears_its_parts(void **state)
 {
     Fake k;
@@ -932,6 +969,7 @@
             part_answered_lately_is_not_quarantined_by_three_crashes),
         cmocka_unit_test(
             crash_during_a_long_answer_does_not_count_against_parts),
+        cmocka_unit_test(part_is_quarantined_for_all_workspaces),
         cmocka_unit_test(answer_that_comes_for_a_second_clears_its_parts),
         cmocka_unit_test(failure_of_an_endpoint_does_not_clear),
         cmocka_unit_test(
