Requests with several quarantined parts are no probes; none goes to a dead endpoint

Cause: the three probes of the sound part were spent by requests that had a bad part too, and by one that went to an endpoint that had just crashed; nothing was learned from either.

Now a request with several quarantined keys is a probe only once, where their crashes may have had a common cause, and a probe waits until its endpoint is not presumed dead.

--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -323,12 +323,26 @@
                        is_evacuated ? EVACUATED_MS : NO_ENDPOINT_MS);
 }
 
+/* Whether the request would be a probe of a suspect at an endpoint that is
+   presumed dead, which shows nothing. */
+static bool is_probe_in_vain(const WPFlow *f, WPTime now, const WPReplica *s)
+{
+    WPSuspects *all = f->direct->suspects;
+    return wp_suspects_is_presumed_dead(all, s->incarnation_hash) &&
+           wp_suspect_keys_any_quarantined(all, now, &f->suspects);
+}
+
 /* Begins the first attempt, at `s`, unless the request may crash endpoints and
    is not admitted now. Drops the reference to `s` if it is not used. */
 static void begin_first_attempt(WPFlow *f, WPTime now, WPReplica *s,
                                 WPFlowAction *out)
 {
     uint64_t why = 0;
+    if (is_probe_in_vain(f, now, s)) {
+        *out = fail_action(WP_IN_DOUBT, SUSPECT_BUSY_MS);
+        wp_replica_unref(s);
+        return;
+    }
     switch (wp_suspect_keys_admit(f->direct->suspects, now, &f->suspects,
                                   wp_flow_version_hash(s), &why)) {
     case WP_SUSPECT_ADMITTED:
--- a/src/wp_suspect_keys.c
+++ b/src/wp_suspect_keys.c
@@ -156,6 +156,12 @@
     return worst;
 }
 
+bool wp_suspect_keys_any_quarantined(WPSuspects *s, WPTime now,
+                                     const WPSuspectKeys *k)
+{
+    return wp_suspects_any(s) && count_quarantined(s, now, k) > 0;
+}
+
 bool wp_suspect_keys_may_retry(WPSuspects *s, WPTime now,
                                const WPSuspectKeys *k)
 {
--- a/src/wp_suspect_keys.h
+++ b/src/wp_suspect_keys.h
@@ -28,6 +28,10 @@
                                          const WPSuspectKeys *k,
                                          uint64_t version, uint64_t *why);
 
+/* Whether one of the keys is quarantined, so that the request is a probe. */
+bool wp_suspect_keys_any_quarantined(WPSuspects *s, WPTime now,
+                                     const WPSuspectKeys *k);
+
 /* Whether the request may be sent again after an attempt. */
 bool wp_suspect_keys_may_retry(WPSuspects *s, WPTime now,
                                const WPSuspectKeys *k);
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -304,6 +304,14 @@
     return n;
 }
 
+/* Whether a quarantined suspect may be sent as a probe though that does not
+   show which of several suspects crashes endpoints: once, if its crashes may
+   have had a common cause. */
+static bool may_probe_with_others(const WPSuspect *p)
+{
+    return !p->probes && crash_events(p) < WP_SUSPECT_QUARANTINE_CRASHES;
+}
+
 /* Whether a quarantined request may be sent to the version as a probe. `n`:
    number of crashes that count against it. While that is still the number from
    which on it is quarantined, the probes before have shown nothing: their
@@ -315,7 +323,7 @@
         return false;
     if (!crashed_on(p, version) || n == WP_SUSPECT_QUARANTINE_CRASHES)
         return true;
-    return !p->probes && crash_events(p) < WP_SUSPECT_QUARANTINE_CRASHES;
+    return may_probe_with_others(p);
 }
 
 WPSuspectAdmission wp_suspects_admit_with(WPSuspects *s, WPTime now,
@@ -328,9 +336,10 @@
         return WP_SUSPECT_ADMITTED;
     if (!wp_suspect_is_part(p) && wp_suspects_is_trusted(s, now, request))
         return WP_SUSPECT_ADMITTED;
-    bool spent = others_quarantined && p->probes;
     if (quarantined &&
-        (spent || !may_probe(p, wp_suspect_crash_count(p), version)))
+        !(others_quarantined
+              ? may_probe_with_others(p)
+              : may_probe(p, wp_suspect_crash_count(p), version)))
         return WP_SUSPECT_QUARANTINED;
     return wp_suspect_is_in_flight(s, p, now) ? WP_SUSPECT_IN_FLIGHT
                                               : WP_SUSPECT_ADMITTED;
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -1,11 +1,8 @@
 /* Suspect requests and prompt parts: those during which endpoints have crashed.
- * A part has a record of its own, by wp_suspect_part_key(); what is said of
- * requests here holds for parts as well, but for what follows below. A request
- * may
- * crash whatever runs it (a query of death), and its caller may repeat it at
- * any box. Each box records which incarnations of endpoints crashed while they
- * ran which request, the boxes send each other these records, and the record of
- * a request with two crashes is kept in the store.
+ * A request may crash whatever runs it (a query of death), and its caller may
+ * repeat it at any box. Each box records which incarnations of endpoints
+ * crashed while they ran which request, the boxes send each other these
+ * records, and the record of a request with two crashes is kept in the store.
  *
  * From the first crash on, only one copy of the request runs at a time over all
  * boxes. From the third crash on the request is quarantined. It may then still
@@ -19,11 +16,14 @@
  * WPSuspectCrash, counts half. "Crashes" as a number, such as "the third crash"
  * above, is the sum of those, rounded down (wp_suspect_crash_count()).
  *
- * A part is in the crashes of all requests that have it. It is cleared as soon
- * as any of them is answered completely, or has been answered for a second: a
- * part that crashes endpoints does so when the answer begins. If that happened
- * within the last minute, at any box, the part is trusted: its copies are not
- * sent one at a time, and twice the crashes lead to quarantine.
+ * A part of a prompt has a record of its own, by wp_suspect_part_key(): it is
+ * in the crashes of all requests that have it. The same holds for it as for a
+ * request, but for this: it is cleared as soon as any request with it is
+ * answered completely, or has been answered for a second, as a part that
+ * crashes endpoints does so when the answer begins. If that happened within the
+ * last minute, at any box, the part is trusted: its copies are not sent one at
+ * a time, and twice the crashes lead to quarantine. Its record is kept in the
+ * store from its quarantine on.
  *
  * Guards against one request, or one part, that crashes all endpoints again and
  * again, so that the other requests find none. */
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -110,8 +110,8 @@
 bool wp_suspects_is_quarantined(WPSuspects *s, WPTime now, const WPSuspect *p);
 
 /* As wp_suspects_admit(). `others_quarantined`: other keys of the same request
-   are quarantined too. Such a request is sent as one probe only, as it does not
-   show which of them crashes endpoints. */
+   are quarantined too, so that a probe does not show which of them crashes
+   endpoints. */
 WPSuspectAdmission wp_suspects_admit_with(WPSuspects *s, WPTime now,
                                           uint64_t request, uint64_t version,
                                           bool others_quarantined);
