Prompt parts that were answered before are spared

Cause: where many endpoints are lost at once a part that all traffic has is in each crash, and six of them kept it out though it had been answered within the minute; rare parts were sent one at a time after one crash, and each such send was told to all boxes.

Now a part that was ever answered, at any box, needs six crashes and 5 s without an answer; it is then probed each second without a limit and is not written to the store, since it takes all traffic with it if it is innocent. Others are sent one at a time from the second crash on. A part that crashes whatever runs it is never answered, so the bound of three probes stays.

--- a/io/wp_suspect_updates.c
+++ b/io/wp_suspect_updates.c
@@ -237,7 +237,8 @@
     WPSuspectUpdates *d = s->suspect_updates;
     g_autofree char *key = key_of(p->request);
     const Recorded r = read_record(s, key);
-    bool persistent = wp_suspect_is_persistent(p, l->now);
+    bool persistent =
+        wp_suspects_is_persistent(s->host->direct.suspects, p, l->now);
     unsigned count = MIN(wp_suspect_crash_count(p), CRASHES_MAX);
     bool outdated =
         persistent && (r.half_crashes / 2 < count || r.tries < p->probes);
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -12,6 +12,9 @@
     /* Crashes from which on a record is kept in the store: most requests that
        only ran on an endpoint that crashed have one. */
     STORE_CRASHES = 2,
+    /* Crashes from which on copies of a part are sent one at a time: every
+       crash has innocent parts. */
+    PART_SERIALIZED_CRASHES = 2,
     /* The platform's limit on sends in quarantine. */
     MAX_PROBES = 3
 };
@@ -31,8 +34,8 @@
    endpoints. */
 #define TRUST_US (5000 * WP_US_PER_MS)
 
-/* The same for a part: some are sent a few times a minute only. */
-#define PART_TRUST_US (60 * WP_US_PER_S)
+/* A quarantined part that was answered before is sent as a probe this often. */
+#define ANSWERED_PROBE_US (1000 * WP_US_PER_MS)
 
 /* A record with fewer crashes than lead to quarantine expires this long after
    its last change. */
@@ -114,10 +117,12 @@
     return age_us > (n ? EXPIRE_US : EXPIRE_CLEARED_US);
 }
 
-bool wp_suspect_is_persistent(const WPSuspect *p, WPTime now)
+bool wp_suspects_is_persistent(WPSuspects *s, const WPSuspect *p, WPTime now)
 {
-    unsigned least =
-        wp_suspect_is_part(p) ? WP_SUSPECT_QUARANTINE_CRASHES : STORE_CRASHES;
+    bool is_part = wp_suspect_is_part(p);
+    unsigned least = is_part ? WP_SUSPECT_QUARANTINE_CRASHES : STORE_CRASHES;
+    if (is_part && wp_suspects_was_answered(s, p->request))
+        return false;
     return wp_suspect_crash_count(p) >= least && !is_expired(p, now);
 }
 
@@ -225,9 +230,9 @@
    on the same place overwrite each other. */
 static WPSuspectCompletion *completion_of(WPSuspects *s, uint64_t request)
 {
-    WPSuspectCompletion *list =
-        wp_suspect_key_is_part(request) ? s->part_completions : s->completions;
-    return &list[request % WP_SUSPECTS_RECENT_SLOTS];
+    if (wp_suspect_key_is_part(request))
+        return &s->part_completions[request % WP_SUSPECTS_PART_SLOTS];
+    return &s->completions[request % WP_SUSPECTS_RECENT_SLOTS];
 }
 
 int64_t wp_suspects_completed_us(WPSuspects *s, uint64_t request)
@@ -236,33 +241,43 @@
     return r->request == request ? r->at_us : 0;
 }
 
-bool wp_suspects_is_trusted(WPSuspects *s, WPTime now, uint64_t request)
+/* When a request with the key was last known to be answered; 0: never. */
+static int64_t answered_us(WPSuspects *s, uint64_t request)
 {
-    int64_t at_us = wp_suspects_completed_us(s, request);
-    if (!wp_suspect_key_is_part(request))
-        return at_us && now.mono_us - at_us < TRUST_US;
     const WPSuspect *p = find(s, request);
-    at_us = MAX(at_us, p ? p->answered_us : 0);
-    return at_us && now.mono_us - at_us < PART_TRUST_US;
+    return MAX(wp_suspects_completed_us(s, request), p ? p->answered_us : 0);
+}
+
+bool wp_suspects_was_answered(WPSuspects *s, uint64_t part)
+{
+    return answered_us(s, part) > 0;
+}
+
+bool wp_suspects_is_trusted(WPSuspects *s, WPTime now, uint64_t request)
+{
+    int64_t at_us = answered_us(s, request);
+    return at_us && now.mono_us - at_us < TRUST_US;
 }
 
 bool wp_suspects_is_quarantined(WPSuspects *s, WPTime now, const WPSuspect *p)
 {
-    bool trusted_part =
-        wp_suspect_is_part(p) && wp_suspects_is_trusted(s, now, p->request);
-    return wp_suspect_crash_count(p) >= (trusted_part
-                                             ? WP_SUSPECT_TRUSTED_CRASHES
-                                             : WP_SUSPECT_QUARANTINE_CRASHES);
+    unsigned n = wp_suspect_crash_count(p);
+    if (!wp_suspect_is_part(p) || !wp_suspects_was_answered(s, p->request))
+        return n >= WP_SUSPECT_QUARANTINE_CRASHES;
+    return n >= WP_SUSPECT_ANSWERED_CRASHES &&
+           !wp_suspects_is_trusted(s, now, p->request);
 }
 
 /* Whether only one copy of the suspect may be in flight. A request that has
    completed lately is sent whatever its crashes. */
 static bool is_serialized(WPSuspects *s, WPTime now, const WPSuspect *p)
 {
-    if (wp_suspect_is_part(p) && wp_suspects_is_quarantined(s, now, p))
-        return true;
-    return wp_suspect_crash_count(p) &&
-           !wp_suspects_is_trusted(s, now, p->request);
+    if (!wp_suspect_is_part(p))
+        return wp_suspect_crash_count(p) &&
+               !wp_suspects_is_trusted(s, now, p->request);
+    if (wp_suspects_was_answered(s, p->request))
+        return wp_suspects_is_quarantined(s, now, p);
+    return wp_suspect_crash_count(p) >= PART_SERIALIZED_CRASHES;
 }
 
 unsigned wp_suspects_local_attempts(const WPSuspects *s, uint64_t request)
@@ -336,7 +351,12 @@
         return WP_SUSPECT_ADMITTED;
     if (!wp_suspect_is_part(p) && wp_suspects_is_trusted(s, now, request))
         return WP_SUSPECT_ADMITTED;
-    if (quarantined &&
+    bool answered =
+        wp_suspect_is_part(p) && wp_suspects_was_answered(s, request);
+    if (quarantined && answered &&
+        now.mono_us - p->probed_us < ANSWERED_PROBE_US)
+        return WP_SUSPECT_IN_FLIGHT;
+    if (quarantined && !answered &&
         !(others_quarantined
               ? may_probe_with_others(p)
               : may_probe(p, wp_suspect_crash_count(p), version)))
@@ -380,8 +400,10 @@
     l->n++;
     if (!n)
         return;
-    if (wp_suspects_is_quarantined(s, now, p))
+    if (wp_suspects_is_quarantined(s, now, p)) {
         p->probes++;
+        p->probed_us = now.mono_us;
+    }
     if (is_serialized(s, now, p)) {
         p->in_flight_sequence++;
         p->in_flight_box = s->self;
@@ -464,8 +486,7 @@
     /* A request that many callers send completes again in a moment, so the
        other boxes need not know. */
     if (wp_suspects_is_trusted(s, now, r->request))
-        p->unsent = is_part &&
-                    wp_suspect_crash_count(p) >= WP_SUSPECT_QUARANTINE_CRASHES;
+        p->unsent = false;
     return wp_suspect_crash_count(p);
 }
 
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -20,10 +20,11 @@
  * in the crashes of all requests that have it. The same holds for it as for a
  * request, but for this: it is cleared as soon as any request with it is
  * answered completely, or has been answered for a second, as a part that
- * crashes endpoints does so when the answer begins. If that happened within the
- * last minute, at any box, the part is trusted: its copies are not sent one at
- * a time, and twice the crashes lead to quarantine. Its record is kept in the
- * store from its quarantine on.
+ * crashes endpoints does so when the answer begins. A part that was never
+ * answered is sent one copy at a time from the second crash on, and its record
+ * is kept in the store from its quarantine on. For one that was answered, at
+ * any box, it takes twice the crashes and 5 s without an answer; it is then
+ * probed without a limit, as it takes all traffic with it if it is innocent.
  *
  * Guards against one request, or one part, that crashes all endpoints again and
  * again, so that the other requests find none. */
@@ -39,8 +40,8 @@
     /* Crashes from which on a request is quarantined. The platform allows three
        more sends then. */
     WP_SUSPECT_QUARANTINE_CRASHES = 3,
-    /* The same for a part that is trusted. */
-    WP_SUSPECT_TRUSTED_CRASHES = 6,
+    /* The same for a part that was answered before. */
+    WP_SUSPECT_ANSWERED_CRASHES = 6,
     /* Records in one message. */
     WP_SUSPECTS_PER_MESSAGE = 64
 };
@@ -94,6 +95,7 @@
        another box, monotonic; 0: unknown. */
     int64_t answered_us;
 
+    int64_t probed_us; /* when this box last sent it in quarantine, monotonic */
     int64_t changed_us;  /* when the record last changed, monotonic */
     bool local_origin;   /* this box made the last change; it then writes the
                             record to the store before other boxes do */
@@ -210,8 +212,8 @@
 unsigned wp_suspect_crash_count(const WPSuspect *p);
 
 /* Whether the record is to be kept in the store: at least two crashes count,
-   and the record has not expired. */
-bool wp_suspect_is_persistent(const WPSuspect *p, WPTime now);
+   three of a part, and the record has not expired. */
+bool wp_suspects_is_persistent(WPSuspects *s, const WPSuspect *p, WPTime now);
 
 /* Calls `fn` for each record. */
 void wp_suspects_each(WPSuspects *s, void (*fn)(void *arg, const WPSuspect *p),
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -7,6 +7,7 @@
 
 enum {
     WP_SUSPECTS_RECENT_SLOTS = 1024, /* requests that have completed recently */
+    WP_SUSPECTS_PART_SLOTS = 8192,   /* parts that were answered */
     WP_SUSPECTS_UNCONFIRMED = 64     /* answers that ended with connections */
 };
 
@@ -54,7 +55,7 @@
 
     /* Each at the request's hash modulo the size. */
     WPSuspectCompletion completions[WP_SUSPECTS_RECENT_SLOTS];
-    WPSuspectCompletion part_completions[WP_SUSPECTS_RECENT_SLOTS];
+    WPSuspectCompletion part_completions[WP_SUSPECTS_PART_SLOTS];
 
     WPUnconfirmed unconfirmed[WP_SUSPECTS_UNCONFIRMED];
     unsigned next_unconfirmed; /* index that is overwritten next */
@@ -92,11 +93,13 @@
 /* Whether the table has records. */
 bool wp_suspects_any(const WPSuspects *s);
 
-/* Whether the request has completed at this box within the last 5 s, or one
-   with the part at any box within the last minute: it is then trusted not to
-   crash endpoints. */
+/* Whether the request has completed at this box, or one with the part at any
+   box, within the last 5 s: it is then trusted not to crash endpoints. */
 bool wp_suspects_is_trusted(WPSuspects *s, WPTime now, uint64_t request);
 
+/* Whether a request with the part is known to have been answered. */
+bool wp_suspects_was_answered(WPSuspects *s, uint64_t part);
+
 /* Records a crash of the attempt for each of the keys; `attempt->request` is
    not used. Returns the number of crashes that count against the first. */
 unsigned wp_suspects_record_crash_of_all(WPSuspects *s, WPTime now,
