Answers that end with their connections count as crashes when any sign of one follows

Cause: a bad request's answer that ends with its connection between two events looks complete. It counted as a crash only if the box lost another request that was under way there within 100 ms.

Now such an answer also counts as a crash if, within a second and before the endpoint has answered again, another box tells of its crash, it cannot be connected to, or a request sent later is lost there. One that was under way already still needs 100 ms, as it is lost at once.

Three tests fail before: part_whose_answers_look_complete_crashes_few_endpoints_at_any_size (22 endpoints at 3 boxes; 4 or 5 now at 1 to 300), ..._when_another_box_saw_the_crash and ..._when_later_requests_are_lost.

--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -583,6 +583,8 @@
                      WPFlowAction *out)
 {
     if (how == WP_LOSS_UNSENT) {
+        wp_suspects_endpoint_unreachable(f->direct->suspects, now,
+                                         f->attempt.replica->incarnation_hash);
         after_refusal(f, now, WP_OUTCOME_NO_RESPONSE, out);
         return;
     }
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -446,21 +446,30 @@
     return crashes;
 }
 
-/* The incarnation has crashed just now: so have the answers of it that ended
-   with their connections at the same time. */
-static void lose_unconfirmed(WPSuspects *s, WPTime now, uint64_t incarnation)
+void wp_suspects_lose_unconfirmed(WPSuspects *s, WPTime now,
+                                  uint64_t incarnation, int64_t sent_us)
 {
     for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
         WPUnconfirmed *u = &s->unconfirmed[i];
         if (!u->at_us || u->attempt.incarnation != incarnation)
             continue;
-        bool at_once = now.mono_us - u->at_us <= IN_TRANSIT_US;
+        /* An attempt that was under way already is lost with the endpoint at
+           once; a later one only shows that it has crashed since. */
+        int64_t within_us =
+            sent_us > u->at_us ? ALIVE_WITHIN_US : IN_TRANSIT_US;
+        bool crashed = now.mono_us - u->at_us <= within_us;
         u->at_us = 0;
-        if (at_once)
+        if (crashed)
             wp_suspects_record_crash_of_all(s, now, &u->attempt, u->keys, u->n);
     }
 }
 
+void wp_suspects_endpoint_unreachable(WPSuspects *s, WPTime now,
+                                      uint64_t incarnation)
+{
+    wp_suspects_lose_unconfirmed(s, now, incarnation, now.mono_us);
+}
+
 unsigned wp_suspects_record_crash(WPSuspects *s, WPTime now,
                                   const WPSuspectAttempt *r)
 {
@@ -469,7 +478,7 @@
     if (r->sent_us > wp_suspects_dead_since_us(s, now, r->incarnation))
         return wp_suspects_crash_count(s, r->request);
     if (!was_dead)
-        lose_unconfirmed(s, now, r->incarnation);
+        wp_suspects_lose_unconfirmed(s, now, r->incarnation, r->sent_us);
     bool is_part = wp_suspect_key_is_part(r->request);
     bool weak = r->first_byte_us &&
                 now.mono_us - r->first_byte_us > WP_SUSPECT_LONG_RUN_US;
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -174,6 +174,11 @@
                                        const WPSuspectAttempt *attempt,
                                        const uint64_t *keys, unsigned n);
 
+/* Notes that the incarnation could not be connected to, which decides what such
+   answers of the last second were: it has crashed. */
+void wp_suspects_endpoint_unreachable(WPSuspects *s, WPTime now,
+                                      uint64_t incarnation);
+
 /* Clears the request of all crashes by an operator's order. Returns whether
    there was one that was not cleared before. */
 bool wp_suspects_release(WPSuspects *s, WPTime now, uint64_t request);
--- a/src/wp_suspects_gossip.c
+++ b/src/wp_suspects_gossip.c
@@ -94,7 +94,8 @@
     return !trusted && wp_suspects_is_trusted(s, now, p->request);
 }
 
-bool wp_suspects_merge(WPSuspects *s, WPTime now, const Wp__Suspect *m)
+/* As wp_suspects_merge(), without what the crashes show of earlier answers. */
+static bool merge_record(WPSuspects *s, WPTime now, const Wp__Suspect *m)
 {
     WPSuspect *p = wp_suspects_get_or_add(s, m->request);
     bool is_new = merge_crashes(s, now, p, m);
@@ -120,6 +121,22 @@
     return is_new;
 }
 
+/* Counts answers that ended with their connections as lost if their endpoints
+   are among those that crashed by the received record. */
+static void lose_unconfirmed(WPSuspects *s, WPTime now, const Wp__Suspect *m)
+{
+    for (size_t i = 0; i < MIN(m->n_lives, m->n_cleared); i++)
+        if (!m->cleared[i] && wp_suspects_is_presumed_dead(s, m->lives[i]))
+            wp_suspects_lose_unconfirmed(s, now, m->lives[i], now.mono_us);
+}
+
+bool wp_suspects_merge(WPSuspects *s, WPTime now, const Wp__Suspect *m)
+{
+    bool is_new = merge_record(s, now, m);
+    lose_unconfirmed(s, now, m);
+    return is_new;
+}
+
 bool wp_suspects_any_unsent(const WPSuspects *s)
 {
     return s->unsent;
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -106,6 +106,12 @@
                                          const WPSuspectAttempt *attempt,
                                          const uint64_t *keys, unsigned n);
 
+/* Counts answers of the incarnation that ended with their connections as lost:
+   it has crashed, as was found by an attempt that was sent at `sent_us`, or now
+   by other means. */
+void wp_suspects_lose_unconfirmed(WPSuspects *s, WPTime now,
+                                  uint64_t incarnation, int64_t sent_us);
+
 /* When the request last completed at this box, monotonic; 0: unknown. */
 int64_t wp_suspects_completed_us(WPSuspects *s, uint64_t request);
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -621,6 +621,55 @@
     wp_suspects_free(s);
 }
 
+/* The box itself has no other connection to the endpoint. */
+static void
+answer_that_ended_with_its_endpoint_counts_when_another_box_saw_the_crash(
+    void **state)
+{
+    WPSuspects *a = wp_suspects_new(1), *b = wp_suspects_new(2);
+    const WPSuspectKeys k = KEYS(1, "a"), others = KEYS(2, "b");
+    (void)state;
+    WPSuspectAttempt run = { .incarnation = 1, .sent_us = us_at(0) };
+    wp_suspects_ended_with_connection(a, at_ms(100), &run, k.keys, k.n);
+    crash_of(b, 100, &others, 1);
+    merge_unsent(b, a, at_ms(400));
+    assert_int_equal(wp_suspects_crash_count(a, k.keys[1]), 1);
+    /* An answer that is older than a second is not in doubt any more. */
+    run.incarnation = 2;
+    wp_suspects_ended_with_connection(a, at_ms(500), &run, k.keys, k.n);
+    crash_of(b, 1600, &others, 2);
+    merge_unsent(b, a, at_ms(1610));
+    assert_int_equal(wp_suspects_crash_count(a, k.keys[1]), 1);
+    wp_suspects_free(a);
+    wp_suspects_free(b);
+}
+
+/* The endpoint is lost to requests that were sent after the answer had ended.
+ */
+static void
+answer_that_ended_with_its_endpoint_counts_when_later_requests_are_lost(
+    void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys k = KEYS(1, "a");
+    (void)state;
+    WPSuspectAttempt run = { .incarnation = 1, .sent_us = us_at(0) };
+    wp_suspects_ended_with_connection(s, at_ms(100), &run, k.keys, k.n);
+    record_crash(s, 700, OTHER, 1, 1, us_at(300));
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 1);
+    run.incarnation = 2;
+    wp_suspects_ended_with_connection(s, at_ms(800), &run, k.keys, k.n);
+    wp_suspects_endpoint_unreachable(s, at_ms(1500), 2);
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 2);
+    /* It has answered since. */
+    run.incarnation = 3;
+    wp_suspects_ended_with_connection(s, at_ms(1600), &run, k.keys, k.n);
+    wp_suspects_endpoint_alive(s, at_ms(1800), 3, us_at(1610));
+    wp_suspects_endpoint_unreachable(s, at_ms(1900), 3);
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 0);
+    wp_suspects_free(s);
+}
+
 static void
 late_report_of_a_crash_does_not_count_after_a_complete_answer(void **state)
 {
@@ -693,6 +742,8 @@
     GRand *rand;
     int64_t ms;
     bool parts; /* no two bad requests are alike: a part of their prompts is */
+    bool closing; /* a bad request's answer looks complete when its endpoint has
+                     crashed */
     unsigned crashed, others, served;
 } Sim;
 
@@ -794,6 +845,14 @@
         WPFlowAction m;
         if (!r->flow || strcmp(r->endpoint, id))
             continue;
+        if (r->bad && p->closing) {
+            WPDirectAnswer a = fake_answer(200, -1);
+            a.until_close = true;
+            wp_flow_on_answer(r->flow, at_ms(p->ms), &a, &m);
+            wp_flow_on_done(r->flow, at_ms(p->ms), 0);
+            end_run(p, r, true);
+            continue;
+        }
         wp_flow_on_lost(r->flow, at_ms(p->ms), WP_LOSS_NO_ANSWER, &m);
         run_action(p, r, &m);
     }
@@ -928,11 +987,12 @@
     wp_direct_set_routes(&k->d, t);
 }
 
-static void simulate(unsigned n_boxes, unsigned seed, bool parts)
+static void simulate(unsigned n_boxes, unsigned seed, bool parts, bool closing)
 {
     Sim *p = g_new0(Sim, 1);
     p->n_boxes = n_boxes;
     p->parts = parts;
+    p->closing = closing;
     p->rand = g_rand_new_with_seed(seed);
     p->updates = g_array_new(FALSE, FALSE, sizeof(Update));
     p->boxes = g_new0(Fake, n_boxes);
@@ -982,7 +1042,7 @@
     (void)state;
     for (size_t i = 0; i < WP_COUNT(sizes); i++)
         for (unsigned seed = 1; seed <= SEEDS; seed++)
-            simulate(sizes[i], seed, false);
+            simulate(sizes[i], seed, false, false);
 }
 
 static void one_part_crashes_few_endpoints_at_any_size(void **state)
@@ -991,7 +1051,17 @@
     (void)state;
     for (size_t i = 0; i < WP_COUNT(sizes); i++)
         for (unsigned seed = 1; seed <= SEEDS; seed++)
-            simulate(sizes[i], seed, true);
+            simulate(sizes[i], seed, true, false);
+}
+
+static void
+part_whose_answers_look_complete_crashes_few_endpoints_at_any_size(void **state)
+{
+    static const unsigned sizes[] = { 1, 3, 30, 100, 300 };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(sizes); i++)
+        for (unsigned seed = 1; seed <= SEEDS; seed++)
+            simulate(sizes[i], seed, true, true);
 }
 
 int main(void)
@@ -1027,9 +1097,15 @@
             answer_that_ends_with_its_connection_clears_when_its_endpoint_answers_again),
         cmocka_unit_test(
             answer_that_ended_as_its_endpoint_crashed_counts_as_a_crash),
+        cmocka_unit_test(
+            answer_that_ended_with_its_endpoint_counts_when_another_box_saw_the_crash),
+        cmocka_unit_test(
+            answer_that_ended_with_its_endpoint_counts_when_later_requests_are_lost),
         cmocka_unit_test(
             late_report_of_a_crash_does_not_count_after_a_complete_answer),
         cmocka_unit_test(one_part_crashes_few_endpoints_at_any_size),
+        cmocka_unit_test(
+            part_whose_answers_look_complete_crashes_few_endpoints_at_any_size),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
