Answers that end with their connections are confirmed for ten seconds, not one

Cause: both probes of their part ended well with their connections (n0.1, n2.10 in the log) and the box sent those endpoints nothing within a second, so that neither counted. An incarnation is one life of an endpoint, so a later answer of it shows the same. 256 such answers are remembered in place of 64.

answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second fails before.

--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -24,6 +24,10 @@
    under the same id. */
 #define ALIVE_WITHIN_US (1000 * WP_US_PER_MS)
 
+/* An answer that ended with its connection is confirmed by another one of the
+   same incarnation within this time. */
+#define CONFIRM_WITHIN_US (10000 * WP_US_PER_MS)
+
 /* Crashes at most this far apart count as one event with a common cause. */
 #define SAME_EVENT_US (30 * WP_US_PER_MS)
 
@@ -572,12 +576,13 @@
 }
 
 /* Whether an answer, to a request sent at `sent_us`, that comes now shows that
-   its endpoint was alive after the time `at_us`. */
-static bool shows_alive(WPTime now, int64_t at_us, int64_t sent_us)
+   its endpoint was alive after the time `at_us`, `within_us` ago at most. */
+static bool shows_alive(WPTime now, int64_t at_us, int64_t sent_us,
+                        int64_t within_us)
 {
     int64_t since_us = now.mono_us - at_us;
     bool after = sent_us > at_us || since_us > IN_TRANSIT_US;
-    return after && since_us <= ALIVE_WITHIN_US;
+    return after && since_us <= within_us;
 }
 
 /* Counts answers of the incarnation that ended with their connections as
@@ -588,7 +593,7 @@
     for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
         WPUnconfirmed *u = &s->unconfirmed[i];
         if (!u->at_us || u->attempt.incarnation != incarnation ||
-            !shows_alive(now, u->at_us, sent_us))
+            !shows_alive(now, u->at_us, sent_us, CONFIRM_WITHIN_US))
             continue;
         u->at_us = 0;
         for (unsigned k = 0; k < u->n; k++)
@@ -605,7 +610,7 @@
                                    : NULL;
     if (!d)
         return;
-    if (!shows_alive(now, d->at_us, sent_us))
+    if (!shows_alive(now, d->at_us, sent_us, ALIVE_WITHIN_US))
         return;
     g_hash_table_remove(s->dead, &incarnation);
     clear_crash(s, now, incarnation);
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -168,8 +168,8 @@
 
 /* Notes that the answer of an attempt, of a request with `n` keys, looks
    complete but ended with its connection. It counts as complete if the endpoint
-   answers something again in the next second, and as lost if the endpoint is
-   found to have crashed then. `attempt->request` is not used. */
+   answers something again in the next 10 s, and as lost if the endpoint is
+   found to have crashed in the next second. `attempt->request` is not used. */
 void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
                                        const WPSuspectAttempt *attempt,
                                        const uint64_t *keys, unsigned n);
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -8,7 +8,7 @@
 enum {
     WP_SUSPECTS_RECENT_SLOTS = 1024, /* requests that have completed recently */
     WP_SUSPECTS_PART_SLOTS = 8192,   /* parts that were answered */
-    WP_SUSPECTS_UNCONFIRMED = 64     /* answers that ended with connections */
+    WP_SUSPECTS_UNCONFIRMED = 256    /* answers that ended with connections */
 };
 
 /* For at most this long, another box is assumed to run a copy of a request,
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -670,6 +670,21 @@
     wp_suspects_free(s);
 }
 
+static void
+answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second(
+    void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys k = KEYS(1, "a");
+    (void)state;
+    crash_of(s, 10, &k, 1);
+    const WPSuspectAttempt run = { .incarnation = 2, .sent_us = us_at(50) };
+    wp_suspects_ended_with_connection(s, at_ms(100), &run, k.keys, k.n);
+    wp_suspects_endpoint_alive(s, at_ms(1700), 2, us_at(1650));
+    assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 0);
+    wp_suspects_free(s);
+}
+
 static void
 late_report_of_a_crash_does_not_count_after_a_complete_answer(void **state)
 {
@@ -1101,6 +1116,8 @@
             answer_that_ended_with_its_endpoint_counts_when_another_box_saw_the_crash),
         cmocka_unit_test(
             answer_that_ended_with_its_endpoint_counts_when_later_requests_are_lost),
+        cmocka_unit_test(
+            answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second),
         cmocka_unit_test(
             late_report_of_a_crash_does_not_count_after_a_complete_answer),
         cmocka_unit_test(one_part_crashes_few_endpoints_at_any_size),
