An answer of a suspect that ended with its connection is verified by the next request

Cause: what such an answer was stayed open for seconds on endpoints to which the box happened to send nothing, until the probes were spent or the entries killed. Now the next request that may be repeated, and is no suspect itself, prefers that endpoint: its answer clears the suspect, its failure counts as the crash it shows.

answer_that_ended_with_its_connection_is_verified_by_the_next_request fails with the preference taken out. The functions of such answers are a file of their own.

--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -109,6 +109,9 @@
     bool non_repeatable; /* must not be repeated: failures weigh more */
     /* Endpoints that have crashed during this request. */
     unsigned endpoint_losses;
+    /* An endpoint that is preferred, by the hash of its incarnation, as its
+       answer shows whether it has crashed; 0: none. */
+    uint64_t verify;
     int priority;  /* 0 is the most urgent */
     bool fill;     /* rather few endpoints half full than all less */
     double random; /* of the request, uniform in [0, 1) */
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -42,6 +42,9 @@
 #define SUSPECT_WEIGHT 10.0
 #define SUSPECT_FROM 2
 
+/* Bonus of the endpoint that the query asks to verify. */
+#define VERIFY_BONUS 2.0
+
 /* An endpoint with a rate limit has to be sent a request now and then to learn
    whether the limit still holds. */
 enum { LIMIT_PROBE_MS = 3000 };
@@ -123,6 +126,8 @@
         v -= fill_bonus(s, wp_fleet_utilization(s, now));
     if (q->endpoint_losses >= SUSPECT_FROM)
         v += SUSPECT_WEIGHT * wp_fleet_utilization(s, now);
+    if (q->verify && q->verify == s->incarnation_hash)
+        v -= VERIFY_BONUS;
     if (s->avoid_until_us > now.mono_us)
         v += AVOIDED_PENALTY;
     if (s->reported.cold_until_us > now.mono_us)
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -93,6 +93,7 @@
     if (old)
         sh->old_running++;
     wp_suspect_keys_attempt_started(f->direct->suspects, now, &f->suspects);
+    wp_suspects_note_sent(f->direct->suspects, now, s->incarnation_hash);
     /* From now on the session is on this version, also for its requests that
        arrive before this one is answered. */
     if (f->session)
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -131,6 +131,17 @@
     return s;
 }
 
+/* The incarnation that the request is to verify; 0: none. Only a request that
+   may be repeated and is no suspect itself does so, at its first attempt. */
+static uint64_t incarnation_to_verify(WPFlow *f, WPTime now,
+                                      const WPEndpointQuery *w)
+{
+    if (w->n_tried || w->non_repeatable || w->endpoint_losses ||
+        f->answer_started)
+        return 0;
+    return wp_suspects_incarnation_to_verify(f->direct->suspects, now);
+}
+
 WPReplica *wp_flow_choose_endpoint(WPFlow *f, WPTime now)
 {
     WPDirect *d = f->direct;
@@ -138,6 +149,7 @@
     WPEndpointQuery w = wp_flow_query(f, now);
     WPReplica *s = NULL;
     bool stays = false;
+    w.verify = incarnation_to_verify(f, now, &w);
     if (sh && sh->state == WP_SHIFT_RUNNING)
         s = choose_side(f, now, sh, w, &stays);
     if (stays)
--- a/src/wp_suspects.c
+++ b/src/wp_suspects.c
@@ -19,21 +19,9 @@
     MAX_PROBES = 3
 };
 
-/* A crashed endpoint cannot answer for this long. One that answers within it
-   had only lost a connection; later answers may come from its next incarnation,
-   under the same id. */
-#define ALIVE_WITHIN_US (1000 * WP_US_PER_MS)
-
-/* An answer that ended with its connection is confirmed by another one of the
-   same incarnation within this time. */
-#define CONFIRM_WITHIN_US (10000 * WP_US_PER_MS)
-
 /* Crashes at most this far apart count as one event with a common cause. */
 #define SAME_EVENT_US (30 * WP_US_PER_MS)
 
-/* Answers that were in transit arrive up to this long after a crash. */
-#define IN_TRANSIT_US (100 * WP_US_PER_MS)
-
 /* A request that has completed within this time is trusted not to crash
    endpoints. */
 #define TRUST_US (5000 * WP_US_PER_MS)
@@ -75,8 +63,7 @@
     g_hash_table_unref(s->by_request);
     g_hash_table_unref(s->dead);
     g_hash_table_unref(s->local_attempts);
-    for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++)
-        g_free(s->unconfirmed[i].keys);
+    wp_suspects_free_unconfirmed(s);
     g_free(s);
 }
 
@@ -450,30 +437,6 @@
     return crashes;
 }
 
-void wp_suspects_lose_unconfirmed(WPSuspects *s, WPTime now,
-                                  uint64_t incarnation, int64_t sent_us)
-{
-    for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
-        WPUnconfirmed *u = &s->unconfirmed[i];
-        if (!u->at_us || u->attempt.incarnation != incarnation)
-            continue;
-        /* An attempt that was under way already is lost with the endpoint at
-           once; a later one only shows that it has crashed since. */
-        int64_t within_us =
-            sent_us > u->at_us ? ALIVE_WITHIN_US : IN_TRANSIT_US;
-        bool crashed = now.mono_us - u->at_us <= within_us;
-        u->at_us = 0;
-        if (crashed)
-            wp_suspects_record_crash_of_all(s, now, &u->attempt, u->keys, u->n);
-    }
-}
-
-void wp_suspects_endpoint_unreachable(WPSuspects *s, WPTime now,
-                                      uint64_t incarnation)
-{
-    wp_suspects_lose_unconfirmed(s, now, incarnation, now.mono_us);
-}
-
 unsigned wp_suspects_record_crash(WPSuspects *s, WPTime now,
                                   const WPSuspectAttempt *r)
 {
@@ -508,25 +471,6 @@
     return g_hash_table_contains(s->dead, &incarnation);
 }
 
-void wp_suspects_ended_with_connection(WPSuspects *s, WPTime now,
-                                       const WPSuspectAttempt *attempt,
-                                       const uint64_t *keys, unsigned n)
-{
-    const WPDeadIncarnation *d =
-        g_hash_table_lookup(s->dead, &attempt->incarnation);
-    if (d && now.mono_us - d->at_us <= IN_TRANSIT_US) {
-        wp_suspects_record_crash_of_all(s, now, attempt, keys, n);
-        return;
-    }
-    WPUnconfirmed *u = &s->unconfirmed[s->next_unconfirmed++];
-    s->next_unconfirmed %= WP_SUSPECTS_UNCONFIRMED;
-    g_free(u->keys);
-    *u = (WPUnconfirmed){ .attempt = *attempt,
-                          .at_us = now.mono_us,
-                          .n = n,
-                          .keys = g_memdup2(keys, n * sizeof(*keys)) };
-}
-
 /* Clears the crash of the incarnation from all records. */
 static void clear_crash(WPSuspects *s, WPTime now, uint64_t incarnation)
 {
@@ -575,42 +519,17 @@
     return clear_all(s, now, find(s, request));
 }
 
-/* Whether an answer, to a request sent at `sent_us`, that comes now shows that
-   its endpoint was alive after the time `at_us`, `within_us` ago at most. */
-static bool shows_alive(WPTime now, int64_t at_us, int64_t sent_us,
-                        int64_t within_us)
-{
-    int64_t since_us = now.mono_us - at_us;
-    bool after = sent_us > at_us || since_us > IN_TRANSIT_US;
-    return after && since_us <= within_us;
-}
-
-/* Counts answers of the incarnation that ended with their connections as
-   complete. */
-static void confirm_answers(WPSuspects *s, WPTime now, uint64_t incarnation,
-                            int64_t sent_us)
-{
-    for (unsigned i = 0; i < WP_SUSPECTS_UNCONFIRMED; i++) {
-        WPUnconfirmed *u = &s->unconfirmed[i];
-        if (!u->at_us || u->attempt.incarnation != incarnation ||
-            !shows_alive(now, u->at_us, sent_us, CONFIRM_WITHIN_US))
-            continue;
-        u->at_us = 0;
-        for (unsigned k = 0; k < u->n; k++)
-            wp_suspects_completed(s, now, u->keys[k]);
-    }
-}
-
 void wp_suspects_endpoint_alive(WPSuspects *s, WPTime now, uint64_t incarnation,
                                 int64_t sent_us)
 {
-    confirm_answers(s, now, incarnation, sent_us);
+    wp_suspects_confirm(s, now, incarnation, sent_us);
     const WPDeadIncarnation *d =
         g_hash_table_size(s->dead) ? g_hash_table_lookup(s->dead, &incarnation)
                                    : NULL;
     if (!d)
         return;
-    if (!shows_alive(now, d->at_us, sent_us, ALIVE_WITHIN_US))
+    if (!wp_suspects_shows_alive(now, d->at_us, sent_us,
+                                 WP_SUSPECTS_ALIVE_WITHIN_US))
         return;
     g_hash_table_remove(s->dead, &incarnation);
     clear_crash(s, now, incarnation);
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -179,6 +179,14 @@
 void wp_suspects_endpoint_unreachable(WPSuspects *s, WPTime now,
                                       uint64_t incarnation);
 
+/* An incarnation that such an answer of a suspect was from, if nothing has been
+   sent to it since: the next request, at best of no suspect, tells what the
+   answer was. 0: none. */
+uint64_t wp_suspects_incarnation_to_verify(WPSuspects *s, WPTime now);
+
+/* Notes that a request is sent to the incarnation. */
+void wp_suspects_note_sent(WPSuspects *s, WPTime now, uint64_t incarnation);
+
 /* Clears the request of all crashes by an operator's order. Returns whether
    there was one that was not cleared before. */
 bool wp_suspects_release(WPSuspects *s, WPTime now, uint64_t request);
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -38,6 +38,8 @@
 typedef struct WPUnconfirmed {
     WPSuspectAttempt attempt; /* `request` is not used */
     int64_t at_us;            /* when it ended, monotonic; 0: free */
+    int64_t asked_us;         /* when a request was last sent to the incarnation
+                                 since, monotonic; 0: none was */
     unsigned n;
     uint64_t *keys; /* what it clears once the endpoint answers again */
 } WPUnconfirmed;
@@ -106,6 +108,28 @@
                                          const WPSuspectAttempt *attempt,
                                          const uint64_t *keys, unsigned n);
 
+/* wp_suspect_answers.c. */
+
+/* A crashed endpoint cannot answer for this long. One that answers within it
+   had only lost a connection; later answers may come from its next incarnation,
+   under the same id. */
+#define WP_SUSPECTS_ALIVE_WITHIN_US (1000 * WP_US_PER_MS)
+
+/* Answers that were in transit arrive up to this long after a crash. */
+#define WP_SUSPECTS_IN_TRANSIT_US (100 * WP_US_PER_MS)
+
+/* Whether an answer, to a request sent at `sent_us`, that comes now shows that
+   its endpoint was alive after the time `at_us`, `within_us` ago at most. */
+bool wp_suspects_shows_alive(WPTime now, int64_t at_us, int64_t sent_us,
+                             int64_t within_us);
+
+/* Counts answers of the incarnation that ended with their connections as
+   complete, if an answer now to a request sent at `sent_us` shows that. */
+void wp_suspects_confirm(WPSuspects *s, WPTime now, uint64_t incarnation,
+                         int64_t sent_us);
+
+void wp_suspects_free_unconfirmed(WPSuspects *s);
+
 /* Counts answers of the incarnation that ended with their connections as lost:
    it has crashed, as was found by an attempt that was sent at `sent_us`, or now
    by other means. */
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -670,6 +670,42 @@
     wp_suspects_free(s);
 }
 
+static void
+answer_that_ended_with_its_connection_is_verified_by_the_next_request(
+    void **state)
+{
+    enum { TIMES = 8 };
+    (void)state;
+    for (unsigned i = 0; i < TIMES; i++) {
+        Fake k;
+        WPFlowAction m;
+        WPHeadChanges changes;
+        WPDirectAnswer a = fake_answer(200, 90);
+        fake_init(&k);
+        for (unsigned n = 0; n < TIMES; n++) {
+            g_autofree char *id = g_strdup_printf("more%u", n);
+            fake_put(&k, id, "app", "v1", false);
+        }
+        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
+        uint64_t request = f->hash;
+        wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+        assert_int_equal(m.kind, WP_FLOW_SEND);
+        g_autofree char *endpoint = g_strdup(m.replica->id);
+        a.until_close = true;
+        wp_flow_on_answer(f, k.now, &a, &m);
+        wp_flow_on_done(f, k.now, 0);
+        wp_flow_free(f);
+        fake_advance(&k, 10);
+        f = ask_other(&k, &m);
+        assert_string_equal(m.replica->id, endpoint);
+        wp_flow_on_head(f, k.now, &a, &changes);
+        assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), 0);
+        wp_flow_on_caller_gone(f, k.now);
+        wp_flow_free(f);
+        fake_end(&k);
+    }
+}
+
 static void
 answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second(
     void **state)
@@ -1116,6 +1152,8 @@
             answer_that_ended_with_its_endpoint_counts_when_another_box_saw_the_crash),
         cmocka_unit_test(
             answer_that_ended_with_its_endpoint_counts_when_later_requests_are_lost),
+        cmocka_unit_test(
+            answer_that_ended_with_its_connection_is_verified_by_the_next_request),
         cmocka_unit_test(
             answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second),
         cmocka_unit_test(
