The store's record of a quarantine that has ended is removed as fast as it was written

Cause: a removal waited for a second, as writes for requests that are not quarantined do. It waits 0.1 s now if the store's copy is a quarantine.

quarantine_that_has_ended_leaves_the_store_at_once fails before.

--- a/io/wp_suspect_updates.c
+++ b/io/wp_suspect_updates.c
@@ -207,15 +207,19 @@
 } Scan;
 
 /* Returns whether this box is to write the record now. Boxes wait for
-   different times, and most of them then find the record already written. */
-static bool is_turn(WPSuspectUpdates *d, WPTime now, const WPSuspect *p)
+   different times, and most of them then find the record already written.
+   `stored`: the store's copy. */
+static bool is_turn(WPSuspectUpdates *d, WPTime now, const WPSuspect *p,
+                    const Recorded *stored)
 {
     WPSync *s = d->sync;
     int64_t *due = g_hash_table_lookup(d->due, &p->request);
     if (!due) {
         double spread_ms =
             MIN(SPREAD_MS * wp_peers_known_count(s->peers), SPREAD_MAX_MS);
-        bool out = wp_suspect_crash_count(p) >= WP_SUSPECT_QUARANTINE_CRASHES;
+        unsigned most =
+            MAX(wp_suspect_crash_count(p), stored->half_crashes / 2);
+        bool out = most >= WP_SUSPECT_QUARANTINE_CRASHES;
         double ms = (out ? WRITE_AFTER_MS : UNQUARANTINED_AFTER_MS) +
                     (p->local_origin ? 0 : RECEIVED_AFTER_MS) +
                     spread_ms * g_rand_double(s->host->direct.rand);
@@ -247,7 +251,7 @@
         g_hash_table_remove(d->due, &p->request);
         return;
     }
-    if (l->found || !is_turn(d, l->now, p))
+    if (l->found || !is_turn(d, l->now, p, &r))
         return;
     l->found = true;
     l->removes = !persistent;
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -214,6 +214,41 @@
     sync_fixture_end(&s);
 }
 
+enum { SUSPECT = 7 };
+
+#define SUSPECT_KEY WP_KEY_SUSPECT "0000000000000007"
+
+/* Crashes of three endpoints quarantine the request SUSPECT, and the store gets
+   its record. */
+static void quarantine(SyncFixture *s)
+{
+    static const WPKvResult written = { true, true, 20, NULL, 0 };
+    WPTime now = wp_clock_now(0);
+    for (uint64_t i = 1; i <= WP_SUSPECT_QUARANTINE_CRASHES; i++) {
+        const WPSuspectAttempt a = { SUSPECT, i, 1, now.mono_us, 0 };
+        wp_suspects_record_crash(s->host.direct.suspects, now, &a);
+    }
+    tick(s, 0);
+    tick(s, 400);
+    assert_string_equal(store.key, SUSPECT_KEY);
+    assert_true(store.value->len > 0);
+    store.txn_done(store.txn_arg, &written);
+}
+
+static void quarantine_that_has_ended_leaves_the_store_at_once(void **state)
+{
+    SyncFixture s;
+    (void)state;
+    sync_fixture_start(&s);
+    quarantine(&s);
+    wp_suspects_completed(s.host.direct.suspects, wp_clock_now(0), SUSPECT);
+    tick(&s, 400);
+    tick(&s, 800);
+    assert_string_equal(store.key, SUSPECT_KEY);
+    assert_int_equal(store.value->len, 0);
+    sync_fixture_end(&s);
+}
+
 TESTS_MAIN(T(after_a_lost_watch_all_is_read_once),
            T(after_a_compaction_all_is_read_again),
            T(calls_to_an_unavailable_store_back_off),
@@ -224,4 +259,5 @@
            T(a_box_without_entries_retries_soon),
            T(a_restarted_box_begins_without_retries),
            T(an_endpoint_that_went_before_a_peer_started_is_removed),
-           T(an_acknowledged_write_is_known_before_its_watch_event))
+           T(an_acknowledged_write_is_known_before_its_watch_event),
+           T(quarantine_that_has_ended_leaves_the_store_at_once))
