Soak, crashing: requests on connections of killed entries are not counted as refused

A kill excuses its entry (rules of the users: only boxes in touch).

A 5xx of an entry that was killed still counts, and so do requests that fail at entries that were not killed.

--- a/tests/soak_case.h
+++ b/tests/soak_case.h
@@ -19,6 +19,8 @@
 /* The requests of the soak's callers to existing routes. */
 typedef struct SoakTotals {
     unsigned sent, served;
+    unsigned cut_by_kills; /* of those sent: they got no answer, as the
+                              process of their entry was killed */
     GArray *sent_ms; /* int64_t: when each was sent, by the monotonic clock */
 } SoakTotals;
 
