Test of slow callers: its virtual time starts once the sockets' buffers are full

Cause: the kernel takes further bytes for a caller that does not read over some 0.2 s of real time, which each start the read time-out anew; on a busy machine that falls into the virtual 3 s. The test now runs the event loop until nothing has moved for 0.3 s, then plays the time-out; check and bound are as before.

--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -18,6 +18,7 @@
     LOOP_TURNS = 200, /* of the event loop, until all that can move has moved */
     TICK_MS = 50,
     TIMEOUT_MS = 5000,
+    SETTLED_MS = 300,      /* longer than a socket takes to fill its buffers */
     RCVBUF_BYTES = 4 << 10 /* receive buffer of the kernel for a slow caller */
 };
 
@@ -112,6 +113,23 @@
                                                 WP_BUFFERED_READ_TIMEOUT_MS);
 }
 
+/* Runs the event loop, without virtual time, until the kernel has taken all
+   bytes that it buffers for callers that do not read. */
+static void settle(World *w)
+{
+    int64_t now_us = g_get_monotonic_time(), changed_us = now_us,
+            end_us = now_us + TIMEOUT_MS * WP_US_PER_MS;
+    size_t bytes = 0;
+    while (now_us - changed_us < SETTLED_MS * WP_US_PER_MS && now_us < end_us) {
+        event_base_loop(w->base, EVLOOP_NONBLOCK);
+        size_t n = wp_downstream_poll_buffered(w->downstream, w->now);
+        now_us = g_get_monotonic_time();
+        if (n != bytes)
+            changed_us = now_us;
+        bytes = n;
+    }
+}
+
 static void send_request(int fd)
 {
     static const char text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -166,6 +184,7 @@
         got += read_available(good);
     }
     assert_true(got > ANSWER_BYTES);
+    settle(&w);
     for (unsigned ms = 0; ms <= WP_BUFFERED_READ_TIMEOUT_MS; ms += TICK_MS)
         tick(&w);
     assert_true(w.closed >= SLOW_CALLERS / 2);
