Log: what answers that ended with their connections turned out to be

`answer_judged` names the request, the endpoint, the result and the wait, for answers of suspects and those that count as crashes. Asserted in test_suspects.

--- a/io/wp_suspect_updates.c
+++ b/io/wp_suspect_updates.c
@@ -114,10 +114,27 @@
     wp_suspect_updates_schedule(d);
 }
 
+/* Logs what was found out about answers that ended with their connections. */
+static void log_verdicts(WPSync *s)
+{
+    WPSuspectVerdict v;
+    while (wp_suspects_take_verdict(s->host->direct.suspects, &v)) {
+        const WPReplica *e =
+            wp_fleet_by_hash(s->host->direct.fleet, v.incarnation);
+        char hash[HEX + 1], ms[2 * HEX];
+        snprintf(hash, sizeof(hash), "%016lx", (unsigned long)v.request);
+        snprintf(ms, sizeof(ms), "%ld", (long)(v.waited_us / WP_US_PER_MS));
+        wp_log(&s->host->log, WP_INFO, "answer_judged", "request_hash", hash,
+               "endpoint", e ? e->id : "-", "result",
+               v.crashed ? "crashed" : "complete", "after_ms", ms, NULL);
+    }
+}
+
 void wp_suspect_updates_schedule(WPSuspectUpdates *d)
 {
     static const struct timeval at_once = { 0, 0 };
     static const struct timeval later = { 0, MIN_INTERVAL_MS * WP_US_PER_MS };
+    log_verdicts(d->sync);
     if (!wp_suspects_any_unsent(d->sync->host->direct.suspects) ||
         event_pending(d->send, EV_TIMEOUT, NULL))
         return;
--- a/src/wp_suspect_answers.c
+++ b/src/wp_suspect_answers.c
@@ -36,6 +36,35 @@
                           .keys = g_memdup2(keys, n * sizeof(*keys)) };
 }
 
+/* Whether the answer is of a request that may have crashed endpoints before. */
+static bool is_suspect(WPSuspects *s, const WPUnconfirmed *u)
+{
+    for (unsigned i = 0; i < u->n; i++) {
+        const WPSuspect *p = wp_suspects_find(s, u->keys[i]);
+        if (p && wp_suspect_has_uncleared(p))
+            return true;
+    }
+    return false;
+}
+
+static void add_verdict(WPSuspects *s, WPTime now, const WPUnconfirmed *u,
+                        bool crashed)
+{
+    s->verdicts[s->verdicts_added++ % WP_SUSPECTS_VERDICTS] =
+        (WPSuspectVerdict){ u->keys[0], u->attempt.incarnation, crashed,
+                            now.mono_us - u->at_us };
+}
+
+bool wp_suspects_take_verdict(WPSuspects *s, WPSuspectVerdict *out)
+{
+    unsigned waiting = s->verdicts_added - s->verdicts_taken;
+    if (!waiting)
+        return false;
+    s->verdicts_taken += waiting - MIN(waiting, WP_SUSPECTS_VERDICTS);
+    *out = s->verdicts[s->verdicts_taken++ % WP_SUSPECTS_VERDICTS];
+    return true;
+}
+
 void wp_suspects_lose_unconfirmed(WPSuspects *s, WPTime now,
                                   uint64_t incarnation, int64_t sent_us)
 {
@@ -48,6 +77,8 @@
         int64_t within_us = sent_us > u->at_us ? WP_SUSPECTS_ALIVE_WITHIN_US
                                                : WP_SUSPECTS_IN_TRANSIT_US;
         bool crashed = now.mono_us - u->at_us <= within_us;
+        if (crashed)
+            add_verdict(s, now, u, true);
         u->at_us = 0;
         if (crashed)
             wp_suspects_record_crash_of_all(s, now, &u->attempt, u->keys, u->n);
@@ -76,23 +107,14 @@
         if (!u->at_us || u->attempt.incarnation != incarnation ||
             !wp_suspects_shows_alive(now, u->at_us, sent_us, CONFIRM_WITHIN_US))
             continue;
+        if (is_suspect(s, u))
+            add_verdict(s, now, u, false);
         u->at_us = 0;
         for (unsigned k = 0; k < u->n; k++)
             wp_suspects_completed(s, now, u->keys[k]);
     }
 }
 
-/* Whether the answer is of a request that may have crashed endpoints before. */
-static bool is_suspect(WPSuspects *s, const WPUnconfirmed *u)
-{
-    for (unsigned i = 0; i < u->n; i++) {
-        const WPSuspect *p = wp_suspects_find(s, u->keys[i]);
-        if (p && wp_suspect_has_uncleared(p))
-            return true;
-    }
-    return false;
-}
-
 uint64_t wp_suspects_incarnation_to_verify(WPSuspects *s, WPTime now)
 {
     if (!wp_suspects_any(s))
--- a/src/wp_suspects.h
+++ b/src/wp_suspects.h
@@ -179,6 +179,19 @@
 void wp_suspects_endpoint_unreachable(WPSuspects *s, WPTime now,
                                       uint64_t incarnation);
 
+/* What was found out about such an answer of a suspect, or of a request that
+   has become one by it. */
+typedef struct WPSuspectVerdict {
+    uint64_t request;     /* hash of the request */
+    uint64_t incarnation; /* that answered it, by hash */
+    bool crashed;         /* the answer was lost; otherwise it was complete */
+    int64_t waited_us;    /* since the answer ended */
+} WPSuspectVerdict;
+
+/* Takes the oldest verdict, to be logged, if there is one. Verdicts that nobody
+   takes are overwritten. */
+bool wp_suspects_take_verdict(WPSuspects *s, WPSuspectVerdict *out);
+
 /* An incarnation that such an answer of a suspect was from, if nothing has been
    sent to it since: the next request, at best of no suspect, tells what the
    answer was. 0: none. */
--- a/src/wp_suspects_int.h
+++ b/src/wp_suspects_int.h
@@ -8,6 +8,7 @@
 enum {
     WP_SUSPECTS_RECENT_SLOTS = 1024, /* requests that have completed recently */
     WP_SUSPECTS_PART_SLOTS = 8192,   /* parts that were answered */
+    WP_SUSPECTS_VERDICTS = 16,       /* that are not logged yet */
     WP_SUSPECTS_UNCONFIRMED = 256    /* answers that ended with connections */
 };
 
@@ -62,6 +63,10 @@
     WPUnconfirmed unconfirmed[WP_SUSPECTS_UNCONFIRMED];
     unsigned next_unconfirmed; /* index that is overwritten next */
 
+    /* A ring: numbers of verdicts that were added and taken. */
+    WPSuspectVerdict verdicts[WP_SUSPECTS_VERDICTS];
+    unsigned verdicts_added, verdicts_taken;
+
     bool unsent; /* some record has changes that are still to be sent */
 };
 
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -667,6 +667,14 @@
     wp_suspects_endpoint_alive(s, at_ms(1800), 3, us_at(1610));
     wp_suspects_endpoint_unreachable(s, at_ms(1900), 3);
     assert_int_equal(wp_suspects_crash_count(s, k.keys[1]), 0);
+    for (unsigned i = 1; i <= 3; i++) {
+        WPSuspectVerdict v;
+        assert_true(wp_suspects_take_verdict(s, &v));
+        assert_int_equal(v.request, k.keys[0]);
+        assert_int_equal(v.incarnation, i);
+        assert_int_equal(v.crashed, i < 3);
+    }
+    assert_false(wp_suspects_take_verdict(s, &(WPSuspectVerdict){ 0 }));
     wp_suspects_free(s);
 }
 
