--- a/tests/test_suspect_answers.c
+++ b/tests/test_suspect_answers.c
@@ -14,6 +14,24 @@
     return wp_flow_begin(&k->d, k->now, &ask, m);
 }
 
+/* A request whose first endpoint is lost, and whose answer from the second one,
+   `*endpoint`, ends with its connection. Returns its hash. */
+static uint64_t ask_until_close(Fake *k, char **endpoint)
+{
+    WPFlowAction m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, "/safe/x", NULL, &m);
+    uint64_t request = f->hash;
+    wp_flow_on_lost(f, k->now, WP_LOSS_NO_ANSWER, &m);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    *endpoint = g_strdup(m.replica->id);
+    a.until_close = true;
+    wp_flow_on_answer(f, k->now, &a, &m);
+    wp_flow_on_done(f, k->now, 0);
+    wp_flow_free(f);
+    return request;
+}
+
 /* Such an answer also looks complete if its endpoint has crashed. */
 static void
 answer_that_ends_with_its_connection_clears_when_its_endpoint_answers_again(
@@ -22,24 +40,16 @@
     Fake k;
     WPFlowAction m;
     WPHeadChanges changes;
-    WPDirectAnswer a = fake_answer(200, 90);
+    const WPDirectAnswer a = fake_answer(200, 90);
+    g_autofree char *endpoint = NULL;
     bool same = false;
     (void)state;
     fake_init(&k);
-    WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
-    uint64_t request = f->hash;
-    wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
-    assert_int_equal(m.kind, WP_FLOW_SEND);
-    g_autofree char *endpoint = g_strdup(m.replica->id);
-    a.until_close = true;
-    wp_flow_on_answer(f, k.now, &a, &m);
-    wp_flow_on_done(f, k.now, 0);
-    wp_flow_free(f);
+    uint64_t request = ask_until_close(&k, &endpoint);
     assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), 1);
-    a.until_close = false;
     for (unsigned i = 0; i < 50 && !same; i++) {
         fake_advance(&k, 10);
-        f = ask_other(&k, &m);
+        WPFlow *f = ask_other(&k, &m);
         same = !strcmp(m.replica->id, endpoint);
         wp_flow_on_head(f, k.now, &a, &changes);
         assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), !same);
@@ -142,23 +152,16 @@
         Fake k;
         WPFlowAction m;
         WPHeadChanges changes;
-        WPDirectAnswer a = fake_answer(200, 90);
+        const WPDirectAnswer a = fake_answer(200, 90);
+        g_autofree char *endpoint = NULL;
         fake_init(&k);
         for (unsigned n = 0; n < TIMES; n++) {
             g_autofree char *id = g_strdup_printf("more%u", n);
             fake_put(&k, id, "app", "v1", false);
         }
-        WPFlow *f = fake_ask(&k, "/safe/x", NULL, &m);
-        uint64_t request = f->hash;
-        wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
-        assert_int_equal(m.kind, WP_FLOW_SEND);
-        g_autofree char *endpoint = g_strdup(m.replica->id);
-        a.until_close = true;
-        wp_flow_on_answer(f, k.now, &a, &m);
-        wp_flow_on_done(f, k.now, 0);
-        wp_flow_free(f);
+        uint64_t request = ask_until_close(&k, &endpoint);
         fake_advance(&k, 10);
-        f = ask_other(&k, &m);
+        WPFlow *f = ask_other(&k, &m);
         assert_string_equal(m.replica->id, endpoint);
         wp_flow_on_head(f, k.now, &a, &changes);
         assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), 0);
