--- a/tests/test_suspect_answers.c
+++ b/tests/test_suspect_answers.c
@@ -142,6 +142,14 @@
     wp_suspects_free(s);
 }
 
+static void add_endpoints(Fake *k, unsigned n)
+{
+    for (unsigned i = 0; i < n; i++) {
+        g_autofree char *id = g_strdup_printf("more%u", i);
+        fake_put(k, id, "app", "v1", false);
+    }
+}
+
 static void
 answer_that_ended_with_its_connection_is_verified_by_the_next_request(
     void **state)
@@ -155,10 +163,7 @@
         const WPDirectAnswer a = fake_answer(200, 90);
         g_autofree char *endpoint = NULL;
         fake_init(&k);
-        for (unsigned n = 0; n < TIMES; n++) {
-            g_autofree char *id = g_strdup_printf("more%u", n);
-            fake_put(&k, id, "app", "v1", false);
-        }
+        add_endpoints(&k, TIMES);
         uint64_t request = ask_until_close(&k, &endpoint);
         fake_advance(&k, 10);
         WPFlow *f = ask_other(&k, &m);
@@ -171,6 +176,49 @@
     }
 }
 
+static void
+answer_that_ended_with_its_connection_counts_when_its_endpoint_is_unreachable(
+    void **state)
+{
+    Fake k;
+    WPFlowAction m;
+    g_autofree char *endpoint = NULL;
+    (void)state;
+    fake_init(&k);
+    uint64_t request = ask_until_close(&k, &endpoint);
+    WPFlow *f = ask_other(&k, &m);
+    assert_string_equal(m.replica->id, endpoint);
+    wp_flow_on_lost(f, k.now, WP_LOSS_UNSENT, &m);
+    assert_int_equal(wp_suspects_crash_count(k.d.suspects, request), 2);
+    wp_flow_on_caller_gone(f, k.now);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
+static void one_request_at_a_time_verifies_an_answer(void **state)
+{
+    enum { ENDPOINTS = 20, REQUESTS = 8 };
+    Fake k;
+    WPFlowAction m;
+    WPFlow *flows[REQUESTS];
+    g_autofree char *endpoint = NULL;
+    unsigned there = 0;
+    (void)state;
+    fake_init(&k);
+    add_endpoints(&k, ENDPOINTS);
+    ask_until_close(&k, &endpoint);
+    for (unsigned i = 0; i < REQUESTS; i++) {
+        flows[i] = ask_other(&k, &m);
+        there += !strcmp(m.replica->id, endpoint);
+    }
+    assert_in_range(there, 1, REQUESTS / 2);
+    for (unsigned i = 0; i < REQUESTS; i++) {
+        wp_flow_on_caller_gone(flows[i], k.now);
+        wp_flow_free(flows[i]);
+    }
+    fake_end(&k);
+}
+
 static void
 answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second(
     void **state)
@@ -211,5 +259,7 @@
     T(answer_that_ended_with_its_endpoint_counts_when_another_box_saw_the_crash),
     T(answer_that_ended_with_its_endpoint_counts_when_later_requests_are_lost),
     T(answer_that_ended_with_its_connection_is_verified_by_the_next_request),
+    T(answer_that_ended_with_its_connection_counts_when_its_endpoint_is_unreachable),
+    T(one_request_at_a_time_verifies_an_answer),
     T(answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second),
     T(late_report_of_a_crash_does_not_count_after_a_complete_answer))
