An endpoint that cannot be connected to counts against all of its last answers

Found by reading the diff: where two answers of an endpoint had ended with their connections and it was unreachable then, the record of the first one's crash dropped the second one, as nothing said that the endpoint was dead yet. It is presumed dead first now.

unreachable_endpoint_counts_against_all_of_its_last_answers failed before (0 crashes for the second answer).

--- a/src/wp_suspect_answers.c
+++ b/src/wp_suspect_answers.c
@@ -89,8 +89,11 @@
         if (crashed)
             add_verdict(s, now, u, true);
         u->at_us = 0;
-        if (crashed)
-            wp_suspects_record_crash_of_all(s, now, &u->attempt, u->keys, u->n);
+        if (!crashed)
+            continue;
+        /* Otherwise the record of the first one would drop the others. */
+        wp_suspects_dead_since_us(s, now, incarnation);
+        wp_suspects_record_crash_of_all(s, now, &u->attempt, u->keys, u->n);
     }
 }
 
--- a/tests/test_suspect_answers.c
+++ b/tests/test_suspect_answers.c
@@ -195,6 +195,22 @@
     fake_end(&k);
 }
 
+static void
+unreachable_endpoint_counts_against_all_of_its_last_answers(void **state)
+{
+    WPSuspects *s = wp_suspects_new(1);
+    const WPSuspectKeys first = KEYS(1, "a"), second = KEYS(2, "b");
+    (void)state;
+    WPSuspectAttempt run = { .incarnation = 1, .sent_us = us_at(0) };
+    wp_suspects_ended_with_connection(s, at_ms(100), &run, first.keys, first.n);
+    wp_suspects_ended_with_connection(s, at_ms(110), &run, second.keys,
+                                      second.n);
+    wp_suspects_endpoint_unreachable(s, at_ms(500), 1);
+    assert_int_equal(wp_suspects_crash_count(s, first.keys[1]), 1);
+    assert_int_equal(wp_suspects_crash_count(s, second.keys[1]), 1);
+    wp_suspects_free(s);
+}
+
 static void one_request_at_a_time_verifies_an_answer(void **state)
 {
     enum { ENDPOINTS = 20, REQUESTS = 8 };
@@ -260,6 +276,7 @@
     T(answer_that_ended_with_its_endpoint_counts_when_later_requests_are_lost),
     T(answer_that_ended_with_its_connection_is_verified_by_the_next_request),
     T(answer_that_ended_with_its_connection_counts_when_its_endpoint_is_unreachable),
+    T(unreachable_endpoint_counts_against_all_of_its_last_answers),
     T(one_request_at_a_time_verifies_an_answer),
     T(answer_that_ended_with_its_connection_is_confirmed_after_a_quiet_second),
     T(late_report_of_a_crash_does_not_count_after_a_complete_answer))
