Contended services: placing by target and engine time, silent endpoints, first bytes within the target

Seen (docs/design/hard-load.md): of the most urgent callers of the two new deployments 15 in 100 were late, most of them at endpoints that hang or had crashed and looked idle by their last report; the first byte was waited for until the target had passed. 76 in 100 long prompts had been read by some engine of the fleet, 18 in 100 were sent to one.

Change, where the setting contention asks for it: the cost of an engine weighs waiting by the target and prefill by its own (wp_placing), an endpoint's silence counts (wp_silence), one affinity replica for all zones with a bonus by shared tokens, reported waiting requests predict the first byte, and the wait for it leaves time for another endpoint (wp_first_byte).

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1599,6 +1599,8 @@
 char wp__direct_settings__log_level__default_value[] = "info";
 char wp__direct_settings__log_format__default_value[] = "kv";
 char wp__direct_settings__report_to__default_value[] = "";
+char wp__direct_settings__contention__default_value[] = "off";
+char wp__direct_settings__contention_trait__default_value[] = "";
 static const uint32_t wp__direct_settings__metrics_port__default_value = 9464u;
 static const uint64_t wp__direct_settings__seed__default_value = 0ull;
 static const double wp__direct_settings__drain_s__default_value = 8;
@@ -1632,7 +1634,8 @@
 static const double wp__direct_settings__usage_window_s__default_value = 0;
 static const double wp__direct_settings__usage_late_s__default_value = 10;
 static const double wp__direct_settings__duty_lease_ms__default_value = 3000;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[47] =
+static const double wp__direct_settings__weigh_zone_kb_contended__default_value = 0.006;
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[51] =
 {
   {
     "id",
@@ -2198,6 +2201,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "contention",
+    50,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, contention),
+    NULL,
+    &wp__direct_settings__contention__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "traits",
+    51,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wp__DirectSettings, n_traits),
+    offsetof(Wp__DirectSettings, traits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "contention_trait",
+    52,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__DirectSettings, contention_trait),
+    NULL,
+    &wp__direct_settings__contention_trait__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weigh_zone_kb_contended",
+    53,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_weigh_zone_kb_contended),
+    offsetof(Wp__DirectSettings, weigh_zone_kb_contended),
+    NULL,
+    &wp__direct_settings__weigh_zone_kb_contended__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
@@ -2209,6 +2260,8 @@
   40,   /* field[40] = cold_slack */
   18,   /* field[18] = confidence_even */
   21,   /* field[21] = confidence_spread */
+  47,   /* field[47] = contention */
+  49,   /* field[49] = contention_trait */
   12,   /* field[12] = drain_s */
   42,   /* field[42] = duties */
   45,   /* field[45] = duty_lease_ms */
@@ -2235,6 +2288,7 @@
   7,   /* field[7] = store */
   23,   /* field[23] = strain_from */
   24,   /* field[24] = strain_weight */
+  48,   /* field[48] = traits */
   44,   /* field[44] = usage_late_s */
   43,   /* field[43] = usage_window_s */
   32,   /* field[32] = weigh_home */
@@ -2245,6 +2299,7 @@
   31,   /* field[31] = weigh_time */
   25,   /* field[25] = weigh_zone */
   30,   /* field[30] = weigh_zone_kb */
+  50,   /* field[50] = weigh_zone_kb_contended */
   1,   /* field[1] = zone */
   38,   /* field[38] = zone_news */
 };
@@ -2252,7 +2307,7 @@
 {
   { 1, 0 },
   { 29, 26 },
-  { 0, 47 }
+  { 0, 51 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2262,7 +2317,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  47,
+  51,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   2,  wp__direct_settings__number_ranges,
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -184,9 +184,22 @@
     return (uint32_t)ceil(s * WP_MS_PER_S);
 }
 
+/* The setting `contention`; "auto" is settled here if the platform states the
+   trait that asks for it. */
+static WPContention contention_from(const Wp__DirectSettings *s)
+{
+    if (!strcmp(s->contention, "off"))
+        return WP_CONTENTION_OFF;
+    for (size_t i = 0; i < s->n_traits; i++)
+        if (!strcmp(s->traits[i], s->contention_trait))
+            return WP_CONTENTION_ON;
+    return strcmp(s->contention, "on") ? WP_CONTENTION_AUTO : WP_CONTENTION_ON;
+}
+
 static WPDirectRules rules_from(const Wp__DirectSettings *s)
 {
     return (WPDirectRules){
+        .contention = contention_from(s),
         .box = wp_hash(wp_str(s->id), 0),
         .zone = s->zone,
         .retry_budget = { s->retry_ratio, s->retry_slack,
@@ -197,6 +210,7 @@
         .fleet = { .own_zone = g_intern_string(s->zone),
                    .zone_weight = s->weigh_zone,
                    .zone_weight_per_kb = s->weigh_zone_kb,
+                   .placing_zone_weight_per_kb = s->weigh_zone_kb_contended,
                    .affinity_weight = s->weigh_home,
                    .prefill_weight_per_kt = s->weigh_read_kt,
                    .transfer_weight_per_kt = s->weigh_move_kt,
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -104,6 +104,10 @@
                "from", "answer", "id", r->flow->id, NULL);
     if (h->backoff)
         log_backoff(r, s);
+    if (h->contended)
+        wp_log(&r->host->log, WP_INFO, "service_contended", "service",
+               s->service, "why", "endpoints report their speed", "endpoint",
+               s->id, "id", r->flow->id, NULL);
     if (h->bad_field)
         wp_log(&r->host->log, WP_WARN, "endpoint_notice_bad", "endpoint", s->id,
                "field", h->bad_field, "id", r->flow->id, NULL);
@@ -127,6 +131,11 @@
         g_string_append_printf(r->attempts_text, ":unread=%u:expect=%.0fms",
                                attempt->ttfb_inputs.uncached_tokens,
                                attempt->expected_ttfb_us / WP_US_PER_MS);
+    int64_t silence_us = wp_silence_unexplained_us(
+        &s->silence, now, attempt->ttfb_inputs.queued_prefill_us);
+    if (silence_us)
+        g_string_append_printf(r->attempts_text, ":silent=%ldms",
+                               (long)(silence_us / WP_US_PER_MS));
     if (m->prefix_source)
         g_string_append_printf(r->attempts_text, ":fetch=%s", m->prefix_source);
     if (wp_fleet_is_cold(s, now))
--- a/src/wp_cascade.c
+++ b/src/wp_cascade.c
@@ -77,6 +77,12 @@
     return mean * (1 - LATE_VALUE);
 }
 
+double wp_cascade_loss_if_late(const WPCascadeRules *r, uint32_t prompt_tokens,
+                               uint32_t answer_tokens)
+{
+    return (1 - LATE_VALUE) * answer_value(r, prompt_tokens, answer_tokens);
+}
+
 double wp_cascade_prefill_price(const WPCascadeRules *r, const WPValueRate *e,
                                 double target_ratio)
 {
--- a/src/wp_cascade.h
+++ b/src/wp_cascade.h
@@ -74,6 +74,10 @@
 /* Mean value that a request loses if its answer is late. */
 double wp_cascade_late_loss(const WPValueRate *e);
 
+/* Value that a request of this size loses if its answer is late. */
+double wp_cascade_loss_if_late(const WPCascadeRules *r, uint32_t prompt_tokens,
+                               uint32_t answer_tokens);
+
 /* Price of a second of prefill when the recent time to first byte is
    `target_ratio` times its target; 0 while endpoints are not overloaded. */
 double wp_cascade_prefill_price(const WPCascadeRules *r, const WPValueRate *e,
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -42,6 +42,7 @@
     d->quartiles =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->quality = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    d->uneven_services = g_hash_table_new(g_direct_hash, g_direct_equal);
     d->rand = g_rand_new_with_seed(seed);
 }
 
@@ -56,9 +57,24 @@
     g_hash_table_unref(d->ttfb_models);
     g_hash_table_unref(d->quality);
     g_hash_table_unref(d->quartiles);
+    g_hash_table_unref(d->uneven_services);
     g_rand_free(d->rand);
 }
 
+bool wp_direct_is_contended(const WPDirect *d, const char *service)
+{
+    if (d->rules.contention != WP_CONTENTION_AUTO)
+        return d->rules.contention == WP_CONTENTION_ON;
+    return g_hash_table_contains(d->uneven_services, g_intern_string(service));
+}
+
+bool wp_direct_note_uneven(WPDirect *d, const char *service)
+{
+    bool added = g_hash_table_add(d->uneven_services,
+                                  (gpointer)g_intern_string(service));
+    return added && d->rules.contention == WP_CONTENTION_AUTO;
+}
+
 void wp_direct_note_first_start(WPDirect *d)
 {
     d->retries_since_us -=
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -16,7 +16,16 @@
 #include "wp_startup.h"
 #include "wp_suspect_keys.h"
 
+/* Whether the time of a service's engines counts as scarce. */
+typedef enum WPContention {
+    WP_CONTENTION_OFF,
+    WP_CONTENTION_ON,
+    /* If its endpoints report how long work takes: their speed changes. */
+    WP_CONTENTION_AUTO
+} WPContention;
+
 typedef struct WPDirectRules {
+    WPContention contention;
     uint64_t box; /* hash of this box's id */
     const char *zone;
     WPRetryBudgetRules retry_budget;
@@ -53,8 +62,10 @@
                               their targets */
     WPValueRate value_rate;
     WPStallModel stalls;
-    int64_t tick_us;    /* of the last tick; 0: none */
-    int64_t expired_us; /* when sessions and suspects last expired */
+    GHashTable *uneven_services; /* interned names: their endpoints report how
+                                    long work takes */
+    int64_t tick_us;             /* of the last tick; 0: none */
+    int64_t expired_us;          /* when sessions and suspects last expired */
     GRand *rand;
 } WPDirect;
 
@@ -75,6 +86,14 @@
    which was replaced never comes back into force. */
 bool wp_direct_set_routes(WPDirect *d, WPRoutes *t);
 
+/* Whether the time of the service's engines counts as scarce. */
+bool wp_direct_is_contended(const WPDirect *d, const char *service);
+
+/* Records that an endpoint of the service reports how long work takes there.
+   Returns whether the service counts as contended from now on and did not
+   before. */
+bool wp_direct_note_uneven(WPDirect *d, const char *service);
+
 /* The state of a session that is sent to the other boxes. */
 typedef enum WPSessionUpdate {
     /* it was lately on the old version and stays there; sent while a shift is
@@ -251,7 +270,8 @@
     bool answer_started;       /* the caller has been sent part of an answer */
     bool endpoint_failed;      /* the caller gets an endpoint's own failure */
     bool first_byte_timed_out; /* it left an endpoint whose first byte was
-                                  overdue; once at the most */
+                                  overdue; once at the most, but for contended
+                                  services */
     bool has_waited;    /* for a slot of a full endpoint; once at the most */
     bool usage_counted; /* as usage of its workspace */
     /* the retry budget has refused it another attempt */
@@ -286,8 +306,9 @@
 /* Changes in the known state of an endpoint, caused by the head of its
    answer. */
 typedef struct WPHeadChanges {
-    bool draining; /* it drains now, and did not before */
-    bool backoff;  /* the same of a back-off that it asks for */
+    bool draining;  /* it drains now, and did not before */
+    bool backoff;   /* the same of a back-off that it asks for */
+    bool contended; /* its service counts as contended from now on */
     /* whether its limit has changed, or could not be read */
     WPLimitChange limit;
     double previous_limit; /* the limit before, in requests a second; 0: none */
--- a/src/wp_engine_cost.c
+++ b/src/wp_engine_cost.c
@@ -1,5 +1,5 @@
 /* Cost of a request at an engine. */
-#include "wp_engine_cost.h"
+#include "wp_fleet_int.h"
 
 #define KILO 1000.0
 
@@ -56,19 +56,34 @@
     return q->stall_weight * inputs->load * MAX(0, after - before);
 }
 
-static double cost_of(const WPFleetRules *r, const WPEndpointQuery *q,
-                      const WPTtfbInputs *inputs)
+/* Cost of the request's time there; `silent_us`: see wp_placing_cost(). */
+static double time_cost(const WPEndpointQuery *q, const WPTtfbInputs *inputs,
+                        int64_t silent_us)
 {
     double us = q->ttfb ? wp_ttfb_predict(q->ttfb, inputs) : 0;
+    double prefill_us = q->ttfb ? wp_ttfb_predict_prefill(q->ttfb, inputs) : 0;
+    return q->placing.on
+               ? wp_placing_cost(&q->placing, us, prefill_us, silent_us)
+               : q->ttfb_weight * us / WP_US_PER_S;
+}
+
+static double cost_of(const WPFleetRules *r, const WPEndpointQuery *q,
+                      const WPTtfbInputs *inputs, int64_t silent_us)
+{
     uint32_t own_tokens =
         inputs->prompt_tokens - wp_prompt_shared_tokens(q->prompt);
     uint32_t repeated = inputs->uncached_tokens > own_tokens
                             ? inputs->uncached_tokens - own_tokens
                             : 0;
-    return q->ttfb_weight * us / WP_US_PER_S +
+    return time_cost(q, inputs, silent_us) +
            r->prefill_weight_per_kt * repeated / KILO + stall_cost(q, inputs);
 }
 
+static double reported_waiting(const WPReplica *s, WPTime now)
+{
+    return wp_fleet_is_load_fresh(s, now) ? s->reported.waiting : 0;
+}
+
 WPEngineCost wp_engine_cost(const WPFleetRules *r, WPTime now,
                             const WPEndpointQuery *q, const WPReplica *s,
                             uint32_t cached, const WPCacheHolders *holders)
@@ -77,10 +92,13 @@
         .inputs = { .prompt_tokens = q->prompt->tokens,
                     .uncached_tokens = q->prompt->tokens - cached,
                     .load = wp_fleet_load_of(s, now),
+                    .waiting = q->placing.on ? reported_waiting(s, now) : 0,
                     .queued_prefill_us = wp_fleet_queued_prefill_us(s, now),
                     .slowdown = s->reported.slowdown }
     };
-    prefill.cost = cost_of(r, q, &prefill.inputs);
+    int64_t silent_us = wp_silence_unexplained_us(
+        &s->silence, now, prefill.inputs.queued_prefill_us);
+    prefill.cost = cost_of(r, q, &prefill.inputs, silent_us);
     const WPCacheHolder *k = holder_of(holders, s->version);
     if (!r->transfer_weight_per_kt || !k || k->replica == s ||
         k->tokens <= cached)
@@ -88,7 +106,7 @@
     WPEngineCost transfer = prefill;
     transfer.inputs.uncached_tokens = q->prompt->tokens - k->tokens;
     transfer.source = k->replica;
-    transfer.cost = cost_of(r, q, &transfer.inputs) +
+    transfer.cost = cost_of(r, q, &transfer.inputs, silent_us) +
                     r->transfer_weight_per_kt * (k->tokens - cached) / KILO;
     return transfer.cost < prefill.cost ? transfer : prefill;
 }
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -10,6 +10,8 @@
 #include "wp_registry_entry.h"
 #include "wp_notice.h"
 #include "wp_pace.h"
+#include "wp_placing.h"
+#include "wp_silence.h"
 #include "wp_stall.h"
 #include "wp_prefix_cache.h"
 
@@ -50,6 +52,7 @@
        `others_prefill_updated_us`. */
     double others_queued_prefill_us;
     int64_t others_prefill_updated_us;
+    WPSilence silence;
     WPPrefillPeaks peaks;        /* recent maxima of all prefill queued there */
     WPPrefixCache *prefix_cache; /* prompt prefixes it has cached */
     uint64_t id_hash; /* of its id, the same for all its incarnations */
@@ -98,6 +101,7 @@
     uint64_t model;     /* hash of its name */
     WPTtfbModel *ttfb;  /* for that model; NULL: not known */
     double ttfb_weight; /* of a second of time to first byte, in score units */
+    WPPlacing placing;
     const WPStallModel
         *stalls;            /* of streams, by queued prefill; NULL: not known */
     double max_stall_us;    /* longest event gap that is not a stall */
@@ -128,6 +132,9 @@
     double zone_weight;
     /* The same for engines, for each KB sent there. */
     double zone_weight_per_kb;
+    /* The same for requests with WPPlacing: there the bytes are cheap against
+       the engine time that a cached prompt saves. */
+    double placing_zone_weight_per_kb;
     /* Bonus of the affinity endpoint, which all boxes prefer for a shared
        prompt. */
     double affinity_weight;
@@ -276,8 +283,13 @@
 /* Records that the first byte of an answer came after `took_us`. `prefill_us`
    is what was passed for its request to wp_fleet_request_sent(), `expected_us`
    the predicted time to first byte; 0: no comparison. */
-void wp_fleet_first_byte(WPFleet *f, WPReplica *s, double prefill_us,
-                         int64_t took_us, int64_t expected_us);
+void wp_fleet_first_byte(WPFleet *f, WPReplica *s, WPTime now,
+                         double prefill_us, int64_t took_us,
+                         int64_t expected_us);
+
+/* Records that a request has ended without a first byte, before
+   wp_fleet_request_ended(). */
+void wp_fleet_no_first_byte(WPReplica *s);
 
 /* Records how a request ended at the endpoint. */
 void wp_fleet_request_ended(WPReplica *s, WPTime now, WPAttemptOutcome outcome);
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -213,6 +213,7 @@
                            const WPEndpointQuery *q, double prefill_us)
 {
     s->in_flight++;
+    wp_silence_sent(&s->silence, now);
     s->sent_since_load++;
     wp_pace_record_send(&s->cold_pacing, now);
     if (s->reported.limit)
@@ -227,9 +228,11 @@
     queue_prefix_update(f, s, q);
 }
 
-void wp_fleet_first_byte(WPFleet *f, WPReplica *s, double prefill_us,
-                         int64_t took_us, int64_t expected_us)
+void wp_fleet_first_byte(WPFleet *f, WPReplica *s, WPTime now,
+                         double prefill_us, int64_t took_us,
+                         int64_t expected_us)
 {
+    wp_silence_first_byte(&s->silence, now);
     s->own_queued_prefill_us = MAX(0, s->own_queued_prefill_us - prefill_us);
     if (f->updates)
         wp_box_updates_add_first_byte(f->updates, s->incarnation_hash,
@@ -241,6 +244,11 @@
     s->latency_ratio += LATENCY_WEIGHT * (ratio - s->latency_ratio);
 }
 
+void wp_fleet_no_first_byte(WPReplica *s)
+{
+    wp_silence_given_up(&s->silence);
+}
+
 void wp_fleet_idle_connection_lost(WPReplica *s, WPTime now)
 {
     wp_fleet_suspect_restart(s, now);
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -72,9 +72,16 @@
 {
     const WPEngineCost b =
         wp_engine_cost(&f->rules, now, q, s, cached, holders);
-    double v = b.cost - (affine ? f->rules.affinity_weight : 0);
+    double home_bonus =
+        q->placing.on
+            ? wp_placing_home_bonus(wp_prompt_shared_tokens(q->prompt))
+            : f->rules.affinity_weight;
+    double zone_weight_per_kb = q->placing.on
+                                    ? f->rules.placing_zone_weight_per_kb
+                                    : f->rules.zone_weight_per_kb;
+    double v = b.cost - (affine ? home_bonus : 0);
     if (strcmp(s->zone, q->zone))
-        v += f->rules.zone_weight_per_kb * q->body_bytes / KB;
+        v += zone_weight_per_kb * q->body_bytes / KB;
     return v;
 }
 
@@ -168,7 +175,9 @@
 }
 
 /* The endpoint that all boxes send requests with the same shared prompt to, so
-   that the prompt is prefilled only once. */
+   that the prompt is prefilled only once: one in each zone, or with WPPlacing
+   one in all, as few prompts are asked for so often that each zone's engine
+   still has them cached. */
 static const WPReplica *affinity_replica(const WPEndpointQuery *q, WPTime now,
                                          GPtrArray *list)
 {
@@ -181,7 +190,7 @@
         const WPReplica *s = g_ptr_array_index(list, i);
         uint64_t key[2] = { shared ^ q->model, s->id_hash };
         if (!is_eligible(q, s) || wp_fleet_is_backing_off(s, now) ||
-            strcmp(s->zone, q->zone))
+            (!q->placing.on && strcmp(s->zone, q->zone)))
             continue;
         uint64_t v = wp_hash(wp_strn((const char *)key, sizeof(key)), 0);
         if (!best || v > best_score) {
--- a/src/wp_fleet_updates.c
+++ b/src/wp_fleet_updates.c
@@ -56,6 +56,7 @@
     s->others_queued_prefill_us = others_prefill_left_us(s, now) + prefill_us;
     s->others_prefill_updated_us = now.mono_us;
     s->sent_since_load++;
+    wp_silence_merge_sent(&s->silence, now);
     if (s->reported.limit)
         wp_limit_record_remote_send(s->reported.limit, now);
     wp_prefill_peaks_add(&s->peaks, now, wp_fleet_queued_prefill_us(s, now));
@@ -66,6 +67,7 @@
     s->others_queued_prefill_us =
         MAX(0, others_prefill_left_us(s, now) - prefill_us);
     s->others_prefill_updated_us = now.mono_us;
+    wp_silence_merge_first_byte(&s->silence, now);
 }
 
 void wp_fleet_merge_load(WPReplica *s, WPTime now, uint32_t running,
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -119,6 +119,8 @@
     if (attempt->old_version && sh && sh->old_running)
         sh->old_running--;
     wp_suspect_keys_attempt_ended(f->direct->suspects, &f->suspects);
+    if (!attempt->first_byte_seen)
+        wp_fleet_no_first_byte(attempt->replica);
     wp_fleet_request_ended(attempt->replica, now, how);
     wp_replica_unref(attempt->replica);
 }
@@ -604,8 +606,8 @@
 bool wp_flow_on_first_byte_timeout(WPFlow *f, WPTime now, WPFlowAction *out)
 {
     WPAttempt previous = f->attempt;
-    if (previous.first_byte_seen || f->answer_started ||
-        f->first_byte_timed_out || !previous.replica)
+    if (previous.first_byte_seen || f->answer_started || !previous.replica ||
+        (f->first_byte_timed_out && !wp_flow_is_contended(f)))
         return false;
     if (f->n_tried == WP_FLOW_TRIED_MAX)
         return false;
--- a/src/wp_flow_head.c
+++ b/src/wp_flow_head.c
@@ -52,8 +52,10 @@
         return;
     if (a->has_load)
         wp_fleet_record_load(fleet, s, now, a->running, a->waiting, a->slots);
-    if (a->slowdown)
+    if (a->slowdown) {
         wp_fleet_record_slowdown(s, a->slowdown);
+        out->contended = wp_direct_note_uneven(f->direct, f->service->name);
+    }
     wp_suspects_endpoint_alive(f->direct->suspects, now, s->incarnation_hash,
                                f->attempt.sent_us);
     note_usage(f, now, a);
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -45,6 +45,10 @@
 /* Milliseconds until the deadline of the request; below 0: it has passed. */
 int64_t wp_flow_remaining_ms(const WPFlow *f, WPTime now);
 
+/* Whether the request competes with others for the time of its service's
+   engines. */
+bool wp_flow_is_contended(const WPFlow *f);
+
 /* The model that predicts the time to first byte (TTFB) of answers by
    `model`. */
 WPTtfbModel *wp_flow_ttfb_model(WPFlow *f, WPStr model);
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -97,7 +97,7 @@
     f->attempt.first_byte_us = now.mono_us;
     if (f->route->target_latency_ms)
         update_target_ratio(f, took_us);
-    wp_fleet_first_byte(f->direct->fleet, f->attempt.replica,
+    wp_fleet_first_byte(f->direct->fleet, f->attempt.replica, now,
                         f->attempt.prefill_us, took_us,
                         (int64_t)f->attempt.expected_ttfb_us);
     if (!is_canary(f) || !f->attempt.expected_ttfb_us)
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -1,11 +1,12 @@
 /* Chooses the endpoint and the model of a request's next attempt. */
+#include "wp_first_byte.h"
 #include "wp_flow_int.h"
 
 enum { FIRST_BYTE_TIMEOUT_MIN_MS = 150, STREAM_TIMEOUT_MIN_MS = 600 };
 
-/* The first byte of a request that may be sent again is waited for this many
-   times its expected TTFB. */
-#define FIRST_BYTE_TIMEOUT_RATIO 5.0
+/* Part of the time until the target that the smallest model may take to its
+   first byte; the rest is for an escalation. */
+#define SMALLEST_MODEL_SHARE 0.5
 
 /* An escalation needs this many times the duration of the present attempt
    before the deadline. */
@@ -43,6 +44,37 @@
     return wp_shift_allows(sh, version) && strcmp(version, sh->version);
 }
 
+bool wp_flow_is_contended(const WPFlow *f)
+{
+    return f->route->retry_policy == WP_RETRY_STREAM &&
+           wp_direct_is_contended(f->direct, f->service->name);
+}
+
+/* Microseconds until the request's target; below 0: it has passed. */
+static double target_left_us(const WPFlow *f, WPTime now)
+{
+    double target_us = (double)f->route->target_latency_ms * WP_US_PER_MS;
+    return target_us > 0 ? target_us - (double)(now.mono_us - f->start_us)
+                         : (double)(f->deadline_us - now.mono_us);
+}
+
+/* What the request loses by waiting for its first byte. */
+static WPPlacing placing_of(const WPFlow *f, WPTime now)
+{
+    const WPDirect *d = f->direct;
+    bool may_escalate = f->step + 1 < f->route->models->len;
+    double weight = d->rules.first_byte_weight;
+    return (WPPlacing){
+        .on = wp_flow_is_contended(f),
+        .left_us =
+            target_left_us(f, now) * (may_escalate ? SMALLEST_MODEL_SHARE : 1),
+        .late_loss = weight * wp_cascade_loss_if_late(&d->rules.cascade,
+                                                      f->prompt.tokens,
+                                                      f->answer_tokens),
+        .second_weight = weight * wp_value_rate_per_s(&d->value_rate)
+    };
+}
+
 /* The requirements of the request on an endpoint with this model. */
 static WPEndpointQuery query_for(WPFlow *f, WPTime now, WPStr model)
 {
@@ -57,6 +89,7 @@
         .ttfb = wp_flow_ttfb_model(f, model),
         .ttfb_weight = f->direct->rules.first_byte_weight *
                        wp_value_rate_per_s(&f->direct->value_rate),
+        .placing = placing_of(f, now),
         .stalls = engine ? &f->direct->stalls : NULL,
         .max_stall_us = (double)f->route->max_event_gap_ms * WP_US_PER_MS,
         .stall_weight = f->direct->rules.fleet.stall_weight *
@@ -252,19 +285,23 @@
 
 uint32_t wp_flow_first_byte_timeout_ms(WPFlow *f, WPTime now)
 {
-    double expected_us = f->attempt.expected_ttfb_us;
-    uint32_t min_ms = f->route->retry_policy == WP_RETRY_STREAM
-                          ? STREAM_TIMEOUT_MIN_MS
-                          : FIRST_BYTE_TIMEOUT_MIN_MS;
-    if (!wp_flow_is_retryable(f) || f->first_byte_timed_out ||
-        f->attempt.busy || wp_flow_is_serialized(f, now) ||
+    bool stream = f->route->retry_policy == WP_RETRY_STREAM;
+    const WPFirstByteWait w = {
+        .expected_ms = f->attempt.expected_ttfb_us / WP_US_PER_MS,
+        .target_left_ms = target_left_us(f, now) / WP_US_PER_MS,
+        .min_ms = stream ? STREAM_TIMEOUT_MIN_MS : FIRST_BYTE_TIMEOUT_MIN_MS
+    };
+    if (!wp_flow_is_retryable(f) || wp_flow_is_serialized(f, now) ||
         f->attempts_run + 1 >= f->route->max_attempts)
         return 0;
-    if (expected_us <= 0)
-        return MAX(f->route->target_latency_ms, min_ms);
-    return MAX(
-        (uint32_t)(FIRST_BYTE_TIMEOUT_RATIO * expected_us / WP_US_PER_MS),
-        min_ms);
+    uint32_t ms = wp_flow_is_contended(f) ? wp_first_byte_timeout_ms(&w) : 0;
+    if (ms)
+        return ms;
+    if (f->first_byte_timed_out || f->attempt.busy)
+        return 0;
+    return w.expected_ms > 0
+               ? wp_first_byte_overdue_ms(w.expected_ms, w.min_ms)
+               : MAX(f->route->target_latency_ms, (uint32_t)w.min_ms);
 }
 
 /* Non-streaming answers hardly ever take longer than this many times the upper
--- a/src/wp_latency.c
+++ b/src/wp_latency.c
@@ -27,7 +27,7 @@
 /* Lower bound of predictions, as a fraction of the mean. */
 #define MIN_FRACTION 0.1
 
-enum { PREFILL, ATTENTION, LOAD, QUEUED };
+enum { PREFILL, ATTENTION, LOAD, QUEUED, WAITING };
 
 static void inputs_of(const WPTtfbInputs *in, double x[WP_TTFB_INPUTS])
 {
@@ -38,6 +38,7 @@
     x[ATTENTION] = uncached * (prompt - uncached / 2);
     x[LOAD] = in->load / UNIT_LOAD;
     x[QUEUED] = in->queued_prefill_us / UNIT_QUEUED_US;
+    x[WAITING] = in->waiting / UNIT_LOAD;
 }
 
 /* Solves the normal equations for the inputs in use by elimination; the ridge
@@ -77,7 +78,7 @@
    negative, by chance, is left out. */
 static void fit(WPTtfbModel *s)
 {
-    bool used[WP_TTFB_INPUTS] = { true, true, true, true };
+    bool used[WP_TTFB_INPUTS] = { true, true, true, true, true };
     for (;;) {
         unsigned worst = 0;
         solve(s, used, s->slope);
--- a/src/wp_latency.h
+++ b/src/wp_latency.h
@@ -14,6 +14,7 @@
     uint32_t uncached_tokens; /* tokens of it that the endpoint does not have
                                  cached */
     double load;              /* requests at the endpoint, running or waiting */
+    double waiting; /* requests of all boxes that wait there, by its report */
     /* Predicted prefill time of prompts sent there earlier whose first byte
        has not come. */
     double queued_prefill_us;
@@ -22,7 +23,7 @@
     double slowdown;
 } WPTtfbInputs;
 
-enum { WP_TTFB_INPUTS = 4 };
+enum { WP_TTFB_INPUTS = 5 };
 
 typedef struct WPTtfbModel {
     /* Weighted sums of the inputs, the time in microseconds and their
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -64,6 +64,8 @@
     { "weigh_slow", 0, 100, NULL },
     { "weigh_pause", 0, 100, NULL },
     { "choices", 0, 1000, NULL },
+    { "contention", 0, 0, "off on auto" },
+    { "weigh_zone_kb_contended", 0, 100, NULL },
     { "apply_ms", 200, 600000, NULL },
     { "dwell_part", 0, 1, NULL },
     { "cold_overshoot", 0, 1000, NULL },
--- a/tests/test_box_updates.c
+++ b/tests/test_box_updates.c
@@ -57,7 +57,7 @@
     assert_float_equal(queued_prefill_ms(&y, "l1"), 900, 1);
     assert_float_equal(queued_prefill_ms(&y, "l2"), 0, 1);
     assert_float_equal(load(&y, "l1"), 4, 0.01);
-    wp_fleet_first_byte(x.d.fleet, s, 400 * WP_US_PER_MS, 1, 0);
+    wp_fleet_first_byte(x.d.fleet, s, x.now, 400 * WP_US_PER_MS, 1, 0);
     deliver(&updates, &y);
     assert_float_equal(queued_prefill_ms(&y, "l1"), 500, 1);
     for (int i = 0; i < 2; i++)
--- a/tests/test_endpoint_choice.c
+++ b/tests/test_endpoint_choice.c
@@ -40,6 +40,7 @@
     Engine engines[ENGINES];
     Request requests[REQUESTS_MAX];
     unsigned n, started, late, lost;
+    bool contended, short_prompts;
     WPTtfbModel ttfb;
     GRand *rand;
     int64_t ms;
@@ -51,6 +52,9 @@
     double burst_factor; /* times as many requests between those */
     unsigned hanging;    /* engines that hang between those */
     bool share_updates;  /* boxes send each other updates */
+    bool contended;      /* requests are placed as at contended engines */
+    bool short_prompts;  /* no long ones */
+    int64_t patience_ms; /* a first byte is waited for; 0: for ever */
 } Load;
 
 static WPTime now_of(const Sim *p)
@@ -105,7 +109,7 @@
 /* Most prompts are short, a fifth is long, as at the largest site. */
 static uint32_t draw_tokens(Sim *p)
 {
-    if (g_rand_double(p->rand) < 0.8)
+    if (p->short_prompts || g_rand_double(p->rand) < 0.8)
         return (uint32_t)g_rand_int_range(p->rand, 500, 3500);
     return (uint32_t)g_rand_int_range(p->rand, 8000, 32000);
 }
@@ -121,7 +125,11 @@
                                 .zone = "z1",
                                 .prompt = &prompt,
                                 .ttfb = &p->ttfb,
-                                .ttfb_weight = 1 };
+                                .ttfb_weight = 1,
+                                .placing = { .on = p->contended,
+                                             .left_us = LATE_MS * WP_US_PER_MS,
+                                             .late_loss = 0.2,
+                                             .second_weight = 1 } };
     a->replica = wp_fleet_choose(f, now_of(p), &w);
     assert_non_null(a->replica);
     a->engine = (unsigned)atoi(a->replica->id + 2);
@@ -140,8 +148,8 @@
     e->running++;
     p->started++;
     p->late += took_ms > LATE_MS;
-    wp_fleet_first_byte(f, a->replica, a->prefill_us, took_ms * WP_US_PER_MS,
-                        0);
+    wp_fleet_first_byte(f, a->replica, now_of(p), a->prefill_us,
+                        took_ms * WP_US_PER_MS, 0);
     wp_fleet_record_load(f, a->replica, now_of(p), e->running,
                          g_queue_get_length(&e->waiting), SLOTS);
 }
@@ -174,6 +182,22 @@
     }
 }
 
+/* Ends the requests whose first byte has not come within `patience_ms`. */
+static void give_up(Sim *p, int64_t patience_ms)
+{
+    for (unsigned i = 0; patience_ms && i < p->n; i++) {
+        Request *a = &p->requests[i];
+        if (a->started || a->ended || p->ms - a->sent_ms < patience_ms)
+            continue;
+        a->ended = true;
+        p->lost++;
+        g_queue_remove(&p->engines[a->engine].waiting, a);
+        wp_fleet_no_first_byte(a->replica);
+        wp_fleet_request_ended(a->replica, now_of(p), WP_OUTCOME_NO_RESPONSE);
+        wp_replica_unref(a->replica);
+    }
+}
+
 /* Sends the updates of each box to all others. */
 static void exchange_updates(Sim *p)
 {
@@ -201,6 +225,8 @@
 {
     Sim *p = g_new(Sim, 1);
     sim_init(p, l->share_updates, seed);
+    p->contended = l->contended;
+    p->short_prompts = l->short_prompts;
     double due = 0;
     for (p->ms = 0; p->ms < RUN_MS + 10000; p->ms += STEP_MS) {
         bool burst = p->ms >= l->burst_from_ms && p->ms < l->burst_to_ms;
@@ -212,11 +238,12 @@
         for (unsigned e = 0; e < ENGINES; e++)
             run_engine(p, &p->engines[e]);
         end_streams(p);
+        give_up(p, l->patience_ms);
         if (p->ms % UPDATE_MS == 0)
             exchange_updates(p);
     }
-    assert_int_equal(p->started, p->n);
-    double share = (double)p->late / p->n;
+    assert_int_equal(p->started + p->lost, p->n);
+    double share = (double)(p->late + p->lost) / p->n;
     sim_end(p);
     g_free(p);
     return share;
@@ -267,5 +294,27 @@
     check(&l, 0.03, 0.028);
 }
 
+/* The engines hang, and requests are given up after a second. Their queues then
+   look short again to each of the twenty boxes; that they are silent keeps
+   further callers away: fewer than one in a hundred is to lose by it. */
+static void silent_engines_are_left_while_they_hang(void **state)
+{
+    Load l = { .per_s = 280,
+               .burst_from_ms = 5000,
+               .burst_to_ms = 9000,
+               .burst_factor = 1,
+               .hanging = 5,
+               .short_prompts = true,
+               .patience_ms = 1000 };
+    (void)state;
+    double usual = mean_of(l, true);
+    l.contended = true;
+    double silent = mean_of(l, true);
+    print_message("late or given up: %.4f, %.4f by silence\n", usual, silent);
+    assert_true(usual > 0.01);
+    assert_true(silent <= 0.01);
+}
+
 TESTS_MAIN(T(late_first_bytes_in_a_burst),
-           T(late_first_bytes_while_a_sixth_of_the_engines_hang))
+           T(late_first_bytes_while_a_sixth_of_the_engines_hang),
+           T(silent_engines_are_left_while_they_hang))
--- /dev/null
+++ b/tests/test_placing.c
@@ -0,0 +1,137 @@
+/* Placing of requests at contended engines: the costs alone, and a load of
+ * prompts with shared parts from boxes of four zones, with the real choice of
+ * endpoints. Checked is how much of the prompts is prefilled again. */
+#include "direct_fake.h"
+
+static const WPPlacing patient = { true, 8e6, 0.2, 1 };
+static const WPPlacing urgent = { true, 1e6, 0.2, 1 };
+
+static void waiting_is_cheap_before_the_target(void **state)
+{
+    (void)state;
+    double near = wp_placing_cost(&patient, 0.2e6, 0.1e6, 0);
+    double far = wp_placing_cost(&patient, 1.2e6, 0.1e6, 0);
+    assert_true(far - near < 0.6);
+    near = wp_placing_cost(&urgent, 0.2e6, 0.1e6, 0);
+    far = wp_placing_cost(&urgent, 1.2e6, 0.1e6, 0);
+    assert_true(far - near > 1);
+}
+
+/* A patient prompt waits a second for an engine that has it cached, rather than
+   being prefilled again for half a second. */
+static void prefill_costs_more_than_waiting(void **state)
+{
+    (void)state;
+    double cached = wp_placing_cost(&patient, 1.1e6, 0.1e6, 0);
+    double again = wp_placing_cost(&patient, 0.6e6, 0.6e6, 0);
+    assert_true(cached < again);
+}
+
+static void late_chance_grows_with_the_predicted_time(void **state)
+{
+    const WPPlacing passed = { .left_us = -1 };
+    (void)state;
+    assert_true(wp_placing_late_chance(&urgent, 0) == 0);
+    assert_true(wp_placing_late_chance(&urgent, 0.2e6) < 0.01);
+    assert_float_equal(wp_placing_late_chance(&urgent, 1e6), 0.5, 0.01);
+    assert_true(wp_placing_late_chance(&urgent, 5e6) > 0.9);
+    assert_true(wp_placing_late_chance(&passed, 1) == 1);
+}
+
+static void silence_costs_as_long_as_it_has_lasted(void **state)
+{
+    (void)state;
+    double cost = wp_placing_cost(&urgent, 1e5, 1e5, 2e6) -
+                  wp_placing_cost(&urgent, 1e5, 1e5, 0);
+    assert_float_equal(cost, 2, 0.001);
+}
+
+enum { ZONES = 4, BOXES = 8, ENGINES = 16, SUBJECTS = 60, REQUESTS = 600 };
+
+/* Each subject comes from all zones; boxes know nothing of each other. Returns
+   the share of requests whose subject their engine has read before, of those
+   whose subject any engine has. */
+static double share_found_cached(bool contended)
+{
+    static const char *const zones[ZONES] = { "z1", "z2", "z3", "z4" };
+    static bool has[ENGINES][SUBJECTS], known[SUBJECTS];
+    WPFleet *fleets[BOXES];
+    GRand *rand = g_rand_new_with_seed(5);
+    WPTtfbModel ttfb = { 0 };
+    unsigned repeated = 0, found = 0;
+    memset(has, 0, sizeof(has));
+    memset(known, 0, sizeof(known));
+    for (uint32_t i = 0; i < 100; i++) {
+        const WPTtfbInputs w = { .prompt_tokens = 100 * i,
+                                 .uncached_tokens = 100 * i };
+        wp_ttfb_add(&ttfb, &w, 30000 + 2000 * i);
+    }
+    for (unsigned b = 0; b < BOXES; b++) {
+        const WPFleetRules rules = { .own_zone = zones[b % ZONES],
+                                     .zone_weight_per_kb = 0.03,
+                                     .placing_zone_weight_per_kb = 0.006,
+                                     .affinity_weight = 0.4,
+                                     .prefill_weight_per_kt = 0.04,
+                                     .track_prefixes = true };
+        fleets[b] = wp_fleet_new(b);
+        wp_fleet_set_rules(fleets[b], &rules);
+        for (unsigned e = 0; e < ENGINES; e++) {
+            g_autofree char *id = g_strdup_printf("i-%02u", e);
+            const WPRegistryEntry l = { .id = id,
+                                        .service = "llm",
+                                        .addr = "127.0.0.1:1",
+                                        .zone = zones[e % ZONES],
+                                        .version = "v1",
+                                        .slots = 64 };
+            wp_fleet_put(fleets[b], (WPTime){ 1, 1 }, &l);
+        }
+    }
+    for (unsigned i = 0; i < REQUESTS; i++) {
+        const WPTime now = { (int64_t)(1000 + 50 * i) * WP_US_PER_MS, 0 };
+        unsigned b = (unsigned)g_rand_int_range(rand, 0, BOXES);
+        unsigned subject = (unsigned)g_rand_int_range(rand, 0, SUBJECTS);
+        g_autofree char *part = g_strdup_printf("part%u", subject);
+        g_autofree char *own = g_strdup_printf("own%u", i);
+        WPPrompt prompt = { .tokens = 17000 };
+        wp_prompt_add(&prompt, wp_str(part), 13000);
+        wp_prompt_add(&prompt, wp_str(own), 4000);
+        const WPEndpointQuery q = { .service = "llm",
+                                    .zone = zones[b % ZONES],
+                                    .prompt = &prompt,
+                                    .body_bytes = 17000,
+                                    .ttfb = &ttfb,
+                                    .ttfb_weight = 1,
+                                    .placing = { contended, 4e6, 0.2, 1 } };
+        WPReplica *s = wp_fleet_choose(fleets[b], now, &q);
+        unsigned e = (unsigned)atoi(s->id + 2);
+        repeated += known[subject];
+        found += has[e][subject];
+        known[subject] = has[e][subject] = true;
+        wp_fleet_request_sent(fleets[b], s, now, &q, 0);
+        wp_fleet_first_byte(fleets[b], s, now, 0, 1, 0);
+        wp_fleet_request_ended(s, now, WP_OUTCOME_OK);
+        wp_replica_unref(s);
+    }
+    for (unsigned b = 0; b < BOXES; b++)
+        wp_fleet_free(fleets[b]);
+    g_rand_free(rand);
+    return (double)found / repeated;
+}
+
+/* Ten requests for each prompt, from four zones: with one affinity replica in
+   each zone most of them are prefilled again. */
+static void rare_prompts_are_not_prefilled_again_in_each_zone(void **state)
+{
+    (void)state;
+    double usual = share_found_cached(false);
+    double placed = share_found_cached(true);
+    print_message("found cached: %.3f, %.3f if contended\n", usual, placed);
+    assert_true(placed >= 0.9);
+    assert_true(placed > usual + 0.1);
+}
+
+TESTS_MAIN(T(waiting_is_cheap_before_the_target),
+           T(prefill_costs_more_than_waiting),
+           T(late_chance_grows_with_the_predicted_time),
+           T(silence_costs_as_long_as_it_has_lasted),
+           T(rare_prompts_are_not_prefilled_again_in_each_zone))
