--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -49,6 +49,9 @@
 int ctl_why(Ctl *c);
 int ctl_bills(Ctl *c);
 
+/* ctl_load.c */
+int ctl_load(Ctl *c);
+
 /* Reads the keys of the store from `key` up to, but not including, `end`, or
    the one key if `end` is NULL, and passes the result to `done`. Waits for the
    answer. Returns false, after printing an error, if there is none. */
--- a/cmd/wpctl.c
+++ b/cmd/wpctl.c
@@ -34,6 +34,8 @@
       "why --workspace W --kind K [--labels L]: explain the choice of a "
       "version",
       ctl_why },
+    { "load", "load: requests and endpoints of an entry without agents",
+      ctl_load },
     { "bills", "bills: charges by workspace and version", ctl_bills },
 };
 
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -3,6 +3,7 @@
 #include "wp_direct_int.h"
 #include "wp_code.h"
 #include "wp_http.h"
+#include "wp_load_view.h"
 
 static void on_ready(struct evhttp_request *r, void *arg)
 {
@@ -60,11 +61,57 @@
                            (unsigned long)bytes);
 }
 
-/* Answers a request with the counters and the present state of this box, in the
-   text format of Prometheus. */
+static void add_request(void *arg, const WPFlow *f)
+{
+    wp_load_view_add_request(arg, f);
+}
+
+static void on_load(struct evhttp_request *r, WPDirectHost *h)
+{
+    WPLoadView *v = wp_load_view_new(&h->direct, wp_clock_now(0));
+    wp_relay_each_flow(h, add_request, v);
+    wp_http_reply_json(r, 200, wp_load_view_end(v));
+}
+
+typedef struct SilentCount {
+    WPTime now;
+    unsigned silent;
+} SilentCount;
+
+static void count_silent(void *arg, WPReplica *s)
+{
+    SilentCount *p = arg;
+    p->silent +=
+        wp_silence_unexplained_us(&s->silence, p->now,
+                                  wp_fleet_queued_prefill_us(s, p->now)) > 0;
+}
+
+static void add_contention(const WPDirectHost *h, GString *out)
+{
+    const WPRoutes *t = h->direct.routes;
+    SilentCount p = { .now = wp_clock_now(0) };
+    wp_fleet_each(h->direct.fleet, count_silent, &p);
+    g_string_append_printf(out, "wp_endpoints_silent{box=\"%s\"} %u\n",
+                           h->settings->id, p.silent);
+    for (guint i = 0; t && i < t->services->len; i++) {
+        const WPService *s = g_ptr_array_index(t->services, i);
+        if (wp_direct_is_contended(&h->direct, s->name))
+            g_string_append_printf(
+                out, "wp_service_contended{box=\"%s\",service=\"%s\"} 1\n",
+                h->settings->id, s->name);
+    }
+}
+
+/* Answers a request for /load, and any other with the counters and the present
+   state of this box, in the text format of Prometheus. */
 static void on_metrics(struct evhttp_request *r, void *arg)
 {
     WPDirectHost *h = arg;
+    if (!g_strcmp0(evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r)),
+                   "/load")) {
+        on_load(r, h);
+        return;
+    }
     const Wp__DirectSettings *s = h->settings;
     g_autoptr(GString) out = g_string_new(NULL);
     g_autofree char *labels =
@@ -94,6 +141,7 @@
     wp_fleet_each_evacuated_zone(h->direct.fleet, add_evacuated_zone, &z);
     wp_suspects_each(h->direct.suspects, add_quarantined, &z);
     wp_fleet_each(h->direct.fleet, add_limit, &z);
+    add_contention(h, out);
     wp_peer_traffic_each(wp_sync_traffic(h->sync), add_peer_bytes, &z);
     wp_http_reply_text(r, 200, "text/plain; version=0.0.4",
                        wp_strn(out->str, out->len));
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -54,6 +54,10 @@
    while they are not. */
 void wp_relay_admit_held(WPDirectHost *h);
 
+/* Calls `fn` for each request that has not ended. */
+typedef void (*WPEachFlowFn)(void *arg, const WPFlow *f);
+void wp_relay_each_flow(const WPDirectHost *h, WPEachFlowFn fn, void *arg);
+
 /* Bytes of the answers that are buffered until they are complete, because the
    flow decides on them only then. */
 uint64_t wp_relay_buffered_bytes(const WPDirectHost *h);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -208,6 +208,8 @@
         break;
     case WP_FLOW_FORWARD:
         event_del(r->first_byte_timer);
+        if (!r->stream_begun)
+            wp_relay_note_kept(r);
         if (r->upstream_conn && r->answer_streams)
             begin_stream(r);
         else
@@ -319,6 +321,12 @@
         wp_upstream_set_paused(r->upstream_conn, true);
 }
 
+void wp_relay_each_flow(const WPDirectHost *h, WPEachFlowFn fn, void *arg)
+{
+    wp_list_each (it, &h->relays)
+        fn(arg, wp_list_item(it, WPRelay, node)->flow);
+}
+
 uint64_t wp_relay_buffered_bytes(const WPDirectHost *h)
 {
     uint64_t sum = 0;
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -62,6 +62,9 @@
 /* Appends the head of the present attempt's answer to the log line. */
 void wp_relay_note_answer(WPRelay *r);
 
+/* Appends why the answer is of a smaller model than the route's largest. */
+void wp_relay_note_kept(WPRelay *r);
+
 /* Appends to the log line that the request waits for a slot. */
 void wp_relay_note_wait(WPRelay *r, uint32_t ms);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -171,6 +171,13 @@
     g_string_append_printf(r->attempts_text, ":%s", how);
 }
 
+void wp_relay_note_kept(WPRelay *r)
+{
+    if (r->flow->kept_reason)
+        g_string_append_printf(r->attempts_text, "/kept=%s",
+                               r->flow->kept_reason);
+}
+
 void wp_relay_note_wait(WPRelay *r, uint32_t ms)
 {
     g_string_append_printf(r->attempts_text, "%swait=%ums",
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -48,6 +48,8 @@
       "requests that waited for the routes of a box that starts")              \
     X(SLOT_WAITS, "slot_waits_total",                                          \
       "requests that waited for a slot of a full endpoint")                    \
+    X(FIRST_BYTE_TIMEOUTS, "first_byte_timeouts_total",                        \
+      "attempts given up as no first byte came in time")                       \
     X(CUT_UNREAD, "callers_cut_unread_total",                                  \
       "callers cut off as they read nothing while too much was held")          \
     X(REPORTS, "usage_reports_total", "reports of usage that were taken")      \
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -286,6 +286,8 @@
        NULL: none. */
     WPReplica *canary_failure;
     bool canary_failure_loaded; /* that endpoint was loaded */
+    const char *kept_reason;    /* why the answer of a smaller model was not
+                                   escalated; NULL: it was, or there is none */
     char *fails_loaded; /* a version that this request has shown to fail under
                            load, on half-full endpoints; to be reported, NULL:
                            none */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -529,6 +529,7 @@
     }
     f->attempts_run--;
     f->step = step;
+    f->kept_reason = f->retry_budget_spent ? "budget" : "no_endpoint";
     pass_answer(f, out);
 }
 
@@ -616,6 +617,7 @@
     f->tried[f->n_tried++] = wp_replica_ref(previous.replica);
     f->attempts_run++;
     if (try_again(f, now, WP_ATTEMPT_RETRY, out)) {
+        wp_count(&f->direct->counters, WP_C_FIRST_BYTE_TIMEOUTS);
         end_attempt(f, now, &previous, WP_OUTCOME_NO_RESPONSE);
         return true;
     }
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -4,6 +4,9 @@
 
 enum { FIRST_BYTE_TIMEOUT_MIN_MS = 150, STREAM_TIMEOUT_MIN_MS = 600 };
 
+/* An escalation with a lower chance to be in time is kept back as late. */
+#define EVEN_CHANCE 0.5
+
 /* Part of the time until the target that the smallest model may take to its
    first byte; the rest is for an escalation. */
 #define SMALLEST_MODEL_SHARE 0.5
@@ -341,25 +344,49 @@
                                     d->target_ratio);
 }
 
-bool wp_flow_should_escalate(WPFlow *f, WPTime now, const WPDirectAnswer *a)
+/* Why the answer in hand is not to be escalated, whatever would be gained;
+   NULL: nothing forbids it. */
+static const char *escalation_forbidden(WPFlow *f, WPTime now)
 {
-    const GPtrArray *models = f->route->models;
-    if (a->confidence < 0 || f->step + 1 >= models->len || f->answer_started ||
-        wp_flow_is_serialized(f, now))
-        return false;
+    if (wp_flow_is_serialized(f, now))
+        return "suspect";
     /* Rather a poor answer than a failure at endpoints that fail under load:
        the largest model is what loads them most. */
     const WPEndpointQuery w = wp_flow_query(f, now);
     if (wp_fleet_should_reduce_load(f->direct->fleet, now, &w,
                                     f->attempt.replica->version))
-        return false;
+        return "fails_loaded";
     /* After a failed attempt, one should be left besides this one and the
        larger model's. */
     if (f->attempts_run > 0 && f->attempts_run + 3 > f->route->max_attempts)
+        return "attempts";
+    double took = (double)(now.mono_us - f->attempt.sent_us);
+    return wp_flow_remaining_ms(f, now) * WP_US_PER_MS >
+                   ESCALATION_TIME_RATIO * took
+               ? NULL
+               : "deadline";
+}
+
+/* Why an escalation with this gain below 0 does not pay. */
+static const char *no_gain_reason(const WPCascadeEscalation *c, double gain)
+{
+    if (gain + c->prefill_price > 0)
+        return "engine_time";
+    return c->on_time_chance < EVEN_CHANCE ? "late" : "good";
+}
+
+bool wp_flow_should_escalate(WPFlow *f, WPTime now, const WPDirectAnswer *a)
+{
+    const GPtrArray *models = f->route->models;
+    const WPCascadeRules *rules = &f->direct->rules.cascade;
+    f->kept_reason = NULL;
+    if (a->confidence < 0 || f->step + 1 >= models->len || f->answer_started)
         return false;
-    wp_good_share_add(
-        wp_direct_quality(f->direct, f->route->name),
-        wp_cascade_good_chance(&f->direct->rules.cascade, a->confidence));
+    f->kept_reason = escalation_forbidden(f, now);
+    if (f->kept_reason && strcmp(f->kept_reason, "deadline"))
+        return false;
+    wp_good_share_add(wp_direct_quality(f->direct, f->route->name),
+                      wp_cascade_good_chance(rules, a->confidence));
     const char *largest = g_ptr_array_index(models, models->len - 1);
     double prefill_us;
     double chance = probability_in_time(f, now, wp_str(largest), &prefill_us);
@@ -371,11 +398,10 @@
                                     .prefill_price =
                                         prefill_price(f, prefill_us),
                                     .on_time_chance = chance };
-    if (wp_cascade_escalation_gain(&f->direct->rules.cascade, &c) <= 0)
-        return false;
-    double took = (double)(now.mono_us - f->attempt.sent_us);
-    return wp_flow_remaining_ms(f, now) * WP_US_PER_MS >
-           ESCALATION_TIME_RATIO * took;
+    double gain = wp_cascade_escalation_gain(rules, &c);
+    if (gain <= 0)
+        f->kept_reason = no_gain_reason(&c, gain);
+    return !f->kept_reason;
 }
 
 bool wp_flow_starts_with_largest(WPFlow *f, WPTime now)
