Boxes that have learned nothing of engines' speed do not queue at one engine

Cause: with no predicted time to first byte, the cost of an endpoint of a contended service held no term for its queue, and the bonus of the affinity replica won.

Change: until a prediction is there, an idle engine counts as 0.3 s and each waiting request as 0.1 s more.

The test fails with the line out: all hundred requests at one engine.

--- a/src/wp_engine_cost.c
+++ b/src/wp_engine_cost.c
@@ -56,26 +56,34 @@
     return q->stall_weight * inputs->load * MAX(0, after - before);
 }
 
-/* Cost of the request's time there; `silent_us`: see wp_placing_cost(). */
+/* What the choice takes from the endpoint besides the inputs of its TTFB. */
+typedef struct EndpointState {
+    double queued;     /* requests that wait there, as known to this box */
+    int64_t silent_us; /* see wp_placing_cost() */
+} EndpointState;
+
+/* Cost of the request's time there. */
 static double time_cost(const WPEndpointQuery *q, const WPTtfbInputs *inputs,
-                        int64_t silent_us)
+                        const EndpointState *e)
 {
     double us = q->ttfb ? wp_ttfb_predict(q->ttfb, inputs) : 0;
-    double prefill_us = q->ttfb ? wp_ttfb_predict_prefill(q->ttfb, inputs) : 0;
-    return q->placing.on
-               ? wp_placing_cost(&q->placing, us, prefill_us, silent_us)
-               : q->ttfb_weight * us / WP_US_PER_S;
+    if (!q->placing.on)
+        return q->ttfb_weight * us / WP_US_PER_S;
+    double prefill_us = us > 0 ? wp_ttfb_predict_prefill(q->ttfb, inputs) : 0;
+    if (us <= 0)
+        us = wp_placing_unlearned_ttfb_us(e->queued);
+    return wp_placing_cost(&q->placing, us, prefill_us, e->silent_us);
 }
 
 static double cost_of(const WPFleetRules *r, const WPEndpointQuery *q,
-                      const WPTtfbInputs *inputs, int64_t silent_us)
+                      const WPTtfbInputs *inputs, const EndpointState *e)
 {
     uint32_t own_tokens =
         inputs->prompt_tokens - wp_prompt_shared_tokens(q->prompt);
     uint32_t repeated = inputs->uncached_tokens > own_tokens
                             ? inputs->uncached_tokens - own_tokens
                             : 0;
-    return time_cost(q, inputs, silent_us) +
+    return time_cost(q, inputs, e) +
            r->prefill_weight_per_kt * repeated / KILO + stall_cost(q, inputs);
 }
 
@@ -84,6 +92,15 @@
     return wp_fleet_is_load_fresh(s, now) ? s->reported.waiting : 0;
 }
 
+static EndpointState endpoint_state(const WPReplica *s, WPTime now,
+                                    const WPTtfbInputs *inputs)
+{
+    return (EndpointState){ .queued =
+                                reported_waiting(s, now) + s->sent_since_load,
+                            .silent_us = wp_silence_unexplained_us(
+                                &s->silence, now, inputs->queued_prefill_us) };
+}
+
 WPEngineCost wp_engine_cost(const WPFleetRules *r, WPTime now,
                             const WPEndpointQuery *q, const WPReplica *s,
                             uint32_t cached, const WPCacheHolders *holders)
@@ -96,9 +113,8 @@
                     .queued_prefill_us = wp_fleet_queued_prefill_us(s, now),
                     .slowdown = s->reported.slowdown }
     };
-    int64_t silent_us = wp_silence_unexplained_us(
-        &s->silence, now, prefill.inputs.queued_prefill_us);
-    prefill.cost = cost_of(r, q, &prefill.inputs, silent_us);
+    const EndpointState e = endpoint_state(s, now, &prefill.inputs);
+    prefill.cost = cost_of(r, q, &prefill.inputs, &e);
     const WPCacheHolder *k = holder_of(holders, s->version);
     if (!r->transfer_weight_per_kt || !k || k->replica == s ||
         k->tokens <= cached)
@@ -106,7 +122,7 @@
     WPEngineCost transfer = prefill;
     transfer.inputs.uncached_tokens = q->prompt->tokens - k->tokens;
     transfer.source = k->replica;
-    transfer.cost = cost_of(r, q, &transfer.inputs, silent_us) +
+    transfer.cost = cost_of(r, q, &transfer.inputs, &e) +
                     r->transfer_weight_per_kt * (k->tokens - cached) / KILO;
     return transfer.cost < prefill.cost ? transfer : prefill;
 }
--- a/src/wp_placing.c
+++ b/src/wp_placing.c
@@ -21,6 +21,12 @@
    predicted time: other boxes send meanwhile. */
 #define DEVIATION 0.5
 
+/* Until the engines' speed is known: an idle engine, and each request that
+   waits there. A guess that is too high spreads requests more than needed, one
+   that is too low lets boxes that have just started queue at one engine. */
+#define UNLEARNED_US (300.0 * WP_US_PER_MS)
+#define UNLEARNED_QUEUED_US (100.0 * WP_US_PER_MS)
+
 #define KILO 1000.0
 
 double wp_placing_late_chance(const WPPlacing *p, double ttfb_us)
@@ -45,6 +51,11 @@
            late;
 }
 
+double wp_placing_unlearned_ttfb_us(double queued)
+{
+    return UNLEARNED_US + UNLEARNED_QUEUED_US * queued;
+}
+
 double wp_placing_home_bonus(uint32_t shared_tokens)
 {
     return HOME_WEIGHT_PER_KT * shared_tokens / KILO;
--- a/src/wp_placing.h
+++ b/src/wp_placing.h
@@ -23,6 +23,10 @@
 double wp_placing_cost(const WPPlacing *p, double ttfb_us, double prefill_us,
                        int64_t silent_us);
 
+/* Returns the time to first byte to assume, while too few answers are known for
+   a prediction, at an endpoint where `queued` requests wait for theirs. */
+double wp_placing_unlearned_ttfb_us(double queued);
+
 /* Returns the bonus of the affinity replica for a prompt with this many shared
    tokens. */
 double wp_placing_home_bonus(uint32_t shared_tokens);
--- a/tests/test_placing.c
+++ b/tests/test_placing.c
@@ -130,7 +130,84 @@
     assert_true(placed > usual + 0.1);
 }
 
-TESTS_MAIN(T(waiting_is_cheap_before_the_target),
+/* Adds `n` engines to a fleet that knows nothing of their speed. */
+static void put_engines(WPFleet *f, WPTime now, unsigned n)
+{
+    const WPFleetRules rules = { .own_zone = "z1" };
+    wp_fleet_set_rules(f, &rules);
+    for (unsigned e = 0; e < n; e++) {
+        g_autofree char *id = g_strdup_printf("i-%02u", e);
+        const WPRegistryEntry l = { .id = id,
+                                    .service = "llm",
+                                    .addr = "127.0.0.1:1",
+                                    .zone = "z1",
+                                    .version = "v1",
+                                    .slots = 128 };
+        wp_fleet_put(f, now, &l);
+    }
+}
+
+/* Chooses an engine for a long prompt that has been asked for by others. */
+static WPReplica *choose_for_shared(WPFleet *f, WPTime now, unsigned i)
+{
+    WPTtfbModel unlearned = { 0 };
+    WPPrompt prompt = { .tokens = 17000 };
+    g_autofree char *own = g_strdup_printf("own%u", i);
+    wp_prompt_add(&prompt, wp_str("shared"), 13000);
+    wp_prompt_add(&prompt, wp_str(own), 4000);
+    const WPEndpointQuery q = { .service = "llm",
+                                .zone = "z1",
+                                .prompt = &prompt,
+                                .ttfb = &unlearned,
+                                .placing = { true, 1.5e6, 0.2, 1 } };
+    return wp_fleet_choose(f, now, &q);
+}
+
+static void boxes_that_have_learned_nothing_do_not_join_a_queue(void **state)
+{
+    const WPTime now = { 1000000, 1 };
+    WPFleet *f = wp_fleet_new(1);
+    (void)state;
+    put_engines(f, now, 4);
+    WPReplica *home = choose_for_shared(f, now, 0);
+    wp_fleet_record_load(f, home, now, 2, 28, 128);
+    WPReplica *other = choose_for_shared(f, now, 1);
+    assert_ptr_not_equal(home, other);
+    wp_replica_unref(home);
+    wp_replica_unref(other);
+    wp_fleet_free(f);
+}
+
+/* A hundred requests for one prompt come at once to eight boxes that have just
+   started: the longest queue is at most three times the mean. */
+static void start_spreads_one_prompt_over_engines(void **state)
+{
+    const WPTime now = { 1000000, 1 };
+    WPFleet *fleets[BOXES];
+    unsigned queue[ENGINES] = { 0 }, longest = 0;
+    (void)state;
+    for (unsigned b = 0; b < BOXES; b++) {
+        fleets[b] = wp_fleet_new(b);
+        put_engines(fleets[b], now, ENGINES);
+    }
+    for (unsigned i = 0; i < 100; i++) {
+        WPReplica *s = choose_for_shared(fleets[i % BOXES], now, i);
+        unsigned e = (unsigned)atoi(s->id + 2);
+        for (unsigned b = 0; b < BOXES; b++)
+            wp_fleet_merge_sent(wp_fleet_find(fleets[b], s->id), now, 0);
+        queue[e]++;
+        longest = MAX(longest, queue[e]);
+        wp_replica_unref(s);
+    }
+    for (unsigned b = 0; b < BOXES; b++)
+        wp_fleet_free(fleets[b]);
+    print_message("longest queue %u, mean %.1f\n", longest, 100.0 / ENGINES);
+    assert_true(longest <= 3 * 100 / ENGINES);
+}
+
+TESTS_MAIN(T(boxes_that_have_learned_nothing_do_not_join_a_queue),
+           T(start_spreads_one_prompt_over_engines),
+           T(waiting_is_cheap_before_the_target),
            T(prefill_costs_more_than_waiting),
            T(late_chance_grows_with_the_predicted_time),
            T(silence_costs_as_long_as_it_has_lasted),
