Boxes of a zone share what they learn of contended engines' speed

Change: the first 200 times to first byte of each service and model are told to the boxes of the zone.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1634,8 +1634,9 @@
 static const double wp__direct_settings__usage_window_s__default_value = 0;
 static const double wp__direct_settings__usage_late_s__default_value = 10;
 static const double wp__direct_settings__duty_lease_ms__default_value = 3000;
+static const double wp__direct_settings__strain_weight_contended__default_value = 3;
 static const double wp__direct_settings__weigh_zone_kb_contended__default_value = 0.006;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[51] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[52] =
 {
   {
     "id",
@@ -2249,6 +2250,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strain_weight_contended",
+    54,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_strain_weight_contended),
+    offsetof(Wp__DirectSettings, strain_weight_contended),
+    NULL,
+    &wp__direct_settings__strain_weight_contended__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
@@ -2288,6 +2301,7 @@
   7,   /* field[7] = store */
   23,   /* field[23] = strain_from */
   24,   /* field[24] = strain_weight */
+  51,   /* field[51] = strain_weight_contended */
   48,   /* field[48] = traits */
   44,   /* field[44] = usage_late_s */
   43,   /* field[43] = usage_window_s */
@@ -2307,7 +2321,7 @@
 {
   { 1, 0 },
   { 29, 26 },
-  { 0, 51 }
+  { 0, 52 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2317,7 +2331,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  51,
+  52,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   2,  wp__direct_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -504,6 +504,12 @@
   size_t n_traits;
   char **traits;
   char *contention_trait;
+  /*
+   * As strain_weight, for contended engines: their boxes share what they learn,
+   * and act on it together.
+   */
+  protobuf_c_boolean has_strain_weight_contended;
+  double strain_weight_contended;
   /*
    * As weigh_zone_kb, for requests to contended engines.
    */
@@ -518,7 +524,7 @@
 extern char wp__direct_settings__contention_trait__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL, wp__direct_settings__contention__default_value, 0,NULL, wp__direct_settings__contention_trait__default_value, 0, 0.006 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL, wp__direct_settings__contention__default_value, 0,NULL, wp__direct_settings__contention_trait__default_value, 0, 3, 0, 0.006 }
 
 
 /* Wp__NodeSettings methods */
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -5541,7 +5541,7 @@
   (ProtobufCMessageInit) wp__mirror_delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__box_news__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wp__box_news__field_descriptors[20] =
 {
   {
     "box",
@@ -5699,6 +5699,90 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ttfb_of",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__BoxNews, n_ttfb_of),
+    offsetof(Wp__BoxNews, ttfb_of),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttfb_prompt",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_ttfb_prompt),
+    offsetof(Wp__BoxNews, ttfb_prompt),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttfb_uncached",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_ttfb_uncached),
+    offsetof(Wp__BoxNews, ttfb_uncached),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttfb_load",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_ttfb_load),
+    offsetof(Wp__BoxNews, ttfb_load),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttfb_waiting",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_ttfb_waiting),
+    offsetof(Wp__BoxNews, ttfb_waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttfb_queued_ms",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_ttfb_queued_ms),
+    offsetof(Wp__BoxNews, ttfb_queued_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ttfb_us",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__BoxNews, n_ttfb_us),
+    offsetof(Wp__BoxNews, ttfb_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__box_news__field_indices_by_name[] = {
   11,   /* field[11] = asked_of */
@@ -5714,11 +5798,18 @@
   5,   /* field[5] = load_waiting */
   2,   /* field[2] = sent_ms */
   1,   /* field[1] = sent_to */
+  16,   /* field[16] = ttfb_load */
+  13,   /* field[13] = ttfb_of */
+  14,   /* field[14] = ttfb_prompt */
+  18,   /* field[18] = ttfb_queued_ms */
+  15,   /* field[15] = ttfb_uncached */
+  19,   /* field[19] = ttfb_us */
+  17,   /* field[17] = ttfb_waiting */
 };
 static const ProtobufCIntRange wp__box_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor wp__box_news__descriptor =
 {
@@ -5728,7 +5819,7 @@
   "Wp__BoxNews",
   "wp",
   sizeof(Wp__BoxNews),
-  13,
+  20,
   wp__box_news__field_descriptors,
   wp__box_news__field_indices_by_name,
   1,  wp__box_news__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -1050,10 +1050,28 @@
   uint64_t *asked_of;
   size_t n_asked_per_min;
   uint32_t *asked_per_min;
+  /*
+   * Times to first byte (WPTtfbSample), while few are known: hash of service and
+   * model, the inputs of the prediction, the time in microseconds.
+   */
+  size_t n_ttfb_of;
+  uint64_t *ttfb_of;
+  size_t n_ttfb_prompt;
+  uint32_t *ttfb_prompt;
+  size_t n_ttfb_uncached;
+  uint32_t *ttfb_uncached;
+  size_t n_ttfb_load;
+  uint32_t *ttfb_load;
+  size_t n_ttfb_waiting;
+  uint32_t *ttfb_waiting;
+  size_t n_ttfb_queued_ms;
+  uint32_t *ttfb_queued_ms;
+  size_t n_ttfb_us;
+  uint32_t *ttfb_us;
 };
 #define WP__BOX_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__box_news__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -207,6 +207,7 @@
         .session_idle_ms = in_ms(s->session_s),
         .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
                      s->request_value, s->strain_from, s->strain_weight },
+        .contended_strain_weight = s->strain_weight_contended,
         .fleet = { .own_zone = g_intern_string(s->zone),
                    .zone_weight = s->weigh_zone,
                    .zone_weight_per_kb = s->weigh_zone_kb,
--- a/src/wp_box_updates.c
+++ b/src/wp_box_updates.c
@@ -4,7 +4,9 @@
 
 enum {
     PREFILL_MAX_MS = 60000, /* of one prompt; the longest known takes 3 s */
-    LOAD_MAX = 100000       /* running or waiting requests at one endpoint */
+    TOKENS_MAX = 10000000,  /* of one prompt */
+    TTFB_MAX_US = 120000000,
+    LOAD_MAX = 100000 /* running or waiting requests at one endpoint */
 };
 
 void wp_box_updates_init(WPBoxUpdates *n)
@@ -22,6 +24,9 @@
     n->kept_tokens = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     n->asked_of = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     n->asked_per_min = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    n->ttfb_of = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    for (unsigned v = 0; v < WP_TTFB_VALUES; v++)
+        n->ttfb[v] = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 }
 
 void wp_box_updates_destroy(WPBoxUpdates *n)
@@ -38,6 +43,9 @@
     g_array_unref(n->kept_tokens);
     g_array_unref(n->asked_of);
     g_array_unref(n->asked_per_min);
+    g_array_unref(n->ttfb_of);
+    for (unsigned v = 0; v < WP_TTFB_VALUES; v++)
+        g_array_unref(n->ttfb[v]);
 }
 
 /* Returns whether `a` has room for one more record; counts a dropped record if
@@ -116,10 +124,46 @@
     g_array_append_val(n->asked_per_min, demand->per_min);
 }
 
+void wp_box_updates_add_ttfb(WPBoxUpdates *n, const WPTtfbSample *t)
+{
+    const uint32_t values[WP_TTFB_VALUES] = {
+        [WP_TTFB_PROMPT] = t->inputs.prompt_tokens,
+        [WP_TTFB_UNCACHED] = t->inputs.uncached_tokens,
+        [WP_TTFB_LOAD] = (uint32_t)t->inputs.load,
+        [WP_TTFB_WAITING] = (uint32_t)t->inputs.waiting,
+        [WP_TTFB_QUEUED_MS] =
+            (uint32_t)(t->inputs.queued_prefill_us / WP_US_PER_MS),
+        [WP_TTFB_US] = (uint32_t)CLAMP(t->usual_us, 0, TTFB_MAX_US)
+    };
+    if (!has_room(n, n->ttfb_of))
+        return;
+    g_array_append_val(n->ttfb_of, t->model);
+    for (unsigned v = 0; v < WP_TTFB_VALUES; v++)
+        g_array_append_val(n->ttfb[v], values[v]);
+}
+
 bool wp_box_updates_pending(const WPBoxUpdates *n)
 {
     return n->sent_to->len || n->began_at->len || n->load_of->len ||
-           n->kept_at->len || n->asked_of->len;
+           n->kept_at->len || n->asked_of->len || n->ttfb_of->len;
+}
+
+static void fill_ttfb(const WPBoxUpdates *n, Wp__BoxNews *out)
+{
+    out->n_ttfb_of = n->ttfb_of->len;
+    out->ttfb_of = (uint64_t *)(void *)n->ttfb_of->data;
+    out->n_ttfb_prompt = n->ttfb_of->len;
+    out->ttfb_prompt = (uint32_t *)(void *)n->ttfb[WP_TTFB_PROMPT]->data;
+    out->n_ttfb_uncached = n->ttfb_of->len;
+    out->ttfb_uncached = (uint32_t *)(void *)n->ttfb[WP_TTFB_UNCACHED]->data;
+    out->n_ttfb_load = n->ttfb_of->len;
+    out->ttfb_load = (uint32_t *)(void *)n->ttfb[WP_TTFB_LOAD]->data;
+    out->n_ttfb_waiting = n->ttfb_of->len;
+    out->ttfb_waiting = (uint32_t *)(void *)n->ttfb[WP_TTFB_WAITING]->data;
+    out->n_ttfb_queued_ms = n->ttfb_of->len;
+    out->ttfb_queued_ms = (uint32_t *)(void *)n->ttfb[WP_TTFB_QUEUED_MS]->data;
+    out->n_ttfb_us = n->ttfb_of->len;
+    out->ttfb_us = (uint32_t *)(void *)n->ttfb[WP_TTFB_US]->data;
 }
 
 void wp_box_updates_fill(const WPBoxUpdates *n, uint64_t box, Wp__BoxNews *out)
@@ -145,6 +189,7 @@
     out->n_asked_of = out->n_asked_per_min = n->asked_of->len;
     out->asked_of = (uint64_t *)(void *)n->asked_of->data;
     out->asked_per_min = (uint32_t *)(void *)n->asked_per_min->data;
+    fill_ttfb(n, out);
 }
 
 void wp_box_updates_reset(WPBoxUpdates *n)
@@ -161,6 +206,9 @@
     g_array_set_size(n->kept_tokens, 0);
     g_array_set_size(n->asked_of, 0);
     g_array_set_size(n->asked_per_min, 0);
+    g_array_set_size(n->ttfb_of, 0);
+    for (unsigned v = 0; v < WP_TTFB_VALUES; v++)
+        g_array_set_size(n->ttfb[v], 0);
 }
 
 /* Returns the number of records without a counterpart in a parallel array: the
@@ -245,11 +293,53 @@
     return invalid;
 }
 
+/* Merges times to first byte. Values beyond the shortest of the parallel arrays
+   are ignored. */
+static unsigned merge_ttfb(WPFleet *f, const Wp__BoxNews *m)
+{
+    size_t n = MIN(MIN(MIN(MIN(MIN(MIN(m->n_ttfb_of, m->n_ttfb_prompt),
+                                   m->n_ttfb_uncached),
+                               m->n_ttfb_load),
+                           m->n_ttfb_waiting),
+                       m->n_ttfb_queued_ms),
+                   m->n_ttfb_us);
+    size_t longest = MAX(MAX(MAX(MAX(MAX(MAX(m->n_ttfb_of, m->n_ttfb_prompt),
+                                         m->n_ttfb_uncached),
+                                     m->n_ttfb_load),
+                                 m->n_ttfb_waiting),
+                             m->n_ttfb_queued_ms),
+                         m->n_ttfb_us);
+    unsigned invalid = (unsigned)(longest - n);
+    for (size_t i = 0; i < n; i++) {
+        const WPTtfbSample t = {
+            .model = m->ttfb_of[i],
+            .inputs = { .prompt_tokens = m->ttfb_prompt[i],
+                        .uncached_tokens = m->ttfb_uncached[i],
+                        .load = m->ttfb_load[i],
+                        .waiting = m->ttfb_waiting[i],
+                        .queued_prefill_us =
+                            (double)m->ttfb_queued_ms[i] * WP_US_PER_MS },
+            .usual_us = m->ttfb_us[i]
+        };
+        bool valid = m->ttfb_prompt[i] <= TOKENS_MAX &&
+                     m->ttfb_uncached[i] <= m->ttfb_prompt[i] &&
+                     m->ttfb_load[i] <= LOAD_MAX &&
+                     m->ttfb_waiting[i] <= LOAD_MAX &&
+                     m->ttfb_queued_ms[i] <= PREFILL_MAX_MS &&
+                     m->ttfb_us[i] <= TTFB_MAX_US;
+        if (valid)
+            wp_fleet_merge_ttfb(f, &t);
+        else
+            invalid++;
+    }
+    return invalid;
+}
+
 unsigned wp_box_updates_merge(WPFleet *f, WPTime now, const Wp__BoxNews *m)
 {
     return merge_sent(f, now, m) + merge_first_bytes(f, now, m) +
            merge_load(f, now, m) + merge_cached(f, now, m) +
-           merge_demand(f, now, m);
+           merge_demand(f, now, m) + merge_ttfb(f, m);
 }
 
 static void free_copy(gpointer m)
@@ -270,7 +360,7 @@
 void wp_update_batch_add(WPUpdateBatch *b, const Wp__BoxNews *m)
 {
     size_t records = m->n_sent_to + m->n_began_at + m->n_load_of +
-                     m->n_kept_at + m->n_asked_of;
+                     m->n_kept_at + m->n_asked_of + m->n_ttfb_of;
     if (b->records + records > WP_UPDATE_BATCH_MAX) {
         b->dropped++;
         return;
--- a/src/wp_box_updates.h
+++ b/src/wp_box_updates.h
@@ -18,6 +18,17 @@
                                 of the largest site has 5 */
 };
 
+/* The values of a WPTtfbSample in a message. */
+typedef enum WPTtfbValue {
+    WP_TTFB_PROMPT,
+    WP_TTFB_UNCACHED,
+    WP_TTFB_LOAD,
+    WP_TTFB_WAITING,
+    WP_TTFB_QUEUED_MS,
+    WP_TTFB_US,
+    WP_TTFB_VALUES
+} WPTtfbValue;
+
 /* Records for the next message, in parallel arrays as in Wp__BoxNews. */
 typedef struct WPBoxUpdates {
     GArray *sent_to, *sent_ms;
@@ -25,6 +36,7 @@
     GArray *load_of, *load_running, *load_waiting;
     GArray *kept_at, *kept_prefix, *kept_tokens;
     GArray *asked_of, *asked_per_min;
+    GArray *ttfb_of, *ttfb[WP_TTFB_VALUES];
     uint64_t dropped; /* records discarded because WP_BOX_UPDATES_MAX of their
                          kind were queued */
 } WPBoxUpdates;
@@ -61,6 +73,9 @@
 /* The rate of callers' requests for a service at this box. */
 void wp_box_updates_add_demand(WPBoxUpdates *n, const WPDemandUpdate *demand);
 
+/* A time to first byte. */
+void wp_box_updates_add_ttfb(WPBoxUpdates *n, const WPTtfbSample *t);
+
 /* Returns whether any record is queued. */
 bool wp_box_updates_pending(const WPBoxUpdates *n);
 
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -21,6 +21,42 @@
 /* Sessions are remembered for this many times session_idle_ms. */
 #define SESSION_KEEP_TIMES 2
 
+/* Times to first byte that boxes tell each other for each model: several times
+   what a prediction needs. Later ones change little. */
+enum { SHARED_TTFB_SAMPLES = 200 };
+
+/* Takes a time to first byte of another box into the model that is kept under
+   the same name here, if there is one. */
+static void merge_ttfb(void *arg, const WPTtfbSample *t)
+{
+    WPDirect *d = arg;
+    GHashTableIter it;
+    gpointer name, model;
+    g_hash_table_iter_init(&it, d->ttfb_models);
+    while (g_hash_table_iter_next(&it, &name, &model))
+        if (wp_hash(wp_str(name), 0) == t->model)
+            wp_ttfb_add(model, &t->inputs, (int64_t)t->usual_us);
+}
+
+void wp_direct_share_ttfb(WPDirect *d, const WPTtfbModel *model,
+                          const WPTtfbInputs *inputs, int64_t took_us)
+{
+    GHashTableIter it;
+    gpointer name, other;
+    if (model->samples > SHARED_TTFB_SAMPLES)
+        return;
+    g_hash_table_iter_init(&it, d->ttfb_models);
+    while (g_hash_table_iter_next(&it, &name, &other)) {
+        if (other != model)
+            continue;
+        double slowdown = inputs->slowdown > 0 ? inputs->slowdown : 1;
+        const WPTtfbSample t = { .model = wp_hash(wp_str(name), 0),
+                                 .inputs = *inputs,
+                                 .usual_us = (double)took_us / slowdown };
+        wp_fleet_share_ttfb(d->fleet, &t);
+    }
+}
+
 void wp_direct_init(WPDirect *d, const WPDirectRules *rules,
                     const Wp__Chart *chart, uint32_t seed)
 {
@@ -31,6 +67,7 @@
     wp_stall_init(&d->stalls);
     d->fleet = wp_fleet_new(seed);
     wp_fleet_set_rules(d->fleet, &rules->fleet);
+    wp_fleet_set_ttfb_listener(d->fleet, merge_ttfb, d);
     d->shifts = wp_shifts_new(chart);
     d->suspects = wp_suspects_new(rules->box);
     d->retry_budgets =
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -32,6 +32,7 @@
     /* the longest time between requests of a session */
     uint32_t session_idle_ms;
     WPCascadeRules cascade;
+    double contended_strain_weight; /* in place of that of `cascade` */
     WPFleetRules fleet;
     /* weight of a second until the first byte, in slots for each unit of value
        that engines produce in that time */
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -31,6 +31,11 @@
    answers that are not streamed. */
 WPTtfbModel *wp_direct_ttfb_model(WPDirect *d, const char *what, WPStr model);
 
+/* Tells the other boxes of the zone a time to first byte that was added to
+   `model`, while that has few. */
+void wp_direct_share_ttfb(WPDirect *d, const WPTtfbModel *model,
+                          const WPTtfbInputs *inputs, int64_t took_us);
+
 /* The quartiles of the times learned for `model`: event gaps, if `what` is a
    service, or answer times, if it is a route; created if missing. */
 WPQuartiles *wp_direct_quartiles(WPDirect *d, const char *what, WPStr model);
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -524,6 +524,17 @@
    `prefill_us`: the same as in wp_fleet_merge_sent(). */
 void wp_fleet_merge_first_byte(WPReplica *s, WPTime now, double prefill_us);
 
+/* Sends the other boxes of the zone a time to first byte that this box has
+   measured. */
+void wp_fleet_share_ttfb(WPFleet *f, const WPTtfbSample *t);
+
+/* Sets what is called for each such time that another box has measured. */
+typedef void (*WPTtfbFn)(void *arg, const WPTtfbSample *t);
+void wp_fleet_set_ttfb_listener(WPFleet *f, WPTtfbFn fn, void *arg);
+
+/* Merges such a time. */
+void wp_fleet_merge_ttfb(WPFleet *f, const WPTtfbSample *t);
+
 /* Merges a load report that another box has received from the endpoint; ignored
    while a load report of at most 40 ms of age is known here already. */
 void wp_fleet_merge_load(WPReplica *s, WPTime now, uint32_t running,
--- a/src/wp_fleet_int.h
+++ b/src/wp_fleet_int.h
@@ -54,6 +54,8 @@
     WPDemand *demand;
     GRand *rand;
     WPFleetRules rules;
+    WPTtfbFn ttfb_listener; /* NULL: none */
+    void *ttfb_listener_arg;
     /* For the boxes of the zone; NULL: none collected. */
     struct WPBoxUpdates *updates;
 };
--- a/src/wp_fleet_updates.c
+++ b/src/wp_fleet_updates.c
@@ -70,6 +70,24 @@
     wp_silence_merge_first_byte(&s->silence, now);
 }
 
+void wp_fleet_share_ttfb(WPFleet *f, const WPTtfbSample *t)
+{
+    if (f->updates)
+        wp_box_updates_add_ttfb(f->updates, t);
+}
+
+void wp_fleet_set_ttfb_listener(WPFleet *f, WPTtfbFn fn, void *arg)
+{
+    f->ttfb_listener = fn;
+    f->ttfb_listener_arg = arg;
+}
+
+void wp_fleet_merge_ttfb(WPFleet *f, const WPTtfbSample *t)
+{
+    if (f->ttfb_listener)
+        f->ttfb_listener(f->ttfb_listener_arg, t);
+}
+
 void wp_fleet_merge_load(WPReplica *s, WPTime now, uint32_t running,
                          uint32_t waiting)
 {
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -100,8 +100,11 @@
     wp_fleet_first_byte(f->direct->fleet, f->attempt.replica, now,
                         f->attempt.prefill_us, took_us,
                         (int64_t)f->attempt.expected_ttfb_us);
-    if (!is_canary(f) || !f->attempt.expected_ttfb_us)
-        wp_ttfb_add(v, &f->attempt.ttfb_inputs, took_us);
+    if (is_canary(f) && f->attempt.expected_ttfb_us)
+        return;
+    wp_ttfb_add(v, &f->attempt.ttfb_inputs, took_us);
+    if (wp_flow_is_contended(f))
+        wp_direct_share_ttfb(f->direct, v, &f->attempt.ttfb_inputs, took_us);
 }
 
 /* Whether a failure on the new version can be compared with an attempt on the
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -339,9 +339,11 @@
 static double prefill_price(const WPFlow *f, double us)
 {
     const WPDirect *d = f->direct;
+    WPCascadeRules rules = d->rules.cascade;
+    if (wp_flow_is_contended(f))
+        rules.strain_weight = d->rules.contended_strain_weight;
     return us / WP_US_PER_S *
-           wp_cascade_prefill_price(&d->rules.cascade, &d->value_rate,
-                                    d->target_ratio);
+           wp_cascade_prefill_price(&rules, &d->value_rate, d->target_ratio);
 }
 
 /* Why the answer in hand is not to be escalated, whatever would be gained;
--- a/src/wp_latency.h
+++ b/src/wp_latency.h
@@ -37,6 +37,13 @@
     uint32_t samples_at_fit;
 } WPTtfbModel;
 
+/* The time to first byte of one answer, as boxes tell each other. */
+typedef struct WPTtfbSample {
+    uint64_t model; /* hash of what its WPTtfbModel is kept under */
+    WPTtfbInputs inputs;
+    double usual_us; /* the time, divided by the endpoint's slowdown */
+} WPTtfbSample;
+
 /* Adds an answer whose first byte came `took_us` after its request was sent. */
 void wp_ttfb_add(WPTtfbModel *s, const WPTtfbInputs *in, int64_t took_us);
 
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -66,6 +66,7 @@
     { "choices", 0, 1000, NULL },
     { "contention", 0, 0, "off on auto" },
     { "weigh_zone_kb_contended", 0, 100, NULL },
+    { "strain_weight_contended", 0, 10000, NULL },
     { "apply_ms", 200, 600000, NULL },
     { "dwell_part", 0, 1, NULL },
     { "cold_overshoot", 0, 1000, NULL },
--- a/tests/test_box_updates.c
+++ b/tests/test_box_updates.c
@@ -1,6 +1,7 @@
 /* Updates on endpoints that the boxes of a zone send each other. */
 #include "direct_fake.h"
 #include "wp_box_updates.h"
+#include "wp_direct_int.h"
 #include "wp_pb.h"
 
 #include <math.h>
@@ -252,7 +253,91 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(sent_requests_count_at_the_other_box), T(queued_prefill_expires),
+/* The prediction of a request's first byte at a box; 0: it has learned too
+   little. */
+static double expected_ms(Fake *k)
+{
+    WPFlowAction m;
+    WPFlow *f = fake_ask(k, "/chat/x", NULL, &m);
+    double ms = f->attempt.expected_ttfb_us / WP_US_PER_MS;
+    wp_flow_on_caller_gone(f, k->now);
+    wp_flow_free(f);
+    return ms;
+}
+
+/* Serves requests whose first byte takes 400 ms; box `x` tells `y` of them. */
+static void serve_and_tell(Fake *x, Fake *y, unsigned n)
+{
+    WPBoxUpdates updates;
+    WPFlowAction m;
+    const WPDirectAnswer a = fake_answer(200, 95);
+    wp_box_updates_init(&updates);
+    wp_fleet_set_updates(x->d.fleet, &updates);
+    for (unsigned i = 0; i < n; i++) {
+        WPFlow *f = fake_ask(x, "/chat/x", NULL, &m);
+        fake_advance(x, 400);
+        wp_flow_on_answer(f, x->now, &a, &m);
+        wp_flow_on_done(f, x->now, 5);
+        wp_flow_free(f);
+        assert_int_equal(deliver(&updates, y), 0);
+    }
+    wp_fleet_set_updates(x->d.fleet, NULL);
+    wp_box_updates_destroy(&updates);
+}
+
+static void box_predicts_from_what_others_have_learned(void **state)
+{
+    Fake x, y;
+    (void)state;
+    fake_init(&x);
+    fake_init(&y);
+    x.d.rules.contention = y.d.rules.contention = WP_CONTENTION_ON;
+    assert_true(expected_ms(&y) == 0);
+    serve_and_tell(&x, &y, 30);
+    assert_float_equal(expected_ms(&y), 400, 40);
+    fake_end(&x);
+    fake_end(&y);
+}
+
+/* Services that are not contended are served as before. */
+static void usual_services_tell_nothing_of_speed(void **state)
+{
+    Fake x, y;
+    (void)state;
+    fake_init(&x);
+    fake_init(&y);
+    serve_and_tell(&x, &y, 30);
+    assert_true(expected_ms(&y) == 0);
+    fake_end(&x);
+    fake_end(&y);
+}
+
+/* After two hundred answers nothing more is told. */
+static void told_speeds_are_bounded(void **state)
+{
+    Fake x;
+    WPBoxUpdates updates;
+    WPTtfbInputs in = { .prompt_tokens = 1000, .uncached_tokens = 1000 };
+    (void)state;
+    fake_init(&x);
+    wp_box_updates_init(&updates);
+    wp_fleet_set_updates(x.d.fleet, &updates);
+    WPTtfbModel *model = wp_direct_ttfb_model(&x.d, "llm", wp_str("small"));
+    unsigned told = 0;
+    for (int i = 0; i < 300; i++) {
+        wp_ttfb_add(model, &in, 100000);
+        wp_direct_share_ttfb(&x.d, model, &in, 100000);
+        told += updates.ttfb_of->len;
+        wp_box_updates_reset(&updates);
+    }
+    assert_int_equal(told, 200);
+    wp_box_updates_destroy(&updates);
+    fake_end(&x);
+}
+
+TESTS_MAIN(T(box_predicts_from_what_others_have_learned),
+           T(usual_services_tell_nothing_of_speed), T(told_speeds_are_bounded),
+           T(sent_requests_count_at_the_other_box), T(queued_prefill_expires),
            T(an_older_load_report_is_ignored), T(invalid_records_are_ignored),
            T(pending_updates_are_bounded), T(random_messages_are_harmless),
            T(an_unreported_load_counts_as_the_mean),
