--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -346,8 +346,8 @@
            wp_cascade_prefill_price(&rules, &d->value_rate, d->target_ratio);
 }
 
-/* Why the answer in hand is not to be escalated, whatever would be gained;
-   NULL: nothing forbids it. */
+/* Why the answer in hand must not be escalated, whatever would be gained; NULL:
+   nothing forbids it. */
 static const char *escalation_forbidden(WPFlow *f, WPTime now)
 {
     if (wp_flow_is_serialized(f, now))
@@ -362,14 +362,17 @@
        larger model's. */
     if (f->attempts_run > 0 && f->attempts_run + 3 > f->route->max_attempts)
         return "attempts";
-    double took = (double)(now.mono_us - f->attempt.sent_us);
+    return NULL;
+}
+
+static bool has_time_to_escalate(const WPFlow *f, WPTime now)
+{
+    double took_us = (double)(now.mono_us - f->attempt.sent_us);
     return wp_flow_remaining_ms(f, now) * WP_US_PER_MS >
-                   ESCALATION_TIME_RATIO * took
-               ? NULL
-               : "deadline";
+           ESCALATION_TIME_RATIO * took_us;
 }
 
-/* Why an escalation with this gain below 0 does not pay. */
+/* Why an escalation does not pay; its `gain` is 0 or below. */
 static const char *no_gain_reason(const WPCascadeEscalation *c, double gain)
 {
     if (gain + c->prefill_price > 0)
@@ -385,7 +388,7 @@
     if (a->confidence < 0 || f->step + 1 >= models->len || f->answer_started)
         return false;
     f->kept_reason = escalation_forbidden(f, now);
-    if (f->kept_reason && strcmp(f->kept_reason, "deadline"))
+    if (f->kept_reason)
         return false;
     wp_good_share_add(wp_direct_quality(f->direct, f->route->name),
                       wp_cascade_good_chance(rules, a->confidence));
@@ -403,6 +406,8 @@
     double gain = wp_cascade_escalation_gain(rules, &c);
     if (gain <= 0)
         f->kept_reason = no_gain_reason(&c, gain);
+    else if (!has_time_to_escalate(f, now))
+        f->kept_reason = "deadline";
     return !f->kept_reason;
 }
 
