--- a/tests/test_endpoint_choice.c
+++ b/tests/test_endpoint_choice.c
@@ -3,6 +3,7 @@
  * engines, each box with its own estimates. Checked is what callers get: the
  * share of late first bytes. */
 #include "direct_fake.h"
+#include "engines_fake.h"
 #include "wp_box_updates.h"
 
 enum {
@@ -82,16 +83,7 @@
         wp_box_updates_init(&p->updates[b]);
         if (share_updates)
             wp_fleet_set_updates(p->fleets[b], &p->updates[b]);
-        for (unsigned e = 0; e < ENGINES; e++) {
-            g_autofree char *id = g_strdup_printf("i-%02u", e);
-            const WPRegistryEntry l = { .id = id,
-                                        .service = "llm",
-                                        .addr = "127.0.0.1:1",
-                                        .zone = "z1",
-                                        .version = "v1",
-                                        .slots = SLOTS };
-            wp_fleet_put(p->fleets[b], now_of(p), &l);
-        }
+        fake_put_engines(p->fleets[b], now_of(p), ENGINES, 1, SLOTS);
     }
 }
 
@@ -243,6 +235,7 @@
             exchange_updates(p);
     }
     assert_int_equal(p->started + p->lost, p->n);
+    assert_true(l->patience_ms || !p->lost);
     double share = (double)(p->late + p->lost) / p->n;
     sim_end(p);
     g_free(p);
--- a/tests/test_placing.c
+++ b/tests/test_placing.c
@@ -2,6 +2,7 @@
  * prompts with shared parts from boxes of four zones, with the real choice of
  * endpoints. Checked is how much of the prompts is prefilled again. */
 #include "direct_fake.h"
+#include "engines_fake.h"
 
 static const WPPlacing patient = { true, 8e6, 0.2, 1 };
 static const WPPlacing urgent = { true, 1e6, 0.2, 1 };
@@ -75,16 +76,7 @@
                                      .track_prefixes = true };
         fleets[b] = wp_fleet_new(b);
         wp_fleet_set_rules(fleets[b], &rules);
-        for (unsigned e = 0; e < ENGINES; e++) {
-            g_autofree char *id = g_strdup_printf("i-%02u", e);
-            const WPRegistryEntry l = { .id = id,
-                                        .service = "llm",
-                                        .addr = "127.0.0.1:1",
-                                        .zone = zones[e % ZONES],
-                                        .version = "v1",
-                                        .slots = 64 };
-            wp_fleet_put(fleets[b], (WPTime){ 1, 1 }, &l);
-        }
+        fake_put_engines(fleets[b], (WPTime){ 1, 1 }, ENGINES, ZONES, 64);
     }
     for (unsigned i = 0; i < REQUESTS; i++) {
         const WPTime now = { (int64_t)(1000 + 50 * i) * WP_US_PER_MS, 0 };
@@ -130,21 +122,14 @@
     assert_true(placed > usual + 0.1);
 }
 
-/* Adds `n` engines to a fleet that knows nothing of their speed. */
-static void put_engines(WPFleet *f, WPTime now, unsigned n)
+/* A fleet of `n` engines whose speed is not known. */
+static WPFleet *unlearned_fleet(WPTime now, uint32_t seed, unsigned n)
 {
     const WPFleetRules rules = { .own_zone = "z1" };
+    WPFleet *f = wp_fleet_new(seed);
     wp_fleet_set_rules(f, &rules);
-    for (unsigned e = 0; e < n; e++) {
-        g_autofree char *id = g_strdup_printf("i-%02u", e);
-        const WPRegistryEntry l = { .id = id,
-                                    .service = "llm",
-                                    .addr = "127.0.0.1:1",
-                                    .zone = "z1",
-                                    .version = "v1",
-                                    .slots = 128 };
-        wp_fleet_put(f, now, &l);
-    }
+    fake_put_engines(f, now, n, 1, 128);
+    return f;
 }
 
 /* Chooses an engine for a long prompt that has been asked for by others. */
@@ -166,9 +151,8 @@
 static void boxes_that_have_learned_nothing_do_not_join_a_queue(void **state)
 {
     const WPTime now = { 1000000, 1 };
-    WPFleet *f = wp_fleet_new(1);
+    WPFleet *f = unlearned_fleet(now, 1, 4);
     (void)state;
-    put_engines(f, now, 4);
     WPReplica *home = choose_for_shared(f, now, 0);
     wp_fleet_record_load(f, home, now, 2, 28, 128);
     WPReplica *other = choose_for_shared(f, now, 1);
@@ -186,10 +170,8 @@
     WPFleet *fleets[BOXES];
     unsigned queue[ENGINES] = { 0 }, longest = 0;
     (void)state;
-    for (unsigned b = 0; b < BOXES; b++) {
-        fleets[b] = wp_fleet_new(b);
-        put_engines(fleets[b], now, ENGINES);
-    }
+    for (unsigned b = 0; b < BOXES; b++)
+        fleets[b] = unlearned_fleet(now, b, ENGINES);
     for (unsigned i = 0; i < 100; i++) {
         WPReplica *s = choose_for_shared(fleets[i % BOXES], now, i);
         unsigned e = (unsigned)atoi(s->id + 2);
