Tests: waiting requests in the prediction, the strain weight of contended services

Two lines of the product had no test that failed without them: reported waiting requests as an input of the prediction, and the strain weight of contended services. Both tests fail with their line out; the other lines of the parts were taken out one by one and a test failed for each.

--- a/tests/test_load_view.c
+++ b/tests/test_load_view.c
@@ -1,6 +1,7 @@
 /* What operators see of a box under load: requests and endpoints, and why an
  * answer is of the smaller model. */
 #include "direct_fake.h"
+#include "wp_direct_int.h"
 #include "wp_load_view.h"
 
 static json_t *view_of(const Fake *k, WPFlow *const *flows, size_t n)
@@ -104,6 +105,29 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(requests_are_counted_by_route_and_workspace),
+/* Under strain a contended service is priced by its own weight. */
+static void scarce_engine_time_keeps_the_smaller_answer(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    k.d.rules.contention = WP_CONTENTION_ON;
+    WPTtfbModel *large = wp_direct_ttfb_model(&k.d, "llm", wp_str("large"));
+    for (uint32_t i = 0; i < 100; i++) {
+        const WPTtfbInputs w = { .prompt_tokens = 100 * i,
+                                 .uncached_tokens = 100 * i };
+        wp_ttfb_add(large, &w, 20000 + 20000 * i);
+    }
+    k.d.target_ratio = 0.9;
+    k.d.rules.contended_strain_weight = 0;
+    assert_null(kept_reason(&k, 5));
+    k.d.target_ratio = 0.9;
+    k.d.rules.contended_strain_weight = 100;
+    assert_string_equal(kept_reason(&k, 5), "engine_time");
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(scarce_engine_time_keeps_the_smaller_answer),
+           T(requests_are_counted_by_route_and_workspace),
            T(a_silent_endpoint_is_shown),
            T(a_kept_answer_of_the_smaller_model_has_a_reason))
--- a/tests/test_placing.c
+++ b/tests/test_placing.c
@@ -187,7 +187,39 @@
     assert_true(longest <= 3 * 100 / ENGINES);
 }
 
-TESTS_MAIN(T(boxes_that_have_learned_nothing_do_not_join_a_queue),
+/* Two engines report 28 requests; at one of them 20 of these wait, which other
+   boxes have sent. */
+static void an_engine_with_waiting_requests_is_left(void **state)
+{
+    const WPTime now = { 1000000, 1 };
+    WPFleet *f = unlearned_fleet(now, 3, 2);
+    WPTtfbModel ttfb = { 0 };
+    const WPPrompt prompt = { .tokens = 2000 };
+    (void)state;
+    for (uint32_t i = 0; i < 100; i++) {
+        const WPTtfbInputs w = { .prompt_tokens = 100 * i,
+                                 .uncached_tokens = 100 * i,
+                                 .load = 28,
+                                 .waiting = i * 7 % 20 };
+        wp_ttfb_add(&ttfb, &w, 50000 + 2000 * i + 100000 * (i * 7 % 20));
+    }
+    wp_fleet_record_load(f, wp_fleet_find(f, "i-00"), now, 8, 20, 128);
+    wp_fleet_record_load(f, wp_fleet_find(f, "i-01"), now, 28, 0, 128);
+    const WPEndpointQuery q = { .service = "llm",
+                                .zone = "z1",
+                                .prompt = &prompt,
+                                .ttfb = &ttfb,
+                                .placing = { true, 1.5e6, 0.2, 1 } };
+    for (int i = 0; i < 10; i++) {
+        WPReplica *s = wp_fleet_choose(f, now, &q);
+        assert_string_equal(s->id, "i-01");
+        wp_replica_unref(s);
+    }
+    wp_fleet_free(f);
+}
+
+TESTS_MAIN(T(an_engine_with_waiting_requests_is_left),
+           T(boxes_that_have_learned_nothing_do_not_join_a_queue),
            T(start_spreads_one_prompt_over_engines),
            T(waiting_is_cheap_before_the_target),
            T(prefill_costs_more_than_waiting),
