--- a/review/lab.c
+++ b/review/lab.c
@@ -23,7 +23,8 @@
     START_MAX_S = 15,
     HEAD_MAX = 64 << 10,
     BODY_MAX = 8 << 20,
-    REPLICAS_MAX = 8
+    REPLICAS_MAX = 8,
+    PORTS_MAX = 8
 };
 
 typedef struct Replica {
@@ -121,17 +122,23 @@
     lab_finish(LAB_CANNOT_RUN, "the case took too long");
 }
 
-static uint16_t free_port(void)
+/* Finds `n` free ports. All are held until the last is found, so that they
+   differ. */
+static void free_ports(uint16_t *ports, size_t n)
 {
-    struct sockaddr_in sa = { .sin_family = AF_INET };
-    socklen_t n = sizeof(sa);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
-        getsockname(fd, (struct sockaddr *)&sa, &n))
-        lab_finish(LAB_CANNOT_RUN, "no free port");
-    close(fd);
-    return ntohs(sa.sin_port);
+    int held[PORTS_MAX];
+    for (size_t i = 0; i < n; i++) {
+        struct sockaddr_in sa = { .sin_family = AF_INET };
+        socklen_t size = sizeof(sa);
+        held[i] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (bind(held[i], (struct sockaddr *)&sa, sizeof(sa)) ||
+            getsockname(held[i], (struct sockaddr *)&sa, &size))
+            lab_finish(LAB_CANNOT_RUN, "no free port");
+        ports[i] = ntohs(sa.sin_port);
+    }
+    for (size_t i = 0; i < n; i++)
+        close(held[i]);
 }
 
 static int dial(uint16_t port, int receive_bytes, int segment_bytes)
@@ -428,7 +435,7 @@
 static void start_store(void)
 {
     char path[128], text[64];
-    store_port = free_port();
+    free_ports(&store_port, 1);
     snprintf(text, sizeof(text), "kind: pstore\nport: %u\n", store_port);
     write_file("store.yaml", path, sizeof(path), text);
     store_pid = spawn("target/wpstand", path, "/dev/null");
@@ -443,28 +450,48 @@
     lab_finish(LAB_CANNOT_RUN, "the store's stand-in does not start");
 }
 
-/* The fields of deploy/settings.yaml, filled as the platform does. */
+/* The fields of deploy/settings.yaml, filled as the platform does, and a port
+   of its own for metrics, as other runs may share the address. */
 static void start_box(const LabSite *site)
 {
     char path[128], log[128], text[1024];
-    uint16_t control = free_port();
-    box_port = free_port();
+    uint16_t ports[4];
+    free_ports(ports, 4);
+    box_port = ports[0];
     snprintf(text, sizeof(text),
              "id: front-zone-a-1\nzone: zone-a\nlisten: 127.0.0.1\n"
              "http: 127.0.0.1:%u\nready: 127.0.0.1:%u\npeers: 127.0.0.1:%u\n"
-             "seeds: [127.0.0.1:%u]\nstore: 127.0.0.1:%u\ndrain_s: %u\n"
+             "seeds: [127.0.0.1:%u]\nstore: 127.0.0.1:%u\n"
+             "metrics_port: %u\ndrain_s: %u\n"
              "retry_ratio: 0.9\nretry_slack: 54\nretry_window_s: 10\n"
              "session_s: 5\napply_ms: 2000\nmemory_mb: %u\nfirst_start: true\n"
              "areas: [zone-a=region-a]\ncontention: auto\n"
              "traits: [base,drain,config,cost,retry,recover,engine,stream,"
              "tenants,platform,rollout]\ncontention_trait: pressure\n",
-             box_port, free_port(), control, control, store_port, site->grace_s,
-             site->memory_mb);
+             box_port, ports[1], ports[2], ports[2], store_port, ports[3],
+             site->grace_s, site->memory_mb);
     write_file("box.yaml", path, sizeof(path), text);
     snprintf(log, sizeof(log), "%s/box.log", folder);
     box_pid = spawn("target/wpdirect", path, log);
 }
 
+/* Records the end of the log of a machine that does not start. */
+static void record_box_log(void)
+{
+    char path[128], line[512];
+    int status;
+    if (waitpid(box_pid, &status, WNOHANG) == box_pid) {
+        lab_record("its process has ended with status 0x%x", status);
+        box_pid = 0;
+    }
+    snprintf(path, sizeof(path), "%s/box.log", folder);
+    FILE *f = fopen(path, "r");
+    for (int i = 0; f && i < 20 && fgets(line, sizeof(line), f); i++)
+        lab_record("log: %.*s", (int)strcspn(line, "\n"), line);
+    if (f)
+        fclose(f);
+}
+
 /* Sends requests until one is served. */
 static void wait_served(void)
 {
@@ -485,6 +512,7 @@
             return;
         lab_sleep_s(0.1);
     }
+    record_box_log();
     lab_finish(LAB_CANNOT_RUN, "the machine does not serve");
 }
 
