Chunked bodies: framing is checked strictly, in both directions

Cause: http_parser as packaged takes any byte after a CR for the end of a chunk-size line, and for the CRLF after a chunk's data; a bare CR in a chunk extension so ends the line, and the extension's rest becomes data. Only heads were checked.

--- a/io/wp_h1.c
+++ b/io/wp_h1.c
@@ -66,7 +66,8 @@
 }
 
 /* Passes the complete head to `ops->head`. Returns 1 if no body follows, by the
-   convention of http_parser, else 0. */
+   convention of http_parser, else 0. The parser pauses before a chunked body,
+   whose bytes are checked before it gets them. */
 static int on_head(http_parser *p)
 {
     WPH1 *h = p->data;
@@ -85,7 +86,13 @@
                     .n_fields = h->fields->len,
                     .keep_alive = http_should_keep_alive(p),
                     .until_close = ends_with_connection(p) };
-    return h->ops->head(h->arg, &head) ? 0 : 1;
+    if (!h->ops->head(h->arg, &head))
+        return 1;
+    h->chunked = p->flags & F_CHUNKED;
+    h->head_paused = h->chunked;
+    if (h->chunked)
+        http_parser_pause(p, 1);
+    return 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t n)
@@ -143,6 +150,21 @@
     h->in_value = false;
     h->has_head = false;
     h->complete = false;
+    h->chunked = false;
+    h->head_paused = false;
+    h->framing = (WPChunked){ 0 };
+}
+
+/* Checks the next bytes and returns how many of them the parser may get; 0 if
+   the framing of a chunked body is not valid. */
+static size_t check_next(WPH1 *h, const char *p, size_t n)
+{
+    if (h->head_paused) {
+        h->head_paused = false;
+        http_parser_pause(&h->parser, 0);
+        return 1;
+    }
+    return !h->chunked || wp_chunked_check(&h->framing, p, n) ? n : 0;
 }
 
 WPH1State wp_h1_feed(WPH1 *h, struct evbuffer *in)
@@ -152,6 +174,9 @@
         if (!n)
             return WP_H1_MORE;
         const char *p = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
+        n = check_next(h, p, n);
+        if (!n)
+            return WP_H1_ERROR;
         size_t n_parsed = http_parser_execute(&h->parser, &settings, p, n);
         enum http_errno e = HTTP_PARSER_ERRNO(&h->parser);
         evbuffer_drain(in, n_parsed);
--- a/io/wp_h1.h
+++ b/io/wp_h1.h
@@ -5,6 +5,7 @@
 #define WP_H1_H
 
 #include "wp_base.h"
+#include "wp_chunked.h"
 
 #include <event2/buffer.h>
 #include <http_parser.h>
@@ -47,6 +48,9 @@
     GArray *fields;       /* WPField */
     size_t target_length; /* bytes of the request target in `text` */
     bool in_value, has_head, complete;
+    bool chunked;     /* the body is chunked */
+    bool head_paused; /* the parser still needs the last byte of the head */
+    WPChunked framing;
 } WPH1;
 
 /* Initializes a parser of requests or of responses; `ops` are called with
--- a/io/wp_server.c
+++ b/io/wp_server.c
@@ -1,4 +1,6 @@
-/* The entry's HTTP server, and its callbacks as the role of the host. */
+/* The entry's HTTP server, and its callbacks as the role of the host.
+ *
+ * XXX: evhttp takes a bare LF for the end of a chunk-size line. */
 #include "wp_pb.h"
 #include "wp_server_int.h"
 
