Heads: field names are tokens, request lines have no control characters

Callers could send 'Transfer-Encoding : chunked': http_parser takes the field for the framing, the check of lengths and the list of hop-by-hop fields do not know its name, so that it was forwarded beside the box's own Content-Length.

Cause: as for chunked bodies, heads were checked in part (line ends, folding, NUL) and parsed leniently in the rest: spaces in field names, tabs and form feeds in the request's target.

--- a/io/wp_h1.c
+++ b/io/wp_h1.c
@@ -202,6 +202,14 @@
     return f->name.n == n && !g_ascii_strncasecmp(f->name.p, name, n);
 }
 
+bool wp_field_is_one_of(const WPField *f, const char *const *names, size_t n)
+{
+    for (size_t i = 0; i < n; i++)
+        if (wp_field_has_name(f, names[i]))
+            return true;
+    return false;
+}
+
 WPStr wp_head_get(const WPHead *h, const char *name, unsigned *n)
 {
     WPStr found = wp_str("");
@@ -242,10 +250,8 @@
         "TE",         "Proxy-Authenticate", "Trailer",
         "Expect",     "Content-Length"
     };
-    for (size_t i = 0; i < WP_COUNT(names); i++)
-        if (wp_field_has_name(f, names[i]))
-            return true;
-    return is_in_connection_field(h, f);
+    return wp_field_is_one_of(f, names, WP_COUNT(names)) ||
+           is_in_connection_field(h, f);
 }
 
 size_t wp_h1_head_length(struct evbuffer *in)
@@ -254,18 +260,43 @@
     return at.pos < 0 ? 0 : (size_t)at.pos + 3;
 }
 
-bool wp_h1_head_is_strict(const char *p, size_t n)
+static bool is_token_byte(char ch)
 {
-    for (size_t i = 0; i < n; i++) {
-        if (p[i] == '\0')
-            return false;
-        if (p[i] == '\n' && (i == 0 || p[i - 1] != '\r'))
+    return g_ascii_isalnum(ch) || (ch && strchr("!#$%&'*+-.^_`|~", ch));
+}
+
+/* Whether `line` begins with a field name and a colon. */
+static bool is_field_line(WPStr line)
+{
+    size_t n = 0;
+    while (n < line.n && is_token_byte(line.p[n]))
+        n++;
+    return n && n < line.n && line.p[n] == ':';
+}
+
+/* Whether `line` has no control characters, tabs aside if `tabs`. */
+static bool is_text(WPStr line, bool tabs)
+{
+    for (size_t i = 0; i < line.n; i++)
+        if (g_ascii_iscntrl(line.p[i]) && !(tabs && line.p[i] == '\t'))
             return false;
-        if (p[i] == '\r' && (i + 1 == n || p[i + 1] != '\n'))
+    return true;
+}
+
+bool wp_h1_head_is_strict(const char *p, size_t n)
+{
+    WPStr rest = wp_strn(p, n);
+    for (size_t i = 0; rest.n; i++) {
+        const char *lf = memchr(rest.p, '\n', rest.n);
+        size_t line_n = lf ? (size_t)(lf - rest.p) : 0;
+        if (!line_n || rest.p[line_n - 1] != '\r')
             return false;
-        bool begins = i > 0 && p[i - 1] == '\n';
-        if (begins && (p[i] == ' ' || p[i] == '\t'))
+        WPStr line = wp_strn(rest.p, line_n - 1);
+        rest = wp_strn(lf + 1, rest.n - line_n - 1);
+        if (!line.n) /* the empty line is the last one */
+            return i && !rest.n;
+        if (!is_text(line, i) || (i && !is_field_line(line)))
             return false;
     }
-    return n > 0 && p[0] != '\r' && p[0] != '\n';
+    return false;
 }
--- a/io/wp_h1.h
+++ b/io/wp_h1.h
@@ -77,6 +77,9 @@
 /* Returns whether the field has this name; case is ignored. */
 bool wp_field_has_name(const WPField *f, const char *name);
 
+/* Returns whether the field has one of the `n` names. */
+bool wp_field_is_one_of(const WPField *f, const char *const *names, size_t n);
+
 /* Returns whether the field is hop-by-hop: it concerns one connection only and
    must not be forwarded. */
 bool wp_field_is_hop_by_hop(const WPHead *h, const WPField *f);
@@ -85,8 +88,9 @@
    while the head is incomplete. */
 size_t wp_h1_head_length(struct evbuffer *in);
 
-/* Returns whether a head of `n` bytes has only CRLF line ends, no folded lines
-   and no NUL bytes. Any other head is refused, as two parsers could read it
+/* Returns whether a head of `n` bytes has only CRLF line ends, no folded lines,
+   no control characters but tabs within field values, and only tokens as field
+   names. Any other head is refused, as two parsers could read it
    differently (request smuggling). */
 bool wp_h1_head_is_strict(const char *p, size_t n);
 
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -202,12 +202,34 @@
     close_world(&w);
 }
 
+/* Guards against a field name with white space that one parser takes for a
+   framing field and the next one for an unknown field. */
+static void a_field_name_with_a_space_is_refused(void **state)
+{
+    static const char *const heads[] = {
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n"
+        "0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length : 0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: a\r\nX-A B: c\r\nContent-Length: 0\r\n"
+        "\r\n",
+    };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(heads); i++) {
+        World w;
+        send_to_world(&w, wp_str(heads[i]));
+        assert_string_equal(w.targets->str, "");
+        assert_int_equal(w.refused, 1);
+        close_world(&w);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(well_formed_chunks_are_decoded),
         cmocka_unit_test(ambiguous_chunk_framing_is_an_error),
         cmocka_unit_test(a_request_hidden_in_a_chunked_body_is_not_run),
+        cmocka_unit_test(a_field_name_with_a_space_is_refused),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -80,6 +80,14 @@
     assert_false(is_strict("GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n"));
     assert_false(is_strict("GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n"));
     assert_false(is_strict("\r\nGET / HTTP/1.1\r\n\r\n"));
+    assert_true(is_strict("GET / HTTP/1.1\r\nHost: a\r\nA: b\tc\r\n\r\n"));
+    assert_true(is_strict("GET /\xc3\xa9 HTTP/1.1\r\nA!-_1:\r\n\r\n"));
+    assert_false(is_strict("GET / HTTP/1.1\r\n: a\r\n\r\n"));
+    assert_false(is_strict("GET / HTTP/1.1\r\nHost\r\n\r\n"));
+    assert_false(is_strict("GET / HTTP/1.1\r\nA: b\vc\r\n\r\n"));
+    assert_false(is_strict("GET /\ta HTTP/1.1\r\nHost: a\r\n\r\n"));
+    assert_false(is_strict("GET /\fa HTTP/1.1\r\nHost: a\r\n\r\n"));
+    assert_false(is_strict("GET / HTTP/1.1\r\n"));
     assert_false(wp_h1_head_is_strict("GET /\0 HTTP/1.1\r\n\r\n", 19));
 }
 
