Fields of the protocol reach the endpoint though Connection names them

Callers whose Connection field named X-Attempt-Id got no answer: the field was dropped as hop-by-hop, the endpoint refused or ran the request without an id, and its answer was nobody's. A Connection option is for fields of one connection; the request's id, model, prompt and session are for the endpoint, an answer's seal is for the caller.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -347,6 +347,27 @@
     assert_true(a.not_run);
 }
 
+/* Guards against a Connection field that names the request's id, which then did
+   not reach the endpoint, so that no answer was the caller's. */
+static void
+fields_of_the_protocol_pass_though_connection_names_them(void **state)
+{
+    const WPField fields[] = { field("Connection", "X-Attempt-Id, X-Model, "
+                                                   "X-Drop, X-Replica-Seal"),
+                               field("X-Attempt-Id", "id1"),
+                               field("X-Model", "m1"), field("X-Drop", "1"),
+                               field("X-Replica-Seal", "s") };
+    WPHead h = { .fields = fields, .n_fields = WP_COUNT(fields) };
+    WPAttemptHeader attempt = { .replica_id = "i-7" };
+    (void)state;
+    g_autofree char *text = forwarded_text(&h, &attempt);
+    assert_non_null(strstr(text, "X-Attempt-Id: id1\r\n"));
+    assert_non_null(strstr(text, "X-Model: m1\r\n"));
+    assert_null(strstr(text, "X-Drop"));
+    assert_true(pf_ops.is_forwarded_to_caller(&h, &fields[4]));
+    assert_false(pf_ops.is_forwarded_to_caller(&h, &fields[3]));
+}
+
 TESTS_MAIN(T(a_configuration_is_decoded_completely),
            T(endpoints_orders_and_outcomes_are_decoded),
            T(invalid_store_entries_are_rejected),
@@ -355,4 +376,5 @@
            T(outcomes_survive_encoding_and_decoding),
            T(a_forwarded_request_keeps_only_the_callers_fields),
            T(the_shared_prompt_hash_covers_all_parts_but_the_last),
+           T(fields_of_the_protocol_pass_though_connection_names_them),
            T(malformed_prompt_parts_are_harmless), T(answers_are_decoded))
