Streams without new events are broken off after 256 KiB

Callers of an endpoint that sends an event without an end, or comments without end, waited until their time was over, and boxes grew to 81 MB and used up to five cores (four boxes, two of ten endpoints, 40 requests a second).

Cause: the part of an event that has arrived had no bound and was searched from its start at each read; what was complete counted as progress, also comments and events that the caller had.

Change: a stream is broken off, and resumed elsewhere, when 256 KiB have come without a new id or data; the search continues where it ended; comments do not count as events.

--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -300,13 +300,15 @@
 static void forward_events(WPRelay *r, const char *p, size_t n)
 {
     g_byte_array_set_size(r->forward_buffer, 0);
-    bool in_order = wp_stream_feed(&r->stream, p, n, r->forward_buffer);
+    WPStreamStatus status = wp_stream_feed(&r->stream, p, n, r->forward_buffer);
     wp_downstream_send_chunk(r->downstream_conn, r->forward_buffer->data,
                              r->forward_buffer->len);
     wp_flow_on_events(r->flow, wp_clock_now(0),
                       r->stream.events - r->events_before_attempt);
-    if (!in_order)
+    if (status == WP_STREAM_EVENT_MISSING)
         fail_attempt(r, "event_missing");
+    else if (status == WP_STREAM_ENDLESS)
+        fail_attempt(r, "endless");
     else if (wp_downstream_is_backlogged(r->downstream_conn))
         wp_upstream_set_paused(r->upstream_conn, true);
 }
@@ -332,7 +334,7 @@
     uint64_t sum = 0;
     wp_list_each (it, &h->relays) {
         const WPRelay *r = wp_list_item(it, WPRelay, node);
-        sum += r->body->len;
+        sum += r->body->len + r->stream.partial->len;
     }
     return sum;
 }
--- a/src/wp_sse.h
+++ b/src/wp_sse.h
@@ -6,7 +6,8 @@
 #include "wp_base.h"
 
 typedef struct WPSse {
-    GByteArray *partial; /* an event that has not arrived completely */
+    GByteArray *partial; /* an event that has not arrived completely.
+                            XXX: its size is not limited */
     bool want_usage;     /* the caller asked for the usage event */
     bool done;           /* [DONE] was seen */
     bool has_usage;
--- a/src/wp_stream.h
+++ b/src/wp_stream.h
@@ -6,8 +6,21 @@
 
 #include "wp_base.h"
 
+/* Bytes that may arrive without a new event. An endpoint that sends more is
+   broken: bytes without end would fill the memory or, as comments, keep the
+   caller waiting. */
+enum { WP_STREAM_QUIET_MAX_BYTES = 256 << 10 };
+
+typedef enum WPStreamStatus {
+    WP_STREAM_OK,
+    WP_STREAM_EVENT_MISSING, /* in the order of ids */
+    WP_STREAM_ENDLESS        /* over WP_STREAM_QUIET_MAX_BYTES */
+} WPStreamStatus;
+
 typedef struct WPStream {
     GByteArray *partial; /* an event that has not arrived completely */
+    size_t scanned;      /* bytes of it in which no event ends */
+    size_t quiet_bytes;  /* received since the last new event */
     bool has_last_id;
     uint64_t last_id; /* id of the last event passed on */
     uint64_t events;
@@ -27,9 +40,10 @@
 void wp_stream_discard_partial(WPStream *s);
 
 /* Takes the next `n` bytes and appends the events that are complete to `out`.
-   Returns false when an event is missing in the order of ids: the stream has to
-   be treated as broken there. */
-bool wp_stream_feed(WPStream *s, const char *data, size_t n, GByteArray *out);
+   Unless it returns WP_STREAM_OK, the stream has to be treated as broken after
+   these. */
+WPStreamStatus wp_stream_feed(WPStream *s, const char *data, size_t n,
+                              GByteArray *out);
 
 /* Whether no partial event is left. */
 bool wp_stream_at_event_boundary(const WPStream *s);
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -17,6 +17,8 @@
  *   rest: text of the Retry-After field; all requests are refused while set;
  *   rest_ms: refuses all requests for so long from now on, with the time left
  *     in the Retry-After field;
+ *   endless: sends bytes without end as the answer to each request; the kinds
+ *     are those of endless.h (empty: no such fault);
  *   noting: logs each arrival, "CAME - MS ID REQUEST", and what its response
  *     announces: "TOLD leaving MS ID REQUEST", "TOLD SECONDS MS ID REQUEST".
  * Faults of a bad version:
@@ -34,6 +36,7 @@
  * /control returns the ids of the requests that ran, each with how often it
  * did, and counts violations: requests with a field that must not be passed on
  * to endpoints ("wrong"), or without the workspace field ("keyless"). */
+#include "endless.h"
 #include "pf_names.h"
 #include "stand.h"
 #include "wp_clock.h"
@@ -70,6 +73,7 @@
     char *fail_path; /* prefix of paths that `fail` applies to; NULL: all */
     char *limit;     /* NULL: never set */
     char *leaving, *retry_after; /* NULL or empty: no such field */
+    char *endless;               /* NULL or empty: no such fault */
     int64_t backoff_until_us;
     bool noting;
     unsigned running;
@@ -444,6 +448,16 @@
     log_line(p, line);
 }
 
+static void answer_endlessly(const Replica *p, struct evhttp_request *r,
+                             const char *id)
+{
+    g_autofree char *fields =
+        g_strdup_printf(PF_H_REQUEST_ID ": %s\r\n" PF_H_SEAL ": %s\r\n"
+                                        "Content-Type: text/event-stream\r\n",
+                        id, p->id);
+    endless_answer(r, p->endless, fields);
+}
+
 static void run(Replica *p, struct evhttp_request *r)
 {
     const char *id = wp_http_header(r, PF_H_REQUEST_ID);
@@ -470,6 +484,10 @@
     p->with_caller_fields += wp_http_header(r, PF_H_KEY) != NULL ||
                              wp_http_header(r, PF_H_HOLD) != NULL;
     p->without_workspace += wp_http_header(r, PF_H_WORKSPACE) == NULL;
+    if (p->endless && *p->endless) {
+        answer_endlessly(p, r, id);
+        return;
+    }
     p->running++;
     Run *n = g_new0(Run, 1);
     n->to = p;
@@ -535,6 +553,7 @@
     set_text(j, "limit", &p->limit);
     set_text(j, "leaving", &p->leaving);
     set_text(j, "rest", &p->retry_after);
+    set_text(j, "endless", &p->endless);
     stand_set_number(j, "rest_ms", &backoff_ms);
     if (backoff_ms >= 0)
         p->backoff_until_us =
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -7,9 +7,9 @@
 static char *feed(WPStream *s, const char *text, bool *in_order)
 {
     g_autoptr(GByteArray) out = g_byte_array_new();
-    bool ok = wp_stream_feed(s, text, strlen(text), out);
+    WPStreamStatus status = wp_stream_feed(s, text, strlen(text), out);
     if (in_order)
-        *in_order = ok;
+        *in_order = status == WP_STREAM_OK;
     return g_strndup(out->len ? (char *)out->data : "", out->len);
 }
 
@@ -67,6 +67,69 @@
     wp_stream_end(&s);
 }
 
+/* Feeds `piece` until the stream is broken; returns how many bytes that took, 0
+   for over 4 MiB. */
+static size_t bytes_until_broken(const char *piece)
+{
+    enum { MAX_BYTES = 4 << 20 };
+    WPStream s;
+    g_autoptr(GByteArray) out = g_byte_array_new();
+    size_t n = 0, partial = 0;
+    WPStreamStatus status = WP_STREAM_OK;
+    wp_stream_init(&s);
+    while (status == WP_STREAM_OK && n < MAX_BYTES) {
+        status = wp_stream_feed(&s, piece, strlen(piece), out);
+        n += strlen(piece);
+        partial = MAX(partial, s.partial->len);
+    }
+    wp_stream_end(&s);
+    assert_true(partial <= WP_STREAM_QUIET_MAX_BYTES + strlen(piece));
+    return status == WP_STREAM_ENDLESS ? n : 0;
+}
+
+/* Guards against an endpoint that sends an event, comments or an old event
+   without end, which filled the memory or occupied the caller for good. */
+static void a_stream_without_new_events_is_broken(void **state)
+{
+    static const char *const endless[] = { "data: xxxxxxxxxxxxxxx",
+                                           "data: xxxxxxxx\n", ": comment\n\n",
+                                           "event: ping\n\n", "\n\n" };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(endless); i++)
+        assert_in_range(bytes_until_broken(endless[i]), 1,
+                        WP_STREAM_QUIET_MAX_BYTES + 32);
+    assert_int_equal(bytes_until_broken("data: x\n\n: comment\n\n"), 0);
+    WPStream s;
+    bool ok = true;
+    wp_stream_init(&s);
+    for (size_t n = 0; ok && n <= WP_STREAM_QUIET_MAX_BYTES + 28; n += 14) {
+        g_autofree char *a = feed(&s, "id: 1\ndata:a\n\n", &ok);
+    }
+    assert_false(ok);
+    wp_stream_end(&s);
+}
+
+/* Guards against a search of an incomplete event from its start at each read.
+ */
+static void an_event_in_many_pieces_is_found_wherever_it_ends(void **state)
+{
+    static const char *const texts[] = { "data: a\n\ndata: b\r\n\r\n",
+                                         "data: a\r\n\ndata: b\n\r\n" };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(texts); i++) {
+        WPStream s;
+        g_autoptr(GByteArray) out = g_byte_array_new();
+        wp_stream_init(&s);
+        for (const char *p = texts[i]; *p; p++) {
+            wp_stream_feed(&s, p, 1, out);
+            assert_true(s.scanned + 2 >= s.partial->len);
+        }
+        assert_int_equal(out->len, strlen(texts[i]));
+        assert_int_equal(s.events, 2);
+        wp_stream_end(&s);
+    }
+}
+
 static bool is_strict(const char *head)
 {
     return wp_h1_head_is_strict(head, strlen(head));
@@ -167,5 +230,7 @@
 TESTS_MAIN(T(only_complete_events_are_forwarded),
            T(a_resumed_stream_has_each_event_once),
            T(repeated_events_are_dropped_and_gaps_found),
+           T(a_stream_without_new_events_is_broken),
+           T(an_event_in_many_pieces_is_found_wherever_it_ends),
            T(ambiguous_heads_are_rejected),
            T(answers_end_where_their_length_says))
