A connection whose answer is being read is not idle

Evidence: the request's line says ok 4 s before the connection ends; a slow caller at wp_downstream alone shows it.

Change: idle time counts from the end of the output; a time-out that ends while the caller reads starts anew; a caller that takes nothing is closed as before. What is read steadily is thereby delivered as long as the stop lasts.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -13,7 +13,8 @@
                          counts as dead */
     BACKLOG_BYTES = 64 << 10,  /* unsent output that pauses the endpoint */
     READ_MAX_BYTES = 64 << 10, /* of the next request, while one is answered */
-    CLOSE_TIMEOUT_MS = 2000,   /* for the caller to take its last answer */
+    CLOSE_TIMEOUT_MS = 2000,   /* a caller that takes nothing of its last answer
+                                  for this time has stopped reading */
     LISTEN_BACKLOG = 1024
 };
 
@@ -46,8 +47,15 @@
     g_free(p);
 }
 
+static size_t unsent_bytes(const WPDownstreamConn *p)
+{
+    return evbuffer_get_length(bufferevent_get_output(p->bev));
+}
+
 static void set_timer(WPDownstreamConn *p, uint32_t ms)
 {
+    p->timer_ms = ms;
+    p->timer_unread_bytes = unsent_bytes(p);
     struct timeval at = { ms / WP_MS_PER_S, ms % WP_MS_PER_S * WP_US_PER_MS };
     event_add(p->timer, &at);
 }
@@ -61,12 +69,12 @@
     free_conn(p);
 }
 
-/* Closes the connection once all output has been sent, at the latest after
-   CLOSE_TIMEOUT_MS. */
+/* Closes the connection once all output has been sent, or the caller has taken
+   none of it for CLOSE_TIMEOUT_MS. */
 static void close_after_write(WPDownstreamConn *p)
 {
     p->closing = true;
-    if (!evbuffer_get_length(bufferevent_get_output(p->bev))) {
+    if (!unsent_bytes(p)) {
         free_conn(p);
         return;
     }
@@ -228,6 +236,13 @@
     end_callback(p);
 }
 
+/* The caller has all of its answer, and no request has begun. */
+static void begin_idle(WPDownstreamConn *p)
+{
+    p->last_active_us = wp_clock_now(0).mono_us;
+    set_timer(p, p->downstream->limits.idle_ms);
+}
+
 static void on_write(struct bufferevent *bev, void *arg)
 {
     WPDownstreamConn *p = arg;
@@ -236,6 +251,8 @@
         free_conn(p);
         return;
     }
+    if (empty && !p->answering && !p->request_begun)
+        begin_idle(p);
     begin_callback(p);
     if (p->backlogged) {
         p->backlogged = false;
@@ -253,6 +270,14 @@
         on_disconnect(p);
 }
 
+/* Whether the caller has taken some output, but not all, since the timer was
+   set. */
+static bool is_reading(const WPDownstreamConn *p)
+{
+    size_t n = unsent_bytes(p);
+    return n && n < p->timer_unread_bytes;
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
     WPDownstreamConn *p = arg;
@@ -260,6 +285,10 @@
     (void)what;
     if (p->answering)
         return;
+    if (is_reading(p)) {
+        set_timer(p, p->timer_ms);
+        return;
+    }
     begin_callback(p);
     if (p->request_begun && !p->closing)
         refuse(p, WP_HEAD_SLOW, "the request did not arrive in time");
@@ -309,8 +338,7 @@
     g_byte_array_set_size(p->body, 0);
     p->too_large = false;
     p->chunked = false;
-    p->last_active_us = wp_clock_now(0).mono_us;
-    set_timer(p, f->limits.idle_ms);
+    begin_idle(p);
     /* Deferred, as the owner, from whose call this runs, may still use the
        connection. */
     bufferevent_trigger(p->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
@@ -466,13 +494,22 @@
     f->draining = true;
 }
 
+/* Whether the caller, which has been answered, has sent nothing for `idle_ms`
+   since it has its answer, or has stopped reading that. */
+static bool is_unused(const WPDownstreamConn *p, WPTime now, uint32_t idle_ms)
+{
+    if (unsent_bytes(p))
+        return now.mono_us - p->last_read_us >=
+               (int64_t)CLOSE_TIMEOUT_MS * WP_US_PER_MS;
+    return now.mono_us - p->last_active_us >= (int64_t)idle_ms * WP_US_PER_MS;
+}
+
 unsigned wp_downstream_close_idle(WPDownstream *f, WPTime now, uint32_t idle_ms)
 {
-    int64_t idle_us = (int64_t)idle_ms * WP_US_PER_MS;
     wp_list_each_safe (it, tmp, &f->conns) {
         WPDownstreamConn *p = wp_list_item(it, WPDownstreamConn, node);
-        bool idle = !p->answering && !p->request_begun && !p->closing;
-        if (idle && now.mono_us - p->last_active_us >= idle_us)
+        if (!p->answering && !p->request_begun && !p->closing &&
+            is_unused(p, now, idle_ms))
             free_conn(p);
     }
     return f->n_conns;
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -30,12 +30,14 @@
     bool closing;           /* only output that is already written is sent */
     bool dead;              /* freed at the end of the running callback */
     bool in_callback;
-    bool keep_alive;      /* the caller allows another request */
-    bool chunked;         /* the answer is sent in chunks */
-    bool is_head;         /* HEAD request: the answer has no body */
-    bool backlogged;      /* the output buffer is full; `writable` is due */
-    bool upload_paused;   /* the body is not read on, as the box buffers more
-                             than its limit */
+    bool keep_alive;    /* the caller allows another request */
+    bool chunked;       /* the answer is sent in chunks */
+    bool is_head;       /* HEAD request: the answer has no body */
+    bool backlogged;    /* the output buffer is full; `writable` is due */
+    bool upload_paused; /* the body is not read on, as the box buffers more
+                           than its limit */
+    uint32_t timer_ms;  /* the duration that `timer` was last set to */
+    size_t timer_unread_bytes; /* output that the caller had not taken then */
     size_t unread_bytes;  /* output that the caller had not taken at the last
                              wp_downstream_poll_buffered() */
     int64_t last_read_us; /* last poll at which the caller had taken some
@@ -73,8 +75,9 @@
    caller connects to another box. */
 void wp_downstream_start_drain(WPDownstream *f);
 
-/* While draining: closes connections that have been idle for `idle_ms`.
-   Returns how many connections are left. */
+/* While draining: closes connections that have been idle for `idle_ms`, and
+   those whose callers have stopped reading. An answer that is being read is not
+   idle. Returns how many connections are left. */
 unsigned wp_downstream_close_idle(WPDownstream *f, WPTime now,
                                   uint32_t idle_ms);
 
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -248,5 +248,86 @@
     close_world(&w);
 }
 
+/* Asks for an answer on a new connection that takes little at a time. */
+static int begin_slow_answer(World *w)
+{
+    int fd = dial(w, true);
+    tick(w);
+    send_request(fd);
+    tick(w);
+    assert_int_equal(w->requests, 1);
+    return fd;
+}
+
+static size_t read_some(int fd)
+{
+    static char buf[CHUNK_BYTES];
+    ssize_t n = read(fd, buf, sizeof(buf));
+    return n > 0 ? (size_t)n : 0;
+}
+
+/* Guards against a planned stop that drops the rest of a finished answer while
+   its caller reads it. */
+static void a_planned_stop_does_not_cut_answers_that_are_read(void **state)
+{
+    enum { IDLE_MS = 300, STUCK_MS = 3000 };
+    World w;
+    size_t got = 0;
+    (void)state;
+    open_world(&w, 512);
+    int fd = begin_slow_answer(&w);
+    wp_downstream_start_drain(w.downstream);
+    int64_t end_us = g_get_monotonic_time() + TIMEOUT_MS * WP_US_PER_MS;
+    while (got <= ANSWER_BYTES && g_get_monotonic_time() < end_us) {
+        got += read_some(fd);
+        tick(&w);
+        wp_downstream_close_idle(w.downstream, w.now, IDLE_MS);
+    }
+    assert_true(got > ANSWER_BYTES);
+    close(fd);
+    close_world(&w);
+    /* A caller that has stopped reading does not hold the stop up. */
+    open_world(&w, 512);
+    fd = begin_slow_answer(&w);
+    settle(&w);
+    wp_downstream_start_drain(w.downstream);
+    unsigned left = 1;
+    for (unsigned ms = 0; ms < STUCK_MS && left; ms += TICK_MS) {
+        tick(&w);
+        left = wp_downstream_close_idle(w.downstream, w.now, IDLE_MS);
+    }
+    assert_int_equal(left, 0);
+    close(fd);
+    close_world(&w);
+}
+
+/* Guards against an idle time-out that starts when an answer has been written
+   to the output buffer, and cuts it while its caller reads it. */
+static void the_idle_timeout_does_not_cut_an_answer_that_is_read(void **state)
+{
+    enum { SHORT_IDLE_MS = 30 };
+    static const WPRouteLimits limits = { 16 << 10, 4 << 20, 5000,
+                                          SHORT_IDLE_MS };
+    World w;
+    size_t got = 0;
+    (void)state;
+    open_world(&w, 512);
+    wp_downstream_set_limits(w.downstream, &limits);
+    int fd = begin_slow_answer(&w);
+    int64_t begin_us = g_get_monotonic_time(), now_us = begin_us;
+    while (got <= ANSWER_BYTES &&
+           now_us - begin_us < TIMEOUT_MS * WP_US_PER_MS) {
+        event_base_loop(w.base, EVLOOP_NONBLOCK);
+        got += read_some(fd);
+        now_us = g_get_monotonic_time();
+    }
+    assert_true(now_us - begin_us > SHORT_IDLE_MS * WP_US_PER_MS);
+    assert_true(got > ANSWER_BYTES);
+    close(fd);
+    close_world(&w);
+}
+
 TESTS_MAIN(T(limit_has_hysteresis), T(callers_that_do_not_read_are_closed),
-           T(large_bodies_wait_above_the_limit))
+           T(large_bodies_wait_above_the_limit),
+           T(a_planned_stop_does_not_cut_answers_that_are_read),
+           T(the_idle_timeout_does_not_cut_an_answer_that_is_read))
