--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4431,7 +4431,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[24] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[30] =
 {
   {
     "service",
@@ -4721,10 +4721,84 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, n_speed),
+    offsetof(Wp__MoveSums, speed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_speed",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, n_old_speed),
+    offsetof(Wp__MoveSums, old_speed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timed_replicas",
+    27,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MoveSums, has_timed_replicas),
+    offsetof(Wp__MoveSums, timed_replicas),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slow_replicas",
+    28,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wp__MoveSums, has_slow_replicas),
+    offsetof(Wp__MoveSums, slow_replicas),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "box",
+    29,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wp__MoveSums, box),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doubt",
+    30,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_BOOL,
+    offsetof(Wp__MoveSums, has_doubt),
+    offsetof(Wp__MoveSums, doubt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
   15,   /* field[15] = bad */
+  28,   /* field[28] = box */
+  29,   /* field[29] = doubt */
   17,   /* field[17] = elapsed_ms */
   3,   /* field[3] = failed */
   18,   /* field[18] = fails_spread */
@@ -4737,21 +4811,25 @@
   20,   /* field[20] = old_answered */
   21,   /* field[21] = old_failed */
   5,   /* field[5] = old_running */
+  25,   /* field[25] = old_speed */
   12,   /* field[12] = open */
   1,   /* field[1] = order */
   22,   /* field[22] = route */
   23,   /* field[23] = route_counts */
   0,   /* field[0] = service */
   4,   /* field[4] = slow */
+  27,   /* field[27] = slow_replicas */
   19,   /* field[19] = slow_spread */
+  24,   /* field[24] = speed */
   11,   /* field[11] = taken */
   7,   /* field[7] = timed */
+  26,   /* field[26] = timed_replicas */
   13,   /* field[13] = wholes */
 };
 static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4761,7 +4839,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  24,
+  30,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   1,  wp__move_sums__number_ranges,
@@ -4832,7 +4910,7 @@
   (ProtobufCMessageInit) wp__move_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wp__mirror_digest__field_descriptors[15] =
 {
   {
     "complete",
@@ -5002,6 +5080,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relayed_moves",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wp__MirrorDigest, n_relayed_moves),
+    offsetof(Wp__MirrorDigest, relayed_moves),
+    &wp__move_sums__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__mirror_digest__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -5018,12 +5108,13 @@
   11,   /* field[11] = left */
   4,   /* field[4] = moved */
   1,   /* field[1] = moves */
+  14,   /* field[14] = relayed_moves */
 };
 static const ProtobufCIntRange wp__mirror_digest__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wp__mirror_digest__descriptor =
 {
@@ -5033,7 +5124,7 @@
   "Wp__MirrorDigest",
   "wp",
   sizeof(Wp__MirrorDigest),
-  14,
+  15,
   wp__mirror_digest__field_descriptors,
   wp__mirror_digest__field_indices_by_name,
   2,  wp__mirror_digest__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -741,10 +741,35 @@
   uint64_t *route;
   size_t n_route_counts;
   uint32_t *route_counts;
+  /*
+   * Answers by the ratio of their time to the usual one, from the lowest bin on
+   * (src/wp_speed.h); bins at the end may be missing.
+   */
+  size_t n_speed;
+  uint32_t *speed;
+  size_t n_old_speed;
+  uint32_t *old_speed;
+  /*
+   * Replicas with such answers, and those that are slow by them: a bit each, by
+   * the hash of the id.
+   */
+  protobuf_c_boolean has_timed_replicas;
+  uint64_t timed_replicas;
+  protobuf_c_boolean has_slow_replicas;
+  uint64_t slow_replicas;
+  /*
+   * that counted, if it is not the sender
+   */
+  char *box;
+  /*
+   * What the sender knows speaks against the new version.
+   */
+  protobuf_c_boolean has_doubt;
+  protobuf_c_boolean doubt;
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, NULL, 0, 0 }
 
 
 /*
@@ -839,10 +864,15 @@
    */
   protobuf_c_boolean has_era;
   uint64_t era;
+  /*
+   * Counts of other boxes that the sender has received and not sent on yet.
+   */
+  size_t n_relayed_moves;
+  Wp__MoveSums **relayed_moves;
 };
 #define WP__MIRROR_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__mirror_digest__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -17,6 +17,8 @@
     wp_canary_merge_report(&sh->canary, from, m->life, &sums);
     if (m->has_elapsed_ms)
         wp_shift_merge_elapsed(sh, now, (int64_t)m->elapsed_ms);
+    if (m->doubt)
+        wp_shift_merge_doubt(sh, now);
     if (m->open)
         wp_shift_merge_gate_passed(sh);
     if (m->bad && !sh->found_bad) {
@@ -27,6 +29,16 @@
     }
 }
 
+/* Merges answer counts of a third box that the sender has relayed. */
+static void merge_relayed(WPSync *s, const Wp__MoveSums *m)
+{
+    WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
+    WPCanarySums sums = wp_shift_sums_decode(m);
+    bool own = m->box && !strcmp(m->box, s->host->settings->id);
+    if (sh && m->box && !own && wp_shift_order_id(sh) == m->order)
+        wp_canary_merge_report(&sh->canary, m->box, m->life, &sums);
+}
+
 /* `what` is "SERVICE VERSION"; neither contains spaces. */
 static void merge_failing_under_load(WPSync *s, WPTime now, const char *what)
 {
@@ -56,6 +68,8 @@
     WPTime now = wp_clock_now(0);
     for (size_t i = 0; i < d->n_moves; i++)
         merge_sums(s, now, from, d->moves[i]);
+    for (size_t i = 0; i < d->n_relayed_moves; i++)
+        merge_relayed(s, d->relayed_moves[i]);
     for (size_t i = 0; i < d->n_fails_loaded; i++)
         merge_failing_under_load(s, now, d->fails_loaded[i]);
     merge_cached_prefixes(s, now, d);
@@ -102,10 +116,34 @@
     m->elapsed_ms = (uint64_t)wp_elapsed_ms(&sh->elapsed, f->now);
     m->has_open = 1;
     m->open = sh->gate_passed;
+    m->has_doubt = 1;
+    m->doubt = wp_canary_in_doubt(&sh->canary);
     m->has_bad = 1;
     m->bad = sh->found_bad;
 }
 
+/* Adds to a digest what this box has heard of the counts of other boxes. Boxes
+   have links to some boxes of other zones only, and all are to judge by the
+   same counts. */
+static void fill_relayed(void *arg, WPShift *sh)
+{
+    Fill *f = arg;
+    WPSync *s = f->sync;
+    Wp__MirrorDigest *d = f->digest;
+    const WPCanaryReport *reports[WP_DIGEST_RELAYED_MAX];
+    if (sh->state != WP_SHIFT_RUNNING)
+        return;
+    size_t n = wp_canary_take_unsent(
+        &sh->canary, reports, WP_DIGEST_RELAYED_MAX - d->n_relayed_moves);
+    for (size_t i = 0; i < n; i++) {
+        WPShiftSums *sums = &s->relayed[d->n_relayed_moves];
+        wp_shift_sums_encode(sh, reports[i]->incarnation, &reports[i]->sums,
+                             sums);
+        sums->message.box = reports[i]->box;
+        s->relayed_list[d->n_relayed_moves++] = &sums->message;
+    }
+}
+
 static void fill_failing_under_load(void *arg, const char *what)
 {
     Fill *f = arg;
@@ -150,6 +188,9 @@
     Fill f = { s, now, d };
     d->moves = s->sums_list;
     wp_shifts_each(s->host->direct.shifts, fill_sums, &f);
+    d->relayed_moves = s->relayed_list;
+    if (wp_peers_linked_count(s->peers) + 1 < s->host->direct.boxes)
+        wp_shifts_each(s->host->direct.shifts, fill_relayed, &f);
     d->fails_loaded = s->fails_under_load;
     wp_fleet_each_failing_under_load(s->host->direct.fleet, now,
                                      fill_failing_under_load, &f);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -364,6 +364,7 @@
     WPDownstreamConn *p = r->downstream_conn;
     wp_downstream_send_chunk(p, r->stream.partial->data,
                              r->stream.partial->len);
+    wp_relay_note_events(r);
     wp_flow_on_done(r->flow, wp_clock_now(0),
                     r->stream.events - r->events_before_attempt);
     wp_relay_log_end(r, "ok", r->answer.status);
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -62,6 +62,10 @@
 /* Appends the head of the present attempt's answer to the log line. */
 void wp_relay_note_answer(WPRelay *r);
 
+/* Appends how many events the present attempt's stream had, and the usual time
+   between two of them. */
+void wp_relay_note_events(WPRelay *r);
+
 /* Appends why the answer is of a smaller model than the route's largest. */
 void wp_relay_note_kept(WPRelay *r);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -25,7 +25,7 @@
     char ms[NUMBER_SIZE], code[NUMBER_SIZE], version[NUMBER_SIZE];
     char session[NUMBER_SIZE], first[NUMBER_SIZE], tokens[NUMBER_SIZE];
     char gap[NUMBER_SIZE], targets[NUMBER_SIZE], hash[NUMBER_SIZE];
-    char age[NUMBER_SIZE];
+    char age[NUMBER_SIZE], speed[NUMBER_SIZE];
     g_autoptr(GString) parts = g_string_new(NULL);
     int64_t us = wp_clock_now(0).mono_us - f->start_us;
     uint64_t table = f->routes ? f->routes->version : 0;
@@ -47,11 +47,13 @@
     snprintf(tokens, sizeof(tokens), "%u+%u", f->prompt.tokens,
              f->answer_tokens);
     snprintf(age, sizeof(age), "%ld", (long)r->registry_age_ms);
+    snprintf(speed, sizeof(speed), "%.2f", f->speed_ratio);
     append_parts(&f->prompt, parts);
     wp_log(&r->host->log, WP_INFO, "request", "id", f->id, "outcome", outcome,
-           "status", code, "ms", ms, "first_ms", first, "gap_ms", gap, "aims",
-           targets, "tokens", tokens, "route", f->route ? f->route->name : "-",
-           "service", f->service ? f->service->name : "-", "workspace",
+           "status", code, "ms", ms, "first_ms", first, "gap_ms", gap,
+           "times_usual", speed, "aims", targets, "tokens", tokens, "route",
+           f->route ? f->route->name : "-", "service",
+           f->service ? f->service->name : "-", "workspace",
            f->workspace ? f->workspace : "-", "routes_version", version,
            "list_age_ms", age, "session", f->session ? session : "-",
            "request_hash", f->hash ? hash : "-", "parts", parts->str, "legs",
@@ -171,6 +173,17 @@
     g_string_append_printf(r->attempts_text, ":%s", how);
 }
 
+void wp_relay_note_events(WPRelay *r)
+{
+    const WPAttempt *attempt = &r->flow->attempt;
+    double gap_us = wp_flow_usual_gap_us(r->flow);
+    g_string_append_printf(r->attempts_text, "/events=%lu",
+                           (unsigned long)attempt->events);
+    if (gap_us > 0)
+        g_string_append_printf(r->attempts_text, "/each=%.1fms",
+                               gap_us / WP_US_PER_MS);
+}
+
 void wp_relay_note_kept(WPRelay *r)
 {
     if (r->flow->kept_reason)
--- a/io/wp_shift_records.c
+++ b/io/wp_shift_records.c
@@ -76,6 +76,34 @@
     }
 }
 
+/* Number of bins without the empty ones at the end. */
+static size_t used_bins(const WPSpeedCounts *v)
+{
+    size_t n = WP_SPEED_BINS;
+    while (n && !v->n[n - 1])
+        n--;
+    return n;
+}
+
+static void encode_speed(const WPCanarySums *v, WPShiftSums *out)
+{
+    out->speed = v->speed;
+    out->old_speed = v->old_speed;
+    out->message.n_speed = used_bins(&out->speed);
+    out->message.speed = out->speed.n;
+    out->message.n_old_speed = used_bins(&out->old_speed);
+    out->message.old_speed = out->old_speed.n;
+    out->message.has_timed_replicas = out->message.has_slow_replicas = 1;
+    out->message.timed_replicas = v->timed_replicas;
+    out->message.slow_replicas = v->slow_replicas;
+}
+
+static void decode_speed(const uint32_t *bins, size_t n, WPSpeedCounts *out)
+{
+    for (size_t i = 0; i < MIN(n, WP_SPEED_BINS); i++)
+        out->n[i] = bins[i];
+}
+
 void wp_shift_sums_encode(const WPShift *sh, uint64_t incarnation,
                           const WPCanarySums *v, WPShiftSums *out)
 {
@@ -107,6 +135,7 @@
     m->old_answered = v->old_answered;
     m->old_failed = v->old_failed;
     encode_routes(v, out);
+    encode_speed(v, out);
 }
 
 WPCanarySums wp_shift_sums_decode(const Wp__MoveSums *m)
@@ -127,6 +156,10 @@
                        .old_answered = m->old_answered,
                        .old_failed = m->old_failed };
     decode_routes(m, &v);
+    v.timed_replicas = m->timed_replicas;
+    v.slow_replicas = m->slow_replicas;
+    decode_speed(m->speed, m->n_speed, &v.speed);
+    decode_speed(m->old_speed, m->n_old_speed, &v.old_speed);
     return v;
 }
 
@@ -177,8 +210,8 @@
     WPShiftRecords *v = s->shift_records;
     const char *box = s->host->settings->id;
     Incarnations record = { .shift = sh };
-    const WPCanaryReport own = { NULL, s->incarnation,
-                                 wp_canary_own_sums(&sh->canary) };
+    const WPCanaryReport own = { .incarnation = s->incarnation,
+                                 .sums = wp_canary_own_sums(&sh->canary) };
     add_incarnation(&record, &own);
     wp_canary_each_report(&sh->canary, box, add_incarnation, &record);
     Wp__MoveRecord m = WP__MOVE_RECORD__INIT;
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -23,6 +23,7 @@
 
 enum {
     WP_DIGEST_SHIFTS_MAX = 8,
+    WP_DIGEST_RELAYED_MAX = 8, /* counts of other boxes */
     WP_DIGEST_FAILING_MAX = 8,
     WP_DIGEST_SESSIONS_MAX = 512, /* of each kind in one digest */
     WP_DIGEST_PREFIXES_MAX = 128
@@ -36,6 +37,7 @@
     Wp__MoveSums message;
     uint64_t routes[WP_CANARY_ROUTES_MAX];
     uint32_t route_counts[WP_CANARY_ROUTES_MAX * WP_SHIFT_ROUTE_COUNTS];
+    WPSpeedCounts speed, old_speed;
 } WPShiftSums;
 
 /* An entry that a transaction writes. */
@@ -48,6 +50,8 @@
     /* Memory that the next digest points to. */
     WPShiftSums sums[WP_DIGEST_SHIFTS_MAX];
     Wp__MoveSums *sums_list[WP_DIGEST_SHIFTS_MAX];
+    WPShiftSums relayed[WP_DIGEST_RELAYED_MAX];
+    Wp__MoveSums *relayed_list[WP_DIGEST_RELAYED_MAX];
     uint64_t bound[WP_DIGEST_SESSIONS_MAX], moved[WP_DIGEST_SESSIONS_MAX];
     uint64_t retired[WP_DIGEST_SESSIONS_MAX];
     uint64_t prefix_replicas[WP_DIGEST_PREFIXES_MAX],
--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -1,11 +1,7 @@
 /* Canary analysis of a traffic shift. */
 #include "wp_canary.h"
 
-/* A bad version is bad on all its endpoints, while one that fails alone is left
-   to the choice of endpoints. So a decision needs bad answers from this share
-   of the replicas, out of those that had a bad answer or at least
-   MIN_REPLICA_ANSWERS. */
-#define MIN_BAD_REPLICA_SHARE 0.25
+/* Answers from which on a replica without a bad one counts as good. */
 #define MIN_REPLICA_ANSWERS 3
 
 static GHashTable *sums_table(void)
@@ -66,6 +62,14 @@
                           &(WPCanaryAnswer){ .failed = failed });
 }
 
+void wp_canary_record_speed(WPCanary *c, const char *replica, double ratio,
+                            bool on_new)
+{
+    wp_speed_record(on_new ? &get_or_add_sums(c->new_by_replica, replica)->speed
+                           : &c->old_speed,
+                    ratio);
+}
+
 bool wp_canary_merge_report(WPCanary *c, const char *box, uint64_t incarnation,
                             const WPCanarySums *sums)
 {
@@ -79,11 +83,30 @@
         r->incarnation = incarnation;
         g_hash_table_insert(c->reports, g_steal_pointer(&key), r);
     }
-    if (sums->answered >= r->sums.answered)
-        r->sums = *sums;
+    if (sums->answered < r->sums.answered)
+        return is_new;
+    r->unsent = r->unsent || sums->answered > r->sums.answered;
+    r->sums = *sums;
     return is_new;
 }
 
+size_t wp_canary_take_unsent(WPCanary *c, const WPCanaryReport **out,
+                             size_t max)
+{
+    size_t n = 0;
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->reports);
+    while (n < max && g_hash_table_iter_next(&it, NULL, &p)) {
+        WPCanaryReport *r = p;
+        if (!r->unsent)
+            continue;
+        r->unsent = false;
+        out[n++] = r;
+    }
+    return n;
+}
+
 void wp_canary_each_report(const WPCanary *c, const char *box,
                            void (*fn)(void *, const WPCanaryReport *),
                            void *arg)
@@ -125,7 +148,7 @@
                                       : v->answered) >= MIN_REPLICA_ANSWERS;
     }
     return bad >= WP_CANARY_MIN_BAD_REPLICAS &&
-           bad >= MIN_BAD_REPLICA_SHARE * n_replicas;
+           bad >= WP_CANARY_MIN_BAD_SHARE * n_replicas;
 }
 
 static WPCanaryRoute own_route(const WPCanary *c, const char *name)
@@ -158,6 +181,43 @@
     }
 }
 
+static uint64_t bit_of(const char *replica)
+{
+    return (uint64_t)1 << (wp_hash(wp_str(replica), 0) % 64);
+}
+
+/* How long answers of the old version took, at all boxes. */
+static WPSpeedCounts pooled_old_speed(const WPCanary *c)
+{
+    WPSpeedCounts sum = c->old_speed;
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->reports);
+    while (g_hash_table_iter_next(&it, NULL, &p))
+        wp_speed_add(&sum, &((const WPCanaryReport *)p)->sums.old_speed);
+    return sum;
+}
+
+/* Sets how long this box's answers took, at which replicas they were timed, and
+   which of these are slow by them. */
+static void set_speed(const WPCanary *c, WPCanarySums *sum)
+{
+    WPSpeedCounts old = pooled_old_speed(c);
+    GHashTableIter it;
+    gpointer id, p;
+    sum->old_speed = c->old_speed;
+    g_hash_table_iter_init(&it, c->new_by_replica);
+    while (g_hash_table_iter_next(&it, &id, &p)) {
+        const WPSpeedCounts *speed = &((const WPCanarySums *)p)->speed;
+        if (!wp_speed_total(speed))
+            continue;
+        wp_speed_add(&sum->speed, speed);
+        sum->timed_replicas |= bit_of(id);
+        if (wp_canary_sums_replica_is_slow(speed, &old))
+            sum->slow_replicas |= bit_of(id);
+    }
+}
+
 WPCanarySums wp_canary_own_sums(const WPCanary *c)
 {
     WPCanarySums sum = total(c->new_by_route),
@@ -172,6 +232,7 @@
     WPCanarySums old = total(c->old_by_route);
     sum.old_answered = old.answered;
     sum.old_failed = old.failed;
+    set_speed(c, &sum);
     add_own_routes(c, &sum);
     sum.failures_widespread = is_widespread(c, WP_VERSION_FAULT_FAILS);
     sum.slowness_widespread = is_widespread(c, WP_VERSION_FAULT_SLOW);
@@ -205,7 +266,8 @@
 {
     WPCanarySums new_sums = wp_canary_pooled_sums(c),
                  old_sums = wp_canary_old_sums(c);
-    return wp_canary_sums_may_be_slow(&new_sums, &old_sums);
+    return wp_canary_sums_may_be_slow(&new_sums, &old_sums) ||
+           wp_canary_sums_speed_in_doubt(&new_sums);
 }
 
 bool wp_canary_may_fail(const WPCanary *c)
@@ -222,6 +284,14 @@
     return wp_canary_sums_not_sound(&new_sums, &old_sums);
 }
 
+bool wp_canary_in_doubt(const WPCanary *c)
+{
+    WPCanarySums new_sums = wp_canary_pooled_sums(c),
+                 old_sums = wp_canary_old_sums(c);
+    return wp_canary_sums_may_fail(&new_sums, &old_sums) ||
+           wp_canary_sums_speed_in_doubt(&new_sums);
+}
+
 bool wp_canary_has_enough_answers(const WPCanary *c)
 {
     WPCanarySums new_sums = wp_canary_pooled_sums(c),
@@ -273,6 +343,11 @@
                 failing->answered, failing->old_failed, failing->old_answered);
         return true;
     }
+    if (beside && wp_canary_sums_speed_is_bad(&new_sums)) {
+        if (why)
+            *why = wp_canary_sums_text(route, &new_sums, &old_sums);
+        return true;
+    }
     WPVersionFault fault = wp_canary_judge(&new_sums, &old_sums, beside);
     if (fault == WP_VERSION_FAULT_NONE)
         fault = find_route_fault(c, beside, &route, &new_sums);
--- a/src/wp_canary.h
+++ b/src/wp_canary.h
@@ -17,6 +17,7 @@
     char *box;
     uint64_t incarnation;
     WPCanarySums sums; /* of the new version */
+    bool unsent;       /* has answers that were not sent on yet */
 } WPCanaryReport;
 
 typedef struct WPCanary {
@@ -27,6 +28,9 @@
     GHashTable *new_by_replica;
     GHashTable *loaded_by_replica;
 
+    /* How long this box's answers of the old version took. */
+    WPSpeedCounts old_speed;
+
     /* "BOX INCARNATION" -> WPCanaryReport, without this process's own. */
     GHashTable *reports;
 } WPCanary;
@@ -46,6 +50,11 @@
    counts it too. */
 void wp_canary_record_loaded(WPCanary *c, const char *replica, bool failed);
 
+/* Counts how long an answer of a replica took, as the ratio to the usual time
+   on the old version. */
+void wp_canary_record_speed(WPCanary *c, const char *replica, double ratio,
+                            bool on_new);
+
 /* Takes a report of another box, or of an earlier incarnation of this one, and
    keeps it if it counts no fewer answers than the incarnation's report before,
    as the counts of an incarnation only rise. Returns whether the incarnation
@@ -58,6 +67,11 @@
                            void (*fn)(void *arg, const WPCanaryReport *r),
                            void *arg);
 
+/* Puts up to `max` reports whose new answers were not sent on yet into `out`
+   and marks them as sent. Returns their number. */
+size_t wp_canary_take_unsent(WPCanary *c, const WPCanaryReport **out,
+                             size_t max);
+
 /* Sums of the new version at this box, counted by this process. */
 WPCanarySums wp_canary_own_sums(const WPCanary *c);
 
@@ -86,6 +100,9 @@
    have times. */
 bool wp_canary_may_be_slow(const WPCanary *c);
 
+/* Whether what all boxes have counted speaks against the new version. */
+bool wp_canary_in_doubt(const WPCanary *c);
+
 /* Whether there are enough answers to tell a good version from a bad one. */
 bool wp_canary_has_enough_answers(const WPCanary *c);
 
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -38,6 +38,11 @@
    as slow. The highest value of a good version in simulations was 1. */
 #define LOG_ODDS_SLOW 6.0
 
+/* A shift goes on while callers have to expect answers at most this part slower
+   than usual. One that is completed too early makes them slow until a person
+   acts; one that waits is late for its operator alone. */
+#define EXPECTED_LOSS_MAX 0.15
+
 /* Log odds of a good version against one that fails from which on a shift may
    be completed. Another box may know of a failure more at that moment. */
 #define LOG_ODDS_SOUND 2.0
@@ -157,6 +162,10 @@
     to->ratio_timed += v->ratio_timed;
     to->ratio_slow += v->ratio_slow;
     to->utilization_permille += v->utilization_permille;
+    wp_speed_add(&to->speed, &v->speed);
+    wp_speed_add(&to->old_speed, &v->old_speed);
+    to->timed_replicas |= v->timed_replicas;
+    to->slow_replicas |= v->slow_replicas;
     to->failures_widespread |= v->failures_widespread;
     to->slowness_widespread |= v->slowness_widespread;
     to->old_answered += v->old_answered;
@@ -311,6 +320,38 @@
     return v->failed > 1 && all_failures_log_odds(v, old) > -LOG_ODDS_SOUND;
 }
 
+static unsigned count_bits(uint64_t v)
+{
+    return (unsigned)__builtin_popcountll(v);
+}
+
+/* Whether enough replicas are slow for it to be the version's fault. */
+static bool slow_on_enough_replicas(const WPCanarySums *v)
+{
+    unsigned slow = count_bits(v->slow_replicas);
+    return slow >= WP_CANARY_MIN_BAD_REPLICAS &&
+           slow >= WP_CANARY_MIN_BAD_SHARE * count_bits(v->timed_replicas);
+}
+
+bool wp_canary_sums_speed_is_bad(const WPCanarySums *v)
+{
+    return slow_on_enough_replicas(v) &&
+           wp_speed_compare(&v->speed, &v->old_speed).log_odds >= LOG_ODDS_SLOW;
+}
+
+bool wp_canary_sums_speed_in_doubt(const WPCanarySums *v)
+{
+    WPSpeedEvidence e = wp_speed_compare(&v->speed, &v->old_speed);
+    return e.known && e.expected_loss > EXPECTED_LOSS_MAX;
+}
+
+bool wp_canary_sums_replica_is_slow(const WPSpeedCounts *replica,
+                                    const WPSpeedCounts *old)
+{
+    WPSpeedEvidence e = wp_speed_compare(replica, old);
+    return e.known && e.best_log_odds > 0;
+}
+
 bool wp_canary_sums_may_be_slow(const WPCanarySums *v, const WPCanarySums *old)
 {
     if (v->ratio_timed && ratio_log_odds(v) > 0)
@@ -367,10 +408,14 @@
 char *wp_canary_sums_text(const char *route, const WPCanarySums *v,
                           const WPCanarySums *old)
 {
+    WPSpeedEvidence e = wp_speed_compare(&v->speed, &v->old_speed);
     return g_strdup_printf(
-        "route=%s new=%u/%u failed, %u/%u slow, %u fast, %u/%u far; "
+        "route=%s new=%u/%u failed, %u/%u slow, %u fast, %u/%u far, "
+        "odds=%.1f loss=%.2f of %u on %u/%u replicas; "
         "old=%u/%u failed, %u/%u slow, %u fast, %u/%u far",
         route, v->failed, v->answered, v->slow, v->timed, v->fast,
-        v->ratio_slow, v->ratio_timed, old->failed, old->answered, old->slow,
+        v->ratio_slow, v->ratio_timed, e.log_odds, e.expected_loss,
+        wp_speed_total(&v->speed), count_bits(v->slow_replicas),
+        count_bits(v->timed_replicas), old->failed, old->answered, old->slow,
         old->timed, old->fast, old->ratio_slow, old->ratio_timed);
 }
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -3,7 +3,7 @@
 #ifndef WP_CANARY_JUDGE_H
 #define WP_CANARY_JUDGE_H
 
-#include "wp_base.h"
+#include "wp_speed.h"
 
 /* Answers of one route: of the new version and of the old one at the same
    boxes, and those of them that failed. */
@@ -30,6 +30,8 @@
        (WP_TIME_RATIO_NORMAL, WP_TIME_RATIO_SLOW), and those of them that were
        slow (WP_TIME_RATIO_SLOW). */
     uint32_t ratio_timed, ratio_slow;
+    /* Answers by the ratio of their time to the usual one. */
+    WPSpeedCounts speed;
     /* Answers of loaded replicas (utilization of a half or more), those of them
        that failed, and the number of replicas on which some of those failed. */
     uint32_t loaded, loaded_failed, loaded_bad_replicas;
@@ -40,6 +42,11 @@
     /* In the sums of a new version: answers of the old version at the same
        boxes, and those of them that failed. */
     uint32_t old_answered, old_failed;
+    /* Of those answers the ones with a known ratio; the replicas of the new
+       version that have some, and those that are slow by them: a bit each, by
+       the hash of the id. */
+    WPSpeedCounts old_speed;
+    uint64_t timed_replicas, slow_replicas;
     /* Of these and of `answered`: the routes with the most failures. */
     WPCanaryRoute routes[WP_CANARY_ROUTES_MAX];
     unsigned n_routes;
@@ -79,6 +86,9 @@
    is left to the choice of endpoints to avoid them. */
 enum { WP_CANARY_MIN_BAD_REPLICAS = 2 };
 
+/* So a decision needs bad answers from this share of the replicas. */
+#define WP_CANARY_MIN_BAD_SHARE 0.25
+
 /* The reason to judge a version bad. */
 typedef enum WPVersionFault {
     WP_VERSION_FAULT_NONE,
@@ -127,6 +137,19 @@
 /* Whether some answer in the sums of a replica failed. */
 bool wp_canary_sums_any_failed(const WPCanarySums *v);
 
+/* Whether the answers are so much slower than the old version's that the new
+   one is bad. */
+bool wp_canary_sums_speed_is_bad(const WPCanarySums *v);
+
+/* Whether the new version may still be so much slower that a person would have
+   to undo the shift, by the slowdown that callers have to expect of it. */
+bool wp_canary_sums_speed_in_doubt(const WPCanarySums *v);
+
+/* Whether the answers of one replica, out of the sums `v` of the version, fit a
+   slower version better. */
+bool wp_canary_sums_replica_is_slow(const WPSpeedCounts *replica,
+                                    const WPSpeedCounts *old);
+
 /* Whether the answers in the sums of a replica are slow. */
 bool wp_canary_sums_are_slow(const WPCanarySums *v);
 
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -216,15 +216,22 @@
 
 enum { WP_FLOW_TRIED_MAX = 8 }; /* endpoints that a flow remembers */
 
+enum { WP_ATTEMPT_GAPS = 24 }; /* gaps between events that an attempt keeps */
+
 /* One attempt at an endpoint. */
 typedef struct WPAttempt {
     WPReplica *replica; /* NULL: no attempt is under way */
     int64_t sent_us;
     int64_t first_byte_us; /* when its first byte came */
     uint64_t events;       /* events of its stream that have come */
-    bool first_byte_seen;  /* its first byte has come */
-    bool until_close;      /* of its answer: see WPDirectAnswer */
+    /* The first times between two of them, each divided by the number of events
+       that came after it. */
+    uint32_t gaps_us[WP_ATTEMPT_GAPS];
+    unsigned n_gaps;
+    bool first_byte_seen; /* its first byte has come */
+    bool until_close;     /* of its answer: see WPDirectAnswer */
     bool ran_long; /* wp_flow_note_long_run() has cleared the prompt's parts */
+    bool cold;     /* its endpoint had started lately */
     bool busy; /* its endpoint was so full, or had started so lately, that it
                   may be slow */
     /* what the endpoint has to do before the first byte, as known when the
@@ -236,6 +243,11 @@
     double utilization; /* share of the endpoint's slots that were taken when it
                            was sent */
     bool loaded;        /* that share was WP_FLOW_LOADED_SHARE or more */
+    double running;     /* requests that its endpoint ran, by the head of the
+                           answer, else as far as known when it was sent */
+    double slowdown;    /* how long work takes at its endpoint, by the head of
+                           the answer, against the usual; 0: not reported */
+    bool speed_sampled; /* its time was compared with the usual one */
     bool sampled;       /* counted for the check of a shift's new version */
     bool old_version; /* counted among the attempts on a shift's old version */
 } WPAttempt;
@@ -281,6 +293,8 @@
     unsigned endpoints_lost;
     /* when the last event of its stream came; 0: none has */
     int64_t last_event_us;
+    double speed_ratio; /* of the last attempt that was compared, as in
+                           WPAttempt; 0: none was */
     int64_t max_gap_us; /* the longest time between two events */
     /* Endpoint of a shift's new version that it failed at, not counted yet: an
        attempt on the old version shows whether it fails there too. A reference;
@@ -329,6 +343,10 @@
 void wp_flow_on_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
                        WPFlowAction *out);
 
+/* Usual time between two events of the present attempt's stream, without those
+   during which its engine read prompts, in microseconds; 0: not known. */
+double wp_flow_usual_gap_us(const WPFlow *f);
+
 /* The wait of WP_FLOW_WAIT is over. */
 void wp_flow_on_wait_end(WPFlow *f, WPTime now, WPFlowAction *out);
 
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -86,9 +86,11 @@
     f->attempt =
         (WPAttempt){ .replica = s,
                      .sent_us = now.mono_us,
+                     .cold = cold,
                      .busy = wp_flow_endpoint_is_busy(f, utilization) || cold,
                      .loaded = utilization >= WP_FLOW_LOADED_SHARE,
                      .utilization = utilization,
+                     .running = utilization * s->slots,
                      .old_version = old };
     if (old)
         sh->old_running++;
@@ -555,13 +557,10 @@
     }
     wp_flow_record_first_byte(f, now);
     f->attempt.until_close = a->until_close;
-    if (failed || f->route->retry_policy != WP_RETRY_STREAM)
-        wp_flow_sample_shift(
-            f, failed,
-            failed ? WP_TIME_UNKNOWN
-                   : wp_flow_classify_time(
-                         f, f->route->name,
-                         (double)(now.mono_us - f->attempt.sent_us)));
+    if (failed)
+        wp_flow_sample_shift(f, true, WP_TIME_UNKNOWN);
+    else if (f->route->retry_policy != WP_RETRY_STREAM)
+        wp_flow_sample_answer_time(f, now);
     if (failed) {
         f->attempts_run++;
         end_present_attempt(f, now, WP_OUTCOME_FAILED);
@@ -651,6 +650,7 @@
 void wp_flow_on_done(WPFlow *f, WPTime now, uint64_t events)
 {
     wp_flow_sample_event_gap(f, now, events);
+    wp_flow_sample_stream_speed(f);
     wp_flow_learn_stall(f);
     note_session(f, now);
     if (!f->endpoint_failed)
--- a/src/wp_flow_head.c
+++ b/src/wp_flow_head.c
@@ -2,6 +2,8 @@
 #include "wp_flow_int.h"
 #include "wp_usage.h"
 
+#define PERCENT 100.0
+
 bool wp_flow_requests_backoff(const WPDirectAnswer *a)
 {
     /* A 429 to a request that did run may be the application's limit for one
@@ -50,9 +52,12 @@
     *out = (WPHeadChanges){ 0 };
     if (a->wrong_endpoint) /* reports of another endpoint at this address */
         return;
-    if (a->has_load)
+    if (a->has_load) {
         wp_fleet_record_load(fleet, s, now, a->running, a->waiting, a->slots);
+        f->attempt.running = a->running;
+    }
     if (a->slowdown) {
+        f->attempt.slowdown = a->slowdown / PERCENT;
         wp_fleet_record_slowdown(s, a->slowdown);
         out->contended = wp_direct_note_uneven(f->direct, f->service->name);
     }
--- a/src/wp_flow_int.h
+++ b/src/wp_flow_int.h
@@ -90,9 +90,9 @@
    if there is one: counts it, or drops it. */
 void wp_flow_settle_canary_failure(WPFlow *f, bool counts);
 
-/* Classifies the time `us` of the present attempt by the quartiles of the times
-   learned for `what` (a route, or a service for event gaps) and the model. */
-WPAnswerTime wp_flow_classify_time(WPFlow *f, const char *what, double us);
+/* Samples the present attempt by the time of its complete answer, which is not
+   a stream. */
+void wp_flow_sample_answer_time(WPFlow *f, WPTime now);
 
 /* Learns from a complete stream how streams stall at its endpoint. */
 void wp_flow_learn_stall(WPFlow *f);
@@ -101,6 +101,10 @@
    between the stream's `events` so far. */
 void wp_flow_sample_event_gap(WPFlow *f, WPTime now, uint64_t events);
 
+/* Compares the usual gap between events of the present attempt's stream with
+   that of other such streams, once. */
+void wp_flow_sample_stream_speed(WPFlow *f);
+
 /* Samples the present attempt as slow if its non-streaming answer is long
    overdue. */
 void wp_flow_sample_overdue(WPFlow *f, WPTime now);
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -21,6 +21,10 @@
 #define GAP_SAMPLE_EVENTS 6
 #define GAP_EVENTS_MIN 4
 
+/* The usual gap between events is the one below which this part of them is: an
+   engine reads prompts between many of them. */
+#define USUAL_GAP_PART 3
+
 /* Weight of the newest value in the moving average of TTFB as a part of its
    target. */
 #define TARGET_RATIO_WEIGHT 0.06
@@ -163,9 +167,11 @@
     wp_shift_record_answer(sh, &a);
 }
 
-/* The quartiles are learned at this box, without attempts on the new version of
-   a running shift. Times at busy endpoints show nothing. */
-WPAnswerTime wp_flow_classify_time(WPFlow *f, const char *what, double us)
+/* Classifies the time `us` of the present attempt by the quartiles of the times
+   learned for `what` (a route, or a service for event gaps) and the model. The
+   quartiles are learned at this box, without attempts on the new version of a
+   running shift. Times at busy endpoints show nothing. */
+static WPAnswerTime classify_time(WPFlow *f, const char *what, double us)
 {
     WPQuartiles *u = wp_direct_quartiles(f->direct, what, wp_flow_model(f));
     double lower = wp_quartiles_lower(u), upper = wp_quartiles_upper(u);
@@ -183,6 +189,90 @@
     return us < lower ? WP_TIME_FAST : WP_TIME_MIDDLE;
 }
 
+static int by_length(const void *a, const void *b)
+{
+    uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+    return (x > y) - (x < y);
+}
+
+double wp_flow_usual_gap_us(const WPFlow *f)
+{
+    uint32_t gaps_us[WP_ATTEMPT_GAPS];
+    unsigned n = f->attempt.n_gaps;
+    if (!n)
+        return 0;
+    memcpy(gaps_us, f->attempt.gaps_us, n * sizeof(gaps_us[0]));
+    qsort(gaps_us, n, sizeof(gaps_us[0]), by_length);
+    return gaps_us[(n - 1) / USUAL_GAP_PART];
+}
+
+/* The quartiles of the times for `what` at endpoints of a load class, or at
+   endpoints of any load. */
+static WPQuartiles *times_at_load(WPFlow *f, const char *what,
+                                  unsigned load_class)
+{
+    g_autofree char *key = load_class < WP_SPEED_LOADS
+                               ? g_strdup_printf("%s load=%u", what, load_class)
+                               : g_strdup_printf("%s load=any", what);
+    return wp_direct_quartiles(f->direct, key, wp_flow_model(f));
+}
+
+/* The usual time for `what` at endpoints of this load class, or at those of the
+   next class above it for which it is known: no answer takes longer with less
+   load. 0: it is not known. */
+static double usual_time_us(WPFlow *f, const char *what, unsigned load_class)
+{
+    double us = 0;
+    for (unsigned i = load_class; i < WP_SPEED_LOADS && us <= 0; i++)
+        us = wp_quartiles_middle(times_at_load(f, what, i));
+    if (us <= 0 && !load_class)
+        us = wp_quartiles_middle(times_at_load(f, what, WP_SPEED_LOADS));
+    return us;
+}
+
+static void record_speed(WPFlow *f, double ratio)
+{
+    WPShift *sh = wp_flow_shift(f);
+    const WPReplica *s = f->attempt.replica;
+    f->speed_ratio = ratio;
+    if (sh && sh->state == WP_SHIFT_RUNNING)
+        wp_shift_record_speed(sh, s->version, s->id, ratio);
+}
+
+/* Compares the time `us` of the present attempt with the usual one, and learns
+   what is usual from other versions than a running shift's new one. `what` is
+   what the time is of: a route, or a service for event gaps. */
+static void compare_time(WPFlow *f, const char *what, double us)
+{
+    WPAttempt *a = &f->attempt;
+    if (a->speed_sampled || !a->replica || a->cold || us <= 0 ||
+        (is_unbatched(f) && a->busy))
+        return;
+    a->speed_sampled = true;
+    if (a->slowdown > 0) /* the machine's doing, not the version's */
+        us /= a->slowdown;
+    unsigned load_class = is_unbatched(f) ? 0 : wp_speed_load_class(a->running);
+    double usual_us = usual_time_us(f, what, load_class);
+    if (usual_us > 0)
+        record_speed(f, us / usual_us);
+    if (is_canary(f))
+        return;
+    wp_quartiles_add(times_at_load(f, what, load_class), us);
+    wp_quartiles_add(times_at_load(f, what, WP_SPEED_LOADS), us);
+}
+
+void wp_flow_sample_stream_speed(WPFlow *f)
+{
+    compare_time(f, f->service->name, wp_flow_usual_gap_us(f));
+}
+
+void wp_flow_sample_answer_time(WPFlow *f, WPTime now)
+{
+    double us = (double)(now.mono_us - f->attempt.sent_us);
+    compare_time(f, f->route->name, us);
+    wp_flow_sample_shift(f, false, classify_time(f, f->route->name, us));
+}
+
 /* A slow version may begin its answers in time and then send their events at
    several times the usual gap. Few events show nothing. The gap depends on the
    model, not on the route. */
@@ -196,8 +286,16 @@
     }
     int64_t since_first_us = now.mono_us - f->attempt.first_byte_us;
     double mean_gap_us = (double)since_first_us / (double)(events - 1);
-    wp_flow_sample_shift(
-        f, false, wp_flow_classify_time(f, f->service->name, mean_gap_us));
+    wp_flow_sample_shift(f, false,
+                         classify_time(f, f->service->name, mean_gap_us));
+}
+
+/* Keeps the time before the last `n` events of the attempt, which came
+   together. */
+static void keep_gap(WPAttempt *a, int64_t gap_us, uint64_t n)
+{
+    if (a->events && a->n_gaps < WP_ATTEMPT_GAPS)
+        a->gaps_us[a->n_gaps++] = (uint32_t)(gap_us / (int64_t)n);
 }
 
 /* Updates the longest time that the caller of a stream waited between two
@@ -208,6 +306,7 @@
         return;
     int64_t gap_us = f->last_event_us ? now.mono_us - f->last_event_us : 0;
     f->max_gap_us = MAX(f->max_gap_us, gap_us);
+    keep_gap(&f->attempt, gap_us, events - f->attempt.events);
     f->attempt.events = events;
     f->last_event_us = now.mono_us;
 }
@@ -221,6 +320,8 @@
     wp_flow_note_long_run(f, now);
     if (events >= GAP_SAMPLE_EVENTS && !f->attempt.sampled)
         wp_flow_sample_event_gap(f, now, events);
+    if (f->attempt.n_gaps == WP_ATTEMPT_GAPS)
+        wp_flow_sample_stream_speed(f);
 }
 
 /* A stream that was resumed at another endpoint was interrupted for another
@@ -244,6 +345,8 @@
     double us = (double)(now.mono_us - f->attempt.sent_us);
     double upper = wp_quartiles_upper(
         wp_direct_quartiles(f->direct, f->route->name, wp_flow_model(f)));
-    if (upper > 0 && us > SLOW_RATIO * upper && !f->attempt.busy)
-        wp_flow_sample_shift(f, false, WP_TIME_RATIO_SLOW);
+    if (upper <= 0 || us <= SLOW_RATIO * upper || f->attempt.busy)
+        return;
+    compare_time(f, f->route->name, us);
+    wp_flow_sample_shift(f, false, WP_TIME_RATIO_SLOW);
 }
--- a/src/wp_latency.c
+++ b/src/wp_latency.c
@@ -179,3 +179,8 @@
 {
     return u->samples >= WP_QUARTILES_FIRST ? u->upper_us : 0;
 }
+
+double wp_quartiles_middle(const WPQuartiles *u)
+{
+    return sqrt(wp_quartiles_lower(u) * wp_quartiles_upper(u));
+}
--- a/src/wp_latency.h
+++ b/src/wp_latency.h
@@ -72,4 +72,7 @@
 double wp_quartiles_lower(const WPQuartiles *u);
 double wp_quartiles_upper(const WPQuartiles *u);
 
+/* The middle between the quartiles, by their ratio. */
+double wp_quartiles_middle(const WPQuartiles *u);
+
 #endif
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -22,6 +22,10 @@
    the others may be out of date, and what they know of it. */
 #define PAUSE_MS 1000
 
+/* For how long another box's doubt holds, which it repeats in each digest while
+   it lasts. */
+#define DOUBT_MS 600
+
 struct WPShifts {
     const Wp__Chart *chart;
     bool draining;          /* this box takes no requests */
@@ -370,6 +374,13 @@
     wp_canary_record_answer(&sh->canary, a, !strcmp(a->version, sh->version));
 }
 
+void wp_shift_record_speed(WPShift *sh, const char *version,
+                           const char *replica, double ratio)
+{
+    wp_canary_record_speed(&sh->canary, replica, ratio,
+                           !strcmp(version, sh->version));
+}
+
 bool wp_shift_routes_to_new(const WPShifts *s, const WPShift *sh, WPTime now,
                             double unit, const char *last)
 {
@@ -389,6 +400,11 @@
     sh->gate_passed = true;
 }
 
+void wp_shift_merge_doubt(WPShift *sh, WPTime now)
+{
+    sh->doubted_us = now.mono_us;
+}
+
 void wp_shift_merge_bad(WPShift *sh)
 {
     sh->found_bad = sh->found_bad || sh->state == WP_SHIFT_RUNNING;
@@ -440,6 +456,9 @@
     if (!stage->final && wp_canary_may_be_slow(&sh->canary))
         return "the answers are more likely from a slow version than from a "
                "good one";
+    if (!stage->final && sh->doubted_us &&
+        now.mono_us - sh->doubted_us < DOUBT_MS * WP_US_PER_MS)
+        return "what another box knows speaks against the version";
     return has_evidence(s, sh, now, stage)
                ? NULL
                : "too few answers are known for a verdict";
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -45,11 +45,13 @@
        which is the one to be replaced; NULL: not known. */
     char *baseline_version;
 
-    bool renumbered;   /* the order has another revision than the records of the
-                          shift in the store know */
-    bool found_bad;    /* the new version is bad and gets no more requests */
-    bool gate_passed;  /* the gate before the last stage has been passed */
-    const char *stage; /* name of the stage at the last poll; the chart's */
+    bool renumbered; /* the order has another revision than the records of the
+                        shift in the store know */
+    bool found_bad;  /* the new version is bad and gets no more requests */
+    int64_t doubted_us; /* when another box last told that what it knows speaks
+                           against the new version; 0: never */
+    bool gate_passed;   /* the gate before the last stage has been passed */
+    const char *stage;  /* name of the stage at the last poll; the chart's */
     uint32_t old_running; /* this box's requests in flight on other versions */
     int64_t polled_us;    /* time of the last poll */
 
@@ -157,6 +159,11 @@
 /* Records how one request ended at an endpoint, of either version. */
 void wp_shift_record_answer(WPShift *sh, const WPCanaryAnswer *a);
 
+/* Records how long an answer of either version took: see
+   wp_canary_record_speed(). */
+void wp_shift_record_speed(WPShift *sh, const char *version,
+                           const char *replica, double ratio);
+
 /* The counts of the shift that this box knows, as text for the log. Free with
    g_free(). */
 char *wp_shift_stats_text(const WPShift *sh, WPTime now);
@@ -166,6 +173,9 @@
    and completes the shift on what it alone knows. */
 void wp_shift_merge_bad(WPShift *sh);
 
+/* Merges that what another box knows speaks against the new version. */
+void wp_shift_merge_doubt(WPShift *sh, WPTime now);
+
 /* Merges that another box has passed the gate before the last stage. */
 void wp_shift_merge_gate_passed(WPShift *sh);
 
--- /dev/null
+++ b/tests/test_speed.c
@@ -0,0 +1,254 @@
+/* Versions that answer slower: how they are told from good ones by the times of
+ * their answers, at any number of boxes. */
+#include "power_sim.h"
+#include "shift_fake.h"
+#include "wp_sync_int.h"
+
+enum { PLAYS = 100, SHIFT_MS = 20000 };
+
+/* Of PLAYS orders of 10 s: those at whose end the version is found bad, and
+   those at whose end it would be completed. */
+static void play(const PowerSite *site, const PowerVersion *version,
+                 unsigned *found, unsigned *completed)
+{
+    GRand *rand = g_rand_new_with_seed(7);
+    *found = *completed = 0;
+    for (unsigned i = 0; i < PLAYS; i++) {
+        PowerResult r = power_play(site, version, 10, rand);
+        *found += r.bad;
+        *completed += !r.bad && !r.in_doubt;
+    }
+    g_rand_free(rand);
+}
+
+/* Guards against boxes that know too little each: the counts of all of them are
+   added. */
+static void slow_versions_are_found_at_any_number_of_boxes(void **state)
+{
+    static const PowerVersion versions[] = { { 2.5, 0.3 }, { 3, 0.5 },
+                                             { 4, 0.3 },   { 8, 0.3 },
+                                             { 2.5, 1 },   { 8, 1 } };
+    static const unsigned boxes[] = { 3, 16, 60 };
+    (void)state;
+    for (size_t b = 0; b < WP_COUNT(boxes); b++) {
+        const PowerSite site = { boxes[b], 200, 0.04, 0.15, 5 };
+        for (size_t i = 0; i < WP_COUNT(versions); i++) {
+            unsigned found, completed;
+            play(&site, &versions[i], &found, &completed);
+            assert_in_range(found, PLAYS * 95 / 100, PLAYS);
+            assert_int_equal(completed, 0);
+        }
+    }
+}
+
+/* Guards against a version of a plain service, whose times vary much, that is
+   completed on a few answers. */
+static void slow_plain_versions_are_not_completed(void **state)
+{
+    const PowerSite site = { 3, 60, 0.04, 0.5, 5 };
+    static const PowerVersion versions[] = { { 3, 0.5 }, { 4, 0.5 }, { 8, 1 } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(versions); i++) {
+        unsigned found, completed;
+        play(&site, &versions[i], &found, &completed);
+        assert_in_range(completed, 0, PLAYS / 100);
+    }
+}
+
+static void good_versions_are_neither_found_bad_nor_held_back(void **state)
+{
+    static const PowerSite sites[] = { { 3, 100, 0.04, 0.15, 3 },
+                                       { 60, 400, 0.04, 0.15, 3 },
+                                       { 3, 200, 0.04, 0.5, 3 } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(sites); i++) {
+        unsigned found, completed;
+        play(&sites[i], &(PowerVersion){ 1, 1 }, &found, &completed);
+        assert_int_equal(found, 0);
+        assert_in_range(completed, PLAYS * 97 / 100, PLAYS);
+    }
+}
+
+static void one_long_answer_decides_nothing(void **state)
+{
+    WPSpeedCounts old = { 0 }, v = { 0 };
+    (void)state;
+    for (int i = 0; i < WP_SPEED_MIN_OLD - 1; i++)
+        wp_speed_record(&old, 1);
+    for (int i = 0; i < 30; i++)
+        wp_speed_record(&v, 8);
+    assert_false(wp_speed_compare(&v, &old).known);
+    for (int i = 0; i < 300; i++)
+        wp_speed_record(&old, i % 3 ? 1 : 1.1);
+    assert_true(wp_speed_compare(&v, &old).log_odds > 50);
+    WPSpeedCounts one = { 0 };
+    for (int i = 0; i < 10; i++)
+        wp_speed_record(&one, 1);
+    wp_speed_record(&one, 1000);
+    assert_true(wp_speed_compare(&one, &old).log_odds < 6);
+}
+
+/* Serves one request at an endpoint of the version that runs `running` others,
+   with events `gap_ms` apart. */
+static void serve(Fake *k, const char *version, unsigned running,
+                  unsigned events, int gap_ms)
+{
+    WPFlowAction m;
+    WPHeadChanges changes;
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, "/chat/x", NULL, &m);
+    while (strcmp(m.replica->version, version)) {
+        wp_flow_on_caller_gone(f, k->now);
+        wp_flow_free(f);
+        f = fake_ask(k, "/chat/x", NULL, &m);
+    }
+    a.has_load = true;
+    a.running = running;
+    a.slots = 8;
+    wp_flow_on_head(f, k->now, &a, &changes);
+    wp_flow_on_answer(f, k->now, &a, &m);
+    for (uint64_t i = 1; i <= events; i++) {
+        wp_flow_on_events(f, k->now, i);
+        k->now.mono_us += gap_ms * WP_US_PER_MS;
+    }
+    wp_flow_on_done(f, k->now, events);
+    wp_flow_free(f);
+}
+
+/* Guards against a version all of whose answers are slow and which is completed
+   as hardly any of them could be compared: its answers have few events, and the
+   old version's endpoints are busy. */
+static void a_slow_version_is_found_beside_busy_endpoints(void **state)
+{
+    static const struct {
+        int gap_ms;
+        bool bad;
+    } cases[] = { { 20, false }, { 160, true } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(cases); i++) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = start_shift(&k);
+        sh->duration_ms = SHIFT_MS * 100;
+        fake_advance(&k, LEAD_MS);
+        for (int n = 0; n < 60; n++)
+            serve(&k, "v1", 5, 3, 30 + n % 5);
+        for (int n = 0; n < 12; n++)
+            serve(&k, "v2", 1, 3, cases[i].gap_ms);
+        assert_int_equal(wp_canary_is_bad(&sh->canary, true, NULL),
+                         cases[i].bad);
+        assert_int_equal(wp_canary_in_doubt(&sh->canary), cases[i].bad);
+        fake_end(&k);
+    }
+}
+
+/* Begins with the chart that is shipped. */
+static void init_shipped(Fake *k)
+{
+    g_autofree char *text = NULL;
+    assert_true(g_file_get_contents("charts/shift.yaml", &text, NULL, NULL));
+    fake_init_chart(k, text);
+}
+
+static void record_speeds(WPShift *sh, const char *version, unsigned n,
+                          double ratio)
+{
+    for (unsigned i = 0; i < n; i++)
+        wp_shift_record_speed(sh, version, i % 2 ? "n1" : "n2", ratio);
+}
+
+/* Guards against one box that knows of few answers and opens the gate for all,
+   while the others know of slow ones. */
+static void doubt_of_another_box_keeps_the_gate_closed(void **state)
+{
+    Fake k;
+    (void)state;
+    init_shipped(&k);
+    WPShift *sh = start_shift(&k);
+    for (int i = 0; i < SHIFT_MS / LOOK_MS; i++) {
+        wp_shift_merge_doubt(sh, k.now);
+        poll_for(&k, sh, LOOK_MS);
+    }
+    assert_false(sh->gate_passed);
+    poll_for(&k, sh, LEAD_MS);
+    assert_true(sh->gate_passed);
+    fake_end(&k);
+}
+
+/* Guards against an order that is completed at the end of its time although the
+   answers cannot tell a slow version from a good one. */
+static void too_few_answers_keep_the_gate_closed(void **state)
+{
+    Fake k;
+    (void)state;
+    init_shipped(&k);
+    WPShift *sh = start_shift(&k);
+    record_speeds(sh, "v1", 100, 1);
+    record_speeds(sh, "v1", 30, 2.5);
+    record_speeds(sh, "v2", 1, 1);
+    poll_for(&k, sh, SHIFT_MS);
+    assert_false(sh->gate_passed);
+    record_speeds(sh, "v2", 20, 1);
+    poll_for(&k, sh, LEAD_MS);
+    assert_true(sh->gate_passed);
+    fake_end(&k);
+}
+
+/* Guards against counts that reach only the boxes with a link to the one that
+   counted. */
+static void counts_of_other_boxes_are_sent_on_once(void **state)
+{
+    WPCanary c;
+    const WPCanaryReport *out[4];
+    WPCanarySums sums = { .answered = 3 };
+    (void)state;
+    wp_canary_init(&c);
+    wp_canary_merge_report(&c, "b1", 7, &sums);
+    wp_canary_merge_report(&c, "b2", 7, &sums);
+    assert_int_equal(wp_canary_take_unsent(&c, out, 1), 1);
+    assert_int_equal(wp_canary_take_unsent(&c, out, 4), 1);
+    assert_int_equal(wp_canary_take_unsent(&c, out, 4), 0);
+    wp_canary_merge_report(&c, "b1", 7, &sums); /* heard by another way */
+    assert_int_equal(wp_canary_take_unsent(&c, out, 4), 0);
+    sums.answered = 4;
+    wp_canary_merge_report(&c, "b1", 7, &sums);
+    assert_int_equal(wp_canary_take_unsent(&c, out, 4), 1);
+    assert_string_equal(out[0]->box, "b1");
+    assert_int_equal(wp_canary_pooled_sums(&c).answered, 7);
+    wp_canary_end(&c);
+}
+
+/* Guards against times that are known to the box alone that measured them. */
+static void times_of_all_boxes_are_added(void **state)
+{
+    Fake k;
+    WPShiftSums wire;
+    WPCanarySums sums = { .answered = 40 };
+    (void)state;
+    init_shipped(&k);
+    WPShift *sh = start_shift(&k);
+    for (int i = 0; i < 60; i++)
+        wp_speed_record(&sums.old_speed, 1);
+    for (int i = 0; i < 12; i++)
+        wp_speed_record(&sums.speed, 4);
+    sums.timed_replicas = sums.slow_replicas = 6;
+    wp_shift_sums_encode(sh, 7, &sums, &wire);
+    WPCanarySums told = wp_shift_sums_decode(&wire.message);
+    assert_memory_equal(&told.speed, &sums.speed, sizeof(sums.speed));
+    assert_memory_equal(&told.old_speed, &sums.old_speed,
+                        sizeof(sums.old_speed));
+    assert_false(wp_canary_is_bad(&sh->canary, true, NULL));
+    wp_canary_merge_report(&sh->canary, "b1", 7, &told);
+    assert_true(wp_canary_is_bad(&sh->canary, true, NULL));
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(slow_versions_are_found_at_any_number_of_boxes),
+           T(slow_plain_versions_are_not_completed),
+           T(good_versions_are_neither_found_bad_nor_held_back),
+           T(one_long_answer_decides_nothing),
+           T(a_slow_version_is_found_beside_busy_endpoints),
+           T(doubt_of_another_box_keeps_the_gate_closed),
+           T(too_few_answers_keep_the_gate_closed),
+           T(counts_of_other_boxes_are_sent_on_once),
+           T(times_of_all_boxes_are_added))
