--- a/src/wp_speed.c
+++ b/src/wp_speed.c
@@ -9,8 +9,8 @@
     KERNEL_REACH = 2
 };
 
-/* A slower version: this share of its answers takes as many times the usual
-   time as SHIFT bins say. */
+/* A slower version: this share of its answers takes 2^(shift / BINS_PER_OCTAVE)
+   times the usual time. */
 typedef struct Hypothesis {
     double share;
     int shift;
@@ -99,8 +99,9 @@
 {
     double sum = 0;
     for (unsigned i = 0; i < WP_SPEED_BINS; i++)
-        sum += v->n[i] *
-               log((1 - OUTLIERS) * density[i] + OUTLIERS / WP_SPEED_BINS);
+        if (v->n[i])
+            sum += v->n[i] *
+                   log((1 - OUTLIERS) * density[i] + OUTLIERS / WP_SPEED_BINS);
     return sum;
 }
 
