Large requests reserve room for their bodies, or are refused at once

Cause: at the limit of buffered bytes all large bodies were paused, and what was buffered were these bodies: each upload waited for the others. Evidence: held_over without held_under in the log; twelve uploads alone show it.

Change: a large body reserves its length at its head, or as it grows, until its answer; all together may take half of the limit. Who finds no room gets 503 no_memory and Retry-After at once, and the connection lingers so that the answer is not lost to a reset. What is admitted can therefore always end. A declared length above the limit is refused as too large at once.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -270,6 +270,8 @@
     h->direct.rules = rules_from(s);
     wp_fleet_set_rules(h->direct.fleet, &h->direct.rules.fleet);
     wp_buffered_set_limit(&h->buffered, s->memory_mb);
+    wp_downstream_set_uploads_limit(h->downstream,
+                                    h->buffered.uploads_limit_bytes);
     apply_areas(h);
     wp_log(&h->log, WP_INFO, "reloaded", NULL);
 }
@@ -299,6 +301,8 @@
     if (!h->downstream || !wp_direct_open_admin(h, error))
         return false;
     wp_downstream_set_limits(h->downstream, &limits);
+    wp_downstream_set_uploads_limit(h->downstream,
+                                    h->buffered.uploads_limit_bytes);
     h->sync = wp_sync_new(h, error);
     return h->sync != NULL;
 }
--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -27,11 +27,36 @@
     WPList conns;
     unsigned n_conns;
     bool draining;
-    bool over_limit; /* the box buffers more than its limit */
+    bool over_limit;              /* the box buffers more than its limit */
+    uint64_t uploads_limit_bytes; /* of large bodies together; 0: none */
+    uint64_t reserved_bytes;      /* of that */
 };
 
 static void advance(WPDownstreamConn *p);
 
+/* Frees what the body of the last request had reserved. */
+static void release_room(WPDownstreamConn *p)
+{
+    p->downstream->reserved_bytes -= p->reserved_bytes;
+    p->reserved_bytes = 0;
+}
+
+/* Reserves `bytes` for the body in all, if it is large. Returns false if the
+   bodies that were admitted before leave too little. */
+static bool reserve_room(WPDownstreamConn *p, uint64_t bytes)
+{
+    WPDownstream *f = p->downstream;
+    if (!f->uploads_limit_bytes ||
+        bytes <= MAX(p->reserved_bytes, WP_BUFFERED_EXEMPT_BYTES))
+        return true;
+    uint64_t more = bytes - p->reserved_bytes;
+    if (f->reserved_bytes + more > f->uploads_limit_bytes)
+        return false;
+    f->reserved_bytes += more;
+    p->reserved_bytes = bytes;
+    return true;
+}
+
 static void free_conn(WPDownstreamConn *p)
 {
     if (p->in_callback) {
@@ -39,6 +64,7 @@
         return;
     }
     wp_list_remove(&p->node);
+    release_room(p);
     p->downstream->n_conns--;
     event_free(p->timer);
     bufferevent_free(p->bev);
@@ -74,7 +100,7 @@
 static void close_after_write(WPDownstreamConn *p)
 {
     p->closing = true;
-    if (!unsent_bytes(p)) {
+    if (!unsent_bytes(p) && !p->lingers) {
         free_conn(p);
         return;
     }
@@ -91,8 +117,13 @@
     p->downstream->ops->refused(p->downstream->arg, code, detail);
     p->keep_alive = false;
     p->answering = true;
-    wp_downstream_send_answer(p, i->status,
-                              wp_str("Content-Type: application/json\r\n"),
+    p->lingers = code == WP_NO_MEMORY;
+    g_autoptr(GString) fields =
+        g_string_new("Content-Type: application/json\r\n");
+    if (code == WP_NO_MEMORY)
+        g_string_append_printf(fields, "Retry-After: %d\r\n",
+                               WP_BUFFERED_RETRY_S);
+    wp_downstream_send_answer(p, i->status, wp_strn(fields->str, fields->len),
                               wp_str(body));
 }
 
@@ -120,12 +151,21 @@
     return h->target.n && h->target.p[0] == '/' ? NULL : "malformed path";
 }
 
+/* The length of the body that the head tells; 0: none, or not known. */
+static uint64_t body_length(const WPHead *h)
+{
+    uint64_t n;
+    return wp_str_uint(wp_head_get(h, "Content-Length", NULL), &n) ? n : 0;
+}
+
 static bool on_head(void *arg, const WPHead *h)
 {
     WPDownstreamConn *p = arg;
     p->keep_alive = h->keep_alive;
     p->is_head = wp_str_eq(h->method, wp_str("HEAD"));
     p->head_error = check_head(h);
+    p->too_large = body_length(h) > p->downstream->limits.body_bytes;
+    p->no_room = !p->too_large && !reserve_room(p, body_length(h));
     p->head = *h;
     return true;
 }
@@ -135,6 +175,8 @@
     WPDownstreamConn *p = arg;
     if (p->body->len + n > p->downstream->limits.body_bytes)
         p->too_large = true;
+    else if (p->no_room || !reserve_room(p, p->body->len + n))
+        p->no_room = true;
     else
         g_byte_array_append(p->body, (const guint8 *)data, (guint)n);
 }
@@ -170,6 +212,8 @@
         refuse(p, WP_BAD_REQUEST, p->head_error);
     else if (p->too_large)
         refuse(p, WP_TOO_LARGE, "the body is too large");
+    else if (p->no_room)
+        refuse(p, WP_NO_MEMORY, "too many large requests arrive at this box");
     else
         p->downstream->ops->request(p->downstream->arg, p, &p->head);
 }
@@ -199,7 +243,8 @@
         WPH1State st = wp_h1_feed(&p->h1, in);
         if (st == WP_H1_ERROR)
             refuse(p, WP_BAD_REQUEST, "malformed request");
-        else if (p->head_error || p->too_large || st == WP_H1_COMPLETE)
+        else if (p->head_error || p->too_large || p->no_room ||
+                 st == WP_H1_COMPLETE)
             on_complete(p);
         else {
             set_timer(p, p->downstream->limits.idle_ms);
@@ -248,7 +293,8 @@
     WPDownstreamConn *p = arg;
     bool empty = !evbuffer_get_length(bufferevent_get_output(bev));
     if (p->closing && empty) {
-        free_conn(p);
+        if (!p->lingers)
+            free_conn(p);
         return;
     }
     if (empty && !p->answering && !p->request_begun)
@@ -330,6 +376,7 @@
     WPDownstream *f = p->downstream;
     p->answering = false;
     p->request = NULL;
+    release_room(p);
     if (!p->keep_alive || f->draining) {
         close_after_write(p);
         return;
@@ -337,6 +384,7 @@
     wp_h1_reset(&p->h1);
     g_byte_array_set_size(p->body, 0);
     p->too_large = false;
+    p->no_room = false;
     p->chunked = false;
     begin_idle(p);
     /* Deferred, as the owner, from whose call this runs, may still use the
@@ -447,6 +495,11 @@
     f->limits = *limits;
 }
 
+void wp_downstream_set_uploads_limit(WPDownstream *f, uint64_t bytes)
+{
+    f->uploads_limit_bytes = bytes;
+}
+
 uint64_t wp_downstream_poll_buffered(WPDownstream *f, WPTime now)
 {
     uint64_t sum = 0;
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -23,12 +23,16 @@
                             answered */
     WPHead head;
     GByteArray *body;
-    const char *head_error; /* why the head is refused, or NULL */
-    bool too_large;         /* the body exceeds the limit */
-    bool request_begun;     /* part of a request has arrived */
-    bool answering;         /* a complete request is being answered */
-    bool closing;           /* only output that is already written is sent */
-    bool dead;              /* freed at the end of the running callback */
+    const char *head_error;  /* why the head is refused, or NULL */
+    bool too_large;          /* the body exceeds the limit */
+    bool no_room;            /* the box takes no further large body now */
+    uint64_t reserved_bytes; /* of what large bodies may take */
+    bool request_begun;      /* part of a request has arrived */
+    bool answering;          /* a complete request is being answered */
+    bool lingers;            /* input is discarded for a while after the last
+                                answer, which the caller else might not get */
+    bool closing;            /* only output that is already written is sent */
+    bool dead;               /* freed at the end of the running callback */
     bool in_callback;
     bool keep_alive;    /* the caller allows another request */
     bool chunked;       /* the answer is sent in chunks */
@@ -71,6 +75,10 @@
    follows from them, changes only for connections that are accepted later. */
 void wp_downstream_set_limits(WPDownstream *f, const WPRouteLimits *limits);
 
+/* Sets how many bytes the bodies of large requests may take together, from
+   their heads to their answers; 0: no limit. Further ones are refused. */
+void wp_downstream_set_uploads_limit(WPDownstream *f, uint64_t bytes);
+
 /* Starts to drain: from now on each answer closes its connection, so that the
    caller connects to another box. */
 void wp_downstream_start_drain(WPDownstream *f);
--- a/src/wp_buffered.c
+++ b/src/wp_buffered.c
@@ -8,6 +8,9 @@
 /* The share of the limit below which `over_limit` ends. */
 #define END_SHARE 0.75
 
+/* What large requests may take of the limit. */
+#define UPLOADS_SHARE 0.5
+
 enum {
     DEFAULT_MEMORY_MB = 160, /* when the machine's memory is unknown */
     MB = 1 << 20
@@ -17,6 +20,7 @@
 {
     double mb = memory_mb > 0 ? memory_mb : DEFAULT_MEMORY_MB;
     h->limit_bytes = (uint64_t)(MEMORY_SHARE * mb * MB);
+    h->uploads_limit_bytes = (uint64_t)(UPLOADS_SHARE * (double)h->limit_bytes);
 }
 
 bool wp_buffered_update(WPBuffered *h, uint64_t bytes)
--- a/src/wp_buffered.h
+++ b/src/wp_buffered.h
@@ -10,6 +10,9 @@
 enum {
     /* Bytes of one request or answer that are accepted even above the limit. */
     WP_BUFFERED_EXEMPT_BYTES = 64 << 10,
+    /* After this time a caller whose large request finds no room should
+       retry. */
+    WP_BUFFERED_RETRY_S = 1,
     /* Above the limit, the connection of a caller that reads nothing for this
        time is closed. */
     WP_BUFFERED_READ_TIMEOUT_MS = 3000
@@ -17,6 +20,10 @@
 
 typedef struct WPBuffered {
     uint64_t limit_bytes;
+    /* What large requests may take of it, from their heads to their answers.
+       Requests that are read only in part never reach the limit by themselves,
+       so that pausing them always lets something else go on. */
+    uint64_t uploads_limit_bytes;
     uint64_t bytes;  /* as of the last update */
     bool over_limit; /* above the limit: nothing larger than
                         WP_BUFFERED_EXEMPT_BYTES is accepted */
--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -65,7 +65,9 @@
       "the head of the request is too large")                                  \
     X(HEAD_SLOW, "head_too_slow", 408, NOT_RUN,                                \
       "the request did not arrive in time")                                    \
-    X(NO_ROUTE, "no_route", 404, NOT_RUN, "no route for this host and path")
+    X(NO_ROUTE, "no_route", 404, NOT_RUN, "no route for this host and path")   \
+    X(NO_MEMORY, "no_memory", 503, NOT_RUN,                                    \
+      "too many large requests arrive at this box")
 
 typedef enum WPCode {
 #define X(name, code, status, ran, text) WP_##name,
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -29,6 +29,7 @@
     WPTime now;
     char *answer;
     unsigned requests, gone, refused, closed;
+    WPCode last_refusal;
     uint16_t port;
 } World;
 
@@ -55,9 +56,10 @@
 
 static void on_refused(void *arg, WPCode code, const char *detail)
 {
-    (void)code;
+    World *w = arg;
     (void)detail;
-    ((World *)arg)->refused++;
+    w->last_refusal = code;
+    w->refused++;
 }
 
 static const WPDownstreamOps ops = { on_request, on_gone, on_drained,
@@ -248,6 +250,84 @@
     close_world(&w);
 }
 
+/* Begins an upload of BODY_BYTES on a new connection. */
+static int begin_upload(World *w)
+{
+    int fd = dial(w, false);
+    tick(w);
+    g_autofree char *head = g_strdup_printf(
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n",
+        BODY_BYTES);
+    assert_int_equal(write(fd, head, strlen(head)), strlen(head));
+    tick(w);
+    return fd;
+}
+
+/* Sends the bodies, a chunk of each by turns, until `requests` have arrived. */
+static void finish_uploads(World *w, const int fd[], unsigned n,
+                           unsigned requests)
+{
+    size_t unsent[SLOW_CALLERS];
+    int64_t end_us = g_get_monotonic_time() + TIMEOUT_MS * WP_US_PER_MS;
+    for (unsigned i = 0; i < n; i++)
+        unsent[i] = BODY_BYTES;
+    while (w->requests < requests && g_get_monotonic_time() < end_us) {
+        for (unsigned i = 0; i < n; i++)
+            send_chunk(fd[i], &unsent[i]);
+        event_base_loop(w->base, EVLOOP_NONBLOCK);
+    }
+    assert_int_equal(w->requests, requests);
+}
+
+/* Guards against uploads that pause each other at the limit of buffered bytes,
+   so that none of them is ever complete. */
+static void large_uploads_at_once_do_not_hang_each_other(void **state)
+{
+    enum { FIT = 3 };
+    World w;
+    int fd[SLOW_CALLERS];
+    char answer[64] = "";
+    (void)state;
+    open_world(&w, 512);
+    wp_downstream_set_uploads_limit(w.downstream,
+                                    FIT * BODY_BYTES + BODY_BYTES / 2);
+    for (unsigned i = 0; i < SLOW_CALLERS; i++)
+        fd[i] = begin_upload(&w);
+    /* Those that do not fit are refused at once, and the callers learn it. */
+    assert_int_equal(w.refused, SLOW_CALLERS - FIT);
+    assert_int_equal(w.last_refusal, WP_NO_MEMORY);
+    assert_true(read(fd[FIT], answer, sizeof(answer) - 1) > 0);
+    assert_non_null(strstr(answer, "HTTP/1.1 503"));
+    finish_uploads(&w, fd, FIT, FIT);
+    /* There is room for others then. */
+    int later = begin_upload(&w);
+    finish_uploads(&w, &later, 1, FIT + 1);
+    assert_int_equal(w.refused, SLOW_CALLERS - FIT);
+    for (unsigned i = 0; i < SLOW_CALLERS; i++)
+        close(fd[i]);
+    close(later);
+    close_world(&w);
+}
+
+/* A body that is longer than any may be is told so, not to come back. */
+static void a_length_above_the_limit_is_refused_as_too_large(void **state)
+{
+    static const char text[] = "POST /x HTTP/1.1\r\nHost: h\r\n"
+                               "Content-Length: 999999999\r\n\r\nx";
+    World w;
+    (void)state;
+    open_world(&w, 512);
+    wp_downstream_set_uploads_limit(w.downstream, BODY_BYTES);
+    int fd = dial(&w, false);
+    tick(&w);
+    assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+    tick(&w);
+    assert_int_equal(w.refused, 1);
+    assert_int_equal(w.last_refusal, WP_TOO_LARGE);
+    close(fd);
+    close_world(&w);
+}
+
 /* Asks for an answer on a new connection that takes little at a time. */
 static int begin_slow_answer(World *w)
 {
@@ -330,5 +410,7 @@
 
 TESTS_MAIN(T(limit_has_hysteresis), T(callers_that_do_not_read_are_closed),
            T(large_bodies_wait_above_the_limit),
+           T(large_uploads_at_once_do_not_hang_each_other),
+           T(a_length_above_the_limit_is_refused_as_too_large),
            T(a_planned_stop_does_not_cut_answers_that_are_read),
            T(the_idle_timeout_does_not_cut_an_answer_that_is_read))
