--- a/review/rig.c
+++ b/review/rig.c
@@ -605,7 +605,8 @@
     return false;
 }
 
-void rig_read(RigAnswer *a, int64_t until_ms, size_t step, int64_t pause_us)
+static void read_answer(RigAnswer *a, int64_t until_ms, size_t step,
+                        int64_t pause_us, size_t pause_after, int64_t pause_ms)
 {
     char buf[65536];
     size_t n = 0;
@@ -636,6 +637,12 @@
                                   pause_us % 1000000 * 1000 };
             nanosleep(&t, NULL);
         }
+        if (pause_ms && a->bytes >= pause_after) {
+            rig_note("the caller of %s reads nothing for %ld ms", a->id,
+                     (long)pause_ms);
+            rig_sleep_ms(pause_ms);
+            pause_ms = 0;
+        }
         ssize_t k = receive(a->fd, buf, step, until_ms);
         if (k <= 0) {
             a->closed = !k;
@@ -646,6 +653,17 @@
     a->ended_ms = rig_ms();
 }
 
+void rig_read(RigAnswer *a, int64_t until_ms, size_t step, int64_t pause_us)
+{
+    read_answer(a, until_ms, step, pause_us, 0, 0);
+}
+
+void rig_read_pausing(RigAnswer *a, int64_t until_ms, size_t pause_after,
+                      int64_t pause_ms)
+{
+    read_answer(a, until_ms, 0, 0, pause_after, pause_ms);
+}
+
 void rig_note_answer(const char *who, const RigAnswer *a)
 {
     rig_note("%s: request %s sent at %.3f, %s%d, %zu bytes of body, %s%s at "
--- a/review/rig.h
+++ b/review/rig.h
@@ -115,6 +115,9 @@
 /* Reads the answer to its end, until `until_ms` at most. With `pause_us`, waits
    so long before each read of `step` bytes. */
 void rig_read(RigAnswer *a, int64_t until_ms, size_t step, int64_t pause_us);
+/* The same, but reads nothing for `pause_ms` once, after `pause_after` bytes. */
+void rig_read_pausing(RigAnswer *a, int64_t until_ms, size_t pause_after,
+                      int64_t pause_ms);
 void rig_note_answer(const char *who, const RigAnswer *a);
 
 #endif
