--- a/review/rig.c
+++ b/review/rig.c
@@ -425,8 +425,11 @@
         const char *named = rig_field(&c->head, "X-Expect-Replica");
         if (named && strcmp(named, c->replica->id))
             rig_reply(c, 421, "X-Not-Executed: 1\r\n", "");
-        else
+        else {
+            rig_note("replica %s gets %s %s, request %s", c->replica->id,
+                     c->head.method, c->head.target, c->id);
             c->replica->serve(c);
+        }
     }
     close(c->fd);
     free(c);
@@ -544,6 +547,7 @@
                     method, target, a->id, fields ? fields : "", strlen(body),
                     body);
     a->sent_ms = rig_ms();
+    rig_note("sent: %s %s, request %s", method, target, a->id);
     rig_send(fd, text, (size_t)n);
     free(text);
 }
