--- a/review/rig.c
+++ b/review/rig.c
@@ -144,24 +144,48 @@
     return a;
 }
 
-static int listen_on(uint16_t *port)
+/* Listens on `*port`; 0: on any, which it is set to. Returns -1 if the port is
+   taken. */
+static int try_listen(uint16_t *port)
 {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), one = 1;
     struct sockaddr_in a = loopback(*port);
     socklen_t n = sizeof(a);
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     if (bind(fd, (struct sockaddr *)&a, n) || listen(fd, 512) ||
-        getsockname(fd, (struct sockaddr *)&a, &n))
-        rig_die("no port to listen on: %s", strerror(errno));
+        getsockname(fd, (struct sockaddr *)&a, &n)) {
+        close(fd);
+        return -1;
+    }
     *port = ntohs(a.sin_port);
     return fd;
 }
 
+static int listen_on(uint16_t *port)
+{
+    int fd = try_listen(port);
+    if (fd < 0)
+        rig_die("no port to listen on: %s", strerror(errno));
+    return fd;
+}
+
+/* Below the ports that the system gives to outgoing connections, so that the
+   port is free again when its process starts anew. */
 uint16_t rig_free_port(void)
 {
-    uint16_t port = 0;
-    close(listen_on(&port));
-    return port;
+    static uint16_t next;
+    if (!next)
+        next = (uint16_t)(15000 + (unsigned)getpid() * 37 % 16000);
+    for (int i = 0; i < 1000; i++) {
+        uint16_t port = next;
+        next = (uint16_t)(next < 31999 ? next + 1 : 15000);
+        int fd = try_listen(&port);
+        if (fd < 0)
+            continue;
+        close(fd);
+        return port;
+    }
+    rig_die("no free port");
 }
 
 static pid_t spawn(const char *program, const char *settings, const char *log)
