--- a/review/6/case.c
+++ b/review/6/case.c
@@ -9,12 +9,12 @@
 #include <unistd.h>
 
 enum {
-    REPLICAS = 4,
-    FAULTY = 2,    /* share .5 */
+    REPLICAS = 12,
+    FAULTY = 6,    /* share .5 */
     ONE_IN = 100,  /* each of two ways: x .02 together */
-    CALLERS = 16,
+    CALLERS = 40,
     EVENTS = 4,
-    MOST_S = 95,   /* until a stream is broken; */
+    MOST_S = 105,  /* until a stream is broken; */
     QUIET_S = 15,  /* without the disruption */
     NOTE_EACH = 20000
 };
@@ -114,6 +114,7 @@
                      "\"targetLatencyMs\":2000,\"maxAttempts\":3,"
                      "\"priority\":1}",
                      "{\"name\":\"llm\",\"maxConnections\":230}", NULL);
+    rig_set_slots(4);
     for (unsigned i = 0; i < REPLICAS; i++) {
         char id[16];
         snprintf(id, sizeof(id), "i-%u", i + 1);
--- a/review/rig.c
+++ b/review/rig.c
@@ -28,6 +28,7 @@
 static unsigned n_boxes;
 static unsigned n_requests;
 static bool quiet;
+static unsigned slots = 64;
 
 void rig_note_each(bool each)
 {
@@ -405,19 +406,25 @@
     return NULL;
 }
 
-/* Reads a head byte by byte; false: the connection ended. */
+/* Reads a head, and nothing beyond it; false: the connection ended. */
 static bool read_head(int fd, RigHead *h)
 {
     size_t n = 0;
-    while (n + 1 < sizeof(h->text)) {
-        ssize_t k = recv(fd, h->text + n, 1, 0);
+    for (;;) {
+        ssize_t k = recv(fd, h->text + n, sizeof(h->text) - 1 - n, MSG_PEEK);
         if (k <= 0)
             return false;
-        h->text[++n] = 0;
-        if (n >= 4 && !memcmp(h->text + n - 4, "\r\n\r\n", 4))
+        h->text[n + (size_t)k] = 0;
+        const char *end = strstr(h->text + (n > 3 ? n - 3 : 0), "\r\n\r\n");
+        size_t whole = end ? (size_t)(end + 4 - h->text) : n + (size_t)k;
+        k = recv(fd, h->text + n, whole - n, MSG_WAITALL);
+        if (k != (ssize_t)(whole - n))
+            return false;
+        n = whole;
+        h->text[n] = 0;
+        if (end)
             return true;
     }
-    return false;
 }
 
 typedef struct Connection {
@@ -489,6 +496,11 @@
     return NULL;
 }
 
+void rig_set_slots(unsigned n)
+{
+    slots = n;
+}
+
 RigReplica *rig_start_replica(const char *id, const char *service,
                               const char *version, RigServe serve)
 {
@@ -510,8 +522,8 @@
     rig_control_store(
         "{\"put\":{\"key\":\"servers/%s\",\"value\":{\"service\":\"%s\","
         "\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"%s\","
-        "\"slots\":64,\"state\":\"%s\",\"coldLeftMs\":0,\"callSeq\":0}}}",
-        r->id, r->service, r->port, r->zone, r->version, state);
+        "\"slots\":%u,\"state\":\"%s\",\"coldLeftMs\":0,\"callSeq\":0}}}",
+        r->id, r->service, r->port, r->zone, r->version, slots, state);
 }
 
 void rig_unregister(const RigReplica *r)
--- a/review/rig.h
+++ b/review/rig.h
@@ -85,6 +85,8 @@
     RigServe serve;
     void *arg;
 };
+/* Requests at once that replicas state from now on; 64 at first. */
+void rig_set_slots(unsigned n);
 RigReplica *rig_start_replica(const char *id, const char *service,
                               const char *version, RigServe serve);
 void rig_register(const RigReplica *r, const char *state);
