Only an event stream resumes a stream

Cause: wp_flow_on_answer() let any sealed answer below 500 resume a stream, and the relay took a 200 for events whatever its type.

What may resume a stream is decided in one place, at the head: status 200, sealed, events, no length that the first answer lacked. Anything else is an invalid answer, which counts against endpoint and version but not as a crash; another endpoint is asked, or the stream is broken off.

--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -267,25 +267,56 @@
         wp_sync_schedule_notices(r->host->sync);
 }
 
+/* Lets the flow decide on the answer, and does what follows. */
+static void decide_on_answer(WPRelay *r)
+{
+    WPReplica *s = wp_replica_ref(r->flow->attempt.replica);
+    WPFlowAction m;
+    wp_flow_on_answer(r->flow, wp_clock_now(0), &r->answer, &m);
+    if (r->flow->answer_fault)
+        wp_relay_note_invalid(r, s->id, WP_C_BAD_RESUMPTIONS,
+                              r->flow->answer_fault);
+    wp_replica_unref(s);
+    wp_sync_schedule_zone_updates(r->host->sync);
+    do_action(r, &m);
+}
+
+/* Whether the media type is text/event-stream, whatever its parameters. */
+static bool is_event_stream(WPStr type)
+{
+    static const char name[] = "text/event-stream";
+    WPStr media = wp_str_trim(wp_str_cut(&type, ';'));
+    return media.n == strlen(name) &&
+           !g_ascii_strncasecmp(media.p, name, media.n);
+}
+
+static void read_framing(const WPHead *h, WPDirectAnswer *out)
+{
+    unsigned lengths;
+    wp_head_get(h, "Content-Length", &lengths);
+    out->until_close = h->until_close;
+    out->has_length = lengths > 0;
+    out->is_event_stream =
+        is_event_stream(wp_head_get(h, "Content-Type", NULL));
+}
+
 /* The head of an attempt's answer has come. The flow decides at once on a
-   stream that succeeds; any other answer is read to its end first. */
+   stream that succeeds and on an answer that is to resume one; any other answer
+   is read to its end first. */
 static void on_head(void *arg, const WPHead *h)
 {
     WPRelay *r = arg;
-    WPFlowAction m;
     r->host->platform->read_answer(h, &r->answer);
-    r->answer.until_close = h->until_close;
+    read_framing(h, &r->answer);
     wp_relay_note_answer(r);
     note_head(r);
     if (!r->stream_begun)
         keep_fields(r, h);
     r->answer_streams = r->flow->route->retry_policy == WP_RETRY_STREAM &&
                         h->status == 200 && !r->answer.not_run;
-    if (!r->answer_streams)
+    if (!r->answer_streams && (!r->stream_begun || r->answer.not_run))
         return;
-    wp_flow_on_answer(r->flow, wp_clock_now(0), &r->answer, &m);
-    wp_sync_schedule_zone_updates(r->host->sync);
-    do_action(r, &m);
+    decide_on_answer(r);
 }
 
 static void fail_attempt(WPRelay *r, const char *how)
@@ -393,7 +424,6 @@
 static void on_complete(void *arg)
 {
     WPRelay *r = arg;
-    WPFlowAction m;
     r->upstream_conn = NULL;
     if (r->forwards_stream && ended_inside_event(r)) {
         lose_attempt(r, WP_LOSS_BROKEN, "broken");
@@ -403,9 +433,7 @@
         finish_stream(r);
         return;
     }
-    wp_flow_on_answer(r->flow, wp_clock_now(0), &r->answer, &m);
-    wp_sync_schedule_zone_updates(r->host->sync);
-    do_action(r, &m);
+    decide_on_answer(r);
 }
 
 static void on_lost(void *arg, bool sent, bool began)
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -72,6 +72,11 @@
 /* Appends to the log line that the request waits for a slot. */
 void wp_relay_note_wait(WPRelay *r, uint32_t ms);
 
+/* Logs and counts, as `kind`, an answer of `endpoint` that breaks the protocol.
+   `fault` says how. */
+void wp_relay_note_invalid(WPRelay *r, const char *endpoint, WPCounter kind,
+                           const char *fault);
+
 /* Appends to the log line how the present attempt ended. */
 void wp_relay_note_result(WPRelay *r, const char *how);
 
--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -173,6 +173,18 @@
     g_string_append_printf(r->attempts_text, ":%s", how);
 }
 
+void wp_relay_note_invalid(WPRelay *r, const char *endpoint, WPCounter kind,
+                           const char *fault)
+{
+    char status[NUMBER_SIZE];
+    snprintf(status, sizeof(status), "%d", r->answer.status);
+    wp_count(&r->host->direct.counters, kind);
+    wp_relay_note_result(r, "invalid");
+    wp_log(&r->host->log, WP_INFO, "answer_invalid", "endpoint", endpoint,
+           "kind", wp_counter_name(kind), "why", fault, "status", status, "id",
+           r->flow->id, NULL);
+}
+
 void wp_relay_note_events(WPRelay *r)
 {
     const WPAttempt *attempt = &r->flow->attempt;
--- a/src/wp_counters.c
+++ b/src/wp_counters.c
@@ -71,6 +71,11 @@
         name, labels, h->count, name, labels, h->sum, name, labels, h->count);
 }
 
+const char *wp_counter_name(WPCounter which)
+{
+    return rows[which].metric;
+}
+
 void wp_counters_text(const WPCounters *c, const char *labels, GString *out)
 {
     for (unsigned i = 0; i < WP_COUNTER_COUNT; i++)
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -57,6 +57,8 @@
       "calls with a report that was not taken")                                \
     X(REPORTS_MISSED, "usage_windows_missed_total",                            \
       "windows of usage that nobody was told of in time")                      \
+    X(BAD_RESUMPTIONS, "answers_bad_resumption_total",                         \
+      "answers that cannot resume the stream that they were to resume")        \
     X(FAILS_LOADED, "fails_loaded_total",                                      \
       "versions found to fail on half-full endpoints")
 
@@ -97,6 +99,9 @@
     c->value[which]++;
 }
 
+/* The counter's name among the metrics. */
+const char *wp_counter_name(WPCounter which);
+
 /* Appends all metrics to `out` in the Prometheus text format. `labels`, such as
    `box="e1"`, are added to each sample. */
 void wp_counters_text(const WPCounters *c, const char *labels, GString *out);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -191,7 +191,9 @@
     int status;
     bool until_close; /* it has neither a length nor chunks, and ends with its
                          connection */
-    bool not_run;     /* the endpoint says that it did not run the request */
+    bool has_length;  /* it has a Content-Length */
+    bool is_event_stream; /* its body is text/event-stream */
+    bool not_run;        /* the endpoint says that it did not run the request */
     bool wrong_endpoint; /* the answer is of another endpoint, which has this
                             address now */
     bool has_seal;  /* carries the endpoint's seal, so the endpoint itself has
@@ -211,7 +213,9 @@
 typedef enum WPAttemptLoss {
     WP_LOSS_UNSENT,    /* nothing of the request was sent */
     WP_LOSS_NO_ANSWER, /* it may have run; no answer has begun */
-    WP_LOSS_BROKEN     /* the answer broke off or was invalid */
+    WP_LOSS_BROKEN,    /* the answer broke off */
+    WP_LOSS_INVALID    /* the answer broke the protocol: its endpoint is alive
+                          and faulty */
 } WPAttemptLoss;
 
 enum { WP_FLOW_TRIED_MAX = 8 }; /* endpoints that a flow remembers */
@@ -280,7 +284,11 @@
     WPReplica *tried[WP_FLOW_TRIED_MAX]; /* endpoints of ended attempts, a
                                             reference to each */
     size_t n_tried;
-    bool answer_started;       /* the caller has been sent part of an answer */
+    bool answer_started; /* the caller has been sent part of an answer */
+    /* why the last answer cannot resume the stream; NULL: it can */
+    const char *answer_fault;
+    bool began_with_events;    /* its head is of text/event-stream */
+    bool began_with_length;    /* its head has a Content-Length */
     bool endpoint_failed;      /* the caller gets an endpoint's own failure */
     bool first_byte_timed_out; /* it left an endpoint whose first byte was
                                   overdue; once at the most, but for contended
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -501,9 +501,11 @@
         end_not_sent(f, now, out);
 }
 
-static void pass_answer(WPFlow *f, WPFlowAction *out)
+static void pass_answer(WPFlow *f, const WPDirectAnswer *a, WPFlowAction *out)
 {
     f->answer_started = true;
+    f->began_with_events = a->is_event_stream;
+    f->began_with_length = a->has_length;
     *out = (WPFlowAction){ .kind = WP_FLOW_FORWARD };
 }
 
@@ -517,7 +519,8 @@
 
 /* Asks the largest model for a better answer. If that attempt cannot begin, the
    caller gets the answer in hand. */
-static void try_escalation(WPFlow *f, WPTime now, WPFlowAction *out)
+static void try_escalation(WPFlow *f, WPTime now, const WPDirectAnswer *a,
+                           WPFlowAction *out)
 {
     WPAttempt previous;
     unsigned step = f->step;
@@ -532,7 +535,7 @@
     f->attempts_run--;
     f->step = step;
     f->kept_reason = f->retry_budget_spent ? "budget" : "no_endpoint";
-    pass_answer(f, out);
+    pass_answer(f, a, out);
 }
 
 static WPAttemptOutcome refusal_outcome(const WPDirectAnswer *a)
@@ -543,6 +546,17 @@
                                        : WP_OUTCOME_REFUSED;
 }
 
+/* Returns NULL if the answer of the endpoint that resumes a stream can follow
+   the head that the caller has, else what is wrong. */
+static const char *resumption_fault(const WPFlow *f, const WPDirectAnswer *a)
+{
+    if (a->status != 200)
+        return "status";
+    if (f->began_with_events && !a->is_event_stream)
+        return "no event stream";
+    return a->has_length && !f->began_with_length ? "length" : NULL;
+}
+
 void wp_flow_on_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
                        WPFlowAction *out)
 {
@@ -555,6 +569,12 @@
         wp_flow_on_lost(f, now, WP_LOSS_BROKEN, out);
         return;
     }
+    f->answer_fault =
+        f->answer_started && !failed ? resumption_fault(f, a) : NULL;
+    if (f->answer_fault) {
+        wp_flow_on_lost(f, now, WP_LOSS_INVALID, out);
+        return;
+    }
     wp_flow_record_first_byte(f, now);
     f->attempt.until_close = a->until_close;
     if (failed)
@@ -577,9 +597,9 @@
     if (f->answer_started) /* a stream that was resumed at another endpoint */
         *out = (WPFlowAction){ .kind = WP_FLOW_FORWARD };
     else if (wp_flow_should_escalate(f, now, a))
-        try_escalation(f, now, out);
+        try_escalation(f, now, a, out);
     else
-        pass_answer(f, out);
+        pass_answer(f, a, out);
 }
 
 void wp_flow_on_lost(WPFlow *f, WPTime now, WPAttemptLoss how,
@@ -593,7 +613,10 @@
     }
     f->attempts_run++;
     WPAttemptOutcome served = wp_flow_loss_outcome(f, how);
-    wp_flow_record_crash(f, now);
+    if (how == WP_LOSS_INVALID)
+        wp_flow_sample_shift(f, true, WP_TIME_UNKNOWN);
+    else
+        wp_flow_record_crash(f, now);
     end_present_attempt(f, now, served);
     WPAttemptReason why =
         f->answer_started ? WP_ATTEMPT_RESUME : WP_ATTEMPT_RETRY;
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -418,6 +418,42 @@
     fake_end(&k);
 }
 
+/* Guards against the head of an answer, or a body that is no stream, in the
+   middle of the caller's stream: the endpoint that resumes it answers with
+   another status or another kind of body. */
+static void another_answer_inside_a_resumed_stream(void **state)
+{
+    static const int statuses[] = {
+        201, 204, 206, 302, 304, 400, 404, 500, 503
+    };
+    Fake k;
+    WPFlowAction m;
+    WPDirectAnswer head = fake_answer(200, 90);
+    (void)state;
+    head.is_event_stream = true;
+    fake_init(&k);
+    for (size_t i = 0; i < WP_COUNT(statuses) + 3; i++) {
+        bool is_status = i < WP_COUNT(statuses);
+        WPDirectAnswer other = head;
+        if (is_status)
+            other.status = statuses[i];
+        other.is_event_stream = i != WP_COUNT(statuses);
+        other.has_length = i == WP_COUNT(statuses) + 1;
+        other.has_seal = i != WP_COUNT(statuses) + 2;
+        WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+        wp_flow_on_answer(f, k.now, &head, &m);
+        wp_flow_on_lost(f, k.now, WP_LOSS_BROKEN, &m);
+        assert_int_equal(m.reason, WP_ATTEMPT_RESUME);
+        wp_flow_on_answer(f, k.now, &other, &m);
+        assert_int_equal(m.kind, WP_FLOW_SEND);
+        wp_flow_on_answer(f, k.now, &other, &m);
+        assert_int_equal(m.kind, WP_FLOW_ABORT);
+        wp_flow_free(f);
+        fake_advance(&k, 20000);
+    }
+    fake_end(&k);
+}
+
 static void route_time_limit_gives_504(void **state)
 {
     Fake k;
@@ -654,9 +690,10 @@
            T(another_endpoint_at_the_address_is_not_used),
            T(poor_answer_escalates_to_the_largest_model),
            T(answer_in_hand_is_kept_before_the_last_attempt),
-           T(broken_stream_is_resumed_elsewhere), T(route_time_limit_gives_504),
-           T(keys_and_routes_are_checked), T(older_routes_are_rejected),
-           T(retries_stay_within_the_budget),
+           T(broken_stream_is_resumed_elsewhere),
+           T(another_answer_inside_a_resumed_stream),
+           T(route_time_limit_gives_504), T(keys_and_routes_are_checked),
+           T(older_routes_are_rejected), T(retries_stay_within_the_budget),
            T(requests_that_waited_for_a_frozen_box_add_no_retries),
            T(first_byte_timeout_tries_another_endpoint),
            T(longest_event_gap_is_recorded))
