Heads of answers are checked as strictly as those of requests

Cause: heads of requests were checked by wp_h1_head_is_strict(), those of answers by http_parser alone, which is lenient. Ruled out: write_head() spoils nothing itself.

src/wp_head_check.c checks the heads of both directions line by line before the parser gets them. An answer that fails closes its connection, counts against endpoint and version, and another endpoint is asked where the route allows it. Related paths: trailers are fields, 204 and 304 are written and read without a body, requests with a bare LF are refused at once. The tests of ambiguous request heads are the same cases on the new function.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -127,24 +127,10 @@
                               wp_str(body));
 }
 
-/* Returns NULL, or why the head is refused. More than one length, or an unknown
-   encoding, would leave the end of the body ambiguous. */
+/* Returns NULL, or why the head is refused. */
 static const char *check_head(const WPHead *h)
 {
     unsigned n;
-    WPStr te = wp_head_get(h, "Transfer-Encoding", &n);
-    if (n > 1 || (n == 1 && (te.n != strlen("chunked") ||
-                             g_ascii_strncasecmp(te.p, "chunked", te.n))))
-        return "unknown transfer encoding";
-    bool chunked = n == 1;
-    WPStr length = wp_head_get(h, "Content-Length", &n);
-    if (n > 1 || (n && chunked))
-        return "more than one length";
-    for (size_t i = 0; i < length.n; i++)
-        if (!g_ascii_isdigit(length.p[i]))
-            return "malformed length";
-    if (n && !length.n)
-        return "malformed length";
     wp_head_get(h, "Host", &n);
     if (n != 1)
         return "exactly one Host is needed";
@@ -183,26 +169,6 @@
 
 static const WPH1Ops h1_ops = { on_head, on_body };
 
-/* Checks the head at the start of the input. Returns true if it is complete and
-   may be parsed; refuses it if it is too large or malformed. */
-static bool head_ready(WPDownstreamConn *p)
-{
-    struct evbuffer *in = bufferevent_get_input(p->bev);
-    size_t n = wp_h1_head_length(in), have = evbuffer_get_length(in);
-    if (!n && have <= p->downstream->limits.head_bytes)
-        return false;
-    if (!n || n > p->downstream->limits.head_bytes) {
-        refuse(p, WP_HEAD_TOO_LARGE, "the head is too large");
-        return false;
-    }
-    const char *text = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
-    if (!wp_h1_head_is_strict(text, n)) {
-        refuse(p, WP_BAD_REQUEST, "malformed head");
-        return false;
-    }
-    return true;
-}
-
 static void on_complete(WPDownstreamConn *p)
 {
     p->request_begun = false;
@@ -238,11 +204,13 @@
             p->request_begun = true;
             set_timer(p, p->downstream->limits.head_ms);
         }
-        if (!p->h1.has_head && !head_ready(p))
-            return;
+        p->h1.head_max_bytes = p->downstream->limits.head_bytes;
         WPH1State st = wp_h1_feed(&p->h1, in);
+        if (st == WP_H1_MORE && !p->h1.has_head)
+            return;
         if (st == WP_H1_ERROR)
-            refuse(p, WP_BAD_REQUEST, "malformed request");
+            refuse(p, p->h1.head_too_large ? WP_HEAD_TOO_LARGE : WP_BAD_REQUEST,
+                   p->h1.fault);
         else if (p->head_error || p->too_large || p->no_room ||
                  st == WP_H1_COMPLETE)
             on_complete(p);
@@ -407,9 +375,12 @@
                                WPStr body)
 {
     struct evbuffer *out = bufferevent_get_output(p->bev);
+    bool bodiless = wp_status_is_bodiless(status);
     write_head(p, status, fields);
-    evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n", body.n);
-    if (!p->is_head)
+    if (!bodiless)
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.n);
+    evbuffer_add(out, "\r\n", 2);
+    if (!p->is_head && !bodiless)
         evbuffer_add(out, body.p, body.n);
     finish_answer(p);
 }
--- a/io/wp_h1.c
+++ b/io/wp_h1.c
@@ -59,10 +59,9 @@
    neither a length nor chunked encoding. */
 static bool ends_with_connection(const http_parser *p)
 {
-    bool bodiless = p->status_code / 100 == 1 || p->status_code == 204 ||
-                    p->status_code == 304;
-    return p->type == HTTP_RESPONSE && !bodiless && !(p->flags & F_CHUNKED) &&
-           p->content_length == UINT64_MAX;
+    return p->type == HTTP_RESPONSE &&
+           !wp_status_is_bodiless((int)p->status_code) &&
+           !(p->flags & F_CHUNKED) && p->content_length == UINT64_MAX;
 }
 
 /* Passes the complete head to `ops->head`. Returns 1 if no body follows, by the
@@ -86,7 +85,7 @@
                     .n_fields = h->fields->len,
                     .keep_alive = http_should_keep_alive(p),
                     .until_close = ends_with_connection(p) };
-    if (!h->ops->head(h->arg, &head))
+    if (!h->ops->head(h->arg, &head) || (!request && p->status_code == 304))
         return 1;
     h->chunked = p->flags & F_CHUNKED;
     h->head_paused = h->chunked;
@@ -127,6 +126,8 @@
     h->parser.data = h;
     h->ops = ops;
     h->arg = arg;
+    h->head_max_bytes = WP_H1_HEAD_MAX_BYTES;
+    h->check.is_request = requests;
     h->text = g_byte_array_new();
     h->spans = g_array_new(FALSE, FALSE, sizeof(Span));
     h->fields = g_array_new(FALSE, FALSE, sizeof(WPField));
@@ -153,39 +154,74 @@
     h->chunked = false;
     h->head_paused = false;
     h->framing = (WPChunked){ 0 };
+    h->check = (WPHeadCheck){ .is_request = type == HTTP_REQUEST };
+    h->fault = NULL;
+    h->head_too_large = false;
 }
 
-/* Checks the next bytes and returns how many of them the parser may get; 0 if
-   the framing of a chunked body is not valid. */
-static size_t check_next(WPH1 *h, const char *p, size_t n)
+static WPH1State invalid(WPH1 *h, const char *fault)
 {
+    h->fault = fault;
+    return WP_H1_ERROR;
+}
+
+/* Passes the first `n` bytes of the input to the parser. */
+static WPH1State parse(WPH1 *h, struct evbuffer *in, size_t n)
+{
+    const char *p = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
+    size_t n_parsed = http_parser_execute(&h->parser, &settings, p, n);
+    enum http_errno e = HTTP_PARSER_ERRNO(&h->parser);
+    evbuffer_drain(in, n_parsed);
+    if (e != HPE_OK && e != HPE_PAUSED)
+        return invalid(h, http_errno_description(e));
+    if (h->parser.upgrade) /* no protocol switch was requested */
+        return invalid(h, "protocol switch that was not asked for");
+    return h->complete ? WP_H1_COMPLETE : WP_H1_MORE;
+}
+
+/* Waits until the head is complete, checks and parses it. */
+static WPH1State feed_head(WPH1 *h, struct evbuffer *in)
+{
+    size_t n = MIN(evbuffer_get_length(in), h->head_max_bytes);
+    const char *p = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
+    switch (wp_head_check(&h->check, wp_strn(p, n))) {
+    case WP_HEAD_INVALID:
+        return invalid(h, h->check.fault);
+    case WP_HEAD_MORE:
+        h->head_too_large = evbuffer_get_length(in) > n;
+        return h->head_too_large ? invalid(h, "the head is too large")
+                                 : WP_H1_MORE;
+    case WP_HEAD_WHOLE:
+        break;
+    }
+    return parse(h, in, h->check.line_at);
+}
+
+/* Checks and parses the next bytes after the head. */
+static WPH1State feed_body(WPH1 *h, struct evbuffer *in)
+{
+    size_t n = evbuffer_get_contiguous_space(in);
+    const char *p = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
     if (h->head_paused) {
         h->head_paused = false;
         http_parser_pause(&h->parser, 0);
-        return 1;
+        return parse(h, in, 1);
     }
-    return !h->chunked || wp_chunked_check(&h->framing, p, n) ? n : 0;
+    if (h->chunked && !wp_chunked_check(&h->framing, p, n))
+        return invalid(h, "malformed chunk");
+    return parse(h, in, n);
 }
 
 WPH1State wp_h1_feed(WPH1 *h, struct evbuffer *in)
 {
-    while (!h->complete) {
-        size_t n = evbuffer_get_contiguous_space(in);
-        if (!n)
-            return WP_H1_MORE;
-        const char *p = (const char *)evbuffer_pullup(in, (ev_ssize_t)n);
-        n = check_next(h, p, n);
-        if (!n)
-            return WP_H1_ERROR;
-        size_t n_parsed = http_parser_execute(&h->parser, &settings, p, n);
-        enum http_errno e = HTTP_PARSER_ERRNO(&h->parser);
-        evbuffer_drain(in, n_parsed);
-        if (e != HPE_OK && e != HPE_PAUSED)
-            return WP_H1_ERROR;
-        if (h->parser.upgrade) /* no protocol switch was requested */
-            return WP_H1_ERROR;
+    WPH1State st = h->complete ? WP_H1_COMPLETE : WP_H1_MORE;
+    while (st == WP_H1_MORE && evbuffer_get_length(in)) {
+        bool in_head = !h->has_head;
+        st = in_head ? feed_head(h, in) : feed_body(h, in);
+        if (in_head && !h->has_head)
+            break;
     }
-    return WP_H1_COMPLETE;
+    return st;
 }
 
 WPH1State wp_h1_eof(WPH1 *h)
@@ -253,50 +289,3 @@
     return wp_field_is_one_of(f, names, WP_COUNT(names)) ||
            is_in_connection_field(h, f);
 }
-
-size_t wp_h1_head_length(struct evbuffer *in)
-{
-    struct evbuffer_ptr at = evbuffer_search(in, "\n\r\n", 3, NULL);
-    return at.pos < 0 ? 0 : (size_t)at.pos + 3;
-}
-
-static bool is_token_byte(char ch)
-{
-    return g_ascii_isalnum(ch) || (ch && strchr("!#$%&'*+-.^_`|~", ch));
-}
-
-/* Whether `line` begins with a field name and a colon. */
-static bool is_field_line(WPStr line)
-{
-    size_t n = 0;
-    while (n < line.n && is_token_byte(line.p[n]))
-        n++;
-    return n && n < line.n && line.p[n] == ':';
-}
-
-/* Whether `line` has no control characters, tabs aside if `tabs`. */
-static bool is_text(WPStr line, bool tabs)
-{
-    for (size_t i = 0; i < line.n; i++)
-        if (g_ascii_iscntrl(line.p[i]) && !(tabs && line.p[i] == '\t'))
-            return false;
-    return true;
-}
-
-bool wp_h1_head_is_strict(const char *p, size_t n)
-{
-    WPStr rest = wp_strn(p, n);
-    for (size_t i = 0; rest.n; i++) {
-        const char *lf = memchr(rest.p, '\n', rest.n);
-        size_t line_n = lf ? (size_t)(lf - rest.p) : 0;
-        if (!line_n || rest.p[line_n - 1] != '\r')
-            return false;
-        WPStr line = wp_strn(rest.p, line_n - 1);
-        rest = wp_strn(lf + 1, rest.n - line_n - 1);
-        if (!line.n) /* the empty line is the last one */
-            return i && !rest.n;
-        if (!is_text(line, i) || (i && !is_field_line(line)))
-            return false;
-    }
-    return false;
-}
--- a/io/wp_h1.h
+++ b/io/wp_h1.h
@@ -6,6 +6,7 @@
 
 #include "wp_base.h"
 #include "wp_chunked.h"
+#include "wp_head_check.h"
 
 #include <event2/buffer.h>
 #include <http_parser.h>
@@ -28,7 +29,7 @@
     WP_H1_MORE,     /* needs more bytes */
     WP_H1_COMPLETE, /* one message has ended; the bytes after it are left in the
                        buffer */
-    WP_H1_ERROR     /* not valid HTTP, or truncated */
+    WP_H1_ERROR     /* not valid HTTP, or truncated; see WPH1.fault */
 } WPH1State;
 
 typedef struct WPH1Ops {
@@ -51,8 +52,16 @@
     bool chunked;     /* the body is chunked */
     bool head_paused; /* the parser still needs the last byte of the head */
     WPChunked framing;
+    size_t head_max_bytes; /* of a head with its empty line */
+    WPHeadCheck check;     /* of the head, until it is parsed */
+    /* what is not valid, in words; NULL: the message is truncated or valid so
+       far */
+    const char *fault;
+    bool head_too_large; /* the fault is over head_max_bytes */
 } WPH1;
 
+enum { WP_H1_HEAD_MAX_BYTES = 64 << 10 }; /* the default limit of heads */
+
 /* Initializes a parser of requests or of responses; `ops` are called with
    `arg`. */
 void wp_h1_init(WPH1 *h, bool requests, const WPH1Ops *ops, void *arg);
@@ -84,14 +93,4 @@
    must not be forwarded. */
 bool wp_field_is_hop_by_hop(const WPHead *h, const WPField *f);
 
-/* Returns the length of the head at the start of `in`, with its empty line; 0
-   while the head is incomplete. */
-size_t wp_h1_head_length(struct evbuffer *in);
-
-/* Returns whether a head of `n` bytes has only CRLF line ends, no folded lines,
-   no control characters but tabs within field values, and only tokens as field
-   names. Any other head is refused, as two parsers could read it
-   differently (request smuggling). */
-bool wp_h1_head_is_strict(const char *p, size_t n);
-
 #endif
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -448,8 +448,21 @@
         lose_attempt(r, WP_LOSS_NO_ANSWER, "lost");
 }
 
-const WPUpstreamOps wp_relay_upstream_ops = { is_answer, on_head, on_body,
-                                              on_complete, on_lost };
+static void on_invalid(void *arg, bool sent, bool began, const char *fault)
+{
+    WPRelay *r = arg;
+    WPFlowAction m;
+    r->upstream_conn = NULL;
+    wp_relay_note_invalid(r, r->flow->attempt.replica->id,
+                          began ? WP_C_BAD_BODIES : WP_C_BAD_HEADS, fault);
+    wp_flow_on_lost(r->flow, wp_clock_now(0),
+                    sent ? WP_LOSS_INVALID : WP_LOSS_UNSENT, &m);
+    do_action(r, &m);
+}
+
+const WPUpstreamOps wp_relay_upstream_ops = {
+    is_answer, on_head, on_body, on_complete, on_lost, on_invalid
+};
 
 static void on_deadline(evutil_socket_t fd, short what, void *arg)
 {
--- a/io/wp_upstream.c
+++ b/io/wp_upstream.c
@@ -91,15 +91,18 @@
 }
 
 /* Closes the connection, and reports the request in flight, if any, as lost:
-   it gets no complete answer. */
-static void fail_request(WPUpstreamConn *c)
+   it gets no complete answer. `fault`: what is not valid in the bytes from the
+   endpoint; NULL: the connection has ended. */
+static void fail_request(WPUpstreamConn *c, const char *fault)
 {
     WPUpstream *b = c->pool;
     void *arg = c->arg;
     bool sent = was_any_sent(c), began = c->answer_begun;
     c->arg = NULL;
     free_conn(c);
-    if (arg)
+    if (arg && fault)
+        b->ops->invalid(arg, sent, began, fault);
+    else if (arg)
         b->ops->lost(arg, sent, began);
 }
 
@@ -190,7 +193,7 @@
     if (c->dead || st == WP_H1_MORE)
         return false;
     if (st == WP_H1_ERROR) {
-        fail_request(c);
+        fail_request(c, c->h1.fault);
         return false;
     }
     if (c->is_answer) {
@@ -252,7 +255,7 @@
         c->reusable = false;
         finish(c);
     } else if (!c->dead) {
-        fail_request(c);
+        fail_request(c, NULL);
     }
     end_callback(c);
 }
@@ -261,7 +264,7 @@
 {
     (void)fd;
     (void)what;
-    fail_request(arg);
+    fail_request(arg, NULL);
 }
 
 /* Begins to connect to the endpoint, with the time-out `connect_ms`. Returns
--- a/io/wp_upstream.h
+++ b/io/wp_upstream.h
@@ -27,6 +27,10 @@
        `sent`: part of the request may have reached the endpoint. `began`: the
        head of the answer had arrived. */
     void (*lost)(void *arg, bool sent, bool began);
+    /* The endpoint has sent bytes that are no answer in HTTP, and the
+       connection is closed. `sent`, `began`: as above. `fault` says what is
+       wrong. */
+    void (*invalid)(void *arg, bool sent, bool began, const char *fault);
 } WPUpstreamOps;
 
 typedef struct WPUpstreamRules {
--- a/src/wp_chunked.c
+++ b/src/wp_chunked.c
@@ -1,5 +1,6 @@
 /* Strict check of the framing of chunked bodies. */
 #include "wp_chunked.h"
+#include "wp_head_check.h"
 
 enum { DIGITS_MAX = 15 }; /* the size fits into 64 bits */
 
@@ -44,13 +45,17 @@
     return need(c, ch, '\n', c->left ? WP_CHUNKED_DATA : WP_CHUNKED_LINE);
 }
 
-/* The first byte of a trailer line; white space would continue the line
-   before. */
+/* The first byte of a trailer line or of the empty line. */
 static bool line_start(WPChunked *c, char ch)
 {
     if (ch == '\r')
         return go(c, WP_CHUNKED_END_LF);
-    return ch != ' ' && ch != '\t' && is_text(ch) && go(c, WP_CHUNKED_TRAILER);
+    return wp_is_token_byte(ch) && go(c, WP_CHUNKED_TRAILER_NAME);
+}
+
+static bool trailer_name(WPChunked *c, char ch)
+{
+    return wp_is_token_byte(ch) || need(c, ch, ':', WP_CHUNKED_TRAILER);
 }
 
 /* A byte of a line whose content is not interpreted. */
@@ -79,6 +84,8 @@
         return need(c, ch, '\n', WP_CHUNKED_SIZE);
     case WP_CHUNKED_LINE:
         return line_start(c, ch);
+    case WP_CHUNKED_TRAILER_NAME:
+        return trailer_name(c, ch);
     case WP_CHUNKED_TRAILER:
         return text(c, ch, WP_CHUNKED_TRAILER_LF);
     case WP_CHUNKED_TRAILER_LF:
--- a/src/wp_chunked.h
+++ b/src/wp_chunked.h
@@ -17,9 +17,10 @@
     WP_CHUNKED_DATA_CR, /* before the CR after the data */
     WP_CHUNKED_DATA_LF, /* before the LF after the data */
     WP_CHUNKED_LINE,    /* at the start of a trailer line or the empty line */
-    WP_CHUNKED_TRAILER, /* within a trailer line */
-    WP_CHUNKED_TRAILER_LF, /* before the LF of a trailer line */
-    WP_CHUNKED_END_LF,     /* before the LF of the empty line */
+    WP_CHUNKED_TRAILER_NAME, /* within the field name of a trailer line */
+    WP_CHUNKED_TRAILER,      /* within its value */
+    WP_CHUNKED_TRAILER_LF,   /* before the LF of a trailer line */
+    WP_CHUNKED_END_LF,       /* before the LF of the empty line */
     WP_CHUNKED_END
 } WPChunkedState;
 
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -57,6 +57,10 @@
       "calls with a report that was not taken")                                \
     X(REPORTS_MISSED, "usage_windows_missed_total",                            \
       "windows of usage that nobody was told of in time")                      \
+    X(BAD_HEADS, "answers_bad_head_total",                                     \
+      "answers of endpoints whose head is not valid HTTP")                     \
+    X(BAD_BODIES, "answers_bad_body_total",                                    \
+      "answers of endpoints whose body is not framed as HTTP")                 \
     X(BAD_RESUMPTIONS, "answers_bad_resumption_total",                         \
       "answers that cannot resume the stream that they were to resume")        \
     X(FAILS_LOADED, "fails_loaded_total",                                      \
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -19,6 +19,9 @@
  *     in the Retry-After field;
  *   endless: sends bytes without end as the answer to each request; the kinds
  *     are those of endless.h (empty: no such fault);
+ *   raw: sends this text, unchanged but for "{fields}", as the answer to each
+ *     request, and closes the connection; "{fields}" stands for the fields with
+ *     the request's id and the seal (empty: no such fault);
  *   noting: logs each arrival, "CAME - MS ID REQUEST", and what its response
  *     announces: "TOLD leaving MS ID REQUEST", "TOLD SECONDS MS ID REQUEST".
  * Faults of a bad version:
@@ -73,7 +76,7 @@
     char *fail_path; /* prefix of paths that `fail` applies to; NULL: all */
     char *limit;     /* NULL: never set */
     char *leaving, *retry_after; /* NULL or empty: no such field */
-    char *endless;               /* NULL or empty: no such fault */
+    char *endless, *raw;         /* NULL or empty: no such fault */
     int64_t backoff_until_us;
     bool noting;
     unsigned running;
@@ -448,14 +451,48 @@
     log_line(p, line);
 }
 
-static void answer_endlessly(const Replica *p, struct evhttp_request *r,
-                             const char *id)
+static void close_when_sent(struct bufferevent *bev, void *arg)
+{
+    (void)bev;
+    evhttp_connection_free(arg);
+}
+
+static void close_on_event(struct bufferevent *bev, short what, void *arg)
+{
+    (void)what;
+    close_when_sent(bev, arg);
+}
+
+/* Sends `text` and closes the connection. */
+static void answer_raw(struct evhttp_request *r, const char *text)
+{
+    struct evhttp_connection *con = evhttp_request_get_connection(r);
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(con);
+    bufferevent_setcb(bev, NULL, close_when_sent, close_on_event, con);
+    bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    evbuffer_add(bufferevent_get_output(bev), text, strlen(text));
+}
+
+/* Answers with bytes that a sound endpoint does not send. Returns false if none
+   are set. */
+static bool answer_with_fault(const Replica *p, struct evhttp_request *r,
+                              const char *id)
 {
     g_autofree char *fields =
         g_strdup_printf(PF_H_REQUEST_ID ": %s\r\n" PF_H_SEAL ": %s\r\n"
                                         "Content-Type: text/event-stream\r\n",
                         id, p->id);
-    endless_answer(r, p->endless, fields);
+    if (p->endless && *p->endless) {
+        endless_answer(r, p->endless, fields);
+        return true;
+    }
+    if (!p->raw || !*p->raw)
+        return false;
+    g_auto(GStrv) parts = g_strsplit(p->raw, "{fields}", 2);
+    g_autofree char *text = g_strjoinv(fields, parts);
+    answer_raw(r, text);
+    return true;
 }
 
 static void run(Replica *p, struct evhttp_request *r)
@@ -484,10 +521,8 @@
     p->with_caller_fields += wp_http_header(r, PF_H_KEY) != NULL ||
                              wp_http_header(r, PF_H_HOLD) != NULL;
     p->without_workspace += wp_http_header(r, PF_H_WORKSPACE) == NULL;
-    if (p->endless && *p->endless) {
-        answer_endlessly(p, r, id);
+    if (answer_with_fault(p, r, id))
         return;
-    }
     p->running++;
     Run *n = g_new0(Run, 1);
     n->to = p;
@@ -554,6 +589,7 @@
     set_text(j, "leaving", &p->leaving);
     set_text(j, "rest", &p->retry_after);
     set_text(j, "endless", &p->endless);
+    set_text(j, "raw", &p->raw);
     stand_set_number(j, "rest_ms", &backoff_ms);
     if (backoff_ms >= 0)
         p->backoff_until_us =
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -130,9 +130,17 @@
     }
 }
 
+/* Whether the text is one whole and valid head. */
+static bool is_valid(bool request, const char *head, size_t n)
+{
+    WPHeadCheck c = { .is_request = request };
+    return wp_head_check(&c, wp_strn(head, n)) == WP_HEAD_WHOLE &&
+           c.line_at == n;
+}
+
 static bool is_strict(const char *head)
 {
-    return wp_h1_head_is_strict(head, strlen(head));
+    return is_valid(true, head, strlen(head));
 }
 
 static void ambiguous_heads_are_rejected(void **state)
@@ -151,7 +159,7 @@
     assert_false(is_strict("GET /\ta HTTP/1.1\r\nHost: a\r\n\r\n"));
     assert_false(is_strict("GET /\fa HTTP/1.1\r\nHost: a\r\n\r\n"));
     assert_false(is_strict("GET / HTTP/1.1\r\n"));
-    assert_false(wp_h1_head_is_strict("GET /\0 HTTP/1.1\r\n\r\n", 19));
+    assert_false(is_valid(true, "GET /\0 HTTP/1.1\r\n\r\n", 19));
 }
 
 /* Result of parsing an answer. */
