Events are checked against the stream before them

Cause: take_event() judged each event by itself: one without an id was passed on and left the place where it was, any id not above the last one counted as a repetition, and any step but one as a gap.

src/wp_stream.c decides for each event whether it is next, a repetition at the begin of a resumed run, or shows that the run cannot be trusted; then it is not passed on, and the stream is resumed after what the caller has or, where that is not known, broken off. Related path: a stream without ids began again from its start after a break; it is broken off.

--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -131,6 +131,17 @@
     evbuffer_add(out, body->data, body->len);
 }
 
+/* Prepares for the events of another attempt. */
+static void begin_run(WPRelay *r)
+{
+    const WPRoute *route = r->flow->route;
+    bool resumable = route->retry_policy == WP_RETRY_STREAM && route->resumable;
+    wp_stream_set_route(
+        &r->stream, resumable,
+        wp_direct_has_irregular_ids(&r->host->direct, route->name));
+    wp_stream_begin_run(&r->stream);
+}
+
 /* Sends an attempt. Returns false if no connection could be opened. */
 static bool send_attempt(WPRelay *r, const WPFlowAction *m)
 {
@@ -143,7 +154,7 @@
     r->forwards_stream = false;
     r->answer = (WPDirectAnswer){ 0 };
     g_byte_array_set_size(r->body, 0);
-    wp_stream_discard_partial(&r->stream);
+    begin_run(r);
     r->events_before_attempt = r->stream.events;
     r->upstream_conn =
         wp_upstream_send(r->host->upstream, now, m->replica, request,
@@ -319,27 +330,46 @@
     decide_on_answer(r);
 }
 
-static void fail_attempt(WPRelay *r, const char *how)
+/* The present attempt has ended without a complete answer. */
+static void decide_on_loss(WPRelay *r, WPAttemptLoss how, WPFlowAction *out)
+{
+    if (r->stream_begun && !wp_stream_has_place(&r->stream))
+        wp_flow_lose_place(r->flow);
+    wp_flow_on_lost(r->flow, wp_clock_now(0), how, out);
+}
+
+/* Ends an attempt whose answer is not valid. */
+static void fail_attempt(WPRelay *r)
 {
     WPFlowAction m;
-    wp_relay_note_result(r, how);
     cancel_attempt(r);
-    wp_flow_on_lost(r->flow, wp_clock_now(0), WP_LOSS_BROKEN, &m);
+    decide_on_loss(r, WP_LOSS_INVALID, &m);
     do_action(r, &m);
 }
 
-static void forward_events(WPRelay *r, const char *p, size_t n)
+static void fail_invalid(WPRelay *r, WPCounter kind, const char *fault)
+{
+    wp_relay_note_invalid(r, r->flow->attempt.replica->id, kind, fault);
+    fail_attempt(r);
+}
+
+static void send_events(WPRelay *r)
 {
-    g_byte_array_set_size(r->forward_buffer, 0);
-    WPStreamStatus status = wp_stream_feed(&r->stream, p, n, r->forward_buffer);
     wp_downstream_send_chunk(r->downstream_conn, r->forward_buffer->data,
                              r->forward_buffer->len);
     wp_flow_on_events(r->flow, wp_clock_now(0),
                       r->stream.events - r->events_before_attempt);
-    if (status == WP_STREAM_EVENT_MISSING)
-        fail_attempt(r, "event_missing");
+}
+
+static void forward_events(WPRelay *r, const char *p, size_t n)
+{
+    g_byte_array_set_size(r->forward_buffer, 0);
+    WPStreamStatus status = wp_stream_feed(&r->stream, p, n, r->forward_buffer);
+    send_events(r);
+    if (status == WP_STREAM_INVALID)
+        fail_invalid(r, WP_C_BAD_EVENTS, r->stream.fault);
     else if (status == WP_STREAM_ENDLESS)
-        fail_attempt(r, "endless");
+        fail_invalid(r, WP_C_BAD_EVENTS, "too many bytes without an event");
     else if (wp_downstream_is_backlogged(r->downstream_conn))
         wp_upstream_set_paused(r->upstream_conn, true);
 }
@@ -365,7 +395,7 @@
     uint64_t sum = 0;
     wp_list_each (it, &h->relays) {
         const WPRelay *r = wp_list_item(it, WPRelay, node);
-        sum += r->body->len + r->stream.partial->len;
+        sum += r->body->len + r->stream.partial->len + r->stream.held->len;
     }
     return sum;
 }
@@ -379,22 +409,35 @@
     }
 }
 
+static void fail_too_large(WPRelay *r)
+{
+    wp_relay_note_result(r, "too_large");
+    fail_attempt(r);
+}
+
 static void on_body(void *arg, const char *p, size_t n)
 {
     WPRelay *r = arg;
     if (r->forwards_stream)
         forward_events(r, p, n);
     else if (r->body->len + n > BUFFER_MAX_BYTES)
-        fail_attempt(r, "too_large");
+        fail_too_large(r);
     else
         buffer_body(r, p, n);
 }
 
+/* The run has ended properly: the caller gets the end of its stream. */
 static void finish_stream(WPRelay *r)
 {
     WPDownstreamConn *p = r->downstream_conn;
-    wp_downstream_send_chunk(p, r->stream.partial->data,
-                             r->stream.partial->len);
+    g_byte_array_set_size(r->forward_buffer, 0);
+    if (wp_stream_finish(&r->stream, r->forward_buffer) != WP_STREAM_OK) {
+        fail_invalid(r, WP_C_BAD_EVENTS, r->stream.fault);
+        return;
+    }
+    send_events(r);
+    if (r->stream.irregular)
+        wp_direct_note_irregular_ids(&r->host->direct, r->flow->route->name);
     wp_relay_note_events(r);
     wp_flow_on_done(r->flow, wp_clock_now(0),
                     r->stream.events - r->events_before_attempt);
@@ -406,10 +449,10 @@
 /* The connection of the present attempt has ended without a complete answer. */
 static void lose_attempt(WPRelay *r, WPAttemptLoss how, const char *result)
 {
-    WPFlowAction m;
     g_autofree char *at = g_strdup(r->flow->attempt.replica->id);
+    WPFlowAction m;
     wp_relay_note_result(r, result);
-    wp_flow_on_lost(r->flow, wp_clock_now(0), how, &m);
+    decide_on_loss(r, how, &m);
     if (how != WP_LOSS_UNSENT)
         wp_relay_log_connection_lost(r, at);
     do_action(r, &m);
@@ -455,8 +498,7 @@
     r->upstream_conn = NULL;
     wp_relay_note_invalid(r, r->flow->attempt.replica->id,
                           began ? WP_C_BAD_BODIES : WP_C_BAD_HEADS, fault);
-    wp_flow_on_lost(r->flow, wp_clock_now(0),
-                    sent ? WP_LOSS_INVALID : WP_LOSS_UNSENT, &m);
+    decide_on_loss(r, sent ? WP_LOSS_INVALID : WP_LOSS_UNSENT, &m);
     do_action(r, &m);
 }
 
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -61,6 +61,8 @@
       "answers of endpoints whose head is not valid HTTP")                     \
     X(BAD_BODIES, "answers_bad_body_total",                                    \
       "answers of endpoints whose body is not framed as HTTP")                 \
+    X(BAD_EVENTS, "answers_bad_event_total",                                   \
+      "streams of endpoints whose events do not follow each other")            \
     X(BAD_RESUMPTIONS, "answers_bad_resumption_total",                         \
       "answers that cannot resume the stream that they were to resume")        \
     X(FAILS_LOADED, "fails_loaded_total",                                      \
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -80,6 +80,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->quality = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     d->uneven_services = g_hash_table_new(g_direct_hash, g_direct_equal);
+    d->irregular_routes = g_hash_table_new(g_direct_hash, g_direct_equal);
     d->rand = g_rand_new_with_seed(seed);
 }
 
@@ -95,6 +96,7 @@
     g_hash_table_unref(d->quality);
     g_hash_table_unref(d->quartiles);
     g_hash_table_unref(d->uneven_services);
+    g_hash_table_unref(d->irregular_routes);
     g_rand_free(d->rand);
 }
 
@@ -105,6 +107,16 @@
     return g_hash_table_contains(d->uneven_services, g_intern_string(service));
 }
 
+bool wp_direct_has_irregular_ids(const WPDirect *d, const char *route)
+{
+    return g_hash_table_contains(d->irregular_routes, g_intern_string(route));
+}
+
+void wp_direct_note_irregular_ids(WPDirect *d, const char *route)
+{
+    g_hash_table_add(d->irregular_routes, (gpointer)g_intern_string(route));
+}
+
 bool wp_direct_note_uneven(WPDirect *d, const char *service)
 {
     bool added = g_hash_table_add(d->uneven_services,
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -63,10 +63,12 @@
                               their targets */
     WPValueRate value_rate;
     WPStallModel stalls;
-    GHashTable *uneven_services; /* interned names: their endpoints report how
-                                    long work takes */
-    int64_t tick_us;             /* of the last tick; 0: none */
-    int64_t expired_us;          /* when sessions and suspects last expired */
+    GHashTable *irregular_routes; /* interned names: the ids of their events
+                                     ascend by unlike steps */
+    GHashTable *uneven_services;  /* interned names: their endpoints report how
+                                     long work takes */
+    int64_t tick_us;              /* of the last tick; 0: none */
+    int64_t expired_us;           /* when sessions and suspects last expired */
     GRand *rand;
 } WPDirect;
 
@@ -118,6 +120,11 @@
 void wp_direct_merge_session(WPDirect *d, WPTime now, WPSessionUpdate what,
                              uint64_t session);
 
+/* Whether the ids of events on the route are known to ascend by unlike steps;
+   wp_direct_note_irregular_ids() makes it known. */
+bool wp_direct_has_irregular_ids(const WPDirect *d, const char *route);
+void wp_direct_note_irregular_ids(WPDirect *d, const char *route);
+
 /* Removes expired sessions, suspects and endpoints; to be called several times
    a second. */
 void wp_direct_tick(WPDirect *d, WPTime now);
@@ -287,6 +294,8 @@
     bool answer_started; /* the caller has been sent part of an answer */
     /* why the last answer cannot resume the stream; NULL: it can */
     const char *answer_fault;
+    bool lost_place; /* it is not known after which event of the stream another
+                        endpoint would have to go on */
     bool began_with_events;    /* its head is of text/event-stream */
     bool began_with_length;    /* its head has a Content-Length */
     bool endpoint_failed;      /* the caller gets an endpoint's own failure */
@@ -358,6 +367,10 @@
 /* The wait of WP_FLOW_WAIT is over. */
 void wp_flow_on_wait_end(WPFlow *f, WPTime now, WPFlowAction *out);
 
+/* The stream cannot be resumed any more: it is not known which of its events
+   the caller has. */
+void wp_flow_lose_place(WPFlow *f);
+
 /* The attempt ended without a complete answer. */
 void wp_flow_on_lost(WPFlow *f, WPTime now, WPAttemptLoss how,
                      WPFlowAction *out);
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -602,6 +602,11 @@
         pass_answer(f, a, out);
 }
 
+void wp_flow_lose_place(WPFlow *f)
+{
+    f->lost_place = true;
+}
+
 void wp_flow_on_lost(WPFlow *f, WPTime now, WPAttemptLoss how,
                      WPFlowAction *out)
 {
@@ -620,7 +625,8 @@
     end_present_attempt(f, now, served);
     WPAttemptReason why =
         f->answer_started ? WP_ATTEMPT_RESUME : WP_ATTEMPT_RETRY;
-    if (wp_flow_is_retryable(f) && try_again(f, now, why, out))
+    if (!f->lost_place && wp_flow_is_retryable(f) &&
+        try_again(f, now, why, out))
         return;
     give_up(f, how == WP_LOSS_NO_ANSWER ? WP_LINK_LOST : WP_ENDPOINT_FAILED, 0,
             out);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -418,6 +418,24 @@
     fake_end(&k);
 }
 
+/* Guards against a stream that begins again in the middle: one whose place is
+   not known is broken off. */
+static void stream_without_a_place_is_resumed(void **state)
+{
+    Fake k;
+    WPFlowAction m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    wp_flow_on_answer(f, k.now, &a, &m);
+    wp_flow_lose_place(f);
+    wp_flow_on_lost(f, k.now, WP_LOSS_BROKEN, &m);
+    assert_int_equal(m.kind, WP_FLOW_ABORT);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
 /* Guards against the head of an answer, or a body that is no stream, in the
    middle of the caller's stream: the endpoint that resumes it answers with
    another status or another kind of body. */
@@ -692,8 +710,9 @@
            T(answer_in_hand_is_kept_before_the_last_attempt),
            T(broken_stream_is_resumed_elsewhere),
            T(another_answer_inside_a_resumed_stream),
-           T(route_time_limit_gives_504), T(keys_and_routes_are_checked),
-           T(older_routes_are_rejected), T(retries_stay_within_the_budget),
+           T(stream_without_a_place_is_resumed), T(route_time_limit_gives_504),
+           T(keys_and_routes_are_checked), T(older_routes_are_rejected),
+           T(retries_stay_within_the_budget),
            T(requests_that_waited_for_a_frozen_box_add_no_retries),
            T(first_byte_timeout_tries_another_endpoint),
            T(longest_event_gap_is_recorded))
