What a 421 teaches is as narrow as what was asked

Cause: WP_OUTCOME_WRONG_ENDPOINT set 'unreachable', which nothing cleared, for any 421.

It is kept for the endpoint and the model that the request named, until the endpoint's entry is written anew or it answers such a request. A caller's model that the service does not list is not asked for elsewhere after a 421, so that it takes none of the retry budget.

--- a/src/wp_code.h
+++ b/src/wp_code.h
@@ -22,6 +22,8 @@
     X(VERSION_REFUSED, "version_not_allowed", 409, NOT_RUN,                    \
       "the version may not serve this request")                                \
     X(NO_ENDPOINT, "no_endpoint", 503, NOT_RUN, "no endpoint is available")    \
+    X(NO_MODEL, "model_not_served", 421, NOT_RUN,                              \
+      "the endpoint that was asked has not got this model")                    \
     X(NO_AREA, "no_endpoint_in_area", 503, NOT_RUN,                            \
       "no endpoint is listed in the areas where this may be served")           \
     X(SESSION_BOUND, "session_bound", 503, NOT_RUN,                            \
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -201,8 +201,8 @@
     bool has_length;  /* it has a Content-Length */
     bool is_event_stream; /* its body is text/event-stream */
     bool not_run;        /* the endpoint says that it did not run the request */
-    bool wrong_endpoint; /* the answer is of another endpoint, which has this
-                            address now */
+    bool wrong_endpoint; /* the request is not for the endpoint: another one has
+                            this address now, or it has not got the model */
     bool has_seal;  /* carries the endpoint's seal, so the endpoint itself has
                        sent it */
     int confidence; /* the model's own estimate that it is good, 0 to 100; -1:
--- a/src/wp_engine_cost.c
+++ b/src/wp_engine_cost.c
@@ -35,7 +35,7 @@
         /* A prefix must not be copied from an endpoint outside the request's
            areas either. */
         bool allowed = wp_fleet_in_areas(q, s);
-        if (tokens && allowed && !s->unreachable && !s->unreadable &&
+        if (tokens && allowed && !s->misdirected[0] && !s->unreadable &&
             !is_avoided)
             note_holder(k, s, tokens);
     }
--- a/src/wp_fleet.c
+++ b/src/wp_fleet.c
@@ -221,6 +221,7 @@
     }
     s->missing_since_us = 0;
     s->unreadable = false;
+    memset(s->misdirected, 0, sizeof(s->misdirected));
     return changed;
 }
 
--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -20,6 +20,8 @@
 struct WPCohort;
 struct WPColdRule;
 
+enum { WP_MISDIRECTED_MAX = 8 };
+
 /* One incarnation of an endpoint; after a restart it is another one. */
 typedef struct WPReplica {
     char *id, *service, *addr, *zone, *version;
@@ -32,7 +34,10 @@
     bool zone_evacuated; /* an operator's order: nothing is sent to its zone */
     bool unreadable;     /* its registry entry cannot be read at present */
     bool gone; /* removed from the registry; kept while requests run on it */
-    bool unreachable; /* another endpoint answers at its address */
+    /* Hashes of the names of the models, the latest first, that requests named
+       when it answered that they are not for it; 0: none. Another endpoint has
+       its address, or it has not got the model. */
+    uint64_t misdirected[WP_MISDIRECTED_MAX];
     /* Since when it has been missing in the registry; 0: it is not missing. */
     int64_t refused_us; /* when it last refused a request as full; 0: never */
     int64_t missing_since_us;
@@ -81,7 +86,7 @@
     /* Given up by the caller or by this box: tells nothing about the
        endpoint. */
     WP_OUTCOME_ABANDONED,
-    WP_OUTCOME_WRONG_ENDPOINT /* another endpoint has the address */
+    WP_OUTCOME_MISDIRECTED /* it was not for this endpoint */
 } WPAttemptOutcome;
 
 /* Whether requests may be sent to a version now. */
@@ -94,7 +99,8 @@
     const char *version; /* only this one; NULL: those that `allowed` admits */
     WPVersionFilterFn allowed; /* NULL: all versions */
     void *allowed_arg;
-    const char *zone; /* of this box */
+    const char *zone;     /* of this box */
+    uint64_t named_model; /* hash of the name that the request has; 0: any */
     /* The following are set for engines; `prompt` is NULL for other
        endpoints. */
     const WPPrompt *prompt;
@@ -291,6 +297,15 @@
    wp_fleet_request_ended(). */
 void wp_fleet_no_first_byte(WPReplica *s);
 
+/* Records that the endpoint answered that a request which names this model is
+   not for it. Until its entry is written anew, or it answers such a request, it
+   gets no more of them. */
+void wp_fleet_record_misdirected(WPReplica *s, uint64_t model);
+void wp_fleet_forget_misdirected(WPReplica *s, uint64_t model);
+
+/* Whether it is known that requests which name this model are not for it. */
+bool wp_fleet_is_misdirected(const WPReplica *s, uint64_t model);
+
 /* Records how a request ended at the endpoint. */
 void wp_fleet_request_ended(WPReplica *s, WPTime now, WPAttemptOutcome outcome);
 
--- a/src/wp_fleet_exclusion.c
+++ b/src/wp_fleet_exclusion.c
@@ -38,7 +38,8 @@
 
 bool wp_fleet_matches(const WPEndpointQuery *q, const WPReplica *s)
 {
-    if (was_tried(q, s) || !wp_fleet_in_areas(q, s))
+    if (was_tried(q, s) || !wp_fleet_in_areas(q, s) ||
+        wp_fleet_is_misdirected(s, q->named_model))
         return false;
     if (q->version)
         return !strcmp(s->version, q->version);
@@ -47,7 +48,7 @@
 
 WPExclusion wp_fleet_lasting_exclusion(const WPReplica *s)
 {
-    if (s->gone || s->unreachable || s->unreadable)
+    if (s->gone || s->unreadable)
         return WP_EXCLUDED_UNREGISTERED;
     if (s->zone_evacuated)
         return WP_EXCLUDED_ZONE;
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -308,17 +308,41 @@
         s->refused_us = now.mono_us;
         note_outcome(s, now, true);
         break;
-    case WP_OUTCOME_WRONG_ENDPOINT:
-        s->unreachable = true;
-        break;
     case WP_OUTCOME_BACKOFF:
         /* The back-off excludes the endpoint. When it also counted as a
            failure, the endpoint got no work for seconds afterwards. */
+    case WP_OUTCOME_MISDIRECTED:
     case WP_OUTCOME_ABANDONED:
         break;
     }
 }
 
+bool wp_fleet_is_misdirected(const WPReplica *s, uint64_t model)
+{
+    for (size_t i = 0; i < WP_MISDIRECTED_MAX && s->misdirected[i]; i++)
+        if (s->misdirected[i] == model)
+            return true;
+    return false;
+}
+
+void wp_fleet_forget_misdirected(WPReplica *s, uint64_t model)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < WP_MISDIRECTED_MAX && s->misdirected[i]; i++)
+        if (s->misdirected[i] != model)
+            s->misdirected[kept++] = s->misdirected[i];
+    while (kept < WP_MISDIRECTED_MAX)
+        s->misdirected[kept++] = 0;
+}
+
+void wp_fleet_record_misdirected(WPReplica *s, uint64_t model)
+{
+    wp_fleet_forget_misdirected(s, model);
+    memmove(&s->misdirected[1], &s->misdirected[0],
+            (WP_MISDIRECTED_MAX - 1) * sizeof(s->misdirected[0]));
+    s->misdirected[0] = model;
+}
+
 #define SLOWDOWN_WEIGHT 0.1 /* of one report, against those before */
 #define SLOWDOWN_USUAL 100.0
 #define SLOWDOWN_MIN 0.1
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -493,6 +493,30 @@
         end_not_sent(f, now, out);
 }
 
+/* Whether the caller itself named a model that its service is not known to
+   have. */
+static bool names_unknown_model(const WPFlow *f)
+{
+    bool own = !f->route->models->len && f->model && *f->model;
+    return own && f->service->models->len &&
+           !wp_service_has_model(f->service, f->model);
+}
+
+/* The endpoint answered that the request is not for it. A request that names an
+   unknown model takes none of the retries that others need. */
+static void after_misdirection(WPFlow *f, WPTime now, WPFlowAction *out)
+{
+    wp_fleet_record_misdirected(f->attempt.replica,
+                                wp_hash(wp_flow_model(f), 0));
+    if (!names_unknown_model(f)) {
+        after_refusal(f, now, WP_OUTCOME_MISDIRECTED, out);
+        return;
+    }
+    f->attempts_refused++;
+    end_present_attempt(f, now, WP_OUTCOME_MISDIRECTED);
+    give_up(f, f->attempts_run ? WP_ENDPOINT_FAILED : WP_NO_MODEL, 0, out);
+}
+
 void wp_flow_on_wait_end(WPFlow *f, WPTime now, WPFlowAction *out)
 {
     if (!f->n_tried)
@@ -540,8 +564,6 @@
 
 static WPAttemptOutcome refusal_outcome(const WPDirectAnswer *a)
 {
-    if (a->wrong_endpoint)
-        return WP_OUTCOME_WRONG_ENDPOINT;
     return wp_flow_requests_backoff(a) ? WP_OUTCOME_BACKOFF
                                        : WP_OUTCOME_REFUSED;
 }
@@ -560,7 +582,11 @@
 void wp_flow_on_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
                        WPFlowAction *out)
 {
-    if (a->wrong_endpoint || a->not_run) {
+    if (a->wrong_endpoint) {
+        after_misdirection(f, now, out);
+        return;
+    }
+    if (a->not_run) {
         after_refusal(f, now, refusal_outcome(a), out);
         return;
     }
@@ -682,6 +708,9 @@
     wp_flow_sample_stream_speed(f);
     wp_flow_learn_stall(f);
     note_session(f, now);
+    if (f->attempt.replica)
+        wp_fleet_forget_misdirected(f->attempt.replica,
+                                    wp_hash(wp_flow_model(f), 0));
     if (!f->endpoint_failed)
         wp_flow_clear_suspects(f, now);
     end_present_attempt(f, now, WP_OUTCOME_OK);
--- a/src/wp_flow_pick.c
+++ b/src/wp_flow_pick.c
@@ -88,6 +88,7 @@
         .allowed_arg = f,
         .zone = f->direct->rules.zone,
         .prompt = engine ? &f->prompt : NULL,
+        .named_model = wp_hash(model, 0),
         .model = engine ? wp_hash(model, 0) : 0,
         .ttfb = wp_flow_ttfb_model(f, model),
         .ttfb_weight = f->direct->rules.first_byte_weight *
--- a/src/wp_route.c
+++ b/src/wp_route.c
@@ -198,6 +198,14 @@
     return NULL;
 }
 
+bool wp_service_has_model(const WPService *s, const char *model)
+{
+    for (guint i = 0; i < s->models->len; i++)
+        if (!strcmp(g_array_index(s->models, WPModel, i).name, model))
+            return true;
+    return false;
+}
+
 double wp_service_cost(const WPService *s, const char *model)
 {
     for (guint i = 0; i < s->models->len; i++) {
--- a/src/wp_route.h
+++ b/src/wp_route.h
@@ -132,6 +132,9 @@
 const WPService *wp_route_pick_service(const WPRoutes *t, const WPRoute *r,
                                        double unit);
 
+/* Whether the service lists a model of this name. */
+bool wp_service_has_model(const WPService *s, const char *model);
+
 /* Returns the price of 1,000 tokens of a model; 0 if it is unknown. */
 double wp_service_cost(const WPService *s, const char *model);
 
