A connection is read again before it becomes idle

Cause: finish() put a connection into the idle pool with its reading off.

make_idle() turns reading on, whoever turned it off.

--- a/io/wp_upstream.c
+++ b/io/wp_upstream.c
@@ -147,9 +147,13 @@
         c->pool->ops->body(c->arg, p, n);
 }
 
+/* Keeps the connection for other requests. It is read while it is idle, also if
+   the last answer was paused: its end has to be noticed, and the next answer
+   has to be read. */
 static void make_idle(WPUpstreamConn *c)
 {
     WPUpstream *b = c->pool;
+    wp_upstream_set_paused(c, false);
     GQueue *q = idle_queue(b, c->to);
     if (!q) {
         q = g_queue_new();
