A session has a version at each service

Cause: one version a session for all services; a box that heard of a moved session took the target of the shift that it iterated last.

A session is known by a key of session and service, which names the service to the boxes that get it; one function finds the shift whose rules hold.

--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -18,6 +18,9 @@
 /* Up to this many boxes apply the full share in the first half of a shift. */
 #define FEW_BOXES 4
 
+/* The bits of a session's key that are of its service. */
+#define SERVICE_PART_MASK 0xffffULL
+
 /* Sessions are remembered for this many times session_idle_ms. */
 #define SESSION_KEEP_TIMES 2
 
@@ -271,6 +274,46 @@
     record->sent = record->sent_retired = false;
 }
 
+/* The part of a session's key that is of the service. */
+static uint64_t service_part(const char *service)
+{
+    return wp_hash(wp_str(service), 0) & SERVICE_PART_MASK;
+}
+
+uint64_t wp_direct_session_key(const char *service, WPStr session)
+{
+    uint64_t id = wp_hash(session, wp_hash(wp_str(service), 0));
+    uint64_t key = (id & ~SERVICE_PART_MASK) | service_part(service);
+    return key ? key : 1;
+}
+
+typedef struct ShiftSearch {
+    uint64_t service_part;
+    WPShift *found;
+} ShiftSearch;
+
+static void match_service(void *arg, WPShift *sh)
+{
+    ShiftSearch *search = arg;
+    if (service_part(sh->service) == search->service_part)
+        search->found = sh;
+}
+
+/* The shift of the session's service, or NULL.
+   XXX: services whose names have the same part of the hash, one pair in 65,536,
+   are taken for each other. */
+static WPShift *shift_of_session(const WPDirect *d, uint64_t session)
+{
+    ShiftSearch search = { session & SERVICE_PART_MASK, NULL };
+    wp_shifts_each(d->shifts, match_service, &search);
+    return search.found;
+}
+
+static bool is_running(const WPShift *sh)
+{
+    return sh && sh->state == WP_SHIFT_RUNNING;
+}
+
 double wp_direct_session_position(uint64_t session)
 {
     return wp_hash_unit(wp_strn((const char *)&session, sizeof(session)), 1);
@@ -287,54 +330,33 @@
     return wp_shift_first_half(sh, now) ? position / few_share : position;
 }
 
-typedef struct ShiftReach {
-    const WPDirect *d;
-    WPTime now;
-    uint64_t session;
-    bool first_half; /* some shift is in its first half */
-    bool is_moved;   /* some shift moves the session, by its position */
-} ShiftReach;
-
-static void add_reach(void *arg, WPShift *sh)
-{
-    ShiftReach *r = arg;
-    if (sh->state != WP_SHIFT_RUNNING)
-        return;
-    double position = wp_direct_shift_position(
-        r->d, r->now, sh, wp_direct_session_position(r->session));
-    r->first_half |= wp_shift_first_half(sh, r->now);
-    r->is_moved |= position < wp_shift_stage(r->d->shifts, sh, r->now)->share;
-}
-
 /* Whether a box that knows nothing of the session would send it to another
    version than its present one. Only these are sent: for most sessions it would
    not, and traffic for all sessions would grow with the square of the number of
    boxes. `moved`: it is on the new version. */
-static bool needs_sending(const WPDirect *d, WPTime now, uint64_t session,
-                          bool moved)
+static bool needs_sending(const WPDirect *d, WPTime now, const WPShift *sh,
+                          uint64_t session, bool moved)
 {
-    ShiftReach r = { d, now, session, false, false };
-    wp_shifts_each(d->shifts, add_reach, &r);
-    return moved ? r.first_half || !r.is_moved : r.is_moved;
-}
-
-static bool is_new_version(const WPDirect *d, const char *version)
-{
-    return wp_shifts_is_target(d->shifts, version);
+    double position = wp_direct_shift_position(
+        d, now, sh, wp_direct_session_position(session));
+    bool is_moved = position < wp_shift_stage(d->shifts, sh, now)->share;
+    return moved ? wp_shift_first_half(sh, now) || !is_moved : is_moved;
 }
 
 /* Whether this is to be sent of the session to the other boxes. */
 static bool is_unsent(const WPDirect *d, WPTime now, WPSessionUpdate what,
                       const WPSessionRecord *record)
 {
-    bool retired = strcmp(record->version, WP_VERSION_OLD) &&
-                   wp_shifts_any_retired(d->shifts, record->version);
+    const WPShift *sh = shift_of_session(d, record->session);
+    bool retired = sh && strcmp(record->version, WP_VERSION_OLD) &&
+                   wp_shift_has_replaced(sh, record->version);
     if (what == WP_SESSION_UPDATE_RETIRED || retired)
         return what == WP_SESSION_UPDATE_RETIRED && retired &&
                !record->sent_retired;
     bool moved = what == WP_SESSION_UPDATE_MOVED;
-    return !record->sent && is_new_version(d, record->version) == moved &&
-           needs_sending(d, now, record->session, moved);
+    return !record->sent && is_running(sh) &&
+           !strcmp(record->version, sh->version) == moved &&
+           needs_sending(d, now, sh, record->session, moved);
 }
 
 /* Whether there may be any session now of which this is to be sent. */
@@ -374,13 +396,6 @@
     return n;
 }
 
-static void find_target(void *arg, WPShift *sh)
-{
-    const char **version = arg;
-    if (sh->state == WP_SHIFT_RUNNING)
-        *version = sh->version;
-}
-
 void wp_direct_merge_session(WPDirect *d, WPTime now, WPSessionUpdate what,
                              uint64_t session)
 {
@@ -390,9 +405,9 @@
         what == WP_SESSION_UPDATE_RETIRED ? WP_VERSION_RETIRED : WP_VERSION_OLD;
     if (record && record->served_here && age_us < session_binding_us(d))
         return;
-    /* XXX: with shifts of two services at once, the version of the last one. */
-    if (what == WP_SESSION_UPDATE_MOVED)
-        wp_shifts_each(d->shifts, find_target, &version);
+    const WPShift *sh = shift_of_session(d, session);
+    if (what == WP_SESSION_UPDATE_MOVED && is_running(sh))
+        version = sh->version;
     bool recent = record && age_us < RESEND_US;
     bool recently_retired =
         recent && !strcmp(record->version, WP_VERSION_RETIRED);
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -274,7 +274,7 @@
     /* where the caller's requests may be served; see WPEndpointQuery */
     const GPtrArray *areas;
     int priority;     /* 0 is the most urgent */
-    uint64_t session; /* hash of its id; 0: none */
+    uint64_t session; /* key of its session at its service; 0: none */
     uint64_t hash; /* of workspace, method, host, path and body: the same each
                       time that the caller sends the request */
     WPSuspectKeys suspects; /* what it may be suspect for */
--- a/src/wp_direct_int.h
+++ b/src/wp_direct_int.h
@@ -7,7 +7,7 @@
 
 /* The version that served a session last. */
 typedef struct WPSessionRecord {
-    uint64_t session; /* hash of its id */
+    uint64_t session; /* its key */
     /* interned; may be a WP_VERSION_* if only another box has reported it */
     const char *version;
     int64_t
@@ -43,7 +43,13 @@
 /* How good the smallest model's answers are on a route. */
 WPGoodShare *wp_direct_quality(WPDirect *d, const char *route);
 
-/* A session's position in [0, 1), the same at every box. */
+/* Names a session at one service, as it has a version at each that it uses;
+   never 0. A part of the key is of the service alone, so that a box which gets
+   the key from another one finds the service's shift. */
+uint64_t wp_direct_session_key(const char *service, WPStr session);
+
+/* A session's position in [0, 1), the same at every box. Sessions are given by
+   their keys, here and below. */
 double wp_direct_session_position(uint64_t session);
 
 /* Its position in a shift: below the share of the shift's stage the session
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -243,6 +243,14 @@
     return f->service ? WP_OK : WP_NO_ENDPOINT;
 }
 
+static void set_session(WPFlow *f, const WPDirectRequest *request)
+{
+    if (request->session.n)
+        f->session = wp_direct_session_key(f->service->name, request->session);
+    f->position = wp_direct_session_position(
+        f->session ? f->session : wp_hash(request->id, 0));
+}
+
 static void set_times(WPFlow *f, const WPDirectRequest *request)
 {
     uint32_t route_ms = f->route->timeout_ms;
@@ -407,6 +415,7 @@
         *out = fail_action(code, retry_ms_of(d, code));
         return;
     }
+    set_session(f, request);
     f->hash = wp_flow_request_hash(f, request);
     wp_suspect_keys_init(&f->suspects, f->hash, &f->prompt);
     set_times(f, request);
@@ -434,9 +443,6 @@
     f->prompt = request->prompt;
     f->answer_tokens = request->answer_tokens;
     f->body_bytes = request->body_bytes;
-    f->session = request->session.n ? wp_hash(request->session, 0) : 0;
-    f->position = wp_direct_session_position(
-        f->session ? f->session : wp_hash(request->id, 0));
     wp_count(&d->counters, WP_C_REQUESTS);
     uint32_t hold_ms =
         d->routes ? 0
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -257,44 +257,12 @@
     return any_running(s, now, is_partial);
 }
 
-typedef bool (*VersionTest)(const WPShift *sh, const char *version);
-
-/* Whether some shift, running or not, passes the test for the version. */
-static bool any_shift(const WPShifts *s, const char *version, VersionTest test)
-{
-    GHashTableIter it;
-    gpointer p;
-    g_hash_table_iter_init(&it, s->by_service);
-    while (g_hash_table_iter_next(&it, NULL, &p))
-        if (test(p, version))
-            return true;
-    return false;
-}
-
-static bool leads_to(const WPShift *sh, const char *version)
-{
-    return sh->state == WP_SHIFT_RUNNING && !strcmp(sh->version, version);
-}
-
-/* Whether this shift, or one before it, was completed away from the version. */
-static bool has_replaced(const WPShift *sh, const char *version)
+bool wp_shift_has_replaced(const WPShift *sh, const char *version)
 {
     bool done = sh->state == WP_SHIFT_DONE && strcmp(sh->version, version);
     return done || wp_shift_has_retired(sh, version);
 }
 
-bool wp_shifts_is_target(const WPShifts *s, const char *version)
-{
-    return any_shift(s, version, leads_to);
-}
-
-/* XXX: a version name that two services use counts as retired for both as soon
-   as one of them has retired it. */
-bool wp_shifts_any_retired(const WPShifts *s, const char *version)
-{
-    return any_shift(s, version, has_replaced);
-}
-
 void wp_shifts_note_registered(WPShifts *s, const char *service,
                                const char *version, bool starting)
 {
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -114,10 +114,6 @@
 void wp_shifts_note_registered(WPShifts *s, const char *service,
                                const char *version, bool starting);
 
-/* Whether this version was replaced by a completed shift of some service, the
-   present one or one before it. */
-bool wp_shifts_any_retired(const WPShifts *s, const char *version);
-
 /* Whether the service's requests may go to this version. */
 bool wp_shifts_allows(const WPShifts *s, const char *service,
                       const char *version);
@@ -128,13 +124,13 @@
 /* Whether some running shift does not give the new version all sessions yet. */
 bool wp_shifts_any_partial(const WPShifts *s, WPTime now);
 
-/* Whether some running shift leads to this version. */
-bool wp_shifts_is_target(const WPShifts *s, const char *version);
-
 /* Whether a shift that was completed before this one replaced the version: its
    endpoints have stopped or are about to. */
 bool wp_shift_has_retired(const WPShift *sh, const char *version);
 
+/* The same, or this shift itself was completed away from the version. */
+bool wp_shift_has_replaced(const WPShift *sh, const char *version);
+
 /* Whether requests may go to the version, in the shift's present state: never
    to a version that is retired (wp_shift_has_retired()) or was rolled back
    before; while the shift runs, to any other; to the new version alone once the
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -55,7 +55,8 @@
    in the first stage. */
 static bool in_first_share(const char *session)
 {
-    return wp_direct_session_position(wp_hash(wp_str(session), 0)) < 0.1;
+    return wp_direct_session_position(
+               wp_direct_session_key("llm", wp_str(session))) < 0.1;
 }
 
 /* Boxes send each other only those bound sessions whose position lies within
@@ -145,12 +146,13 @@
     g_autofree char *s = NULL;
     for (int i = 0; !s; i++) {
         char *name = g_strdup_printf("m%d", i);
-        if (wp_direct_session_position(wp_hash(wp_str(name), 0)) > 0.5)
+        if (wp_direct_session_position(
+                wp_direct_session_key("llm", wp_str(name))) > 0.5)
             s = name;
         else
             g_free(name);
     }
-    uint64_t id = wp_hash(wp_str(s), 0);
+    uint64_t id = wp_direct_session_key("llm", wp_str(s));
     wp_direct_record_session(&here.d, here.now, id, "v2");
     size_t n = wp_direct_take_unsent_sessions(
         &here.d, here.now, WP_SESSION_UPDATE_MOVED, updates, 512);
@@ -308,6 +310,18 @@
     fake_end(&k);
 }
 
+/* A session that is inside of the first stage's share by its position, or
+   outside of it. */
+static uint64_t session_at(bool inside)
+{
+    for (int i = 0;; i++) {
+        g_autofree char *name = g_strdup_printf("n%d", i);
+        uint64_t key = wp_direct_session_key("llm", wp_str(name));
+        if ((wp_direct_session_position(key) < 0.1) == inside)
+            return key;
+    }
+}
+
 /* Boxes send each other the sessions that have moved as long as some have
    not. */
 static void moved_sessions_are_sent_until_all_have_moved(void **state)
@@ -318,14 +332,11 @@
     fake_init_chart(&k, GATED_CHART);
     WPShift *sh = start_shift(&k);
     fake_advance(&k, DURATION_MS * 7 / 10);
-    uint64_t outside = 1, inside = 1; /* outside and inside of the share */
-    while (wp_direct_session_position(outside) < 0.1)
-        outside++;
-    while (wp_direct_session_position(inside) >= 0.1)
-        inside++;
+    uint64_t outside = session_at(false), inside = session_at(true);
     wp_direct_record_session(&k.d, k.now, outside, "v2");
     wp_direct_record_session(&k.d, k.now, inside, "v2");
-    wp_direct_record_session(&k.d, k.now, outside + 1, "v1");
+    wp_direct_record_session(
+        &k.d, k.now, wp_direct_session_key("llm", wp_str("other")), "v1");
     assert_int_equal(wp_direct_take_unsent_sessions(
                          &k.d, k.now, WP_SESSION_UPDATE_BOUND, updates, 8),
                      0);
@@ -342,6 +353,112 @@
     fake_end(&k);
 }
 
+static const char *const paths[] = { "/chat/x", "/safe/x", "/still/x" };
+static const char *const services[] = { "llm", "app", "still" };
+
+enum { SESSIONS = 120, BOXES = 4 };
+
+/* The version that serves the session on a path now. */
+static const char *version_on(Fake *k, unsigned path, const char *session)
+{
+    WPFlowAction m;
+    WPDirectAnswer a = fake_answer(200, 90);
+    WPFlow *f = fake_ask(k, paths[path], session, &m);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    const char *version = g_intern_string(m.replica->version);
+    wp_flow_on_answer(f, k->now, &a, &m);
+    wp_flow_on_done(f, k->now, 0);
+    wp_flow_free(f);
+    return version;
+}
+
+/* A box with a third service, which does not move. */
+static void init_third_service(Fake *k)
+{
+    WPRoutes *t = fake_routes(2);
+    fake_init(k);
+    wp_routes_add_service(t, "still");
+    WPRoute *r = wp_routes_add(t, "still", "h.example", "/still/");
+    wp_route_add_target(t, r, "still", 1);
+    wp_direct_set_routes(&k->d, t);
+    fake_put(k, "s1", "still", "v1", false);
+    fake_put(k, "s2", "still", "v2", false);
+}
+
+/* Orders for both services, in either order. Both go to a version of the same
+   name if `same`. */
+static void start_two_shifts(Fake *k, bool app_first, bool same)
+{
+    const char *app = same ? "v2" : "v3";
+    for (int i = 0; i < 2; i++) {
+        bool is_app = (i == 0) == app_first;
+        WPShiftOrder o = { is_app ? "app" : "llm", is_app ? app : "v2",
+                           DURATION_MS, 10 };
+        WPShift *sh = wp_shifts_add_order(k->d.shifts, k->now, &o);
+        wp_shift_merge_elapsed(sh, k->now, 0);
+    }
+    fake_put(k, "n1", "llm", "v2", false);
+    fake_put(k, "n2", "llm", "v2", false);
+    fake_put(k, "b1", "app", app, false);
+    fake_put(k, "b2", "app", app, false);
+}
+
+/* What one box tells another one of its sessions. */
+static void tell_sessions(Fake *from, Fake *to)
+{
+    static const WPSessionUpdate kinds[] = { WP_SESSION_UPDATE_BOUND,
+                                             WP_SESSION_UPDATE_MOVED,
+                                             WP_SESSION_UPDATE_RETIRED };
+    uint64_t updates[SESSIONS * 3];
+    for (size_t i = 0; i < WP_COUNT(kinds); i++) {
+        size_t n = wp_direct_take_unsent_sessions(&from->d, from->now, kinds[i],
+                                                  updates, WP_COUNT(updates));
+        for (size_t u = 0; u < n; u++)
+            wp_direct_merge_session(&to->d, to->now, kinds[i], updates[u]);
+    }
+}
+
+/* Guards against sessions that were sent back to the old version of one service
+   while another one moves as well: sessions keep their version at each service,
+   at boxes that have only heard of them, from one another. */
+static void session_goes_back_while_two_services_move(void **state)
+{
+    (void)state;
+    for (int way = 0; way < 4; way++) {
+        Fake box[BOXES];
+        const char *was[SESSIONS][WP_COUNT(paths)];
+        for (int i = 0; i < BOXES; i++)
+            init_third_service(&box[i]);
+        for (int i = 0; i < SESSIONS; i++) {
+            g_autofree char *s = g_strdup_printf("s%d", i);
+            for (unsigned p = 0; p < WP_COUNT(paths); p++)
+                was[i][p] = version_on(&box[0], p, s);
+        }
+        for (int i = 0; i < BOXES; i++) {
+            start_two_shifts(&box[i], way % 2, way / 2);
+            fake_advance(&box[i], LEAD_MS);
+        }
+        for (int i = 0; i < SESSIONS; i += 3) { /* at one service only */
+            unsigned p = (unsigned)i % 2;
+            g_autofree char *s = g_strdup_printf("s%d", i);
+            was[i][p] = wp_shifts_find(box[0].d.shifts, services[p])->version;
+            wp_direct_record_session(
+                &box[0].d, box[0].now,
+                wp_direct_session_key(services[p], wp_str(s)), was[i][p]);
+        }
+        for (int b = 0; b + 1 < BOXES; b++)
+            tell_sessions(&box[b], &box[b + 1]);
+        for (int i = 0; i < SESSIONS * BOXES; i++) {
+            Fake *k = &box[BOXES - 1 - i % BOXES];
+            g_autofree char *s = g_strdup_printf("s%d", i / BOXES);
+            for (unsigned p = 0; p < 2; p++)
+                assert_string_equal(version_on(k, p, s), was[i / BOXES][p]);
+        }
+        for (int i = 0; i < BOXES; i++)
+            fake_end(&box[i]);
+    }
+}
+
 static void older_order_is_ignored(void **state)
 {
     Fake k;
@@ -586,5 +703,6 @@
            T(new_version_gets_few_requests_within_the_orders_time),
            T(doubtful_version_does_not_pass_the_gate),
            T(moved_sessions_are_sent_until_all_have_moved),
+           T(session_goes_back_while_two_services_move),
            T(older_order_is_ignored),
            T(reverted_version_stays_excluded_at_the_next_order))
