The request's line tells why no other endpoint was asked

Operators saw 'lost' or 'broken' and a 502 after one attempt of four, with sound endpoints free, and not that the retry budget was spent.

The flow keeps the reason; the line has it as not_retried. test_flow reason_against_a_retry_is_unknown passes; the field did not exist before.

--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -56,7 +56,8 @@
            f->service ? f->service->name : "-", "workspace",
            f->workspace ? f->workspace : "-", "routes_version", version,
            "list_age_ms", age, "session", f->session ? session : "-",
-           "request_hash", f->hash ? hash : "-", "parts", parts->str, "legs",
+           "not_retried", f->not_retried ? f->not_retried : "-", "request_hash",
+           f->hash ? hash : "-", "parts", parts->str, "legs",
            r->attempts_text->str, NULL);
 }
 
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -306,6 +306,9 @@
     bool usage_counted; /* as usage of its workspace */
     /* the retry budget has refused it another attempt */
     bool retry_budget_spent;
+    /* why no attempt followed the last one that failed, as a word for the log;
+       NULL: one did, or none was needed */
+    const char *not_retried;
     /* endpoints that count as lost while they ran it */
     unsigned endpoints_lost;
     /* when the last event of its stream came; 0: none has */
--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -172,20 +172,34 @@
     return true;
 }
 
+/* What of the request and its route forbids another attempt, as a word for the
+   log; NULL: nothing. */
+static const char *retry_obstacle(const WPFlow *f, WPTime now)
+{
+    if (f->attempts_run >= f->route->max_attempts ||
+        f->attempts_refused >= REFUSALS_MAX)
+        return "attempts";
+    if (wp_flow_remaining_ms(f, now) <= 0)
+        return "deadline";
+    return wp_suspect_keys_may_retry(f->direct->suspects, now, &f->suspects)
+               ? NULL
+               : "suspect";
+}
+
 /* Begins another attempt if the request, the route and the retry budget allow
    it. Returns false when they do not, or when there is no endpoint. */
 static bool try_again(WPFlow *f, WPTime now, WPAttemptReason why,
                       WPFlowAction *out)
 {
     WPDirect *d = f->direct;
-    bool exhausted = f->attempts_run >= f->route->max_attempts ||
-                     f->attempts_refused >= REFUSALS_MAX;
-    if (exhausted || wp_flow_remaining_ms(f, now) <= 0 ||
-        !wp_suspect_keys_may_retry(d->suspects, now, &f->suspects))
+    f->not_retried = retry_obstacle(f, now);
+    if (f->not_retried)
         return false;
     WPReplica *s = wp_flow_choose_endpoint(f, now);
-    if (!s)
+    if (!s) {
+        f->not_retried = "no_endpoint";
         return false;
+    }
     if (wait_for_slot(f, now, s, out))
         return true;
     WPRetryPurpose needed = why == WP_ATTEMPT_ESCALATE ? WP_RETRY_FOR_ESCALATION
@@ -194,6 +208,7 @@
                               &d->rules.retry_budget, now, d->boxes, needed)) {
         wp_replica_unref(s);
         f->retry_budget_spent = true;
+        f->not_retried = "budget";
         wp_count(&d->counters, WP_C_RETRIES_DENIED);
         return false;
     }
@@ -574,6 +589,15 @@
                                        : WP_OUTCOME_REFUSED;
 }
 
+/* Whether the request may run once more, at another endpoint. */
+static bool may_run_again(WPFlow *f)
+{
+    bool retryable = wp_flow_is_retryable(f);
+    if (!retryable || f->lost_place)
+        f->not_retried = retryable ? "place" : "not_repeatable";
+    return retryable && !f->lost_place;
+}
+
 /* Returns NULL if the answer of the endpoint that resumes a stream can follow
    the head that the caller has, else what is wrong. */
 static const char *resumption_fault(const WPFlow *f, const WPDirectAnswer *a)
@@ -616,7 +640,7 @@
     if (failed) {
         f->attempts_run++;
         end_present_attempt(f, now, WP_OUTCOME_FAILED);
-        if (wp_flow_is_retryable(f) && try_again(f, now, WP_ATTEMPT_RETRY, out))
+        if (may_run_again(f) && try_again(f, now, WP_ATTEMPT_RETRY, out))
             return;
         /* A 503 would tell the caller that the request was not run, which is
            unknown without the mark of a refusal. */
@@ -657,8 +681,7 @@
     end_present_attempt(f, now, served);
     WPAttemptReason why =
         f->answer_started ? WP_ATTEMPT_RESUME : WP_ATTEMPT_RETRY;
-    if (!f->lost_place && wp_flow_is_retryable(f) &&
-        try_again(f, now, why, out))
+    if (may_run_again(f) && try_again(f, now, why, out))
         return;
     give_up(f, how == WP_LOSS_NO_ANSWER ? WP_LINK_LOST : WP_ENDPOINT_FAILED, 0,
             out);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -701,6 +701,37 @@
     fake_end(&k);
 }
 
+/* Guards against a request line that does not tell why no other endpoint was
+   asked. */
+static void reason_against_a_retry_is_unknown(void **state)
+{
+    Fake k;
+    WPFlowAction m;
+    (void)state;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/once/x", NULL, &m);
+    wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+    assert_string_equal(f->not_retried, "not_repeatable");
+    wp_flow_free(f);
+    f = fake_ask(&k, "/safe/x", NULL, &m);
+    wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+    assert_null(f->not_retried);
+    wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+    assert_string_equal(f->not_retried, "attempts");
+    wp_flow_free(f);
+    bool budget_spent = false;
+    for (int i = 0; i < 200 && !budget_spent; i++) {
+        f = fake_ask(&k, "/safe/x", NULL, &m);
+        if (m.kind == WP_FLOW_SEND)
+            wp_flow_on_lost(f, k.now, WP_LOSS_NO_ANSWER, &m);
+        budget_spent = !g_strcmp0(f->not_retried, "budget");
+        wp_flow_on_caller_gone(f, k.now);
+        wp_flow_free(f);
+    }
+    assert_true(budget_spent);
+    fake_end(&k);
+}
+
 /* Begins requests until all slots of both endpoints are taken and one was
    refused as full. Returns that flow. */
 static WPFlow *fill_endpoints(Fake *k, WPFlow **flows, size_t n,
@@ -784,4 +815,5 @@
            T(retries_stay_within_the_budget),
            T(requests_that_waited_for_a_frozen_box_add_no_retries),
            T(first_byte_timeout_tries_another_endpoint),
-           T(longest_event_gap_is_recorded))
+           T(longest_event_gap_is_recorded),
+           T(reason_against_a_retry_is_unknown))
