--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -311,18 +311,11 @@
     end_callback(p);
 }
 
-/* Adds the connection of a caller and starts its idle time-out. */
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
-                      struct sockaddr *sa, int n, void *arg)
+void wp_downstream_add(WPDownstream *f, struct bufferevent *bev)
 {
-    WPDownstream *f = arg;
     WPDownstreamConn *p = g_new0(WPDownstreamConn, 1);
-    (void)l;
-    (void)sa;
-    (void)n;
-    wp_net_options(fd, SILENT_MS);
     p->downstream = f;
-    p->bev = bufferevent_socket_new(f->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    p->bev = bev;
     p->timer = evtimer_new(f->base, on_timer, p);
     p->body = g_byte_array_new();
     p->last_active_us = wp_clock_now(0).mono_us;
@@ -337,6 +330,18 @@
     set_timer(p, f->limits.idle_ms);
 }
 
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+                      struct sockaddr *sa, int n, void *arg)
+{
+    WPDownstream *f = arg;
+    (void)l;
+    (void)sa;
+    (void)n;
+    wp_net_options(fd, SILENT_MS);
+    wp_downstream_add(
+        f, bufferevent_socket_new(f->base, fd, BEV_OPT_CLOSE_ON_FREE));
+}
+
 /* The answer is complete: the connection becomes idle, is closed, or continues
    with the request that the caller has sent meanwhile. */
 static void finish_answer(WPDownstreamConn *p)
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 
 typedef struct WPDownstream WPDownstream;
+struct bufferevent;
 
 /* The connection of one caller. It also identifies the request that is being
    answered on it, if any. */
@@ -68,6 +69,10 @@
                                 const WPDownstreamOps *ops, void *arg,
                                 GError **error);
 
+/* Adds the connection of a caller, which it takes over, and starts its idle
+   time-out. */
+void wp_downstream_add(WPDownstream *f, struct bufferevent *bev);
+
 /* Closes the listener and all connections of callers. */
 void wp_downstream_free(WPDownstream *f);
 
--- a/io/wp_engine.c
+++ b/io/wp_engine.c
@@ -86,6 +86,8 @@
     return status == 429 || status == 503;
 }
 
+/* XXX: evhttp takes any number but 0 for a status, white space in field names
+   and lines that end with an LF alone. */
 static int on_head(struct evhttp_request *req, void *arg)
 {
     WPRun *r = arg;
