Large answers at once are read to their ends, two at a time

Callers of large answers that came at once got 504 when their time was over: 90 of 90 answers of 1.5 MB at a box with a buffer limit of 64 MB.

Cause: over the limit each large answer was paused; none came to its end, so that none freed its bytes. Evidence: test_large_answers on the code before fails after 20 s, the time-out of the route; with the call at the tick taken out as well.

The oldest two paused answers are read on, then the next.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -125,9 +125,11 @@
         if (!h->buffered.over_limit)
             wp_relay_resume_reads(h);
     }
-    if (h->buffered.over_limit)
+    if (h->buffered.over_limit) {
+        wp_relay_admit_paused(h);
         closed = wp_downstream_close_unread(h->downstream, now,
                                             WP_BUFFERED_READ_TIMEOUT_MS);
+    }
     h->direct.counters.value[WP_C_CUT_UNREAD] += closed;
     if (!changed && !closed)
         return;
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -66,6 +66,11 @@
    buffered. */
 void wp_relay_resume_reads(WPDirectHost *h);
 
+/* To be called at each tick while too many bytes are buffered: has the oldest
+   paused answers read to their ends, a few at a time. If all were paused, none
+   would free its bytes. */
+void wp_relay_admit_paused(WPDirectHost *h);
+
 /* wp_sync.c: keeps this box's state in step with the store and the other
    boxes. */
 WPSync *wp_sync_new(WPDirectHost *h, GError **error);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -3,7 +3,8 @@
 #include "wp_relay_int.h"
 
 enum {
-    BUFFER_MAX_BYTES = 16 << 20 /* bytes of an answer that is not streamed */
+    BUFFER_MAX_BYTES = 16 << 20, /* bytes of an answer that is not streamed */
+    ADMITTED_MAX = 2 /* large answers that are read above the buffer limit */
 };
 
 static void do_action(WPRelay *r, const WPFlowAction *first);
@@ -153,6 +154,8 @@
     wp_sync_schedule_zone_updates(r->host->sync);
     r->forwards_stream = false;
     r->answer = (WPDirectAnswer){ 0 };
+    r->answer_paused = false;
+    r->answer_admitted = false;
     g_byte_array_set_size(r->body, 0);
     begin_run(r);
     r->events_before_attempt = r->stream.events;
@@ -379,9 +382,35 @@
 static void buffer_body(WPRelay *r, const char *p, size_t n)
 {
     g_byte_array_append(r->body, (const guint8 *)p, (guint)n);
-    if (r->host->buffered.over_limit &&
-        r->body->len >= WP_BUFFERED_EXEMPT_BYTES)
-        wp_upstream_set_paused(r->upstream_conn, true);
+    if (!r->host->buffered.over_limit || r->answer_admitted ||
+        r->body->len < WP_BUFFERED_EXEMPT_BYTES)
+        return;
+    r->answer_paused = true;
+    wp_upstream_set_paused(r->upstream_conn, true);
+}
+
+static void resume_answer(WPRelay *r)
+{
+    r->answer_paused = false;
+    if (r->upstream_conn && !r->forwards_stream)
+        wp_upstream_set_paused(r->upstream_conn, false);
+}
+
+void wp_relay_admit_paused(WPDirectHost *h)
+{
+    unsigned admitted = 0;
+    wp_list_each (it, &h->relays)
+        admitted += wp_list_item(it, WPRelay, node)->answer_admitted;
+    wp_list_each (it, &h->relays) {
+        WPRelay *r = wp_list_item(it, WPRelay, node);
+        if (admitted >= ADMITTED_MAX)
+            return;
+        if (!r->answer_paused || r->answer_admitted)
+            continue;
+        r->answer_admitted = true;
+        resume_answer(r);
+        admitted++;
+    }
 }
 
 void wp_relay_each_flow(const WPDirectHost *h, WPEachFlowFn fn, void *arg)
@@ -403,9 +432,7 @@
 void wp_relay_resume_reads(WPDirectHost *h)
 {
     wp_list_each (it, &h->relays) {
-        WPRelay *r = wp_list_item(it, WPRelay, node);
-        if (r->upstream_conn && !r->forwards_stream)
-            wp_upstream_set_paused(r->upstream_conn, false);
+        resume_answer(wp_list_item(it, WPRelay, node));
     }
 }
 
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -26,6 +26,8 @@
     bool answer_streams;     /* the attempt's answer is a stream */
     bool forwards_stream;    /* the stream is forwarded as it arrives */
     WPDirectAnswer answer;   /* decoded head of the attempt's answer */
+    bool answer_paused;      /* as the box buffers more than its limit */
+    bool answer_admitted;    /* it is read to its end nevertheless */
     GString *fields;         /* header lines that are forwarded to the caller */
     GByteArray *body;        /* body of an answer that is buffered whole */
     GString *attempts_text;  /* log field "legs": all attempts so far */
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -22,6 +22,7 @@
  *   raw: sends this text, unchanged but for "{fields}", as the answer to each
  *     request, and closes the connection; "{fields}" stands for the fields with
  *     the request's id and the seal (empty: no such fault);
+ *   answer_bytes: size of the body of answers that are not streamed;
  *   noting: logs each arrival, "CAME - MS ID REQUEST", and what its response
  *     announces: "TOLD leaving MS ID REQUEST", "TOLD SECONDS MS ID REQUEST".
  * Faults of a bad version:
@@ -72,7 +73,7 @@
     WPHttp *store;
     bool draining;
     double fail, refuse, cut, until_close, mute, delay_ms, confidence, events;
-    double fail_running, slow, slow_ms;
+    double fail_running, slow, slow_ms, answer_bytes;
     char *fail_path; /* prefix of paths that `fail` applies to; NULL: all */
     char *limit;     /* NULL: never set */
     char *leaving, *retry_after; /* NULL or empty: no such field */
@@ -179,10 +180,13 @@
 static void answer_text(Run *n, int status)
 {
     struct evhttp_request *r = n->request;
-    g_autofree char *body = g_strdup_printf("ran %s\n", n->id);
+    g_autoptr(GString) body = g_string_new(NULL);
+    g_string_printf(body, "ran %s\n", n->id);
+    while ((double)body->len < n->to->answer_bytes)
+        g_string_append_c(body, 'x');
     add_response_headers(r, n->to, n->id, true);
     end_run(n);
-    wp_http_reply_text(r, status, "text/plain", wp_str(body));
+    wp_http_reply_text(r, status, "text/plain", wp_strn(body->str, body->len));
 }
 
 /* Sends the beginning of the next event, after which the connection ends. */
@@ -582,6 +586,7 @@
     stand_set_number(j, "fail_running", &p->fail_running);
     stand_set_number(j, "slow", &p->slow);
     stand_set_number(j, "slow_ms", &p->slow_ms);
+    stand_set_number(j, "answer_bytes", &p->answer_bytes);
     if (json_object_get(j, "fail_path"))
         p->fail_path =
             g_strdup(json_string_value(json_object_get(j, "fail_path")));
--- a/tests/sync_fake.h
+++ b/tests/sync_fake.h
@@ -152,7 +152,8 @@
     s->host.platform = &platform;
     s->host.base = event_base_new();
     s->host.direct = s->fake.d;
-    wp_log_init(&s->host.log, "e1", g_getenv("WP_TEST_LOG") ? "info" : "error", "kv");
+    wp_log_init(&s->host.log, "e1", g_getenv("WP_TEST_LOG") ? "info" : "error",
+                "kv");
     s->host.sync = wp_sync_new(&s->host, &error);
     if (!s->host.sync)
         fail_msg("%s", error->message);
