Tests: parts of a prompt that add up to more than its tokens

The review's claim that uncached tokens wrap around was not reproduced: what a caller tells is clipped in wp_prompt_add(). The test fails without that.

--- a/tests/test_prefix_cache.c
+++ b/tests/test_prefix_cache.c
@@ -244,7 +244,24 @@
     fake_end(&y);
 }
 
-TESTS_MAIN(T(parts_match_by_model_and_with_all_before_them),
+/* Guards against uncached tokens below 0, which wrap around: parts whose tokens
+   are more together than the prompt's, as a caller may tell. */
+static void parts_beyond_the_prompt_make_tokens_wrap(void **state)
+{
+    WPPrompt p = { .tokens = 100 };
+    WPPrefixCache *k = wp_prefix_cache_new();
+    (void)state;
+    wp_prompt_add(&p, wp_str("a"), 80);
+    wp_prompt_add(&p, wp_str("b"), UINT32_MAX);
+    wp_prompt_add(&p, wp_str("c"), 80);
+    wp_prefix_cache_add(k, at(0), 1, &p);
+    assert_in_range(wp_prefix_cache_match(k, at(1), 1, &p), 0, p.tokens);
+    assert_in_range(wp_prompt_shared_tokens(&p), 0, p.tokens);
+    wp_prefix_cache_free(k);
+}
+
+TESTS_MAIN(T(parts_beyond_the_prompt_make_tokens_wrap),
+           T(parts_match_by_model_and_with_all_before_them),
            T(least_recently_used_is_evicted_first), T(estimates_are_bounded),
            T(ids_are_kept_of_all_parts_but_the_last),
            T(endpoint_with_the_cached_prefix_is_preferred),
