--- a/tests/soak.c
+++ b/tests/soak.c
@@ -470,6 +470,23 @@
     return n;
 }
 
+/* How many requests got each status, as text; 0 stands for no answer. */
+static char *statuses_text(const Soak *s)
+{
+    enum { STATUS_END = 600 };
+    unsigned counts[STATUS_END] = { 0 };
+    GString *text = g_string_new("statuses");
+    for (guint i = 0; i < s->outcomes->len; i++) {
+        int status = g_array_index(s->outcomes, RequestOutcome, i).status;
+        if (status >= 0 && status < STATUS_END)
+            counts[status]++;
+    }
+    for (int i = 0; i < STATUS_END; i++)
+        if (counts[i])
+            g_string_append_printf(text, " %d=%u", i, counts[i]);
+    return g_string_free(text, FALSE);
+}
+
 /* When the requests to existing routes were sent (int64_t, ms): /new/ is added
    in the middle of a run, and answered with 404 before. */
 static GArray *routed_sent_ms(const Soak *s)
@@ -560,9 +577,10 @@
     g_autofree char *summary =
         s.special ? case_ops->end(s.special, &totals, s.problems)
                   : g_strdup("no special case");
+    g_autofree char *statuses = statuses_text(&s);
     bool ok = !s.problems->len;
-    printf("seed %u: %s, %u requests, %u served, %s\n%s", seed,
-           ok ? "ok" : "FAILED", s.outcomes->len, served, summary,
+    printf("seed %u: %s, %u requests, %u served, %s, %s\n%s", seed,
+           ok ? "ok" : "FAILED", s.outcomes->len, served, summary, statuses,
            s.problems->str);
     cluster_free(s.cluster);
     g_array_unref(s.outcomes);
