A version whose last stage is slower is not completed

Callers got a slower version until a person acted: the order was completed while the figures said odds=2.3 loss=0.45 of 33 answers.

--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -270,6 +270,12 @@
            wp_canary_sums_speed_in_doubt(&new_sums);
 }
 
+bool wp_canary_speed_in_doubt(const WPCanary *c)
+{
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    return wp_canary_sums_speed_in_doubt(&new_sums);
+}
+
 bool wp_canary_may_fail(const WPCanary *c)
 {
     WPCanarySums new_sums = wp_canary_pooled_sums(c),
--- a/src/wp_canary.h
+++ b/src/wp_canary.h
@@ -100,6 +100,11 @@
    have times. */
 bool wp_canary_may_be_slow(const WPCanary *c);
 
+/* Whether the slowdown that is to be expected of the new version, by how its
+   answers compare with the usual ones at their load, is too large to keep
+   it. */
+bool wp_canary_speed_in_doubt(const WPCanary *c);
+
 /* Whether what all boxes have counted speaks against the new version. */
 bool wp_canary_in_doubt(const WPCanary *c);
 
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -424,6 +424,8 @@
     if (!stage->final && wp_canary_may_be_slow(&sh->canary))
         return "the answers are more likely from a slow version than from a "
                "good one";
+    if (stage->final && wp_canary_speed_in_doubt(&sh->canary))
+        return "the last stage's answers are slower than usual";
     if (!stage->final && sh->doubted_us &&
         now.mono_us - sh->doubted_us < DOUBT_MS * WP_US_PER_MS)
         return "what another box knows speaks against the version";
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -194,6 +194,28 @@
     fake_end(&k);
 }
 
+/* Guards against a version that is kept although the answers of the last stage,
+   which are many more than those before it, show that it is slower: the old
+   endpoints would stop at once. */
+static void slower_answers_of_the_last_stage_are_not_seen(void **state)
+{
+    Fake k;
+    (void)state;
+    init_shipped(&k);
+    WPShift *sh = start_shift(&k);
+    record_speeds(sh, "v1", 100, 1);
+    record_speeds(sh, "v2", 20, 1);
+    while (!sh->gate_passed)
+        assert_int_equal(poll_for(&k, sh, LOOK_MS), WP_SHIFT_RUNNING);
+    record_speeds(sh, "v2", 5, 2.5);
+    assert_int_equal(poll_for(&k, sh, SHIFT_MS), WP_SHIFT_RUNNING);
+    assert_non_null(sh->wait_reason);
+    /* More answers decide. */
+    record_speeds(sh, "v2", 200, 1);
+    assert_int_equal(poll_for(&k, sh, LEAD_MS), WP_SHIFT_DONE);
+    fake_end(&k);
+}
+
 /* Guards against counts that reach only the boxes with a link to the one that
    counted. */
 static void counts_of_other_boxes_are_sent_on_once(void **state)
@@ -250,5 +272,6 @@
            T(a_slow_version_is_found_beside_busy_endpoints),
            T(doubt_of_another_box_keeps_the_gate_closed),
            T(too_few_answers_keep_the_gate_closed),
+           T(slower_answers_of_the_last_stage_are_not_seen),
            T(counts_of_other_boxes_are_sent_on_once),
            T(times_of_all_boxes_are_added))
