--- a/src/wp_stream.c
+++ b/src/wp_stream.c
@@ -151,8 +151,7 @@
 static void learn_step(WPStream *s, uint64_t id)
 {
     uint64_t step = id - s->last_id;
-    /* The first of two successive numbers may still be wrong, but not likely.
-     */
+    /* Two successive numbers are hardly both wrong. */
     s->is_regular = s->step ? s->step == step : step == 1;
     s->irregular |= s->step && s->step != step;
     s->step = step;
