Agents read engines as strictly as direct mode reads endpoints

Callers of wpentry got an engine's answer as a success, or with a status that there is not, where its bytes are no HTTP: HTTP/1.1 20, 099, bare LF, folded lines, a space before a colon, two lengths (known failure, read only until now).

Cause: wp_engine.c took answers from evhttp, which lets these through. It is a connection over WPH1 now, as in direct mode: checked heads and framing, interim responses discarded, bytes after an answer end the connection.

The engine's stand-in takes raw answers; answer_raw() and set_text() moved to stand.c for it.

--- a/io/wp_runner.c
+++ b/io/wp_runner.c
@@ -29,8 +29,6 @@
     if (r->link)
         r->link->in_flight--;
     wp_engine_abort(r);
-    if (r->pause_event)
-        event_free(r->pause_event);
     wp_sse_end(&r->sse);
     if (r->answer_copy)
         g_byte_array_unref(r->answer_copy);
@@ -171,10 +169,10 @@
         return;
     }
     uint32_t prompt, answer;
-    bool written = r->con && r->con->written;
+    bool sent = wp_engine_was_sent(r);
     usage_of(r, &prompt, &answer);
     wp_engine_abort(r);
-    wp_agent_finish_job(owner->agent, now_of(owner), r->job, written, false,
+    wp_agent_finish_job(owner->agent, now_of(owner), r->job, sent, false,
                         prompt, answer);
     free_run(r);
 }
@@ -271,7 +269,6 @@
 {
     WPRunner *r = role;
     wp_agent_hand_over_to_joining(r->agent, now, send_handover, r);
-    wp_engine_close_surplus(role);
     start_ready_jobs(role);
 }
 
@@ -353,7 +350,6 @@
     r->settings = s;
     wp_list_init(&r->jobs);
     g_queue_init(&r->idle);
-    g_queue_init(&r->dead);
     if (!wp_http_parse_target(s->endpoint, &r->endpoint_host,
                               &r->endpoint_port)) {
         g_set_error(error, WP_ERROR, WP_ERROR_INPUT,
--- a/io/wp_runner_int.h
+++ b/io/wp_runner_int.h
@@ -15,26 +15,18 @@
     uint16_t endpoint_port;
     WPList jobs;        /* of WPRun */
     GQueue idle;        /* of WPEngineCon, for reuse */
-    GQueue dead;        /* of WPEngineCon, closed at the next tick */
     bool starting_jobs; /* guards start_ready_jobs() against recursion */
 };
 
-/* A persistent connection to the endpoint. */
-typedef struct WPEngineCon {
-    struct evhttp_connection *con;
-    struct bufferevent *bev;
-    bool written; /* bytes of the current request have been sent */
-} WPEngineCon;
+typedef struct WPEngineCon WPEngineCon;
 
 /* The transfer of one job's request and answer. */
 typedef struct WPRun {
     WPList node;
     WPRunner *runner;
     WPJob *job;
-    WPLink *link; /* NULL once the entry is gone */
-    WPEngineCon *con;
-    struct evhttp_request *request;
-    struct event *pause_event;
+    WPLink *link;     /* NULL once the entry is gone */
+    WPEngineCon *con; /* NULL: no request is in flight */
     WPSse sse;
     /* a non-streaming answer, kept to read its usage */
     GByteArray *answer_copy;
@@ -71,10 +63,10 @@
 /* Continues to read an answer that was paused, if the window allows it. */
 void wp_engine_resume(WPRun *r);
 
-/* Closes failed connections and all idle ones. */
-void wp_engine_close_idle(WPRunner *r);
+/* Whether the endpoint may have got part of the request in flight. */
+bool wp_engine_was_sent(const WPRun *r);
 
-/* Closes failed connections and surplus idle ones. */
-void wp_engine_close_surplus(WPRunner *r);
+/* Closes all idle connections. */
+void wp_engine_close_idle(WPRunner *r);
 
 #endif
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -40,6 +40,7 @@
     double slow, cut_after;
     double pad; /* padding bytes added to each token */
     bool silent, refuse, stepping;
+    char *raw; /* sent in place of each response; NULL or empty: none */
 } Engine;
 
 static double quality_of(const Engine *e, const char *version)
@@ -288,6 +289,11 @@
         json_decref(body);
         return;
     }
+    if (e->raw && *e->raw) {
+        stand_answer_raw(req, e->raw);
+        json_decref(body);
+        return;
+    }
     Run *r = g_new0(Run, 1);
     json_int_t max_tokens =
         json_integer_value(json_object_get(body, "max_tokens"));
@@ -344,6 +350,7 @@
     stand_set_number(j, "pad", &e->pad);
     stand_set_bool(j, "silent", &e->silent);
     stand_set_bool(j, "refuse", &e->refuse);
+    stand_set_text(j, "raw", &e->raw);
     json_object_update(e->quality, json_object_get(j, "quality"));
     json_decref(j);
     wp_http_reply_json(r, 200, json_object());
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -455,29 +455,6 @@
     log_line(p, line);
 }
 
-static void close_when_sent(struct bufferevent *bev, void *arg)
-{
-    (void)bev;
-    evhttp_connection_free(arg);
-}
-
-static void close_on_event(struct bufferevent *bev, short what, void *arg)
-{
-    (void)what;
-    close_when_sent(bev, arg);
-}
-
-/* Sends `text` and closes the connection. */
-static void answer_raw(struct evhttp_request *r, const char *text)
-{
-    struct evhttp_connection *con = evhttp_request_get_connection(r);
-    struct bufferevent *bev = evhttp_connection_get_bufferevent(con);
-    bufferevent_setcb(bev, NULL, close_when_sent, close_on_event, con);
-    bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
-    bufferevent_enable(bev, EV_READ | EV_WRITE);
-    evbuffer_add(bufferevent_get_output(bev), text, strlen(text));
-}
-
 /* Answers with bytes that a sound endpoint does not send. Returns false if none
    are set. */
 static bool answer_with_fault(const Replica *p, struct evhttp_request *r,
@@ -495,7 +472,7 @@
         return false;
     g_auto(GStrv) parts = g_strsplit(p->raw, "{fields}", 2);
     g_autofree char *text = g_strjoinv(fields, parts);
-    answer_raw(r, text);
+    stand_answer_raw(r, text);
     return true;
 }
 
@@ -559,15 +536,6 @@
     event_add(n->timer, &at);
 }
 
-static void set_text(const json_t *j, const char *name, char **text)
-{
-    const json_t *v = json_object_get(j, name);
-    if (!v)
-        return;
-    g_free(*text);
-    *text = g_strdup(json_string_value(v));
-}
-
 static void control(Replica *p, struct evhttp_request *r)
 {
     json_t *j = wp_http_body_json(r), *ids = json_object();
@@ -590,11 +558,11 @@
     if (json_object_get(j, "fail_path"))
         p->fail_path =
             g_strdup(json_string_value(json_object_get(j, "fail_path")));
-    set_text(j, "limit", &p->limit);
-    set_text(j, "leaving", &p->leaving);
-    set_text(j, "rest", &p->retry_after);
-    set_text(j, "endless", &p->endless);
-    set_text(j, "raw", &p->raw);
+    stand_set_text(j, "limit", &p->limit);
+    stand_set_text(j, "leaving", &p->leaving);
+    stand_set_text(j, "rest", &p->retry_after);
+    stand_set_text(j, "endless", &p->endless);
+    stand_set_text(j, "raw", &p->raw);
     stand_set_number(j, "rest_ms", &backoff_ms);
     if (backoff_ms >= 0)
         p->backoff_until_us =
--- a/standins/stand.c
+++ b/standins/stand.c
@@ -2,6 +2,8 @@
 #include "stand.h"
 #include "daemon.h"
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <signal.h>
 
 void stand_set_number(const json_t *j, const char *name, double *out)
@@ -18,11 +20,42 @@
         *out = json_is_true(v);
 }
 
+void stand_set_text(const json_t *j, const char *name, char **out)
+{
+    const json_t *v = json_object_get(j, name);
+    if (!v)
+        return;
+    g_free(*out);
+    *out = g_strdup(json_string_value(v));
+}
+
 void stand_close_connection(struct evhttp_request *r)
 {
     evhttp_connection_free(evhttp_request_get_connection(r));
 }
 
+static void close_when_sent(struct bufferevent *bev, void *arg)
+{
+    (void)bev;
+    evhttp_connection_free(arg);
+}
+
+static void close_on_event(struct bufferevent *bev, short what, void *arg)
+{
+    (void)what;
+    close_when_sent(bev, arg);
+}
+
+void stand_answer_raw(struct evhttp_request *r, const char *text)
+{
+    struct evhttp_connection *con = evhttp_request_get_connection(r);
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(con);
+    bufferevent_setcb(bev, NULL, close_when_sent, close_on_event, con);
+    bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    evbuffer_add(bufferevent_get_output(bev), text, strlen(text));
+}
+
 const char *stand_path(struct evhttp_request *r)
 {
     const char *p = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
--- a/standins/stand.h
+++ b/standins/stand.h
@@ -39,14 +39,18 @@
 void stand_replica(struct event_base *base, struct evhttp *http,
                    const Wp__StandSettings *s);
 
-/* Sets *out to the member `name` of `j` if that is a number (a boolean); else
-   leaves it. */
+/* Sets *out to the member `name` of `j` if that is a number (a boolean, a
+   string); else leaves it. A string's former text is freed. */
 void stand_set_number(const json_t *j, const char *name, double *out);
 void stand_set_bool(const json_t *j, const char *name, bool *out);
+void stand_set_text(const json_t *j, const char *name, char **out);
 
 /* Closes the request's connection without a response. */
 void stand_close_connection(struct evhttp_request *r);
 
+/* Sends `text` in place of a response, and closes the connection. */
+void stand_answer_raw(struct evhttp_request *r, const char *text);
+
 /* Path of the request's URL, without the query; "/" if empty. */
 const char *stand_path(struct evhttp_request *r);
 
--- a/tests/test_edges.c
+++ b/tests/test_edges.c
@@ -252,6 +252,66 @@
     check_still_serves();
 }
 
+/* What the entry answers while its engine sends `raw` in place of answers. */
+static char *answer_of_raw(const char *raw)
+{
+    Proc *x = site_proc(site, "x1");
+    json_t *fault = json_pack("{s:s}", "raw", raw);
+    g_autofree char *text = json_dumps(fault, 0);
+    json_decref(fault);
+    json_decref(site_fetch(site, x->port, "/control", text));
+    char *a =
+        send_request(CHAT KEY "X-Wp-Kind: rider-answer\r\n", BODY("auto"), "}");
+    json_decref(site_fetch(site, x->port, "/control", "{\"raw\":\"\"}"));
+    return a;
+}
+
+/* The entry leaves an endpoint that has failed for a while. */
+static void wait_until_serves(void)
+{
+    bool serves = false;
+    for (int i = 0; i < 200 && !serves; i++) {
+        g_autofree char *a = send_request(
+            CHAT KEY "X-Wp-Kind: rider-answer\r\n", BODY("auto"), "}");
+        serves = g_str_has_prefix(a, "HTTP/1.1 200 ");
+        site_run_loop(site, 50);
+    }
+    assert_true(serves);
+}
+
+/* Guards against answers of an engine that are no HTTP, or are cut short, and
+   reached callers as successes or as statuses that there are not. */
+static void invalid_answers_of_an_engine_reach_callers(void **state)
+{
+    static const char *const rows[] = {
+        "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\nContent-Length: 2\n\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;\rx\r\n{}\r\n"
+        "0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        "Content-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        "ICY 200 OK\r\n\r\n{}",
+    };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(rows); i++) {
+        g_autofree char *a = answer_of_raw(rows[i]);
+        if (!g_str_has_prefix(a, "HTTP/1.1 502 "))
+            fail_msg("row %zu is answered with:\n%s", i, a);
+        wait_until_serves();
+    }
+    g_autofree char *sound =
+        answer_of_raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    assert_non_null(strstr(sound, " 200 OK"));
+    check_still_serves();
+}
+
 /* Resident memory of a process of the site, in KB. */
 static long resident_kb(const char *name)
 {
@@ -376,6 +436,7 @@
         T(oversized_requests_are_rejected),
         T(garbage_on_peer_ports_closes_the_connection),
         T(an_engine_stops_when_its_caller_disconnects),
+        T(invalid_answers_of_an_engine_reach_callers),
         T(a_slow_reader_bounds_memory_and_gets_all),
         T(half_sent_requests_do_not_block_others),
         T(rejected_commands_change_nothing),
