An engine's event without an end ends the run

Operators saw an agent's memory and processor time grow as long as its engine sent bytes without the end of an event.

Cause: wp_sse_feed() keeps the part of an event without a bound (an XXX). After 256 KiB the run is incomplete, its connection closed, and wp_answers_bad_event_total counts it.

--- a/io/wp_engine.c
+++ b/io/wp_engine.c
@@ -152,24 +152,6 @@
         pause_reading(r);
 }
 
-static void on_body(void *arg, const char *p, size_t n)
-{
-    WPEngineCon *c = arg;
-    WPRun *r = c->run;
-    const uint8_t *data = (const uint8_t *)p;
-    if (!c->is_answer || !r || !r->head_sent)
-        return;
-    if (is_sse(r)) {
-        g_autoptr(GByteArray) out = g_byte_array_sized_new((guint)n);
-        wp_sse_feed(&r->sse, data, n, out);
-        send_chunk(r, out->data, out->len);
-        return;
-    }
-    if (r->answer_copy->len + n <= USAGE_COPY_MAX)
-        g_byte_array_append(r->answer_copy, data, (guint)n);
-    send_chunk(r, data, n);
-}
-
 static void note_invalid(const WPRun *r, WPCounter kind, const char *fault)
 {
     WPHost *h = r->runner->host;
@@ -180,24 +162,46 @@
 }
 
 /* Closes the connection, and ends the run in flight, if any, without a complete
-   answer. `fault`: what is not valid in the bytes from the endpoint; NULL: the
-   connection has ended, or the endpoint is silent. */
-static void fail_run(WPEngineCon *c, const char *fault)
+   answer. */
+static void fail_run(WPEngineCon *c)
 {
     bool sent = was_sent(c);
-    WPCounter kind = c->began ? WP_C_BAD_BODIES : WP_C_BAD_HEADS;
     WPRun *r = detach(c);
     free_con(c);
-    if (!r)
-        return;
-    if (fault)
-        note_invalid(r, kind, fault);
-    if (sent)
+    if (r && sent)
         wp_run_finished(r, false);
-    else
+    else if (r)
         wp_run_not_started(r, WP_ENDPOINT_DOWN, RETRY_AFTER_MS);
 }
 
+/* The same for bytes from the endpoint that are not valid. */
+static void fail_invalid(WPEngineCon *c, WPCounter kind, const char *fault)
+{
+    if (c->run)
+        note_invalid(c->run, kind, fault);
+    fail_run(c);
+}
+
+static void on_body(void *arg, const char *p, size_t n)
+{
+    WPEngineCon *c = arg;
+    WPRun *r = c->run;
+    const uint8_t *data = (const uint8_t *)p;
+    if (!c->is_answer || !r || !r->head_sent)
+        return;
+    if (is_sse(r)) {
+        g_autoptr(GByteArray) out = g_byte_array_sized_new((guint)n);
+        bool ends = wp_sse_feed(&r->sse, data, n, out);
+        send_chunk(r, out->data, out->len);
+        if (!ends)
+            fail_invalid(c, WP_C_BAD_EVENTS, "event without an end");
+        return;
+    }
+    if (r->answer_copy->len + n <= USAGE_COPY_MAX)
+        g_byte_array_append(r->answer_copy, data, (guint)n);
+    send_chunk(r, data, n);
+}
+
 /* The answer is complete: keeps the connection if it can be used again, and
    decides whether the run counts as not started, incomplete or complete. */
 static void finish_run(WPEngineCon *c)
@@ -230,7 +234,8 @@
     if (c->dead || st == WP_H1_MORE)
         return false;
     if (st == WP_H1_ERROR) {
-        fail_run(c, c->h1.fault);
+        fail_invalid(c, c->began ? WP_C_BAD_BODIES : WP_C_BAD_HEADS,
+                     c->h1.fault);
         return false;
     }
     if (c->is_answer) {
@@ -277,7 +282,7 @@
     if (ends_answer && wp_h1_eof(&c->h1) == WP_H1_COMPLETE && !c->dead)
         finish_run(c);
     else if (!c->dead)
-        fail_run(c, NULL);
+        fail_run(c);
     end_callback(c);
 }
 
--- a/src/wp_sse.c
+++ b/src/wp_sse.c
@@ -57,7 +57,7 @@
     return true;
 }
 
-void wp_sse_feed(WPSse *s, const uint8_t *data, size_t n, GByteArray *out)
+bool wp_sse_feed(WPSse *s, const uint8_t *data, size_t n, GByteArray *out)
 {
     WPStr rest = wp_strn((const char *)data, n);
     const char *end;
@@ -75,4 +75,5 @@
     g_byte_array_append(left, (const guint8 *)rest.p, (guint)rest.n);
     g_byte_array_unref(s->partial);
     s->partial = left;
+    return left->len <= WP_SSE_EVENT_MAX_BYTES;
 }
--- a/src/wp_sse.h
+++ b/src/wp_sse.h
@@ -5,9 +5,10 @@
 
 #include "wp_base.h"
 
+enum { WP_SSE_EVENT_MAX_BYTES = 256 << 10 };
+
 typedef struct WPSse {
-    GByteArray *partial; /* an event that has not arrived completely.
-                            XXX: its size is not limited */
+    GByteArray *partial; /* an event that has not arrived completely */
     bool want_usage;     /* the caller asked for the usage event */
     bool done;           /* [DONE] was seen */
     bool has_usage;
@@ -22,8 +23,9 @@
 void wp_sse_end(WPSse *s);
 
 /* Takes the next `n` bytes and appends the complete events that the caller is
-   to get to `out`. */
-void wp_sse_feed(WPSse *s, const uint8_t *data, size_t n, GByteArray *out);
+   to get to `out`. Returns false if the event after these is longer than
+   WP_SSE_EVENT_MAX_BYTES, as one without an end would fill the memory. */
+bool wp_sse_feed(WPSse *s, const uint8_t *data, size_t n, GByteArray *out);
 
 /* Reads {"usage": {...}} out of a JSON text; false when there is none. */
 bool wp_sse_parse_usage(WPStr json, uint32_t *prompt_tokens,
--- a/standins/engine.c
+++ b/standins/engine.c
@@ -4,6 +4,7 @@
  * an LRU cache of prompt prefixes and request priorities; closing the
  * connection cancels a request. An answer contains a digest of its prompt and
  * whether it is good; /ledger lists every run. */
+#include "endless.h"
 #include "stand.h"
 
 #include <event2/buffer.h>
@@ -40,7 +41,8 @@
     double slow, cut_after;
     double pad; /* padding bytes added to each token */
     bool silent, refuse, stepping;
-    char *raw; /* sent in place of each response; NULL or empty: none */
+    char *raw;     /* sent in place of each response; NULL or empty: none */
+    char *endless; /* kind of endless bytes that are, as endless.h has them */
 } Engine;
 
 static double quality_of(const Engine *e, const char *version)
@@ -279,6 +281,20 @@
                      : r->prompt_tokens / PREFILL_TOKENS_PER_STEP;
 }
 
+/* Answers with bytes that a sound engine does not send. Returns false if none
+   are set. */
+static bool answer_with_fault(const Engine *e, struct evhttp_request *req)
+{
+    if (e->raw && *e->raw) {
+        stand_answer_raw(req, e->raw);
+        return true;
+    }
+    if (!e->endless || !*e->endless)
+        return false;
+    endless_answer(req, e->endless, "Content-Type: text/event-stream\r\n");
+    return true;
+}
+
 static void on_chat(struct evhttp_request *req, void *arg)
 {
     Engine *e = arg;
@@ -289,8 +305,7 @@
         json_decref(body);
         return;
     }
-    if (e->raw && *e->raw) {
-        stand_answer_raw(req, e->raw);
+    if (answer_with_fault(e, req)) {
         json_decref(body);
         return;
     }
@@ -351,6 +366,7 @@
     stand_set_bool(j, "silent", &e->silent);
     stand_set_bool(j, "refuse", &e->refuse);
     stand_set_text(j, "raw", &e->raw);
+    stand_set_text(j, "endless", &e->endless);
     json_object_update(e->quality, json_object_get(j, "quality"));
     json_decref(j);
     wp_http_reply_json(r, 200, json_object());
--- a/tests/test_edges.c
+++ b/tests/test_edges.c
@@ -95,6 +95,10 @@
     "\",\"max_tokens\":3,\"messages\":[{\"role\":\"user\",\"content\":"        \
     "\"hi\"}]}"
 
+#define STREAM_BODY                                                            \
+    "{\"model\":\"plan\",\"stream\":true,\"max_tokens\":5000,\"messages\":"    \
+    "[{\"role\":\"user\",\"content\":\"long\"}]}"
+
 /* Fails the test unless an ordinary request is answered. */
 static void check_still_serves(void)
 {
@@ -226,11 +230,9 @@
     Proc *x = site_proc(site, "x1");
     json_decref(site_fetch(site, x->port, "/control", "{\"slow\":30}"));
     int fd = dial(site_proc(site, "e1")->port);
-    g_autofree char *body = g_strdup(
-        "{\"model\":\"plan\",\"stream\":true,\"max_tokens\":5000,\"messages\":"
-        "[{\"role\":\"user\",\"content\":\"long\"}]}");
-    g_autofree char *text = g_strdup_printf(
-        CHAT KEY "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
+    g_autofree char *text =
+        g_strdup_printf(CHAT KEY "Content-Length: %zu\r\n\r\n%s",
+                        strlen(STREAM_BODY), STREAM_BODY);
     send_bytes(fd, text, strlen(text));
     g_autofree char *a = read_until(fd, "good", 5000);
     (void)state;
@@ -252,18 +254,15 @@
     check_still_serves();
 }
 
-/* What the entry answers while its engine sends `raw` in place of answers. */
-static char *answer_of_raw(const char *raw)
+/* Resident memory of a process of the site, in KB. */
+static long resident_kb(const char *name)
 {
-    Proc *x = site_proc(site, "x1");
-    json_t *fault = json_pack("{s:s}", "raw", raw);
-    g_autofree char *text = json_dumps(fault, 0);
-    json_decref(fault);
-    json_decref(site_fetch(site, x->port, "/control", text));
-    char *a =
-        send_request(CHAT KEY "X-Wp-Kind: rider-answer\r\n", BODY("auto"), "}");
-    json_decref(site_fetch(site, x->port, "/control", "{\"raw\":\"\"}"));
-    return a;
+    g_autofree char *file =
+        g_strdup_printf("/proc/%d/status", site_proc(site, name)->pid);
+    g_autofree char *text = NULL;
+    g_file_get_contents(file, &text, NULL, NULL);
+    const char *rss = text ? strstr(text, "VmRSS:") : NULL;
+    return rss ? strtol(rss + 6, NULL, 10) : 0;
 }
 
 /* The entry leaves an endpoint that has failed for a while. */
@@ -279,6 +278,38 @@
     assert_true(serves);
 }
 
+/* Guards against an event of an engine that does not end, which the agent kept
+   whole: its memory grows by at most 4 MB, and the caller's stream ends. */
+static void event_without_an_end_fills_the_memory(void **state)
+{
+    Proc *x = site_proc(site, "x1");
+    long agent_kb = resident_kb("a1");
+    (void)state;
+    json_decref(
+        site_fetch(site, x->port, "/control", "{\"endless\":\"event\"}"));
+    g_autofree char *a = send_request(CHAT KEY, STREAM_BODY, "}");
+    long after_kb = resident_kb("a1");
+    json_decref(site_fetch(site, x->port, "/control", "{\"endless\":\"\"}"));
+    assert_null(strstr(a, "[DONE]"));
+    if (after_kb > agent_kb + 4096)
+        fail_msg("agent %ld to %ld KB", agent_kb, after_kb);
+    wait_until_serves();
+}
+
+/* What the entry answers while its engine sends `raw` in place of answers. */
+static char *answer_of_raw(const char *raw)
+{
+    Proc *x = site_proc(site, "x1");
+    json_t *fault = json_pack("{s:s}", "raw", raw);
+    g_autofree char *text = json_dumps(fault, 0);
+    json_decref(fault);
+    json_decref(site_fetch(site, x->port, "/control", text));
+    char *a =
+        send_request(CHAT KEY "X-Wp-Kind: rider-answer\r\n", BODY("auto"), "}");
+    json_decref(site_fetch(site, x->port, "/control", "{\"raw\":\"\"}"));
+    return a;
+}
+
 /* Guards against answers of an engine that are no HTTP, or are cut short, and
    reached callers as successes or as statuses that there are not. */
 static void invalid_answers_of_an_engine_reach_callers(void **state)
@@ -312,17 +343,6 @@
     check_still_serves();
 }
 
-/* Resident memory of a process of the site, in KB. */
-static long resident_kb(const char *name)
-{
-    g_autofree char *file =
-        g_strdup_printf("/proc/%d/status", site_proc(site, name)->pid);
-    g_autofree char *text = NULL;
-    g_file_get_contents(file, &text, NULL, NULL);
-    const char *rss = text ? strstr(text, "VmRSS:") : NULL;
-    return rss ? strtol(rss + 6, NULL, 10) : 0;
-}
-
 /* Whether the engine's ledger has a run of this many tokens. */
 static bool engine_has_run(int tokens)
 {
@@ -437,6 +457,7 @@
         T(garbage_on_peer_ports_closes_the_connection),
         T(an_engine_stops_when_its_caller_disconnects),
         T(invalid_answers_of_an_engine_reach_callers),
+        T(event_without_an_end_fills_the_memory),
         T(a_slow_reader_bounds_memory_and_gets_all),
         T(half_sent_requests_do_not_block_others),
         T(rejected_commands_change_nothing),
