A paused upload whose caller has gone is closed

Operators saw a box at its buffer limit keep uploads of callers that had gone, with their memory, until the idle time-out.

Cause: a paused connection is not read, so that neither its end nor its reset is noticed.

Each tick polls paused uploads for the end of the peer.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -1,4 +1,5 @@
 /* Connections of callers. */
+#define _GNU_SOURCE /* POLLRDHUP */
 #include "wp_downstream.h"
 #include "wp_clock.h"
 #include "wp_buffered.h"
@@ -7,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
+#include <poll.h>
 
 enum {
     SILENT_MS = 6000, /* a caller that answers no keep-alive probe for this time
@@ -476,11 +478,24 @@
     f->uploads_limit_bytes = bytes;
 }
 
+/* Whether the caller of a paused upload has ended its connection, which is not
+   read. XXX: an orderly end behind more bytes than the socket's buffers take is
+   noticed only once the connection is read again. */
+static bool is_abandoned(const WPDownstreamConn *p)
+{
+    struct pollfd q = { .fd = bufferevent_getfd(p->bev), .events = POLLRDHUP };
+    return p->upload_paused && poll(&q, 1, 0) > 0;
+}
+
 uint64_t wp_downstream_poll_buffered(WPDownstream *f, WPTime now)
 {
     uint64_t sum = 0;
-    wp_list_each (it, &f->conns) {
+    wp_list_each_safe (it, tmp, &f->conns) {
         WPDownstreamConn *p = wp_list_item(it, WPDownstreamConn, node);
+        if (is_abandoned(p)) {
+            on_disconnect(p);
+            continue;
+        }
         size_t unread = evbuffer_get_length(bufferevent_get_output(p->bev));
         sum += unread + p->body->len +
                evbuffer_get_length(bufferevent_get_input(p->bev));
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -206,18 +206,12 @@
     *unsent -= (size_t)MAX(n, 0);
 }
 
-/* Above the limit, large bodies are not read any further; below it, reading
-   goes on. */
-static void large_bodies_wait_above_the_limit(void **state)
+/* Sends large bodies until the box is over its limit. */
+static void upload_over_the_limit(World *w, int fd[], size_t unsent[])
 {
-    (void)state;
-    World w;
-    int fd[SLOW_CALLERS];
-    size_t unsent[SLOW_CALLERS];
-    open_world(&w, 32);
     for (unsigned i = 0; i < SLOW_CALLERS; i++)
-        fd[i] = dial(&w, true);
-    tick(&w);
+        fd[i] = dial(w, true);
+    tick(w);
     for (unsigned i = 0; i < SLOW_CALLERS; i++) {
         g_autofree char *head = g_strdup_printf(
             "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n",
@@ -228,12 +222,24 @@
     for (unsigned round = 0; round < LOOP_TURNS; round++) {
         for (unsigned i = 0; i < SLOW_CALLERS; i++)
             send_chunk(fd[i], &unsent[i]);
-        event_base_loop(w.base, EVLOOP_NONBLOCK);
-        if (wp_buffered_update(
-                &w.buffered, wp_downstream_poll_buffered(w.downstream, w.now)))
-            wp_downstream_set_over_limit(w.downstream, w.buffered.over_limit);
+        event_base_loop(w->base, EVLOOP_NONBLOCK);
+        if (wp_buffered_update(&w->buffered, wp_downstream_poll_buffered(
+                                                 w->downstream, w->now)))
+            wp_downstream_set_over_limit(w->downstream, w->buffered.over_limit);
     }
-    assert_true(w.buffered.over_limit);
+    assert_true(w->buffered.over_limit);
+}
+
+/* Above the limit, large bodies are not read any further; below it, reading
+   goes on. */
+static void large_bodies_wait_above_the_limit(void **state)
+{
+    (void)state;
+    World w;
+    int fd[SLOW_CALLERS];
+    size_t unsent[SLOW_CALLERS];
+    open_world(&w, 32);
+    upload_over_the_limit(&w, fd, unsent);
     assert_true(w.buffered.bytes <
                 w.buffered.limit_bytes + SLOW_CALLERS * CHUNK_BYTES);
     assert_int_equal(w.requests, 0);
@@ -250,6 +256,33 @@
     close_world(&w);
 }
 
+/* Ends the connection by a reset, which is not held up by bytes before it. */
+static void reset(int fd)
+{
+    const struct linger now = { 1, 0 };
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(fd);
+}
+
+/* Guards against paused uploads whose callers have gone, which were kept, with
+   the memory that they take, until the idle time-out. */
+static void paused_upload_outlives_its_caller(void **state)
+{
+    World w;
+    int fd[SLOW_CALLERS];
+    size_t unsent[SLOW_CALLERS];
+    (void)state;
+    open_world(&w, 32);
+    upload_over_the_limit(&w, fd, unsent);
+    for (unsigned i = 0; i < SLOW_CALLERS; i++)
+        reset(fd[i]);
+    tick(&w);
+    tick(&w);
+    assert_int_equal(wp_downstream_connection_count(w.downstream), 0);
+    assert_false(w.buffered.over_limit);
+    close_world(&w);
+}
+
 /* Begins an upload of BODY_BYTES on a new connection. */
 static int begin_upload(World *w)
 {
@@ -410,6 +443,7 @@
 
 TESTS_MAIN(T(limit_has_hysteresis), T(callers_that_do_not_read_are_closed),
            T(large_bodies_wait_above_the_limit),
+           T(paused_upload_outlives_its_caller),
            T(large_uploads_at_once_do_not_hang_each_other),
            T(a_length_above_the_limit_is_refused_as_too_large),
            T(a_planned_stop_does_not_cut_answers_that_are_read),
