The canary gets what the limit for a bad version leaves

Callers got slower versions until a person acted, and operators good ones late, where a service has few requests: 15 to 18 answers of the new version decided, in an order of 12 s with 36 requests a second, and 65 and 30 more are allowed.

Cause: the share was 0.04 whatever the operator allows. exposure_share and exposure_slack are settings now (from the platform's bounds). In the second half, when any session may go over, the share rises as far as the limit allows after the requests of the last stage, at boxes that know the counts of all; the others take it over by the digest, so that all send a session the same way.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -1608,6 +1608,8 @@
 static const double wp__direct_settings__retry_slack__default_value = 50;
 static const double wp__direct_settings__retry_window_s__default_value = 10;
 static const double wp__direct_settings__session_s__default_value = 5;
+static const double wp__direct_settings__exposure_share__default_value = 0.15;
+static const double wp__direct_settings__exposure_slack__default_value = 0;
 static const uint32_t wp__direct_settings__log_kb_per_s__default_value = 256u;
 static const double wp__direct_settings__confidence_even__default_value = 44;
 static const double wp__direct_settings__confidence_spread__default_value = 7;
@@ -1636,7 +1638,7 @@
 static const double wp__direct_settings__duty_lease_ms__default_value = 3000;
 static const double wp__direct_settings__strain_weight_contended__default_value = 3;
 static const double wp__direct_settings__weigh_zone_kb_contended__default_value = 0.006;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[52] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[54] =
 {
   {
     "id",
@@ -2262,6 +2264,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "exposure_share",
+    57,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_exposure_share),
+    offsetof(Wp__DirectSettings, exposure_share),
+    NULL,
+    &wp__direct_settings__exposure_share__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "exposure_slack",
+    58,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_exposure_slack),
+    offsetof(Wp__DirectSettings, exposure_slack),
+    NULL,
+    &wp__direct_settings__exposure_slack__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__direct_settings__field_indices_by_name[] = {
   22,   /* field[22] = answer_value */
@@ -2278,6 +2304,8 @@
   12,   /* field[12] = drain_s */
   42,   /* field[42] = duties */
   45,   /* field[45] = duty_lease_ms */
+  52,   /* field[52] = exposure_share */
+  53,   /* field[53] = exposure_slack */
   36,   /* field[36] = first_start */
   3,   /* field[3] = http */
   0,   /* field[0] = id */
@@ -2317,11 +2345,12 @@
   1,   /* field[1] = zone */
   38,   /* field[38] = zone_news */
 };
-static const ProtobufCIntRange wp__direct_settings__number_ranges[2 + 1] =
+static const ProtobufCIntRange wp__direct_settings__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 29, 26 },
-  { 0, 52 }
+  { 57, 52 },
+  { 0, 54 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2331,10 +2360,10 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  52,
+  54,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
-  2,  wp__direct_settings__number_ranges,
+  3,  wp__direct_settings__number_ranges,
   (ProtobufCMessageInit) wp__direct_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -349,6 +349,14 @@
   double retry_window_s;
   protobuf_c_boolean has_session_s;
   double session_s;
+  /*
+   * What a new version that turns out to be bad may get within its order's
+   * duration: a share of the service's requests, and some more.
+   */
+  protobuf_c_boolean has_exposure_share;
+  double exposure_share;
+  protobuf_c_boolean has_exposure_slack;
+  double exposure_slack;
   protobuf_c_boolean has_log_kb_per_s;
   uint32_t log_kb_per_s;
   /*
@@ -524,7 +532,7 @@
 extern char wp__direct_settings__contention_trait__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL, wp__direct_settings__contention__default_value, 0,NULL, wp__direct_settings__contention_trait__default_value, 0, 3, 0, 0.006 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 0.15, 0, 0, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL, wp__direct_settings__contention__default_value, 0,NULL, wp__direct_settings__contention_trait__default_value, 0, 3, 0, 0.006 }
 
 
 /* Wp__NodeSettings methods */
--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4431,7 +4431,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[30] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[31] =
 {
   {
     "service",
@@ -4793,6 +4793,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share_permille",
+    32,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, has_share_permille),
+    offsetof(Wp__MoveSums, share_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -4817,6 +4829,7 @@
   22,   /* field[22] = route */
   23,   /* field[23] = route_counts */
   0,   /* field[0] = service */
+  30,   /* field[30] = share_permille */
   4,   /* field[4] = slow */
   27,   /* field[27] = slow_replicas */
   19,   /* field[19] = slow_spread */
@@ -4826,10 +4839,11 @@
   26,   /* field[26] = timed_replicas */
   13,   /* field[13] = wholes */
 };
-static const ProtobufCIntRange wp__move_sums__number_ranges[1 + 1] =
+static const ProtobufCIntRange wp__move_sums__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 30 }
+  { 32, 30 },
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4839,10 +4853,10 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  30,
+  31,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
-  1,  wp__move_sums__number_ranges,
+  2,  wp__move_sums__number_ranges,
   (ProtobufCMessageInit) wp__move_sums__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -761,6 +761,11 @@
    * that counted, if it is not the sender
    */
   char *box;
+  /*
+   * Share of requests that the canary gets, in thousandths.
+   */
+  protobuf_c_boolean has_share_permille;
+  uint32_t share_permille;
   /*
    * What the sender knows speaks against the new version.
    */
@@ -769,7 +774,7 @@
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -4,6 +4,8 @@
 #include "wp_reports.h"
 #include "wp_sync_int.h"
 
+#define PERMILLE 1000.0
+
 /* Merges the answer counts, elapsed time, gate and finding on the new version
    that another box has sent of a shift. Ignored if this box knows no shift of
    the same order. */
@@ -21,6 +23,8 @@
         wp_shift_merge_doubt(sh, now);
     if (m->open)
         wp_shift_merge_gate_passed(sh);
+    if (m->has_share_permille)
+        wp_shift_merge_canary_share(sh, m->share_permille / PERMILLE);
     if (m->bad && !sh->found_bad) {
         wp_shift_merge_bad(sh);
         wp_log(&s->host->log, WP_WARN, "version_bad", "service", sh->service,
@@ -116,6 +120,8 @@
     m->elapsed_ms = (uint64_t)wp_elapsed_ms(&sh->elapsed, f->now);
     m->has_open = 1;
     m->open = sh->gate_passed;
+    m->has_share_permille = sh->canary_share > 0;
+    m->share_permille = (uint32_t)(sh->canary_share * PERMILLE);
     m->has_doubt = 1;
     m->doubt = wp_canary_in_doubt(&sh->canary);
     m->has_bad = 1;
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -207,6 +207,7 @@
         .retry_budget = { s->retry_ratio, s->retry_slack,
                           in_ms(s->retry_window_s) },
         .session_idle_ms = in_ms(s->session_s),
+        .exposure = { s->exposure_share, s->exposure_slack },
         .cascade = { s->confidence_even, s->confidence_spread, s->answer_value,
                      s->request_value, s->strain_from, s->strain_weight },
         .contended_strain_weight = s->strain_weight_contended,
--- a/io/wp_store_writer.c
+++ b/io/wp_store_writer.c
@@ -181,6 +181,18 @@
     write_shift(s, sh, sh->state, now, "lost by the store");
 }
 
+static void widen_canary(WPSync *s, WPShift *sh, WPTime now)
+{
+    const WPDirect *d = &s->host->direct;
+    if (!wp_shift_widen_canary(d->shifts, sh, now, d->boxes))
+        return;
+    g_autofree char *share = g_strdup_printf("%.3f", sh->canary_share);
+    g_autofree char *figures = wp_shift_stats_text(sh, now);
+    wp_log(&s->host->log, WP_INFO, "move_share", "service", sh->service,
+           "version", sh->version, "share", share, "figures", figures, NULL);
+    wp_peers_schedule_digest(s->peers);
+}
+
 /* Advances a running shift, and writes its next state when that is due. */
 static void advance_shift(void *arg, WPShift *sh)
 {
@@ -190,6 +202,7 @@
     restore_shift(s, sh, now);
     if (sh->state != WP_SHIFT_RUNNING)
         return;
+    widen_canary(s, sh, now);
     if (wp_shift_advance(s->host->direct.shifts, sh, now, &why)) {
         wp_log(&s->host->log, WP_INFO, "move_stage", "service", sh->service,
                "version", sh->version, "stage", sh->stage, "why", why, NULL);
--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -90,6 +90,17 @@
     return is_new;
 }
 
+unsigned wp_canary_reporting_boxes(const WPCanary *c)
+{
+    g_autoptr(GHashTable) boxes = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter it;
+    gpointer p;
+    g_hash_table_iter_init(&it, c->reports);
+    while (g_hash_table_iter_next(&it, NULL, &p))
+        g_hash_table_add(boxes, ((WPCanaryReport *)p)->box);
+    return g_hash_table_size(boxes);
+}
+
 size_t wp_canary_take_unsent(WPCanary *c, const WPCanaryReport **out,
                              size_t max)
 {
--- a/src/wp_canary.h
+++ b/src/wp_canary.h
@@ -67,6 +67,9 @@
                            void (*fn)(void *arg, const WPCanaryReport *r),
                            void *arg);
 
+/* The number of boxes whose reports are known. */
+unsigned wp_canary_reporting_boxes(const WPCanary *c);
+
 /* Puts up to `max` reports whose new answers were not sent on yet into `out`
    and marks them as sent. Returns their number. */
 size_t wp_canary_take_unsent(WPCanary *c, const WPCanaryReport **out,
--- a/src/wp_direct.c
+++ b/src/wp_direct.c
@@ -72,6 +72,7 @@
     wp_fleet_set_rules(d->fleet, &rules->fleet);
     wp_fleet_set_ttfb_listener(d->fleet, merge_ttfb, d);
     d->shifts = wp_shifts_new(chart);
+    wp_shifts_set_exposure(d->shifts, &rules->exposure);
     d->suspects = wp_suspects_new(rules->box);
     d->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -339,7 +340,7 @@
 {
     double position = wp_direct_shift_position(
         d, now, sh, wp_direct_session_position(session));
-    bool is_moved = position < wp_shift_stage(d->shifts, sh, now)->share;
+    bool is_moved = position < wp_shift_share(d->shifts, sh, now);
     return moved ? wp_shift_first_half(sh, now) || !is_moved : is_moved;
 }
 
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -31,6 +31,7 @@
     WPRetryBudgetRules retry_budget;
     /* the longest time between requests of a session */
     uint32_t session_idle_ms;
+    WPExposureLimit exposure; /* of new versions */
     WPCascadeRules cascade;
     double contended_strain_weight; /* in place of that of `cascade` */
     WPFleetRules fleet;
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -48,6 +48,8 @@
     { "retry_slack", 0, 1000000, NULL },
     { "retry_window_s", 0.1, 600, NULL },
     { "session_s", 0, 86400, NULL },
+    { "exposure_share", 0, 1, NULL },
+    { "exposure_slack", 0, 1000000, NULL },
     { "log_kb_per_s", 0, 1000000, NULL },
     { "confidence_even", 0, 100, NULL },
     { "confidence_spread", 0.1, 100, NULL },
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -26,9 +26,20 @@
    it lasts. */
 #define DOUBT_MS 600
 
+/* The canary's share rises in the second half only, when any session may go
+   over, and until this part of the time of all stages: later answers hardly
+   count. */
+#define WIDEN_UNTIL 0.75
+#define WIDEN_EVERY_MS 500
+
+/* This box counts a shift's requests if it has observed it from this long after
+   the start on. */
+#define UNOBSERVED_MAX_MS 1000
+
 struct WPShifts {
     const Wp__Chart *chart;
-    bool draining;          /* this box takes no requests */
+    bool draining; /* this box takes no requests */
+    WPExposureLimit exposure;
     GHashTable *by_service; /* service -> WPShift */
     GHashTable *serving;    /* service -> set of versions that may serve without
                                an order, see wp_shifts_note_registered() */
@@ -176,6 +187,11 @@
     s->draining = draining;
 }
 
+void wp_shifts_set_exposure(WPShifts *s, const WPExposureLimit *limit)
+{
+    s->exposure = *limit;
+}
+
 WPShift *wp_shifts_find(WPShifts *s, const char *service)
 {
     return g_hash_table_lookup(s->by_service, service);
@@ -331,6 +347,11 @@
     return at;
 }
 
+double wp_shift_share(const WPShifts *s, const WPShift *sh, WPTime now)
+{
+    return MAX(wp_shift_stage(s, sh, now)->share, sh->canary_share);
+}
+
 bool wp_shift_first_half(const WPShift *sh, WPTime now)
 {
     int64_t ms = wp_elapsed_ms(&sh->elapsed, now);
@@ -360,7 +381,52 @@
         return true;
     if (last && wp_shift_first_half(sh, now))
         return false;
-    return unit < wp_shift_stage(s, sh, now)->share;
+    return unit < wp_shift_share(s, sh, now);
+}
+
+void wp_shift_merge_canary_share(WPShift *sh, double share)
+{
+    sh->canary_share = MAX(sh->canary_share, share);
+}
+
+/* Whether this box knows what the new and the old version have answered at all
+   boxes since the order. */
+static bool knows_all_answers(const WPShift *sh, WPTime now, unsigned boxes)
+{
+    int64_t observed_ms = (now.mono_us - sh->observed_since_us) / WP_US_PER_MS;
+    return wp_canary_reporting_boxes(&sh->canary) + 1 >= boxes &&
+           observed_ms + UNOBSERVED_MAX_MS >= wp_elapsed_ms(&sh->elapsed, now);
+}
+
+/* Whether it is time to look whether the canary's share may rise. */
+static bool is_widening_due(const WPShift *sh, WPTime now)
+{
+    return sh->state == WP_SHIFT_RUNNING && !sh->found_bad &&
+           !sh->gate_passed && !wp_shift_first_half(sh, now) &&
+           elapsed_part(sh, now) < WIDEN_UNTIL &&
+           now.mono_us - sh->widened_us >= WIDEN_EVERY_MS * WP_US_PER_MS;
+}
+
+bool wp_shift_widen_canary(const WPShifts *s, WPShift *sh, WPTime now,
+                           unsigned boxes)
+{
+    const Wp__ChartState *canary = wp_chart_state(s->chart, s->chart->initial);
+    if (!is_widening_due(sh, now))
+        return false;
+    sh->widened_us = now.mono_us;
+    if (!knows_all_answers(sh, now, boxes))
+        return false;
+    WPCanarySums sums = wp_canary_pooled_sums(&sh->canary);
+    const WPExposure e = {
+        .answered = (double)sums.answered + sums.old_answered,
+        .answered_new = sums.answered,
+        .elapsed_ms = wp_elapsed_ms(&sh->elapsed, now),
+        .full_ms = (int64_t)(canary->dwell_part * (double)stages_ms(sh)),
+        .duration_ms = sh->duration_ms,
+    };
+    double before = MAX(sh->canary_share, canary->share);
+    wp_shift_merge_canary_share(sh, wp_exposure_share(&s->exposure, &e));
+    return sh->canary_share > before;
 }
 
 void wp_shift_merge_gate_passed(WPShift *sh)
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -13,6 +13,7 @@
 #include "settings.pb-c.h"
 #include "wp_elapsed.h"
 #include "wp_canary.h"
+#include "wp_exposure.h"
 
 typedef enum WPShiftState {
     WP_SHIFT_RUNNING,
@@ -50,8 +51,12 @@
     bool found_bad;  /* the new version is bad and gets no more requests */
     int64_t doubted_us; /* when another box last told that what it knows speaks
                            against the new version; 0: never */
-    bool gate_passed;   /* the gate before the last stage has been passed */
-    const char *stage;  /* name of the stage at the last poll; the chart's */
+    /* Share of sessions that the canary gets, if it is above the chart's; it
+       never falls. */
+    double canary_share;
+    int64_t widened_us;   /* when this box last looked whether it may rise */
+    bool gate_passed;     /* the gate before the last stage has been passed */
+    const char *stage;    /* name of the stage at the last poll; the chart's */
     uint32_t old_running; /* this box's requests in flight on other versions */
     int64_t polled_us;    /* time of the last poll */
 
@@ -99,6 +104,9 @@
    stopped in turn completed one in which none of them had a request. */
 void wp_shifts_set_draining(WPShifts *s, bool draining);
 
+/* Sets what a new version may get before it is known to be good. */
+void wp_shifts_set_exposure(WPShifts *s, const WPExposureLimit *limit);
+
 /* The service's shift; NULL if no order for it is known. */
 WPShift *wp_shifts_find(WPShifts *s, const char *service);
 
@@ -140,7 +148,7 @@
 
 /* Whether a request is to go to the new version. Once the shift has ended, that
    is whether it was completed. While it runs, `unit` in [0, 1), which is the
-   same for all requests of a session, is compared with the stage's share.
+   same for all requests of a session, is compared with wp_shift_share().
    `last` is the version that served the session before; NULL if this box knows
    none. A session stays on the new version, and during the first half also on
    the old one, whatever its `unit`. */
@@ -172,6 +180,9 @@
 /* Merges that what another box knows speaks against the new version. */
 void wp_shift_merge_doubt(WPShift *sh, WPTime now);
 
+/* Merges the share of requests that the canary gets at another box. */
+void wp_shift_merge_canary_share(WPShift *sh, double share);
+
 /* Merges that another box has passed the gate before the last stage. */
 void wp_shift_merge_gate_passed(WPShift *sh);
 
@@ -183,6 +194,16 @@
 const Wp__ChartState *wp_shift_stage(const WPShifts *s, const WPShift *sh,
                                      WPTime now);
 
+/* Raises the canary's share as far as what the new version may get allows it;
+   to be called several times a second. `boxes`: the number of boxes that serve,
+   with this one; the share stays where the counts of some are not known.
+   Returns whether it has risen. */
+bool wp_shift_widen_canary(const WPShifts *s, WPShift *sh, WPTime now,
+                           unsigned boxes);
+
+/* The share of sessions that the new version gets at `now`. */
+double wp_shift_share(const WPShifts *s, const WPShift *sh, WPTime now);
+
 /* Polls the shift; to be called several times a second. Passes the gate of the
    next stage if its time has come and the answers are good. Returns whether the
    stage has changed since the last call; `*why` is then set to the statistics
--- a/tests/test_template.c
+++ b/tests/test_template.c
@@ -28,6 +28,7 @@
     { "platform.", "10.200.1.7:8223", false },
     { "bootstrap", "true", false },
     { "bounds.retryBudgetRatio", "0", true },
+    { "bounds.exposeShare", "0", true },
     { "bounds.configApplyMs", "2000", true },
     { "", "8", true },
 };
