--- a/tests/soak_shift.c
+++ b/tests/soak_shift.c
@@ -21,11 +21,13 @@
     ORDER_AT_MS = WP_MS_PER_S   /* from the start to the order */
 };
 
-/* Kinds of versions. `late`: the faults begin at 0.4 of the order's time. */
-static const struct {
+/* `late`: the faults begin at 0.4 of the order's time. */
+typedef struct Version {
     const char *name, *faults;
     bool bad, late;
-} versions[] = {
+} Version;
+
+static const Version versions[] = {
     { "good", "{}", false, false },
     { "errors", "{\"fail\":0.4}", true, false },
     { "few errors", "{\"fail\":0.15}", true, false },
@@ -34,6 +36,12 @@
     { "late errors", "{\"fail\":0.5}", true, true },
 };
 
+/* From this seed on the version is slower: this share of its answers takes so
+   much longer. */
+enum { SLOWER_FROM_SEED = 1000 };
+static const double slower_shares[] = { 0.3, 0.5, 0.7, 1 };
+static const int slower_ms[] = { 40, 80, 160, 320 };
+
 static const int64_t steps_ms[] = { 2000, 20000, 60000, -2000, -20000 };
 
 #define LATE_FRACTION 0.4
@@ -56,7 +64,9 @@
 typedef struct SoakShift {
     SoakCase base;
     TestCluster *cluster;
-    unsigned entries, replicas, version;
+    unsigned entries, replicas;
+    Version version;
+    char *drawn_faults; /* of a slower version */
     double order_s;
     GArray *events;       /* Event */
     int64_t order_us;     /* when the order was given; 0: not yet */
@@ -87,6 +97,18 @@
     }
 }
 
+static Version draw_version(SoakShift *m, uint32_t seed, GRand *r)
+{
+    if (seed < SLOWER_FROM_SEED)
+        return versions[g_rand_int_range(r, 0, (gint)WP_COUNT(versions))];
+    m->drawn_faults = g_strdup_printf(
+        "{\"slow\":%.1f,\"slow_ms\":%d}",
+        slower_shares[g_rand_int_range(r, 0, WP_COUNT(slower_shares))],
+        slower_ms[g_rand_int_range(r, 0, WP_COUNT(slower_ms))]);
+    return (Version){ m->drawn_faults, m->drawn_faults, true,
+                      g_rand_int_range(r, 0, 4) == 0 };
+}
+
 static TestCluster *start(uint32_t seed, unsigned entries, unsigned replicas)
 {
     (void)seed;
@@ -105,10 +127,10 @@
     m->entries = setup->entries;
     m->replicas = setup->replicas;
     m->order_s = setup->seconds - 2;
-    m->version = (unsigned)g_rand_int_range(r, 0, (gint)WP_COUNT(versions));
+    m->version = draw_version(m, setup->seed, r);
     m->events = g_array_new(FALSE, FALSE, sizeof(Event));
     add_event(m, ORDER, order_us, 0, 0);
-    if (versions[m->version].late)
+    if (m->version.late)
         add_event(m, TURN_BAD,
                   order_us + (int64_t)(LATE_FRACTION * (double)span_us), 0, 0);
     plan_clocks(m, r, now_us, (int64_t)setup->seconds * WP_US_PER_S);
@@ -125,13 +147,12 @@
 {
     for (unsigned i = 0; i < m->replicas; i++)
         cluster_try_replica_faults(m->cluster, m->replicas + i,
-                                   versions[m->version].faults);
+                                   m->version.faults);
 }
 
 static void give_order(SoakShift *m)
 {
-    const char *faults =
-        versions[m->version].late ? "{}" : versions[m->version].faults;
+    const char *faults = m->version.late ? "{}" : m->version.faults;
     cluster_add_version(m->cluster, "v2", m->replicas, faults);
     cluster_order_shift(m->cluster, "v2", m->order_s);
     m->order_us = g_get_monotonic_time();
@@ -244,7 +265,7 @@
 static void check(const SoakShift *m, const Sums *s, GString *problems)
 {
     unsigned new_max = (unsigned)(NEW_SHARE_MAX * s->all) + NEW_SHARE_SLACK;
-    if (!versions[m->version].bad)
+    if (!m->version.bad)
         return;
     if (s->new_runs > new_max)
         g_string_append_printf(
@@ -273,12 +294,13 @@
     check(m, &s, problems);
     char *text = g_strdup_printf(
         "version %s, order of %.0f s, %s after %.1f s, %u bad answers",
-        versions[m->version].name, m->order_s,
+        m->version.name, m->order_s,
         m->completed_us  ? "completed"
         : m->reverted_us ? "rolled back"
                          : "not ended",
         end_us ? (double)(end_us - m->order_us) / WP_US_PER_S : 0, s.bad);
     g_array_unref(m->events);
+    g_free(m->drawn_faults);
     g_free(m);
     return text;
 }
