Idle endpoints of a new version are compared with idle ones

Callers got a version whose answers are 1.2 to 1.3 times slower until a person acted: the figures said that it was as fast as the old one.

Cause: the usual time at a load was known from six values on, and a class without them took the next busier one's. The new version's endpoints are idle; the old version's hardly ever are, so that each box had one to three values of such ones. Evidence: the load of each answer in the request's line (running=), 22.7 ms between events on idle endpoints of the old version, 27.8 on those of the new one, and times_usual=1.03.

For engines the lower middle of two values is enough, and a class is never slower than a busier one. test_speed slower_idle_endpoints_are_compared_with_ busy_ones fails on the code before.

--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -193,8 +193,8 @@
     g_string_append_printf(r->attempts_text, "/events=%lu",
                            (unsigned long)attempt->events);
     if (gap_us > 0)
-        g_string_append_printf(r->attempts_text, "/each=%.1fms",
-                               gap_us / WP_US_PER_MS);
+        g_string_append_printf(r->attempts_text, "/each=%.1fms/running=%.0f",
+                               gap_us / WP_US_PER_MS, attempt->running);
 }
 
 void wp_relay_note_kept(WPRelay *r)
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -217,14 +217,21 @@
     return wp_direct_quartiles(f->direct, key, wp_flow_model(f));
 }
 
-/* The usual time for `what` at endpoints of this load class, or at those of the
-   next class above it for which it is known: no answer takes longer with less
-   load. 0: it is not known. */
+/* The usual time for `what` at endpoints of this load class: the shortest of
+   those known for it and for the classes above it, as no answer takes longer
+   with less load. Few values of engines are enough: those of the old version
+   are hardly ever as idle as the new one's, and their times err upwards only,
+   when other requests have come. 0: it is not known. */
 static double usual_time_us(WPFlow *f, const char *what, unsigned load_class)
 {
     double us = 0;
-    for (unsigned i = load_class; i < WP_SPEED_LOADS && us <= 0; i++)
-        us = wp_quartiles_middle(times_at_load(f, what, i));
+    for (unsigned i = load_class; i < WP_SPEED_LOADS; i++) {
+        WPQuartiles *u = times_at_load(f, what, i);
+        double known_us = is_unbatched(f) ? wp_quartiles_middle(u)
+                                          : wp_quartiles_early_middle(u);
+        if (known_us > 0 && (us <= 0 || known_us < us))
+            us = known_us;
+    }
     if (us <= 0 && !load_class)
         us = wp_quartiles_middle(times_at_load(f, what, WP_SPEED_LOADS));
     return us;
--- a/src/wp_latency.c
+++ b/src/wp_latency.c
@@ -24,6 +24,8 @@
    slope. */
 #define RIDGE 1e-3
 
+enum { EARLY_MIN = 2 }; /* values from which on there is a middle of few */
+
 /* Lower bound of predictions, as a fraction of the mean. */
 #define MIN_FRACTION 0.1
 
@@ -180,6 +182,18 @@
     return u->samples >= WP_QUARTILES_FIRST ? u->upper_us : 0;
 }
 
+double wp_quartiles_early_middle(const WPQuartiles *u)
+{
+    double us[WP_QUARTILES_FIRST];
+    if (u->samples >= WP_QUARTILES_FIRST)
+        return wp_quartiles_middle(u);
+    if (u->samples < EARLY_MIN)
+        return 0;
+    memcpy(us, u->first_us, u->samples * sizeof(us[0]));
+    qsort(us, u->samples, sizeof(us[0]), by_value);
+    return us[(u->samples - 1) / 2];
+}
+
 double wp_quartiles_middle(const WPQuartiles *u)
 {
     return sqrt(wp_quartiles_lower(u) * wp_quartiles_upper(u));
--- a/src/wp_latency.h
+++ b/src/wp_latency.h
@@ -72,6 +72,10 @@
 double wp_quartiles_lower(const WPQuartiles *u);
 double wp_quartiles_upper(const WPQuartiles *u);
 
+/* The middle of the values known so far, however few, but for a single one; of
+   an even number, the lower of the two in the middle. */
+double wp_quartiles_early_middle(const WPQuartiles *u);
+
 /* The middle between the quartiles, by their ratio. */
 double wp_quartiles_middle(const WPQuartiles *u);
 
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -115,6 +115,30 @@
     wp_flow_free(f);
 }
 
+/* Guards against a version 1.2 times slower that looks as fast as the old one:
+   its endpoints are idle, and those of the old version hardly ever are. */
+static void slower_idle_endpoints_are_compared_with_busy_ones(void **state)
+{
+    static const struct {
+        int gap_ms;
+        bool slower;
+    } cases[] = { { 22, false }, { 27, true } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(cases); i++) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = start_shift(&k);
+        sh->duration_ms = SHIFT_MS * 100;
+        fake_advance(&k, LEAD_MS);
+        for (int n = 0; n < 60; n++)
+            serve(&k, "v1", n % 20 ? 5 : 0, 5, n % 20 ? 27 + n % 3 : 22);
+        for (int n = 0; n < 14; n++)
+            serve(&k, "v2", 0, 5, cases[i].gap_ms);
+        assert_int_equal(wp_canary_in_doubt(&sh->canary), cases[i].slower);
+        fake_end(&k);
+    }
+}
+
 /* Guards against a version all of whose answers are slow and which is completed
    as hardly any of them could be compared: its answers have few events, and the
    old version's endpoints are busy. */
@@ -270,6 +294,7 @@
            T(good_versions_are_neither_found_bad_nor_held_back),
            T(one_long_answer_decides_nothing),
            T(a_slow_version_is_found_beside_busy_endpoints),
+           T(slower_idle_endpoints_are_compared_with_busy_ones),
            T(doubt_of_another_box_keeps_the_gate_closed),
            T(too_few_answers_keep_the_gate_closed),
            T(slower_answers_of_the_last_stage_are_not_seen),
