A version found slower in the last stage is rolled back

Operators saw an order wait in its last stage, where all requests go to the new version, with answers that said that it was slower, and nothing end it.

Cause: the likelihoods were asked only while the old version serves beside. They compare times at equal load with what was learned before, so that they hold there too.

--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -360,7 +360,7 @@
                 failing->answered, failing->old_failed, failing->old_answered);
         return true;
     }
-    if (beside && wp_canary_sums_speed_is_bad(&new_sums)) {
+    if (wp_canary_sums_speed_is_bad(&new_sums)) {
         if (why)
             *why = wp_canary_sums_text(route, &new_sums, &old_sums);
         return true;
