--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <http_parser.h>
 #include <signal.h>
@@ -22,10 +23,44 @@
 
 #define FREED_BYTE "165" /* fills freed memory; not a valid pointer */
 
-static void die_with_parent(void *arg)
+/* Set in the environment: the processes log to a file of the cluster. */
+#define LOG_FILE_VARIABLE "WP_CLUSTER_LOG"
+
+static char *log_path(const TestCluster *p)
+{
+    return g_build_filename(p->folder, "log", NULL);
+}
+
+/* Runs in the child, before its program. */
+static void set_up_child(void *arg)
 {
-    (void)arg;
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (!g_getenv(LOG_FILE_VARIABLE))
+        return;
+    g_autofree char *path = log_path(arg);
+    int fd = open(path, O_WRONLY | O_APPEND | O_CREAT, S_IRUSR | S_IWUSR);
+    if (fd >= 0)
+        dup2(fd, STDOUT_FILENO);
+}
+
+void cluster_keep_log(bool keep)
+{
+    if (keep)
+        g_setenv(LOG_FILE_VARIABLE, "1", TRUE);
+    else
+        g_unsetenv(LOG_FILE_VARIABLE);
+}
+
+void cluster_print_log(const TestCluster *p, const char *event)
+{
+    g_autofree char *path = log_path(p), *text = NULL;
+    g_autofree char *wanted = g_strconcat(" event=", event, NULL);
+    if (!g_file_get_contents(path, &text, NULL, NULL))
+        return;
+    g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
+    for (char **l = lines; *l; l++)
+        if (strstr(*l, wanted))
+            print_message("%s\n", *l);
 }
 
 /* With WP_PATH_LOGS set, the processes log to this process's output. */
@@ -67,7 +102,7 @@
         env = g_environ_setenv(env, "WP_CLOCK_FILE", c->clock, TRUE);
     }
     if (!g_spawn_async(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD | log_flag(p),
-                       die_with_parent, p, &c->pid, &error))
+                       set_up_child, p, &c->pid, &error))
         fail_msg("%s: %s", argv[0], error->message);
     c->running = true;
 }
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -27,6 +27,11 @@
 TestCluster *cluster_new(unsigned entries, unsigned replicas);
 void cluster_free(TestCluster *p);
 
+/* Whether clusters made from now on keep what their processes log; and prints
+   the lines of the events whose names begin with `event`. */
+void cluster_keep_log(bool keep);
+void cluster_print_log(const TestCluster *p, const char *event);
+
 /* Sends a request on a new connection and reads its answer. `fields` replace
    the field with the caller's key unless NULL. Release the answer with
    cluster_answer_release(). */
--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -184,6 +184,7 @@
 /* The copies lack first the order and the record of its shift, then its end. */
 static void a_shift_survives_restores(void **state)
 {
+    cluster_keep_log(true);
     TestCluster *p = cluster_new(ENTRIES, REPLICAS);
     (void)state;
     serve_for(p, AWAY_MS);
@@ -196,8 +197,13 @@
     cluster_restore_store(p, (unsigned)(now_ms() - ordered_ms) + AWAY_MS / 2,
                           AWAY_MS / 2);
     wait_shift_state(p, "completed");
-    assert_true(now_ms() < ordered_ms + SHIFT_MS);
     int64_t done_ms = now_ms();
+    if (done_ms >= ordered_ms + SHIFT_MS) {
+        cluster_print_log(p, "move_");
+        cluster_print_log(p, "paused");
+        cluster_print_log(p, "version_bad");
+    }
+    assert_true(done_ms < ordered_ms + SHIFT_MS);
     serve_for(p, AWAY_MS);
     cluster_control_store(p, "{\"down\":\"silent\"}");
     serve_for(p, AWAY_MS);
@@ -205,6 +211,7 @@
     wait_shift_state(p, "completed");
     serve_for(p, AWAY_MS);
     cluster_free(p);
+    cluster_keep_log(false);
 }
 
 TESTS_MAIN(T(first_change_after_a_restore_is_in_force),
