A load that cannot be read is not that of an idle endpoint

Callers were sent to busy endpoints whose answers had a spoiled load field: what is no number counted as 0, for the running requests, the waiting ones or the slots. It is ignored now and logged (endpoint_notice_bad field=load); figures after the fourth are passed over.

test_platform answers_are_decoded with '3;1,8' fails on the code before (it is taken for a load); test_notice malformed_load_counts_as_idle is of the new function.

--- a/io/wp_relay_log.c
+++ b/io/wp_relay_log.c
@@ -218,9 +218,9 @@
     if (r->answer.confidence >= 0)
         g_string_append_printf(r->attempts_text, "/conf=%d",
                                r->answer.confidence);
-    if (r->answer.slowdown)
+    if (r->answer.load.slowdown)
         g_string_append_printf(r->attempts_text, "/pace=%u",
-                               r->answer.slowdown);
+                               r->answer.load.slowdown);
     if (r->answer.not_run)
         g_string_append(r->attempts_text, "/not_run");
     if (r->answer.limit.status == WP_LIMIT_FIELD_PRESENT)
--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -208,10 +208,8 @@
                        sent it */
     int confidence; /* the model's own estimate that it is good, 0 to 100; -1:
                        none */
-    bool has_load;
-    uint32_t running, waiting, slots; /* the endpoint's load, if has_load */
-    uint32_t slowdown; /* how long work takes there now, in percent of the usual
-                          time; 0: not reported */
+    WPNoticeStatus load_status;
+    WPLoadReport load; /* of the endpoint */
     WPLimitField limit;
     WPNoticeField draining;
     WPNoticeField backoff; /* counts only if the answer is a refusal */
--- a/src/wp_flow_head.c
+++ b/src/wp_flow_head.c
@@ -23,6 +23,8 @@
 
 static const char *invalid_field(const WPDirectAnswer *a)
 {
+    if (a->load_status == WP_NOTICE_INVALID)
+        return "load";
     if (a->draining.status == WP_NOTICE_INVALID)
         return "leaving";
     return a->backoff.status == WP_NOTICE_INVALID ? "rest" : NULL;
@@ -52,13 +54,14 @@
     *out = (WPHeadChanges){ 0 };
     if (a->wrong_endpoint) /* reports of another endpoint at this address */
         return;
-    if (a->has_load) {
-        wp_fleet_record_load(fleet, s, now, a->running, a->waiting, a->slots);
-        f->attempt.running = a->running;
+    if (a->load_status == WP_NOTICE_PRESENT) {
+        wp_fleet_record_load(fleet, s, now, a->load.running, a->load.waiting,
+                             a->load.slots);
+        f->attempt.running = a->load.running;
     }
-    if (a->slowdown) {
-        f->attempt.slowdown = a->slowdown / PERCENT;
-        wp_fleet_record_slowdown(s, a->slowdown);
+    if (a->load.slowdown) {
+        f->attempt.slowdown = a->load.slowdown / PERCENT;
+        wp_fleet_record_slowdown(s, a->load.slowdown);
         out->contended = wp_direct_note_uneven(f->direct, f->service->name);
     }
     wp_suspects_endpoint_alive(f->direct->suspects, now, s->incarnation_hash,
--- a/src/wp_notice.c
+++ b/src/wp_notice.c
@@ -4,7 +4,10 @@
 
 #include <time.h>
 
-enum { DATE_MAX = 64 /* bytes of an HTTP date, with the final zero byte */ };
+enum {
+    DATE_MAX = 64, /* bytes of an HTTP date, with the final zero byte */
+    LOAD_FIGURES_MIN = 3
+};
 
 /* Parses an HTTP date ("Sun, 06 Nov 1994 08:49:37 GMT") into Unix milliseconds.
    Returns false if `s` is not one. */
@@ -47,3 +50,31 @@
     }
     return (WPNoticeField){ .status = WP_NOTICE_INVALID };
 }
+
+static bool cut_number(WPStr *rest, uint32_t *out)
+{
+    uint64_t v;
+    if (!wp_str_uint(wp_str_trim(wp_str_cut(rest, ',')), &v))
+        return false;
+    *out = (uint32_t)MIN(v, UINT32_MAX);
+    return true;
+}
+
+WPNoticeStatus wp_notice_read_load(WPStr text, unsigned times,
+                                   WPLoadReport *out)
+{
+    WPLoadReport v = { 0 };
+    uint32_t *const figures[] = { &v.running, &v.waiting, &v.slots,
+                                  &v.slowdown };
+    unsigned n = 0;
+    bool valid = times == 1, more = true;
+    for (; valid && more && n < WP_COUNT(figures); n++) {
+        more = memchr(text.p, ',', text.n) != NULL;
+        valid = cut_number(&text, figures[n]);
+    }
+    valid = valid && n >= LOAD_FIGURES_MIN;
+    *out = valid ? v : (WPLoadReport){ 0 };
+    if (!times)
+        return WP_NOTICE_NONE;
+    return valid ? WP_NOTICE_PRESENT : WP_NOTICE_INVALID;
+}
--- a/src/wp_notice.h
+++ b/src/wp_notice.h
@@ -39,6 +39,13 @@
     double backoff_s; /* of a valid back-off: seconds from now; otherwise 0 */
 } WPNoticeField;
 
+/* What an answer reports of its endpoint's load. */
+typedef struct WPLoadReport {
+    uint32_t running, waiting, slots;
+    uint32_t slowdown; /* processing time in percent of the usual; 0: not
+                          reported */
+} WPLoadReport;
+
 /* How this box knows that an endpoint is draining. */
 typedef enum WPDrainingSource {
     WP_DRAINING_NONE,          /* it is not known to be draining */
@@ -83,4 +90,9 @@
 WPNoticeField wp_notice_read_draining(WPStr text, unsigned times);
 WPNoticeField wp_notice_read_backoff(WPStr text, unsigned times, WPTime now);
 
+/* Parses the load field, three numbers or more that are separated by commas.
+   All are 0 unless it is valid. */
+WPNoticeStatus wp_notice_read_load(WPStr text, unsigned times,
+                                   WPLoadReport *out);
+
 #endif
--- a/tests/test_first_byte.c
+++ b/tests/test_first_byte.c
@@ -117,7 +117,7 @@
     WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
     wp_flow_on_head(f, k.now, &a, &changes);
     assert_false(wp_direct_is_contended(&k.d, "llm"));
-    a.slowdown = 170;
+    a.load.slowdown = 170;
     wp_flow_on_head(f, k.now, &a, &changes);
     assert_true(changes.contended);
     assert_true(wp_direct_is_contended(&k.d, "llm"));
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -27,6 +27,29 @@
                      WP_NOTICE_NONE);
 }
 
+/* Guards against a load that cannot be read and counts as none at all, so that
+   a busy endpoint looks idle. */
+static void malformed_load_counts_as_idle(void **state)
+{
+    static const char *const bad[] = { "",       "3",     "3,1",       "3;1,8",
+                                       "3,1,8,", "3,1,x", "-3,1,8",    ",,",
+                                       "3,1,+8", "3 1 8", "3,1,8,fast" };
+    WPLoadReport v;
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(bad); i++) {
+        if (wp_notice_read_load(wp_str(bad[i]), 1, &v) != WP_NOTICE_INVALID)
+            fail_msg("'%s' is taken for a load", bad[i]);
+        assert_int_equal(v.running + v.waiting + v.slots + v.slowdown, 0);
+    }
+    assert_int_equal(wp_notice_read_load(wp_str("3,1,8"), 2, &v),
+                     WP_NOTICE_INVALID);
+    assert_int_equal(wp_notice_read_load(wp_str(""), 0, &v), WP_NOTICE_NONE);
+    assert_int_equal(wp_notice_read_load(wp_str(" 3, 1 ,8,170,new"), 1, &v),
+                     WP_NOTICE_PRESENT);
+    assert_int_equal(v.running * 100 + v.waiting * 10 + v.slots, 318);
+    assert_int_equal(v.slowdown, 170);
+}
+
 static void backoff_is_seconds_or_a_date(void **state)
 {
     static const char *const bad[] = { "",
@@ -617,7 +640,8 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(only_1_means_draining), T(backoff_is_seconds_or_a_date),
+TESTS_MAIN(T(only_1_means_draining), T(malformed_load_counts_as_idle),
+           T(backoff_is_seconds_or_a_date),
            T(draining_endpoint_gets_no_requests),
            T(any_answer_may_carry_a_draining_notice),
            T(notice_of_another_endpoint_is_ignored),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -330,14 +330,19 @@
     assert_true(pf_ops.is_answer_to(&h, "id1"));
     assert_false(pf_ops.is_answer_to(&h, "id2"));
     pf_ops.read_answer(&h, &a);
-    assert_true(a.has_seal && a.has_load && !a.not_run);
+    assert_true(a.has_seal && a.load_status == WP_NOTICE_PRESENT && !a.not_run);
     assert_int_equal(a.confidence, 61);
-    assert_int_equal(a.running * 100 + a.waiting * 10 + a.slots, 318);
-    assert_int_equal(a.slowdown, 0);
+    assert_int_equal(a.load.running * 100 + a.load.waiting * 10 + a.load.slots,
+                     318);
+    assert_int_equal(a.load.slowdown, 0);
     f[3] = field("X-Replica-Load", "3,1,8,170");
     pf_ops.read_answer(&h, &a);
-    assert_int_equal(a.running * 100 + a.waiting * 10 + a.slots, 318);
-    assert_int_equal(a.slowdown, 170);
+    assert_int_equal(a.load.running * 100 + a.load.waiting * 10 + a.load.slots,
+                     318);
+    assert_int_equal(a.load.slowdown, 170);
+    f[3] = field("X-Replica-Load", "3;1,8");
+    pf_ops.read_answer(&h, &a);
+    assert_int_equal(a.load_status, WP_NOTICE_INVALID);
     f[3] = field("Content-Encoding", "gzip");
     pf_ops.read_answer(&h, &a);
     assert_false(a.has_seal);
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -102,9 +102,9 @@
         wp_flow_free(f);
         f = fake_ask(k, "/chat/x", NULL, &m);
     }
-    a.has_load = true;
-    a.running = running;
-    a.slots = 8;
+    a.load_status = WP_NOTICE_PRESENT;
+    a.load.running = running;
+    a.load.slots = 8;
     wp_flow_on_head(f, k->now, &a, &changes);
     wp_flow_on_answer(f, k->now, &a, &m);
     for (uint64_t i = 1; i <= events; i++) {
