A Keep-Alive field that is no number of seconds is none

Callers' requests were kept from an endpoint as if it had started again: it had closed an idle connection before the time of its Keep-Alive field, which was read by strtod() and took inf, 1e30 (not a defined conversion either) and hex.

test_upstream malformed_keep_alive_is_believed fails on the code before at its first value.

--- a/io/wp_upstream.c
+++ b/io/wp_upstream.c
@@ -8,7 +8,8 @@
 enum {
     SILENT_MS = 3000, /* a peer that answers no keep-alive probe for this time
                          counts as dead */
-    IDLE_PER_REPLICA_MAX = 32 /* idle connections per endpoint */
+    IDLE_PER_REPLICA_MAX = 32, /* idle connections per endpoint */
+    KEEP_ALIVE_MAX_S = 86400
 };
 
 /* An endpoint closes an idle connection after its Keep-Alive time. Connections
@@ -107,13 +108,21 @@
 }
 
 /* Returns for how many seconds the endpoint keeps an idle connection, from its
-   Keep-Alive field ("5" or "timeout=5"); 0 if there is none. */
-static double keep_alive_timeout_s(const WPHead *h)
+   Keep-Alive field ("5" or "timeout=5, max=100"); 0 if there is none that is
+   valid. */
+static uint32_t keep_alive_timeout_s(const WPHead *h)
 {
-    WPStr v = wp_head_get(h, "Keep-Alive", NULL);
-    g_autofree char *text = g_strndup(v.p, v.n);
-    const char *named = strstr(text, "timeout=");
-    return g_ascii_strtod(named ? named + strlen("timeout=") : text, NULL);
+    WPStr rest = wp_head_get(h, "Keep-Alive", NULL);
+    uint64_t s;
+    while (rest.n) {
+        WPStr value = wp_str_trim(wp_str_cut(&rest, ','));
+        if (memchr(value.p, '=', value.n) &&
+            !wp_str_eq(wp_str_cut(&value, '='), wp_str("timeout")))
+            continue;
+        if (wp_str_uint(value, &s) && s <= KEEP_ALIVE_MAX_S)
+            return (uint32_t)s;
+    }
+    return 0;
 }
 
 /* The head of a response has been parsed; `arg` is the connection
@@ -126,12 +135,12 @@
 {
     WPUpstreamConn *c = arg;
     bool interim = h->status >= 100 && h->status < 200;
-    double seconds = keep_alive_timeout_s(h);
+    uint32_t seconds = keep_alive_timeout_s(h);
     c->is_answer = !interim && c->arg && c->pool->ops->is_answer(c->arg, h);
     c->reusable = h->keep_alive && !h->until_close;
     c->idle_from_endpoint = seconds > 0;
     c->idle_us = c->idle_from_endpoint
-                     ? (int64_t)(seconds * KEEP_ALIVE_SHARE * WP_US_PER_S)
+                     ? (int64_t)(KEEP_ALIVE_SHARE * seconds * WP_US_PER_S)
                      : (int64_t)c->pool->rules.idle_ms * WP_US_PER_MS;
     if (!c->is_answer)
         return true;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -23,16 +23,19 @@
     WPUpstreamConn *conn;       /* of the request in flight */
     unsigned accepted, answered, lost;
     bool pauses;
+    const char *keep_alive; /* value of the answers' field; NULL: none */
 } World;
 
 static void on_request(struct bufferevent *bev, void *arg)
 {
-    static const char answer[] =
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const World *w = arg;
     struct evbuffer *in = bufferevent_get_input(bev);
-    (void)arg;
+    struct evbuffer *out = bufferevent_get_output(bev);
     evbuffer_drain(in, evbuffer_get_length(in));
-    bufferevent_write(bev, answer, strlen(answer));
+    evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n");
+    if (w->keep_alive)
+        evbuffer_add_printf(out, "Keep-Alive: %s\r\n", w->keep_alive);
+    evbuffer_add_printf(out, "Content-Length: 2\r\n\r\nok");
 }
 
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
@@ -176,5 +179,40 @@
     close_world(&w);
 }
 
+/* Whether the endpoint is taken for one that has started again, as it closes an
+   idle connection before the time that this field names. */
+static bool is_restart_suspected(const char *keep_alive)
+{
+    World w;
+    open_world(&w);
+    w.keep_alive = keep_alive;
+    exchange(&w);
+    bufferevent_free(w.served);
+    w.served = NULL;
+    for (int i = 0; i < TURNS_MAX; i++)
+        event_base_loop(w.base, EVLOOP_NONBLOCK);
+    bool suspected = w.endpoint->restart_suspected_until_us > 0;
+    close_world(&w);
+    return suspected;
+}
+
+/* Guards against a Keep-Alive field that is no number of seconds and is
+   believed nevertheless. */
+static void malformed_keep_alive_is_believed(void **state)
+{
+    static const char *const bad[] = { "inf",        "1e30", "0x7fffffff",
+                                       "nan",        "5s",   "timeout=1e30",
+                                       "max=100",    "5.5",  "-5",
+                                       "99999999999" };
+    (void)state;
+    assert_true(is_restart_suspected("60"));
+    assert_true(is_restart_suspected("timeout=60"));
+    assert_true(is_restart_suspected("max=100, timeout=60"));
+    for (size_t i = 0; i < WP_COUNT(bad); i++)
+        if (is_restart_suspected(bad[i]))
+            fail_msg("'%s' is taken for a time", bad[i]);
+}
+
 TESTS_MAIN(T(paused_connection_serves_another_request),
-           T(end_of_a_paused_connection_is_not_noticed))
+           T(end_of_a_paused_connection_is_not_noticed),
+           T(malformed_keep_alive_is_believed))
