A refusal after an invalid answer is not another one

Operators saw answer_invalid and its counter for an endpoint that had refused a request in due form, after another one's answer could not resume the stream.

Cause: the fault of the answer before stayed, as refusals return early. test_flow refusal_after_an_invalid_answer_counts_as_another fails on the code before.

--- a/src/wp_flow.c
+++ b/src/wp_flow.c
@@ -620,6 +620,7 @@
 void wp_flow_on_answer(WPFlow *f, WPTime now, const WPDirectAnswer *a,
                        WPFlowAction *out)
 {
+    f->answer_fault = NULL;
     if (a->wrong_endpoint) {
         after_misdirection(f, now, out);
         return;
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -141,6 +141,30 @@
     fake_end(&k);
 }
 
+/* Guards against a refusal that counts as an invalid answer, as the one before
+   it was. */
+static void refusal_after_an_invalid_answer_counts_as_another(void **state)
+{
+    Fake k;
+    WPFlowAction m;
+    WPDirectAnswer head = fake_answer(200, 90), refusal = fake_answer(503, -1);
+    (void)state;
+    head.is_event_stream = true;
+    refusal.not_run = true;
+    fake_init(&k);
+    WPFlow *f = fake_ask(&k, "/chat/x", NULL, &m);
+    wp_flow_on_answer(f, k.now, &head, &m);
+    wp_flow_on_lost(f, k.now, WP_LOSS_BROKEN, &m);
+    head.is_event_stream = false;
+    wp_flow_on_answer(f, k.now, &head, &m);
+    assert_non_null(f->answer_fault);
+    assert_int_equal(m.kind, WP_FLOW_SEND);
+    wp_flow_on_answer(f, k.now, &refusal, &m);
+    assert_null(f->answer_fault);
+    wp_flow_free(f);
+    fake_end(&k);
+}
+
 static void draining_endpoint_gets_no_requests(void **state)
 {
     Fake k;
@@ -830,6 +854,7 @@
            T(unmarked_refusal_promises_that_nothing_ran),
            T(last_failure_of_an_endpoint_is_forwarded),
            T(answer_without_seal_is_rejected),
+           T(refusal_after_an_invalid_answer_counts_as_another),
            T(draining_endpoint_gets_no_requests),
            T(another_endpoint_at_the_address_is_not_used),
            T(wrong_model_name_shuts_out_other_callers),
