--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -32,8 +32,8 @@
 #define WIDEN_UNTIL 0.75
 #define WIDEN_EVERY_MS 500
 
-/* This box counts a shift's requests if it has observed it from this long after
-   the start on. */
+/* A box knows a shift's requests if it has observed the shift from at most this
+   long after its start on. */
 #define UNOBSERVED_MAX_MS 1000
 
 struct WPShifts {
