--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -115,6 +115,16 @@
     wp_flow_free(f);
 }
 
+/* A shift that does not end by its time while a test runs. */
+static WPShift *start_long_shift(Fake *k)
+{
+    fake_init(k);
+    WPShift *sh = start_shift(k);
+    sh->duration_ms = SHIFT_MS * 100;
+    fake_advance(k, LEAD_MS);
+    return sh;
+}
+
 /* Guards against a slower version that waits in the last stage, where it gets
    all requests, and is not rolled back. */
 static void slower_version_is_kept_in_the_last_stage(void **state)
@@ -143,10 +153,7 @@
     (void)state;
     for (size_t i = 0; i < WP_COUNT(cases); i++) {
         Fake k;
-        fake_init(&k);
-        WPShift *sh = start_shift(&k);
-        sh->duration_ms = SHIFT_MS * 100;
-        fake_advance(&k, LEAD_MS);
+        WPShift *sh = start_long_shift(&k);
         for (int n = 0; n < 60; n++)
             serve(&k, "v1", n % 20 ? 5 : 0, 5, n % 20 ? 27 + n % 3 : 22);
         for (int n = 0; n < 14; n++)
@@ -168,10 +175,7 @@
     (void)state;
     for (size_t i = 0; i < WP_COUNT(cases); i++) {
         Fake k;
-        fake_init(&k);
-        WPShift *sh = start_shift(&k);
-        sh->duration_ms = SHIFT_MS * 100;
-        fake_advance(&k, LEAD_MS);
+        WPShift *sh = start_long_shift(&k);
         for (int n = 0; n < 60; n++)
             serve(&k, "v1", 5, 3, 30 + n % 5);
         for (int n = 0; n < 12; n++)
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -141,6 +141,15 @@
         event_base_loop(w->base, EVLOOP_NONBLOCK);
 }
 
+/* The endpoint closes its connection. */
+static void close_served(World *w)
+{
+    bufferevent_free(w->served);
+    w->served = NULL;
+    for (int i = 0; i < TURNS_MAX; i++)
+        event_base_loop(w->base, EVLOOP_NONBLOCK);
+}
+
 /* Guards against a connection that is not read any more after a slow reader's
    answer: the next request on it runs, and its answer is never read. */
 static void paused_connection_serves_another_request(void **state)
@@ -167,10 +176,7 @@
     open_world(&w);
     w.pauses = true;
     exchange(&w);
-    bufferevent_free(w.served);
-    w.served = NULL;
-    for (int i = 0; i < TURNS_MAX; i++)
-        event_base_loop(w.base, EVLOOP_NONBLOCK);
+    close_served(&w);
     w.pauses = false;
     exchange(&w);
     assert_int_equal(w.answered, 2);
@@ -187,10 +193,7 @@
     open_world(&w);
     w.keep_alive = keep_alive;
     exchange(&w);
-    bufferevent_free(w.served);
-    w.served = NULL;
-    for (int i = 0; i < TURNS_MAX; i++)
-        event_base_loop(w.base, EVLOOP_NONBLOCK);
+    close_served(&w);
     bool suspected = w.endpoint->restart_suspected_until_us > 0;
     close_world(&w);
     return suspected;
