--- a/tests/shift_fake.h
+++ b/tests/shift_fake.h
@@ -53,13 +53,14 @@
     return due;
 }
 
-/* Serves one request of the session (NULL: of none). Returns the version of its
-   endpoint. */
-static inline const char *serving_version(Fake *k, const char *session)
+/* Serves one request of the session (NULL: of none) on a path. Returns the
+   version of its endpoint. */
+static inline const char *version_on_path(Fake *k, const char *path,
+                                          const char *session)
 {
     WPFlowAction m;
     WPDirectAnswer a = fake_answer(200, 90);
-    WPFlow *f = fake_ask(k, "/chat/x", session, &m);
+    WPFlow *f = fake_ask(k, path, session, &m);
     assert_int_equal(m.kind, WP_FLOW_SEND);
     const char *version = g_intern_string(m.replica->version);
     wp_flow_on_answer(f, k->now, &a, &m);
@@ -68,6 +69,11 @@
     return version;
 }
 
+static inline const char *serving_version(Fake *k, const char *session)
+{
+    return version_on_path(k, "/chat/x", session);
+}
+
 /* Records `n` answers of the endpoint `replica` to requests of the route: first
    `failed` that failed, then `slow` slow ones. */
 static inline void record_answers(WPShift *sh, const char *version,
--- a/tests/test_shift.c
+++ b/tests/test_shift.c
@@ -358,20 +358,6 @@
 
 enum { SESSIONS = 120, BOXES = 4 };
 
-/* The version that serves the session on a path now. */
-static const char *version_on(Fake *k, unsigned path, const char *session)
-{
-    WPFlowAction m;
-    WPDirectAnswer a = fake_answer(200, 90);
-    WPFlow *f = fake_ask(k, paths[path], session, &m);
-    assert_int_equal(m.kind, WP_FLOW_SEND);
-    const char *version = g_intern_string(m.replica->version);
-    wp_flow_on_answer(f, k->now, &a, &m);
-    wp_flow_on_done(f, k->now, 0);
-    wp_flow_free(f);
-    return version;
-}
-
 /* A box with a third service, which does not move. */
 static void init_third_service(Fake *k)
 {
@@ -432,7 +418,7 @@
         for (int i = 0; i < SESSIONS; i++) {
             g_autofree char *s = g_strdup_printf("s%d", i);
             for (unsigned p = 0; p < WP_COUNT(paths); p++)
-                was[i][p] = version_on(&box[0], p, s);
+                was[i][p] = version_on_path(&box[0], paths[p], s);
         }
         for (int i = 0; i < BOXES; i++) {
             start_two_shifts(&box[i], way % 2, way / 2);
@@ -452,7 +438,8 @@
             Fake *k = &box[BOXES - 1 - i % BOXES];
             g_autofree char *s = g_strdup_printf("s%d", i / BOXES);
             for (unsigned p = 0; p < 2; p++)
-                assert_string_equal(version_on(k, p, s), was[i / BOXES][p]);
+                assert_string_equal(version_on_path(k, paths[p], s),
+                                    was[i / BOXES][p]);
         }
         for (int i = 0; i < BOXES; i++)
             fake_end(&box[i]);
