Log: how strongly a shift's failures speak for a bad version, and the worst route

The figures told failures and answers of all routes together. They could not tell a version that fails little everywhere from one that fails on one route, nor how far the sum was from the bound when a wait ended.

--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -405,17 +405,45 @@
            rate(v->loaded_failed, v->loaded) >= LOADED_FAILED_SHARE;
 }
 
+/* The route whose failures speak most for a version that fails; NULL: none of
+   the new version is known. */
+static const WPCanaryRoute *worst_route(const WPCanarySums *v)
+{
+    const WPCanaryRoute *worst = NULL;
+    for (unsigned i = 0; i < v->n_routes; i++) {
+        const WPCanaryRoute *r = &v->routes[i];
+        if (r->failed &&
+            (!worst || failure_log_odds(r) > failure_log_odds(worst)))
+            worst = r;
+    }
+    return worst;
+}
+
+/* The failures as text for the log. */
+static char *failures_text(const WPCanarySums *v, const WPCanarySums *old)
+{
+    const WPCanaryRoute *r = worst_route(v);
+    double odds = all_failures_log_odds(v, old);
+    if (!r)
+        return g_strdup_printf("fail_odds=%.1f", odds);
+    return g_strdup_printf(
+        "fail_odds=%.1f worst_route=%016lx %u/%u old %u/%u fail_odds=%.1f",
+        odds, (unsigned long)r->name_hash, r->failed, r->answered,
+        r->old_failed, r->old_answered, failure_log_odds(r));
+}
+
 char *wp_canary_sums_text(const char *route, const WPCanarySums *v,
                           const WPCanarySums *old)
 {
     WPSpeedEvidence e = wp_speed_compare(&v->speed, &v->old_speed);
+    g_autofree char *failures = failures_text(v, old);
     return g_strdup_printf(
         "route=%s new=%u/%u failed, %u/%u slow, %u fast, %u/%u far, "
         "odds=%.1f loss=%.2f of %u on %u/%u replicas; "
-        "old=%u/%u failed, %u/%u slow, %u fast, %u/%u far",
+        "old=%u/%u failed, %u/%u slow, %u fast, %u/%u far; %s",
         route, v->failed, v->answered, v->slow, v->timed, v->fast,
         v->ratio_slow, v->ratio_timed, e.log_odds, e.expected_loss,
         wp_speed_total(&v->speed), count_bits(v->slow_replicas),
         count_bits(v->timed_replicas), old->failed, old->answered, old->slow,
-        old->timed, old->fast, old->ratio_slow, old->ratio_timed);
+        old->timed, old->fast, old->ratio_slow, old->ratio_timed, failures);
 }
