--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 COMMON := $(BUILD)/cmd/daemon.o
 BIN := $(addprefix $(BUILD)/,wpentry wpagent wpctl wpstand wpload wpdirect)
 UNIT := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
-TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed wpchoice wppace wplimit wppower wpproxy wpsoak) $(UNIT)
+TESTS := $(addprefix $(BUILD)/,wpscenario wpdemo wpbench wpcapacity wpspeed wpchoice wppace wplimit wppower wpverdict wpproxy wpsoak) $(UNIT)
 
 LOAD := tools/load.c tools/load_sums.c tools/sample.c
 LAB := bench/lab.c bench/lab_events.c bench/lab_setup.c bench/lab_sums.c tools/sample.c
@@ -77,9 +77,10 @@
 $(BUILD)/wppace: $(BUILD)/bench/wppace.o $(BUILD)/bench/pace_sim.o $(LIB)
 $(BUILD)/wplimit: $(BUILD)/bench/wplimit.o $(BUILD)/bench/limit_sim.o $(LIB)
 $(BUILD)/wppower: $(BUILD)/bench/wppower.o $(BUILD)/bench/power_sim.o $(LIB)
+$(BUILD)/wpverdict: $(BUILD)/bench/wpverdict.o $(BUILD)/bench/verdict_sim.o $(LIB)
 $(BUILD)/wpspeed: $(BUILD)/bench/wpspeed.o $(SITE) $(LIB)
 
-$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/tests/cluster.o $(BUILD)/tests/cluster_faults.o $(BUILD)/tests/report_lease_sim.o $(PLATFORM) $(BUILD)/bench/fleet.o $(BUILD)/bench/pace_sim.o $(BUILD)/bench/limit_sim.o $(BUILD)/bench/power_sim.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
+$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/tests/cluster.o $(BUILD)/tests/cluster_faults.o $(BUILD)/tests/report_lease_sim.o $(PLATFORM) $(BUILD)/bench/fleet.o $(BUILD)/bench/pace_sim.o $(BUILD)/bench/limit_sim.o $(BUILD)/bench/power_sim.o $(BUILD)/bench/verdict_sim.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
 $(BIN) $(TESTS):
@@ -115,6 +116,7 @@
 	@$(BUILD)/wppace
 	@$(BUILD)/wplimit
 	@$(BUILD)/wppower
+	@$(BUILD)/wpverdict
 
 capacity: tests
 	@$(BUILD)/wpcapacity
--- /dev/null
+++ b/tests/test_few_failures.c
@@ -0,0 +1,97 @@
+/* Versions that fail few of their requests, or only those of one route. */
+#include "shift_fake.h"
+
+static const char *const routes[] = { "a", "b", "c" };
+
+/* Records answers whose times show nothing. */
+static void record(WPShift *sh, const char *version, const char *replica,
+                   const char *route, unsigned n, bool failed)
+{
+    const WPCanaryAnswer a = {
+        .version = version, .replica = replica, .route = route, .failed = failed
+    };
+    for (unsigned i = 0; i < n; i++)
+        wp_shift_record_answer(sh, &a);
+}
+
+/* Records answers of all routes without a failure, with times. */
+static void record_sound_answers(WPShift *sh, unsigned old, unsigned new)
+{
+    for (size_t i = 0; i < WP_COUNT(routes); i++) {
+        record(sh, "v1", "l1", routes[i], old, false);
+        record(sh, "v2", "n1", routes[i], new, false);
+    }
+    record_timed_answers(sh, "v1", "l1", 0.2, 25, 50, 25);
+    record_timed_answers(sh, "v2", "n1", 0.02, 10, 0, 0);
+}
+
+/* Two of 93 answers failed, of one route, where the old version had failed none
+   of 1,679; 94 requests came later than allowed. */
+static void two_failures_among_many_sound_answers_complete_a_shift(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = start_shift(&k);
+    record_sound_answers(sh, 526, 27);
+    record(sh, "v2", "n1", "b", 1, true);
+    record(sh, "v2", "n2", "b", 1, true);
+    assert_int_equal(poll_for(&k, sh, 2 * DURATION_MS), WP_SHIFT_RUNNING);
+    fake_end(&k);
+}
+
+/* The more is known of a version that fails 2 in 100, the surer it is that it
+   fails. */
+static void
+more_answers_make_a_version_that_fails_little_look_sound(void **state)
+{
+    (void)state;
+    for (unsigned times = 1; times <= 4; times *= 2) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = start_shift(&k);
+        record_sound_answers(sh, 400 * times, 50 * times);
+        for (unsigned i = 0; i < 3 * times; i++)
+            record(sh, "v2", i % 2 ? "n1" : "n2", routes[i % WP_COUNT(routes)],
+                   1, true);
+        assert_int_not_equal(poll_for(&k, sh, 2 * DURATION_MS), WP_SHIFT_DONE);
+        fake_end(&k);
+    }
+}
+
+/* A version that fails on one route is found by this route's answers, however
+   many sound ones there are of others. */
+static void sound_answers_of_other_routes_outweigh_failures(void **state)
+{
+    (void)state;
+    for (unsigned sound = 50; sound <= 800; sound *= 2) {
+        Fake k;
+        fake_init(&k);
+        WPShift *sh = start_shift(&k);
+        record_sound_answers(sh, 400, 5);
+        record(sh, "v2", "n1", "a", sound, false);
+        record(sh, "v2", "n1", "b", 19, false);
+        record(sh, "v2", "n1", "b", 1, true);
+        record(sh, "v2", "n2", "b", 1, true);
+        assert_int_not_equal(poll_for(&k, sh, 2 * DURATION_MS), WP_SHIFT_DONE);
+        fake_end(&k);
+    }
+}
+
+/* A good version that failed once among many is completed. */
+static void one_failure_among_many_does_not_hold_a_shift(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = start_shift(&k);
+    record_sound_answers(sh, 400, 60);
+    record(sh, "v2", "n1", "a", 1, true);
+    assert_int_equal(poll_for(&k, sh, 2 * DURATION_MS), WP_SHIFT_DONE);
+    fake_end(&k);
+}
+
+TESTS_MAIN(T(two_failures_among_many_sound_answers_complete_a_shift),
+           T(more_answers_make_a_version_that_fails_little_look_sound),
+           T(sound_answers_of_other_routes_outweigh_failures),
+           T(one_failure_among_many_does_not_hold_a_shift))
