Versions that fail little, or on one route, are told from good ones by mixtures

Callers saw: a version that fails 2 to 10 in 100 answers, or one route, is completed, and the old endpoints stop.

Cause: failures were weighed for one alternative, 15 in 100 more failures on all routes.

src/wp_failure.c weighs a mixture of failure rates, and of what is affected: all requests, one route, all from a moment on. It replaces the fixed rate, the bound by deviations and the count of three. Boxes send each other their counts by eighths of the order's time for it (time_counts; boxes of the release before do not, their answers are then not counted by time).

--- a/gen/wire.pb-c.c
+++ b/gen/wire.pb-c.c
@@ -4431,7 +4431,7 @@
   (ProtobufCMessageInit) wp__mirror_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[31] =
+static const ProtobufCFieldDescriptor wp__move_sums__field_descriptors[32] =
 {
   {
     "service",
@@ -4805,6 +4805,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "time_counts",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wp__MoveSums, n_time_counts),
+    offsetof(Wp__MoveSums, time_counts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__move_sums__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -4835,6 +4847,7 @@
   19,   /* field[19] = slow_spread */
   24,   /* field[24] = speed */
   11,   /* field[11] = taken */
+  31,   /* field[31] = time_counts */
   7,   /* field[7] = timed */
   26,   /* field[26] = timed_replicas */
   13,   /* field[13] = wholes */
@@ -4843,7 +4856,7 @@
 {
   { 1, 0 },
   { 32, 30 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor wp__move_sums__descriptor =
 {
@@ -4853,7 +4866,7 @@
   "Wp__MoveSums",
   "wp",
   sizeof(Wp__MoveSums),
-  31,
+  32,
   wp__move_sums__field_descriptors,
   wp__move_sums__field_indices_by_name,
   2,  wp__move_sums__number_ranges,
--- a/gen/wire.pb-c.h
+++ b/gen/wire.pb-c.h
@@ -741,6 +741,12 @@
   uint64_t *route;
   size_t n_route_counts;
   uint32_t *route_counts;
+  /*
+   * By the time of the answer, in eighths of the order's duration: answers of
+   * the new version, and those that failed.
+   */
+  size_t n_time_counts;
+  uint32_t *time_counts;
   /*
    * Answers by the ratio of their time to the usual one, from the lowest bin on
    * (src/wp_speed.h); bins at the end may be missing.
@@ -774,7 +780,7 @@
 };
 #define WP__MOVE_SUMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__move_sums__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/io/wp_shift_records.c
+++ b/io/wp_shift_records.c
@@ -52,12 +52,12 @@
 {
     uint32_t *count = out->route_counts;
     for (unsigned i = 0; i < v->n_routes; i++) {
-        const WPCanaryRoute *r = &v->routes[i];
-        out->routes[i] = r->name_hash;
-        *count++ = r->answered;
-        *count++ = r->failed;
-        *count++ = r->old_answered;
-        *count++ = r->old_failed;
+        const WPFailureCounts *c = &v->routes[i].counts;
+        out->routes[i] = v->routes[i].name_hash;
+        *count++ = c->answered;
+        *count++ = c->failed;
+        *count++ = c->old_answered;
+        *count++ = c->old_failed;
     }
     out->message.n_route = v->n_routes;
     out->message.route = out->routes;
@@ -70,12 +70,32 @@
     size_t n = MIN(m->n_route, m->n_route_counts / WP_SHIFT_ROUTE_COUNTS);
     for (size_t i = 0; i < n; i++) {
         const uint32_t *count = &m->route_counts[i * WP_SHIFT_ROUTE_COUNTS];
-        const WPCanaryRoute r = { m->route[i], count[0], count[1], count[2],
-                                  count[3] };
+        const WPCanaryRoute r = { m->route[i],
+                                  { count[0], count[1], count[2], count[3] } };
         wp_canary_sums_add_route(out, &r);
     }
 }
 
+static void encode_times(const WPCanarySums *v, WPShiftSums *out)
+{
+    uint32_t *count = out->time_counts;
+    for (unsigned i = 0; i < WP_FAILURE_TIMES; i++) {
+        *count++ = v->times[i].answered;
+        *count++ = v->times[i].failed;
+    }
+    out->message.n_time_counts = WP_COUNT(out->time_counts);
+    out->message.time_counts = out->time_counts;
+}
+
+static void decode_times(const Wp__MoveSums *m, WPCanarySums *out)
+{
+    size_t n = MIN(m->n_time_counts / WP_SHIFT_TIME_COUNTS, WP_FAILURE_TIMES);
+    for (size_t i = 0; i < n; i++) {
+        const uint32_t *count = &m->time_counts[i * WP_SHIFT_TIME_COUNTS];
+        out->times[i] = (WPFailureTime){ count[0], count[1] };
+    }
+}
+
 /* Number of bins without the empty ones at the end. */
 static size_t used_bins(const WPSpeedCounts *v)
 {
@@ -135,6 +155,7 @@
     m->old_answered = v->old_answered;
     m->old_failed = v->old_failed;
     encode_routes(v, out);
+    encode_times(v, out);
     encode_speed(v, out);
 }
 
@@ -156,6 +177,7 @@
                        .old_answered = m->old_answered,
                        .old_failed = m->old_failed };
     decode_routes(m, &v);
+    decode_times(m, &v);
     v.timed_replicas = m->timed_replicas;
     v.slow_replicas = m->slow_replicas;
     decode_speed(m->speed, m->n_speed, &v.speed);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -29,14 +29,16 @@
     WP_DIGEST_PREFIXES_MAX = 128
 };
 
-/* Numbers in a message for each route (MoveSums.route_counts). */
-enum { WP_SHIFT_ROUTE_COUNTS = 4 };
+/* Numbers in a message for each route (MoveSums.route_counts), and for each
+   part of the time (MoveSums.time_counts). */
+enum { WP_SHIFT_ROUTE_COUNTS = 4, WP_SHIFT_TIME_COUNTS = 2 };
 
 /* A message with the memory that it points to. */
 typedef struct WPShiftSums {
     Wp__MoveSums message;
     uint64_t routes[WP_CANARY_ROUTES_MAX];
     uint32_t route_counts[WP_CANARY_ROUTES_MAX * WP_SHIFT_ROUTE_COUNTS];
+    uint32_t time_counts[WP_FAILURE_TIMES * WP_SHIFT_TIME_COUNTS];
     WPSpeedCounts speed, old_speed;
 } WPShiftSums;
 
--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -167,10 +167,9 @@
     const WPCanarySums *v = g_hash_table_lookup(c->new_by_route, name);
     const WPCanarySums *old = g_hash_table_lookup(c->old_by_route, name);
     return (WPCanaryRoute){ .name_hash = wp_canary_route_hash(name),
-                            .answered = v ? v->answered : 0,
-                            .failed = v ? v->failed : 0,
-                            .old_answered = old ? old->answered : 0,
-                            .old_failed = old ? old->failed : 0 };
+                            .counts = { v ? v->answered : 0, v ? v->failed : 0,
+                                        old ? old->answered : 0,
+                                        old ? old->failed : 0 } };
 }
 
 /* Adds this box's routes to its own sums. */
@@ -316,10 +315,10 @@
     return wp_canary_sums_suffice(&new_sums, &old_sums);
 }
 
-/* The fault on a single route, on which alone the version may be bad; sets
-   `route` and `out`, the sums of that route, if there is one. */
-static WPVersionFault find_route_fault(const WPCanary *c, bool beside,
-                                       const char **route, WPCanarySums *out)
+/* Whether the version is slow on a single route; sets `route` and `out`, the
+   sums of that route, if it is. */
+static bool find_slow_route(const WPCanary *c, bool beside, const char **route,
+                            WPCanarySums *out)
 {
     GHashTableIter it;
     gpointer name, p;
@@ -327,14 +326,13 @@
     while (g_hash_table_iter_next(&it, &name, &p)) {
         const WPCanarySums *old = g_hash_table_lookup(c->old_by_route, name);
         WPCanarySums none = { 0 };
-        WPVersionFault fault = wp_canary_judge(p, old ? old : &none, beside);
-        if (fault == WP_VERSION_FAULT_NONE)
+        if (!wp_canary_sums_is_slow(p, old ? old : &none, beside))
             continue;
         *route = name;
         *out = *(WPCanarySums *)p;
-        return fault;
+        return true;
     }
-    return WP_VERSION_FAULT_NONE;
+    return false;
 }
 
 bool wp_canary_is_bad(const WPCanary *c, bool beside, char **why)
@@ -351,23 +349,15 @@
                                    new_sums.loaded_bad_replicas);
         return true;
     }
-    const WPCanaryRoute *failing = wp_canary_sums_failing_route(&new_sums);
-    if (failing && failures) {
-        if (why)
-            *why = g_strdup_printf(
-                "route=%016lx new=%u/%u failed; old=%u/%u failed",
-                (unsigned long)failing->name_hash, failing->failed,
-                failing->answered, failing->old_failed, failing->old_answered);
-        return true;
-    }
     if (wp_canary_sums_speed_is_bad(&new_sums)) {
         if (why)
             *why = wp_canary_sums_text(route, &new_sums, &old_sums);
         return true;
     }
     WPVersionFault fault = wp_canary_judge(&new_sums, &old_sums, beside);
-    if (fault == WP_VERSION_FAULT_NONE)
-        fault = find_route_fault(c, beside, &route, &new_sums);
+    if (fault == WP_VERSION_FAULT_NONE &&
+        find_slow_route(c, beside, &route, &new_sums))
+        fault = WP_VERSION_FAULT_SLOW;
     bool widespread = fault == WP_VERSION_FAULT_SLOW ? slowness : failures;
     if (fault == WP_VERSION_FAULT_NONE || !widespread)
         return false;
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -3,24 +3,25 @@
 
 #include <math.h>
 
-/* A version fails when it has at least this many failed answers, and by this
-   many standard deviations more than the old version's failure rate makes
-   expected. With three entries a bad version is found well before the
-   platform's limit of fifty bad answers. */
-#define MIN_BAD 5
-#define DEVIATIONS 4.0
-
-/* This many failed answers are enough if fewer than FEW_EXPECTED are expected:
-   three of some twenty, where the old version had none in hundreds, are hardly
-   chance. */
-#define FEW_BAD 3
-#define FEW_EXPECTED 0.04
+/* Log odds of a version that fails against a good one from which on it is
+   rolled back, if this many answers failed. With equal prior odds, fewer than 1
+   in 400 good versions ever reach them. */
+#define LOG_ODDS_FAILS 6.0
+#define MIN_FAILED 3
+
+/* The same up to which a shift with failures goes on to the last stage, and up
+   to which it may be completed. A single failure may be an endpoint's or the
+   network's. */
+#define LOG_ODDS_GATE 1.0
+#define LOG_ODDS_END 0.5
+#define LOG_ODDS_END_SINGLE 1.0
 
 /* By definition, a quarter of the old version's answers are fast and a quarter
    are slow. A version is slow when at least MIN_SLOW_SHARE of at least
    MIN_TIMED answers with a time are slow. Good versions had up to half of their
    answers there while their endpoints filled, so this is tested only while the
    old version serves as well. */
+#define DEVIATIONS 4.0
 #define USUAL_FAST 0.25
 #define USUAL_SLOW 0.25
 #define MIN_SLOW_SHARE 0.6
@@ -43,10 +44,6 @@
    acts; one that waits is late for its operator alone. */
 #define EXPECTED_LOSS_MAX 0.15
 
-/* Log odds of a good version against one that fails from which on a shift may
-   be completed. Another box may know of a failure more at that moment. */
-#define LOG_ODDS_SOUND 2.0
-
 /* The new version's endpoints are less loaded if their mean utilization is
    below this part of the old version's. */
 #define LESS_LOADED 0.5
@@ -67,14 +64,6 @@
 #define MIN_OLD_TIMED 20
 #define MAX_UNTIMED 40
 
-/* With this many answers of the old version on a route, the new version may be
-   judged by this route alone. */
-#define MIN_OLD_ANSWERED 20
-
-/* A version that fails is assumed to have a failure rate this much above that
-   of a good one: the smallest difference that was simulated. */
-#define EXTRA_FAILURE_RATE 0.15
-
 /* This many answers of a new version, and this many of them with a time, tell a
    good one from a bad one. Of a version that fails three requests in ten, 8
    answers have no failure in 6 of 100 cases, and it is found at once when it
@@ -89,14 +78,12 @@
 #define MIN_LOADED 8
 #define LOADED_FAILED_SHARE 0.25
 
-/* Prior for the old version's failure rate: this many answers, one of them
-   failed, are added to the known ones. */
-#define PRIOR_ANSWERS 100.0
-
 void wp_canary_sums_record(WPCanarySums *v, const WPCanaryAnswer *a)
 {
     v->answered++;
     v->failed += a->failed;
+    v->times[a->part].answered++;
+    v->times[a->part].failed += a->failed;
     if (a->time == WP_TIME_UNKNOWN)
         return;
     if (a->time == WP_TIME_RATIO_NORMAL || a->time == WP_TIME_RATIO_SLOW) {
@@ -115,17 +102,17 @@
     return wp_hash(wp_str(name), 0);
 }
 
-static void route_add(WPCanaryRoute *to, const WPCanaryRoute *r)
+static void counts_add(WPFailureCounts *to, const WPFailureCounts *c)
 {
-    to->answered += r->answered;
-    to->failed += r->failed;
-    to->old_answered += r->old_answered;
-    to->old_failed += r->old_failed;
+    to->answered += c->answered;
+    to->failed += c->failed;
+    to->old_answered += c->old_answered;
+    to->old_failed += c->old_failed;
 }
 
 static uint32_t failures(const WPCanaryRoute *r)
 {
-    return r->failed + r->old_failed;
+    return r->counts.failed + r->counts.old_failed;
 }
 
 void wp_canary_sums_add_route(WPCanarySums *v, const WPCanaryRoute *r)
@@ -134,7 +121,7 @@
     for (unsigned i = 0; i < v->n_routes; i++) {
         WPCanaryRoute *known = &v->routes[i];
         if (known->name_hash == r->name_hash) {
-            route_add(known, r);
+            counts_add(&known->counts, &r->counts);
             return;
         }
         if (!fewest || failures(known) < failures(fewest))
@@ -150,6 +137,10 @@
 {
     for (unsigned i = 0; i < v->n_routes; i++)
         wp_canary_sums_add_route(to, &v->routes[i]);
+    for (unsigned i = 0; i < WP_FAILURE_TIMES; i++) {
+        to->times[i].answered += v->times[i].answered;
+        to->times[i].failed += v->times[i].failed;
+    }
     to->loaded += v->loaded;
     to->loaded_failed += v->loaded_failed;
     to->loaded_bad_replicas =
@@ -186,56 +177,42 @@
 }
 
 /* The answers of `v` and `old` on the routes that `v` does not tell apart. */
-static WPCanaryRoute other_routes(const WPCanarySums *v,
-                                  const WPCanarySums *old)
+static WPFailureCounts other_routes(const WPCanarySums *v,
+                                    const WPCanarySums *old)
 {
-    WPCanaryRoute out = { 0, v->answered, v->failed, old->answered,
-                          old->failed };
+    WPFailureCounts out = { v->answered, v->failed, old->answered,
+                            old->failed };
     for (unsigned i = 0; i < known_routes(v); i++) {
-        const WPCanaryRoute *r = &v->routes[i];
-        out.answered -= MIN(out.answered, r->answered);
-        out.failed -= MIN(out.failed, r->failed);
-        out.old_answered -= MIN(out.old_answered, r->old_answered);
-        out.old_failed -= MIN(out.old_failed, r->old_failed);
+        const WPFailureCounts *c = &v->routes[i].counts;
+        out.answered -= MIN(out.answered, c->answered);
+        out.failed -= MIN(out.failed, c->failed);
+        out.old_answered -= MIN(out.old_answered, c->old_answered);
+        out.old_failed -= MIN(out.old_failed, c->old_failed);
     }
+    out.failed = MIN(out.failed, out.answered);
+    out.old_failed = MIN(out.old_failed, out.old_answered);
     return out;
 }
 
-/* The old version's failure rate on a route. Without answers of the old version
-   it is taken to be one in a hundred. */
-static double good_rate(const WPCanaryRoute *r)
-{
-    return (r->old_failed + 1.0) / (r->old_answered + PRIOR_ANSWERS);
-}
-
-/* Whether `bad` failures are significantly more than `expected`. */
-static bool too_many(uint32_t bad, double expected)
+/* How well the failures fit a version that fails. The route that fits best is
+   an index of `v->routes`, or the number of known routes for the others. */
+static WPFailureEvidence compare_failures(const WPCanarySums *v,
+                                          const WPCanarySums *old)
 {
-    bool significant =
-        bad >= MIN_BAD && bad > expected + DEVIATIONS * sqrt(expected);
-    return significant || (bad >= FEW_BAD && expected < FEW_EXPECTED);
+    WPFailureCounts routes[WP_CANARY_ROUTES_MAX + 1];
+    unsigned n = known_routes(v);
+    for (unsigned i = 0; i < n; i++)
+        routes[i] = v->routes[i].counts;
+    routes[n] = other_routes(v, old);
+    return wp_failure_compare(routes, n + 1, v->times);
 }
 
 /* Failures are expected route by route: requests that fail whatever serves them
    come by few routes. */
 static bool fails(const WPCanarySums *v, const WPCanarySums *old)
 {
-    WPCanaryRoute others = other_routes(v, old);
-    double expected = others.answered * good_rate(&others);
-    for (unsigned i = 0; i < known_routes(v); i++)
-        expected += v->routes[i].answered * good_rate(&v->routes[i]);
-    return too_many(v->failed, expected);
-}
-
-const WPCanaryRoute *wp_canary_sums_failing_route(const WPCanarySums *v)
-{
-    for (unsigned i = 0; i < v->n_routes; i++) {
-        const WPCanaryRoute *r = &v->routes[i];
-        if (r->old_answered >= MIN_OLD_ANSWERED &&
-            too_many(r->failed, r->answered * good_rate(r)))
-            return r;
-    }
-    return NULL;
+    return v->failed >= MIN_FAILED &&
+           compare_failures(v, old).log_odds >= LOG_ODDS_FAILS;
 }
 
 /* Whether most answers are slow, and significantly more than expected from the
@@ -288,36 +265,15 @@
                log((1 - RATIO_SLOW_SHARE_BAD) / (1 - RATIO_SLOW_SHARE_GOOD));
 }
 
-/* Log odds of a version that fails against a good one, by one route. */
-static double failure_log_odds(const WPCanaryRoute *r)
-{
-    double good = good_rate(r);
-    double bad = MIN(good + EXTRA_FAILURE_RATE, 1 - EXTRA_FAILURE_RATE);
-    return r->failed * log(bad / good) +
-           (r->answered - r->failed) * log((1 - bad) / (1 - good));
-}
-
-/* Guards against completing a shift on uncertain statistics: three failures of
-   some thirty answers, where the old version had none in hundreds, are too few
-   for a decision after a start. */
-static double all_failures_log_odds(const WPCanarySums *v,
-                                    const WPCanarySums *old)
-{
-    WPCanaryRoute others = other_routes(v, old);
-    double sum = failure_log_odds(&others);
-    for (unsigned i = 0; i < known_routes(v); i++)
-        sum += failure_log_odds(&v->routes[i]);
-    return sum;
-}
-
 bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old)
 {
-    return v->failed && all_failures_log_odds(v, old) > 0;
+    return v->failed && compare_failures(v, old).log_odds > LOG_ODDS_GATE;
 }
 
 bool wp_canary_sums_not_sound(const WPCanarySums *v, const WPCanarySums *old)
 {
-    return v->failed > 1 && all_failures_log_odds(v, old) > -LOG_ODDS_SOUND;
+    double bound = v->failed > 1 ? LOG_ODDS_END : LOG_ODDS_END_SINGLE;
+    return v->failed && compare_failures(v, old).log_odds > bound;
 }
 
 static unsigned count_bits(uint64_t v)
@@ -379,11 +335,15 @@
 {
     if (fails(v, old))
         return WP_VERSION_FAULT_FAILS;
-    if (ratio_log_odds(v) >= LOG_ODDS_SLOW)
-        return WP_VERSION_FAULT_SLOW;
-    if (beside && (is_slow(v, old) || is_rarely_fast(v, old)))
-        return WP_VERSION_FAULT_SLOW;
-    return WP_VERSION_FAULT_NONE;
+    return wp_canary_sums_is_slow(v, old, beside) ? WP_VERSION_FAULT_SLOW
+                                                  : WP_VERSION_FAULT_NONE;
+}
+
+bool wp_canary_sums_is_slow(const WPCanarySums *v, const WPCanarySums *old,
+                            bool beside)
+{
+    return ratio_log_odds(v) >= LOG_ODDS_SLOW ||
+           (beside && (is_slow(v, old) || is_rarely_fast(v, old)));
 }
 
 bool wp_canary_sums_any_failed(const WPCanarySums *v)
@@ -405,31 +365,20 @@
            rate(v->loaded_failed, v->loaded) >= LOADED_FAILED_SHARE;
 }
 
-/* The route whose failures speak most for a version that fails; NULL: none of
-   the new version is known. */
-static const WPCanaryRoute *worst_route(const WPCanarySums *v)
-{
-    const WPCanaryRoute *worst = NULL;
-    for (unsigned i = 0; i < v->n_routes; i++) {
-        const WPCanaryRoute *r = &v->routes[i];
-        if (r->failed &&
-            (!worst || failure_log_odds(r) > failure_log_odds(worst)))
-            worst = r;
-    }
-    return worst;
-}
-
-/* The failures as text for the log. */
+/* The failures as text for the log: how likely they are from a version that
+   fails, the kind of one that fits best, and the route that does. */
 static char *failures_text(const WPCanarySums *v, const WPCanarySums *old)
 {
-    const WPCanaryRoute *r = worst_route(v);
-    double odds = all_failures_log_odds(v, old);
-    if (!r)
-        return g_strdup_printf("fail_odds=%.1f", odds);
+    WPFailureEvidence e = compare_failures(v, old);
+    WPCanaryRoute worst = { .counts = other_routes(v, old) };
+    if (e.route < known_routes(v))
+        worst = v->routes[e.route];
     return g_strdup_printf(
-        "fail_odds=%.1f worst_route=%016lx %u/%u old %u/%u fail_odds=%.1f",
-        odds, (unsigned long)r->name_hash, r->failed, r->answered,
-        r->old_failed, r->old_answered, failure_log_odds(r));
+        "fail_odds=%.1f fails=%s worst_route=%016lx %u/%u old %u/%u",
+        e.log_odds, wp_failure_kind_name(e.kind),
+        (unsigned long)worst.name_hash, worst.counts.failed,
+        worst.counts.answered, worst.counts.old_failed,
+        worst.counts.old_answered);
 }
 
 char *wp_canary_sums_text(const char *route, const WPCanarySums *v,
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -3,14 +3,14 @@
 #ifndef WP_CANARY_JUDGE_H
 #define WP_CANARY_JUDGE_H
 
+#include "wp_failure.h"
 #include "wp_speed.h"
 
-/* Answers of one route: of the new version and of the old one at the same
-   boxes, and those of them that failed. */
+/* Answers of one route, of the new version and of the old one at the same
+   boxes. */
 typedef struct WPCanaryRoute {
     uint64_t name_hash; /* wp_canary_route_hash() of the route's name */
-    uint32_t answered, failed;
-    uint32_t old_answered, old_failed;
+    WPFailureCounts counts;
 } WPCanaryRoute;
 
 /* Number of routes that sums tell apart. */
@@ -19,6 +19,7 @@
 /* Statistics of a group of answers. Those of several boxes can be added. */
 typedef struct WPCanarySums {
     uint32_t answered, failed;
+    WPFailureTime times[WP_FAILURE_TIMES]; /* these by the time of the answer */
     /* Answers whose time is compared by the old version's quartiles, and those
        of them that were slow and fast (WP_TIME_SLOW, WP_TIME_FAST). */
     uint32_t timed, slow;
@@ -77,6 +78,7 @@
 typedef struct WPCanaryAnswer {
     const char *version, *replica, *route;
     bool failed;
+    unsigned part; /* of the time since the order, below WP_FAILURE_TIMES */
     WPAnswerTime time;
     double utilization; /* share of the endpoint's slots that were in use when
                            the request was sent */
@@ -110,16 +112,17 @@
 WPVersionFault wp_canary_judge(const WPCanarySums *v, const WPCanarySums *old,
                                bool beside);
 
-/* Returns the route on which alone the new version fails, where the old
-   version's failures on that route are known; NULL: there is none. */
-const WPCanaryRoute *wp_canary_sums_failing_route(const WPCanarySums *v);
+/* Whether the answers are so much slower than the old version's that the new
+   one is bad. */
+bool wp_canary_sums_is_slow(const WPCanarySums *v, const WPCanarySums *old,
+                            bool beside);
 
-/* Whether the failures are more likely from a version that fails than from a
-   good one. wp_canary_judge() takes more. */
+/* Whether some answers failed, and that is more likely from a version that
+   fails than from a good one: so much that the new version is not given all
+   requests. wp_canary_judge() takes more. */
 bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old);
 
-/* Whether there are several failures, and a good version is not by far the more
-   likely one to have them. */
+/* The same, so that the shift is not completed. */
 bool wp_canary_sums_not_sound(const WPCanarySums *v, const WPCanarySums *old);
 
 /* Whether the answers are more likely from a slow version than from a good one,
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -360,7 +360,10 @@
 
 void wp_shift_record_answer(WPShift *sh, const WPCanaryAnswer *a)
 {
-    wp_canary_record_answer(&sh->canary, a, !strcmp(a->version, sh->version));
+    WPCanaryAnswer answer = *a;
+    answer.part = sh->part;
+    wp_canary_record_answer(&sh->canary, &answer,
+                            !strcmp(a->version, sh->version));
 }
 
 void wp_shift_record_speed(WPShift *sh, const char *version,
@@ -472,6 +475,8 @@
     if (now.mono_us - sh->polled_us >= PAUSE_MS * WP_US_PER_MS)
         sh->observed_since_us = sh->stage_observed_since_us = now.mono_us;
     sh->polled_us = now.mono_us;
+    double part = elapsed_part(sh, now) * WP_FAILURE_TIMES;
+    sh->part = (unsigned)CLAMP(part, 0, WP_FAILURE_TIMES - 1);
 }
 
 /* Why the gate before `stage` stays closed although the stage's time has come;
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -56,6 +56,8 @@
     double canary_share;
     int64_t widened_us;   /* when this box last looked whether it may rise */
     bool gate_passed;     /* the gate before the last stage has been passed */
+    unsigned part;        /* of the time since the order, at the last poll
+                             (WP_FAILURE_TIMES) */
     const char *stage;    /* name of the stage at the last poll; the chart's */
     uint32_t old_running; /* this box's requests in flight on other versions */
     int64_t polled_us;    /* time of the last poll */
--- a/tests/test_canary_judge.c
+++ b/tests/test_canary_judge.c
@@ -161,10 +161,10 @@
     (void)state;
     for (uint32_t i = 0; i < 2 * WP_CANARY_ROUTES_MAX; i++)
         wp_canary_sums_add_route(
-            &v, &(WPCanaryRoute){ .name_hash = i, .answered = i, .failed = i });
+            &v, &(WPCanaryRoute){ .name_hash = i, .counts = { i, i, 0, 0 } });
     assert_int_equal(v.n_routes, WP_CANARY_ROUTES_MAX);
     for (unsigned i = 0; i < v.n_routes; i++)
-        assert_true(v.routes[i].failed >= WP_CANARY_ROUTES_MAX);
+        assert_true(v.routes[i].counts.failed >= WP_CANARY_ROUTES_MAX);
 }
 
 enum { LONG_MS = 3600 * WP_MS_PER_S };
