A route on which requests always fail does not speak against a version

Cause: the prior of the common failure rate was that of a route that hardly fails. After 6 of 6 failures of the old version it still expected 7 in 100, and 2 of 2 of the new one held the shift back (move_waits: worst_route 2/2 old 6/6, fail_odds 1.4).

The prior is a mixture now: 0.9 of the weight as before, 0.1 on any rate.

--- a/src/wp_failure.c
+++ b/src/wp_failure.c
@@ -3,10 +3,14 @@
 
 #include <math.h>
 
-/* Prior of the failure rate that both versions have in common: a beta
-   distribution of this many answers, one of them failed. */
-#define PRIOR_FAILED 1.0
-#define PRIOR_ANSWERED 100.0
+/* Prior of the failure rate that both versions have in common: a mixture of
+   beta distributions. Most routes hardly fail; on a few, requests fail as their
+   callers send what cannot be served, in any share of the cases. */
+static const struct {
+    double weight, failed, sound;
+} rate_priors[] = { { 0.9, 1, 99 }, { 0.1, 0.5, 0.5 } };
+
+enum { N_RATES = WP_COUNT(rate_priors) };
 
 /* Shares of the answers that a bad version fails beside those that fail on any
    version. All are equally likely. */
@@ -24,40 +28,71 @@
     return lgamma(a) + lgamma(b) - lgamma(a + b);
 }
 
+/* Adds `weight` times e to the power of `log_value`. */
+static void add(LogSum *sum, double log_value, double weight)
+{
+    if (!sum->mantissa)
+        sum->exponent = log_value;
+    if (log_value > sum->exponent) {
+        sum->mantissa *= exp(sum->exponent - log_value);
+        sum->exponent = log_value;
+    }
+    sum->mantissa += weight * exp(log_value - sum->exponent);
+}
+
+static double log_of(const LogSum *sum)
+{
+    return log(sum->mantissa) + sum->exponent;
+}
+
 /* Answers, and what their likelihoods have in common. */
 typedef struct Answers {
     double failed, sound; /* of the new version */
-    /* Parameters of the beta distribution of the old version's rate. */
-    double rate_failed, rate_sound;
-    double good;       /* log likelihood if the new version fails as often */
-    double sound_only; /* the same of the sound answers alone */
+    double good;          /* log likelihood if the new version fails as often */
+    /* By component of the prior: parameters of the distribution of the old
+       version's rate, and the log likelihood of the new version's sound answers
+       times the component's probability. */
+    struct {
+        double failed, sound, sound_only;
+    } rates[N_RATES];
 } Answers;
 
 static Answers answers_of(const WPFailureCounts *c)
 {
     Answers a = { .failed = c->failed,
-                  .sound = (double)(c->answered - c->failed),
-                  .rate_failed = PRIOR_FAILED + c->old_failed,
-                  .rate_sound = PRIOR_ANSWERED - PRIOR_FAILED +
-                                (double)(c->old_answered - c->old_failed) };
-    double norm = log_beta(a.rate_failed, a.rate_sound);
-    a.good = log_beta(a.rate_failed + a.failed, a.rate_sound + a.sound) - norm;
-    a.sound_only = log_beta(a.rate_failed, a.rate_sound + a.sound) - norm;
+                  .sound = (double)(c->answered - c->failed) };
+    LogSum good = { 0 }, old = { 0 };
+    for (int i = 0; i < N_RATES; i++) {
+        double failed = rate_priors[i].failed + c->old_failed;
+        double sound =
+            rate_priors[i].sound + (double)(c->old_answered - c->old_failed);
+        double weight = log(rate_priors[i].weight) -
+                        log_beta(rate_priors[i].failed, rate_priors[i].sound);
+        a.rates[i].failed = failed;
+        a.rates[i].sound = sound;
+        a.rates[i].sound_only = weight + log_beta(failed, sound + a.sound);
+        add(&old, weight + log_beta(failed, sound), 1);
+        add(&good, weight + log_beta(failed + a.failed, sound + a.sound), 1);
+    }
+    for (int i = 0; i < N_RATES; i++)
+        a.rates[i].sound_only -= log_of(&old);
+    a.good = log_of(&good) - log_of(&old);
     return a;
 }
 
-/* Log odds of a version that fails a share `q` of the requests that would not
-   fail on any version, against a good one. A request fails with the probability
-   q + (1 - q) p, where p is the rate; the integral over p is the sum over how
-   many of the failures are due to p. */
-static double log_ratio(const Answers *a, double q)
+/* Log likelihood, with one component of the prior, of a version that fails a
+   share `q` of the requests that would not fail on any version. A request fails
+   with the probability q + (1 - q) p, where p is the rate; the integral over p
+   is the sum over how many of the failures are due to p. */
+static double bad_log_likelihood(const Answers *a, int rate, double q)
 {
-    double all = a->rate_failed + a->rate_sound + a->sound, term = 1;
-    LogSum sum = { 1,
-                   a->failed * log(q) + a->sound * log1p(-q) + a->sound_only };
+    double failed = a->rates[rate].failed, term = 1;
+    double all = failed + a->rates[rate].sound + a->sound;
+    LogSum sum = { 1, a->failed * log(q) + a->sound * log1p(-q) +
+                          a->rates[rate].sound_only };
     for (double i = 0; i < a->failed; i++) {
-        term *= (a->failed - i) / (i + 1) * (1 - q) / q * (a->rate_failed + i) /
-                (all + i);
+        term *=
+            (a->failed - i) / (i + 1) * (1 - q) / q * (failed + i) / (all + i);
         sum.mantissa += term;
         if (sum.mantissa > MANTISSA_MAX) {
             sum.mantissa /= MANTISSA_MAX;
@@ -65,24 +100,16 @@
             sum.exponent += log(MANTISSA_MAX);
         }
     }
-    return log(sum.mantissa) + sum.exponent - a->good;
+    return log_of(&sum);
 }
 
-/* Adds `weight` times e to the power of `log_value`. */
-static void add(LogSum *sum, double log_value, double weight)
-{
-    if (!sum->mantissa)
-        sum->exponent = log_value;
-    if (log_value > sum->exponent) {
-        sum->mantissa *= exp(sum->exponent - log_value);
-        sum->exponent = log_value;
-    }
-    sum->mantissa += weight * exp(log_value - sum->exponent);
-}
-
-static double log_of(const LogSum *sum)
+/* Log odds of such a version against a good one. */
+static double log_ratio(const Answers *a, double q)
 {
-    return log(sum->mantissa) + sum->exponent;
+    LogSum bad = { 0 };
+    for (int i = 0; i < N_RATES; i++)
+        add(&bad, bad_log_likelihood(a, i, q), 1);
+    return log_of(&bad) - a->good;
 }
 
 /* Log odds of each kind of hypothesis, and the number of hypotheses that the
--- a/tests/test_failure.c
+++ b/tests/test_failure.c
@@ -11,9 +11,16 @@
     return wp_failure_compare(c, 1, times);
 }
 
-/* The same odds by integrating numerically over the rate p that both versions
-   have in common, with the density of 1 failure of 100 and the old version's
-   answers. */
+/* Density of the rate p that both versions have in common, after the old
+   version's answers, up to a factor. */
+static double density(const WPFailureCounts *c, double p)
+{
+    double sound = (double)c->old_answered - c->old_failed;
+    double prior = 0.9 * 99 * pow(1 - p, 98) + 0.1 / M_PI / sqrt(p * (1 - p));
+    return prior * exp(c->old_failed * log(p) + sound * log1p(-p));
+}
+
+/* The same odds by integrating numerically over this rate. */
 static double integrated_log_odds(const WPFailureCounts *c)
 {
     static const double shares[] = { 0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 0.8 };
@@ -21,14 +28,11 @@
     double good = 0, bad[WP_COUNT(shares)] = { 0 }, sum = 0;
     double failed = c->failed, sound = (double)c->answered - failed;
     for (int i = 0; i < STEPS; i++) {
-        double p = (i + 0.5) / STEPS;
-        double density =
-            exp(c->old_failed * log(p) +
-                (98.0 + c->old_answered - c->old_failed) * log1p(-p));
-        good += density * pow(p, failed) * pow(1 - p, sound);
+        double p = (i + 0.5) / STEPS, weight = density(c, p);
+        good += weight * pow(p, failed) * pow(1 - p, sound);
         for (size_t q = 0; q < WP_COUNT(shares); q++) {
             double rate = shares[q] + (1 - shares[q]) * p;
-            bad[q] += density * pow(rate, failed) * pow(1 - rate, sound);
+            bad[q] += weight * pow(rate, failed) * pow(1 - rate, sound);
         }
     }
     for (size_t q = 0; q < WP_COUNT(shares); q++)
@@ -40,7 +44,7 @@
 {
     static const WPFailureCounts cases[] = {
         { 24, 1, 155, 0 }, { 93, 2, 600, 0 }, { 60, 12, 300, 40 },
-        { 40, 0, 100, 3 }, { 5, 5, 0, 0 },    { 200, 40, 500, 70 },
+        { 40, 0, 100, 3 }, { 5, 5, 6, 6 },    { 200, 40, 500, 70 },
     };
     (void)state;
     for (size_t i = 0; i < WP_COUNT(cases); i++) {
@@ -69,6 +73,16 @@
     assert_true(compare(&none, 0).log_odds == 0);
 }
 
+/* Requests of a route all of which fail, whatever serves them, say nothing. */
+static void
+route_that_always_fails_does_not_speak_against_a_version(void **state)
+{
+    const WPFailureCounts cases[] = { { 2, 2, 6, 6 }, { 4, 4, 2, 2 } };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(cases); i++)
+        assert_true(compare(&cases[i], 0).log_odds < 0.5);
+}
+
 /* The kind that fits best is named, with its route. */
 static void kind_of_the_failures_is_named(void **state)
 {
@@ -126,5 +140,6 @@
 
 TESTS_MAIN(T(log_odds_equal_the_integral_over_the_common_rate),
            T(large_counts_have_finite_odds), T(no_answers_speak_for_neither),
+           T(route_that_always_fails_does_not_speak_against_a_version),
            T(kind_of_the_failures_is_named),
            T(repeated_looks_find_no_good_version_bad))
