--- a/tests/test_few_failures.c
+++ b/tests/test_few_failures.c
@@ -91,7 +91,38 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(two_failures_among_many_sound_answers_complete_a_shift),
+/* Polls a shift of the shipped chart until `part` of the order's duration. */
+static WPShiftState poll_until(Fake *k, WPShift *sh, double part)
+{
+    int64_t ms = (int64_t)(part * DURATION_MS);
+    return poll_for(k, sh, ms - wp_elapsed_ms(&sh->elapsed, k->now));
+}
+
+/* A shift is completed only shortly before its time is over: the answers of the
+   last stage come late in it. */
+static void failures_late_in_the_last_stage_come_after_the_verdict(void **state)
+{
+    g_autofree char *chart = NULL;
+    (void)state;
+    assert_true(g_file_get_contents("charts/shift.yaml", &chart, NULL, NULL));
+    for (int fails = 0; fails < 2; fails++) {
+        Fake k;
+        fake_init_chart(&k, chart);
+        WPShift *sh = start_shift(&k);
+        record_sound_answers(sh, 400, 30);
+        assert_int_equal(poll_until(&k, sh, 0.96), WP_SHIFT_RUNNING);
+        if (fails) {
+            record(sh, "v2", "n1", "a", 1, true);
+            record(sh, "v2", "n2", "b", 1, true);
+        }
+        assert_int_equal(poll_until(&k, sh, 0.98),
+                         fails ? WP_SHIFT_RUNNING : WP_SHIFT_DONE);
+        fake_end(&k);
+    }
+}
+
+TESTS_MAIN(T(failures_late_in_the_last_stage_come_after_the_verdict),
+           T(two_failures_among_many_sound_answers_complete_a_shift),
            T(more_answers_make_a_version_that_fails_little_look_sound),
            T(sound_answers_of_other_routes_outweigh_failures),
            T(one_failure_among_many_does_not_hold_a_shift))
