--- a/tests/test_store_restore.c
+++ b/tests/test_store_restore.c
@@ -173,11 +173,15 @@
         g_autofree char *state = cluster_read_shift_state(p);
         if (!g_strcmp0(state, expected))
             return;
-        if (now_ms() > end_ms)
-            fail_msg("the shift is %s, not %s", state ? state : "unknown",
-                     expected);
-        status_of(p, 0);
-        g_usleep(POLL_MS * WP_US_PER_MS);
+        if (now_ms() <= end_ms) {
+            status_of(p, 0);
+            g_usleep(POLL_MS * WP_US_PER_MS);
+            continue;
+        }
+        cluster_print_log(p, "move_");
+        cluster_print_log(p, "version_bad");
+        fail_msg("the shift is %s, not %s", state ? state : "unknown",
+                 expected);
     }
 }
 
