One odd item of another writer does not keep the others from being read

Callers and operators saw: an entry whose key holds a NUL character, or an item with a number out of range, stops every box: no change is followed any more (a new key gets 401 for minutes), and a box that starts never serves.

Cause: the store's answer was parsed as a whole, and refused as a whole for one item.

The elements of a list are parsed apart if the whole is refused. An item that is no JSON, has no key or one that no entry can have, or has no revision is left out, logged as bad_entry with its key or beginning, and counted. Reading goes on after the last key of a page, whatever it holds. A watch whose changes were all left out has missed none.

--- a/io/wp_host.c
+++ b/io/wp_host.c
@@ -216,6 +216,13 @@
     wp_host_run_actions(h);
 }
 
+static void on_bad_item(void *arg, const char *what, const char *why)
+{
+    WPHost *h = arg;
+    wp_count(wp_node_counters(h->node), WP_C_BAD_ENTRIES);
+    wp_log(&h->log, WP_ERROR_LEVEL, "bad_entry", "key", what, "why", why, NULL);
+}
+
 /* Creates the clients of the services that the settings name; the store's may
    inject faults in tests. Returns false and sets the error if an address is
    malformed. */
@@ -224,6 +231,10 @@
     Wp__NodeSettings *s = h->settings;
     if (s->n_store)
         h->kv = wp_kv_etcd(h->base, s->store, s->n_store);
+    if (h->kv) {
+        h->kv->bad_item = on_bad_item;
+        h->kv->bad_item_arg = h;
+    }
     if (h->kv && s->test_hooks)
         h->kv = wp_kv_faulty(h->kv, &h->fault);
     if (s->boxes)
--- a/io/wp_kv.c
+++ b/io/wp_kv.c
@@ -15,6 +15,106 @@
     return op;
 }
 
+void wp_kv_items_init(WPKvItems *v)
+{
+    v->list = g_array_new(FALSE, FALSE, sizeof(WPKvItem));
+    v->owned = g_ptr_array_new_with_free_func(g_free);
+    v->skipped = 0;
+}
+
+void wp_kv_items_end(WPKvItems *v)
+{
+    g_array_unref(v->list);
+    g_ptr_array_unref(v->owned);
+}
+
+typedef struct Load {
+    WPKv *kv;
+    WPKvItems *items;
+} Load;
+
+static void skip_item(WPKv *kv, WPKvItems *v, WPStr what, const char *why)
+{
+    g_autofree char *text = g_strndup(what.p, what.n);
+    v->skipped++;
+    for (size_t i = 0; i < what.n; i++)
+        text[i] = what.p[i] ? what.p[i] : '?';
+    if (kv->bad_item)
+        kv->bad_item(kv->bad_item_arg, text, why);
+}
+
+static void on_bad_element(void *arg, WPStr start, const char *why)
+{
+    Load *l = arg;
+    skip_item(l->kv, l->items, start, why);
+}
+
+json_t *wp_kv_load(WPKv *kv, WPKvItems *v, WPStr text, const char *list)
+{
+    Load l = { kv, v };
+    return wp_json_load_list(text, list, on_bad_element, &l);
+}
+
+void wp_kv_items_add(WPKv *kv, WPKvItems *v, const WPKvItem *item)
+{
+    g_ptr_array_add(v->owned, (gpointer)item->key.p);
+    g_ptr_array_add(v->owned, (gpointer)item->value.p);
+    if (!item->key.n || memchr(item->key.p, '\0', item->key.n))
+        skip_item(kv, v, item->key, "the key is empty or has a NUL byte");
+    else if (!wp_revision_number(item->mod_revision))
+        skip_item(kv, v, item->key, "it has no revision");
+    else
+        g_array_append_val(v->list, *item);
+}
+
+void wp_kv_items_result(const WPKvItems *v, WPKvResult *out)
+{
+    out->items = (const WPKvItem *)(void *)v->list->data;
+    out->n_items = v->list->len;
+}
+
+bool wp_kv_note_last(GString *last, const json_t *list, const char *name)
+{
+    for (size_t i = json_array_size(list); i--;) {
+        WPStr key =
+            wp_json_bytes(json_object_get(json_array_get(list, i), name));
+        if (!key.n)
+            continue;
+        bool same = wp_str_eq(key, wp_strn(last->str, last->len));
+        g_string_truncate(last, 0);
+        g_string_append_len(last, key.p, (gssize)key.n);
+        return !same;
+    }
+    return false;
+}
+
+char *wp_kv_escape(const GString *key)
+{
+    /* glib takes a NUL byte for one of the characters to leave as they are. */
+    bool has_nul = strlen(key->str) != key->len;
+    return g_uri_escape_bytes((const guint8 *)key->str, key->len,
+                              has_nul ? NULL : "/");
+}
+
+WPStr wp_kv_copy(const json_t *j)
+{
+    WPStr bytes = wp_json_bytes(j);
+    char *copy = g_malloc(bytes.n + 1);
+    memcpy(copy, bytes.p, bytes.n);
+    copy[bytes.n] = '\0';
+    return wp_strn(copy, bytes.n);
+}
+
+WPStr wp_kv_decode_base64(const json_t *j)
+{
+    const char *text = json_string_value(j);
+    gsize n = 0;
+    guchar *p = g_base64_decode(text ? text : "", &n);
+    p = g_realloc(p, n + 1);
+    p[n] = '\0';
+    return wp_strn((const char *)p, n);
+}
+
 bool wp_kv_observe_era(WPKv *kv, const char *text)
 {
     WPStoreEraChange change = wp_store_era_observe(&kv->era, text);
--- a/io/wp_kv.h
+++ b/io/wp_kv.h
@@ -4,6 +4,7 @@
 #define WP_KV_H
 
 #include "config.pb-c.h"
+#include "wp_json_list.h"
 #include "wp_store_era.h"
 
 #include <event2/event.h>
@@ -34,6 +35,13 @@
     bool remove;
 } WPKvOp;
 
+/* The items of an answer. */
+typedef struct WPKvItems {
+    GArray *list; /* WPKvItem */
+    GPtrArray *owned;
+    unsigned skipped; /* that could not be read */
+} WPKvItems;
+
 typedef struct WPKvResult {
     bool ok;           /* the store answered */
     bool succeeded;    /* of a transaction: all conditions held */
@@ -45,15 +53,18 @@
 typedef void (*WPKvResultFn)(void *arg, const WPKvResult *r);
 
 typedef enum WPKvWatchEvent {
-    WP_KV_CHANGED,    /* the item was written or deleted */
-    WP_KV_UNCHANGED,  /* the store has answered: nothing has changed */
+    WP_KV_CHANGED,   /* the item was written or deleted */
+    WP_KV_UNCHANGED, /* the store has answered: nothing has changed */
+    WP_KV_SKIPPED,   /* there was a change that cannot be read; the item has the
+                        revision up to which all changes were reported */
     WP_KV_WATCH_LOST, /* the watch has ended */
     WP_KV_COMPACTED   /* the watch has ended, and changes may have been missed,
                          as the store no longer has them: everything must be
                          read again */
 } WPKvWatchEvent;
 
-/* Reports an event of a watch; `item` is NULL except for WP_KV_CHANGED. */
+/* Reports an event of a watch; `item` is NULL except for WP_KV_CHANGED and
+   WP_KV_SKIPPED. */
 typedef void (*WPKvWatchFn)(void *arg, WPKvWatchEvent what,
                             const WPKvItem *item);
 
@@ -87,13 +98,50 @@
    can be read; `text`: as it is named. */
 typedef void (*WPKvEraFn)(void *arg, WPStoreEraChange change, const char *text);
 
+/* Reports an item of an answer that cannot be read: its key, or its beginning
+   if that is not known, and why. */
+typedef void (*WPKvBadItemFn)(void *arg, const char *what, const char *why);
+
 struct WPKv {
     const WPKvOps *ops;
     WPStoreEra era;
     WPKvEraFn era_changed; /* NULL: nothing is reported */
     void *era_arg;
+    WPKvBadItemFn bad_item; /* NULL: nothing is reported */
+    void *bad_item_arg;
 };
 
+/* For clients: begins without items; frees them. */
+void wp_kv_items_init(WPKvItems *v);
+void wp_kv_items_end(WPKvItems *v);
+
+/* For clients: parses an answer whose items are in the array `list`. Items that
+   are no JSON are reported and counted as skipped. NULL: the answer is invalid.
+   Free with json_decref(). */
+json_t *wp_kv_load(WPKv *kv, WPKvItems *v, WPStr text, const char *list);
+
+/* For clients: adds an item, whose key and value are taken over. One with a key
+   that no entry can have, or without a revision, is reported and counted as
+   skipped. */
+void wp_kv_items_add(WPKv *kv, WPKvItems *v, const WPKvItem *item);
+
+/* For clients: names the items in a result, which is then valid as long as
+   they are. */
+void wp_kv_items_result(const WPKvItems *v, WPKvResult *out);
+
+/* For clients that read page by page: sets `last` to the last key in the array
+   `list` of items, which have it in the field `name`. Returns whether it is
+   another one than before. */
+bool wp_kv_note_last(GString *last, const json_t *list, const char *name);
+
+/* For clients: a key as a part of a URI. Free with g_free(). */
+char *wp_kv_escape(const GString *key);
+
+/* For clients: copies of the bytes of a JSON string; of none: "" without a
+   byte. */
+WPStr wp_kv_copy(const json_t *j);
+WPStr wp_kv_decode_base64(const json_t *j);
+
 /* For clients: takes the era that an answer names, before anything else of the
    answer; NULL: it names none. Returns false if the answer is from before a
    restore of the store and does not count. */
--- a/io/wp_kv_etcd.c
+++ b/io/wp_kv_etcd.c
@@ -47,49 +47,29 @@
     return (uint64_t)json_integer_value(j);
 }
 
-static WPStr from_b64(const json_t *j)
-{
-    gsize n = 0;
-    const char *s = json_string_value(j);
-    guchar *p = g_base64_decode(s ? s : "", &n);
-    return wp_strn((const char *)p, n);
-}
-
-static void add_items(GArray *out, const json_t *kvs)
+static void add_items(Etcd *e, WPKvItems *out, const json_t *kvs)
 {
     size_t i;
     json_t *kv;
     json_array_foreach (kvs, i, kv) {
-        WPKvItem item = {
-            .key = from_b64(json_object_get(kv, "key")),
-            .value = from_b64(json_object_get(kv, "value")),
+        const WPKvItem item = {
+            .key = wp_kv_decode_base64(json_object_get(kv, "key")),
+            .value = wp_kv_decode_base64(json_object_get(kv, "value")),
             .mod_revision = number(json_object_get(kv, "mod_revision")),
         };
-        g_array_append_val(out, item);
+        wp_kv_items_add(&e->kv, out, &item);
     }
 }
 
-static void clear_item(gpointer p)
-{
-    WPKvItem *item = p;
-    g_free((gpointer)item->key.p);
-    g_free((gpointer)item->value.p);
-}
-
-static GArray *new_items(void)
-{
-    GArray *a = g_array_new(FALSE, FALSE, sizeof(WPKvItem));
-    g_array_set_clear_func(a, clear_item);
-    return a;
-}
-
 /* Decodes the response of the store and calls the caller's function. After a
    failure the next call goes to the next target. */
 static void on_answer(void *arg, int status, WPStr body)
 {
     Call *c = arg;
-    g_autoptr(GArray) items = new_items();
-    json_t *j = status == 200 ? json_loadb(body.p, body.n, 0, NULL) : NULL;
+    WPKvItems items;
+    wp_kv_items_init(&items);
+    json_t *j =
+        status == 200 ? wp_kv_load(&c->e->kv, &items, body, "kvs") : NULL;
     WPKvResult r = { .ok = j != NULL };
     if (j) {
         size_t i;
@@ -97,17 +77,17 @@
         r.revision =
             number(json_object_get(json_object_get(j, "header"), "revision"));
         r.succeeded = json_is_true(json_object_get(j, "succeeded"));
-        add_items(items, json_object_get(j, "kvs"));
+        add_items(c->e, &items, json_object_get(j, "kvs"));
         json_array_foreach (json_object_get(j, "responses"), i, part)
-            add_items(items,
+            add_items(c->e, &items,
                       json_object_get(json_object_get(part, "response_range"),
                                       "kvs"));
     } else {
         c->e->current = (c->e->current + 1) % c->e->n_targets;
     }
-    r.items = (const WPKvItem *)(void *)items->data;
-    r.n_items = items->len;
+    wp_kv_items_result(&items, &r);
     c->done(c->arg, &r);
+    wp_kv_items_end(&items);
     json_decref(j);
     g_free(c);
 }
@@ -188,20 +168,22 @@
    end the watch, which leaves out the rest. */
 static void on_watch_line(Etcd *e, WPStr line)
 {
-    g_autoptr(GArray) items = new_items();
-    json_t *j = json_loadb(line.p, line.n, 0, NULL);
+    WPKvItems items;
+    wp_kv_items_init(&items);
+    json_t *j = wp_kv_load(&e->kv, &items, line, "events");
     json_t *events = json_object_get(json_object_get(j, "result"), "events");
     json_t *one;
     size_t i;
     json_array_foreach (events, i, one) {
         json_t *kvs = json_pack("[O]", json_object_get(one, "kv"));
-        add_items(items, kvs);
+        add_items(e, &items, kvs);
         json_decref(kvs);
     }
     json_decref(j);
-    for (guint k = 0; k < items->len && e->event; k++)
+    for (guint k = 0; k < items.list->len && e->event; k++)
         e->event(e->event_arg, WP_KV_CHANGED,
-                 &g_array_index(items, WPKvItem, k));
+                 &g_array_index(items.list, WPKvItem, k));
+    wp_kv_items_end(&items);
 }
 
 static void on_watch_chunk(struct evhttp_request *r, void *arg)
--- a/io/wp_store_apply.c
+++ b/io/wp_store_apply.c
@@ -29,6 +29,11 @@
            problem, NULL);
 }
 
+void wp_sync_on_bad_item(void *arg, const char *what, const char *why)
+{
+    reject_entry(arg, what, NULL, why);
+}
+
 /* Adds or updates a registered endpoint; an invalid entry is rejected and
    logged. Logs only what has changed. */
 static void apply_endpoint(WPSync *s, const char *key, const WPRegistryEntry *l)
--- a/io/wp_sync.c
+++ b/io/wp_sync.c
@@ -194,6 +194,11 @@
         wp_sync_advance(s, item->mod_revision);
         note_synced(s);
         break;
+    case WP_KV_SKIPPED:
+        on_answer(s);
+        wp_sync_advance(s, item->mod_revision);
+        note_synced(s);
+        break;
     case WP_KV_UNCHANGED:
         on_answer(s);
         note_synced(s);
@@ -506,6 +511,8 @@
     if (s->kv) {
         s->kv->era_changed = wp_sync_on_era;
         s->kv->era_arg = s;
+        s->kv->bad_item = wp_sync_on_bad_item;
+        s->kv->bad_item_arg = s;
         s->zone_updates = wp_zone_updates_new(h, s->peers);
         s->suspect_updates = wp_suspect_updates_new(s);
         s->notice_updates = wp_notice_updates_new(h, s->peers);
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -147,6 +147,10 @@
 /* Logs another era of the store; a WPKvEraFn. */
 void wp_sync_on_era(void *arg, WPStoreEraChange change, const char *text);
 
+/* wp_store_apply.c: counts and logs an item of the store that cannot be
+   read. */
+void wp_sync_on_bad_item(void *arg, const char *what, const char *why);
+
 /* wp_sync.c: removes the entries that a full copy at `revision` does not have:
    its keys are `keys`. `lapsed`: see wp_store_apply(). */
 void wp_sync_remove_missing(WPSync *s, GHashTable *keys, uint64_t revision,
