--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -10,8 +10,8 @@
 
 /* Time before the end of the order's duration at which a shift is to be done:
    it begins some tenths of a second after the order, and the record of its
-   outcome must be written in time. */
-#define SPARE_MS 500
+   outcome must be written and noticed in time. */
+#define SPARE_MS 800
 
 /* Time from the start of a shift until the first request goes to the new
    version. Boxes use it to send each other which sessions are active on the old
@@ -20,7 +20,7 @@
 
 /* The part of the last stage's time for which a box has to observe it: the
    stage may begin late. */
-#define OBSERVED_PART 0.64
+#define OBSERVED_PART 0.8
 
 /* Polls come every 50 ms. After a gap of this length, what this box knows of
    the others may be out of date, and what they know of it. */
