What another box knows holds back a shift's end too

Cause: a box's doubt kept the others from the last stage, not from the end. And it lapsed by time only, 0.6 s after it was told, whoever had told it.

Doubts are kept by box, hold both, and end when their box takes them back (or has not repeated them for 0.6 s). A box tells the others at once when its reason to wait changes, not with its next digest up to 0.25 s later.

Evidence: doubt_of_another_box_does_not_keep_a_shift_from_its_end fails without the product's line.

--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -19,8 +19,7 @@
     wp_canary_merge_report(&sh->canary, from, m->life, &sums);
     if (m->has_elapsed_ms)
         wp_shift_merge_elapsed(sh, now, (int64_t)m->elapsed_ms);
-    if (m->doubt)
-        wp_shift_merge_doubt(sh, now);
+    wp_shift_merge_doubt(sh, now, from, m->has_doubt && m->doubt);
     if (m->open)
         wp_shift_merge_gate_passed(sh);
     if (m->has_share_permille)
--- a/io/wp_store_writer.c
+++ b/io/wp_store_writer.c
@@ -139,12 +139,16 @@
            now.mono_us >= s->write_after_us;
 }
 
-/* Logs why a shift waits, when the reason has changed. */
+/* Logs why a shift waits, when the reason has changed, and tells other boxes at
+   once whether this one doubts. */
 static void log_wait_reason(WPSync *s, WPShift *sh, WPTime now)
 {
     const char *old = sh->logged_wait_reason;
     sh->logged_wait_reason = sh->wait_reason;
-    if (!sh->wait_reason || sh->wait_reason == old)
+    if (sh->wait_reason == old)
+        return;
+    wp_peers_schedule_digest(s->peers);
+    if (!sh->wait_reason)
         return;
     g_autofree char *stats = wp_shift_stats_text(sh, now);
     wp_count(&s->host->direct.counters, WP_C_MOVE_WAITS);
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -26,8 +26,7 @@
    the others may be out of date, and what they know of it. */
 #define PAUSE_MS 1000
 
-/* For how long another box's doubt holds, which it repeats in each digest while
-   it lasts. */
+/* For how long another box's doubt holds unless the box repeats it. */
 #define DOUBT_MS 600
 
 /* The canary's share rises in the second half only, when any session may go
@@ -54,6 +53,7 @@
     WPShift *sh = p;
     wp_canary_end(&sh->canary);
     g_hash_table_unref(sh->reverted_versions);
+    g_hash_table_unref(sh->doubts);
     g_free(sh->service);
     g_free(sh->version);
     g_free(sh->baseline_version);
@@ -164,6 +164,7 @@
         return NULL;
     WPShift *sh = g_new0(WPShift, 1);
     sh->reverted_versions = reverted_before(previous, o->version);
+    sh->doubts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     sh->baseline_version = baseline_after(previous);
     sh->service = g_strdup(o->service);
     sh->version = g_strdup(o->version);
@@ -441,9 +442,26 @@
     sh->gate_passed = true;
 }
 
-void wp_shift_merge_doubt(WPShift *sh, WPTime now)
+void wp_shift_merge_doubt(WPShift *sh, WPTime now, const char *box, bool doubt)
 {
-    sh->doubted_us = now.mono_us;
+    if (doubt)
+        g_hash_table_replace(sh->doubts, g_strdup(box),
+                             g_memdup2(&now.mono_us, sizeof(now.mono_us)));
+    else
+        g_hash_table_remove(sh->doubts, box);
+}
+
+/* Whether another box doubts, which it repeats in each digest: one that has
+   gone does not take its doubt back. */
+static bool is_doubted(const WPShift *sh, WPTime now)
+{
+    GHashTableIter it;
+    gpointer told_us;
+    g_hash_table_iter_init(&it, sh->doubts);
+    while (g_hash_table_iter_next(&it, NULL, &told_us))
+        if (now.mono_us - *(int64_t *)told_us < DOUBT_MS * WP_US_PER_MS)
+            return true;
+    return false;
 }
 
 void wp_shift_merge_bad(WPShift *sh)
@@ -501,8 +519,7 @@
                "good one";
     if (stage->final && wp_canary_speed_in_doubt(&sh->canary))
         return "the last stage's answers are slower than usual";
-    if (!stage->final && sh->doubted_us &&
-        now.mono_us - sh->doubted_us < DOUBT_MS * WP_US_PER_MS)
+    if (is_doubted(sh, now))
         return "what another box knows speaks against the version";
     return has_evidence(s, sh, now, stage)
                ? NULL
--- a/src/wp_shift.h
+++ b/src/wp_shift.h
@@ -49,8 +49,9 @@
     bool renumbered; /* the order has another revision than the records of the
                         shift in the store know */
     bool found_bad;  /* the new version is bad and gets no more requests */
-    int64_t doubted_us; /* when another box last told that what it knows speaks
-                           against the new version; 0: never */
+    /* Boxes that told last that what they know speaks against the new version:
+       id -> when, an int64_t in microseconds of the monotonic clock. */
+    GHashTable *doubts;
     /* Share of sessions that the canary gets, if it is above the chart's; it
        never falls. */
     double canary_share;
@@ -179,8 +180,9 @@
    and completes the shift on what it alone knows. */
 void wp_shift_merge_bad(WPShift *sh);
 
-/* Merges that what another box knows speaks against the new version. */
-void wp_shift_merge_doubt(WPShift *sh, WPTime now);
+/* Merges whether what another box knows speaks against the new version. While
+   it does, the shift neither goes on to the last stage nor is completed. */
+void wp_shift_merge_doubt(WPShift *sh, WPTime now, const char *box, bool doubt);
 
 /* Merges the share of requests that the canary gets at another box. */
 void wp_shift_merge_canary_share(WPShift *sh, double share);
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -211,7 +211,7 @@
     init_shipped(&k);
     WPShift *sh = start_shift(&k);
     for (int i = 0; i < SHIFT_MS / LOOK_MS; i++) {
-        wp_shift_merge_doubt(sh, k.now);
+        wp_shift_merge_doubt(sh, k.now, "e2", true);
         poll_for(&k, sh, LOOK_MS);
     }
     assert_false(sh->gate_passed);
@@ -220,6 +220,25 @@
     fake_end(&k);
 }
 
+/* A box may know of failures some tens of milliseconds before the others. */
+static void
+doubt_of_another_box_does_not_keep_a_shift_from_its_end(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = start_shift(&k);
+    for (int i = 0; i < 2 * SHIFT_MS / LOOK_MS; i++) {
+        wp_shift_merge_doubt(sh, k.now, "e2", true);
+        wp_shift_merge_doubt(sh, k.now, "e3", false);
+        assert_int_equal(poll_for(&k, sh, LOOK_MS), WP_SHIFT_RUNNING);
+    }
+    /* The box takes its doubt back. */
+    wp_shift_merge_doubt(sh, k.now, "e2", false);
+    assert_int_equal(poll_for(&k, sh, LOOK_MS), WP_SHIFT_DONE);
+    fake_end(&k);
+}
+
 /* Guards against an order that is completed at the end of its time although the
    answers cannot tell a slow version from a good one. */
 static void too_few_answers_keep_the_gate_closed(void **state)
@@ -317,6 +336,7 @@
            T(a_slow_version_is_found_beside_busy_endpoints),
            T(slower_version_is_kept_in_the_last_stage),
            T(slower_idle_endpoints_are_compared_with_busy_ones),
+           T(doubt_of_another_box_does_not_keep_a_shift_from_its_end),
            T(doubt_of_another_box_keeps_the_gate_closed),
            T(too_few_answers_keep_the_gate_closed),
            T(slower_answers_of_the_last_stage_are_not_seen),
