Tests: an answer of which an endpoint sent a part does not look whole

Another operator's report: a replica that ended within its answer's head gave clients an empty or short 200, framed as whole. It does not happen here: in test_every_byte answers (plain, chunked, streams, resumed streams, and heads without a length) end after each number of bytes, by a close or a reset, at the first attempt or at all; in test_edges an engine behind wpagent ends after each third byte. No product code was changed.

--- a/tests/test_edges.c
+++ b/tests/test_edges.c
@@ -343,6 +343,32 @@
     check_still_serves();
 }
 
+/* Guards against an engine that ends within its answer's head, or its body, and
+   whose answer reached callers as a whole one that is empty or short. */
+static void answers_that_end_early_look_whole(void **state)
+{
+    static const char *const answers[] = {
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Content-Length: 11\r\n\r\n{\"a\":\"b\"}\n\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+        "0\r\n\r\n",
+    };
+    enum { STEP = 3 };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(answers); i++) {
+        for (size_t n = 1; n < strlen(answers[i]); n += STEP) {
+            g_autofree char *cut = g_strndup(answers[i], n);
+            g_autofree char *a = answer_of_raw(cut);
+            if (!g_str_has_prefix(a, "HTTP/1.1 502 "))
+                fail_msg("cut after %zu bytes, answered with:\n%s", n, a);
+            wait_until_serves();
+        }
+        g_autofree char *whole = answer_of_raw(answers[i]);
+        assert_non_null(strstr(whole, " 200 OK"));
+    }
+    check_still_serves();
+}
+
 /* Whether the engine's ledger has a run of this many tokens. */
 static bool engine_has_run(int tokens)
 {
@@ -457,6 +483,7 @@
         T(garbage_on_peer_ports_closes_the_connection),
         T(an_engine_stops_when_its_caller_disconnects),
         T(invalid_answers_of_an_engine_reach_callers),
+        T(answers_that_end_early_look_whole),
         T(event_without_an_end_fills_the_memory),
         T(a_slow_reader_bounds_memory_and_gets_all),
         T(half_sent_requests_do_not_block_others),
--- a/tests/test_every_byte.c
+++ b/tests/test_every_byte.c
@@ -35,6 +35,7 @@
 typedef struct Answer {
     const char *text;
     size_t n;
+    bool reset; /* it resets the connection instead */
 } Answer;
 
 static const char plain[] = OK "Content-Length: 11\r\n\r\nhello world";
@@ -204,7 +205,12 @@
         evbuffer_add(sent, answers[attempt].text, answers[attempt].n);
     for (int i = 0; i < 3; i++)
         turn(r);
-    if (r->endpoint && !r->is_new && bufferevent_pair_get_partner(r->endpoint))
+    struct bufferevent *box = r->endpoint && !r->is_new
+                                  ? bufferevent_pair_get_partner(r->endpoint)
+                                  : NULL;
+    if (box && answers[attempt].reset)
+        bufferevent_trigger_event(box, BEV_EVENT_READING | BEV_EVENT_ERROR, 0);
+    else if (box)
         bufferevent_flush(r->endpoint, EV_WRITE, BEV_FINISHED);
     return true;
 }
@@ -416,9 +422,10 @@
             else
                 s->str[at] = (char)(text[at] + v);
             const Answer answers[] = {
-                { before ? before : s->str, before ? strlen(before) : s->len },
-                { before ? s->str : sound, before ? s->len : sound_n },
-                { sound, sound_n },
+                { before ? before : s->str, before ? strlen(before) : s->len,
+                  false },
+                { before ? s->str : sound, before ? s->len : sound_n, false },
+                { sound, sound_n, false },
             };
             Seen seen;
             play(r, path, answers, WP_COUNT(answers), &seen);
@@ -461,6 +468,80 @@
     play_all("/chat/", first_part, rest, NULL, true);
 }
 
+/* What the caller gets of an answer of which the endpoint sent a part has to be
+   the whole one, an error of the box, or visibly broken off. */
+static void check_cut(Seen *seen, bool is_stream, const char *text, size_t n)
+{
+    g_autoptr(GString) body = g_string_new(NULL);
+    int status;
+    size_t left;
+    const char *fault, *why = NULL;
+    WPH1State st = parse_seen(seen, body, &status, &left, &fault);
+    bool whole = is_stream ? has_pieces(body->str, true)
+                           : !strcmp(body->str, "hello world");
+    g_byte_array_append(seen->text, (const guint8 *)"", 1);
+    if (st == WP_H1_ERROR || left)
+        why = "no answer of HTTP";
+    else if (st == WP_H1_COMPLETE && status == 200 && !whole)
+        why = "a part that looks whole";
+    else if (st == WP_H1_COMPLETE && status != 200 && status < 500)
+        why = "wrong status";
+    else if (is_stream && !has_pieces(body->str, false))
+        why = "wrong pieces";
+    if (why)
+        fail_msg("%s, after %zu bytes of:\n%s\n--- the caller got:\n%s", why, n,
+                 text, (char *)seen->text->data);
+}
+
+/* Plays an answer that ends after each number of bytes, by a close or a reset,
+   at the first attempt or at all; `before` as in play_all(). */
+static void play_cut(const char *path, const char *before, const char *text,
+                     size_t most, bool is_stream)
+{
+    Rig *r = g_new0(Rig, 1);
+    rig_init(r);
+    for (size_t n = 0; n < most; n++)
+        for (int way = 0; way < 4; way++) {
+            const Answer cut = { text, n, way & 1 };
+            const Answer sound = { is_stream ? NULL : plain, strlen(plain), 0 };
+            const Answer next = way & 2 ? cut : sound;
+            const Answer first = { before, before ? strlen(before) : 0, 0 };
+            const Answer answers[] = { before ? first : cut,
+                                       before ? cut : next, next };
+            Seen seen;
+            play(r, path, answers, WP_COUNT(answers), &seen);
+            check_cut(&seen, is_stream, text, n);
+            g_byte_array_unref(seen.text);
+        }
+    rig_end(r);
+    g_free(r);
+}
+
+static void part_of_an_answer_looks_whole(void **state)
+{
+    static const char unframed[] = OK "\r\nhello world";
+    (void)state;
+    play_cut("/safe/", NULL, plain, strlen(plain), false);
+    play_cut("/safe/", NULL, chunked, strlen(chunked), false);
+    /* Without a length the connection's end is the answer's: of the head only
+       a part is no answer. */
+    play_cut("/safe/", NULL, unframed, strlen(OK) + 2, false);
+}
+
+static void part_of_a_stream_looks_whole(void **state)
+{
+    static const char unframed[] = OK EVENTS "\r\n" PIECE("1");
+    (void)state;
+    play_cut("/chat/", NULL, stream, strlen(stream), true);
+    play_cut("/chat/", NULL, unframed, strlen(OK EVENTS) + 2, true);
+}
+
+static void part_of_a_resumed_stream_looks_whole(void **state)
+{
+    (void)state;
+    play_cut("/chat/", first_part, rest, strlen(rest), true);
+}
+
 /* What bytes are spoiled of, the review's cases among them. */
 static const char *const seeds[] = {
     plain,
@@ -566,9 +647,9 @@
         bool sound_request = g_rand_int_range(rand, 0, 4) > 0;
         if (!sound_request)
             spoil(request, rand);
-        const Answer all[] = { { text[0]->str, text[0]->len },
-                               { text[1]->str, text[1]->len },
-                               { NULL, 0 } };
+        const Answer all[] = { { text[0]->str, text[0]->len, false },
+                               { text[1]->str, text[1]->len, false },
+                               { NULL, 0, false } };
         Seen seen;
         play_request(r, request, all, WP_COUNT(all), &seen);
         const char *why = seen_fault(&seen, sound_request);
@@ -588,6 +669,8 @@
     g_free(r);
 }
 
-TESTS_MAIN(T(several_wrong_bytes_in_both_directions),
+TESTS_MAIN(T(part_of_an_answer_looks_whole), T(part_of_a_stream_looks_whole),
+           T(part_of_a_resumed_stream_looks_whole),
+           T(several_wrong_bytes_in_both_directions),
            T(wrong_byte_of_a_plain_answer), T(wrong_byte_of_a_chunked_answer),
            T(wrong_byte_of_a_stream), T(wrong_byte_of_a_resumed_stream))
