--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -12,9 +12,9 @@
 /* The same up to which a shift with failures goes on to the last stage, and up
    to which it may be completed. A single failure may be an endpoint's or the
    network's. */
-#define LOG_ODDS_GATE 1.0
+#define LOG_ODDS_GATE 0.7
 #define LOG_ODDS_END 0.5
-#define LOG_ODDS_END_SINGLE 1.0
+#define LOG_ODDS_END_SINGLE 0.7
 
 /* By definition, a quarter of the old version's answers are fast and a quarter
    are slow. A version is slow when at least MIN_SLOW_SHARE of at least
--- a/src/wp_shift.c
+++ b/src/wp_shift.c
@@ -18,10 +18,6 @@
    one. */
 #define LEAD_MS 1500
 
-/* The part of the last stage's time for which a box has to observe it: the
-   stage may begin late. */
-#define OBSERVED_PART 0.8
-
 /* Polls come every 50 ms. After a gap of this length, what this box knows of
    the others may be out of date, and what they know of it. */
 #define PAUSE_MS 1000
@@ -548,15 +544,14 @@
     return true;
 }
 
-/* Whether the last stage's time is over, this box observed a good part of it,
+/* Whether the last stage has lasted for its time while this box observed it,
    and its end is not held back. Without the observation, a box that was paused
    during both stages would complete the shift at its first poll. */
 static bool is_over(const WPShifts *s, WPShift *sh, WPTime now,
                     const Wp__ChartState *stage, const Wp__ChartState *end)
 {
     if (elapsed_part(sh, now) < part_before(s, end) ||
-        !has_passed(sh->stage_observed_since_us, now,
-                    OBSERVED_PART * stage->dwell_part, sh))
+        !has_passed(sh->stage_observed_since_us, now, stage->dwell_part, sh))
         return false;
     sh->wait_reason = closed_gate_reason(s, sh, now, end);
     return !sh->wait_reason;
