Counts of a shift that cannot be are passed over

More failures than answers, from another box or its record in the store, were added: the sums of all boxes then judged a version by them. They are passed over, logged as bad_counts with the sender and the field, and counted.

Evidence: impossible_counts_of_a_box_are_added, six kinds, fails without the product's line.

--- a/io/wp_digest.c
+++ b/io/wp_digest.c
@@ -13,10 +13,9 @@
                        const Wp__MoveSums *m)
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
-    WPCanarySums sums = wp_shift_sums_decode(m);
-    if (!sh || wp_shift_order_id(sh) != m->order)
+    if (!sh || wp_shift_order_id(sh) != m->order ||
+        !wp_shift_sums_merge(s, sh, from, from, m, NULL))
         return;
-    wp_canary_merge_report(&sh->canary, from, m->life, &sums);
     if (m->has_elapsed_ms)
         wp_shift_merge_elapsed(sh, now, (int64_t)m->elapsed_ms);
     wp_shift_merge_doubt(sh, now, from, m->has_doubt && m->doubt);
@@ -33,13 +32,12 @@
 }
 
 /* Merges answer counts of a third box that the sender has relayed. */
-static void merge_relayed(WPSync *s, const Wp__MoveSums *m)
+static void merge_relayed(WPSync *s, const char *from, const Wp__MoveSums *m)
 {
     WPShift *sh = wp_shifts_find(s->host->direct.shifts, m->service);
-    WPCanarySums sums = wp_shift_sums_decode(m);
     bool own = m->box && !strcmp(m->box, s->host->settings->id);
     if (sh && m->box && !own && wp_shift_order_id(sh) == m->order)
-        wp_canary_merge_report(&sh->canary, m->box, m->life, &sums);
+        wp_shift_sums_merge(s, sh, m->box, from, m, NULL);
 }
 
 /* `what` is "SERVICE VERSION"; neither contains spaces. */
@@ -72,7 +70,7 @@
     for (size_t i = 0; i < d->n_moves; i++)
         merge_sums(s, now, from, d->moves[i]);
     for (size_t i = 0; i < d->n_relayed_moves; i++)
-        merge_relayed(s, d->relayed_moves[i]);
+        merge_relayed(s, from, d->relayed_moves[i]);
     for (size_t i = 0; i < d->n_fails_loaded; i++)
         merge_failing_under_load(s, now, d->fails_loaded[i]);
     merge_cached_prefixes(s, now, d);
--- a/io/wp_shift_records.c
+++ b/io/wp_shift_records.c
@@ -185,6 +185,23 @@
     return v;
 }
 
+bool wp_shift_sums_merge(WPSync *s, WPShift *sh, const char *box,
+                         const char *from, const Wp__MoveSums *m, bool *is_new)
+{
+    WPCanarySums sums = wp_shift_sums_decode(m);
+    const char *problem = wp_canary_sums_invalid_field(&sums);
+    if (problem) {
+        wp_count(&s->host->direct.counters, WP_C_BAD_ENTRIES);
+        wp_log(&s->host->log, WP_ERROR_LEVEL, "bad_counts", "service",
+               sh->service, "box", box, "from", from, "why", problem, NULL);
+        return false;
+    }
+    bool added = wp_canary_merge_report(&sh->canary, box, m->life, &sums);
+    if (is_new)
+        *is_new = *is_new || added;
+    return true;
+}
+
 /* The write of a shift record has ended: applies the record, or, after a
    conflict, the present value of its key. */
 static void on_written(void *arg, const WPKvResult *r)
@@ -321,12 +338,9 @@
     if (wp_shift_order_id(sh) != m->order)
         return;
     wp_shift_merge_elapsed(sh, wp_clock_now(0), (int64_t)m->elapsed_ms);
-    for (size_t i = 0; i < m->n_lives; i++) {
-        WPCanarySums sums = wp_shift_sums_decode(m->lives[i]);
+    for (size_t i = 0; i < m->n_lives; i++)
         if (!own || m->lives[i]->life != s->incarnation)
-            is_new |= wp_canary_merge_report(&sh->canary, box,
-                                             m->lives[i]->life, &sums);
-    }
+            wp_shift_sums_merge(s, sh, box, "the store", m->lives[i], &is_new);
     if (own && is_new)
         log_resumed(s, sh, m);
 }
--- a/io/wp_sync_int.h
+++ b/io/wp_sync_int.h
@@ -216,6 +216,12 @@
 /* Converts such counts from the wire format. */
 WPCanarySums wp_shift_sums_decode(const Wp__MoveSums *m);
 
+/* wp_shift_records.c: merges such counts of the box `box`. Ones that cannot be
+   are logged with `from`, which sent them, and counted. Returns whether they
+   could be; `is_new`, unless it is NULL, as wp_canary_merge_report() does. */
+bool wp_shift_sums_merge(WPSync *s, WPShift *sh, const char *box,
+                         const char *from, const Wp__MoveSums *m, bool *is_new);
+
 /* wp_store_writer.c: frees a WPSyncWrite. */
 void wp_sync_write_free(void *p);
 
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -133,6 +133,35 @@
         *fewest = *r;
 }
 
+static bool is_possible(const WPFailureCounts *c)
+{
+    return c->failed <= c->answered && c->old_failed <= c->old_answered;
+}
+
+const char *wp_canary_sums_invalid_field(const WPCanarySums *v)
+{
+    const WPFailureCounts all = { v->answered, v->failed, v->old_answered,
+                                  v->old_failed };
+    uint64_t in_time = 0;
+    if (!is_possible(&all))
+        return "failed";
+    if (v->loaded_failed > v->loaded)
+        return "loaded_failed";
+    if ((uint64_t)v->slow + v->fast > v->timed)
+        return "slow";
+    if (v->ratio_slow > v->ratio_timed)
+        return "far";
+    for (unsigned i = 0; i < v->n_routes; i++)
+        if (!is_possible(&v->routes[i].counts))
+            return "route_counts";
+    for (unsigned i = 0; i < WP_FAILURE_TIMES; i++) {
+        if (v->times[i].failed > v->times[i].answered)
+            return "time_counts";
+        in_time += v->times[i].answered;
+    }
+    return in_time > v->answered ? "time_counts" : NULL;
+}
+
 void wp_canary_sums_add(WPCanarySums *to, const WPCanarySums *v)
 {
     for (unsigned i = 0; i < v->n_routes; i++)
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -101,6 +101,10 @@
 /* Adds one answer to the sums. */
 void wp_canary_sums_record(WPCanarySums *v, const WPCanaryAnswer *a);
 
+/* The name of a count in sums of another box that cannot be, as more answers
+   failed than there were; NULL: there is none. */
+const char *wp_canary_sums_invalid_field(const WPCanarySums *v);
+
 /* Adds the sums `v` of another group of answers to `to`. */
 void wp_canary_sums_add(WPCanarySums *to, const WPCanarySums *v);
 
--- a/tests/test_shift_records.c
+++ b/tests/test_shift_records.c
@@ -111,6 +111,42 @@
     sync_fixture_end(&s);
 }
 
+/* Counts of another box by which more answers failed than there were. */
+static void impossible_counts_of_a_box_are_added(void **state)
+{
+    static const uint32_t routes[] = { 4, 5, 10, 0 }, times[] = { 9, 9, 3, 4 };
+    static const uint64_t hash = 7;
+    Wp__MoveSums bad[6];
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(bad); i++) {
+        wp__move_sums__init(&bad[i]);
+        bad[i].service = (char *)"llm";
+        bad[i].life = 1;
+        bad[i].answered = bad[i].old_answered = 12;
+    }
+    bad[0].failed = 13;
+    bad[1].old_failed = UINT32_MAX;
+    bad[2].loaded_failed = 1;
+    bad[3].slow = UINT32_MAX;
+    bad[3].fast = 1;
+    bad[4].n_route = 1;
+    bad[4].route = (uint64_t *)&hash;
+    bad[4].n_route_counts = WP_COUNT(routes);
+    bad[4].route_counts = (uint32_t *)routes;
+    bad[5].n_time_counts = WP_COUNT(times);
+    bad[5].time_counts = (uint32_t *)times;
+    for (size_t i = 0; i < WP_COUNT(bad); i++) {
+        SyncFixture s;
+        sync_fixture_init(&s);
+        WPShift *sh = start_synced_shift(&s, NULL, NULL);
+        assert_false(
+            wp_shift_sums_merge(s.host.sync, sh, "e2", "e2", &bad[i], NULL));
+        assert_int_equal(wp_canary_pooled_sums(&sh->canary).answered, 0);
+        assert_int_equal(s.host.direct.counters.value[WP_C_BAD_ENTRIES], 1);
+        sync_fixture_end(&s);
+    }
+}
+
 /* For an order of one hour, records are written 10 to 32 times, not twice a
    second. */
 static void long_orders_are_recorded_rarely(void **state)
@@ -134,6 +170,7 @@
     sync_fixture_end(&s);
 }
 
-TESTS_MAIN(T(results_outlast_the_loss_of_all_boxes),
+TESTS_MAIN(T(impossible_counts_of_a_box_are_added),
+           T(results_outlast_the_loss_of_all_boxes),
            T(a_record_of_another_order_is_ignored),
            T(long_orders_are_recorded_rarely))
