A request that failed at one endpoint is not retried at one that never responded

Cause: such endpoints are the least loaded, so the first attempts of requests at once go there, and so did their second and last ones, to others of the kind.

A retry prefers endpoints that have responded to a request of this box. First attempts are as before, so that newcomers get work.

Evidence: requests_beside_dead_newcomers_get_503, 8 endpoints and 32 dead ones: 14 of 40 requests reached an endpoint before, with a retry budget of 0.5 of the requests; 40 now, with the 0.9 of the users' sites (31 with 0.5: the budget). With 0.9 and without the product's line it fails.

--- a/src/wp_fleet.h
+++ b/src/wp_fleet.h
@@ -71,6 +71,7 @@
     double latency_ratio;
     uint32_t consecutive_failures;
     int64_t avoid_until_us;
+    bool has_responded; /* to a request of this box */
 } WPReplica;
 
 /* How one request ended at one endpoint. */
--- a/src/wp_fleet_learn.c
+++ b/src/wp_fleet_learn.c
@@ -273,6 +273,8 @@
         s->in_flight--;
     if (!s->in_flight)
         s->own_queued_prefill_us = 0;
+    if (outcome != WP_OUTCOME_NO_RESPONSE && outcome != WP_OUTCOME_ABANDONED)
+        s->has_responded = true;
     switch (outcome) {
     case WP_OUTCOME_OK:
         if (s->consecutive_failures >= RESTART_FAILURES)
--- a/src/wp_fleet_pick.c
+++ b/src/wp_fleet_pick.c
@@ -8,6 +8,9 @@
 #define NON_REPEATABLE_FAILURE_WEIGHT 6.0
 #define AVOIDED_PENALTY 20.0 /* chosen only if there is no other endpoint */
 #define COLD_PENALTY 0.3     /* it has just started */
+/* For a request that another endpoint has failed: it has never responded to
+   this box, and an entry may name an address where nobody listens. */
+#define UNPROVEN_PENALTY 2.0
 /* The endpoint refuses other boxes, so it likely refuses this one. */
 #define REMOTE_BACKOFF_PENALTY 1.0
 #define LIMIT_BONUS 0.5 /* bonus if its rate limit has room for this box */
@@ -139,6 +142,8 @@
         v += AVOIDED_PENALTY;
     if (s->reported.cold_until_us > now.mono_us)
         v += COLD_PENALTY;
+    if (q->n_tried && !s->has_responded)
+        v += UNPROVEN_PENALTY;
     if (s->reported.shared_backoff_until_us > now.mono_us)
         v += REMOTE_BACKOFF_PENALTY;
     if (wp_fleet_limit_of(s) > 0)
