wpctl shifts: what a box knows of the versions that are brought in

Log odds by kind of fault, expected slowdown, why an order waits, and how many answers without a failure it takes until failures no longer hold it back; also as /shifts of the metrics port.

--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -51,6 +51,7 @@
 
 /* ctl_load.c */
 int ctl_load(Ctl *c);
+int ctl_shifts(Ctl *c);
 
 /* Reads the keys of the store from `key` up to, but not including, `end`, or
    the one key if `end` is NULL, and passes the result to `done`. Waits for the
--- a/cmd/ctl_load.c
+++ b/cmd/ctl_load.c
@@ -1,4 +1,5 @@
-/* wpctl load: what an entry without agents does under load. */
+/* wpctl load, wpctl shifts: what an entry without agents does under load, and
+ * what it knows of new versions. */
 #include "ctl.h"
 
 #include <stdio.h>
@@ -50,14 +51,48 @@
             is_true(e, "avoided") ? " avoided" : "");
 }
 
-int ctl_load(Ctl *c)
+static void print_load(const json_t *o)
+{
+    print_requests(json_object_get(o, "requests"));
+    printf("\n");
+    print_endpoints(json_object_get(o, "endpoints"));
+}
+
+static void print_orders(const json_t *o)
+{
+    size_t i;
+    json_t *s;
+    json_array_foreach (json_object_get(o, "orders"), i, s) {
+        const json_t *odds = json_object_get(s, "odds");
+        printf("%s to %s: %s, %.0f of %.0f ms, share %.3f\n",
+               text(s, "service"), text(s, "version"), text(s, "stage"),
+               number(s, "elapsed_ms"), number(s, "duration_ms"),
+               number(s, "share"));
+        printf("  new %.0f of %.0f failed, old %.0f of %.0f\n",
+               number(s, "failed"), number(s, "answered"),
+               number(s, "old_failed"), number(s, "old_answered"));
+        printf("  odds: fails %.1f (everywhere %.1f, on a route %.1f, late "
+               "%.1f), slower %.1f; slowdown %.2f\n",
+               number(odds, "fails"), number(odds, "fails_everywhere"),
+               number(odds, "fails_on_route"), number(odds, "fails_late"),
+               number(odds, "slower"), number(s, "slowdown"));
+        if (number(s, "needed") > 0)
+            printf("  answers without a failure that are needed: %.0f\n",
+                   number(s, "needed"));
+        if (json_is_string(json_object_get(s, "waits")))
+            printf("  waits: %s\n", text(s, "waits"));
+    }
+}
+
+/* Prints a page of a box's metrics port. */
+static int show(Ctl *c, const char *path, void (*print)(const json_t *o))
 {
     if (!c->admin) {
         fprintf(stderr,
                 "--admin HOST:PORT is required: a box's metrics port\n");
         return EXIT_BAD_INPUT;
     }
-    json_t *o = ctl_fetch_json(c, c->admin, "/load");
+    json_t *o = ctl_fetch_json(c, c->admin, path);
     if (!o) {
         fprintf(stderr, "no answer from %s\n", c->admin);
         return EXIT_UNAVAILABLE;
@@ -66,10 +101,18 @@
         json_dumpf(o, stdout, JSON_INDENT(2));
         printf("\n");
     } else {
-        print_requests(json_object_get(o, "requests"));
-        printf("\n");
-        print_endpoints(json_object_get(o, "endpoints"));
+        print(o);
     }
     json_decref(o);
     return EXIT_OK;
 }
+
+int ctl_load(Ctl *c)
+{
+    return show(c, "/load", print_load);
+}
+
+int ctl_shifts(Ctl *c)
+{
+    return show(c, "/shifts", print_orders);
+}
--- a/cmd/wpctl.c
+++ b/cmd/wpctl.c
@@ -36,6 +36,8 @@
       ctl_why },
     { "load", "load: requests and endpoints of an entry without agents",
       ctl_load },
+    { "shifts", "shifts: what an entry without agents knows of new versions",
+      ctl_shifts },
     { "bills", "bills: charges by workspace and version", ctl_bills },
 };
 
--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -4,6 +4,7 @@
 #include "wp_code.h"
 #include "wp_http.h"
 #include "wp_load_view.h"
+#include "wp_shift_view.h"
 
 static void on_ready(struct evhttp_request *r, void *arg)
 {
@@ -102,16 +103,21 @@
     }
 }
 
-/* Answers a request for /load, and any other with the counters and the present
-   state of this box, in the text format of Prometheus. */
+/* Answers requests for /load and /shifts, and any other with the counters and
+   the present state of this box, in the text format of Prometheus. */
 static void on_metrics(struct evhttp_request *r, void *arg)
 {
     WPDirectHost *h = arg;
-    if (!g_strcmp0(evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r)),
-                   "/load")) {
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
+    if (!g_strcmp0(path, "/load")) {
         on_load(r, h);
         return;
     }
+    if (!g_strcmp0(path, "/shifts")) {
+        wp_http_reply_json(r, 200,
+                           wp_shift_view(h->direct.shifts, wp_clock_now(0)));
+        return;
+    }
     const Wp__DirectSettings *s = h->settings;
     g_autoptr(GString) out = g_string_new(NULL);
     g_autofree char *labels =
--- a/src/wp_canary_judge.c
+++ b/src/wp_canary_judge.c
@@ -223,9 +223,7 @@
     return out;
 }
 
-/* How well the failures fit a version that fails. The route that fits best is
-   an index of `v->routes`, or the number of known routes for the others. */
-static WPFailureEvidence compare_failures(const WPCanarySums *v,
+WPFailureEvidence wp_canary_sums_failures(const WPCanarySums *v,
                                           const WPCanarySums *old)
 {
     WPFailureCounts routes[WP_CANARY_ROUTES_MAX + 1];
@@ -241,7 +239,7 @@
 static bool fails(const WPCanarySums *v, const WPCanarySums *old)
 {
     return v->failed >= MIN_FAILED &&
-           compare_failures(v, old).log_odds >= LOG_ODDS_FAILS;
+           wp_canary_sums_failures(v, old).log_odds >= LOG_ODDS_FAILS;
 }
 
 /* Whether most answers are slow, and significantly more than expected from the
@@ -296,13 +294,44 @@
 
 bool wp_canary_sums_may_fail(const WPCanarySums *v, const WPCanarySums *old)
 {
-    return v->failed && compare_failures(v, old).log_odds > LOG_ODDS_GATE;
+    return v->failed &&
+           wp_canary_sums_failures(v, old).log_odds > LOG_ODDS_GATE;
 }
 
 bool wp_canary_sums_not_sound(const WPCanarySums *v, const WPCanarySums *old)
 {
     double bound = v->failed > 1 ? LOG_ODDS_END : LOG_ODDS_END_SINGLE;
-    return v->failed && compare_failures(v, old).log_odds > bound;
+    return v->failed && wp_canary_sums_failures(v, old).log_odds > bound;
+}
+
+/* Adds `n` answers without a failure, to the routes in the same shares. */
+static void add_sound(WPCanarySums *v, uint32_t n)
+{
+    double more = v->answered ? (double)n / v->answered : 0;
+    for (unsigned i = 0; i < v->n_routes; i++) {
+        WPFailureCounts *c = &v->routes[i].counts;
+        c->answered += (uint32_t)(more * c->answered);
+    }
+    v->times[WP_FAILURE_TIMES - 1].answered += n;
+    v->answered += n;
+}
+
+unsigned wp_canary_sums_answers_needed(const WPCanarySums *v,
+                                       const WPCanarySums *old)
+{
+    unsigned low = 0, high = WP_CANARY_NEEDED_MAX;
+    if (!wp_canary_sums_not_sound(v, old))
+        return 0;
+    while (high - low > 1) {
+        unsigned middle = low + (high - low) / 2;
+        WPCanarySums later = *v;
+        add_sound(&later, middle);
+        if (wp_canary_sums_not_sound(&later, old))
+            low = middle;
+        else
+            high = middle;
+    }
+    return high;
 }
 
 static unsigned count_bits(uint64_t v)
@@ -398,7 +427,7 @@
    fails, the kind of one that fits best, and the route that does. */
 static char *failures_text(const WPCanarySums *v, const WPCanarySums *old)
 {
-    WPFailureEvidence e = compare_failures(v, old);
+    WPFailureEvidence e = wp_canary_sums_failures(v, old);
     WPCanaryRoute worst = { .counts = other_routes(v, old) };
     if (e.route < known_routes(v))
         worst = v->routes[e.route];
--- a/src/wp_canary_judge.h
+++ b/src/wp_canary_judge.h
@@ -121,6 +121,18 @@
 bool wp_canary_sums_is_slow(const WPCanarySums *v, const WPCanarySums *old,
                             bool beside);
 
+/* How well the failures fit a version that fails. A route that fits best is an
+   index of `v->routes`, or else all that `v` does not tell apart. */
+WPFailureEvidence wp_canary_sums_failures(const WPCanarySums *v,
+                                          const WPCanarySums *old);
+
+/* The number of answers without a failure, to the routes in the same shares,
+   after which the failures do not keep the shift from its end; at most
+   WP_CANARY_NEEDED_MAX. */
+enum { WP_CANARY_NEEDED_MAX = 1 << 20 };
+unsigned wp_canary_sums_answers_needed(const WPCanarySums *v,
+                                       const WPCanarySums *old);
+
 /* Whether some answers failed, and that is more likely from a version that
    fails than from a good one: so much that the new version is not given all
    requests. wp_canary_judge() takes more. */
--- a/src/wp_failure.c
+++ b/src/wp_failure.c
@@ -197,6 +197,7 @@
             continue;
         double log_odds = log_of(&o.kinds[i]) - log(o.weights[i]);
         add(&total, log_odds, 1);
+        e.kinds[i] = log_odds;
         if (!kinds++ || log_odds > e.kind_log_odds) {
             e.kind = (WPFailureKind)i;
             e.kind_log_odds = log_odds;
--- a/src/wp_failure.h
+++ b/src/wp_failure.h
@@ -35,6 +35,8 @@
     double log_odds;    /* of a version that fails against a good one */
     WPFailureKind kind; /* that fits best */
     double kind_log_odds;
+    double
+        kinds[WP_N_FAILURE_KINDS]; /* log odds by kind; 0: nothing is known */
     unsigned route; /* WP_FAILS_ON_ROUTE: the index of the one that fits best */
 } WPFailureEvidence;
 
--- a/tests/test_few_failures.c
+++ b/tests/test_few_failures.c
@@ -1,5 +1,6 @@
 /* Versions that fail few of their requests, or only those of one route. */
 #include "shift_fake.h"
+#include "wp_shift_view.h"
 
 static const char *const routes[] = { "a", "b", "c" };
 
@@ -91,6 +92,41 @@
     fake_end(&k);
 }
 
+static double number_of(const json_t *o, const char *name)
+{
+    return json_number_value(json_object_get(o, name));
+}
+
+/* Operators see why a shift waits, and for how many answers. */
+static void view_tells_how_many_answers_are_needed(void **state)
+{
+    Fake k;
+    (void)state;
+    fake_init(&k);
+    WPShift *sh = start_shift(&k);
+    record_sound_answers(sh, 400, 20);
+    record(sh, "v2", "n1", "b", 1, true);
+    record(sh, "v2", "n2", "b", 1, true);
+    poll_for(&k, sh, DURATION_MS);
+    json_t *view = wp_shift_view(k.d.shifts, k.now);
+    const json_t *order = json_array_get(json_object_get(view, "orders"), 0);
+    const json_t *odds = json_object_get(order, "odds");
+    assert_string_equal(json_string_value(json_object_get(order, "service")),
+                        "llm");
+    assert_true(json_is_string(json_object_get(order, "waits")));
+    assert_int_equal((int)number_of(order, "failed"), 2);
+    assert_true(number_of(odds, "fails") > 0.5);
+    assert_true(number_of(odds, "fails_on_route") >
+                number_of(odds, "fails_everywhere"));
+    unsigned needed = (unsigned)number_of(order, "needed");
+    assert_in_range(needed, 10, 10000);
+    for (size_t i = 0; i < WP_COUNT(routes); i++)
+        record(sh, "v2", "n1", routes[i], needed / 2, false);
+    assert_int_equal(poll_for(&k, sh, DURATION_MS), WP_SHIFT_DONE);
+    json_decref(view);
+    fake_end(&k);
+}
+
 /* Polls a shift of the shipped chart until `part` of the order's duration. */
 static WPShiftState poll_until(Fake *k, WPShift *sh, double part)
 {
@@ -121,7 +157,8 @@
     }
 }
 
-TESTS_MAIN(T(failures_late_in_the_last_stage_come_after_the_verdict),
+TESTS_MAIN(T(view_tells_how_many_answers_are_needed),
+           T(failures_late_in_the_last_stage_come_after_the_verdict),
            T(two_failures_among_many_sound_answers_complete_a_shift),
            T(more_answers_make_a_version_that_fails_little_look_sound),
            T(sound_answers_of_other_routes_outweigh_failures),
