--- a/src/wp_failure.c
+++ b/src/wp_failure.c
@@ -16,6 +16,10 @@
    version. All are equally likely. */
 static const double extra_shares[] = { 0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 0.8 };
 
+/* More failures of the new version, and the sound answers beside them, are
+   counted in proportion: so many decide, and each takes time to weigh. */
+#define FAILED_MAX 256
+
 /* A sum of positive terms: `mantissa` times e to the power of `exponent`. */
 typedef struct LogSum {
     double mantissa, exponent;
@@ -59,8 +63,9 @@
 
 static Answers answers_of(const WPFailureCounts *c)
 {
-    Answers a = { .failed = c->failed,
-                  .sound = (double)(c->answered - c->failed) };
+    double scale = MIN(1, FAILED_MAX / MAX((double)c->failed, 1));
+    Answers a = { .failed = MIN(c->failed, FAILED_MAX),
+                  .sound = scale * (double)(c->answered - c->failed) };
     LogSum good = { 0 }, old = { 0 };
     for (int i = 0; i < N_RATES; i++) {
         double failed = rate_priors[i].failed + c->old_failed;
