--- a/src/wp_canary.c
+++ b/src/wp_canary.c
@@ -264,18 +264,24 @@
    a box that had started last and knew least of the old version once completed
    a shift that two others held back. The old version's answer times are those
    of this box, because each box classifies times by bounds of its own. */
-WPCanarySums wp_canary_old_sums(const WPCanary *c)
+static WPCanarySums old_sums_of(const WPCanary *c, const WPCanarySums *pooled)
 {
-    WPCanarySums old = total(c->old_by_route), all = wp_canary_pooled_sums(c);
-    old.answered = all.old_answered;
-    old.failed = all.old_failed;
+    WPCanarySums old = total(c->old_by_route);
+    old.answered = pooled->old_answered;
+    old.failed = pooled->old_failed;
     return old;
 }
 
+WPCanarySums wp_canary_old_sums(const WPCanary *c)
+{
+    WPCanarySums pooled = wp_canary_pooled_sums(c);
+    return old_sums_of(c, &pooled);
+}
+
 bool wp_canary_may_be_slow(const WPCanary *c)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     return wp_canary_sums_may_be_slow(&new_sums, &old_sums) ||
            wp_canary_sums_speed_in_doubt(&new_sums);
 }
@@ -288,30 +294,30 @@
 
 bool wp_canary_may_fail(const WPCanary *c)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     return wp_canary_sums_may_fail(&new_sums, &old_sums);
 }
 
 bool wp_canary_is_not_sound(const WPCanary *c)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     return wp_canary_sums_not_sound(&new_sums, &old_sums);
 }
 
 bool wp_canary_in_doubt(const WPCanary *c)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     return wp_canary_sums_may_fail(&new_sums, &old_sums) ||
            wp_canary_sums_speed_in_doubt(&new_sums);
 }
 
 bool wp_canary_has_enough_answers(const WPCanary *c)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     return wp_canary_sums_suffice(&new_sums, &old_sums);
 }
 
@@ -337,8 +343,8 @@
 
 bool wp_canary_is_bad(const WPCanary *c, bool beside, char **why)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     bool failures = new_sums.failures_widespread,
          slowness = new_sums.slowness_widespread;
     const char *route = "all";
@@ -368,8 +374,8 @@
 
 char *wp_canary_stats_text(const WPCanary *c)
 {
-    WPCanarySums new_sums = wp_canary_pooled_sums(c),
-                 old_sums = wp_canary_old_sums(c);
+    WPCanarySums new_sums = wp_canary_pooled_sums(c);
+    WPCanarySums old_sums = old_sums_of(c, &new_sums);
     g_autofree char *sums = wp_canary_sums_text("all", &new_sums, &old_sums);
     return g_strdup_printf("lives=%u %s", g_hash_table_size(c->reports), sums);
 }
