A version five times as slow is found like one four or eight times as slow

Callers saw: a version that takes 5.0 to 5.3 times as long in all answers is completed, where the old version's times hardly vary.

The slower versions that are weighed take 2.4, 2.8, 4 and 8 times as long, each spread over five bins of ratios; the ratios between 5 and 5.3 are a bin that none of them reaches.

4.4 times stands in place of 4. Its bins and those of the others leave none out.

--- a/src/wp_speed.c
+++ b/src/wp_speed.c
@@ -10,17 +10,18 @@
 };
 
 /* A slower version: this share of its answers takes 2^(shift / BINS_PER_OCTAVE)
-   times the usual time. */
+   times the usual time. The kernel leaves no bin between two shifts empty, or
+   times there fit none. */
 typedef struct Hypothesis {
     double share;
     int shift;
 } Hypothesis;
 
 static const Hypothesis slower[] = {
-    { 0.15, 10 }, { 0.15, 12 }, { 0.15, 16 }, { 0.15, 24 }, { 0.3, 10 },
-    { 0.3, 12 },  { 0.3, 16 },  { 0.3, 24 },  { 0.5, 10 },  { 0.5, 12 },
-    { 0.5, 16 },  { 0.5, 24 },  { 1, 3 },     { 1, 4 },     { 1, 6 },
-    { 1, 8 },     { 1, 10 },    { 1, 12 },    { 1, 16 },    { 1, 24 }
+    { 0.15, 10 }, { 0.15, 12 }, { 0.15, 17 }, { 0.15, 24 }, { 0.3, 10 },
+    { 0.3, 12 },  { 0.3, 17 },  { 0.3, 24 },  { 0.5, 10 },  { 0.5, 12 },
+    { 0.5, 17 },  { 0.5, 24 },  { 1, 3 },     { 1, 4 },     { 1, 6 },
+    { 1, 8 },     { 1, 10 },    { 1, 12 },    { 1, 17 },    { 1, 24 }
 };
 
 /* The loss of one hypothesis counts up to this: an answer this much slower is
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -88,10 +88,27 @@
     assert_true(wp_speed_compare(&one, &old).log_odds < 6);
 }
 
-/* Serves one request at an endpoint of the version that runs `running` others,
-   with events `gap_ms` apart. */
-static void serve(Fake *k, const char *version, unsigned running,
-                  unsigned events, int gap_ms)
+/* By whatever factor a version is slower, from 1.5 times on, where the old
+   version's times hardly vary. */
+static void slowdown_between_two_hypotheses_is_not_found(void **state)
+{
+    WPSpeedCounts old = { 0 };
+    (void)state;
+    for (int i = 0; i < 300; i++)
+        wp_speed_record(&old, 1);
+    for (double slowdown = 1.5; slowdown < 12; slowdown *= 1.02) {
+        WPSpeedCounts v = { 0 };
+        for (int i = 0; i < 20; i++)
+            wp_speed_record(&v, slowdown);
+        if (wp_speed_compare(&v, &old).log_odds < 6)
+            fail_msg("%.2f times as slow", slowdown);
+    }
+}
+
+/* Serves one request at an endpoint of the version that runs `running` others;
+   after each event, the time passes that `gaps_us` names. */
+static void serve_gaps(Fake *k, const char *version, unsigned running,
+                       unsigned events, const int64_t *gaps_us)
 {
     WPFlowAction m;
     WPHeadChanges changes;
@@ -109,12 +126,24 @@
     wp_flow_on_answer(f, k->now, &a, &m);
     for (uint64_t i = 1; i <= events; i++) {
         wp_flow_on_events(f, k->now, i);
-        k->now.mono_us += gap_ms * WP_US_PER_MS;
+        k->now.mono_us += gaps_us[i - 1];
     }
     wp_flow_on_done(f, k->now, events);
     wp_flow_free(f);
 }
 
+enum { EVENTS_MAX = 8 };
+
+/* The same with events `gap_ms` apart. */
+static void serve(Fake *k, const char *version, unsigned running,
+                  unsigned events, int gap_ms)
+{
+    int64_t gaps_us[EVENTS_MAX];
+    for (unsigned i = 0; i < events; i++)
+        gaps_us[i] = gap_ms * WP_US_PER_MS;
+    serve_gaps(k, version, running, events, gaps_us);
+}
+
 /* A shift that does not end by its time while a test runs. */
 static WPShift *start_long_shift(Fake *k)
 {
@@ -329,7 +358,8 @@
     fake_end(&k);
 }
 
-TESTS_MAIN(T(slow_versions_are_found_at_any_number_of_boxes),
+TESTS_MAIN(T(slowdown_between_two_hypotheses_is_not_found),
+           T(slow_versions_are_found_at_any_number_of_boxes),
            T(slow_plain_versions_are_not_completed),
            T(good_versions_are_neither_found_bad_nor_held_back),
            T(one_long_answer_decides_nothing),
