A good version is not rolled back because the network delivers events together

Cause: how long a stream takes was told by the shortest third of the times between its events. Where a connection holds events back (small writes wait for an acknowledgement, 43 ms here), several come within microseconds, and the next one early: the usual time became 0.02 ms, and streams of new endpoints, whose connections hold nothing back yet, took 600 times as long. Ratios of the old version's own streams were spread from 0.01 to 1,000.

Events within 1 ms of the last ones, and the next one if it is early, share the time before.

The soak checks that a good version is not rolled back; it did not look before.

--- a/src/wp_direct.h
+++ b/src/wp_direct.h
@@ -238,6 +238,10 @@
        that came after it. */
     uint32_t gaps_us[WP_ATTEMPT_GAPS];
     unsigned n_gaps;
+    /* Of the last of these: all of the time, the events after it, and whether
+       several of them came together. */
+    uint64_t gap_total_us, gap_events;
+    bool gap_held;
     bool first_byte_seen; /* its first byte has come */
     bool until_close;     /* of its answer: see WPDirectAnswer */
     bool ran_long; /* wp_flow_note_long_run() has cleared the prompt's parts */
--- a/src/wp_flow_learn.c
+++ b/src/wp_flow_learn.c
@@ -25,6 +25,9 @@
    engine reads prompts between many of them. */
 #define USUAL_GAP_PART 3
 
+/* Events that follow within this time came together. */
+#define BURST_US 1000
+
 /* Weight of the newest value in the moving average of TTFB as a part of its
    target. */
 #define TARGET_RATIO_WEIGHT 0.06
@@ -297,12 +300,31 @@
                          classify_time(f, f->service->name, mean_gap_us));
 }
 
-/* Keeps the time before the last `n` events of the attempt, which came
-   together. */
+/* Whether an event that comes after this time was sent about as long after the
+   last ones as those after each other. Events are held up by a network that
+   waits for more to send: then several come shortly after each other, and the
+   next one seems to follow early. */
+static bool shares_gap(const WPAttempt *a, int64_t gap_us)
+{
+    uint64_t usual_us = a->gap_events ? a->gap_total_us / a->gap_events : 0;
+    return gap_us < BURST_US || (a->gap_held && (uint64_t)gap_us < usual_us);
+}
+
+/* Keeps the time before the last `n` events of the attempt. */
 static void keep_gap(WPAttempt *a, int64_t gap_us, uint64_t n)
 {
-    if (a->events && a->n_gaps < WP_ATTEMPT_GAPS)
-        a->gaps_us[a->n_gaps++] = (uint32_t)(gap_us / (int64_t)n);
+    bool shares = shares_gap(a, gap_us);
+    if (!a->events || (shares && !a->n_gaps) ||
+        (!shares && a->n_gaps == WP_ATTEMPT_GAPS))
+        return;
+    if (!shares) {
+        a->n_gaps++;
+        a->gap_total_us = a->gap_events = 0;
+    }
+    a->gap_held = n > 1 || gap_us < BURST_US;
+    a->gap_total_us += (uint64_t)gap_us;
+    a->gap_events += n;
+    a->gaps_us[a->n_gaps - 1] = (uint32_t)(a->gap_total_us / a->gap_events);
 }
 
 /* Updates the longest time that the caller of a stream waited between two
--- a/tests/soak_shift.c
+++ b/tests/soak_shift.c
@@ -24,16 +24,17 @@
 /* `late`: the faults begin at 0.4 of the order's time. */
 typedef struct Version {
     const char *name, *faults;
-    bool bad, late;
+    bool bad, late, fails_little;
 } Version;
 
 static const Version versions[] = {
-    { "good", "{}", false, false },
-    { "errors", "{\"fail\":0.4}", true, false },
-    { "few errors", "{\"fail\":0.15}", true, false },
-    { "slow", "{\"slow\":0.7,\"slow_ms\":60}", true, false },
-    { "one route", "{\"fail\":0.8,\"fail_path\":\"/stream\"}", true, false },
-    { "late errors", "{\"fail\":0.5}", true, true },
+    { "good", "{}", false, false, false },
+    { "errors", "{\"fail\":0.4}", true, false, false },
+    { "few errors", "{\"fail\":0.15}", true, false, false },
+    { "slow", "{\"slow\":0.7,\"slow_ms\":60}", true, false, false },
+    { "one route", "{\"fail\":0.8,\"fail_path\":\"/stream\"}", true, false,
+      false },
+    { "late errors", "{\"fail\":0.5}", true, true, false },
 };
 
 /* From this seed on the version is slower: this share of its answers takes so
@@ -42,6 +43,12 @@
 static const double slower_shares[] = { 0.3, 0.5, 0.7, 1 };
 static const int slower_ms[] = { 40, 80, 160, 320 };
 
+/* From this seed on it fails a small share of its answers, or of those of one
+   route. It may be completed if it has shown hardly any failure; what it has
+   shown KNOWN_MS before the end is known to all boxes. */
+enum { FAILING_FROM_SEED = 2000, FAILING_BAD_MAX = 3, KNOWN_MS = 1000 };
+static const double failing_shares[] = { 0.03, 0.06, 0.12, 0.25 };
+
 static const int64_t steps_ms[] = { 2000, 20000, 60000, -2000, -20000 };
 
 #define LATE_FRACTION 0.4
@@ -97,8 +104,21 @@
     }
 }
 
+static Version draw_failing_version(SoakShift *m, GRand *r)
+{
+    double share =
+        failing_shares[g_rand_int_range(r, 0, (gint)WP_COUNT(failing_shares))];
+    bool one_route = g_rand_boolean(r);
+    m->drawn_faults =
+        g_strdup_printf("{\"fail\":%.2f%s}", share,
+                        one_route ? ",\"fail_path\":\"/stream\"" : "");
+    return (Version){ m->drawn_faults, m->drawn_faults, true, false, true };
+}
+
 static Version draw_version(SoakShift *m, uint32_t seed, GRand *r)
 {
+    if (seed >= FAILING_FROM_SEED)
+        return draw_failing_version(m, r);
     if (seed < SLOWER_FROM_SEED)
         return versions[g_rand_int_range(r, 0, (gint)WP_COUNT(versions))];
     m->drawn_faults = g_strdup_printf(
@@ -106,7 +126,7 @@
         slower_shares[g_rand_int_range(r, 0, WP_COUNT(slower_shares))],
         slower_ms[g_rand_int_range(r, 0, WP_COUNT(slower_ms))]);
     return (Version){ m->drawn_faults, m->drawn_faults, true,
-                      g_rand_int_range(r, 0, 4) == 0 };
+                      g_rand_int_range(r, 0, 4) == 0, false };
 }
 
 static TestCluster *start(uint32_t seed, unsigned entries, unsigned replicas)
@@ -214,8 +234,8 @@
     unsigned all,
         new_runs; /* runs in the order's time: in all, of the new version */
     unsigned bad; /* bad answers of the new version */
-    unsigned
-        bad_before_completion; /* of those, before the shift was completed */
+    /* Of those, before the shift was completed, and before that by KNOWN_MS. */
+    unsigned bad_before_completion, bad_known;
     unsigned late;          /* runs of the new version after `rollback_by_ms` */
     int64_t rollback_by_ms; /* by when it must be rolled back; 0: it need not */
 } Sums;
@@ -240,6 +260,8 @@
         s->bad++;
         s->bad_before_completion +=
             m->completed_us && ms < m->completed_us / WP_US_PER_MS;
+        s->bad_known +=
+            m->completed_us && ms < m->completed_us / WP_US_PER_MS - KNOWN_MS;
         if (s->bad == ROLLBACK_BAD_ANSWERS)
             s->rollback_by_ms = ms + ROLLBACK_MS;
     }
@@ -265,14 +287,25 @@
 static void check(const SoakShift *m, const Sums *s, GString *problems)
 {
     unsigned new_max = (unsigned)(NEW_SHARE_MAX * s->all) + NEW_SHARE_SLACK;
-    if (!m->version.bad)
+    if (!m->version.bad) {
+        if (m->reverted_us)
+            g_string_append(problems, "    the good version was rolled back\n");
         return;
+    }
     if (s->new_runs > new_max)
         g_string_append_printf(
             problems,
             "    the bad version got %u of %u requests of the order's time, "
             "%u are allowed\n",
             s->new_runs, s->all, new_max);
+    if (m->version.fails_little && m->completed_us) {
+        if (s->bad_known > FAILING_BAD_MAX)
+            g_string_append_printf(problems,
+                                   "    the shift was completed, %u bad "
+                                   "answers were known\n",
+                                   s->bad_known);
+        return;
+    }
     if (s->late)
         g_string_append_printf(problems,
                                "    the bad version got %u requests later than "
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -216,6 +216,29 @@
     }
 }
 
+/* The network holds back events of half of the old version's streams, until
+   several come within microseconds, and hardly any of the new one's, whose
+   connections are new. */
+static void good_version_is_slow_beside_events_that_come_together(void **state)
+{
+    static const int64_t even_us[] = { 12000, 12000, 12000, 12000, 0 };
+    static const int64_t held_us[] = { 43400, 20, 15, 4600, 0 };
+    static const int64_t slow_us[] = { 60000, 60000, 60000, 60000, 0 };
+    (void)state;
+    for (int slow = 0; slow < 2; slow++) {
+        Fake k;
+        WPShift *sh = start_long_shift(&k);
+        for (int n = 0; n < 100; n++)
+            serve_gaps(&k, "v1", 3, 5, n % 2 ? even_us : held_us);
+        for (int n = 0; n < 20; n++)
+            serve_gaps(&k, "v2", 1, 5, slow ? slow_us : even_us);
+        assert_int_equal(wp_canary_is_bad(&sh->canary, true, NULL), slow);
+        assert_int_equal(wp_canary_is_bad(&sh->canary, true, NULL), slow);
+        assert_int_equal(wp_canary_in_doubt(&sh->canary), slow);
+        fake_end(&k);
+    }
+}
+
 /* Begins with the chart that is shipped. */
 static void init_shipped(Fake *k)
 {
@@ -359,6 +382,7 @@
 }
 
 TESTS_MAIN(T(slowdown_between_two_hypotheses_is_not_found),
+           T(good_version_is_slow_beside_events_that_come_together),
            T(slow_versions_are_found_at_any_number_of_boxes),
            T(slow_plain_versions_are_not_completed),
            T(good_versions_are_neither_found_bad_nor_held_back),
