--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -155,6 +155,7 @@
     wp_flow_on_answer(f, k.now, &a, &m);
     assert_non_null(f->answer_fault);
     assert_int_equal(k.d.counters.value[WP_C_ENDED_UNDER], 0);
+    wp_flow_on_caller_gone(f, k.now);
     wp_flow_free(f);
     fake_end(&k);
 }
@@ -179,6 +180,7 @@
     assert_int_equal(m.kind, WP_FLOW_SEND);
     wp_flow_on_answer(f, k.now, &refusal, &m);
     assert_null(f->answer_fault);
+    wp_flow_on_caller_gone(f, k.now);
     wp_flow_free(f);
     fake_end(&k);
 }
