--- a/tests/test_dead_newcomers.c
+++ b/tests/test_dead_newcomers.c
@@ -20,9 +20,7 @@
     return m->kind == WP_FLOW_SEND;
 }
 
-/* Connections are refused at once, before any endpoint has answered. The retry
-   budget is half of the requests; a request that was not sent is not
-   repeated. */
+/* Connections are refused before any endpoint has answered. */
 static void requests_beside_dead_newcomers_get_503(void **state)
 {
     Fake k;
--- a/tests/test_edges.c
+++ b/tests/test_edges.c
@@ -343,8 +343,7 @@
     check_still_serves();
 }
 
-/* Guards against an engine that ends within its answer's head, or its body, and
-   whose answer reached callers as a whole one that is empty or short. */
+/* An engine ends within its answer's head or body. */
 static void answers_that_end_early_look_whole(void **state)
 {
     static const char *const answers[] = {
--- a/tests/test_failure.c
+++ b/tests/test_failure.c
@@ -108,8 +108,7 @@
     assert_int_equal(e.route, 2);
 }
 
-/* Looking after each answer makes a good version no more likely to be found
-   bad: of a test by likelihoods fewer than 1 in e^6 ever are. */
+/* Of a test by likelihoods fewer than 1 in e^6 good versions are found bad. */
 static void repeated_looks_find_no_good_version_bad(void **state)
 {
     enum { VERSIONS = 2000, ANSWERS = 150 };
--- a/tests/test_few_failures.c
+++ b/tests/test_few_failures.c
@@ -26,8 +26,7 @@
     record_timed_answers(sh, "v2", "n1", 0.02, 10, 0, 0);
 }
 
-/* Two of 93 answers failed, of one route, where the old version had failed none
-   of 1,679; 94 requests came later than allowed. */
+/* Two of 83 answers failed, of one route, and none of the old version's. */
 static void two_failures_among_many_sound_answers_complete_a_shift(void **state)
 {
     Fake k;
@@ -41,8 +40,7 @@
     fake_end(&k);
 }
 
-/* The more is known of a version that fails 2 in 100, the surer it is that it
-   fails. */
+/* The more is known of a version that fails, the surer it is that it does. */
 static void
 more_answers_make_a_version_that_fails_little_look_sound(void **state)
 {
@@ -60,8 +58,7 @@
     }
 }
 
-/* A version that fails on one route is found by this route's answers, however
-   many sound ones there are of others. */
+/* A version that fails on one route is found by this route's answers. */
 static void sound_answers_of_other_routes_outweigh_failures(void **state)
 {
     (void)state;
@@ -134,8 +131,7 @@
     return poll_for(k, sh, ms - wp_elapsed_ms(&sh->elapsed, k->now));
 }
 
-/* A shift is completed only shortly before its time is over: the answers of the
-   last stage come late in it. */
+/* The answers of the last stage come late in it. */
 static void failures_late_in_the_last_stage_come_after_the_verdict(void **state)
 {
     g_autofree char *chart = NULL;
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -88,8 +88,7 @@
     assert_true(wp_speed_compare(&one, &old).log_odds < 6);
 }
 
-/* By whatever factor a version is slower, from 1.5 times on, where the old
-   version's times hardly vary. */
+/* Any factor from 1.5 on, where the old version's times hardly vary. */
 static void slowdown_between_two_hypotheses_is_not_found(void **state)
 {
     WPSpeedCounts old = { 0 };
@@ -216,9 +215,7 @@
     }
 }
 
-/* The network holds back events of half of the old version's streams, until
-   several come within microseconds, and hardly any of the new one's, whose
-   connections are new. */
+/* The network holds back events of half of the old version's streams. */
 static void good_version_is_slow_beside_events_that_come_together(void **state)
 {
     static const int64_t even_us[] = { 12000, 12000, 12000, 12000, 0 };
