An event of the gateway's watch without an item is reported

Operators saw nothing of it: the event was passed over without a line, the others of its answer were read. It is logged and counted now like other items that cannot be read (bad_entry).

Evidence: one_odd_item_loses_the_gateways_changes, ten odd items at three positions in a watch, failed before for an event without the field kv.

--- a/io/wp_kv_etcd.c
+++ b/io/wp_kv_etcd.c
@@ -47,18 +47,22 @@
     return (uint64_t)json_integer_value(j);
 }
 
+static void add_item(Etcd *e, WPKvItems *out, const json_t *kv)
+{
+    const WPKvItem item = {
+        .key = wp_kv_decode_base64(json_object_get(kv, "key")),
+        .value = wp_kv_decode_base64(json_object_get(kv, "value")),
+        .mod_revision = number(json_object_get(kv, "mod_revision")),
+    };
+    wp_kv_items_add(&e->kv, out, &item);
+}
+
 static void add_items(Etcd *e, WPKvItems *out, const json_t *kvs)
 {
     size_t i;
     json_t *kv;
-    json_array_foreach (kvs, i, kv) {
-        const WPKvItem item = {
-            .key = wp_kv_decode_base64(json_object_get(kv, "key")),
-            .value = wp_kv_decode_base64(json_object_get(kv, "value")),
-            .mod_revision = number(json_object_get(kv, "mod_revision")),
-        };
-        wp_kv_items_add(&e->kv, out, &item);
-    }
+    json_array_foreach (kvs, i, kv)
+        add_item(e, out, kv);
 }
 
 /* Decodes the response of the store and calls the caller's function. After a
@@ -174,11 +178,8 @@
     json_t *events = json_object_get(json_object_get(j, "result"), "events");
     json_t *one;
     size_t i;
-    json_array_foreach (events, i, one) {
-        json_t *kvs = json_pack("[O]", json_object_get(one, "kv"));
-        add_items(e, &items, kvs);
-        json_decref(kvs);
-    }
+    json_array_foreach (events, i, one)
+        add_item(e, &items, json_object_get(one, "kv"));
     json_decref(j);
     for (guint k = 0; k < items.list->len && e->event; k++)
         e->event(e->event_arg, WP_KV_CHANGED,
--- a/tests/test_odd_items.c
+++ b/tests/test_odd_items.c
@@ -325,6 +325,32 @@
     each_list(true, ETCD_FIRST, ETCD_SECOND, check_etcd_range);
 }
 
+/* Each item is in the field "kv" of an element. */
+static void check_etcd_watch(const char *list)
+{
+    FakeStore s;
+    store_init(&s);
+    g_autofree char *line =
+        g_strdup_printf("{\"result\":{\"events\":[%s]}}\n", list);
+    char *targets[] = { s.target };
+    s.watch = line;
+    WPKv *kv = wp_kv_etcd(s.base, targets, 1);
+    watch_reports(&s, kv);
+    kv->ops->watch(kv, "k", 1, false, on_event, &s);
+    run(&s);
+    if (strcmp(s.read->str, "k1=1 k2=2 ") || !s.bad)
+        fail_msg("%.200s: read %s", list, s.read->str);
+    kv->ops->free(kv);
+    store_end(&s);
+}
+
+static void one_odd_item_loses_the_gateways_changes(void **state)
+{
+    (void)state;
+    each_list(true, "{\"kv\":" ETCD_FIRST "}", "{\"kv\":" ETCD_SECOND "}",
+              check_etcd_watch);
+}
+
 static void ignore(void *arg, WPStr start, const char *why)
 {
     (void)start;
@@ -354,4 +380,5 @@
            T(odd_item_at_the_end_of_a_page_ends_the_reading),
            T(page_that_repeats_itself_is_read_for_ever),
            T(one_odd_item_ends_the_reading_of_the_gateways_list),
+           T(one_odd_item_loses_the_gateways_changes),
            T(cut_lists_are_harmless))
