Tests: an endpoint that stalls within its answer

test_every_byte ends answers by a stall too, beside a close and a reset: what the caller has got meanwhile does not look whole. No product code was changed.

--- a/tests/test_every_byte.c
+++ b/tests/test_every_byte.c
@@ -35,7 +35,7 @@
 typedef struct Answer {
     const char *text;
     size_t n;
-    bool reset; /* it resets the connection instead */
+    enum { CLOSES, RESETS, STALLS } end; /* what it does after it */
 } Answer;
 
 static const char plain[] = OK "Content-Length: 11\r\n\r\nhello world";
@@ -208,9 +208,9 @@
     struct bufferevent *box = r->endpoint && !r->is_new
                                   ? bufferevent_pair_get_partner(r->endpoint)
                                   : NULL;
-    if (box && answers[attempt].reset)
+    if (box && answers[attempt].end == RESETS)
         bufferevent_trigger_event(box, BEV_EVENT_READING | BEV_EVENT_ERROR, 0);
-    else if (box)
+    else if (box && answers[attempt].end == CLOSES)
         bufferevent_flush(r->endpoint, EV_WRITE, BEV_FINISHED);
     return true;
 }
@@ -423,9 +423,9 @@
                 s->str[at] = (char)(text[at] + v);
             const Answer answers[] = {
                 { before ? before : s->str, before ? strlen(before) : s->len,
-                  false },
-                { before ? s->str : sound, before ? s->len : sound_n, false },
-                { sound, sound_n, false },
+                  CLOSES },
+                { before ? s->str : sound, before ? s->len : sound_n, CLOSES },
+                { sound, sound_n, CLOSES },
             };
             Seen seen;
             play(r, path, answers, WP_COUNT(answers), &seen);
@@ -493,19 +493,21 @@
                  text, (char *)seen->text->data);
 }
 
-/* Plays an answer that ends after each number of bytes, by a close or a reset,
-   at the first attempt or at all; `before` as in play_all(). */
+/* Plays an answer that ends after each number of bytes, by a close, a reset or
+   a stall, at the first attempt or at all; `before` as in play_all(). */
 static void play_cut(const char *path, const char *before, const char *text,
                      size_t most, bool is_stream)
 {
     Rig *r = g_new0(Rig, 1);
     rig_init(r);
     for (size_t n = 0; n < most; n++)
-        for (int way = 0; way < 4; way++) {
-            const Answer cut = { text, n, way & 1 };
-            const Answer sound = { is_stream ? NULL : plain, strlen(plain), 0 };
-            const Answer next = way & 2 ? cut : sound;
-            const Answer first = { before, before ? strlen(before) : 0, 0 };
+        for (int way = 0; way < 6; way++) {
+            const Answer cut = { text, n, way % 3 };
+            const Answer sound = { is_stream ? NULL : plain, strlen(plain),
+                                   CLOSES };
+            const Answer next = way >= 3 ? cut : sound;
+            const Answer first = { before, before ? strlen(before) : 0,
+                                   CLOSES };
             const Answer answers[] = { before ? first : cut,
                                        before ? cut : next, next };
             Seen seen;
@@ -647,9 +649,9 @@
         bool sound_request = g_rand_int_range(rand, 0, 4) > 0;
         if (!sound_request)
             spoil(request, rand);
-        const Answer all[] = { { text[0]->str, text[0]->len, false },
-                               { text[1]->str, text[1]->len, false },
-                               { NULL, 0, false } };
+        const Answer all[] = { { text[0]->str, text[0]->len, CLOSES },
+                               { text[1]->str, text[1]->len, CLOSES },
+                               { NULL, 0, CLOSES } };
         Seen seen;
         play_request(r, request, all, WP_COUNT(all), &seen);
         const char *why = seen_fault(&seen, sound_request);
