Tests: crowds of clients that do not behave, known red

No test played them.

test_unruly plays them against each port of a wpdirect whose machine has 24 MB or 256 descriptors, test_unruly_site against each port of wpentry and wpagent at 256 MB (the target for a node's control) or 256 descriptors. They check that the process lives, that VmHWM and the open descriptors stay under the bound, and that one ordinary request is answered while the crowd is still connected and after it; no times, no shares.

--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,7 @@
 $(BUILD)/wpverdict: $(BUILD)/bench/wpverdict.o $(BUILD)/bench/verdict_sim.o $(LIB)
 $(BUILD)/wpspeed: $(BUILD)/bench/wpspeed.o $(SITE) $(LIB)
 
-$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/tests/cluster.o $(BUILD)/tests/cluster_faults.o $(BUILD)/tests/report_lease_sim.o $(PLATFORM) $(BUILD)/bench/fleet.o $(BUILD)/bench/pace_sim.o $(BUILD)/bench/limit_sim.o $(BUILD)/bench/power_sim.o $(BUILD)/bench/verdict_sim.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
+$(UNIT): $(BUILD)/%: $(BUILD)/tests/%.o $(BUILD)/tests/cluster.o $(BUILD)/tests/cluster_faults.o $(BUILD)/tests/report_lease_sim.o $(BUILD)/tests/crowd.o $(PLATFORM) $(BUILD)/bench/fleet.o $(BUILD)/bench/pace_sim.o $(BUILD)/bench/limit_sim.o $(BUILD)/bench/power_sim.o $(BUILD)/bench/verdict_sim.o $(patsubst %.c,$(BUILD)/%.o,$(LAB)) $(SITE) $(LIB)
 
 $(TESTS): LDLIBS += -lcmocka
 $(BIN) $(TESTS):
--- a/standins/replica.c
+++ b/standins/replica.c
@@ -23,6 +23,7 @@
  *     request, and closes the connection; "{fields}" stands for the fields with
  *     the request's id and the seal (empty: no such fault);
  *   answer_bytes: size of the body of answers that are not streamed;
+ *   event_bytes: size of an event's data, at least;
  *   noting: logs each arrival, "CAME - MS ID REQUEST", and what its response
  *     announces: "TOLD leaving MS ID REQUEST", "TOLD SECONDS MS ID REQUEST".
  * Faults of a bad version:
@@ -73,7 +74,7 @@
     WPHttp *store;
     bool draining;
     double fail, refuse, cut, until_close, mute, delay_ms, confidence, events;
-    double fail_running, slow, slow_ms, answer_bytes;
+    double fail_running, slow, slow_ms, answer_bytes, event_bytes;
     char *fail_path; /* prefix of paths that `fail` applies to; NULL: all */
     char *limit;     /* NULL: never set */
     char *leaving, *retry_after; /* NULL or empty: no such field */
@@ -219,7 +220,9 @@
         return;
     }
     struct evbuffer *b = evbuffer_new();
-    evbuffer_add_printf(b, "id: %u\ndata: %s-%u\n\n", n->next, n->id, n->next);
+    evbuffer_add_printf(b, "id: %u\ndata: %s-%u", n->next, n->id, n->next);
+    g_autofree char *fill = g_strnfill((gsize)n->to->event_bytes, 'x');
+    evbuffer_add_printf(b, "%s\n\n", fill);
     evhttp_send_reply_chunk(n->request, b);
     evbuffer_free(b);
     struct timeval at = { 0, EVENT_MS * WP_US_PER_MS *
@@ -555,6 +558,7 @@
     stand_set_number(j, "slow", &p->slow);
     stand_set_number(j, "slow_ms", &p->slow_ms);
     stand_set_number(j, "answer_bytes", &p->answer_bytes);
+    stand_set_number(j, "event_bytes", &p->event_bytes);
     if (json_object_get(j, "fail_path"))
         p->fail_path =
             g_strdup(json_string_value(json_object_get(j, "fail_path")));
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -295,11 +295,11 @@
     g_autofree char *text = g_strdup_printf(
         "id: %s\nzone: %s\nlisten: 127.0.0.1\nhttp: 127.0.0.1:%u\n"
         "ready: 127.0.0.1:%u\npeers: 127.0.0.1:%u\nmetrics_port: %u\n"
-        "seeds: [127.0.0.1:%u]\nstore: 127.0.0.1:%u\n%s",
+        "seeds: [127.0.0.1:%u]\nstore: 127.0.0.1:%u\n%s%s",
         name, p->zones && i % 2 ? CLUSTER_EVACUATED_ZONE : "z1", c.port,
         port_at(p->ready_ports, i), port_at(p->peer_ports, i), metrics,
         port_at(p->peer_ports, 0), cluster_child(p->store_proxies, i)->port,
-        p->zones ? COLD_ENTRY : "");
+        p->zones ? COLD_ENTRY : "", p->entry_settings);
     if (p->clocks) {
         c.clock = g_strdup_printf("%s/clock%u", p->folder, i);
         g_file_set_contents(c.clock, "0", -1, NULL);
@@ -364,9 +364,11 @@
 enum { DEFAULT_SLOTS = 64 };
 
 static TestCluster *new_cluster(unsigned entries, unsigned replicas,
-                                bool clocks, bool zones, unsigned slots)
+                                bool clocks, bool zones, unsigned slots,
+                                const char *settings)
 {
     TestCluster *p = g_new0(TestCluster, 1);
+    p->entry_settings = settings;
     p->clocks = clocks;
     p->zones = zones;
     p->slots = slots;
@@ -399,23 +401,29 @@
 
 TestCluster *cluster_new(unsigned entries, unsigned replicas)
 {
-    return new_cluster(entries, replicas, false, false, DEFAULT_SLOTS);
+    return new_cluster(entries, replicas, false, false, DEFAULT_SLOTS, "");
 }
 
 TestCluster *cluster_new_with_clocks(unsigned entries, unsigned replicas)
 {
-    return new_cluster(entries, replicas, true, false, DEFAULT_SLOTS);
+    return new_cluster(entries, replicas, true, false, DEFAULT_SLOTS, "");
 }
 
 TestCluster *cluster_new_with_zones(unsigned entries, unsigned replicas)
 {
-    return new_cluster(entries, replicas, false, true, DEFAULT_SLOTS);
+    return new_cluster(entries, replicas, false, true, DEFAULT_SLOTS, "");
 }
 
 TestCluster *cluster_new_with_slots(unsigned entries, unsigned replicas,
                                     unsigned slots, bool zones)
 {
-    return new_cluster(entries, replicas, false, zones, slots);
+    return new_cluster(entries, replicas, false, zones, slots, "");
+}
+
+TestCluster *cluster_new_with_settings(unsigned entries, unsigned replicas,
+                                       unsigned slots, const char *settings)
+{
+    return new_cluster(entries, replicas, false, false, slots, settings);
 }
 
 void cluster_kill_process(Child *c)
@@ -446,6 +454,13 @@
     return at ? strtol(at + strlen("VmRSS:"), NULL, 10) : 0;
 }
 
+ClusterEntry cluster_entry(const TestCluster *p, unsigned entry)
+{
+    const Child *c = cluster_child(p->entries, entry);
+    return (ClusterEntry){ c->pid, c->port, port_at(p->peer_ports, entry),
+                           port_at(p->ready_ports, entry), c->control };
+}
+
 uint16_t cluster_entry_port(const TestCluster *p, unsigned entry)
 {
     return cluster_child(p->entries, entry)->port;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -9,6 +9,7 @@
 #include "wp_base.h"
 
 #include <jansson.h>
+#include <sys/types.h>
 
 typedef struct TestCluster TestCluster;
 
@@ -183,6 +184,19 @@
 TestCluster *cluster_new_with_slots(unsigned entries, unsigned replicas,
                                     unsigned slots, bool zones);
 
+/* As cluster_new_with_slots() in one zone, with entries that have `settings`
+   besides, as lines of YAML. */
+TestCluster *cluster_new_with_settings(unsigned entries, unsigned replicas,
+                                       unsigned slots, const char *settings);
+
+/* The process of an entry, and its ports for other boxes, for the readiness
+   check and for the metrics. */
+typedef struct ClusterEntry {
+    pid_t pid;
+    uint16_t http, peers, ready, metrics;
+} ClusterEntry;
+ClusterEntry cluster_entry(const TestCluster *p, unsigned entry);
+
 /* Sends SIGTERM to an entry; waits for its end and returns its exit code, -1 if
    a signal ended it. */
 void cluster_stop_entry(TestCluster *p, unsigned entry);
--- a/tests/cluster_int.h
+++ b/tests/cluster_int.h
@@ -25,6 +25,7 @@
     bool clocks;
     bool zones;     /* see cluster_new_with_zones() */
     unsigned slots; /* of each replica */
+    const char *entry_settings;
 };
 
 /* cluster_post_control() posts `json` to the /control page of a stand-in or a
