wpdirect: what callers hold is charged to one account when they take it

Callers that stop short of the end of their bodies or heads, send requests ahead, or leave answers unread took a box over its machine's memory.

Cause: the bytes held were added up by a poll, 20 times a second, and what came between two polls had no bound; 64 KiB of each connection were exempt, however many there are; lengths were counted where arrays had grown by doubling; bodies were copied for an attempt, and whole answers for their caller.

Above half of the machine's memory the account names who gives way: of those that keep the box waiting, the one that has held most for longest. Its request is refused (no_memory, not run) if it has not arrived completely, else its connection is closed; while all that is left waits for endpoints, new requests are refused. This runs before any other event. Bodies and whole answers are not copied any more, and arrays that have grown large are freed when they are emptied.

--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -138,6 +138,7 @@
         labels, (gulong)h->buffered.bytes, labels,
         (double)wp_sync_registry_age_ms(h->sync, wp_clock_now(0)) / WP_MS_PER_S,
         labels, (unsigned long)h->log.dropped);
+    wp_account_metrics(&h->account, labels, out);
     const WPNoticeCount notices =
         wp_fleet_count_notices(h->direct.fleet, wp_clock_now(0));
     g_string_append_printf(
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -1,5 +1,6 @@
 /* The process of a box in direct mode. */
 #include "wp_direct_int.h"
+#include "wp_net.h"
 #include "wp_pb.h"
 #include "wp_rollout.h"
 #include "wp_settings.h"
@@ -115,16 +116,14 @@
    nothing for WP_BUFFERED_READ_TIMEOUT_MS are disconnected. */
 static void check_buffered(WPDirectHost *h, WPTime now)
 {
-    uint64_t sum = wp_downstream_poll_buffered(h->downstream, now) +
-                   wp_upstream_unsent_bytes(h->upstream) +
-                   wp_relay_buffered_bytes(h);
+    wp_downstream_poll_buffered(h->downstream, now);
+    uint64_t sum = h->account.sum;
     bool changed = wp_buffered_update(&h->buffered, sum);
     unsigned closed = 0;
-    if (changed) {
+    if (changed)
         wp_downstream_set_over_limit(h->downstream, h->buffered.over_limit);
-        if (!h->buffered.over_limit)
-            wp_relay_resume_reads(h);
-    }
+    if (h->answers_paused && !h->buffered.over_limit)
+        wp_relay_resume_reads(h);
     if (h->buffered.over_limit) {
         wp_relay_admit_paused(h);
         closed = wp_downstream_close_unread(h->downstream, now,
@@ -272,6 +271,7 @@
     h->log.box = s->id;
     h->direct.rules = rules_from(s);
     wp_fleet_set_rules(h->direct.fleet, &h->direct.rules.fleet);
+    wp_account_set_memory(&h->account, s->memory_mb);
     wp_buffered_set_limit(&h->buffered, s->memory_mb);
     wp_downstream_set_uploads_limit(h->downstream,
                                     h->buffered.uploads_limit_bytes);
@@ -303,6 +303,7 @@
         wp_downstream_new(h->base, s->http, &wp_relay_downstream_ops, h, error);
     if (!h->downstream || !wp_direct_open_admin(h, error))
         return false;
+    wp_downstream_set_account(h->downstream, &h->account);
     wp_downstream_set_limits(h->downstream, &limits);
     wp_downstream_set_uploads_limit(h->downstream,
                                     h->buffered.uploads_limit_bytes);
@@ -331,7 +332,10 @@
     h->settings = wp_pb_copy(&s->base);
     h->platform = platform;
     h->file = g_strdup(file);
-    h->base = event_base_new();
+    h->base = wp_net_base_new();
+    h->forwarded = g_byte_array_new();
+    wp_account_init(&h->account);
+    wp_account_set_memory(&h->account, s->memory_mb);
     wp_list_init(&h->relays);
     wp_log_init(&h->log, h->settings->id, s->log_level, s->log_format);
     wp_log_enable_buffering(&h->log, s->log_kb_per_s << 10);
@@ -373,6 +377,7 @@
     event_base_free(h->base);
     wp_pb_free(h->chart);
     wp_log_end(&h->log);
+    g_byte_array_unref(h->forwarded);
     wp_pb_free(h->settings);
     g_free(h->file);
     g_free(h);
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -6,6 +6,7 @@
 #include "wp_clock.h"
 #include "wp_direct_host.h"
 #include "wp_downstream.h"
+#include "wp_account_log.h"
 #include "wp_buffered.h"
 #include "wp_log.h"
 #include "wp_peer_traffic.h"
@@ -30,7 +31,10 @@
     WPList relays;
     unsigned n_relays;
     WPClockMonitor clock_monitor;
+    WPAccount account;
     WPBuffered buffered;
+    bool answers_paused;       /* some are, as too many bytes are buffered */
+    GByteArray *forwarded;     /* events that are being passed on */
     int64_t traffic_logged_us; /* when the bytes to and from other boxes were
                                   last logged; 0: not yet */
     int64_t retries_logged_us; /* when the retry budgets were last logged */
@@ -58,10 +62,6 @@
 typedef void (*WPEachFlowFn)(void *arg, const WPFlow *f);
 void wp_relay_each_flow(const WPDirectHost *h, WPEachFlowFn fn, void *arg);
 
-/* Bytes of the answers that are buffered until they are complete, because the
-   flow decides on them only then. */
-uint64_t wp_relay_buffered_bytes(const WPDirectHost *h);
-
 /* Resumes reading answers that were paused because too many bytes were
    buffered. */
 void wp_relay_resume_reads(WPDirectHost *h);
--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -13,10 +13,11 @@
 enum {
     SILENT_MS = 6000, /* a caller that answers no keep-alive probe for this time
                          counts as dead */
-    BACKLOG_BYTES = 64 << 10,  /* unsent output that pauses the endpoint */
-    READ_MAX_BYTES = 64 << 10, /* of the next request, while one is answered */
-    CLOSE_TIMEOUT_MS = 2000,   /* a caller that takes nothing of its last answer
-                                  for this time has stopped reading */
+    BACKLOG_BYTES = 64 << 10,   /* unsent output that pauses the endpoint */
+    READ_MAX_BYTES = 64 << 10,  /* of the next request, while one is answered */
+    CONNECTION_BYTES = 3 << 10, /* what an idle connection takes */
+    CLOSE_TIMEOUT_MS = 2000, /* a caller that takes nothing of its last answer
+                                for this time has stopped reading */
     LISTEN_BACKLOG = 1024
 };
 
@@ -28,6 +29,9 @@
     void *arg;
     WPList conns;
     unsigned n_conns;
+    WPAccount *account; /* NULL: nothing is charged */
+    struct event *reclaim;
+    int64_t now_us; /* as of the last event or poll */
     bool draining;
     bool over_limit;              /* the box buffers more than its limit */
     uint64_t uploads_limit_bytes; /* of large bodies together; 0: none */
@@ -59,6 +63,42 @@
     return true;
 }
 
+static size_t unsent_bytes(const WPDownstreamConn *p)
+{
+    return evbuffer_get_length(bufferevent_get_output(p->bev));
+}
+
+/* Charges what the connection holds now. A caller waits for this box while its
+   request is answered, and it has read what there is of the answer. Connections
+   that have to give way do so after the running callback. */
+static void charge(WPDownstreamConn *p)
+{
+    WPDownstream *f = p->downstream;
+    WPAccount *a = f->account;
+    size_t unsent = unsent_bytes(p),
+           input = evbuffer_get_length(bufferevent_get_input(p->bev));
+    if (!a)
+        return;
+    wp_account_set_waits(a, &p->owner, p->answering && !unsent, f->now_us);
+    wp_account_set(a, &p->owner, WP_HELD_INPUT,
+                   input + wp_array_capacity(p->h1.text->len), f->now_us);
+    wp_account_set(a, &p->owner, WP_HELD_BODY, wp_array_capacity(p->body->len),
+                   f->now_us);
+    wp_account_set(a, &p->owner, WP_HELD_OUTPUT, unsent, f->now_us);
+    if (wp_account_is_over(a))
+        event_active(f->reclaim, EV_TIMEOUT, 0);
+}
+
+void wp_downstream_charge_answer(WPDownstreamConn *p, uint64_t bytes)
+{
+    WPDownstream *f = p->downstream;
+    if (!f->account || p->owner.bytes[WP_HELD_ANSWER] == bytes)
+        return;
+    wp_account_set(f->account, &p->owner, WP_HELD_ANSWER, bytes, f->now_us);
+    if (wp_account_is_over(f->account))
+        event_active(f->reclaim, EV_TIMEOUT, 0);
+}
+
 static void free_conn(WPDownstreamConn *p)
 {
     if (p->in_callback) {
@@ -66,6 +106,8 @@
         return;
     }
     wp_list_remove(&p->node);
+    if (p->downstream->account)
+        wp_account_remove(p->downstream->account, &p->owner);
     release_room(p);
     p->downstream->n_conns--;
     event_free(p->timer);
@@ -75,11 +117,6 @@
     g_free(p);
 }
 
-static size_t unsent_bytes(const WPDownstreamConn *p)
-{
-    return evbuffer_get_length(bufferevent_get_output(p->bev));
-}
-
 static void set_timer(WPDownstreamConn *p, uint32_t ms)
 {
     p->timer_ms = ms;
@@ -171,6 +208,14 @@
 
 static const WPH1Ops h1_ops = { on_head, on_body };
 
+/* Whether what is held is over the limit although all that can give way has:
+   what is left waits for endpoints. */
+static bool over_account(const WPDownstreamConn *p)
+{
+    const WPAccount *a = p->downstream->account;
+    return a && wp_account_is_over(a);
+}
+
 static void on_complete(WPDownstreamConn *p)
 {
     p->request_begun = false;
@@ -180,7 +225,7 @@
         refuse(p, WP_BAD_REQUEST, p->head_error);
     else if (p->too_large)
         refuse(p, WP_TOO_LARGE, "the body is too large");
-    else if (p->no_room)
+    else if (p->no_room || over_account(p))
         refuse(p, WP_NO_MEMORY, "too many large requests arrive at this box");
     else
         p->downstream->ops->request(p->downstream->arg, p, &p->head);
@@ -224,6 +269,12 @@
     }
 }
 
+static void drain_input(WPDownstreamConn *p)
+{
+    struct evbuffer *in = bufferevent_get_input(p->bev);
+    evbuffer_drain(in, evbuffer_get_length(in));
+}
+
 static void begin_callback(WPDownstreamConn *p)
 {
     p->in_callback = true;
@@ -241,13 +292,14 @@
     WPDownstreamConn *p = arg;
     (void)bev;
     if (p->closing) {
-        struct evbuffer *in = bufferevent_get_input(p->bev);
-        evbuffer_drain(in, evbuffer_get_length(in));
+        drain_input(p);
         return;
     }
     begin_callback(p);
     p->last_active_us = wp_clock_now(0).mono_us;
+    p->downstream->now_us = p->last_active_us;
     advance(p);
+    charge(p);
     end_callback(p);
 }
 
@@ -275,6 +327,7 @@
         bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
         p->downstream->ops->writable(p->downstream->arg, p);
     }
+    charge(p);
     end_callback(p);
 }
 
@@ -321,6 +374,11 @@
     p->timer = evtimer_new(f->base, on_timer, p);
     p->body = g_byte_array_new();
     p->last_active_us = wp_clock_now(0).mono_us;
+    if (f->account) {
+        wp_account_add(f->account, &p->owner, p->last_active_us);
+        wp_account_set(f->account, &p->owner, WP_HELD_CONNECTION,
+                       CONNECTION_BYTES, p->last_active_us);
+    }
     wp_h1_init(&p->h1, true, &h1_ops, p);
     wp_list_append(&f->conns, &p->node);
     f->n_conns++;
@@ -352,12 +410,14 @@
     p->answering = false;
     p->request = NULL;
     release_room(p);
+    wp_array_clear(&p->body);
+    wp_downstream_charge_answer(p, 0);
+    charge(p);
     if (!p->keep_alive || f->draining) {
         close_after_write(p);
         return;
     }
     wp_h1_reset(&p->h1);
-    g_byte_array_set_size(p->body, 0);
     p->too_large = false;
     p->no_room = false;
     p->chunked = false;
@@ -378,17 +438,49 @@
         evbuffer_add_printf(out, "Connection: close\r\n");
 }
 
-void wp_downstream_send_answer(WPDownstreamConn *p, int status, WPStr fields,
-                               WPStr body)
+/* Writes the head of an answer with a body of `n` bytes. Returns whether that
+   body is sent. */
+static bool write_whole_head(WPDownstreamConn *p, int status, WPStr fields,
+                             size_t n)
 {
     struct evbuffer *out = bufferevent_get_output(p->bev);
     bool bodiless = wp_status_is_bodiless(status);
     write_head(p, status, fields);
     if (!bodiless)
-        evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.n);
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", n);
     evbuffer_add(out, "\r\n", 2);
-    if (!p->is_head && !bodiless)
-        evbuffer_add(out, body.p, body.n);
+    return !p->is_head && !bodiless;
+}
+
+void wp_downstream_send_answer(WPDownstreamConn *p, int status, WPStr fields,
+                               WPStr body)
+{
+    if (write_whole_head(p, status, fields, body.n))
+        evbuffer_add(bufferevent_get_output(p->bev), body.p, body.n);
+    finish_answer(p);
+}
+
+static void release_array(const void *data, size_t n, void *arg)
+{
+    (void)data;
+    (void)n;
+    g_byte_array_unref(arg);
+}
+
+void wp_downstream_add_array(struct evbuffer *out, GByteArray *a)
+{
+    if (a->len <= WP_ARRAY_KEEP_BYTES)
+        evbuffer_add(out, a->data, a->len);
+    else
+        evbuffer_add_reference(out, a->data, a->len, release_array,
+                               g_byte_array_ref(a));
+}
+
+void wp_downstream_send_array(WPDownstreamConn *p, int status, WPStr fields,
+                              GByteArray *body)
+{
+    if (write_whole_head(p, status, fields, body->len))
+        wp_downstream_add_array(bufferevent_get_output(p->bev), body);
     finish_answer(p);
 }
 
@@ -408,6 +500,7 @@
     evbuffer_add_printf(out, "%zx\r\n", n);
     evbuffer_add(out, data, n);
     evbuffer_add(out, "\r\n", 2);
+    charge(p);
 }
 
 void wp_downstream_end_chunked(WPDownstreamConn *p)
@@ -422,6 +515,7 @@
     p->answering = false;
     p->request = NULL;
     p->keep_alive = false;
+    wp_downstream_charge_answer(p, 0);
     close_after_write(p);
 }
 
@@ -465,9 +559,52 @@
     wp_list_each_safe (it, tmp, &f->conns)
         free_conn(wp_list_item(it, WPDownstreamConn, node));
     evconnlistener_free(f->listener);
+    if (f->reclaim)
+        event_free(f->reclaim);
     g_free(f);
 }
 
+/* Refuses the request that has not arrived completely, or closes the
+   connection. */
+static void give_way(WPDownstreamConn *p)
+{
+    const WPDownstreamOps *ops = p->downstream->ops;
+    if (ops->gives_way)
+        ops->gives_way(p->downstream->arg, &p->owner);
+    if (!p->request_begun || p->answering || p->closing || unsent_bytes(p)) {
+        on_disconnect(p);
+        return;
+    }
+    begin_callback(p);
+    drain_input(p);
+    refuse(p, WP_NO_MEMORY, "this box holds too many bytes");
+    end_callback(p);
+}
+
+/* Runs before other events, so that between two of them no more is held than
+   the limit and what one event brings. */
+static void on_reclaim(evutil_socket_t fd, short what, void *arg)
+{
+    WPDownstream *f = arg;
+    (void)fd;
+    (void)what;
+    f->now_us = wp_clock_now(0).mono_us;
+    while (wp_account_is_over(f->account)) {
+        WPOwner *o = wp_account_victim(f->account, true, f->now_us);
+        if (!o)
+            return;
+        give_way(wp_list_item(o, WPDownstreamConn, owner));
+    }
+}
+
+void wp_downstream_set_account(WPDownstream *f, WPAccount *a)
+{
+    f->account = a;
+    f->now_us = wp_clock_now(0).mono_us;
+    f->reclaim = evtimer_new(f->base, on_reclaim, f);
+    event_priority_set(f->reclaim, 0);
+}
+
 void wp_downstream_set_limits(WPDownstream *f, const WPRouteLimits *limits)
 {
     f->limits = *limits;
@@ -490,6 +627,7 @@
 uint64_t wp_downstream_poll_buffered(WPDownstream *f, WPTime now)
 {
     uint64_t sum = 0;
+    f->now_us = now.mono_us;
     wp_list_each_safe (it, tmp, &f->conns) {
         WPDownstreamConn *p = wp_list_item(it, WPDownstreamConn, node);
         if (is_abandoned(p)) {
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -3,6 +3,7 @@
 #ifndef WP_DOWNSTREAM_H
 #define WP_DOWNSTREAM_H
 
+#include "wp_account.h"
 #include "wp_code.h"
 #include "wp_h1.h"
 #include "wp_route.h"
@@ -17,6 +18,7 @@
 typedef struct WPDownstreamConn {
     WPList node;
     WPDownstream *downstream;
+    WPOwner owner; /* of what the connection holds, in the account */
     struct bufferevent *bev;
     WPH1 h1;
     struct event *timer; /* head, idle and close timeouts */
@@ -61,6 +63,9 @@
     void (*writable)(void *arg, WPDownstreamConn *p);
     /* Input that is not a valid request has been refused with `code`. */
     void (*refused)(void *arg, WPCode code, const char *detail);
+    /* The connection of `o` has to give way, as the account is over its limit:
+       it is closed after this, or its request refused. NULL: not told. */
+    void (*gives_way)(void *arg, const WPOwner *o);
 } WPDownstreamOps;
 
 /* Listens on `addr` (IP:PORT). `ops` are called with `arg`. Returns NULL and
@@ -84,6 +89,16 @@
    their heads to their answers; 0: no limit. Further ones are refused. */
 void wp_downstream_set_uploads_limit(WPDownstream *f, uint64_t bytes);
 
+/* Charges what connections hold to `a`, which must outlive `f`. While it is
+   over its limit, connections that it names are closed, or their requests
+   refused if these have not arrived completely. To be called before any
+   connection is accepted. */
+void wp_downstream_set_account(WPDownstream *f, WPAccount *a);
+
+/* Charges the answer of the request that is being answered, as far as it is
+   held elsewhere. */
+void wp_downstream_charge_answer(WPDownstreamConn *p, uint64_t bytes);
+
 /* Starts to drain: from now on each answer closes its connection, so that the
    caller connects to another box. */
 void wp_downstream_start_drain(WPDownstream *f);
@@ -115,6 +130,14 @@
 void wp_downstream_send_answer(WPDownstreamConn *p, int status, WPStr fields,
                                WPStr body);
 
+/* The same with a body that is not copied, but kept until it is sent. */
+void wp_downstream_send_array(WPDownstreamConn *p, int status, WPStr fields,
+                              GByteArray *body);
+
+/* Appends an array, which must not change any more; one that is not small is
+   not copied. */
+void wp_downstream_add_array(struct evbuffer *out, GByteArray *a);
+
 /* Begins an answer in chunked encoding: sends its head. `fields`: as in
    wp_downstream_send_answer(). */
 void wp_downstream_begin_chunked(WPDownstreamConn *p, int status, WPStr fields);
--- a/io/wp_h1.c
+++ b/io/wp_h1.c
@@ -144,7 +144,7 @@
 {
     enum http_parser_type type = h->parser.type;
     http_parser_init(&h->parser, type);
-    g_byte_array_set_size(h->text, 0);
+    wp_array_clear(&h->text);
     g_array_set_size(h->spans, 0);
     g_array_set_size(h->fields, 0);
     h->target_length = 0;
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -36,7 +36,6 @@
     event_free(r->slot_timer);
     wp_stream_end(&r->stream);
     wp_flow_free(r->flow);
-    g_byte_array_unref(r->forward_buffer);
     g_byte_array_unref(r->body);
     g_string_free(r->fields, TRUE);
     g_string_free(r->attempts_text, TRUE);
@@ -88,8 +87,8 @@
                     r->stream.events - r->events_before_attempt);
     wp_relay_log_end(r, status < 400 ? "ok" : "endpoint_status", status);
     free_relay(r);
-    wp_downstream_send_answer(p, status, wp_strn(fields->str, fields->len),
-                              wp_strn((const char *)body->data, body->len));
+    wp_downstream_send_array(p, status, wp_strn(fields->str, fields->len),
+                             body);
 }
 
 static void begin_stream(WPRelay *r)
@@ -110,7 +109,7 @@
                           struct evbuffer *out)
 {
     const WPHead *h = &r->downstream_conn->head;
-    const GByteArray *body = r->downstream_conn->body;
+    GByteArray *body = r->downstream_conn->body;
     WPAttemptHeader attempt = {
         .replica_id = m->replica->id,
         .workspace = r->flow->workspace,
@@ -129,7 +128,16 @@
     if (body->len || !wp_str_eq(h->method, wp_str("GET")))
         evbuffer_add_printf(out, "Content-Length: %u\r\n", body->len);
     evbuffer_add(out, "\r\n", 2);
-    evbuffer_add(out, body->data, body->len);
+    wp_downstream_add_array(out, body);
+}
+
+/* Charges what is held of the present attempt's answer. */
+static void charge_answer(WPRelay *r)
+{
+    wp_downstream_charge_answer(r->downstream_conn,
+                                wp_array_capacity(r->body->len) +
+                                    wp_array_capacity(r->stream.partial->len) +
+                                    wp_array_capacity(r->stream.held->len));
 }
 
 /* Prepares for the events of another attempt. */
@@ -156,8 +164,9 @@
     r->answer = (WPDirectAnswer){ 0 };
     r->answer_paused = false;
     r->answer_admitted = false;
-    g_byte_array_set_size(r->body, 0);
+    wp_array_clear(&r->body);
     begin_run(r);
+    charge_answer(r);
     r->events_before_attempt = r->stream.events;
     r->upstream_conn =
         wp_upstream_send(r->host->upstream, now, m->replica, request,
@@ -357,19 +366,22 @@
     fail_attempt(r);
 }
 
+/* Passes on the events in `forwarded` of the host. */
 static void send_events(WPRelay *r)
 {
-    wp_downstream_send_chunk(r->downstream_conn, r->forward_buffer->data,
-                             r->forward_buffer->len);
+    const GByteArray *events = r->host->forwarded;
+    wp_downstream_send_chunk(r->downstream_conn, events->data, events->len);
     wp_flow_on_events(r->flow, wp_clock_now(0),
                       r->stream.events - r->events_before_attempt);
 }
 
 static void forward_events(WPRelay *r, const char *p, size_t n)
 {
-    g_byte_array_set_size(r->forward_buffer, 0);
-    WPStreamStatus status = wp_stream_feed(&r->stream, p, n, r->forward_buffer);
+    wp_array_clear(&r->host->forwarded);
+    WPStreamStatus status =
+        wp_stream_feed(&r->stream, p, n, r->host->forwarded);
     send_events(r);
+    charge_answer(r);
     if (status == WP_STREAM_INVALID)
         fail_invalid(r, WP_C_BAD_EVENTS, r->stream.fault);
     else if (status == WP_STREAM_ENDLESS)
@@ -382,11 +394,15 @@
    paused while the box is over its buffer limit. */
 static void buffer_body(WPRelay *r, const char *p, size_t n)
 {
+    WPDirectHost *h = r->host;
     g_byte_array_append(r->body, (const guint8 *)p, (guint)n);
-    if (!r->host->buffered.over_limit || r->answer_admitted ||
-        r->body->len < WP_BUFFERED_EXEMPT_BYTES)
+    charge_answer(r);
+    bool over =
+        h->buffered.over_limit || h->account.sum >= h->buffered.limit_bytes;
+    if (!over || r->answer_admitted || r->body->len < WP_BUFFERED_EXEMPT_BYTES)
         return;
     r->answer_paused = true;
+    h->answers_paused = true;
     wp_upstream_set_paused(r->upstream_conn, true);
 }
 
@@ -420,18 +436,9 @@
         fn(arg, wp_list_item(it, WPRelay, node)->flow);
 }
 
-uint64_t wp_relay_buffered_bytes(const WPDirectHost *h)
-{
-    uint64_t sum = 0;
-    wp_list_each (it, &h->relays) {
-        const WPRelay *r = wp_list_item(it, WPRelay, node);
-        sum += r->body->len + r->stream.partial->len + r->stream.held->len;
-    }
-    return sum;
-}
-
 void wp_relay_resume_reads(WPDirectHost *h)
 {
+    h->answers_paused = false;
     wp_list_each (it, &h->relays) {
         resume_answer(wp_list_item(it, WPRelay, node));
     }
@@ -458,8 +465,8 @@
 static void finish_stream(WPRelay *r)
 {
     WPDownstreamConn *p = r->downstream_conn;
-    g_byte_array_set_size(r->forward_buffer, 0);
-    if (wp_stream_finish(&r->stream, r->forward_buffer) != WP_STREAM_OK) {
+    wp_array_clear(&r->host->forwarded);
+    if (wp_stream_finish(&r->stream, r->host->forwarded) != WP_STREAM_OK) {
         fail_invalid(r, WP_C_BAD_EVENTS, r->stream.fault);
         return;
     }
@@ -593,7 +600,6 @@
     r->deadline_timer = evtimer_new(h->base, on_deadline, r);
     r->first_byte_timer = evtimer_new(h->base, on_first_byte_timeout, r);
     r->slot_timer = evtimer_new(h->base, on_slot_wait_end, r);
-    r->forward_buffer = g_byte_array_new();
     r->body = g_byte_array_new();
     r->fields = g_string_new(NULL);
     r->attempts_text = g_string_new(NULL);
@@ -724,5 +730,18 @@
            detail, NULL);
 }
 
+/* Has the log tell who holds how much of what. */
+static void on_gives_way(void *arg, const WPOwner *o)
+{
+    WPDirectHost *h = arg;
+    const WPDownstreamConn *p = wp_list_item(o, WPDownstreamConn, owner);
+    const WPRelay *r = p->request;
+    wp_count(&h->direct.counters, WP_C_GAVE_WAY);
+    wp_log_gives_way(&h->log, &h->account, o,
+                     r && r->flow && r->flow->workspace ? r->flow->workspace
+                                                        : "-");
+}
+
 const WPDownstreamOps wp_relay_downstream_ops = { on_request, on_caller_gone,
-                                                  on_writable, on_refused };
+                                                  on_writable, on_refused,
+                                                  on_gives_way };
--- a/io/wp_relay_int.h
+++ b/io/wp_relay_int.h
@@ -19,7 +19,6 @@
     WPStream stream;
     uint64_t events_before_attempt; /* stream events received before the current
                                        attempt */
-    GByteArray *forward_buffer;     /* events that are being forwarded */
     bool awaits_routes;             /* held until the routes are known */
     bool stream_begun;       /* the caller has the head of a streamed answer */
     int64_t stream_begun_us; /* when it was sent; 0: not yet */
--- a/io/wp_upstream.c
+++ b/io/wp_upstream.c
@@ -372,16 +372,6 @@
     }
 }
 
-uint64_t wp_upstream_unsent_bytes(const WPUpstream *b)
-{
-    uint64_t sum = 0;
-    wp_list_each (it, &b->conns) {
-        const WPUpstreamConn *c = wp_list_item(it, WPUpstreamConn, node);
-        sum += evbuffer_get_length(bufferevent_get_output(c->bev));
-    }
-    return sum;
-}
-
 uint64_t wp_upstream_connections_opened(const WPUpstream *b)
 {
     return b->n_opened;
--- a/io/wp_upstream.h
+++ b/io/wp_upstream.h
@@ -77,9 +77,6 @@
    gone. */
 void wp_upstream_tick(WPUpstream *b, WPTime now);
 
-/* Returns the bytes of requests that are still to be written to endpoints. */
-uint64_t wp_upstream_unsent_bytes(const WPUpstream *b);
-
 /* Returns how many connections have been opened since the pool was made. */
 uint64_t wp_upstream_connections_opened(const WPUpstream *b);
 
--- a/src/wp_base.c
+++ b/src/wp_base.c
@@ -114,3 +114,21 @@
              (unsigned)(wall_ms >> 16), (unsigned)(wall_ms & 0xffff), a & 0xfff,
              0x8000 | (a >> 12 & 0x3fff), b & 0xffff, c);
 }
+
+size_t wp_array_capacity(size_t length)
+{
+    size_t n = length ? 16 : 0;
+    while (n < length)
+        n *= 2;
+    return n;
+}
+
+void wp_array_clear(GByteArray **a)
+{
+    if ((*a)->len <= WP_ARRAY_KEEP_BYTES) {
+        g_byte_array_set_size(*a, 0);
+        return;
+    }
+    g_byte_array_unref(*a);
+    *a = g_byte_array_new();
+}
--- a/src/wp_base.h
+++ b/src/wp_base.h
@@ -104,6 +104,14 @@
     wp_list_init(node);
 }
 
+/* The bytes that an array of this length takes: arrays grow by doubling. */
+size_t wp_array_capacity(size_t length);
+
+/* Empties the array. One that is larger than WP_ARRAY_KEEP_BYTES is replaced:
+   its memory is freed with the last reference. */
+enum { WP_ARRAY_KEEP_BYTES = 4 << 10 };
+void wp_array_clear(GByteArray **a);
+
 /* 64-bit hash of a string with a seed (xxHash); the same on every box. */
 uint64_t wp_hash(WPStr s, uint64_t seed);
 
--- a/src/wp_counters.h
+++ b/src/wp_counters.h
@@ -52,6 +52,8 @@
       "attempts given up as no first byte came in time")                       \
     X(CUT_UNREAD, "callers_cut_unread_total",                                  \
       "callers cut off as they read nothing while too much was held")          \
+    X(GAVE_WAY, "connections_gave_way_total",                                  \
+      "connections closed or refused as too many bytes were held")             \
     X(REPORTS, "usage_reports_total", "reports of usage that were taken")      \
     X(REPORTS_FAILED, "usage_reports_failed_total",                            \
       "calls with a report that was not taken")                                \
--- a/src/wp_stream.c
+++ b/src/wp_stream.c
@@ -44,8 +44,8 @@
 
 void wp_stream_begin_run(WPStream *s)
 {
-    g_byte_array_set_size(s->partial, 0);
-    g_byte_array_set_size(s->held, 0);
+    wp_array_clear(&s->partial);
+    wp_array_clear(&s->held);
     s->held_id = 0;
     s->scanned = 0;
     s->quiet_bytes = 0;
@@ -184,7 +184,7 @@
     if (!s->held_id)
         return;
     pass_on(s, &e, out);
-    g_byte_array_set_size(s->held, 0);
+    wp_array_clear(&s->held);
     s->held_id = 0;
 }
 
@@ -313,7 +313,10 @@
             return WP_STREAM_INVALID;
         at += length;
     }
-    g_byte_array_remove_range(s->partial, 0, (guint)at);
+    if (at == s->partial->len)
+        wp_array_clear(&s->partial);
+    else
+        g_byte_array_remove_range(s->partial, 0, (guint)at);
     /* An empty line may begin with the last two bytes. */
     s->scanned = s->partial->len > 2 ? s->partial->len - 2 : 0;
     return s->quiet_bytes + s->partial->len > WP_STREAM_QUIET_MAX_BYTES
--- a/tests/sync_fake.h
+++ b/tests/sync_fake.h
@@ -151,6 +151,8 @@
     s->host.settings = &s->settings;
     s->host.platform = &platform;
     s->host.base = event_base_new();
+    s->host.forwarded = g_byte_array_new();
+    wp_buffered_set_limit(&s->host.buffered, 0);
     s->host.direct = s->fake.d;
     wp_log_init(&s->host.log, "e1", g_getenv("WP_TEST_LOG") ? "info" : "error",
                 "kv");
@@ -164,6 +166,7 @@
     wp_sync_free(s->host.sync);
     wp_log_end(&s->host.log);
     event_base_free(s->host.base);
+    g_byte_array_unref(s->host.forwarded);
     s->fake.d = s->host.direct;
     fake_end(&s->fake);
     g_free(s->addr);
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -63,7 +63,7 @@
 }
 
 static const WPDownstreamOps ops = { on_request, on_gone, on_drained,
-                                     on_refused };
+                                     on_refused, NULL };
 
 static void open_world(World *w, double memory_mb)
 {
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -151,7 +151,7 @@
     ((World *)arg)->refused++;
 }
 
-static const WPDownstreamOps ops = { on_request, on_conn, on_conn, on_refused };
+static const WPDownstreamOps ops = { on_request, on_conn, on_conn, on_refused, NULL };
 
 enum { LOOP_TURNS = 200 }; /* until all that can be read has been read */
 
