The next request of a connection begins once the answer before is read

A caller that sent requests ahead and read nothing had each of them run, and its answers queued: 20 requests, 20 answers of 8 MB. The account closes such a connection at its limit, but only after endpoints have worked for nobody.

Cause: a complete request in the input was taken up as soon as the answer before it was in the output buffer.

A request begins now when no more than 16 KiB of answers wait for the caller. Input behind that is bounded by the read buffer, then by the caller's socket.

Evidence: test_buffered, requests_ahead_begin_before_the_answer_is_read fails on (more than one request begun) and passes now; the caller that reads gets the second.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -13,9 +13,11 @@
 enum {
     SILENT_MS = 6000, /* a caller that answers no keep-alive probe for this time
                          counts as dead */
-    BACKLOG_BYTES = 64 << 10,   /* unsent output that pauses the endpoint */
-    READ_MAX_BYTES = 64 << 10,  /* of the next request, while one is answered */
-    CONNECTION_BYTES = 3 << 10, /* what an idle connection takes */
+    BACKLOG_BYTES = 64 << 10,  /* unsent output that pauses the endpoint */
+    READ_MAX_BYTES = 64 << 10, /* of the next request, while one is answered */
+    UNREAD_MAX_BYTES = 16 << 10, /* of answers, above which the next request
+                                    does not begin */
+    CONNECTION_BYTES = 3 << 10,  /* what an idle connection takes */
     CLOSE_TIMEOUT_MS = 2000, /* a caller that takes nothing of its last answer
                                 for this time has stopped reading */
     LISTEN_BACKLOG = 1024
@@ -241,12 +243,20 @@
     bufferevent_disable(p->bev, EV_READ);
 }
 
+/* Whether the next bytes of input may be parsed: a request begins once the
+   answers before it have been read, but for UNREAD_MAX_BYTES. */
+static bool may_advance(const WPDownstreamConn *p)
+{
+    if (p->answering || p->closing || p->dead)
+        return false;
+    return p->request_begun || unsent_bytes(p) <= UNREAD_MAX_BYTES;
+}
+
 /* Parses the input until a request is complete. */
 static void advance(WPDownstreamConn *p)
 {
     struct evbuffer *in = bufferevent_get_input(p->bev);
-    while (!p->answering && !p->closing && !p->dead &&
-           evbuffer_get_length(in)) {
+    while (may_advance(p) && evbuffer_get_length(in)) {
         if (!p->request_begun) {
             p->request_begun = true;
             set_timer(p, p->downstream->limits.head_ms);
@@ -327,6 +337,7 @@
         bufferevent_setwatermark(bev, EV_WRITE, 0, 0);
         p->downstream->ops->writable(p->downstream->arg, p);
     }
+    advance(p);
     charge(p);
     end_callback(p);
 }
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -361,6 +361,32 @@
     close_world(&w);
 }
 
+/* Guards against requests that are begun ahead of an answer that their caller
+   does not read, each of which adds its answer to the output. */
+static void requests_ahead_begin_before_the_answer_is_read(void **state)
+{
+    enum { AHEAD = 20 };
+    World w;
+    size_t got = 0;
+    (void)state;
+    open_world(&w, 512);
+    int fd = dial(&w, true);
+    tick(&w);
+    for (unsigned i = 0; i < AHEAD; i++)
+        send_request(fd);
+    settle(&w);
+    assert_int_equal(w.requests, 1);
+    int64_t end_us = g_get_monotonic_time() + TIMEOUT_MS * WP_US_PER_MS;
+    while (w.requests < 2 && g_get_monotonic_time() < end_us) {
+        event_base_loop(w.base, EVLOOP_NONBLOCK);
+        got += read_available(fd);
+    }
+    assert_int_equal(w.requests, 2);
+    assert_true(got > ANSWER_BYTES / 2);
+    close(fd);
+    close_world(&w);
+}
+
 /* Asks for an answer on a new connection that takes little at a time. */
 static int begin_slow_answer(World *w)
 {
@@ -441,7 +467,9 @@
     close_world(&w);
 }
 
-TESTS_MAIN(T(limit_has_hysteresis), T(callers_that_do_not_read_are_closed),
+TESTS_MAIN(T(limit_has_hysteresis),
+           T(requests_ahead_begin_before_the_answer_is_read),
+           T(callers_that_do_not_read_are_closed),
            T(large_bodies_wait_above_the_limit),
            T(paused_upload_outlives_its_caller),
            T(large_uploads_at_once_do_not_hang_each_other),
