A request has to arrive as a whole within five minutes

A caller that sent a byte of its body now and then kept its connection, and what had come of the body, for ever: each byte set the idle time-out again.

NodeSettings gets memory_mb for what follows.

Evidence: test_buffered, a_body_that_trickles_is_waited_for_for_ever, a byte each 20 ms below an idle time-out of 10 s; it needs the new function, and fails with the line that compares the time taken out.

--- a/gen/settings.pb-c.c
+++ b/gen/settings.pb-c.c
@@ -387,7 +387,8 @@
 static const uint32_t wp__node_settings__once_skew_ms__default_value = 3000u;
 static const uint32_t wp__node_settings__lame_duck_ms__default_value = 2000u;
 static const protobuf_c_boolean wp__node_settings__test_hooks__default_value = 0;
-static const ProtobufCFieldDescriptor wp__node_settings__field_descriptors[28] =
+static const double wp__node_settings__memory_mb__default_value = 256;
+static const ProtobufCFieldDescriptor wp__node_settings__field_descriptors[29] =
 {
   {
     "id",
@@ -725,6 +726,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "memory_mb",
+    29,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__NodeSettings, has_memory_mb),
+    offsetof(Wp__NodeSettings, memory_mb),
+    NULL,
+    &wp__node_settings__memory_mb__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__node_settings__field_indices_by_name[] = {
   4,   /* field[4] = admin_port */
@@ -744,6 +757,7 @@
   2,   /* field[2] = listen */
   15,   /* field[15] = log_format */
   16,   /* field[16] = log_level */
+  28,   /* field[28] = memory_mb */
   23,   /* field[23] = once_settle_ms */
   24,   /* field[24] = once_skew_ms */
   3,   /* field[3] = peer_port */
@@ -759,7 +773,7 @@
 static const ProtobufCIntRange wp__node_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor wp__node_settings__descriptor =
 {
@@ -769,7 +783,7 @@
   "Wp__NodeSettings",
   "wp",
   sizeof(Wp__NodeSettings),
-  28,
+  29,
   wp__node_settings__field_descriptors,
   wp__node_settings__field_indices_by_name,
   1,  wp__node_settings__number_ranges,
@@ -783,7 +797,8 @@
 static const uint32_t wp__entry_settings__caller_timeout_s__default_value = 30u;
 static const double wp__entry_settings__retry_share__default_value = 0.08;
 static const uint32_t wp__entry_settings__window_kb__default_value = 64u;
-static const ProtobufCFieldDescriptor wp__entry_settings__field_descriptors[9] =
+static const double wp__entry_settings__arrival_s__default_value = 300;
+static const ProtobufCFieldDescriptor wp__entry_settings__field_descriptors[10] =
 {
   {
     "node",
@@ -893,8 +908,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arrival_s",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__EntrySettings, has_arrival_s),
+    offsetof(Wp__EntrySettings, arrival_s),
+    NULL,
+    &wp__entry_settings__arrival_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wp__entry_settings__field_indices_by_name[] = {
+  9,   /* field[9] = arrival_s */
   5,   /* field[5] = balance */
   4,   /* field[4] = caller_timeout_s */
   6,   /* field[6] = choose */
@@ -908,7 +936,7 @@
 static const ProtobufCIntRange wp__entry_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wp__entry_settings__descriptor =
 {
@@ -918,7 +946,7 @@
   "Wp__EntrySettings",
   "wp",
   sizeof(Wp__EntrySettings),
-  9,
+  10,
   wp__entry_settings__field_descriptors,
   wp__entry_settings__field_indices_by_name,
   1,  wp__entry_settings__number_ranges,
@@ -1632,13 +1660,14 @@
 static const double wp__direct_settings__cold_slack__default_value = 0;
 static const double wp__direct_settings__apply_ms__default_value = 2000;
 static const double wp__direct_settings__memory_mb__default_value = 0;
+static const double wp__direct_settings__arrival_s__default_value = 300;
 static const protobuf_c_boolean wp__direct_settings__first_start__default_value = 0;
 static const double wp__direct_settings__usage_window_s__default_value = 0;
 static const double wp__direct_settings__usage_late_s__default_value = 10;
 static const double wp__direct_settings__duty_lease_ms__default_value = 3000;
 static const double wp__direct_settings__strain_weight_contended__default_value = 3;
 static const double wp__direct_settings__weigh_zone_kb_contended__default_value = 0.006;
-static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[54] =
+static const ProtobufCFieldDescriptor wp__direct_settings__field_descriptors[55] =
 {
   {
     "id",
@@ -2264,6 +2293,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arrival_s",
+    55,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Wp__DirectSettings, has_arrival_s),
+    offsetof(Wp__DirectSettings, arrival_s),
+    NULL,
+    &wp__direct_settings__arrival_s__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "exposure_share",
     57,
@@ -2293,6 +2334,7 @@
   22,   /* field[22] = answer_value */
   29,   /* field[29] = apply_ms */
   46,   /* field[46] = areas */
+  52,   /* field[52] = arrival_s */
   8,   /* field[8] = charts */
   28,   /* field[28] = choices */
   39,   /* field[39] = cold_overshoot */
@@ -2304,8 +2346,8 @@
   12,   /* field[12] = drain_s */
   42,   /* field[42] = duties */
   45,   /* field[45] = duty_lease_ms */
-  52,   /* field[52] = exposure_share */
-  53,   /* field[53] = exposure_slack */
+  53,   /* field[53] = exposure_share */
+  54,   /* field[54] = exposure_slack */
   36,   /* field[36] = first_start */
   3,   /* field[3] = http */
   0,   /* field[0] = id */
@@ -2349,8 +2391,8 @@
 {
   { 1, 0 },
   { 29, 26 },
-  { 57, 52 },
-  { 0, 54 }
+  { 57, 53 },
+  { 0, 55 }
 };
 const ProtobufCMessageDescriptor wp__direct_settings__descriptor =
 {
@@ -2360,7 +2402,7 @@
   "Wp__DirectSettings",
   "wp",
   sizeof(Wp__DirectSettings),
-  54,
+  55,
   wp__direct_settings__field_descriptors,
   wp__direct_settings__field_indices_by_name,
   3,  wp__direct_settings__number_ranges,
--- a/gen/settings.pb-c.h
+++ b/gen/settings.pb-c.h
@@ -104,6 +104,11 @@
    */
   protobuf_c_boolean has_test_hooks;
   protobuf_c_boolean test_hooks;
+  /*
+   * Memory of the machine that this process may take.
+   */
+  protobuf_c_boolean has_memory_mb;
+  double memory_mb;
 };
 extern char wp__node_settings__zone__default_value[];
 extern char wp__node_settings__listen__default_value[];
@@ -112,7 +117,7 @@
 extern char wp__node_settings__charts__default_value[];
 #define WP__NODE_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__node_settings__descriptor) \
-    , NULL, wp__node_settings__zone__default_value, wp__node_settings__listen__default_value, 0, 0, 0,NULL, 0,NULL, NULL, NULL, 0, 500u, 0, 500u, 0, 2500u, 0, 3u, 0, 2u, 0, 0ull, wp__node_settings__log_format__default_value, wp__node_settings__log_level__default_value, 0, 60u, 0, 1000u, 0, 500u, 0, 200000u, 0,NULL, 0, 0, 0, 10000u, 0, 3000u, wp__node_settings__charts__default_value, 0, 2000u, 0, 0 }
+    , NULL, wp__node_settings__zone__default_value, wp__node_settings__listen__default_value, 0, 0, 0,NULL, 0,NULL, NULL, NULL, 0, 500u, 0, 500u, 0, 2500u, 0, 3u, 0, 2u, 0, 0ull, wp__node_settings__log_format__default_value, wp__node_settings__log_level__default_value, 0, 60u, 0, 1000u, 0, 500u, 0, 200000u, 0,NULL, 0, 0, 0, 10000u, 0, 3000u, wp__node_settings__charts__default_value, 0, 2000u, 0, 0, 0, 256 }
 
 
 struct  Wp__EntrySettings
@@ -132,12 +137,17 @@
   double retry_share;
   protobuf_c_boolean has_window_kb;
   uint32_t window_kb;
+  /*
+   * How long a request may take to arrive as a whole.
+   */
+  protobuf_c_boolean has_arrival_s;
+  double arrival_s;
 };
 extern char wp__entry_settings__balance__default_value[];
 extern char wp__entry_settings__choose__default_value[];
 #define WP__ENTRY_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__entry_settings__descriptor) \
-    , NULL, 0, 0, 1024u, 0, 16u, 0, 30u, wp__entry_settings__balance__default_value, wp__entry_settings__choose__default_value, 0, 0.08, 0, 64u }
+    , NULL, 0, 0, 1024u, 0, 16u, 0, 30u, wp__entry_settings__balance__default_value, wp__entry_settings__choose__default_value, 0, 0.08, 0, 64u, 0, 300 }
 
 
 struct  Wp__AgentSettings
@@ -464,6 +474,11 @@
   double apply_ms;
   protobuf_c_boolean has_memory_mb;
   double memory_mb;
+  /*
+   * How long a request may take to arrive as a whole.
+   */
+  protobuf_c_boolean has_arrival_s;
+  double arrival_s;
   /*
    * Whether this is the first start of the whole system.
    */
@@ -532,7 +547,7 @@
 extern char wp__direct_settings__contention_trait__default_value[];
 #define WP__DIRECT_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wp__direct_settings__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 0.15, 0, 0, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL, wp__direct_settings__contention__default_value, 0,NULL, wp__direct_settings__contention_trait__default_value, 0, 3, 0, 0.006 }
+    , NULL, NULL, NULL, NULL, NULL, NULL, 0, 9464u, NULL, wp__direct_settings__charts__default_value, 0, 0ull, wp__direct_settings__log_level__default_value, wp__direct_settings__log_format__default_value, 0, 8, 0, 0.1, 0, 50, 0, 10, 0, 5, 0, 0.15, 0, 0, 0, 256u, 0, 44, 0, 7, 0, 0.35, 0, 0.4, 0, 0.1, 0, 1.75, 0, 0.35, 0, 0.03, 0, 0.05, 0, 0.4, 0, 0.04, 0, 0.1, 0, 0.25, 0, 0u, 0, 1, 0, 1, 0, 1, 0, 1, 0, 0, 0, 2000, 0, 0, 0, 300, 0, 0, 0,NULL, wp__direct_settings__report_to__default_value, 0,NULL, 0, 0, 0, 10, 0, 3000, 0,NULL, wp__direct_settings__contention__default_value, 0,NULL, wp__direct_settings__contention_trait__default_value, 0, 3, 0, 0.006 }
 
 
 /* Wp__NodeSettings methods */
--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -275,6 +275,7 @@
     wp_buffered_set_limit(&h->buffered, s->memory_mb);
     wp_downstream_set_uploads_limit(h->downstream,
                                     h->buffered.uploads_limit_bytes);
+    wp_downstream_set_arrival_time(h->downstream, in_ms(s->arrival_s));
     apply_areas(h);
     wp_log(&h->log, WP_INFO, "reloaded", NULL);
 }
@@ -304,6 +305,7 @@
     if (!h->downstream || !wp_direct_open_admin(h, error))
         return false;
     wp_downstream_set_account(h->downstream, &h->account);
+    wp_downstream_set_arrival_time(h->downstream, in_ms(s->arrival_s));
     wp_downstream_set_limits(h->downstream, &limits);
     wp_downstream_set_uploads_limit(h->downstream,
                                     h->buffered.uploads_limit_bytes);
--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -20,6 +20,7 @@
     CONNECTION_BYTES = 3 << 10,  /* what an idle connection takes */
     CLOSE_TIMEOUT_MS = 2000, /* a caller that takes nothing of its last answer
                                 for this time has stopped reading */
+    ARRIVAL_MS = 300000,     /* of a request as a whole, by default */
     LISTEN_BACKLOG = 1024
 };
 
@@ -34,6 +35,7 @@
     WPAccount *account; /* NULL: nothing is charged */
     struct event *reclaim;
     int64_t now_us; /* as of the last event or poll */
+    uint32_t arrival_ms;
     bool draining;
     bool over_limit;              /* the box buffers more than its limit */
     uint64_t uploads_limit_bytes; /* of large bodies together; 0: none */
@@ -243,6 +245,14 @@
     bufferevent_disable(p->bev, EV_READ);
 }
 
+/* How long the rest of the request may take to arrive. */
+static uint32_t time_left_ms(const WPDownstreamConn *p)
+{
+    const WPDownstream *f = p->downstream;
+    int64_t ms = (f->now_us - p->begun_us) / WP_US_PER_MS;
+    return ms < f->arrival_ms ? (uint32_t)(f->arrival_ms - ms) : 0;
+}
+
 /* Whether the next bytes of input may be parsed: a request begins once the
    answers before it have been read, but for UNREAD_MAX_BYTES. */
 static bool may_advance(const WPDownstreamConn *p)
@@ -259,6 +269,7 @@
     while (may_advance(p) && evbuffer_get_length(in)) {
         if (!p->request_begun) {
             p->request_begun = true;
+            p->begun_us = p->downstream->now_us;
             set_timer(p, p->downstream->limits.head_ms);
         }
         p->h1.head_max_bytes = p->downstream->limits.head_bytes;
@@ -271,8 +282,10 @@
         else if (p->head_error || p->too_large || p->no_room ||
                  st == WP_H1_COMPLETE)
             on_complete(p);
+        else if (!time_left_ms(p))
+            refuse(p, WP_HEAD_SLOW, "the request did not arrive in time");
         else {
-            set_timer(p, p->downstream->limits.idle_ms);
+            set_timer(p, MIN(p->downstream->limits.idle_ms, time_left_ms(p)));
             pause_if_large(p);
             return;
         }
@@ -380,11 +393,12 @@
 void wp_downstream_add(WPDownstream *f, struct bufferevent *bev)
 {
     WPDownstreamConn *p = g_new0(WPDownstreamConn, 1);
+    f->now_us = wp_clock_now(0).mono_us;
     p->downstream = f;
     p->bev = bev;
     p->timer = evtimer_new(f->base, on_timer, p);
     p->body = g_byte_array_new();
-    p->last_active_us = wp_clock_now(0).mono_us;
+    p->last_active_us = f->now_us;
     if (f->account) {
         wp_account_add(f->account, &p->owner, p->last_active_us);
         wp_account_set(f->account, &p->owner, WP_HELD_CONNECTION,
@@ -550,6 +564,7 @@
     f->base = base;
     f->ops = ops;
     f->arg = arg;
+    f->arrival_ms = ARRIVAL_MS;
     wp_list_init(&f->conns);
     if (!evutil_parse_sockaddr_port(addr, (struct sockaddr *)&sa, &n))
         f->listener = evconnlistener_new_bind(
@@ -608,6 +623,11 @@
     }
 }
 
+void wp_downstream_set_arrival_time(WPDownstream *f, uint32_t ms)
+{
+    f->arrival_ms = ms;
+}
+
 void wp_downstream_set_account(WPDownstream *f, WPAccount *a)
 {
     f->account = a;
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -50,6 +50,7 @@
     int64_t last_read_us; /* last poll at which the caller had taken some
                              output, or none was waiting */
     int64_t last_active_us;
+    int64_t begun_us; /* when the request began to arrive */
 } WPDownstreamConn;
 
 typedef struct WPDownstreamOps {
@@ -89,6 +90,9 @@
    their heads to their answers; 0: no limit. Further ones are refused. */
 void wp_downstream_set_uploads_limit(WPDownstream *f, uint64_t bytes);
 
+/* Sets how long a request may take to arrive as a whole. */
+void wp_downstream_set_arrival_time(WPDownstream *f, uint32_t ms);
+
 /* Charges what connections hold to `a`, which must outlive `f`. While it is
    over its limit, connections that it names are closed, or their requests
    refused if these have not arrived completely. To be called before any
--- a/src/wp_settings.c
+++ b/src/wp_settings.c
@@ -76,6 +76,8 @@
     { "usage_window_s", 0, 86400, NULL },
     { "usage_late_s", 0, 86400, NULL },
     { "duty_lease_ms", 1, 600000, NULL },
+    { "memory_mb", 0, 1048576, NULL },
+    { "arrival_s", 1, 86400, NULL },
 };
 
 static const Range *find_range(const char *field)
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -387,6 +387,37 @@
     close_world(&w);
 }
 
+/* Guards against a body of which a byte comes now and then, for ever: each sets
+   the idle time-out again. */
+static void a_body_that_trickles_is_waited_for_for_ever(void **state)
+{
+    enum { ARRIVAL_MS = 200, GAP_MS = 20, IDLE_MS = 10000 };
+    static const WPRouteLimits limits = { 16 << 10, 4 << 20, IDLE_MS, IDLE_MS };
+    static const char head[] =
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n";
+    World w;
+    (void)state;
+    open_world(&w, 512);
+    wp_downstream_set_limits(w.downstream, &limits);
+    wp_downstream_set_arrival_time(w.downstream, ARRIVAL_MS);
+    int fd = dial(&w, false);
+    tick(&w);
+    assert_int_equal(write(fd, head, strlen(head)), strlen(head));
+    int64_t end_us = g_get_monotonic_time() + TIMEOUT_MS * WP_US_PER_MS,
+            next_us = 0;
+    while (!w.refused && g_get_monotonic_time() < end_us) {
+        event_base_loop(w.base, EVLOOP_NONBLOCK);
+        if (g_get_monotonic_time() < next_us)
+            continue;
+        next_us = g_get_monotonic_time() + GAP_MS * WP_US_PER_MS;
+        assert_int_equal(write(fd, "x", 1), 1);
+    }
+    assert_int_equal(w.refused, 1);
+    assert_int_equal(w.last_refusal, WP_HEAD_SLOW);
+    close(fd);
+    close_world(&w);
+}
+
 /* Asks for an answer on a new connection that takes little at a time. */
 static int begin_slow_answer(World *w)
 {
@@ -469,6 +500,7 @@
 
 TESTS_MAIN(T(limit_has_hysteresis),
            T(requests_ahead_begin_before_the_answer_is_read),
+           T(a_body_that_trickles_is_waited_for_for_ever),
            T(callers_that_do_not_read_are_closed),
            T(large_bodies_wait_above_the_limit),
            T(paused_upload_outlives_its_caller),
