wpdirect: callers' connections take at most half of the descriptors

400 idle connections against a process with 256 descriptors: nothing was left for endpoints, other boxes and the store, and an ordinary request was not answered until the idle time-out.

Cause: the listener accepted any number of connections.

Half of the descriptors are for callers now. Beyond that a new connection takes the place of the one that has been idle, or in the middle of a request, for the longest; if all others wait for answers, the new one is closed.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -1,6 +1,6 @@
 /* The process of a box in direct mode. */
 #include "wp_direct_int.h"
-#include "wp_net.h"
+#include "wp_process.h"
 #include "wp_pb.h"
 #include "wp_rollout.h"
 #include "wp_settings.h"
@@ -29,7 +29,9 @@
                                this time are closed */
     DRAIN_MARGIN_MS = 500,  /* time from the exit of the process to the moment
                                at which the platform would kill it */
-    DRAIN_WRITE_MS = 300    /* left for writing out the last answers */
+    DRAIN_WRITE_MS = 300,   /* left for writing out the last answers */
+    CALLERS_PART = 2 /* of the descriptors, 1 in so many is for callers; the
+                        rest is for endpoints, other boxes and the store */
 };
 
 static void free_event(struct event *e)
@@ -306,6 +308,8 @@
         return false;
     wp_downstream_set_account(h->downstream, &h->account);
     wp_downstream_set_arrival_time(h->downstream, in_ms(s->arrival_s));
+    wp_downstream_set_max_connections(h->downstream,
+                                      wp_process_descriptors() / CALLERS_PART);
     wp_downstream_set_limits(h->downstream, &limits);
     wp_downstream_set_uploads_limit(h->downstream,
                                     h->buffered.uploads_limit_bytes);
@@ -334,7 +338,7 @@
     h->settings = wp_pb_copy(&s->base);
     h->platform = platform;
     h->file = g_strdup(file);
-    h->base = wp_net_base_new();
+    h->base = wp_process_base_new();
     h->forwarded = g_byte_array_new();
     wp_account_init(&h->account);
     wp_account_set_memory(&h->account, s->memory_mb);
--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -34,7 +34,8 @@
     unsigned n_conns;
     WPAccount *account; /* NULL: nothing is charged */
     struct event *reclaim;
-    int64_t now_us; /* as of the last event or poll */
+    int64_t now_us;     /* as of the last event or poll */
+    unsigned max_conns; /* 0: any number */
     uint32_t arrival_ms;
     bool draining;
     bool over_limit;              /* the box buffers more than its limit */
@@ -415,6 +416,35 @@
     set_timer(p, f->limits.idle_ms);
 }
 
+/* Returns the connection that has not been active for the longest, of those
+   whose callers do not wait for an answer; NULL: there is none. */
+static WPDownstreamConn *longest_idle(const WPDownstream *f)
+{
+    WPDownstreamConn *found = NULL;
+    wp_list_each (it, &f->conns) {
+        WPDownstreamConn *p = wp_list_item(it, WPDownstreamConn, node);
+        if (!p->answering &&
+            (!found || p->last_active_us < found->last_active_us))
+            found = p;
+    }
+    return found;
+}
+
+/* Makes room for a new connection. Returns false if all others wait for
+   answers. */
+static bool make_place(WPDownstream *f)
+{
+    if (!f->max_conns || f->n_conns < f->max_conns)
+        return true;
+    WPDownstreamConn *p = longest_idle(f);
+    if (!p)
+        return false;
+    if (f->ops->gives_way)
+        f->ops->gives_way(f->arg, &p->owner);
+    on_disconnect(p);
+    return true;
+}
+
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
                       struct sockaddr *sa, int n, void *arg)
 {
@@ -422,6 +452,11 @@
     (void)l;
     (void)sa;
     (void)n;
+    if (!make_place(f)) {
+        f->ops->refused(f->arg, WP_NO_MEMORY, "too many connections");
+        evutil_closesocket(fd);
+        return;
+    }
     wp_net_options(fd, SILENT_MS);
     wp_downstream_add(
         f, bufferevent_socket_new(f->base, fd, BEV_OPT_CLOSE_ON_FREE));
@@ -628,6 +663,11 @@
     f->arrival_ms = ms;
 }
 
+void wp_downstream_set_max_connections(WPDownstream *f, unsigned n)
+{
+    f->max_conns = n;
+}
+
 void wp_downstream_set_account(WPDownstream *f, WPAccount *a)
 {
     f->account = a;
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -93,6 +93,11 @@
 /* Sets how long a request may take to arrive as a whole. */
 void wp_downstream_set_arrival_time(WPDownstream *f, uint32_t ms);
 
+/* Sets how many connections may be open; 0: any number. Beyond them, a new one
+   takes the place of the one that has been idle, or in the middle of a request,
+   for the longest; if all wait for answers, the new one is closed. */
+void wp_downstream_set_max_connections(WPDownstream *f, unsigned n);
+
 /* Charges what connections hold to `a`, which must outlive `f`. While it is
    over its limit, connections that it names are closed, or their requests
    refused if these have not arrived completely. To be called before any
--- a/io/wp_net.c
+++ b/io/wp_net.c
@@ -1,4 +1,4 @@
-/* Event loops, socket options and outgoing connections. */
+/* Socket options and outgoing connections. */
 #include "wp_net.h"
 #include "wp_base.h"
 
@@ -11,13 +11,6 @@
 
 enum { PROBES = 2 }; /* unanswered, after which the connection is dead */
 
-struct event_base *wp_net_base_new(void)
-{
-    struct event_base *base = event_base_new();
-    event_base_priority_init(base, 2);
-    return base;
-}
-
 static void set_option(int fd, int level, int name, int value)
 {
     /* If the kernel does not support the option, its default applies. */
--- a/io/wp_net.h
+++ b/io/wp_net.h
@@ -1,4 +1,4 @@
-/* Event loops, socket options and outgoing connections. */
+/* Socket options and outgoing connections. */
 #ifndef WP_NET_H
 #define WP_NET_H
 
@@ -11,10 +11,6 @@
    no longer responds is detected after about `dead_ms`. */
 void wp_net_options(int fd, uint32_t dead_ms);
 
-/* Creates an event loop with two priorities: 0 is for what has to run before
-   anything else. */
-struct event_base *wp_net_base_new(void);
-
 /* Begins a connection to `addr` (IP:PORT), with the options above, from the
    local address `from`; one that is NULL, malformed or not available is
    ignored. Returns NULL if `addr` is malformed or no socket can be opened. */
