A peer that has not said who it is has little memory, time and few descriptors

Connections to the port for other boxes that sent a length of 7.9 MB and most of such a frame, without a Hello before, took each process (wpdirect, wpentry, wpagent) to 430 MB with 60 connections; idle ones took all descriptors.

Cause: a frame of up to 8 MB was read before its kind was looked at, and a connection without a Hello was closed only after 60 s without use.

Until its Hello, at most 16 KB of a peer are read and a longer frame closes the link; it has 10 s; and of the links that were accepted without a Hello at most 256, or 1 in 16 descriptors, are kept, the newest ones. What a peer sends after its Hello is bounded as before (XXX: by connection only).

--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -2,6 +2,7 @@
 #include "wp_link.h"
 #include "wp_clock.h"
 #include "wp_code.h"
+#include "wp_process.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -12,7 +13,12 @@
 #include <netinet/tcp.h>
 #include <protobuf-c/protobuf-c.h>
 
-enum { LENGTH_BYTES = 4 };
+enum {
+    LENGTH_BYTES = 4,
+    UNIDENTIFIED_MAX =
+        256,               /* links that were accepted and have sent no Hello */
+    UNIDENTIFIED_PART = 16 /* nor more than 1 in so many descriptors */
+};
 
 struct WPHub {
     struct event_base *base;
@@ -26,6 +32,7 @@
     /* the link whose frames are being handled; NULL once it is closed */
     WPLink *reading;
     WPPeerTraffic traffic;
+    unsigned max_unidentified;
 };
 
 static void on_read(struct bufferevent *bev, void *arg);
@@ -60,6 +67,9 @@
     l->connected = !outgoing;
     l->received_us = wp_clock_now(0).mono_us;
     l->last_used_us = l->received_us;
+    l->opened_us = l->received_us;
+    bufferevent_setwatermark(bev, EV_READ, 0,
+                             WP_LINK_HELLO_MAX_BYTES + LENGTH_BYTES);
     wp_list_append(&h->links, &l->node);
     bufferevent_setcb(bev, on_read, NULL, on_event, l);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
@@ -104,6 +114,7 @@
     g_free(l->peer);
     g_free(l->peer_zone);
     l->peer = g_strdup(m->id);
+    bufferevent_setwatermark(l->bev, EV_READ, 0, 0);
     l->peer_zone = g_strdup(m->zone);
     l->peer_incarnation = m->incarnation;
     if (!l->addr) {
@@ -142,7 +153,7 @@
     if (evbuffer_copyout(in, &size, LENGTH_BYTES) < LENGTH_BYTES)
         return false;
     size = ntohl(size);
-    if (size > WP_FRAME_MAX_BYTES) {
+    if (size > (l->peer ? WP_FRAME_MAX_BYTES : WP_LINK_HELLO_MAX_BYTES)) {
         reject_frame(l);
         return false;
     }
@@ -197,6 +208,24 @@
         wp_link_close(l);
 }
 
+/* Closes the oldest of the links that were accepted and have sent no Hello, if
+   there are too many. */
+static void limit_unidentified(WPHub *h)
+{
+    WPLink *oldest = NULL;
+    unsigned n = 0;
+    wp_list_each (it, &h->links) {
+        WPLink *l = wp_list_item(it, WPLink, node);
+        if (l->outgoing || l->peer)
+            continue;
+        n++;
+        if (!oldest)
+            oldest = l;
+    }
+    if (n >= h->max_unidentified)
+        wp_link_close(oldest);
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
                       struct sockaddr *sa, int len, void *arg)
 {
@@ -204,6 +233,7 @@
     (void)listener;
     (void)sa;
     (void)len;
+    limit_unidentified(h);
     struct bufferevent *bev =
         bufferevent_socket_new(h->base, fd, BEV_OPT_CLOSE_ON_FREE);
     send_hello(new_link(h, bev, false));
@@ -231,6 +261,8 @@
     h->arg = arg;
     h->by_addr = g_hash_table_new(g_str_hash, g_str_equal);
     wp_list_init(&h->links);
+    unsigned part = wp_process_descriptors() / UNIDENTIFIED_PART;
+    h->max_unidentified = part ? MIN(part, UNIDENTIFIED_MAX) : UNIDENTIFIED_MAX;
     if (parse_addr(full, &sa))
         h->listener = evconnlistener_new_bind(
             base, on_accept, h, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
@@ -361,6 +393,11 @@
     wp_list_each_safe (it, tmp, &h->links) {
         WPLink *l = wp_list_item(it, WPLink, node);
         int64_t idle_us = (int64_t)WP_LINK_IDLE_TIMEOUT_S * WP_US_PER_S;
+        int64_t hello_us = (int64_t)WP_LINK_HELLO_TIMEOUT_S * WP_US_PER_S;
+        if (!l->outgoing && !l->peer && now_us - l->opened_us > hello_us) {
+            wp_link_close(l);
+            continue;
+        }
         /* A peer need not send anything on a link without requests in
            flight: the silence is measured from the first request on. */
         if (!l->in_flight)
--- a/io/wp_link.h
+++ b/io/wp_link.h
@@ -12,7 +12,11 @@
 enum {
     WP_FRAME_MAX_BYTES = 8 << 20, /* a longer frame closes the link */
     WP_LINK_IDLE_TIMEOUT_S = 60,
-    WP_LINK_CONNECT_TIMEOUT_S = 2
+    WP_LINK_CONNECT_TIMEOUT_S = 2,
+    /* Of a peer that has not identified itself by a Hello: the bytes that are
+       read of it, and the time that it has. */
+    WP_LINK_HELLO_MAX_BYTES = 16 << 10,
+    WP_LINK_HELLO_TIMEOUT_S = 10
 };
 
 /* The listener and all links of a process. */
@@ -37,6 +41,7 @@
     int64_t received_us;   /* when data last arrived (monotonic) */
     /* when the last frame arrived (monotonic), for the idle timeout */
     int64_t last_used_us;
+    int64_t opened_us;
     unsigned in_flight; /* requests in flight on the link */
     int64_t pinged_us;
 } WPLink;
