wpdirect: the ports for operators take small requests on few connections

Half of a body of 8 MB on each of 60 connections to the metrics port or to that for the balancer's check took a box to 248 MB; requests for the metrics sent ahead and not read took 54 MB; idle connections took all descriptors.

Cause: evhttp reads a whole body, without a limit, before the page is asked, and reads on while answers wait; any number of connections was accepted.

These ports are served by io/wp_downstream.c now, on the box's account, with heads of 8 KB, bodies of 64 KB, and at most 64 connections each, or 1 in 16 descriptors (io/wp_page.c).

--- a/io/wp_direct_admin.c
+++ b/io/wp_direct_admin.c
@@ -2,18 +2,19 @@
  * in direct mode. */
 #include "wp_direct_int.h"
 #include "wp_code.h"
-#include "wp_http.h"
 #include "wp_load_view.h"
+#include "wp_page.h"
 #include "wp_shift_view.h"
 
-static void on_ready(struct evhttp_request *r, void *arg)
+static void on_ready(void *arg, WPDownstreamConn *p, const WPHead *head)
 {
     WPDirectHost *h = arg;
+    (void)head;
     bool ready = !h->draining && wp_sync_ready(h->sync);
-    wp_http_reply_text(r, ready ? 200 : 503, "text/plain",
-                       wp_str(ready         ? "ready\n"
-                              : h->draining ? "leaving\n"
-                                            : "starting\n"));
+    wp_page_send_text(p, ready ? 200 : 503, "text/plain",
+                      wp_str(ready         ? "ready\n"
+                             : h->draining ? "leaving\n"
+                                           : "starting\n"));
 }
 
 typedef struct Page {
@@ -67,11 +68,11 @@
     wp_load_view_add_request(arg, f);
 }
 
-static void on_load(struct evhttp_request *r, WPDirectHost *h)
+static void on_load(WPDownstreamConn *p, WPDirectHost *h)
 {
     WPLoadView *v = wp_load_view_new(&h->direct, wp_clock_now(0));
     wp_relay_each_flow(h, add_request, v);
-    wp_http_reply_json(r, 200, wp_load_view_end(v));
+    wp_page_send_json(p, 200, wp_str(""), wp_load_view_end(v));
 }
 
 typedef struct SilentCount {
@@ -105,17 +106,17 @@
 
 /* Answers requests for /load and /shifts, and any other with the counters and
    the present state of this box, in the text format of Prometheus. */
-static void on_metrics(struct evhttp_request *r, void *arg)
+static void on_metrics(void *arg, WPDownstreamConn *p, const WPHead *head)
 {
     WPDirectHost *h = arg;
-    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
-    if (!g_strcmp0(path, "/load")) {
-        on_load(r, h);
+    g_autofree char *path = wp_page_path(head);
+    if (!strcmp(path, "/load")) {
+        on_load(p, h);
         return;
     }
-    if (!g_strcmp0(path, "/shifts")) {
-        wp_http_reply_json(r, 200,
-                           wp_shift_view(h->direct.shifts, wp_clock_now(0)));
+    if (!strcmp(path, "/shifts")) {
+        wp_page_send_json(p, 200, wp_str(""),
+                          wp_shift_view(h->direct.shifts, wp_clock_now(0)));
         return;
     }
     const Wp__DirectSettings *s = h->settings;
@@ -150,41 +151,32 @@
     wp_fleet_each(h->direct.fleet, add_limit, &z);
     add_contention(h, out);
     wp_peer_traffic_each(wp_sync_traffic(h->sync), add_peer_bytes, &z);
-    wp_http_reply_text(r, 200, "text/plain; version=0.0.4",
-                       wp_strn(out->str, out->len));
+    wp_page_send_text(p, 200, "text/plain; version=0.0.4",
+                      wp_strn(out->str, out->len));
 }
 
-static struct evhttp *serve(WPDirectHost *h, const char *addr,
-                            void (*page)(struct evhttp_request *, void *),
-                            GError **error)
-{
-    struct evhttp *http = evhttp_new(h->base);
-    g_autofree char *host = NULL;
-    uint16_t port;
-    evhttp_set_gencb(http, page, h);
-    if (wp_http_parse_target(addr, &host, &port) &&
-        wp_http_listen(http, host, port))
-        return http;
-    g_set_error(error, WP_ERROR, WP_ERROR_CONTACT, "cannot listen on %s", addr);
-    evhttp_free(http);
-    return NULL;
-}
+static const WPDownstreamOps ready_ops = { on_ready, wp_page_caller_gone,
+                                           wp_page_writable,
+                                           wp_relay_on_refused, NULL };
+static const WPDownstreamOps metrics_ops = { on_metrics, wp_page_caller_gone,
+                                             wp_page_writable,
+                                             wp_relay_on_refused, NULL };
 
 bool wp_direct_open_admin(WPDirectHost *h, GError **error)
 {
     const Wp__DirectSettings *s = h->settings;
     g_autofree char *metrics =
         g_strdup_printf("%s:%u", s->listen, s->metrics_port);
-    h->ready = serve(h, s->ready, on_ready, error);
+    h->ready =
+        wp_page_listen(h->base, s->ready, &ready_ops, h, &h->account, error);
     if (h->ready)
-        h->metrics = serve(h, metrics, on_metrics, error);
+        h->metrics = wp_page_listen(h->base, metrics, &metrics_ops, h,
+                                    &h->account, error);
     return h->ready && h->metrics;
 }
 
 void wp_direct_close_admin(WPDirectHost *h)
 {
-    if (h->ready)
-        evhttp_free(h->ready);
-    if (h->metrics)
-        evhttp_free(h->metrics);
+    wp_downstream_free(h->ready);
+    wp_downstream_free(h->metrics);
 }
--- a/io/wp_direct_int.h
+++ b/io/wp_direct_int.h
@@ -11,8 +11,6 @@
 #include "wp_log.h"
 #include "wp_peer_traffic.h"
 
-#include <event2/http.h>
-
 typedef struct WPSync WPSync;
 
 struct WPDirectHost {
@@ -26,7 +24,7 @@
     WPDownstream *downstream;
     WPUpstream *upstream;
     WPSync *sync;
-    struct evhttp *ready, *metrics;
+    WPDownstream *ready, *metrics; /* for the balancer, for operators */
     struct event *tick, *term, *hup;
     WPList relays;
     unsigned n_relays;
@@ -50,6 +48,9 @@
 extern const WPDownstreamOps wp_relay_downstream_ops;
 extern const WPUpstreamOps wp_relay_upstream_ops;
 
+/* Counts and logs input that was refused; for the ops of any port. */
+void wp_relay_on_refused(void *arg, WPCode code, const char *detail);
+
 /* Sets the deadline timers of all requests again by the time `now`; needed
    after the timers of the event loop have stood still. */
 void wp_relay_reset_deadlines(WPDirectHost *h, WPTime now);
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -720,7 +720,7 @@
         wp_upstream_set_paused(r->upstream_conn, false);
 }
 
-static void on_refused(void *arg, WPCode code, const char *detail)
+void wp_relay_on_refused(void *arg, WPCode code, const char *detail)
 {
     WPDirectHost *h = arg;
     WPCounters *c = &h->direct.counters;
@@ -742,6 +742,6 @@
                                                         : "-");
 }
 
-const WPDownstreamOps wp_relay_downstream_ops = { on_request, on_caller_gone,
-                                                  on_writable, on_refused,
-                                                  on_gives_way };
+const WPDownstreamOps wp_relay_downstream_ops = {
+    on_request, on_caller_gone, on_writable, wp_relay_on_refused, on_gives_way
+};
