The account counts what buffers take, not what is left in them

Cause: a whole answer that is passed on without a copy stays in memory until its last byte is sent, and only what was left to send was counted; chains of buffers take more than the bytes in them; what a request takes besides, and an idle connection, were counted too low or not at all; and libevent frees the buffers of a closed connection only after other events, which took more meanwhile.

Whole answers are charged until they are freed, chains with a quarter more, a request with 8 KB, a connection with 4 KB, and the buffers of a closed connection are freed at once. Refusals of the connection itself say that nothing ran.

--- a/io/wp_direct_host.c
+++ b/io/wp_direct_host.c
@@ -362,7 +362,11 @@
 
 void wp_direct_host_run(WPDirectHost *h)
 {
-    wp_log(&h->log, WP_INFO, "started", "version", WP_VERSION, NULL);
+    g_autofree char *fds = g_strdup_printf("%u", wp_process_descriptors());
+    g_autofree char *held =
+        g_strdup_printf("%lu", (gulong)h->account.limit_bytes);
+    wp_log(&h->log, WP_INFO, "started", "version", WP_VERSION, "descriptors",
+           fds, "account_limit", held, NULL);
     wp_clock_check(&h->log, &h->clock_monitor, wp_clock_now(0));
     event_base_dispatch(h->base);
     wp_log(&h->log, WP_INFO, "stopped", NULL);
--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -4,6 +4,7 @@
 #include "wp_clock.h"
 #include "wp_buffered.h"
 #include "wp_net.h"
+#include "wp_process.h"
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -17,7 +18,8 @@
     READ_MAX_BYTES = 64 << 10, /* of the next request, while one is answered */
     UNREAD_MAX_BYTES = 16 << 10, /* of answers, above which the next request
                                     does not begin */
-    CONNECTION_BYTES = 3 << 10,  /* what an idle connection takes */
+    CHAIN_SLACK = 4,             /* buffers take up to 1 part in so many more */
+    CONNECTION_BYTES = 4 << 10,  /* what an idle connection takes */
     CLOSE_TIMEOUT_MS = 2000, /* a caller that takes nothing of its last answer
                                 for this time has stopped reading */
     ARRIVAL_MS = 300000,     /* of a request as a whole, by default */
@@ -36,7 +38,7 @@
     struct event *reclaim;
     int64_t now_us;     /* as of the last event or poll */
     unsigned max_conns; /* 0: any number */
-    uint32_t arrival_ms;
+    uint32_t arrival_ms, silent_ms;
     bool draining;
     bool over_limit;              /* the box buffers more than its limit */
     uint64_t uploads_limit_bytes; /* of large bodies together; 0: none */
@@ -73,6 +75,16 @@
     return evbuffer_get_length(bufferevent_get_output(p->bev));
 }
 
+/* What the output takes. An array in it is freed as a whole, when all of it has
+   been sent; little else waits beside one. */
+static size_t output_bytes(const WPDownstreamConn *p)
+{
+    size_t n = unsent_bytes(p);
+    if (p->array_bytes)
+        return p->array_bytes + MIN(n, UNREAD_MAX_BYTES);
+    return n + n / CHAIN_SLACK;
+}
+
 /* Charges what the connection holds now. A caller waits for this box while its
    request is answered, and it has read what there is of the answer. Connections
    that have to give way do so after the running callback. */
@@ -86,10 +98,12 @@
         return;
     wp_account_set_waits(a, &p->owner, p->answering && !unsent, f->now_us);
     wp_account_set(a, &p->owner, WP_HELD_INPUT,
-                   input + wp_array_capacity(p->h1.text->len), f->now_us);
+                   input + input / CHAIN_SLACK +
+                       wp_array_capacity(p->h1.text->len),
+                   f->now_us);
     wp_account_set(a, &p->owner, WP_HELD_BODY, wp_array_capacity(p->body->len),
                    f->now_us);
-    wp_account_set(a, &p->owner, WP_HELD_OUTPUT, unsent, f->now_us);
+    wp_account_set(a, &p->owner, WP_HELD_OUTPUT, output_bytes(p), f->now_us);
     if (wp_account_is_over(a))
         event_active(f->reclaim, EV_TIMEOUT, 0);
 }
@@ -104,6 +118,27 @@
         event_active(f->reclaim, EV_TIMEOUT, 0);
 }
 
+bool wp_downstream_reserve_parsed(WPDownstreamConn *p, uint64_t bytes)
+{
+    WPDownstream *f = p->downstream;
+    if (!f->account)
+        return true;
+    if (!wp_account_has_room(f->account, bytes))
+        return false;
+    wp_account_set(f->account, &p->owner, WP_HELD_PARSED, bytes, f->now_us);
+    return true;
+}
+
+/* Releases what was charged for the request that has been answered. */
+static void release_answer(WPDownstreamConn *p)
+{
+    WPDownstream *f = p->downstream;
+    if (!f->account)
+        return;
+    wp_account_set(f->account, &p->owner, WP_HELD_PARSED, 0, f->now_us);
+    wp_account_set(f->account, &p->owner, WP_HELD_ANSWER, 0, f->now_us);
+}
+
 static void free_conn(WPDownstreamConn *p)
 {
     if (p->in_callback) {
@@ -116,7 +151,7 @@
     release_room(p);
     p->downstream->n_conns--;
     event_free(p->timer);
-    bufferevent_free(p->bev);
+    wp_process_close(p->bev);
     wp_h1_end(&p->h1);
     g_byte_array_unref(p->body);
     g_free(p);
@@ -157,7 +192,8 @@
 {
     const WPCodeInfo *i = wp_code_info(code);
     g_autofree char *body = g_strdup_printf(
-        "{\"error\":{\"code\":\"%s\",\"message\":\"%s\"}}\n", i->code, detail);
+        "{\"error\":{\"code\":\"%s\",\"message\":\"%s\",\"ran\":\"%s\"}}\n",
+        i->code, detail, wp_ran_name(i->ran));
     p->downstream->ops->refused(p->downstream->arg, code, detail);
     p->keep_alive = false;
     p->answering = true;
@@ -457,7 +493,7 @@
         evutil_closesocket(fd);
         return;
     }
-    wp_net_options(fd, SILENT_MS);
+    wp_net_options(fd, f->silent_ms);
     wp_downstream_add(
         f, bufferevent_socket_new(f->base, fd, BEV_OPT_CLOSE_ON_FREE));
 }
@@ -471,7 +507,7 @@
     p->request = NULL;
     release_room(p);
     wp_array_clear(&p->body);
-    wp_downstream_charge_answer(p, 0);
+    release_answer(p);
     charge(p);
     if (!p->keep_alive || f->draining) {
         close_after_write(p);
@@ -536,11 +572,32 @@
                                g_byte_array_ref(a));
 }
 
+/* An array in the output of a connection. */
+typedef struct SentArray {
+    WPDownstreamConn *conn;
+    GByteArray *array;
+} SentArray;
+
+static void release_sent_array(const void *data, size_t n, void *arg)
+{
+    SentArray *s = arg;
+    (void)data;
+    s->conn->array_bytes -= wp_array_capacity(n);
+    g_byte_array_unref(s->array);
+    g_free(s);
+}
+
 void wp_downstream_send_array(WPDownstreamConn *p, int status, WPStr fields,
                               GByteArray *body)
 {
-    if (write_whole_head(p, status, fields, body->len))
-        wp_downstream_add_array(bufferevent_get_output(p->bev), body);
+    struct evbuffer *out = bufferevent_get_output(p->bev);
+    if (write_whole_head(p, status, fields, body->len)) {
+        SentArray *s = g_new0(SentArray, 1);
+        *s = (SentArray){ p, g_byte_array_ref(body) };
+        p->array_bytes += wp_array_capacity(body->len);
+        evbuffer_add_reference(out, body->data, body->len, release_sent_array,
+                               s);
+    }
     finish_answer(p);
 }
 
@@ -575,7 +632,7 @@
     p->answering = false;
     p->request = NULL;
     p->keep_alive = false;
-    wp_downstream_charge_answer(p, 0);
+    release_answer(p);
     close_after_write(p);
 }
 
@@ -600,6 +657,7 @@
     f->ops = ops;
     f->arg = arg;
     f->arrival_ms = ARRIVAL_MS;
+    f->silent_ms = SILENT_MS;
     wp_list_init(&f->conns);
     if (!evutil_parse_sockaddr_port(addr, (struct sockaddr *)&sa, &n))
         f->listener = evconnlistener_new_bind(
@@ -663,6 +721,11 @@
     f->arrival_ms = ms;
 }
 
+void wp_downstream_set_silence(WPDownstream *f, uint32_t ms)
+{
+    f->silent_ms = ms;
+}
+
 void wp_downstream_set_max_connections(WPDownstream *f, unsigned n)
 {
     f->max_conns = n;
@@ -768,6 +831,14 @@
     return f->n_conns;
 }
 
+bool wp_downstream_has_unread(const WPDownstream *f)
+{
+    wp_list_each (it, &f->conns)
+        if (unsent_bytes(wp_list_item(it, WPDownstreamConn, node)))
+            return true;
+    return false;
+}
+
 unsigned wp_downstream_connection_count(const WPDownstream *f)
 {
     return f->n_conns;
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -18,7 +18,8 @@
 typedef struct WPDownstreamConn {
     WPList node;
     WPDownstream *downstream;
-    WPOwner owner; /* of what the connection holds, in the account */
+    WPOwner owner;      /* of what the connection holds, in the account */
+    size_t array_bytes; /* of arrays in the output, which are kept whole */
     struct bufferevent *bev;
     WPH1 h1;
     struct event *timer; /* head, idle and close timeouts */
@@ -90,6 +91,11 @@
    their heads to their answers; 0: no limit. Further ones are refused. */
 void wp_downstream_set_uploads_limit(WPDownstream *f, uint64_t bytes);
 
+/* Sets after which time without a sign of life, or in which it takes nothing of
+   its answer, a caller counts as dead. For connections that are accepted
+   later. */
+void wp_downstream_set_silence(WPDownstream *f, uint32_t ms);
+
 /* Sets how long a request may take to arrive as a whole. */
 void wp_downstream_set_arrival_time(WPDownstream *f, uint32_t ms);
 
@@ -108,6 +114,10 @@
    held elsewhere. */
 void wp_downstream_charge_answer(WPDownstreamConn *p, uint64_t bytes);
 
+/* Charges what parsing the body of the request that is being answered will
+   take, until it has been answered. Returns false if there is no room. */
+bool wp_downstream_reserve_parsed(WPDownstreamConn *p, uint64_t bytes);
+
 /* Starts to drain: from now on each answer closes its connection, so that the
    caller connects to another box. */
 void wp_downstream_start_drain(WPDownstream *f);
@@ -118,6 +128,9 @@
 unsigned wp_downstream_close_idle(WPDownstream *f, WPTime now,
                                   uint32_t idle_ms);
 
+/* Whether an answer that is complete has not been read to its end. */
+bool wp_downstream_has_unread(const WPDownstream *f);
+
 /* Returns the number of open connections of callers. */
 unsigned wp_downstream_connection_count(const WPDownstream *f);
 
--- a/io/wp_relay.c
+++ b/io/wp_relay.c
@@ -3,6 +3,8 @@
 #include "wp_relay_int.h"
 
 enum {
+    RELAY_BYTES = 8 << 10, /* what a request takes besides, with its connection
+                              to an endpoint */
     BUFFER_MAX_BYTES = 16 << 20, /* bytes of an answer that is not streamed */
     ADMITTED_MAX = 2 /* large answers that are read above the buffer limit */
 };
@@ -135,7 +137,7 @@
 static void charge_answer(WPRelay *r)
 {
     wp_downstream_charge_answer(r->downstream_conn,
-                                wp_array_capacity(r->body->len) +
+                                RELAY_BYTES + wp_array_capacity(r->body->len) +
                                     wp_array_capacity(r->stream.partial->len) +
                                     wp_array_capacity(r->stream.held->len));
 }
--- a/io/wp_upstream.c
+++ b/io/wp_upstream.c
@@ -2,6 +2,7 @@
 #include "wp_upstream.h"
 #include "wp_clock.h"
 #include "wp_net.h"
+#include "wp_process.h"
 
 #include <event2/bufferevent.h>
 
@@ -78,7 +79,7 @@
     wp_list_remove(&c->node);
     if (c->connect_timer)
         event_free(c->connect_timer);
-    bufferevent_free(c->bev);
+    wp_process_close(c->bev);
     wp_h1_end(&c->h1);
     wp_replica_unref(c->to);
     g_free(c);
