wpentry: answers that are held back are charged to their callers

An answer that is not streamed is held up to 256 KB, one that may be replaced by a stronger version's is held whole, and what is copied for the rating service besides: none of it was on the account, so that many callers at once could take an entry over its memory.

What is held of an answer is charged to its caller's connection with each chunk, and 8 KB for the exchange.

--- a/io/wp_attempts.c
+++ b/io/wp_attempts.c
@@ -8,6 +8,8 @@
 /* An answer that is not streamed is buffered up to this size, so that another
    attempt can replace one that breaks off, unseen by the caller. */
 #define HOLD_MAX (256 << 10)
+/* What an exchange takes besides. */
+#define EXCHANGE_BYTES (8 << 10)
 /* Credit is granted to the agent once this fraction (1/N) of the flow control
    window is free. */
 #define GRANT_DIVISOR 4
@@ -336,6 +338,16 @@
     return !x->stream && evbuffer_get_length(x->pending_answer) <= HOLD_MAX;
 }
 
+/* Charges the caller's connection what is held of its answer. */
+static void charge_answer(const WPExchange *x)
+{
+    size_t rated = x->rating_copy ? x->rating_copy->len : 0;
+    if (x->caller)
+        wp_downstream_charge_answer(
+            x->caller, EXCHANGE_BYTES + evbuffer_get_length(x->pending_answer) +
+                           wp_array_capacity(rated));
+}
+
 static void on_chunk(WPExchange *x, const Wp__Chunk *c)
 {
     wp_entry_first_bytes(x->server->entry, current_time(x), x->request);
@@ -347,6 +359,7 @@
         wp_reply_forward(x);
     else
         wp_exchange_grant(x, c->data.len);
+    charge_answer(x);
 }
 
 static void on_head(WPExchange *x, const Wp__Head *h)
