Callers of HTTP/1.0 get streams without chunk sizes

A caller of HTTP/1.0 that got a streamed answer found chunk sizes in it (wpdirect; wpentry since it has the same front).

Cause: an answer whose length is not known was always sent in chunks, which HTTP/1.0 does not have.

Such an answer ends with its connection now; one that is broken off ends with a reset, as an orderly end would look like its own.

Evidence: test_framing, a_caller_of_http_1_0_gets_chunks; it fails when chunks are taken to be known.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -517,6 +517,7 @@
     p->too_large = false;
     p->no_room = false;
     p->chunked = false;
+    p->until_close = false;
     begin_idle(p);
     /* Deferred, as the owner, from whose call this runs, may still use the
        connection. */
@@ -604,9 +605,12 @@
 void wp_downstream_begin_chunked(WPDownstreamConn *p, int status, WPStr fields)
 {
     struct evbuffer *out = bufferevent_get_output(p->bev);
-    p->chunked = true;
+    p->until_close = !wp_h1_takes_chunks(&p->h1);
+    p->chunked = !p->until_close;
+    p->keep_alive &= p->chunked;
     write_head(p, status, fields);
-    evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+    evbuffer_add_printf(out, p->chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                                        : "\r\n");
 }
 
 void wp_downstream_send_chunk(WPDownstreamConn *p, const void *data, size_t n)
@@ -614,25 +618,37 @@
     struct evbuffer *out = bufferevent_get_output(p->bev);
     if (!n || p->is_head) /* an empty chunk would end the answer */
         return;
-    evbuffer_add_printf(out, "%zx\r\n", n);
+    if (p->chunked)
+        evbuffer_add_printf(out, "%zx\r\n", n);
     evbuffer_add(out, data, n);
-    evbuffer_add(out, "\r\n", 2);
+    if (p->chunked)
+        evbuffer_add(out, "\r\n", 2);
     charge(p);
 }
 
 void wp_downstream_end_chunked(WPDownstreamConn *p)
 {
-    if (!p->is_head)
+    if (!p->is_head && p->chunked)
         evbuffer_add(bufferevent_get_output(p->bev), "0\r\n\r\n", 5);
     finish_answer(p);
 }
 
+/* Has the connection end by a reset, once it is closed. */
+static void reset_on_close(const WPDownstreamConn *p)
+{
+    const struct linger now = { 1, 0 };
+    (void)setsockopt(bufferevent_getfd(p->bev), SOL_SOCKET, SO_LINGER, &now,
+                     sizeof(now));
+}
+
 void wp_downstream_abort(WPDownstreamConn *p)
 {
     p->answering = false;
     p->request = NULL;
     p->keep_alive = false;
     release_answer(p);
+    if (p->until_close) /* an orderly end would look like that of the answer */
+        reset_on_close(p);
     close_after_write(p);
 }
 
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -40,6 +40,7 @@
     bool in_callback;
     bool keep_alive;    /* the caller allows another request */
     bool chunked;       /* the answer is sent in chunks */
+    bool until_close;   /* it ends with the connection */
     bool is_head;       /* HEAD request: the answer has no body */
     bool backlogged;    /* the output buffer is full; `writable` is due */
     bool upload_paused; /* the body is not read on, as the box buffers more
--- a/io/wp_h1.c
+++ b/io/wp_h1.c
@@ -224,6 +224,12 @@
     return st;
 }
 
+bool wp_h1_takes_chunks(const WPH1 *h)
+{
+    return h->parser.http_major > 1 ||
+           (h->parser.http_major == 1 && h->parser.http_minor > 0);
+}
+
 WPH1State wp_h1_eof(WPH1 *h)
 {
     if (h->complete)
--- a/io/wp_h1.h
+++ b/io/wp_h1.h
@@ -72,6 +72,10 @@
 /* Prepares for the next message; the head of the last one becomes invalid. */
 void wp_h1_reset(WPH1 *h);
 
+/* Whether the sender of the request whose head has been parsed knows chunked
+   encoding: HTTP/1.0 does not have it. */
+bool wp_h1_takes_chunks(const WPH1 *h);
+
 /* Consumes bytes from `in` until a message has ended, and calls the ops. */
 WPH1State wp_h1_feed(WPH1 *h, struct evbuffer *in);
 
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -135,7 +135,13 @@
     World *w = arg;
     g_string_append_len(w->targets, h->target.p, (gssize)h->target.n);
     g_string_append_c(w->targets, ' ');
-    wp_downstream_send_answer(p, 200, wp_str(""), wp_str("done"));
+    if (!wp_str_eq(h->target, wp_str("/stream"))) {
+        wp_downstream_send_answer(p, 200, wp_str(""), wp_str("done"));
+        return;
+    }
+    wp_downstream_begin_chunked(p, 200, wp_str(""));
+    wp_downstream_send_chunk(p, "done", 4);
+    wp_downstream_end_chunked(p);
 }
 
 static void on_conn(void *arg, WPDownstreamConn *p)
@@ -151,11 +157,14 @@
     ((World *)arg)->refused++;
 }
 
-static const WPDownstreamOps ops = { on_request, on_conn, on_conn, on_refused, NULL };
+static const WPDownstreamOps ops = { on_request, on_conn, on_conn, on_refused,
+                                     NULL };
 
 enum { LOOP_TURNS = 200 }; /* until all that can be read has been read */
 
-static void send_to_world(World *w, WPStr bytes)
+/* Sends `bytes` on a new connection to a new world, and reads up to `n` bytes
+   of what it answers into `answer`, unless that is NULL. */
+static void exchange_with_world(World *w, WPStr bytes, char *answer, size_t n)
 {
     static const WPRouteLimits limits = { 16 << 10, 4 << 20, 5000, 30000 };
     GError *error = NULL;
@@ -173,9 +182,16 @@
     assert_int_equal(write(fd, bytes.p, bytes.n), bytes.n);
     for (int i = 0; i < LOOP_TURNS; i++)
         event_base_loop(w->base, EVLOOP_NONBLOCK);
+    if (answer)
+        assert_true(recv(fd, answer, n, MSG_DONTWAIT) > 0);
     close(fd);
 }
 
+static void send_to_world(World *w, WPStr bytes)
+{
+    exchange_with_world(w, bytes, NULL, 0);
+}
+
 static void close_world(World *w)
 {
     wp_downstream_free(w->downstream);
@@ -223,6 +239,27 @@
     }
 }
 
+/* Guards against chunk sizes in the answer to a caller of HTTP/1.0, which does
+   not know them. */
+static void a_caller_of_http_1_0_gets_chunks(void **state)
+{
+    static const char *const heads[] = {
+        "GET /stream HTTP/1.0\r\nHost: a\r\n\r\n",
+        "GET /stream HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n",
+    };
+    (void)state;
+    for (size_t i = 0; i < WP_COUNT(heads); i++) {
+        World w;
+        char answer[512] = "";
+        exchange_with_world(&w, wp_str(heads[i]), answer, sizeof(answer) - 1);
+        assert_non_null(strstr(answer, "\r\n\r\ndone"));
+        assert_null(strstr(answer, "chunked"));
+        assert_true(g_str_has_suffix(answer, "done"));
+        assert_int_equal(wp_downstream_connection_count(w.downstream), 0);
+        close_world(&w);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -230,6 +267,7 @@
         cmocka_unit_test(ambiguous_chunk_framing_is_an_error),
         cmocka_unit_test(a_request_hidden_in_a_chunked_body_is_not_run),
         cmocka_unit_test(a_field_name_with_a_space_is_refused),
+        cmocka_unit_test(a_caller_of_http_1_0_gets_chunks),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
