A caller that expects 100 Continue is told to send its body

Clients that send `Expect: 100-continue` with larger bodies waited, some a second, some for good: evhttp told them to go on, io/wp_downstream.c did not.

The interim answer is sent when the head is accepted; a request that is refused by its head gets only the refusal.

Evidence: test_framing, a_caller_that_expects_to_be_told_to_go_on_waits.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -224,6 +224,14 @@
     return wp_str_uint(wp_head_get(h, "Content-Length", NULL), &n) ? n : 0;
 }
 
+/* Whether the caller waits for leave to send its body. */
+static bool expects_leave(const WPHead *h)
+{
+    WPStr v = wp_head_get(h, "Expect", NULL);
+    static const char leave[] = "100-continue";
+    return v.n == strlen(leave) && !g_ascii_strncasecmp(v.p, leave, v.n);
+}
+
 static bool on_head(void *arg, const WPHead *h)
 {
     WPDownstreamConn *p = arg;
@@ -233,6 +241,9 @@
     p->too_large = body_length(h) > p->downstream->limits.body_bytes;
     p->no_room = !p->too_large && !reserve_room(p, body_length(h));
     p->head = *h;
+    if (!p->head_error && !p->too_large && !p->no_room && expects_leave(h))
+        evbuffer_add_printf(bufferevent_get_output(p->bev),
+                            "HTTP/1.1 100 Continue\r\n\r\n");
     return true;
 }
 
--- a/tests/test_framing.c
+++ b/tests/test_framing.c
@@ -260,6 +260,22 @@
     }
 }
 
+/* Guards against a caller that waits for leave to send its body, in vain. */
+static void a_caller_that_expects_to_be_told_to_go_on_waits(void **state)
+{
+    World w;
+    char answer[512] = "";
+    (void)state;
+    exchange_with_world(&w,
+                        wp_str("POST /x HTTP/1.1\r\nHost: a\r\n"
+                               "Expect: 100-continue\r\n"
+                               "Content-Length: 9\r\n\r\n"),
+                        answer, sizeof(answer) - 1);
+    assert_string_equal(answer, "HTTP/1.1 100 Continue\r\n\r\n");
+    assert_string_equal(w.targets->str, "");
+    close_world(&w);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -268,6 +284,7 @@
         cmocka_unit_test(a_request_hidden_in_a_chunked_body_is_not_run),
         cmocka_unit_test(a_field_name_with_a_space_is_refused),
         cmocka_unit_test(a_caller_of_http_1_0_gets_chunks),
+        cmocka_unit_test(a_caller_that_expects_to_be_told_to_go_on_waits),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
