Input ahead of an answer does not keep the event loop busy

A caller that sent 64 KiB ahead, while its answer was waited for or unread, kept one core busy until then.

Cause: the input was bounded by libevent's high watermark, and libevent calls the reader again and again while the input stays above that.

Reading is disabled instead, and enabled again when the input has been parsed. As for paused uploads, the end of such a caller is looked for by a poll.

--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -14,8 +14,8 @@
 enum {
     SILENT_MS = 6000, /* a caller that answers no keep-alive probe for this time
                          counts as dead */
-    BACKLOG_BYTES = 64 << 10,  /* unsent output that pauses the endpoint */
-    READ_MAX_BYTES = 64 << 10, /* of the next request, while one is answered */
+    BACKLOG_BYTES = 64 << 10,    /* unsent output that pauses the endpoint */
+    READ_MAX_BYTES = 64 << 10,   /* of input that waits to be parsed */
     UNREAD_MAX_BYTES = 16 << 10, /* of answers, above which the next request
                                     does not begin */
     CHAIN_SLACK = 4,             /* buffers take up to 1 part in so many more */
@@ -346,6 +346,24 @@
     evbuffer_drain(in, evbuffer_get_length(in));
 }
 
+/* Stops reading while much input waits, and goes on when it has been parsed. A
+   high watermark would do the same, but libevent calls the reader without end
+   while the input stays above it. */
+static void hold_input(WPDownstreamConn *p)
+{
+    struct evbuffer *in = bufferevent_get_input(p->bev);
+    size_t most = MAX((size_t)READ_MAX_BYTES,
+                      (size_t)p->downstream->limits.head_bytes * 2);
+    bool hold = !p->closing && evbuffer_get_length(in) >= most;
+    if (hold == p->input_held)
+        return;
+    p->input_held = hold;
+    if (hold)
+        bufferevent_disable(p->bev, EV_READ);
+    else if (!p->upload_paused)
+        bufferevent_enable(p->bev, EV_READ);
+}
+
 static void begin_callback(WPDownstreamConn *p)
 {
     p->in_callback = true;
@@ -370,6 +388,7 @@
     p->last_active_us = wp_clock_now(0).mono_us;
     p->downstream->now_us = p->last_active_us;
     advance(p);
+    hold_input(p);
     charge(p);
     end_callback(p);
 }
@@ -399,6 +418,7 @@
         p->downstream->ops->writable(p->downstream->arg, p);
     }
     advance(p);
+    hold_input(p);
     charge(p);
     end_callback(p);
 }
@@ -456,9 +476,6 @@
     wp_list_append(&f->conns, &p->node);
     f->n_conns++;
     bufferevent_setcb(p->bev, on_read, on_write, on_event, p);
-    bufferevent_setwatermark(
-        p->bev, EV_READ, 0,
-        MAX((size_t)READ_MAX_BYTES, (size_t)f->limits.head_bytes * 2));
     bufferevent_enable(p->bev, EV_READ | EV_WRITE);
     set_timer(p, f->limits.idle_ms);
 }
@@ -776,13 +793,13 @@
     f->uploads_limit_bytes = bytes;
 }
 
-/* Whether the caller of a paused upload has ended its connection, which is not
-   read. XXX: an orderly end behind more bytes than the socket's buffers take is
+/* Whether the caller has ended its connection, which is not read at present.
+   XXX: an orderly end behind more bytes than the socket's buffers take is
    noticed only once the connection is read again. */
 static bool is_abandoned(const WPDownstreamConn *p)
 {
     struct pollfd q = { .fd = bufferevent_getfd(p->bev), .events = POLLRDHUP };
-    return p->upload_paused && poll(&q, 1, 0) > 0;
+    return (p->upload_paused || p->input_held) && poll(&q, 1, 0) > 0;
 }
 
 uint64_t wp_downstream_poll_buffered(WPDownstream *f, WPTime now)
@@ -813,7 +830,8 @@
         if (over || !p->upload_paused)
             continue;
         p->upload_paused = false;
-        bufferevent_enable(p->bev, EV_READ);
+        if (!p->input_held)
+            bufferevent_enable(p->bev, EV_READ);
     }
 }
 
--- a/io/wp_downstream.h
+++ b/io/wp_downstream.h
@@ -43,6 +43,7 @@
     bool until_close;   /* it ends with the connection */
     bool is_head;       /* HEAD request: the answer has no body */
     bool backlogged;    /* the output buffer is full; `writable` is due */
+    bool input_held;    /* no more is read, as too much waits to be parsed */
     bool upload_paused; /* the body is not read on, as the box buffers more
                            than its limit */
     uint32_t timer_ms;  /* the duration that `timer` was last set to */
@@ -84,8 +85,7 @@
 /* Closes the listener and all connections of callers. */
 void wp_downstream_free(WPDownstream *f);
 
-/* Sets the size limits and timeouts of requests. The read buffer size, which
-   follows from them, changes only for connections that are accepted later. */
+/* Sets the size limits and timeouts of requests. */
 void wp_downstream_set_limits(WPDownstream *f, const WPRouteLimits *limits);
 
 /* Sets how many bytes the bodies of large requests may take together, from
--- a/tests/test_buffered.c
+++ b/tests/test_buffered.c
@@ -387,6 +387,33 @@
     close_world(&w);
 }
 
+/* Guards against an event loop that does not come to rest while a connection
+   has more input than is read ahead, as the answer before has not been read. */
+static void input_ahead_of_an_unread_answer_keeps_the_loop_busy(void **state)
+{
+    enum { SILENT_MS = 60000, GUARD_S = 2, PIECES = 8 };
+    static const char zeros[CHUNK_BYTES];
+    const struct timeval guard = { GUARD_S, 0 };
+    World w;
+    (void)state;
+    open_world(&w, 512);
+    wp_downstream_set_silence(w.downstream, SILENT_MS);
+    int fd = dial(&w, true);
+    tick(&w);
+    send_request(fd);
+    settle(&w);
+    assert_int_equal(w.requests, 1);
+    event_base_loopexit(w.base, &guard);
+    for (unsigned i = 0; i < PIECES; i++) {
+        (void)!write(fd, zeros, sizeof(zeros));
+        event_base_loop(w.base, EVLOOP_NONBLOCK);
+        assert_false(event_base_got_exit(w.base));
+    }
+    assert_int_equal(wp_downstream_connection_count(w.downstream), 1);
+    close(fd);
+    close_world(&w);
+}
+
 /* Guards against a body of which a byte comes now and then, for ever: each sets
    the idle time-out again. */
 static void a_body_that_trickles_is_waited_for_for_ever(void **state)
@@ -501,6 +528,7 @@
 TESTS_MAIN(T(limit_has_hysteresis),
            T(requests_ahead_begin_before_the_answer_is_read),
            T(a_body_that_trickles_is_waited_for_for_ever),
+           T(input_ahead_of_an_unread_answer_keeps_the_loop_busy),
            T(callers_that_do_not_read_are_closed),
            T(large_bodies_wait_above_the_limit),
            T(paused_upload_outlives_its_caller),
