--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -162,10 +162,12 @@
     struct pollfd q = { dial(port), POLLOUT, 0 };
     char buf[4096];
     ssize_t n = 1;
-    if (q.fd < 0 || poll(&q, 1, ASK_MS) <= 0)
-        n = 0;
-    else if (send(q.fd, request.p, request.n, MSG_NOSIGNAL) < 0)
+    if (q.fd < 0)
         n = 0;
+    for (size_t at = 0; n > 0 && at < request.n && poll(&q, 1, ASK_MS) > 0;) {
+        n = send(q.fd, request.p + at, request.n - at, MSG_NOSIGNAL);
+        at += (size_t)MAX(n, 0);
+    }
     q.events = POLLIN;
     while (n > 0 && poll(&q, 1, ASK_MS) > 0) {
         n = recv(q.fd, buf, sizeof(buf), 0);
--- a/tests/test_unruly.c
+++ b/tests/test_unruly.c
@@ -122,6 +122,27 @@
                        .fill_bytes = 15 * KB });
 }
 
+/* What one caller may send is taken in calm, again and again. */
+static void requests_inside_the_limits_are_refused_in_calm(void **state)
+{
+    enum { BODY_BYTES = 4 << 20, FIELD_BYTES = 15 << 10, TIMES = 3 };
+    g_autofree char *body = g_strnfill(BODY_BYTES, 'x');
+    g_autofree char *field = g_strnfill(FIELD_BYTES, 'x');
+    g_autofree char *text = g_strdup_printf(
+        POST "Connection: close\r\nX-Fill: %s\r\nContent-Length: %d\r\n\r\n%s",
+        field, BODY_BYTES, body);
+    (void)state;
+    open_box();
+    for (unsigned i = 0; i < TIMES; i++)
+        assert_true(crowd_is_served(box.http, wp_str(text), "HTTP/1.1 200 "));
+    g_autofree char *metrics = cluster_entry_metrics(cluster, 0);
+    assert_non_null(
+        strstr(metrics, "wp_bad_input_total{box=\"e0\",zone=\"z1\"} 0"));
+    assert_non_null(strstr(
+        metrics, "wp_connections_gave_way_total{box=\"e0\",zone=\"z1\"} 0"));
+    check_box();
+}
+
 /* Requests sent ahead, whose answers are not read. */
 static void answers_to_requests_ahead_exceed_the_memory(void **state)
 {
@@ -279,6 +300,7 @@
            U(large_bodies_cut_short_exceed_the_memory),
            U(bodies_with_a_length_cut_short_exceed_the_memory),
            U(heads_cut_short_exceed_the_memory),
+           U(requests_inside_the_limits_are_refused_in_calm),
            U(answers_to_requests_ahead_exceed_the_memory),
            U(large_answers_to_requests_ahead_exceed_the_memory),
            U(refusals_of_requests_ahead_exceed_the_memory),
