A stopping entry does not wait for callers that have stopped reading

A planned stop of wpentry waits for answers that callers are reading; clients that read nothing held it up until their idle time-out, 30 s.

--- a/io/wp_server.c
+++ b/io/wp_server.c
@@ -11,7 +11,10 @@
 
 /* Of the descriptors, 1 in so many is for callers; the rest is for agents,
    other boxes and the store. */
-enum { CALLERS_PART = 2 };
+enum {
+    CALLERS_PART = 2,
+    DRAIN_IDLE_MS = 300 /* of a stopping entry's connections */
+};
 
 static WPTime now_of(const WPServer *s)
 {
@@ -232,6 +235,8 @@
     wp_list_each_safe (it, tmp, &s->exchanges)
         tick_exchange(wp_list_item(it, WPExchange, node), now);
     wp_downstream_poll_buffered(s->callers, now);
+    if (wp_host_is_draining(s->host) && !wp_host_lame_duck(s->host))
+        wp_downstream_close_idle(s->callers, now, DRAIN_IDLE_MS);
     wp_attempts_send_backup(s);
     wp_rollout_control_tick(s, now);
 }
--- a/tests/test_unruly_site.c
+++ b/tests/test_unruly_site.c
@@ -5,6 +5,8 @@
 #include "site.h"
 #include "test.h"
 
+#include <signal.h>
+
 enum {
     MEMORY_MB = 256,   /* of a process's machine */
     DESCRIPTORS = 256, /* of processes where these run out */
@@ -112,6 +114,27 @@
                        .rounds = 300 });
 }
 
+/* Guards against a planned stop that lasts as long as it may, as clients have
+   stopped reading their answers. */
+static void a_stop_waits_for_answers_that_nobody_reads(void **state)
+{
+    enum { POLLS = 150, POLL_MS = 100 }; /* a quarter of drain_s */
+    (void)state;
+    open_site();
+    crowd = crowd_new(
+        &(CrowdPlan){ .port = proc("e1")->port,
+                      .connections = 60,
+                      .unit = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+                      .repeats = 2000 });
+    site_signal(proc("e1"), SIGTERM);
+    bool ended = false;
+    for (unsigned i = 0; i < POLLS && !ended; i++) {
+        site_run_loop(site, POLL_MS);
+        ended = site_process_exited(proc("e1"));
+    }
+    assert_true(ended);
+}
+
 /* Each value of an array takes some tens of bytes more when it is parsed. */
 static void parsed_bodies_exceed_the_memory(void **state)
 {
@@ -247,6 +270,7 @@
 TESTS_MAIN(U(bodies_cut_short_exceed_the_memory),
            U(bodies_without_a_key_exceed_the_memory),
            U(answers_to_requests_ahead_exceed_the_memory),
+           U(a_stop_waits_for_answers_that_nobody_reads),
            U(parsed_bodies_exceed_the_memory),
            U(bodies_at_the_entrys_admin_port_exceed_the_memory),
            U(bodies_at_the_agents_admin_port_exceed_the_memory),
