Small answers are copied, larger ones kept by reference

As for the bodies of requests: a reference to a few bytes costs more than a copy, and none is made for an answer without a body.

Comments of wp_link and wp_page.

--- a/io/wp_account_log.h
+++ b/io/wp_account_log.h
@@ -6,7 +6,8 @@
 #include "wp_log.h"
 
 /* Logs that an owner has to give way: what it holds, of how much, and against
-   which limit. `who`: its workspace or address, or "-". */
+   which limit. `who`: the workspace or the request that it is for, or the kind
+   of its port. */
 void wp_log_gives_way(WPLog *l, const WPAccount *a, const WPOwner *o,
                       const char *who);
 
--- a/io/wp_downstream.c
+++ b/io/wp_downstream.c
@@ -620,6 +620,11 @@
                               GByteArray *body)
 {
     struct evbuffer *out = bufferevent_get_output(p->bev);
+    if (body->len <= WP_ARRAY_KEEP_BYTES) {
+        wp_downstream_send_answer(p, status, fields,
+                                  wp_strn((const char *)body->data, body->len));
+        return;
+    }
     if (write_whole_head(p, status, fields, body->len)) {
         SentArray *s = g_new0(SentArray, 1);
         *s = (SentArray){ p, g_byte_array_ref(body) };
--- a/io/wp_link.c
+++ b/io/wp_link.c
@@ -15,9 +15,10 @@
 
 enum {
     LENGTH_BYTES = 4,
-    UNIDENTIFIED_MAX =
-        256,               /* links that were accepted and have sent no Hello */
-    UNIDENTIFIED_PART = 16 /* nor more than 1 in so many descriptors */
+    /* Links that were accepted and have sent no Hello: so many at most, and 1
+       in so many descriptors. */
+    UNIDENTIFIED_MAX = 256,
+    UNIDENTIFIED_PART = 16
 };
 
 struct WPHub {
--- a/io/wp_page.h
+++ b/io/wp_page.h
@@ -7,8 +7,9 @@
 
 #include <jansson.h>
 
-/* Listens on addr:port for operators and the platform's checks: small requests,
-   and few connections at once. Returns NULL and sets `error` on failure. */
+/* Listens on `addr` (IP:PORT) for operators and the platform's checks: small
+   requests, and few connections at once. Returns NULL and sets `error` on
+   failure. */
 WPDownstream *wp_page_listen(struct event_base *base, const char *addr,
                              const WPDownstreamOps *ops, void *arg,
                              WPAccount *account, GError **error);
